--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,60 @@
+// Runs the compiled tests by node:test and closes with one line of counts. Test files that are left in dist/ from a
+// deleted source are not run: the list is taken from src/.
+// KNOWN-RED.txt names tests (text before the first ` | `) that may fail; they are printed, and nothing else passes over.
+import {spawn} from 'node:child_process';
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
+import process from 'node:process';
+
+const wanted = process.argv.slice(2);
+const testFiles = readdirSync('src', {recursive: true})
+	.filter(file => file.endsWith('.test.ts'))
+	.filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)))
+	.map(file => `dist/${file.replace(/\.ts$/v, '.js')}`)
+	.toSorted();
+const knownRed = existsSync('KNOWN-RED.txt')
+	? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(Boolean)
+	: [];
+const knownRedNames = new Set(knownRed.map(line => line.split(' | ')[0].trim()));
+
+const child = spawn(process.execPath, ['--enable-source-maps', '--test', '--test-reporter=./scripts/test-reporter.mjs', '--test-concurrency=6', ...testFiles], {
+	stdio: ['ignore', 'pipe', 'inherit'],
+});
+const results = [];
+let buffered = '';
+child.stdout.setEncoding('utf8');
+child.stdout.on('data', chunk => {
+	buffered += chunk;
+	const lines = buffered.split('\n');
+	buffered = lines.pop();
+	for (const line of lines) {
+		if (line.startsWith('\u0001')) {
+			results.push(JSON.parse(line.slice(1)));
+		} else {
+			console.log(line);
+		}
+	}
+});
+child.on('close', code => {
+	const failed = results.filter(result => !result.passed);
+	const unexpected = failed.filter(result => !knownRedNames.has(result.name));
+	const passed = results.filter(result => result.passed);
+	for (const result of failed) {
+		console.log(`${knownRedNames.has(result.name) ? 'KNOWN RED' : 'FAILED'}: ${result.name} (${result.file})\n${result.error}`);
+	}
+
+	for (const line of knownRed) {
+		console.log(`KNOWN-RED.txt: ${line}`);
+	}
+
+	const broken = code !== 0 && failed.length === 0;
+	if (broken) {
+		console.log(`the test runner ended with ${code} though no test failed`);
+	}
+
+	if (results.length === 0) {
+		console.log('no test was run');
+	}
+
+	console.log(`${passed.length} passed, ${failed.length} failed`);
+	process.exitCode = unexpected.length > 0 || broken || results.length === 0 ? 1 : 0;
+});
--- /dev/null
+++ b/src/adapters/http-client.ts
@@ -0,0 +1,82 @@
+/**
+ * What the HTTP adapters share: one connection pool for the process, whole JSON exchanges, and the judgement whether a
+ * failed exchange can have reached the other side.
+ */
+import {Buffer} from 'node:buffer';
+import {Agent} from 'undici';
+import {type JsonValue} from '../shared/types.js';
+
+const connectTimeoutMilliseconds = 1000;
+const idleConnectionMilliseconds = 10_000;
+
+/** The connection pool of this process. */
+export const connectionPool = new Agent({
+	connect: {timeout: connectTimeoutMilliseconds},
+	keepAliveTimeout: idleConnectionMilliseconds,
+	pipelining: 1,
+});
+
+/** The answer to a JSON exchange. */
+export type JsonAnswer = {
+	status: number;
+	body: JsonValue | undefined;
+};
+
+/** One JSON exchange to make. `timeoutMilliseconds` bounds the whole of it. */
+export type JsonExchange = {
+	method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+	url: string;
+	body?: JsonValue;
+	headers?: Record<string, string>;
+	timeoutMilliseconds: number;
+};
+
+/**
+ * Makes a JSON exchange.
+ *
+ * @param exchange - What to send, and how many milliseconds the whole exchange may take.
+ * @returns The status and the parsed body; the body is `undefined` when it is empty.
+ * @throws The error of the connection, a timeout, or a body that is no JSON.
+ */
+export async function exchangeJson(exchange: JsonExchange): Promise<JsonAnswer> {
+	const {origin, pathname, search} = new URL(exchange.url);
+	const answer = await connectionPool.request({
+		origin,
+		path: pathname + search,
+		method: exchange.method,
+		headers: {'content-type': 'application/json', ...exchange.headers},
+		body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
+		signal: AbortSignal.timeout(exchange.timeoutMilliseconds),
+	});
+	const text = Buffer.from(await answer.body.arrayBuffer()).toString('utf8');
+	return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as JsonValue};
+}
+
+const errorCodesBeforeAnyByte = new Set([
+	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/**
+ * Tells whether an exchange failed before any byte of the request can have left.
+ *
+ * Only failures to connect count. A reset connection does not: the request may have been read before the reset.
+ *
+ * @param error - What the exchange threw.
+ * @returns True only if the other side cannot have seen the request.
+ */
+export function failedBeforeAnyByte(error: unknown): boolean {
+	const {code} = (error as {code?: unknown});
+	return typeof code === 'string' && errorCodesBeforeAnyByte.has(code);
+}
+
+/**
+ * Writes an error as one line for a log or a failure.
+ *
+ * @param error - Anything that was thrown.
+ * @returns The message, with the code in front when there is one.
+ */
+export function describeError(error: unknown): string {
+	const {code, message} = error as {code?: unknown; message?: unknown};
+	const text = typeof message === 'string' && message !== '' ? message : String(error);
+	return typeof code === 'string' ? `${code}: ${text}` : text;
+}
--- /dev/null
+++ b/src/adapters/http-table-service.ts
@@ -0,0 +1,78 @@
+/**
+ * The table service over HTTP: `GET /tables/{table}/rows/{key}`, `GET /tables/{table}/rows?prefix=&after=&limit=` and
+ * `POST /transactions`, which answers 204 when applied and 412 with the current rows when a condition does not hold.
+ */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type Row, type RowName, type TableFailure, type TableService, type Transaction,
+} from '../ports/table-service.js';
+import {type JsonValue} from '../shared/types.js';
+import {describeError, exchangeJson, failedBeforeAnyByte} from './http-client.js';
+
+const defaultTimeoutMilliseconds = 1500;
+
+export class HttpTableService implements TableService {
+	readonly #baseUrl: string;
+	readonly #timeoutMilliseconds: number;
+
+	/**
+	 * @param address - `IP:port` of the service.
+	 * @param timeoutMilliseconds - How long one call may take before its outcome counts as unknown.
+	 */
+	constructor(address: string, timeoutMilliseconds = defaultTimeoutMilliseconds) {
+		this.#baseUrl = `http://${address}`;
+		this.#timeoutMilliseconds = timeoutMilliseconds;
+	}
+
+	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
+		const path = `/tables/${encodeURIComponent(name.table)}/rows/${encodeURIComponent(name.key)}`;
+		return this.#get(path, (status, body) => status === 404 ? undefined : body as Row);
+	}
+
+	async scan(query: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
+		const parameters = new URLSearchParams({prefix: query.prefix, after: query.after, limit: String(query.limit)});
+		const path = `/tables/${encodeURIComponent(query.table)}/rows?${parameters.toString()}`;
+		return this.#get(path, (_status, body) => (body as {rows: Row[]}).rows);
+	}
+
+	async commit(transaction: Transaction): Promise<Either<TableFailure, void>> {
+		try {
+			const answer = await exchangeJson({
+				method: 'POST',
+				url: `${this.#baseUrl}/transactions`,
+				body: transaction,
+				timeoutMilliseconds: this.#timeoutMilliseconds,
+			});
+			return judgeCommit(answer.status, answer.body);
+		} catch (error) {
+			const kind = failedBeforeAnyByte(error) ? 'unavailable' : 'outcome-unknown';
+			return Left({kind, detail: describeError(error)});
+		}
+	}
+
+	async #get<Value>(path: string, read: (status: number, body: JsonValue | undefined) => Value): Promise<Either<TableFailure, Value>> {
+		try {
+			const {status, body} = await exchangeJson({
+				method: 'GET', url: this.#baseUrl + path, timeoutMilliseconds: this.#timeoutMilliseconds,
+			});
+			const answered = status === 200 || status === 404;
+			return answered ? Right(read(status, body)) : Left({kind: 'unavailable', detail: `status ${status}`});
+		} catch (error) {
+			return Left({kind: 'unavailable', detail: describeError(error)});
+		}
+	}
+}
+
+function judgeCommit(status: number, body: JsonValue | undefined): Either<TableFailure, void> {
+	if (status === 204) {
+		return Right(undefined);
+	}
+
+	if (status === 412) {
+		return Left({kind: 'conflict', current: (body as {current: Row[]}).current});
+	}
+
+	// 503 and 429 are the service's own word that nothing was applied; any other status says nothing sure.
+	const kind = status === 503 || status === 429 ? 'unavailable' : 'outcome-unknown';
+	return Left({kind, detail: `status ${status}`});
+}
--- /dev/null
+++ b/src/decision/admission/bounded-queue-admission.ts
@@ -0,0 +1,73 @@
+/**
+ * A baseline: a fixed number of requests at a time per service, first come first served within a class, and a bounded
+ * queue. It answers saturation; it knows nothing of shares, so one workspace can take all places.
+ */
+import {type PriorityClass, type Refusal} from '../../shared/types.js';
+import {type AdmissionAction, type AdmissionPolicy, type AdmissionRequest} from './admission-policy.js';
+
+const queueLimitRequests = 1000;
+const overloadedRetryMilliseconds = 1000;
+const defaultCapacityRequests = 64;
+const classes: readonly PriorityClass[] = ['urgent', 'normal', 'overnight'];
+
+export class BoundedQueueAdmission implements AdmissionPolicy {
+	readonly #capacity = new Map<string, number>();
+	readonly #running = new Map<string, AdmissionRequest>();
+	#queue: AdmissionRequest[] = [];
+
+	arrive(request: AdmissionRequest, now: number): AdmissionAction[] {
+		if (this.#queue.length >= queueLimitRequests) {
+			return [refuse(request, 'overloaded', 'too many requests wait')];
+		}
+
+		this.#queue.push(request);
+		return this.advance(now);
+	}
+
+	finish(requestId: string, now: number): AdmissionAction[] {
+		this.#running.delete(requestId);
+		return this.advance(now);
+	}
+
+	cancel(requestId: string, now: number): AdmissionAction[] {
+		this.#queue = this.#queue.filter(request => request.requestId !== requestId);
+		return this.finish(requestId, now);
+	}
+
+	advance(now: number): AdmissionAction[] {
+		const late = this.#queue.filter(request => request.deadline <= now);
+		this.#queue = this.#queue.filter(request => request.deadline > now);
+		return [...late.map(request => refuse(request, 'deadline', 'the deadline passed while it waited')), ...this.#admit()];
+	}
+
+	setCapacity(service: string, capacity: number, now: number): AdmissionAction[] {
+		this.#capacity.set(service, capacity);
+		return this.advance(now);
+	}
+
+	waiting(): readonly AdmissionRequest[] {
+		return this.#queue;
+	}
+
+	#admit(): AdmissionAction[] {
+		const inOrder = classes.flatMap(priority => this.#queue.filter(request => request.priority === priority));
+		const actions: AdmissionAction[] = [];
+		for (const request of inOrder) {
+			const running = [...this.#running.values()].filter(({service}) => service === request.service).length;
+			if (running < (this.#capacity.get(request.service) ?? defaultCapacityRequests)) {
+				this.#running.set(request.requestId, request);
+				actions.push({kind: 'admit', requestId: request.requestId});
+			}
+		}
+
+		this.#queue = this.#queue.filter(request => !this.#running.has(request.requestId));
+		return actions;
+	}
+}
+
+function refuse(request: AdmissionRequest, reason: 'overloaded' | 'deadline', message: string): AdmissionAction {
+	const refusal: Refusal = {
+		reason, ran: 'not-run', message, retryAfterMilliseconds: overloadedRetryMilliseconds,
+	};
+	return {kind: 'refuse', requestId: request.requestId, refusal};
+}
--- /dev/null
+++ b/src/declaration/declaration-schema.ts
@@ -0,0 +1,64 @@
+/** The schema of a declaration file, by zod. Unknown keys are refused, so that a misspelt one is never passed over. */
+import {z} from 'zod';
+
+const longestNameCharacters = 63;
+const largestShare = 1000;
+const longestDeadlineMilliseconds = 86_400_000;
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9._\-]*$/v, 'must be lower-case letters, digits, ".", "_" or "-"').max(longestNameCharacters);
+const priority = z.enum(['urgent', 'normal', 'overnight']);
+const keyDigest = z.string().regex(/^[0-9a-f]{64}$/v, 'must be a SHA-256 digest in hexadecimal; give the digest, never the key');
+
+const workspace = z.strictObject({
+	name,
+	keyDigests: z.array(keyDigest).min(1),
+	priority: priority.default('normal'),
+	share: z.number().positive().max(largestShare).default(1),
+	services: z.array(name).min(1),
+});
+
+const neverTwiceRule = z.strictObject({
+	method: z.enum(['POST', 'PUT', 'PATCH', 'DELETE']),
+	path: z.string().startsWith('/'),
+});
+
+const common = {
+	name,
+	fencing: z.enum(['checked', 'ignored']).default('ignored'),
+	paused: z.boolean().default(false),
+};
+
+const service = z.discriminatedUnion('kind', [
+	z.strictObject({
+		...common, kind: z.literal('model'), model: z.string().min(1), weightVersion: z.string().min(1),
+	}),
+	z.strictObject({...common, kind: z.literal('plain'), neverTwice: z.array(neverTwiceRule).default([])}),
+]);
+
+const rule = z.strictObject({
+	name,
+	workspace: name.optional(),
+	service: name.optional(),
+	priority: priority.optional(),
+	deadlineMilliseconds: z.number().int().positive().max(longestDeadlineMilliseconds).optional(),
+	dataCentres: z.array(name).min(1).optional(),
+});
+
+/** The limits that can be declared, each with what it bounds. */
+export const knownLimits = ['open-requests', 'open-requests-per-workspace', 'claims-per-second', 'body-bytes'] as const;
+
+const limit = z.strictObject({
+	name: z.enum(knownLimits),
+	value: z.number().int().positive(),
+});
+
+/** A whole declaration file. */
+export const declarationSchema = z.strictObject({
+	workspaces: z.array(workspace).default([]),
+	services: z.array(service).default([]),
+	rules: z.array(rule).default([]),
+	limits: z.array(limit).default([]),
+});
+
+/** What a declaration file says, with the defaults filled in. */
+export type Declaration = z.infer<typeof declarationSchema>;
--- /dev/null
+++ b/src/demo/main.ts
@@ -0,0 +1,149 @@
+/** The demo: starts a small deployment of processes, drives both users' traffic through it, and prints the figures. */
+import {once} from 'node:events';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {Command} from 'commander';
+import {request} from 'undici';
+import {runApply} from '../operator/declaration-commands.js';
+import {OperatorClient} from '../operator/operator-client.js';
+import {demoOperatorKey, Deployment} from './deployment.js';
+import {type DemoReport, reportOf} from './demo-report.js';
+import {
+	demoCallers, promptsOfRound, sendAll, sendBookings, type SentPrompt,
+} from './demo-traffic.js';
+
+const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
+const changedDeclarationPath = fileURLToPath(new URL('../../examples/demo-changed.yaml', import.meta.url));
+const rounds = 6;
+const bookingNames = Array.from({length: 8}, (_, index) => `pitch-${index + 1}`);
+const readyWaitMilliseconds = 50;
+
+const command = new Command('demo')
+	.option('--json', 'print one JSON object as the last line')
+	.option('--hold', 'keep the deployment up until SIGINT or SIGTERM');
+const options: {json?: boolean; hold?: boolean} = command.parse().opts();
+const say = (text: string): void => {
+	if (!options.json && !options.hold) {
+		console.log(text);
+	}
+};
+
+const deployment = new Deployment({
+	dataCentres: ['split-riva', 'split-luka'],
+	entriesPerDataCentre: 3,
+	enginesPerDataCentre: 3,
+	modelServices: [
+		{service: 'permits', model: 'permit-1', weightVersion: 'w1'},
+		{service: 'lessons', model: 'lesson-1', weightVersion: 'w1'},
+	],
+	plainService: 'bookings',
+});
+
+/** Waits until every entry has a version in force and knows live endpoints. */
+async function waitUntilReady(version: number): Promise<void> {
+	for (const {listed} of deployment.withRole('entry')) {
+		for (;;) {
+			const answer = await request(`http://${listed.address}/readyz`);
+			const {ready, configurationVersion} = await answer.body.json() as {ready: boolean; configurationVersion: number};
+			if (ready && configurationVersion >= version) {
+				break;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, readyWaitMilliseconds);
+			});
+		}
+	}
+}
+
+function operatorClient(): OperatorClient {
+	const [entry] = deployment.withRole('entry');
+	return new OperatorClient(String(entry!.process.ready.operators), demoOperatorKey);
+}
+
+async function apply(path: string, reason: string): Promise<number> {
+	const client = operatorClient();
+	const output = {line: say, problem: say};
+	await runApply([path], {author: 'demo', reason}, client, output);
+	const {version} = await client.head();
+	await waitUntilReady(version);
+	return version;
+}
+
+async function drive(): Promise<DemoReport> {
+	const entries = deployment.withRole('entry').map(({listed}) => listed.address);
+	const prompts: SentPrompt[] = [];
+	for (let round = 0; round < rounds / 2; round++) {
+		prompts.push(...await sendAll(promptsOfRound(round, entries)));
+	}
+
+	const bookings = await sendBookings(bookingNames, entries);
+	const configurationVersion = await apply(changedDeclarationPath, 'parish questions become urgent');
+	for (let round = rounds / 2; round < rounds; round++) {
+		prompts.push(...await sendAll(promptsOfRound(round, entries)));
+	}
+
+	const counts = await Promise.all(deployment.withRole('plain-service').map(async ({listed}) => deployment.countsOf(listed.address)));
+	const total = (name: string): number => counts.map(count => Number(count[name])).reduce((sum, value) => sum + value, 0);
+	return reportOf({
+		processes: deployment.group.size,
+		prompts,
+		bookings,
+		bookingsAsked: bookingNames.length,
+		bookingsRun: total('runs'),
+		duplicateRuns: total('duplicateRuns'),
+		configurationVersion,
+		timelineEvents: deployment.timeline.lines.length,
+	});
+}
+
+function printReport(report: DemoReport): void {
+	say(`${report.processes} processes; configuration version ${report.configurationVersion} in force on every entry`);
+	say(`prompts: ${report.requests} sent, ${report.wholeAnswers} whole answers`);
+	say(`time to first token: median ${report.timeToFirstTokenMedianMilliseconds} ms, p95 ${report.timeToFirstTokenP95Milliseconds} ms`);
+	say(`share of prompt tokens recomputed: ${report.shareRecomputed}`);
+	say(`bookings: ${report.bookingsAsked} asked three times each, ${report.bookingsRun} run, ${report.duplicateRuns} run twice`);
+	say(`refused not-run: ${report.refusedNotRun}; unknown: ${report.unknown}; events on the time line: ${report.timelineEvents}`);
+	say('the last events of the time line:');
+	for (const line of deployment.timeline.lines.slice(-8)) {
+		say(`  ${line}`);
+	}
+}
+
+async function hold(): Promise<void> {
+	const [first] = deployment.withRole('entry');
+	console.log(JSON.stringify({
+		entries: deployment.withRole('entry').map(({listed}) => listed.address),
+		workspaceKey: demoCallers[0]!.key,
+		model: demoCallers[0]!.model,
+		servicePath: '/services/bookings/bookings',
+		operatorAddress: first!.process.ready.operators,
+		operatorKey: demoOperatorKey,
+		timelineAddress: deployment.timeline.ready.address,
+	}));
+	await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
+}
+
+let report: DemoReport | undefined;
+try {
+	say('starting two data centres …');
+	await deployment.start();
+	await apply(declarationPath, 'the first declaration');
+	if (options.hold) {
+		await hold();
+	} else {
+		report = await drive();
+		printReport(report);
+	}
+} finally {
+	await deployment.stop();
+}
+
+if (report !== undefined) {
+	if (options.json) {
+		console.log(JSON.stringify(report));
+	}
+
+	const isWell = report.wholeAnswers === report.requests && report.duplicateRuns === 0 && report.bookingsRun === report.bookingsAsked;
+	process.exitCode = isWell ? 0 : 1;
+}
--- /dev/null
+++ b/src/demo/process-group.ts
@@ -0,0 +1,89 @@
+/**
+ * Starts the processes of a demo or a test, each a child of the script, and ends exactly those it started. A process is
+ * ready when it has printed its one JSON line.
+ */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+const readyTimeoutMilliseconds = 20_000;
+const stopTimeoutMilliseconds = 5000;
+
+/** What a process printed when it was ready. */
+export type ReadyLine = Record<string, string | boolean>;
+
+/** One started process. */
+export type StartedProcess = {
+	child: ChildProcess;
+	ready: ReadyLine;
+	/** Lines on standard output behind the ready line. */
+	lines: string[];
+};
+
+/** Thrown when a process ended, or was silent, before it was ready. */
+export class ProcessStartError extends Error {
+	override readonly name = 'ProcessStartError';
+}
+
+export class ProcessGroup {
+	readonly #started: StartedProcess[] = [];
+
+	/** How many processes were started. */
+	get size(): number {
+		return this.#started.length;
+	}
+
+	/**
+	 * Starts a program of the build and waits until it is ready.
+	 *
+	 * @param program - Its path below the build folder, for example `entry/main.js`.
+	 * @param options - Its arguments, and variables beside the inherited ones.
+	 * @returns The process.
+	 */
+	async start(program: string, options: {arguments: readonly string[]; environment?: Record<string, string>}): Promise<StartedProcess> {
+		const path = fileURLToPath(new URL(`../${program}`, import.meta.url));
+		const child = spawn(process.execPath, [path, ...options.arguments], {
+			stdio: ['ignore', 'pipe', 'inherit'], env: {...process.env, ...options.environment},
+		});
+		const reader = createInterface({input: child.stdout});
+		const lines: string[] = [];
+		const timeout = AbortSignal.timeout(readyTimeoutMilliseconds);
+		const ended = new AbortController();
+		child.once('exit', () => {
+			ended.abort();
+		});
+		try {
+			const [line] = await once(reader, 'line', {signal: AbortSignal.any([timeout, ended.signal])}) as [string];
+			reader.on('line', next => {
+				lines.push(next);
+			});
+			const started = {child, ready: JSON.parse(line) as ReadyLine, lines};
+			this.#started.push(started);
+			return started;
+		} catch {
+			child.kill('SIGKILL');
+			throw new ProcessStartError(`${program} ${options.arguments.join(' ')} did not become ready`);
+		}
+	}
+
+	/** Ends all processes; those that do not end in time are killed. */
+	async stop(): Promise<void> {
+		await Promise.all(this.#started.map(async ({child}) => stopChild(child)));
+	}
+}
+
+async function stopChild(child: ChildProcess): Promise<void> {
+	if (child.exitCode !== null || child.signalCode !== null) {
+		return;
+	}
+
+	const exited = once(child, 'exit');
+	child.kill('SIGTERM');
+	const timer = setTimeout(() => {
+		child.kill('SIGKILL');
+	}, stopTimeoutMilliseconds);
+	await exited;
+	clearTimeout(timer);
+}
--- /dev/null
+++ b/src/entry/callers/admission-gate.ts
@@ -0,0 +1,71 @@
+/**
+ * The shell around an admission policy: callers wait for the action that concerns them, and time is passed on to the
+ * policy so that deadlines are seen.
+ */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest,
+} from '../../decision/admission/admission-policy.js';
+import {type Clock} from '../../ports/clock.js';
+import {type Refusal} from '../../shared/types.js';
+import {type Child} from '../../supervisor/supervisor.js';
+
+const advanceMilliseconds = 20;
+
+export class AdmissionGate implements Child {
+	readonly name = 'admission-gate';
+	readonly #policy: AdmissionPolicy;
+	readonly #clock: Clock;
+	readonly #waiting = new Map<string, (answer: Either<Refusal, void>) => void>();
+
+	constructor(policy: AdmissionPolicy, clock: Clock) {
+		this.#policy = policy;
+		this.#clock = clock;
+	}
+
+	get policy(): AdmissionPolicy {
+		return this.#policy;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			this.#carryOut(this.#policy.advance(this.#clock.now()));
+			await this.#clock.sleep(advanceMilliseconds, signal);
+		}
+	}
+
+	/** Waits until the request is let in or refused. */
+	async enter(request: AdmissionRequest): Promise<Either<Refusal, void>> {
+		return new Promise(resolve => {
+			this.#waiting.set(request.requestId, resolve);
+			this.#carryOut(this.#policy.arrive(request, this.#clock.now()));
+		});
+	}
+
+	/** An admitted request ended. */
+	leave(requestId: string): void {
+		this.#carryOut(this.#policy.finish(requestId, this.#clock.now()));
+	}
+
+	/** The caller hung up; if the request still waits, its wait ends. */
+	cancel(requestId: string): void {
+		this.#carryOut(this.#policy.cancel(requestId, this.#clock.now()));
+		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the caller hung up'}));
+	}
+
+	setCapacity(service: string, capacity: number): void {
+		this.#carryOut(this.#policy.setCapacity(service, capacity, this.#clock.now()));
+	}
+
+	#carryOut(actions: readonly AdmissionAction[]): void {
+		for (const action of actions) {
+			this.#answer(action.requestId, action.kind === 'admit' ? Right(undefined) : Left(action.refusal));
+		}
+	}
+
+	#answer(requestId: string, answer: Either<Refusal, void>): void {
+		const resolve = this.#waiting.get(requestId);
+		this.#waiting.delete(requestId);
+		resolve?.(answer);
+	}
+}
--- /dev/null
+++ b/src/entry/callers/caller-routes.ts
@@ -0,0 +1,216 @@
+/** The callers' HTTP: completions, the list of models, and plain services by path. */
+import {randomUUID} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {H3} from 'h3';
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {charactersPerToken} from '../../cache/piece-keys.js';
+import {nodeRoute, type NodeExchange} from '../../shared/node-route.js';
+import {promptTextOf} from '../../shared/prompt-text-of.js';
+import {type Refusal, type ServiceItem, type WorkspaceItem} from '../../shared/types.js';
+import {type EntryContext} from '../entry-context.js';
+import {type AdmissionGate} from './admission-gate.js';
+import {authenticate} from './authenticate.js';
+import {CompletionWriter, type CompletionUsage} from './completion-writer.js';
+import {
+	type CompletionRequest, type CompletionShape, parseCompletionRequest,
+} from './completion-request.js';
+import {type CompletionJob, type CompletionRunner} from './completion-runner.js';
+import {type PlainRoute} from './plain-route.js';
+import {readBody} from './read-body.js';
+import {requestRule} from './request-rule.js';
+import {sendRefusal} from './send-refusal.js';
+
+export const defaultBodyLimitBytes = 8_388_608;
+
+/** What the routes pass work on to. */
+export type CallerParts = {
+	gate: AdmissionGate;
+	runner: CompletionRunner;
+	plainRoute: PlainRoute;
+};
+
+type ModelServiceItem = ServiceItem & {kind: 'model'};
+type UnderstoodCompletion = {workspace: WorkspaceItem; completion: CompletionRequest; service: ModelServiceItem};
+type ArrivedExchange = {request: IncomingMessage; arrivedAt: number; signal: AbortSignal};
+
+export class CallerRoutes {
+	readonly app = new H3();
+	readonly #context: EntryContext;
+	readonly #parts: CallerParts;
+
+	constructor(context: EntryContext, parts: CallerParts) {
+		this.#context = context;
+		this.#parts = parts;
+		this.app.get('/healthz', () => ({status: 'alive'}));
+		this.app.get('/readyz', event => {
+			const ready = !context.draining && context.configuration.state.version > 0 && context.endpoints.isKnown;
+			event.res.status = ready ? 200 : 503;
+			return {ready, configurationVersion: context.configuration.state.version};
+		});
+		this.app.get('/v1/models', nodeRoute(async exchange => this.#listModels(exchange)));
+		this.app.post('/v1/chat/completions', nodeRoute(async exchange => this.#complete('chat', exchange)));
+		this.app.post('/v1/completions', nodeRoute(async exchange => this.#complete('text', exchange)));
+		this.app.all('/services/:service/**', nodeRoute(async exchange => this.#callService(exchange)));
+		this.app.all('/**', nodeRoute(async ({response}) => {
+			sendRefusal(response, {reason: 'not-found', ran: 'not-run', message: 'there is nothing at this path'});
+		}));
+	}
+
+	async #listModels({request, response}: NodeExchange): Promise<void> {
+		const {configuration} = this.#context;
+		this.#workspaceOf(request).caseOf({
+			Left(refusal) {
+				sendRefusal(response, refusal);
+			},
+			Right(workspace) {
+				const models = workspace.services
+					.map(name => configuration.state.services.get(name))
+					.filter(service => service?.kind === 'model')
+					.map(service => ({
+						id: service.model, object: 'model', created: 0, owned_by: 'savorygauge',
+					}));
+				response.writeHead(200, {'content-type': 'application/json'});
+				response.end(JSON.stringify({object: 'list', data: models}));
+			},
+		});
+	}
+
+	async #complete(shape: CompletionShape, {request, response}: NodeExchange): Promise<void> {
+		const arrivedAt = this.#context.clock.now();
+		const body = await readBody(request, this.#context.configuration.state.limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
+		const understood = this.#workspaceOf(request).chain(workspace =>
+			body.chain(bytes => parseCompletionRequest(shape, bytes))
+				.chain(completion => this.#modelServiceOf(workspace, completion.model)
+					.map(service => ({workspace, completion, service}))));
+		if (understood.isLeft()) {
+			sendRefusal(response, understood.extract());
+			return;
+		}
+
+		const {workspace, completion, service} = understood.unsafeCoerce();
+		const hangUp = new AbortController();
+		const job = this.#jobOf({workspace, completion, service}, {request, arrivedAt, signal: hangUp.signal});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				hangUp.abort();
+				this.#parts.gate.cancel(job.route.requestId);
+			}
+		});
+		await this.#serve(job, {workspace, completion}, response);
+	}
+
+	async #serve(job: CompletionJob, {workspace, completion}: {workspace: WorkspaceItem; completion: CompletionRequest}, response: ServerResponse): Promise<void> {
+		const {requestId, service, priority, promptTokens, deadline} = job.route;
+		const {timeline, clock} = this.#context;
+		const common = {requestId, workspace: workspace.name};
+		timeline.record({kind: 'request-arrived', at: job.arrivedAt, ...common});
+		const writer = new CompletionWriter(response, completion, {requestId, createdSeconds: Math.floor(job.arrivedAt / 1000)});
+		const entered = await this.#parts.gate.enter({
+			requestId, workspace: workspace.name, share: workspace.share, service, priority, promptTokens, deadline,
+		});
+		if (entered.isLeft()) {
+			this.#refuse(writer, entered.extract(), common);
+			return;
+		}
+
+		timeline.record({kind: 'request-admitted', at: clock.now(), ...common});
+		const result = await this.#parts.runner.run(job, writer);
+		this.#parts.gate.leave(requestId);
+		if ('reason' in result) {
+			this.#refuse(writer, result, common);
+			return;
+		}
+
+		this.#finish(writer, result, job);
+	}
+
+	#finish(writer: CompletionWriter, usage: CompletionUsage, job: CompletionJob): void {
+		const {requestId, workspace, service} = job.route;
+		const {timeline, clock, metrics} = this.#context;
+		writer.finish(usage);
+		timeline.record({
+			kind: 'request-finished', at: clock.now(), requestId, workspace,
+		});
+		metrics.report('request.prompt_tokens', usage.promptTokens, {service});
+		metrics.report('request.recomputed_tokens', usage.promptTokens - usage.cachedTokens, {service});
+	}
+
+	#refuse(writer: CompletionWriter, refusal: Refusal, common: {requestId: string; workspace: string}): void {
+		const {timeline, clock, metrics} = this.#context;
+		writer.fail(refusal);
+		timeline.record({
+			kind: 'request-refused', at: clock.now(), ...common, detail: `${refusal.reason} ${refusal.ran}`,
+		});
+		metrics.report('request.refused', 1, {reason: refusal.reason, ran: refusal.ran});
+	}
+
+	#jobOf(understood: UnderstoodCompletion, exchange: ArrivedExchange): CompletionJob {
+		const {workspace, completion, service} = understood;
+		const {request, arrivedAt, signal} = exchange;
+		const rule = requestRule(this.#context.configuration.state, {
+			workspace,
+			service: service.name,
+			priority: headerOf(request, 'x-priority'),
+			deadlineMilliseconds: headerOf(request, 'x-deadline-milliseconds'),
+		});
+		const prompt = promptTextOf(completion.body);
+		return {
+			request: completion,
+			prompt,
+			arrivedAt,
+			signal,
+			dataCentres: rule.dataCentres,
+			route: {
+				requestId: randomUUID(),
+				workspace: workspace.name,
+				service: service.name,
+				weightVersion: service.weightVersion,
+				priority: rule.priority,
+				promptTokens: Math.ceil(prompt.length / charactersPerToken),
+				deadline: arrivedAt + rule.deadlineMilliseconds,
+			},
+		};
+	}
+
+	async #callService(exchange: NodeExchange): Promise<void> {
+		const {request, response} = exchange;
+		const workspace = this.#workspaceOf(request);
+		if (workspace.isLeft()) {
+			sendRefusal(response, workspace.extract());
+			return;
+		}
+
+		await this.#parts.plainRoute.call(workspace.extract() as WorkspaceItem, exchange);
+	}
+
+	#workspaceOf(request: IncomingMessage): Either<Refusal, WorkspaceItem> {
+		if (this.#context.draining) {
+			return Left({
+				reason: 'draining', ran: 'not-run', message: 'this instance is leaving', retryAfterMilliseconds: 1000,
+			});
+		}
+
+		return authenticate(this.#context.configuration.state, request.headers.authorization);
+	}
+
+	#modelServiceOf(workspace: WorkspaceItem, model: string): Either<Refusal, ModelServiceItem> {
+		const {services} = this.#context.configuration.state;
+		const service = workspace.services
+			.map(name => services.get(name))
+			.find((item): item is ModelServiceItem => item?.kind === 'model' && item.model === model);
+		if (service === undefined) {
+			return Left({reason: 'not-found', ran: 'not-run', message: `there is no model "${model}" for this workspace`});
+		}
+
+		return service.paused
+			? Left({
+				reason: 'paused', ran: 'not-run', message: `"${model}" is paused`, retryAfterMilliseconds: 30_000,
+			})
+			: Right(service);
+	}
+}
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/entry/callers/completion-request.ts
@@ -0,0 +1,66 @@
+/** The requests of the published completions protocol, as far as savorygauge looks into them. */
+import {type Buffer} from 'node:buffer';
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {z} from 'zod';
+import {type JsonValue, type Refusal} from '../../shared/types.js';
+
+const largestCompletionTokens = 1_000_000;
+
+const common = {
+	model: z.string().min(1),
+	stream: z.boolean().nullish(),
+	stream_options: z.object({include_usage: z.boolean().optional()}).nullish(),
+	max_tokens: z.number().int().positive().max(largestCompletionTokens).nullish(),
+	max_completion_tokens: z.number().int().positive().max(largestCompletionTokens).nullish(),
+	n: z.literal(1).nullish(),
+};
+
+const chatSchema = z.looseObject({
+	...common,
+	messages: z.array(z.looseObject({role: z.string(), content: z.union([z.string(), z.array(z.unknown()), z.null()]).optional()})).min(1),
+});
+
+const textSchema = z.looseObject({...common, prompt: z.string()});
+
+/** The two shapes of the protocol: `chat` has messages, `text` has a prompt. */
+export type CompletionShape = 'chat' | 'text';
+
+/** A request that was understood. `body` is what the engine gets. */
+export type CompletionRequest = {
+	shape: CompletionShape;
+	model: string;
+	stream: boolean;
+	includeUsage: boolean;
+	body: Record<string, JsonValue>;
+};
+
+/**
+ * Reads a completions request.
+ *
+ * @param shape - Which of the two paths it came by.
+ * @param body - The bytes of its body.
+ * @returns The request, or the refusal that names what is wrong.
+ */
+export function parseCompletionRequest(shape: CompletionShape, body: Buffer): Either<Refusal, CompletionRequest> {
+	let value: unknown;
+	try {
+		value = JSON.parse(body.toString('utf8'));
+	} catch {
+		return Left({reason: 'bad-request', ran: 'not-run', message: 'the body is no JSON'});
+	}
+
+	const parsed = (shape === 'chat' ? chatSchema : textSchema).safeParse(value);
+	if (!parsed.success) {
+		const problems = parsed.error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`);
+		return Left({reason: 'bad-request', ran: 'not-run', message: problems.join('; ')});
+	}
+
+	const {model, stream, stream_options: streamOptions} = parsed.data;
+	return Right({
+		shape,
+		model,
+		stream: stream ?? false,
+		includeUsage: streamOptions?.include_usage ?? false,
+		body: parsed.data as Record<string, JsonValue>,
+	});
+}
--- /dev/null
+++ b/src/entry/callers/send-refusal.ts
@@ -0,0 +1,78 @@
+/** Writes refusals: the error body of the published completions protocol, with our reason and the word on the work. */
+import {type ServerResponse} from 'node:http';
+import {type Refusal, type RefusalReason} from '../../shared/types.js';
+
+/** The HTTP status of each reason. */
+export const statusOfReason: Record<RefusalReason, number> = {
+	'bad-request': 400,
+	unauthorized: 401,
+	'not-found': 404,
+	'too-large': 413,
+	'too-slow': 408,
+	'too-many-open': 429,
+	'no-endpoint': 503,
+	overloaded: 429,
+	deadline: 503,
+	draining: 503,
+	paused: 503,
+	'platform-unavailable': 503,
+	'claim-rate': 429,
+	'stale-configuration': 503,
+	'key-reused': 422,
+	'in-progress': 409,
+	'outcome-unknown': 502,
+	'endpoint-failed': 502,
+	'stream-cut': 502,
+	cancelled: 499,
+	internal: 500,
+};
+
+/** The body of a refusal, in the shape that clients of the published protocol parse. */
+export type RefusalBody = {
+	error: {
+		message: string;
+		type: string;
+		code: RefusalReason;
+		param: null;
+		ran: Refusal['ran'];
+		retry_after_milliseconds?: number;
+		ask_at?: string;
+	};
+};
+
+/**
+ * Gives the body of a refusal.
+ *
+ * @param refusal - The refusal.
+ * @returns The body, to be sent as JSON.
+ */
+export function refusalBody(refusal: Refusal): RefusalBody {
+	const status = statusOfReason[refusal.reason];
+	const {retryAfterMilliseconds, askAt} = refusal;
+	return {
+		error: {
+			message: refusal.message,
+			type: status < 500 ? 'invalid_request_error' : 'server_error',
+			code: refusal.reason,
+			param: null,
+			ran: refusal.ran,
+			...(retryAfterMilliseconds === undefined ? {} : {retry_after_milliseconds: retryAfterMilliseconds}),
+			...(askAt === undefined ? {} : {ask_at: askAt}),
+		},
+	};
+}
+
+/**
+ * Answers with a refusal, at once.
+ *
+ * @param response - The response; nothing was written to it yet.
+ * @param refusal - The refusal.
+ */
+export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+	const {retryAfterMilliseconds} = refusal;
+	response.writeHead(statusOfReason[refusal.reason], {
+		'content-type': 'application/json',
+		...(retryAfterMilliseconds === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMilliseconds / 1000))}),
+	});
+	response.end(JSON.stringify(refusalBody(refusal)));
+}
--- /dev/null
+++ b/src/entry/configuration-holder.ts
@@ -0,0 +1,39 @@
+/**
+ * The configuration that this instance has in force. It only moves forward, whoever brings the change: the table or a
+ * peer.
+ */
+import {type Either} from 'purify-ts/Either';
+import {applyChange, type ApplyFailure} from '../protocol/configuration/apply-change.js';
+import {type ConfigurationState, emptyConfiguration} from '../protocol/configuration/configuration-state.js';
+import {type ConfigurationChange} from '../shared/types.js';
+
+type Listener = (state: ConfigurationState, change: ConfigurationChange) => void;
+
+export class ConfigurationHolder {
+	#state: ConfigurationState = emptyConfiguration;
+	readonly #listeners: Listener[] = [];
+
+	get state(): ConfigurationState {
+		return this.#state;
+	}
+
+	/** Calls a listener after each change that came into force here. */
+	onChange(listener: Listener): void {
+		this.#listeners.push(listener);
+	}
+
+	/**
+	 * Brings a change into force.
+	 *
+	 * @param change - A change from the table or a peer.
+	 * @returns The new state, or why the change does not follow.
+	 */
+	offer(change: ConfigurationChange): Either<ApplyFailure, ConfigurationState> {
+		return applyChange(this.#state, change).ifRight(state => {
+			this.#state = state;
+			for (const listener of this.#listeners) {
+				listener(state, change);
+			}
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/endpoint-directory.ts
@@ -0,0 +1,81 @@
+/** What this instance knows of the endpoints: the platform's list, corrected by what each endpoint says of itself. */
+import {type EndpointView} from '../decision/routing/routing-policy.js';
+import {type LoadReport} from '../ports/model-engine.js';
+import {type ListedInstance} from '../shared/types.js';
+
+/** A plain service's instance. */
+export type PlainEndpoint = Pick<ListedInstance, 'name' | 'address' | 'dataCentre' | 'service' | 'state'>;
+
+export class EndpointDirectory {
+	#engines: ReadonlyMap<string, EndpointView> = new Map();
+	#listSeen = false;
+	#plain: readonly PlainEndpoint[] = [];
+
+	/** True once every live model endpoint of the list has reported for itself, and the list was seen. */
+	get isKnown(): boolean {
+		const live = this.engines().filter(({state}) => state === 'live');
+		return this.#listSeen && live.every(({heardAt}) => heardAt > 0);
+	}
+
+	/** All model endpoints. The array is made anew when anything changes. */
+	engines(): readonly EndpointView[] {
+		return [...this.#engines.values()];
+	}
+
+	/** The live endpoints of a plain service, those of the given data centre first. */
+	plainEndpointsOf(service: string, dataCentre: string): readonly PlainEndpoint[] {
+		const nearFirst = (endpoint: PlainEndpoint): number => endpoint.dataCentre === dataCentre ? 0 : 1;
+		return this.#plain
+			.filter(endpoint => endpoint.service === service && endpoint.state === 'live')
+			.toSorted((left, right) => nearFirst(left) - nearFirst(right));
+	}
+
+	/**
+	 * Takes the platform's list. It lags, so it never overrules an endpoint that says it is leaving, and a live entry
+	 * only makes an endpoint worth asking.
+	 */
+	takeList(instances: readonly ListedInstance[]): void {
+		this.#listSeen = instances.length > 0;
+		const engines = instances.filter(({role}) => role === 'model-engine');
+		this.#engines = new Map(engines.map(listed => [listed.name, mergeListed(this.#engines.get(listed.name), listed)]));
+		this.#plain = instances.filter(({role}) => role === 'plain-service');
+	}
+
+	/** Takes an endpoint's own report. */
+	takeReport(name: string, load: LoadReport, now: number): void {
+		const known = this.#engines.get(name);
+		if (known !== undefined) {
+			const {model, weightVersion, state} = load;
+			this.#replace({
+				...known, model, weightVersion, state, load, heardAt: now,
+			});
+		}
+	}
+
+	/** Takes an engine's word, in an answer, that it runs another weight version now. */
+	takeVersion(name: string, weightVersion: string): void {
+		const known = this.#engines.get(name);
+		if (known !== undefined) {
+			this.#replace({...known, weightVersion});
+		}
+	}
+
+	#replace(endpoint: EndpointView): void {
+		const engines = new Map(this.#engines);
+		engines.set(endpoint.name, endpoint);
+		this.#engines = engines;
+	}
+}
+
+function mergeListed(known: EndpointView | undefined, listed: ListedInstance): EndpointView {
+	const {
+		name, address, dataCentre, service, state,
+	} = listed;
+	if (known?.address !== address) {
+		return {
+			name, address, dataCentre, service, model: '', weightVersion: '', state, heardAt: 0,
+		};
+	}
+
+	return {...known, service, state: state === 'leaving' ? 'leaving' : known.state};
+}
--- /dev/null
+++ b/src/entry/entry-context.ts
@@ -0,0 +1,29 @@
+/** What the parts of an entry share: who it is, its ports to the outside, and what it knows. */
+import {type ProcessIdentity, type ProcessLogger} from '../observability/logger.js';
+import {type Metrics} from '../observability/metrics.js';
+import {type TimelineRecorder} from '../observability/timeline-event.js';
+import {type Clock} from '../ports/clock.js';
+import {type InstanceList} from '../ports/instance-list.js';
+import {type ModelEngine} from '../ports/model-engine.js';
+import {type PlainService} from '../ports/plain-service.js';
+import {type TableService} from '../ports/table-service.js';
+import {type ConfigurationHolder} from './configuration-holder.js';
+import {type EndpointDirectory} from './endpoint-directory.js';
+import {type EntrySettings} from './entry-settings.js';
+
+export type EntryContext = {
+	settings: EntrySettings;
+	identity: ProcessIdentity;
+	clock: Clock;
+	logger: ProcessLogger;
+	metrics: Metrics;
+	timeline: TimelineRecorder;
+	table: TableService;
+	list: InstanceList;
+	engine: ModelEngine;
+	plain: PlainService;
+	configuration: ConfigurationHolder;
+	endpoints: EndpointDirectory;
+	/** True from the order to stop on: nothing new is taken. */
+	draining: boolean;
+};
--- /dev/null
+++ b/src/entry/entry-daemon.ts
@@ -0,0 +1,131 @@
+/**
+ * One entry: its supervisor tree, from the watchers that keep its knowledge fresh to the listeners. On the order to
+ * stop it takes nothing new, finishes what it has, and only then ends.
+ */
+import {HttpInstanceList} from '../adapters/http-instance-list.js';
+import {HttpModelEngine} from '../adapters/http-model-engine.js';
+import {HttpPlainService} from '../adapters/http-plain-service.js';
+import {HttpTableService} from '../adapters/http-table-service.js';
+import {systemClock} from '../adapters/system-clock.js';
+import {BoundedQueueAdmission} from '../decision/admission/bounded-queue-admission.js';
+import {LeastLoadedPolicy} from '../decision/routing/least-loaded-policy.js';
+import {createLogger} from '../observability/logger.js';
+import {StatsdMetrics} from '../observability/metrics.js';
+import {TimelineSender} from '../observability/timeline-sender.js';
+import {Supervisor} from '../supervisor/supervisor.js';
+import {AdmissionGate} from './callers/admission-gate.js';
+import {CallerRoutes} from './callers/caller-routes.js';
+import {CompletionRunner} from './callers/completion-runner.js';
+import {NeverTwiceRunner} from './callers/never-twice-runner.js';
+import {PlainRoute} from './callers/plain-route.js';
+import {ConfigurationHolder} from './configuration-holder.js';
+import {EndpointDirectory} from './endpoint-directory.js';
+import {type EntryContext} from './entry-context.js';
+import {type EntrySettings} from './entry-settings.js';
+import {HttpListener} from './http-listener.js';
+import {createOperatorRoutes} from './operators/operator-routes.js';
+import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
+import {InstanceWatcher} from './watchers/instance-watcher.js';
+import {LoadWatcher} from './watchers/load-watcher.js';
+
+const intensity = {restarts: 10, periodMilliseconds: 60_000};
+
+/** Where a running entry listens. */
+export type EntryAddresses = {
+	callers: string;
+	operators: string;
+};
+
+export class EntryDaemon {
+	readonly #context: EntryContext;
+	readonly #callers: HttpListener;
+	readonly #operators: HttpListener;
+	readonly #root: Supervisor;
+	readonly #stop = new AbortController();
+	readonly #timeline: TimelineSender;
+
+	constructor(settings: EntrySettings) {
+		const identity = {program: 'savorygauge-entry', instance: settings.instance, dataCentre: settings.dataCentre};
+		this.#timeline = new TimelineSender(identity, settings.timelineAddress);
+		this.#context = {
+			settings,
+			identity,
+			clock: systemClock,
+			logger: createLogger(identity, settings.logLevel),
+			metrics: new StatsdMetrics(settings.metricsAddress, identity),
+			timeline: this.#timeline,
+			table: new HttpTableService(settings.tableAddress),
+			list: new HttpInstanceList(settings.listAddress),
+			engine: new HttpModelEngine(),
+			plain: new HttpPlainService(),
+			configuration: new ConfigurationHolder(),
+			endpoints: new EndpointDirectory(),
+			draining: false,
+		};
+		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
+		const routes = new CallerRoutes(this.#context, {
+			gate,
+			runner: new CompletionRunner(this.#context, new LeastLoadedPolicy()),
+			plainRoute: new PlainRoute(this.#context, new NeverTwiceRunner(this.#context)),
+		});
+		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
+		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context), settings.operatorListen);
+		this.#root = this.#tree(gate);
+		this.#reportConfiguration();
+	}
+
+	/** Starts to listen, then runs until `stop`. `onListening` is told the addresses. */
+	async run(onListening: (addresses: EntryAddresses) => void): Promise<void> {
+		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen()};
+		this.#timeline.record({kind: 'process-started', at: this.#context.clock.now()});
+		this.#context.logger.info('listening', {...addresses});
+		onListening(addresses);
+		await this.#root.run(this.#stop.signal);
+	}
+
+	/** Takes nothing new, finishes what runs, and ends. */
+	async stop(): Promise<void> {
+		const {clock, logger} = this.#context;
+		this.#context.draining = true;
+		this.#timeline.record({kind: 'process-draining', at: clock.now()});
+		logger.info('draining');
+		await this.#callers.drain();
+		this.#stop.abort();
+		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
+		this.#timeline.flush(clock.now());
+		this.#timeline.close();
+		this.#context.metrics.close();
+	}
+
+	#tree(gate: AdmissionGate): Supervisor {
+		const {clock, logger, metrics} = this.#context;
+		const report: ConstructorParameters<typeof Supervisor>[0]['report'] = event => {
+			logger.error('a child failed', {child: event.child, kind: event.kind, error: String(event.error)});
+			metrics.report('supervisor.restart', 1, {child: event.child});
+			this.#timeline.record({kind: 'child-restarted', at: clock.now(), detail: event.child});
+		};
+
+		const common = {
+			strategy: 'one-for-one' as const, intensity, now: () => clock.now(), report,
+		};
+		const watchers = new Supervisor({
+			...common,
+			name: 'watchers',
+			children: [new ConfigurationWatcher(this.#context), new InstanceWatcher(this.#context), new LoadWatcher(this.#context)],
+		});
+		const dataPath = new Supervisor({
+			...common,
+			name: 'data-path',
+			children: [gate, this.#callers, this.#operators],
+		});
+		return new Supervisor({...common, name: 'entry', children: [watchers, dataPath]});
+	}
+
+	#reportConfiguration(): void {
+		const {configuration, clock, metrics} = this.#context;
+		configuration.onChange(state => {
+			this.#timeline.record({kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version});
+			metrics.report('configuration.version', state.version);
+		});
+	}
+}
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,67 @@
+/**
+ * Metrics by hot-shots. The names, units and tags stand in one table, which docs/METRICS.md shows; without a metrics
+ * address nothing is sent.
+ */
+import {StatsD} from 'hot-shots';
+import {type ProcessIdentity} from './logger.js';
+
+/** Every metric with its kind, unit and tags. */
+export const metricDefinitions = {
+	'request.time_to_first_token': {kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service']},
+	'request.whole_time': {kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service']},
+	'request.refused': {kind: 'count', unit: 'requests', tags: ['reason', 'ran']},
+	'request.prompt_tokens': {kind: 'count', unit: 'tokens', tags: ['service']},
+	'request.recomputed_tokens': {kind: 'count', unit: 'tokens', tags: ['service']},
+	'request.open': {kind: 'gauge', unit: 'requests', tags: []},
+	'claim.write': {kind: 'count', unit: 'writes', tags: ['outcome']},
+	'configuration.version': {kind: 'gauge', unit: 'version', tags: []},
+	'supervisor.restart': {kind: 'count', unit: 'restarts', tags: ['child']},
+	'timeline.dropped': {kind: 'count', unit: 'events', tags: []},
+} as const;
+
+/** The name of a metric. */
+export type MetricName = keyof typeof metricDefinitions;
+
+/** Where the parts of a process report figures. */
+export interface Metrics {
+	/** Reports a value in the metric's own unit. */
+	report(name: MetricName, value: number, tags?: Record<string, string>): void;
+	close(): void;
+}
+
+/** Sends metrics by the StatsD protocol over UDP. */
+export class StatsdMetrics implements Metrics {
+	readonly #client: StatsD;
+
+	/**
+	 * @param address - `IP:port` of the StatsD server; empty sends nothing.
+	 * @param identity - Tags of every metric.
+	 */
+	constructor(address: string, identity: ProcessIdentity) {
+		const separator = address.lastIndexOf(':');
+		this.#client = new StatsD({
+			...(address === '' ? {} : {host: address.slice(0, separator), port: Number(address.slice(separator + 1))}),
+			prefix: 'savorygauge.',
+			mock: address === '',
+			globalTags: {instance: identity.instance, data_centre: identity.dataCentre},
+			errorHandler() {
+				// A metric that cannot be sent is lost; the data path must not notice.
+			},
+		});
+	}
+
+	report(name: MetricName, value: number, tags: Record<string, string> = {}): void {
+		const {kind} = metricDefinitions[name];
+		if (kind === 'timing') {
+			this.#client.timing(name, value, tags);
+		} else if (kind === 'count') {
+			this.#client.increment(name, value, tags);
+		} else {
+			this.#client.gauge(name, value, tags);
+		}
+	}
+
+	close(): void {
+		this.#client.close();
+	}
+}
--- /dev/null
+++ b/src/peer/framing/frame-codec.test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {encodeFrame, frameLimitBytes, FrameReader} from './frame-codec.js';
+
+test('frames come out whole, however the bytes are cut', () => {
+	const frames = Buffer.concat([encodeFrame({version: 1}), encodeFrame(['a', 2, true])]);
+	const reader = new FrameReader();
+	const values = [...frames].flatMap(byte => reader.read(Buffer.from([byte])).orDefault([]));
+	assert.deepEqual(values, [{version: 1}, ['a', 2, true]]);
+});
+
+test('a frame over the limit is refused before its body arrives', () => {
+	const head = Buffer.alloc(4);
+	head.writeUInt32BE(frameLimitBytes + 1, 0);
+	const answer = new FrameReader().read(head);
+	assert.deepEqual(answer.extract(), {kind: 'too-long', length: frameLimitBytes + 1});
+});
--- /dev/null
+++ b/src/peer/framing/frame-codec.ts
@@ -0,0 +1,70 @@
+/**
+ * Frames between our own processes: four bytes of length, big-endian, and that many bytes of CBOR. A frame longer than
+ * the limit is refused before it is read, so that a broken peer cannot fill the memory.
+ */
+import {Buffer} from 'node:buffer';
+import {Decoder, Encoder} from 'cbor-x';
+import {type Either, Left, Right} from 'purify-ts/Either';
+
+/** The longest body of a frame. */
+export const frameLimitBytes = 1_048_576;
+
+const lengthBytes = 4;
+const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
+const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+
+/** Why bytes are no frames of ours. The connection they came over cannot be used any more. */
+export type FrameError = {kind: 'too-long'; length: number} | {kind: 'malformed'; detail: string};
+
+/**
+ * Writes a value as a frame.
+ *
+ * @param value - Any value that CBOR can carry.
+ * @returns The bytes of the frame.
+ */
+export function encodeFrame(value: unknown): Buffer {
+	const body = encoder.encode(value);
+	const frame = Buffer.allocUnsafe(lengthBytes + body.length);
+	frame.writeUInt32BE(body.length, 0);
+	body.copy(frame, lengthBytes);
+	return frame;
+}
+
+/** Collects the bytes of one connection and gives the values of whole frames. */
+export class FrameReader {
+	#collected: Buffer = Buffer.alloc(0);
+
+	/**
+	 * Takes the next bytes.
+	 *
+	 * @param bytes - Bytes in the order in which they arrived.
+	 * @returns The values of the frames that are now whole, or what is wrong.
+	 */
+	read(bytes: Buffer): Either<FrameError, unknown[]> {
+		this.#collected = this.#collected.length === 0 ? bytes : Buffer.concat([this.#collected, bytes]);
+		const values: unknown[] = [];
+		let offset = 0;
+		while (this.#collected.length - offset >= lengthBytes) {
+			const length = this.#collected.readUInt32BE(offset);
+			if (length > frameLimitBytes) {
+				return Left({kind: 'too-long', length});
+			}
+
+			const end = offset + lengthBytes + length;
+			if (this.#collected.length < end) {
+				break;
+			}
+
+			try {
+				values.push(decoder.decode(this.#collected.subarray(offset + lengthBytes, end)));
+			} catch (error) {
+				return Left({kind: 'malformed', detail: String(error)});
+			}
+
+			offset = end;
+		}
+
+		this.#collected = this.#collected.subarray(offset);
+		return Right(values);
+	}
+}
--- /dev/null
+++ b/src/protocol/configuration/apply-change.ts
@@ -0,0 +1,64 @@
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {type ConfigurationChange, type ConfigurationEdit} from '../../shared/types.js';
+import {changeDigest} from './change-digest.js';
+import {type ConfigurationState, memberNameOf} from './configuration-state.js';
+
+/**
+ * Why a change was not applied. `old` is harmless; `gap` says which version is needed first; `wrong-digest` means that
+ * the change was damaged or belongs to another history.
+ */
+export type ApplyFailure
+	= | {kind: 'old'}
+		| {kind: 'gap'; needed: number}
+		| {kind: 'wrong-digest'};
+
+/**
+ * Applies the change that follows a configuration.
+ *
+ * @param state - The configuration in force; it is not changed.
+ * @param change - A change, from the table or from a peer.
+ * @returns The new configuration, or why the change does not follow.
+ */
+export function applyChange(state: ConfigurationState, change: ConfigurationChange): Either<ApplyFailure, ConfigurationState> {
+	if (change.version <= state.version) {
+		return Left({kind: 'old'});
+	}
+
+	if (change.version > state.version + 1) {
+		return Left({kind: 'gap', needed: state.version + 1});
+	}
+
+	// A peer that was restored from damaged memory could pass on edits that nobody accepted; the symptom would be two
+	// instances that route differently at the same version. The chain of digests rules that out.
+	if (change.previousDigest !== state.digest || changeDigest(change) !== change.digest) {
+		return Left({kind: 'wrong-digest'});
+	}
+
+	return Right({...applyEdits(state, change.edits), version: change.version, digest: change.digest});
+}
+
+/**
+ * Applies edits without a version.
+ *
+ * @param state - The configuration; it is not changed.
+ * @param edits - The edits, in order.
+ * @returns The configuration with the edits; its version and digest are the old ones.
+ */
+export function applyEdits(state: ConfigurationState, edits: readonly ConfigurationEdit[]): ConfigurationState {
+	const copies = {
+		workspaces: new Map(state.workspaces),
+		services: new Map(state.services),
+		rules: new Map(state.rules),
+		limits: new Map(state.limits),
+	};
+	for (const edit of edits) {
+		const items = copies[memberNameOf(edit.kind)] as Map<string, unknown>;
+		if (edit.action === 'set') {
+			items.set(edit.item.name, edit.item);
+		} else {
+			items.delete(edit.name);
+		}
+	}
+
+	return {...state, ...copies};
+}
--- /dev/null
+++ b/src/protocol/configuration/change-digest.ts
@@ -0,0 +1,17 @@
+import {canonicalJson} from '../../shared/canonical-json.js';
+import {digestOf} from '../../shared/digest-of.js';
+import {type ConfigurationChange, type JsonValue} from '../../shared/types.js';
+
+/**
+ * Gives the digest of a change in its chain.
+ *
+ * It covers the version, the digest before and the edits, so that two instances at the same version and digest have
+ * applied the same edits in the same order.
+ *
+ * @param change - The change; its own `digest` is not looked at.
+ * @returns 64 hexadecimal digits.
+ */
+export function changeDigest(change: Omit<ConfigurationChange, 'digest'>): string {
+	const {version, previousDigest, edits} = change;
+	return digestOf(canonicalJson({version, previousDigest, edits}));
+}
--- /dev/null
+++ b/src/protocol/stream/stream-relay.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type EngineEvent} from '../../ports/model-engine.js';
+import {beginAttempt, emptyAnswer, relayEvent} from './stream-relay.js';
+
+const tokenAt = (firstIndex: number): EngineEvent => ({
+	kind: 'tokens', firstIndex, count: 1, text: `t${firstIndex} `,
+});
+
+test('a stream that breaks goes on at exactly the next token, and the older attempt is dropped', () => {
+	// The caller sees one text. The first endpoint sends tokens 0 and 1 and falls silent; the second goes on at 2; then
+	// the first wakes up and sends token 2 as well. Passing that on would show the caller a word twice.
+	const first = beginAttempt(emptyAnswer);
+	const afterZero = relayEvent(first, 1, tokenAt(0)).state;
+	const afterOne = relayEvent(afterZero, 1, tokenAt(1)).state;
+	const second = beginAttempt(afterOne);
+	const resumed = relayEvent(second, 2, tokenAt(2));
+	const late = relayEvent(resumed.state, 1, tokenAt(2));
+	assert.deepEqual(resumed.action, {kind: 'pass-on', text: 't2 '});
+	assert.deepEqual(late.action, {kind: 'drop'});
+	assert.equal(late.state.tokensPassedOn, 3);
+});
+
+test('a token out of its place is not passed on', () => {
+	const {action, state} = relayEvent(beginAttempt(emptyAnswer), 1, tokenAt(1));
+	assert.equal(action.kind, 'restart');
+	assert.equal(state.tokensPassedOn, 0);
+});
+
+test('nothing is passed on behind the end mark', () => {
+	const finished: EngineEvent = {
+		kind: 'finished', finishReason: 'stop', promptTokens: 1, cachedTokens: 0, completionTokens: 0,
+	};
+	const {state} = relayEvent(beginAttempt(emptyAnswer), 1, finished);
+	assert.equal(state.whole, true);
+	assert.deepEqual(relayEvent(state, 1, tokenAt(0)).action, {kind: 'drop'});
+});
--- /dev/null
+++ b/src/stand-in/instance-list-stand-in.ts
@@ -0,0 +1,26 @@
+/**
+ * Stands in for the platform's list of live and leaving instances. Whoever starts instances announces them by
+ * `PUT /instances`; a reader sees an announcement only after `lagMilliseconds`.
+ */
+import {H3, readBody} from 'h3';
+import {type ListedInstance} from '../shared/types.js';
+import {noFaults, type StandInKind} from './stand-in-server.js';
+
+type Announcement = {instances: ListedInstance[]; at: number};
+
+export function createInstanceListStandIn(): StandInKind {
+	const app = new H3();
+	const faults = {...noFaults, lagMilliseconds: 0};
+	let announcements: Announcement[] = [{instances: [], at: 0}];
+
+	app.get('/instances', () => {
+		const visible = announcements.findLast(announcement => announcement.at + faults.lagMilliseconds <= Date.now());
+		return {instances: visible?.instances ?? []};
+	});
+	app.put('/instances', async event => {
+		const {instances} = await readBody<{instances: ListedInstance[]}>(event) as {instances: ListedInstance[]};
+		announcements = [...announcements.slice(-100), {instances, at: Date.now()}];
+		return {announced: instances.length};
+	});
+	return {app, faults, counts: () => ({announcements: announcements.length})};
+}
--- /dev/null
+++ b/src/stand-in/model-engine-stand-in.ts
@@ -0,0 +1,235 @@
+/**
+ * Stands in for a model engine: it batches without limit, prefills at a fixed speed, keeps prompt prefixes in a small
+ * cache that evicts the least recently used, and answers tokens that depend on the prompt. It can be made to die in the
+ * middle of a stream, to swap weights, to leave, to ignore fencing numbers, and to lose cache events.
+ */
+import {type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	getQuery, H3, HTTPError, readBody,
+} from 'h3';
+import {type CacheEvent, type EngineOrder, type LoadReport} from '../ports/model-engine.js';
+import {digestOf} from '../shared/digest-of.js';
+import {type NodeExchange, nodeRoute} from '../shared/node-route.js';
+import {promptTextOf} from '../shared/prompt-text-of.js';
+import {type JsonValue} from '../shared/types.js';
+import {engineTokenAt} from './engine-token-at.js';
+import {readJson} from './read-json.js';
+import {noFaults, type StandInKind} from './stand-in-server.js';
+
+const charactersPerToken = 4;
+const pieceTokens = 512;
+const defaultCompletionTokens = 16;
+const recentCacheEvents = 1000;
+
+/** How a stand-in engine behaves when it is well. */
+export type EngineBehaviour = {
+	model: string;
+	weightVersion: string;
+	prefillTokensPerSecond: number;
+	millisecondsPerToken: number;
+	cachePieces: number;
+	batchLimit: number;
+};
+
+type Completion = {
+	shape: 'chat' | 'text';
+	prompt: string;
+	salt: string;
+	tokens: number;
+	resumeAfter: number;
+	weightVersion: string;
+	id: string;
+};
+
+type ChunkChoice = {text: string; finishReason: string | null};
+
+export class ModelEngineStandIn implements StandInKind {
+	readonly app = new H3();
+	readonly faults = {
+		...noFaults, leaving: false, cutAfterTokens: 0, ignoreFencing: false, loseCacheEvents: 0, loadLagMilliseconds: 0,
+	};
+
+	readonly #behaviour: EngineBehaviour;
+	/** Keys of cached pieces, least recently used first. */
+	readonly #cached = new Set<string>();
+	readonly #cacheEvents: CacheEvent[] = [];
+	#cacheSequence = 0;
+	#running = 0;
+	#waitingPrefillTokens = 0;
+	#completions = 0;
+	#cancelled = 0;
+	#fencingNumber = 0;
+	#lastReport: LoadReport | undefined;
+
+	constructor(behaviour: EngineBehaviour) {
+		this.#behaviour = {...behaviour};
+		this.app.post('/v1/chat/completions', nodeRoute(async exchange => this.#complete('chat', exchange)));
+		this.app.post('/v1/completions', nodeRoute(async exchange => this.#complete('text', exchange)));
+		this.app.get('/load', () => this.#loadReport(Date.now()));
+		this.app.get('/cache-events', event => {
+			const after = Number(getQuery(event).after ?? 0);
+			return {events: this.#cacheEvents.filter(cacheEvent => cacheEvent.sequence > after)};
+		});
+		this.app.post('/orders', async event => {
+			this.#obey((await readBody<EngineOrder>(event))!);
+			event.res.status = 202;
+			return {};
+		});
+	}
+
+	counts(): Record<string, JsonValue> {
+		return {
+			completions: this.#completions, running: this.#running, cancelled: this.#cancelled, cachedPieces: this.#cached.size, weightVersion: this.#behaviour.weightVersion,
+		};
+	}
+
+	async #complete(shape: 'chat' | 'text', {request, response}: NodeExchange): Promise<void> {
+		const {headers} = request;
+		const body = await readJson(request);
+		const {weightVersion} = this.#behaviour;
+		const wantedVersion = String(headers['x-weight-version'] ?? '');
+		if (wantedVersion !== '' && wantedVersion !== weightVersion) {
+			response.writeHead(409, {'x-weight-version': weightVersion}).end();
+			return;
+		}
+
+		const completion: Completion = {
+			shape,
+			prompt: promptTextOf(body),
+			salt: String(headers['x-cache-salt'] ?? ''),
+			tokens: Number(body.max_tokens ?? body.max_completion_tokens ?? defaultCompletionTokens),
+			resumeAfter: Number(headers['x-resume-after'] ?? 0),
+			weightVersion,
+			id: String(headers['x-request-id'] ?? 'stand-in'),
+		};
+		this.#completions++;
+		this.#running++;
+		response.once('close', () => {
+			this.#running--;
+			this.#cancelled += response.writableFinished ? 0 : 1;
+		});
+		await this.#stream(completion, response);
+	}
+
+	async #stream(completion: Completion, response: ServerResponse): Promise<void> {
+		const {promptTokens, cachedTokens} = await this.#prefill(completion);
+		response.writeHead(200, {'content-type': 'text/event-stream', 'x-weight-version': completion.weightVersion});
+		for (let index = completion.resumeAfter; index < completion.tokens; index++) {
+			if (response.destroyed) {
+				return;
+			}
+
+			if (this.faults.cutAfterTokens > 0 && index >= this.faults.cutAfterTokens) {
+				response.destroy();
+				return;
+			}
+
+			const choice = {text: engineTokenAt(completion.prompt, index), finishReason: null};
+			response.write(chunkOf(completion, choice, {token_index: index, token_count: 1}));
+			if (this.#behaviour.millisecondsPerToken > 0) {
+				await delay(this.#behaviour.millisecondsPerToken);
+			}
+		}
+
+		const usage = {
+			prompt_tokens: promptTokens, completion_tokens: completion.tokens, total_tokens: promptTokens + completion.tokens, prompt_tokens_details: {cached_tokens: cachedTokens},
+		};
+		response.write(chunkOf(completion, {text: '', finishReason: 'length'}, {}));
+		response.write(`data: ${JSON.stringify({id: completion.id, choices: [], usage})}\n\n`);
+		response.end('data: [DONE]\n\n');
+	}
+
+	async #prefill(completion: Completion): Promise<{promptTokens: number; cachedTokens: number}> {
+		const promptTokens = Math.ceil(completion.prompt.length / charactersPerToken);
+		const keys = pieceKeysOf(completion);
+		const missing = keys.findIndex(key => !this.#cached.has(key));
+		const cachedTokens = (missing === -1 ? keys.length : missing) * pieceTokens;
+		const work = promptTokens - cachedTokens;
+		this.#waitingPrefillTokens += work;
+		await delay(1000 * work / this.#behaviour.prefillTokensPerSecond);
+		this.#waitingPrefillTokens -= work;
+		for (const key of keys) {
+			this.#keep(key);
+		}
+
+		return {promptTokens, cachedTokens};
+	}
+
+	#keep(key: string): void {
+		if (!this.#cached.delete(key)) {
+			this.#publish('stored', key);
+		}
+
+		this.#cached.add(key);
+		if (this.#cached.size > this.#behaviour.cachePieces) {
+			const oldest = this.#cached.values().next().value!;
+			this.#cached.delete(oldest);
+			this.#publish('evicted', oldest);
+		}
+	}
+
+	#publish(kind: CacheEvent['kind'], pieceKey: string): void {
+		this.#cacheSequence++;
+		if (this.faults.loseCacheEvents > 0) {
+			this.faults.loseCacheEvents--;
+			return;
+		}
+
+		this.#cacheEvents.push({sequence: this.#cacheSequence, kind, pieceKey});
+		this.#cacheEvents.splice(0, this.#cacheEvents.length - recentCacheEvents);
+	}
+
+	#loadReport(now: number): LoadReport {
+		if (this.#lastReport && now - this.#lastReport.measuredAt < this.faults.loadLagMilliseconds) {
+			return this.#lastReport;
+		}
+
+		this.#lastReport = {
+			model: this.#behaviour.model,
+			weightVersion: this.#behaviour.weightVersion,
+			state: this.faults.leaving ? 'leaving' : 'live',
+			runningRequests: this.#running,
+			waitingRequests: Math.max(0, this.#running - this.#behaviour.batchLimit),
+			waitingPrefillTokens: Math.max(0, this.#waitingPrefillTokens),
+			prefillTokensPerSecond: this.#behaviour.prefillTokensPerSecond,
+			decodeTokensPerSecond: 1000 / Math.max(1, this.#behaviour.millisecondsPerToken),
+			batchLimit: this.#behaviour.batchLimit,
+			kvTokensUsed: this.#cached.size * pieceTokens,
+			kvTokensCapacity: this.#behaviour.cachePieces * pieceTokens,
+			measuredAt: now,
+		};
+		return this.#lastReport;
+	}
+
+	#obey(order: EngineOrder): void {
+		if (order.fencingNumber < this.#fencingNumber && !this.faults.ignoreFencing) {
+			throw new HTTPError({status: 409, body: {seen: this.#fencingNumber}});
+		}
+
+		this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
+		if (order.action.kind === 'load-version') {
+			this.#behaviour.model = order.action.model;
+			this.#behaviour.weightVersion = order.action.weightVersion;
+			this.#cached.clear();
+		} else if (order.action.kind === 'leave') {
+			this.faults.leaving = true;
+		}
+	}
+}
+
+function pieceKeysOf(completion: Completion): string[] {
+	const pieceCharacters = pieceTokens * charactersPerToken;
+	const pieces = Math.floor(completion.prompt.length / pieceCharacters);
+	return Array.from({length: pieces}, (_, index) =>
+		digestOf(`${completion.salt}|${completion.weightVersion}|${completion.prompt.slice(0, (index + 1) * pieceCharacters)}`));
+}
+
+function chunkOf(completion: Completion, choice: ChunkChoice, extra: Record<string, JsonValue>): string {
+	const {id, shape} = completion;
+	const content = shape === 'chat' ? {delta: choice.text === '' ? {} : {content: choice.text}} : {text: choice.text};
+	const object = shape === 'chat' ? 'chat.completion.chunk' : 'text_completion';
+	return `data: ${JSON.stringify({
+		id, object, choices: [{index: 0, ...content, finish_reason: choice.finishReason}], ...extra,
+	})}\n\n`;
+}
--- /dev/null
+++ b/src/stand-in/plain-service-stand-in.ts
@@ -0,0 +1,34 @@
+/**
+ * Stands in for a plain service that takes bookings. It runs whatever it is told as often as it is told, and counts the
+ * runs per booking, so that a duplicate run is seen here and not by savorygauge's own word.
+ */
+import {H3, readBody} from 'h3';
+import {noFaults, type StandInKind} from './stand-in-server.js';
+
+export function createPlainServiceStandIn(): StandInKind {
+	const app = new H3();
+	const faults = {...noFaults};
+	const runsByBooking = new Map<string, number>();
+
+	app.post('/bookings', async event => {
+		const {booking} = await readBody<{booking: string}>(event) as {booking: string};
+		const runs = (runsByBooking.get(booking) ?? 0) + 1;
+		runsByBooking.set(booking, runs);
+		event.res.status = 201;
+		return {booking, confirmation: `confirmed-${booking}`, run: runs};
+	});
+	app.get('/bookings/:booking', event => {
+		const booking = event.context.params?.booking ?? '';
+		return {booking, runs: runsByBooking.get(booking) ?? 0};
+	});
+	return {
+		app,
+		faults,
+		counts: () => ({
+			bookings: runsByBooking.size,
+			runs: [...runsByBooking.values()].reduce((sum, runs) => sum + runs, 0),
+			duplicateRuns: [...runsByBooking.values()].filter(runs => runs > 1).length,
+			runsByBooking: Object.fromEntries(runsByBooking),
+		}),
+	};
+}
