--- a/src/demo/deployment.ts
+++ b/src/demo/deployment.ts
@@ -2,13 +2,17 @@
  * A whole small deployment on this machine: data centres with entries, model engines, a cache store and a plain service
  * each, and the platform's stand-ins for all of them. The demo and the tests over real processes use it.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {exchangeJson} from '../adapters/http-client.js';
+import {runApply} from '../operator/declaration-commands.js';
+import {OperatorClient} from '../operator/operator-client.js';
 import {type JsonValue, type ListedInstance} from '../shared/types.js';
 import {ProcessGroup, type StartedProcess} from './process-group.js';
 
 export const demoOperatorKey = 'operator-key-of-the-demo';
 const cacheSecret = 'cache-secret-of-the-demo';
 const requestTimeoutMilliseconds = 5000;
+const readyWaitMilliseconds = 50;
 
 /** What to start. */
 export type DeploymentPlan = {
@@ -77,6 +81,36 @@
 		});
 	}
 
+	/** A client to the operators' HTTP of the first entry. */
+	operatorClient(): OperatorClient {
+		const [entry] = this.withRole('entry');
+		return new OperatorClient(String(entry!.process.ready.operators), demoOperatorKey);
+	}
+
+	/** Applies a declaration file and waits until it is in force on every entry. Gives the version. */
+	async apply(path: string, reason: string, say: (text: string) => void): Promise<number> {
+		const client = this.operatorClient();
+		await runApply([path], {author: 'demo', reason}, client, {line: say, problem: say});
+		const {version} = await client.head();
+		await this.waitUntilReady(version);
+		return version;
+	}
+
+	/** Waits until every entry has a version in force and knows live endpoints. */
+	async waitUntilReady(version: number): Promise<void> {
+		for (const {listed} of this.withRole('entry')) {
+			for (;;) {
+				const {body} = await exchangeJson({method: 'GET', url: `http://${listed.address}/readyz`, timeoutMilliseconds: requestTimeoutMilliseconds});
+				const {ready, configurationVersion} = body as {ready: boolean; configurationVersion: number};
+				if (ready && configurationVersion >= version) {
+					break;
+				}
+
+				await delay(readyWaitMilliseconds);
+			}
+		}
+	}
+
 	/** The processes with one role. */
 	withRole(role: ListedInstance['role']): DeployedProcess[] {
 		return this.instances.filter(({listed}) => listed.role === role);
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -3,9 +3,6 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {Command} from 'commander';
-import {request} from 'undici';
-import {runApply} from '../operator/declaration-commands.js';
-import {OperatorClient} from '../operator/operator-client.js';
 import {demoOperatorKey, Deployment} from './deployment.js';
 import {type DemoReport, reportOf} from './demo-report.js';
 import {
@@ -16,7 +13,6 @@
 const changedDeclarationPath = fileURLToPath(new URL('../../examples/demo-changed.yaml', import.meta.url));
 const rounds = 6;
 const bookingNames = Array.from({length: 8}, (_, index) => `pitch-${index + 1}`);
-const readyWaitMilliseconds = 50;
 
 const command = new Command('demo')
 	.option('--json', 'print one JSON object as the last line')
@@ -39,35 +35,8 @@
 	plainService: 'bookings',
 });
 
-/** Waits until every entry has a version in force and knows live endpoints. */
-async function waitUntilReady(version: number): Promise<void> {
-	for (const {listed} of deployment.withRole('entry')) {
-		for (;;) {
-			const answer = await request(`http://${listed.address}/readyz`);
-			const {ready, configurationVersion} = await answer.body.json() as {ready: boolean; configurationVersion: number};
-			if (ready && configurationVersion >= version) {
-				break;
-			}
-
-			await new Promise(resolve => {
-				setTimeout(resolve, readyWaitMilliseconds);
-			});
-		}
-	}
-}
-
-function operatorClient(): OperatorClient {
-	const [entry] = deployment.withRole('entry');
-	return new OperatorClient(String(entry!.process.ready.operators), demoOperatorKey);
-}
-
 async function apply(path: string, reason: string): Promise<number> {
-	const client = operatorClient();
-	const output = {line: say, problem: say};
-	await runApply([path], {author: 'demo', reason}, client, output);
-	const {version} = await client.head();
-	await waitUntilReady(version);
-	return version;
+	return deployment.apply(path, reason, say);
 }
 
 async function drive(): Promise<DemoReport> {
