Bound what a caller can cost, and answer each breach with a typed error

Cause: a body over the limit reset the connection in place of 413; headers over the limit, slow clients and malformed requests got bare answers; open requests were not counted; each request compared its key with all digests. Ruled out: for-await over the request, which destroys the socket when left early; closing at once, which resets the connection before the refusal is read; Node's own limit of 2,000 headers, which drops the rest without a word. Change: the listener answers connection faults by typed refusals, never in the middle of an answer still owed, checks its time limits every second, and waits with 100 Continue until the body is read. open-requests, open-requests-per-workspace and body-bytes are in force. HEAD, OPTIONS and 405 with Allow. Bearer keys are looked up by an index of digests. The drain keeps the time limits running, which http.Server.close would stop. Found by the generated requests: h3 answered a path that cannot be decoded by an untyped 400.

--- a/src/entry/callers/authenticate.ts
+++ b/src/entry/callers/authenticate.ts
@@ -7,11 +7,18 @@
 
 const bearerPattern = /^Bearer (?<key>\S+)$/v;
 
+type KnownKey = {digest: Buffer; workspace: WorkspaceItem};
+type KeyIndex = ReadonlyMap<string, KnownKey>;
+
+/** One index per set of workspaces; a set that is no longer in force takes its index along. */
+const indexes = new WeakMap<ConfigurationState['workspaces'], KeyIndex>();
+
 /**
  * Finds the workspace of a bearer key.
  *
- * Only digests are kept and compared, in constant time, so that neither a copy of the configuration nor the time of a
- * refusal tells a key.
+ * Only digests are kept, so a copy of the configuration tells no key. The index is asked for the digest of what the
+ * caller sent: how long that takes depends on a digest that the caller cannot steer towards a known one, and the last
+ * comparison takes constant time, so the time of a refusal tells no key either.
  *
  * @param configuration - The configuration in force.
  * @param authorization - The `Authorization` header.
@@ -23,17 +30,21 @@
 		return Left({reason: 'unauthorized', ran: 'not-run', message: 'a bearer key is needed'});
 	}
 
-	const digest = Buffer.from(digestOf(key));
-	let found: WorkspaceItem | undefined;
-	for (const workspace of configuration.workspaces.values()) {
-		for (const known of workspace.keyDigests) {
-			if (timingSafeEqual(Buffer.from(known), digest)) {
-				found = workspace;
-			}
-		}
+	const digest = digestOf(key);
+	const known = indexOf(configuration.workspaces).get(digest);
+	return known !== undefined && timingSafeEqual(known.digest, Buffer.from(digest))
+		? Right(known.workspace)
+		: Left({reason: 'unauthorized', ran: 'not-run', message: 'the bearer key is not known'});
+}
+
+function indexOf(workspaces: ConfigurationState['workspaces']): KeyIndex {
+	const known = indexes.get(workspaces);
+	if (known !== undefined) {
+		return known;
 	}
 
-	return found === undefined
-		? Left({reason: 'unauthorized', ran: 'not-run', message: 'the bearer key is not known'})
-		: Right(found);
+	const index = new Map([...workspaces.values()].flatMap(workspace =>
+		workspace.keyDigests.map((digest): [string, KnownKey] => [digest, {digest: Buffer.from(digest), workspace}])));
+	indexes.set(workspaces, index);
+	return index;
 }
--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -1,7 +1,6 @@
 /** The callers' HTTP: completions, the list of models, and plain services by path. */
-import {randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {H3} from 'h3';
+import {type EventHandler, H3, type HTTPError} from 'h3';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {charactersPerToken} from '../../cache/piece-keys.js';
 import {nodeRoute, type NodeExchange} from '../../shared/node-route.js';
@@ -15,10 +14,12 @@
 	type CompletionRequest, type CompletionShape, parseCompletionRequest,
 } from './completion-request.js';
 import {type CompletionJob, type CompletionRunner} from './completion-runner.js';
+import {answerUnrouted} from './answer-unrouted.js';
+import {OpenRequests} from './open-requests.js';
 import {type PlainRoute} from './plain-route.js';
 import {readBody} from './read-body.js';
 import {requestRule} from './request-rule.js';
-import {sendRefusal} from './send-refusal.js';
+import {refusalBody, sendRefusal} from './send-refusal.js';
 
 export const defaultBodyLimitBytes = 8_388_608;
 
@@ -34,28 +35,39 @@
 type ArrivedExchange = {request: IncomingMessage; arrivedAt: number; signal: AbortSignal};
 
 export class CallerRoutes {
-	readonly app = new H3();
+	readonly app = new H3({onError: typedErrorResponse});
 	readonly #context: EntryContext;
 	readonly #parts: CallerParts;
+	readonly #open = new OpenRequests();
 
 	constructor(context: EntryContext, parts: CallerParts) {
 		this.#context = context;
 		this.#parts = parts;
-		this.app.get('/healthz', () => ({status: 'alive'}));
-		this.app.get('/readyz', event => {
-			const ready = !context.draining && context.configuration.state.version > 0 && context.endpoints.isKnown;
-			event.res.status = ready ? 200 : 503;
-			return {ready, configurationVersion: context.configuration.state.version};
-		});
-		this.app.get('/v1/models', nodeRoute(async exchange => this.#listModels(exchange)));
+		this.#addHealthRoutes();
+		const listModels = nodeRoute(async exchange => this.#listModels(exchange));
+		this.app.get('/v1/models', listModels);
+		this.app.head('/v1/models', listModels);
 		this.app.post('/v1/chat/completions', nodeRoute(async exchange => this.#complete('chat', exchange)));
 		this.app.post('/v1/completions', nodeRoute(async exchange => this.#complete('text', exchange)));
 		this.app.all('/services/:service/**', nodeRoute(async exchange => this.#callService(exchange)));
-		this.app.all('/**', nodeRoute(async ({response}) => {
-			sendRefusal(response, {reason: 'not-found', ran: 'not-run', message: 'there is nothing at this path'});
+		this.app.all('/**', nodeRoute(async exchange => {
+			answerUnrouted(exchange);
 		}));
 	}
 
+	#addHealthRoutes(): void {
+		const healthz: EventHandler = () => ({status: 'alive'});
+		const readyz: EventHandler = event => {
+			const {draining, configuration, endpoints} = this.#context;
+			const ready = !draining && configuration.state.version > 0 && endpoints.isKnown;
+			event.res.status = ready ? 200 : 503;
+			return {ready, configurationVersion: configuration.state.version};
+		};
+
+		this.app.get('/healthz', healthz).head('/healthz', healthz);
+		this.app.get('/readyz', readyz).head('/readyz', readyz);
+	}
+
 	async #listModels({request, response}: NodeExchange): Promise<void> {
 		const {configuration} = this.#context;
 		this.#workspaceOf(request).caseOf({
@@ -77,8 +89,15 @@
 
 	async #complete(shape: CompletionShape, {request, response}: NodeExchange): Promise<void> {
 		const arrivedAt = this.#context.clock.now();
-		const body = await readBody(request, this.#context.configuration.state.limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
-		const understood = this.#workspaceOf(request).chain(workspace =>
+		const entered = this.#enter({request, response});
+		if (entered.isLeft()) {
+			sendRefusal(response, entered.extract());
+			return;
+		}
+
+		const {limits} = this.#context.configuration.state;
+		const body = await readBody(request, limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
+		const understood = entered.chain(workspace =>
 			body.chain(bytes => parseCompletionRequest(shape, bytes))
 				.chain(completion => this.#modelServiceOf(workspace, completion.model)
 					.map(service => ({workspace, completion, service}))));
@@ -161,7 +180,7 @@
 			signal,
 			dataCentres: rule.dataCentres,
 			route: {
-				requestId: randomUUID(),
+				requestId: this.#context.newRequestId(),
 				workspace: workspace.name,
 				service: service.name,
 				weightVersion: service.weightVersion,
@@ -173,8 +192,8 @@
 	}
 
 	async #callService(exchange: NodeExchange): Promise<void> {
-		const {request, response} = exchange;
-		const workspace = this.#workspaceOf(request);
+		const {response} = exchange;
+		const workspace = this.#enter(exchange);
 		if (workspace.isLeft()) {
 			sendRefusal(response, workspace.extract());
 			return;
@@ -183,6 +202,15 @@
 		await this.#parts.plainRoute.call(workspace.extract() as WorkspaceItem, exchange);
 	}
 
+	/** Finds out who calls and takes a place among the open requests, before any of the body is read. */
+	#enter({request, response}: NodeExchange): Either<Refusal, WorkspaceItem> {
+		const {limits} = this.#context.configuration.state;
+		return this.#workspaceOf(request).chain(workspace => this.#open.enter(workspace.name, limits).map(leave => {
+			response.once('close', leave);
+			return workspace;
+		}));
+	}
+
 	#workspaceOf(request: IncomingMessage): Either<Refusal, WorkspaceItem> {
 		if (this.#context.draining) {
 			return Left({
@@ -210,6 +238,14 @@
 	}
 }
 
+/** What h3 itself finds wrong, a path that cannot be decoded for one, in the shape of all our refusals. */
+function typedErrorResponse({status}: HTTPError): Response {
+	const refusal: Refusal = status < 500
+		? {reason: 'bad-request', ran: 'not-run', message: 'the request line cannot be understood'}
+		: {reason: 'internal', ran: 'unknown', message: 'the request could not be served'};
+	return Response.json(refusalBody(refusal), {status});
+}
+
 function headerOf(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
 	return Array.isArray(value) ? value[0] : value;
--- a/src/entry/callers/read-body.ts
+++ b/src/entry/callers/read-body.ts
@@ -4,27 +4,50 @@
 import {type Refusal} from '../../shared/types.js';
 
 /**
- * Reads the body of a request up to a limit.
+ * Reads the body of a request up to a limit. A body that is too long is refused as soon as that is known: by its
+ * declared length before any of it is read, else at the first byte too many.
+ *
+ * What follows of a refused body is read and thrown away, by Node behind the answer: a connection that is closed with
+ * unread bytes is reset, and the caller would lose the refusal that is on its way. The time limit of the listener ends a
+ * body that never does.
  *
  * @param request - The request.
  * @param limitBytes - The longest body taken.
  * @returns The body, or the refusal for one that is too long or was cut off.
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Either<Refusal, Buffer>> {
+	const tooLarge: Refusal = {reason: 'too-large', ran: 'not-run', message: `the body is longer than ${limitBytes} bytes`};
+	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
+		return Left(tooLarge);
+	}
+
 	const chunks: Buffer[] = [];
 	let length = 0;
-	try {
-		for await (const chunk of request as AsyncIterable<Buffer>) {
+	return new Promise(resolve => {
+		const end = (result: Either<Refusal, Buffer>): void => {
+			request.off('data', take).off('end', finish).off('close', cut);
+			resolve(result);
+		};
+
+		const take = (chunk: Buffer): void => {
 			length += chunk.length;
 			if (length > limitBytes) {
-				return Left({reason: 'too-large', ran: 'not-run', message: `the body is longer than ${limitBytes} bytes`});
+				end(Left(tooLarge));
+				request.resume();
+				return;
 			}
 
 			chunks.push(chunk);
-		}
-	} catch {
-		return Left({reason: 'bad-request', ran: 'not-run', message: 'the body was cut off'});
-	}
+		};
+
+		const finish = (): void => {
+			end(Right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+		};
+
+		const cut = (): void => {
+			end(Left({reason: 'bad-request', ran: 'not-run', message: 'the body was cut off'}));
+		};
 
-	return Right(Buffer.concat(chunks));
+		request.on('data', take).once('end', finish).once('close', cut);
+	});
 }
--- a/src/entry/callers/send-refusal.ts
+++ b/src/entry/callers/send-refusal.ts
@@ -67,11 +67,17 @@
  *
  * @param response - The response; nothing was written to it yet.
  * @param refusal - The refusal.
+ * @param further - A status that says more than the reason's own, and further headers.
  */
-export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+export function sendRefusal(response: ServerResponse, refusal: Refusal, further: {status?: number; headers?: Record<string, string>} = {}): void {
 	const {retryAfterMilliseconds} = refusal;
-	response.writeHead(statusOfReason[refusal.reason], {
+	// A caller who waits for "100 Continue" may leave its body out now; the next request on this connection would then
+	// be taken for that body. Closing the connection rules that out.
+	const isBodyOutstanding = response.req.headers.expect !== undefined && !response.req.complete;
+	response.writeHead(further.status ?? statusOfReason[refusal.reason], {
 		'content-type': 'application/json',
+		...further.headers,
+		...(isBodyOutstanding ? {connection: 'close'} : {}),
 		...(retryAfterMilliseconds === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMilliseconds / 1000))}),
 	});
 	response.end(JSON.stringify(refusalBody(refusal)));
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -15,6 +15,8 @@
 	settings: EntrySettings;
 	identity: ProcessIdentity;
 	clock: Clock;
+	/** Gives a fresh id for each request. */
+	newRequestId: () => string;
 	logger: ProcessLogger;
 	metrics: Metrics;
 	timeline: TimelineRecorder;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -2,6 +2,7 @@
  * One entry: its supervisor tree, from the watchers that keep its knowledge fresh to the listeners. On the order to
  * stop it takes nothing new, finishes what it has, and only then ends.
  */
+import {randomUUID} from 'node:crypto';
 import {HttpInstanceList} from '../adapters/http-instance-list.js';
 import {HttpModelEngine} from '../adapters/http-model-engine.js';
 import {HttpPlainService} from '../adapters/http-plain-service.js';
@@ -51,6 +52,7 @@
 			settings,
 			identity,
 			clock: systemClock,
+			newRequestId: randomUUID,
 			logger: createLogger(identity, settings.logLevel),
 			metrics: new StatsdMetrics(settings.metricsAddress, identity),
 			timeline: this.#timeline,
--- a/src/entry/http-listener.ts
+++ b/src/entry/http-listener.ts
@@ -1,36 +1,68 @@
-/** Serves an h3 application on one address, with bounds that keep slow or broken clients from holding it. */
+/**
+ * Serves an h3 application on one address, with bounds that keep slow or broken clients from holding it, and with a
+ * drain that ends: open answers are finished, idle connections closed, half-sent requests given their usual time.
+ */
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {type H3, toNodeHandler} from 'h3';
 import {type Child} from '../supervisor/supervisor.js';
+import {sendRefusal} from './callers/send-refusal.js';
+import {connectionRefusalBytes, judgeConnectionError} from './connection-refusal.js';
 
-const headersTimeoutMilliseconds = 10_000;
-const requestTimeoutMilliseconds = 60_000;
-const largestHeaderBytes = 32_768;
+/** What a client may cost before its request has arrived. */
+export type ListenerBounds = {
+	headersTimeoutMilliseconds: number;
+	/** For the whole request, body included. */
+	requestTimeoutMilliseconds: number;
+	/** How often the two time limits are looked at. */
+	checkMilliseconds: number;
+	largestHeaderBytes: number;
+};
+
+export const defaultListenerBounds: ListenerBounds = {
+	headersTimeoutMilliseconds: 10_000,
+	requestTimeoutMilliseconds: 60_000,
+	checkMilliseconds: 1000,
+	largestHeaderBytes: 32_768,
+};
+
+type NodeHandle = (request: IncomingMessage, response: ServerResponse) => unknown;
 
 export class HttpListener implements Child {
 	readonly name: string;
 	readonly #server: Server;
 	readonly #address: {host: string; port: number};
+	readonly #handle: NodeHandle;
+	/** Every connection with its answers that are not finished. */
+	readonly #connections = new Map<Duplex, Set<ServerResponse>>();
+	#draining = false;
 
 	/**
 	 * @param name - Name of the child.
 	 * @param app - What to serve.
 	 * @param address - `IP:port`; port 0 takes a free one.
+	 * @param bounds - What a client may cost.
 	 */
-	constructor(name: string, app: H3, address: string) {
+	constructor(name: string, app: H3, address: string, bounds = defaultListenerBounds) {
 		this.name = name;
 		const separator = address.lastIndexOf(':');
 		this.#address = {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
-		const handle = toNodeHandler(app);
+		this.#handle = toNodeHandler(app);
 		this.#server = createServer({
-			headersTimeout: headersTimeoutMilliseconds,
-			requestTimeout: requestTimeoutMilliseconds,
-			maxHeaderSize: largestHeaderBytes,
-		}, (request, response) => {
-			void handle(request, response);
+			headersTimeout: bounds.headersTimeoutMilliseconds,
+			requestTimeout: bounds.requestTimeoutMilliseconds,
+			connectionsCheckingInterval: bounds.checkMilliseconds,
+			maxHeaderSize: bounds.largestHeaderBytes,
+			noDelay: true,
 		});
+		// Node drops headers behind the 2,000th without a word; a dropped Idempotency-Key would let a booking run twice.
+		// The bound on the bytes of all headers is enough.
+		this.#server.maxHeadersCount = 0;
+		this.#listenToServer();
 	}
 
 	/** Starts to listen. Resolves with `IP:port`. */
@@ -54,10 +86,114 @@
 		});
 	}
 
-	/** Takes no new connection. Resolves when the last answer was written. */
+	/** Takes no new connection and no new request. Resolves when the last answer was written and no connection is left. */
 	async drain(): Promise<void> {
-		this.#server.close();
+		this.#draining = true;
+		const closed = once(this.#server, 'close');
+		// `http.Server.close` also stops the check of the time limits, so that one client with half a request would hold
+		// the drain for ever. The method of `net.Server` stops listening and leaves the check running.
+		NetServer.prototype.close.call(this.#server);
 		this.#server.closeIdleConnections();
-		await once(this.#server, 'close');
+		for (const [connection, responses] of this.#connections) {
+			this.#announceClose(connection as Socket, responses);
+		}
+
+		await closed;
+		this.#server.close();
+	}
+
+	#listenToServer(): void {
+		this.#server.on('connection', (socket: Socket) => {
+			this.#connections.set(socket, new Set());
+			socket.once('close', () => {
+				this.#connections.delete(socket);
+			});
+		});
+		this.#server.on('request', (request, response) => {
+			this.#serve(request, response);
+		});
+		this.#server.on('checkContinue', (request, response) => {
+			// "100 Continue" waits until somebody reads the body, so that a refusal comes before the body is sent.
+			request.once('resume', () => {
+				if (!response.headersSent) {
+					response.writeContinue();
+				}
+			});
+			this.#serve(request, response);
+		});
+		this.#server.on('checkExpectation', (_request, response) => {
+			sendRefusal(response, {reason: 'bad-request', ran: 'not-run', message: 'the only expectation known is 100-continue'});
+		});
+		this.#server.on('connect', (_request, socket) => {
+			this.#refuseConnection(socket, 'HPE_INVALID_METHOD');
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.#refuseConnection(socket, error.code);
+		});
+	}
+
+	#serve(request: IncomingMessage, response: ServerResponse): void {
+		const {socket} = request;
+		this.#connections.get(socket)?.add(response);
+		response.once('close', () => {
+			this.#connections.get(socket)?.delete(response);
+			if (this.#draining) {
+				socket.end();
+			}
+		});
+		if (this.#draining) {
+			response.setHeader('connection', 'close');
+		}
+
+		void this.#answer(request, response);
+	}
+
+	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this.#handle(request, response);
+		} catch {
+			// A fault in one request must not end the process and all other answers with it.
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				sendRefusal(response, {reason: 'internal', ran: 'unknown', message: 'the request could not be served'});
+			}
+		}
+	}
+
+	/**
+	 * Answers what is no request. Bytes behind a good request can be bad while its answer is still owed; written at once,
+	 * the refusal would take the place of that answer or stand in the middle of it, so the connection ends behind it.
+	 */
+	#refuseConnection(connection: Duplex, code: string | undefined): void {
+		const refusal = judgeConnectionError(code);
+		if (refusal === undefined || !connection.writable) {
+			connection.destroy();
+			return;
+		}
+
+		const owed = [...this.#connections.get(connection) ?? []].findLast(response => response.headersSent || response.req.complete);
+		if (owed === undefined) {
+			connection.end(connectionRefusalBytes(refusal), () => {
+				connection.destroy();
+			});
+			return;
+		}
+
+		owed.once('close', () => {
+			connection.end();
+		});
+	}
+
+	#announceClose(connection: Socket, responses: ReadonlySet<ServerResponse>): void {
+		for (const response of responses) {
+			if (!response.headersSent) {
+				response.setHeader('connection', 'close');
+			}
+		}
+
+		if (responses.size === 0 && connection.bytesRead === 0) {
+			connection.destroy();
+		}
 	}
 }
--- /dev/null
+++ b/src/test/memory-model-engine.ts
@@ -0,0 +1,140 @@
+/**
+ * Model engines in memory, by address. They answer the stand-in engine's tokens, which depend on the prompt, and can be
+ * told to cut, stall, pause, refuse or swap weights; a fault is used up by the call that meets it.
+ */
+import {type Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type CacheEvent, type EngineCall, type EngineEvent, type EngineFailure, type LoadReport, type ModelEngine,
+	type OrderFailure,
+} from '../ports/model-engine.js';
+import {promptTextOf} from '../shared/prompt-text-of.js';
+import {engineTokenAt} from '../stand-in/engine-token-at.js';
+
+const charactersPerToken = 4;
+const defaultTokens = 4;
+
+/** What goes wrong with the next call. `pause` goes on at `resume()`, `stall` is silent until the call is given up. */
+export type EngineFault
+	= | {kind: 'cut' | 'stall' | 'pause'; afterTokens: number}
+		| {kind: 'fail'; failure: EngineFailure};
+
+export class MemoryModelEngine implements ModelEngine {
+	readonly weightVersions = new Map<string, string>();
+	readonly calls: Array<{address: string; call: EngineCall}> = [];
+	cancelled = 0;
+	readonly #faults = new Map<string, EngineFault[]>();
+	readonly #seenPrompts = new Set<string>();
+	readonly #halted: Array<() => void> = [];
+	readonly #awaitHalt: Array<() => void> = [];
+	readonly #halts = new Set<AbortController>();
+
+	/** Makes the next call at an address fail. */
+	failNext(address: string, ...faults: EngineFault[]): void {
+		this.#faults.set(address, [...this.#faults.get(address) ?? [], ...faults]);
+	}
+
+	/** Resolves when this many calls are stalled or paused. */
+	async halted(count = 1): Promise<void> {
+		while (this.#halts.size < count) {
+			await new Promise<void>(resolve => {
+				this.#awaitHalt.push(resolve);
+			});
+		}
+	}
+
+	/** Lets paused calls go on. */
+	resume(): void {
+		for (const wake of this.#halted.splice(0)) {
+			wake();
+		}
+	}
+
+	async * complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
+		this.calls.push({address, call});
+		const fault = this.#faults.get(address)?.shift();
+		if (fault?.kind === 'fail') {
+			yield Left(fault.failure);
+			return;
+		}
+
+		const weightVersion = this.weightVersions.get(address) ?? 'w1';
+		if (call.weightVersion !== weightVersion) {
+			yield Left({kind: 'version-swapped', weightVersion});
+			return;
+		}
+
+		yield Right({kind: 'started', weightVersion});
+		yield * this.#tokens({call, weightVersion, fault}, signal);
+	}
+
+	async loadReport(): Promise<Either<EngineFailure, LoadReport>> {
+		return Left({kind: 'broken', detail: 'tests give load reports to the directory themselves'});
+	}
+
+	async cacheEvents(): Promise<Either<EngineFailure, CacheEvent[]>> {
+		return Right([]);
+	}
+
+	async order(): Promise<Either<OrderFailure, void>> {
+		return Right(undefined);
+	}
+
+	async exportPiece(): Promise<Either<EngineFailure, Buffer | undefined>> {
+		return Right(undefined);
+	}
+
+	async importPiece(): Promise<Either<EngineFailure, void>> {
+		return Right(undefined);
+	}
+
+	async * #tokens(run: {call: EngineCall; weightVersion: string; fault: EngineFault | undefined}, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
+		const {call, weightVersion, fault} = run;
+		const prompt = promptTextOf(call.body);
+		const seenAs = `${call.cacheSalt}|${weightVersion}|${prompt}`;
+		const tokens = Number(call.body.max_tokens ?? defaultTokens);
+		const promptTokens = Math.ceil(prompt.length / charactersPerToken);
+		const cachedTokens = this.#seenPrompts.has(seenAs) ? promptTokens : 0;
+		this.#seenPrompts.add(seenAs);
+		for (let index = call.tokensPassedOn; index < tokens; index++) {
+			if (fault !== undefined && fault.kind !== 'fail' && index === fault.afterTokens) {
+				await this.#meet(fault.kind, signal);
+				if (fault.kind === 'cut' || signal.aborted) {
+					this.cancelled += signal.aborted ? 1 : 0;
+					yield Left({kind: 'broken', detail: 'the connection was cut'});
+					return;
+				}
+			}
+
+			yield Right({
+				kind: 'tokens', firstIndex: index, count: 1, text: engineTokenAt(`${weightVersion}:${prompt}`, index),
+			});
+		}
+
+		yield Right({
+			kind: 'finished', finishReason: 'length', promptTokens, cachedTokens, completionTokens: tokens,
+		});
+	}
+
+	async #meet(kind: 'cut' | 'stall' | 'pause', signal: AbortSignal): Promise<void> {
+		if (kind === 'cut' || signal.aborted) {
+			return;
+		}
+
+		const goOn = new AbortController();
+		this.#halts.add(goOn);
+		if (kind === 'pause') {
+			this.#halted.push(() => {
+				goOn.abort();
+			});
+		}
+
+		for (const wake of this.#awaitHalt.splice(0)) {
+			wake();
+		}
+
+		await Promise.race([once(signal, 'abort'), once(goOn.signal, 'abort')]);
+		this.#halts.delete(goOn);
+	}
+}
--- /dev/null
+++ b/src/test/memory-table.ts
@@ -0,0 +1,60 @@
+/** The table service in memory, with the faults that the platform has. */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type Row, type RowName, type TableFailure, type TableService, type Transaction,
+} from '../ports/table-service.js';
+
+export class MemoryTable implements TableService {
+	/** Every call fails, and nothing is applied. */
+	down = false;
+	/** How many coming commits are applied and then lose their answer. */
+	loseAnswers = 0;
+	readonly #rows = new Map<string, Row>();
+
+	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
+		return this.down ? Left(away) : Right(this.#rows.get(rowKeyOf(name)));
+	}
+
+	async scan(query: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
+		const rows = [...this.#rows.values()]
+			.filter(({table, key}) => table === query.table && key.startsWith(query.prefix) && key > query.after)
+			.toSorted((left, right) => left.key < right.key ? -1 : 1);
+		return this.down ? Left(away) : Right(rows.slice(0, query.limit));
+	}
+
+	async commit(transaction: Transaction): Promise<Either<TableFailure, void>> {
+		if (this.down) {
+			return Left(away);
+		}
+
+		const failing = transaction.conditions.filter(condition => (this.#rows.get(rowKeyOf(condition))?.revision ?? 0) !== condition.revision);
+		if (failing.length > 0) {
+			const current = failing.map(name => this.#rows.get(rowKeyOf(name))).filter(row => row !== undefined);
+			return Left({kind: 'conflict', current});
+		}
+
+		for (const {table, key, value} of transaction.writes) {
+			const name = rowKeyOf({table, key});
+			if (value === undefined) {
+				this.#rows.delete(name);
+			} else {
+				this.#rows.set(name, {
+					table, key, value: structuredClone(value), revision: (this.#rows.get(name)?.revision ?? 0) + 1,
+				});
+			}
+		}
+
+		if (this.loseAnswers > 0) {
+			this.loseAnswers--;
+			return Left({kind: 'outcome-unknown', detail: 'the answer was lost'});
+		}
+
+		return Right(undefined);
+	}
+}
+
+const away: TableFailure = {kind: 'unavailable', detail: 'the table service is down'};
+
+function rowKeyOf({table, key}: RowName): string {
+	return `${table}|${key}`;
+}
--- /dev/null
+++ b/src/test/test-entry.ts
@@ -0,0 +1,162 @@
+/** One entry in this process, over ports in memory, under a clock that tests move, listening on free local ports. */
+import {Right} from 'purify-ts/Either';
+import {CallerRoutes} from '../entry/callers/caller-routes.js';
+import {AdmissionGate} from '../entry/callers/admission-gate.js';
+import {CompletionRunner} from '../entry/callers/completion-runner.js';
+import {NeverTwiceRunner} from '../entry/callers/never-twice-runner.js';
+import {PlainRoute} from '../entry/callers/plain-route.js';
+import {ConfigurationHolder} from '../entry/configuration-holder.js';
+import {EndpointDirectory} from '../entry/endpoint-directory.js';
+import {type EntryContext} from '../entry/entry-context.js';
+import {defaultListenerBounds, HttpListener} from '../entry/http-listener.js';
+import {createOperatorRoutes} from '../entry/operators/operator-routes.js';
+import {BoundedQueueAdmission} from '../decision/admission/bounded-queue-admission.js';
+import {LeastLoadedPolicy} from '../decision/routing/least-loaded-policy.js';
+import {createLogger} from '../observability/logger.js';
+import {StatsdMetrics} from '../observability/metrics.js';
+import {type TimelineEntry} from '../observability/timeline-event.js';
+import {changeDigest} from '../protocol/configuration/change-digest.js';
+import {digestOf} from '../shared/digest-of.js';
+import {type ConfigurationEdit, type ListedInstance} from '../shared/types.js';
+import {ManualClock} from './manual-clock.js';
+import {MemoryModelEngine} from './memory-model-engine.js';
+import {MemoryPlainService} from './memory-plain-service.js';
+import {MemoryTable} from './memory-table.js';
+
+export const testKey = 'key-of-the-quay';
+export const testOperatorKey = 'operator-key-in-tests';
+const startOfTime = Date.UTC(2026, 5, 1, 8);
+
+/** The engines that every test entry knows. */
+export const testEngines: readonly ListedInstance[] = ['riva-engine-1', 'riva-engine-2'].map(name => ({
+	name, role: 'model-engine', dataCentre: 'riva', service: 'permits', address: name, peerAddress: '', state: 'live',
+}));
+
+const testPlain: ListedInstance = {
+	name: 'riva-plain-1', role: 'plain-service', dataCentre: 'riva', service: 'bookings', address: 'riva-plain-1', peerAddress: '', state: 'live',
+};
+
+const edits: ConfigurationEdit[] = [
+	{
+		action: 'set', kind: 'workspace', item: {
+			name: 'quay', keyDigests: [digestOf(testKey)], priority: 'urgent', share: 1, services: ['permits', 'bookings'],
+		},
+	},
+	{
+		action: 'set', kind: 'service', item: {
+			name: 'permits', kind: 'model', model: 'permit-1', weightVersion: 'w1', fencing: 'checked', paused: false,
+		},
+	},
+	{
+		action: 'set', kind: 'service', item: {
+			name: 'bookings', kind: 'plain', neverTwice: [{method: 'POST', path: '/bookings'}], fencing: 'ignored', paused: false,
+		},
+	},
+];
+
+export class TestEntry {
+	readonly clock = new ManualClock(startOfTime);
+	readonly engine = new MemoryModelEngine();
+	readonly table = new MemoryTable();
+	readonly plain = new MemoryPlainService();
+	readonly events: TimelineEntry[] = [];
+	readonly context: EntryContext;
+	readonly callers: HttpListener;
+	readonly operators: HttpListener;
+	callersAddress = '';
+	operatorsAddress = '';
+	#requests = 0;
+
+	constructor(bounds = defaultListenerBounds) {
+		const identity = {program: 'savorygauge-entry', instance: 'riva-entry-1', dataCentre: 'riva'};
+		this.context = {
+			identity,
+			settings: {
+				instance: identity.instance,
+				dataCentre: 'riva',
+				listen: '127.0.0.1:0',
+				operatorListen: '127.0.0.1:0',
+				peerListen: '127.0.0.1:0',
+				operatorKey: testOperatorKey,
+				cacheSecret: 'cache-secret-in-tests',
+				tableAddress: '',
+				objectAddress: '',
+				listAddress: '',
+				timelineAddress: '',
+				metricsAddress: '',
+				logLevel: 'error',
+				configurationPollMilliseconds: 500,
+				loadPollMilliseconds: 500,
+				listPollMilliseconds: 1000,
+			},
+			clock: this.clock,
+			newRequestId: () => `request-${++this.#requests}`,
+			logger: createLogger(identity, 'error'),
+			metrics: new StatsdMetrics('', identity),
+			timeline: {
+				record: entry => {
+					this.events.push(entry);
+				},
+			},
+			table: this.table,
+			list: {read: async () => Right([])},
+			engine: this.engine,
+			plain: this.plain,
+			configuration: new ConfigurationHolder(),
+			endpoints: new EndpointDirectory(),
+			draining: false,
+		};
+		this.callers = new HttpListener('callers', this.#routes().app, '127.0.0.1:0', bounds);
+		this.operators = new HttpListener('operators', createOperatorRoutes(this.context), '127.0.0.1:0', bounds);
+	}
+
+	/** Starts to listen, with a configuration in force and both engines live. */
+	async start(): Promise<void> {
+		this.configure(edits);
+		this.context.endpoints.takeList([...testEngines, testPlain]);
+		this.reportEngines();
+		this.callersAddress = await this.callers.listen();
+		this.operatorsAddress = await this.operators.listen();
+	}
+
+	async stop(): Promise<void> {
+		await Promise.all([this.callers.drain(), this.operators.drain()]);
+	}
+
+	/** Brings edits into force as the next version. */
+	configure(changes: ConfigurationEdit[]): void {
+		const {version, digest} = this.context.configuration.state;
+		const change = {
+			version: version + 1, previousDigest: digest, digest: '', author: 'test', reason: 'for a test', acceptedAt: this.clock.now(), edits: changes,
+		};
+		this.context.configuration.offer({...change, digest: changeDigest(change)});
+	}
+
+	/** Lets every engine report for itself, as live and idle. */
+	reportEngines(): void {
+		for (const {name} of testEngines) {
+			this.context.endpoints.takeReport(name, {
+				model: 'permit-1',
+				weightVersion: this.engine.weightVersions.get(name) ?? 'w1',
+				state: 'live',
+				runningRequests: 0,
+				waitingRequests: 0,
+				waitingPrefillTokens: 0,
+				prefillTokensPerSecond: 20_000,
+				decodeTokensPerSecond: 500,
+				batchLimit: 16,
+				kvTokensUsed: 0,
+				kvTokensCapacity: 32_768,
+				measuredAt: this.clock.now(),
+			}, this.clock.now());
+		}
+	}
+
+	#routes(): CallerRoutes {
+		return new CallerRoutes(this.context, {
+			gate: new AdmissionGate(new BoundedQueueAdmission(), this.clock),
+			runner: new CompletionRunner(this.context, new LeastLoadedPolicy()),
+			plainRoute: new PlainRoute(this.context, new NeverTwiceRunner(this.context)),
+		});
+	}
+}
