Keep a stream whole over dying, hanging, swapping and full endpoints

Cause: an engine that hung with its connection open held its caller for ever; a stream resumed after a weight swap went on under other weights; Retry-After of an engine was read and forgotten; a prompt refused by every engine was answered unknown although nothing ran; each answer closed its connection to the engine, since the body was left at [DONE]. Ruled out: one fixed time limit before the first token, which would cut long prefills behind a queue. Change: StreamWatch finds a silent engine (10 s between tokens, 3 s when its load reports are missing too, 30 s and four times the reported prefill before the first token) and a caller that takes nothing for 60 s. An answer that has begun stays with its weight version; one of which the caller saw nothing starts again. Endpoints are left alone for their Retry-After. Tokens that came together go on together. The stand-in engine can stall and refuse.

--- /dev/null
+++ b/src/adapters/http-model-engine.test.ts
@@ -0,0 +1,99 @@
+/** The HTTP side of the engine port against the stand-in engine: what a stream that is cut, left or resumed becomes. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {type EngineCall, type EngineEvent, type EngineFailure} from '../ports/model-engine.js';
+import {engineAnswerTo} from '../stand-in/engine-token-at.js';
+import {ModelEngineStandIn} from '../stand-in/model-engine-stand-in.js';
+import {startStandIn, type StandIn} from '../stand-in/stand-in-server.js';
+import {HttpModelEngine} from './http-model-engine.js';
+
+const engine = new HttpModelEngine();
+const standIn = new ModelEngineStandIn({
+	model: 'permit-1', weightVersion: 'w1', prefillTokensPerSecond: 1_000_000, millisecondsPerToken: 0, cachePieces: 4, batchLimit: 8,
+});
+const noFaults = {...standIn.faults};
+const call: EngineCall = {
+	requestId: 'r', attempt: 1, shape: 'text', body: {model: 'permit-1', prompt: 'hello', max_tokens: 8}, cacheSalt: 's', priority: 'normal', weightVersion: 'w1', tokensPassedOn: 0,
+};
+let running: StandIn;
+let connections = 0;
+
+before(async () => {
+	running = await startStandIn(standIn, {host: '127.0.0.1', port: 0});
+	running.server.on('connection', () => {
+		connections++;
+	});
+});
+
+after(async () => running.close());
+
+type Seen = {text: string; tokens: number; firstIndex: number; end?: EngineEvent | EngineFailure};
+
+async function collect(engineCall: EngineCall, faults: Partial<typeof noFaults> = {}, stopAfterTokens = Number.POSITIVE_INFINITY) {
+	Object.assign(standIn.faults, noFaults, faults);
+	const controller = new AbortController();
+	const seen: Seen = {text: '', tokens: 0, firstIndex: -1};
+	for await (const event of engine.complete(running.address, engineCall, controller.signal)) {
+		const value = event.extract();
+		seen.end = value;
+		if (value.kind === 'tokens') {
+			seen.firstIndex = seen.firstIndex === -1 ? value.firstIndex : seen.firstIndex;
+			seen.text += value.text;
+			seen.tokens += value.count;
+		}
+
+		if (seen.tokens >= stopAfterTokens) {
+			controller.abort();
+		}
+	}
+
+	return seen;
+}
+
+test('whole streams end with the end mark and use one connection after another', async () => {
+	await collect(call);
+	const before = connections;
+	for (let count = 0; count < 5; count++) {
+		const seen = await collect(call);
+		assert.equal(seen.text, engineAnswerTo('hello', 8));
+		assert.equal(seen.tokens, 8);
+		assert.equal(seen.end?.kind, 'finished');
+	}
+
+	// The end of one HTTP body may still be on its way when the next call starts; one more connection serves that.
+	assert.ok(connections - before <= 1);
+});
+
+test('a stream that is cut is broken, whatever came before', async () => {
+	const seen = await collect(call, {cutAfterTokens: 3});
+	assert.equal(seen.end?.kind, 'broken');
+});
+
+test('a resumed stream starts at the token that is due', async () => {
+	const seen = await collect({...call, tokensPassedOn: 5});
+	assert.equal(seen.firstIndex, 5);
+	assert.equal(seen.text, engineAnswerTo('hello', 8).split(' ').slice(5).join(' '));
+});
+
+test('leaving a stream cancels it at the engine, also while the engine is silent', async () => {
+	const cancelledBefore = Number(standIn.counts().cancelled);
+	const seen = await collect(call, {stallAfterTokens: 2}, 2);
+	assert.equal(seen.end?.kind, 'broken');
+	while (Number(standIn.counts().cancelled) === cancelledBefore) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+});
+
+test('a refusal, another weight version and a closed port are told apart', async () => {
+	const full = await collect(call, {refuseSeconds: 7});
+	const swapped = await collect({...call, weightVersion: 'w0'});
+	assert.deepEqual(full.end, {
+		kind: 'refused', status: 429, detail: '', retryAfterMilliseconds: 7000,
+	});
+	assert.deepEqual(swapped.end, {kind: 'version-swapped', weightVersion: 'w1'});
+	for await (const closed of engine.complete('127.0.0.1:1', call, new AbortController().signal)) {
+		assert.equal((closed.extract() as EngineFailure).kind, 'not-sent');
+	}
+});
--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -5,27 +5,20 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
-import {createParser} from 'eventsource-parser';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
 	type CacheEvent, type EngineCall, type EngineEvent, type EngineFailure, type EngineOrder, type LoadReport,
 	type ModelEngine, type OrderFailure,
 } from '../ports/model-engine.js';
 import {type JsonValue} from '../shared/types.js';
+import {readCompletionStream} from './completion-stream.js';
 import {
 	connectionPool, describeError, exchangeJson, failedBeforeAnyByte,
 } from './http-client.js';
 
 const controlTimeoutMilliseconds = 1000;
-const endOfStream = '[DONE]';
-
-type Chunk = {
-	choices: Array<{delta?: {content?: string}; text?: string; finish_reason?: string | null}>;
-	token_index?: number;
-	token_count?: number;
-	usage?: {prompt_tokens: number; completion_tokens: number; prompt_tokens_details?: {cached_tokens?: number}} | null;
-};
-
+/** A last bound under a stream that nobody watches any more; callers of this port have shorter ones. */
+const longestPauseMilliseconds = 300_000;
 export class HttpModelEngine implements ModelEngine {
 	async * complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
 		try {
@@ -36,7 +29,7 @@
 				headers: headersOf(call),
 				body: JSON.stringify({...call.body, stream: true, stream_options: {include_usage: true}}),
 				headersTimeout: 0,
-				bodyTimeout: 0,
+				bodyTimeout: longestPauseMilliseconds,
 				signal,
 			});
 			if (answer.statusCode !== 200) {
@@ -45,7 +38,7 @@
 			}
 
 			yield Right({kind: 'started', weightVersion: String(answer.headers['x-weight-version'] ?? '')});
-			yield * readStream(answer.body);
+			yield * readCompletionStream(answer.body);
 		} catch (error) {
 			const kind = failedBeforeAnyByte(error) ? 'not-sent' : 'broken';
 			yield Left({kind, detail: describeError(error)});
@@ -137,52 +130,3 @@
 			kind: 'refused', status, detail, retryAfterMilliseconds: Number(retryAfter) * 1000,
 		};
 }
-
-/**
- * Turns server-sent events into engine events. The end of the connection without `[DONE]` is a broken stream: the
- * symptom would be a caller who takes half an answer for a whole one, since both end with a closed connection.
- */
-async function * readStream(body: AsyncIterable<Uint8Array>): AsyncIterable<Either<EngineFailure, EngineEvent>> {
-	const waiting: string[] = [];
-	const parser = createParser({
-		onEvent(event) {
-			waiting.push(event.data);
-		},
-	});
-	const decoder = new TextDecoder();
-	let finishReason = '';
-	let usage: Chunk['usage'];
-	for await (const bytes of body) {
-		parser.feed(decoder.decode(bytes, {stream: true}));
-		for (const data of waiting.splice(0)) {
-			if (data === endOfStream) {
-				yield Right(finishedEvent(finishReason, usage));
-				return;
-			}
-
-			const chunk = JSON.parse(data) as Chunk;
-			const choice = chunk.choices[0];
-			finishReason = choice?.finish_reason ?? finishReason;
-			const text = choice?.delta?.content ?? choice?.text ?? '';
-			if (text !== '') {
-				yield Right({
-					kind: 'tokens', firstIndex: chunk.token_index ?? 0, count: chunk.token_count ?? 1, text,
-				});
-			}
-
-			usage = chunk.usage ?? usage;
-		}
-	}
-
-	yield Left({kind: 'broken', detail: 'the stream ended without its end mark'});
-}
-
-function finishedEvent(finishReason: string, usage: Chunk['usage']): EngineEvent {
-	return {
-		kind: 'finished',
-		finishReason,
-		promptTokens: usage?.prompt_tokens ?? 0,
-		cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
-		completionTokens: usage?.completion_tokens ?? 0,
-	};
-}
--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -13,7 +13,8 @@
 import {
 	type CompletionRequest, type CompletionShape, parseCompletionRequest,
 } from './completion-request.js';
-import {type CompletionJob, type CompletionRunner} from './completion-runner.js';
+import {type CompletionJob} from './completion-job.js';
+import {type CompletionRunner} from './completion-runner.js';
 import {answerUnrouted} from './answer-unrouted.js';
 import {OpenRequests} from './open-requests.js';
 import {type PlainRoute} from './plain-route.js';
--- /dev/null
+++ b/src/entry/callers/completion-attempt.ts
@@ -0,0 +1,230 @@
+/** One attempt at a prompt, at one endpoint. */
+import {type Either} from 'purify-ts/Either';
+import {cacheSaltOf} from '../../cache/piece-keys.js';
+import {silenceLimitMilliseconds} from '../../decision/routing/is-candidate.js';
+import {type EndpointView, type RouteRequest, type RoutingPolicy} from '../../decision/routing/routing-policy.js';
+import {type EngineCall, type EngineEvent, type EngineFailure} from '../../ports/model-engine.js';
+import {relayEvent, type RelayState} from '../../protocol/stream/stream-relay.js';
+import {type EntryContext} from '../entry-context.js';
+import {type AnswerSink, type CompletionJob} from './completion-job.js';
+import {type CompletionUsage} from './completion-writer.js';
+import {
+	firstTokenLimit, StreamWatch, tokenSilenceMilliseconds, unheardSilenceMilliseconds,
+} from './stream-watch.js';
+
+/** How an attempt ended. `refused` is final: no endpoint would take this prompt. */
+export type AttemptOutcome
+	= | {kind: 'whole'; usage: CompletionUsage}
+		| {kind: 'refused'; status: number}
+		| {kind: 'again'; avoid: boolean; mayHaveRun: boolean; detail: string; holdMilliseconds?: number};
+
+/** What is tried where. */
+export type AttemptPlan = {job: CompletionJob; route: RouteRequest; endpoint: EndpointView};
+
+/** The engine's word that the prompt itself is at fault; another endpoint of the same model would say the same. */
+const finalStatuses: ReadonlySet<number> = new Set([400, 413, 422]);
+
+export class CompletionAttempt {
+	readonly #context: EntryContext;
+	readonly #policy: RoutingPolicy;
+	readonly #plan: AttemptPlan;
+	readonly #sentAt: number;
+	readonly #watch: StreamWatch;
+	#state: RelayState;
+
+	constructor(context: EntryContext, policy: RoutingPolicy, plan: AttemptPlan, relay: RelayState) {
+		this.#context = context;
+		this.#policy = policy;
+		this.#plan = plan;
+		this.#state = relay;
+		this.#sentAt = context.clock.now();
+		this.#watch = new StreamWatch(context.clock, () => this.#silenceLimit());
+	}
+
+	/** Runs the attempt; gives its outcome and the answer as far as it came. */
+	async run(sink: AnswerSink): Promise<{outcome: AttemptOutcome; relay: RelayState}> {
+		const {job, endpoint, route} = this.#plan;
+		this.#policy.observe({kind: 'sent', endpoint: endpoint.name, request: route}, this.#sentAt);
+		this.#record('attempt-sent');
+		const attempt = new AbortController();
+		const stop = (): void => {
+			attempt.abort();
+		};
+
+		job.signal.addEventListener('abort', stop);
+		void this.#watchOver(attempt, sink);
+		const outcome = await this.#follow(attempt.signal, sink);
+		this.#watch.end();
+		if (outcome.kind !== 'whole') {
+			attempt.abort();
+		}
+
+		job.signal.removeEventListener('abort', stop);
+		this.#end(outcome);
+		return {outcome, relay: this.#state};
+	}
+
+	async #watchOver(attempt: AbortController, sink: AnswerSink): Promise<void> {
+		await this.#watch.run();
+		if (this.#watch.silent !== undefined) {
+			attempt.abort();
+		}
+
+		if (this.#watch.silent === 'caller') {
+			sink.abandon();
+		}
+	}
+
+	async #follow(signal: AbortSignal, sink: AnswerSink): Promise<AttemptOutcome> {
+		const {endpoint} = this.#plan;
+		for await (const event of this.#context.engine.complete(endpoint.address, this.#call(), signal)) {
+			this.#watch.waitFor('caller');
+			const outcome = event.isLeft() ? this.#judge(event.extract()) : await this.#take(event, sink);
+			if (outcome !== undefined) {
+				return outcome;
+			}
+
+			this.#watch.waitFor('engine');
+		}
+
+		return {
+			kind: 'again', avoid: true, mayHaveRun: true, detail: 'the stream ended early',
+		};
+	}
+
+	async #take(event: Either<EngineFailure, EngineEvent>, sink: AnswerSink): Promise<AttemptOutcome | undefined> {
+		const isFirst = this.#state.tokensPassedOn === 0;
+		const {state, action} = relayEvent(this.#state, this.#state.attempt, event.extract() as EngineEvent);
+		this.#state = state;
+		switch (action.kind) {
+			case 'pass-on': {
+				if (isFirst) {
+					this.#firstToken();
+				}
+
+				await sink.pass(action.text);
+				return undefined;
+			}
+
+			case 'whole': {
+				return {kind: 'whole', usage: {...action, completionTokens: state.tokensPassedOn}};
+			}
+
+			case 'restart': {
+				return {
+					kind: 'again', avoid: true, mayHaveRun: true, detail: action.detail,
+				};
+			}
+
+			case 'drop': {
+				return undefined;
+			}
+		}
+	}
+
+	#judge(failure: EngineFailure): AttemptOutcome {
+		switch (failure.kind) {
+			case 'version-swapped': {
+				this.#context.endpoints.takeVersion(this.#plan.endpoint.name, failure.weightVersion);
+				return {
+					kind: 'again', avoid: false, mayHaveRun: false, detail: 'the endpoint runs another weight version now',
+				};
+			}
+
+			case 'refused': {
+				return this.#judgeRefusal(failure);
+			}
+
+			case 'not-sent': {
+				return {
+					kind: 'again', avoid: true, mayHaveRun: false, detail: 'the endpoint could not be reached',
+				};
+			}
+
+			case 'broken': {
+				const detail = this.#watch.silent === 'engine' ? 'the endpoint fell silent' : 'the stream broke';
+				return {
+					kind: 'again', avoid: true, mayHaveRun: true, detail,
+				};
+			}
+		}
+	}
+
+	#judgeRefusal({status, retryAfterMilliseconds}: EngineFailure & {kind: 'refused'}): AttemptOutcome {
+		if (finalStatuses.has(status) && this.#state.tokensPassedOn === 0) {
+			return {kind: 'refused', status};
+		}
+
+		return {
+			kind: 'again',
+			avoid: true,
+			mayHaveRun: false,
+			detail: `the endpoint refused with ${status}`,
+			...(retryAfterMilliseconds === undefined ? {} : {holdMilliseconds: retryAfterMilliseconds}),
+		};
+	}
+
+	/** An endpoint whose load reports are missing too is hung as a whole, and is given up sooner. */
+	#silenceLimit(): number {
+		const {endpoint, route} = this.#plan;
+		const known = this.#context.endpoints.engines().find(({name}) => name === endpoint.name);
+		const isHeard = known !== undefined && this.#context.clock.now() - known.heardAt <= silenceLimitMilliseconds;
+		if (!isHeard) {
+			return unheardSilenceMilliseconds;
+		}
+
+		return this.#state.tokensPassedOn > 0 ? tokenSilenceMilliseconds : firstTokenLimit(known.load, route.promptTokens);
+	}
+
+	#call(): EngineCall {
+		const {job, endpoint, route} = this.#plan;
+		return {
+			requestId: route.requestId,
+			attempt: this.#state.attempt,
+			shape: job.request.shape,
+			body: job.request.body,
+			cacheSalt: cacheSaltOf(this.#context.settings.cacheSecret, route.workspace),
+			priority: route.priority,
+			weightVersion: endpoint.weightVersion,
+			tokensPassedOn: this.#state.tokensPassedOn,
+		};
+	}
+
+	#firstToken(): void {
+		const {job, endpoint, route} = this.#plan;
+		const now = this.#context.clock.now();
+		this.#policy.observe({
+			kind: 'first-token', endpoint: endpoint.name, request: route, afterMilliseconds: now - this.#sentAt,
+		}, now);
+		this.#record('first-token');
+		this.#context.metrics.report('request.time_to_first_token', now - job.arrivedAt, {priority: route.priority, service: route.service});
+	}
+
+	#end(outcome: AttemptOutcome): void {
+		const {job, endpoint, route} = this.#plan;
+		const failed = job.signal.aborted ? 'cancelled' : 'failed';
+		this.#policy.observe({
+			kind: 'ended',
+			endpoint: endpoint.name,
+			request: route,
+			outcome: outcome.kind === 'whole' ? 'whole' : failed,
+			cachedTokens: outcome.kind === 'whole' ? outcome.usage.cachedTokens : 0,
+		}, this.#context.clock.now());
+		if (outcome.kind !== 'whole') {
+			this.#record('attempt-failed', outcome.kind === 'refused' ? `refused with ${outcome.status}` : outcome.detail);
+		}
+	}
+
+	#record(kind: 'attempt-sent' | 'attempt-failed' | 'first-token', detail?: string): void {
+		const {endpoint, route} = this.#plan;
+		this.#context.timeline.record({
+			kind,
+			at: this.#context.clock.now(),
+			requestId: route.requestId,
+			attempt: this.#state.attempt,
+			workspace: route.workspace,
+			endpoint: endpoint.name,
+			...(detail === undefined ? {} : {detail}),
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/callers/completion-runner.test.ts
@@ -0,0 +1,229 @@
+/** What a caller gets of a prompt when engines die, hang, swap weights or refuse, over an engine port in memory. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LeastLoadedPolicy} from '../../decision/routing/least-loaded-policy.js';
+import {type Refusal} from '../../shared/types.js';
+import {engineTokenAt} from '../../stand-in/engine-token-at.js';
+import {TestEntry} from '../../test/test-entry.js';
+import {type AnswerSink, type CompletionJob} from './completion-job.js';
+import {CompletionRunner} from './completion-runner.js';
+import {type CompletionUsage} from './completion-writer.js';
+import {callerSilenceMilliseconds, tokenSilenceMilliseconds, unheardSilenceMilliseconds} from './stream-watch.js';
+
+const tokens = 6;
+const [first, second] = ['riva-engine-1', 'riva-engine-2'] as const;
+
+function textOf(weightVersion: string, count = tokens): string {
+	return Array.from({length: count}, (_, index) => engineTokenAt(`${weightVersion}:user: hello`, index)).join('');
+}
+
+class RecordingSink implements AnswerSink {
+	text = '';
+	isAbandoned = false;
+	readonly #canTakeBack: boolean;
+
+	constructor(canTakeBack: boolean) {
+		this.#canTakeBack = canTakeBack;
+	}
+
+	async pass(text: string): Promise<void> {
+		this.text += text;
+	}
+
+	takeBack(): boolean {
+		this.text = this.#canTakeBack ? '' : this.text;
+		return this.#canTakeBack;
+	}
+
+	abandon(): void {
+		this.isAbandoned = true;
+	}
+}
+
+function setUp(options: {streamed: boolean}) {
+	const entry = new TestEntry();
+	entry.know();
+	const {clock} = entry;
+	const caller = new AbortController();
+	const job = (): CompletionJob => ({
+		request: {
+			shape: 'chat', model: 'permit-1', stream: options.streamed, includeUsage: false, body: {model: 'permit-1', messages: [{role: 'user', content: 'hello'}], max_tokens: tokens},
+		},
+		route: {
+			requestId: 'request-1', workspace: 'quay', service: 'permits', weightVersion: 'w1', priority: 'urgent', promptTokens: 3, deadline: clock.now() + 60_000,
+		},
+		dataCentres: [],
+		prompt: 'user: hello',
+		arrivedAt: clock.now(),
+		signal: caller.signal,
+	});
+	const sink = new RecordingSink(!options.streamed);
+	const runner = new CompletionRunner(entry.context, new LeastLoadedPolicy());
+	return {
+		entry, engine: entry.engine, clock, sink, caller, job, run: async () => runner.run(job(), sink),
+	};
+}
+
+function refusalOf(result: CompletionUsage | Refusal): Refusal {
+	assert.ok('reason' in result, 'the answer was taken for whole');
+	return result;
+}
+
+/** Moves time on in small steps, as a real clock does, until something happened. */
+async function moveTime(clock: TestEntry['clock'], limitMilliseconds: number, step: () => boolean): Promise<void> {
+	for (let spent = 0; spent <= limitMilliseconds && !step(); spent += 500) {
+		clock.advance(500);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+test('a stream whose endpoint dies goes on elsewhere at exactly the next token', async () => {
+	// The caller reads two tokens; then the endpoint's connection is cut. The other endpoint is asked for the answer
+	// behind token 2, and the caller reads one text without a gap or a repeat.
+	const {engine, sink, run} = setUp({streamed: true});
+	engine.failNext(first, {kind: 'cut', afterTokens: 2});
+	const usage = await run();
+	assert.equal(sink.text, textOf('w1'));
+	assert.ok('finishReason' in usage);
+	assert.equal(usage.completionTokens, tokens);
+	assert.deepEqual(engine.calls.map(({address, call}) => [address, call.attempt, call.tokensPassedOn]), [[first, 1, 0], [second, 2, 2]]);
+});
+
+for (const streamed of [true, false]) {
+	test(`an answer without its end mark is never taken for whole (${streamed ? 'streamed' : 'not streamed'})`, async () => {
+		// Every endpoint cuts its connection behind the last token but before the end mark. The text looks complete; the
+		// caller must get the typed error nevertheless, since nobody can know.
+		const {engine, sink, run} = setUp({streamed});
+		engine.failNext(first, {kind: 'cut', afterTokens: 3});
+		engine.failNext(second, {kind: 'cut', afterTokens: 5});
+		const refusal = refusalOf(await run());
+		assert.equal(refusal.ran, 'unknown');
+		assert.equal(refusal.reason, streamed ? 'stream-cut' : 'endpoint-failed');
+		assert.equal(sink.text, streamed ? textOf('w1', 5) : '');
+	});
+}
+
+test('a stream that goes silent with its connection open is found by a time limit and goes on elsewhere', async () => {
+	// The engine hangs: no token, no error, the connection stays. Without a limit the caller would wait for ever.
+	const {engine, entry, sink, clock, run} = setUp({streamed: true});
+	engine.failNext(first, {kind: 'stall', afterTokens: 2});
+	const startedAt = clock.now();
+	const running = run();
+	await engine.halted();
+	await moveTime(clock, 60_000, () => {
+		entry.reportEngines();
+		return engine.cancelled > 0;
+	});
+	await running;
+	assert.equal(sink.text, textOf('w1'));
+	assert.equal(engine.cancelled, 1);
+	assert.ok(clock.now() - startedAt <= tokenSilenceMilliseconds + 1000);
+});
+
+test('an endpoint whose load reports are missing too is given up sooner', async () => {
+	const {engine, entry, sink, clock, run} = setUp({streamed: true});
+	engine.failNext(first, {kind: 'stall', afterTokens: 2});
+	const startedAt = clock.now();
+	const running = run();
+	await engine.halted();
+	await moveTime(clock, 20_000, () => {
+		entry.reportEngine(second);
+		return engine.cancelled > 0;
+	});
+	await running;
+	assert.equal(sink.text, textOf('w1'));
+	assert.ok(clock.now() - startedAt <= unheardSilenceMilliseconds + 1000);
+});
+
+test('a stream that has begun never goes on under other weights', async () => {
+	// The caller read two tokens of w1. Its endpoint dies, and the only other one runs w2 by now. Going on there would
+	// join two models into one text; the stream ends with a typed error, and no work is sent to the other endpoint.
+	const {engine, entry, sink, run} = setUp({streamed: true});
+	engine.weightVersions.set(second, 'w2');
+	entry.reportEngines();
+	engine.failNext(first, {kind: 'cut', afterTokens: 2});
+	const refusal = refusalOf(await run());
+	assert.deepEqual([refusal.reason, refusal.ran], ['stream-cut', 'unknown']);
+	assert.equal(sink.text, textOf('w1', 2));
+	assert.equal(engine.calls.length, 1);
+});
+
+test('a swap that is not known yet is told by the endpoint, and the stream still ends with a typed error', async () => {
+	const {engine, entry, sink, run} = setUp({streamed: true});
+	engine.weightVersions.set(second, 'w2');
+	entry.reportEngine(second, 'w1');
+	engine.failNext(first, {kind: 'cut', afterTokens: 2});
+	assert.equal(refusalOf(await run()).reason, 'stream-cut');
+	assert.equal(sink.text, textOf('w1', 2));
+	assert.equal(engine.calls.length, 2);
+});
+
+test('an answer of which the caller has seen nothing starts again under the new weights', async () => {
+	const {engine, entry, sink, run} = setUp({streamed: false});
+	engine.weightVersions.set(second, 'w2');
+	entry.reportEngines();
+	engine.failNext(first, {kind: 'cut', afterTokens: 2});
+	const usage = await run();
+	assert.ok('finishReason' in usage);
+	assert.equal(sink.text, textOf('w2'));
+});
+
+test('endpoints that are full are left alone for as long as they ask, and the caller is told', async () => {
+	// Both engines refuse with Retry-After. Nothing ran, so "not-run" is true; the next caller is answered at once
+	// without asking them again, until the shorter time is over.
+	const {engine, entry, sink, clock, run} = setUp({streamed: true});
+	const full = (retryAfterMilliseconds: number) => ({
+		kind: 'fail' as const, failure: {
+			kind: 'refused' as const, status: 429, detail: '', retryAfterMilliseconds,
+		},
+	});
+	engine.failNext(first, full(2000));
+	engine.failNext(second, full(5000));
+	const refusal = refusalOf(await run());
+	assert.deepEqual([refusal.reason, refusal.ran, refusal.retryAfterMilliseconds], ['overloaded', 'not-run', 2000]);
+	assert.equal(refusalOf(await run()).reason, 'overloaded');
+	assert.equal(engine.calls.length, 2);
+	clock.advance(2000);
+	entry.reportEngines();
+	assert.ok('finishReason' in await run());
+	assert.equal(engine.calls.at(-1)!.address, first);
+	assert.equal(sink.text, textOf('w1'));
+});
+
+test('a prompt that the engine finds at fault is not tried elsewhere', async () => {
+	const {engine, run} = setUp({streamed: true});
+	engine.failNext(first, {kind: 'fail', failure: {kind: 'refused', status: 400, detail: 'too long'}});
+	const refusal = refusalOf(await run());
+	assert.deepEqual([refusal.reason, refusal.ran, engine.calls.length], ['bad-request', 'not-run', 1]);
+});
+
+test('"not-run" is said only while no engine can have begun', async () => {
+	const unreachable = {kind: 'fail' as const, failure: {kind: 'not-sent' as const, detail: ''}};
+	const sent = setUp({streamed: true});
+	sent.engine.failNext(first, unreachable);
+	sent.engine.failNext(second, {kind: 'cut', afterTokens: 0});
+	assert.equal(refusalOf(await sent.run()).ran, 'unknown');
+	const unsent = setUp({streamed: true});
+	unsent.engine.failNext(first, unreachable);
+	unsent.engine.failNext(second, unreachable);
+	assert.equal(refusalOf(await unsent.run()).ran, 'not-run');
+});
+
+test('a caller that takes nothing for long is cut off, and its place at the engine is free', async () => {
+	const {engine, sink, clock, caller, run} = setUp({streamed: true});
+	sink.pass = async () => new Promise(resolve => {
+		caller.signal.addEventListener('abort', () => {
+			resolve();
+		});
+	});
+	sink.abandon = () => {
+		caller.abort();
+	};
+
+	const running = run();
+	await moveTime(clock, callerSilenceMilliseconds + 1000, () => caller.signal.aborted);
+	const refusal = refusalOf(await running);
+	assert.deepEqual([refusal.reason, refusal.ran, engine.calls.length], ['cancelled', 'unknown', 1]);
+});
--- a/src/entry/callers/completion-writer.ts
+++ b/src/entry/callers/completion-writer.ts
@@ -2,12 +2,17 @@
  * Writes an answer in the published completions protocol: as server-sent events closed by `[DONE]`, or whole. A stream
  * that cannot be finished ends with an error event and without `[DONE]`, so that no client takes it for whole.
  */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {type Refusal} from '../../shared/types.js';
+import {type AnswerSink} from './completion-job.js';
 import {type CompletionRequest} from './completion-request.js';
 import {refusalBody, sendRefusal} from './send-refusal.js';
 
+/** Stands for the text while the frame of a streamed event is made; no member of an event can hold it. */
+const textPlace = '\u0000text\u0000';
+
 /** The figures of a finished answer. */
 export type CompletionUsage = {
 	finishReason: string;
@@ -23,10 +28,12 @@
 	createdSeconds: number;
 };
 
-export class CompletionWriter {
+export class CompletionWriter implements AnswerSink {
 	readonly #response: ServerResponse;
 	readonly #request: CompletionRequest;
 	readonly #head: {id: string; object: string; created: number; model: string};
+	/** What stands around the text in a streamed event; made once, since it is the same for every token. */
+	readonly #frame: [before: string, behind: string];
 	#text = '';
 
 	constructor(response: ServerResponse, request: CompletionRequest, identity: CompletionIdentity) {
@@ -39,16 +46,35 @@
 			created: identity.createdSeconds,
 			model: request.model,
 		};
+		const framed = eventOf({...this.#head, choices: [this.#choice(textPlace, null)]});
+		this.#frame = framed.split(JSON.stringify(textPlace)) as [string, string];
 	}
 
-	/** Passes text on. Resolves when the caller can take more. */
 	async pass(text: string): Promise<void> {
 		if (!this.#request.stream) {
 			this.#text += text;
 			return;
 		}
 
-		await this.#writeEvent({...this.#head, choices: [this.#choice(text, null)]});
+		const [before, behind] = this.#frame;
+		this.#startStream();
+		const hasRoom = this.#response.write(before + JSON.stringify(text) + behind);
+		if (!hasRoom && !this.#response.destroyed) {
+			await Promise.race([once(this.#response, 'drain'), once(this.#response, 'close')]);
+		}
+	}
+
+	takeBack(): boolean {
+		if (this.#response.headersSent) {
+			return false;
+		}
+
+		this.#text = '';
+		return true;
+	}
+
+	abandon(): void {
+		this.#response.destroy();
 	}
 
 	/** Closes a whole answer. */
@@ -60,17 +86,16 @@
 			prompt_tokens_details: {cached_tokens: usage.cachedTokens},
 		};
 		if (this.#request.stream) {
-			void this.#writeEvent({...this.#head, choices: [this.#choice('', usage.finishReason)]});
-			if (this.#request.includeUsage) {
-				void this.#writeEvent({...this.#head, choices: [], usage: protocolUsage});
-			}
-
-			this.#response.end('data: [DONE]\n\n');
+			const last = eventOf({...this.#head, choices: [this.#choice('', usage.finishReason)]});
+			const figures = this.#request.includeUsage ? eventOf({...this.#head, choices: [], usage: protocolUsage}) : '';
+			this.#startStream();
+			this.#response.end(`${last}${figures}data: [DONE]\n\n`);
 			return;
 		}
 
-		this.#response.writeHead(200, {'content-type': 'application/json'});
-		this.#response.end(JSON.stringify({...this.#head, choices: [this.#choice(this.#text, usage.finishReason)], usage: protocolUsage}));
+		const body = JSON.stringify({...this.#head, choices: [this.#choice(this.#text, usage.finishReason)], usage: protocolUsage});
+		this.#response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+		this.#response.end(body);
 	}
 
 	/** Ends an answer that will not become whole. */
@@ -80,7 +105,13 @@
 			return;
 		}
 
-		this.#response.end(`data: ${JSON.stringify(refusalBody(refusal))}\n\n`);
+		this.#response.end(eventOf(refusalBody(refusal)));
+	}
+
+	#startStream(): void {
+		if (!this.#response.headersSent) {
+			this.#response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+		}
 	}
 
 	#choice(text: string, finishReason: string | null): Record<string, unknown> {
@@ -95,15 +126,8 @@
 
 		return {...end, delta: text === '' ? {} : {role: 'assistant', content: text}};
 	}
+}
 
-	async #writeEvent(event: unknown): Promise<void> {
-		if (!this.#response.headersSent) {
-			this.#response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
-		}
-
-		const hasRoom = this.#response.write(`data: ${JSON.stringify(event)}\n\n`);
-		if (!hasRoom && !this.#response.destroyed) {
-			await Promise.race([once(this.#response, 'drain'), once(this.#response, 'close')]);
-		}
-	}
+function eventOf(data: unknown): string {
+	return `data: ${JSON.stringify(data)}\n\n`;
 }
--- a/src/ports/model-engine.ts
+++ b/src/ports/model-engine.ts
@@ -84,7 +84,10 @@
 
 /** A model engine as savorygauge uses it. Addresses are `IP:port`. */
 export interface ModelEngine {
-	/** Starts an attempt. The iterator throws nothing: it ends with a `Left` if the stream breaks. */
+	/**
+	 * Starts an attempt. The iterator throws nothing: it ends with a `Left` if the stream breaks, and soon after the
+	 * signal aborts.
+	 */
 	complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>>;
 	loadReport(address: string): Promise<Either<EngineFailure, LoadReport>>;
 	cacheEvents(address: string, after: number): Promise<Either<EngineFailure, CacheEvent[]>>;
--- a/src/protocol/stream/stream-relay.ts
+++ b/src/protocol/stream/stream-relay.ts
@@ -17,6 +17,8 @@
 	/** Tokens passed on to the caller, over all attempts. */
 	tokensPassedOn: number;
 	whole: boolean;
+	/** The weight version that the passed-on tokens come from; absent until an engine named one. */
+	weightVersion?: string;
 };
 
 /** The answer before the first attempt. */
@@ -48,7 +50,7 @@
 	}
 
 	if (event.kind === 'started') {
-		return {state, action: {kind: 'drop'}};
+		return relayStart(state, event.weightVersion);
 	}
 
 	if (event.kind === 'finished') {
@@ -70,3 +72,24 @@
 		action: {kind: 'pass-on', text: event.text},
 	};
 }
+
+/**
+ * Forgets what was passed on, so that the next attempt starts from the first token. Only a receiver that can take its
+ * text back may ask for this.
+ *
+ * @param state - The answer so far.
+ * @returns The state of an answer without a token; the attempt number goes on.
+ */
+export function forgetTokens(state: RelayState): RelayState {
+	return {attempt: state.attempt, tokensPassedOn: 0, whole: false};
+}
+
+function relayStart(state: RelayState, weightVersion: string): {state: RelayState; action: RelayAction} {
+	// After a weight swap the next engine would go on with other weights. The caller would read one answer whose two
+	// halves come from two models; an answer that has begun therefore stays with the version it began under.
+	if (state.tokensPassedOn > 0 && weightVersion !== state.weightVersion) {
+		return {state, action: {kind: 'restart', detail: `the endpoint runs ${weightVersion}, the answer began under ${state.weightVersion ?? 'none'}`}};
+	}
+
+	return {state: {...state, weightVersion}, action: {kind: 'drop'}};
+}
--- a/src/stand-in/model-engine-stand-in.ts
+++ b/src/stand-in/model-engine-stand-in.ts
@@ -1,8 +1,9 @@
 /**
  * Stands in for a model engine: it batches without limit, prefills at a fixed speed, keeps prompt prefixes in a small
  * cache that evicts the least recently used, and answers tokens that depend on the prompt. It can be made to die in the
- * middle of a stream, to swap weights, to leave, to ignore fencing numbers, and to lose cache events.
+ * middle of a stream, to hang, to refuse, to swap weights, to leave, to ignore fencing numbers, and to lose cache events.
  */
+import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -47,7 +48,7 @@
 export class ModelEngineStandIn implements StandInKind {
 	readonly app = new H3();
 	readonly faults = {
-		...noFaults, leaving: false, cutAfterTokens: 0, ignoreFencing: false, loseCacheEvents: 0, loadLagMilliseconds: 0,
+		...noFaults, leaving: false, cutAfterTokens: 0, stallAfterTokens: 0, refuseSeconds: 0, ignoreFencing: false, loseCacheEvents: 0, loadLagMilliseconds: 0,
 	};
 
 	readonly #behaviour: EngineBehaviour;
@@ -94,6 +95,11 @@
 			return;
 		}
 
+		if (this.faults.refuseSeconds > 0) {
+			response.writeHead(429, {'retry-after': String(this.faults.refuseSeconds)}).end();
+			return;
+		}
+
 		const completion: Completion = {
 			shape,
 			prompt: promptTextOf(body),
@@ -125,6 +131,11 @@
 				return;
 			}
 
+			if (this.faults.stallAfterTokens > 0 && index >= this.faults.stallAfterTokens) {
+				await once(response, 'close');
+				return;
+			}
+
 			const choice = {text: engineTokenAt(completion.prompt, index), finishReason: null};
 			response.write(chunkOf(completion, choice, {token_index: index, token_count: 1}));
 			if (this.#behaviour.millisecondsPerToken > 0) {
--- a/src/test/manual-clock.ts
+++ b/src/test/manual-clock.ts
@@ -22,12 +22,14 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const sleeper = {until: this.#now + milliseconds, wake: resolve};
-			this.#sleepers.push(sleeper);
-			signal.addEventListener('abort', () => {
-				this.#sleepers = this.#sleepers.filter(other => other !== sleeper);
+			const end = (): void => {
+				this.#sleepers = this.#sleepers.filter(({wake}) => wake !== end);
+				signal.removeEventListener('abort', end);
 				resolve();
-			}, {once: true});
+			};
+
+			this.#sleepers.push({until: this.#now + milliseconds, wake: end});
+			signal.addEventListener('abort', end, {once: true});
 		});
 	}
 
@@ -35,7 +37,6 @@
 	advance(milliseconds: number): void {
 		this.#now += milliseconds;
 		const due = this.#sleepers.filter(({until}) => until <= this.#now);
-		this.#sleepers = this.#sleepers.filter(({until}) => until > this.#now);
 		for (const {wake} of due) {
 			wake();
 		}
--- a/src/test/memory-model-engine.ts
+++ b/src/test/memory-model-engine.ts
@@ -100,11 +100,12 @@
 		for (let index = call.tokensPassedOn; index < tokens; index++) {
 			if (fault !== undefined && fault.kind !== 'fail' && index === fault.afterTokens) {
 				await this.#meet(fault.kind, signal);
-				if (fault.kind === 'cut' || signal.aborted) {
-					this.cancelled += signal.aborted ? 1 : 0;
-					yield Left({kind: 'broken', detail: 'the connection was cut'});
-					return;
-				}
+			}
+
+			if (signal.aborted || (fault?.kind === 'cut' && index >= fault.afterTokens)) {
+				this.cancelled += signal.aborted ? 1 : 0;
+				yield Left({kind: 'broken', detail: 'the connection was cut'});
+				return;
 			}
 
 			yield Right({
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -112,11 +112,16 @@
 
 	/** Starts to listen, with a configuration in force and both engines live. */
 	async start(): Promise<void> {
+		this.know();
+		this.callersAddress = await this.callers.listen();
+		this.operatorsAddress = await this.operators.listen();
+	}
+
+	/** Brings the configuration into force and makes both engines live, without listening. */
+	know(): void {
 		this.configure(edits);
 		this.context.endpoints.takeList([...testEngines, testPlain]);
 		this.reportEngines();
-		this.callersAddress = await this.callers.listen();
-		this.operatorsAddress = await this.operators.listen();
 	}
 
 	async stop(): Promise<void> {
@@ -135,23 +140,28 @@
 	/** Lets every engine report for itself, as live and idle. */
 	reportEngines(): void {
 		for (const {name} of testEngines) {
-			this.context.endpoints.takeReport(name, {
-				model: 'permit-1',
-				weightVersion: this.engine.weightVersions.get(name) ?? 'w1',
-				state: 'live',
-				runningRequests: 0,
-				waitingRequests: 0,
-				waitingPrefillTokens: 0,
-				prefillTokensPerSecond: 20_000,
-				decodeTokensPerSecond: 500,
-				batchLimit: 16,
-				kvTokensUsed: 0,
-				kvTokensCapacity: 32_768,
-				measuredAt: this.clock.now(),
-			}, this.clock.now());
+			this.reportEngine(name);
 		}
 	}
 
+	/** Lets one engine report for itself, by default with the weight version that it runs. */
+	reportEngine(name: string, weightVersion = this.engine.weightVersions.get(name) ?? 'w1'): void {
+		this.context.endpoints.takeReport(name, {
+			model: 'permit-1',
+			weightVersion,
+			state: 'live',
+			runningRequests: 0,
+			waitingRequests: 0,
+			waitingPrefillTokens: 0,
+			prefillTokensPerSecond: 20_000,
+			decodeTokensPerSecond: 500,
+			batchLimit: 16,
+			kvTokensUsed: 0,
+			kvTokensCapacity: 32_768,
+			measuredAt: this.clock.now(),
+		}, this.clock.now());
+	}
+
 	#routes(): CallerRoutes {
 		return new CallerRoutes(this.context, {
 			gate: new AdmissionGate(new BoundedQueueAdmission(), this.clock),
