--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -92,6 +92,7 @@
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
 		await this.#callers.drain();
+		await this.#operators.drain();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
--- a/src/test/raw-http.ts
+++ b/src/test/raw-http.ts
@@ -22,7 +22,9 @@
 		text += String(chunk);
 	});
 	if (!socket.closed) {
-		await once(socket, 'close');
+		await new Promise(resolve => {
+			socket.once('close', resolve);
+		});
 	}
 
 	return text;
