--- a/src/load/overhead/main.ts
+++ b/src/load/overhead/main.ts
@@ -15,7 +15,7 @@
 const engineAtOnce = ['--prefill-tokens-per-second', '1000000000', '--batch-limit', '1000'];
 const latencyPlan = {perSecond: 200, seconds: 10, tokens: 16};
 const shortPlan = {callers: 64, seconds: 5, tokens: 8};
-const streamPlan = {callers: 64, seconds: 6, tokens: 500};
+const streamPlan = {callers: 160, seconds: 6, tokens: 500};
 const warmUp = {callers: 32, seconds: 2, tokens: 16};
 
 /** All figures. */
