Decide a never-twice call by a pure claim machine

Cause: the runner mixed decisions with I/O. Found by reading it: a confirm whose answer was lost was refused as "conflict, not sent" without being read back; the claim did not carry the configuration version as a condition; a lapsed or abandoned claim was never taken over; nothing bounded claims while the table was slow; an outcome could not be asked later. Ruled out: conditioning the claim on the revision of configuration/head. Instances that learn changes from peers do not know that revision; the absence of the next change's row says the same and needs no read. Ruled out: claiming straight in stage sending (two writes instead of three). It saves a write, but a holder killed between claim and send then leaves unknown for ever.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -10,6 +10,7 @@
 import {type EntryContext} from '../entry-context.js';
 import {type AdmissionGate} from './admission-gate.js';
 import {authenticate} from './authenticate.js';
+import {CallsRoute} from './calls-route.js';
 import {CompletionWriter, type CompletionUsage} from './completion-writer.js';
 import {
 	type CompletionRequest, type CompletionShape, parseCompletionRequest,
@@ -50,6 +51,7 @@
 		this.app.get('/v1/models', nodeRoute(async exchange => this.#listModels(exchange)));
 		this.app.post('/v1/chat/completions', nodeRoute(async exchange => this.#complete('chat', exchange)));
 		this.app.post('/v1/completions', nodeRoute(async exchange => this.#complete('text', exchange)));
+		this.app.get('/v1/calls/**', nodeRoute(async exchange => this.#askCall(exchange)));
 		this.app.all('/services/:service/**', nodeRoute(async exchange => this.#callService(exchange)));
 		this.app.all('/**', nodeRoute(async ({response}) => {
 			sendRefusal(response, {reason: 'not-found', ran: 'not-run', message: 'there is nothing at this path'});
@@ -172,6 +174,16 @@
 		};
 	}
 
+	async #askCall(exchange: NodeExchange): Promise<void> {
+		const workspace = this.#workspaceOf(exchange.request);
+		await workspace.caseOf({
+			async Left(refusal) {
+				sendRefusal(exchange.response, refusal);
+			},
+			Right: async found => new CallsRoute(this.#context).ask(found, exchange),
+		});
+	}
+
 	async #callService(exchange: NodeExchange): Promise<void> {
 		const {request, response} = exchange;
 		const workspace = this.#workspaceOf(request);
--- a/src/entry/callers/never-twice-runner.ts
+++ b/src/entry/callers/never-twice-runner.ts
@@ -1,22 +1,22 @@
 /**
- * Runs a call that may never run twice: it is claimed in the table service before it is sent, the right to send is
- * confirmed by a second conditional write, and the first answer is recorded for every repeat of the key.
+ * Carries out what `ClaimMachine` decides for a call that may never run twice: writes and reads at the table service,
+ * the one send, and the waits. It decides nothing itself.
  */
 import {randomUUID} from 'node:crypto';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type PlainAnswer, type PlainFailure} from '../../ports/plain-service.js';
 import {type Row, type TableFailure} from '../../ports/table-service.js';
+import {ClaimBudget} from '../../protocol/claim/claim-budget.js';
+import {
+	type ClaimDecision, type ClaimEvent, ClaimMachine, type ClaimOutcome, type ClaimStep, type FoundClaim,
+} from '../../protocol/claim/claim-machine.js';
 import {
 	type ClaimRow, claimTable, recordAnswer, replayAnswer,
 } from '../../protocol/claim/claim-row.js';
-import {type JsonValue, type Refusal} from '../../shared/types.js';
+import {changeKeyOf, configurationTable, readChangesAfter} from '../../protocol/configuration/configuration-table.js';
+import {type Refusal} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
 
-const leaseMilliseconds = 5000;
-const comeBackMilliseconds = 2000;
-const repeatPollMilliseconds = 25;
-const repeatWaitMilliseconds = 3000;
-
 /** A call under a key. */
 export type NeverTwiceCall = {
 	/** The key of the claim's row; see `claimKeyOf`. */
@@ -24,112 +24,154 @@
 	bodyDigest: string;
 	/** Where the outcome can be asked later. */
 	askAt: string;
+	/** The configuration version by which the call was let in. */
+	configurationVersion: number;
+	/** Judges the call anew by the configuration now in force. */
+	refuseByConfiguration(): Refusal | undefined;
 	/** Sends the call once. */
 	send(): Promise<Either<PlainFailure, PlainAnswer>>;
 };
 
+type TakeOutcome = (outcome: Either<Refusal, PlainAnswer>) => void;
+
 export class NeverTwiceRunner {
 	readonly #context: EntryContext;
+	readonly #budget = new ClaimBudget();
+	readonly #open = new Set<Promise<void>>();
 
 	constructor(context: EntryContext) {
 		this.#context = context;
 	}
 
+	/** Runs the call at most once, or answers from the first run under its key. */
 	async run(call: NeverTwiceCall): Promise<Either<Refusal, PlainAnswer>> {
-		const {clock, settings, configuration, table} = this.#context;
-		const row: ClaimRow = {
-			stage: 'claimed',
-			nonce: randomUUID(),
-			holder: settings.instance,
-			leaseUntil: clock.now() + leaseMilliseconds,
-			bodyDigest: call.bodyDigest,
-			configurationVersion: configuration.state.version,
-		};
-		const claimed = await this.#write(call, row, 0);
-		if (claimed.isLeft()) {
-			const failure = claimed.extract();
-			const read = await table.read({table: claimTable, key: call.claimKey});
-			const found = read.orDefault(undefined);
-			const isOurs = (found?.value as ClaimRow | undefined)?.nonce === row.nonce;
-			if (!isOurs) {
-				return found === undefined ? Left(notRun(failure)) : this.#awaitAnswer(call, found);
-			}
+		const {clock, endpoints} = this.#context;
+		const refusal = this.#budget.enter(endpoints.entryCount, clock.now());
+		if (refusal !== undefined) {
+			return Left(refusal);
 		}
 
-		return this.#send(call, row);
+		return new Promise(resolve => {
+			const driven = this.#drive(call, resolve).finally(() => {
+				this.#budget.leave();
+				this.#open.delete(driven);
+			});
+			this.#open.add(driven);
+		});
 	}
 
-	async #send(call: NeverTwiceCall, row: ClaimRow): Promise<Either<Refusal, PlainAnswer>> {
-		// The lease may have lapsed while this process was paused, and another may have taken the claim over. Sending
-		// then would be the second run; this conditional write fails instead.
-		const confirmed = await this.#write(call, {...row, stage: 'sending'}, 1);
-		if (confirmed.isLeft()) {
-			return Left(notRun(confirmed.extract()));
-		}
+	/** Resolves when the ends of all claims are written, or were tried to the last. */
+	async settle(): Promise<void> {
+		await Promise.all(this.#open);
+	}
+
+	async #drive(call: NeverTwiceCall, tell: TakeOutcome): Promise<void> {
+		const {clock, settings} = this.#context;
+		const {bodyDigest, askAt, configurationVersion} = call;
+		const machine = new ClaimMachine({
+			nonce: randomUUID(), holder: settings.instance, bodyDigest, askAt, configurationVersion,
+		});
+		let decision: ClaimDecision = machine.start(clock.now());
+		for (;;) {
+			if (decision.outcome !== undefined) {
+				tell(resultOf(decision.outcome));
+			}
 
-		const answer = await call.send();
-		if (answer.isLeft()) {
-			const failure = answer.extract();
-			if (failure.kind === 'outcome-unknown') {
-				return Left(outcomeUnknown(call));
+			if (decision.next === undefined) {
+				return;
 			}
 
-			await this.#write(call, {...row, stage: 'abandoned'}, 2);
-			return Left({
-				reason: 'no-endpoint', ran: 'not-run', message: `the call was not sent: ${failure.detail}`, retryAfterMilliseconds: comeBackMilliseconds,
-			});
+			decision = machine.take(await this.#carryOut(call, decision.next), clock.now());
 		}
-
-		const recorded = answer.extract() as PlainAnswer;
-		await this.#write(call, {...row, stage: 'recorded', answer: recordAnswer(recorded)}, 2);
-		return Right(recorded);
 	}
 
-	/** A repeat that meets the first call under way waits a little for its answer. */
-	async #awaitAnswer(call: NeverTwiceCall, first: Row): Promise<Either<Refusal, PlainAnswer>> {
-		const {clock, table} = this.#context;
-		const until = clock.now() + repeatWaitMilliseconds;
-		let found = first;
-		while (isUnderWay(found) && clock.now() < until) {
-			await clock.sleep(repeatPollMilliseconds, AbortSignal.timeout(repeatWaitMilliseconds));
-			const read = await table.read({table: claimTable, key: call.claimKey});
-			found = read.orDefault(undefined) ?? found;
+	async #carryOut(call: NeverTwiceCall, step: ClaimStep): Promise<ClaimEvent> {
+		switch (step.kind) {
+			case 'write': {
+				return this.#write(call, step);
+			}
+
+			case 'read': {
+				return this.#read(call);
+			}
+
+			case 'catch-up': {
+				return this.#catchUp(call);
+			}
+
+			case 'send': {
+				const sent = await call.send();
+				return sent.caseOf<ClaimEvent>({
+					Left: failure => failure.kind === 'not-sent' ? {kind: 'not-sent', detail: failure.detail} : {kind: 'send-lost'},
+					Right: answer => ({kind: 'answered', answer: recordAnswer(answer)}),
+				});
+			}
+
+			case 'wait': {
+				await this.#context.clock.sleep(step.milliseconds, new AbortController().signal);
+				return {kind: 'woken'};
+			}
 		}
+	}
 
-		return this.#answerRepeat(call, found);
+	async #write(call: NeverTwiceCall, {row, revision, version}: ClaimStep & {kind: 'write'}): Promise<ClaimEvent> {
+		const name = {table: claimTable, key: call.claimKey};
+		// An instance whose declarations are old could start a call under rules that no longer hold. The row of the next
+		// change is absent exactly as long as this instance's version is the newest.
+		const isNewest = version === undefined ? [] : [{table: configurationTable, key: changeKeyOf(version + 1), revision: 0}];
+		const written = await this.#context.table.commit({
+			conditions: [{...name, revision}, ...isNewest],
+			writes: [{...name, value: row}],
+		});
+		return written.caseOf<ClaimEvent>({
+			Left: failure => this.#judgeWrite(failure),
+			Right: () => {
+				this.#observe(true);
+				return {kind: 'written'};
+			},
+		});
 	}
 
-	#answerRepeat(call: NeverTwiceCall, found: Row): Either<Refusal, PlainAnswer> {
-		const row = found.value as unknown as ClaimRow;
-		if (row.bodyDigest !== call.bodyDigest) {
-			return Left({reason: 'key-reused', ran: 'not-run', message: 'this key was used for another body'});
+	#judgeWrite(failure: TableFailure): ClaimEvent {
+		this.#observe(failure.kind === 'conflict');
+		if (failure.kind === 'conflict') {
+			const claim = failure.current.find(({table}) => table === claimTable);
+			const newerConfiguration = failure.current.some(({table}) => table === configurationTable);
+			return {kind: 'write-conflict', newerConfiguration, ...foundOf(claim)};
 		}
 
-		return row.answer === undefined ? Left(outcomeUnknown(call)) : Right(replayAnswer(row.answer));
+		return {kind: failure.kind === 'unavailable' ? 'write-unavailable' : 'write-lost'};
 	}
 
-	async #write(call: NeverTwiceCall, row: ClaimRow, revision: number): Promise<Either<TableFailure, void>> {
-		const name = {table: claimTable, key: call.claimKey};
-		return this.#context.table.commit({
-			conditions: [{...name, revision}],
-			writes: [{...name, value: row}],
+	async #read(call: NeverTwiceCall): Promise<ClaimEvent> {
+		const row = await this.#context.table.read({table: claimTable, key: call.claimKey});
+		this.#observe(row.isRight());
+		return row.caseOf<ClaimEvent>({
+			Left: () => ({kind: 'read-failed'}),
+			Right: found => ({kind: 'read', ...foundOf(found)}),
 		});
 	}
-}
 
-function isUnderWay(row: Row): boolean {
-	const {stage} = row.value as unknown as ClaimRow;
-	return stage === 'claimed' || stage === 'sending';
+	async #catchUp(call: NeverTwiceCall): Promise<ClaimEvent> {
+		const {table, configuration} = this.#context;
+		const changes = await readChangesAfter(table, configuration.state.version);
+		for (const change of changes.orDefault([])) {
+			configuration.offer(change);
+		}
+
+		const refusal = call.refuseByConfiguration();
+		return {kind: 'caught-up', version: configuration.state.version, ...(refusal === undefined ? {} : {refusal})};
+	}
+
+	#observe(answered: boolean): void {
+		this.#budget.observe(answered, this.#context.clock.now());
+	}
 }
 
-function notRun(failure: TableFailure): Refusal {
-	return {
-		reason: 'platform-unavailable', ran: 'not-run', message: `the call could not be claimed (${failure.kind}) and was not sent`, retryAfterMilliseconds: comeBackMilliseconds,
-	};
+function foundOf(row: Row | undefined): {found?: FoundClaim} {
+	return row === undefined ? {} : {found: {row: row.value as unknown as ClaimRow, revision: row.revision}};
 }
 
-function outcomeUnknown(call: NeverTwiceCall): Refusal {
-	return {
-		reason: 'outcome-unknown', ran: 'unknown', message: 'the call may have run; it will not be sent again', retryAfterMilliseconds: comeBackMilliseconds, askAt: call.askAt,
-	};
+function resultOf(outcome: ClaimOutcome): Either<Refusal, PlainAnswer> {
+	return outcome.kind === 'answer' ? Right(replayAnswer(outcome.answer)) : Left(outcome.refusal);
 }
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Either, Left} from 'purify-ts/Either';
+import {type Either, Left, Right} from 'purify-ts/Either';
 import {type PlainAnswer, type PlainCall, type PlainFailure} from '../../ports/plain-service.js';
 import {claimKeyOf} from '../../protocol/claim/claim-row.js';
 import {digestOf} from '../../shared/digest-of.js';
@@ -15,6 +15,10 @@
 
 const bodyLimitBytes = 1_048_576;
 const comeBackMilliseconds = 2000;
+const callTimeoutMilliseconds = 30_000;
+const attemptLimit = 3;
+const longestKeyCharacters = 255;
+const idempotentMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const pathPattern = /^\/services\/(?<service>[^\/?]+)(?<rest>\/.*)?$/v;
 const passedOnHeaders = ['content-type', 'accept'] as const;
 
@@ -37,34 +41,32 @@
 
 	async call(workspace: WorkspaceItem, {request, response}: NodeExchange): Promise<void> {
 		const parts = pathPattern.exec(request.url ?? '')?.groups;
-		const service = this.#context.configuration.state.services.get(parts?.service ?? '');
-		if (service?.kind !== 'plain' || !workspace.services.includes(service.name)) {
-			sendRefusal(response, {reason: 'not-found', ran: 'not-run', message: 'there is no such service for this workspace'});
+		const {version, services} = this.#context.configuration.state;
+		const refusal = this.#refuse(workspace.name, parts?.service ?? '');
+		if (refusal !== undefined) {
+			sendRefusal(response, refusal);
 			return;
 		}
 
-		if (service.paused) {
-			sendRefusal(response, {
-				reason: 'paused', ran: 'not-run', message: `"${service.name}" is paused`, retryAfterMilliseconds: 30_000,
-			});
-			return;
-		}
+		const service = services.get(parts?.service ?? '') as PlainServiceItem;
 
 		const body = await readBody(request, bodyLimitBytes);
-		if (body.isLeft()) {
-			sendRefusal(response, body.extract());
+		const understood = keyOf(request).chain(idempotencyKey => body.map(bytes => ({idempotencyKey, bytes})));
+		if (understood.isLeft()) {
+			sendRefusal(response, understood.extract());
 			return;
 		}
 
+		const {idempotencyKey, bytes} = understood.unsafeCoerce();
 		const plainRequest = {
-			workspace, service, call: callOf(request, parts?.rest ?? '/', body.extract() as Buffer), idempotencyKey: request.headers['idempotency-key'] as string | undefined,
+			workspace, service, call: callOf(request, parts?.rest ?? '/', bytes), idempotencyKey,
 		};
-		answer(response, await this.#run(plainRequest));
+		answer(response, await this.#run(plainRequest, version));
 	}
 
-	async #run(request: PlainRequest): Promise<Either<Refusal, PlainAnswer>> {
+	async #run(request: PlainRequest, configurationVersion: number): Promise<Either<Refusal, PlainAnswer>> {
 		const {workspace, service, call, idempotencyKey} = request;
-		if (!isNeverTwice(service, call) || idempotencyKey === undefined) {
+		if (idempotencyKey === undefined || !needsClaim(service, call)) {
 			const sent = await this.#send(request);
 			return sent.mapLeft(refusalOf);
 		}
@@ -72,24 +74,72 @@
 		return this.#neverTwice.run({
 			claimKey: claimKeyOf(workspace.name, service.name, idempotencyKey),
 			bodyDigest: digestOf(`${call.method} ${call.path}\n${call.body.toString('base64')}`),
+			configurationVersion,
+			refuseByConfiguration: () => this.#refuse(workspace.name, service.name),
 			send: async () => this.#send(request),
 			askAt: `/v1/calls/${encodeURIComponent(service.name)}/${encodeURIComponent(idempotencyKey)}`,
 		});
 	}
 
+	/** Judges a call by the configuration now in force. */
+	#refuse(workspaceName: string, serviceName: string): Refusal | undefined {
+		const {workspaces, services} = this.#context.configuration.state;
+		const service = services.get(serviceName);
+		if (service?.kind !== 'plain' || !workspaces.get(workspaceName)?.services.includes(serviceName)) {
+			return {reason: 'not-found', ran: 'not-run', message: 'there is no such service for this workspace'};
+		}
+
+		return service.paused
+			? {
+				reason: 'paused', ran: 'not-run', message: `"${serviceName}" is paused`, retryAfterMilliseconds: 30_000,
+			}
+			: undefined;
+	}
+
+	/**
+	 * Sends to one endpoint after the other. A failure before the first byte goes on to the next endpoint; a later one
+	 * only if the call is idempotent: else the next endpoint could run it a second time.
+	 */
 	async #send({service, call}: PlainRequest): Promise<Either<PlainFailure, PlainAnswer>> {
 		const {endpoints, settings, plain} = this.#context;
-		const [endpoint] = endpoints.plainEndpointsOf(service.name, settings.dataCentre);
-		return endpoint === undefined
-			? Left({kind: 'not-sent', detail: 'no endpoint is live'})
-			: plain.call(endpoint.address, call, AbortSignal.timeout(30_000));
+		const signal = AbortSignal.timeout(callTimeoutMilliseconds);
+		const mayRepeat = idempotentMethods.has(call.method) && !isNeverTwice(service, call);
+		let sent: Either<PlainFailure, PlainAnswer> = Left({kind: 'not-sent', detail: 'no endpoint is live'});
+		for (const {address} of endpoints.plainEndpointsOf(service.name, settings.dataCentre).slice(0, attemptLimit)) {
+			sent = await plain.call(address, call, signal);
+			const failure = sent.isLeft() ? sent.extract() : undefined;
+			if (failure === undefined || (failure.kind === 'outcome-unknown' && !mayRepeat)) {
+				return sent;
+			}
+		}
+
+		return sent;
 	}
 }
 
+/** Reads the idempotency key; a missing one is `undefined`, an unusable one is refused. */
+function keyOf(request: IncomingMessage): Either<Refusal, string | undefined> {
+	const key = request.headers['idempotency-key'];
+	if (key === undefined) {
+		return Right(undefined);
+	}
+
+	const isUsable = typeof key === 'string' && key !== '' && key.length <= longestKeyCharacters;
+	return isUsable ? Right(key) : Left({reason: 'bad-request', ran: 'not-run', message: `an idempotency key has 1 to ${longestKeyCharacters} characters`});
+}
+
 function isNeverTwice(service: PlainServiceItem, call: PlainCall): boolean {
 	return service.neverTwice.some(rule => rule.method === call.method && call.path.startsWith(rule.path));
 }
 
+/**
+ * A keyed call is claimed when it is declared never twice, and also when its method is not idempotent: an instance that
+ * is cut off may not have heard yet that the call became never twice, and would send a repeat a second time.
+ */
+function needsClaim(service: PlainServiceItem, call: PlainCall): boolean {
+	return isNeverTwice(service, call) || !idempotentMethods.has(call.method);
+}
+
 function callOf(request: IncomingMessage, path: string, body: Buffer): PlainCall {
 	const headers = passedOnHeaders
 		.map(name => [name, request.headers[name]] as const)
--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -10,6 +10,12 @@
 	#engines: ReadonlyMap<string, EndpointView> = new Map();
 	#listSeen = false;
 	#plain: readonly PlainEndpoint[] = [];
+	#entryCount = 1;
+
+	/** How many live entry instances the list names, at least 1. */
+	get entryCount(): number {
+		return this.#entryCount;
+	}
 
 	/** True once every live model endpoint of the list has reported for itself, and the list was seen. */
 	get isKnown(): boolean {
@@ -36,6 +42,7 @@
 	 */
 	takeList(instances: readonly ListedInstance[]): void {
 		this.#listSeen = instances.length > 0;
+		this.#entryCount = Math.max(1, instances.filter(({role, state}) => role === 'entry' && state === 'live').length);
 		const engines = instances.filter(({role}) => role === 'model-engine');
 		this.#engines = new Map(engines.map(listed => [listed.name, mergeListed(this.#engines.get(listed.name), listed)]));
 		this.#plain = instances.filter(({role}) => role === 'plain-service');
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -38,6 +38,7 @@
 
 export class EntryDaemon {
 	readonly #context: EntryContext;
+	readonly #neverTwice: NeverTwiceRunner;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	readonly #root: Supervisor;
@@ -62,11 +63,12 @@
 			endpoints: new EndpointDirectory(),
 			draining: false,
 		};
+		this.#neverTwice = new NeverTwiceRunner(this.#context);
 		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
 		const routes = new CallerRoutes(this.#context, {
 			gate,
 			runner: new CompletionRunner(this.#context, new LeastLoadedPolicy()),
-			plainRoute: new PlainRoute(this.#context, new NeverTwiceRunner(this.#context)),
+			plainRoute: new PlainRoute(this.#context, this.#neverTwice),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
 		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context), settings.operatorListen);
@@ -90,6 +92,7 @@
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
 		await this.#callers.drain();
+		await this.#neverTwice.settle();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
--- a/src/ports/table-service.ts
+++ b/src/ports/table-service.ts
@@ -1,6 +1,6 @@
 /**
- * The port to the platform's transactional table service: rows by table and key, each with a revision that grows with
- * every write, and transactions whose writes are applied only if all conditions hold. What must last or be agreed goes
+ * The port to the platform's transactional table service: rows by table and key, each with a revision that is 1
+ * at first and grows by one with every write, and transactions whose writes are applied only if all conditions hold. What must last or be agreed goes
  * through here and nowhere else.
  */
 import {type Either} from 'purify-ts/Either';
--- /dev/null
+++ b/src/protocol/claim/claim-machine.ts
@@ -0,0 +1,399 @@
+/**
+ * Decides, step by step, what is done for one call that may never run twice. The shell carries out one step at a time
+ * and reports how it ended; the machine holds no clock, socket or randomness.
+ *
+ * A call goes through three writes: `claimed` (nobody else sends for now), `sending` (from here on nobody ever sends
+ * again), and `recorded`. All of them are conditional on the revision of the claim's row, so a write of a holder that
+ * was paused, or one that was under way for long, fails once somebody else has written.
+ */
+import {type Refusal, type RunState} from '../../shared/types.js';
+import {type ClaimRow, type RecordedAnswer} from './claim-row.js';
+
+/** How long a claim stands before others may take it over. */
+export const leaseMilliseconds = 5000;
+/** How long a call may be under way; behind it a repeat is told that the outcome is unknown. */
+export const sendingMilliseconds = 35_000;
+const comeBackMilliseconds = 2000;
+const repeatPatienceMilliseconds = 3000;
+const firstPollMilliseconds = 25;
+const longestPollMilliseconds = 400;
+const tryLimit = 3;
+const closeTryLimit = 6;
+const closeRetryMilliseconds = 1000;
+
+/** What is claimed, and for whom. */
+export type ClaimedCall = {
+	bodyDigest: string;
+	/** Unique for this request; never used by another. */
+	nonce: string;
+	holder: string;
+	/** Where the outcome can be asked later. */
+	askAt: string;
+	configurationVersion: number;
+};
+
+/** The claim's row as found. */
+export type FoundClaim = {
+	row: ClaimRow;
+	revision: number;
+};
+
+/**
+ * What the shell does next. `write` applies only if the claim's row has `revision` (0: is absent) and, where `version` is
+ * given, no configuration change behind that version was accepted.
+ */
+export type ClaimStep
+	= | {kind: 'write'; row: ClaimRow; revision: number; version?: number}
+		| {kind: 'read'}
+		| {kind: 'catch-up'}
+		| {kind: 'send'}
+		| {kind: 'wait'; milliseconds: number};
+
+/** How a step ended. `write-lost`: applied, not applied, or still to be applied. */
+export type ClaimEvent
+	= | {kind: 'written'}
+		| {kind: 'write-conflict'; found?: FoundClaim; newerConfiguration: boolean}
+		| {kind: 'write-unavailable'}
+		| {kind: 'write-lost'}
+		| {kind: 'read'; found?: FoundClaim}
+		| {kind: 'read-failed'}
+		| {kind: 'caught-up'; version: number; refusal?: Refusal}
+		| {kind: 'answered'; answer: RecordedAnswer}
+		| {kind: 'not-sent'; detail: string}
+		| {kind: 'send-lost'}
+		| {kind: 'woken'};
+
+/** What the caller gets. */
+export type ClaimOutcome
+	= | {kind: 'answer'; answer: RecordedAnswer}
+		| {kind: 'refusal'; refusal: Refusal};
+
+/** What follows from an event: the caller's outcome, at most once in a machine's life, and the next step, if any. */
+export type ClaimDecision = {
+	outcome?: ClaimOutcome;
+	next?: ClaimStep;
+};
+
+type Phase = 'claiming' | 'confirming' | 'sending' | 'closing' | 'repeating' | 'done';
+
+export class ClaimMachine {
+	readonly #call: ClaimedCall;
+	#phase: Phase = 'claiming';
+	/** Revision that the claim's row must have for the next write. */
+	#revision = 0;
+	#version: number;
+	/** Counts claims of this request, so that each has a nonce of its own. */
+	#round = 0;
+	#tries = 0;
+	#catchUps = 0;
+	#isCatchingUp = false;
+	#pollMilliseconds = firstPollMilliseconds;
+	#patienceUntil: number | undefined;
+	#hasSeenOther = false;
+	#closing: {row: ClaimRow; outcome: ClaimOutcome | undefined} | undefined;
+
+	constructor(call: ClaimedCall) {
+		this.#call = call;
+		this.#version = call.configurationVersion;
+	}
+
+	/** True once nothing more will be done. */
+	get isDone(): boolean {
+		return this.#phase === 'done';
+	}
+
+	/**
+	 * Begins.
+	 *
+	 * @param now - Milliseconds since the epoch.
+	 * @returns The first step.
+	 */
+	start(now: number): ClaimDecision {
+		return this.#claim(0, now);
+	}
+
+	/**
+	 * Takes how the last step ended.
+	 *
+	 * @param event - How it ended.
+	 * @param now - Milliseconds since the epoch.
+	 * @returns What follows.
+	 */
+	take(event: ClaimEvent, now: number): ClaimDecision {
+		if (this.#isCatchingUp) {
+			return this.#takeCatchUp(event, now);
+		}
+
+		switch (this.#phase) {
+			case 'claiming': {
+				return this.#takeClaiming(event, now);
+			}
+
+			case 'confirming': {
+				return this.#takeConfirming(event, now);
+			}
+
+			case 'sending': {
+				return this.#takeSending(event, now);
+			}
+
+			case 'closing': {
+				return this.#takeClosing(event);
+			}
+
+			case 'repeating': {
+				return this.#takeRepeating(event, now);
+			}
+
+			case 'done': {
+				return {};
+			}
+		}
+	}
+
+	get #nonce(): string {
+		return `${this.#call.nonce}/${this.#round}`;
+	}
+
+	#row(stage: ClaimRow['stage'], leaseUntil: number): ClaimRow {
+		const {holder, bodyDigest} = this.#call;
+		return {
+			stage, nonce: this.#nonce, holder, leaseUntil, bodyDigest, configurationVersion: this.#version,
+		};
+	}
+
+	#claim(revision: number, now: number): ClaimDecision {
+		this.#phase = 'claiming';
+		this.#revision = revision;
+		return {
+			next: {
+				kind: 'write', row: this.#row('claimed', now + leaseMilliseconds), revision, version: this.#version,
+			},
+		};
+	}
+
+	#takeClaiming(event: ClaimEvent, now: number): ClaimDecision {
+		if (event.kind === 'written') {
+			return this.#confirm(this.#revision + 1, now);
+		}
+
+		if (event.kind === 'write-lost') {
+			return {next: {kind: 'read'}};
+		}
+
+		if (event.kind === 'write-conflict' || event.kind === 'read') {
+			return isOnlyNewerConfiguration(event) ? this.#catchUp() : this.#judgeClaim(event.found, now);
+		}
+
+		// Nothing was confirmed, so this attempt was not sent. It never will be, even if the lost claim still arrives at
+		// the table: only this machine could confirm it, and it ends here.
+		return this.#refuseUnsent('the platform\'s table cannot be reached');
+	}
+
+	/** Judges the row behind a claim that failed or whose answer was lost. */
+	#judgeClaim(found: FoundClaim | undefined, now: number): ClaimDecision {
+		if (found?.row.nonce === this.#nonce) {
+			return this.#confirm(found.revision, now);
+		}
+
+		const isUnchanged = (found?.revision ?? 0) === this.#revision;
+		if (!isUnchanged && found !== undefined) {
+			return this.#judgeOther(found, now);
+		}
+
+		// The lost claim was not applied yet. Writing it again is harmless: of the two, one is applied.
+		this.#tries++;
+		return this.#tries < tryLimit ? this.#claim(this.#revision, now) : this.#refuseUnsent('the claim could not be written');
+	}
+
+	#confirm(revision: number, now: number): ClaimDecision {
+		this.#phase = 'confirming';
+		this.#revision = revision;
+		// The lease may have lapsed while this process was paused, and another may have taken the claim over and sent
+		// the call. Sending then would be the second run. The take-over changed the revision, so this write fails.
+		return {
+			next: {
+				kind: 'write', row: this.#row('sending', now + sendingMilliseconds), revision, version: this.#version,
+			},
+		};
+	}
+
+	#takeConfirming(event: ClaimEvent, now: number): ClaimDecision {
+		if (event.kind === 'written') {
+			return this.#send(this.#revision + 1);
+		}
+
+		if (event.kind === 'write-lost') {
+			return {next: {kind: 'read'}};
+		}
+
+		if (event.kind === 'write-conflict' || event.kind === 'read') {
+			return isOnlyNewerConfiguration(event) ? this.#catchUp() : this.#judgeConfirm(event.found, now);
+		}
+
+		// A confirm whose answer was lost and that cannot be read back must not be sent: somebody else may hold the
+		// claim. Since it is not sent, `not-run` is true; a repeat may be told `unknown`.
+		return this.#refuseUnsent('the right to send could not be confirmed');
+	}
+
+	#judgeConfirm(found: FoundClaim | undefined, now: number): ClaimDecision {
+		if (found?.row.nonce === this.#nonce && found.row.stage === 'sending') {
+			return this.#send(found.revision);
+		}
+
+		if (found !== undefined && found.row.nonce !== this.#nonce) {
+			return this.#judgeOther(found, now);
+		}
+
+		this.#tries++;
+		return this.#tries < tryLimit ? this.#confirm(this.#revision, now) : this.#refuseUnsent('the right to send could not be confirmed');
+	}
+
+	#send(revision: number): ClaimDecision {
+		this.#phase = 'sending';
+		this.#revision = revision;
+		return {next: {kind: 'send'}};
+	}
+
+	#takeSending(event: ClaimEvent, now: number): ClaimDecision {
+		if (event.kind === 'answered') {
+			const {answer} = event;
+			return this.#close({...this.#row('recorded', now), answer}, {kind: 'answer', answer});
+		}
+
+		if (event.kind === 'not-sent') {
+			return this.#close(this.#row('abandoned', now), unsent('no-endpoint', `the call was not sent: ${event.detail}`, 'not-run'));
+		}
+
+		const decision = this.#close(this.#row('unknown', now), undefined);
+		return {...decision, outcome: this.#unknown('outcome-unknown', 'the call may have run; it will not be sent again')};
+	}
+
+	/** Writes the end of the claim; the caller's outcome waits for the first try only. */
+	#close(row: ClaimRow, outcome: ClaimOutcome | undefined): ClaimDecision {
+		this.#phase = 'closing';
+		this.#tries = 0;
+		this.#closing = {row, outcome};
+		return {next: {kind: 'write', row, revision: this.#revision}};
+	}
+
+	#takeClosing(event: ClaimEvent): ClaimDecision {
+		const {row, outcome} = this.#closing!;
+		if (event.kind === 'woken') {
+			return {next: {kind: 'write', row, revision: this.#revision}};
+		}
+
+		const first: ClaimDecision = outcome === undefined ? {} : {outcome};
+		this.#closing = {row, outcome: undefined};
+		this.#tries++;
+		// A conflict means that an earlier try of this same write was applied: nobody else writes behind `sending`.
+		const isOver = event.kind === 'written' || event.kind === 'write-conflict' || this.#tries >= closeTryLimit;
+		if (isOver) {
+			this.#phase = 'done';
+			return first;
+		}
+
+		return {...first, next: {kind: 'wait', milliseconds: closeRetryMilliseconds}};
+	}
+
+	#catchUp(): ClaimDecision {
+		this.#catchUps++;
+		if (this.#catchUps > tryLimit) {
+			return this.#refuseUnsent('the configuration changes too fast', 'stale-configuration');
+		}
+
+		this.#isCatchingUp = true;
+		return {next: {kind: 'catch-up'}};
+	}
+
+	#takeCatchUp(event: ClaimEvent, now: number): ClaimDecision {
+		this.#isCatchingUp = false;
+		if (event.kind !== 'caught-up' || event.version <= this.#version) {
+			return this.#refuseUnsent('this instance has not the newest configuration', 'stale-configuration');
+		}
+
+		this.#version = event.version;
+		const isClaimed = this.#phase === 'confirming';
+		if (event.refusal === undefined) {
+			return isClaimed ? this.#confirm(this.#revision, now) : this.#claim(this.#revision, now);
+		}
+
+		const outcome: ClaimOutcome = {kind: 'refusal', refusal: event.refusal};
+		return isClaimed ? this.#close(this.#row('abandoned', now), outcome) : this.#end(outcome);
+	}
+
+	/** Judges the claim of somebody else: answer from it, wait for it, or take it over. */
+	#judgeOther(found: FoundClaim, now: number): ClaimDecision {
+		const {row, revision} = found;
+		this.#hasSeenOther = true;
+		this.#phase = 'repeating';
+		if (row.bodyDigest !== this.#call.bodyDigest) {
+			return this.#end(unsent('key-reused', 'this key was used for another call', 'not-run'));
+		}
+
+		if (row.stage === 'recorded') {
+			return this.#end({kind: 'answer', answer: row.answer!});
+		}
+
+		if (row.stage === 'abandoned' || (row.stage === 'claimed' && row.leaseUntil < now)) {
+			this.#round++;
+			this.#tries = 0;
+			return this.#claim(revision, now);
+		}
+
+		if (row.stage === 'unknown' || (row.stage === 'sending' && row.leaseUntil < now)) {
+			return this.#end(this.#unknown('outcome-unknown', 'the call may have run; it will not be sent again'));
+		}
+
+		return this.#waitFor(now);
+	}
+
+	#waitFor(now: number): ClaimDecision {
+		this.#patienceUntil ??= now + repeatPatienceMilliseconds;
+		if (now >= this.#patienceUntil) {
+			return this.#end(this.#unknown('in-progress', 'another call under this key is under way'));
+		}
+
+		const milliseconds = this.#pollMilliseconds;
+		this.#pollMilliseconds = Math.min(milliseconds * 2, longestPollMilliseconds);
+		return {next: {kind: 'wait', milliseconds}};
+	}
+
+	#takeRepeating(event: ClaimEvent, now: number): ClaimDecision {
+		if (event.kind === 'woken') {
+			return {next: {kind: 'read'}};
+		}
+
+		return event.kind === 'read' && event.found !== undefined
+			? this.#judgeOther(event.found, now)
+			: this.#end(this.#unknown('platform-unavailable', 'the first call under this key cannot be looked up'));
+	}
+
+	/** This attempt was not sent and never will be. An earlier one under the key may have been, if one was seen. */
+	#refuseUnsent(message: string, reason: 'platform-unavailable' | 'stale-configuration' = 'platform-unavailable'): ClaimDecision {
+		return this.#end(this.#hasSeenOther ? this.#unknown(reason, message) : unsent(reason, `${message}; the call was not sent`, 'not-run'));
+	}
+
+	#unknown(reason: Refusal['reason'], message: string): ClaimOutcome {
+		const {kind, refusal} = unsent(reason, message, 'unknown');
+		return {kind, refusal: {...refusal, askAt: this.#call.askAt}};
+	}
+
+	#end(outcome: ClaimOutcome): ClaimDecision {
+		this.#phase = 'done';
+		return {outcome};
+	}
+}
+
+function isOnlyNewerConfiguration(event: ClaimEvent): boolean {
+	return event.kind === 'write-conflict' && event.found === undefined && event.newerConfiguration;
+}
+
+function unsent(reason: Refusal['reason'], message: string, ran: RunState): ClaimOutcome & {kind: 'refusal'} {
+	const canReturn = reason !== 'key-reused';
+	return {
+		kind: 'refusal', refusal: {
+			reason, ran, message, ...(canReturn ? {retryAfterMilliseconds: comeBackMilliseconds} : {}),
+		},
+	};
+}
--- a/src/protocol/claim/claim-row.ts
+++ b/src/protocol/claim/claim-row.ts
@@ -8,8 +8,11 @@
 
 export const claimTable = 'claims';
 
-/** `claimed`: nothing was sent. `sending`: it may have been sent. `recorded`: the answer stands. `abandoned`: never sent. */
-export type ClaimStage = 'claimed' | 'sending' | 'recorded' | 'abandoned';
+/**
+ * `claimed`: nothing was sent. `sending`: it may have been sent. `recorded`: the answer stands. `abandoned`: never sent.
+ * `unknown`: it was sent and its answer is lost. Only `claimed` (lapsed) and `abandoned` can be claimed again.
+ */
+export type ClaimStage = 'claimed' | 'sending' | 'recorded' | 'abandoned' | 'unknown';
 
 /** An answer as a row holds it. */
 export type RecordedAnswer = {
@@ -23,7 +26,10 @@
 	/** Names one attempt at the claim; a take-over changes it. */
 	nonce: string;
 	holder: string;
-	/** When the holder's right to send lapses, in milliseconds since the epoch. */
+	/**
+	 * In milliseconds since the epoch. `claimed`: when others may take the claim over. `sending`: when the call is
+	 * overdue and its outcome counts as unknown.
+	 */
 	leaseUntil: number;
 	bodyDigest: string;
 	configurationVersion: number;
