--- /dev/null
+++ b/src/check/faults-main.ts
@@ -0,0 +1,41 @@
+/** `npm run check:faults -- --seed N --runs M`: plays M runs of every scenario from seed N on and prints what broke. */
+import process from 'node:process';
+import {Command} from 'commander';
+import {playSeed} from './scenario.js';
+import {scenarios} from './scenarios.js';
+
+const command = new Command('check:faults')
+	.option('--seed <number>', 'first seed; run k takes seed + k', '1')
+	.option('--runs <number>', 'runs of each scenario', '1000')
+	.option('--scenario <name>', 'only this scenario')
+	.parse();
+const options: {seed: string; runs: string; scenario?: string} = command.opts();
+const firstSeed = Number(options.seed);
+const runs = Number(options.runs);
+let total = 0;
+let broken = 0;
+for (const make of scenarios) {
+	const {name} = make();
+	if (options.scenario !== undefined && options.scenario !== name) {
+		continue;
+	}
+
+	let violations = 0;
+	for (let run = 0; run < runs; run++) {
+		const failing = await playSeed(make, firstSeed + run);
+		if (failing !== undefined) {
+			violations++;
+			if (violations === 1) {
+				console.log(`${name}: seed ${failing.seed} broke: ${failing.violations.join('; ')}`);
+				console.log(failing.trace.join('\n'));
+			}
+		}
+	}
+
+	total += runs;
+	broken += violations;
+	console.log(`${name}: ${runs} runs from seed ${firstSeed}, ${violations} with violations`);
+}
+
+console.log(`${total} runs, ${broken} with violations`);
+process.exitCode = broken === 0 && total > 0 ? 0 : 1;
--- /dev/null
+++ b/src/check/faulty-table.ts
@@ -0,0 +1,121 @@
+/**
+ * A table service for fault runs. `TableRows` applies transactions at one point of time; `FaultyTable` is one process's
+ * way to it, on which answers get lost before or after the write, writes arrive long after their answer was given up, and
+ * the platform is down or cut off.
+ */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type Row, type RowName, type TableFailure, type TableService, type Transaction,
+} from '../ports/table-service.js';
+import {type VirtualProcess, type VirtualWorld} from './virtual-world.js';
+
+const timeoutMilliseconds = 1500;
+const longestLateMilliseconds = 90_000;
+
+export class TableRows {
+	readonly #rows = new Map<string, Row>();
+	readonly #onWrite: (row: Row) => void;
+	isDown = false;
+
+	/** @param onWrite - Sees each row as it is written. */
+	constructor(onWrite: (row: Row) => void) {
+		this.#onWrite = onWrite;
+	}
+
+	read({table, key}: RowName): Row | undefined {
+		return this.#rows.get(`${table}/${key}`);
+	}
+
+	all(table: string): Row[] {
+		return [...this.#rows.values()].filter(row => row.table === table).toSorted((left, right) => left.key < right.key ? -1 : 1);
+	}
+
+	apply({conditions, writes}: Transaction): Either<TableFailure, void> {
+		const failing = conditions.filter(condition => (this.read(condition)?.revision ?? 0) !== condition.revision);
+		if (failing.length > 0) {
+			return Left({kind: 'conflict', current: failing.map(name => this.read(name)).filter(row => row !== undefined)});
+		}
+
+		for (const {table, key, value} of writes) {
+			const revision = (this.read({table, key})?.revision ?? 0) + 1;
+			const row = {
+				table, key, revision, value: value ?? null,
+			};
+			this.#rows.set(`${table}/${key}`, row);
+			this.#onWrite(row);
+		}
+
+		return Right(undefined);
+	}
+}
+
+const commitFates = ['well', 'well', 'well', 'well', 'well', 'well', 'lost-after', 'lost-before', 'late', 'refused'] as const;
+
+export class FaultyTable implements TableService {
+	readonly #world: VirtualWorld;
+	readonly #rows: TableRows;
+	readonly #process: VirtualProcess;
+
+	constructor(world: VirtualWorld, rows: TableRows, process: VirtualProcess) {
+		this.#world = world;
+		this.#rows = rows;
+		this.#process = process;
+	}
+
+	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
+		return this.#answer(() => this.#rows.read(name));
+	}
+
+	async scan({table, prefix, after, limit}: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
+		return this.#answer(() => this.#rows.all(table).filter(({key}) => key.startsWith(prefix) && key > after).slice(0, limit));
+	}
+
+	async commit(transaction: Transaction): Promise<Either<TableFailure, void>> {
+		const {choices} = this.#world;
+		await this.#world.step(this.#process);
+		await this.#world.delay(choices.between(1, 20));
+		const fate = this.#rows.isDown ? choices.oneOf(['refused', 'lost-before'] as const) : choices.oneOf(commitFates);
+		const written = await this.#meet(fate, transaction);
+		this.#world.note(`${this.#process.name} writes ${describe(transaction)}: ${written.isRight() ? 'applied' : written.extract()!.kind}${fate === 'well' ? '' : ` (${fate})`}`);
+		await this.#world.step(this.#process);
+		return written;
+	}
+
+	async #meet(fate: typeof commitFates[number], transaction: Transaction): Promise<Either<TableFailure, void>> {
+		if (fate === 'refused') {
+			return Left({kind: 'unavailable', detail: 'down'});
+		}
+
+		if (fate === 'well') {
+			const result = this.#rows.apply(transaction);
+			await this.#world.delay(this.#world.choices.between(1, 20));
+			return result;
+		}
+
+		if (fate === 'lost-after') {
+			this.#rows.apply(transaction);
+		} else if (fate === 'late') {
+			this.#world.after(this.#world.choices.between(1, longestLateMilliseconds), () => {
+				this.#rows.apply(transaction);
+			});
+		}
+
+		await this.#world.delay(timeoutMilliseconds);
+		return Left({kind: 'outcome-unknown', detail: fate});
+	}
+
+	async #answer<Value>(look: () => Value): Promise<Either<TableFailure, Value>> {
+		const {choices} = this.#world;
+		await this.#world.step(this.#process);
+		await this.#world.delay(choices.between(1, 20));
+		const isLost = choices.chance(5);
+		const result: Either<TableFailure, Value> = this.#rows.isDown || isLost ? Left({kind: 'unavailable', detail: 'down'}) : Right(look());
+		await this.#world.delay(isLost ? timeoutMilliseconds : choices.between(1, 20));
+		await this.#world.step(this.#process);
+		return result;
+	}
+}
+
+function describe({writes}: Transaction): string {
+	return writes.map(({key, value}) => `${key} ${JSON.stringify(value)}`).join(', ').slice(0, 160);
+}
--- /dev/null
+++ b/src/check/virtual-world.ts
@@ -0,0 +1,104 @@
+/**
+ * Virtual time for fault runs: things happen in order of their time, and code that waits for a promise goes on before the
+ * next thing happens. Processes of the run can stand still or be killed; what a killed one waits for never comes.
+ */
+import {setImmediate as afterPromises} from 'node:timers/promises';
+import {type Clock} from '../ports/clock.js';
+import {type Choices} from './choices.js';
+
+const eventLimit = 20_000;
+
+type Happening = {at: number; order: number; happen: () => void};
+
+/** One process of a run. */
+export type VirtualProcess = {
+	readonly name: string;
+	killed: boolean;
+	/** Milliseconds that it stood still, in all. */
+	pausedMilliseconds: number;
+};
+
+export class VirtualWorld {
+	readonly trace: string[] = [];
+	readonly violations: string[] = [];
+	readonly choices: Choices;
+	now = 1_000_000;
+	#order = 0;
+	readonly #queue: Happening[] = [];
+
+	constructor(choices: Choices) {
+		this.choices = choices;
+	}
+
+	note(text: string): void {
+		this.trace.push(`${String(this.now - 1_000_000).padStart(7)} ms  ${text}`);
+	}
+
+	/** Notes that a promise of the system was broken. */
+	violate(text: string): void {
+		this.violations.push(text);
+		this.note(`VIOLATION: ${text}`);
+	}
+
+	after(milliseconds: number, happen: () => void): void {
+		this.#queue.push({at: this.now + milliseconds, order: this.#order++, happen});
+	}
+
+	async delay(milliseconds: number): Promise<void> {
+		return new Promise(resolve => {
+			this.after(milliseconds, resolve);
+		});
+	}
+
+	/** Where a process may be caught by a pause or its death: never resolves for a killed one. */
+	async step(process: VirtualProcess): Promise<void> {
+		if (this.choices.chance(3)) {
+			const milliseconds = this.choices.between(10, 60_000);
+			process.pausedMilliseconds += milliseconds;
+			this.note(`${process.name} stands still for ${milliseconds} ms`);
+			await this.delay(milliseconds);
+		}
+
+		if (process.killed) {
+			await new Promise<never>(() => {
+				// A killed process never goes on.
+			});
+		}
+	}
+
+	clockOf(process: VirtualProcess): Clock {
+		return {
+			now: () => this.now,
+			sleep: async milliseconds => {
+				await this.delay(milliseconds);
+				await this.step(process);
+			},
+		};
+	}
+
+	/** Lets everything happen. */
+	async run(): Promise<void> {
+		await afterPromises();
+		for (let count = 0; this.#queue.length > 0; count++) {
+			if (count > eventLimit) {
+				this.violate('the run does not come to its end');
+				return;
+			}
+
+			const next = this.#takeNext();
+			this.now = next.at;
+			next.happen();
+			await afterPromises();
+		}
+	}
+
+	#takeNext(): Happening {
+		let earliest = 0;
+		for (const [index, happening] of this.#queue.entries()) {
+			const known = this.#queue[earliest]!;
+			earliest = happening.at < known.at || (happening.at === known.at && happening.order < known.order) ? index : earliest;
+		}
+
+		return this.#queue.splice(earliest, 1)[0]!;
+	}
+}
--- a/src/entry/callers/never-twice-runner.ts
+++ b/src/entry/callers/never-twice-runner.ts
@@ -32,14 +32,20 @@
 	send(): Promise<Either<PlainFailure, PlainAnswer>>;
 };
 
+/** The part of an entry that the runner uses. */
+export type NeverTwiceContext = Pick<EntryContext, 'clock' | 'table' | 'configuration'> & {
+	settings: Pick<EntryContext['settings'], 'instance'>;
+	endpoints: Pick<EntryContext['endpoints'], 'entryCount'>;
+};
+
 type TakeOutcome = (outcome: Either<Refusal, PlainAnswer>) => void;
 
 export class NeverTwiceRunner {
-	readonly #context: EntryContext;
+	readonly #context: NeverTwiceContext;
 	readonly #budget = new ClaimBudget();
 	readonly #open = new Set<Promise<void>>();
 
-	constructor(context: EntryContext) {
+	constructor(context: NeverTwiceContext) {
 		this.#context = context;
 	}
 
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -104,6 +104,7 @@
 		const {endpoints, settings, plain} = this.#context;
 		const signal = AbortSignal.timeout(callTimeoutMilliseconds);
 		const mayRepeat = idempotentMethods.has(call.method) && !isNeverTwice(service, call);
+		let mayHaveRun = false;
 		let sent: Either<PlainFailure, PlainAnswer> = Left({kind: 'not-sent', detail: 'no endpoint is live'});
 		for (const {address} of endpoints.plainEndpointsOf(service.name, settings.dataCentre).slice(0, attemptLimit)) {
 			sent = await plain.call(address, call, signal);
@@ -111,9 +112,12 @@
 			if (failure === undefined || (failure.kind === 'outcome-unknown' && !mayRepeat)) {
 				return sent;
 			}
+
+			mayHaveRun ||= failure.kind === 'outcome-unknown';
 		}
 
-		return sent;
+		// "Not sent" by the last endpoint says nothing of the one before that may have run the call.
+		return mayHaveRun ? sent.mapLeft(({detail}) => ({kind: 'outcome-unknown', detail})) : sent;
 	}
 }
 
