--- a/src/check/choices.ts
+++ b/src/check/choices.ts
@@ -9,13 +9,6 @@
 const choiceRange = 10_000;
 
 export class Choices {
-	readonly #taken: number[] = [];
-	readonly #next: (index: number) => number;
-
-	private constructor(next: (index: number) => number) {
-		this.#next = next;
-	}
-
 	/** Fresh choices from a seed. */
 	static fromSeed(seed: number): Choices {
 		const generator = xoroshiro128plus(seed);
@@ -27,6 +20,13 @@
 		return new Choices(index => choices[index] ?? 0);
 	}
 
+	readonly #taken: number[] = [];
+	readonly #next: (index: number) => number;
+
+	private constructor(next: (index: number) => number) {
+		this.#next = next;
+	}
+
 	/** All choices taken so far. */
 	get taken(): readonly number[] {
 		return this.#taken;
--- a/src/check/faulty-table.ts
+++ b/src/check/faulty-table.ts
@@ -13,9 +13,9 @@
 const longestLateMilliseconds = 90_000;
 
 export class TableRows {
+	isDown = false;
 	readonly #rows = new Map<string, Row>();
 	readonly #onWrite: (row: Row) => void;
-	isDown = false;
 
 	/** @param onWrite - Sees each row as it is written. */
 	constructor(onWrite: (row: Row) => void) {
--- a/src/check/scenario.ts
+++ b/src/check/scenario.ts
@@ -60,16 +60,15 @@
 
 /** Replaces ever smaller stretches of choices by 0 while the run still fails. */
 async function shrink(make: MakeScenario, taken: readonly number[]): Promise<VirtualWorld> {
-	let choices = [...taken];
+	let choices = taken;
 	let world = await playRun(make, Choices.replay(choices));
 	let rounds = 0;
 	for (let width = choices.length; width >= 1; width = Math.floor(width / 2)) {
 		for (let from = 0; from < choices.length && rounds < shrinkRounds; from += width) {
-			const end = from + width;
-			const candidate = choices.map((choice, index) => index >= from && index < end ? 0 : choice);
-			const tried = candidate.every((choice, index) => choice === choices[index]) ? undefined : await playRun(make, Choices.replay(candidate));
+			const candidate = withoutStretch(choices, from, from + width);
+			const tried = await playRun(make, Choices.replay(candidate));
 			rounds++;
-			if (tried !== undefined && tried.violations.length > 0) {
+			if (tried.violations.length > 0) {
 				choices = candidate;
 				world = tried;
 			}
@@ -78,3 +77,7 @@
 
 	return world;
 }
+
+function withoutStretch(choices: readonly number[], from: number, end: number): number[] {
+	return choices.map((choice, index) => index >= from && index < end ? 0 : choice);
+}
