--- a/src/protocol/claim/claim-machine.ts
+++ b/src/protocol/claim/claim-machine.ts
@@ -266,7 +266,7 @@
 		}
 
 		const decision = this.#close(this.#row('unknown', now), undefined);
-		return {...decision, outcome: unsent('outcome-unknown', 'x', 'not-run')};
+		return {...decision, outcome: this.#unknown('outcome-unknown', 'the call may have run; it will not be sent again')};
 	}
 
 	/** Writes the end of the claim; the caller's outcome waits for the first try only. */
