--- a/src/entry/callers/never-twice-runner.ts
+++ b/src/entry/callers/never-twice-runner.ts
@@ -126,7 +126,7 @@
 		// change is absent exactly as long as this instance's version is the newest.
 		const isNewest = version === undefined ? [] : [{table: configurationTable, key: changeKeyOf(version + 1), revision: 0}];
 		const written = await this.#context.table.commit({
-			conditions: [{...name, revision}],
+			conditions: [{...name, revision}, ...isNewest],
 			writes: [{...name, value: row}],
 		});
 		return written.caseOf<ClaimEvent>({
