--- a/src/protocol/claim/claim-machine.ts
+++ b/src/protocol/claim/claim-machine.ts
@@ -327,7 +327,7 @@
 		const {row, revision} = found;
 		this.#hasSeenOther = true;
 		this.#phase = 'repeating';
-		if (row.bodyDigest === '') {
+		if (row.bodyDigest !== this.#call.bodyDigest) {
 			return this.#end(unsent('key-reused', 'this key was used for another call', 'not-run'));
 		}
 
