--- a/src/entry/configuration-holder.ts
+++ b/src/entry/configuration-holder.ts
@@ -7,7 +7,7 @@
 import {type ConfigurationState, emptyConfiguration} from '../protocol/configuration/configuration-state.js';
 import {type ConfigurationChange} from '../shared/types.js';
 
-type Listener = (state: ConfigurationState, change: ConfigurationChange) => void;
+type Listener = (state: ConfigurationState, change: ConfigurationChange | undefined) => void;
 
 export class ConfigurationHolder {
 	#state: ConfigurationState = emptyConfiguration;
@@ -17,11 +17,30 @@
 		return this.#state;
 	}
 
-	/** Calls a listener after each change that came into force here. */
+	/** Calls a listener after each change that came into force here; without the change when it was a whole snapshot. */
 	onChange(listener: Listener): void {
 		this.#listeners.push(listener);
 	}
 
+	/**
+	 * Brings a whole configuration into force, if it is newer.
+	 *
+	 * @param state - A snapshot that was checked.
+	 * @returns True if it is in force now.
+	 */
+	adopt(state: ConfigurationState): boolean {
+		if (state.version <= this.#state.version) {
+			return false;
+		}
+
+		this.#state = state;
+		for (const listener of this.#listeners) {
+			listener(state, undefined);
+		}
+
+		return true;
+	}
+
 	/**
 	 * Brings a change into force.
 	 *
--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -41,10 +41,17 @@
 		this.#plain = instances.filter(({role}) => role === 'plain-service');
 	}
 
-	/** Takes an endpoint's own report. */
+	/**
+	 * Takes an endpoint's own report.
+	 *
+	 * @param name - The endpoint.
+	 * @param load - Its report, from itself or by way of a peer.
+	 * @param now - When the endpoint gave it, in milliseconds since the epoch.
+	 */
 	takeReport(name: string, load: LoadReport, now: number): void {
 		const known = this.#engines.get(name);
-		if (known !== undefined) {
+		// A report by way of a peer may come behind a newer one; taken, it could make a leaving endpoint live again.
+		if (known !== undefined && now >= known.heardAt) {
 			const {model, weightVersion, state} = load;
 			this.#replace({
 				...known, model, weightVersion, state, load, heardAt: now,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -24,6 +24,7 @@
 import {type EntrySettings} from './entry-settings.js';
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
+import {EntryPeers} from './peers/entry-peers.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -34,12 +35,14 @@
 export type EntryAddresses = {
 	callers: string;
 	operators: string;
+	peers: string;
 };
 
 export class EntryDaemon {
 	readonly #context: EntryContext;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
+	readonly #peers: EntryPeers;
 	readonly #root: Supervisor;
 	readonly #stop = new AbortController();
 	readonly #timeline: TimelineSender;
@@ -62,6 +65,7 @@
 			endpoints: new EndpointDirectory(),
 			draining: false,
 		};
+		this.#peers = new EntryPeers(this.#context);
 		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
 		const routes = new CallerRoutes(this.#context, {
 			gate,
@@ -69,14 +73,14 @@
 			plainRoute: new PlainRoute(this.#context, new NeverTwiceRunner(this.#context)),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
-		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context), settings.operatorListen);
+		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context, this.#peers), settings.operatorListen);
 		this.#root = this.#tree(gate);
 		this.#reportConfiguration();
 	}
 
 	/** Starts to listen, then runs until `stop`. `onListening` is told the addresses. */
 	async run(onListening: (addresses: EntryAddresses) => void): Promise<void> {
-		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen()};
+		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen(), peers: await this.#peers.service.listen()};
 		this.#timeline.record({kind: 'process-started', at: this.#context.clock.now()});
 		this.#context.logger.info('listening', {...addresses});
 		onListening(addresses);
@@ -90,6 +94,7 @@
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
 		await this.#callers.drain();
+		this.#peers.service.leave();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
@@ -111,7 +116,12 @@
 		const watchers = new Supervisor({
 			...common,
 			name: 'watchers',
-			children: [new ConfigurationWatcher(this.#context), new InstanceWatcher(this.#context), new LoadWatcher(this.#context)],
+			children: [
+				this.#peers.service,
+				new ConfigurationWatcher(this.#context, this.#peers),
+				new InstanceWatcher(this.#context, this.#peers),
+				new LoadWatcher(this.#context, this.#peers),
+			],
 		});
 		const dataPath = new Supervisor({
 			...common,
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -7,6 +7,7 @@
 } from '../../protocol/configuration/configuration-table.js';
 import {digestOf} from '../../shared/digest-of.js';
 import {type EntryContext} from '../entry-context.js';
+import {type EntryPeers} from '../peers/entry-peers.js';
 
 const statusOfFailure = {overtaken: 409, unavailable: 503, 'outcome-unknown': 502} as const;
 
@@ -14,9 +15,10 @@
  * Makes the operators' routes.
  *
  * @param context - The entry.
+ * @param peers - The entry among its peers.
  * @returns The application, to be served on the operators' address.
  */
-export function createOperatorRoutes(context: EntryContext): H3 {
+export function createOperatorRoutes(context: EntryContext, peers: EntryPeers): H3 {
 	const app = new H3();
 	const expected = Buffer.from(digestOf(`Bearer ${context.settings.operatorKey}`));
 	app.use(event => {
@@ -58,5 +60,6 @@
 			},
 		});
 	});
+	app.get('/operator/peers', () => peers.overview());
 	return app;
 }
--- /dev/null
+++ b/src/entry/peers/entry-peers.ts
@@ -0,0 +1,127 @@
+/**
+ * This entry among its peers: binds the peer service to the configuration in force, the endpoint directory, the time
+ * line and the metrics.
+ */
+import {stateOfSnapshot} from '../../peer/configuration/configuration-snapshot.js';
+import {reportOf} from '../../peer/knowledge/load-summary.js';
+import {PeerService} from '../../peer/link/peer-service.js';
+import {type ConfigurationSnapshot} from '../../peer/message/peer-message.js';
+import {seededRandom} from '../../peer/random/seeded-random.js';
+import {hashOfText} from '../../peer/sharing/rendezvous.js';
+import {type LoadReport} from '../../ports/model-engine.js';
+import {type ConfigurationChange, type JsonValue, type ListedInstance} from '../../shared/types.js';
+import {type EntryContext} from '../entry-context.js';
+
+export class EntryPeers {
+	readonly service: PeerService;
+	readonly random: () => number;
+	readonly #context: EntryContext;
+	/** True while a peer's change is applied: it is passed on by the node itself, which knows who has it already. */
+	#isTakingFromPeer = false;
+
+	constructor(context: EntryContext) {
+		this.#context = context;
+		const {settings, clock, configuration, timeline, logger} = context;
+		this.random = seededRandom(hashOfText(`${settings.instance}|${clock.now()}`));
+		this.service = new PeerService({
+			instance: settings.instance,
+			dataCentre: settings.dataCentre,
+			listenAddress: settings.peerListen,
+			clock,
+			random: this.random,
+			fanoutMode: 'announce',
+			keeper: {
+				get state() {
+					return configuration.state;
+				},
+				offerChange: change => this.#offerChange(change),
+			},
+			listener: {
+				loadsLearned(loads) {
+					for (const {name, summary, measuredAt} of loads) {
+						context.endpoints.takeReport(name, reportOf(summary, measuredAt), measuredAt);
+					}
+				},
+				snapshotOffered: snapshot => this.#offerSnapshot(snapshot),
+				memberChanged({name, status}) {
+					timeline.record({kind: status === 'alive' ? 'instance-seen' : 'instance-gone', at: clock.now(), detail: `${name} ${status}`});
+				},
+				endpointsShared({taken, released}) {
+					if (taken > 0) {
+						timeline.record({kind: 'shard-taken', at: clock.now(), detail: `${taken} endpoints to watch`});
+					}
+
+					if (released > 0) {
+						timeline.record({kind: 'shard-released', at: clock.now(), detail: `${released} endpoints to watch`});
+					}
+				},
+			},
+			onLinkClosed(peer, reason) {
+				logger.debug('a peer link ended', {peer, reason});
+			},
+		});
+		configuration.onChange((_state, change) => {
+			if (change !== undefined && !this.#isTakingFromPeer) {
+				this.service.changeInForce(change);
+			}
+		});
+	}
+
+	/** Whether this entry is one of those that read the table for changes; one without peers reads for itself. */
+	get isReader(): boolean {
+		return this.service.node.isReader || this.service.linked.length === 0;
+	}
+
+	/** Takes the platform's list. */
+	takeList(instances: readonly ListedInstance[]): void {
+		this.service.takeList(instances);
+		const {metrics} = this.#context;
+		const {counts, node, linked} = this.service;
+		metrics.report('peers.live', node.membership.allLive().length);
+		metrics.report('peers.links', linked.length);
+		metrics.report('peers.bytes_out', counts.bytesOut);
+		metrics.report('peers.bytes_in', counts.bytesIn);
+		metrics.report('peers.dropped', counts.dropped);
+	}
+
+	/** Names the endpoints to ask for their load now. */
+	endpointsToAsk(): ReadonlySet<string> {
+		const {node} = this.service;
+		return new Set(node.knowledge.toAsk(this.#context.clock.now(), node.overlay.cell));
+	}
+
+	/** Takes an endpoint's own report. */
+	takeReport(name: string, report: LoadReport): void {
+		this.service.takeReport(name, report);
+	}
+
+	/** What operators are shown: who is there as this instance sees it, and what it does for the others. */
+	overview(): JsonValue {
+		const {node, linked, counts} = this.service;
+		const now = this.#context.clock.now();
+		return {
+			isReader: node.isReader,
+			ownedEndpoints: node.knowledge.owned(),
+			linked,
+			counts: {...counts},
+			members: node.membership.everybody().map(({name, dataCentre, status, incarnation, isListed, changedAt}) => ({
+				name, dataCentre, status, incarnation, isListed, changedSecondsAgo: Math.round((now - changedAt) / 1000),
+			})),
+		};
+	}
+
+	#offerChange(change: ConfigurationChange) {
+		this.#isTakingFromPeer = true;
+		try {
+			const answer = this.#context.configuration.offer(change);
+			return answer.isLeft() ? answer.extract() : undefined;
+		} finally {
+			this.#isTakingFromPeer = false;
+		}
+	}
+
+	#offerSnapshot(snapshot: ConfigurationSnapshot): boolean {
+		const state = stateOfSnapshot(snapshot);
+		return state !== undefined && this.#context.configuration.adopt(state);
+	}
+}
--- a/src/entry/watchers/instance-watcher.ts
+++ b/src/entry/watchers/instance-watcher.ts
@@ -1,13 +1,18 @@
 /** Reads the platform's list of instances again and again. When the list is away, the last one goes on being used. */
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
+import {type EntryPeers} from '../peers/entry-peers.js';
+
+const jitter = 0.2;
 
 export class InstanceWatcher implements Child {
 	readonly name = 'instance-watcher';
 	readonly #context: EntryContext;
+	readonly #peers: EntryPeers;
 
-	constructor(context: EntryContext) {
+	constructor(context: EntryContext, peers: EntryPeers) {
 		this.#context = context;
+		this.#peers = peers;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -16,8 +21,9 @@
 			const instances = await list.read();
 			instances.ifRight(found => {
 				endpoints.takeList(found);
+				this.#peers.takeList(found);
 			});
-			await clock.sleep(settings.listPollMilliseconds, signal);
+			await clock.sleep(settings.listPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
 		}
 	}
 }
--- a/src/entry/watchers/load-watcher.ts
+++ b/src/entry/watchers/load-watcher.ts
@@ -1,25 +1,35 @@
-/** Asks the model endpoints for their load again and again. An endpoint that does not answer ages by itself. */
+/**
+ * Asks model endpoints for their load again and again: those that this instance watches for its peers, and those of
+ * which the peers told nothing for too long. An endpoint that does not answer ages by itself.
+ */
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
+import {type EntryPeers} from '../peers/entry-peers.js';
+
+const jitter = 0.2;
 
 export class LoadWatcher implements Child {
 	readonly name = 'load-watcher';
 	readonly #context: EntryContext;
+	readonly #peers: EntryPeers;
 
-	constructor(context: EntryContext) {
+	constructor(context: EntryContext, peers: EntryPeers) {
 		this.#context = context;
+		this.#peers = peers;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, settings, endpoints, engine} = this.#context;
 		while (!signal.aborted) {
-			await Promise.all(endpoints.engines().map(async ({name, address}) => {
+			const toAsk = this.#peers.endpointsToAsk();
+			await Promise.all(endpoints.engines().filter(({name}) => toAsk.has(name)).map(async ({name, address}) => {
 				const report = await engine.loadReport(address);
 				report.ifRight(load => {
 					endpoints.takeReport(name, load, clock.now());
+					this.#peers.takeReport(name, load);
 				});
 			}));
-			await clock.sleep(settings.loadPollMilliseconds, signal);
+			await clock.sleep(settings.loadPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
 		}
 	}
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -15,6 +15,11 @@
 	'request.open': {kind: 'gauge', unit: 'requests', tags: []},
 	'claim.write': {kind: 'count', unit: 'writes', tags: ['outcome']},
 	'configuration.version': {kind: 'gauge', unit: 'version', tags: []},
+	'peers.live': {kind: 'gauge', unit: 'instances', tags: []},
+	'peers.links': {kind: 'gauge', unit: 'links', tags: []},
+	'peers.bytes_out': {kind: 'gauge', unit: 'bytes since the start', tags: []},
+	'peers.bytes_in': {kind: 'gauge', unit: 'bytes since the start', tags: []},
+	'peers.dropped': {kind: 'gauge', unit: 'messages since the start', tags: []},
 	'supervisor.restart': {kind: 'count', unit: 'restarts', tags: ['child']},
 	'timeline.dropped': {kind: 'count', unit: 'events', tags: []},
 } as const;
--- a/src/peer/knowledge/load-knowledge.ts
+++ b/src/peer/knowledge/load-knowledge.ts
@@ -97,13 +97,16 @@
 	}
 
 	/**
-	 * Names the endpoints to ask now: the owned ones, and those known before whose owner went silent. `isWanted` tells
-	 * which of the others this instance needs at all.
+	 * Names the endpoints to ask now: the owned ones, and those of the cell that were not told of for too long, because
+	 * their owner seems to be gone.
+	 *
+	 * @param now - Milliseconds since the epoch.
+	 * @param cell - The peers that tell this instance, by name.
 	 */
-	toAsk(now: number, isWanted: (dataCentre: string) => boolean): string[] {
+	toAsk(now: number, cell: ReadonlyMap<string, Member>): string[] {
 		return [...this.#endpoints]
-			.filter(([key, {owner, dataCentre}]) => owner === this.#self
-				|| (isWanted(dataCentre) && now - (this.#known.get(key)?.heardAt ?? 0) > ownAskAfterMilliseconds))
+			.filter(([key, {owner}]) => owner === this.#self
+				|| (cell.has(owner) && now - (this.#known.get(key)?.heardAt ?? 0) > ownAskAfterMilliseconds))
 			.map(([, {name}]) => name);
 	}
 
--- a/src/peer/membership/membership.ts
+++ b/src/peer/membership/membership.ts
@@ -79,6 +79,11 @@
 		return this.#live().all;
 	}
 
+	/** Everybody remembered, for operators. */
+	everybody(): readonly Member[] {
+		return [...this.#members.values()];
+	}
+
 	/** Everybody remembered, as rumours for a peer of the own data centre. */
 	view(): MemberRumour[] {
 		return [...this.#members.values()]
