Pack load updates into ten bytes and measure slopes of control

Cause: with 16 endpoints a daemon and cells of eight, 48 daemons sent 1,994 bytes a second each way, 4.0 KB both ways. Ruled out: rarer tellings, because an endpoint silent for 3 s gets no work. Change: updates of ten bytes in place of 22, 11 links in place of 13; bench:slopes with its workers.

--- /dev/null
+++ b/src/bench/slopes/measure-state.ts
@@ -0,0 +1,106 @@
+/** Memory and processor time of the state that one daemon keeps, at a given size. */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {type LoadSummary} from '../../peer/message/peer-message.js';
+import {LoadKnowledge} from '../../peer/knowledge/load-knowledge.js';
+import {summaryOf} from '../../peer/knowledge/load-summary.js';
+import {Membership} from '../../peer/membership/membership.js';
+import {applyChange} from '../../protocol/configuration/apply-change.js';
+import {type ConfigurationState, emptyConfiguration} from '../../protocol/configuration/configuration-state.js';
+import {digestOf} from '../../shared/digest-of.js';
+import {type ListedInstance} from '../../shared/types.js';
+import {changeOf} from '../bench-changes.js';
+import {idleReport} from '../bench-reports.js';
+import {heldBytes} from './held-bytes.js';
+import {type StateSize} from './worker-messages.js';
+
+const rounds = 20;
+
+/** What a state of that size costs: bytes held, and processor time of its ordinary step. */
+export type StateCost = {heldBytes: number; processorMicroseconds: number};
+
+type Kept = {kept: unknown; step(): void};
+
+/**
+ * Measures one state.
+ *
+ * @param size - What it is, and how much of it.
+ * @returns Its cost: a step is taking the list (servers), a look-up (prompts), or applying a change (workspaces).
+ */
+export function measureState(size: StateSize): StateCost {
+	const before = heldBytes();
+	const {kept, step} = {servers: keepServers, prompts: keepPrompts, workspaces: keepWorkspaces}[size.of](size.count);
+	const held = heldBytes() - before;
+	step();
+	const start = process.cpuUsage();
+	for (let round = 0; round < rounds; round++) {
+		step();
+	}
+
+	const {user, system} = process.cpuUsage(start);
+	return {heldBytes: kept === undefined ? 0 : held, processorMicroseconds: (user + system) / rounds};
+}
+
+/** The servers of a data centre as one of its 95 daemons keeps them: all by name, those of its cell with their load. */
+function keepServers(count: number): Kept {
+	const membership = new Membership({
+		name: 'entry-0', dataCentre: 'split', peerAddress: '', incarnation: 1,
+	}, 0);
+	const line = (name: string, role: ListedInstance['role']): ListedInstance => ({
+		name, role, dataCentre: 'split', service: 'permits', address: '10.0.0.1:80', peerAddress: '10.0.0.1:81', state: 'live',
+	});
+	const list = (): ListedInstance[] => [
+		...Array.from({length: 95}, (_, index) => line(`entry-${index}`, 'entry')),
+		...Array.from({length: count}, (_, index) => line(`engine-${index}`, 'model-engine')),
+	];
+	const knowledge = new LoadKnowledge('entry-0');
+	const take = (): void => {
+		const instances = list();
+		membership.takeList(instances, 0);
+		knowledge.takeEndpoints(instances);
+		knowledge.shareOut(membership.allLive());
+	};
+
+	take();
+	const known = Math.ceil(count * 8 / 95);
+	const loads: LoadSummary[] = Array.from({length: known}, (_, index) => summaryOf(`engine-${index}`, idleReport));
+	knowledge.takeLoads({
+		kind: 'loads', loads, updates: [], age: 0,
+	}, 1);
+	return {kept: [membership, knowledge], step: take};
+}
+
+/** Where kept prefixes are: a key of 32 bytes to an endpoint and a time, as a cache directory keeps them. */
+function keepPrompts(count: number): Kept {
+	const directory = new Map<string, {endpoint: string; seenAt: number}>();
+	for (let index = 0; index < count; index++) {
+		const key = Buffer.from(digestOf(String(index)), 'hex').toString('latin1');
+		directory.set(key, {endpoint: 'engine-1', seenAt: index});
+	}
+
+	const probe = Buffer.from(digestOf('1'), 'hex').toString('latin1');
+	return {
+		kept: directory,
+		step() {
+			directory.get(probe);
+		},
+	};
+}
+
+function keepWorkspaces(count: number): Kept {
+	let state: ConfigurationState = emptyConfiguration;
+	const apply = (number: number): void => {
+		state = applyChange(state, changeOf(state, number)).unsafeCoerce();
+	};
+
+	for (let number = 0; number < count; number++) {
+		apply(number);
+	}
+
+	return {
+		kept: state,
+		step() {
+			apply(0);
+		},
+	};
+}
--- /dev/null
+++ b/src/bench/slopes/poll-run.ts
@@ -0,0 +1,51 @@
+/** Measures what one poll over HTTP costs: bytes both ways at the socket, and processor time of the asker. */
+import {type Socket} from 'node:net';
+import {createInstanceListStandIn} from '../../stand-in/instance-list-stand-in.js';
+import {ModelEngineStandIn} from '../../stand-in/model-engine-stand-in.js';
+import {type StandInKind, startStandIn} from '../../stand-in/stand-in-server.js';
+import {exchangeJson} from '../../adapters/http-client.js';
+import {type ListedInstance} from '../../shared/types.js';
+import {WorkerProcess} from './worker-process.js';
+
+const listTimeoutMilliseconds = 10_000;
+
+/** What one poll costs. */
+export type PollCost = {bytes: number; processorMicroseconds: number};
+
+/** Polls an engine's load. */
+export async function runLoadPolls(polls: number): Promise<PollCost> {
+	const engine = new ModelEngineStandIn({
+		model: 'permit-model', weightVersion: '2026-11', prefillTokensPerSecond: 9000, millisecondsPerToken: 10, cachePieces: 10, batchLimit: 32,
+	});
+	return countPolls(engine, 'load', polls, async () => undefined);
+}
+
+/** Polls the platform's list with so many instances. */
+export async function runListPolls(count: number, polls: number): Promise<PollCost> {
+	const instances: ListedInstance[] = Array.from({length: count}, (_, index) => ({
+		name: `split-engine-${index}`, role: 'model-engine', dataCentre: 'split-riva', service: 'permits', address: '10.12.14.16:8080', peerAddress: '', state: 'live',
+	}));
+	return countPolls(createInstanceListStandIn(), 'list', polls, async address => exchangeJson({
+		method: 'PUT', url: `http://${address}/instances`, body: {instances}, timeoutMilliseconds: listTimeoutMilliseconds,
+	}));
+}
+
+async function countPolls(kind: StandInKind, path: 'load' | 'list', polls: number, prepare: (address: string) => Promise<unknown>): Promise<PollCost> {
+	const standIn = await startStandIn(kind, {host: '127.0.0.1', port: 0});
+	const worker = new WorkerProcess();
+	try {
+		await prepare(standIn.address);
+		const sockets = new Set<Socket>();
+		standIn.server.on('connection', (socket: Socket) => {
+			sockets.add(socket);
+		});
+		const {processorMicroseconds} = await worker.ask({
+			kind: 'poll', address: standIn.address, polls, path,
+		}, 'polled');
+		const bytes = [...sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+		return {bytes: bytes / (polls + 1), processorMicroseconds};
+	} finally {
+		await worker.stop();
+		await standIn.close();
+	}
+}
--- /dev/null
+++ b/src/bench/slopes/worker.ts
@@ -0,0 +1,123 @@
+/** One worker process of the slopes bench: several daemons, or one measurement of state or of polls. */
+import process from 'node:process';
+import {HttpInstanceList} from '../../adapters/http-instance-list.js';
+import {HttpModelEngine} from '../../adapters/http-model-engine.js';
+import {BenchDaemon} from './bench-daemon.js';
+import {heldBytes} from './held-bytes.js';
+import {measureState} from './measure-state.js';
+import {type WorkerAnswer, type WorkerMeasure, type WorkerOrder} from './worker-messages.js';
+
+const daemons = new Map<string, BenchDaemon>();
+let atStart = 0;
+let resetAt = 0;
+let processorAtReset = process.cpuUsage();
+
+async function answerOf(order: WorkerOrder): Promise<WorkerAnswer> {
+	switch (order.kind) {
+		case 'start': {
+			atStart = heldBytes();
+			const instances = await Promise.all(order.names.map(async name => {
+				const daemon = new BenchDaemon(name, order.dataCentre, order.reportsPerSecond);
+				daemons.set(name, daemon);
+				return daemon.start();
+			}));
+			return {kind: 'started', instances};
+		}
+
+		case 'list': {
+			for (const {service} of daemons.values()) {
+				service.takeList(order.instances);
+			}
+
+			return {kind: 'done'};
+		}
+
+		case 'change': {
+			[...daemons.values()][0]?.accept(order.change);
+			return {kind: 'done'};
+		}
+
+		case 'reset': {
+			reset();
+			return {kind: 'done'};
+		}
+
+		case 'kill': {
+			for (const name of order.names) {
+				daemons.get(name)?.stop();
+				daemons.delete(name);
+			}
+
+			return {kind: 'done'};
+		}
+
+		case 'measure': {
+			return {kind: 'measured', measure: measure()};
+		}
+
+		case 'state': {
+			return {kind: 'state', ...measureState(order.size)};
+		}
+
+		case 'poll': {
+			return {kind: 'polled', processorMicroseconds: await poll(order)};
+		}
+	}
+}
+
+function reset(): void {
+	for (const {service, keeper} of daemons.values()) {
+		Object.assign(service.counts, {
+			bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0, dropped: 0, unknownKinds: 0,
+		});
+		keeper.inForceAt.clear();
+	}
+
+	resetAt = Date.now();
+	processorAtReset = process.cpuUsage();
+}
+
+function measure(): WorkerMeasure {
+	const {user, system} = process.cpuUsage(processorAtReset);
+	const wallMilliseconds = Date.now() - resetAt;
+	const all = [...daemons.values()];
+	const sum = (value: (daemon: BenchDaemon) => number): number => all.reduce((total, daemon) => total + value(daemon), 0);
+	const versions = [...new Set(all.flatMap(({keeper}) => [...keeper.inForceAt.keys()]))];
+	return {
+		daemons: all.length,
+		wallMilliseconds,
+		processorMilliseconds: (user + system) / 1000,
+		heldBytes: heldBytes() - atStart,
+		bytesIn: sum(({service}) => service.counts.bytesIn),
+		bytesOut: sum(({service}) => service.counts.bytesOut),
+		messagesIn: sum(({service}) => service.counts.messagesIn),
+		messagesOut: sum(({service}) => service.counts.messagesOut),
+		dropped: sum(({service}) => service.counts.dropped),
+		readers: sum(({service}) => service.node.isReader ? 1 : 0),
+		ownedEndpoints: sum(({service}) => service.node.knowledge.ownedCount),
+		knownEndpoints: sum(({service}) => service.node.knowledge.knownCount),
+		live: all.map(({service}) => service.node.membership.ownLive().length),
+		inForceAt: versions.map(version => {
+			const times = all.flatMap(({keeper}) => keeper.inForceAt.get(version) ?? []);
+			return {version, at: Math.max(...times), daemons: times.length};
+		}),
+	};
+}
+
+async function poll({address, polls, path}: Extract<WorkerOrder, {kind: 'poll'}>): Promise<number> {
+	const engine = new HttpModelEngine();
+	const list = new HttpInstanceList(address);
+	const once = async (): Promise<unknown> => path === 'load' ? engine.loadReport(address) : list.read();
+	await once();
+	const before = process.cpuUsage();
+	for (let count = 0; count < polls; count++) {
+		await once();
+	}
+
+	const {user, system} = process.cpuUsage(before);
+	return (user + system) / polls;
+}
+
+process.on('message', (order: WorkerOrder) => {
+	void answerOf(order).then(answer => process.send!(answer));
+});
--- a/src/peer/knowledge/load-knowledge.ts
+++ b/src/peer/knowledge/load-knowledge.ts
@@ -6,6 +6,7 @@
 import {type LoadReport} from '../../ports/model-engine.js';
 import {type ListedInstance} from '../../shared/types.js';
 import {type LoadSummary, type LoadUpdate, type PeerMessage} from '../message/peer-message.js';
+import {packedUpdateBytes} from '../message/packed-updates.js';
 import {type Member} from '../membership/membership.js';
 import {hashOfText, ownerOf} from '../sharing/rendezvous.js';
 import {summaryOf} from './load-summary.js';
@@ -14,17 +15,14 @@
 export const tellMilliseconds = 500;
 
 /** The bytes a second that tellings may take; with many owned endpoints or a large cell they come less often. */
-export const tellBudgetBytes = 1200;
+export const tellBudgetBytes = 700;
 
 /** How often the whole summary goes out, for peers that missed it. */
 export const wholeSummaryMilliseconds = 30_000;
 
-/** Age at which an instance asks an endpoint itself, because its owner seems to be gone: three tellings. */
+/** Age at which an instance asks an endpoint itself, because its owner seems to be gone: three of the fastest tellings. */
 export const ownAskAfterMilliseconds = 1500;
 
-/** Bytes of an update on the wire, measured by `npm run bench:slopes`. */
-const updateBytes = 22;
-
 type Known = {summary: LoadSummary; heardAt: number; toldWholeAt: number; toldAt: number};
 
 /** An endpoint's summary as it came to be known, for the shell to hand to the directory. */
@@ -35,6 +33,7 @@
 	readonly #endpoints = new Map<number, {name: string; dataCentre: string; owner: string}>();
 	readonly #known = new Map<number, Known>();
 	#nextTellAt = 0;
+	#tellInterval = tellMilliseconds;
 
 	constructor(self: string) {
 		this.#self = self;
@@ -104,9 +103,11 @@
 	 * @param cell - The peers that tell this instance, by name.
 	 */
 	toAsk(now: number, cell: ReadonlyMap<string, Member>): string[] {
+		// Where tellings are far apart because there is much to tell, the owner's are as rare as this instance's own.
+		const ownAskAfter = Math.max(ownAskAfterMilliseconds, this.#tellInterval * 1.5);
 		return [...this.#endpoints]
 			.filter(([key, {owner}]) => owner === this.#self
-				|| (cell.has(owner) && now - (this.#known.get(key)?.heardAt ?? 0) > ownAskAfterMilliseconds))
+				|| (cell.has(owner) && now - (this.#known.get(key)?.heardAt ?? 0) > ownAskAfter))
 			.map(([, {name}]) => name);
 	}
 
@@ -127,11 +128,11 @@
 	 */
 	takeLoads(message: Extract<PeerMessage, {kind: 'loads'}>, now: number): {learned: LearnedLoad[]; passOn?: PeerMessage} {
 		const measuredAt = now - message.age;
-		const updated = message.updates.flatMap(update => {
+		const changed = message.updates.flatMap(update => {
 			const known = this.#known.get(update.endpoint);
-			return known === undefined ? [] : [{...known.summary, ...update}];
+			return known === undefined ? [] : [updated(known.summary, update)];
 		});
-		const summaries = [...message.loads, ...updated];
+		const summaries = [...message.loads, ...changed];
 		const leaving = summaries.filter(summary => this.#learn(summary, measuredAt));
 		const learned = summaries.flatMap(summary => {
 			const endpoint = this.#endpoints.get(summary.endpoint);
@@ -169,8 +170,9 @@
 			}
 		}
 
-		const spent = (loads.length + updates.length) * updateBytes * cellSize;
-		this.#nextTellAt = now + Math.max(tellMilliseconds, spent * 1000 / tellBudgetBytes);
+		const spent = (loads.length + updates.length) * packedUpdateBytes * cellSize;
+		this.#tellInterval = Math.max(tellMilliseconds, spent * 1000 / tellBudgetBytes);
+		this.#nextTellAt = now + this.#tellInterval;
 		return loads.length + updates.length === 0
 			? undefined
 			: {
@@ -205,13 +207,17 @@
 
 function updateOf(summary: LoadSummary): LoadUpdate {
 	const {
-		endpoint, running, waiting, waitingPrefillTokens, kvUsed,
+		endpoint, running, waiting, waitingPrefillTokens, kvUsed, kvCapacity,
 	} = summary;
 	return {
-		endpoint, running, waiting, waitingPrefillTokens, kvUsed,
+		endpoint, running, waiting, waitingPrefillTokens, kvShare: kvCapacity > 0 ? kvUsed / kvCapacity : 0,
 	};
 }
 
+function updated(summary: LoadSummary, {kvShare, ...rest}: LoadUpdate): LoadSummary {
+	return {...summary, ...rest, kvUsed: Math.round(kvShare * summary.kvCapacity)};
+}
+
 function leavingMessage(loads: LoadSummary[]): PeerMessage {
 	return {
 		kind: 'loads', loads, updates: [], age: 0,
--- a/src/peer/membership/overlay.ts
+++ b/src/peer/membership/overlay.ts
@@ -13,7 +13,8 @@
 /** Most members of a cell. */
 export const cellLimit = 8;
 
-const longLinkFractions = [1 / 8, 3 / 8] as const;
+/** With links to both sides this far away, and whole cells, a ring of 95 is crossed in about six hops. */
+const longLinkFraction = 0.3;
 const gatewaysPerDataCentre = 2;
 
 /** What an instance needs to know of its place. */
@@ -52,8 +53,7 @@
 }
 
 function longLinks(ring: readonly Member[], place: number): Member[] {
-	const distances = [1, ...longLinkFractions.map(fraction => Math.round(ring.length * fraction))];
-	return distances
+	return [1, Math.round(ring.length * longLinkFraction)]
 		.flatMap(distance => [place + distance, place - distance + ring.length])
 		.map(index => ring[index % ring.length]!)
 		.filter(member => member !== ring[place]);
--- a/src/peer/message/message-codec.ts
+++ b/src/peer/message/message-codec.ts
@@ -3,9 +3,10 @@
  * under 60 bytes; a name that is not in the map, as in a configuration item, travels as text. Numbers are never given
  * to another name: two releases run side by side.
  */
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
 import {FrameReader, frameOf} from '../framing/frame-codec.js';
+import {packUpdates, unpackUpdates} from './packed-updates.js';
 import {type PeerMessage} from './peer-message.js';
 
 const keyMap = {
@@ -48,10 +49,17 @@
  * @returns The bytes of the frame.
  */
 export function encodeMessage(message: PeerMessage): Buffer {
-	return frameOf(encoder.encode(message));
+	return frameOf(encoder.encode(message.kind === 'loads' ? {...message, updates: packUpdates(message.updates)} : message));
 }
 
 /** Gives a reader for the bytes of one link. */
 export function createMessageReader(): FrameReader {
-	return new FrameReader(body => decoder.decode(body));
+	return new FrameReader(body => unpacked(decoder.decode(body)));
+}
+
+function unpacked(value: unknown): unknown {
+	const loads = value as {kind?: unknown; updates?: unknown} | null;
+	return loads?.kind === 'loads' && loads.updates instanceof Uint8Array
+		? {...loads, updates: unpackUpdates(Buffer.from(loads.updates))}
+		: value;
 }
--- /dev/null
+++ b/src/peer/message/packed-updates.ts
@@ -0,0 +1,53 @@
+/**
+ * Load updates as ten bytes each. They are most of what instances say to each other: as CBOR maps they took 22 bytes,
+ * and a cell of eight with 16 endpoints each was over its share of 4 KB a second.
+ */
+import {Buffer} from 'node:buffer';
+import {type LoadUpdate} from './peer-message.js';
+
+const updateBytes = 10;
+const largestByte = 255;
+const largestShort = 65_535;
+const prefillUnitTokens = 64;
+
+/** Bytes of one packed update. */
+export const packedUpdateBytes = updateBytes;
+
+/**
+ * Packs updates. Numbers too large for their place are cut to the largest that fits: such an endpoint is full either way.
+ *
+ * @param updates - The updates.
+ * @returns Ten bytes each.
+ */
+export function packUpdates(updates: readonly LoadUpdate[]): Buffer {
+	const packed = Buffer.alloc(updates.length * updateBytes);
+	for (const [index, update] of updates.entries()) {
+		const start = index * updateBytes;
+		packed.writeUInt32BE(update.endpoint, start);
+		packed.writeUInt8(Math.min(largestByte, update.running), start + 4);
+		packed.writeUInt16BE(Math.min(largestShort, update.waiting), start + 5);
+		packed.writeUInt16BE(Math.min(largestShort, Math.ceil(update.waitingPrefillTokens / prefillUnitTokens)), start + 7);
+		packed.writeUInt8(Math.min(largestByte, Math.ceil(update.kvShare * largestByte)), start + 9);
+	}
+
+	return packed;
+}
+
+/**
+ * Unpacks updates.
+ *
+ * @param packed - As it came; a rest that is no whole update is left out.
+ * @returns The updates.
+ */
+export function unpackUpdates(packed: Buffer): LoadUpdate[] {
+	return Array.from({length: Math.floor(packed.length / updateBytes)}, (_, index) => {
+		const start = index * updateBytes;
+		return {
+			endpoint: packed.readUInt32BE(start),
+			running: packed.readUInt8(start + 4),
+			waiting: packed.readUInt16BE(start + 5),
+			waitingPrefillTokens: packed.readUInt16BE(start + 7) * prefillUnitTokens,
+			kvShare: packed.readUInt8(start + 9) / largestByte,
+		};
+	});
+}
--- a/src/peer/message/peer-message.ts
+++ b/src/peer/message/peer-message.ts
@@ -41,7 +41,10 @@
 };
 
 /** What changes from second to second of a summary whose rest a peer already has. */
-export type LoadUpdate = Pick<LoadSummary, 'endpoint' | 'running' | 'waiting' | 'waitingPrefillTokens' | 'kvUsed'>;
+export type LoadUpdate = Pick<LoadSummary, 'endpoint' | 'running' | 'waiting' | 'waitingPrefillTokens'> & {
+	/** Share of the KV memory in use, from 0 to 1. */
+	kvShare: number;
+};
 
 /** The first message of each side. */
 export type Hello = {kind: 'hello'; versions: VersionRange; from: MemberRumour};
