Weigh ways to spread configuration and to know load, in virtual time

Cause: the fan-out and the sharing of load were chosen by sums alone. Change: bench:weigh plays push, announce and ask, and seven ways of knowing load; bench:slopes measures the data path, polls and events too.

--- a/src/bench/slopes/main.ts
+++ b/src/bench/slopes/main.ts
@@ -4,7 +4,9 @@
  */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {runListPolls, runLoadPolls} from './poll-run.js';
+import {eventBytes} from './event-bytes.js';
+import {runDataPath} from './data-path-run.js';
+import {runListPolls, runLoadPolls, runTablePolls} from './poll-run.js';
 import {type PeerRunPlan, runPeers} from './peer-run.js';
 import {
 	type SlopesData, slopesFile, slopesFolder, slopesOf, type SlopesRun,
@@ -74,6 +76,7 @@
 	'prompts.heldBytes',
 	'workspaces.heldBytes',
 	'list.bytes',
+	'answer.processorMilliseconds',
 ]);
 
 await stateSeries('servers', isQuick ? [50, 1500] : [50, 500, 1500, 4000, 12_000]);
@@ -88,6 +91,20 @@
 add({
 	series: 'poll', x: 1, plan: {polls: 500}, values: await runLoadPolls(500),
 });
+add({
+	series: 'table', x: 1, plan: {polls: 500}, values: await runTablePolls(500),
+});
+const answerTokens = isQuick ? [16, 128] : [16, 128, 333];
+const answerCosts = await runDataPath(answerTokens);
+for (const [index, cost] of answerCosts.entries()) {
+	add({
+		series: 'answer', x: answerTokens[index]!, plan: {tokens: answerTokens[index]!}, values: cost,
+	});
+}
+
+add({
+	series: 'event', x: 1, plan: {}, values: {bytes: eventBytes()},
+});
 await peerSeries('daemons', isQuick ? [4, 48] : [4, 16, 48, 96], daemons => ({daemons}));
 await peerSeries('changes', isQuick ? [0, 2] : [0, 0.1, 1, 3, 10], changesPerSecond => ({changesPerSecond}));
 await peerSeries('owned', isQuick ? [4, 16] : [1, 8, 16, 32], serversPerDaemon => ({serversPerDaemon}));
--- a/src/bench/slopes/poll-run.ts
+++ b/src/bench/slopes/poll-run.ts
@@ -5,6 +5,8 @@
 import {type StandInKind, startStandIn} from '../../stand-in/stand-in-server.js';
 import {exchangeJson} from '../../adapters/http-client.js';
 import {type ListedInstance} from '../../shared/types.js';
+import {createTableServiceStandIn} from '../../stand-in/table-service-stand-in.js';
+import {type PollPath} from './worker-messages.js';
 import {WorkerProcess} from './worker-process.js';
 
 const listTimeoutMilliseconds = 10_000;
@@ -20,6 +22,11 @@
 	return countPolls(engine, 'load', polls, async () => undefined);
 }
 
+/** Polls the table for changes when there are none. */
+export async function runTablePolls(polls: number): Promise<PollCost> {
+	return countPolls(createTableServiceStandIn(), 'table', polls, async () => undefined);
+}
+
 /** Polls the platform's list with so many instances. */
 export async function runListPolls(count: number, polls: number): Promise<PollCost> {
 	const instances: ListedInstance[] = Array.from({length: count}, (_, index) => ({
@@ -30,7 +37,7 @@
 	}));
 }
 
-async function countPolls(kind: StandInKind, path: 'load' | 'list', polls: number, prepare: (address: string) => Promise<unknown>): Promise<PollCost> {
+async function countPolls(kind: StandInKind, path: PollPath, polls: number, prepare: (address: string) => Promise<unknown>): Promise<PollCost> {
 	const standIn = await startStandIn(kind, {host: '127.0.0.1', port: 0});
 	const worker = new WorkerProcess();
 	try {
--- a/src/bench/slopes/worker-messages.ts
+++ b/src/bench/slopes/worker-messages.ts
@@ -10,7 +10,10 @@
 		| {kind: 'measure'}
 		| {kind: 'kill'; names: string[]}
 		| {kind: 'state'; size: StateSize}
-		| {kind: 'poll'; address: string; polls: number; path: 'load' | 'list'};
+		| {kind: 'poll'; address: string; polls: number; path: PollPath};
+
+/** What is polled. */
+export type PollPath = 'load' | 'list' | 'table';
 
 /** One measurement of memory and processor time for state of a given size. */
 export type StateSize = {of: 'servers' | 'prompts' | 'workspaces'; count: number};
--- a/src/bench/slopes/worker.ts
+++ b/src/bench/slopes/worker.ts
@@ -1,6 +1,8 @@
 /** One worker process of the slopes bench: several daemons, or one measurement of state or of polls. */
 import process from 'node:process';
 import {HttpInstanceList} from '../../adapters/http-instance-list.js';
+import {HttpTableService} from '../../adapters/http-table-service.js';
+import {readChangesAfter} from '../../protocol/configuration/configuration-table.js';
 import {HttpModelEngine} from '../../adapters/http-model-engine.js';
 import {BenchDaemon} from './bench-daemon.js';
 import {heldBytes} from './held-bytes.js';
@@ -107,7 +109,11 @@
 async function poll({address, polls, path}: Extract<WorkerOrder, {kind: 'poll'}>): Promise<number> {
 	const engine = new HttpModelEngine();
 	const list = new HttpInstanceList(address);
-	const once = async (): Promise<unknown> => path === 'load' ? engine.loadReport(address) : list.read();
+	const table = new HttpTableService(address);
+	const polled = {
+		load: async () => engine.loadReport(address), list: async () => list.read(), table: async () => readChangesAfter(table, 0),
+	};
+	const once = async (): Promise<unknown> => polled[path]();
 	await once();
 	const before = process.cpuUsage();
 	for (let count = 0; count < polls; count++) {
--- a/src/bench/virtual-peers.ts
+++ b/src/bench/virtual-peers.ts
@@ -4,7 +4,7 @@
  */
 import {type LearnedLoad} from '../peer/knowledge/load-knowledge.js';
 import {stateOfSnapshot} from '../peer/configuration/configuration-snapshot.js';
-import {type ConfigurationKeeper, type FanoutMode} from '../peer/configuration/configuration-fanout.js';
+import {askBackoffMilliseconds, type ConfigurationKeeper, type FanoutMode} from '../peer/configuration/configuration-fanout.js';
 import {encodeMessage} from '../peer/message/message-codec.js';
 import {type MemberRumour, type PeerMessage} from '../peer/message/peer-message.js';
 import {type Outgoing, PeerNode} from '../peer/node/peer-node.js';
@@ -68,13 +68,16 @@
 	latencyMilliseconds = 1;
 	readonly #random: () => number;
 	readonly #mode: FanoutMode;
+	readonly #backoffMilliseconds: number;
 	#inFlight: InFlight[] = [];
 
 	/**
 	 * @param seed - Of all randomness.
 	 * @param mode - How configuration spreads.
+	 * @param backoffMilliseconds - The longest random wait before an ask.
 	 */
-	constructor(seed: number, mode: FanoutMode = 'announce') {
+	constructor(seed: number, mode: FanoutMode = 'announce', backoffMilliseconds = askBackoffMilliseconds) {
+		this.#backoffMilliseconds = backoffMilliseconds;
 		this.#random = seededRandom(seed);
 		this.#mode = mode;
 	}
@@ -120,6 +123,7 @@
 			},
 			random: seededRandom(Math.floor(this.#random() * 1e9)),
 			fanoutMode: this.#mode,
+			askBackoffMilliseconds: this.#backoffMilliseconds,
 		}, this.now);
 		const peer: VirtualPeer = {
 			listed, node, keeper, state: 'running', cut: '', links: new Set(), learned, events, bytesOut: 0, bytesIn: 0, messagesOut: 0, nextTickAt: this.now,
--- /dev/null
+++ b/src/bench/weigh/fanout.ts
@@ -0,0 +1,79 @@
+/**
+ * `npm run bench:weigh -- fanout`: ways to spread configuration among the 95 instances of a data centre, in virtual
+ * time: push to all neighbours, and announce and ask with and without the random wait, with and without lost messages.
+ */
+import {type FanoutMode} from '../../peer/configuration/configuration-fanout.js';
+import {changeOf} from '../bench-changes.js';
+import {VirtualPeers} from '../virtual-peers.js';
+
+const daemons = 95;
+const changes = 20;
+const betweenChangesMilliseconds = 3000;
+const settleMilliseconds = 12_000;
+const limitMilliseconds = 20_000;
+
+/** One way to spread changes. */
+export type FanoutWay = {mode: FanoutMode; backoffMilliseconds: number; loss: number; latencyMilliseconds: number};
+
+/** What it cost each daemon for each change, and how long a change took. */
+export type FanoutCost = {
+	bytesPerChange: number;
+	messagesPerChange: number;
+	asksPerChange: number;
+	duplicatesPerChange: number;
+	middleMilliseconds: number;
+	slowestMilliseconds: number;
+};
+
+/**
+ * Plays one way.
+ *
+ * @param way - How changes spread.
+ * @param seed - Of all randomness.
+ * @returns Its cost, the heartbeats that go on anyway taken off.
+ */
+export function playFanout(way: FanoutWay, seed: number): FanoutCost {
+	const idle = play(way, seed, 0);
+	const busy = play(way, seed, changes);
+	const perChange = (value: number): number => value / daemons / changes;
+	const times = busy.times.toSorted((left, right) => left - right);
+	return {
+		bytesPerChange: perChange(busy.bytes - idle.bytes),
+		messagesPerChange: perChange(busy.messages - idle.messages),
+		asksPerChange: perChange(busy.asks),
+		duplicatesPerChange: perChange(busy.duplicates),
+		middleMilliseconds: times[Math.floor(times.length / 2)]!,
+		slowestMilliseconds: times.at(-1)!,
+	};
+}
+
+function play(way: FanoutWay, seed: number, count: number): {bytes: number; messages: number; asks: number; duplicates: number; times: number[]} {
+	const network = new VirtualPeers(seed, way.mode, way.backoffMilliseconds);
+	network.latencyMilliseconds = way.latencyMilliseconds;
+	const peers = network.startAll(Array.from({length: daemons}, (_, index) => ({name: `entry-${index}`, dataCentre: 'split'})));
+	network.run(settleMilliseconds);
+	network.loss = way.loss;
+	const sum = (value: (peer: typeof peers[number]) => number): number => peers.reduce((total, peer) => total + value(peer), 0);
+	const before = {bytes: sum(({bytesOut}) => bytesOut), messages: sum(({messagesOut}) => messagesOut)};
+	const times: number[] = [];
+	for (let version = 1; version <= changes; version++) {
+		const startedAt = network.now;
+		if (version <= count) {
+			const reader = peers[version % 2]!;
+			const change = changeOf(reader.keeper.state, version);
+			reader.keeper.offerChange(change);
+			network.carry(reader, reader.node.changeInForce(change));
+			times.push(network.runUntil(() => peers.every(({keeper}) => keeper.state.version === version), limitMilliseconds) ?? limitMilliseconds);
+		}
+
+		network.run(Math.max(0, startedAt + betweenChangesMilliseconds - network.now));
+	}
+
+	return {
+		bytes: sum(({bytesOut}) => bytesOut) - before.bytes,
+		messages: sum(({messagesOut}) => messagesOut) - before.messages,
+		asks: sum(({node}) => node.fanout.counts.asks),
+		duplicates: sum(({node}) => node.fanout.counts.duplicates),
+		times,
+	};
+}
--- /dev/null
+++ b/src/bench/weigh/knowledge.ts
@@ -0,0 +1,162 @@
+/**
+ * `npm run bench:weigh -- knowledge`: ways to know the endpoints' load, in virtual time: a data centre of daemons in
+ * front of endpoints that batch up to a limit and then queue. Reported is what a way costs callers in waiting, against
+ * perfect knowledge, and what it costs a daemon in bytes.
+ */
+import {encodeMessage} from '../../peer/message/message-codec.js';
+import {packedUpdateBytes} from '../../peer/message/packed-updates.js';
+import {seededRandom} from '../../peer/random/seeded-random.js';
+
+/**
+ * A way to know and choose: perfect knowledge; all told to all; only the own cell; owners of two endpoints asked for
+ * each request; none. `all` and `cell` take the least loaded; `all-two` and `cell-two` the better of two at random.
+ */
+export type KnowledgeWay = 'perfect' | 'all' | 'all-two' | 'cell' | 'cell-two' | 'ask-two' | 'none';
+
+const daemons = 48;
+const endpointsPerDaemon = 16;
+const slots = 16;
+const cellDaemons = 8;
+const busyShare = 0.85;
+const serviceMilliseconds = 4000;
+const longShare = 0.05;
+const longFactor = 8;
+const warmUpMilliseconds = 30_000;
+const lengthMilliseconds = 60_000;
+const stepMilliseconds = 10;
+const tellMilliseconds: Record<KnowledgeWay, number> = {
+	perfect: 0, all: 1000, 'all-two': 1000, cell: 1600, 'cell-two': 1600, 'ask-two': 1000, none: 0,
+};
+
+/** What a way cost. */
+export type KnowledgeCost = {
+	meanWaitMilliseconds: number;
+	lateWaitMilliseconds: number;
+	/** Share of requests that waited for a slot at all. */
+	waitedShare: number;
+};
+
+type Endpoint = {ends: number[]; queue: Array<{arrivedAt: number; length: number}>};
+
+/**
+ * Plays one way.
+ *
+ * @param way - How load is known.
+ * @param seed - Of all randomness.
+ * @returns Mean wait, the wait that 95 in 100 stay under, and the share that waited.
+ */
+export function playKnowledge(way: KnowledgeWay, seed: number): KnowledgeCost {
+	const random = seededRandom(seed);
+	const endpoints: Endpoint[] = Array.from({length: daemons * endpointsPerDaemon}, () => ({ends: [], queue: []}));
+	const reported = endpoints.map(() => 0);
+	const sent = Array.from({length: daemons}, () => new Map<number, number>());
+	const meanService = serviceMilliseconds * (1 + (longShare * (longFactor - 1)));
+	const perStep = endpoints.length * slots * busyShare * stepMilliseconds / meanService;
+	const waits: number[] = [];
+	let toCome = 0;
+	for (let now = 0; now < warmUpMilliseconds + lengthMilliseconds; now += stepMilliseconds) {
+		for (const [index, endpoint] of endpoints.entries()) {
+			serve(endpoint, now, now > warmUpMilliseconds ? waits : []);
+			if (tellMilliseconds[way] > 0 && (now + (index * 37 * stepMilliseconds)) % tellMilliseconds[way] === 0) {
+				reported[index] = loadOf(endpoint);
+				for (const own of sent) {
+					own.delete(index);
+				}
+			}
+		}
+
+		for (toCome += perStep; toCome >= 1; toCome--) {
+			const daemon = Math.floor(random() * daemons);
+			const chosen = choose(way, {
+				daemon, endpoints, reported, sent: sent[daemon]!, random,
+			});
+			sent[daemon]!.set(chosen, (sent[daemon]!.get(chosen) ?? 0) + 1);
+			const length = -Math.log(1 - random()) * serviceMilliseconds * (random() < longShare ? longFactor : 1);
+			endpoints[chosen]!.queue.push({arrivedAt: now, length});
+		}
+	}
+
+	waits.sort((left, right) => left - right);
+	return {
+		meanWaitMilliseconds: waits.reduce((sum, wait) => sum + wait, 0) / waits.length,
+		lateWaitMilliseconds: waits[Math.floor(waits.length * 0.95)]!,
+		waitedShare: waits.filter(wait => wait > 2 * stepMilliseconds).length / waits.length,
+	};
+}
+
+/** Bytes a second, one way, that a daemon of the target's data centre sends for a way of knowing. */
+export function bytesOf(way: KnowledgeWay): number {
+	const ask = encodeMessage({kind: 'ask-changes', after: 1}).length;
+	const told = encodeMessage({
+		kind: 'loads', loads: [], updates: [], age: 1000,
+	}).length;
+	const requestsPerSecond = 16;
+	switch (way) {
+		case 'all':
+		case 'all-two': {
+			return ((endpointsPerDaemon * packedUpdateBytes) + told) * 94 * 1000 / tellMilliseconds.all;
+		}
+
+		case 'cell':
+		case 'cell-two': {
+			return ((endpointsPerDaemon * packedUpdateBytes) + told) * (cellDaemons - 1) * 1000 / tellMilliseconds.cell;
+		}
+
+		case 'ask-two': {
+			return requestsPerSecond * 2 * (ask + told + packedUpdateBytes);
+		}
+
+		case 'perfect':
+		case 'none': {
+			return 0;
+		}
+	}
+}
+
+type Choice = {daemon: number; endpoints: readonly Endpoint[]; reported: readonly number[]; sent: ReadonlyMap<number, number>; random: () => number};
+
+function choose(way: KnowledgeWay, choice: Choice): number {
+	const {daemon, endpoints, reported, sent, random} = choice;
+	const believed = (index: number): number => way === 'perfect' ? loadOf(endpoints[index]!) : reported[index]! + (sent.get(index) ?? 0);
+	const isCell = way === 'cell' || way === 'cell-two';
+	const cellEndpoints = cellDaemons * endpointsPerDaemon;
+	const first = isCell ? Math.floor(daemon / cellDaemons) * cellEndpoints : 0;
+	const count = isCell ? cellEndpoints : endpoints.length;
+	const any = (): number => first + Math.floor(random() * count);
+	if (way === 'none') {
+		return any();
+	}
+
+	if (way === 'ask-two' || way === 'all-two' || way === 'cell-two') {
+		const [left, right] = [any(), any()];
+		return believed(left) <= believed(right) ? left : right;
+	}
+
+	return leastFrom(first, count, Math.floor(random() * count), believed);
+}
+
+/** The least loaded, looked for from a random place on, so that equals are shared out. */
+function leastFrom(first: number, count: number, offset: number, believed: (index: number) => number): number {
+	let best = first + offset;
+	for (let step = 1; step < count; step++) {
+		const index = first + ((offset + step) % count);
+		if (believed(index) < believed(best)) {
+			best = index;
+		}
+	}
+
+	return best;
+}
+
+function loadOf(endpoint: Endpoint): number {
+	return endpoint.ends.length + endpoint.queue.length;
+}
+
+function serve(endpoint: Endpoint, now: number, waits: number[]): void {
+	endpoint.ends = endpoint.ends.filter(end => end > now);
+	while (endpoint.ends.length < slots && endpoint.queue.length > 0) {
+		const {arrivedAt, length} = endpoint.queue.shift()!;
+		waits.push(now - arrivedAt);
+		endpoint.ends.push(now + length);
+	}
+}
--- a/src/peer/configuration/configuration-fanout.ts
+++ b/src/peer/configuration/configuration-fanout.ts
@@ -44,6 +44,7 @@
 	dueAt = Number.POSITIVE_INFINITY;
 	readonly #keeper: ConfigurationKeeper;
 	readonly #random: () => number;
+	readonly #backoffMilliseconds: number;
 	readonly #announced = new Map<string, number>();
 	readonly #distrustedUntil = new Map<string, number>();
 	#kept: ConfigurationChange[] = [];
@@ -51,10 +52,12 @@
 	/**
 	 * @param keeper - The configuration in force.
 	 * @param random - Gives numbers from 0 up to 1, from a seeded generator.
+	 * @param backoffMilliseconds - The longest random wait before an ask.
 	 */
-	constructor(keeper: ConfigurationKeeper, random: () => number) {
+	constructor(keeper: ConfigurationKeeper, random: () => number, backoffMilliseconds = askBackoffMilliseconds) {
 		this.#keeper = keeper;
 		this.#random = random;
+		this.#backoffMilliseconds = backoffMilliseconds;
 	}
 
 	/** Keeps a change that came into force here, from wherever, for peers that ask. */
@@ -76,7 +79,7 @@
 	takeAnnouncement(peer: string, version: number, now: number): void {
 		this.#announced.set(peer, Math.max(version, this.announcedBy(peer)));
 		if (version > this.#keeper.state.version) {
-			this.dueAt = Math.min(this.dueAt, now + (this.#random() * askBackoffMilliseconds));
+			this.dueAt = Math.min(this.dueAt, now + (this.#random() * this.#backoffMilliseconds));
 		}
 	}
 
@@ -105,7 +108,7 @@
 			this.takeAnnouncement(peer, last.version, now);
 		}
 
-		this.dueAt = this.#isBehind() ? now + (this.#random() * askBackoffMilliseconds) : Number.POSITIVE_INFINITY;
+		this.dueAt = this.#isBehind() ? now + (this.#random() * this.#backoffMilliseconds) : Number.POSITIVE_INFINITY;
 		return applied;
 	}
 
--- a/src/peer/node/peer-node.ts
+++ b/src/peer/node/peer-node.ts
@@ -40,6 +40,8 @@
 	keeper: ConfigurationKeeper;
 	listener: PeerListener;
 	fanoutMode: FanoutMode;
+	/** The longest random wait before an ask; the usual one unless given. */
+	askBackoffMilliseconds?: number;
 	/** Gives numbers from 0 up to 1, from a seeded generator. */
 	random(): number;
 };
@@ -64,7 +66,7 @@
 	constructor(options: PeerNodeOptions, now: number) {
 		this.#options = options;
 		this.membership = new Membership(options.self, now);
-		this.fanout = new ConfigurationFanout(options.keeper, options.random);
+		this.fanout = new ConfigurationFanout(options.keeper, options.random, options.askBackoffMilliseconds);
 		this.knowledge = new LoadKnowledge(options.self.name);
 		// Instances that were started together would otherwise send in step for ever.
 		this.#nextHeartbeatAt = now + (options.random() * heartbeatMilliseconds);
