--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -9,6 +9,7 @@
 import {type EntryContext} from '../entry-context.js';
 import {type AdmissionGate} from './admission-gate.js';
 import {authenticate} from './authenticate.js';
+import {CallsRoute} from './calls-route.js';
 import {CompletionWriter, type CompletionUsage} from './completion-writer.js';
 import {
 	type CompletionRequest, type CompletionShape, parseCompletionRequest,
@@ -52,6 +53,7 @@
 		this.app.head('/v1/models', listModels);
 		this.app.post('/v1/chat/completions', nodeRoute(async exchange => this.#complete('chat', exchange)));
 		this.app.post('/v1/completions', nodeRoute(async exchange => this.#complete('text', exchange)));
+		this.app.get('/v1/calls/**', nodeRoute(async exchange => this.#askCall(exchange)));
 		this.app.all('/services/:service/**', nodeRoute(async exchange => this.#callService(exchange)));
 		this.app.all('/**', nodeRoute(async exchange => {
 			answerUnrouted(exchange);
@@ -194,6 +196,16 @@
 		};
 	}
 
+	async #askCall(exchange: NodeExchange): Promise<void> {
+		const workspace = this.#workspaceOf(exchange.request);
+		await workspace.caseOf({
+			async Left(refusal) {
+				sendRefusal(exchange.response, refusal);
+			},
+			Right: async found => new CallsRoute(this.#context).ask(found, exchange),
+		});
+	}
+
 	async #callService(exchange: NodeExchange): Promise<void> {
 		const {response} = exchange;
 		const workspace = this.#enter(exchange);
