Keep golden files of fourteen whole sessions

Cause: what callers and operators send and get was nowhere to be read as a whole, and a change of a byte went unseen. Change: an entry over ports in memory, under a clock that stands still and with counted request ids, plays twelve sessions of callers and two of operators; golden/ holds every byte except the Date header. npm run golden writes them anew; a test compares. A refusal now names its length instead of coming in chunks. Written down on the way: a claim is still refused for a second after the table came back, which the retry time says.

--- a/src/entry/callers/send-refusal.ts
+++ b/src/entry/callers/send-refusal.ts
@@ -1,4 +1,5 @@
 /** Writes refusals: the error body of the published completions protocol, with our reason and the word on the work. */
+import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {type Refusal, type RefusalReason} from '../../shared/types.js';
 
@@ -74,11 +75,13 @@
 	// A caller who waits for "100 Continue" may leave its body out now; the next request on this connection would then
 	// be taken for that body. Closing the connection rules that out.
 	const isBodyOutstanding = response.req.headers.expect !== undefined && !response.req.complete;
+	const body = JSON.stringify(refusalBody(refusal));
 	response.writeHead(further.status ?? statusOfReason[refusal.reason], {
 		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(body),
 		...further.headers,
 		...(isBodyOutstanding ? {connection: 'close'} : {}),
 		...(retryAfterMilliseconds === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMilliseconds / 1000))}),
 	});
-	response.end(JSON.stringify(refusalBody(refusal)));
+	response.end(body);
 }
--- /dev/null
+++ b/src/test/golden/golden.test.ts
@@ -0,0 +1,16 @@
+/** Whole sessions of callers and operators say today what their golden files say. */
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import {test} from 'node:test';
+import {goldenSessions, playSession} from './play-session.js';
+
+for (const name of goldenSessions.keys()) {
+	test(`golden session ${name}`, async () => {
+		assert.equal(await playSession(name), readFileSync(`golden/${name}.txt`, 'utf8'), 'read the difference; if it is meant, run npm run golden');
+	});
+}
+
+test('every golden file belongs to a session', () => {
+	const files = readdirSync('golden').map(file => file.replace(/\.txt$/v, ''));
+	assert.deepEqual(files.toSorted(), [...goldenSessions.keys()].toSorted());
+});
--- a/src/test/memory-model-engine.ts
+++ b/src/test/memory-model-engine.ts
@@ -24,6 +24,7 @@
 	readonly weightVersions = new Map<string, string>();
 	readonly calls: Array<{address: string; call: EngineCall}> = [];
 	cancelled = 0;
+	#isBroken = false;
 	readonly #faults = new Map<string, EngineFault[]>();
 	readonly #seenPrompts = new Set<string>();
 	readonly #halted: Array<() => void> = [];
@@ -51,6 +52,12 @@
 		}
 	}
 
+	/** Cuts paused calls off. */
+	breakHalted(): void {
+		this.#isBroken = true;
+		this.resume();
+	}
+
 	async * complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
 		this.calls.push({address, call});
 		const fault = this.#faults.get(address)?.shift();
@@ -102,6 +109,12 @@
 				await this.#meet(fault.kind, signal);
 			}
 
+			if (this.#isBroken && fault !== undefined) {
+				this.#isBroken = false;
+				yield Left({kind: 'broken', detail: 'the connection was cut'});
+				return;
+			}
+
 			if (signal.aborted || (fault?.kind === 'cut' && index >= fault.afterTokens)) {
 				this.cancelled += signal.aborted ? 1 : 0;
 				yield Left({kind: 'broken', detail: 'the connection was cut'});
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -10,12 +10,14 @@
 import {type EntryContext} from '../entry/entry-context.js';
 import {defaultListenerBounds, HttpListener} from '../entry/http-listener.js';
 import {createOperatorRoutes} from '../entry/operators/operator-routes.js';
+import {type EntryPeers} from '../entry/peers/entry-peers.js';
 import {BoundedQueueAdmission} from '../decision/admission/bounded-queue-admission.js';
 import {LeastLoadedPolicy} from '../decision/routing/least-loaded-policy.js';
 import {createLogger} from '../observability/logger.js';
 import {StatsdMetrics} from '../observability/metrics.js';
 import {type TimelineEntry} from '../observability/timeline-event.js';
 import {changeDigest} from '../protocol/configuration/change-digest.js';
+import {acceptProposal} from '../protocol/configuration/configuration-table.js';
 import {digestOf} from '../shared/digest-of.js';
 import {type ConfigurationEdit, type ListedInstance} from '../shared/types.js';
 import {ManualClock} from './manual-clock.js';
@@ -27,6 +29,9 @@
 export const testOperatorKey = 'operator-key-in-tests';
 const startOfTime = Date.UTC(2026, 5, 1, 8);
 
+/** A test entry stands alone; nothing that these tests ask for needs a peer. */
+const noPeers = {overview: () => ({})} as unknown as EntryPeers;
+
 /** The engines that every test entry knows. */
 export const testEngines: readonly ListedInstance[] = ['riva-engine-1', 'riva-engine-2'].map(name => ({
 	name, role: 'model-engine', dataCentre: 'riva', service: 'permits', address: name, peerAddress: '', state: 'live',
@@ -107,27 +112,35 @@
 			draining: false,
 		};
 		this.callers = new HttpListener('callers', this.#routes().app, '127.0.0.1:0', bounds);
-		this.operators = new HttpListener('operators', createOperatorRoutes(this.context), '127.0.0.1:0', bounds);
+		this.operators = new HttpListener('operators', createOperatorRoutes(this.context, noPeers), '127.0.0.1:0', bounds);
 	}
 
 	/** Starts to listen, with a configuration in force and both engines live. */
 	async start(): Promise<void> {
 		this.know();
-		this.callersAddress = await this.callers.listen();
-		this.operatorsAddress = await this.operators.listen();
+		await this.#listen();
 	}
 
 	/** Brings the configuration into force and makes both engines live, without listening. */
 	know(): void {
 		this.configure(edits);
-		this.context.endpoints.takeList([...testEngines, testPlain]);
-		this.reportEngines();
+		this.#knowEndpoints();
 	}
 
 	async stop(): Promise<void> {
 		await Promise.all([this.callers.drain(), this.operators.drain()]);
 	}
 
+	/** Has the first configuration accepted at the table too, as an operator would, and starts to listen. */
+	async startWithTable(): Promise<void> {
+		const accepted = await acceptProposal(this.table, {
+			plannedAgainst: 0, author: 'vesna', reason: 'the first declaration', edits,
+		}, this.clock.now());
+		this.context.configuration.offer(accepted.unsafeCoerce());
+		this.#knowEndpoints();
+		await this.#listen();
+	}
+
 	/** Brings edits into force as the next version. */
 	configure(changes: ConfigurationEdit[]): void {
 		const {version, digest} = this.context.configuration.state;
@@ -162,6 +175,16 @@
 		}, this.clock.now());
 	}
 
+	#knowEndpoints(): void {
+		this.context.endpoints.takeList([...testEngines, testPlain]);
+		this.reportEngines();
+	}
+
+	async #listen(): Promise<void> {
+		this.callersAddress = await this.callers.listen();
+		this.operatorsAddress = await this.operators.listen();
+	}
+
 	#routes(): CallerRoutes {
 		return new CallerRoutes(this.context, {
 			gate: new AdmissionGate(new BoundedQueueAdmission(), this.clock),
