--- a/src/declaration/check-declaration.ts
+++ b/src/declaration/check-declaration.ts
@@ -8,6 +8,7 @@
 } from 'yaml';
 import {type Finding} from '../shared/types.js';
 import {type Declaration, declarationSchema} from './declaration-schema.js';
+import {findBrokenReferences} from './find-broken-references.js';
 
 /** One file as read. */
 export type DeclarationFile = {
@@ -15,6 +16,8 @@
 	text: string;
 };
 
+const mostAliases = 100;
+
 type Path = ReadonlyArray<string | number>;
 type PlacedDeclaration = {declaration: Declaration; placeOf(path: Path): Finding['place']};
 
@@ -40,7 +43,7 @@
 
 	findings.push(...findRepeatedNames(placed));
 	if (findings.length === 0) {
-		findings.push(...findUnknownNames(placed));
+		findings.push(...findAcrossFiles(placed));
 	}
 
 	return findings.length > 0 ? Left(findings) : Right(joinDeclarations(placed));
@@ -56,12 +59,18 @@
 		};
 	};
 
-	if (document.errors.length > 0) {
-		return Left(document.errors.map(error => ({place: placeAt(error.pos[0]), message: error.message})));
+	const problems = [...document.errors, ...document.warnings];
+	if (problems.length > 0) {
+		return Left(problems.map(error => ({place: placeAt(error.pos[0]), message: error.message})));
 	}
 
 	const placeOf = (path: Path): Finding['place'] => placeAt(offsetOf(document, path));
-	const parsed = declarationSchema.safeParse(document.toJS({maxAliasCount: 100}) ?? {});
+	const content = contentOf(document);
+	if (content.isLeft()) {
+		return Left([{place: placeAt(0), message: content.extract()}]);
+	}
+
+	const parsed = declarationSchema.safeParse(content.extract() ?? {});
 	if (parsed.success) {
 		return Right({declaration: parsed.data, placeOf});
 	}
@@ -74,6 +83,15 @@
 	}));
 }
 
+/** Resolves aliases. A file whose aliases multiply past all bounds is refused before it fills the memory. */
+function contentOf(document: Document): Either<string, unknown> {
+	try {
+		return Right(document.toJS({maxAliasCount: mostAliases}) as unknown);
+	} catch (error) {
+		return Left((error as Error).message);
+	}
+}
+
 /** Finds where a value starts; for one that is missing, where the thing it is missing from starts. */
 function offsetOf(document: Document, path: Path): number {
 	for (let {length} = path; length >= 0; length--) {
@@ -87,6 +105,7 @@
 }
 
 const listNames = ['workspaces', 'services', 'rules', 'limits'] as const;
+type ListName = (typeof listNames)[number];
 
 function findRepeatedNames(placed: readonly PlacedDeclaration[]): Finding[] {
 	const findings: Finding[] = [];
@@ -107,31 +126,26 @@
 	return findings;
 }
 
-function findUnknownNames(placed: readonly PlacedDeclaration[]): Finding[] {
-	const services = new Set(placed.flatMap(({declaration}) => declaration.services.map(service => service.name)));
-	const workspaces = new Set(placed.flatMap(({declaration}) => declaration.workspaces.map(workspace => workspace.name)));
-	const findings: Finding[] = [];
+/** Finds what no single file can show: names that no file declares, and what two files claim. */
+function findAcrossFiles(placed: readonly PlacedDeclaration[]): Finding[] {
+	return findBrokenReferences(joinDeclarations(placed)).map(({path: [list, position, ...rest], message}) => {
+		const {placeOf, index} = placeInFiles(placed, list as ListName, Number(position));
+		return {place: placeOf([list!, index, ...rest]), message};
+	});
+}
+
+/** Finds the file that an item of the joined declaration came from. */
+function placeInFiles(placed: readonly PlacedDeclaration[], list: ListName, position: number): {placeOf: PlacedDeclaration['placeOf']; index: number} {
+	let index = position;
 	for (const {declaration, placeOf} of placed) {
-		for (const [index, workspace] of declaration.workspaces.entries()) {
-			for (const [position, service] of workspace.services.entries()) {
-				if (!services.has(service)) {
-					findings.push({place: placeOf(['workspaces', index, 'services', position]), message: `no service "${service}" is declared`});
-				}
-			}
+		if (index < declaration[list].length) {
+			return {placeOf, index};
 		}
 
-		for (const [index, rule] of declaration.rules.entries()) {
-			if (rule.service !== undefined && !services.has(rule.service)) {
-				findings.push({place: placeOf(['rules', index, 'service']), message: `no service "${rule.service}" is declared`});
-			}
-
-			if (rule.workspace !== undefined && !workspaces.has(rule.workspace)) {
-				findings.push({place: placeOf(['rules', index, 'workspace']), message: `no workspace "${rule.workspace}" is declared`});
-			}
-		}
+		index -= declaration[list].length;
 	}
 
-	return findings;
+	throw new RangeError(`${list} has no item ${position}`);
 }
 
 function joinDeclarations(placed: readonly PlacedDeclaration[]): Declaration {
--- /dev/null
+++ b/src/declaration/check-proposal.ts
@@ -0,0 +1,91 @@
+/**
+ * Checks a proposed configuration change as it arrives over HTTP. The command line has checked it before, but another
+ * client may not have: an item with a missing member would come into force on every instance at once.
+ */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {z} from 'zod';
+import {applyEdits} from '../protocol/configuration/apply-change.js';
+import {type ConfigurationState} from '../protocol/configuration/configuration-state.js';
+import {type ConfigurationProposal} from '../protocol/configuration/configuration-table.js';
+import {type ConfigurationEdit} from '../shared/types.js';
+import {
+	type Declaration, drainSchema, limitSchema, ruleSchema, serviceSchema, workspaceSchema,
+} from './declaration-schema.js';
+import {findBrokenReferences} from './find-broken-references.js';
+
+const mostEdits = 10_000;
+const longestTextCharacters = 1000;
+
+/** What is wrong with a proposal, and where in it, for example `edits.0.item.share`. */
+export type ProposalFinding = {
+	path: string;
+	message: string;
+};
+
+const setEdit = z.discriminatedUnion('kind', [
+	z.strictObject({action: z.literal('set'), kind: z.literal('workspace'), item: workspaceSchema}),
+	z.strictObject({action: z.literal('set'), kind: z.literal('service'), item: serviceSchema}),
+	z.strictObject({action: z.literal('set'), kind: z.literal('rule'), item: ruleSchema}),
+	z.strictObject({action: z.literal('set'), kind: z.literal('limit'), item: limitSchema}),
+	z.strictObject({action: z.literal('set'), kind: z.literal('drain'), item: drainSchema}),
+]);
+const removeEdit = z.strictObject({
+	action: z.literal('remove'),
+	kind: z.enum(['workspace', 'service', 'rule', 'limit', 'drain']),
+	name: z.string().min(1),
+});
+const text = z.string().trim().min(1).max(longestTextCharacters);
+const proposalSchema = z.strictObject({
+	plannedAgainst: z.number().int().nonnegative(),
+	edits: z.array(z.union([setEdit, removeEdit])).min(1).max(mostEdits),
+	author: text,
+	reason: text,
+});
+
+/**
+ * Checks the form of a proposal.
+ *
+ * @param value - The body as parsed.
+ * @returns The proposal with the defaults filled in, or all findings.
+ */
+export function checkProposal(value: unknown): Either<ProposalFinding[], ConfigurationProposal> {
+	const parsed = proposalSchema.safeParse(value);
+	return parsed.success
+		? Right(parsed.data as ConfigurationProposal)
+		: Left(parsed.error.issues.flatMap(issue => findingsOf(issue)));
+}
+
+/**
+ * Checks what a proposal would bring about: every name that it leaves in use must be declared.
+ *
+ * @param state - The configuration that the proposal was planned against.
+ * @param edits - Its edits.
+ * @returns All findings; none if the result is sound.
+ */
+export function checkOutcome(state: ConfigurationState, edits: readonly ConfigurationEdit[]): ProposalFinding[] {
+	const {workspaces, services, rules} = applyEdits(state, edits);
+	const declaration: Pick<Declaration, 'workspaces' | 'services' | 'rules'> = {
+		workspaces: [...workspaces.values()], services: [...services.values()], rules: [...rules.values()] as Declaration['rules'],
+	};
+	const lists: Record<string, Array<{name: string}>> = declaration;
+	return findBrokenReferences(declaration).map(({path: [list, index, ...rest], message}) => ({
+		path: [String(list), lists[String(list)]![Number(index)]!.name, ...rest].join('.'), message,
+	}));
+}
+
+function findingsOf(issue: z.core.$ZodIssue, before: readonly PropertyKey[] = []): ProposalFinding[] {
+	const path = [...before, ...issue.path];
+	if (issue.code === 'invalid_union') {
+		const [best] = issue.errors.toSorted((left, right) => depthOf(right) - depthOf(left) || left.length - right.length);
+		if (best !== undefined && best.length > 0) {
+			return best.flatMap(inner => findingsOf(inner, path));
+		}
+	}
+
+	return [{path: path.map(String).join('.') || 'the proposal', message: issue.message}];
+}
+
+/** How deep the first finding of a branch stands: the branch that matched the furthest is the one that was meant. */
+function depthOf(issues: readonly z.core.$ZodIssue[]): number {
+	return issues[0]?.path.length ?? 0;
+}
--- a/src/declaration/declaration-schema.ts
+++ b/src/declaration/declaration-schema.ts
@@ -2,6 +2,8 @@
 import {z} from 'zod';
 
 const longestNameCharacters = 63;
+const longestListedNameCharacters = 253;
+const longestTextCharacters = 1000;
 const largestShare = 1000;
 const longestDeadlineMilliseconds = 86_400_000;
 
@@ -9,7 +11,8 @@
 const priority = z.enum(['urgent', 'normal', 'overnight']);
 const keyDigest = z.string().regex(/^[0-9a-f]{64}$/v, 'must be a SHA-256 digest in hexadecimal; give the digest, never the key');
 
-const workspace = z.strictObject({
+/** A workspace. */
+export const workspaceSchema = z.strictObject({
 	name,
 	keyDigests: z.array(keyDigest).min(1),
 	priority: priority.default('normal'),
@@ -28,14 +31,16 @@
 	paused: z.boolean().default(false),
 };
 
-const service = z.discriminatedUnion('kind', [
+/** A service: a model, or a plain service. */
+export const serviceSchema = z.discriminatedUnion('kind', [
 	z.strictObject({
 		...common, kind: z.literal('model'), model: z.string().min(1), weightVersion: z.string().min(1),
 	}),
 	z.strictObject({...common, kind: z.literal('plain'), neverTwice: z.array(neverTwiceRule).default([])}),
 ]);
 
-const rule = z.strictObject({
+/** A routing rule. */
+export const ruleSchema = z.strictObject({
 	name,
 	workspace: name.optional(),
 	service: name.optional(),
@@ -47,17 +52,24 @@
 /** The limits that can be declared, each with what it bounds. */
 export const knownLimits = ['open-requests', 'open-requests-per-workspace', 'claims-per-second', 'body-bytes'] as const;
 
-const limit = z.strictObject({
+/** A limit. */
+export const limitSchema = z.strictObject({
 	name: z.enum(knownLimits),
 	value: z.number().int().positive(),
 });
 
+/** An endpoint that operators drained. No file declares it: it comes and goes by the operators' acts. */
+export const drainSchema = z.strictObject({
+	name: z.string().min(1).max(longestListedNameCharacters),
+	reason: z.string().min(1).max(longestTextCharacters),
+});
+
 /** A whole declaration file. */
 export const declarationSchema = z.strictObject({
-	workspaces: z.array(workspace).default([]),
-	services: z.array(service).default([]),
-	rules: z.array(rule).default([]),
-	limits: z.array(limit).default([]),
+	workspaces: z.array(workspaceSchema).default([]),
+	services: z.array(serviceSchema).default([]),
+	rules: z.array(ruleSchema).default([]),
+	limits: z.array(limitSchema).default([]),
 });
 
 /** What a declaration file says, with the defaults filled in. */
--- /dev/null
+++ b/src/declaration/find-broken-references.ts
@@ -0,0 +1,71 @@
+import {type Declaration} from './declaration-schema.js';
+
+/** Something that a schema cannot say of one item, and where it stands in the declaration. */
+export type BrokenReference = {
+	path: Array<string | number>;
+	message: string;
+};
+
+/**
+ * Finds names that nothing declares, and what would make the owner of a key or a model unclear.
+ *
+ * A key that two workspaces share would let one act as the other, and a model that two services of a workspace give
+ * would be served by whichever stands first; both are refused before they can come into force.
+ *
+ * @param declaration - All items together.
+ * @returns What is wrong, in the order of the declaration.
+ */
+export function findBrokenReferences(declaration: Pick<Declaration, 'workspaces' | 'services' | 'rules'>): BrokenReference[] {
+	return [...findInWorkspaces(declaration), ...findInRules(declaration)];
+}
+
+function findInWorkspaces({workspaces, services}: Pick<Declaration, 'workspaces' | 'services'>): BrokenReference[] {
+	const servicesByName = new Map(services.map(service => [service.name, service]));
+	const ownerOfKey = new Map<string, string>();
+	const found: BrokenReference[] = [];
+	for (const [index, workspace] of workspaces.entries()) {
+		const models = new Set<string>();
+		for (const [position, name] of workspace.services.entries()) {
+			const path = ['workspaces', index, 'services', position];
+			const service = servicesByName.get(name);
+			if (service === undefined) {
+				found.push({path, message: `no service "${name}" is declared`});
+			} else if (service.kind === 'model') {
+				if (models.has(service.model)) {
+					found.push({path, message: `the workspace has the model "${service.model}" by another service already`});
+				}
+
+				models.add(service.model);
+			}
+		}
+
+		for (const [position, digest] of workspace.keyDigests.entries()) {
+			const owner = ownerOfKey.get(digest);
+			if (owner !== undefined) {
+				found.push({path: ['workspaces', index, 'keyDigests', position], message: `this key belongs to the workspace "${owner}" already`});
+			}
+
+			ownerOfKey.set(digest, workspace.name);
+		}
+	}
+
+	return found;
+}
+
+function findInRules({workspaces, services, rules}: Pick<Declaration, 'workspaces' | 'services' | 'rules'>): BrokenReference[] {
+	const known = {
+		workspace: new Set(workspaces.map(({name}) => name)),
+		service: new Set(services.map(({name}) => name)),
+	};
+	const found: BrokenReference[] = [];
+	for (const [index, rule] of rules.entries()) {
+		for (const member of ['workspace', 'service'] as const) {
+			const name = rule[member];
+			if (name !== undefined && !known[member].has(name)) {
+				found.push({path: ['rules', index, member], message: `no ${member} "${name}" is declared`});
+			}
+		}
+	}
+
+	return found;
+}
--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -10,6 +10,7 @@
 	#engines: ReadonlyMap<string, EndpointView> = new Map();
 	#listSeen = false;
 	#plain: readonly PlainEndpoint[] = [];
+	#drained: ReadonlySet<string> = new Set();
 
 	/** True once every live model endpoint of the list has reported for itself, and the list was seen. */
 	get isKnown(): boolean {
@@ -17,16 +18,27 @@
 		return this.#listSeen && live.every(({heardAt}) => heardAt > 0);
 	}
 
-	/** All model endpoints. The array is made anew when anything changes. */
+	/** All model endpoints; one that operators drained counts as leaving, whatever it says of itself. */
 	engines(): readonly EndpointView[] {
-		return [...this.#engines.values()];
+		const leaving = (endpoint: EndpointView): EndpointView => this.#drained.has(endpoint.name) ? {...endpoint, state: 'leaving'} : endpoint;
+		return [...this.#engines.values()].map(endpoint => leaving(endpoint));
+	}
+
+	/** All instances of plain services, as the list gives them. */
+	plainEndpoints(): readonly PlainEndpoint[] {
+		return this.#plain;
+	}
+
+	/** Takes the names of the endpoints that operators drained. */
+	takeDrained(names: ReadonlySet<string>): void {
+		this.#drained = names;
 	}
 
 	/** The live endpoints of a plain service, those of the given data centre first. */
 	plainEndpointsOf(service: string, dataCentre: string): readonly PlainEndpoint[] {
 		const nearFirst = (endpoint: PlainEndpoint): number => endpoint.dataCentre === dataCentre ? 0 : 1;
 		return this.#plain
-			.filter(endpoint => endpoint.service === service && endpoint.state === 'live')
+			.filter(endpoint => endpoint.service === service && endpoint.state === 'live' && !this.#drained.has(endpoint.name))
 			.toSorted((left, right) => nearFirst(left) - nearFirst(right));
 	}
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -90,6 +90,7 @@
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
 		await this.#callers.drain();
+		await this.#operators.drain();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
@@ -122,8 +123,9 @@
 	}
 
 	#reportConfiguration(): void {
-		const {configuration, clock, metrics} = this.#context;
+		const {configuration, endpoints, clock, metrics} = this.#context;
 		configuration.onChange(state => {
+			endpoints.takeDrained(new Set(state.drains.keys()));
 			this.#timeline.record({kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version});
 			metrics.report('configuration.version', state.version);
 		});
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -1,14 +1,16 @@
 /** The operators' HTTP, on its own address and with its own key. */
-import {Buffer} from 'node:buffer';
-import {timingSafeEqual} from 'node:crypto';
-import {H3, HTTPError, readBody} from 'h3';
 import {
-	acceptProposal, type ConfigurationProposal, readChangesAfter, readHead,
-} from '../../protocol/configuration/configuration-table.js';
-import {digestOf} from '../../shared/digest-of.js';
+	getQuery, H3, HTTPError, type H3Event,
+} from 'h3';
+import {readChangesAfter, readHead} from '../../protocol/configuration/configuration-table.js';
 import {type EntryContext} from '../entry-context.js';
+import {operatorKeyCheck} from './operator-key-check.js';
+import {catchUp, proposeChange} from './propose-change.js';
 
-const statusOfFailure = {overtaken: 409, unavailable: 503, 'outcome-unknown': 502} as const;
+const statusOfFailure = {
+	'bad-proposal': 400, overtaken: 409, unavailable: 503, 'outcome-unknown': 502,
+} as const;
+const bodyLimitBytes = 8_388_608;
 
 /**
  * Makes the operators' routes.
@@ -18,19 +20,24 @@
  */
 export function createOperatorRoutes(context: EntryContext): H3 {
 	const app = new H3();
-	const expected = Buffer.from(digestOf(`Bearer ${context.settings.operatorKey}`));
+	const isOperator = operatorKeyCheck(context.settings.operatorKey);
 	app.use(event => {
-		const given = Buffer.from(digestOf(event.req.headers.get('authorization') ?? ''));
-		if (!timingSafeEqual(expected, given)) {
+		if (!isOperator(event.req.headers.get('authorization') ?? undefined)) {
 			throw new HTTPError({status: 401, message: 'the operators\' key is needed'});
 		}
 	});
-	app.get('/operator/configuration', () => {
+	addConfigurationRoutes(app, context);
+	return app;
+}
+
+function addConfigurationRoutes(app: H3, context: EntryContext): void {
+	app.get('/operator/configuration', async event => {
+		const isNewest = getQuery(event).newest === 'true' && await catchUp(context);
 		const {
-			version, digest, workspaces, services, rules, limits,
+			version, digest, workspaces, services, rules, limits, drains,
 		} = context.configuration.state;
 		return {
-			version, digest, workspaces: [...workspaces.values()], services: [...services.values()], rules: [...rules.values()], limits: [...limits.values()],
+			version, digest, isNewest, workspaces: [...workspaces.values()], services: [...services.values()], rules: [...rules.values()], limits: [...limits.values()], drains: [...drains.values()],
 		};
 	});
 	app.get('/operator/configuration/head', async event => {
@@ -39,24 +46,52 @@
 		return head.extract();
 	});
 	app.get('/operator/configuration/changes', async event => {
-		const changes = await readChangesAfter(context.table, 0);
+		const after = Number(getQuery(event).after ?? 0);
+		if (!Number.isSafeInteger(after) || after < 0) {
+			throw new HTTPError({status: 400, message: 'after must be a version'});
+		}
+
+		const changes = await readChangesAfter(context.table, after);
 		event.res.status = changes.isLeft() ? 503 : 200;
 		return {changes: changes.orDefault([])};
 	});
 	app.post('/operator/configuration/changes', async event => {
-		const proposal = (await readBody<ConfigurationProposal>(event))!;
-		const accepted = await acceptProposal(context.table, proposal, context.clock.now());
+		const accepted = await proposeChange(context, await readJsonBody(event));
 		return accepted.caseOf<unknown>({
 			Left(failure) {
 				event.res.status = statusOfFailure[failure.kind];
 				return failure;
 			},
 			Right(change) {
-				context.configuration.offer(change);
 				event.res.status = 201;
 				return change;
 			},
 		});
 	});
-	return app;
+}
+
+/**
+ * Reads a JSON body up to a limit.
+ *
+ * @param event - The exchange.
+ * @returns The value.
+ * @throws An error that answers 413 or 400.
+ */
+export async function readJsonBody(event: H3Event): Promise<unknown> {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	for await (const chunk of (event.req.body ?? []) as AsyncIterable<Uint8Array>) {
+		length += chunk.length;
+		if (length > bodyLimitBytes) {
+			throw new HTTPError({status: 413, message: `the body is longer than ${bodyLimitBytes} bytes`});
+		}
+
+		chunks.push(chunk);
+	}
+
+	try {
+		return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+	} catch {
+		throw new HTTPError({status: 400, message: 'the body is no JSON'});
+	}
 }
--- /dev/null
+++ b/src/entry/operators/racing-applies.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {after, test} from 'node:test';
+import {connectionPool} from '../../adapters/http-client.js';
+import {OperatorClient, type ProposalAnswer} from '../../operator/operator-client.js';
+import {type ConfigurationChange, type ConfigurationEdit} from '../../shared/types.js';
+import {testOperatorKey, TestEntries} from './test-entries.js';
+
+after(async () => connectionPool.close());
+
+const applies = 100;
+const rounds = 10;
+
+type Attempt = {author: string; reason: string; plannedAgainst: number; answer: ProposalAnswer};
+
+// Two operators at two instances each change the configuration over and over without seeing the other's change. Per
+// version one of the racing proposals can win. The others must hear who changed what since their plan, and what an
+// operator was told was accepted must be in the history, though the table service loses some answers after the write
+// took effect.
+test('100 racing applies by two operators: each is accepted or told, and every accepted version is in the history', async t => {
+	const entries = new TestEntries();
+	await entries.start(2);
+	t.after(async () => entries.stop());
+	const clients = entries.addresses.map(({operators}) => new OperatorClient(operators, testOperatorKey));
+	await entries.setTableFaults({loseAnswers: 5});
+	const attempt = async (index: number): Promise<Attempt> => {
+		const client = clients[index % 2]!;
+		const {version} = await client.configuration();
+		const proposal = {
+			plannedAgainst: version, edits: [ruleEdit(index)], author: ['ana', 'bo'][index % 2]!, reason: `apply ${index}`,
+		};
+		return {...proposal, answer: await client.propose(proposal)};
+	};
+
+	const attempts: Attempt[] = [];
+	for (let round = 0; round < rounds; round++) {
+		const indexes = Array.from({length: applies / rounds}, (_, index) => (round * applies / rounds) + index);
+		attempts.push(...await Promise.all(indexes.map(async index => attempt(index))));
+	}
+
+	const history = await clients[0]!.changes();
+	assert.equal(attempts.length, applies);
+	assert.deepEqual(history.map(({version}) => version), history.map((_, index) => index + 1));
+	for (const {author, reason, plannedAgainst, answer} of attempts) {
+		if (answer.kind === 'accepted') {
+			assert.deepEqual(history[answer.change.version - 1], answer.change);
+			assert.equal(answer.change.reason, reason);
+			assert.equal(answer.change.author, author);
+		} else {
+			assert.equal(answer.kind, 'overtaken');
+			assertTold(answer, plannedAgainst, history);
+		}
+	}
+
+	const accepted = attempts.filter(({answer}) => answer.kind === 'accepted').length;
+	assert.equal(accepted, history.length);
+	assert.ok(accepted >= rounds, `${accepted} accepted`);
+	t.diagnostic(`${accepted} accepted, ${applies - accepted} told`);
+});
+
+function ruleEdit(index: number): ConfigurationEdit {
+	return {action: 'set', kind: 'rule', item: {name: `rule-${index}`, deadlineMilliseconds: 1000 + index}};
+}
+
+function assertTold(answer: ProposalAnswer & {kind: 'overtaken'}, plannedAgainst: number, history: readonly ConfigurationChange[]): void {
+	assert.ok(answer.since.length > 0, 'a loser is told what changed since');
+	assert.deepEqual(answer.since, history.slice(plannedAgainst, plannedAgainst + answer.since.length));
+}
+
+test('a proposal that no command line would send is refused with its findings and never comes into force', async t => {
+	const entries = new TestEntries();
+	await entries.start(1);
+	t.after(async () => entries.stop());
+	const client = new OperatorClient(entries.addresses[0]!.operators, testOperatorKey);
+	const bad = [
+		{action: 'set', kind: 'workspace', item: {name: 'quay', share: -1}},
+		{action: 'set', kind: 'rule', item: {name: 'r', workspace: 'nobody'}},
+	];
+	for (const edit of bad) {
+		const answer = await client.propose({
+			plannedAgainst: 0, edits: [edit as unknown as ConfigurationEdit], author: 'ana', reason: 'test',
+		});
+		assert.equal(answer.kind, 'bad-proposal');
+		assert.ok((answer).findings.length > 0);
+	}
+
+	const {version, rules} = await client.configuration();
+	assert.deepEqual({version, rules: rules.size}, {version: 0, rules: 0});
+});
--- a/src/operator/declaration-commands.ts
+++ b/src/operator/declaration-commands.ts
@@ -1,16 +1,22 @@
-/** The commands on declarations: check, plan, apply, history, show. Each gives the exit status of the program. */
+/**
+ * The commands on declarations: check, plan, apply, history, show, revert. Each gives the exit status of the program:
+ * 0 done, 1 not done, 2 bad input, 3 not known whether it was done.
+ */
 import {readFile} from 'node:fs/promises';
 import {type Either, Left} from 'purify-ts/Either';
 import {checkDeclaration, type DeclarationFile} from '../declaration/check-declaration.js';
+import {configurationAt} from '../declaration/configuration-at.js';
 import {type Declaration} from '../declaration/declaration-schema.js';
-import {planEdits} from '../declaration/plan-edits.js';
+import {describeEdit, formatEdit} from '../declaration/describe-edit.js';
+import {planEdits, planRevert} from '../declaration/plan-edits.js';
+import {type ConfigurationState} from '../protocol/configuration/configuration-state.js';
 import {badUsageExitCode} from '../settings/read-settings.js';
 import {formatFinding} from '../shared/format-finding.js';
-import {type ConfigurationChange, type Finding} from '../shared/types.js';
-import {formatEdit} from './format-edit.js';
+import {type ConfigurationChange, type ConfigurationEdit, type Finding} from '../shared/types.js';
 import {type OperatorClient, type ProposalAnswer} from './operator-client.js';
 
-const failedExitCode = 1;
+export const failedExitCode = 1;
+export const unknownExitCode = 3;
 
 /** Writes results and problems; the command line writes to the standard streams. */
 export type CommandOutput = {
@@ -18,22 +24,36 @@
 	problem(text: string): void;
 };
 
-/** Reads and checks files. */
+/** Who changes something, and why. */
+export type Authorship = {
+	author: string;
+	reason: string;
+};
+
+/** What `apply` needs beside the files. */
+export type ApplyOptions = Authorship & {
+	/** The version that the plan was made against; absent for the newest one. */
+	plannedAgainst?: number;
+};
+
+/** Reads and checks files; those that cannot be read are findings too. */
 async function readDeclaration(paths: readonly string[]): Promise<Either<Finding[], Declaration>> {
 	const files: DeclarationFile[] = [];
+	const unreadable: Finding[] = [];
 	for (const path of paths) {
 		try {
 			files.push({file: path, text: await readFile(path, 'utf8')});
 		} catch (error) {
-			return Left([{
+			unreadable.push({
 				place: {
 					source: 'file', file: path, line: 1, column: 1,
 				}, message: `cannot be read: ${(error as Error).message}`,
-			}]);
+			});
 		}
 	}
 
-	return checkDeclaration(files);
+	const checked = checkDeclaration(files);
+	return unreadable.length === 0 ? checked : Left([...unreadable, ...checked.swap().orDefault([])]);
 }
 
 function reportFindings(findings: readonly Finding[], output: CommandOutput): number {
@@ -66,21 +86,14 @@
 	const state = await client.configuration();
 	const edits = planEdits(state, declaration.unsafeCoerce());
 	output.line(`planned against version ${state.version}: ${edits.length} edits`);
-	for (const edit of edits) {
-		output.line(`  ${formatEdit(edit)}`);
+	showEdits(state, edits, output);
+	if (edits.length > 0) {
+		output.line(`to bring exactly this into force, give apply --against ${state.version}`);
 	}
 
 	return 0;
 }
 
-/** What `apply` needs beside the files. */
-export type ApplyOptions = {
-	author: string;
-	reason: string;
-	/** The version that the plan was made against; absent for the one in force now. */
-	plannedAgainst?: number;
-};
-
 /** `savorygauge apply FILE…` */
 export async function runApply(paths: readonly string[], options: ApplyOptions, client: OperatorClient, output: CommandOutput): Promise<number> {
 	const declaration = await readDeclaration(paths);
@@ -89,36 +102,46 @@
 	}
 
 	const state = await client.configuration();
+	const {author, reason, plannedAgainst = state.version} = options;
+	if (plannedAgainst < state.version) {
+		return reportAnswer({kind: 'overtaken', since: await client.changes(plannedAgainst)}, output);
+	}
+
+	if (plannedAgainst > state.version) {
+		output.problem(`there is no version ${plannedAgainst}; the newest one known at ${client.address} is ${state.version}`);
+		return failedExitCode;
+	}
+
 	const edits = planEdits(state, declaration.unsafeCoerce());
 	if (edits.length === 0) {
 		output.line(`nothing to change: version ${state.version} is what the files declare`);
 		return 0;
 	}
 
-	const {author, reason, plannedAgainst = state.version} = options;
-	const answer = await client.propose({
+	showEdits(state, edits, output);
+	return reportAnswer(await client.propose({
 		plannedAgainst, edits, author, reason,
-	});
-	return reportAnswer(answer, output);
+	}), output);
 }
 
-function reportAnswer(answer: ProposalAnswer, output: CommandOutput): number {
-	if (answer.kind === 'accepted') {
-		output.line(`accepted as version ${answer.change.version}`);
-		return 0;
+/** `savorygauge revert VERSION` */
+export async function runRevert(version: number, authorship: Authorship, client: OperatorClient, output: CommandOutput): Promise<number> {
+	const changes = await client.changes(0, version);
+	const earlier = configurationAt(changes, version);
+	if (earlier.isLeft()) {
+		output.problem(earlier.extract());
+		return failedExitCode;
 	}
 
-	if (answer.kind === 'overtaken') {
-		output.problem('not accepted: others changed the configuration since the plan was made; your files are as they were');
-		for (const change of answer.since) {
-			output.problem(`  ${formatChange(change)}`);
-		}
-
-		return failedExitCode;
+	const state = await client.configuration();
+	const edits = planRevert(state, earlier.unsafeCoerce());
+	if (edits.length === 0) {
+		output.line(`nothing to change: version ${state.version} is what version ${version} was`);
+		return 0;
 	}
 
-	output.problem(`${answer.kind}: ${answer.detail}`);
-	return failedExitCode;
+	showEdits(state, edits, output);
+	return reportAnswer(await client.propose({plannedAgainst: state.version, edits, ...authorship}), output);
 }
 
 /** `savorygauge history` */
@@ -132,8 +155,7 @@
 
 /** `savorygauge show VERSION` */
 export async function runShow(version: number, client: OperatorClient, output: CommandOutput): Promise<number> {
-	const changes = await client.changes();
-	const change = changes.find(candidate => candidate.version === version);
+	const [change] = await client.changes(version - 1, version);
 	if (change === undefined) {
 		output.problem(`there is no version ${version}`);
 		return failedExitCode;
@@ -143,6 +165,48 @@
 	return 0;
 }
 
+function showEdits(state: ConfigurationState, edits: readonly ConfigurationEdit[], output: CommandOutput): void {
+	for (const line of edits.flatMap(edit => describeEdit(state, edit))) {
+		output.line(`  ${line}`);
+	}
+}
+
+function reportAnswer(answer: ProposalAnswer, output: CommandOutput): number {
+	switch (answer.kind) {
+		case 'accepted': {
+			output.line(`accepted as version ${answer.change.version}`);
+			return 0;
+		}
+
+		case 'overtaken': {
+			output.problem('not accepted: others changed the configuration since the plan was made; your files are as they were');
+			for (const change of answer.since) {
+				output.problem(`  ${formatChange(change)}`);
+			}
+
+			return failedExitCode;
+		}
+
+		case 'bad-proposal': {
+			for (const {path, message} of answer.findings) {
+				output.problem(`${path}: ${message}`);
+			}
+
+			return badUsageExitCode;
+		}
+
+		case 'unavailable': {
+			output.problem(`not accepted: ${answer.detail}`);
+			return failedExitCode;
+		}
+
+		case 'outcome-unknown': {
+			output.problem(`it is not known whether this was accepted (${answer.detail}); look at history before you try again`);
+			return unknownExitCode;
+		}
+	}
+}
+
 function formatChange(change: ConfigurationChange): string {
 	const when = new Date(change.acceptedAt).toISOString();
 	return `version ${change.version}  ${when}  ${change.author}: ${change.reason} (${change.edits.map(edit => formatEdit(edit)).join(', ')})`;
--- a/src/operator/main.ts
+++ b/src/operator/main.ts
@@ -2,15 +2,25 @@
 /** `savorygauge`: the operators' command line. */
 import process from 'node:process';
 import {userInfo} from 'node:os';
-import {Command} from 'commander';
-import {addSettingFlags, badUsageExitCode, readSettingsOrExit} from '../settings/read-settings.js';
+import {Command, Option} from 'commander';
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {checkText} from '../settings/check-text.js';
+import {
+	addSettingFlags, badUsageExitCode, checkSettings, exitWithFindings, findLeftOver, givenTextsOf,
+} from '../settings/read-settings.js';
+import {parseText, parseWholeNumberBetween} from '../settings/setting-parsers.js';
 import {programVersion} from '../shared/program-version.js';
+import {type Finding} from '../shared/types.js';
 import {
-	type CommandOutput, runApply, runCheck, runHistory, runPlan, runShow,
+	type CommandOutput, failedExitCode, runApply, runCheck, runHistory, runPlan, runRevert, runShow,
 } from './declaration-commands.js';
-import {OperatorClient} from './operator-client.js';
+import {OperatorClient, OperatorClientError} from './operator-client.js';
 import {operatorSettingDefinitions} from './operator-settings.js';
 
+const parseVersion = parseWholeNumberBetween(1, Number.MAX_SAFE_INTEGER);
+const parsePlanVersion = parseWholeNumberBetween(0, Number.MAX_SAFE_INTEGER);
+const manyFiles = Number.POSITIVE_INFINITY;
+
 const output: CommandOutput = {
 	line(text) {
 		console.log(text);
@@ -21,47 +31,135 @@
 };
 
 const program = new Command('savorygauge')
-	.description('Checks, plans and applies declarations, and shows what is in force.')
+	.description('Checks, plans and applies declarations, shows what is in force, and asks and acts by the query language.')
 	.version(programVersion)
 	.exitOverride(error => {
 		process.exit(error.exitCode === 0 ? 0 : badUsageExitCode);
 	});
 addSettingFlags(program, operatorSettingDefinitions);
 
-const clientOf = (): OperatorClient => {
-	const settings = readSettingsOrExit(program, operatorSettingDefinitions);
-	return new OperatorClient(settings.operatorAddress, settings.operatorKey);
-};
+/** What was given to a command, checked; findings are collected and reported together. */
+class CheckedInput {
+	readonly #findings: Finding[];
+
+	constructor(readonly command: Command, expectedCount: number) {
+		this.#findings = findLeftOver(command, expectedCount);
+	}
+
+	/** Notes the finding of a check. The value is read by `valueOf` after `endCheck` found nothing. */
+	take<Value>(checked: Either<Finding | Finding[], Value>): Either<unknown, Value> {
+		checked.ifLeft(found => {
+			this.#findings.push(...[found].flat());
+		});
+		return checked;
+	}
+
+	flag<Value>(name: string, parse: (text: string) => Either<string, Value>): Either<unknown, Value> {
+		return this.take(checkText(`--${name}`, this.command.opts<Record<string, string | true>>()[name], parse));
+	}
+
+	authorship(): Either<unknown, {author: string; reason: string}> {
+		const author = this.flag('author', parseText);
+		const reason = this.flag('reason', parseText);
+		return author.chain(name => reason.map(text => ({author: name, reason: text})));
+	}
+
+	files(): string[] {
+		const files = this.command.args.filter(argument => !argument.startsWith('-'));
+		if (files.length === 0) {
+			this.take(Left({place: {source: 'flag', name: 'FILE'}, message: 'is missing'}));
+		}
+
+		return files;
+	}
 
-const finish = async (work: Promise<number>): Promise<void> => {
+	version(): Either<unknown, number> {
+		const version = this.command.args.find(argument => !argument.startsWith('-'));
+		return this.take(checkText('VERSION', version, parseVersion));
+	}
+
+	client(): Either<unknown, OperatorClient> {
+		const settings = this.take(checkSettings(operatorSettingDefinitions, givenTextsOf(this.command, operatorSettingDefinitions)));
+		return settings.map(({operatorAddress, operatorKey}) => new OperatorClient(operatorAddress, operatorKey));
+	}
+
+	/** Reports all findings and ends the process if there are any. */
+	endCheck(): void {
+		if (this.#findings.length > 0) {
+			exitWithFindings(this.#findings);
+		}
+	}
+}
+
+const finish = async (input: CheckedInput, work: () => Promise<number>): Promise<void> => {
+	input.endCheck();
 	try {
-		process.exitCode = await work;
+		process.exitCode = await work();
 	} catch (error) {
-		output.problem((error as Error).message);
-		process.exitCode = 1;
+		if (!(error instanceof OperatorClientError)) {
+			throw error;
+		}
+
+		output.problem(error.message);
+		process.exitCode = failedExitCode;
 	}
 };
 
-program.command('check <file...>')
-	.description('check declaration files; all findings are reported with file, line and column')
-	.action(async (files: string[]) => finish(runCheck(files, output)));
-program.command('plan <file...>')
-	.description('show what applying the files would change')
-	.action(async (files: string[]) => finish(runPlan(files, clientOf(), output)));
-program.command('apply <file...>')
-	.description('bring the files into force, unless others changed something since the plan')
-	.requiredOption('--reason <text>', 'why; it stands in the history')
-	.option('--author <name>', 'who', userInfo().username)
-	.option('--against <version>', 'version that the plan was made against')
-	.action(async (files: string[], options: {reason: string; author: string; against?: string}) => finish(runApply(files, {
-		author: options.author,
-		reason: options.reason,
-		...(options.against === undefined ? {} : {plannedAgainst: Number(options.against)}),
-	}, clientOf(), output)));
-program.command('history')
-	.description('list all accepted changes')
-	.action(async () => finish(runHistory(clientOf(), output)));
-program.command('show <version>')
-	.description('show one accepted change')
-	.action(async (version: string) => finish(runShow(Number(version), clientOf(), output)));
+const addCommand = (name: string, description: string): Command => program
+	.command(name)
+	.description(description)
+	.allowUnknownOption()
+	.allowExcessArguments()
+	.configureHelp({optionTerm: option => option.flags.replace('[', '<').replace(']', '>')});
+const addAuthorship = (command: Command): Command => command
+	.option('--reason [text]', 'why; it stands in the history')
+	.addOption(new Option('--author [name]', 'who').default(userInfo().username));
+
+addCommand('check [file...]', 'check declaration files; all findings are reported with file, line and column')
+	.action(async (_files, _options, command: Command) => {
+		const input = new CheckedInput(command, manyFiles);
+		const files = input.files();
+		await finish(input, async () => runCheck(files, output));
+	});
+addCommand('plan [file...]', 'show member by member what applying the files would change')
+	.action(async (_files, _options, command: Command) => {
+		const input = new CheckedInput(command, manyFiles);
+		const files = input.files();
+		const client = input.client();
+		await finish(input, async () => runPlan(files, client.unsafeCoerce(), output));
+	});
+addAuthorship(addCommand('apply [file...]', 'bring the files into force, unless others changed something since the plan'))
+	.option('--against [version]', 'version that the plan was made against')
+	.action(async (_files, options: {against?: string}, command: Command) => {
+		const input = new CheckedInput(command, manyFiles);
+		const files = input.files();
+		const authorship = input.authorship();
+		const against = options.against === undefined ? Right(undefined) : input.flag('against', parsePlanVersion);
+		const client = input.client();
+		await finish(input, async () => {
+			const plannedAgainst = against.unsafeCoerce();
+			return runApply(files, {...authorship.unsafeCoerce(), ...(plannedAgainst === undefined ? {} : {plannedAgainst})}, client.unsafeCoerce(), output);
+		});
+	});
+addCommand('history', 'list all accepted changes')
+	.action(async (_options, command: Command) => {
+		const input = new CheckedInput(command, 0);
+		const client = input.client();
+		await finish(input, async () => runHistory(client.unsafeCoerce(), output));
+	});
+addCommand('show [version]', 'show one accepted change')
+	.action(async (_version, _options, command: Command) => {
+		const input = new CheckedInput(command, 1);
+		const version = input.version();
+		const client = input.client();
+		await finish(input, async () => runShow(version.unsafeCoerce(), client.unsafeCoerce(), output));
+	});
+addAuthorship(addCommand('revert [version]', 'make a new version with the content of an earlier one'))
+	.action(async (_version, _options, command: Command) => {
+		const input = new CheckedInput(command, 1);
+		const version = input.version();
+		const authorship = input.authorship();
+		const client = input.client();
+		await finish(input, async () => runRevert(version.unsafeCoerce(), authorship.unsafeCoerce(), client.unsafeCoerce(), output));
+	});
 await program.parseAsync();
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -1,9 +1,12 @@
 /** Talks to the operators' HTTP of one entry. */
-import {exchangeJson, type JsonAnswer} from '../adapters/http-client.js';
+import {
+	describeError, exchangeJson, failedBeforeAnyByte, type JsonAnswer,
+} from '../adapters/http-client.js';
+import {type ProposalFinding} from '../declaration/check-proposal.js';
 import {type ConfigurationProposal, type ConfigurationHead} from '../protocol/configuration/configuration-table.js';
-import {type ConfigurationState, emptyConfiguration} from '../protocol/configuration/configuration-state.js';
+import {type ConfigurationState} from '../protocol/configuration/configuration-state.js';
 import {
-	type ConfigurationChange, type JsonValue, type LimitItem, type RuleItem, type ServiceItem, type WorkspaceItem,
+	type ConfigurationChange, type DrainItem, type JsonValue, type LimitItem, type RuleItem, type ServiceItem, type WorkspaceItem,
 } from '../shared/types.js';
 
 const timeoutMilliseconds = 10_000;
@@ -12,6 +15,7 @@
 export type ProposalAnswer
 	= | {kind: 'accepted'; change: ConfigurationChange}
 		| {kind: 'overtaken'; since: ConfigurationChange[]}
+		| {kind: 'bad-proposal'; findings: ProposalFinding[]}
 		| {kind: 'unavailable' | 'outcome-unknown'; detail: string};
 
 /** Thrown when the entry refuses or cannot be reached. */
@@ -19,8 +23,20 @@
 	override readonly name = 'OperatorClientError';
 }
 
+/** The configuration as an entry sends it. */
+type ConfigurationBody = {
+	version: number;
+	digest: string;
+	isNewest: boolean;
+	workspaces: WorkspaceItem[];
+	services: ServiceItem[];
+	rules: RuleItem[];
+	limits: LimitItem[];
+	drains: DrainItem[];
+};
+
 export class OperatorClient {
-	readonly #baseUrl: string;
+	readonly address: string;
 	readonly #key: string;
 
 	/**
@@ -28,24 +44,21 @@
 	 * @param key - The operators' key.
 	 */
 	constructor(address: string, key: string) {
-		this.#baseUrl = `http://${address}`;
+		this.address = address;
 		this.#key = key;
 	}
 
-	/** The configuration in force at this entry. */
+	/** The newest accepted configuration, or the one in force at this entry while the table service is away. */
 	async configuration(): Promise<ConfigurationState> {
-		const body = await this.#get('/operator/configuration') as unknown as {
-			version: number; digest: string; workspaces: WorkspaceItem[]; services: ServiceItem[]; rules: RuleItem[]; limits: LimitItem[];
-		};
-		const byName = <Item extends {name: string}>(items: readonly Item[]): Map<string, Item> => new Map(items.map(item => [item.name, item]));
+		const body = await this.#get('/operator/configuration?newest=true') as unknown as ConfigurationBody;
 		return {
-			...emptyConfiguration,
 			version: body.version,
 			digest: body.digest,
 			workspaces: byName(body.workspaces),
 			services: byName(body.services),
 			rules: byName(body.rules),
 			limits: byName(body.limits),
+			drains: byName(body.drains),
 		};
 	}
 
@@ -54,42 +67,89 @@
 		return await this.#get('/operator/configuration/head') as unknown as ConfigurationHead;
 	}
 
-	/** All accepted changes, oldest first. */
-	async changes(): Promise<ConfigurationChange[]> {
-		const body = await this.#get('/operator/configuration/changes') as unknown as {changes: ConfigurationChange[]};
-		return body.changes;
+	/**
+	 * The accepted changes behind a version, oldest first.
+	 *
+	 * @param after - The version before the first one wanted; 0 for all.
+	 * @param last - The last version wanted; absent for all.
+	 */
+	async changes(after = 0, last = Number.POSITIVE_INFINITY): Promise<ConfigurationChange[]> {
+		const all: ConfigurationChange[] = [];
+		for (let from = after; from < last;) {
+			const body = await this.#get(`/operator/configuration/changes?after=${from}`) as unknown as {changes: ConfigurationChange[]};
+			if (body.changes.length === 0) {
+				break;
+			}
+
+			all.push(...body.changes);
+			from = body.changes.at(-1)!.version;
+		}
+
+		return all.filter(({version}) => version <= last);
 	}
 
 	/** Asks for a change. */
 	async propose(proposal: ConfigurationProposal): Promise<ProposalAnswer> {
-		const {status, body} = await this.#exchange('POST', '/operator/configuration/changes', proposal);
+		let answer: JsonAnswer;
+		try {
+			answer = await this.exchange('POST', '/operator/configuration/changes', proposal);
+		} catch (error) {
+			// Once a byte has left, the change may have been accepted though its answer is missing; saying that it was
+			// not would have an operator apply it twice.
+			const {cause} = (error as OperatorClientError);
+			if (cause === undefined || failedBeforeAnyByte(cause)) {
+				throw error;
+			}
+
+			return {kind: 'outcome-unknown', detail: (error as Error).message};
+		}
+
+		const {status, body} = answer;
 		if (status === 201) {
 			return {kind: 'accepted', change: body as unknown as ConfigurationChange};
 		}
 
-		if (status === 409 || status === 502 || status === 503) {
+		if (body !== undefined && 'kind' in (body as Record<string, JsonValue>)) {
 			return body as unknown as ProposalAnswer;
 		}
 
 		throw new OperatorClientError(`the entry answered ${status}`);
 	}
 
+	/** Makes any exchange with the entry; a refused key is an error. */
+	async exchange(method: 'GET' | 'POST', path: string, body?: JsonValue): Promise<JsonAnswer> {
+		const answer = await this.#send(method, path, body);
+		if (answer.status === 401) {
+			throw new OperatorClientError(`${this.address} does not accept the operators' key`);
+		}
+
+		return answer;
+	}
+
+	async #send(method: 'GET' | 'POST', path: string, body: JsonValue | undefined): Promise<JsonAnswer> {
+		try {
+			return await exchangeJson({
+				method,
+				url: `http://${this.address}${path}`,
+				headers: {authorization: `Bearer ${this.#key}`},
+				...(body === undefined ? {} : {body}),
+				timeoutMilliseconds,
+			});
+		} catch (error) {
+			throw new OperatorClientError(`${this.address} cannot be asked: ${describeError(error)}`, {cause: error});
+		}
+	}
+
 	async #get(path: string): Promise<JsonValue> {
-		const {status, body} = await this.#exchange('GET', path);
+		const {status, body} = await this.exchange('GET', path);
 		if (status !== 200 || body === undefined) {
-			throw new OperatorClientError(`${path}: the entry answered ${status}`);
+			throw new OperatorClientError(status === 503 ? `${path}: the platform's table service cannot be read` : `${path}: the entry answered ${status}`);
 		}
 
 		return body;
 	}
+}
 
-	async #exchange(method: 'GET' | 'POST', path: string, body?: JsonValue): Promise<JsonAnswer> {
-		return exchangeJson({
-			method,
-			url: this.#baseUrl + path,
-			headers: {authorization: `Bearer ${this.#key}`},
-			...(body === undefined ? {} : {body}),
-			timeoutMilliseconds,
-		});
-	}
+function byName<Item extends {name: string}>(items: readonly Item[]): Map<string, Item> {
+	return new Map(items.map(item => [item.name, item]));
 }
--- a/src/protocol/configuration/apply-change.ts
+++ b/src/protocol/configuration/apply-change.ts
@@ -50,6 +50,7 @@
 		services: new Map(state.services),
 		rules: new Map(state.rules),
 		limits: new Map(state.limits),
+		drains: new Map(state.drains),
 	};
 	for (const edit of edits) {
 		const items = copies[memberNameOf(edit.kind)] as Map<string, unknown>;
--- a/src/protocol/configuration/configuration-state.ts
+++ b/src/protocol/configuration/configuration-state.ts
@@ -3,7 +3,7 @@
  * change that follows it, or to a snapshot with a higher version; it never goes back.
  */
 import {
-	type ConfigurationItem, type ConfigurationKind, type LimitItem, type RuleItem, type ServiceItem, type WorkspaceItem,
+	type ConfigurationItem, type ConfigurationKind, type DrainItem, type LimitItem, type RuleItem, type ServiceItem, type WorkspaceItem,
 } from '../../shared/types.js';
 
 /** A configuration with its version. It is never changed in place. */
@@ -14,6 +14,7 @@
 	services: ReadonlyMap<string, ServiceItem>;
 	rules: ReadonlyMap<string, RuleItem>;
 	limits: ReadonlyMap<string, LimitItem>;
+	drains: ReadonlyMap<string, DrainItem>;
 };
 
 /** The digest before the first change. */
@@ -27,10 +28,11 @@
 	services: new Map(),
 	rules: new Map(),
 	limits: new Map(),
+	drains: new Map(),
 };
 
 const memberOfKind = {
-	workspace: 'workspaces', service: 'services', rule: 'rules', limit: 'limits',
+	workspace: 'workspaces', service: 'services', rule: 'rules', limit: 'limits', drain: 'drains',
 } as const satisfies Record<ConfigurationKind, keyof ConfigurationState>;
 
 /**
@@ -50,6 +52,6 @@
  * @param kind - The kind.
  * @returns The member's name.
  */
-export function memberNameOf(kind: ConfigurationKind): 'workspaces' | 'services' | 'rules' | 'limits' {
+export function memberNameOf(kind: ConfigurationKind): 'workspaces' | 'services' | 'rules' | 'limits' | 'drains' {
 	return memberOfKind[kind];
 }
--- a/src/settings/read-settings.ts
+++ b/src/settings/read-settings.ts
@@ -17,22 +17,70 @@
 
 /** The texts given for settings, by flag without its dashes. */
 export type GivenTexts = {
-	flags: Record<string, string | undefined>;
+	flags: Record<string, string | true | undefined>;
 	environment: Record<string, string | undefined>;
 };
 
 /**
  * Adds the flags of some settings to a command.
  *
+ * What the command cannot make sense of is left over instead of ending the parse at once, so that it can be reported
+ * together with everything else; see `findLeftOver`.
+ *
  * @param command - The command of `commander`; it is changed.
  * @param definitions - The settings.
  */
 export function addSettingFlags(command: Command, definitions: SettingDefinitions): void {
+	command.allowUnknownOption().allowExcessArguments();
+	command.configureHelp({optionTerm: option => option.flags.replace('[', '<').replace(']', '>')});
 	for (const definition of Object.values(definitions)) {
 		const variable = variableNameOf(definition.flag);
 		const fallback = definition.defaultText === undefined ? 'required' : `default: "${definition.defaultText}"`;
-		command.addOption(new Option(`--${definition.flag} <${definition.valueName}>`, `${definition.description} (${variable}; ${fallback})`));
+		// The value is optional only for the parser: a flag without one becomes a finding beside the others.
+		command.addOption(new Option(`--${definition.flag} [${definition.valueName}]`, `${definition.description} (${variable}; ${fallback})`));
+	}
+}
+
+/**
+ * Finds arguments that a command does not know.
+ *
+ * @param command - The parsed command.
+ * @param expectedCount - How many arguments beside flags it takes.
+ * @returns One finding for each unknown flag and each argument too many.
+ */
+export function findLeftOver(command: Command, expectedCount = 0): Finding[] {
+	const unknownFlags = command.args.filter(argument => argument.startsWith('-'));
+	const tooMany = command.args.filter(argument => !argument.startsWith('-')).slice(expectedCount);
+	return [...unknownFlags, ...tooMany].map(argument => ({
+		place: {source: 'flag', name: argument}, message: argument.startsWith('-') ? 'there is no such flag' : 'is one argument too many',
+	}));
+}
+
+/**
+ * Gives the texts of a parsed command's flags and of the environment.
+ *
+ * @param command - The parsed command.
+ * @param definitions - The settings of the program.
+ * @returns The texts; a flag that was given without a value has the value `true`.
+ */
+export function givenTextsOf(command: Command, definitions: SettingDefinitions): GivenTexts {
+	const options = command.optsWithGlobals<Record<string, string | true | undefined>>();
+	const flags = Object.fromEntries(Object.values(definitions).map(({flag}) => [flag, options[attributeNameOf(flag)]]));
+	return {flags, environment: process.env};
+}
+
+/**
+ * Writes findings to standard error and ends the process with status 2.
+ *
+ * @param findings - What is wrong.
+ */
+export function exitWithFindings(findings: readonly Finding[]): never {
+	for (const finding of findings) {
+		console.error(formatFinding(finding));
 	}
+
+	// eslint-disable-next-line unicorn/no-process-exit -- Only the programs' main modules call this.
+	return process.exit(badUsageExitCode);
 }
 
 /**
@@ -66,6 +114,10 @@
 	const place = fromFlag === undefined && fromEnvironment !== undefined
 		? {source: 'environment' as const, name: variable}
 		: {source: 'flag' as const, name: `--${definition.flag}`};
+	if (fromFlag === true) {
+		return Left({place, message: 'needs a value'});
+	}
+
 	const text = fromFlag ?? fromEnvironment ?? definition.defaultText;
 	if (text === undefined) {
 		return Left({place, message: `is missing; give it here or in ${variable}`});
@@ -82,19 +134,13 @@
  * @returns The values.
  */
 export function readSettingsOrExit<Definitions extends SettingDefinitions>(command: Command, definitions: Definitions): SettingValues<Definitions> {
-	const options = command.optsWithGlobals<Record<string, string | undefined>>();
-	const flags = Object.fromEntries(Object.values(definitions).map(({flag}) => [flag, options[attributeNameOf(flag)]]));
-	return checkSettings(definitions, {flags, environment: process.env}).caseOf({
-		Left(findings) {
-			for (const finding of findings) {
-				console.error(formatFinding(finding));
-			}
+	const leftOver = findLeftOver(command);
+	const checked = checkSettings(definitions, givenTextsOf(command, definitions));
+	if (leftOver.length > 0 || checked.isLeft()) {
+		return exitWithFindings([...leftOver, ...checked.swap().orDefault([])]);
+	}
 
-			// eslint-disable-next-line unicorn/no-process-exit -- Only the programs' main modules call this.
-			return process.exit(badUsageExitCode);
-		},
-		Right: values => values,
-	});
+	return checked.unsafeCoerce();
 }
 
 function attributeNameOf(flag: string): string {
--- a/src/shared/types.ts
+++ b/src/shared/types.ts
@@ -99,12 +99,20 @@
 	value: number;
 };
 
+/** An endpoint that operators drained: it gets no new work until it is admitted again. Files never declare it. */
+export type DrainItem = {
+	/** Name of the endpoint in the platform's list. */
+	name: string;
+	reason: string;
+};
+
 /** One declared thing with its kind. */
 export type ConfigurationItem
 	= | {kind: 'workspace'; item: WorkspaceItem}
 		| {kind: 'service'; item: ServiceItem}
 		| {kind: 'rule'; item: RuleItem}
-		| {kind: 'limit'; item: LimitItem};
+		| {kind: 'limit'; item: LimitItem}
+		| {kind: 'drain'; item: DrainItem};
 
 /** The kinds of declared things. */
 export type ConfigurationKind = ConfigurationItem['kind'];
