--- a/src/declaration/check-proposal.ts
+++ b/src/declaration/check-proposal.ts
@@ -9,7 +9,7 @@
 import {type ConfigurationProposal} from '../protocol/configuration/configuration-table.js';
 import {type ConfigurationEdit} from '../shared/types.js';
 import {
-	type Declaration, drainSchema, limitSchema, ruleSchema, serviceSchema, workspaceSchema,
+	drainSchema, limitSchema, ruleSchema, serviceSchema, workspaceSchema,
 } from './declaration-schema.js';
 import {findBrokenReferences} from './find-broken-references.js';
 
@@ -64,12 +64,9 @@
  */
 export function checkOutcome(state: ConfigurationState, edits: readonly ConfigurationEdit[]): ProposalFinding[] {
 	const {workspaces, services, rules} = applyEdits(state, edits);
-	const declaration: Pick<Declaration, 'workspaces' | 'services' | 'rules'> = {
-		workspaces: [...workspaces.values()], services: [...services.values()], rules: [...rules.values()] as Declaration['rules'],
-	};
-	const lists: Record<string, Array<{name: string}>> = declaration;
-	return findBrokenReferences(declaration).map(({path: [list, index, ...rest], message}) => ({
-		path: [String(list), lists[String(list)]![Number(index)]!.name, ...rest].join('.'), message,
+	const lists = {workspaces: [...workspaces.values()], services: [...services.values()], rules: [...rules.values()]};
+	return findBrokenReferences(lists).map(({path: [list, index, ...rest], message}) => ({
+		path: [String(list), lists[list as keyof typeof lists][Number(index)]!.name, ...rest].join('.'), message,
 	}));
 }
 
--- a/src/declaration/find-broken-references.ts
+++ b/src/declaration/find-broken-references.ts
@@ -1,4 +1,4 @@
-import {type Declaration} from './declaration-schema.js';
+import {type ServiceItem, type WorkspaceItem} from '../shared/types.js';
 
 /** Something that a schema cannot say of one item, and where it stands in the declaration. */
 export type BrokenReference = {
@@ -6,6 +6,13 @@
 	message: string;
 };
 
+/** The items among which names are looked up, from files or from a configuration. */
+export type ReferringItems = {
+	workspaces: readonly WorkspaceItem[];
+	services: readonly ServiceItem[];
+	rules: ReadonlyArray<{workspace?: string | undefined; service?: string | undefined}>;
+};
+
 /**
  * Finds names that nothing declares, and what would make the owner of a key or a model unclear.
  *
@@ -15,11 +22,11 @@
  * @param declaration - All items together.
  * @returns What is wrong, in the order of the declaration.
  */
-export function findBrokenReferences(declaration: Pick<Declaration, 'workspaces' | 'services' | 'rules'>): BrokenReference[] {
+export function findBrokenReferences(declaration: ReferringItems): BrokenReference[] {
 	return [...findInWorkspaces(declaration), ...findInRules(declaration)];
 }
 
-function findInWorkspaces({workspaces, services}: Pick<Declaration, 'workspaces' | 'services'>): BrokenReference[] {
+function findInWorkspaces({workspaces, services}: Pick<ReferringItems, 'workspaces' | 'services'>): BrokenReference[] {
 	const servicesByName = new Map(services.map(service => [service.name, service]));
 	const ownerOfKey = new Map<string, string>();
 	const found: BrokenReference[] = [];
@@ -52,7 +59,7 @@
 	return found;
 }
 
-function findInRules({workspaces, services, rules}: Pick<Declaration, 'workspaces' | 'services' | 'rules'>): BrokenReference[] {
+function findInRules({workspaces, services, rules}: ReferringItems): BrokenReference[] {
 	const known = {
 		workspace: new Set(workspaces.map(({name}) => name)),
 		service: new Set(services.map(({name}) => name)),
--- a/src/declaration/plan-edits.ts
+++ b/src/declaration/plan-edits.ts
@@ -27,7 +27,7 @@
 		const items = wanted[kind].toSorted((left, right) => left.name < right.name ? -1 : 1);
 		for (const item of items) {
 			if (!isSame(existing.get(item.name), item)) {
-				sets.push(setOf(kind, item as ConfigurationItem['item']));
+				sets.push(setOf(kind, item));
 			}
 		}
 
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -1,4 +1,5 @@
 /** The operators' HTTP, on its own address and with its own key. */
+import {Buffer} from 'node:buffer';
 import {
 	getQuery, H3, HTTPError, type H3Event,
 } from 'h3';
