Read and act by a query language: ask, prompt, POST /operator/ask

Cause: the desk could see and change the system only by declarations. Change: a peggy grammar with its generated parser, read statements over ten sources, acts that are shown, confirmed and recorded in the table `acts` before they are done. Requests under way are kept in a registry, so that they can be seen and cancelled. What each instance knows for itself is gathered by the command line from all operators' addresses that it is given. Ruled out: gathering from the peers inside the entry (the platform's list has no operators' addresses, and an entry that asks for others would need their key); doing an act that cannot be recorded while the platform is away.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -90,12 +90,21 @@
 		const {workspace, completion, service} = understood.unsafeCoerce();
 		const hangUp = new AbortController();
 		const job = this.#jobOf({workspace, completion, service}, {request, arrivedAt, signal: hangUp.signal});
+		const {requestId, priority} = job.route;
+		const cancel = (): void => {
+			hangUp.abort();
+			this.#parts.gate.cancel(requestId);
+		};
+
 		response.once('close', () => {
+			this.#context.requests.end(requestId);
 			if (!response.writableFinished) {
-				hangUp.abort();
-				this.#parts.gate.cancel(job.route.requestId);
+				cancel();
 			}
 		});
+		this.#context.requests.begin({
+			requestId, workspace: workspace.name, service: service.name, priority, arrivedAt, cancel,
+		});
 		await this.#serve(job, {workspace, completion}, response);
 	}
 
@@ -113,6 +122,7 @@
 			return;
 		}
 
+		this.#context.requests.admit(requestId);
 		timeline.record({kind: 'request-admitted', at: clock.now(), ...common});
 		const result = await this.#parts.runner.run(job, writer);
 		this.#parts.gate.leave(requestId);
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -59,7 +59,14 @@
 		const plainRequest = {
 			workspace, service, call: callOf(request, parts?.rest ?? '/', body.extract() as Buffer), idempotencyKey: request.headers['idempotency-key'] as string | undefined,
 		};
+		const {requests, clock} = this.#context;
+		const {requestId} = plainRequest.call;
+		requests.begin({
+			requestId, workspace: workspace.name, service: service.name, priority: workspace.priority, arrivedAt: clock.now(),
+		});
+		requests.admit(requestId);
 		answer(response, await this.#run(plainRequest));
+		requests.end(requestId);
 	}
 
 	async #run(request: PlainRequest): Promise<Either<Refusal, PlainAnswer>> {
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -10,6 +10,7 @@
 import {type ConfigurationHolder} from './configuration-holder.js';
 import {type EndpointDirectory} from './endpoint-directory.js';
 import {type EntrySettings} from './entry-settings.js';
+import {type RequestRegistry} from './request-registry.js';
 
 export type EntryContext = {
 	settings: EntrySettings;
@@ -24,6 +25,7 @@
 	plain: PlainService;
 	configuration: ConfigurationHolder;
 	endpoints: EndpointDirectory;
+	requests: RequestRegistry;
 	/** True from the order to stop on: nothing new is taken. */
 	draining: boolean;
 };
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -24,6 +24,7 @@
 import {type EntrySettings} from './entry-settings.js';
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
+import {RequestRegistry} from './request-registry.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -60,6 +61,7 @@
 			plain: new HttpPlainService(),
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
+			requests: new RequestRegistry(),
 			draining: false,
 		};
 		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
--- /dev/null
+++ b/src/entry/operators/act-runner.ts
@@ -0,0 +1,99 @@
+/**
+ * Does an operator's act. The record is written first: an act whose record cannot be written is not done, so that
+ * nothing is ever changed by nobody for no reason.
+ */
+import {describeEdit} from '../../declaration/describe-edit.js';
+import {type AskAnswer} from '../../language/ask.js';
+import {type ActPlan} from '../../language/plan-act.js';
+import {type EntryContext} from '../entry-context.js';
+import {
+	actKeyOf, type ActRecord, closeActRecord, writeActRecord,
+} from './act-record.js';
+import {proposeChange} from './propose-change.js';
+
+/** An act that was shown and confirmed. */
+export type ConfirmedAct = {
+	author: string;
+	act: string;
+	reason: string;
+	plan: ActPlan;
+};
+
+type Outcome = {kind: 'done' | 'not-done' | 'unknown'; lines: string[]};
+
+export class ActRunner {
+	readonly #context: EntryContext;
+
+	constructor(context: EntryContext) {
+		this.#context = context;
+	}
+
+	async run(confirmed: ConfirmedAct): Promise<AskAnswer> {
+		const {table, clock, identity, timeline} = this.#context;
+		const {plan, author, act, reason} = confirmed;
+		if (plan.kind === 'cancel' && !this.#isHere(plan.requestId)) {
+			return {kind: 'not-done', instance: identity.instance, lines: [`${identity.instance} serves no request ${plan.requestId}`]};
+		}
+
+		const at = clock.now();
+		const key = actKeyOf(at);
+		const record: ActRecord = {
+			at, author, act, reason, instance: identity.instance, outcome: 'asked',
+		};
+		const recorded = await writeActRecord(table, key, record);
+		if (recorded.isLeft()) {
+			return {kind: 'not-done', instance: identity.instance, lines: [`the act could not be recorded (${recorded.extract().kind}), so nothing was done`]};
+		}
+
+		const outcome = plan.kind === 'cancel' ? this.#cancel(plan.requestId) : await this.#change(confirmed, plan);
+		await closeActRecord(table, key, {...record, outcome: `${outcome.kind}: ${outcome.lines[0]!}`});
+		timeline.record({kind: 'operator-act', at: clock.now(), detail: `${author}: ${act} (${outcome.kind})`});
+		return {...outcome, instance: identity.instance};
+	}
+
+	#isHere(requestId: string): boolean {
+		return this.#context.requests.list().some(request => request.requestId === requestId);
+	}
+
+	#cancel(requestId: string): Outcome {
+		const {requests} = this.#context;
+		const outcome = requests.cancel(requestId);
+		const line = {
+			cancelled: `request ${requestId} was cancelled`,
+			'not-here': `request ${requestId} has ended already`,
+			'cannot-be-cancelled': `request ${requestId} is a call to a plain service, which may have had its effect; it is not cancelled`,
+		}[outcome];
+		return {kind: outcome === 'cancelled' ? 'done' : 'not-done', lines: [line]};
+	}
+
+	async #change({author, act, reason}: ConfirmedAct, plan: ActPlan & {kind: 'change'}): Promise<Outcome> {
+		const {plannedAgainst, edits} = plan;
+		const before = this.#context.configuration.state;
+		const accepted = await proposeChange(this.#context, {
+			plannedAgainst, edits, author, reason: `${act}: ${reason}`,
+		});
+		return accepted.caseOf<Outcome>({
+			Left(failure) {
+				switch (failure.kind) {
+					case 'overtaken': {
+						const others = failure.since.map(change => `  version ${change.version} by ${change.author}: ${change.reason}`);
+						return {kind: 'not-done', lines: ['others changed the configuration since this was shown', ...others]};
+					}
+
+					case 'bad-proposal': {
+						return {kind: 'not-done', lines: failure.findings.map(({path, message}) => `${path}: ${message}`)};
+					}
+
+					case 'unavailable': {
+						return {kind: 'not-done', lines: [failure.detail]};
+					}
+
+					case 'outcome-unknown': {
+						return {kind: 'unknown', lines: [failure.detail]};
+					}
+				}
+			},
+			Right: ({version}) => ({kind: 'done', lines: [`accepted as version ${version}`, ...edits.flatMap(edit => describeEdit(before, edit)).map(line => `  ${line}`)]}),
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/operators/answer-ask.ts
@@ -0,0 +1,94 @@
+/** Answers one line of the operators' language: reads at once; acts are shown first and done when confirmed. */
+import {z} from 'zod';
+import {describeEdit} from '../../declaration/describe-edit.js';
+import {type AskAnswer, type AskRequest} from '../../language/ask.js';
+import {checkRead, evaluateRead} from '../../language/evaluate-read.js';
+import {parseStatement} from '../../language/parse-statement.js';
+import {type ActPlan, formatAct, planAct} from '../../language/plan-act.js';
+import {type ActStatement, type LanguageError, type ReadStatement} from '../../language/statement.js';
+import {type EntryContext} from '../entry-context.js';
+import {ActRunner} from './act-runner.js';
+import {catchUp} from './propose-change.js';
+import {readSource} from './read-source.js';
+
+const longestAuthorCharacters = 200;
+const askSchema = z.strictObject({
+	statement: z.string(),
+	author: z.string().trim().min(1).max(longestAuthorCharacters).optional(),
+	confirmedAgainst: z.number().int().nonnegative().optional(),
+});
+
+/**
+ * Answers a question.
+ *
+ * @param context - The entry.
+ * @param body - The question as it arrived; nothing in it is trusted.
+ * @returns The answer; `error` for anything that cannot be understood.
+ */
+export async function answerAsk(context: EntryContext, body: unknown): Promise<AskAnswer> {
+	const asked = askSchema.safeParse(body);
+	if (!asked.success) {
+		return errorOf(...asked.error.issues.map(issue => ({column: 1, message: `${issue.path.join('.')}: ${issue.message}`})));
+	}
+
+	const statement = parseStatement(asked.data.statement);
+	if (statement.isLeft()) {
+		return errorOf(statement.extract());
+	}
+
+	const parsed = statement.unsafeCoerce();
+	return parsed.kind === 'read' ? read(context, parsed) : act(context, parsed, asked.data as AskRequest);
+}
+
+async function read(context: EntryContext, statement: ReadStatement): Promise<AskAnswer> {
+	const checked = checkRead(statement);
+	if (checked.isLeft()) {
+		return errorOf(checked.extract());
+	}
+
+	const {rows, notes} = await readSource(context, statement.source);
+	return {
+		kind: 'table', instance: context.identity.instance, ...evaluateRead(statement, rows), notes,
+	};
+}
+
+async function act(context: EntryContext, statement: ActStatement, {author, confirmedAgainst}: AskRequest): Promise<AskAnswer> {
+	await catchUp(context);
+	const {state} = context.configuration;
+	const endpoints = [...context.endpoints.engines(), ...context.endpoints.plainEndpoints()].map(({name}) => name);
+	const planned = planAct(statement, {state, endpoints});
+	if (planned.isLeft()) {
+		return errorOf(planned.extract());
+	}
+
+	const plan = planned.unsafeCoerce();
+	if (confirmedAgainst === undefined) {
+		return {
+			kind: 'shown', instance: context.identity.instance, plannedAgainst: state.version, lines: describePlan(context, statement, plan),
+		};
+	}
+
+	if (author === undefined) {
+		return errorOf({column: 1, message: 'author: who acts is needed'});
+	}
+
+	// What is done must be what was shown. Another operator may have changed the configuration in between; the act is
+	// then refused like any other proposal against an old version.
+	const shown: ActPlan = plan.kind === 'change' ? {...plan, plannedAgainst: confirmedAgainst} : plan;
+	return new ActRunner(context).run({
+		author, act: formatAct(statement), reason: statement.reason, plan: shown,
+	});
+}
+
+function describePlan({configuration}: EntryContext, statement: ActStatement, plan: ActPlan): string[] {
+	if (plan.kind === 'cancel') {
+		return [`cancel request ${plan.requestId} at the instance that serves it; its caller gets "cancelled"`, `because: ${statement.reason}`];
+	}
+
+	const changes = plan.edits.flatMap(edit => describeEdit(configuration.state, edit));
+	return [`${formatAct(statement)}: a configuration change against version ${plan.plannedAgainst}`, ...changes.map(line => `  ${line}`), `because: ${statement.reason}`];
+}
+
+function errorOf(...errors: LanguageError[]): AskAnswer {
+	return {kind: 'error', errors};
+}
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -5,6 +5,7 @@
 } from 'h3';
 import {readChangesAfter, readHead} from '../../protocol/configuration/configuration-table.js';
 import {type EntryContext} from '../entry-context.js';
+import {answerAsk} from './answer-ask.js';
 import {operatorKeyCheck} from './operator-key-check.js';
 import {catchUp, proposeChange} from './propose-change.js';
 
@@ -28,6 +29,11 @@
 		}
 	});
 	addConfigurationRoutes(app, context);
+	app.post('/operator/ask', async event => {
+		const answer = await answerAsk(context, await readJsonBody(event));
+		event.res.status = answer.kind === 'error' ? 400 : 200;
+		return answer;
+	});
 	return app;
 }
 
--- /dev/null
+++ b/src/language/complete-line.ts
@@ -0,0 +1,37 @@
+import {fieldsOfSource} from './sources.js';
+
+const verbs = ['drain', 'admit', 'pause', 'resume', 'cancel', 'move'];
+const readWords = ['where', 'order by', 'limit', 'and', 'or', 'not', 'contains', 'asc', 'desc'];
+const actWords = ['because', 'to', 'again'];
+
+/**
+ * Completes the last word of a line of the operators' language.
+ *
+ * @param line - What was typed so far.
+ * @returns The words that could stand there, and the part of a word that they complete, as `node:readline` wants them.
+ */
+export function completeLine(line: string): [string[], string] {
+	const words = line.trimStart().split(/\s+/v);
+	const last = words.at(-1)!;
+	const candidates = candidatesFor(words).filter(word => word.toLowerCase().startsWith(last.toLowerCase()));
+	return [candidates, last];
+}
+
+function candidatesFor(words: readonly string[]): string[] {
+	const sources = Object.keys(fieldsOfSource);
+	if (words.length < 2) {
+		return ['show', ...sources, ...verbs, 'help', 'exit'];
+	}
+
+	const [first, second] = words.map(word => word.toLowerCase());
+	if (first === 'show' && words.length === 2) {
+		return sources;
+	}
+
+	if (verbs.includes(first!)) {
+		return actWords;
+	}
+
+	const source = (first === 'show' ? second : first) as keyof typeof fieldsOfSource;
+	return [...readWords, ...(Object.hasOwn(fieldsOfSource, source) ? fieldsOfSource[source] : [])];
+}
--- /dev/null
+++ b/src/language/parse-statement.ts
@@ -0,0 +1,86 @@
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {parse} from './generated/parser.js';
+import {type LanguageError, type Statement} from './statement.js';
+
+/** The longest line that is looked at. It bounds the depth of nested conditions, and so the parser's stack. */
+export const longestStatementCharacters = 1000;
+
+type Expectation = {type: 'literal'; text: string} | {type: 'other'; description: string} | {type: 'class' | 'any' | 'end'};
+type ParserError = {
+	expected: Expectation[] | null;
+	location: {start: {offset: number; column: number; line: number}};
+};
+
+/**
+ * Parses one line of the operators' language.
+ *
+ * @param text - The line.
+ * @returns The statement, or where it goes wrong and what was expected there.
+ * @example
+ * parseStatement('endpoints where state = leaving order by name limit 5');
+ */
+export function parseStatement(text: string): Either<LanguageError, Statement> {
+	if (text.length > longestStatementCharacters) {
+		return Left({column: longestStatementCharacters + 1, message: `a statement has at most ${longestStatementCharacters} characters`});
+	}
+
+	const line = text.replaceAll(/[\r\n]/gv, ' ');
+	try {
+		return Right((parse as (input: string) => Statement)(line));
+	} catch (error) {
+		const {expected, location} = error as ParserError;
+		if (location === undefined) {
+			return Left({column: 1, message: 'the statement is nested too deeply'});
+		}
+
+		const {offset, column} = location.start;
+		const told = usefulOf(expected ?? []);
+		// At the end of a line only a space may be expected; what must come behind it tells more.
+		const next = told.length === 0 && offset === line.length ? expectedBehind(line) : told;
+		return Left({column, message: `expected ${listOf(next)}, but found ${describeFound(line, offset)}`});
+	}
+}
+
+function expectedBehind(line: string): string[] {
+	try {
+		(parse as (input: string) => unknown)(`${line} `);
+		return [];
+	} catch (error) {
+		return usefulOf((error as ParserError).expected ?? []);
+	}
+}
+
+function usefulOf(expected: readonly Expectation[]): string[] {
+	const texts = new Set(expected.map(expectation => describeExpectation(expectation)));
+	return [...texts].filter(text => text !== '' && text !== 'a space').toSorted();
+}
+
+function listOf(texts: readonly string[]): string {
+	return texts.length < 2 ? (texts[0] ?? 'a space') : `${texts.slice(0, -1).join(', ')} or ${texts.at(-1)!}`;
+}
+
+function describeExpectation(expectation: Expectation): string {
+	switch (expectation.type) {
+		case 'literal': {
+			return `"${expectation.text}"`;
+		}
+
+		case 'other': {
+			return expectation.description;
+		}
+
+		case 'end': {
+			return 'the end';
+		}
+
+		case 'class':
+		case 'any': {
+			return '';
+		}
+	}
+}
+
+function describeFound(line: string, offset: number): string {
+	const word = /^(?:[\w.:\/\-]+|\S)/v.exec(line.slice(offset).trimStart())?.[0];
+	return word === undefined ? 'the end' : `"${word}"`;
+}
--- /dev/null
+++ b/src/operator/desk.ts
@@ -0,0 +1,195 @@
+/** The desk: carries out one line of the query language against one or more entries, and prints what came of it. */
+import {type AskAnswer, type AskRequest} from '../language/ask.js';
+import {checkRead} from '../language/evaluate-read.js';
+import {formatTable} from '../language/format-table.js';
+import {mergeTables} from '../language/merge-tables.js';
+import {parseStatement} from '../language/parse-statement.js';
+import {sourcesPerInstance} from '../language/sources.js';
+import {type ActStatement, type LanguageError, type ReadStatement} from '../language/statement.js';
+import {badUsageExitCode} from '../settings/read-settings.js';
+import {type CommandOutput, failedExitCode, unknownExitCode} from './declaration-commands.js';
+import {type OperatorClient, OperatorClientError} from './operator-client.js';
+
+/** How the desk works. */
+export type DeskOptions = {
+	author: string;
+	/** JSON in place of tables. */
+	json: boolean;
+	/** Acts are done without asking. */
+	yes: boolean;
+};
+
+/** Asks the person at the desk whether to do what was shown. */
+export type Confirm = () => Promise<boolean>;
+
+type TableAnswer = AskAnswer & {kind: 'table'};
+
+export class Desk {
+	readonly #clients: readonly OperatorClient[];
+	readonly #options: DeskOptions;
+	readonly #output: CommandOutput;
+
+	constructor(clients: readonly OperatorClient[], options: DeskOptions, output: CommandOutput) {
+		this.#clients = clients;
+		this.#options = options;
+		this.#output = output;
+	}
+
+	get output(): CommandOutput {
+		return this.#output;
+	}
+
+	/** Carries out one line. Gives the exit status of the program. */
+	async ask(text: string, confirm: Confirm): Promise<number> {
+		const statement = parseStatement(text).chain(parsed => parsed.kind === 'read' ? checkRead(parsed) : parseStatement(text));
+		return statement.caseOf({
+			Left: async error => this.#reportErrors(text, [error]),
+			Right: async parsed => parsed.kind === 'read' ? this.#read(text, parsed) : this.#act(text, parsed, confirm),
+		});
+	}
+
+	async #read(text: string, statement: ReadStatement): Promise<number> {
+		const isPerInstance = sourcesPerInstance.has(statement.source);
+		const {answers, notes} = isPerInstance ? await this.#askAll({statement: text}) : await this.#askFirst({statement: text});
+		const failed = answers.find(answer => answer.kind === 'error');
+		if (failed !== undefined) {
+			return this.#reportErrors(text, failed.errors);
+		}
+
+		const tables = answers.filter((answer): answer is TableAnswer => answer.kind === 'table');
+		const table = mergeTables(statement, tables.map(({rows}) => rows));
+		const told = [...tables.flatMap(answer => answer.notes), ...notes];
+		if (this.#options.json) {
+			this.#output.line(JSON.stringify({...table, notes: told}));
+		} else {
+			this.#print([...formatTable(table), `${table.rows.length} rows`]);
+			for (const note of told) {
+				this.#output.problem(note);
+			}
+		}
+
+		return notes.length > 0 ? failedExitCode : 0;
+	}
+
+	async #act(text: string, statement: ActStatement, confirm: Confirm): Promise<number> {
+		const {answers: [shown], notes} = await this.#askFirst({statement: text});
+		if (shown?.kind !== 'shown') {
+			return shown?.kind === 'error' ? this.#reportErrors(text, shown.errors) : this.#fail(notes);
+		}
+
+		if (!this.#options.json) {
+			this.#print(shown.lines);
+		}
+
+		if (!this.#options.yes && !await confirm()) {
+			this.#output.problem('not done; give --yes, or confirm, to do it');
+			return failedExitCode;
+		}
+
+		const request = {statement: text, author: this.#options.author, confirmedAgainst: shown.plannedAgainst};
+		const done = statement.verb === 'cancel' ? await this.#askAll(request) : await this.#askFirst(request);
+		return this.#reportAct(text, done);
+	}
+
+	#reportAct(text: string, {answers, notes}: {answers: AskAnswer[]; notes: string[]}): number {
+		const best = answers.find(({kind}) => kind === 'done') ?? answers.find(({kind}) => kind === 'unknown') ?? answers[0];
+		if (best === undefined) {
+			return this.#fail(notes);
+		}
+
+		if (best.kind === 'error') {
+			return this.#reportErrors(text, best.errors);
+		}
+
+		if (best.kind === 'table' || best.kind === 'shown') {
+			return this.#fail(['the entry did not do the act']);
+		}
+
+		if (this.#options.json) {
+			this.#output.line(JSON.stringify(best));
+		} else if (best.kind === 'done') {
+			this.#print(best.lines);
+		} else {
+			this.#fail([`${best.kind === 'unknown' ? 'it is not known whether this was done' : 'not done'}:`, ...best.lines, ...notes]);
+		}
+
+		return {done: 0, 'not-done': failedExitCode, unknown: unknownExitCode}[best.kind];
+	}
+
+	/** Asks all entries; those that cannot be asked become notes. */
+	async #askAll(request: AskRequest): Promise<{answers: AskAnswer[]; notes: string[]}> {
+		const answers: AskAnswer[] = [];
+		const notes: string[] = [];
+		await Promise.all(this.#clients.map(async client => {
+			try {
+				answers.push(await askOne(client, request));
+			} catch (error) {
+				notes.push(noteOf(error));
+			}
+		}));
+		return {answers, notes};
+	}
+
+	/** Asks the entries in turn until one answers a read; an act is asked of the first one only. */
+	async #askFirst(request: AskRequest): Promise<{answers: AskAnswer[]; notes: string[]}> {
+		const notes: string[] = [];
+		for (const client of this.#clients) {
+			try {
+				return {answers: [await askOne(client, request)], notes: []};
+			} catch (error) {
+				notes.push(noteOf(error));
+				if (request.confirmedAgainst !== undefined) {
+					// The answer may have been lost after the act was done; another entry would do it again.
+					return {answers: [{kind: 'unknown', instance: client.address, lines: ['look at acts before you try again']}], notes};
+				}
+			}
+		}
+
+		return {answers: [], notes};
+	}
+
+	#reportErrors(text: string, errors: readonly LanguageError[]): number {
+		if (this.#options.json) {
+			this.#output.line(JSON.stringify({errors}));
+			return badUsageExitCode;
+		}
+
+		for (const {column, message} of errors) {
+			this.#output.problem(text);
+			this.#output.problem(`${' '.repeat(column - 1)}^ column ${column}: ${message}`);
+		}
+
+		return badUsageExitCode;
+	}
+
+	#print(lines: readonly string[]): void {
+		for (const line of lines) {
+			this.#output.line(line);
+		}
+	}
+
+	#fail(lines: readonly string[]): number {
+		for (const line of lines) {
+			this.#output.problem(line);
+		}
+
+		return failedExitCode;
+	}
+}
+
+async function askOne(client: OperatorClient, request: AskRequest): Promise<AskAnswer> {
+	const {status, body} = await client.exchange('POST', '/operator/ask', request);
+	if ((status !== 200 && status !== 400) || body === undefined) {
+		throw new OperatorClientError(`${client.address} answered ${status}`);
+	}
+
+	return body as unknown as AskAnswer;
+}
+
+function noteOf(error: unknown): string {
+	if (error instanceof OperatorClientError) {
+		return error.message;
+	}
+
+	throw error;
+}
--- a/src/operator/main.ts
+++ b/src/operator/main.ts
@@ -14,8 +14,10 @@
 import {
 	type CommandOutput, failedExitCode, runApply, runCheck, runHistory, runPlan, runRevert, runShow,
 } from './declaration-commands.js';
+import {Desk, type DeskOptions} from './desk.js';
 import {OperatorClient, OperatorClientError} from './operator-client.js';
 import {operatorSettingDefinitions} from './operator-settings.js';
+import {confirmerOf, runPrompt} from './run-prompt.js';
 
 const parseVersion = parseWholeNumberBetween(1, Number.MAX_SAFE_INTEGER);
 const parsePlanVersion = parseWholeNumberBetween(0, Number.MAX_SAFE_INTEGER);
@@ -78,9 +80,13 @@
 		return this.take(checkText('VERSION', version, parseVersion));
 	}
 
-	client(): Either<unknown, OperatorClient> {
+	clients(): Either<unknown, OperatorClient[]> {
 		const settings = this.take(checkSettings(operatorSettingDefinitions, givenTextsOf(this.command, operatorSettingDefinitions)));
-		return settings.map(({operatorAddress, operatorKey}) => new OperatorClient(operatorAddress, operatorKey));
+		return settings.map(({operatorAddress, operatorKey}) => operatorAddress.map(address => new OperatorClient(address, operatorKey)));
+	}
+
+	client(): Either<unknown, OperatorClient> {
+		return this.clients().map(clients => clients[0]!);
 	}
 
 	/** Reports all findings and ends the process if there are any. */
@@ -162,4 +168,28 @@
 		const client = input.client();
 		await finish(input, async () => runRevert(version.unsafeCoerce(), authorship.unsafeCoerce(), client.unsafeCoerce(), output));
 	});
+const addDesk = (command: Command): Command => command
+	.option('--json', 'print JSON for programs in place of tables for people')
+	.addOption(new Option('--author [name]', 'who; it stands in the record of acts').default(userInfo().username));
+const deskOptionsOf = (input: CheckedInput): Either<unknown, DeskOptions> => {
+	const {json = false, yes = false} = input.command.opts<{json?: boolean; yes?: boolean}>();
+	return input.flag('author', parseText).map(author => ({author, json, yes}));
+};
+
+addDesk(addCommand('ask [statement]', 'read or act by one line of the query language; see docs/LANGUAGE.md'))
+	.option('--yes', 'do an act at once after it was shown')
+	.action(async (_statement, _options, command: Command) => {
+		const input = new CheckedInput(command, 1);
+		const statement = input.take(checkText('STATEMENT', command.args.find(argument => !argument.startsWith('-')), parseText));
+		const options = deskOptionsOf(input);
+		const clients = input.clients();
+		await finish(input, async () => new Desk(clients.unsafeCoerce(), options.unsafeCoerce(), output).ask(statement.unsafeCoerce(), confirmerOf()));
+	});
+addDesk(addCommand('prompt', 'read and act line by line, with history and completion by the tab key'))
+	.action(async (_options, command: Command) => {
+		const input = new CheckedInput(command, 0);
+		const options = deskOptionsOf(input);
+		const clients = input.clients();
+		await finish(input, async () => runPrompt(new Desk(clients.unsafeCoerce(), options.unsafeCoerce(), output), {input: process.stdin, output: process.stdout}));
+	});
 await program.parseAsync();
--- a/src/settings/setting-parsers.ts
+++ b/src/settings/setting-parsers.ts
@@ -1,6 +1,6 @@
 /** The checks that settings share. Each turns a text into a value, or says what is wrong with the text. */
 import {isIP} from 'node:net';
-import {type Either, Left, Right} from 'purify-ts/Either';
+import {Either, Left, Right} from 'purify-ts/Either';
 
 const highestPort = 65_535;
 
@@ -28,6 +28,11 @@
 	return text === '' ? Right('') : parseAddress(text);
 }
 
+/** Takes one or more `IP:port` with commas between. */
+export function parseAddressList(text: string): Either<string, string[]> {
+	return Either.sequence(text.split(',').map(address => parseAddress(address.trim())));
+}
+
 /**
  * Makes a check for whole numbers in a range.
  *
