--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -26,6 +26,7 @@
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
 import {EntryPeers} from './peers/entry-peers.js';
+import {RequestRegistry} from './request-registry.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -66,6 +67,7 @@
 			plain: new HttpPlainService(),
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
+			requests: new RequestRegistry(),
 			draining: false,
 		};
 		this.#neverTwice = new NeverTwiceRunner(this.#context);
@@ -138,8 +140,9 @@
 	}
 
 	#reportConfiguration(): void {
-		const {configuration, clock, metrics} = this.#context;
+		const {configuration, endpoints, clock, metrics} = this.#context;
 		configuration.onChange(state => {
+			endpoints.takeDrained(new Set(state.drains.keys()));
 			this.#timeline.record({kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version});
 			metrics.report('configuration.version', state.version);
 		});
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -9,6 +9,7 @@
 import {EndpointDirectory} from '../entry/endpoint-directory.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {defaultListenerBounds, HttpListener} from '../entry/http-listener.js';
+import {RequestRegistry} from '../entry/request-registry.js';
 import {createOperatorRoutes} from '../entry/operators/operator-routes.js';
 import {BoundedQueueAdmission} from '../decision/admission/bounded-queue-admission.js';
 import {LeastLoadedPolicy} from '../decision/routing/least-loaded-policy.js';
@@ -54,6 +55,9 @@
 	},
 ];
 
+/** An entry that knows no peer. */
+const alone = {overview: () => ({version: 0, members: [], links: []})};
+
 export class TestEntry {
 	readonly clock = new ManualClock(startOfTime);
 	readonly engine = new MemoryModelEngine();
@@ -104,10 +108,11 @@
 			plain: this.plain,
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
+			requests: new RequestRegistry(),
 			draining: false,
 		};
 		this.callers = new HttpListener('callers', this.#routes().app, '127.0.0.1:0', bounds);
-		this.operators = new HttpListener('operators', createOperatorRoutes(this.context), '127.0.0.1:0', bounds);
+		this.operators = new HttpListener('operators', createOperatorRoutes(this.context, alone), '127.0.0.1:0', bounds);
 	}
 
 	/** Starts to listen, with a configuration in force and both engines live. */
