--- a/src/decision/admission/admission-policy.ts
+++ b/src/decision/admission/admission-policy.ts
@@ -22,6 +22,12 @@
 	= | {kind: 'admit'; requestId: string}
 		| {kind: 'refuse'; requestId: string; refusal: Refusal};
 
+/** How many requests of a service this instance may have under way. Urgent ones may use all of `urgentPlaces`. */
+export type ServiceCapacity = {
+	places: number;
+	urgentPlaces: number;
+};
+
 /** Lets requests in. */
 export interface AdmissionPolicy {
 	/** A request came. */
@@ -32,8 +38,8 @@
 	cancel(requestId: string, now: number): AdmissionAction[];
 	/** Time passed: deadlines are looked at. */
 	advance(now: number): AdmissionAction[];
-	/** How many requests of a service its endpoints can run at once, as known now. */
-	setCapacity(service: string, capacity: number, now: number): AdmissionAction[];
+	/** How many requests of a service this instance may have under way, as known now. */
+	setCapacity(service: string, capacity: ServiceCapacity, now: number): AdmissionAction[];
 	/** Requests that wait, for operators. */
 	waiting(): readonly AdmissionRequest[];
 }
--- a/src/decision/admission/bounded-queue-admission.ts
+++ b/src/decision/admission/bounded-queue-admission.ts
@@ -3,7 +3,9 @@
  * queue. It answers saturation; it knows nothing of shares, so one workspace can take all places.
  */
 import {type PriorityClass, type Refusal} from '../../shared/types.js';
-import {type AdmissionAction, type AdmissionPolicy, type AdmissionRequest} from './admission-policy.js';
+import {
+	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest, type ServiceCapacity,
+} from './admission-policy.js';
 
 const queueLimitRequests = 1000;
 const overloadedRetryMilliseconds = 1000;
@@ -13,6 +15,7 @@
 export class BoundedQueueAdmission implements AdmissionPolicy {
 	readonly #capacity = new Map<string, number>();
 	readonly #running = new Map<string, AdmissionRequest>();
+	readonly #runningOfService = new Map<string, number>();
 	#queue: AdmissionRequest[] = [];
 
 	arrive(request: AdmissionRequest, now: number): AdmissionAction[] {
@@ -25,7 +28,12 @@
 	}
 
 	finish(requestId: string, now: number): AdmissionAction[] {
-		this.#running.delete(requestId);
+		const request = this.#running.get(requestId);
+		if (request !== undefined) {
+			this.#running.delete(requestId);
+			this.#count(request.service, -1);
+		}
+
 		return this.advance(now);
 	}
 
@@ -36,12 +44,15 @@
 
 	advance(now: number): AdmissionAction[] {
 		const late = this.#queue.filter(request => request.deadline <= now);
-		this.#queue = this.#queue.filter(request => request.deadline > now);
+		if (late.length > 0) {
+			this.#queue = this.#queue.filter(request => request.deadline > now);
+		}
+
 		return [...late.map(request => refuse(request, 'deadline', 'the deadline passed while it waited')), ...this.#admit()];
 	}
 
-	setCapacity(service: string, capacity: number, now: number): AdmissionAction[] {
-		this.#capacity.set(service, capacity);
+	setCapacity(service: string, capacity: ServiceCapacity, now: number): AdmissionAction[] {
+		this.#capacity.set(service, capacity.urgentPlaces);
 		return this.advance(now);
 	}
 
@@ -50,19 +61,31 @@
 	}
 
 	#admit(): AdmissionAction[] {
-		const inOrder = classes.flatMap(priority => this.#queue.filter(request => request.priority === priority));
 		const actions: AdmissionAction[] = [];
-		for (const request of inOrder) {
-			const running = [...this.#running.values()].filter(({service}) => service === request.service).length;
-			if (running < (this.#capacity.get(request.service) ?? defaultCapacityRequests)) {
-				this.#running.set(request.requestId, request);
-				actions.push({kind: 'admit', requestId: request.requestId});
+		for (const priority of classes) {
+			for (const request of this.#queue) {
+				if (request.priority === priority && this.#hasPlace(request.service)) {
+					this.#running.set(request.requestId, request);
+					this.#count(request.service, 1);
+					actions.push({kind: 'admit', requestId: request.requestId});
+				}
 			}
 		}
 
-		this.#queue = this.#queue.filter(request => !this.#running.has(request.requestId));
+		if (actions.length > 0) {
+			this.#queue = this.#queue.filter(request => !this.#running.has(request.requestId));
+		}
+
 		return actions;
 	}
+
+	#hasPlace(service: string): boolean {
+		return (this.#runningOfService.get(service) ?? 0) < (this.#capacity.get(service) ?? defaultCapacityRequests);
+	}
+
+	#count(service: string, change: number): void {
+		this.#runningOfService.set(service, (this.#runningOfService.get(service) ?? 0) + change);
+	}
 }
 
 function refuse(request: AdmissionRequest, reason: 'overloaded' | 'deadline', message: string): AdmissionAction {
--- /dev/null
+++ b/src/decision/admission/fair-share-admission.ts
@@ -0,0 +1,176 @@
+/**
+ * Admission with fair shares, classes and deadlines.
+ *
+ * Load it answers: more work than the endpoints can do, most of it from a few large workspaces, with urgent questions
+ * among work that can wait. Without it the largest workspace takes the places of the small ones, an urgent question
+ * stands behind a night's rulebooks, and a caller hears at its deadline what could have been said at once. Urgent work
+ * goes first and has places of its own; each class is served in fair order of workspaces; what cannot make its deadline
+ * is refused on arrival with the time at which the queue will have room; a full queue is emptied at its longest lane.
+ */
+import {type Refusal} from '../../shared/types.js';
+import {
+	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest, type ServiceCapacity,
+} from './admission-policy.js';
+import {costOf, ServiceQueue} from './service-queue.js';
+
+/** Requests that wait in one instance at most: at about 400 bytes each, under half a megabyte. */
+export const queueLimitRequests = 1000;
+/** Out of so many admitted requests one goes to overnight work even while normal work waits, so that it never starves. */
+export const overnightTurn = 8;
+const leastRetryMilliseconds = 1000;
+const longestRetryMilliseconds = 3_600_000;
+const defaultCapacity: ServiceCapacity = {places: 8, urgentPlaces: 16};
+/** Time over which the speed of service is averaged: long enough for ten overnight prompts, short enough for a fault. */
+const rateWindowMilliseconds = 20_000;
+
+type Service = {
+	queue: ServiceQueue;
+	capacity: ServiceCapacity;
+	running: number;
+	turn: number;
+	/** Work that ended lately, decaying over `rateWindowMilliseconds`, and since when it is known. */
+	endedWork: number;
+	endedAt: number;
+	knownSince: number;
+};
+
+export class FairShareAdmission implements AdmissionPolicy {
+	readonly #services = new Map<string, Service>();
+	readonly #running = new Map<string, AdmissionRequest>();
+
+	arrive(request: AdmissionRequest, now: number): AdmissionAction[] {
+		const service = this.#serviceOf(request.service, now);
+		const wait = expectedWait(service, request, now);
+		if (now + wait >= request.deadline) {
+			const retry = Math.max(leastRetryMilliseconds, now + wait - request.deadline);
+			return [refuse(request, 'deadline', retry)];
+		}
+
+		service.queue.push(request, now);
+		return [...this.#boundMemory(now), ...this.#admit(service)];
+	}
+
+	finish(requestId: string, now: number): AdmissionAction[] {
+		const request = this.#running.get(requestId);
+		if (request === undefined) {
+			return [];
+		}
+
+		this.#running.delete(requestId);
+		const service = this.#serviceOf(request.service, now);
+		service.running--;
+		service.endedWork = (service.endedWork * decayOf(now - service.endedAt)) + costOf(request);
+		service.endedAt = now;
+		return this.#admit(service);
+	}
+
+	cancel(requestId: string, now: number): AdmissionAction[] {
+		for (const {queue} of this.#services.values()) {
+			if (queue.remove(requestId)) {
+				return [];
+			}
+		}
+
+		return this.finish(requestId, now);
+	}
+
+	advance(now: number): AdmissionAction[] {
+		return [...this.#services.values()].flatMap(service => {
+			const late = service.queue.sweep(now).map(request => refuse(request, 'deadline', expectedWait(service, request, now)));
+			return [...late, ...this.#admit(service)];
+		});
+	}
+
+	setCapacity(service: string, capacity: ServiceCapacity, now: number): AdmissionAction[] {
+		const known = this.#serviceOf(service, now);
+		known.capacity = capacity;
+		return this.#admit(known);
+	}
+
+	waiting(): readonly AdmissionRequest[] {
+		return [...this.#services.values()].flatMap(({queue}) => queue.list());
+	}
+
+	#admit(service: Service): AdmissionAction[] {
+		const actions: AdmissionAction[] = [];
+		for (let next = takeNext(service); next !== undefined; next = takeNext(service)) {
+			this.#running.set(next.requestId, next);
+			service.running++;
+			actions.push({kind: 'admit', requestId: next.requestId});
+		}
+
+		return actions;
+	}
+
+	/** The service with the most that wait gives up requests until the instance's bound holds. */
+	#boundMemory(now: number): AdmissionAction[] {
+		const services = [...this.#services.values()];
+		const total = services.reduce((sum, {queue}) => sum + queue.size, 0);
+		if (total <= queueLimitRequests) {
+			return [];
+		}
+
+		const fullest = services.toSorted((left, right) => right.queue.size - left.queue.size)[0]!;
+		const dropped = fullest.queue.dropFromLongest()!;
+		return [refuse(dropped, 'overloaded', expectedWait(fullest, dropped, now))];
+	}
+
+	#serviceOf(name: string, now: number): Service {
+		let service = this.#services.get(name);
+		if (service === undefined) {
+			service = {
+				queue: new ServiceQueue(), capacity: defaultCapacity, running: 0, turn: 0, endedWork: 0, endedAt: now, knownSince: now,
+			};
+			this.#services.set(name, service);
+		}
+
+		return service;
+	}
+}
+
+function takeNext(service: Service): AdmissionRequest | undefined {
+	const {queue, capacity} = service;
+	if (queue.size === 0 || service.running >= Math.max(capacity.places, capacity.urgentPlaces)) {
+		return undefined;
+	}
+
+	const urgent = service.running < capacity.urgentPlaces ? queue.take('urgent') : undefined;
+	if (urgent !== undefined) {
+		return urgent.request;
+	}
+
+	if (service.running >= capacity.places) {
+		return undefined;
+	}
+
+	service.turn = (service.turn + 1) % overnightTurn;
+	const first = service.turn === 0 ? 'overnight' : 'normal';
+	const second = first === 'normal' ? 'overnight' : 'normal';
+	return (queue.take(first) ?? queue.take(second))?.request;
+}
+
+/** How long a new request would wait, from the work before it and the speed at which work ended lately. */
+function expectedWait(service: Service, request: AdmissionRequest, now: number): number {
+	if (request.priority === 'urgent' && service.running < service.capacity.urgentPlaces) {
+		return 0;
+	}
+
+	const window = Math.min(rateWindowMilliseconds, Math.max(1, now - service.knownSince));
+	const rate = service.endedWork * decayOf(now - service.endedAt) / window;
+	const ahead = service.queue.workAhead(request);
+	return rate <= 0 || ahead === 0 ? 0 : ahead / rate;
+}
+
+function decayOf(milliseconds: number): number {
+	return Math.exp(-milliseconds / rateWindowMilliseconds);
+}
+
+function refuse(request: AdmissionRequest, reason: 'overloaded' | 'deadline', waitMilliseconds: number): AdmissionAction {
+	const refusal: Refusal = {
+		reason,
+		ran: 'not-run',
+		message: reason === 'deadline' ? 'the queue is longer than the deadline allows' : 'too many requests of this workspace wait',
+		retryAfterMilliseconds: Math.round(Math.min(longestRetryMilliseconds, Math.max(leastRetryMilliseconds, waitMilliseconds))),
+	};
+	return {kind: 'refuse', requestId: request.requestId, refusal};
+}
--- /dev/null
+++ b/src/decision/admission/service-queue.ts
@@ -0,0 +1,184 @@
+/**
+ * The waiting requests of one service: a lane per workspace, a queue per class in each lane, and start-time fair queueing
+ * over the lanes. A lane's virtual time is the work that it was given, over its weight; the lane furthest behind is next.
+ */
+import {type PriorityClass} from '../../shared/types.js';
+import {type AdmissionRequest} from './admission-policy.js';
+
+/**
+ * Overnight work that waited this long is taken as normal work. At ten minutes a night's backlog still yields to a
+ * burst, and a stream of normal work that never ends cannot hold it back until its deadline hours later.
+ */
+export const ageingMilliseconds = 600_000;
+/** Work that a request costs beside its prompt: its answer, and the step overhead of a short prompt. */
+const overheadTokens = 256;
+const classes: readonly PriorityClass[] = ['urgent', 'normal', 'overnight'];
+
+/** A request that waits. */
+export type WaitingRequest = {request: AdmissionRequest; arrivedAt: number; cost: number};
+
+type Lane = {workspace: string; share: number; virtualTime: number; queues: Record<PriorityClass, WaitingRequest[]>};
+
+/** The work that a request counts as, in tokens. */
+export function costOf(request: AdmissionRequest): number {
+	return request.promptTokens + overheadTokens;
+}
+
+export class ServiceQueue {
+	readonly #lanes = new Map<string, Lane>();
+	#virtualNow = 0;
+	#size = 0;
+	#earliestDeadline = Number.POSITIVE_INFINITY;
+
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Puts a request at the end of its lane's queue. */
+	push(request: AdmissionRequest, now: number): void {
+		const lane = this.#laneOf(request);
+		if (classes.every(priority => lane.queues[priority].length === 0)) {
+			// An idle lane saves no credit: without this, a workspace that was away for an hour would hold all places for
+			// as long as its unused share lasts, and the others would see nothing served.
+			lane.virtualTime = Math.max(lane.virtualTime, this.#virtualNow);
+		}
+
+		lane.share = request.share;
+		lane.queues[request.priority].push({request, arrivedAt: now, cost: costOf(request)});
+		this.#size++;
+		this.#earliestDeadline = Math.min(this.#earliestDeadline, request.deadline);
+	}
+
+	/** Takes the next request of a class, in fair order over the workspaces. */
+	take(priority: PriorityClass): WaitingRequest | undefined {
+		let next: Lane | undefined;
+		for (const lane of this.#lanes.values()) {
+			if (lane.queues[priority].length > 0 && (next === undefined || lane.virtualTime < next.virtualTime)) {
+				next = lane;
+			}
+		}
+
+		const waiting = next?.queues[priority].shift();
+		if (next === undefined || waiting === undefined) {
+			return undefined;
+		}
+
+		this.#virtualNow = Math.max(this.#virtualNow, next.virtualTime);
+		next.virtualTime += waiting.cost / next.share;
+		this.#size--;
+		this.#dropIdleLane(next);
+		return waiting;
+	}
+
+	/** Takes one certain request out. */
+	remove(requestId: string): boolean {
+		for (const lane of this.#lanes.values()) {
+			for (const priority of classes) {
+				const index = lane.queues[priority].findIndex(({request}) => request.requestId === requestId);
+				if (index !== -1) {
+					lane.queues[priority].splice(index, 1);
+					this.#size--;
+					this.#dropIdleLane(lane);
+					return true;
+				}
+			}
+		}
+
+		return false;
+	}
+
+	/** Takes out what can no longer make its deadline, and puts overnight work that waited long behind the normal. */
+	sweep(now: number): AdmissionRequest[] {
+		const late: AdmissionRequest[] = [];
+		for (const lane of this.#lanes.values()) {
+			while ((lane.queues.overnight[0]?.arrivedAt ?? now) + ageingMilliseconds <= now) {
+				lane.queues.normal.push(lane.queues.overnight.shift()!);
+			}
+		}
+
+		if (this.#earliestDeadline > now) {
+			return late;
+		}
+
+		this.#earliestDeadline = Number.POSITIVE_INFINITY;
+		for (const lane of this.#lanes.values()) {
+			for (const priority of classes) {
+				late.push(...lane.queues[priority].filter(({request}) => request.deadline <= now).map(({request}) => request));
+				lane.queues[priority] = lane.queues[priority].filter(({request}) => request.deadline > now);
+				this.#earliestDeadline = Math.min(this.#earliestDeadline, ...lane.queues[priority].map(({request}) => request.deadline));
+			}
+		}
+
+		this.#size -= late.length;
+		return late;
+	}
+
+	/** Takes out the newest and least urgent request of the lane that waits with the most work for its weight. */
+	dropFromLongest(): AdmissionRequest | undefined {
+		let longest: Lane | undefined;
+		let most = -1;
+		for (const lane of this.#lanes.values()) {
+			const work = classes.reduce((sum, priority) => sum + workIn(lane.queues[priority]), 0) / lane.share;
+			if (work > most) {
+				most = work;
+				longest = lane;
+			}
+		}
+
+		const priority = classes.toReversed().find(name => (longest?.queues[name].length ?? 0) > 0);
+		const dropped = priority === undefined ? undefined : longest!.queues[priority].pop();
+		this.#size -= dropped === undefined ? 0 : 1;
+		return dropped?.request;
+	}
+
+	/**
+	 * Works out the work that will be served before a new request: of higher classes all, of its own class what fair
+	 * order puts first, which is at most its own lane's work times how many weights share the service.
+	 */
+	workAhead(request: AdmissionRequest): number {
+		let higher = 0;
+		let same = 0;
+		let weights = 0;
+		for (const lane of this.#lanes.values()) {
+			for (const priority of classes.slice(0, classes.indexOf(request.priority))) {
+				higher += workIn(lane.queues[priority]);
+			}
+
+			const work = workIn(lane.queues[request.priority]);
+			same += work;
+			weights += work > 0 || lane.workspace === request.workspace ? lane.share : 0;
+		}
+
+		const lane = this.#lanes.get(request.workspace);
+		const own = (lane === undefined ? 0 : workIn(lane.queues[request.priority])) + costOf(request);
+		return higher + Math.min(same, own * Math.max(1, weights / request.share));
+	}
+
+	/** All that wait. */
+	list(): AdmissionRequest[] {
+		return [...this.#lanes.values()].flatMap(lane => classes.flatMap(priority => lane.queues[priority].map(({request}) => request)));
+	}
+
+	#laneOf({workspace, share}: AdmissionRequest): Lane {
+		let lane = this.#lanes.get(workspace);
+		if (lane === undefined) {
+			lane = {
+				workspace, share, virtualTime: this.#virtualNow, queues: {urgent: [], normal: [], overnight: []},
+			};
+			this.#lanes.set(workspace, lane);
+		}
+
+		return lane;
+	}
+
+	/** A lane that owes nothing is forgotten, so that memory follows the workspaces that wait and not all there are. */
+	#dropIdleLane(lane: Lane): void {
+		if (lane.virtualTime <= this.#virtualNow && classes.every(priority => lane.queues[priority].length === 0)) {
+			this.#lanes.delete(lane.workspace);
+		}
+	}
+}
+
+function workIn(queue: readonly WaitingRequest[]): number {
+	return queue.reduce((sum, {cost}) => sum + cost, 0);
+}
--- /dev/null
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -0,0 +1,267 @@
+/**
+ * Routing by expected time to first token.
+ *
+ * Load it answers: prompts with long prefixes that return to some of many endpoints, quick questions among long work,
+ * reports that lag. For each endpoint it works out: the wait before prefill (reported backlog, corrected for what was
+ * sent since), the prefill of what is not kept there, and the way over a store's link where that is cheaper; the least
+ * sum wins. Without it a prompt either goes where its prefix is not and is recomputed, or follows its prefix into a
+ * queue. A hot prefix is copied by itself: once the wait at its endpoint is longer than a fetch, the next endpoint gets
+ * it. Against a herd after a stale report: instances add what they sent themselves, and those choices that are nearly
+ * as good are decided by a hash of the prefix, so that a new prefix gets one home from all instances and different
+ * prefixes get different ones.
+ */
+import {type PriorityClass} from '../../shared/types.js';
+import {hashOf} from '../../shared/hash-of.js';
+import {type KeptPrefixes} from '../kept/kept-prefixes.js';
+import {EndpointIndex} from './endpoint-index.js';
+import {EndpointState} from './endpoint-state.js';
+import {isCandidate} from './is-candidate.js';
+import {LinkEstimate} from './link-estimate.js';
+import {
+	type AttemptEvent, type EndpointView, type FetchPlan, type RouteChoice, type RouteRequest, type RoutingPolicy,
+} from './routing-policy.js';
+
+const noEndpointRetryMilliseconds = 2000;
+const rankOf: Record<PriorityClass, number> = {urgent: 0, normal: 1, overnight: 2};
+
+/** What a policy is told of where it stands. */
+export type RoutingSettings = {
+	dataCentre: string;
+	stores: readonly string[];
+	pieceTokens: number;
+	/** Time of an idle store link for one piece. */
+	millisecondsPerPiece: number;
+};
+
+/**
+ * Beside the time to first token, recomputing costs the endpoint time that others wait for. Urgent prompts weigh it
+ * little; work that can wait weighs it fully, since it has time to go where its prefix is.
+ */
+const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 2, overnight: 3};
+/** Overnight work has hours: its own wait counts little against the work that it makes. */
+const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.25};
+/** A fetch takes the link from others: the same reckoning for its time on the link. */
+const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 0.5, overnight: 0.5};
+/** Two endpoints whose scores are closer than this share are taken as equal: the reports are no better than that. */
+const nearlyEqualShare = 0.1;
+const nearlyEqualMilliseconds = 20;
+/**
+ * A long prefill makes every step longer for those that decode beside it, so their places come free later. Work that can
+ * wait counts that against an endpoint for each request that runs there, and urgent work keeps away from an endpoint
+ * that prefills for others. Together they part long prefill from quick questions without fixing who goes where.
+ */
+const disturbedShare = 0.3;
+const prefillingEndpointMilliseconds = 150;
+/** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
+const busyStepMilliseconds = 40;
+/** Each running request slows the step a little, and holds memory. */
+const runningMilliseconds = 2;
+const otherDataCentreMilliseconds = 4;
+const otherVersionMilliseconds = 60_000;
+const defaultServiceMilliseconds = 3000;
+const usualRatioWeight = 0.02;
+const serviceTimeWeight = 0.05;
+/** The mix of classes that was sent is remembered for about this long. */
+const mixMemoryTokens = 400_000;
+
+type Estimate = {endpoint: EndpointView; score: number; expected: number; prefillTokens: number; fetch?: FetchPlan};
+
+export class ExpectedFirstTokenPolicy implements RoutingPolicy {
+	readonly #prefixes: KeptPrefixes;
+	readonly #settings: RoutingSettings;
+	readonly #index = new EndpointIndex();
+	readonly #states = new Map<string, EndpointState>();
+	readonly #links: ReadonlyMap<string, LinkEstimate>;
+	readonly #chosen = new Map<string, Estimate>();
+	readonly #sentAt = new Map<string, number>();
+	readonly #mix = [1, 1, 1];
+	#usualRatio = 1;
+	#serviceMilliseconds = defaultServiceMilliseconds;
+
+	constructor(prefixes: KeptPrefixes, settings: RoutingSettings) {
+		this.#prefixes = prefixes;
+		this.#settings = settings;
+		this.#links = new Map(settings.stores.map(name => [name, new LinkEstimate(settings.millisecondsPerPiece)]));
+	}
+
+	choose(request: RouteRequest, endpoints: readonly EndpointView[], now: number): RouteChoice {
+		const kept = this.#prefixes.leadingPieces(request.pieceKeys);
+		const inView = this.#index.candidatesFor(request, endpoints, kept).filter(endpoint => isCandidate(endpoint, request, now));
+		const closed = inView.filter(endpoint => !this.#stateOf(endpoint.name).isOpen(now));
+		// With every circuit open the breakers would turn a short outage into refusals; the endpoints are tried instead.
+		const candidates = closed.length === 0 ? inView : closed;
+		const store = this.#bestStore(kept);
+		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store}, now));
+		const best = chooseAmong(estimates, request);
+		if (best === undefined) {
+			return {kind: 'none', retryAfterMilliseconds: noEndpointRetryMilliseconds};
+		}
+
+		this.#chosen.set(request.requestId, best);
+		const {endpoint, fetch} = best;
+		return fetch === undefined ? {kind: 'send', endpoint} : {kind: 'send', endpoint, fetch};
+	}
+
+	observe(event: AttemptEvent, now: number): void {
+		const state = this.#stateOf(event.endpoint);
+		switch (event.kind) {
+			case 'sent': {
+				this.#sent(event.request, state, now);
+				break;
+			}
+
+			case 'fetched': {
+				this.#links.get(event.store)?.observe(event.pieces, event.linkMilliseconds, now);
+				this.#prefixes.forget(event.store, event.pieceKeys.slice(event.pieces));
+				this.#prefixes.learn(event.endpoint, event.pieceKeys.slice(0, event.pieces));
+				state.fetched(event.requestId, event.afterMilliseconds);
+				break;
+			}
+
+			case 'first-token': {
+				this.#prefixes.learn(event.endpoint, event.request.pieceKeys);
+				const ratio = state.firstToken(event.request.requestId, event.afterMilliseconds, now);
+				this.#usualRatio += usualRatioWeight * (Math.min(ratio, 4) - this.#usualRatio);
+				break;
+			}
+
+			case 'ended': {
+				state.ended(event.request.requestId, event.outcome, now);
+				this.#ended(event, now);
+				break;
+			}
+		}
+	}
+
+	#sent(request: RouteRequest, state: EndpointState, now: number): void {
+		const estimate = this.#chosen.get(request.requestId);
+		this.#chosen.delete(request.requestId);
+		const rank = rankOf[request.priority];
+		const tokens = estimate?.prefillTokens ?? request.promptTokens;
+		state.sent(request, {
+			at: now, tokens, rank, expected: estimate?.expected ?? 0, fetched: 0,
+		});
+		this.#sentAt.set(request.requestId, now);
+		this.#mix[rank]! += tokens;
+		if (this.#mix.reduce((sum, part) => sum + part, 0) > mixMemoryTokens) {
+			for (const index of this.#mix.keys()) {
+				this.#mix[index]! /= 2;
+			}
+		}
+	}
+
+	#ended(event: AttemptEvent & {kind: 'ended'}, now: number): void {
+		const {request, endpoint, outcome, cachedTokens} = event;
+		const sentAt = this.#sentAt.get(request.requestId);
+		this.#sentAt.delete(request.requestId);
+		if (outcome === 'whole') {
+			this.#serviceMilliseconds += serviceTimeWeight * (now - (sentAt ?? now) - this.#serviceMilliseconds);
+			this.#prefixes.learn(endpoint, request.pieceKeys);
+		} else if (outcome === 'failed' && cachedTokens === 0) {
+			// A dead engine comes back empty. Believing otherwise would send its prompts there as if they were kept.
+			this.#prefixes.forget(endpoint, request.pieceKeys);
+		}
+	}
+
+	#estimate(request: RouteRequest, endpoint: EndpointView, known: {kept: number; store: {name: string; pieces: number} | undefined}, now: number): Estimate {
+		const {pieceTokens} = this.#settings;
+		const rate = endpoint.load?.prefillTokensPerSecond ?? 1000;
+		const slowness = this.#stateOf(endpoint.name).slownessAt(now, this.#usualRatio);
+		const wait = this.#waitAt(request, endpoint, rate, now) * slowness;
+		const fixed = (endpoint.dataCentre === this.#settings.dataCentre ? 0 : otherDataCentreMilliseconds)
+			+ (endpoint.weightVersion === request.weightVersion ? 0 : otherVersionMilliseconds);
+		const option = (pieces: number, fetchMilliseconds: number, linkMilliseconds: number): Estimate => {
+			const prefillTokens = Math.max(1, request.promptTokens - (pieces * pieceTokens));
+			const prefill = 1000 * prefillTokens / rate * slowness;
+			const expected = Math.max(wait, fetchMilliseconds) + prefill + fixed;
+			const score = (latencyWeight[request.priority] * expected) + this.#disturbance(request, endpoint, prefill) + (recomputeWeight[request.priority] * prefill) + (linkWeight[request.priority] * linkMilliseconds);
+			return {
+				endpoint, score, expected: wait + prefill + fixed, prefillTokens,
+			};
+		};
+
+		const recompute = option(known.kept, 0, 0);
+		const {store} = known;
+		if (store === undefined || store.pieces <= known.kept) {
+			return recompute;
+		}
+
+		const link = this.#links.get(store.name)!;
+		const pieces = store.pieces - known.kept;
+		const fetched = option(store.pieces, link.fetchMilliseconds(pieces, now), pieces * link.idleMilliseconds);
+		return fetched.score >= recompute.score
+			? recompute
+			: {...fetched, fetch: {store: store.name, pieceKeys: request.pieceKeys.slice(known.kept, store.pieces)}};
+	}
+
+	#disturbance(request: RouteRequest, {load}: EndpointView, prefillMilliseconds: number): number {
+		if (request.priority === 'urgent') {
+			return (load?.waitingPrefillTokens ?? 0) > this.#settings.pieceTokens ? prefillingEndpointMilliseconds : 0;
+		}
+
+		return disturbedShare * prefillMilliseconds * (load?.runningRequests ?? 0);
+	}
+
+	/** Milliseconds before the endpoint begins to prefill this request. */
+	#waitAt(request: RouteRequest, endpoint: EndpointView, rate: number, now: number): number {
+		const {load} = endpoint;
+		if (load === undefined) {
+			return this.#stateOf(endpoint.name).underWay * defaultServiceMilliseconds;
+		}
+
+		const rank = rankOf[request.priority];
+		const since = this.#stateOf(endpoint.name).sentSince(endpoint, rank);
+		const mixTotal = this.#mix.reduce((sum, part) => sum + part, 0);
+		const before = this.#mix.slice(0, rank + 1).reduce((sum, part) => sum + part, 0) / mixTotal;
+		const drained = Math.max(0, now - endpoint.heardAt) * rate / 1000;
+		const backlog = Math.max(0, (load.waitingPrefillTokens * before) - (drained * before)) + since.tokens;
+		const over = load.runningRequests + load.waitingRequests + since.requests - load.batchLimit;
+		const slot = over < 0 ? 0 : (over + 1) * this.#serviceMilliseconds / load.batchLimit;
+		const busy = load.waitingPrefillTokens > 0 || since.requests > 0 ? busyStepMilliseconds : 0;
+		return Math.max(1000 * backlog / rate, slot) + busy + (load.runningRequests * runningMilliseconds);
+	}
+
+	#bestStore(kept: ReadonlyMap<string, number>): {name: string; pieces: number} | undefined {
+		let best: {name: string; pieces: number} | undefined;
+		for (const name of this.#settings.stores) {
+			const pieces = kept.get(name) ?? 0;
+			if (pieces > (best?.pieces ?? 0)) {
+				best = {name, pieces};
+			}
+		}
+
+		return best;
+	}
+
+	#stateOf(name: string): EndpointState {
+		let state = this.#states.get(name);
+		if (state === undefined) {
+			state = new EndpointState();
+			this.#states.set(name, state);
+		}
+
+		return state;
+	}
+}
+
+/** The least score; among those nearly as good, the one that the hash of the prefix names. */
+function chooseAmong(estimates: readonly Estimate[], request: RouteRequest): Estimate | undefined {
+	let least = Number.POSITIVE_INFINITY;
+	for (const {score} of estimates) {
+		least = Math.min(least, score);
+	}
+
+	const limit = least + Math.max(nearlyEqualMilliseconds, least * nearlyEqualShare);
+	const key = request.pieceKeys[0] ?? request.requestId;
+	let best: Estimate | undefined;
+	let bestHash = -1;
+	for (const estimate of estimates) {
+		const hash = estimate.score <= limit ? hashOf(`${key}|${estimate.endpoint.name}`) : -1;
+		if (hash > bestHash) {
+			best = estimate;
+			bestHash = hash;
+		}
+	}
+
+	return best;
+}
--- a/src/decision/routing/least-loaded-policy.ts
+++ b/src/decision/routing/least-loaded-policy.ts
@@ -24,7 +24,9 @@
 	}
 
 	observe(event: AttemptEvent): void {
-		const change = {sent: 1, 'first-token': 0, ended: -1}[event.kind];
+		const change = {
+			sent: 1, 'first-token': 0, ended: -1, fetched: 0,
+		}[event.kind];
 		this.#underWay.set(event.endpoint, (this.#underWay.get(event.endpoint) ?? 0) + change);
 	}
 
--- a/src/decision/routing/routing-policy.ts
+++ b/src/decision/routing/routing-policy.ts
@@ -36,16 +36,23 @@
 	deadline: number;
 };
 
+/** Pieces to bring from a store to the endpoint before the prompt is sent; a piece that is gone is recomputed. */
+export type FetchPlan = {
+	store: string;
+	pieceKeys: readonly string[];
+};
+
 /** The choice. `none` says when to come back. */
 export type RouteChoice
-	= | {kind: 'send'; endpoint: EndpointView}
+	= | {kind: 'send'; endpoint: EndpointView; fetch?: FetchPlan}
 		| {kind: 'none'; retryAfterMilliseconds: number};
 
 /** What becomes of an attempt. */
 export type AttemptEvent
 	= | {kind: 'sent'; endpoint: string; request: RouteRequest}
 		| {kind: 'first-token'; endpoint: string; request: RouteRequest; afterMilliseconds: number}
-		| {kind: 'ended'; endpoint: string; request: RouteRequest; outcome: 'whole' | 'failed' | 'cancelled'; cachedTokens: number};
+		| {kind: 'ended'; endpoint: string; request: RouteRequest; outcome: 'whole' | 'failed' | 'cancelled'; cachedTokens: number}
+		| {kind: 'fetched'; endpoint: string; requestId: string; store: string; pieceKeys: readonly string[]; pieces: number; afterMilliseconds: number; linkMilliseconds: number};
 
 /** Chooses endpoints. */
 export interface RoutingPolicy {
--- a/src/entry/callers/admission-gate.ts
+++ b/src/entry/callers/admission-gate.ts
@@ -4,7 +4,7 @@
  */
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
-	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest,
+	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest, type ServiceCapacity,
 } from '../../decision/admission/admission-policy.js';
 import {type Clock} from '../../ports/clock.js';
 import {type Refusal} from '../../shared/types.js';
@@ -53,7 +53,7 @@
 		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the caller hung up'}));
 	}
 
-	setCapacity(service: string, capacity: number): void {
+	setCapacity(service: string, capacity: ServiceCapacity): void {
 		this.#carryOut(this.#policy.setCapacity(service, capacity, this.#clock.now()));
 	}
 
--- /dev/null
+++ b/src/load/compare/compare-policies.ts
@@ -0,0 +1,80 @@
+/** Plays every policy with every seed and gathers the measures. */
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {intervalOf, type Interval} from '../measure/statistics.js';
+import {summariseRun, type RunSummary} from '../measure/summarise-run.js';
+import {runSimulation} from '../simulation/run-simulation.js';
+import {type Workload} from '../workload/workload-schema.js';
+
+/** What to compare. */
+export type Comparison = {
+	workload: Workload;
+	policies: readonly string[];
+	seeds: readonly number[];
+	loadFactor: number;
+};
+
+/** The measures of one policy over its seeds. */
+export type PolicyResult = {
+	policy: string;
+	seeds: number[];
+	measures: Record<string, Interval>;
+};
+
+/** A whole or, after a stop, partial comparison. */
+export type ComparisonResult = {
+	workload: string;
+	loadFactor: number;
+	isPartial: boolean;
+	results: PolicyResult[];
+};
+
+/** How far a comparison is. */
+export type Progress = {done: number; of: number; policy: string; seed: number};
+
+/**
+ * Compares policies.
+ *
+ * @param comparison - What to compare.
+ * @param onProgress - Is told of every run that ended.
+ * @param signal - Stops after the run under way; what was played until then is the result.
+ */
+export async function comparePolicies(comparison: Comparison, onProgress: (progress: Progress) => void, signal: AbortSignal): Promise<ComparisonResult> {
+	const {workload, policies, seeds, loadFactor} = comparison;
+	const summaries = new Map(policies.map(policy => [policy, new Map<number, RunSummary>()]));
+	const plans = seeds.flatMap(seed => policies.map(policy => ({policy, seed})));
+	for (const [index, {policy, seed}] of plans.entries()) {
+		if (signal.aborted) {
+			break;
+		}
+
+		summaries.get(policy)!.set(seed, playOnce(workload, {policy, seed, loadFactor}));
+		onProgress({
+			done: index + 1, of: plans.length, policy, seed,
+		});
+		await nextTurn();
+	}
+
+	return {
+		workload: workload.name,
+		loadFactor,
+		isPartial: signal.aborted,
+		results: [...summaries.entries()].map(([policy, bySeed]) => ({policy, seeds: [...bySeed.keys()], measures: measuresOf([...bySeed.values()])})),
+	};
+}
+
+/** One run, and the same urgent requests alone: the time to first token that the rest of the load is held against. */
+function playOnce(workload: Workload, run: {policy: string; seed: number; loadFactor: number}): RunSummary {
+	const summary = summariseRun(workload, runSimulation({workload, ...run}));
+	const alone = summariseRun(workload, runSimulation({
+		workload, ...run, loadFactor: 1, only: request => request.priority === 'urgent',
+	}));
+	const unloaded = alone['urgent p95']!;
+	return {
+		...summary, 'urgent p95 unloaded': unloaded, 'urgent p95 / unloaded': summary['urgent p95']! / unloaded, 'recomputed / unavoidable': summary['share recomputed']! / summary['share unavoidable']!,
+	};
+}
+
+function measuresOf(summaries: readonly RunSummary[]): Record<string, Interval> {
+	const names = new Set(summaries.flatMap(summary => Object.keys(summary)));
+	return Object.fromEntries([...names].map(name => [name, intervalOf(summaries.map(summary => summary[name] ?? 0))]));
+}
--- /dev/null
+++ b/src/load/main.ts
@@ -0,0 +1,70 @@
+#!/usr/bin/env node
+/** `savorygauge-load`: plays workloads against policies and compares them. */
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {Command, InvalidArgumentError} from 'commander';
+import {programVersion} from '../shared/program-version.js';
+import {comparePolicies} from './compare/compare-policies.js';
+import {formatReport} from './compare/format-report.js';
+import {formatTable} from './compare/format-table.js';
+import {parseSeeds} from './parse-seeds.js';
+import {policies} from './policies.js';
+import {readWorkload} from './workload/read-workload.js';
+
+const partialExitCode = 130;
+
+type CompareOptions = {workload: string; policy: string[]; seeds: number[]; load: number; json: boolean; report?: string; quiet: boolean};
+
+function addPolicy(name: string, names: string[] = []): string[] {
+	if (policies[name] === undefined) {
+		throw new InvalidArgumentError(`known policies are ${Object.keys(policies).join(', ')}.`);
+	}
+
+	return [...names, name];
+}
+
+function parseLoad(text: string): number {
+	const factor = Number(text);
+	if (!(factor > 0)) {
+		throw new InvalidArgumentError('a load factor is a number above 0.');
+	}
+
+	return factor;
+}
+
+async function compare(options: CompareOptions): Promise<void> {
+	const stop = new AbortController();
+	process.once('SIGINT', () => {
+		stop.abort();
+	});
+	const comparison = {
+		workload: readWorkload(options.workload), policies: options.policy, seeds: options.seeds, loadFactor: options.load,
+	};
+	const result = await comparePolicies(comparison, ({done, of, policy, seed}) => {
+		if (!options.quiet) {
+			process.stderr.write(`${done} of ${of} runs: ${policy}, seed ${seed}\n`);
+		}
+	}, stop.signal);
+	process.stdout.write(`${options.json ? JSON.stringify(result) : formatTable(result)}\n`);
+	if (options.report !== undefined) {
+		writeFileSync(options.report, formatReport(result));
+	}
+
+	process.exitCode = result.isPartial ? partialExitCode : 0;
+}
+
+const program = new Command('savorygauge-load')
+	.description('plays workloads and compares policies')
+	.version(programVersion);
+program.command('compare')
+	.description('plays a workload in virtual time with each policy and seed, and sets the measures side by side')
+	.requiredOption('--workload <file>', 'workload file; see workloads/')
+	.requiredOption('--policy <name>', `policy to play; may be repeated: ${Object.keys(policies).join(', ')}`, addPolicy)
+	.option('--seeds <seeds>', '3, 1..10 or 1,4,9', parseSeeds, [1])
+	.option('--load <factor>', 'times that requests come as often as the file says', parseLoad, 1)
+	.option('--json', 'print one JSON object', false)
+	.option('--report <file>', 'write an HTML page with charts too')
+	.option('--quiet', 'no progress on the standard error', false)
+	.action(compare);
+
+await program.parseAsync();
--- /dev/null
+++ b/src/load/measure/unavoidable-recompute.ts
@@ -0,0 +1,63 @@
+/**
+ * The recompute that no policy can avoid: questions, first uses, and what Belady's rule (drop what is used again last)
+ * must drop if all tiers together were one cache. It sees the future, so no policy can beat it.
+ */
+import {pieceTokens} from '../simulation/fake-engine.js';
+import {type WorkloadRequest} from '../workload/generate-requests.js';
+
+/**
+ * Works out the least prompt tokens that have to be recomputed for each request.
+ *
+ * @param requests - In order of arrival.
+ * @param roomPieces - Pieces in all tiers together.
+ * @returns Tokens, in the order of the requests.
+ */
+export function unavoidableRecompute(requests: readonly WorkloadRequest[], roomPieces: number): number[] {
+	const nextUses = nextUsesOf(requests);
+	const kept = new Map<string, number>();
+	for (const {pieceKeys} of requests.filter(({isUsedBefore}) => isUsedBefore)) {
+		for (const key of pieceKeys) {
+			kept.set(key, 0);
+		}
+	}
+
+	return requests.map((request, index) => {
+		const reused = request.pieceKeys.filter(key => kept.has(key)).length;
+		for (const [position, key] of request.pieceKeys.entries()) {
+			kept.set(key, nextUses[index]![position]!);
+		}
+
+		while (kept.size > roomPieces) {
+			kept.delete(lastUsed(kept));
+		}
+
+		return request.promptTokens - (reused * pieceTokens);
+	});
+}
+
+function lastUsed(kept: ReadonlyMap<string, number>): string {
+	let last = '';
+	let latest = -1;
+	for (const [key, use] of kept) {
+		if (use > latest) {
+			last = key;
+			latest = use;
+		}
+	}
+
+	return last;
+}
+
+function nextUsesOf(requests: readonly WorkloadRequest[]): number[][] {
+	const nextUse = new Map<string, number>();
+	const uses: number[][] = [];
+	for (let index = requests.length - 1; index >= 0; index--) {
+		const {pieceKeys} = requests[index]!;
+		uses.unshift(pieceKeys.map(key => nextUse.get(key) ?? Number.POSITIVE_INFINITY));
+		for (const key of pieceKeys) {
+			nextUse.set(key, index);
+		}
+	}
+
+	return uses;
+}
--- /dev/null
+++ b/src/load/simulation/run-simulation.ts
@@ -0,0 +1,252 @@
+/** Plays one workload with one policy in virtual time. The same arguments give the same run. */
+import {type CacheEvent, type LoadReport} from '../../ports/model-engine.js';
+import {type EndpointView} from '../../decision/routing/routing-policy.js';
+import {policies} from '../policies.js';
+import {generateRequests, type WorkloadRequest} from '../workload/generate-requests.js';
+import {Random} from '../workload/random.js';
+import {type Workload} from '../workload/workload-schema.js';
+import {EventQueue} from './event-queue.js';
+import {FakeEngine, pieceTokens} from './fake-engine.js';
+import {FakeStore} from './fake-store.js';
+import {type Fault} from './fault.js';
+import {type Outcome} from './outcome.js';
+import {SimulatedEntry} from './simulated-entry.js';
+
+const entryAdvanceMilliseconds = 100;
+const eventBatchMilliseconds = 500;
+
+/** What to play. */
+export type SimulationPlan = {
+	workload: Workload;
+	policy: string;
+	seed: number;
+	loadFactor: number;
+	faults?: readonly Fault[];
+	/** Only these classes are played; all when absent. */
+	only?: (request: WorkloadRequest) => boolean;
+};
+
+/** What a run gave. */
+export type SimulationResult = {
+	outcomes: readonly Outcome[];
+	linkBytes: number;
+};
+
+/** Plays a run to its end. */
+export function runSimulation(plan: SimulationPlan): SimulationResult {
+	return new Simulation(plan).run();
+}
+
+class Simulation {
+	readonly #plan: SimulationPlan;
+	readonly #queue = new EventQueue();
+	readonly #random: Random;
+	readonly #engines = new Map<string, FakeEngine>();
+	readonly #stores = new Map<string, FakeStore>();
+	readonly #entries: SimulatedEntry[];
+	readonly #published = new Map<string, CacheEvent[]>();
+	#views: readonly EndpointView[] = [];
+	#reportLagMilliseconds: number;
+	#cutDataCentre = '';
+
+	constructor(plan: SimulationPlan) {
+		this.#plan = plan;
+		this.#random = new Random(plan.seed + 17);
+		this.#reportLagMilliseconds = plan.workload.loadReport.lagMilliseconds;
+		this.#buildEngines();
+		this.#buildStores();
+		this.#entries = this.#buildEntries();
+	}
+
+	run(): SimulationResult {
+		const {workload, seed, loadFactor, only, faults = []} = this.#plan;
+		const requests = generateRequests(workload, seed, loadFactor).filter(request => only?.(request) ?? true);
+		const outcomes = requests.map(request => ({
+			request, fetchMilliseconds: 0, recomputedTokens: 0, attempts: 0, wholeAnswers: 0,
+		}));
+		this.#every(workload.loadReport.everyMilliseconds, () => {
+			this.#publishLoad();
+		});
+		this.#every(eventBatchMilliseconds, () => {
+			this.#deliverCacheEvents();
+		});
+		this.#every(entryAdvanceMilliseconds, () => {
+			for (const entry of this.#entries) {
+				entry.advance();
+			}
+		});
+		this.#preload(requests);
+		for (const fault of faults) {
+			this.#schedule(fault);
+		}
+
+		for (const outcome of outcomes) {
+			const entry = this.#entries[this.#random.index(this.#entries.length)]!;
+			this.#queue.after(outcome.request.arrivesAt + workload.clientMilliseconds, () => {
+				entry.arrive(outcome);
+			});
+		}
+
+		this.#queue.runUntil(workload.seconds * 1000);
+		return {outcomes, linkBytes: [...this.#stores.values()].reduce((sum, {linkBytes}) => sum + linkBytes, 0)};
+	}
+
+	/** What was used hours ago is in the stores, if the policy saves at all; accelerators have long evicted it. */
+	#preload(requests: readonly WorkloadRequest[]): void {
+		const prompts = new Map(requests.filter(({isUsedBefore, pieceKeys}) => isUsedBefore && pieceKeys.length > 0).map(request => [request.pieceKeys[0]!, request]));
+		const [entry] = this.#entries;
+		for (const {workspace, pieceKeys} of prompts.values()) {
+			for (const action of entry!.policies.keeping.prefilled({
+				workspace, endpoint: '', pieceKeys, reusedPieces: 0,
+			}, 0)) {
+				this.#stores.get(action.store)?.preload(action.pieceKeys);
+			}
+		}
+	}
+
+	#every(milliseconds: number, run: () => void): void {
+		run();
+		this.#queue.after(milliseconds, () => {
+			this.#every(milliseconds, run);
+		});
+	}
+
+	#buildEngines(): void {
+		const {services, dataCentres} = this.#plan.workload;
+		for (const service of services) {
+			for (let index = 0; index < service.engines; index++) {
+				const name = `${service.name}-${index}`;
+				const identity = {name, dataCentre: `centre-${index % dataCentres}`, service: service.name};
+				this.#engines.set(name, new FakeEngine(identity, service.engine, {queue: this.#queue, publish: this.#publisher(name)}));
+			}
+		}
+
+		this.#views = [...this.#engines.values()].map(engine => viewOf(engine, engine.report(), 0));
+	}
+
+	#buildStores(): void {
+		const {stores} = this.#plan.workload;
+		for (let index = 0; index < stores.count; index++) {
+			const name = `store-${index}`;
+			this.#stores.set(name, new FakeStore(name, stores, {queue: this.#queue, publish: this.#publisher(name)}));
+		}
+	}
+
+	#buildEntries(): SimulatedEntry[] {
+		const {policy, workload} = this.#plan;
+		return Array.from({length: workload.entries}, (_, index) => {
+			const dataCentre = `centre-${index % workload.dataCentres}`;
+			const own = policies[policy]!({
+				index, dataCentre, stores: [...this.#stores.keys()], pieceBytes: workload.stores.pieceBytes, linkBytesPerSecond: workload.stores.linkBytesPerSecond, instances: workload.entries,
+			});
+			for (const engine of this.#engines.values()) {
+				own.prefixes.setRoom(engine.name, Math.floor(engine.report().kvTokensCapacity / pieceTokens));
+			}
+
+			return new SimulatedEntry({name: `entry-${index}`, dataCentre}, own, {
+				queue: this.#queue,
+				engines: this.#engines,
+				stores: this.#stores,
+				views: () => this.#cutDataCentre === '' ? this.#views : this.#views.filter(view => (view.dataCentre === this.#cutDataCentre) === (dataCentre === this.#cutDataCentre)),
+				latencyTo: target => target === dataCentre ? 0.2 : workload.betweenDataCentresMilliseconds,
+				clientMilliseconds: workload.clientMilliseconds,
+				services: workload.services.map(({name}) => name),
+				instances: workload.entries,
+			});
+		});
+	}
+
+	#publisher(name: string): (event: CacheEvent) => void {
+		return event => {
+			const events = this.#published.get(name) ?? [];
+			events.push(event);
+			this.#published.set(name, events);
+		};
+	}
+
+	#publishLoad(): void {
+		const reports = [...this.#engines.values()].filter(({isDead}) => !isDead).map(engine => ({engine, report: engine.report()}));
+		this.#queue.after(this.#reportLagMilliseconds, () => {
+			const fresh = new Map(reports.map(({engine, report}) => [engine.name, viewOf(engine, report, this.#queue.now)]));
+			this.#views = this.#views.map(view => fresh.get(view.name) ?? view);
+			for (const entry of this.#entries) {
+				entry.takeReports();
+			}
+		});
+	}
+
+	#deliverCacheEvents(): void {
+		const {lagMilliseconds, lostShare} = this.#plan.workload.cacheEvents;
+		const batches = [...this.#published.entries()];
+		this.#published.clear();
+		this.#queue.after(lagMilliseconds, () => {
+			for (const {policies: {prefixes}} of this.#entries) {
+				for (const [name, events] of batches) {
+					prefixes.takeEvents(name, events.filter(() => this.#random.fraction() >= lostShare));
+				}
+			}
+		});
+	}
+
+	#schedule(fault: Fault): void {
+		this.#queue.after(fault.from, () => {
+			this.#setFault(fault, true);
+		});
+		this.#queue.after(fault.until, () => {
+			this.#setFault(fault, false);
+		});
+	}
+
+	#setFault({kind, target, factor}: Fault, isOn: boolean): void {
+		const engine = this.#engines.get(target);
+		const store = this.#stores.get(target);
+		switch (kind) {
+			case 'engine-dies': {
+				if (isOn) {
+					engine!.die();
+				} else {
+					engine!.isDead = false;
+				}
+
+				break;
+			}
+
+			case 'engine-slow': {
+				engine!.slowness = isOn ? factor : 1;
+				break;
+			}
+
+			case 'link-slow': {
+				store!.slowness = isOn ? factor : 1;
+				break;
+			}
+
+			case 'store-full': {
+				store!.isFull = isOn;
+				break;
+			}
+
+			case 'store-dies': {
+				store!.isDead = isOn;
+				break;
+			}
+
+			case 'data-centre-cut': {
+				this.#cutDataCentre = isOn ? target : '';
+				break;
+			}
+
+			case 'reports-late': {
+				this.#reportLagMilliseconds = isOn ? factor : this.#plan.workload.loadReport.lagMilliseconds;
+				break;
+			}
+		}
+	}
+}
+
+function viewOf(engine: FakeEngine, load: LoadReport, heardAt: number): EndpointView {
+	const {name, dataCentre, service} = engine;
+	return {
+		name, address: name, dataCentre, service, model: service, weightVersion: 'v1', state: 'live', load, heardAt,
+	};
+}
--- /dev/null
+++ b/src/load/simulation/simulated-entry.ts
@@ -0,0 +1,224 @@
+/** One entry instance in virtual time: carries out what its own policies decide, with its own knowledge. */
+import {instanceCapacity} from '../../decision/admission/instance-capacity.js';
+import {RequestAverage} from '../../decision/admission/request-average.js';
+import {type AdmissionAction} from '../../decision/admission/admission-policy.js';
+import {fetchPause} from '../../decision/kept/fetch-pause.js';
+import {type EndpointView, type FetchPlan, type RouteRequest} from '../../decision/routing/routing-policy.js';
+import {hashOf} from '../../shared/hash-of.js';
+import {type EntryPolicies} from '../policies.js';
+import {type EventQueue} from './event-queue.js';
+import {type FakeEngine, pieceTokens} from './fake-engine.js';
+import {type FakeStore} from './fake-store.js';
+import {type Outcome} from './outcome.js';
+
+const attemptLimit = 4;
+
+/** What an entry reaches. */
+export type EntrySurroundings = {
+	queue: EventQueue;
+	engines: ReadonlyMap<string, FakeEngine>;
+	stores: ReadonlyMap<string, FakeStore>;
+	/** The newest load reports that reached this entry. */
+	views: () => readonly EndpointView[];
+	/** One way, in milliseconds. */
+	latencyTo: (dataCentre: string) => number;
+	clientMilliseconds: number;
+	services: readonly string[];
+	instances: number;
+};
+
+type FetchRun = {endpoint: EndpointView; fetch: FetchPlan; sentAt: number; linkMilliseconds: number};
+type Run = {outcome: Outcome; route: RouteRequest; isAdmitted: boolean};
+
+export class SimulatedEntry {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly policies: EntryPolicies;
+	readonly #around: EntrySurroundings;
+	readonly #averages = new Map<string, RequestAverage>();
+	readonly #runs = new Map<string, Run>();
+
+	constructor(identity: {name: string; dataCentre: string}, policies: EntryPolicies, around: EntrySurroundings) {
+		this.name = identity.name;
+		this.dataCentre = identity.dataCentre;
+		this.policies = policies;
+		this.#around = around;
+	}
+
+	/** A caller's request arrives. */
+	arrive(outcome: Outcome): void {
+		const {request} = outcome;
+		const route = {
+			...request, weightVersion: 'v1', avoid: [], pieceKeys: request.pieceKeys,
+		};
+		this.#runs.set(request.requestId, {outcome, route, isAdmitted: false});
+		this.#carryOut(this.policies.admission.arrive(route, this.#around.queue.now));
+	}
+
+	/** Passes time on to the policies. */
+	advance(): void {
+		this.#carryOut(this.policies.admission.advance(this.#around.queue.now));
+	}
+
+	/** Passes a new round of load reports on to the policies. */
+	takeReports(): void {
+		const {queue, views, services, instances} = this.#around;
+		const {admission} = this.policies;
+		const dither = hashOf(`${this.name}|${queue.now}`) / (2 ** 32);
+		const endpoints = views();
+		for (const service of services) {
+			let underWay = 0;
+			for (const {isAdmitted, route} of this.#runs.values()) {
+				underWay += isAdmitted && route.service === service ? 1 : 0;
+			}
+
+			this.#carryOut(admission.setCapacity(service, instanceCapacity(endpoints, {
+				service, underWay, instances, dither, expectedPrefillTokens: this.#averageOf(service).prefilledTokens, expectedPromptTokens: this.#averageOf(service).promptTokens,
+			}, queue.now), queue.now));
+		}
+	}
+
+	#carryOut(actions: readonly AdmissionAction[]): void {
+		for (const action of actions) {
+			const run = this.#runs.get(action.requestId)!;
+			if (action.kind === 'admit') {
+				run.isAdmitted = true;
+				run.outcome.admittedAt = this.#around.queue.now;
+				this.#attempt(run);
+			} else {
+				const {reason, ran, retryAfterMilliseconds} = action.refusal;
+				this.#runs.delete(action.requestId);
+				Object.assign(run.outcome, {
+					refusal: reason, ran, retryAfterMilliseconds, refusedAt: this.#around.queue.now,
+				});
+			}
+		}
+	}
+
+	#attempt(run: Run): void {
+		const {queue, stores, views} = this.#around;
+		const choice = this.policies.routing.choose(run.route, views(), queue.now);
+		if (choice.kind === 'none' || run.outcome.attempts >= attemptLimit) {
+			Object.assign(run.outcome, {refusal: choice.kind === 'none' ? 'no-endpoint' : 'endpoint-failed', ran: run.outcome.attempts === 0 ? 'not-run' : 'unknown', refusedAt: queue.now});
+			this.#leave(run);
+			return;
+		}
+
+		const {endpoint, fetch} = choice;
+		run.outcome.attempts++;
+		const sentAt = queue.now;
+		this.policies.routing.observe({kind: 'sent', endpoint: endpoint.name, request: run.route}, queue.now);
+		const store = fetch === undefined ? undefined : stores.get(fetch.store);
+		if (fetch === undefined || store === undefined) {
+			this.#send(run, endpoint, sentAt);
+			return;
+		}
+
+		this.#fetchFrom(store, run, {
+			endpoint, fetch, sentAt, linkMilliseconds: 0,
+		}, 0);
+	}
+
+	/** Brings one piece after the other; work that can wait rests when the link is crowded. */
+	#fetchFrom(store: FakeStore, run: Run, plan: FetchRun, done: number): void {
+		const {queue, engines} = this.#around;
+		const {endpoint, fetch, sentAt} = plan;
+		const key = fetch.pieceKeys[done];
+		const askedAt = queue.now;
+		const finish = (): void => {
+			run.outcome.fetchMilliseconds += queue.now - sentAt;
+			this.policies.routing.observe({
+				kind: 'fetched', endpoint: endpoint.name, requestId: run.route.requestId, store: fetch.store, pieceKeys: fetch.pieceKeys, pieces: done, afterMilliseconds: queue.now - sentAt, linkMilliseconds: plan.linkMilliseconds,
+			}, queue.now);
+			this.#send(run, endpoint, sentAt);
+		};
+
+		if (key === undefined) {
+			finish();
+			return;
+		}
+
+		store.fetch([key], found => {
+			if (found.length === 0) {
+				finish();
+				return;
+			}
+
+			engines.get(endpoint.name)!.importPieces(found);
+			plan.linkMilliseconds += queue.now - askedAt;
+			const pause = this.policies.isPolite ? fetchPause(run.route.priority, queue.now - askedAt, store.idleMillisecondsPerPiece) : 0;
+			queue.after(pause, () => {
+				this.#fetchFrom(store, run, plan, done + 1);
+			});
+		});
+	}
+
+	#send(run: Run, endpoint: EndpointView, sentAt: number): void {
+		const {queue, engines, latencyTo, clientMilliseconds} = this.#around;
+		const {routing} = this.policies;
+		const {outcome, route} = run;
+		const back = latencyTo(endpoint.dataCentre);
+		let cachedTokens = 0;
+		queue.after(back, () => {
+			engines.get(endpoint.name)!.submit({
+				...outcome.request,
+				firstToken: cached => {
+					cachedTokens = cached;
+					queue.after(back, () => {
+						outcome.firstTokenMilliseconds ??= queue.now + clientMilliseconds - outcome.request.arrivesAt;
+						outcome.recomputedTokens += route.promptTokens - cached;
+						routing.observe({
+							kind: 'first-token', endpoint: endpoint.name, request: route, afterMilliseconds: queue.now - sentAt,
+						}, queue.now);
+						this.#keep(route, endpoint.name, cached);
+					});
+				},
+				end: isWhole => {
+					queue.after(back, () => {
+						routing.observe({
+							kind: 'ended', endpoint: endpoint.name, request: route, outcome: isWhole ? 'whole' : 'failed', cachedTokens,
+						}, queue.now);
+						this.#ended(run, {endpoint: endpoint.name, isWhole, cachedTokens});
+					});
+				},
+			});
+		});
+	}
+
+	#ended(run: Run, {endpoint, isWhole, cachedTokens}: {endpoint: string; isWhole: boolean; cachedTokens: number}): void {
+		const {queue, clientMilliseconds} = this.#around;
+		const {outcome, route} = run;
+		if (!isWhole) {
+			run.route = {...route, avoid: [...route.avoid, endpoint]};
+			this.#attempt(run);
+			return;
+		}
+
+		outcome.wholeAnswers++;
+		this.#averageOf(route.service).observe(route.priority, route.promptTokens, cachedTokens);
+		outcome.endedAt = queue.now + clientMilliseconds;
+		this.#leave(run);
+	}
+
+	#keep(route: RouteRequest, endpoint: string, cachedTokens: number): void {
+		const {queue, engines, stores} = this.#around;
+		const actions = this.policies.keeping.prefilled({
+			workspace: route.workspace, endpoint, pieceKeys: route.pieceKeys, reusedPieces: cachedTokens / pieceTokens,
+		}, queue.now);
+		for (const action of actions) {
+			const engine = engines.get(action.endpoint)!;
+			stores.get(action.store)?.save(action.pieceKeys.filter(key => engine.holds(key)));
+		}
+	}
+
+	#averageOf(service: string): RequestAverage {
+		const average = this.#averages.get(service) ?? new RequestAverage();
+		this.#averages.set(service, average);
+		return average;
+	}
+
+	#leave({route}: Run): void {
+		this.#runs.delete(route.requestId);
+		this.#carryOut(this.policies.admission.finish(route.requestId, this.#around.queue.now));
+	}
+}
--- /dev/null
+++ b/src/load/workload/generate-requests.ts
@@ -0,0 +1,100 @@
+/** Turns a workload and a seed into the requests of one run. */
+import {pieceTokens} from '../simulation/fake-engine.js';
+import {type PriorityClass} from '../../shared/types.js';
+import {Random} from './random.js';
+import {type Workload, type WorkloadClass} from './workload-schema.js';
+
+/** One request of a run. */
+export type WorkloadRequest = {
+	requestId: string;
+	className: string;
+	workspace: string;
+	share: number;
+	service: string;
+	priority: PriorityClass;
+	/** Milliseconds since the start of the run. */
+	arrivesAt: number;
+	deadline: number;
+	promptTokens: number;
+	outputTokens: number;
+	pieceKeys: readonly string[];
+	/** Whether its context was used hours before the run. */
+	isUsedBefore: boolean;
+};
+
+type Context = {workspace: string; share: number; popularity: number; tokens: number; pieceKeys: readonly string[]; isUsedBefore: boolean};
+
+/**
+ * Makes the requests of one run, in order of arrival.
+ *
+ * @param workload - The workload.
+ * @param seed - Decides every random choice.
+ * @param loadFactor - Times that requests come as often as the file says.
+ */
+export function generateRequests(workload: Workload, seed: number, loadFactor: number): WorkloadRequest[] {
+	const contexts = new Map(workload.classes.map((kind, index) => [kind.name, contextsOf(workload, kind, seed + (7919 * index))]));
+	const requests = workload.classes.flatMap((kind, index) => requestsOf({
+		workload, kind, contexts: contexts.get(kind.contextsOf ?? kind.name)!, loadFactor,
+	}, new Random((seed * 104_729) + index)));
+	return requests
+		.toSorted((left, right) => left.arrivesAt - right.arrivesAt)
+		.map((request, index) => ({...request, requestId: `request-${index}`}));
+}
+
+function contextsOf(workload: Workload, kind: WorkloadClass, seed: number): Context[] {
+	const random = new Random(seed);
+	return workload.workspaces.flatMap(({name, weight, share}) => {
+		const count = Math.max(1, Math.round(kind.contextsPerWeight * weight));
+		return Array.from({length: count}, (_, index) => {
+			const tokens = kind.contextsPerWeight === 0 ? 0 : Math.round(random.between(kind.contextTokens));
+			const pieces = Math.floor(tokens / pieceTokens);
+			return {
+				workspace: name,
+				share,
+				popularity: weight / count / ((index + 1) ** kind.skew),
+				tokens,
+				isUsedBefore: random.fraction() < workload.usedBeforeShare,
+				pieceKeys: Array.from({length: pieces}, (_piece, piece) => `${kind.name}/${name}/${index}/${piece}`),
+			};
+		});
+	});
+}
+
+type ClassPlan = {workload: Workload; kind: WorkloadClass; contexts: readonly Context[]; loadFactor: number};
+
+function requestsOf({workload, kind, contexts, loadFactor}: ClassPlan, random: Random): WorkloadRequest[] {
+	const requests: WorkloadRequest[] = [];
+	const meanWait = 1000 / (kind.requestsPerSecond * loadFactor);
+	const total = contexts.reduce((sum, {popularity}) => sum + popularity, 0);
+	for (let at = random.wait(meanWait); at < workload.seconds * 1000; at += random.wait(meanWait)) {
+		const {workspace, share, tokens, pieceKeys, isUsedBefore} = pick(contexts, random.fraction() * total);
+		requests.push({
+			requestId: '',
+			className: kind.name,
+			workspace,
+			share,
+			service: kind.service,
+			priority: kind.priority,
+			arrivesAt: at,
+			deadline: at + kind.deadlineMilliseconds,
+			promptTokens: tokens + Math.round(random.between(kind.questionTokens)),
+			outputTokens: Math.round(random.between(kind.outputTokens)),
+			pieceKeys,
+			isUsedBefore,
+		});
+	}
+
+	return requests;
+}
+
+function pick(contexts: readonly Context[], target: number): Context {
+	let rest = target;
+	for (const context of contexts) {
+		rest -= context.popularity;
+		if (rest < 0) {
+			return context;
+		}
+	}
+
+	return contexts.at(-1)!;
+}
