Find the admission window by pressure of endpoints and links

Cause: counting free places from lagging reports gave the same place away again and again; prompts that still fetch stand in no report. Change: a window per instance that grows slowly and shrinks under pressure of prefill, batch, memory and store links; urgent fetches ask for all pieces at once, others piece by piece.

--- a/src/decision/admission/admission-policy.ts
+++ b/src/decision/admission/admission-policy.ts
@@ -22,7 +22,7 @@
 	= | {kind: 'admit'; requestId: string}
 		| {kind: 'refuse'; requestId: string; refusal: Refusal};
 
-/** How many requests of a service this instance may have under way. Urgent ones may use all of `urgentPlaces`. */
+/** How many requests of a service this instance may have under way: those that can wait, and urgent ones. */
 export type ServiceCapacity = {
 	places: number;
 	urgentPlaces: number;
--- a/src/decision/admission/fair-share-admission.ts
+++ b/src/decision/admission/fair-share-admission.ts
@@ -27,6 +27,7 @@
 	queue: ServiceQueue;
 	capacity: ServiceCapacity;
 	running: number;
+	runningUrgent: number;
 	turn: number;
 	/** Work that ended lately, decaying over `rateWindowMilliseconds`, and since when it is known. */
 	endedWork: number;
@@ -58,7 +59,8 @@
 
 		this.#running.delete(requestId);
 		const service = this.#serviceOf(request.service, now);
-		service.running--;
+		service.running -= request.priority === 'urgent' ? 0 : 1;
+		service.runningUrgent -= request.priority === 'urgent' ? 1 : 0;
 		service.endedWork = (service.endedWork * decayOf(now - service.endedAt)) + costOf(request);
 		service.endedAt = now;
 		return this.#admit(service);
@@ -95,7 +97,8 @@
 		const actions: AdmissionAction[] = [];
 		for (let next = takeNext(service); next !== undefined; next = takeNext(service)) {
 			this.#running.set(next.requestId, next);
-			service.running++;
+			service.running += next.priority === 'urgent' ? 0 : 1;
+			service.runningUrgent += next.priority === 'urgent' ? 1 : 0;
 			actions.push({kind: 'admit', requestId: next.requestId});
 		}
 
@@ -119,7 +122,7 @@
 		let service = this.#services.get(name);
 		if (service === undefined) {
 			service = {
-				queue: new ServiceQueue(), capacity: defaultCapacity, running: 0, turn: 0, endedWork: 0, endedAt: now, knownSince: now,
+				queue: new ServiceQueue(), capacity: defaultCapacity, running: 0, runningUrgent: 0, turn: 0, endedWork: 0, endedAt: now, knownSince: now,
 			};
 			this.#services.set(name, service);
 		}
@@ -130,11 +133,11 @@
 
 function takeNext(service: Service): AdmissionRequest | undefined {
 	const {queue, capacity} = service;
-	if (queue.size === 0 || service.running >= Math.max(capacity.places, capacity.urgentPlaces)) {
+	if (queue.size === 0) {
 		return undefined;
 	}
 
-	const urgent = service.running < capacity.urgentPlaces ? queue.take('urgent') : undefined;
+	const urgent = service.runningUrgent < capacity.urgentPlaces ? queue.take('urgent') : undefined;
 	if (urgent !== undefined) {
 		return urgent.request;
 	}
@@ -151,7 +154,7 @@
 
 /** How long a new request would wait, from the work before it and the speed at which work ended lately. */
 function expectedWait(service: Service, request: AdmissionRequest, now: number): number {
-	if (request.priority === 'urgent' && service.running < service.capacity.urgentPlaces) {
+	if (request.priority === 'urgent' && service.runningUrgent < service.capacity.urgentPlaces) {
 		return 0;
 	}
 
--- a/src/decision/kept/fetch-pause.ts
+++ b/src/decision/kept/fetch-pause.ts
@@ -12,9 +12,9 @@
  * Rest per millisecond of delay seen. Overnight work rests twice as long as it was held up, so that two of them leave
  * the link free for about half of the time; urgent work never rests.
  */
-export const restShare: Record<PriorityClass, number> = {urgent: 0, normal: 0.5, overnight: 2};
+export const restShare: Record<PriorityClass, number> = {urgent: 0, normal: 0, overnight: 1};
 /** A transfer that looks stuck must not stop for good. */
-const longestRestMilliseconds = 2000;
+const longestRestMilliseconds = 1000;
 
 /**
  * Works out the rest before the next piece.
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -16,7 +16,7 @@
 import {EndpointIndex} from './endpoint-index.js';
 import {EndpointState} from './endpoint-state.js';
 import {isCandidate} from './is-candidate.js';
-import {LinkEstimate} from './link-estimate.js';
+import {type LinkEstimate} from './link-estimate.js';
 import {
 	type AttemptEvent, type EndpointView, type FetchPlan, type RouteChoice, type RouteRequest, type RoutingPolicy,
 } from './routing-policy.js';
@@ -27,10 +27,9 @@
 /** What a policy is told of where it stands. */
 export type RoutingSettings = {
 	dataCentre: string;
-	stores: readonly string[];
+	/** The stores and their links, by name. */
+	links: ReadonlyMap<string, LinkEstimate>;
 	pieceTokens: number;
-	/** Time of an idle store link for one piece. */
-	millisecondsPerPiece: number;
 };
 
 /**
@@ -39,7 +38,7 @@
  */
 const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 2, overnight: 3};
 /** Overnight work has hours: its own wait counts little against the work that it makes. */
-const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.25};
+const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.5};
 /** A fetch takes the link from others: the same reckoning for its time on the link. */
 const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 0.5, overnight: 0.5};
 /** Two endpoints whose scores are closer than this share are taken as equal: the reports are no better than that. */
@@ -50,7 +49,7 @@
  * wait counts that against an endpoint for each request that runs there, and urgent work keeps away from an endpoint
  * that prefills for others. Together they part long prefill from quick questions without fixing who goes where.
  */
-const disturbedShare = 0.3;
+const disturbedShare = 0.15;
 const prefillingEndpointMilliseconds = 150;
 /** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
 const busyStepMilliseconds = 40;
@@ -71,7 +70,6 @@
 	readonly #settings: RoutingSettings;
 	readonly #index = new EndpointIndex();
 	readonly #states = new Map<string, EndpointState>();
-	readonly #links: ReadonlyMap<string, LinkEstimate>;
 	readonly #chosen = new Map<string, Estimate>();
 	readonly #sentAt = new Map<string, number>();
 	readonly #mix = [1, 1, 1];
@@ -81,7 +79,6 @@
 	constructor(prefixes: KeptPrefixes, settings: RoutingSettings) {
 		this.#prefixes = prefixes;
 		this.#settings = settings;
-		this.#links = new Map(settings.stores.map(name => [name, new LinkEstimate(settings.millisecondsPerPiece)]));
 	}
 
 	choose(request: RouteRequest, endpoints: readonly EndpointView[], now: number): RouteChoice {
@@ -111,7 +108,7 @@
 			}
 
 			case 'fetched': {
-				this.#links.get(event.store)?.observe(event.pieces, event.linkMilliseconds, now);
+				this.#settings.links.get(event.store)?.observe(event.pieces, event.linkMilliseconds, now);
 				this.#prefixes.forget(event.store, event.pieceKeys.slice(event.pieces));
 				this.#prefixes.learn(event.endpoint, event.pieceKeys.slice(0, event.pieces));
 				state.fetched(event.requestId, event.afterMilliseconds);
@@ -186,7 +183,7 @@
 			return recompute;
 		}
 
-		const link = this.#links.get(store.name)!;
+		const link = this.#settings.links.get(store.name)!;
 		const pieces = store.pieces - known.kept;
 		const fetched = option(store.pieces, link.fetchMilliseconds(pieces, now), pieces * link.idleMilliseconds);
 		return fetched.score >= recompute.score
@@ -223,7 +220,7 @@
 
 	#bestStore(kept: ReadonlyMap<string, number>): {name: string; pieces: number} | undefined {
 		let best: {name: string; pieces: number} | undefined;
-		for (const name of this.#settings.stores) {
+		for (const name of this.#settings.links.keys()) {
 			const pieces = kept.get(name) ?? 0;
 			if (pieces > (best?.pieces ?? 0)) {
 				best = {name, pieces};
--- a/src/decision/routing/link-estimate.ts
+++ b/src/decision/routing/link-estimate.ts
@@ -25,6 +25,11 @@
 		return pieces * (this.idleMilliseconds + this.#extraAtTime(now));
 	}
 
+	/** Times that a piece takes longer than on an idle link; 1 when it is idle. */
+	slownessAt(now: number): number {
+		return 1 + (this.#extraAtTime(now) / this.idleMilliseconds);
+	}
+
 	/** A fetch ended. Its own rests between pieces do not count. */
 	observe(pieces: number, linkMilliseconds: number, now: number): void {
 		if (pieces === 0) {
--- a/src/load/simulation/simulated-entry.ts
+++ b/src/load/simulation/simulated-entry.ts
@@ -1,6 +1,5 @@
 /** One entry instance in virtual time: carries out what its own policies decide, with its own knowledge. */
-import {instanceCapacity} from '../../decision/admission/instance-capacity.js';
-import {RequestAverage} from '../../decision/admission/request-average.js';
+import {AdmissionWindow} from '../../decision/admission/admission-window.js';
 import {type AdmissionAction} from '../../decision/admission/admission-policy.js';
 import {fetchPause} from '../../decision/kept/fetch-pause.js';
 import {type EndpointView, type FetchPlan, type RouteRequest} from '../../decision/routing/routing-policy.js';
@@ -35,7 +34,7 @@
 	readonly dataCentre: string;
 	readonly policies: EntryPolicies;
 	readonly #around: EntrySurroundings;
-	readonly #averages = new Map<string, RequestAverage>();
+	readonly #windows: ReadonlyMap<string, AdmissionWindow>;
 	readonly #runs = new Map<string, Run>();
 
 	constructor(identity: {name: string; dataCentre: string}, policies: EntryPolicies, around: EntrySurroundings) {
@@ -43,6 +42,7 @@
 		this.dataCentre = identity.dataCentre;
 		this.policies = policies;
 		this.#around = around;
+		this.#windows = new Map(around.services.map(service => [service, new AdmissionWindow(service)]));
 	}
 
 	/** A caller's request arrives. */
@@ -62,19 +62,20 @@
 
 	/** Passes a new round of load reports on to the policies. */
 	takeReports(): void {
-		const {queue, views, services, instances} = this.#around;
-		const {admission} = this.policies;
+		const {queue, views, instances} = this.#around;
 		const dither = hashOf(`${this.name}|${queue.now}`) / (2 ** 32);
 		const endpoints = views();
-		for (const service of services) {
+		const linkSlowness = Math.max(1, ...[...this.policies.links.values()].map(link => link.slownessAt(queue.now)));
+		for (const [service, window] of this.#windows) {
 			let underWay = 0;
 			for (const {isAdmitted, route} of this.#runs.values()) {
-				underWay += isAdmitted && route.service === service ? 1 : 0;
+				underWay += isAdmitted && route.service === service && route.priority !== 'urgent' ? 1 : 0;
 			}
 
-			this.#carryOut(admission.setCapacity(service, instanceCapacity(endpoints, {
-				service, underWay, instances, dither, expectedPrefillTokens: this.#averageOf(service).prefilledTokens, expectedPromptTokens: this.#averageOf(service).promptTokens,
-			}, queue.now), queue.now));
+			const capacity = window.takeReports(endpoints, {
+				underWay, instances, dither, linkSlowness,
+			}, queue.now);
+			this.#carryOut(this.policies.admission.setCapacity(service, capacity, queue.now));
 		}
 	}
 
@@ -119,36 +120,39 @@
 		}, 0);
 	}
 
-	/** Brings one piece after the other; work that can wait rests when the link is crowded. */
+	/**
+	 * Brings the pieces. Urgent work asks for all of them at once, so that it queues at the link once; work that can wait
+	 * asks for one after the other and rests when the link is crowded.
+	 */
 	#fetchFrom(store: FakeStore, run: Run, plan: FetchRun, done: number): void {
 		const {queue, engines} = this.#around;
 		const {endpoint, fetch, sentAt} = plan;
-		const key = fetch.pieceKeys[done];
+		const isUrgent = run.route.priority === 'urgent';
+		const pieces = fetch.pieceKeys.slice(done, isUrgent ? undefined : done + 1);
 		const askedAt = queue.now;
-		const finish = (): void => {
+		if (pieces.length === 0) {
 			run.outcome.fetchMilliseconds += queue.now - sentAt;
 			this.policies.routing.observe({
-				kind: 'fetched', endpoint: endpoint.name, requestId: run.route.requestId, store: fetch.store, pieceKeys: fetch.pieceKeys, pieces: done, afterMilliseconds: queue.now - sentAt, linkMilliseconds: plan.linkMilliseconds,
+				kind: 'fetched',
+				endpoint: endpoint.name,
+				requestId: run.route.requestId,
+				store: fetch.store,
+				pieceKeys: fetch.pieceKeys,
+				pieces: done,
+				afterMilliseconds: queue.now - sentAt,
+				linkMilliseconds: plan.linkMilliseconds,
 			}, queue.now);
 			this.#send(run, endpoint, sentAt);
-		};
-
-		if (key === undefined) {
-			finish();
 			return;
 		}
 
-		store.fetch([key], found => {
-			if (found.length === 0) {
-				finish();
-				return;
-			}
-
+		store.fetch(pieces, found => {
 			engines.get(endpoint.name)!.importPieces(found);
 			plan.linkMilliseconds += queue.now - askedAt;
 			const pause = this.policies.isPolite ? fetchPause(run.route.priority, queue.now - askedAt, store.idleMillisecondsPerPiece) : 0;
+			const isAllFound = found.length === pieces.length;
 			queue.after(pause, () => {
-				this.#fetchFrom(store, run, plan, done + 1);
+				this.#fetchFrom(store, run, isAllFound ? plan : {...plan, fetch: {...fetch, pieceKeys: fetch.pieceKeys.slice(0, done + found.length)}}, done + found.length);
 			});
 		});
 	}
@@ -195,7 +199,6 @@
 		}
 
 		outcome.wholeAnswers++;
-		this.#averageOf(route.service).observe(route.priority, route.promptTokens, cachedTokens);
 		outcome.endedAt = queue.now + clientMilliseconds;
 		this.#leave(run);
 	}
@@ -211,12 +214,6 @@
 		}
 	}
 
-	#averageOf(service: string): RequestAverage {
-		const average = this.#averages.get(service) ?? new RequestAverage();
-		this.#averages.set(service, average);
-		return average;
-	}
-
 	#leave({route}: Run): void {
 		this.#runs.delete(route.requestId);
 		this.#carryOut(this.policies.admission.finish(route.requestId, this.#around.queue.now));
