Keep work that can wait from evicting urgent prefixes

Change: each new piece of work that can wait costs 300 ms of score where urgent work has its prefixes, weighed by the endpoint's part of the urgent sends.

--- a/src/decision/routing/endpoint-state.ts
+++ b/src/decision/routing/endpoint-state.ts
@@ -16,6 +16,8 @@
 const mostSlowness = 8;
 /** Expected times below this are taken as this: a ratio of two tiny times says nothing. */
 const leastExpectedMilliseconds = 30;
+/** Half of an urgent send is forgotten in this time: long enough for a few tens of samples, short enough for a night. */
+const urgentMemoryMilliseconds = 45_000;
 const firstCircuitMilliseconds = 1000;
 const longestCircuitMilliseconds = 30_000;
 /** Reports whose own clock is further off than this are dated by when they came. */
@@ -26,6 +28,8 @@
 export class EndpointState {
 	/** Requests of this instance under way. */
 	underWay = 0;
+	#urgentSends = 0;
+	#urgentSendsAt = 0;
 	readonly #sent = new Map<string, SentRequest>();
 	#latencyRatio = 1;
 	#samples = 0;
@@ -60,6 +64,11 @@
 		return Math.min(mostSlowness, Math.max(1, slowness));
 	}
 
+	/** Urgent requests that this instance sent there lately. */
+	urgentSendsAt(now: number): number {
+		return this.#urgentSends * (0.5 ** ((now - this.#urgentSendsAt) / urgentMemoryMilliseconds));
+	}
+
 	/** True while failures keep the endpoint out. One probe goes through each time that the circuit's time is over. */
 	isOpen(now: number): boolean {
 		return now < this.#openUntil;
@@ -67,6 +76,11 @@
 
 	sent(request: RouteRequest, sent: SentRequest): void {
 		this.underWay++;
+		if (sent.rank === 0) {
+			this.#urgentSends = this.urgentSendsAt(sent.at) + 1;
+			this.#urgentSendsAt = sent.at;
+		}
+
 		this.#sent.set(request.requestId, sent);
 	}
 
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -51,6 +51,12 @@
  */
 const disturbedShare = 0.15;
 const prefillingEndpointMilliseconds = 150;
+/**
+ * What a new piece of work that can wait costs where urgent work has its prefixes: it evicts one of them, which then
+ * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean.
+ */
+const evictedPieceMilliseconds = 300;
+const mostUrgentShare = 3;
 /** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
 const busyStepMilliseconds = 40;
 /** Each running request slows the step a little, and holds memory. */
@@ -63,6 +69,8 @@
 /** The mix of classes that was sent is remembered for about this long. */
 const mixMemoryTokens = 400_000;
 
+/** What is believed of an endpoint's prefixes: pieces kept there and in the best store, and urgent sends to the others. */
+type Known = {kept: number; store: {name: string; pieces: number} | undefined; meanUrgentSends: number};
 type Estimate = {endpoint: EndpointView; score: number; expected: number; prefillTokens: number; fetch?: FetchPlan};
 
 export class ExpectedFirstTokenPolicy implements RoutingPolicy {
@@ -88,7 +96,8 @@
 		// With every circuit open the breakers would turn a short outage into refusals; the endpoints are tried instead.
 		const candidates = closed.length === 0 ? inView : closed;
 		const store = this.#bestStore(kept);
-		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store}, now));
+		const meanUrgentSends = this.#meanUrgentSends(request, candidates, now);
+		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store, meanUrgentSends}, now));
 		const best = chooseAmong(estimates, request);
 		if (best === undefined) {
 			return {kind: 'none', retryAfterMilliseconds: noEndpointRetryMilliseconds};
@@ -160,18 +169,19 @@
 		}
 	}
 
-	#estimate(request: RouteRequest, endpoint: EndpointView, known: {kept: number; store: {name: string; pieces: number} | undefined}, now: number): Estimate {
+	#estimate(request: RouteRequest, endpoint: EndpointView, known: Known, now: number): Estimate {
 		const {pieceTokens} = this.#settings;
 		const rate = endpoint.load?.prefillTokensPerSecond ?? 1000;
 		const slowness = this.#stateOf(endpoint.name).slownessAt(now, this.#usualRatio);
 		const wait = this.#waitAt(request, endpoint, rate, now) * slowness;
 		const fixed = (endpoint.dataCentre === this.#settings.dataCentre ? 0 : otherDataCentreMilliseconds)
 			+ (endpoint.weightVersion === request.weightVersion ? 0 : otherVersionMilliseconds);
+		const eviction = this.#evictionCost(request, endpoint, known, now);
 		const option = (pieces: number, fetchMilliseconds: number, linkMilliseconds: number): Estimate => {
 			const prefillTokens = Math.max(1, request.promptTokens - (pieces * pieceTokens));
 			const prefill = 1000 * prefillTokens / rate * slowness;
 			const expected = Math.max(wait, fetchMilliseconds) + prefill + fixed;
-			const score = (latencyWeight[request.priority] * expected) + this.#disturbance(request, endpoint, prefill) + (recomputeWeight[request.priority] * prefill) + (linkWeight[request.priority] * linkMilliseconds);
+			const score = (latencyWeight[request.priority] * expected) + this.#disturbance(request, endpoint, prefill) + eviction + (recomputeWeight[request.priority] * prefill) + (linkWeight[request.priority] * linkMilliseconds);
 			return {
 				endpoint, score, expected: wait + prefill + fixed, prefillTokens,
 			};
@@ -199,6 +209,29 @@
 		return disturbedShare * prefillMilliseconds * (load?.runningRequests ?? 0);
 	}
 
+	/** What the new pieces of work that can wait push out, by how much urgent work has its prefixes there. */
+	#evictionCost({priority, pieceKeys}: RouteRequest, endpoint: EndpointView, {kept, meanUrgentSends}: Known, now: number): number {
+		if (priority === 'urgent' || meanUrgentSends === 0) {
+			return 0;
+		}
+
+		const share = Math.min(mostUrgentShare, this.#stateOf(endpoint.name).urgentSendsAt(now) / meanUrgentSends);
+		return (pieceKeys.length - kept) * evictedPieceMilliseconds * share;
+	}
+
+	#meanUrgentSends({priority}: RouteRequest, candidates: readonly EndpointView[], now: number): number {
+		if (priority === 'urgent') {
+			return 0;
+		}
+
+		let sends = 0;
+		for (const {name} of candidates) {
+			sends += this.#stateOf(name).urgentSendsAt(now);
+		}
+
+		return sends / Math.max(1, candidates.length);
+	}
+
 	/** Milliseconds before the endpoint begins to prefill this request. */
 	#waitAt(request: RouteRequest, endpoint: EndpointView, rate: number, now: number): number {
 		const {load} = endpoint;
