--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -26,6 +26,7 @@
 export const defaultBodyLimitBytes = 8_388_608;
 
 const hangUpReason = new Error('the caller hung up');
+const operatorReason = new Error('an operator cancelled the request');
 
 /** What the routes pass work on to. */
 export type CallerParts = {
@@ -114,12 +115,21 @@
 		const {workspace, completion, service} = understood.unsafeCoerce();
 		const hangUp = new AbortController();
 		const job = this.#jobOf({workspace, completion, service}, {request, arrivedAt, signal: hangUp.signal});
+		const {requestId, priority} = job.route;
+		const cancel = (reason = operatorReason): void => {
+			hangUp.abort(reason);
+			this.#parts.gate.cancel(requestId);
+		};
+
 		response.once('close', () => {
+			this.#context.requests.end(requestId);
 			if (!response.writableFinished) {
-				hangUp.abort(hangUpReason);
-				this.#parts.gate.cancel(job.route.requestId);
+				cancel(hangUpReason);
 			}
 		});
+		this.#context.requests.begin({
+			requestId, workspace: workspace.name, service: service.name, priority, arrivedAt, cancel,
+		});
 		await this.#serve(job, {workspace, completion}, response);
 	}
 
@@ -137,6 +147,7 @@
 			return;
 		}
 
+		this.#context.requests.admit(requestId);
 		timeline.record({kind: 'request-admitted', at: clock.now(), ...common});
 		const result = await this.#parts.runner.run(job, writer);
 		this.#parts.gate.leave(requestId);
--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -103,7 +103,7 @@
 			mayHaveRun,
 			detail,
 			retryAfterMilliseconds,
-			isCancelled: job.signal.aborted,
+			cancelledBecause: job.signal.aborted ? (job.signal.reason as Error).message : undefined,
 			wasTried: relay.attempt > 0,
 			fullMilliseconds: this.#holds.shortestHold(names, this.#context.clock.now()),
 		});
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -61,7 +61,14 @@
 		const plainRequest = {
 			workspace, service, call: callOf(request, parts?.rest ?? '/', bytes), idempotencyKey,
 		};
+		const {requests, clock} = this.#context;
+		const {requestId} = plainRequest.call;
+		requests.begin({
+			requestId, workspace: workspace.name, service: service.name, priority: workspace.priority, arrivedAt: clock.now(),
+		});
+		requests.admit(requestId);
 		answer(response, await this.#run(plainRequest, version));
+		requests.end(requestId);
 	}
 
 	async #run(request: PlainRequest, configurationVersion: number): Promise<Either<Refusal, PlainAnswer>> {
