Add the HTTP sides of the object store and the weight store

Cause: the object store had a port and a stand-in and no adapter; the weight store had nothing. Change: both adapters, the weight store's port and a small stand-in with its limit on calls and loads that slow one another down. Nothing in the entry uses the weight store yet.

--- /dev/null
+++ b/src/adapters/http-stores.test.ts
@@ -0,0 +1,69 @@
+/** The HTTP sides of the object store and the weight store against their stand-ins. */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {createObjectStoreStandIn} from '../stand-in/object-store-stand-in.js';
+import {startStandIn} from '../stand-in/stand-in-server.js';
+import {createWeightStoreStandIn} from '../stand-in/weight-store-stand-in.js';
+import {exchangeJson} from './http-client.js';
+import {HttpObjectStore} from './http-object-store.js';
+import {HttpWeightStore} from './http-weight-store.js';
+
+const anywhere = {host: '127.0.0.1', port: 0};
+
+test('objects are read as they were written, under any key, and an absent one is no failure', async t => {
+	const kind = createObjectStoreStandIn();
+	const standIn = await startStandIn(kind, anywhere);
+	t.after(async () => standIn.close());
+	const store = new HttpObjectStore(standIn.address);
+	const content = Buffer.from([0, 255, 10, 13]);
+	const written = await store.write('snapshots/a b?c', content);
+	const read = await store.read('snapshots/a b?c');
+	const absent = await store.read('snapshots/none');
+	assert.ok(written.isRight());
+	assert.deepEqual(read.extract(), content);
+	assert.ok(absent.isRight());
+	assert.equal(absent.extract(), undefined);
+	kind.faults.down = true;
+	const failed = await store.read('snapshots/a b?c');
+	assert.deepEqual(failed.extract(), {kind: 'unavailable', detail: 'status 503'});
+});
+
+test('a write whose answer is lost is a failure, although it took effect', async t => {
+	// The caller of the port sees a failure and must not take it for "not written": the next read finds the object.
+	const kind = createObjectStoreStandIn();
+	const standIn = await startStandIn(kind, anywhere);
+	t.after(async () => standIn.close());
+	const store = new HttpObjectStore(standIn.address);
+	kind.faults.loseAnswers = 1;
+	const written = await store.write('key', Buffer.from('content'));
+	const read = await store.read('key');
+	assert.ok(written.isLeft());
+	assert.equal(String(read.extract() as Buffer), 'content');
+});
+
+test('the weight store lists versions, tells how busy it is, and its limit is told apart from an outage', async t => {
+	const kind = createWeightStoreStandIn();
+	const standIn = await startStandIn(kind, anywhere);
+	t.after(async () => standIn.close());
+	const store = new HttpWeightStore(standIn.address);
+	for (const version of ['w1', 'w2']) {
+		await exchangeJson({
+			method: 'PUT', url: `http://${standIn.address}/weights/permit-1/${version}`, body: {bytes: 1000}, timeoutMilliseconds: 1000,
+		});
+	}
+
+	const versions = await store.versions('permit-1');
+	const none = await store.versions('lesson-1');
+	const load = await store.load();
+	assert.deepEqual(versions.map(found => found.map(({weightVersion}) => weightVersion)).extract(), ['w1', 'w2']);
+	assert.deepEqual(none.extract(), []);
+	assert.deepEqual(load.extract(), {loading: 0, fullSpeedLoads: 2, bytesPerSecond: 1_000_000_000});
+	kind.faults.refuseSeconds = 3;
+	const limited = await store.load();
+	assert.deepEqual(limited.extract(), {kind: 'rate-limited', retryAfterMilliseconds: 3000});
+	kind.faults.refuseSeconds = 0;
+	kind.faults.down = true;
+	const down = await store.load();
+	assert.deepEqual(down.extract(), {kind: 'unavailable', detail: 'status 503'});
+});
--- /dev/null
+++ b/src/adapters/http-weight-store.ts
@@ -0,0 +1,46 @@
+/** The weight store over HTTP: `GET /weights/{model}` and `GET /load`; 429 with `Retry-After` is its own limit. */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	type StoredWeights, type WeightStore, type WeightStoreFailure, type WeightStoreLoad,
+} from '../ports/weight-store.js';
+import {connectionPool, describeError} from './http-client.js';
+
+const timeoutMilliseconds = 2000;
+const defaultRetryMilliseconds = 1000;
+
+export class HttpWeightStore implements WeightStore {
+	readonly #origin: string;
+
+	/** @param address - `IP:port` of the store. */
+	constructor(address: string) {
+		this.#origin = `http://${address}`;
+	}
+
+	async versions(model: string): Promise<Either<WeightStoreFailure, StoredWeights[]>> {
+		const answer = await this.#get<{weights: StoredWeights[]}>(`/weights/${encodeURIComponent(model)}`);
+		return answer.map(({weights}) => weights);
+	}
+
+	async load(): Promise<Either<WeightStoreFailure, WeightStoreLoad>> {
+		return this.#get<WeightStoreLoad>('/load');
+	}
+
+	async #get<Value>(path: string): Promise<Either<WeightStoreFailure, Value>> {
+		try {
+			const answer = await connectionPool.request({
+				origin: this.#origin, path, method: 'GET', signal: AbortSignal.timeout(timeoutMilliseconds),
+			});
+			const text = await answer.body.text();
+			if (answer.statusCode === 429) {
+				const seconds = Number(answer.headers['retry-after']);
+				return Left({kind: 'rate-limited', retryAfterMilliseconds: seconds > 0 ? seconds * 1000 : defaultRetryMilliseconds});
+			}
+
+			return answer.statusCode === 200
+				? Right(JSON.parse(text) as Value)
+				: Left({kind: 'unavailable', detail: `status ${answer.statusCode}`});
+		} catch (error) {
+			return Left({kind: 'unavailable', detail: describeError(error)});
+		}
+	}
+}
--- a/src/stand-in/main.ts
+++ b/src/stand-in/main.ts
@@ -8,6 +8,7 @@
 import {createPlainServiceStandIn} from './plain-service-stand-in.js';
 import {startStandIn, type StandInKind} from './stand-in-server.js';
 import {createTableServiceStandIn} from './table-service-stand-in.js';
+import {createWeightStoreStandIn} from './weight-store-stand-in.js';
 
 const defaultCapacityBytes = '67108864';
 
@@ -26,6 +27,7 @@
 
 program.command('table').action(async () => serve(createTableServiceStandIn(), common()));
 program.command('object').action(async () => serve(createObjectStoreStandIn(), common()));
+program.command('weights').action(async () => serve(createWeightStoreStandIn(), common()));
 program.command('list').action(async () => serve(createInstanceListStandIn(), common()));
 program.command('plain').action(async () => serve(createPlainServiceStandIn(), common()));
 program.command('cache')
