Test that an orderly end of the body without the end mark is a broken stream

Cause: with the check for the end mark taken out of the compiled adapter, no test failed: the stand-in only ever reset. Change: the stand-in engine can end its body in an orderly way; the test asks for both. Measured: red with the check taken out, green with it.

--- a/src/adapters/http-model-engine.test.ts
+++ b/src/adapters/http-model-engine.test.ts
@@ -65,8 +65,12 @@
 });
 
 test('a stream that is cut is broken, whatever came before', async () => {
-	const seen = await collect(call, {cutAfterTokens: 3});
-	assert.equal(seen.end?.kind, 'broken');
+	// Half an answer can end with a reset connection or with an orderly end of the HTTP body; both look like an answer to
+	// whoever counts bytes, and neither has the end mark.
+	for (const cutCleanly of [false, true]) {
+		const seen = await collect(call, {cutAfterTokens: 3, cutCleanly});
+		assert.equal(seen.end?.kind, 'broken');
+	}
 });
 
 test('a resumed stream starts at the token that is due', async () => {
--- a/src/stand-in/model-engine-stand-in.ts
+++ b/src/stand-in/model-engine-stand-in.ts
@@ -48,7 +48,7 @@
 export class ModelEngineStandIn implements StandInKind {
 	readonly app = new H3();
 	readonly faults = {
-		...noFaults, leaving: false, cutAfterTokens: 0, stallAfterTokens: 0, refuseSeconds: 0, ignoreFencing: false, loseCacheEvents: 0, loadLagMilliseconds: 0,
+		...noFaults, leaving: false, cutAfterTokens: 0, cutCleanly: false, stallAfterTokens: 0, refuseSeconds: 0, ignoreFencing: false, loseCacheEvents: 0, loadLagMilliseconds: 0,
 	};
 
 	readonly #behaviour: EngineBehaviour;
@@ -127,7 +127,13 @@
 			}
 
 			if (this.faults.cutAfterTokens > 0 && index >= this.faults.cutAfterTokens) {
-				response.destroy();
+				// A clean end of the HTTP body, without the end mark of the stream, is what a proxy in between makes of a cut.
+				if (this.faults.cutCleanly) {
+					response.end();
+				} else {
+					response.destroy();
+				}
+
 				return;
 			}
 
