--- a/src/adapters/completion-stream.ts
+++ b/src/adapters/completion-stream.ts
@@ -1,4 +1,6 @@
 /** Turns the server-sent events of a model engine into engine events. */
+import {type Buffer} from 'node:buffer';
+import {StringDecoder} from 'node:string_decoder';
 import {createParser} from 'eventsource-parser';
 import {type EngineEvent} from '../ports/model-engine.js';
 
@@ -20,7 +22,7 @@
 	#events: EngineEvent[] = [];
 	#finishReason = '';
 	#usage: Chunk['usage'];
-	readonly #decoder = new TextDecoder();
+	readonly #decoder = new StringDecoder('utf8');
 	readonly #parser = createParser({
 		onEvent: event => {
 			this.#take(event.data);
@@ -32,8 +34,8 @@
 	 *
 	 * @throws The error of a chunk that is no JSON, or that the engine sent in place of an answer.
 	 */
-	feed(bytes: Uint8Array): EngineEvent[] {
-		this.#parser.feed(this.#decoder.decode(bytes, {stream: true}));
+	feed(bytes: Buffer): EngineEvent[] {
+		this.#parser.feed(this.#decoder.write(bytes));
 		const events = this.#events;
 		this.#events = [];
 		return events;
--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -43,7 +43,7 @@
 			const chunks = answer.body[Symbol.asyncIterator]();
 			try {
 				while (!reader.isEnded) {
-					const {done, value} = await chunks.next() as IteratorResult<Uint8Array, undefined>;
+					const {done, value} = await chunks.next() as IteratorResult<Buffer, undefined>;
 					if (done) {
 						// Half an answer and a whole one both end with a closed connection; only the end mark tells them apart.
 						yield Left({kind: 'broken', detail: 'the stream ended without its end mark'});
