--- a/src/entry/callers/admission-gate.ts
+++ b/src/entry/callers/admission-gate.ts
@@ -50,7 +50,7 @@
 	/** The caller hung up; if the request still waits, its wait ends. */
 	cancel(requestId: string): void {
 		this.#carryOut(this.#policy.cancel(requestId, this.#clock.now()));
-		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the caller hung up'}));
+		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the request was cancelled while it waited'}));
 	}
 
 	setCapacity(service: string, capacity: ServiceCapacity): void {
