--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -36,7 +36,7 @@
  * Beside the time to first token, recomputing costs the endpoint time that others wait for. Urgent prompts weigh it
  * little; work that can wait weighs it fully, since it has time to go where its prefix is.
  */
-const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 2, overnight: 3};
+const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 4, overnight: 6};
 /** Overnight work has hours: its own wait counts little against the work that it makes. */
 const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.5};
 /** A fetch takes the link from others: the same reckoning for its time on the link. */
