--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -10,6 +10,14 @@
 	#engines: ReadonlyMap<string, EndpointView> = new Map();
 	#listSeen = false;
 	#plain: readonly PlainEndpoint[] = [];
+	#entryCount = 1;
+
+	/** How many live entry instances the list names, at least 1. */
+	get entryCount(): number {
+		return this.#entryCount;
+	}
+
+	#drained: ReadonlySet<string> = new Set();
 
 	/** True once every live model endpoint of the list has reported for itself, and the list was seen. */
 	get isKnown(): boolean {
@@ -17,16 +25,27 @@
 		return this.#listSeen && live.every(({heardAt}) => heardAt > 0);
 	}
 
-	/** All model endpoints. The array is made anew when anything changes. */
+	/** All model endpoints; one that operators drained counts as leaving, whatever it says of itself. */
 	engines(): readonly EndpointView[] {
-		return [...this.#engines.values()];
+		const leaving = (endpoint: EndpointView): EndpointView => this.#drained.has(endpoint.name) ? {...endpoint, state: 'leaving'} : endpoint;
+		return [...this.#engines.values()].map(endpoint => leaving(endpoint));
+	}
+
+	/** All instances of plain services, as the list gives them. */
+	plainEndpoints(): readonly PlainEndpoint[] {
+		return this.#plain;
+	}
+
+	/** Takes the names of the endpoints that operators drained. */
+	takeDrained(names: ReadonlySet<string>): void {
+		this.#drained = names;
 	}
 
 	/** The live endpoints of a plain service, those of the given data centre first. */
 	plainEndpointsOf(service: string, dataCentre: string): readonly PlainEndpoint[] {
 		const nearFirst = (endpoint: PlainEndpoint): number => endpoint.dataCentre === dataCentre ? 0 : 1;
 		return this.#plain
-			.filter(endpoint => endpoint.service === service && endpoint.state === 'live')
+			.filter(endpoint => endpoint.service === service && endpoint.state === 'live' && !this.#drained.has(endpoint.name))
 			.toSorted((left, right) => nearFirst(left) - nearFirst(right));
 	}
 
@@ -36,15 +55,23 @@
 	 */
 	takeList(instances: readonly ListedInstance[]): void {
 		this.#listSeen = instances.length > 0;
+		this.#entryCount = Math.max(1, instances.filter(({role, state}) => role === 'entry' && state === 'live').length);
 		const engines = instances.filter(({role}) => role === 'model-engine');
 		this.#engines = new Map(engines.map(listed => [listed.name, mergeListed(this.#engines.get(listed.name), listed)]));
 		this.#plain = instances.filter(({role}) => role === 'plain-service');
 	}
 
-	/** Takes an endpoint's own report. */
+	/**
+	 * Takes an endpoint's own report.
+	 *
+	 * @param name - The endpoint.
+	 * @param load - Its report, from itself or by way of a peer.
+	 * @param now - When the endpoint gave it, in milliseconds since the epoch.
+	 */
 	takeReport(name: string, load: LoadReport, now: number): void {
 		const known = this.#engines.get(name);
-		if (known !== undefined) {
+		// A report by way of a peer may come behind a newer one; taken, it could make a leaving endpoint live again.
+		if (known !== undefined && now >= known.heardAt) {
 			const {model, weightVersion, state} = load;
 			this.#replace({
 				...known, model, weightVersion, state, load, heardAt: now,
