Decide in the entry by expected first token and fair shares

Cause: the entry routed by least load and admitted first come, first served. Change: routing and admission in place of their baselines; a feed from load reports to the admission window; a watcher of cache events; the stand-in engine publishes events for whole pieces under the keys that entries derive. A prompt that no endpoint takes, or a swap, no longer counts against the endpoint.

--- a/src/decision/admission/admission-window.ts
+++ b/src/decision/admission/admission-window.ts
@@ -69,9 +69,10 @@
 		let count = 0;
 		for (const {service, state, heardAt, load} of endpoints) {
 			if (service === this.#service && state === 'live' && load !== undefined && now - heardAt <= silenceLimitMilliseconds) {
-				const prefill = 1000 * load.waitingPrefillTokens / load.prefillTokensPerSecond / prefillTargetMilliseconds;
-				const batch = (load.runningRequests + load.waitingRequests) / load.batchLimit / batchTargetShare;
-				const memory = load.kvTokensUsed / load.kvTokensCapacity / memoryTargetShare;
+				const prefill = 1000 * load.waitingPrefillTokens / Math.max(1, load.prefillTokensPerSecond) / prefillTargetMilliseconds;
+				const batch = (load.runningRequests + load.waitingRequests) / Math.max(1, load.batchLimit) / batchTargetShare;
+				// A cache that is full of kept prefixes is no pressure; one that keeps a request from starting is.
+				const memory = load.waitingRequests > 0 && load.kvTokensCapacity > 0 ? load.kvTokensUsed / load.kvTokensCapacity / memoryTargetShare : 0;
 				pressure += Math.min(mostPressure, Math.max(prefill, batch, memory));
 				batches += load.batchLimit;
 				count++;
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -171,7 +171,7 @@
 
 	#estimate(request: RouteRequest, endpoint: EndpointView, known: Known, now: number): Estimate {
 		const {pieceTokens} = this.#settings;
-		const rate = endpoint.load?.prefillTokensPerSecond ?? 1000;
+		const rate = Math.max(1, endpoint.load?.prefillTokensPerSecond ?? 1000);
 		const slowness = this.#stateOf(endpoint.name).slownessAt(now, this.#usualRatio);
 		const wait = this.#waitAt(request, endpoint, rate, now) * slowness;
 		const fixed = (endpoint.dataCentre === this.#settings.dataCentre ? 0 : otherDataCentreMilliseconds)
@@ -246,7 +246,7 @@
 		const drained = Math.max(0, now - endpoint.heardAt) * rate / 1000;
 		const backlog = Math.max(0, (load.waitingPrefillTokens * before) - (drained * before)) + since.tokens;
 		const over = load.runningRequests + load.waitingRequests + since.requests - load.batchLimit;
-		const slot = over < 0 ? 0 : (over + 1) * this.#serviceMilliseconds / load.batchLimit;
+		const slot = over < 0 ? 0 : (over + 1) * this.#serviceMilliseconds / Math.max(1, load.batchLimit);
 		const busy = load.waitingPrefillTokens > 0 || since.requests > 0 ? busyStepMilliseconds : 0;
 		return Math.max(1000 * backlog / rate, slot) + busy + (load.runningRequests * runningMilliseconds);
 	}
--- a/src/entry/callers/admission-gate.ts
+++ b/src/entry/callers/admission-gate.ts
@@ -16,6 +16,9 @@
 	readonly name = 'admission-gate';
 	readonly #policy: AdmissionPolicy;
 	readonly #clock: Clock;
+	/** Requests that were let in and have not ended. */
+	readonly #admitted = new Map<string, AdmissionRequest>();
+	readonly #arriving = new Map<string, AdmissionRequest>();
 	readonly #waiting = new Map<string, (answer: Either<Refusal, void>) => void>();
 
 	constructor(policy: AdmissionPolicy, clock: Clock) {
@@ -38,27 +41,45 @@
 	async enter(request: AdmissionRequest): Promise<Either<Refusal, void>> {
 		return new Promise(resolve => {
 			this.#waiting.set(request.requestId, resolve);
+			this.#arriving.set(request.requestId, request);
 			this.#carryOut(this.#policy.arrive(request, this.#clock.now()));
 		});
 	}
 
 	/** An admitted request ended. */
 	leave(requestId: string): void {
+		this.#admitted.delete(requestId);
 		this.#carryOut(this.#policy.finish(requestId, this.#clock.now()));
 	}
 
 	/** The caller hung up; if the request still waits, its wait ends. */
 	cancel(requestId: string): void {
+		this.#admitted.delete(requestId);
 		this.#carryOut(this.#policy.cancel(requestId, this.#clock.now()));
 		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the caller hung up'}));
 	}
 
+	/** Requests of a service that can wait and were let in. */
+	underWay(service: string): number {
+		let count = 0;
+		for (const request of this.#admitted.values()) {
+			count += request.service === service && request.priority !== 'urgent' ? 1 : 0;
+		}
+
+		return count;
+	}
+
 	setCapacity(service: string, capacity: ServiceCapacity): void {
 		this.#carryOut(this.#policy.setCapacity(service, capacity, this.#clock.now()));
 	}
 
 	#carryOut(actions: readonly AdmissionAction[]): void {
 		for (const action of actions) {
+			const request = this.#arriving.get(action.requestId);
+			if (action.kind === 'admit' && request !== undefined) {
+				this.#admitted.set(action.requestId, request);
+			}
+
 			this.#answer(action.requestId, action.kind === 'admit' ? Right(undefined) : Left(action.refusal));
 		}
 	}
@@ -66,6 +87,7 @@
 	#answer(requestId: string, answer: Either<Refusal, void>): void {
 		const resolve = this.#waiting.get(requestId);
 		this.#waiting.delete(requestId);
+		this.#arriving.delete(requestId);
 		resolve?.(answer);
 	}
 }
--- a/src/entry/callers/completion-attempt.ts
+++ b/src/entry/callers/completion-attempt.ts
@@ -202,7 +202,9 @@
 
 	#end(outcome: AttemptOutcome): void {
 		const {job, endpoint, route} = this.#plan;
-		const failed = job.signal.aborted ? 'cancelled' : 'failed';
+		// A prompt that no endpoint would take, or a swap of weights, is no evidence against the endpoint: counted as one, a
+		// single bad caller could open the circuits of all endpoints.
+		const failed = !job.signal.aborted && outcome.kind === 'again' && outcome.avoid ? 'failed' : 'cancelled';
 		this.#policy.observe({
 			kind: 'ended',
 			endpoint: endpoint.name,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -8,12 +8,14 @@
 import {HttpPlainService} from '../adapters/http-plain-service.js';
 import {HttpTableService} from '../adapters/http-table-service.js';
 import {systemClock} from '../adapters/system-clock.js';
-import {BoundedQueueAdmission} from '../decision/admission/bounded-queue-admission.js';
-import {LeastLoadedPolicy} from '../decision/routing/least-loaded-policy.js';
+import {FairShareAdmission} from '../decision/admission/fair-share-admission.js';
+import {KeptPrefixes} from '../decision/kept/kept-prefixes.js';
+import {ExpectedFirstTokenPolicy} from '../decision/routing/expected-first-token-policy.js';
 import {createLogger} from '../observability/logger.js';
 import {StatsdMetrics} from '../observability/metrics.js';
 import {TimelineSender} from '../observability/timeline-sender.js';
 import {Supervisor} from '../supervisor/supervisor.js';
+import {CapacityFeed} from './capacity-feed.js';
 import {AdmissionGate} from './callers/admission-gate.js';
 import {CallerRoutes} from './callers/caller-routes.js';
 import {CompletionRunner} from './callers/completion-runner.js';
@@ -27,6 +29,7 @@
 import {createOperatorRoutes} from './operators/operator-routes.js';
 import {EntryPeers} from './peers/entry-peers.js';
 import {RequestRegistry} from './request-registry.js';
+import {CacheEventWatcher, pieceTokens} from './watchers/cache-event-watcher.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -42,6 +45,7 @@
 
 export class EntryDaemon {
 	readonly #context: EntryContext;
+	readonly #prefixes = new KeptPrefixes();
 	readonly #neverTwice: NeverTwiceRunner;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
@@ -72,10 +76,10 @@
 		};
 		this.#neverTwice = new NeverTwiceRunner(this.#context);
 		this.#peers = new EntryPeers(this.#context);
-		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
+		const gate = new AdmissionGate(new FairShareAdmission(), systemClock);
 		const routes = new CallerRoutes(this.#context, {
 			gate,
-			runner: new CompletionRunner(this.#context, new LeastLoadedPolicy()),
+			runner: new CompletionRunner(this.#context, new ExpectedFirstTokenPolicy(this.#prefixes, {dataCentre: settings.dataCentre, links: new Map(), pieceTokens})),
 			plainRoute: new PlainRoute(this.#context, this.#neverTwice),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
@@ -128,7 +132,8 @@
 				this.#peers.service,
 				new ConfigurationWatcher(this.#context, this.#peers),
 				new InstanceWatcher(this.#context, this.#peers),
-				new LoadWatcher(this.#context, this.#peers),
+				new LoadWatcher(this.#context, this.#peers, new CapacityFeed(this.#context, gate)),
+				new CacheEventWatcher(this.#context, this.#prefixes),
 			],
 		});
 		const dataPath = new Supervisor({
--- a/src/entry/watchers/load-watcher.ts
+++ b/src/entry/watchers/load-watcher.ts
@@ -3,6 +3,7 @@
  * which the peers told nothing for too long. An endpoint that does not answer ages by itself.
  */
 import {type Child} from '../../supervisor/supervisor.js';
+import {type CapacityFeed} from '../capacity-feed.js';
 import {type EntryContext} from '../entry-context.js';
 import {type EntryPeers} from '../peers/entry-peers.js';
 
@@ -12,10 +13,12 @@
 	readonly name = 'load-watcher';
 	readonly #context: EntryContext;
 	readonly #peers: EntryPeers;
+	readonly #feed: CapacityFeed;
 
-	constructor(context: EntryContext, peers: EntryPeers) {
+	constructor(context: EntryContext, peers: EntryPeers, feed: CapacityFeed) {
 		this.#context = context;
 		this.#peers = peers;
+		this.#feed = feed;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -29,6 +32,7 @@
 					this.#peers.takeReport(name, load);
 				});
 			}));
+			this.#feed.takeReports();
 			await clock.sleep(settings.loadPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
 		}
 	}
--- a/src/stand-in/model-engine-stand-in.ts
+++ b/src/stand-in/model-engine-stand-in.ts
@@ -9,6 +9,7 @@
 import {
 	getQuery, H3, HTTPError, readBody,
 } from 'h3';
+import {charactersPerToken, pieceCharacters, pieceKeysOf} from '../cache/piece-keys.js';
 import {type CacheEvent, type EngineOrder, type LoadReport} from '../ports/model-engine.js';
 import {digestOf} from '../shared/digest-of.js';
 import {type NodeExchange, nodeRoute} from '../shared/node-route.js';
@@ -18,8 +19,9 @@
 import {readJson} from './read-json.js';
 import {noFaults, type StandInKind} from './stand-in-server.js';
 
-const charactersPerToken = 4;
-const pieceTokens = 512;
+/** Tokens of one block: reuse is counted in blocks, and events tell of whole pieces. */
+const blockTokens = 512;
+const blocksInPiece = pieceCharacters / charactersPerToken / blockTokens;
 const defaultCompletionTokens = 16;
 const recentCacheEvents = 1000;
 
@@ -52,8 +54,8 @@
 	};
 
 	readonly #behaviour: EngineBehaviour;
-	/** Keys of cached pieces, least recently used first. */
-	readonly #cached = new Set<string>();
+	/** Keys of cached blocks, least recently used first; the last block of a piece names the piece. */
+	readonly #cached = new Map<string, string | undefined>();
 	readonly #cacheEvents: CacheEvent[] = [];
 	#cacheSequence = 0;
 	#running = 0;
@@ -153,34 +155,40 @@
 
 	async #prefill(completion: Completion): Promise<{promptTokens: number; cachedTokens: number}> {
 		const promptTokens = Math.ceil(completion.prompt.length / charactersPerToken);
-		const keys = pieceKeysOf(completion);
+		const keys = blockKeysOf(completion);
 		const missing = keys.findIndex(key => !this.#cached.has(key));
-		const cachedTokens = (missing === -1 ? keys.length : missing) * pieceTokens;
+		const cachedTokens = (missing === -1 ? keys.length : missing) * blockTokens;
 		const work = promptTokens - cachedTokens;
 		this.#waitingPrefillTokens += work;
 		await delay(1000 * work / this.#behaviour.prefillTokensPerSecond);
 		this.#waitingPrefillTokens -= work;
-		for (const key of keys) {
-			this.#keep(key);
+		const {salt, weightVersion, prompt} = completion;
+		const pieces = pieceKeysOf({salt, model: this.#behaviour.model, weightVersion}, prompt);
+		for (const [index, key] of keys.entries()) {
+			this.#keep(key, (index + 1) % blocksInPiece === 0 ? pieces[Math.floor(index / blocksInPiece)] : undefined);
 		}
 
 		return {promptTokens, cachedTokens};
 	}
 
-	#keep(key: string): void {
+	#keep(key: string, pieceKey: string | undefined): void {
 		if (!this.#cached.delete(key)) {
-			this.#publish('stored', key);
+			this.#publish('stored', pieceKey);
 		}
 
-		this.#cached.add(key);
+		this.#cached.set(key, pieceKey);
 		if (this.#cached.size > this.#behaviour.cachePieces) {
-			const oldest = this.#cached.values().next().value!;
+			const [oldest, oldestPiece] = this.#cached.entries().next().value!;
 			this.#cached.delete(oldest);
-			this.#publish('evicted', oldest);
+			this.#publish('evicted', oldestPiece);
 		}
 	}
 
-	#publish(kind: CacheEvent['kind'], pieceKey: string): void {
+	#publish(kind: CacheEvent['kind'], pieceKey: string | undefined): void {
+		if (pieceKey === undefined) {
+			return;
+		}
+
 		this.#cacheSequence++;
 		if (this.faults.loseCacheEvents > 0) {
 			this.faults.loseCacheEvents--;
@@ -206,8 +214,8 @@
 			prefillTokensPerSecond: this.#behaviour.prefillTokensPerSecond,
 			decodeTokensPerSecond: 1000 / Math.max(1, this.#behaviour.millisecondsPerToken),
 			batchLimit: this.#behaviour.batchLimit,
-			kvTokensUsed: this.#cached.size * pieceTokens,
-			kvTokensCapacity: this.#behaviour.cachePieces * pieceTokens,
+			kvTokensUsed: this.#cached.size * blockTokens,
+			kvTokensCapacity: this.#behaviour.cachePieces * blockTokens,
 			measuredAt: now,
 		};
 		return this.#lastReport;
@@ -229,11 +237,11 @@
 	}
 }
 
-function pieceKeysOf(completion: Completion): string[] {
-	const pieceCharacters = pieceTokens * charactersPerToken;
-	const pieces = Math.floor(completion.prompt.length / pieceCharacters);
-	return Array.from({length: pieces}, (_, index) =>
-		digestOf(`${completion.salt}|${completion.weightVersion}|${completion.prompt.slice(0, (index + 1) * pieceCharacters)}`));
+function blockKeysOf(completion: Completion): string[] {
+	const blockCharacters = blockTokens * charactersPerToken;
+	const blocks = Math.floor(completion.prompt.length / blockCharacters);
+	return Array.from({length: blocks}, (_, index) =>
+		digestOf(`${completion.salt}|${completion.weightVersion}|${completion.prompt.slice(0, (index + 1) * blockCharacters)}`));
 }
 
 function chunkOf(completion: Completion, choice: ChunkChoice, extra: Record<string, JsonValue>): string {
