--- a/src/decision/routing/endpoint-index.ts
+++ b/src/decision/routing/endpoint-index.ts
@@ -11,56 +11,85 @@
 const sampledEndpoints = 16;
 const holderEndpoints = 8;
 
-type Indexed = {byName: ReadonlyMap<string, EndpointView>; byService: ReadonlyMap<string, EndpointView[]>};
+/** Where endpoints stand in the view. Reports renew endpoints in their places; only a change of the list moves them. */
+type Places = {length: number; byName: ReadonlyMap<string, number>; byService: ReadonlyMap<string, number[]>};
 
 export class EndpointIndex {
-	#of: readonly EndpointView[] | undefined;
-	#indexed: Indexed = {byName: new Map(), byService: new Map()};
+	#places: Places = {length: -1, byName: new Map(), byService: new Map()};
 
 	/** The endpoints to look at for a request. */
 	candidatesFor(request: RouteRequest, endpoints: readonly EndpointView[], kept: ReadonlyMap<string, number>): readonly EndpointView[] {
-		const {byName, byService} = this.#indexOf(endpoints);
-		const all = byService.get(request.service) ?? [];
-		if (all.length <= wholeViewEndpoints) {
-			return all;
+		const found = this.#look(request, endpoints, kept);
+		if (found !== undefined) {
+			return found;
 		}
 
-		const chosen = new Set<EndpointView>();
-		for (const [name] of [...kept.entries()].toSorted((left, right) => right[1] - left[1])) {
-			const endpoint = byName.get(name);
-			if (endpoint !== undefined && chosen.size < holderEndpoints) {
-				chosen.add(endpoint);
-			}
-		}
+		this.#places = placesOf(endpoints);
+		return this.#look(request, endpoints, kept) ?? [];
+	}
 
-		const start = hashOf(request.requestId);
-		const step = Math.floor(all.length / sampledEndpoints);
-		for (let index = 0; index < sampledEndpoints; index++) {
-			chosen.add(all[(start + (index * step)) % all.length]!);
+	/** Gives `undefined` if an endpoint does not stand where it stood. */
+	#look(request: RouteRequest, endpoints: readonly EndpointView[], kept: ReadonlyMap<string, number>): EndpointView[] | undefined {
+		const {length, byName, byService} = this.#places;
+		if (length !== endpoints.length) {
+			return undefined;
 		}
 
-		return [...chosen];
-	}
+		const ofService = byService.get(request.service) ?? [];
+		const isSmall = ofService.length <= wholeViewEndpoints;
+		const chosen = new Set<number>(isSmall ? ofService : sampleOf(ofService, request.requestId));
+		const holders = isSmall ? [] : mostOf(kept);
+		for (const name of holders) {
+			const place = byName.get(name);
+			if (place !== undefined && endpoints[place]!.name !== name) {
+				return undefined;
+			}
 
-	#indexOf(endpoints: readonly EndpointView[]): Indexed {
-		if (this.#of === endpoints) {
-			return this.#indexed;
+			if (place !== undefined) {
+				chosen.add(place);
+			}
 		}
 
-		const byName = new Map<string, EndpointView>();
-		const byService = new Map<string, EndpointView[]>();
-		for (const endpoint of endpoints) {
-			byName.set(endpoint.name, endpoint);
-			const ofService = byService.get(endpoint.service);
-			if (ofService === undefined) {
-				byService.set(endpoint.service, [endpoint]);
-			} else {
-				ofService.push(endpoint);
+		const found: EndpointView[] = [];
+		for (const place of chosen) {
+			const endpoint = endpoints[place]!;
+			if (byName.get(endpoint.name) !== place) {
+				return undefined;
 			}
+
+			found.push(endpoint);
 		}
 
-		this.#of = endpoints;
-		this.#indexed = {byName, byService};
-		return this.#indexed;
+		return found;
+	}
+}
+
+function placesOf(endpoints: readonly EndpointView[]): Places {
+	const byName = new Map<string, number>();
+	const byService = new Map<string, number[]>();
+	for (const [place, {name, service}] of endpoints.entries()) {
+		byName.set(name, place);
+		const ofService = byService.get(service);
+		if (ofService === undefined) {
+			byService.set(service, [place]);
+		} else {
+			ofService.push(place);
+		}
 	}
+
+	return {length: endpoints.length, byName, byService};
+}
+
+function sampleOf(places: readonly number[], requestId: string): number[] {
+	const start = hashOf(requestId);
+	const step = Math.floor(places.length / sampledEndpoints);
+	return Array.from({length: sampledEndpoints}, (_, index) => places[(start + (index * step)) % places.length]!);
+}
+
+/** The names that hold the most pieces. */
+function mostOf(kept: ReadonlyMap<string, number>): string[] {
+	return [...kept.entries()]
+		.toSorted((left, right) => right[1] - left[1])
+		.slice(0, holderEndpoints)
+		.map(([name]) => name);
 }
--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -105,8 +105,13 @@
 
 	/** An answer that has begun goes on only where the weight version that it began under still runs. */
 	#endpointsFor(job: CompletionJob, {relay}: Progress): readonly EndpointView[] {
+		const reachable = this.#reachable(job);
+		if (this.#holds.isEmpty && relay.tokensPassedOn === 0) {
+			return reachable;
+		}
+
 		const now = this.#context.clock.now();
-		return this.#reachable(job).filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
+		return reachable.filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
 			&& (relay.tokensPassedOn === 0 || endpoint.weightVersion === relay.weightVersion));
 	}
 
--- a/src/entry/callers/endpoint-holds.ts
+++ b/src/entry/callers/endpoint-holds.ts
@@ -10,6 +10,11 @@
 		this.#until.set(endpoint, until);
 	}
 
+	/** True while no endpoint asked to be left alone. */
+	get isEmpty(): boolean {
+		return this.#until.size === 0;
+	}
+
 	/** Tells whether an endpoint is to be left alone now. */
 	isHeld(endpoint: string, now: number): boolean {
 		const until = this.#until.get(endpoint);
--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -8,6 +8,8 @@
 
 export class EndpointDirectory {
 	#engines: ReadonlyMap<string, EndpointView> = new Map();
+	/** What `engines` gave since the last change. */
+	#view: readonly EndpointView[] | undefined;
 	#listSeen = false;
 	#plain: readonly PlainEndpoint[] = [];
 	#entryCount = 1;
@@ -27,8 +29,8 @@
 
 	/** All model endpoints; one that operators drained counts as leaving, whatever it says of itself. */
 	engines(): readonly EndpointView[] {
-		const leaving = (endpoint: EndpointView): EndpointView => this.#drained.has(endpoint.name) ? {...endpoint, state: 'leaving'} : endpoint;
-		return [...this.#engines.values()].map(endpoint => leaving(endpoint));
+		this.#view ??= [...this.#engines.values()].map(endpoint => this.#drained.has(endpoint.name) ? {...endpoint, state: 'leaving'} : endpoint);
+		return this.#view;
 	}
 
 	/** All instances of plain services, as the list gives them. */
@@ -39,6 +41,7 @@
 	/** Takes the names of the endpoints that operators drained. */
 	takeDrained(names: ReadonlySet<string>): void {
 		this.#drained = names;
+		this.#view = undefined;
 	}
 
 	/** The live endpoints of a plain service, those of the given data centre first. */
@@ -57,6 +60,7 @@
 		this.#listSeen = instances.length > 0;
 		this.#entryCount = Math.max(1, instances.filter(({role, state}) => role === 'entry' && state === 'live').length);
 		const engines = instances.filter(({role}) => role === 'model-engine');
+		this.#view = undefined;
 		this.#engines = new Map(engines.map(listed => [listed.name, mergeListed(this.#engines.get(listed.name), listed)]));
 		this.#plain = instances.filter(({role}) => role === 'plain-service');
 	}
@@ -91,6 +95,7 @@
 		const engines = new Map(this.#engines);
 		engines.set(endpoint.name, endpoint);
 		this.#engines = engines;
+		this.#view = undefined;
 	}
 }
 
