Hold less work before each engine; weigh the links more

Change: 700 ms of prefill before an engine instead of 1500, one pressed endpoint counts for ten instead of four; link time weighs 3 for work that can wait.

--- a/src/decision/admission/admission-window.ts
+++ b/src/decision/admission/admission-window.ts
@@ -13,8 +13,8 @@
 import {type EndpointView} from '../routing/routing-policy.js';
 import {type ServiceCapacity} from './admission-policy.js';
 
-/** Prefill that an engine should have before it: it covers the time between two reports and their lag. */
-export const prefillTargetMilliseconds = 1500;
+/** Prefill that an engine should have before it: it covers the lag of a report, and the next report comes before it ran dry. */
+export const prefillTargetMilliseconds = 700;
 /** Share of an engine's batch that may be filled before work that can wait waits here; urgent prompts find the rest. */
 export const batchTargetShare = 0.7;
 /** Share of accelerator memory that running prompts may take; the rest keeps prefixes and takes urgent prompts. */
@@ -30,8 +30,8 @@
 const shrinkShare = 0.3;
 const mostShrink = 0.2;
 const leastWindow = 0.05;
-/** One pressed endpoint counts for four at most, so that a single slow one cannot stop a whole service. */
-const mostPressure = 4;
+/** One pressed endpoint counts for ten at most, so that a single slow one cannot stop a whole service. */
+const mostPressure = 10;
 /** Urgent prompts may queue this many times the batch at the engines, which order them before all others. */
 const urgentBatchShare = 1.5;
 
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -40,10 +40,10 @@
 /** Overnight work has hours: its own wait counts little against the work that it makes. */
 const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.5};
 /** A fetch takes the link from others: the same reckoning for its time on the link. */
-const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 0.5, overnight: 0.5};
+const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 3, overnight: 3};
 /** Two endpoints whose scores are closer than this share are taken as equal: the reports are no better than that. */
 const nearlyEqualShare = 0.1;
-const nearlyEqualMilliseconds = 20;
+const nearlyEqualMilliseconds: Record<PriorityClass, number> = {urgent: 20, normal: 300, overnight: 1000};
 /**
  * A long prefill makes every step longer for those that decode beside it, so their places come free later. Work that can
  * wait counts that against an endpoint for each request that runs there, and urgent work keeps away from an endpoint
@@ -281,7 +281,7 @@
 		least = Math.min(least, score);
 	}
 
-	const limit = least + Math.max(nearlyEqualMilliseconds, least * nearlyEqualShare);
+	const limit = least + Math.max(nearlyEqualMilliseconds[request.priority], least * nearlyEqualShare);
 	const key = request.pieceKeys[0] ?? request.requestId;
 	let best: Estimate | undefined;
 	let bestHash = -1;
