--- a/src/load/simulation/run-simulation.ts
+++ b/src/load/simulation/run-simulation.ts
@@ -22,8 +22,10 @@
 	seed: number;
 	loadFactor: number;
 	faults?: readonly Fault[];
-	/** Only these classes are played; all when absent. */
+	/** Only these requests are played; all when absent. */
 	only?: (request: WorkloadRequest) => boolean;
+	/** Changes the requests, to make a pattern of load that the workload does not have. */
+	reshape?: (requests: readonly WorkloadRequest[]) => readonly WorkloadRequest[];
 };
 
 /** What a run gave. */
@@ -59,8 +61,9 @@
 	}
 
 	run(): SimulationResult {
-		const {workload, seed, loadFactor, only, faults = []} = this.#plan;
-		const requests = generateRequests(workload, seed, loadFactor).filter(request => only?.(request) ?? true);
+		const {workload, seed, loadFactor, only, reshape, faults = []} = this.#plan;
+		const generated = generateRequests(workload, seed, loadFactor).filter(request => only?.(request) ?? true);
+		const requests = reshape?.(generated) ?? generated;
 		const outcomes = requests.map(request => ({
 			request, fetchMilliseconds: 0, recomputedTokens: 0, attempts: 0, wholeAnswers: 0,
 		}));
