Bound repeats by a budget; spread the times told to refused callers

Cause: each broken prompt could run four times however many broke, and callers refused in one moment were told the same time to come back. Change: a budget of repeats per workspace and endpoint in the runner; retry times spread over half of the wait by the request's id.

--- a/src/decision/admission/fair-share-admission.ts
+++ b/src/decision/admission/fair-share-admission.ts
@@ -8,6 +8,7 @@
  * is refused on arrival with the time at which the queue will have room; a full queue is emptied at its longest lane.
  */
 import {type Refusal} from '../../shared/types.js';
+import {spreadRetry} from '../limits/spread-retry.js';
 import {
 	type AdmissionAction, type AdmissionPolicy, type AdmissionRequest, type ServiceCapacity,
 } from './admission-policy.js';
@@ -173,7 +174,7 @@
 		reason,
 		ran: 'not-run',
 		message: reason === 'deadline' ? 'the queue is longer than the deadline allows' : 'too many requests of this workspace wait',
-		retryAfterMilliseconds: Math.round(Math.min(longestRetryMilliseconds, Math.max(leastRetryMilliseconds, waitMilliseconds))),
+		retryAfterMilliseconds: spreadRetry(Math.min(longestRetryMilliseconds, Math.max(leastRetryMilliseconds, waitMilliseconds)), request.requestId),
 	};
 	return {kind: 'refuse', requestId: request.requestId, refusal};
 }
--- /dev/null
+++ b/src/decision/limits/limits.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {repeatsPerAttempt, RetryBudget, workspaceReserve} from './retry-budget.js';
+import {spreadRetry} from './spread-retry.js';
+
+test('an outage in which every attempt fails adds a fifth of the load, not three times as much', () => {
+	const budget = new RetryBudget();
+	let repeats = 0;
+	for (let index = 0; index < 1000; index++) {
+		budget.attempted('quay', `engine-${index % 6}`);
+		for (let again = 0; again < 3 && budget.takeRepeat('quay', `engine-${index % 6}`); again++) {
+			repeats++;
+		}
+	}
+
+	assert.ok(repeats <= (1000 * repeatsPerAttempt) + workspaceReserve, `${repeats} repeats`);
+});
+
+test('a workspace whose prompts always break uses up its own repeats only', () => {
+	const budget = new RetryBudget();
+	while (budget.takeRepeat('broken', 'engine-0')) {
+		// Uses the budget up.
+	}
+
+	assert.equal(budget.takeRepeat('broken', 'engine-1'), false);
+	assert.equal(budget.takeRepeat('whole', 'engine-1'), true);
+});
+
+test('callers refused in one moment are told times over half of the wait, never sooner than it', () => {
+	const times = Array.from({length: 1000}, (_, index) => spreadRetry(2000, `request-${index}`));
+	assert.ok(Math.min(...times) >= 2000);
+	assert.ok(Math.max(...times) <= 3000);
+	const firstTenth = times.filter(time => time < 2100).length;
+	assert.ok(firstTenth > 60 && firstTenth < 140, `${firstTenth} of 1000 in the first tenth`);
+});
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -12,6 +12,7 @@
  */
 import {type PriorityClass} from '../../shared/types.js';
 import {hashOf} from '../../shared/hash-of.js';
+import {spreadRetry} from '../limits/spread-retry.js';
 import {type KeptPrefixes} from '../kept/kept-prefixes.js';
 import {EndpointIndex} from './endpoint-index.js';
 import {EndpointState} from './endpoint-state.js';
@@ -100,7 +101,7 @@
 		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store, meanUrgentSends}, now));
 		const best = chooseAmong(estimates, request);
 		if (best === undefined) {
-			return {kind: 'none', retryAfterMilliseconds: noEndpointRetryMilliseconds};
+			return {kind: 'none', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.requestId)};
 		}
 
 		this.#chosen.set(request.requestId, best);
--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -3,6 +3,7 @@
  * that is due when a stream breaks. Prompts are idempotent, so an attempt may be repeated; the caller sees one answer.
  */
 import {cacheSaltOf, pieceKeysOf} from '../../cache/piece-keys.js';
+import {RetryBudget} from '../../decision/limits/retry-budget.js';
 import {type EndpointView, type RouteRequest, type RoutingPolicy} from '../../decision/routing/routing-policy.js';
 import {
 	beginAttempt, emptyAnswer, forgetTokens, type RelayState,
@@ -30,6 +31,7 @@
 	readonly #context: EntryContext;
 	readonly #policy: RoutingPolicy;
 	readonly #holds = new EndpointHolds();
+	readonly #repeats = new RetryBudget();
 
 	constructor(context: EntryContext, policy: RoutingPolicy) {
 		this.#context = context;
@@ -60,6 +62,10 @@
 			}
 
 			const plan = {job, route, endpoint: choice.endpoint};
+			if (count === 0) {
+				this.#repeats.attempted(route.workspace, choice.endpoint.name);
+			}
+
 			const attempt = new CompletionAttempt(this.#context, this.#policy, plan, beginAttempt(progress.relay));
 			const {outcome, relay} = await attempt.run(sink);
 			if (outcome.kind === 'whole') {
@@ -71,6 +77,9 @@
 			}
 
 			progress = this.#next(progress, {outcome, relay, endpoint: choice.endpoint.name});
+			if (outcome.avoid && !this.#repeats.takeRepeat(route.workspace, choice.endpoint.name)) {
+				break;
+			}
 		}
 
 		return this.#giveUp(job, progress, failedRetryMilliseconds);
--- a/src/load/simulation/load-patterns.test.ts
+++ b/src/load/simulation/load-patterns.test.ts
@@ -23,9 +23,11 @@
 const patterns: readonly Pattern[] = [
 	{name: 'a burst', reshape: requests => requests.map(request => request.arrivesAt > 20_000 && request.arrivesAt < 30_000 ? {...request, arrivesAt: 20_000 + (request.arrivesAt / 100)} : request)},
 	{name: 'one prefix with most of the load', reshape: oneHotPrefix},
-	{name: 'a slow endpoint', faults: [{
-		kind: 'engine-slow', target: 'permits-1', factor: 8, ...faultTimes,
-	}]},
+	{
+		name: 'a slow endpoint', faults: [{
+			kind: 'engine-slow', target: 'permits-1', factor: 8, ...faultTimes,
+		}],
+	},
 	{name: 'long work among short', reshape: requests => requests.flatMap(request => request.className === 'rulebook-check' ? [request, {...request, requestId: `${request.requestId}-again`}] : [request])},
 	{name: 'saturation', loadFactor: 2},
 ];
@@ -55,7 +57,9 @@
 function oneHotPrefix(requests: readonly WorkloadRequest[]): WorkloadRequest[] {
 	const hot = requests.find(({className}) => className === 'quay-question')!;
 	return requests.map((request, index) => request.className === 'quay-question' && index % 5 !== 0
-		? {...request, workspace: hot.workspace, pieceKeys: hot.pieceKeys, promptTokens: hot.promptTokens}
+		? {
+			...request, workspace: hot.workspace, pieceKeys: hot.pieceKeys, promptTokens: hot.promptTokens,
+		}
 		: request);
 }
 
