--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -12,6 +12,7 @@
  */
 import {type PriorityClass} from '../../shared/types.js';
 import {hashOf} from '../../shared/hash-of.js';
+import {spreadRetry} from '../limits/spread-retry.js';
 import {type KeptPrefixes} from '../kept/kept-prefixes.js';
 import {EndpointIndex} from './endpoint-index.js';
 import {EndpointState} from './endpoint-state.js';
@@ -36,14 +37,14 @@
  * Beside the time to first token, recomputing costs the endpoint time that others wait for. Urgent prompts weigh it
  * little; work that can wait weighs it fully, since it has time to go where its prefix is.
  */
-const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 2, overnight: 3};
+const recomputeWeight: Record<PriorityClass, number> = {urgent: 0.5, normal: 4, overnight: 6};
 /** Overnight work has hours: its own wait counts little against the work that it makes. */
 const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.5};
 /** A fetch takes the link from others: the same reckoning for its time on the link. */
-const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 0.5, overnight: 0.5};
+const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 3, overnight: 3};
 /** Two endpoints whose scores are closer than this share are taken as equal: the reports are no better than that. */
 const nearlyEqualShare = 0.1;
-const nearlyEqualMilliseconds = 20;
+const nearlyEqualMilliseconds: Record<PriorityClass, number> = {urgent: 20, normal: 300, overnight: 1000};
 /**
  * A long prefill makes every step longer for those that decode beside it, so their places come free later. Work that can
  * wait counts that against an endpoint for each request that runs there, and urgent work keeps away from an endpoint
@@ -100,7 +101,7 @@
 		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store, meanUrgentSends}, now));
 		const best = chooseAmong(estimates, request);
 		if (best === undefined) {
-			return {kind: 'none', retryAfterMilliseconds: noEndpointRetryMilliseconds};
+			return {kind: 'none', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.requestId)};
 		}
 
 		this.#chosen.set(request.requestId, best);
@@ -171,7 +172,7 @@
 
 	#estimate(request: RouteRequest, endpoint: EndpointView, known: Known, now: number): Estimate {
 		const {pieceTokens} = this.#settings;
-		const rate = endpoint.load?.prefillTokensPerSecond ?? 1000;
+		const rate = Math.max(1, endpoint.load?.prefillTokensPerSecond ?? 1000);
 		const slowness = this.#stateOf(endpoint.name).slownessAt(now, this.#usualRatio);
 		const wait = this.#waitAt(request, endpoint, rate, now) * slowness;
 		const fixed = (endpoint.dataCentre === this.#settings.dataCentre ? 0 : otherDataCentreMilliseconds)
@@ -246,7 +247,7 @@
 		const drained = Math.max(0, now - endpoint.heardAt) * rate / 1000;
 		const backlog = Math.max(0, (load.waitingPrefillTokens * before) - (drained * before)) + since.tokens;
 		const over = load.runningRequests + load.waitingRequests + since.requests - load.batchLimit;
-		const slot = over < 0 ? 0 : (over + 1) * this.#serviceMilliseconds / load.batchLimit;
+		const slot = over < 0 ? 0 : (over + 1) * this.#serviceMilliseconds / Math.max(1, load.batchLimit);
 		const busy = load.waitingPrefillTokens > 0 || since.requests > 0 ? busyStepMilliseconds : 0;
 		return Math.max(1000 * backlog / rate, slot) + busy + (load.runningRequests * runningMilliseconds);
 	}
@@ -281,7 +282,7 @@
 		least = Math.min(least, score);
 	}
 
-	const limit = least + Math.max(nearlyEqualMilliseconds, least * nearlyEqualShare);
+	const limit = least + Math.max(nearlyEqualMilliseconds[request.priority], least * nearlyEqualShare);
 	const key = request.pieceKeys[0] ?? request.requestId;
 	let best: Estimate | undefined;
 	let bestHash = -1;
