Read, follow, save and draw the time line

Cause: the collector only printed what arrived; nothing could be read back, a lost event was not seen, and the sender's last events were lost when the process ended. Change: the collector answers queries over the same frames, checks what arrives (an unknown kind is passed on, for two releases side by side), counts what each process dropped and what was lost on the way, and keeps a bounded number. `read`, `follow` and `draw` work on a running collector, `read` and `draw` on a saved file too. A follower that does not read gets a count instead of the events. The sender tries again after a lost connection even when nothing new is recorded, and waits at most half a second at the end for its last events to leave. A revert leaves drains alone. Ruled out: ordering by a logical clock (processes' clocks are the platform's business; within a process the sequence decides).

--- a/src/declaration/plan-edits.ts
+++ b/src/declaration/plan-edits.ts
@@ -44,12 +44,13 @@
  *
  * @param state - The configuration in force.
  * @param earlier - An earlier one.
- * @returns The edits, drains among them; applied they make a new version with the earlier content.
+ * @returns The edits; applied they make a new version with the earlier declarations. Drains stay as they are: an
+ *   endpoint that is drained now would otherwise get work because of an old version of something else.
  */
 export function planRevert(state: ConfigurationState, earlier: ConfigurationState): ConfigurationEdit[] {
 	const sets: ConfigurationEdit[] = [];
 	const removes: ConfigurationEdit[] = [];
-	for (const kind of [...kinds, 'drain'] as const) {
+	for (const kind of kinds) {
 		const existing = itemsOfKind(state, kind);
 		const wanted = itemsOfKind(earlier, kind);
 		const changed = [...wanted.values()].filter(item => !isSame(existing.get(item.name), item));
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -96,7 +96,7 @@
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
-		this.#timeline.close();
+		await this.#timeline.close();
 		this.#context.metrics.close();
 	}
 
--- a/src/observability/timeline-sender.ts
+++ b/src/observability/timeline-sender.ts
@@ -11,10 +11,13 @@
 const flushMilliseconds = 50;
 const reconnectMilliseconds = 1000;
 const batchLimitEvents = 500;
+const closeMilliseconds = 500;
 
 /** What one frame to the collector carries. */
 export type TimelineBatch = {
 	events: TimelineEvent[];
+	/** When the process started, in milliseconds since the epoch: a restarted process counts its events from 1 again. */
+	start: number;
 	/** Events of this process start that were dropped so far. */
 	dropped: number;
 };
@@ -23,6 +26,7 @@
 	readonly #identity: ProcessIdentity;
 	readonly #address: string;
 	readonly #waiting: TimelineEvent[] = [];
+	readonly #start = Date.now();
 	#sequence = 0;
 	#dropped = 0;
 	#socket: Socket | undefined;
@@ -56,10 +60,7 @@
 		}
 
 		this.#waiting.push({...entry, ...this.#identity, sequence: this.#sequence});
-		this.#timer ??= setTimeout(() => {
-			this.#timer = undefined;
-			this.flush(Date.now());
-		}, flushMilliseconds).unref();
+		this.#flushIn(flushMilliseconds);
 	}
 
 	/** Sends what waits, as far as the connection takes it. */
@@ -71,14 +72,36 @@
 
 		const socket = this.#socket!;
 		while (this.#waiting.length > 0 && !socket.writableNeedDrain) {
-			const batch: TimelineBatch = {events: this.#waiting.splice(0, batchLimitEvents), dropped: this.#dropped};
+			const batch: TimelineBatch = {events: this.#waiting.splice(0, batchLimitEvents), start: this.#start, dropped: this.#dropped};
 			socket.write(encodeFrame(batch));
 		}
 	}
 
-	close(): void {
+	/** Resolves when what was sent has left, or after a short time, so that a stuck collector holds up no shutdown. */
+	async close(): Promise<void> {
 		clearTimeout(this.#timer);
-		this.#socket?.end();
+		const socket = this.#socket;
+		if (socket === undefined || socket.destroyed) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, closeMilliseconds);
+			socket.once('close', () => {
+				clearTimeout(timer);
+				resolve();
+			});
+			socket.end();
+		});
+	}
+
+	#flushIn(milliseconds: number): void {
+		this.#timer ??= setTimeout(() => {
+			this.#timer = undefined;
+			this.flush(Date.now());
+		}, milliseconds).unref();
 	}
 
 	#connect(now: number): void {
@@ -104,6 +127,9 @@
 		socket.once('close', () => {
 			this.#connected = false;
 			this.#socket = undefined;
+			if (this.#waiting.length > 0) {
+				this.#flushIn(reconnectMilliseconds);
+			}
 		});
 		socket.connect(Number(this.#address.slice(separator + 1)), this.#address.slice(0, separator));
 	}
--- a/src/timeline/collector.ts
+++ b/src/timeline/collector.ts
@@ -1,44 +1,70 @@
-/** Collects the events of all processes into one time line. It keeps a bounded number of events, newest last. */
+/**
+ * Collects the events of all processes over TCP frames, and answers readers over the same listener. All it keeps is
+ * bounded; what a slow follower cannot take is skipped and counted.
+ */
 import {once} from 'node:events';
 import {
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {type TimelineEvent} from '../observability/timeline-event.js';
 import {type TimelineBatch} from '../observability/timeline-sender.js';
-import {FrameReader} from '../peer/framing/frame-codec.js';
+import {encodeFrame, FrameReader} from '../peer/framing/frame-codec.js';
+import {type EventStore} from './event-store.js';
+import {matchesFilter} from './matches-filter.js';
+import {parseTimelineMessage, type TimelineQuery, type TimelineReply} from './timeline-messages.js';
 
-const keptEvents = 200_000;
+const mostConnections = 4096;
+const replyEvents = 500;
+
+type Follower = {
+	socket: Socket;
+	query: TimelineQuery;
+	skipped: number;
+};
 
 export class TimelineCollector {
 	readonly #server: Server;
-	readonly #onEvent: (event: TimelineEvent) => void;
-	#events: TimelineEvent[] = [];
+	readonly #store: EventStore;
+	readonly #onBatch: (batch: TimelineBatch) => void;
+	readonly #followers = new Set<Follower>();
+	readonly #sockets = new Set<Socket>();
 
-	/** @param onEvent - Called with each event as it arrives. */
-	constructor(onEvent: (event: TimelineEvent) => void) {
-		this.#onEvent = onEvent;
+	/**
+	 * @param store - Where the events are kept.
+	 * @param onBatch - Called with each batch after the store took it.
+	 */
+	constructor(store: EventStore, onBatch: (batch: TimelineBatch) => void) {
+		this.#store = store;
+		this.#onBatch = onBatch;
 		this.#server = createServer(socket => {
 			this.#receive(socket);
 		});
+		this.#server.maxConnections = mostConnections;
 	}
 
-	/** The events kept, in order of time. */
-	events(): TimelineEvent[] {
-		return this.#events.toSorted((left, right) => left.at - right.at || left.sequence - right.sequence);
-	}
-
+	/** Starts to listen. Resolves with `IP:port`. */
 	async listen(host: string, port: number): Promise<string> {
 		this.#server.listen(port, host);
 		await once(this.#server, 'listening');
 		return `${host}:${(this.#server.address() as AddressInfo).port}`;
 	}
 
-	close(): void {
+	/** Ends all connections. */
+	async close(): Promise<void> {
 		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
+		await once(this.#server, 'close');
 	}
 
 	#receive(socket: Socket): void {
 		const reader = new FrameReader();
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
 		socket.on('error', () => {
 			socket.destroy();
 		});
@@ -49,21 +75,74 @@
 				},
 				Right: values => {
 					for (const value of values) {
-						this.#take(value as TimelineBatch);
+						this.#take(value, socket);
 					}
 				},
 			});
 		});
 	}
 
-	#take(batch: TimelineBatch): void {
-		this.#events.push(...batch.events);
-		if (this.#events.length > keptEvents) {
-			this.#events = this.#events.slice(-keptEvents);
+	#take(value: unknown, socket: Socket): void {
+		const message = parseTimelineMessage(value);
+		if (message === undefined) {
+			socket.destroy();
+		} else if (message.kind === 'batch') {
+			this.#store.take(message.batch);
+			this.#onBatch(message.batch);
+			this.#passOn(message.batch.events);
+		} else {
+			void this.#answer(socket, message.query);
+		}
+	}
+
+	async #answer(socket: Socket, query: TimelineQuery): Promise<void> {
+		const events = this.#store.events(query.query);
+		// Following starts with the snapshot, so that no event falls between the two.
+		const follower = {socket, query, skipped: 0};
+		if (query.follow) {
+			this.#followers.add(follower);
+			socket.once('close', () => {
+				this.#followers.delete(follower);
+			});
+		}
+
+		for (let from = 0; from < events.length && !socket.destroyed; from += replyEvents) {
+			await this.#reply(socket, {events: events.slice(from, from + replyEvents), isComplete: false});
 		}
 
-		for (const event of batch.events) {
-			this.#onEvent(event);
+		await this.#reply(socket, {events: [], isComplete: true});
+		if (!query.follow) {
+			socket.end();
+		}
+	}
+
+	/** Writes a reply, and waits while the reader is behind. */
+	async #reply(socket: Socket, {events, isComplete}: Pick<TimelineReply, 'events' | 'isComplete'>): Promise<void> {
+		const reply: TimelineReply = {
+			events, missing: isComplete ? this.#store.missing() : [], skipped: 0, isComplete,
+		};
+		if (!socket.destroyed && !socket.write(encodeFrame(reply))) {
+			await Promise.race([once(socket, 'drain'), once(socket, 'close')]);
+		}
+	}
+
+	#passOn(events: readonly TimelineEvent[]): void {
+		for (const follower of this.#followers) {
+			const wanted = events.filter(event => matchesFilter(event, follower.query.query));
+			if (wanted.length === 0) {
+				continue;
+			}
+
+			// A follower that does not read would make this process keep all events for it. It gets a count instead.
+			if (follower.socket.writableNeedDrain) {
+				follower.skipped += wanted.length;
+				continue;
+			}
+
+			const reply: TimelineReply = {
+				events: wanted, missing: this.#store.missing(), skipped: follower.skipped, isComplete: true,
+			};
+			follower.socket.write(encodeFrame(reply));
 		}
 	}
 }
--- a/src/timeline/main.ts
+++ b/src/timeline/main.ts
@@ -1,39 +1,81 @@
 #!/usr/bin/env node
-/** `savorygauge-timeline`: collects the events of all processes and follows them live. */
+/** `savorygauge-timeline`: collects the events of all processes, follows them live, and draws a request's way. */
 import process from 'node:process';
 import {Command} from 'commander';
-import {addSettingFlags, badUsageExitCode, readSettingsOrExit} from '../settings/read-settings.js';
-import {type SettingDefinition} from '../settings/setting-definition.js';
-import {parseAddress, parseOptionalText} from '../settings/setting-parsers.js';
+import {
+	addSettingFlags, badUsageExitCode, checkSettings, exitWithFindings, findLeftOver, givenTextsOf,
+} from '../settings/read-settings.js';
 import {programVersion} from '../shared/program-version.js';
-import {TimelineCollector} from './collector.js';
-import {formatEvent} from './format-event.js';
+import {
+	checkCommand, collect, draw, follow, read, type TimelineCommand, timelineCommands, type TimelineOutput,
+} from './timeline-commands.js';
+import {timelineSettingDefinitions, type TimelineSettings} from './timeline-settings.js';
 
-const listen: SettingDefinition<string> = {
-	flag: 'listen', valueName: 'IP:port', description: 'where the processes send their events; port 0 takes a free one', defaultText: '127.0.0.1:8090', parse: parseAddress,
+const output: TimelineOutput = {
+	line(text) {
+		console.log(text);
+	},
+	problem(text) {
+		console.error(text);
+	},
 };
-const request: SettingDefinition<string> = {
-	flag: 'request', valueName: 'id', description: 'show only the events of this request', defaultText: '', parse: parseOptionalText,
-};
-export const timelineSettingDefinitions = {listen, request};
 
-const command = new Command('savorygauge-timeline')
-	.description('Collects the events of all processes into one time line and follows it.')
+const program = new Command('savorygauge-timeline')
+	.description('Collects the events of all processes into one time line, follows it, and draws one request\'s way.')
+	.usage('[options] [collect | read | follow | draw]')
+	.argument('[command]', 'collect: take events and print them (the default); read: print what a collector or file has; follow: go on printing; draw: draw one request\'s way')
 	.version(programVersion)
 	.exitOverride(error => {
 		process.exit(error.exitCode === 0 ? 0 : badUsageExitCode);
 	});
-addSettingFlags(command, timelineSettingDefinitions);
-command.parse();
-const settings = readSettingsOrExit(command, timelineSettingDefinitions);
-const collector = new TimelineCollector(event => {
-	if (settings.request === '' || event.requestId === settings.request) {
-		console.log(formatEvent(event));
+addSettingFlags(program, timelineSettingDefinitions);
+program.parse();
+
+const named = program.args.find(argument => !argument.startsWith('-')) ?? 'collect';
+const command = timelineCommands.find(known => known === named);
+const checked = checkSettings(timelineSettingDefinitions, givenTextsOf(program, timelineSettingDefinitions));
+const findings = [
+	...findLeftOver(program, 1),
+	...(command === undefined ? [{place: {source: 'flag' as const, name: named}, message: `is no command; expected ${timelineCommands.join(', ')}`}] : []),
+	...checked.swap().orDefault([]),
+	...checked.map(settings => command === undefined ? [] : checkCommand(command, settings)).orDefault([]),
+];
+if (findings.length > 0) {
+	exitWithFindings(findings);
+}
+
+try {
+	process.exitCode = await run(command!, checked.unsafeCoerce());
+} catch (error) {
+	output.problem((error as Error).message);
+	process.exitCode = 1;
+}
+
+async function run(chosen: TimelineCommand, settings: TimelineSettings): Promise<number> {
+	switch (chosen) {
+		case 'collect': {
+			const stop = new AbortController();
+			for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+				process.once(signal, () => {
+					stop.abort();
+				});
+			}
+
+			await collect(settings, output, stop.signal);
+			return 0;
+		}
+
+		case 'read': {
+			return read(settings, output);
+		}
+
+		case 'follow': {
+			await follow(settings, output);
+			return 0;
+		}
+
+		case 'draw': {
+			return draw(settings, output);
+		}
 	}
-});
-const separator = settings.listen.lastIndexOf(':');
-const address = await collector.listen(settings.listen.slice(0, separator), Number(settings.listen.slice(separator + 1)));
-console.log(JSON.stringify({ready: true, address}));
-process.once('SIGTERM', () => {
-	process.exit(0);
-});
+}
--- /dev/null
+++ b/src/timeline/matches-filter.ts
@@ -0,0 +1,20 @@
+import {type TimelineEvent} from '../observability/timeline-event.js';
+import {type EventFilter} from './timeline-messages.js';
+
+/**
+ * Tells whether an event passes a filter.
+ *
+ * @param event - The event.
+ * @param filter - What is wanted; an absent or empty member lets all pass.
+ * @returns True if every member that is given matches.
+ */
+export function matchesFilter(event: TimelineEvent, filter: EventFilter): boolean {
+	const matches = (wanted: string | undefined, value: string | undefined): boolean => wanted === undefined || wanted === '' || wanted === value;
+	const {kinds = []} = filter;
+	return matches(filter.request, event.requestId)
+		&& matches(filter.workspace, event.workspace)
+		&& matches(filter.endpoint, event.endpoint)
+		&& matches(filter.instance, event.instance)
+		&& matches(filter.dataCentre, event.dataCentre)
+		&& (kinds.length === 0 || kinds.includes(event.kind));
+}
--- /dev/null
+++ b/src/timeline/request-way.ts
@@ -0,0 +1,66 @@
+/** One request's way over the processes, worked out from its events. */
+import {type TimelineEvent} from '../observability/timeline-event.js';
+import {orderEvents} from './event-store.js';
+
+/** One step on the way. An arrow goes between two lanes; a step without `to` stays on its lane. */
+export type WayStep = {
+	afterMilliseconds: number;
+	from: string;
+	to?: string;
+	label: string;
+	isFailure: boolean;
+};
+
+/** The way: its lanes in order of appearance (`caller` first), and its steps in order of time. */
+export type RequestWay = {
+	requestId: string;
+	workspace: string;
+	startedAt: number;
+	lanes: string[];
+	steps: WayStep[];
+};
+
+/** Kinds whose arrow comes back from the endpoint. */
+const answerKinds: ReadonlySet<string> = new Set(['first-token', 'attempt-failed', 'order-refused', 'piece-read', 'claim-answered']);
+const failureKinds: ReadonlySet<string> = new Set(['request-refused', 'attempt-failed', 'order-refused', 'request-cancelled']);
+const callerLane = 'caller';
+
+/**
+ * Works out the way of a request.
+ *
+ * @param requestId - The request.
+ * @param events - Its events from all processes, in any order.
+ * @returns The way, or `undefined` if there is no event of the request.
+ */
+export function requestWayOf(requestId: string, events: readonly TimelineEvent[]): RequestWay | undefined {
+	const ordered = orderEvents(events.filter(event => event.requestId === requestId));
+	const [first] = ordered;
+	if (first === undefined) {
+		return undefined;
+	}
+
+	const steps = ordered.map(event => stepOf(event, first.at));
+	const lanes = new Set([callerLane, ...steps.flatMap(({from, to}) => to === undefined ? [from] : [from, to])]);
+	return {
+		requestId, workspace: ordered.find(({workspace}) => workspace !== undefined)?.workspace ?? '', startedAt: first.at, lanes: [...lanes], steps,
+	};
+}
+
+function stepOf(event: TimelineEvent, startedAt: number): WayStep {
+	const {kind, instance, endpoint, attempt, detail} = event;
+	const label = [kind, ...(attempt === undefined ? [] : [`#${attempt}`]), ...(detail === undefined ? [] : [`(${detail})`])].join(' ');
+	const common = {afterMilliseconds: event.at - startedAt, label, isFailure: failureKinds.has(kind)};
+	if (kind === 'request-arrived') {
+		return {...common, from: callerLane, to: instance};
+	}
+
+	if (kind === 'request-finished' || kind === 'request-refused') {
+		return {...common, from: instance, to: callerLane};
+	}
+
+	if (endpoint === undefined) {
+		return {...common, from: instance};
+	}
+
+	return answerKinds.has(kind) ? {...common, from: endpoint, to: instance} : {...common, from: instance, to: endpoint};
+}
--- /dev/null
+++ b/src/timeline/saved-events.ts
@@ -0,0 +1,80 @@
+/** Events in a file, one JSON object a line. */
+import {createReadStream, createWriteStream, type WriteStream} from 'node:fs';
+import {createInterface} from 'node:readline';
+import {type TimelineEvent} from '../observability/timeline-event.js';
+import {matchesFilter} from './matches-filter.js';
+import {type EventFilter, parseTimelineEvent} from './timeline-messages.js';
+
+const bufferLimitBytes = 16_777_216;
+const mostEventsRead = 1_000_000;
+
+/** Appends events to a file. A disk that is too slow or full costs events, which are counted, and never memory. */
+export class EventSaver {
+	readonly #stream: WriteStream;
+	#notSaved = 0;
+
+	/** @param path - The file; it is appended to. */
+	constructor(path: string, onError: (error: Error) => void) {
+		this.#stream = createWriteStream(path, {flags: 'a'});
+		this.#stream.on('error', onError);
+	}
+
+	/** How many events could not be saved. */
+	get notSaved(): number {
+		return this.#notSaved;
+	}
+
+	save(events: readonly TimelineEvent[]): void {
+		if (this.#stream.destroyed || this.#stream.writableLength > bufferLimitBytes) {
+			this.#notSaved += events.length;
+			return;
+		}
+
+		this.#stream.write(events.map(event => `${JSON.stringify(event)}\n`).join(''));
+	}
+
+	async close(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#stream.end(resolve);
+		});
+	}
+}
+
+/** What a saved file gave. */
+export type SavedEvents = {
+	events: TimelineEvent[];
+	/** Numbers of lines that are no events, for example one that was cut off. */
+	badLines: number[];
+};
+
+/**
+ * Reads a saved file.
+ *
+ * @param path - The file.
+ * @param filter - Which events are wanted.
+ * @returns At most a million events that pass the filter.
+ * @throws The error of the file system.
+ */
+export async function readSavedEvents(path: string, filter: EventFilter): Promise<SavedEvents> {
+	const saved: SavedEvents = {events: [], badLines: []};
+	let number = 0;
+	for await (const line of createInterface({input: createReadStream(path)})) {
+		number++;
+		const event = line === '' ? undefined : parseTimelineEvent(parseJson(line));
+		if (event === undefined) {
+			saved.badLines.push(number);
+		} else if (matchesFilter(event, filter) && saved.events.length < mostEventsRead) {
+			saved.events.push(event);
+		}
+	}
+
+	return saved;
+}
+
+function parseJson(line: string): unknown {
+	try {
+		return JSON.parse(line) as unknown;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/timeline/timeline.test.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import {appendFile, mkdtemp, rm} from 'node:fs/promises';
+import {connect} from 'node:net';
+import {once} from 'node:events';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {test} from 'node:test';
+import {type TimelineEvent} from '../observability/timeline-event.js';
+import {TimelineSender} from '../observability/timeline-sender.js';
+import {encodeFrame} from '../peer/framing/frame-codec.js';
+import {checkSettings} from '../settings/read-settings.js';
+import {TimelineCollector} from './collector.js';
+import {drawHtml, drawSvg} from './draw-svg.js';
+import {drawText} from './draw-text.js';
+import {EventStore} from './event-store.js';
+import {readCollector} from './read-collector.js';
+import {requestWayOf} from './request-way.js';
+import {EventSaver, readSavedEvents} from './saved-events.js';
+import {checkCommand} from './timeline-commands.js';
+import {type TimelineReply} from './timeline-messages.js';
+import {timelineSettingDefinitions} from './timeline-settings.js';
+
+const identity = {program: 'savorygauge-entry', instance: 'riva-1', dataCentre: 'riva'};
+
+function eventOf(sequence: number, further: Partial<TimelineEvent> = {}): TimelineEvent {
+	return {
+		...identity, sequence, kind: 'request-arrived', at: 1_700_000_000_000 + sequence, requestId: 'r1', ...further,
+	};
+}
+
+test('holes in the sequence of a process start are told, apart from what the process dropped itself', () => {
+	const store = new EventStore(1000);
+	store.take({events: [eventOf(1), eventOf(2)], start: 1, dropped: 0});
+	store.take({events: [eventOf(6), eventOf(9)], start: 1, dropped: 3});
+	store.take({events: [eventOf(1)], start: 2, dropped: 0});
+	assert.deepEqual(store.missing(), [{
+		instance: 'riva-1', program: 'savorygauge-entry', dropped: 3, lost: 2,
+	}]);
+});
+
+test('the store keeps the newest events within its bound', () => {
+	const store = new EventStore(1000);
+	for (let batch = 0; batch < 50; batch++) {
+		store.take({events: Array.from({length: 100}, (_, index) => eventOf((batch * 100) + index + 1)), start: 1, dropped: 0});
+	}
+
+	const kept = store.events();
+	assert.ok(kept.length >= 1000 && kept.length <= 1100, String(kept.length));
+	assert.equal(kept.at(-1)!.sequence, 5000);
+});
+
+test('events go from a sender through the collector to a reader who filters, and to one who follows', async t => {
+	const arrived: TimelineEvent[] = [];
+	const collector = new TimelineCollector(new EventStore(1000), ({events}) => {
+		arrived.push(...events);
+	});
+	const address = await collector.listen('127.0.0.1', 0);
+	t.after(async () => collector.close());
+	const follower = readCollector(address, {query: {kinds: ['first-token']}, follow: true});
+	const first = await follower.next();
+	assert.deepEqual((first.value as TimelineReply).events, []);
+	const sender = new TimelineSender(identity, address);
+	sender.record({kind: 'request-arrived', at: 1, requestId: 'r1'});
+	sender.record({kind: 'request-arrived', at: 2, requestId: 'r2'});
+	sender.record({
+		kind: 'first-token', at: 3, requestId: 'r1', attempt: 1, endpoint: 'engine-1',
+	});
+	const followed = await follower.next();
+	assert.deepEqual((followed.value as TimelineReply).events.map(({requestId}) => requestId), ['r1']);
+	assert.equal(arrived.length, 3);
+	await sender.close();
+	const read: TimelineEvent[] = [];
+	for await (const {events} of readCollector(address, {query: {request: 'r2'}, follow: false})) {
+		read.push(...events);
+	}
+
+	assert.deepEqual(read.map(({sequence}) => sequence), [2]);
+	await follower.return(undefined);
+});
+
+// A broken process sends the collector bytes that are no messages of ours. Only its own connection may suffer; the
+// events of the others must go on arriving.
+test('a connection that sends what is no message is ended, and the collector goes on', async t => {
+	const store = new EventStore(1000);
+	const collector = new TimelineCollector(store, () => undefined);
+	const address = await collector.listen('127.0.0.1', 0);
+	t.after(async () => collector.close());
+	const port = Number(address.split(':')[1]);
+	for (const bytes of ['GET / HTTP/1.1\r\n\r\n', encodeFrame({events: [{kind: 7}], dropped: 0}), encodeFrame('word')]) {
+		const socket = connect(port, '127.0.0.1');
+		socket.on('error', () => undefined);
+		socket.resume();
+		socket.write(bytes);
+		await once(socket, 'close');
+	}
+
+	const good = connect(port, '127.0.0.1');
+	good.end(encodeFrame({events: [eventOf(1)], start: 1, dropped: 0}));
+	good.resume();
+	await once(good, 'close');
+	assert.equal(store.events().length, 1);
+});
+
+test('events are saved as JSON lines and read back; a line that was cut off is told by its number', async t => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'timeline-'));
+	t.after(async () => rm(folder, {recursive: true}));
+	const file = path.join(folder, 'events.jsonl');
+	const saver = new EventSaver(file, error => {
+		assert.ifError(error);
+	});
+	saver.save([eventOf(1), eventOf(2, {requestId: 'r2'})]);
+	await saver.close();
+	const saverAgain = new EventSaver(file, error => {
+		assert.ifError(error);
+	});
+	saverAgain.save([eventOf(3)]);
+	await saverAgain.close();
+	await appendFile(file, '{"kind":"request-ar');
+	const {events, badLines} = await readSavedEvents(file, {request: 'r1'});
+	assert.deepEqual({sequences: events.map(({sequence}) => sequence), badLines}, {sequences: [1, 3], badLines: [4]});
+});
+
+test('the way of a request is drawn over all processes, as text and as a drawing', () => {
+	const common = {workspace: 'quay', attempt: 1, endpoint: 'engine-1'};
+	const way = requestWayOf('r1', [
+		eventOf(4, {kind: 'request-finished', at: 1_700_000_000_040}),
+		eventOf(1, {workspace: 'quay'}),
+		eventOf(2, {kind: 'attempt-sent', ...common}),
+		eventOf(3, {kind: 'attempt-failed', ...common, detail: 'a <broken> stream'}),
+		eventOf(5, {requestId: 'another'}),
+	])!;
+	assert.deepEqual(drawText(way), [
+		'request r1 of quay, 2023-11-14T22:13:20.001Z, 4 events',
+		'            caller        riva-1        engine-1',
+		'+0 ms       |------------>|             |             request-arrived',
+		'+1 ms       |             |------------>|             attempt-sent #1',
+		'+2 ms       |             |<------------|             !! attempt-failed #1 (a <broken> stream)',
+		'+39 ms      |<------------|             |             request-finished',
+	]);
+	assert.ok(drawSvg(way).includes('a &lt;broken&gt; stream'));
+	assert.ok(drawHtml(way).startsWith('<!doctype html>'));
+	assert.equal(requestWayOf('nobody', []), undefined);
+});
+
+test('settings that do not suit the command are findings', () => {
+	const settings = checkSettings(timelineSettingDefinitions, {flags: {output: 'a.png'}, environment: {}}).unsafeCoerce();
+	assert.deepEqual(checkCommand('draw', settings).map(({place}) => place), ['--collector', '--request', '--output'].map(name => ({source: 'flag', name})));
+});
