Make the settings and metrics pages from the definitions; test bad starts, secrets and malformed input

Cause: the pages did not exist, and nothing showed that logs are free of prompts and keys or that malformed input is always a typed error. Change: docs/SETTINGS.md and docs/METRICS.md come from `npm run docs:settings` and are checked by a test; metrics have a description. Tests start the built programs with bad arguments, drive an entry at its lowest log level past a wrong key, a malformed body and missing endpoints and look for secrets in logs, metrics and the time line, and judge generated malformed input. The YAML reader no longer prints warnings with pieces of the file.

--- a/src/declaration/check-declaration.ts
+++ b/src/declaration/check-declaration.ts
@@ -51,7 +51,7 @@
 
 function checkFile({file, text}: DeclarationFile): Either<Finding[], PlacedDeclaration> {
 	const lineCounter = new LineCounter();
-	const document = parseDocument(text, {lineCounter, prettyErrors: false});
+	const document = parseDocument(text, {lineCounter, prettyErrors: false, logLevel: 'error'});
 	const placeAt = (offset: number): Finding['place'] => {
 		const {line, col} = lineCounter.linePos(offset);
 		return {
--- a/src/entry/operators/test-entries.ts
+++ b/src/entry/operators/test-entries.ts
@@ -23,23 +23,28 @@
 		const [table, objects, list] = await Promise.all([createTableServiceStandIn(), createObjectStoreStandIn(), createInstanceListStandIn()].map(async kind => startStandIn(kind, at)));
 		this.#platform.push(table!, objects!, list!);
 		for (let index = 1; index <= count; index++) {
-			await this.#startEntry({
-				instance: `entry-${index}`,
-				'data-centre': 'split-riva',
-				listen: '127.0.0.1:0',
-				'operator-listen': '127.0.0.1:0',
-				'peer-listen': '127.0.0.1:0',
-				'operator-key': testOperatorKey,
-				'cache-secret': 'cache-secret-of-the-tests',
-				'table-address': table!.address,
-				'object-address': objects!.address,
-				'list-address': list!.address,
-				'log-level': 'error',
-				...further,
-			});
+			await this.#startEntry({...this.entryFlags(`entry-${index}`), ...further});
 		}
 	}
 
+	/** The flags of an entry before these stand-ins. */
+	entryFlags(instance: string): Record<string, string> {
+		const [table, objects, list] = this.#platform.map(({address}) => address);
+		return {
+			instance,
+			'data-centre': 'split-riva',
+			listen: '127.0.0.1:0',
+			'operator-listen': '127.0.0.1:0',
+			'peer-listen': '127.0.0.1:0',
+			'operator-key': testOperatorKey,
+			'cache-secret': 'cache-secret-of-the-tests',
+			'table-address': table!,
+			'object-address': objects!,
+			'list-address': list!,
+			'log-level': 'error',
+		};
+	}
+
 	/** Changes the faults of the table service. */
 	async setTableFaults(faults: Record<string, JsonValue>): Promise<void> {
 		await fetch(`http://${this.#platform[0]!.address}/control`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(faults)});
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -7,16 +7,36 @@
 
 /** Every metric with its kind, unit and tags. */
 export const metricDefinitions = {
-	'request.time_to_first_token': {kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service']},
-	'request.whole_time': {kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service']},
-	'request.refused': {kind: 'count', unit: 'requests', tags: ['reason', 'ran']},
-	'request.prompt_tokens': {kind: 'count', unit: 'tokens', tags: ['service']},
-	'request.recomputed_tokens': {kind: 'count', unit: 'tokens', tags: ['service']},
-	'request.open': {kind: 'gauge', unit: 'requests', tags: []},
-	'claim.write': {kind: 'count', unit: 'writes', tags: ['outcome']},
-	'configuration.version': {kind: 'gauge', unit: 'version', tags: []},
-	'supervisor.restart': {kind: 'count', unit: 'restarts', tags: ['child']},
-	'timeline.dropped': {kind: 'count', unit: 'events', tags: []},
+	'request.time_to_first_token': {
+		kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service'], description: 'from the arrival of a prompt to its first token',
+	},
+	'request.whole_time': {
+		kind: 'timing', unit: 'milliseconds', tags: ['priority', 'service'], description: 'from the arrival of a request to the end of its answer',
+	},
+	'request.refused': {
+		kind: 'count', unit: 'requests', tags: ['reason', 'ran'], description: 'requests that were refused; `ran` is `not-run` or `unknown`',
+	},
+	'request.prompt_tokens': {
+		kind: 'count', unit: 'tokens', tags: ['service'], description: 'prompt tokens of whole answers',
+	},
+	'request.recomputed_tokens': {
+		kind: 'count', unit: 'tokens', tags: ['service'], description: 'those prompt tokens that no cache had',
+	},
+	'request.open': {
+		kind: 'gauge', unit: 'requests', tags: [], description: 'requests under way at the instance',
+	},
+	'claim.write': {
+		kind: 'count', unit: 'writes', tags: ['outcome'], description: 'writes of claims to the table service',
+	},
+	'configuration.version': {
+		kind: 'gauge', unit: 'version', tags: [], description: 'the version in force at the instance',
+	},
+	'supervisor.restart': {
+		kind: 'count', unit: 'restarts', tags: ['child'], description: 'restarts of a part of the instance',
+	},
+	'timeline.dropped': {
+		kind: 'count', unit: 'events', tags: [], description: 'events that the instance dropped before they were sent',
+	},
 } as const;
 
 /** The name of a metric. */
--- /dev/null
+++ b/src/settings/bad-arguments.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import process from 'node:process';
+import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {badUsageExitCode} from './read-settings.js';
+
+type BadStart = {
+	program: string;
+	arguments: string[];
+	findings: string[];
+};
+
+const missing = (flag: string): string => `--${flag}: is missing; give it here or in SAVORYGAUGE_${flag.replaceAll('-', '_').toUpperCase()}`;
+const badStarts: BadStart[] = [
+	{
+		program: 'entry',
+		arguments: ['--listen', 'localhost:80', '--lissten', '127.0.0.1:1', '--log-level'],
+		findings: [
+			'--lissten: there is no such flag',
+			'127.0.0.1:1: is one argument too many',
+			...['instance', 'data-centre'].map(flag => missing(flag)),
+			'--listen: "localhost:80" is no IP:port',
+			...['operator-key', 'cache-secret', 'table-address', 'object-address', 'list-address'].map(flag => missing(flag)),
+			'--log-level: needs a value',
+		],
+	},
+	{
+		program: 'operator',
+		arguments: ['apply', 'no-such.yaml', '--agianst', '--against', '-3', '--operator-address', '127.0.0.1:99999'],
+		findings: [
+			'--agianst: there is no such flag',
+			'--reason: is missing',
+			'--against: "-3" is no whole number from 0 to 9007199254740991',
+			'--operator-address: "127.0.0.1:99999" is no IP:port',
+			missing('operator-key'),
+		],
+	},
+	{program: 'operator', arguments: ['check', 'no-such.yaml'], findings: ['no-such.yaml:1:1: cannot be read: ENOENT: no such file or directory, open \'no-such.yaml\'']},
+	{program: 'operator', arguments: ['show', 'last', '--operator-key', 'a-key-of-operators'], findings: ['VERSION: "last" is no whole number from 1 to 9007199254740991']},
+	{program: 'operator', arguments: ['ask', '--operator-key', 'a-key-of-operators'], findings: ['STATEMENT: is missing']},
+	{
+		program: 'timeline',
+		arguments: ['paint', '--keep-events', 'many', '--port', '1'],
+		findings: [
+			'--port: there is no such flag',
+			'1: is one argument too many',
+			'paint: is no command; expected collect, read, follow, draw',
+			'--keep-events: "many" is no whole number from 1000 to 5000000',
+		],
+	},
+	{
+		program: 'timeline',
+		arguments: ['draw', '--output', 'a.png'],
+		findings: ['--collector: give either this or --file', '--request: is missing', '--output: must end in .svg or .html'],
+	},
+];
+
+for (const {program, arguments: given, findings} of badStarts) {
+	test(`${program} ${given.join(' ')}: all findings, exit status ${badUsageExitCode}, nothing started`, () => {
+		const path = fileURLToPath(new URL(`../${program}/main.js`, import.meta.url));
+		const environment = Object.fromEntries(Object.entries(process.env).filter(([name]) => !name.startsWith('SAVORYGAUGE_')));
+		const ended = spawnSync(process.execPath, [path, ...given], {encoding: 'utf8', env: environment, timeout: 20_000});
+		assert.deepEqual(ended.stderr.trim().split('\n'), findings);
+		assert.equal(ended.status, badUsageExitCode);
+		assert.equal(ended.stdout, '');
+	});
+}
