--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -2,6 +2,7 @@
  * One entry: its supervisor tree, from the watchers that keep its knowledge fresh to the listeners. On the order to
  * stop it takes nothing new, finishes what it has, and only then ends.
  */
+import {randomUUID} from 'node:crypto';
 import {HttpInstanceList} from '../adapters/http-instance-list.js';
 import {HttpModelEngine} from '../adapters/http-model-engine.js';
 import {HttpPlainService} from '../adapters/http-plain-service.js';
@@ -24,6 +25,7 @@
 import {type EntrySettings} from './entry-settings.js';
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
+import {EntryPeers} from './peers/entry-peers.js';
 import {RequestRegistry} from './request-registry.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
@@ -35,12 +37,15 @@
 export type EntryAddresses = {
 	callers: string;
 	operators: string;
+	peers: string;
 };
 
 export class EntryDaemon {
 	readonly #context: EntryContext;
+	readonly #neverTwice: NeverTwiceRunner;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
+	readonly #peers: EntryPeers;
 	readonly #root: Supervisor;
 	readonly #stop = new AbortController();
 	readonly #timeline: TimelineSender;
@@ -52,6 +57,7 @@
 			settings,
 			identity,
 			clock: systemClock,
+			newRequestId: randomUUID,
 			logger: createLogger(identity, settings.logLevel),
 			metrics: new StatsdMetrics(settings.metricsAddress, identity),
 			timeline: this.#timeline,
@@ -64,21 +70,23 @@
 			requests: new RequestRegistry(),
 			draining: false,
 		};
+		this.#neverTwice = new NeverTwiceRunner(this.#context);
+		this.#peers = new EntryPeers(this.#context);
 		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
 		const routes = new CallerRoutes(this.#context, {
 			gate,
 			runner: new CompletionRunner(this.#context, new LeastLoadedPolicy()),
-			plainRoute: new PlainRoute(this.#context, new NeverTwiceRunner(this.#context)),
+			plainRoute: new PlainRoute(this.#context, this.#neverTwice),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
-		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context), settings.operatorListen);
+		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context, this.#peers), settings.operatorListen);
 		this.#root = this.#tree(gate);
 		this.#reportConfiguration();
 	}
 
 	/** Starts to listen, then runs until `stop`. `onListening` is told the addresses. */
 	async run(onListening: (addresses: EntryAddresses) => void): Promise<void> {
-		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen()};
+		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen(), peers: await this.#peers.service.listen()};
 		this.#timeline.record({kind: 'process-started', at: this.#context.clock.now()});
 		this.#context.logger.info('listening', {...addresses});
 		onListening(addresses);
@@ -93,6 +101,8 @@
 		logger.info('draining');
 		await this.#callers.drain();
 		await this.#operators.drain();
+		await this.#neverTwice.settle();
+		this.#peers.service.leave();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
@@ -114,7 +124,12 @@
 		const watchers = new Supervisor({
 			...common,
 			name: 'watchers',
-			children: [new ConfigurationWatcher(this.#context), new InstanceWatcher(this.#context), new LoadWatcher(this.#context)],
+			children: [
+				this.#peers.service,
+				new ConfigurationWatcher(this.#context, this.#peers),
+				new InstanceWatcher(this.#context, this.#peers),
+				new LoadWatcher(this.#context, this.#peers),
+			],
 		});
 		const dataPath = new Supervisor({
 			...common,
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -5,6 +5,7 @@
 } from 'h3';
 import {readChangesAfter, readHead} from '../../protocol/configuration/configuration-table.js';
 import {type EntryContext} from '../entry-context.js';
+import {type EntryPeers} from '../peers/entry-peers.js';
 import {answerAsk} from './answer-ask.js';
 import {operatorKeyCheck} from './operator-key-check.js';
 import {catchUp, proposeChange} from './propose-change.js';
@@ -18,9 +19,10 @@
  * Makes the operators' routes.
  *
  * @param context - The entry.
+ * @param peers - The entry among its peers.
  * @returns The application, to be served on the operators' address.
  */
-export function createOperatorRoutes(context: EntryContext): H3 {
+export function createOperatorRoutes(context: EntryContext, peers: Pick<EntryPeers, 'overview'>): H3 {
 	const app = new H3();
 	const isOperator = operatorKeyCheck(context.settings.operatorKey);
 	app.use(event => {
@@ -34,6 +36,7 @@
 		event.res.status = answer.kind === 'error' ? 400 : 200;
 		return answer;
 	});
+	app.get('/operator/peers', () => peers.overview());
 	return app;
 }
 
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -31,6 +31,21 @@
 	'configuration.version': {
 		kind: 'gauge', unit: 'version', tags: [], description: 'the version in force at the instance',
 	},
+	'peers.live': {
+		kind: 'gauge', unit: 'instances', tags: [], description: 'other instances that this one holds to be alive',
+	},
+	'peers.links': {
+		kind: 'gauge', unit: 'links', tags: [], description: 'open links to other instances',
+	},
+	'peers.bytes_out': {
+		kind: 'gauge', unit: 'bytes since the start', tags: [], description: 'bytes sent to other instances',
+	},
+	'peers.bytes_in': {
+		kind: 'gauge', unit: 'bytes since the start', tags: [], description: 'bytes received from other instances',
+	},
+	'peers.dropped': {
+		kind: 'gauge', unit: 'messages since the start', tags: [], description: 'messages to other instances that were dropped because a link was behind',
+	},
 	'supervisor.restart': {
 		kind: 'count', unit: 'restarts', tags: ['child'], description: 'restarts of a part of the instance',
 	},
