--- a/src/peer/configuration/configuration-snapshot.ts
+++ b/src/peer/configuration/configuration-snapshot.ts
@@ -1,5 +1,7 @@
 /** A whole configuration as a message, for an instance whose missing changes nobody keeps any more. */
-import {type ConfigurationState, emptyConfiguration} from '../../protocol/configuration/configuration-state.js';
+import {
+	configurationKinds, type ConfigurationState, emptyConfiguration, itemsOfKind,
+} from '../../protocol/configuration/configuration-state.js';
 import {applyEdits} from '../../protocol/configuration/apply-change.js';
 import {canonicalJson} from '../../shared/canonical-json.js';
 import {digestOf} from '../../shared/digest-of.js';
@@ -13,12 +15,7 @@
  * @returns The snapshot.
  */
 export function snapshotOf(state: ConfigurationState): ConfigurationSnapshot {
-	const items: ConfigurationItem[] = [
-		...[...state.workspaces.values()].map(item => ({kind: 'workspace' as const, item})),
-		...[...state.services.values()].map(item => ({kind: 'service' as const, item})),
-		...[...state.rules.values()].map(item => ({kind: 'rule' as const, item})),
-		...[...state.limits.values()].map(item => ({kind: 'limit' as const, item})),
-	];
+	const items = configurationKinds.flatMap(kind => [...itemsOfKind(state, kind).values()].map(item => ({kind, item}))) as ConfigurationItem[];
 	const {version, digest} = state;
 	return {
 		version, digest, items, contentDigest: contentDigestOf({version, digest, items}),
--- a/src/protocol/configuration/apply-change.ts
+++ b/src/protocol/configuration/apply-change.ts
@@ -1,7 +1,7 @@
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type ConfigurationChange, type ConfigurationEdit} from '../../shared/types.js';
 import {changeDigest} from './change-digest.js';
-import {type ConfigurationState, memberNameOf} from './configuration-state.js';
+import {configurationKinds, type ConfigurationState, memberNameOf} from './configuration-state.js';
 
 /**
  * Why a change was not applied. `old` is harmless; `gap` says which version is needed first; `wrong-digest` means that
@@ -52,7 +52,10 @@
 		limits: new Map(state.limits),
 		drains: new Map(state.drains),
 	};
-	for (const edit of edits) {
+	// While two releases run side by side, the newer one may have accepted an edit of a kind that this one does not know.
+	// Failing on it would stop this instance from following the configuration at all; it is passed over, and the digest
+	// chain, which covers the edits and not their effect, still holds.
+	for (const edit of edits.filter(({kind}) => configurationKinds.includes(kind))) {
 		const items = copies[memberNameOf(edit.kind)] as Map<string, unknown>;
 		if (edit.action === 'set') {
 			items.set(edit.item.name, edit.item);
--- a/src/protocol/configuration/configuration-state.ts
+++ b/src/protocol/configuration/configuration-state.ts
@@ -35,6 +35,9 @@
 	workspace: 'workspaces', service: 'services', rule: 'rules', limit: 'limits', drain: 'drains',
 } as const satisfies Record<ConfigurationKind, keyof ConfigurationState>;
 
+/** All kinds of declared things. Whatever carries a whole configuration goes through these, so that none is left out. */
+export const configurationKinds = Object.keys(memberOfKind) as ConfigurationKind[];
+
 /**
  * Gives the items of one kind.
  *
