Read the peers by the query language

Cause: who an entry believes to be there could be asked only as raw JSON. Change: a source `peers` over the entry's own overview, which now has a type.

--- a/src/entry/operators/answer-ask.ts
+++ b/src/entry/operators/answer-ask.ts
@@ -9,7 +9,7 @@
 import {type EntryContext} from '../entry-context.js';
 import {ActRunner} from './act-runner.js';
 import {catchUp} from './propose-change.js';
-import {readSource} from './read-source.js';
+import {type PeerView, readSource} from './read-source.js';
 
 const longestAuthorCharacters = 200;
 const askSchema = z.strictObject({
@@ -22,10 +22,11 @@
  * Answers a question.
  *
  * @param context - The entry.
+ * @param peers - The entry among its peers.
  * @param body - The question as it arrived; nothing in it is trusted.
  * @returns The answer; `error` for anything that cannot be understood.
  */
-export async function answerAsk(context: EntryContext, body: unknown): Promise<AskAnswer> {
+export async function answerAsk(context: EntryContext, peers: PeerView, body: unknown): Promise<AskAnswer> {
 	const asked = askSchema.safeParse(body);
 	if (!asked.success) {
 		return errorOf(...asked.error.issues.map(issue => ({column: 1, message: `${issue.path.join('.')}: ${issue.message}`})));
@@ -37,16 +38,16 @@
 	}
 
 	const parsed = statement.unsafeCoerce();
-	return parsed.kind === 'read' ? read(context, parsed) : act(context, parsed, asked.data as AskRequest);
+	return parsed.kind === 'read' ? read({context, peers}, parsed) : act(context, parsed, asked.data as AskRequest);
 }
 
-async function read(context: EntryContext, statement: ReadStatement): Promise<AskAnswer> {
+async function read({context, peers}: {context: EntryContext; peers: PeerView}, statement: ReadStatement): Promise<AskAnswer> {
 	const checked = checkRead(statement);
 	if (checked.isLeft()) {
 		return errorOf(checked.extract());
 	}
 
-	const {rows, notes} = await readSource(context, statement.source);
+	const {rows, notes} = await readSource(context, peers, statement.source);
 	return {
 		kind: 'table', instance: context.identity.instance, ...evaluateRead(statement, rows), notes,
 	};
--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -32,7 +32,7 @@
 	});
 	addConfigurationRoutes(app, context);
 	app.post('/operator/ask', async event => {
-		const answer = await answerAsk(context, await readJsonBody(event));
+		const answer = await answerAsk(context, peers, await readJsonBody(event));
 		event.res.status = answer.kind === 'error' ? 400 : 200;
 		return answer;
 	});
--- a/src/entry/operators/read-source.ts
+++ b/src/entry/operators/read-source.ts
@@ -4,8 +4,12 @@
 import {type Row as TableRow} from '../../ports/table-service.js';
 import {type ClaimRow, claimTable} from '../../protocol/claim/claim-row.js';
 import {type EntryContext} from '../entry-context.js';
+import {type EntryPeers} from '../peers/entry-peers.js';
 import {type ActRecord, actTable} from './act-record.js';
 
+/** What this instance knows of its peers. */
+export type PeerView = Pick<EntryPeers, 'overview'>;
+
 const mostTableRows = 1000;
 const shownDigestCharacters = 12;
 
@@ -13,10 +17,11 @@
  * Reads a source.
  *
  * @param context - The entry.
+ * @param peers - The entry among its peers.
  * @param source - Which source.
  * @returns Its rows; what could not be read is told in the notes.
  */
-export async function readSource(context: EntryContext, source: SourceName): Promise<SourceSnapshot> {
+export async function readSource(context: EntryContext, peers: PeerView, source: SourceName): Promise<SourceSnapshot> {
 	switch (source) {
 		case 'claims': {
 			return readTable(context, claimTable, row => claimRow(row, context.clock.now()));
@@ -30,6 +35,10 @@
 			return readInstances(context);
 		}
 
+		case 'peers': {
+			return {rows: peerRows(context, peers), notes: []};
+		}
+
 		case 'endpoints':
 		case 'workspaces':
 		case 'services':
@@ -42,7 +51,7 @@
 	}
 }
 
-function rowsInMemory(context: EntryContext, source: Exclude<SourceName, 'claims' | 'acts' | 'instances'>): Row[] {
+function rowsInMemory(context: EntryContext, source: Exclude<SourceName, 'claims' | 'acts' | 'instances' | 'peers'>): Row[] {
 	switch (source) {
 		case 'endpoints': {
 			return endpointRows(context);
@@ -73,6 +82,13 @@
 	}
 }
 
+function peerRows({identity}: EntryContext, peers: PeerView): Row[] {
+	const {members, linked} = peers.overview();
+	return members.map(({name, dataCentre, status, isListed, changedSecondsAgo}) => ({
+		name, dataCentre, status, listed: isListed, changedSecondsAgo, linked: linked.includes(name), instance: identity.instance,
+	}));
+}
+
 function endpointRows({endpoints, configuration, clock, identity}: EntryContext): Row[] {
 	const {drains} = configuration.state;
 	const engines = endpoints.engines().map(({name, dataCentre, service, model, weightVersion, state, load, heardAt}) => ({
--- a/src/entry/peers/entry-peers.ts
+++ b/src/entry/peers/entry-peers.ts
@@ -5,13 +5,25 @@
 import {stateOfSnapshot} from '../../peer/configuration/configuration-snapshot.js';
 import {reportOf} from '../../peer/knowledge/load-summary.js';
 import {PeerService} from '../../peer/link/peer-service.js';
-import {type ConfigurationSnapshot} from '../../peer/message/peer-message.js';
+import {type ConfigurationSnapshot, type MemberStatus} from '../../peer/message/peer-message.js';
 import {seededRandom} from '../../peer/random/seeded-random.js';
 import {hashOfText} from '../../peer/sharing/rendezvous.js';
 import {type LoadReport} from '../../ports/model-engine.js';
 import {type ConfigurationChange, type JsonValue, type ListedInstance} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
 
+/** What operators are shown of the peers. */
+export type PeerOverview = {
+	isReader: boolean;
+	ownedEndpoints: JsonValue;
+	/** Names of the instances that this one has an open link to. */
+	linked: string[];
+	counts: Record<string, JsonValue>;
+	members: Array<{
+		name: string; dataCentre: string; status: MemberStatus; incarnation: number; isListed: boolean; changedSecondsAgo: number;
+	}>;
+};
+
 export class EntryPeers {
 	readonly service: PeerService;
 	readonly random: () => number;
@@ -96,7 +108,7 @@
 	}
 
 	/** What operators are shown: who is there as this instance sees it, and what it does for the others. */
-	overview(): JsonValue {
+	overview(): PeerOverview {
 		const {node, linked, counts} = this.service;
 		const now = this.#context.clock.now();
 		return {
--- a/src/language/grammar.peggy
+++ b/src/language/grammar.peggy
@@ -9,7 +9,7 @@
 	return {kind: 'read', source, where: where ?? undefined, order: order ?? [], limit: limit ?? undefined};
 }
 
-Source "a source (endpoints, workspaces, services, requests, waiting, claims, cache, instances, configuration, acts)" = name:("endpoints"i / "workspaces"i / "services"i / "requests"i / "waiting"i / "claims"i / "cache"i / "instances"i / "configuration"i / "acts"i) !WordCharacter { return name.toLowerCase(); }
+Source "a source (endpoints, workspaces, services, requests, waiting, claims, cache, instances, peers, configuration, acts)" = name:("endpoints"i / "workspaces"i / "services"i / "requests"i / "waiting"i / "claims"i / "cache"i / "instances"i / "peers"i / "configuration"i / "acts"i) !WordCharacter { return name.toLowerCase(); }
 
 OrderBy = Order __ By __ head:OrderKey tail:(_ "," _ @OrderKey)* { return [head, ...tail]; }
 OrderKey = field:Field direction:(__ @(Ascending / Descending))? { return {...field, descending: direction === 'desc'}; }
--- a/src/language/sources.ts
+++ b/src/language/sources.ts
@@ -11,6 +11,7 @@
 	claims: ['workspace', 'service', 'key', 'stage', 'holder', 'leaseMilliseconds', 'version'],
 	cache: ['endpoint', 'service', 'dataCentre', 'usedTokens', 'capacityTokens', 'usedShare', 'instance'],
 	instances: ['name', 'role', 'dataCentre', 'service', 'state', 'address'],
+	peers: ['name', 'dataCentre', 'status', 'listed', 'changedSecondsAgo', 'linked', 'instance'],
 	configuration: ['instance', 'dataCentre', 'version', 'digest', 'workspaces', 'services', 'rules', 'limits', 'drains'],
 	acts: ['at', 'author', 'act', 'reason', 'outcome', 'instance'],
 } as const satisfies Record<SourceName, readonly string[]>;
--- a/src/language/statement.ts
+++ b/src/language/statement.ts
@@ -1,7 +1,7 @@
 /** What a line of the operators' language says, once parsed. Columns count from 1. */
 
 /** What can be read. */
-export type SourceName = 'endpoints' | 'workspaces' | 'services' | 'requests' | 'waiting' | 'claims' | 'cache' | 'instances' | 'configuration' | 'acts';
+export type SourceName = 'endpoints' | 'workspaces' | 'services' | 'requests' | 'waiting' | 'claims' | 'cache' | 'instances' | 'peers' | 'configuration' | 'acts';
 
 /** A field by name, with where it stands in the line. */
 export type FieldName = {
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -56,7 +56,11 @@
 ];
 
 /** An entry that knows no peer. */
-const alone = {overview: () => ({version: 0, members: [], links: []})};
+const alone = {
+	overview: () => ({
+		isReader: true, ownedEndpoints: [], linked: [], counts: {}, members: [],
+	}),
+};
 
 export class TestEntry {
 	readonly clock = new ManualClock(startOfTime);
