Play deaths, cuts and outages in virtual time; look into the table on a jittered schedule

Change: LookSchedule decides when to look; bench:weigh plays a third of 48 dying, a data centre cut off, the platform away for an hour.

--- /dev/null
+++ b/src/bench/capacity/main.ts
@@ -0,0 +1,8 @@
+/** `npm run docs:capacity`: works the tables of docs/CAPACITY.md out from the data file of the slopes bench. */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {type SlopesData, slopesFile} from '../slopes/slopes-data.js';
+import {capacityPage, withTables} from './capacity-page.js';
+
+const data = JSON.parse(readFileSync(slopesFile, 'utf8')) as SlopesData;
+writeFileSync(capacityPage, withTables(readFileSync(capacityPage, 'utf8'), data));
+console.log(`${capacityPage} is worked out from ${slopesFile}`);
--- a/src/bench/slopes/main.ts
+++ b/src/bench/slopes/main.ts
@@ -107,7 +107,7 @@
 });
 await peerSeries('daemons', isQuick ? [4, 48] : [4, 16, 48, 96], daemons => ({daemons}));
 await peerSeries('changes', isQuick ? [0, 2] : [0, 0.1, 1, 3, 10], changesPerSecond => ({changesPerSecond}));
-await peerSeries('owned', isQuick ? [4, 16] : [1, 8, 16, 32], serversPerDaemon => ({serversPerDaemon}));
+await peerSeries('owned', isQuick ? [0, 16] : [0, 4, 8, 16, 32], serversPerDaemon => ({serversPerDaemon}));
 if (!isQuick) {
 	writeFiles({
 		command: 'npm run bench:slopes', conditions, node: process.version, runs, slopes: slopesOf(runs),
--- a/src/bench/virtual-peers.ts
+++ b/src/bench/virtual-peers.ts
@@ -13,7 +13,6 @@
 import {type ConfigurationChange, type ListedInstance} from '../shared/types.js';
 import {seededRandom} from '../peer/random/seeded-random.js';
 
-const stepMilliseconds = 5;
 const tickMilliseconds = 100;
 
 /** One peer with what was seen at it. */
@@ -66,6 +65,10 @@
 	/** Share of messages that are lost on their way. */
 	loss = 0;
 	latencyMilliseconds = 1;
+	/** Called for each running peer in each step, for what its watchers would do. */
+	onStep: ((peer: VirtualPeer) => void) | undefined;
+	/** Length of a step; longer ones make long runs cheap. */
+	stepMilliseconds = 5;
 	readonly #random: () => number;
 	readonly #mode: FanoutMode;
 	readonly #backoffMilliseconds: number;
@@ -194,7 +197,7 @@
 	run(milliseconds: number): void {
 		const end = this.now + milliseconds;
 		while (this.now < end) {
-			this.now += stepMilliseconds;
+			this.now += this.stepMilliseconds;
 			this.#deliver();
 			for (const peer of this.running()) {
 				if (this.now >= peer.nextTickAt || this.now >= peer.node.dueAt) {
@@ -202,6 +205,8 @@
 					this.#link(peer);
 					this.carry(peer, peer.node.tick(this.now));
 				}
+
+				this.onStep?.(peer);
 			}
 		}
 	}
@@ -214,7 +219,7 @@
 				return this.now - startedAt;
 			}
 
-			this.run(stepMilliseconds);
+			this.run(this.stepMilliseconds);
 		}
 
 		return holds() ? this.now - startedAt : undefined;
@@ -228,7 +233,7 @@
 				const peer = this.peers.get(to)!;
 				if (peer.state === 'paused') {
 					this.#inFlight.push({
-						dueAt: this.now + stepMilliseconds, from, to, message,
+						dueAt: this.now + this.stepMilliseconds, from, to, message,
 					});
 				} else if (peer.state === 'running' && this.#reaches(from, to)) {
 					peer.bytesIn += encodeMessage(message).length;
--- /dev/null
+++ b/src/bench/virtual-platform.ts
@@ -0,0 +1,95 @@
+/** The platform's table and list for peers in virtual time: they can be down, and out of reach for some peers. */
+import {LookSchedule} from '../peer/configuration/look-schedule.js';
+import {seededRandom} from '../peer/random/seeded-random.js';
+import {hashOfText} from '../peer/sharing/rendezvous.js';
+import {type ConfigurationChange, type ListedInstance} from '../shared/types.js';
+import {changeOf} from './bench-changes.js';
+import {type VirtualPeer, type VirtualPeers, VirtualKeeper} from './virtual-peers.js';
+
+const listMilliseconds = 1000;
+const pollMilliseconds = 500;
+
+type Watcher = {schedule: LookSchedule; nextListAt: number; random: () => number};
+
+export class VirtualPlatform {
+	isDown = false;
+	/** When each read of the table came, whether it was answered or not. */
+	readonly reads: number[] = [];
+	readonly listReads: number[] = [];
+	readonly #network: VirtualPeers;
+	readonly #endpoints: readonly ListedInstance[];
+	readonly #changes: ConfigurationChange[] = [];
+	readonly #newest = new VirtualKeeper(() => 0);
+	readonly #watchers = new Map<string, Watcher>();
+
+	/**
+	 * @param network - The peers that read it.
+	 * @param endpoints - The endpoints on its list.
+	 */
+	constructor(network: VirtualPeers, endpoints: readonly ListedInstance[]) {
+		this.#network = network;
+		this.#endpoints = endpoints;
+		network.onStep = peer => {
+			this.#watch(peer);
+		};
+	}
+
+	/** The newest version in the table. */
+	get version(): number {
+		return this.#newest.state.version;
+	}
+
+	/** Accepts a change. */
+	accept(): void {
+		const change = changeOf(this.#newest.state, this.version);
+		this.#newest.offerChange(change);
+		this.#changes.push(change);
+	}
+
+	/** The most reads within any second from a time on. */
+	mostReadsPerSecond(reads: readonly number[], from: number): number {
+		const later = reads.filter(at => at >= from);
+		return Math.max(0, ...later.map(at => later.filter(other => other >= at && other < at + 1000).length));
+	}
+
+	#watch(peer: VirtualPeer): void {
+		const {now} = this.#network;
+		const watcher = this.#watchers.get(peer.listed.name) ?? this.#newWatcher(peer.listed.name);
+		const isReached = !this.isDown && peer.cut === '';
+		if (now >= watcher.nextListAt) {
+			watcher.nextListAt = now + (listMilliseconds * (1 - (0.2 * watcher.random())));
+			this.listReads.push(now);
+			if (isReached) {
+				peer.node.takeList(this.#list(), now);
+			}
+		}
+
+		if (watcher.schedule.isDue(peer.node.isReader, now)) {
+			this.reads.push(now);
+			watcher.schedule.looked(isReached, now);
+			if (isReached) {
+				this.#read(peer);
+			}
+		}
+	}
+
+	#newWatcher(name: string): Watcher {
+		const random = seededRandom(hashOfText(name));
+		const watcher = {schedule: new LookSchedule(pollMilliseconds, random), nextListAt: 0, random};
+		this.#watchers.set(name, watcher);
+		return watcher;
+	}
+
+	#read(peer: VirtualPeer): void {
+		for (const change of this.#changes.filter(({version}) => version > peer.keeper.state.version)) {
+			if (peer.keeper.offerChange(change) === undefined) {
+				this.#network.carry(peer, peer.node.changeInForce(change));
+			}
+		}
+	}
+
+	#list(): ListedInstance[] {
+		const live = [...this.#network.peers.values()].filter(({state}) => state !== 'dead');
+		return [...live.map(({listed}) => listed), ...this.#endpoints];
+	}
+}
--- a/src/bench/weigh/knowledge.ts
+++ b/src/bench/weigh/knowledge.ts
@@ -13,8 +13,7 @@
  */
 export type KnowledgeWay = 'perfect' | 'all' | 'all-two' | 'cell' | 'cell-two' | 'ask-two' | 'none';
 
-const daemons = 48;
-const endpointsPerDaemon = 16;
+const targetEndpointsPerDaemon = 16;
 const slots = 16;
 const cellDaemons = 8;
 const busyShare = 0.85;
@@ -24,8 +23,30 @@
 const warmUpMilliseconds = 30_000;
 const lengthMilliseconds = 60_000;
 const stepMilliseconds = 10;
-const tellMilliseconds: Record<KnowledgeWay, number> = {
-	perfect: 0, all: 1000, 'all-two': 1000, cell: 1600, 'cell-two': 1600, 'ask-two': 1000, none: 0,
+
+/** How many daemons and endpoints are played, and how often load is told in each way. */
+export type KnowledgeSize = {
+	daemons: number;
+	endpoints: number;
+	tellMilliseconds: Record<KnowledgeWay, number>;
+};
+
+/** Half of a data centre of the target. */
+export const targetSize: KnowledgeSize = {
+	daemons: 48,
+	endpoints: 768,
+	tellMilliseconds: {
+		perfect: 0, all: 1000, 'all-two': 1000, cell: 1600, 'cell-two': 1600, 'ask-two': 1000, none: 0,
+	},
+};
+
+/** The larger of today's two users; everybody is in one cell. */
+export const todaySize: KnowledgeSize = {
+	daemons: 18,
+	endpoints: 17,
+	tellMilliseconds: {
+		perfect: 0, all: 500, 'all-two': 500, cell: 500, 'cell-two': 500, 'ask-two': 500, none: 0,
+	},
 };
 
 /** What a way cost. */
@@ -42,14 +63,16 @@
  * Plays one way.
  *
  * @param way - How load is known.
+ * @param size - How many there are.
  * @param seed - Of all randomness.
  * @returns Mean wait, the wait that 95 in 100 stay under, and the share that waited.
  */
-export function playKnowledge(way: KnowledgeWay, seed: number): KnowledgeCost {
+export function playKnowledge(way: KnowledgeWay, size: KnowledgeSize, seed: number): KnowledgeCost {
 	const random = seededRandom(seed);
-	const endpoints: Endpoint[] = Array.from({length: daemons * endpointsPerDaemon}, () => ({ends: [], queue: []}));
+	const tellEvery = size.tellMilliseconds[way];
+	const endpoints: Endpoint[] = Array.from({length: size.endpoints}, () => ({ends: [], queue: []}));
 	const reported = endpoints.map(() => 0);
-	const sent = Array.from({length: daemons}, () => new Map<number, number>());
+	const sent = Array.from({length: size.daemons}, () => new Map<number, number>());
 	const meanService = serviceMilliseconds * (1 + (longShare * (longFactor - 1)));
 	const perStep = endpoints.length * slots * busyShare * stepMilliseconds / meanService;
 	const waits: number[] = [];
@@ -57,7 +80,7 @@
 	for (let now = 0; now < warmUpMilliseconds + lengthMilliseconds; now += stepMilliseconds) {
 		for (const [index, endpoint] of endpoints.entries()) {
 			serve(endpoint, now, now > warmUpMilliseconds ? waits : []);
-			if (tellMilliseconds[way] > 0 && (now + (index * 37 * stepMilliseconds)) % tellMilliseconds[way] === 0) {
+			if (tellEvery > 0 && (now + (index * 37 * stepMilliseconds)) % tellEvery === 0) {
 				reported[index] = loadOf(endpoint);
 				for (const own of sent) {
 					own.delete(index);
@@ -66,7 +89,7 @@
 		}
 
 		for (toCome += perStep; toCome >= 1; toCome--) {
-			const daemon = Math.floor(random() * daemons);
+			const daemon = Math.floor(random() * size.daemons);
 			const chosen = choose(way, {
 				daemon, endpoints, reported, sent: sent[daemon]!, random,
 			});
@@ -94,12 +117,12 @@
 	switch (way) {
 		case 'all':
 		case 'all-two': {
-			return ((endpointsPerDaemon * packedUpdateBytes) + told) * 94 * 1000 / tellMilliseconds.all;
+			return ((targetEndpointsPerDaemon * packedUpdateBytes) + told) * 94 * 1000 / targetSize.tellMilliseconds.all;
 		}
 
 		case 'cell':
 		case 'cell-two': {
-			return ((endpointsPerDaemon * packedUpdateBytes) + told) * (cellDaemons - 1) * 1000 / tellMilliseconds.cell;
+			return ((targetEndpointsPerDaemon * packedUpdateBytes) + told) * (cellDaemons - 1) * 1000 / targetSize.tellMilliseconds.cell;
 		}
 
 		case 'ask-two': {
@@ -119,9 +142,10 @@
 	const {daemon, endpoints, reported, sent, random} = choice;
 	const believed = (index: number): number => way === 'perfect' ? loadOf(endpoints[index]!) : reported[index]! + (sent.get(index) ?? 0);
 	const isCell = way === 'cell' || way === 'cell-two';
-	const cellEndpoints = cellDaemons * endpointsPerDaemon;
-	const first = isCell ? Math.floor(daemon / cellDaemons) * cellEndpoints : 0;
-	const count = isCell ? cellEndpoints : endpoints.length;
+	const cellEndpoints = cellDaemons * targetEndpointsPerDaemon;
+	const isCells = isCell && endpoints.length > cellEndpoints;
+	const first = isCells ? Math.floor(daemon / cellDaemons) * cellEndpoints : 0;
+	const count = isCells ? cellEndpoints : endpoints.length;
 	const any = (): number => first + Math.floor(random() * count);
 	if (way === 'none') {
 		return any();
--- a/src/bench/weigh/main.ts
+++ b/src/bench/weigh/main.ts
@@ -1,7 +1,10 @@
 /** `npm run bench:weigh`: plays the ways that docs/MEMBERSHIP.md and docs/KNOWLEDGE.md weigh, and prints their figures. */
 import process from 'node:process';
+import {playCut, playOutage, playThirdKilled} from './failures.js';
 import {type FanoutWay, playFanout} from './fanout.js';
-import {bytesOf, type KnowledgeWay, playKnowledge} from './knowledge.js';
+import {
+	bytesOf, type KnowledgeWay, playKnowledge, targetSize, todaySize,
+} from './knowledge.js';
 
 const seeds = [1, 2];
 const wanted = process.argv[2];
@@ -26,9 +29,31 @@
 }
 
 if (wanted === undefined || wanted === 'knowledge') {
+	for (const way of ['perfect', 'all', 'all-two', 'none'] satisfies KnowledgeWay[]) {
+		for (const seed of seeds) {
+			console.log(`knowledge ${way}, today's size, seed ${seed}: ${shown(playKnowledge(way, todaySize, seed))}`);
+		}
+	}
+
 	for (const way of ['perfect', 'all', 'all-two', 'cell', 'cell-two', 'ask-two', 'none'] satisfies KnowledgeWay[]) {
 		for (const seed of seeds) {
-			console.log(`knowledge ${way}, seed ${seed}: ${shown(playKnowledge(way, seed))}, bytes a second one way ${bytesOf(way).toFixed(0)}`);
+			console.log(`knowledge ${way}, seed ${seed}: ${shown(playKnowledge(way, targetSize, seed))}, bytes a second one way ${bytesOf(way).toFixed(0)}`);
 		}
 	}
 }
+
+if (wanted === undefined || wanted === 'failures') {
+	for (const seed of seeds) {
+		const {timeLine, ...killed} = playThirdKilled(seed);
+		console.log(`a third of 48 killed, seed ${seed}: ${JSON.stringify(killed)}`);
+		for (const {at, gone, taken} of timeLine) {
+			console.log(`  ${at} ms: ${gone} times called gone, ${taken} endpoints taken`);
+		}
+	}
+
+	for (const seed of seeds) {
+		console.log(`data centre cut off for two minutes, seed ${seed}: ${JSON.stringify(playCut(seed))}`);
+	}
+
+	console.log(`platform away for an hour, seed 1: ${JSON.stringify(playOutage(1, 60))}`);
+}
--- a/src/entry/watchers/configuration-watcher.ts
+++ b/src/entry/watchers/configuration-watcher.ts
@@ -3,15 +3,13 @@
  * table service for changes behind their version and peers pass them on; the others ask the table seldom, in case that
  * all they hear from their peers is old.
  */
+import {LookSchedule} from '../../peer/configuration/look-schedule.js';
 import {readChangesAfter} from '../../protocol/configuration/configuration-table.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
 import {type EntryPeers} from '../peers/entry-peers.js';
 
-const jitter = 0.2;
-
-/** Time between two looks of an instance that is no reader: 760 of them are 76 reads a second of the table's 2,000. */
-const seldomMilliseconds = 10_000;
+const checkMilliseconds = 50;
 
 export class ConfigurationWatcher implements Child {
 	readonly name = 'configuration-watcher';
@@ -25,21 +23,19 @@
 
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, settings} = this.#context;
-		let lookedAt = 0;
+		const schedule = new LookSchedule(settings.configurationPollMilliseconds, this.#peers.random);
 		while (!signal.aborted) {
-			const interval = this.#peers.isReader ? settings.configurationPollMilliseconds : seldomMilliseconds * (0.5 + this.#peers.random());
-			if (clock.now() - lookedAt >= interval) {
-				lookedAt = clock.now();
-				await this.lookOnce();
+			if (schedule.isDue(this.#peers.isReader, clock.now())) {
+				const isAnswered = await this.lookOnce();
+				schedule.looked(isAnswered, clock.now());
 			}
 
-			// Jitter keeps readers that started together, or waited for the same outage to end, from asking in step.
-			await clock.sleep(settings.configurationPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
+			await clock.sleep(Math.min(checkMilliseconds, settings.configurationPollMilliseconds), signal);
 		}
 	}
 
-	/** Reads the changes that are missing here and brings them into force. */
-	async lookOnce(): Promise<void> {
+	/** Reads the changes that are missing here and brings them into force; false if the table did not answer. */
+	async lookOnce(): Promise<boolean> {
 		const {table, configuration, logger} = this.#context;
 		const changes = await readChangesAfter(table, configuration.state.version);
 		changes.ifRight(found => {
@@ -49,5 +45,6 @@
 				});
 			}
 		});
+		return changes.isRight();
 	}
 }
--- a/src/peer/node/peer-node.test.ts
+++ b/src/peer/node/peer-node.test.ts
@@ -118,3 +118,16 @@
 	const took = network.runUntil(() => others.every(({learned}) => learned.get(leaving!)?.summary.state === 'leaving'), 3000);
 	assert.ok(took !== undefined && took <= 1000, `known after ${took} ms`);
 });
+
+test('a change that one data centre read reaches all eight, over the gateways between them', () => {
+	// Only the first data centre reaches the platform. Its instances tell the gateways of the others, and those theirs.
+	const network = new VirtualPeers(7);
+	const peers = network.startAll(Array.from({length: 8}, (_, index) => names(9, `centre-${index}`)).flat());
+	network.run(6000);
+	assert.ok(peers.every(({node}) => node.overlay.neighbours.size < 30));
+	const change = changeOf(peers[4]!.keeper.state, 1);
+	peers[4]!.keeper.offerChange(change);
+	network.carry(peers[4]!, peers[4]!.node.changeInForce(change));
+	const took = network.runUntil(() => peers.every(({keeper}) => keeper.state.version === 1), 5000);
+	assert.ok(took !== undefined && took <= 2000, `everywhere after ${took} ms`);
+});
