--- a/src/bench/weigh/main.ts
+++ b/src/bench/weigh/main.ts
@@ -1,5 +1,7 @@
 /** `npm run bench:weigh`: plays the ways that docs/MEMBERSHIP.md and docs/KNOWLEDGE.md weigh, and prints their figures. */
 import process from 'node:process';
+import {runKill} from './kill-run.js';
+import {runOutage} from './outage-run.js';
 import {playCut, playOutage, playThirdKilled} from './failures.js';
 import {type FanoutWay, playFanout} from './fanout.js';
 import {
@@ -57,3 +59,15 @@
 
 	console.log(`platform away for an hour, seed 1: ${JSON.stringify(playOutage(1, 60))}`);
 }
+
+if (wanted === undefined || wanted === 'kill') {
+	const {timeLine, ...killed} = await runKill();
+	console.log(`one of three processes of 16 daemons killed: ${JSON.stringify(killed)}`);
+	for (const {at, owned, leastLive, mostLive} of timeLine) {
+		console.log(`  ${at} ms: ${owned} endpoints owned, views of ${leastLive} to ${mostLive} live`);
+	}
+}
+
+if (wanted === undefined || wanted === 'outage') {
+	console.log(`table away for 10 s, real processes: ${JSON.stringify(await runOutage())}`);
+}
--- a/src/entry/entry-settings.ts
+++ b/src/entry/entry-settings.ts
@@ -17,6 +17,11 @@
 	return text.length < leastSecretCharacters ? Left('is too short') : Right(text);
 }
 
+function parsePeerSeeds(text: string): Either<string, string> {
+	const findings = text.split(',').filter(address => address !== '').map(address => parseAddress(address));
+	return findings.find(finding => finding.isLeft()) ?? Right(text);
+}
+
 const instance: SettingDefinition<string> = {
 	flag: 'instance', valueName: 'name', description: 'name of this instance, as the platform\'s list gives it', parse: parseText,
 };
@@ -32,6 +37,9 @@
 const peerListen: SettingDefinition<string> = {
 	flag: 'peer-listen', valueName: 'IP:port', description: 'where other instances connect', defaultText: '127.0.0.1:8082', parse: parseAddress,
 };
+const peerSeeds: SettingDefinition<string> = {
+	flag: 'peer-seeds', valueName: 'IP:port,...', description: 'peers to try when none is known, as when the platform is down at the start; empty for none', defaultText: '', parse: parsePeerSeeds,
+};
 const operatorKey: SettingDefinition<string> = {
 	flag: 'operator-key', valueName: 'key', description: 'bearer key of the operators, at least 16 characters', secret: true, parse: parseSecret,
 };
@@ -72,6 +80,7 @@
 	listen,
 	operatorListen,
 	peerListen,
+	peerSeeds,
 	operatorKey,
 	cacheSecret,
 	tableAddress,
--- a/src/peer/configuration/configuration-fanout.ts
+++ b/src/peer/configuration/configuration-fanout.ts
@@ -47,6 +47,7 @@
 	readonly #backoffMilliseconds: number;
 	readonly #announced = new Map<string, number>();
 	readonly #distrustedUntil = new Map<string, number>();
+	#isAskOpen = false;
 	#kept: ConfigurationChange[] = [];
 
 	/**
@@ -78,7 +79,8 @@
 	/** Takes the version that a peer announces. */
 	takeAnnouncement(peer: string, version: number, now: number): void {
 		this.#announced.set(peer, Math.max(version, this.announcedBy(peer)));
-		if (version > this.#keeper.state.version) {
+		// While an ask is open, another peer's announcement must not bring a second one for the same changes.
+		if (version > this.#keeper.state.version && !this.#isAskOpen) {
 			this.dueAt = Math.min(this.dueAt, now + (this.#random() * this.#backoffMilliseconds));
 		}
 	}
@@ -108,6 +110,7 @@
 			this.takeAnnouncement(peer, last.version, now);
 		}
 
+		this.#isAskOpen = false;
 		this.dueAt = this.#isBehind() ? now + (this.#random() * this.#backoffMilliseconds) : Number.POSITIVE_INFINITY;
 		return applied;
 	}
@@ -134,6 +137,8 @@
 			return undefined;
 		}
 
+		this.#isAskOpen = false;
+
 		const {version} = this.#keeper.state;
 		const ahead = [...this.#announced]
 			.filter(([peer, announced]) => announced > version && !this.#isDistrusted(peer, now))
@@ -145,6 +150,7 @@
 		}
 
 		this.counts.asks++;
+		this.#isAskOpen = true;
 		this.dueAt = now + (askTimeoutMilliseconds * (1 + this.#random()));
 		return {peer, after: version};
 	}
--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -23,9 +23,9 @@
 	readonly #stop = new AbortController();
 	#ended: Promise<void> = Promise.resolve();
 
-	constructor(readonly name: string, versions: VersionRange = spokenVersions) {
+	constructor(readonly name: string, versions: VersionRange = spokenVersions, seeds: string[] = []) {
 		this.service = new PeerService({
-			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock: systemClock, versions, keeper: this.keeper, random: seededRandom(7), fanoutMode: 'announce',
+			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock: systemClock, versions, seeds, keeper: this.keeper, random: seededRandom(7), fanoutMode: 'announce',
 			listener: {
 				loadsLearned: () => undefined,
 				snapshotOffered: () => false,
@@ -144,3 +144,16 @@
 	await until(() => first.service.linked.length === 1 && again.service.linked.length === 1);
 	await Promise.all([first.stop(), again.stop()]);
 });
+
+test('an instance that starts without the platform\'s list finds its peers by its settings, and gets the changes', async () => {
+	// The platform is away altogether: no list, no table. The one address in its settings is enough; that peer tells it of
+	// the others, and it asks for what it lacks.
+	const [first, second] = [new Running('a'), new Running('b')];
+	await together([first, second]);
+	const change = changeOf(first.keeper.state, 1);
+	first.keeper.offerChange(change);
+	first.service.changeInForce(change);
+	const late = await new Running('c', spokenVersions, [first.address]).start();
+	await until(() => late.keeper.state.version === 1 && late.service.linked.length === 2);
+	await Promise.all([first.stop(), second.stop(), late.stop()]);
+});
--- a/src/peer/link/peer-service.ts
+++ b/src/peer/link/peer-service.ts
@@ -43,6 +43,8 @@
 	/** `IP:port`; port 0 takes a free one. */
 	listenAddress: string;
 	clock: Clock;
+	/** Addresses to dial while there is no link at all, for a start without the platform's list. */
+	seeds?: readonly string[];
 	versions?: VersionRange;
 	onLinkClosed?(peer: string, reason: string): void;
 };
@@ -61,6 +63,7 @@
 	readonly #links = new Map<string, PeerLink>();
 	readonly #open = new Set<PeerLink>();
 	readonly #dials = new Map<string, Dial>();
+	readonly #seedDials = new Map<string, Dial>();
 	readonly #lastReceived = new Map<string, {received: number; at: number}>();
 	readonly #unwantedSince = new Map<string, number>();
 	#node: PeerNode | undefined;
@@ -113,6 +116,7 @@
 			this.#carry(this.node.tick(now));
 			this.#closeSilent(now);
 			this.#dialWanted(now);
+			this.#dialSeeds(now);
 			const wait = Math.min(longestTickMilliseconds, this.node.dueAt - clock.now());
 			await clock.sleep(Math.max(shortestTickMilliseconds, wait), signal);
 		}
@@ -194,6 +198,19 @@
 		}
 	}
 
+	/** Without a link and without the platform's list nobody is known; the settings may name some who were there. */
+	#dialSeeds(now: number): void {
+		for (const seed of this.#links.size === 0 ? this.#options.seeds ?? [] : []) {
+			const dial = this.#seedDials.get(seed) ?? {
+				failures: 0, notBefore: now, wantedSince: now, isOpen: false,
+			};
+			this.#seedDials.set(seed, dial);
+			if (!dial.isOpen && now >= dial.notBefore) {
+				this.#dial(seed, dial);
+			}
+		}
+	}
+
 	#closeSilent(now: number): void {
 		for (const [name, link] of this.#links) {
 			const last = this.#lastReceived.get(name);
