--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -10,11 +10,14 @@
 import {type ConfigurationHolder} from './configuration-holder.js';
 import {type EndpointDirectory} from './endpoint-directory.js';
 import {type EntrySettings} from './entry-settings.js';
+import {type RequestRegistry} from './request-registry.js';
 
 export type EntryContext = {
 	settings: EntrySettings;
 	identity: ProcessIdentity;
 	clock: Clock;
+	/** Gives a fresh id for each request. */
+	newRequestId: () => string;
 	logger: ProcessLogger;
 	metrics: Metrics;
 	timeline: TimelineRecorder;
@@ -24,6 +27,7 @@
 	plain: PlainService;
 	configuration: ConfigurationHolder;
 	endpoints: EndpointDirectory;
+	requests: RequestRegistry;
 	/** True from the order to stop on: nothing new is taken. */
 	draining: boolean;
 };
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -2,6 +2,7 @@
  * One entry: its supervisor tree, from the watchers that keep its knowledge fresh to the listeners. On the order to
  * stop it takes nothing new, finishes what it has, and only then ends.
  */
+import {randomUUID} from 'node:crypto';
 import {HttpInstanceList} from '../adapters/http-instance-list.js';
 import {HttpModelEngine} from '../adapters/http-model-engine.js';
 import {HttpPlainService} from '../adapters/http-plain-service.js';
@@ -25,6 +26,7 @@
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
 import {EntryPeers} from './peers/entry-peers.js';
+import {RequestRegistry} from './request-registry.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -40,6 +42,7 @@
 
 export class EntryDaemon {
 	readonly #context: EntryContext;
+	readonly #neverTwice: NeverTwiceRunner;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	readonly #peers: EntryPeers;
@@ -54,6 +57,7 @@
 			settings,
 			identity,
 			clock: systemClock,
+			newRequestId: randomUUID,
 			logger: createLogger(identity, settings.logLevel),
 			metrics: new StatsdMetrics(settings.metricsAddress, identity),
 			timeline: this.#timeline,
@@ -63,14 +67,16 @@
 			plain: new HttpPlainService(),
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
+			requests: new RequestRegistry(),
 			draining: false,
 		};
+		this.#neverTwice = new NeverTwiceRunner(this.#context);
 		this.#peers = new EntryPeers(this.#context);
 		const gate = new AdmissionGate(new BoundedQueueAdmission(), systemClock);
 		const routes = new CallerRoutes(this.#context, {
 			gate,
 			runner: new CompletionRunner(this.#context, new LeastLoadedPolicy()),
-			plainRoute: new PlainRoute(this.#context, new NeverTwiceRunner(this.#context)),
+			plainRoute: new PlainRoute(this.#context, this.#neverTwice),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
 		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context, this.#peers), settings.operatorListen);
@@ -94,6 +100,8 @@
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
 		await this.#callers.drain();
+		await this.#operators.drain();
+		await this.#neverTwice.settle();
 		this.#peers.service.leave();
 		this.#stop.abort();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
@@ -132,8 +140,9 @@
 	}
 
 	#reportConfiguration(): void {
-		const {configuration, clock, metrics} = this.#context;
+		const {configuration, endpoints, clock, metrics} = this.#context;
 		configuration.onChange(state => {
+			endpoints.takeDrained(new Set(state.drains.keys()));
 			this.#timeline.record({kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version});
 			metrics.report('configuration.version', state.version);
 		});
