--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -81,6 +81,7 @@
 				listen: '127.0.0.1:0',
 				operatorListen: '127.0.0.1:0',
 				peerListen: '127.0.0.1:0',
+				peerSeeds: '',
 				operatorKey: testOperatorKey,
 				cacheSecret: 'cache-secret-in-tests',
 				tableAddress: '',
