--- a/src/peer/configuration/configuration-fanout.ts
+++ b/src/peer/configuration/configuration-fanout.ts
@@ -31,8 +31,8 @@
 /** The longest random wait before an ask. */
 export const askBackoffMilliseconds = 20;
 
-/** How long an ask may stay unanswered until another peer is asked. */
-export const askTimeoutMilliseconds = 300;
+/** How long an ask may stay unanswered until another peer is asked: many round trips of a data centre. */
+export const askTimeoutMilliseconds = 100;
 
 /** How long a peer that sent a damaged change is not asked. */
 export const distrustMilliseconds = 30_000;
--- a/src/peer/node/peer-node.test.ts
+++ b/src/peer/node/peer-node.test.ts
@@ -36,6 +36,24 @@
 	assert.ok(took !== undefined && took <= 5000, `owned again, and one view, after ${took} ms`);
 });
 
+test('a member that leaves gives away only its own shards, at once and evenly', () => {
+	// A graceful end: the good-bye crosses the data centre, and each key that was not the leaving one's stays where it is.
+	const network = new VirtualPeers(8);
+	const peers = network.startAll(names(50));
+	network.run(5000);
+	const keys = Array.from({length: 1000}, (_, index) => `shard-${index}`);
+	const [first, leaving] = peers as [VirtualPeer, VirtualPeer];
+	const before = new Map(keys.map(key => [key, first.node.ownerOf(key)]));
+	network.carry(leaving, leaving.node.leave());
+	network.kill(leaving.listed.name);
+	const stayed = peers.filter(peer => peer !== leaving);
+	const took = network.runUntil(() => stayed.every(({node}) => node.membership.ownLive().length === 49), 5000);
+	assert.ok(took !== undefined && took <= 1000, `handed over after ${took} ms`);
+	const moved = keys.filter(key => before.get(key) !== first.node.ownerOf(key));
+	assert.deepEqual(moved, keys.filter(key => before.get(key) === leaving.listed.name));
+	assert.ok(stayed.every(({node}) => keys.every(key => node.ownerOf(key) === first.node.ownerOf(key))));
+});
+
 test('a paused instance comes back and is not called gone for ever', () => {
 	// Nobody sees an error: work of the paused one goes to others while it sleeps. When it wakes it has heard nothing for
 	// long, yet must not call everybody gone; it learns that it was called gone, contradicts, and gets its share again.
--- a/src/peer/node/peer-node.ts
+++ b/src/peer/node/peer-node.ts
@@ -9,7 +9,7 @@
 import {type Member, Membership} from '../membership/membership.js';
 import {type Overlay, overlayOf} from '../membership/overlay.js';
 import {type ConfigurationSnapshot, type MemberRumour, type PeerMessage} from '../message/peer-message.js';
-import {bestMembers, hashOfText} from '../sharing/rendezvous.js';
+import {bestMembers, hashOfText, ownerOf} from '../sharing/rendezvous.js';
 
 /** Time between two heartbeats. */
 export const heartbeatMilliseconds = 1000;
@@ -88,6 +88,20 @@
 			.some(({name}) => name === this.#options.self.name);
 	}
 
+	/**
+	 * Whether this instance does the work of a key, among the live ones of its data centre: a shard of a directory, an
+	 * endpoint to reconcile. Two views may both say yes, or for some seconds none; what must not be done twice needs a
+	 * fencing number or a claim besides.
+	 */
+	owns(key: string): boolean {
+		return this.ownerOf(key) === this.#options.self.name;
+	}
+
+	/** The name of the instance that does the work of a key, among the live ones of the data centre. */
+	ownerOf(key: string): string {
+		return ownerOf(hashOfText(key), this.membership.ownLive())?.name ?? this.#options.self.name;
+	}
+
 	/** The peers to have links to, with their addresses. */
 	wantedLinks(): Array<{name: string; peerAddress: string}> {
 		const retried = this.membership.member(this.#retried);
