--- a/src/entry/peers/entry-peers.ts
+++ b/src/entry/peers/entry-peers.ts
@@ -39,6 +39,7 @@
 			instance: settings.instance,
 			dataCentre: settings.dataCentre,
 			listenAddress: settings.peerListen,
+			seeds: settings.peerSeeds.split(',').filter(address => address !== ''),
 			clock,
 			random: this.random,
 			fanoutMode: 'announce',
@@ -72,6 +73,7 @@
 				logger.debug('a peer link ended', {peer, reason});
 			},
 		});
+		context.endpoints.expectOnly(name => this.service.node.knowledge.expects(name, this.service.node.overlay.cell));
 		configuration.onChange((_state, change) => {
 			if (change !== undefined && !this.#isTakingFromPeer) {
 				this.service.changeInForce(change);
