--- a/src/check/claim-scenario.ts
+++ b/src/check/claim-scenario.ts
@@ -16,7 +16,7 @@
 import {type ConfigurationChange, type Refusal} from '../shared/types.js';
 import {FaultyTable, TableRows} from './faulty-table.js';
 import {type Scenario} from './scenario.js';
-import {type VirtualProcess, type VirtualWorld} from './virtual-world.js';
+import {virtualProcess, type VirtualProcess, type VirtualWorld} from './virtual-world.js';
 
 const claimKey = 'quay/bookings/one';
 /** The longest that a call may take beside the pauses of its instance. */
@@ -84,7 +84,7 @@
 	}
 
 	#startInstance(world: VirtualWorld, name: string): Instance {
-		const process: VirtualProcess = {name, killed: false, pausedMilliseconds: 0};
+		const process = virtualProcess(name);
 		const configuration = new ConfigurationHolder();
 		configuration.offer(this.#changes[0]!);
 		const runner = new NeverTwiceRunner({
--- /dev/null
+++ b/src/check/configuration-scenario.ts
@@ -0,0 +1,228 @@
+/**
+ * Three instances follow the configuration while two operators race each other. Instances are restarted, cut off from
+ * the platform and from each other; answers of the table get lost; changes from peers come late, twice, out of order and
+ * damaged. Each instance is looked at again and again: what it serves by may never go back, and is what was accepted.
+ */
+import {ConfigurationHolder} from '../entry/configuration-holder.js';
+import {ConfigurationWatcher} from '../entry/watchers/configuration-watcher.js';
+import {type Row} from '../ports/table-service.js';
+import {applyChange} from '../protocol/configuration/apply-change.js';
+import {type ConfigurationState, emptyConfiguration} from '../protocol/configuration/configuration-state.js';
+import {acceptProposal, configurationTable, headKey} from '../protocol/configuration/configuration-table.js';
+import {type ConfigurationChange} from '../shared/types.js';
+import {FaultyTable, TableRows} from './faulty-table.js';
+import {type Scenario} from './scenario.js';
+import {virtualProcess, type VirtualProcess, type VirtualWorld} from './virtual-world.js';
+
+const durationMilliseconds = 40_000;
+const lookMilliseconds = 250;
+const gossipMilliseconds = 300;
+const pollMilliseconds = 500;
+
+type Instance = {process: VirtualProcess; holder: ConfigurationHolder; life: number; served: number; isCutFromPeers: boolean};
+type Answered = {change: {author: string; reason: string}; isAccepted: boolean};
+
+export class ConfigurationScenario implements Scenario {
+	readonly name = 'configuration';
+	readonly #instances: Instance[] = [];
+	/** What the table accepted, by version; the state at version 0 comes first. */
+	readonly #accepted: ConfigurationState[] = [emptyConfiguration];
+	readonly #changes: ConfigurationChange[] = [];
+	readonly #answered: Answered[] = [];
+	#rows!: TableRows;
+	#endsAt = 0;
+
+	play(world: VirtualWorld): void {
+		this.#endsAt = world.now + durationMilliseconds;
+		this.#rows = new TableRows(row => {
+			this.#follow(world, row);
+		});
+		for (const name of ['entry-1', 'entry-2', 'entry-3']) {
+			const instance = {
+				process: virtualProcess(name), holder: new ConfigurationHolder(), life: 0, served: 0, isCutFromPeers: false,
+			};
+			this.#instances.push(instance);
+			this.#startLife(world, instance);
+			this.#gossip(world, instance);
+		}
+
+		this.#look(world);
+		for (const name of ['operator-1', 'operator-2']) {
+			void this.#operate(world, virtualProcess(name));
+		}
+
+		this.#planFaults(world);
+	}
+
+	judge(world: VirtualWorld): void {
+		for (const {change, isAccepted} of this.#answered) {
+			const stands = this.#changes.some(({author, reason}) => author === change.author && reason === change.reason);
+			if (stands !== isAccepted) {
+				world.violate(`${change.author} was told that ${change.reason} was ${isAccepted ? '' : 'not '}accepted, which is not so`);
+			}
+		}
+	}
+
+	/** Follows what the table accepts: one chain, each version once. */
+	#follow(world: VirtualWorld, row: Row): void {
+		if (row.table !== configurationTable || row.key === headKey) {
+			return;
+		}
+
+		const change = row.value as unknown as ConfigurationChange;
+		if (change.version !== this.#accepted.length) {
+			world.violate(`version ${change.version} was accepted where ${this.#accepted.length} was due`);
+			return;
+		}
+
+		this.#changes.push(change);
+		this.#accepted.push(applyChange(this.#accepted.at(-1)!, change).unsafeCoerce());
+		world.note(`version ${change.version} of ${change.author} is accepted`);
+	}
+
+	#startLife(world: VirtualWorld, instance: Instance): void {
+		instance.life++;
+		instance.holder = new ConfigurationHolder();
+		const {process} = instance;
+		const watcher = new ConfigurationWatcher({
+			clock: world.clockOf(process),
+			table: new FaultyTable(world, this.#rows, process),
+			configuration: instance.holder,
+			settings: {configurationPollMilliseconds: pollMilliseconds},
+			logger: {
+				warn() {
+					// What does not follow is dropped; nothing is checked by the log.
+				},
+			},
+		});
+		void this.#watch(world, instance, watcher);
+	}
+
+	async #watch(world: VirtualWorld, instance: Instance, watcher: ConfigurationWatcher): Promise<void> {
+		const {life} = instance;
+		while (world.now < this.#endsAt && instance.life === life) {
+			await watcher.lookOnce();
+			await world.delay(pollMilliseconds);
+		}
+	}
+
+	/** Sends what a peer lacks; at times late, twice, or damaged. */
+	#gossip(world: VirtualWorld, instance: Instance): void {
+		const {choices} = world;
+		for (const peer of this.#instances) {
+			if (peer === instance || peer.isCutFromPeers || instance.isCutFromPeers) {
+				continue;
+			}
+
+			for (const change of this.#changes.slice(peer.holder.state.version, instance.holder.state.version)) {
+				const isDamaged = choices.chance(5);
+				const {life} = peer;
+				world.after(choices.between(1, 200), () => {
+					if (peer.life === life) {
+						peer.holder.offer(isDamaged ? {...change, edits: []} : change);
+					}
+				});
+			}
+		}
+
+		if (world.now < this.#endsAt) {
+			world.after(gossipMilliseconds, () => {
+				this.#gossip(world, instance);
+			});
+		}
+	}
+
+	#look(world: VirtualWorld): void {
+		for (const instance of this.#instances) {
+			const {startGate, state} = instance.holder;
+			if (!startGate.isOpen || state.version === 0) {
+				continue;
+			}
+
+			const {name} = instance.process;
+			if (state.version < instance.served && this.#couldKnow(instance)) {
+				world.violate(`${name} went back from version ${instance.served} to ${state.version}`);
+			}
+
+			if (JSON.stringify([...state.limits]) !== JSON.stringify([...this.#accepted[state.version]!.limits])) {
+				world.violate(`${name} serves something else as version ${state.version} than was accepted`);
+			}
+
+			instance.served = state.version;
+		}
+
+		if (world.now < this.#endsAt) {
+			world.after(lookMilliseconds, () => {
+				this.#look(world);
+			});
+		}
+	}
+
+	/** False only if neither the platform nor any peer within reach knows what the instance served before. */
+	#couldKnow(instance: Instance): boolean {
+		const peerKnows = !instance.isCutFromPeers && this.#instances.some(peer => peer !== instance && !peer.isCutFromPeers && peer.holder.state.version >= instance.served);
+		return peerKnows || !(instance.process.isCutOff || this.#rows.isDown);
+	}
+
+	async #operate(world: VirtualWorld, process: VirtualProcess): Promise<void> {
+		const {choices} = world;
+		const table = new FaultyTable(world, this.#rows, process);
+		const proposals = choices.between(3, 10);
+		for (let index = 0; index < proposals; index++) {
+			await world.delay(choices.between(1, 5000));
+			const change = {author: process.name, reason: `change ${index}`};
+			const result = await acceptProposal(table, {
+				...change,
+				plannedAgainst: this.#changes.length,
+				edits: [{action: 'set', kind: 'limit', item: {name: 'open-requests', value: choices.between(1, 10_000)}}],
+			}, world.now);
+			result.caseOf({
+				Left: failure => {
+					world.note(`${process.name} is told ${failure.kind} for ${change.reason}`);
+					if (failure.kind !== 'outcome-unknown') {
+						this.#answered.push({change, isAccepted: false});
+					}
+				},
+				Right: () => {
+					this.#answered.push({change, isAccepted: true});
+				},
+			});
+		}
+	}
+
+	#planFaults(world: VirtualWorld): void {
+		const {choices} = world;
+		const faults = choices.between(0, 8);
+		for (let index = 0; index < faults; index++) {
+			world.after(choices.between(0, durationMilliseconds), () => {
+				this.#break(world, choices.oneOf(this.#instances));
+			});
+		}
+	}
+
+	#break(world: VirtualWorld, instance: Instance): void {
+		const {choices} = world;
+		const fault = choices.oneOf(['restart', 'restart', 'cut from the platform', 'cut from peers', 'platform down'] as const);
+		const milliseconds = choices.between(100, 15_000);
+		world.note(`${instance.process.name}: ${fault}, ${milliseconds} ms`);
+		if (fault === 'restart') {
+			this.#startLife(world, instance);
+			return;
+		}
+
+		this.#setFault(instance, fault, true);
+		world.after(milliseconds, () => {
+			this.#setFault(instance, fault, false);
+		});
+	}
+
+	#setFault(instance: Instance, fault: 'cut from the platform' | 'cut from peers' | 'platform down', isOn: boolean): void {
+		if (fault === 'platform down') {
+			this.#rows.isDown = isOn;
+		} else if (fault === 'cut from peers') {
+			instance.isCutFromPeers = isOn;
+		} else {
+			instance.process.isCutOff = isOn;
+		}
+	}
+}
--- a/src/check/faults.test.ts
+++ b/src/check/faults.test.ts
@@ -7,7 +7,9 @@
 // saw before. Each seed is another order of lost answers, pauses, deaths and outages; a seed that once broke something
 // stays in `keptSeeds`.
 const fixedSeeds = Array.from({length: 60}, (_, index) => 7_000_000 + index);
-const keptSeeds: readonly number[] = [];
+// 662: a restarted instance, cut off from all, served by the first old change that reached it. 6: an endpoint left out the
+// last token and the answer was called whole.
+const keptSeeds: readonly number[] = [662, 6];
 
 for (const make of scenarios) {
 	test(`no seeded fault run breaks a promise: ${make().name}`, async () => {
--- a/src/check/faulty-table.ts
+++ b/src/check/faulty-table.ts
@@ -62,6 +62,10 @@
 		this.#process = process;
 	}
 
+	get #isAway(): boolean {
+		return this.#rows.isDown || this.#process.isCutOff;
+	}
+
 	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
 		return this.#answer(() => this.#rows.read(name));
 	}
@@ -74,7 +78,7 @@
 		const {choices} = this.#world;
 		await this.#world.step(this.#process);
 		await this.#world.delay(choices.between(1, 20));
-		const fate = this.#rows.isDown ? choices.oneOf(['refused', 'lost-before'] as const) : choices.oneOf(commitFates);
+		const fate = this.#isAway ? choices.oneOf(['refused', 'lost-before'] as const) : choices.oneOf(commitFates);
 		const written = await this.#meet(fate, transaction);
 		this.#world.note(`${this.#process.name} writes ${describe(transaction)}: ${written.isRight() ? 'applied' : written.extract()!.kind}${fate === 'well' ? '' : ` (${fate})`}`);
 		await this.#world.step(this.#process);
@@ -109,7 +113,7 @@
 		await this.#world.step(this.#process);
 		await this.#world.delay(choices.between(1, 20));
 		const isLost = choices.chance(5);
-		const result: Either<TableFailure, Value> = this.#rows.isDown || isLost ? Left({kind: 'unavailable', detail: 'down'}) : Right(look());
+		const result: Either<TableFailure, Value> = this.#isAway || isLost ? Left({kind: 'unavailable', detail: 'down'}) : Right(look());
 		await this.#world.delay(isLost ? timeoutMilliseconds : choices.between(1, 20));
 		await this.#world.step(this.#process);
 		return result;
--- /dev/null
+++ b/src/check/stream-scenario.ts
@@ -0,0 +1,99 @@
+/**
+ * One prompt whose endpoints break off, fall silent, skip tokens or wake up late, while a newer attempt is under way. The
+ * caller's text is compared with the answer: it is always its beginning, and called whole only when it is all of it.
+ */
+import {type EngineEvent} from '../ports/model-engine.js';
+import {
+	beginAttempt, emptyAnswer, type RelayAction, relayEvent, type RelayState,
+} from '../protocol/stream/stream-relay.js';
+import {type Scenario} from './scenario.js';
+import {type VirtualWorld} from './virtual-world.js';
+
+const attemptLimit = 4;
+const silenceMilliseconds = 2000;
+
+export class StreamScenario implements Scenario {
+	readonly name = 'stream';
+	#relay: RelayState = emptyAnswer;
+	#text = '';
+	#tokens = 0;
+	#isCalledWhole = false;
+
+	play(world: VirtualWorld): void {
+		this.#tokens = world.choices.between(1, 30);
+		this.#attempt(world);
+	}
+
+	judge(world: VirtualWorld): void {
+		const whole = textOf(0, this.#tokens);
+		if (!whole.startsWith(this.#text)) {
+			world.violate('the caller got text that is not the beginning of its answer');
+		}
+
+		if (this.#isCalledWhole && this.#text !== whole) {
+			world.violate('an answer was called whole that is not');
+		}
+	}
+
+	#attempt(world: VirtualWorld): void {
+		const {choices} = world;
+		if (this.#relay.attempt >= attemptLimit || this.#relay.whole) {
+			return;
+		}
+
+		this.#relay = beginAttempt(this.#relay);
+		const {attempt, tokensPassedOn} = this.#relay;
+		const endsAt = choices.chance(50) ? choices.between(tokensPassedOn, this.#tokens) : this.#tokens;
+		const isBroken = choices.chance(40);
+		// An endpoint that does not know how to resume begins at token 0 again.
+		const from = choices.chance(10) ? 0 : tokensPassedOn;
+		let at = 0;
+		for (let index = from; index < endsAt; index++) {
+			at += choices.between(1, 20) + (choices.chance(3) ? choices.between(1, 10_000) : 0);
+			if (!choices.chance(2)) {
+				this.#deliver(world, {attempt, at}, {
+					kind: 'tokens', firstIndex: index, count: 1, text: textOf(index, index + 1),
+				});
+			}
+		}
+
+		if (endsAt === this.#tokens && !isBroken) {
+			this.#deliver(world, {attempt, at: at + 1}, {
+				kind: 'finished', finishReason: 'stop', promptTokens: 1, cachedTokens: 0, completionTokens: this.#tokens,
+			});
+		}
+
+		const givenUpAfter = isBroken || choices.chance(30) ? choices.between(1, at + 2) : at + silenceMilliseconds;
+		world.after(givenUpAfter, () => {
+			if (attempt === this.#relay.attempt) {
+				world.note(`attempt ${attempt} is given up`);
+				this.#attempt(world);
+			}
+		});
+	}
+
+	#take(world: VirtualWorld, action: RelayAction): void {
+		if (action.kind === 'pass-on') {
+			this.#text += action.text;
+		} else {
+			this.#isCalledWhole ||= action.kind === 'whole';
+		}
+
+		if (action.kind === 'restart') {
+			this.#attempt(world);
+		}
+	}
+
+	#deliver(world: VirtualWorld, {attempt, at}: {attempt: number; at: number}, event: EngineEvent): void {
+		world.after(at, () => {
+			const {state, action} = relayEvent(this.#relay, attempt, event);
+			this.#relay = state;
+			world.note(`attempt ${attempt}: ${event.kind === 'tokens' ? `token ${event.firstIndex}` : event.kind} -> ${action.kind}`);
+			this.#take(world, action);
+		});
+	}
+}
+
+function textOf(from: number, to: number): string {
+	return Array.from({length: to - from}, (_, index) => `${from + index} `).join('');
+}
--- a/src/check/virtual-world.ts
+++ b/src/check/virtual-world.ts
@@ -14,10 +14,19 @@
 export type VirtualProcess = {
 	readonly name: string;
 	killed: boolean;
+	/** Cut off from the platform. */
+	isCutOff: boolean;
 	/** Milliseconds that it stood still, in all. */
 	pausedMilliseconds: number;
 };
 
+/** Makes a process that is well. */
+export function virtualProcess(name: string): VirtualProcess {
+	return {
+		name, killed: false, isCutOff: false, pausedMilliseconds: 0,
+	};
+}
+
 export class VirtualWorld {
 	readonly trace: string[] = [];
 	readonly violations: string[] = [];
--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -44,7 +44,7 @@
 		this.#parts = parts;
 		this.app.get('/healthz', () => ({status: 'alive'}));
 		this.app.get('/readyz', event => {
-			const ready = !context.draining && context.configuration.state.version > 0 && context.endpoints.isKnown;
+			const ready = !context.draining && context.configuration.startGate.isOpen && context.configuration.state.version > 0 && context.endpoints.isKnown;
 			event.res.status = ready ? 200 : 503;
 			return {ready, configurationVersion: context.configuration.state.version};
 		});
@@ -202,6 +202,12 @@
 			});
 		}
 
+		if (!this.#context.configuration.startGate.isOpen) {
+			return Left({
+				reason: 'stale-configuration', ran: 'not-run', message: 'this instance has just started and learns the configuration', retryAfterMilliseconds: 1000,
+			});
+		}
+
 		return authenticate(this.#context.configuration.state, request.headers.authorization);
 	}
 
--- a/src/entry/configuration-holder.ts
+++ b/src/entry/configuration-holder.ts
@@ -5,11 +5,14 @@
 import {type Either} from 'purify-ts/Either';
 import {applyChange, type ApplyFailure} from '../protocol/configuration/apply-change.js';
 import {type ConfigurationState, emptyConfiguration} from '../protocol/configuration/configuration-state.js';
+import {StartGate} from '../protocol/configuration/start-gate.js';
 import {type ConfigurationChange} from '../shared/types.js';
 
 type Listener = (state: ConfigurationState, change: ConfigurationChange) => void;
 
 export class ConfigurationHolder {
+	/** Opens when this process may serve by what it holds. */
+	readonly startGate = new StartGate();
 	#state: ConfigurationState = emptyConfiguration;
 	readonly #listeners: Listener[] = [];
 
--- a/src/protocol/configuration/configuration-table.ts
+++ b/src/protocol/configuration/configuration-table.ts
@@ -15,7 +15,8 @@
 export const headKey = 'head';
 const changePrefix = 'change/';
 const versionDigits = 12;
-const readLimitChanges = 1000;
+/** Most changes in one reading. */
+export const readLimitChanges = 1000;
 
 /** The row `head`. `revision` is 0 while there is no change. */
 export type ConfigurationHead = {
--- a/src/protocol/stream/stream-relay.ts
+++ b/src/protocol/stream/stream-relay.ts
@@ -52,7 +52,15 @@
 	}
 
 	if (event.kind === 'finished') {
-		const {finishReason, promptTokens, cachedTokens} = event;
+		const {
+			finishReason, promptTokens, cachedTokens, completionTokens,
+		} = event;
+		// An engine that left out its last token would still send the end mark, and the caller would take the answer for
+		// whole. Its own count tells; 0 stands for an engine that gives none.
+		if (completionTokens > 0 && completionTokens !== state.tokensPassedOn) {
+			return {state, action: {kind: 'restart', detail: `the answer has ${completionTokens} tokens and ${state.tokensPassedOn} came`}};
+		}
+
 		return {
 			state: {...state, whole: true}, action: {
 				kind: 'whole', finishReason, promptTokens, cachedTokens,
