Check five protocols by spin, each with twins that spin must reject

Change: model/*.pml for claim, configuration, cache block, fenced order and stream; npm run check:models prints states and fails on an accepted twin or on a search that did not come to its end; the same as node:test; counter-examples kept.

--- /dev/null
+++ b/model/cache-block.pml
@@ -0,0 +1,82 @@
+/*
+ * Cache blocks: write, seal, read, free, reuse, weight swap; src/protocol/cache carries it.
+ *
+ * One place of a store is written in two halves, sealed, read in two halves, freed and reused by another writer. A hint
+ * names the generation and the weight version, and may be old. A reading that is accepted has only bytes of the
+ * generation that the hint names, both halves of it, and was built under the weight version of the reader.
+ *
+ * BROKEN: the generation is checked before the reading only, and not behind it.
+ */
+#define GENERATIONS 4
+
+byte generation = 0;             /* of what the place holds now; 0 is freed */
+byte issued = 0;                 /* generations handed out; never the same twice */
+byte half[2];                    /* generation that wrote each half */
+byte sealed = 0;                 /* generation that is sealed */
+byte built[GENERATIONS + 1];     /* weight version of each generation */
+byte hint = 0;
+byte hint_weights = 0;
+byte weights = 1;
+
+active [2] proctype Writer() {
+	byte mine;
+	byte mine_built;
+	byte rounds = 0;
+	do
+	:: rounds < 2 ->
+	   rounds++;
+	   atomic { issued++; mine = issued; mine_built = weights; built[mine] = mine_built; generation = mine; sealed = 0 } /* WRITE */
+	   if :: atomic { generation == mine -> half[0] = mine } :: generation != mine fi;
+	   if :: atomic { generation == mine -> half[1] = mine } :: generation != mine :: skip /* dies */ fi;
+	   if
+	   :: atomic { generation == mine && half[0] == mine && half[1] == mine -> sealed = mine; hint = mine; hint_weights = mine_built } /* SEAL */
+	   :: else
+	   fi
+	:: rounds == 2 -> break
+	od
+}
+
+active proctype Eviction() {
+	byte freed = 0;
+	do
+	:: freed < 2 -> atomic { freed++; generation = 0; sealed = 0; half[0] = 0; half[1] = 0 } /* FREE */
+	:: freed == 2 -> break
+	od
+}
+
+active proctype Weights() {
+	weights = 2
+}
+
+active proctype Reader() {
+	byte wanted;
+	byte wanted_weights;
+	byte first;
+	byte second;
+	byte rounds = 0;
+	do
+	:: rounds < 2 ->
+	   rounds++;
+	   /* the key holds the weight version: another version's hint is not found */
+	   atomic { wanted = hint; wanted_weights = weights }
+	   if
+	   :: wanted == 0 || hint_weights != wanted_weights -> skip /* miss */
+	   :: else ->
+	      if
+	      :: sealed != wanted -> skip /* READ: the near end */
+	      :: else ->
+	         first = half[0];
+	         second = half[1];
+	         if
+#ifndef BROKEN
+	         :: sealed != wanted -> skip /* READ: the far end */
+#endif
+	         :: else ->
+	            assert(first == wanted && second == wanted);
+	            assert(built[wanted] == wanted_weights)
+	         fi
+	      fi
+	   fi
+	:: rounds == 2 -> break
+	od
+}
--- /dev/null
+++ b/src/check/models.ts
@@ -0,0 +1,103 @@
+/**
+ * Checks the specifications in model/ exhaustively by spin. Each has broken twins, made of the same file with a
+ * safeguard taken out; a check that accepts a twin proves nothing, so an accepted twin is a failure as well.
+ */
+import {execFileSync} from 'node:child_process';
+import {
+	copyFile, mkdir, mkdtemp, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+const modelFolder = fileURLToPath(new URL('../../model', import.meta.url));
+const timeoutMilliseconds = 110_000;
+const depthLimit = 1_000_000;
+const memoryLimitMegabytes = 3000;
+
+/** A specification or a broken twin of it. */
+export type ModelCase = {
+	model: string;
+	/** The name that takes a safeguard out; empty for the specification itself. */
+	broken: string;
+};
+
+/** What spin found. A search that did not come to its end is no proof, whatever it found. */
+export type ModelResult = ModelCase & {
+	errors: number;
+	states: number;
+	isComplete: boolean;
+	milliseconds: number;
+	/** The assertion that broke; empty for none. */
+	violation: string;
+};
+
+export const modelCases: readonly ModelCase[] = [
+	{model: 'claim', broken: ''},
+	{model: 'claim', broken: 'BROKEN'},
+	{model: 'configuration', broken: ''},
+	{model: 'configuration', broken: 'BROKEN'},
+	{model: 'cache-block', broken: ''},
+	{model: 'cache-block', broken: 'BROKEN'},
+	{model: 'fenced-order', broken: ''},
+	{model: 'fenced-order', broken: 'BROKEN'},
+	{model: 'fenced-order', broken: 'BROKEN_WAIT'},
+	{model: 'stream', broken: ''},
+	{model: 'stream', broken: 'BROKEN'},
+];
+
+/**
+ * Checks one case.
+ *
+ * @param modelCase - What to check.
+ * @param now - Gives the present time in milliseconds.
+ * @param keepAt - A folder for the counter-example of a twin; none is kept without it.
+ * @returns What spin found.
+ */
+export async function checkModel(modelCase: ModelCase, now: () => number, keepAt?: string): Promise<ModelResult> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'savorygauge-model-'));
+	const startedAt = now();
+	const options = {
+		cwd: folder, timeout: timeoutMilliseconds, maxBuffer: 16_777_216, encoding: 'utf8' as const,
+	};
+	try {
+		const file = `${modelCase.model}.pml`;
+		const defines = modelCase.broken === '' ? [] : [`-D${modelCase.broken}`];
+		await copyFile(path.join(modelFolder, file), path.join(folder, file));
+		execFileSync('spin', [...defines, '-a', file], options);
+		execFileSync('gcc', ['-w', '-O2', '-DSAFETY', `-DMEMLIM=${memoryLimitMegabytes}`, '-o', 'pan', 'pan.c'], options);
+		const stdout = execFileSync('./pan', ['-E', `-m${depthLimit}`], options);
+		if (keepAt !== undefined && modelCase.broken !== '') {
+			const replayed = execFileSync('spin', [...defines, '-t', '-p', '-g', file], options);
+			await keepCounterExample(modelCase, keepAt, replayed);
+		}
+
+		return {...modelCase, ...judge(stdout), milliseconds: now() - startedAt};
+	} finally {
+		await rm(folder, {recursive: true});
+	}
+}
+
+/** True if the specification holds over all states, or if the twin was rejected. */
+export function isAsExpected({broken, errors, isComplete}: ModelResult): boolean {
+	return broken === '' ? errors === 0 && isComplete : errors > 0;
+}
+
+function judge(output: string): Pick<ModelResult, 'errors' | 'states' | 'isComplete' | 'violation'> {
+	const numberBehind = (pattern: RegExp): number => Number(pattern.exec(output)?.groups?.number ?? Number.NaN);
+	const isCut = output.includes('Search not completed') || output.includes('max search depth too small') || output.includes('out of memory');
+	return {
+		errors: numberBehind(/errors: (?<number>\d+)/v),
+		states: numberBehind(/(?<number>[\d.e+]+) states, stored/v),
+		isComplete: !isCut,
+		violation: /pan:1: (?<violation>.*) \(at depth/v.exec(output)?.groups?.violation ?? '',
+	};
+}
+
+async function keepCounterExample({model, broken}: ModelCase, folder: string, trail: string): Promise<void> {
+	await mkdir(folder, {recursive: true});
+	await writeFile(path.join(folder, `${model}-${broken.toLowerCase()}.txt`), trail);
+}
+
+/** Where counter-examples are kept. */
+export const counterExampleFolder = path.join(modelFolder, 'counter-examples');
