--- a/src/check/configuration-scenario.ts
+++ b/src/check/configuration-scenario.ts
@@ -94,7 +94,7 @@
 					// What does not follow is dropped; nothing is checked by the log.
 				},
 			},
-		});
+		}, {isReader: true, random: () => 0});
 		void this.#watch(world, instance, watcher);
 	}
 
--- a/src/entry/configuration-holder.ts
+++ b/src/entry/configuration-holder.ts
@@ -8,7 +8,7 @@
 import {StartGate} from '../protocol/configuration/start-gate.js';
 import {type ConfigurationChange} from '../shared/types.js';
 
-type Listener = (state: ConfigurationState, change: ConfigurationChange) => void;
+type Listener = (state: ConfigurationState, change: ConfigurationChange | undefined) => void;
 
 export class ConfigurationHolder {
 	/** Opens when this process may serve by what it holds. */
@@ -20,11 +20,30 @@
 		return this.#state;
 	}
 
-	/** Calls a listener after each change that came into force here. */
+	/** Calls a listener after each change that came into force here; without the change when it was a whole snapshot. */
 	onChange(listener: Listener): void {
 		this.#listeners.push(listener);
 	}
 
+	/**
+	 * Brings a whole configuration into force, if it is newer.
+	 *
+	 * @param state - A snapshot that was checked.
+	 * @returns True if it is in force now.
+	 */
+	adopt(state: ConfigurationState): boolean {
+		if (state.version <= this.#state.version) {
+			return false;
+		}
+
+		this.#state = state;
+		for (const listener of this.#listeners) {
+			listener(state, undefined);
+		}
+
+		return true;
+	}
+
 	/**
 	 * Brings a change into force.
 	 *
--- a/src/entry/endpoint-directory.ts
+++ b/src/entry/endpoint-directory.ts
@@ -17,22 +17,35 @@
 		return this.#entryCount;
 	}
 
+	#drained: ReadonlySet<string> = new Set();
+
 	/** True once every live model endpoint of the list has reported for itself, and the list was seen. */
 	get isKnown(): boolean {
 		const live = this.engines().filter(({state}) => state === 'live');
 		return this.#listSeen && live.every(({heardAt}) => heardAt > 0);
 	}
 
-	/** All model endpoints. The array is made anew when anything changes. */
+	/** All model endpoints; one that operators drained counts as leaving, whatever it says of itself. */
 	engines(): readonly EndpointView[] {
-		return [...this.#engines.values()];
+		const leaving = (endpoint: EndpointView): EndpointView => this.#drained.has(endpoint.name) ? {...endpoint, state: 'leaving'} : endpoint;
+		return [...this.#engines.values()].map(endpoint => leaving(endpoint));
+	}
+
+	/** All instances of plain services, as the list gives them. */
+	plainEndpoints(): readonly PlainEndpoint[] {
+		return this.#plain;
+	}
+
+	/** Takes the names of the endpoints that operators drained. */
+	takeDrained(names: ReadonlySet<string>): void {
+		this.#drained = names;
 	}
 
 	/** The live endpoints of a plain service, those of the given data centre first. */
 	plainEndpointsOf(service: string, dataCentre: string): readonly PlainEndpoint[] {
 		const nearFirst = (endpoint: PlainEndpoint): number => endpoint.dataCentre === dataCentre ? 0 : 1;
 		return this.#plain
-			.filter(endpoint => endpoint.service === service && endpoint.state === 'live')
+			.filter(endpoint => endpoint.service === service && endpoint.state === 'live' && !this.#drained.has(endpoint.name))
 			.toSorted((left, right) => nearFirst(left) - nearFirst(right));
 	}
 
@@ -48,10 +61,17 @@
 		this.#plain = instances.filter(({role}) => role === 'plain-service');
 	}
 
-	/** Takes an endpoint's own report. */
+	/**
+	 * Takes an endpoint's own report.
+	 *
+	 * @param name - The endpoint.
+	 * @param load - Its report, from itself or by way of a peer.
+	 * @param now - When the endpoint gave it, in milliseconds since the epoch.
+	 */
 	takeReport(name: string, load: LoadReport, now: number): void {
 		const known = this.#engines.get(name);
-		if (known !== undefined) {
+		// A report by way of a peer may come behind a newer one; taken, it could make a leaving endpoint live again.
+		if (known !== undefined && now >= known.heardAt) {
 			const {model, weightVersion, state} = load;
 			this.#replace({
 				...known, model, weightVersion, state, load, heardAt: now,
