--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -65,7 +65,7 @@
 		const healthz: EventHandler = () => ({status: 'alive'});
 		const readyz: EventHandler = event => {
 			const {draining, configuration, endpoints} = this.#context;
-			const ready = !draining && configuration.state.version > 0 && endpoints.isKnown;
+			const ready = !draining && configuration.startGate.isOpen && configuration.state.version > 0 && endpoints.isKnown;
 			event.res.status = ready ? 200 : 503;
 			return {ready, configurationVersion: configuration.state.version};
 		};
@@ -244,6 +244,12 @@
 			});
 		}
 
+		if (!this.#context.configuration.startGate.isOpen) {
+			return Left({
+				reason: 'stale-configuration', ran: 'not-run', message: 'this instance has just started and learns the configuration', retryAfterMilliseconds: 1000,
+			});
+		}
+
 		return authenticate(this.#context.configuration.state, request.headers.authorization);
 	}
 
--- a/src/entry/watchers/configuration-watcher.ts
+++ b/src/entry/watchers/configuration-watcher.ts
@@ -4,28 +4,39 @@
  * all they hear from their peers is old.
  */
 import {LookSchedule} from '../../peer/configuration/look-schedule.js';
-import {readChangesAfter} from '../../protocol/configuration/configuration-table.js';
+import {readChangesAfter, readLimitChanges} from '../../protocol/configuration/configuration-table.js';
+import {type ConfigurationChange} from '../../shared/types.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
 import {type EntryPeers} from '../peers/entry-peers.js';
 
 const checkMilliseconds = 50;
 
+/** The part of an entry that the watcher uses. */
+export type ConfigurationWatcherContext = Pick<EntryContext, 'clock' | 'table' | 'configuration'> & {
+	settings: Pick<EntryContext['settings'], 'configurationPollMilliseconds'>;
+	logger: {warn(message: string, detail: Record<string, unknown>): unknown};
+};
+
+/** Tells whether this instance is one of its data centre's readers. */
+export type ConfigurationReaders = Pick<EntryPeers, 'isReader' | 'random'>;
+
 export class ConfigurationWatcher implements Child {
 	readonly name = 'configuration-watcher';
-	readonly #context: EntryContext;
-	readonly #peers: EntryPeers;
+	readonly #context: ConfigurationWatcherContext;
+	readonly #peers: ConfigurationReaders;
 
-	constructor(context: EntryContext, peers: EntryPeers) {
+	constructor(context: ConfigurationWatcherContext, peers: ConfigurationReaders) {
 		this.#context = context;
 		this.#peers = peers;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, settings} = this.#context;
+		const {clock, settings, configuration} = this.#context;
 		const schedule = new LookSchedule(settings.configurationPollMilliseconds, this.#peers.random);
 		while (!signal.aborted) {
-			if (schedule.isDue(this.#peers.isReader, clock.now())) {
+			const looksOften = this.#peers.isReader || !configuration.startGate.isOpen;
+			if (schedule.isDue(looksOften, clock.now())) {
 				const isAnswered = await this.lookOnce();
 				schedule.looked(isAnswered, clock.now());
 			}
@@ -34,17 +45,41 @@
 		}
 	}
 
-	/** Reads the changes that are missing here and brings them into force; false if the table did not answer. */
+	/**
+	 * Reads the changes that are missing here and brings them into force, to the end of the table; false if it
+	 * did not answer.
+	 */
 	async lookOnce(): Promise<boolean> {
-		const {table, configuration, logger} = this.#context;
-		const changes = await readChangesAfter(table, configuration.state.version);
-		changes.ifRight(found => {
-			for (const change of found) {
-				configuration.offer(change).ifLeft(failure => {
-					logger.warn('a configuration change does not follow', {version: change.version, ...failure});
-				});
+		const {table, configuration, clock} = this.#context;
+		for (;;) {
+			const {version} = configuration.state;
+			const changes = await readChangesAfter(table, version);
+			if (changes.isLeft()) {
+				configuration.startGate.tableFailed(configuration.state.version, clock.now());
+				return false;
+			}
+
+			const found = changes.orDefault([]);
+			this.#offer(found);
+			if (found.length < readLimitChanges) {
+				configuration.startGate.tableRead();
+				return true;
+			}
+
+			if (configuration.state.version === version) {
+				return true;
 			}
-		});
-		return changes.isRight();
+		}
+	}
+
+	#offer(changes: readonly ConfigurationChange[]): void {
+		const {configuration, logger} = this.#context;
+		for (const change of changes) {
+			configuration.offer(change).ifLeft(failure => {
+				if (failure.kind !== 'old') {
+					logger.warn('a configuration change does not follow', {version: change.version, ...failure});
+				}
+			});
+		}
 	}
 }
