--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -3,17 +3,19 @@
  * that is due when a stream breaks. Prompts are idempotent, so an attempt may be repeated; the caller sees one answer.
  */
 import {cacheSaltOf, pieceKeysOf} from '../../cache/piece-keys.js';
+import {RetryBudget} from '../../decision/limits/retry-budget.js';
 import {type EndpointView, type RouteRequest, type RoutingPolicy} from '../../decision/routing/routing-policy.js';
 import {
 	beginAttempt, emptyAnswer, forgetTokens, type RelayState,
 } from '../../protocol/stream/stream-relay.js';
 import {type Refusal} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
-import {type AttemptOutcome, CompletionAttempt} from './completion-attempt.js';
+import {type AttemptOutcome, type AttemptParts, CompletionAttempt} from './completion-attempt.js';
 import {type AnswerSink, type CompletionJob} from './completion-job.js';
 import {type CompletionUsage} from './completion-writer.js';
 import {EndpointHolds} from './endpoint-holds.js';
 import {giveUp} from './give-up.js';
+import {StreamWatches} from './stream-watch.js';
 
 const attemptLimit = 4;
 const failedRetryMilliseconds = 1000;
@@ -30,10 +32,16 @@
 	readonly #context: EntryContext;
 	readonly #policy: RoutingPolicy;
 	readonly #holds = new EndpointHolds();
+	readonly #parts: AttemptParts;
+	readonly #salts = new Map<string, string>();
+	readonly #repeats = new RetryBudget();
 
 	constructor(context: EntryContext, policy: RoutingPolicy) {
 		this.#context = context;
 		this.#policy = policy;
+		this.#parts = {
+			context, policy, watches: new StreamWatches(context.clock), saltOf: workspace => this.#saltOf(workspace),
+		};
 	}
 
 	/**
@@ -60,7 +68,11 @@
 			}
 
 			const plan = {job, route, endpoint: choice.endpoint};
-			const attempt = new CompletionAttempt(this.#context, this.#policy, plan, beginAttempt(progress.relay));
+			if (count === 0) {
+				this.#repeats.attempted(route.workspace, choice.endpoint.name);
+			}
+
+			const attempt = new CompletionAttempt(this.#parts, plan, beginAttempt(progress.relay));
 			const {outcome, relay} = await attempt.run(sink);
 			if (outcome.kind === 'whole') {
 				return outcome.usage;
@@ -71,6 +83,9 @@
 			}
 
 			progress = this.#next(progress, {outcome, relay, endpoint: choice.endpoint.name});
+			if (outcome.avoid && !this.#repeats.takeRepeat(route.workspace, choice.endpoint.name)) {
+				break;
+			}
 		}
 
 		return this.#giveUp(job, progress, failedRetryMilliseconds);
@@ -97,7 +112,7 @@
 			mayHaveRun,
 			detail,
 			retryAfterMilliseconds,
-			isCancelled: job.signal.aborted,
+			cancelledBecause: job.signal.aborted ? (job.signal.reason as Error).message : undefined,
 			wasTried: relay.attempt > 0,
 			fullMilliseconds: this.#holds.shortestHold(names, this.#context.clock.now()),
 		});
@@ -105,8 +120,13 @@
 
 	/** An answer that has begun goes on only where the weight version that it began under still runs. */
 	#endpointsFor(job: CompletionJob, {relay}: Progress): readonly EndpointView[] {
+		const reachable = this.#reachable(job);
+		if (this.#holds.isEmpty && relay.tokensPassedOn === 0) {
+			return reachable;
+		}
+
 		const now = this.#context.clock.now();
-		return this.#reachable(job).filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
+		return reachable.filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
 			&& (relay.tokensPassedOn === 0 || endpoint.weightVersion === relay.weightVersion));
 	}
 
@@ -119,7 +139,13 @@
 
 	#pieceKeys(job: CompletionJob): RouteRequest['pieceKeys'] {
 		const {workspace, weightVersion} = job.route;
-		const salt = cacheSaltOf(this.#context.settings.cacheSecret, workspace);
-		return pieceKeysOf({salt, model: job.request.model, weightVersion}, job.prompt);
+		return pieceKeysOf({salt: this.#saltOf(workspace), model: job.request.model, weightVersion}, job.prompt);
+	}
+
+	/** A salt does not change while a process lives; there are as many as workspaces. */
+	#saltOf(workspace: string): string {
+		const salt = this.#salts.get(workspace) ?? cacheSaltOf(this.#context.settings.cacheSecret, workspace);
+		this.#salts.set(workspace, salt);
+		return salt;
 	}
 }
--- a/src/entry/callers/give-up.ts
+++ b/src/entry/callers/give-up.ts
@@ -6,8 +6,8 @@
 	relay: RelayState;
 	/** True once an engine may have worked on the prompt. */
 	mayHaveRun: boolean;
-	/** True when the caller hung up. */
-	isCancelled: boolean;
+	/** Why the request was cancelled, if it was. */
+	cancelledBecause: string | undefined;
 	/** What the last attempt said. */
 	detail: string;
 	/** True when an endpoint was left to try, or was tried. */
@@ -26,8 +26,8 @@
 export function giveUp(cause: LostCause): Refusal {
 	const {relay, detail, retryAfterMilliseconds, fullMilliseconds} = cause;
 	const ran = cause.mayHaveRun ? 'unknown' : 'not-run';
-	if (cause.isCancelled) {
-		return {reason: 'cancelled', ran, message: 'the caller hung up'};
+	if (cause.cancelledBecause !== undefined) {
+		return {reason: 'cancelled', ran, message: cause.cancelledBecause};
 	}
 
 	if (relay.tokensPassedOn > 0) {
