--- a/scripts/walk-operating.mjs
+++ b/scripts/walk-operating.mjs
@@ -1,7 +1,7 @@
 // Runs every command of docs/OPERATING.md, in the order of the page, against stand-ins on this machine. A block marked
 // `sh` is run to its end; `sh background NAME` is started and waited for until it prints its ready line; `sh table-down`
-// runs while the stand-in of the table service is down. Ends with 1 if any block ends otherwise than it should.
-import {spawn, spawnSync} from 'node:child_process';
+// runs while the stand-in of the table service is down, with or without `background NAME`. Ends with 1 if any block ends otherwise than it should.
+import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
 	chmodSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
@@ -98,36 +98,34 @@
 }
 
 /** Runs a block to its end. A line that starts with "! " must fail. */
-function runBlock(text) {
+async function runBlock(text) {
 	const script = text.replaceAll(/^! (?<command>.*)$/gmv, 'if $<command>; then exit 9; fi');
-	const ended = spawnSync('/bin/bash', ['-c', `set -e\n${script}`], {env: {...process.env, ...variables}, encoding: 'utf8', timeout: blockMilliseconds});
-	console.log(ended.stdout + ended.stderr);
+	const child = spawn('/bin/bash', ['-c', `set -e\n${script}`], {
+		env: {...process.env, ...variables}, stdio: ['ignore', 'inherit', 'inherit'], timeout: blockMilliseconds,
+	});
+	const [status] = await once(child, 'exit');
 	for (const {groups: {name, value}} of text.matchAll(/^export (?<name>\w+)=(?<value>.*)$/gmv)) {
 		variables[name] = value.replaceAll(/\$(?<variable>\w+)/gv, (_, variable) => variables[variable]);
 	}
 
-	return ended.status;
+	return status;
 }
 
 async function walk({kind, text}) {
 	console.log(`$ ${text.trimEnd().replaceAll('\n', '\n$ ')}`);
-	if (kind.startsWith('background ')) {
-		await startInBackground(kind.slice('background '.length), text);
-		return 0;
-	}
-
+	const background = /\bbackground (?<name>\S+)/v.exec(kind)?.groups.name;
+	const isTableDown = kind.startsWith('table-down');
 	if (text.includes('$REQUEST')) {
 		variables.REQUEST = await askOnce();
 	}
 
-	if (kind !== 'table-down') {
+	await setTableDown(isTableDown);
+	if (background === undefined) {
 		return runBlock(text);
 	}
 
-	await setTableDown(true);
-	const status = runBlock(text);
-	await setTableDown(false);
-	return status;
+	await startInBackground(background, text);
+	return 0;
 }
 
 async function startPlatform() {
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -3,6 +3,7 @@
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {badUsageExitCode} from '../settings/read-settings.js';
 import {programVersion} from '../shared/program-version.js';
 import {comparePolicies} from './compare/compare-policies.js';
 import {formatReport} from './compare/format-report.js';
@@ -55,7 +56,10 @@
 
 const program = new Command('savorygauge-load')
 	.description('plays workloads and compares policies')
-	.version(programVersion);
+	.version(programVersion)
+	.exitOverride(error => {
+		process.exit(error.exitCode === 0 ? 0 : badUsageExitCode);
+	});
 program.command('compare')
 	.description('plays a workload in virtual time with each policy and seed, and sets the measures side by side')
 	.requiredOption('--workload <file>', 'workload file; see workloads/')
