--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -154,6 +154,7 @@
 			version: version + 1, previousDigest: digest, digest: '', author: 'test', reason: 'for a test', acceptedAt: this.clock.now(), edits: changes,
 		};
 		this.context.configuration.offer({...change, digest: changeDigest(change)});
+		this.context.configuration.startGate.tableRead();
 	}
 
 	/** Lets every engine report for itself, as live and idle. */
