Have peers prove the shared secret, and end a link on a malformed message; capacity with kept prefixes as routing has them

Cause: whoever reached the peer address could bring a configuration into force; a message with members missing ended the process. Change: hello with a challenge, proof by keyed digest; a message that cannot be read ends its link alone. The capacity page counts the servers of all data centres and the prefixes that routing keeps.

--- a/src/bench/capacity/capacity-rows.ts
+++ b/src/bench/capacity/capacity-rows.ts
@@ -260,14 +260,14 @@
 		runs: 'owned-0, owned-16',
 	}, {
 		role: 'load knowledge',
-		quantity: 'state: servers of the data centre',
-		formula: 'intercept + slope × 1,500',
+		quantity: 'state: servers of all data centres, as the list gives them',
+		formula: 'intercept + slope × 12,000',
 		slope: `${shown('servers.heldBytes')} bytes a server`,
-		value: at('servers.heldBytes', target.serversPerDataCentre),
+		value: at('servers.heldBytes', target.servers),
 		bound: target.memoryBytes,
 		unit: 'bytes',
 		status: 'carried',
-		mechanism: 'name, data centre and owner of all; load of the cell\'s 126 alone',
+		mechanism: 'name, data centre and owner of all; load of the cell\'s alone',
 		runs: 'servers-50 to servers-12000',
 	}, {
 		role: 'load knowledge',
@@ -349,8 +349,8 @@
 	const pollPercent = value('poll-1', 'processorMicroseconds') * target.serversPerDaemon / microsecondsPerPercent;
 	const applyPercent = target.changesPerSecond * at('workspaces.processorMicroseconds', target.workspaces) / microsecondsPerPercent;
 	const memory = value('daemons-96', 'heldBytes') + at('workspaces.heldBytes', target.workspaces)
-		+ (line('changes.heldBytes').slope / changesMeasuredSeconds * keptChanges)
-		+ (line('prompts.heldBytes').slope * target.prompts * target.piecesPerPrompt / target.daemons);
+		+ at('servers.heldBytes', target.servers) + (line('changes.heldBytes').slope / changesMeasuredSeconds * keptChanges);
+	const directoryShard = line('prompts.heldBytes').slope * target.prompts * target.piecesPerPrompt / target.daemons;
 	return [{
 		role: 'control, together',
 		quantity: 'processor without the list',
@@ -364,15 +364,26 @@
 		runs: 'daemons-96, poll-1, workspaces-1800',
 	}, {
 		role: 'control, together',
-		quantity: 'memory, with the sharded directory',
-		formula: 'peers + workspaces + kept changes + directory shard',
+		quantity: 'memory without the cache directory',
+		formula: 'peers + servers + workspaces + kept changes',
 		slope: 'the rows above',
 		value: memory,
 		bound: target.memoryBytes,
 		unit: 'bytes',
 		status: 'carried',
 		mechanism: 'heap and buffers that control holds; the runtime itself is not counted',
-		runs: 'daemons-96, workspaces-1800, changes-10, prompts-730000',
+		runs: 'daemons-96, servers-12000, workspaces-1800, changes-10',
+	}, {
+		role: 'control, together',
+		quantity: 'memory with a sharded cache directory',
+		formula: 'the same + directory shard',
+		slope: 'the rows above',
+		value: memory + directoryShard,
+		bound: target.memoryBytes,
+		unit: 'bytes',
+		status: 'not carried yet',
+		mechanism: 'would fit; the shards are not built',
+		runs: 'daemons-96, servers-12000, workspaces-1800, changes-10, prompts-730000',
 	}, {
 		role: 'control, together',
 		quantity: 'bytes between daemons, both ways',
--- a/src/bench/capacity/target-lines.ts
+++ b/src/bench/capacity/target-lines.ts
@@ -62,7 +62,11 @@
 		mechanism: 'poll and fan-out; not while both readers of a data centre die at once',
 	},
 	{line: 'control at most 3.8% of a core', status: 'not carried yet', mechanism: 'carried without the platform list; see membership'},
-	{line: 'control at most 32 MB', status: 'carried', mechanism: 'see control, together'},
+	{
+		line: 'control at most 32 MB',
+		status: 'not carried yet',
+		mechanism: 'carried without the cache directory; what an instance keeps of prefixes is bounded by holder (4,096 pieces, 1.3 MB each), which is over 32 MB from 25 holders on; see cache directory',
+	},
 	{
 		line: 'control at most 4 KB a second',
 		status: 'not carried yet',
--- a/src/bench/slopes/bench-daemon.ts
+++ b/src/bench/slopes/bench-daemon.ts
@@ -34,6 +34,7 @@
 			instance: name,
 			dataCentre,
 			listenAddress: '127.0.0.1:0',
+			secret: 'secret of the bench',
 			clock: systemClock,
 			random: this.#random,
 			fanoutMode: 'announce',
--- a/src/entry/peers/entry-peers.ts
+++ b/src/entry/peers/entry-peers.ts
@@ -27,6 +27,7 @@
 			instance: settings.instance,
 			dataCentre: settings.dataCentre,
 			listenAddress: settings.peerListen,
+			secret: settings.cacheSecret,
 			seeds: settings.peerSeeds.split(',').filter(address => address !== ''),
 			clock,
 			random: this.random,
--- a/src/peer/link/peer-link.ts
+++ b/src/peer/link/peer-link.ts
@@ -1,8 +1,9 @@
 /**
- * One TCP connection to a peer: hello first, then messages. What cannot be sent fast enough is dropped and counted, as
+ * One TCP connection to a peer: hello first, then the proof of the shared secret, then messages. What cannot be sent fast enough is dropped and counted, as
  * every message is either repeated by itself or asked for again.
  */
 import {type Buffer} from 'node:buffer';
+import {createHmac, randomUUID} from 'node:crypto';
 import {type Socket} from 'node:net';
 import {createMessageReader, encodeMessage} from '../message/message-codec.js';
 import {
@@ -28,6 +29,8 @@
 /** What a link tells its owner. */
 export interface LinkOwner {
 	readonly versions: VersionRange;
+	/** The same on all instances; whoever does not know it is no peer. */
+	readonly secret: string;
 	self(): MemberRumour;
 	linkReady(link: PeerLink): void;
 	linkMessage(link: PeerLink, message: PeerMessage): void;
@@ -35,7 +38,7 @@
 }
 
 export class PeerLink {
-	/** The peer as its hello gave it; undefined until then. */
+	/** The peer as its hello gave it; undefined until it has proved that it is one. */
 	peer: MemberRumour | undefined;
 	/** The protocol version that both speak; 0 until the hello. */
 	version = 0;
@@ -46,6 +49,8 @@
 	readonly #owner: LinkOwner;
 	readonly #counts: LinkCounts;
 	readonly #reader = createMessageReader();
+	readonly #challenge = randomUUID();
+	#hello: Hello | undefined;
 	#closeReason = 'connection ended';
 
 	/**
@@ -111,7 +116,9 @@
 	}
 
 	#sayHello(): void {
-		this.send({kind: 'hello', versions: this.#owner.versions, from: this.#owner.self()});
+		this.send({
+			kind: 'hello', versions: this.#owner.versions, from: this.#owner.self(), challenge: this.#challenge,
+		});
 	}
 
 	#take(bytes: Buffer): void {
@@ -121,13 +128,23 @@
 				this.close(`broken frame: ${error.kind}`);
 			},
 			Right: values => {
-				for (const value of values) {
-					this.#takeMessage(value);
-				}
+				this.#takeAll(values);
 			},
 		});
 	}
 
+	#takeAll(values: readonly unknown[]): void {
+		try {
+			for (const value of values) {
+				this.#takeMessage(value);
+			}
+		} catch (error) {
+			// A message with members missing or of another type, from a faulty release, would otherwise end the process and
+			// with it the data path. The link is of no use, but nothing else is touched.
+			this.close(`malformed message: ${String(error)}`);
+		}
+	}
+
 	#takeMessage(value: unknown): void {
 		this.#counts.messagesIn++;
 		this.received++;
@@ -141,8 +158,10 @@
 		const message = value as PeerMessage;
 		if (message.kind === 'hello') {
 			this.#takeHello(message);
+		} else if (message.kind === 'proof') {
+			this.#takeProof(message.digest);
 		} else if (this.peer === undefined) {
-			this.close('message before hello');
+			this.close('message before the proof');
 		} else {
 			this.#owner.linkMessage(this, message);
 		}
@@ -156,8 +175,27 @@
 		}
 
 		this.version = version;
+		this.#hello = hello;
+		this.send({kind: 'proof', digest: this.#proofOf(this.#owner.self().name, hello.challenge)});
+	}
+
+	/**
+	 * Configuration is taken from peers, so whoever can connect could otherwise bring a configuration of its own into
+	 * force. The proof covers this side's challenge, so that one overheard on another link is worth nothing.
+	 */
+	#takeProof(digest: string): void {
+		const hello = this.#hello;
+		if (hello === undefined || digest !== this.#proofOf(hello.from.name, this.#challenge)) {
+			this.close('no proof of the shared secret');
+			return;
+		}
+
 		this.peer = hello.from;
 		this.#socket.setTimeout(0);
 		this.#owner.linkReady(this);
 	}
+
+	#proofOf(name: string, challenge: string): string {
+		return createHmac('sha256', this.#owner.secret).update(`peer-link|${name}|${challenge}`).digest('hex');
+	}
 }
--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -1,17 +1,19 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {createHmac} from 'node:crypto';
+import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {systemClock} from '../../adapters/system-clock.js';
 import {changeOf} from '../../bench/bench-changes.js';
 import {VirtualKeeper} from '../../bench/virtual-peers.js';
 import {encodeFrame, frameLimitBytes} from '../framing/frame-codec.js';
-import {encodeMessage} from '../message/message-codec.js';
-import {spokenVersions, type VersionRange} from '../message/peer-message.js';
+import {createMessageReader, encodeMessage} from '../message/message-codec.js';
+import {type Hello, spokenVersions, type VersionRange} from '../message/peer-message.js';
 import {seededRandom} from '../random/seeded-random.js';
 import {PeerService} from './peer-service.js';
 
+const usualSecret = 'secret of the test';
 const stepMilliseconds = 10;
 const limitMilliseconds = 10_000;
 
@@ -23,9 +25,9 @@
 	readonly #stop = new AbortController();
 	#ended: Promise<void> = Promise.resolve();
 
-	constructor(readonly name: string, versions: VersionRange = spokenVersions, seeds: string[] = []) {
+	constructor(readonly name: string, versions: VersionRange = spokenVersions, seeds: string[] = [], secret = usualSecret) {
 		this.service = new PeerService({
-			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock: systemClock, versions, seeds, keeper: this.keeper, random: seededRandom(7), fanoutMode: 'announce',
+			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock: systemClock, secret, versions, seeds, keeper: this.keeper, random: seededRandom(7), fanoutMode: 'announce',
 			listener: {
 				loadsLearned: () => undefined,
 				snapshotOffered: () => false,
@@ -64,6 +66,21 @@
 	}
 }
 
+/** Connects as the peer `b`, says hello and proves the secret; reads nothing after that. */
+async function connectAsPeer(one: Running): Promise<Socket> {
+	const socket = connect({host: '127.0.0.1', port: Number(one.address.split(':')[1])});
+	socket.write(encodeMessage({
+		kind: 'hello', versions: {least: 1, newest: 1}, challenge: '', from: {
+			name: 'b', dataCentre: 'split', peerAddress: '127.0.0.1:1', incarnation: 1, status: 'alive',
+		},
+	}));
+	const [bytes] = await once(socket, 'data') as [Buffer];
+	const [hello] = createMessageReader().read(bytes).unsafeCoerce() as [Hello];
+	const digest = createHmac('sha256', usualSecret).update(`peer-link|b|${hello.challenge}`).digest('hex');
+	socket.write(encodeMessage({kind: 'proof', digest}));
+	return socket;
+}
+
 async function together(running: readonly Running[]): Promise<void> {
 	await Promise.all(running.map(async one => one.start()));
 	for (const {service} of running) {
@@ -115,14 +132,9 @@
 
 test('a peer that reads nothing holds a bounded queue, and the rest is dropped and counted', async () => {
 	const one = await new Running('a').start();
-	const socket = connect({host: '127.0.0.1', port: Number(one.address.split(':')[1])});
-	socket.pause();
-	socket.write(encodeMessage({
-		kind: 'hello', versions: {least: 1, newest: 1}, from: {
-			name: 'b', dataCentre: 'split', peerAddress: '127.0.0.1:1', incarnation: 1, status: 'alive',
-		},
-	}));
+	const socket = await connectAsPeer(one);
 	await until(() => one.service.linked.length === 1);
+	socket.pause();
 	for (let version = 1; one.service.counts.dropped === 0; version++) {
 		assert.ok(version < 200_000, 'nothing is dropped');
 		one.service.leave();
@@ -132,6 +144,28 @@
 	await one.stop();
 });
 
+test('a peer that sends a message with members missing is cut off, and the process goes on', async () => {
+	// A faulty release sends a view without members. Reading it throws; that must end the link and not the data path.
+	const one = await new Running('a').start();
+	const socket = await connectAsPeer(one);
+	await until(() => one.service.linked.length === 1);
+	socket.resume();
+	socket.write(encodeFrame({kind: 'view'}));
+	await once(socket, 'close');
+	await until(() => one.closed.length === 1);
+	assert.match(one.closed[0]!, /malformed message/v);
+	await one.stop();
+});
+
+test('whoever does not know the shared secret is no peer', async () => {
+	// It could otherwise bring a configuration of its own into force everywhere.
+	const [first, stranger] = [new Running('a'), new Running('b', spokenVersions, [], 'another secret')];
+	await together([first, stranger]);
+	await until(() => first.service.counts.messagesIn > 1 && stranger.service.counts.messagesIn > 1);
+	assert.deepEqual([first.service.linked, stranger.service.linked], [[], []]);
+	await Promise.all([first.stop(), stranger.stop()]);
+});
+
 test('a peer that starts anew is linked again', async () => {
 	const first = new Running('a');
 	const second = new Running('b');
--- a/src/peer/link/peer-service.ts
+++ b/src/peer/link/peer-service.ts
@@ -42,6 +42,8 @@
 	dataCentre: string;
 	/** `IP:port`; port 0 takes a free one. */
 	listenAddress: string;
+	/** The same on all instances. */
+	secret: string;
 	clock: Clock;
 	/** Addresses to dial while there is no link at all, for a start without the platform's list. */
 	seeds?: readonly string[];
@@ -54,6 +56,7 @@
 export class PeerService implements Child, LinkOwner {
 	readonly name = 'peers';
 	readonly versions: VersionRange;
+	readonly secret: string;
 	readonly counts: LinkCounts = {
 		bytesIn: 0, bytesOut: 0, messagesIn: 0, messagesOut: 0, dropped: 0, unknownKinds: 0,
 	};
@@ -71,6 +74,7 @@
 	constructor(options: PeerServiceOptions) {
 		this.#options = options;
 		this.versions = options.versions ?? spokenVersions;
+		this.secret = options.secret;
 		this.#server = createServer(socket => {
 			this.#accept(socket);
 		});
--- a/src/peer/message/peer-message.ts
+++ b/src/peer/message/peer-message.ts
@@ -46,8 +46,8 @@
 	kvShare: number;
 };
 
-/** The first message of each side. */
-export type Hello = {kind: 'hello'; versions: VersionRange; from: MemberRumour};
+/** The first message of each side. `challenge` is random text that the other side's proof has to cover. */
+export type Hello = {kind: 'hello'; versions: VersionRange; from: MemberRumour; challenge: string};
 
 /** What every heartbeat announces, so that whoever missed something learns of it from the next one. */
 export type Heartbeat = {
@@ -70,6 +70,7 @@
 /** Any message. In `loads`, `age` is that of the oldest report, for clocks of two instances are never compared. */
 export type PeerMessage
 	= | Hello
+		| {kind: 'proof'; digest: string}
 		| Heartbeat
 		| {kind: 'view'; members: MemberRumour[]}
 		| {kind: 'ask-changes'; after: number}
@@ -81,7 +82,7 @@
 
 /** All kinds, to tell a message of a later release from one that is malformed. */
 export const peerMessageKinds: ReadonlySet<string> = new Set<PeerMessageKind>([
-	'hello', 'heartbeat', 'view', 'ask-changes', 'changes', 'snapshot', 'loads',
+	'hello', 'proof', 'heartbeat', 'view', 'ask-changes', 'changes', 'snapshot', 'loads',
 ]);
 
 /**
--- a/src/peer/node/peer-node.ts
+++ b/src/peer/node/peer-node.ts
@@ -140,7 +140,8 @@
 	/** Takes a message. */
 	takeMessage(from: string, message: PeerMessage, now: number): Outgoing[] {
 		switch (message.kind) {
-			case 'hello': {
+			case 'hello':
+			case 'proof': {
 				break;
 			}
 
