--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -25,6 +25,9 @@
 
 export const defaultBodyLimitBytes = 8_388_608;
 
+const hangUpReason = new Error('the caller hung up');
+const operatorReason = new Error('an operator cancelled the request');
+
 /** What the routes pass work on to. */
 export type CallerParts = {
 	gate: AdmissionGate;
@@ -62,7 +65,7 @@
 		const healthz: EventHandler = () => ({status: 'alive'});
 		const readyz: EventHandler = event => {
 			const {draining, configuration, endpoints} = this.#context;
-			const ready = !draining && configuration.state.version > 0 && endpoints.isKnown;
+			const ready = !draining && configuration.startGate.isOpen && configuration.state.version > 0 && endpoints.isKnown;
 			event.res.status = ready ? 200 : 503;
 			return {ready, configurationVersion: configuration.state.version};
 		};
@@ -113,15 +116,15 @@
 		const hangUp = new AbortController();
 		const job = this.#jobOf({workspace, completion, service}, {request, arrivedAt, signal: hangUp.signal});
 		const {requestId, priority} = job.route;
-		const cancel = (): void => {
-			hangUp.abort();
+		const cancel = (reason = operatorReason): void => {
+			hangUp.abort(reason);
 			this.#parts.gate.cancel(requestId);
 		};
 
 		response.once('close', () => {
 			this.#context.requests.end(requestId);
 			if (!response.writableFinished) {
-				cancel();
+				cancel(hangUpReason);
 			}
 		});
 		this.#context.requests.begin({
@@ -241,6 +244,12 @@
 			});
 		}
 
+		if (!this.#context.configuration.startGate.isOpen) {
+			return Left({
+				reason: 'stale-configuration', ran: 'not-run', message: 'this instance has just started and learns the configuration', retryAfterMilliseconds: 1000,
+			});
+		}
+
 		return authenticate(this.#context.configuration.state, request.headers.authorization);
 	}
 
