Pass a hang-up on to plain services, and report open requests and whole times

Cause: a caller who hung up on an unclaimed call to a plain service left it running for up to 30 s; two declared metrics and the event of a cancelled request were never reported; two tests ran good requests under time limits of 0.3 s, which a busy machine could exceed. Ruled out: cancelling claimed calls as well; their answer is recorded for the repeat.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -166,6 +166,7 @@
 		timeline.record({
 			kind: 'request-finished', at: clock.now(), requestId, workspace,
 		});
+		metrics.report('request.whole_time', clock.now() - job.arrivedAt, {priority: job.route.priority, service});
 		metrics.report('request.prompt_tokens', usage.promptTokens, {service});
 		metrics.report('request.recomputed_tokens', usage.promptTokens - usage.cachedTokens, {service});
 	}
@@ -174,7 +175,7 @@
 		const {timeline, clock, metrics} = this.#context;
 		writer.fail(refusal);
 		timeline.record({
-			kind: 'request-refused', at: clock.now(), ...common, detail: `${refusal.reason} ${refusal.ran}`,
+			kind: refusal.reason === 'cancelled' ? 'request-cancelled' : 'request-refused', at: clock.now(), ...common, detail: `${refusal.reason} ${refusal.ran}`,
 		});
 		metrics.report('request.refused', 1, {reason: refusal.reason, ran: refusal.ran});
 	}
@@ -232,7 +233,12 @@
 	#enter({request, response}: NodeExchange): Either<Refusal, WorkspaceItem> {
 		const {limits} = this.#context.configuration.state;
 		return this.#workspaceOf(request).chain(workspace => this.#open.enter(workspace.name, limits).map(leave => {
-			response.once('close', leave);
+			const {metrics} = this.#context;
+			metrics.report('request.open', this.#open.total);
+			response.once('close', () => {
+				leave();
+				metrics.report('request.open', this.#open.total);
+			});
 			return workspace;
 		}));
 	}
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -67,22 +67,23 @@
 			requestId, workspace: workspace.name, service: service.name, priority: workspace.priority, arrivedAt: clock.now(),
 		});
 		requests.admit(requestId);
-		answer(response, await this.#run(plainRequest, version));
+		answer(response, await this.#run(plainRequest, {version, hangUp: hangUpOf(response)}));
 		requests.end(requestId);
 	}
 
-	async #run(request: PlainRequest, configurationVersion: number): Promise<Either<Refusal, PlainAnswer>> {
+	async #run(request: PlainRequest, {version, hangUp}: {version: number; hangUp: AbortSignal}): Promise<Either<Refusal, PlainAnswer>> {
 		const {workspace, service, call, idempotencyKey} = request;
 		if (idempotencyKey === undefined || !needsClaim(service, call)) {
-			const sent = await this.#send(request);
+			const sent = await this.#send(request, hangUp);
 			return sent.mapLeft(refusalOf);
 		}
 
 		return this.#neverTwice.run({
 			claimKey: claimKeyOf(workspace.name, service.name, idempotencyKey),
 			bodyDigest: digestOf(`${call.method} ${call.path}\n${call.body.toString('base64')}`),
-			configurationVersion,
+			configurationVersion: version,
 			refuseByConfiguration: () => this.#refuse(workspace.name, service.name),
+			// A claimed call goes on when its caller hangs up: its answer is recorded for the repeat.
 			send: async () => this.#send(request),
 			askAt: `/v1/calls/${encodeURIComponent(service.name)}/${encodeURIComponent(idempotencyKey)}`,
 		});
@@ -107,9 +108,10 @@
 	 * Sends to one endpoint after the other. A failure before the first byte goes on to the next endpoint; a later one
 	 * only if the call is idempotent: else the next endpoint could run it a second time.
 	 */
-	async #send({service, call}: PlainRequest): Promise<Either<PlainFailure, PlainAnswer>> {
+	async #send({service, call}: PlainRequest, hangUp?: AbortSignal): Promise<Either<PlainFailure, PlainAnswer>> {
 		const {endpoints, settings, plain} = this.#context;
-		const signal = AbortSignal.timeout(callTimeoutMilliseconds);
+		const timeout = AbortSignal.timeout(callTimeoutMilliseconds);
+		const signal = hangUp === undefined ? timeout : AbortSignal.any([timeout, hangUp]);
 		const mayRepeat = idempotentMethods.has(call.method) && !isNeverTwice(service, call);
 		let mayHaveRun = false;
 		let sent: Either<PlainFailure, PlainAnswer> = Left({kind: 'not-sent', detail: 'no endpoint is live'});
@@ -139,6 +141,17 @@
 	return isUsable ? Right(key) : Left({reason: 'bad-request', ran: 'not-run', message: `an idempotency key has 1 to ${longestKeyCharacters} characters`});
 }
 
+/** Aborts when the caller is gone before its answer is. */
+function hangUpOf(response: ServerResponse): AbortSignal {
+	const hangUp = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			hangUp.abort();
+		}
+	});
+	return hangUp.signal;
+}
+
 function isNeverTwice(service: PlainServiceItem, call: PlainCall): boolean {
 	return service.neverTwice.some(rule => rule.method === call.method && call.path.startsWith(rule.path));
 }
--- a/src/test/caller-limits.test.ts
+++ b/src/test/caller-limits.test.ts
@@ -8,11 +8,11 @@
 } from './raw-http.js';
 import {TestEntry, testKey} from './test-entry.js';
 
-const bounds = {
+const shortBounds = {
 	...defaultListenerBounds, headersTimeoutMilliseconds: 300, requestTimeoutMilliseconds: 400, checkMilliseconds: 50,
 };
 const authorization = `Bearer ${testKey}`;
-const entry = new TestEntry(bounds);
+const entry = new TestEntry();
 
 before(async () => {
 	await entry.start();
@@ -92,9 +92,12 @@
 	assert.equal(statusOf(answer), 200);
 });
 
-test('a client that sends its headers or its body too slowly gets 408', async () => {
-	const slowHeaders = await exchangeRaw(entry.callersAddress, 'GET /healthz HTTP/1.1\r\nhost: x\r\n');
-	const slowBody = await exchangeRaw(entry.callersAddress, `${completion(prompt('slow')).slice(0, -5)}`);
+test('a client that sends its headers or its body too slowly gets 408', async t => {
+	const strict = new TestEntry(shortBounds);
+	await strict.start();
+	t.after(async () => strict.stop());
+	const slowHeaders = await exchangeRaw(strict.callersAddress, 'GET /healthz HTTP/1.1\r\nhost: x\r\n');
+	const slowBody = await exchangeRaw(strict.callersAddress, `${completion(prompt('slow')).slice(0, -5)}`);
 	for (const answer of [slowHeaders, slowBody]) {
 		assert.equal(statusOf(answer), 408);
 		assert.equal(errorCodeOf(answer), 'too-slow');
@@ -136,6 +139,16 @@
 	assert.equal(entry.engine.cancelled, cancelledBefore + 1);
 });
 
+test('a caller who hangs up on an idempotent call to a plain service cancels it', async () => {
+	entry.plain.isHeld = true;
+	const socket = await openSocket(entry.callersAddress);
+	socket.write(rawRequest({method: 'GET', path: '/services/bookings/bookings/pitch-4', headers: {authorization}}));
+	await entry.plain.called();
+	socket.destroy();
+	await entry.plain.cancelled();
+	entry.plain.isHeld = false;
+});
+
 test('HEAD, OPTIONS, wrong and unknown methods get what HTTP has for them', async () => {
 	const ask = async (method: string, path: string): Promise<string> => exchangeRaw(entry.callersAddress, rawRequest({method, path, headers: {authorization, ...close}}));
 	const head = await ask('HEAD', '/v1/models');
--- a/src/test/drain.test.ts
+++ b/src/test/drain.test.ts
@@ -7,7 +7,7 @@
 } from './raw-http.js';
 import {TestEntry, testKey} from './test-entry.js';
 
-const bounds = {
+const shortBounds = {
 	...defaultListenerBounds, headersTimeoutMilliseconds: 300, requestTimeoutMilliseconds: 300, checkMilliseconds: 50,
 };
 
@@ -35,7 +35,7 @@
 	// Ten callers are in the middle of their answers when the entry is told to stop. Readiness goes off first; the ten
 	// get their answers whole, and their connections are closed behind them. A drain that waited for the callers to close
 	// keep-alive connections by themselves would never end.
-	const entry = new TestEntry(bounds);
+	const entry = new TestEntry();
 	await entry.start();
 	const answers = await openStreams(entry, 10);
 	const watcher = await openSocket(entry.callersAddress);
@@ -60,7 +60,7 @@
 test('a stop does not wait for connections that are idle, silent or half-sent', async () => {
 	// One connection has had its answer, one never sent a byte, one stopped in the middle of its headers, one in the
 	// middle of its body. None of them has a request that a stop could cut off.
-	const entry = new TestEntry(bounds);
+	const entry = new TestEntry(shortBounds);
 	await entry.start();
 	const [idle, silent, halfHeaders, halfBody] = await Promise.all([1, 2, 3, 4].map(async () => openSocket(entry.callersAddress)));
 	idle!.write(healthRequest);
@@ -79,7 +79,7 @@
 });
 
 test('a request that arrives on an open connection during a stop is refused as not run, and told to go elsewhere', async () => {
-	const entry = new TestEntry(bounds);
+	const entry = new TestEntry();
 	await entry.start();
 	const socket = await openSocket(entry.callersAddress);
 	const [head, body] = streamRequest('late').split('\r\n\r\n') as [string, string];
--- a/src/test/memory-plain-service.ts
+++ b/src/test/memory-plain-service.ts
@@ -1,5 +1,6 @@
 /** A booking service in memory. It counts what it ran, so that a second run is seen here and not by our own word. */
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
 	type PlainAnswer, type PlainCall, type PlainFailure, type PlainService,
@@ -10,8 +11,19 @@
 	/** How many coming calls run and then lose their answer. */
 	loseAnswers = 0;
 
-	async call(_address: string, call: PlainCall): Promise<Either<PlainFailure, PlainAnswer>> {
+	/** While true, calls get no answer until they are given up. */
+	isHeld = false;
+	readonly #events = new EventTarget();
+
+	async call(_address: string, call: PlainCall, signal: AbortSignal): Promise<Either<PlainFailure, PlainAnswer>> {
 		this.calls.push(call);
+		this.#events.dispatchEvent(new Event('called'));
+		if (this.isHeld) {
+			await once(signal, 'abort');
+			this.#events.dispatchEvent(new Event('cancelled'));
+			return Left({kind: 'outcome-unknown', detail: 'given up'});
+		}
+
 		if (this.loseAnswers > 0) {
 			this.loseAnswers--;
 			return Left({kind: 'outcome-unknown', detail: 'ECONNRESET: the connection was cut'});
@@ -21,4 +33,14 @@
 		const body = Buffer.from(JSON.stringify({booking, confirmation: `confirmed-${booking}`, run: this.calls.length}));
 		return Right({status: 201, headers: {'content-type': 'application/json'}, body});
 	}
+
+	/** Resolves at the next call. */
+	async called(): Promise<void> {
+		await once(this.#events, 'called');
+	}
+
+	/** Resolves when the next held call is given up. */
+	async cancelled(): Promise<void> {
+		await once(this.#events, 'cancelled');
+	}
 }
