--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -3,6 +3,7 @@
  * that is due when a stream breaks. Prompts are idempotent, so an attempt may be repeated; the caller sees one answer.
  */
 import {cacheSaltOf, pieceKeysOf} from '../../cache/piece-keys.js';
+import {RetryBudget} from '../../decision/limits/retry-budget.js';
 import {type EndpointView, type RouteRequest, type RoutingPolicy} from '../../decision/routing/routing-policy.js';
 import {
 	beginAttempt, emptyAnswer, forgetTokens, type RelayState,
@@ -33,6 +34,7 @@
 	readonly #holds = new EndpointHolds();
 	readonly #parts: AttemptParts;
 	readonly #salts = new Map<string, string>();
+	readonly #repeats = new RetryBudget();
 
 	constructor(context: EntryContext, policy: RoutingPolicy) {
 		this.#context = context;
@@ -66,6 +68,10 @@
 			}
 
 			const plan = {job, route, endpoint: choice.endpoint};
+			if (count === 0) {
+				this.#repeats.attempted(route.workspace, choice.endpoint.name);
+			}
+
 			const attempt = new CompletionAttempt(this.#parts, plan, beginAttempt(progress.relay));
 			const {outcome, relay} = await attempt.run(sink);
 			if (outcome.kind === 'whole') {
@@ -77,6 +83,9 @@
 			}
 
 			progress = this.#next(progress, {outcome, relay, endpoint: choice.endpoint.name});
+			if (outcome.avoid && !this.#repeats.takeRepeat(route.workspace, choice.endpoint.name)) {
+				break;
+			}
 		}
 
 		return this.#giveUp(job, progress, failedRetryMilliseconds);
@@ -111,8 +120,13 @@
 
 	/** An answer that has begun goes on only where the weight version that it began under still runs. */
 	#endpointsFor(job: CompletionJob, {relay}: Progress): readonly EndpointView[] {
+		const reachable = this.#reachable(job);
+		if (this.#holds.isEmpty && relay.tokensPassedOn === 0) {
+			return reachable;
+		}
+
 		const now = this.#context.clock.now();
-		return this.#reachable(job).filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
+		return reachable.filter(endpoint => !this.#holds.isHeld(endpoint.name, now)
 			&& (relay.tokensPassedOn === 0 || endpoint.weightVersion === relay.weightVersion));
 	}
 
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -57,7 +57,11 @@
 ];
 
 /** An entry that knows no peer. */
-const alone = {overview: () => ({version: 0, members: [], links: []})};
+const alone = {
+	overview: () => ({
+		isReader: true, ownedEndpoints: [], linked: [], counts: {}, members: [],
+	}),
+};
 
 export class TestEntry {
 	readonly clock = new ManualClock(startOfTime);
@@ -82,6 +86,7 @@
 				listen: '127.0.0.1:0',
 				operatorListen: '127.0.0.1:0',
 				peerListen: '127.0.0.1:0',
+				peerSeeds: '',
 				operatorKey: testOperatorKey,
 				cacheSecret: 'cache-secret-in-tests',
 				tableAddress: '',
@@ -149,6 +154,7 @@
 			version: version + 1, previousDigest: digest, digest: '', author: 'test', reason: 'for a test', acceptedAt: this.clock.now(), edits: changes,
 		};
 		this.context.configuration.offer({...change, digest: changeDigest(change)});
+		this.context.configuration.startGate.tableRead();
 	}
 
 	/** Lets every engine report for itself, as live and idle. */
