Send calls that may not be repeated on fresh connections

Cause: on a kept connection that a plain service closes just as a call leaves, the outcome is unknown although nothing ran. Pipelining 0 of undici hung and was not kept. A longer keep-alive of our listener was tried and reverted: tests that wait for its end hung.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -7,7 +7,8 @@
 import {type JsonValue} from '../shared/types.js';
 
 const connectTimeoutMilliseconds = 1000;
-const idleConnectionMilliseconds = 10_000;
+/** Shorter than the 5 s after which many servers close an idle connection without having said so. */
+const idleConnectionMilliseconds = 4000;
 
 /** The connection pool of this process. */
 export const connectionPool = new Agent({
@@ -16,6 +17,16 @@
 	pipelining: 1,
 });
 
+/**
+ * Makes a connection for each request. On a kept connection that the other side closes just as a request leaves, nobody
+ * can tell whether the request was read; for a call that may not be repeated that is an outcome nobody knows. On a fresh
+ * connection a failure to connect is surely before the first byte.
+ */
+export const freshConnectionPool = new Agent({
+	connect: {timeout: connectTimeoutMilliseconds},
+	pipelining: 1,
+});
+
 /** The answer to a JSON exchange. */
 export type JsonAnswer = {
 	status: number;
--- a/src/adapters/http-plain-service.ts
+++ b/src/adapters/http-plain-service.ts
@@ -4,8 +4,11 @@
 import {
 	type PlainAnswer, type PlainCall, type PlainFailure, type PlainService,
 } from '../ports/plain-service.js';
-import {connectionPool, describeError, failedBeforeAnyByte} from './http-client.js';
+import {
+	connectionPool, describeError, failedBeforeAnyByte, freshConnectionPool,
+} from './http-client.js';
 
+const repeatableMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const headersNotPassedOn = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
 
 export class HttpPlainService implements PlainService {
@@ -15,12 +18,14 @@
 		}
 
 		try {
-			const answer = await connectionPool.request({
+			const isRepeatable = repeatableMethods.has(call.method);
+			const answer = await (isRepeatable ? connectionPool : freshConnectionPool).request({
 				origin: `http://${address}`,
 				path: call.path,
 				method: call.method,
 				headers: {...call.headers, 'x-request-id': call.requestId},
 				body: call.body.length === 0 ? null : call.body,
+				reset: !isRepeatable,
 				signal,
 			});
 			const body = Buffer.from(await answer.body.arrayBuffer());
