--- a/src/protocol/configuration/start-gate.ts
+++ b/src/protocol/configuration/start-gate.ts
@@ -16,7 +16,7 @@
 
 	/** True once the process may serve; it stays so. */
 	get isOpen(): boolean {
-		return this.#isOpen || this.#heardAt !== -1;
+		return this.#isOpen;
 	}
 
 	/** The table was read to its end, so the newest accepted version is in force here. */
