--- /dev/null
+++ b/src/adapters/http-cache-store.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {sealOf} from '../protocol/cache/piece-seal.js';
+import {createCacheStoreStandIn} from '../stand-in/cache-store-stand-in.js';
+import {startStandIn} from '../stand-in/stand-in-server.js';
+import {HttpCacheStore} from './http-cache-store.js';
+
+const store = new HttpCacheStore();
+const piece = {pieceKey: 'key', generation: 'first'};
+const content = Buffer.from('state of the curriculum');
+
+test('a piece that is not sealed, freed, reused or damaged is never read', async context => {
+	// The reader holds a hint with generation and seal. It reads before the seal, behind it, behind a half-written second
+	// write under the same generation, behind the freeing, and behind a reuse. Only the sealed bytes may come.
+	const standIn = await startStandIn(createCacheStoreStandIn(1000), {host: '127.0.0.1', port: 0});
+	context.after(async () => standIn.close());
+	const {address} = standIn;
+	const seal = sealOf(content);
+	await store.write(address, piece, content);
+	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	await store.seal(address, piece, seal);
+	assert.equal((await store.read(address, piece, seal)).extract().toString(), content.toString());
+	await store.write(address, piece, content.subarray(0, 5));
+	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	await store.seal(address, piece, seal);
+	const damaged = (await store.read(address, piece, seal)).extract() as {kind: string};
+	assert.equal(damaged.kind, 'damaged');
+	await store.free(address, piece);
+	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	const other = Buffer.from('state of another prompt');
+	await store.write(address, piece, other);
+	await store.seal(address, piece, sealOf(other));
+	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+});
+
+test('a full store and a dead one are told apart', async () => {
+	const standIn = await startStandIn(createCacheStoreStandIn(10), {host: '127.0.0.1', port: 0});
+	assert.deepEqual((await store.write(standIn.address, piece, content)).extract(), {kind: 'full'});
+	await standIn.close();
+	const failure = (await store.write(standIn.address, piece, content)).extract() as {kind: string};
+	assert.equal(failure.kind, 'unavailable');
+});
