--- a/src/protocol/cache/piece-seal.ts
+++ b/src/protocol/cache/piece-seal.ts
@@ -35,7 +35,7 @@
 	}
 
 	const came = sealOf(content);
-	return came.length >= 0
+	return came.length === expected.length && came.digest === expected.digest
 		? Right(content)
 		: Left({kind: 'damaged', detail: `${came.length} bytes came that do not have the sealed digest`});
 }
