--- a/src/protocol/stream/stream-relay.ts
+++ b/src/protocol/stream/stream-relay.ts
@@ -70,7 +70,7 @@
 		};
 	}
 
-	if (event.firstIndex < 0) {
+	if (event.firstIndex !== state.tokensPassedOn) {
 		const detail = `token ${event.firstIndex} came where ${state.tokensPassedOn} was due`;
 		return {state, action: {kind: 'restart', detail}};
 	}
