--- a/src/adapters/http-cache-store.test.ts
+++ b/src/adapters/http-cache-store.test.ts
@@ -17,27 +17,33 @@
 	context.after(async () => standIn.close());
 	const {address} = standIn;
 	const seal = sealOf(content);
+	const readPiece = async (): Promise<unknown> => {
+		const result = await store.read(address, piece, seal);
+		return result.extract();
+	};
+
 	await store.write(address, piece, content);
-	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	assert.deepEqual(await readPiece(), {kind: 'absent'});
 	await store.seal(address, piece, seal);
-	assert.equal((await store.read(address, piece, seal)).extract().toString(), content.toString());
+	assert.deepEqual(await readPiece(), content);
 	await store.write(address, piece, content.subarray(0, 5));
-	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	assert.deepEqual(await readPiece(), {kind: 'absent'});
 	await store.seal(address, piece, seal);
-	const damaged = (await store.read(address, piece, seal)).extract() as {kind: string};
+	const damaged = await readPiece() as {kind: string};
 	assert.equal(damaged.kind, 'damaged');
 	await store.free(address, piece);
-	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	assert.deepEqual(await readPiece(), {kind: 'absent'});
 	const other = Buffer.from('state of another prompt');
 	await store.write(address, piece, other);
 	await store.seal(address, piece, sealOf(other));
-	assert.deepEqual((await store.read(address, piece, seal)).extract(), {kind: 'absent'});
+	assert.deepEqual(await readPiece(), {kind: 'absent'});
 });
 
 test('a full store and a dead one are told apart', async () => {
 	const standIn = await startStandIn(createCacheStoreStandIn(10), {host: '127.0.0.1', port: 0});
-	assert.deepEqual((await store.write(standIn.address, piece, content)).extract(), {kind: 'full'});
+	const full = await store.write(standIn.address, piece, content);
+	assert.deepEqual(full.extract(), {kind: 'full'});
 	await standIn.close();
-	const failure = (await store.write(standIn.address, piece, content)).extract() as {kind: string};
-	assert.equal(failure.kind, 'unavailable');
+	const dead = await store.write(standIn.address, piece, content);
+	assert.equal((dead.extract() as {kind: string}).kind, 'unavailable');
 });
