Test a graceful stop, a leaving endpoint and a change over real processes

Failed first: the list stand-in's lag is retroactive, so a lag of 30 s in a deployment younger than that makes the list empty, and the entry then knows no endpoint (20 of 20 prompts refused). The test now leaves the list calling the endpoint live instead. Whether an empty list should wipe out known endpoints is open.

--- /dev/null
+++ b/src/test/process-operations.test.ts
@@ -0,0 +1,87 @@
+/** What callers and operators see of a graceful stop, a leaving endpoint and a configuration change, over real processes. */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {sendPrompt} from '../demo/demo-client.js';
+import {type DeployedProcess, Deployment} from '../demo/deployment.js';
+import {engineAnswerTo} from '../stand-in/engine-token-at.js';
+
+const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
+const changedDeclarationPath = fileURLToPath(new URL('../../examples/demo-changed.yaml', import.meta.url));
+const leavingBoundMilliseconds = 3000;
+const configurationBoundMilliseconds = 3000;
+const lookMilliseconds = 20;
+
+async function startDeployment(): Promise<Deployment> {
+	const deployment = new Deployment({
+		dataCentres: ['split-riva'],
+		entriesPerDataCentre: 3,
+		enginesPerDataCentre: 2,
+		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		plainService: 'bookings',
+		engineArguments: ['--milliseconds-per-token', '20', '--batch-limit', '64'],
+	});
+	await deployment.start();
+	await deployment.apply(declarationPath, 'test', () => undefined);
+	return deployment;
+}
+
+async function ask(entry: DeployedProcess, content: string, maxTokens: number): Promise<boolean> {
+	const result = await sendPrompt({
+		entry: entry.listed.address, key: 'quay-demo-key', model: 'permit-1', content, maxTokens, stream: true,
+	}, () => performance.now());
+	return result.status === 200 && result.text === engineAnswerTo(`user: ${content}`, maxTokens);
+}
+
+async function countOf(deployment: Deployment, engine: DeployedProcess, name: 'running' | 'completions'): Promise<number> {
+	const counts = await deployment.countsOf(engine.listed.address);
+	return Number(counts[name]);
+}
+
+test('over real processes: a graceful stop, a leaving endpoint and a configuration change', async context => {
+	const deployment = await startDeployment();
+	context.after(async () => deployment.stop());
+	const [leaver, stays] = deployment.withRole('entry');
+	const engines = deployment.withRole('model-engine');
+
+	await context.test('an accepted change is in force on every instance within 3 s', async () => {
+		// An operator applies a change at one entry; each of the three entries says which version it has in force.
+		const acceptedAt = performance.now();
+		await deployment.apply(changedDeclarationPath, 'test', () => undefined);
+		const took = performance.now() - acceptedAt;
+		assert.ok(took <= configurationBoundMilliseconds, `${took} ms`);
+	});
+
+	await context.test('a graceful stop under 50 open streams gives 50 whole answers', async () => {
+		// Fifty callers are in the middle of their streams when the entry is told to stop. Each gets its whole answer, and
+		// the process ends by itself behind the last one.
+		const exited = once(leaver!.process.child, 'exit');
+		const answers = Array.from({length: 50}, async (_, index) => ask(leaver!, `stream ${index}`, 100));
+		for (;;) {
+			const running = await Promise.all(engines.map(async engine => countOf(deployment, engine, 'running')));
+			if (running.reduce((sum, count) => sum + count, 0) === 50) {
+				break;
+			}
+
+			await delay(lookMilliseconds);
+		}
+
+		leaver!.process.child.kill('SIGTERM');
+		const whole = await Promise.all(answers);
+		assert.equal(whole.filter(Boolean).length, 50);
+		assert.deepEqual(await exited, [0, null]);
+	});
+
+	await context.test('a leaving endpoint gets no new work behind 3 s while the list still calls it live', async () => {
+		// One of two engines says in its load report that it leaves; the list never hears of it and goes on calling it live,
+		// as one that lags by any time would. Behind the bound of 3 s twenty prompts come, and none goes to it.
+		await deployment.setFaults(engines[0]!.listed.address, {leaving: true});
+		await delay(leavingBoundMilliseconds);
+		const before = await countOf(deployment, engines[0]!, 'completions');
+		const whole = await Promise.all(Array.from({length: 20}, async (_, index) => ask(stays!, `late ${index}`, 5)));
+		assert.equal(await countOf(deployment, engines[0]!, 'completions'), before);
+		assert.equal(whole.filter(Boolean).length, 20);
+	});
+});
