--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -99,7 +99,7 @@
 		this.#context.draining = true;
 		this.#timeline.record({kind: 'process-draining', at: clock.now()});
 		logger.info('draining');
-		
+		await this.#callers.drain();
 		await this.#operators.drain();
 		await this.#neverTwice.settle();
 		this.#peers.service.leave();
