--- a/src/decision/routing/is-candidate.ts
+++ b/src/decision/routing/is-candidate.ts
@@ -13,7 +13,7 @@
  */
 export function isCandidate(endpoint: EndpointView, request: RouteRequest, now: number): boolean {
 	return endpoint.service === request.service
-		
+		&& endpoint.state === 'live'
 		&& now - endpoint.heardAt <= silenceLimitMilliseconds
 		&& !request.avoid.includes(endpoint.name);
 }
