--- a/src/check/bookings-over-processes.ts
+++ b/src/check/bookings-over-processes.ts
@@ -128,11 +128,14 @@
 	async #book(name: string): Promise<void> {
 		const booked: Booked = {name, words: [], bodies: []};
 		this.#booked.push(booked);
+		let unknownWords = 0;
 		for (let count = 0; count < tryLimit; count++) {
 			const entries = this.#entries;
 			const entry = entries[this.#choices.between(0, entries.length - 1)]!;
 			const word = await ask(entry.listed.address, booked);
-			if (word === 'final') {
+			// A caller who is told that the outcome is unknown asks once more: that must not run the booking again.
+			unknownWords += word === 'unknown' ? 1 : 0;
+			if (word === 'answered' || unknownWords > 1) {
 				return;
 			}
 
@@ -169,8 +172,8 @@
 
 type BookingAnswer = {confirmation?: string; error?: {code: string; ran: string}};
 
-/** Asks once. `outcome-unknown` is final; `in-progress` and a broken connection are not. */
-async function ask(address: string, booked: Booked): Promise<'final' | 'again'> {
+/** Asks once. `in-progress` and a broken connection say nothing final. */
+async function ask(address: string, booked: Booked): Promise<'answered' | 'unknown' | 'again'> {
 	try {
 		const answer = await request(`http://${address}/services/bookings/bookings`, {
 			method: 'POST',
@@ -182,11 +185,11 @@
 		if (body.error === undefined) {
 			booked.words.push('answered');
 			booked.bodies.push(body.confirmation ?? '');
-			return 'final';
+			return 'answered';
 		}
 
 		booked.words.push(body.error.ran === 'not-run' ? 'not-run' : 'unknown');
-		return body.error.code === 'outcome-unknown' ? 'final' : 'again';
+		return body.error.code === 'outcome-unknown' ? 'unknown' : 'again';
 	} catch {
 		booked.words.push('nothing');
 		return 'again';
