--- a/src/protocol/claim/claim-machine.ts
+++ b/src/protocol/claim/claim-machine.ts
@@ -335,7 +335,7 @@
 			return this.#end({kind: 'answer', answer: row.answer!});
 		}
 
-		if (row.stage === 'abandoned' || row.leaseUntil < now + 60_000) {
+		if (row.stage === 'abandoned' || (row.stage === 'claimed' && row.leaseUntil < now)) {
 			this.#round++;
 			this.#tries = 0;
 			return this.#claim(revision, now);
