--- /dev/null
+++ b/src/check/order-scenario.ts
@@ -0,0 +1,51 @@
+/**
+ * Four holders take fencing numbers for one endpoint through a table that loses answers, and order weight versions, while
+ * they stand still or their orders come late. The endpoint that checks numbers never goes back to an older holder's
+ * order, and no two holders have one number.
+ */
+import {takeFencingNumber} from '../protocol/order/fencing-number.js';
+import {FaultyTable, TableRows} from './faulty-table.js';
+import {type Scenario} from './scenario.js';
+import {virtualProcess, type VirtualWorld} from './virtual-world.js';
+
+export class OrderScenario implements Scenario {
+	readonly name = 'order';
+	readonly #holders = new Map<number, string>();
+	readonly #rows = new TableRows(() => undefined);
+	#seen = 0;
+
+	play(world: VirtualWorld): void {
+		for (const name of ['entry-1', 'entry-2', 'entry-3', 'entry-4']) {
+			world.after(world.choices.between(0, 3000), () => {
+				void this.#order(world, name);
+			});
+		}
+	}
+
+	judge(world: VirtualWorld): void {
+		if (this.#seen > 0 && !this.#holders.has(this.#seen)) {
+			world.violate(`the endpoint follows number ${this.#seen}, which nobody holds`);
+		}
+	}
+
+	async #order(world: VirtualWorld, name: string): Promise<void> {
+		const process = virtualProcess(name);
+		const taken = await takeFencingNumber(new FaultyTable(world, this.#rows, process), {endpoint: 'engine-1', holder: name}, world.now);
+		if (taken.isLeft()) {
+			return;
+		}
+
+		const {fencingNumber} = taken.unsafeCoerce();
+		const other = this.#holders.get(fencingNumber);
+		if (other !== undefined) {
+			world.violate(`${name} and ${other} both hold number ${fencingNumber}`);
+		}
+
+		this.#holders.set(fencingNumber, name);
+		await world.step(process);
+		await world.delay(world.choices.between(1, 30_000));
+		const isStale = fencingNumber < this.#seen;
+		this.#seen = Math.max(this.#seen, fencingNumber);
+		world.note(`${name} orders with number ${fencingNumber}: ${isStale ? 'stale' : 'obeyed'}`);
+	}
+}
