--- a/src/protocol/order/fencing-number.ts
+++ b/src/protocol/order/fencing-number.ts
@@ -39,7 +39,7 @@
 		const found = read.orDefault(undefined);
 		const known = found?.value as FencingRow | undefined;
 		const row: FencingRow = {fencingNumber: (known?.fencingNumber ?? 0) + 1, holder: taker.holder, numberedAt: now};
-		const written = await table.commit({conditions: [], writes: [{...name, value: row}]});
+		const written = await table.commit({conditions: [{...name, revision: found?.revision ?? 0}], writes: [{...name, value: row}]});
 		if (written.isRight()) {
 			return Right(row);
 		}
