--- /dev/null
+++ b/src/entry/callers/never-twice-runner.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {Left, Right} from 'purify-ts/Either';
+import {type TableFailure, type TableService} from '../../ports/table-service.js';
+import {ConfigurationHolder} from '../configuration-holder.js';
+import {Choices} from '../../check/choices.js';
+import {virtualProcess, VirtualWorld} from '../../check/virtual-world.js';
+import {NeverTwiceRunner} from './never-twice-runner.js';
+
+const timeoutMilliseconds = 1500;
+
+function tableThatFails(world: VirtualWorld, failure: TableFailure, milliseconds: number): TableService {
+	const fail = async () => {
+		await world.delay(milliseconds);
+		return Left(failure);
+	};
+
+	return {read: fail, scan: fail, commit: fail};
+}
+
+function startRunner(world: VirtualWorld, table: TableService): {run: (key: string) => Promise<number>; sent: () => number; told: string[]} {
+	const process = virtualProcess('entry-1');
+	const told: string[] = [];
+	let sent = 0;
+	const runner = new NeverTwiceRunner({
+		clock: world.clockOf(process), table, configuration: new ConfigurationHolder(), settings: {instance: 'entry-1'}, endpoints: {entryCount: 18},
+	});
+	const run = async (claimKey: string): Promise<number> => {
+		const startedAt = world.now;
+		const outcome = await runner.run({
+			claimKey,
+			bodyDigest: 'body',
+			askAt: '',
+			configurationVersion: 0,
+			refuseByConfiguration: () => undefined,
+			async send() {
+				sent++;
+				return Right({status: 201, headers: {}, body: Buffer.alloc(0)});
+			},
+		});
+		told.push(outcome.caseOf({Left: ({reason, ran}) => `${reason} ${ran}`, Right: () => 'answered'}));
+		return world.now - startedAt;
+	};
+
+	return {run, sent: () => sent, told};
+}
+
+test('with the platform down a call that needs a claim is refused not-run at once', async () => {
+	// The table refuses connections, or is cut off and answers nothing. The first caller waits at most for one write and
+	// one reading; those behind are refused without a wait, and nothing is ever sent.
+	const down: TableFailure = {kind: 'unavailable', detail: 'refused'};
+	const silent: TableFailure = {kind: 'outcome-unknown', detail: 'timeout'};
+	for (const [failure, milliseconds] of [[down, 0], [silent, timeoutMilliseconds]] as const) {
+		const world = new VirtualWorld(Choices.replay([]));
+		const {run, sent, told} = startRunner(world, tableThatFails(world, failure, milliseconds));
+		const waits: number[] = [];
+		for (const [index, at] of [0, 1600, 1700, 1800].entries()) {
+			world.after(at, () => {
+				void run(`key-${index}`).then(waited => waits.push(waited));
+			});
+		}
+
+		await world.run();
+		assert.deepEqual(told, Array.from({length: 4}, () => 'platform-unavailable not-run'));
+		assert.ok(Math.max(...waits) <= 2 * timeoutMilliseconds, String(waits));
+		assert.ok(waits.filter(waited => waited > 0).length <= 1, String(waits));
+		assert.equal(sent(), 0);
+	}
+});
+
+test('claims beyond the instance\'s share are refused instead of piling up', async () => {
+	// Two hundred calls come at once at one of 18 instances while the table takes a second for each answer. A few begin;
+	// all others hear at once that they were not run and when to return.
+	const world = new VirtualWorld(Choices.replay([]));
+	const {run, told} = startRunner(world, tableThatFails(world, {kind: 'unavailable', detail: 'slow'}, 1000));
+	for (let index = 0; index < 200; index++) {
+		world.after(0, () => {
+			void run(`key-${index}`);
+		});
+	}
+
+	await world.run();
+	const refused = told.filter(text => text === 'claim-rate not-run').length;
+	assert.equal(told.length, 200);
+	assert.ok(refused >= 180, String(refused));
+});
