--- a/src/cache/piece-keys.ts
+++ b/src/cache/piece-keys.ts
@@ -27,7 +27,7 @@
  * @returns 64 hexadecimal digits.
  */
 export function cacheSaltOf(secret: string, workspace: string): string {
-	return createHmac('sha256', secret).update(`workspace:`).digest('hex');
+	return createHmac('sha256', secret).update(`workspace:${workspace}`).digest('hex');
 }
 
 /**
