--- a/src/cache/piece-keys.ts
+++ b/src/cache/piece-keys.ts
@@ -40,7 +40,7 @@
 export function pieceKeysOf(owner: PieceOwner, prompt: string): string[] {
 	const pieces = Math.floor(prompt.length / pieceCharacters);
 	const keys: string[] = [];
-	let previous = owner.model;
+	let previous = `${owner.model}|${owner.weightVersion}`;
 	for (let index = 0; index < pieces; index++) {
 		const text = prompt.slice(index * pieceCharacters, (index + 1) * pieceCharacters);
 		previous = createHmac('sha256', owner.salt).update(previous).update('|').update(text).digest('hex');
