--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -25,6 +25,9 @@
 
 export const defaultBodyLimitBytes = 8_388_608;
 
+const hangUpReason = new Error('the caller hung up');
+const operatorReason = new Error('an operator cancelled the request');
+
 /** What the routes pass work on to. */
 export type CallerParts = {
 	gate: AdmissionGate;
@@ -113,15 +116,15 @@
 		const hangUp = new AbortController();
 		const job = this.#jobOf({workspace, completion, service}, {request, arrivedAt, signal: hangUp.signal});
 		const {requestId, priority} = job.route;
-		const cancel = (): void => {
-			hangUp.abort();
+		const cancel = (reason = operatorReason): void => {
+			hangUp.abort(reason);
 			this.#parts.gate.cancel(requestId);
 		};
 
 		response.once('close', () => {
 			this.#context.requests.end(requestId);
 			if (!response.writableFinished) {
-				cancel();
+				cancel(hangUpReason);
 			}
 		});
 		this.#context.requests.begin({
--- a/src/entry/watchers/configuration-watcher.ts
+++ b/src/entry/watchers/configuration-watcher.ts
@@ -3,16 +3,14 @@
  * table service for changes behind their version and peers pass them on; the others ask the table seldom, in case that
  * all they hear from their peers is old.
  */
+import {LookSchedule} from '../../peer/configuration/look-schedule.js';
 import {readChangesAfter, readLimitChanges} from '../../protocol/configuration/configuration-table.js';
 import {type ConfigurationChange} from '../../shared/types.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
 import {type EntryPeers} from '../peers/entry-peers.js';
 
-const jitter = 0.2;
-
-/** Time between two looks of an instance that is no reader: 760 of them are 76 reads a second of the table's 2,000. */
-const seldomMilliseconds = 10_000;
+const checkMilliseconds = 50;
 
 /** The part of an entry that the watcher uses. */
 export type ConfigurationWatcherContext = Pick<EntryContext, 'clock' | 'table' | 'configuration'> & {
@@ -35,40 +33,41 @@
 
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, settings, configuration} = this.#context;
-		let lookedAt = 0;
+		const schedule = new LookSchedule(settings.configurationPollMilliseconds, this.#peers.random);
 		while (!signal.aborted) {
 			const looksOften = this.#peers.isReader || !configuration.startGate.isOpen;
-			const interval = looksOften ? settings.configurationPollMilliseconds : seldomMilliseconds * (0.5 + this.#peers.random());
-			if (clock.now() - lookedAt >= interval) {
-				lookedAt = clock.now();
-				await this.lookOnce();
+			if (schedule.isDue(looksOften, clock.now())) {
+				const isAnswered = await this.lookOnce();
+				schedule.looked(isAnswered, clock.now());
 			}
 
-			// Jitter keeps readers that started together, or waited for the same outage to end, from asking in step.
-			await clock.sleep(settings.configurationPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
+			await clock.sleep(Math.min(checkMilliseconds, settings.configurationPollMilliseconds), signal);
 		}
 	}
 
-	/** Reads the changes that are missing here and brings them into force, to the end of the table. */
-	async lookOnce(): Promise<void> {
+	/**
+	 * Reads the changes that are missing here and brings them into force, to the end of the table; false if it
+	 * did not answer.
+	 */
+	async lookOnce(): Promise<boolean> {
 		const {table, configuration, clock} = this.#context;
 		for (;;) {
 			const {version} = configuration.state;
 			const changes = await readChangesAfter(table, version);
 			if (changes.isLeft()) {
 				configuration.startGate.tableFailed(configuration.state.version, clock.now());
-				return;
+				return false;
 			}
 
 			const found = changes.orDefault([]);
 			this.#offer(found);
 			if (found.length < readLimitChanges) {
 				configuration.startGate.tableRead();
-				return;
+				return true;
 			}
 
 			if (configuration.state.version === version) {
-				return;
+				return true;
 			}
 		}
 	}
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -17,6 +17,7 @@
 import {StatsdMetrics} from '../observability/metrics.js';
 import {type TimelineEntry} from '../observability/timeline-event.js';
 import {changeDigest} from '../protocol/configuration/change-digest.js';
+import {acceptProposal} from '../protocol/configuration/configuration-table.js';
 import {digestOf} from '../shared/digest-of.js';
 import {type ConfigurationEdit, type ListedInstance} from '../shared/types.js';
 import {ManualClock} from './manual-clock.js';
@@ -56,7 +57,11 @@
 ];
 
 /** An entry that knows no peer. */
-const alone = {overview: () => ({version: 0, members: [], links: []})};
+const alone = {
+	overview: () => ({
+		isReader: true, ownedEndpoints: [], linked: [], counts: {}, members: [],
+	}),
+};
 
 export class TestEntry {
 	readonly clock = new ManualClock(startOfTime);
@@ -81,6 +86,7 @@
 				listen: '127.0.0.1:0',
 				operatorListen: '127.0.0.1:0',
 				peerListen: '127.0.0.1:0',
+				peerSeeds: '',
 				operatorKey: testOperatorKey,
 				cacheSecret: 'cache-secret-in-tests',
 				tableAddress: '',
@@ -118,21 +124,29 @@
 	/** Starts to listen, with a configuration in force and both engines live. */
 	async start(): Promise<void> {
 		this.know();
-		this.callersAddress = await this.callers.listen();
-		this.operatorsAddress = await this.operators.listen();
+		await this.#listen();
 	}
 
 	/** Brings the configuration into force and makes both engines live, without listening. */
 	know(): void {
 		this.configure(edits);
-		this.context.endpoints.takeList([...testEngines, testPlain]);
-		this.reportEngines();
+		this.#knowEndpoints();
 	}
 
 	async stop(): Promise<void> {
 		await Promise.all([this.callers.drain(), this.operators.drain()]);
 	}
 
+	/** Has the first configuration accepted at the table too, as an operator would, and starts to listen. */
+	async startWithTable(): Promise<void> {
+		const accepted = await acceptProposal(this.table, {
+			plannedAgainst: 0, author: 'vesna', reason: 'the first declaration', edits,
+		}, this.clock.now());
+		this.context.configuration.offer(accepted.unsafeCoerce());
+		this.#knowEndpoints();
+		await this.#listen();
+	}
+
 	/** Brings edits into force as the next version. */
 	configure(changes: ConfigurationEdit[]): void {
 		const {version, digest} = this.context.configuration.state;
@@ -168,6 +182,16 @@
 		}, this.clock.now());
 	}
 
+	#knowEndpoints(): void {
+		this.context.endpoints.takeList([...testEngines, testPlain]);
+		this.reportEngines();
+	}
+
+	async #listen(): Promise<void> {
+		this.callersAddress = await this.callers.listen();
+		this.operatorsAddress = await this.operators.listen();
+	}
+
 	#routes(): CallerRoutes {
 		return new CallerRoutes(this.context, {
 			gate: new AdmissionGate(new BoundedQueueAdmission(), this.clock),
