--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -143,6 +143,7 @@
 			plannedAgainst: 0, author: 'vesna', reason: 'the first declaration', edits,
 		}, this.clock.now());
 		this.context.configuration.offer(accepted.unsafeCoerce());
+		this.context.configuration.startGate.tableRead();
 		this.#knowEndpoints();
 		await this.#listen();
 	}
