Refuse normal work whose first token would come after its deadline

Change: the average time from admission to first token counts against the deadline; it fades while no first token comes, so that it cannot refuse for good. 450 ms per evicted piece in place of 300. Ruled out: half of a request's whole time as the margin (long answers would have refused all normal work, and nothing would have corrected it).

--- a/src/decision/admission/admission-policy.ts
+++ b/src/decision/admission/admission-policy.ts
@@ -32,6 +32,8 @@
 export interface AdmissionPolicy {
 	/** A request came. */
 	arrive(request: AdmissionRequest, now: number): AdmissionAction[];
+	/** The first token of an admitted request came. */
+	firstToken(requestId: string, now: number): void;
 	/** An admitted request ended. */
 	finish(requestId: string, now: number): AdmissionAction[];
 	/** The caller of a request that waits or was admitted hung up. */
--- a/src/decision/admission/bounded-queue-admission.ts
+++ b/src/decision/admission/bounded-queue-admission.ts
@@ -27,6 +27,10 @@
 		return this.advance(now);
 	}
 
+	firstToken(): void {
+		// Knows nothing of time.
+	}
+
 	finish(requestId: string, now: number): AdmissionAction[] {
 		const request = this.#running.get(requestId);
 		if (request !== undefined) {
--- a/src/decision/admission/fair-share-admission.ts
+++ b/src/decision/admission/fair-share-admission.ts
@@ -24,12 +24,23 @@
 /** Time over which the speed of service is averaged: long enough for ten overnight prompts, short enough for a fault. */
 const rateWindowMilliseconds = 20_000;
 
+/** Weight of one request in the average time from admission to first token. */
+const startWeight = 0.1;
+/**
+ * The average is believed less and less while no first token comes: with none admitted because of it, nothing would
+ * ever correct it, and a service that was slow once would refuse all normal work from then on.
+ */
+const startMemoryMilliseconds = 30_000;
+
 type Service = {
 	queue: ServiceQueue;
 	capacity: ServiceCapacity;
 	running: number;
 	runningUrgent: number;
 	turn: number;
+	/** How long normal requests take from admission to their first token, and when that was last seen. */
+	startMilliseconds: number;
+	startedAt: number;
 	/** Work that ended lately, decaying over `rateWindowMilliseconds`, and since when it is known. */
 	endedWork: number;
 	endedAt: number;
@@ -38,33 +49,44 @@
 
 export class FairShareAdmission implements AdmissionPolicy {
 	readonly #services = new Map<string, Service>();
-	readonly #running = new Map<string, AdmissionRequest>();
+	readonly #running = new Map<string, {request: AdmissionRequest; admittedAt: number}>();
 
 	arrive(request: AdmissionRequest, now: number): AdmissionAction[] {
 		const service = this.#serviceOf(request.service, now);
 		const wait = expectedWait(service, request, now);
-		if (now + wait >= request.deadline) {
+		const start = request.priority === 'normal' ? startOf(service, now) : 0;
+		if (now + wait + start >= request.deadline) {
 			const retry = Math.max(leastRetryMilliseconds, now + wait - request.deadline);
 			return [refuse(request, 'deadline', retry)];
 		}
 
 		service.queue.push(request, now);
-		return [...this.#boundMemory(now), ...this.#admit(service)];
+		return [...this.#boundMemory(now), ...this.#admit(service, now)];
+	}
+
+	firstToken(requestId: string, now: number): void {
+		const running = this.#running.get(requestId);
+		if (running?.request.priority === 'normal') {
+			const service = this.#serviceOf(running.request.service, now);
+			service.startMilliseconds += startWeight * (now - running.admittedAt - service.startMilliseconds);
+			service.startedAt = now;
+		}
 	}
 
 	finish(requestId: string, now: number): AdmissionAction[] {
-		const request = this.#running.get(requestId);
-		if (request === undefined) {
+		const running = this.#running.get(requestId);
+		if (running === undefined) {
 			return [];
 		}
 
 		this.#running.delete(requestId);
+		const {request} = running;
 		const service = this.#serviceOf(request.service, now);
 		service.running -= request.priority === 'urgent' ? 0 : 1;
 		service.runningUrgent -= request.priority === 'urgent' ? 1 : 0;
 		service.endedWork = (service.endedWork * decayOf(now - service.endedAt)) + costOf(request);
 		service.endedAt = now;
-		return this.#admit(service);
+		return this.#admit(service, now);
 	}
 
 	cancel(requestId: string, now: number): AdmissionAction[] {
@@ -79,25 +101,25 @@
 
 	advance(now: number): AdmissionAction[] {
 		return [...this.#services.values()].flatMap(service => {
-			const late = service.queue.sweep(now).map(request => refuse(request, 'deadline', expectedWait(service, request, now)));
-			return [...late, ...this.#admit(service)];
+			const late = service.queue.sweep(now, startOf(service, now)).map(request => refuse(request, 'deadline', expectedWait(service, request, now)));
+			return [...late, ...this.#admit(service, now)];
 		});
 	}
 
 	setCapacity(service: string, capacity: ServiceCapacity, now: number): AdmissionAction[] {
 		const known = this.#serviceOf(service, now);
 		known.capacity = capacity;
-		return this.#admit(known);
+		return this.#admit(known, now);
 	}
 
 	waiting(): readonly AdmissionRequest[] {
 		return [...this.#services.values()].flatMap(({queue}) => queue.list());
 	}
 
-	#admit(service: Service): AdmissionAction[] {
+	#admit(service: Service, now: number): AdmissionAction[] {
 		const actions: AdmissionAction[] = [];
 		for (let next = takeNext(service); next !== undefined; next = takeNext(service)) {
-			this.#running.set(next.requestId, next);
+			this.#running.set(next.requestId, {request: next, admittedAt: now});
 			service.running += next.priority === 'urgent' ? 0 : 1;
 			service.runningUrgent += next.priority === 'urgent' ? 1 : 0;
 			actions.push({kind: 'admit', requestId: next.requestId});
@@ -123,7 +145,7 @@
 		let service = this.#services.get(name);
 		if (service === undefined) {
 			service = {
-				queue: new ServiceQueue(), capacity: defaultCapacity, running: 0, runningUrgent: 0, turn: 0, endedWork: 0, endedAt: now, knownSince: now,
+				queue: new ServiceQueue(), capacity: defaultCapacity, running: 0, runningUrgent: 0, turn: 0, startMilliseconds: 0, startedAt: now, endedWork: 0, endedAt: now, knownSince: now,
 			};
 			this.#services.set(name, service);
 		}
@@ -165,6 +187,11 @@
 	return rate <= 0 || ahead === 0 ? 0 : ahead / rate;
 }
 
+/** How long a normal request that is admitted now will take to its first token. */
+function startOf({startMilliseconds, startedAt}: Service, now: number): number {
+	return startMilliseconds * Math.exp(-(now - startedAt) / startMemoryMilliseconds);
+}
+
 function decayOf(milliseconds: number): number {
 	return Math.exp(-milliseconds / rateWindowMilliseconds);
 }
--- a/src/decision/admission/service-queue.ts
+++ b/src/decision/admission/service-queue.ts
@@ -92,8 +92,13 @@
 		return false;
 	}
 
-	/** Takes out what can no longer make its deadline, and puts overnight work that waited long behind the normal. */
-	sweep(now: number): AdmissionRequest[] {
+	/**
+	 * Takes out what can no longer make its deadline, and puts overnight work that waited long behind the normal.
+	 *
+	 * @param now - Milliseconds since the epoch.
+	 * @param startMilliseconds - How long a normal request takes from admission to its first token.
+	 */
+	sweep(now: number, startMilliseconds: number): AdmissionRequest[] {
 		const late: AdmissionRequest[] = [];
 		for (const lane of this.#lanes.values()) {
 			while ((lane.queues.overnight[0]?.arrivedAt ?? now) + ageingMilliseconds <= now) {
@@ -101,15 +106,16 @@
 			}
 		}
 
-		if (this.#earliestDeadline > now) {
+		if (this.#earliestDeadline > now + startMilliseconds) {
 			return late;
 		}
 
 		this.#earliestDeadline = Number.POSITIVE_INFINITY;
 		for (const lane of this.#lanes.values()) {
 			for (const priority of classes) {
-				late.push(...lane.queues[priority].filter(({request}) => request.deadline <= now).map(({request}) => request));
-				lane.queues[priority] = lane.queues[priority].filter(({request}) => request.deadline > now);
+				const limit = now + (priority === 'normal' ? startMilliseconds : 0);
+				late.push(...lane.queues[priority].filter(({request}) => request.deadline <= limit).map(({request}) => request));
+				lane.queues[priority] = lane.queues[priority].filter(({request}) => request.deadline > limit);
 				this.#earliestDeadline = Math.min(this.#earliestDeadline, ...lane.queues[priority].map(({request}) => request.deadline));
 			}
 		}
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -56,7 +56,7 @@
  * What a new piece of work that can wait costs where urgent work has its prefixes: it evicts one of them, which then
  * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean.
  */
-const evictedPieceMilliseconds = 300;
+const evictedPieceMilliseconds = 450;
 const mostUrgentShare = 3;
 /** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
 const busyStepMilliseconds = 40;
--- a/src/entry/callers/admission-gate.ts
+++ b/src/entry/callers/admission-gate.ts
@@ -46,6 +46,11 @@
 		});
 	}
 
+	/** The first token of an admitted request came. */
+	firstToken(requestId: string): void {
+		this.#policy.firstToken(requestId, this.#clock.now());
+	}
+
 	/** An admitted request ended. */
 	leave(requestId: string): void {
 		this.#admitted.delete(requestId);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -19,6 +19,7 @@
 import {AdmissionGate} from './callers/admission-gate.js';
 import {CallerRoutes} from './callers/caller-routes.js';
 import {CompletionRunner} from './callers/completion-runner.js';
+import {FirstTokenRelay} from './callers/first-token-relay.js';
 import {NeverTwiceRunner} from './callers/never-twice-runner.js';
 import {PlainRoute} from './callers/plain-route.js';
 import {ConfigurationHolder} from './configuration-holder.js';
@@ -77,9 +78,10 @@
 		this.#neverTwice = new NeverTwiceRunner(this.#context);
 		this.#peers = new EntryPeers(this.#context);
 		const gate = new AdmissionGate(new FairShareAdmission(), systemClock);
+		const policy = new ExpectedFirstTokenPolicy(this.#prefixes, {dataCentre: settings.dataCentre, links: new Map(), pieceTokens});
 		const routes = new CallerRoutes(this.#context, {
 			gate,
-			runner: new CompletionRunner(this.#context, new ExpectedFirstTokenPolicy(this.#prefixes, {dataCentre: settings.dataCentre, links: new Map(), pieceTokens})),
+			runner: new CompletionRunner(this.#context, new FirstTokenRelay(policy, gate)),
 			plainRoute: new PlainRoute(this.#context, this.#neverTwice),
 		});
 		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
--- a/src/load/simulation/simulated-entry.ts
+++ b/src/load/simulation/simulated-entry.ts
@@ -174,6 +174,7 @@
 						routing.observe({
 							kind: 'first-token', endpoint: endpoint.name, request: route, afterMilliseconds: queue.now - sentAt,
 						}, queue.now);
+						this.policies.admission.firstToken(route.requestId, queue.now);
 						this.#keep(route, endpoint.name, cached);
 					});
 				},
