--- /dev/null
+++ b/src/decision/kept/kept-prefixes.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {KeptPrefixes} from './kept-prefixes.js';
+
+const prefix = Array.from({length: 10}, (_, index) => `piece-${index}`);
+
+function eventsOf(kind: 'stored' | 'evicted', keys: readonly string[], firstSequence: number) {
+	return keys.map((pieceKey, index) => ({sequence: firstSequence + index, kind, pieceKey}));
+}
+
+test('late, repeated and lost events: what is believed stays close to what is kept', () => {
+	const prefixes = new KeptPrefixes();
+	const stored = eventsOf('stored', prefix, 1);
+	prefixes.takeEvents('engine', stored.filter(({sequence}) => sequence !== 4));
+	assert.equal(prefixes.gapsOf('engine'), 1);
+	assert.equal(prefixes.leadingPieces(prefix).get('engine'), 10, 'one lost event does not hide the rest of the prefix');
+	prefixes.takeEvents('engine', eventsOf('evicted', prefix.slice(8), 11));
+	prefixes.takeEvents('engine', stored);
+	assert.equal(prefixes.leadingPieces(prefix).get('engine'), 8, 'repeated older events do not bring evicted pieces back');
+});
+
+test('a wrong belief is forgotten when the holder turns out not to have the pieces', () => {
+	const prefixes = new KeptPrefixes();
+	prefixes.learn('store', prefix);
+	prefixes.forget('store', prefix.slice(3));
+	assert.equal(prefixes.leadingPieces(prefix).get('store'), 3);
+	prefixes.forgetHolder('store');
+	assert.equal(prefixes.leadingPieces(prefix).size, 0);
+});
+
+test('beliefs never outgrow the holder\'s own room, oldest first', () => {
+	const prefixes = new KeptPrefixes();
+	prefixes.setRoom('engine', 5);
+	prefixes.learn('engine', prefix.toReversed());
+	assert.equal(prefixes.leadingPieces(prefix).get('engine'), 5);
+	assert.equal(prefixes.isKept('piece-9'), false);
+});
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -92,7 +92,9 @@
 
 	choose(request: RouteRequest, endpoints: readonly EndpointView[], now: number): RouteChoice {
 		const kept = this.#prefixes.leadingPieces(request.pieceKeys);
-		const inView = this.#index.candidatesFor(request, endpoints, kept).filter(endpoint => isCandidate(endpoint, request, now));
+		const sampled = this.#index.candidatesFor(request, endpoints, kept).filter(endpoint => isCandidate(endpoint, request, now));
+		// A sample can hold nothing but leaving endpoints while others are live; the caller would be refused for no reason.
+		const inView = sampled.length === 0 ? endpoints.filter(endpoint => isCandidate(endpoint, request, now)) : sampled;
 		const closed = inView.filter(endpoint => !this.#stateOf(endpoint.name).isOpen(now));
 		// With every circuit open the breakers would turn a short outage into refusals; the endpoints are tried instead.
 		const candidates = closed.length === 0 ? inView : closed;
