--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -54,9 +54,10 @@
 const prefillingEndpointMilliseconds = 150;
 /**
  * What a new piece of work that can wait costs where urgent work has its prefixes: it evicts one of them, which then
- * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean.
+ * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean. Work
+ * with a deadline weighs less: kept from too many endpoints it crowds the others and comes too late.
  */
-const evictedPieceMilliseconds = 450;
+const evictedPieceMilliseconds: Record<PriorityClass, number> = {urgent: 0, normal: 200, overnight: 450};
 const mostUrgentShare = 3;
 /** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
 const busyStepMilliseconds = 40;
@@ -219,7 +220,7 @@
 		}
 
 		const share = Math.min(mostUrgentShare, this.#stateOf(endpoint.name).urgentSendsAt(now) / meanUrgentSends);
-		return (pieceKeys.length - kept) * evictedPieceMilliseconds * share;
+		return (pieceKeys.length - kept) * evictedPieceMilliseconds[priority] * share;
 	}
 
 	#meanUrgentSends({priority}: RouteRequest, candidates: readonly EndpointView[], now: number): number {
--- a/src/load/compare/compare-policies.test.ts
+++ b/src/load/compare/compare-policies.test.ts
@@ -12,7 +12,9 @@
 
 test('the same seeds give the same figures, and every run is told of', async () => {
 	const told: Progress[] = [];
-	const first = await comparePolicies(comparison, progress => told.push(progress), new AbortController().signal);
+	const first = await comparePolicies(comparison, progress => {
+		told.push(progress);
+	}, new AbortController().signal);
 	const second = await comparePolicies(comparison, () => undefined, new AbortController().signal);
 	assert.deepEqual(second, first);
 	assert.deepEqual(told.map(({done, of}) => `${done}/${of}`), ['1/4', '2/4', '3/4', '4/4']);
