--- a/src/entry/callers/admission-gate.ts
+++ b/src/entry/callers/admission-gate.ts
@@ -61,7 +61,7 @@
 	cancel(requestId: string): void {
 		this.#admitted.delete(requestId);
 		this.#carryOut(this.#policy.cancel(requestId, this.#clock.now()));
-		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the caller hung up'}));
+		this.#answer(requestId, Left({reason: 'cancelled', ran: 'not-run', message: 'the request was cancelled while it waited'}));
 	}
 
 	/** Requests of a service that can wait and were let in. */
