--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -54,9 +54,10 @@
 const prefillingEndpointMilliseconds = 150;
 /**
  * What a new piece of work that can wait costs where urgent work has its prefixes: it evicts one of them, which then
- * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean.
+ * has to be fetched or recomputed. Weighed by the endpoint's part of the urgent work, up to three times the mean. Work
+ * with a deadline weighs less: kept from too many endpoints it crowds the others and comes too late.
  */
-const evictedPieceMilliseconds = 300;
+const evictedPieceMilliseconds: Record<PriorityClass, number> = {urgent: 0, normal: 200, overnight: 450};
 const mostUrgentShare = 3;
 /** One step of a busy batch that an arriving prompt waits out, on average half of a chunk. */
 const busyStepMilliseconds = 40;
@@ -92,7 +93,9 @@
 
 	choose(request: RouteRequest, endpoints: readonly EndpointView[], now: number): RouteChoice {
 		const kept = this.#prefixes.leadingPieces(request.pieceKeys);
-		const inView = this.#index.candidatesFor(request, endpoints, kept).filter(endpoint => isCandidate(endpoint, request, now));
+		const sampled = this.#index.candidatesFor(request, endpoints, kept).filter(endpoint => isCandidate(endpoint, request, now));
+		// A sample can hold nothing but leaving endpoints while others are live; the caller would be refused for no reason.
+		const inView = sampled.length === 0 ? endpoints.filter(endpoint => isCandidate(endpoint, request, now)) : sampled;
 		const closed = inView.filter(endpoint => !this.#stateOf(endpoint.name).isOpen(now));
 		// With every circuit open the breakers would turn a short outage into refusals; the endpoints are tried instead.
 		const candidates = closed.length === 0 ? inView : closed;
@@ -217,7 +220,7 @@
 		}
 
 		const share = Math.min(mostUrgentShare, this.#stateOf(endpoint.name).urgentSendsAt(now) / meanUrgentSends);
-		return (pieceKeys.length - kept) * evictedPieceMilliseconds * share;
+		return (pieceKeys.length - kept) * evictedPieceMilliseconds[priority] * share;
 	}
 
 	#meanUrgentSends({priority}: RouteRequest, candidates: readonly EndpointView[], now: number): number {
