Let plain services say that they leave; take an empty list as no news; obey the declared claim limit

Cause: a leaving plain service was known from the platform's list alone, so with a lag of 30 s it went on getting calls; an endpoint that the list called leaving became live again with each own report until the next look at the list; an empty list took every endpoint away; the declared limits claims-per-second and body-bytes had no effect on never-twice calls and on plain services. The list stand-in's lag worked backwards in time, so a young deployment had an empty list.

Ruled out: judging silence alone for plain services; one that never reported would never be used.

--- a/src/demo/deployment.ts
+++ b/src/demo/deployment.ts
@@ -22,6 +22,8 @@
 	/** The model services, dealt out over the engines of each data centre in turn. */
 	modelServices: ReadonlyArray<{service: string; model: string; weightVersion: string}>;
 	plainService: string;
+	/** 1 when it is left out. */
+	plainServicesPerDataCentre?: number;
 	/** Further arguments of each engine, for example its speed. */
 	engineArguments?: readonly string[];
 	/** Further arguments of each entry. */
@@ -186,13 +188,12 @@
 			}, await this.#startStandIn('cache'));
 		};
 
-		const plain = async (): Promise<void> => {
+		const plain = Array.from({length: this.#plan.plainServicesPerDataCentre ?? 1}, async (_, index) => {
 			this.#add({
-				name: `${dataCentre}-plain-1`, role: 'plain-service', dataCentre, service: plainService,
+				name: `${dataCentre}-plain-${index + 1}`, role: 'plain-service', dataCentre, service: plainService,
 			}, await this.#startStandIn('plain'));
-		};
-
-		await Promise.all([...entries, ...engines, store(), plain()]);
+		});
+		await Promise.all([...entries, ...engines, store(), ...plain]);
 	}
 
 	#add(listed: Pick<ListedInstance, 'name' | 'role' | 'dataCentre' | 'service'>, started: StartedProcess): void {
--- a/src/entry/callers/never-twice-runner.ts
+++ b/src/entry/callers/never-twice-runner.ts
@@ -6,7 +6,7 @@
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type PlainAnswer, type PlainFailure} from '../../ports/plain-service.js';
 import {type Row, type TableFailure} from '../../ports/table-service.js';
-import {ClaimBudget} from '../../protocol/claim/claim-budget.js';
+import {ClaimBudget, defaultClaimsPerSecond} from '../../protocol/claim/claim-budget.js';
 import {
 	type ClaimDecision, type ClaimEvent, ClaimMachine, type ClaimOutcome, type ClaimStep, type FoundClaim,
 } from '../../protocol/claim/claim-machine.js';
@@ -51,8 +51,9 @@
 
 	/** Runs the call at most once, or answers from the first run under its key. */
 	async run(call: NeverTwiceCall): Promise<Either<Refusal, PlainAnswer>> {
-		const {clock, endpoints} = this.#context;
-		const refusal = this.#budget.enter(endpoints.entryCount, clock.now());
+		const {clock, endpoints, configuration} = this.#context;
+		const claimsPerSecond = configuration.state.limits.get('claims-per-second')?.value ?? defaultClaimsPerSecond;
+		const refusal = this.#budget.enter({instances: endpoints.entryCount, claimsPerSecond}, clock.now());
 		if (refusal !== undefined) {
 			return Left(refusal);
 		}
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -13,7 +13,7 @@
 import {readBody} from './read-body.js';
 import {sendRefusal} from './send-refusal.js';
 
-const bodyLimitBytes = 1_048_576;
+const defaultBodyLimitBytes = 1_048_576;
 const comeBackMilliseconds = 2000;
 const callTimeoutMilliseconds = 30_000;
 const attemptLimit = 3;
@@ -41,7 +41,7 @@
 
 	async call(workspace: WorkspaceItem, {request, response}: NodeExchange): Promise<void> {
 		const parts = pathPattern.exec(request.url ?? '')?.groups;
-		const {version, services} = this.#context.configuration.state;
+		const {version, services, limits} = this.#context.configuration.state;
 		const refusal = this.#refuse(workspace.name, parts?.service ?? '');
 		if (refusal !== undefined) {
 			sendRefusal(response, refusal);
@@ -50,7 +50,7 @@
 
 		const service = services.get(parts?.service ?? '') as PlainServiceItem;
 
-		const body = await readBody(request, bodyLimitBytes);
+		const body = await readBody(request, limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
 		const understood = keyOf(request).chain(idempotencyKey => body.map(bytes => ({idempotencyKey, bytes})));
 		if (understood.isLeft()) {
 			sendRefusal(response, understood.extract());
@@ -109,13 +109,13 @@
 	 * only if the call is idempotent: else the next endpoint could run it a second time.
 	 */
 	async #send({service, call}: PlainRequest, hangUp?: AbortSignal): Promise<Either<PlainFailure, PlainAnswer>> {
-		const {endpoints, settings, plain} = this.#context;
+		const {endpoints, settings, plain, clock} = this.#context;
 		const timeout = AbortSignal.timeout(callTimeoutMilliseconds);
 		const signal = hangUp === undefined ? timeout : AbortSignal.any([timeout, hangUp]);
 		const mayRepeat = idempotentMethods.has(call.method) && !isNeverTwice(service, call);
 		let mayHaveRun = false;
 		let sent: Either<PlainFailure, PlainAnswer> = Left({kind: 'not-sent', detail: 'no endpoint is live'});
-		for (const {address} of endpoints.plainEndpointsOf(service.name, settings.dataCentre).slice(0, attemptLimit)) {
+		for (const {address} of endpoints.plainEndpointsOf(service.name, settings.dataCentre, clock.now()).slice(0, attemptLimit)) {
 			sent = await plain.call(address, call, signal);
 			const failure = sent.isLeft() ? sent.extract() : undefined;
 			if (failure === undefined || (failure.kind === 'outcome-unknown' && !mayRepeat)) {
--- /dev/null
+++ b/src/entry/endpoint-directory.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type LoadReport} from '../ports/model-engine.js';
+import {type ListedInstance} from '../shared/types.js';
+import {EndpointDirectory} from './endpoint-directory.js';
+
+const listedAs = (role: ListedInstance['role'], state: ListedInstance['state']): ListedInstance => ({
+	name: `${role}-1`, role, dataCentre: 'riva', service: role, address: '127.0.0.1:1', peerAddress: '', state,
+});
+const reportOf = (state: LoadReport['state']): LoadReport => ({
+	model: 'permit-1', weightVersion: 'w1', state, runningRequests: 0, waitingRequests: 0, waitingPrefillTokens: 0, prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, batchLimit: 1, kvTokensUsed: 0, kvTokensCapacity: 1, measuredAt: 0,
+});
+
+test('an empty list takes no endpoint away', () => {
+	// The platform's list was just replaced and is not filled yet. Callers go on being served; before, each got
+	// `no-endpoint` until the list came back.
+	const directory = new EndpointDirectory();
+	directory.takeList([listedAs('model-engine', 'live'), listedAs('plain-service', 'live')]);
+	directory.takeList([]);
+	assert.equal(directory.engines().length, 1);
+	assert.equal(directory.plainEndpointsOf('plain-service', 'riva', 0).length, 1);
+});
+
+test('an endpoint that the list calls leaving stays so when it reports itself as live', () => {
+	// The platform is about to stop an endpoint that does not know it yet. Before, each report made it live again until
+	// the next look at the list, and callers' work went to it in between.
+	const directory = new EndpointDirectory();
+	directory.takeList([listedAs('model-engine', 'leaving')]);
+	directory.takeReport('model-engine-1', reportOf('live'), 100);
+	assert.equal(directory.engines()[0]?.state, 'leaving');
+});
+
+test('a plain service that says it leaves, or falls silent, gets no call though the list calls it live', () => {
+	const directory = new EndpointDirectory();
+	const list = [listedAs('plain-service', 'live')];
+	directory.takeList(list);
+	directory.takeReport('plain-service-1', reportOf('live'), 1000);
+	assert.equal(directory.plainEndpointsOf('plain-service', 'riva', 4000).length, 1);
+	assert.equal(directory.plainEndpointsOf('plain-service', 'riva', 4001).length, 0);
+	directory.takeReport('plain-service-1', reportOf('leaving'), 5000);
+	directory.takeList(list);
+	assert.equal(directory.plainEndpointsOf('plain-service', 'riva', 5000).length, 0);
+});
--- a/src/entry/watchers/instance-watcher.ts
+++ b/src/entry/watchers/instance-watcher.ts
@@ -20,8 +20,11 @@
 		while (!signal.aborted) {
 			const instances = await list.read();
 			instances.ifRight(found => {
-				endpoints.takeList(found);
-				this.#peers.takeList(found);
+				// This instance stands on the list itself, so an empty list is a list not filled yet, and no news.
+				if (found.length > 0) {
+					endpoints.takeList(found);
+					this.#peers.takeList(found);
+				}
 			});
 			await clock.sleep(settings.listPollMilliseconds * (1 - (jitter * this.#peers.random())), signal);
 		}
--- a/src/entry/watchers/load-watcher.ts
+++ b/src/entry/watchers/load-watcher.ts
@@ -1,5 +1,5 @@
 /**
- * Asks model endpoints for their load again and again: those that this instance watches for its peers, and those of
+ * Asks endpoints, model engines and plain services alike, for their load again and again: those that this instance watches for its peers, and those of
  * which the peers told nothing for too long. An endpoint that does not answer ages by itself.
  */
 import {type Child} from '../../supervisor/supervisor.js';
@@ -25,7 +25,8 @@
 		const {clock, settings, endpoints, engine} = this.#context;
 		while (!signal.aborted) {
 			const toAsk = this.#peers.endpointsToAsk();
-			await Promise.all(endpoints.engines().filter(({name}) => toAsk.has(name)).map(async ({name, address}) => {
+			const watched = [...endpoints.engines(), ...endpoints.plainEndpoints()].filter(({name}) => toAsk.has(name));
+			await Promise.all(watched.map(async ({name, address}) => {
 				const report = await engine.loadReport(address);
 				report.ifRight(load => {
 					endpoints.takeReport(name, load, clock.now());
--- a/src/peer/knowledge/load-knowledge.ts
+++ b/src/peer/knowledge/load-knowledge.ts
@@ -65,11 +65,11 @@
 		return [...this.#endpoints.values()].filter(({owner}) => owner === this.#self).map(({name}) => name);
 	}
 
-	/** Takes the model endpoints of the list. */
+	/** Takes the endpoints of the list: model engines and plain services alike, since both report their load. */
 	takeEndpoints(instances: readonly ListedInstance[]): void {
 		const listed = new Set<number>();
 		for (const {name, role, dataCentre} of instances) {
-			if (role === 'model-engine') {
+			if (role === 'model-engine' || role === 'plain-service') {
 				const key = hashOfText(name);
 				listed.add(key);
 				this.#endpoints.set(key, {name, dataCentre, owner: this.#endpoints.get(key)?.owner ?? ''});
--- /dev/null
+++ b/src/protocol/claim/claim-budget.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ClaimBudget} from './claim-budget.js';
+
+test('the declared claims a second are shared out over the instances; what is beyond is refused as not run', () => {
+	const budget = new ClaimBudget();
+	const share = {instances: 10, claimsPerSecond: 200};
+	const refusals = Array.from({length: 50}, () => {
+		const refusal = budget.enter(share, 1000);
+		if (refusal === undefined) {
+			budget.leave();
+		}
+
+		return refusal;
+	});
+	const refused = refusals.filter(refusal => refusal !== undefined);
+	assert.equal(refusals.length - refused.length, 40, '200 / 10 a second with a burst of two seconds');
+	assert.ok(refused.every(({reason, ran}) => reason === 'claim-rate' && ran === 'not-run'));
+	assert.equal(budget.enter(share, 1050), undefined, '50 ms bring one more');
+	assert.equal(budget.enter(share, 1050)?.reason, 'claim-rate');
+});
--- a/src/protocol/claim/claim-budget.ts
+++ b/src/protocol/claim/claim-budget.ts
@@ -9,8 +9,8 @@
  */
 import {type Refusal} from '../../shared/types.js';
 
-/** Claims a second that all instances together may begin. */
-export const claimsPerSecondOfAll = 100;
+/** Claims a second that all instances together may begin, unless the limit `claims-per-second` is declared. */
+export const defaultClaimsPerSecond = 100;
 const burstSeconds = 2;
 const leastBurstClaims = 4;
 const openLimit = 64;
@@ -28,18 +28,19 @@
 	/**
 	 * Asks to begin a claim.
 	 *
-	 * @param instances - How many live entry instances share the table, at least 1.
+	 * @param share - How many live entry instances share the table, at least 1, and the claims a second that all of them
+	 * together may begin.
 	 * @param now - Milliseconds since the epoch.
 	 * @returns Nothing if it may begin (then `leave` follows), or the refusal; the call was not sent.
 	 */
-	enter(instances: number, now: number): BudgetRefusal | undefined {
+	enter(share: {instances: number; claimsPerSecond: number}, now: number): BudgetRefusal | undefined {
 		// With the table silent each call would wait for its time-out, and callers would pile up behind it. One call a
 		// second finds out whether it is back; all others are told at once.
 		if (now < this.#suspectUntil) {
 			return refusalOf('platform-unavailable', 'the platform\'s table does not answer; the call was not sent', this.#suspectUntil - now);
 		}
 
-		const perSecond = claimsPerSecondOfAll / Math.max(1, instances);
+		const perSecond = share.claimsPerSecond / Math.max(1, share.instances);
 		this.#refill(perSecond, now);
 		if (this.#open >= openLimit || this.#tokens < 1) {
 			return refusalOf('claim-rate', 'too many calls that may not run twice; the call was not sent', 1000 / perSecond);
--- a/src/stand-in/instance-list-stand-in.ts
+++ b/src/stand-in/instance-list-stand-in.ts
@@ -1,25 +1,25 @@
 /**
  * Stands in for the platform's list of live and leaving instances. Whoever starts instances announces them by
- * `PUT /instances`; a reader sees an announcement only after `lagMilliseconds`.
+ * `PUT /instances`; a reader sees an announcement only after the `lagMilliseconds` that were in force when it was made.
  */
 import {H3, readBody} from 'h3';
 import {type ListedInstance} from '../shared/types.js';
 import {noFaults, type StandInKind} from './stand-in-server.js';
 
-type Announcement = {instances: ListedInstance[]; at: number};
+type Announcement = {instances: ListedInstance[]; visibleAt: number};
 
 export function createInstanceListStandIn(): StandInKind {
 	const app = new H3();
 	const faults = {...noFaults, lagMilliseconds: 0};
-	let announcements: Announcement[] = [{instances: [], at: 0}];
+	let announcements: Announcement[] = [{instances: [], visibleAt: 0}];
 
 	app.get('/instances', () => {
-		const visible = announcements.findLast(announcement => announcement.at + faults.lagMilliseconds <= Date.now());
+		const visible = announcements.findLast(announcement => announcement.visibleAt <= Date.now());
 		return {instances: visible?.instances ?? []};
 	});
 	app.put('/instances', async event => {
 		const {instances} = await readBody<{instances: ListedInstance[]}>(event) as {instances: ListedInstance[]};
-		announcements = [...announcements.slice(-100), {instances, at: Date.now()}];
+		announcements = [...announcements.slice(-100), {instances, visibleAt: Date.now() + faults.lagMilliseconds}];
 		return {announced: instances.length};
 	});
 	return {app, faults, counts: () => ({announcements: announcements.length})};
--- a/src/stand-in/plain-service-stand-in.ts
+++ b/src/stand-in/plain-service-stand-in.ts
@@ -3,11 +3,12 @@
  * runs per booking, so that a duplicate run is seen here and not by savorygauge's own word.
  */
 import {H3, readBody} from 'h3';
+import {type LoadReport} from '../ports/model-engine.js';
 import {noFaults, type StandInKind} from './stand-in-server.js';
 
 export function createPlainServiceStandIn(): StandInKind {
 	const app = new H3();
-	const faults = {...noFaults};
+	const faults = {...noFaults, leaving: false};
 	const runsByBooking = new Map<string, number>();
 
 	app.post('/bookings', async event => {
@@ -17,6 +18,7 @@
 		event.res.status = 201;
 		return {booking, confirmation: `confirmed-${booking}`, run: runs};
 	});
+	app.get('/load', () => loadReport(faults.leaving, Date.now()));
 	app.get('/bookings/:booking', event => {
 		const booking = event.context.params?.booking ?? '';
 		return {booking, runs: runsByBooking.get(booking) ?? 0};
@@ -32,3 +34,21 @@
 		}),
 	};
 }
+
+/** A plain service reports in the shape that engines do; it has no model, prompt or cache. */
+function loadReport(isLeaving: boolean, now: number): LoadReport {
+	return {
+		model: '',
+		weightVersion: '',
+		state: isLeaving ? 'leaving' : 'live',
+		runningRequests: 0,
+		waitingRequests: 0,
+		waitingPrefillTokens: 0,
+		prefillTokensPerSecond: 0,
+		decodeTokensPerSecond: 0,
+		batchLimit: 0,
+		kvTokensUsed: 0,
+		kvTokensCapacity: 0,
+		measuredAt: now,
+	};
+}
--- a/src/test/process-operations.test.ts
+++ b/src/test/process-operations.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {sendPrompt} from '../demo/demo-client.js';
+import {sendBooking, sendPrompt} from '../demo/demo-client.js';
 import {type DeployedProcess, Deployment} from '../demo/deployment.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 
@@ -21,6 +21,7 @@
 		enginesPerDataCentre: 2,
 		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
 		plainService: 'bookings',
+		plainServicesPerDataCentre: 2,
 		engineArguments: ['--milliseconds-per-token', '20', '--batch-limit', '64'],
 	});
 	await deployment.start();
@@ -35,7 +36,7 @@
 	return result.status === 200 && result.text === engineAnswerTo(`user: ${content}`, maxTokens);
 }
 
-async function countOf(deployment: Deployment, engine: DeployedProcess, name: 'running' | 'completions'): Promise<number> {
+async function countOf(deployment: Deployment, engine: DeployedProcess, name: 'running' | 'completions' | 'runs'): Promise<number> {
 	const counts = await deployment.countsOf(engine.listed.address);
 	return Number(counts[name]);
 }
@@ -45,6 +46,7 @@
 	context.after(async () => deployment.stop());
 	const [leaver, stays] = deployment.withRole('entry');
 	const engines = deployment.withRole('model-engine');
+	const plainServices = deployment.withRole('plain-service');
 
 	await context.test('an accepted change is in force on every instance within 3 s', async () => {
 		// An operator applies a change at one entry; each of the three entries says which version it has in force.
@@ -74,14 +76,28 @@
 		assert.deepEqual(await exited, [0, null]);
 	});
 
-	await context.test('a leaving endpoint gets no new work behind 3 s while the list still calls it live', async () => {
-		// One of two engines says in its load report that it leaves; the list never hears of it and goes on calling it live,
-		// as one that lags by any time would. Behind the bound of 3 s twenty prompts come, and none goes to it.
-		await deployment.setFaults(engines[0]!.listed.address, {leaving: true});
+	await context.test('leaving endpoints get no new work behind 3 s while the list lags by 30 s', async () => {
+		// One of two engines and one of two plain services say in their load reports that they leave. The list learns of it
+		// at once too, but shows it to nobody for 30 s and goes on calling both live. Behind the bound of 3 s twenty prompts
+		// and twenty bookings come, and none goes to them.
+		await deployment.setFaults(deployment.platform.list, {lagMilliseconds: 30_000});
+		const leaving = [engines[0]!, plainServices[0]!];
+		for (const {listed} of leaving) {
+			listed.state = 'leaving';
+			await deployment.setFaults(listed.address, {leaving: true});
+		}
+
+		await deployment.announce();
 		await delay(leavingBoundMilliseconds);
-		const before = await countOf(deployment, engines[0]!, 'completions');
+		const prompts = await countOf(deployment, engines[0]!, 'completions');
+		const bookings = await countOf(deployment, plainServices[0]!, 'runs');
 		const whole = await Promise.all(Array.from({length: 20}, async (_, index) => ask(stays!, `late ${index}`, 5)));
-		assert.equal(await countOf(deployment, engines[0]!, 'completions'), before);
+		const booked = await Promise.all(Array.from({length: 20}, async (_, index) => sendBooking({
+			entry: stays!.listed.address, key: 'quay-demo-key', path: '/services/bookings/bookings', name: `late-${index}`, idempotencyKey: `late-${index}`,
+		})));
+		assert.equal(await countOf(deployment, engines[0]!, 'completions'), prompts);
+		assert.equal(await countOf(deployment, plainServices[0]!, 'runs'), bookings);
 		assert.equal(whole.filter(Boolean).length, 20);
+		assert.equal(booked.filter(({status}) => status === 201).length, 20);
 	});
 });
