Play configuration changes under restarts and cuts over real processes

Cause: that a configuration is in force within 3 s and never goes back was shown over real processes without any fault.

Ruled out: counting an entry that is not ready: it serves nothing by the version that it names.

--- /dev/null
+++ b/src/check/configuration-over-processes.ts
@@ -0,0 +1,154 @@
+/**
+ * Configuration over real processes, while entries are killed and started anew and are cut from the table. After each
+ * fault a change is accepted (one entry at least reaches the table); every entry that runs must have it in force within the bound, by the table or by its
+ * peers, and no entry that calls itself ready may ever name a lower version than one of that name did before.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {HttpTableService} from '../adapters/http-table-service.js';
+import {Deployment} from '../demo/deployment.js';
+import {acceptProposal, readHead} from '../protocol/configuration/configuration-table.js';
+import {seededRandom} from '../peer/random/seeded-random.js';
+import {CuttableLink} from './cuttable-link.js';
+
+const lookMilliseconds = 20;
+const giveUpMilliseconds = 15_000;
+const boundMilliseconds = 3000;
+
+/** What the run came to. `late` and `wentBack` must be 0. */
+export type ConfigurationReport = {
+	restarts: number;
+	cuts: number;
+	mends: number;
+	changes: number;
+	/** Changes that took longer than 3 s to be in force on every entry that runs. */
+	late: number;
+	/** Times that a ready entry named a lower version than one of its name did before. */
+	wentBack: number;
+	slowestMilliseconds: number;
+};
+
+/**
+ * Plays faults and changes.
+ *
+ * @param plan - How many faults, and their seed.
+ * @returns The report.
+ */
+export async function runConfigurationChanges({faults, seed}: {faults: number; seed: number}): Promise<ConfigurationReport> {
+	const links = new Map<string, CuttableLink>();
+	const deployment = new Deployment({
+		dataCentres: ['split-riva', 'split-luka'],
+		entriesPerDataCentre: 2,
+		enginesPerDataCentre: 1,
+		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		plainService: 'bookings',
+		async tableAddressFor(instance, table) {
+			const before = links.get(instance);
+			before?.close();
+			const link = new CuttableLink(table);
+			// An entry that starts anew while it is cut learns the configuration from its peers alone.
+			if (before?.isCut) {
+				link.cut();
+			}
+
+			links.set(instance, link);
+			return link.listen();
+		},
+	});
+	try {
+		await deployment.start();
+		return await new ConfigurationRun(deployment, links, seededRandom(seed)).run(faults);
+	} finally {
+		await deployment.stop();
+		for (const link of links.values()) {
+			link.close();
+		}
+	}
+}
+
+class ConfigurationRun {
+	readonly #deployment: Deployment;
+	readonly #links: ReadonlyMap<string, CuttableLink>;
+	readonly #random: () => number;
+	readonly #table: HttpTableService;
+	readonly #highest = new Map<string, number>();
+	readonly #report: ConfigurationReport = {
+		restarts: 0, cuts: 0, mends: 0, changes: 0, late: 0, wentBack: 0, slowestMilliseconds: 0,
+	};
+
+	constructor(deployment: Deployment, links: ReadonlyMap<string, CuttableLink>, random: () => number) {
+		this.#deployment = deployment;
+		this.#links = links;
+		this.#random = random;
+		this.#table = new HttpTableService(deployment.platform.table);
+	}
+
+	async run(faults: number): Promise<ConfigurationReport> {
+		await this.#change();
+		for (let count = 0; count < faults; count++) {
+			await this.#fault();
+			await this.#change();
+		}
+
+		return this.#report;
+	}
+
+	async #fault(): Promise<void> {
+		const entries = this.#deployment.withRole('entry');
+		const entry = entries[Math.floor(this.#random() * entries.length)]!;
+		const link = this.#links.get(entry.listed.name)!;
+		if (this.#random() < 0.5) {
+			this.#report.restarts++;
+			await this.#deployment.replaceEntry(entry);
+		} else if (link.isCut) {
+			this.#report.mends++;
+			link.mend();
+		} else if ([...this.#links.values()].filter(({isCut}) => !isCut).length > 1) {
+			this.#report.cuts++;
+			link.cut();
+		}
+	}
+
+	/** Has a change accepted and waits until every entry has it. */
+	async #change(): Promise<void> {
+		const head = await readHead(this.#table);
+		const accepted = await acceptProposal(this.#table, {
+			plannedAgainst: head.unsafeCoerce().version,
+			author: 'check',
+			reason: 'a change under faults',
+			edits: [{action: 'set', kind: 'limit', item: {name: 'open-requests', value: 100 + this.#report.changes}}],
+		}, Date.now());
+		this.#report.changes++;
+		const {version} = accepted.unsafeCoerce();
+		const acceptedAt = performance.now();
+		while (!await this.#isEverywhere(version)) {
+			if (performance.now() - acceptedAt > giveUpMilliseconds) {
+				break;
+			}
+
+			await delay(lookMilliseconds);
+		}
+
+		const took = performance.now() - acceptedAt;
+		this.#report.slowestMilliseconds = Math.max(this.#report.slowestMilliseconds, Math.round(took));
+		this.#report.late += took > boundMilliseconds ? 1 : 0;
+	}
+
+	async #isEverywhere(version: number): Promise<boolean> {
+		const seen = await Promise.all(this.#deployment.withRole('entry').map(async ({listed}) => this.#look(listed.name, listed.address)));
+		return seen.every(found => found >= version);
+	}
+
+	/** Gives the version that an entry names, and notes when it went back. */
+	async #look(name: string, address: string): Promise<number> {
+		const answer = await request(`http://${address}/readyz`);
+		const {ready, configurationVersion} = await answer.body.json() as {ready: boolean; configurationVersion: number};
+		const before = this.#highest.get(name) ?? 0;
+		if (ready && configurationVersion < before) {
+			this.#report.wentBack++;
+		}
+
+		this.#highest.set(name, Math.max(before, configurationVersion));
+		return configurationVersion;
+	}
+}
--- a/src/demo/deployment.ts
+++ b/src/demo/deployment.ts
@@ -2,6 +2,7 @@
  * A whole small deployment on this machine: data centres with entries, model engines, a cache store and a plain service
  * each, and the platform's stand-ins for all of them. The demo and the tests over real processes use it.
  */
+import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {exchangeJson} from '../adapters/http-client.js';
 import {runApply} from '../operator/declaration-commands.js';
@@ -28,6 +29,8 @@
 	engineArguments?: readonly string[];
 	/** Further arguments of each entry. */
 	entryArguments?: readonly string[];
+	/** Gives the address by which an entry reaches the table; the table's own when it is left out. */
+	tableAddressFor?(instance: string, table: string): Promise<string>;
 };
 
 /** A process with its place in the platform's list. */
@@ -133,6 +136,7 @@
 
 	/** Starts one more entry; it is not announced. */
 	async startEntry(name: string, dataCentre: string): Promise<DeployedProcess> {
+		const table = await this.#plan.tableAddressFor?.(name, this.#table) ?? this.#table;
 		const started = await this.group.start('entry/main.js', {
 			arguments: [
 				'--instance',
@@ -146,7 +150,7 @@
 				'--peer-listen',
 				'127.0.0.1:0',
 				'--table-address',
-				this.#table,
+				table,
 				'--object-address',
 				this.#objects,
 				'--list-address',
@@ -167,6 +171,16 @@
 		return entry;
 	}
 
+	/** Kills an entry and starts one of the same name in its place; the list hears of it. */
+	async replaceEntry(entry: DeployedProcess): Promise<void> {
+		const exited = once(entry.process.child, 'exit');
+		entry.process.child.kill('SIGKILL');
+		await exited;
+		this.instances.splice(this.instances.indexOf(entry), 1);
+		await this.startEntry(entry.listed.name, entry.listed.dataCentre);
+		await this.announce();
+	}
+
 	async stop(): Promise<void> {
 		await this.group.stop();
 	}
