--- a/src/check/bookings-over-processes.ts
+++ b/src/check/bookings-over-processes.ts
@@ -92,7 +92,12 @@
 
 	async #break(): Promise<void> {
 		const fault = this.#choices.oneOf(['lose table answers', 'lose service answers', 'kill', 'stand still'] as const);
-		const entry = this.#choices.oneOf(this.#entries);
+		const entries = this.#entries;
+		if (entries.length === 0) {
+			return;
+		}
+
+		const entry = this.#choices.oneOf(entries);
 		switch (fault) {
 			case 'lose table answers': {
 				await this.#deployment.setFaults(this.#deployment.platform.table, {loseAnswers: this.#choices.between(1, 3)});
@@ -131,8 +136,9 @@
 		let unknownWords = 0;
 		for (let count = 0; count < tryLimit; count++) {
 			const entries = this.#entries;
-			const entry = entries[this.#choices.between(0, entries.length - 1)]!;
-			const word = await ask(entry.listed.address, booked);
+			// Seed 424242 killed all four entries before the first of them was replaced; callers then find nobody for a while.
+			const entry = entries[this.#choices.between(0, Math.max(0, entries.length - 1))];
+			const word = entry === undefined ? 'again' : await ask(entry.listed.address, booked);
 			// A caller who is told that the outcome is unknown asks once more: that must not run the booking again.
 			unknownWords += word === 'unknown' ? 1 : 0;
 			if (word === 'answered' || unknownWords > 1) {
