--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -15,11 +15,13 @@
 import {BelievedParts} from './believed-parts.js';
 import {EndpointOutlook} from './endpoint-outlook.js';
 import {
-	type Placement, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
+	type OthersAt, type Placement, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
 } from './placement.js';
 
 /** Prompt tokens that an engine reads in a millisecond, until measured: the lower end of what current engines state. */
 const prefillTokensPerMillisecond = 55;
+/** Tokens that an engine fetches from a store in a millisecond: 50 Gbit/s at about 18 KB a token, less the way there. */
+const fetchTokensPerMillisecond = 250;
 /** Reading parts again takes an engine's time from all others there; its own caller waits for it once, others as well. */
 const rereadWeight = 3;
 /** One running request slows the tokens of the others by about a tenth of a millisecond a step, over some dozens of steps. */
@@ -42,17 +44,34 @@
 /** A service counts as full when each of its endpoints has this multiple of its slots running or waiting. */
 const fullShare = 2;
 
-type Candidate = {endpoint: EndpointRecord; outlook: EndpointOutlook; cost: number; missingTokens: number};
+type Candidate = {endpoint: EndpointRecord; cost: number; occupancy: number; missingTokens: number};
 
 export class CostPlacement implements PlacementPolicy {
 	readonly #dataCentre: string;
+	readonly #othersAt: OthersAt;
 	readonly #outlooks = new Map<string, EndpointOutlook>();
 	readonly #parts = new Map<string, BelievedParts>();
 	readonly #unread = new Map<string, number>();
 
-	/** @param dataCentre - Where this instance stands. */
-	constructor(dataCentre: string) {
+	/**
+	 * @param dataCentre - Where this instance stands.
+	 * @param othersAt - What the other instances have under way.
+	 */
+	constructor(dataCentre: string, othersAt: OthersAt = () => undefined) {
 		this.#dataCentre = dataCentre;
+		this.#othersAt = othersAt;
+	}
+
+	/** What this instance has under way, by endpoint. */
+	ownLoads(): Record<string, [requests: number, unreadTokens: number]> {
+		const loads: Record<string, [number, number]> = {};
+		for (const [key, {underWay, unreadTokens}] of this.#outlooks) {
+			if (underWay > 0) {
+				loads[key.slice(0, key.lastIndexOf('@'))] = [underWay, unreadTokens];
+			}
+		}
+
+		return loads;
 	}
 
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
@@ -67,7 +86,7 @@
 
 		const candidates = inView
 			.map(endpoint => this.#estimate(request, endpoint, homeOf(request, inView), now))
-			.filter(({endpoint, outlook}) => outlook.occupancy(now) < fullShare * Math.max(1, endpoint.slots));
+			.filter(({endpoint, occupancy}) => occupancy < fullShare * Math.max(1, endpoint.slots));
 		const [first, ...others] = candidates;
 		if (first === undefined) {
 			return {kind: 'none', reason: 'overloaded', retryAfterMilliseconds: spreadRetry(overloadRetryMilliseconds, request.id)};
@@ -86,7 +105,7 @@
 		const outlook = this.#outlookOf(endpoint);
 		switch (event.kind) {
 			case 'sent': {
-				const missing = this.#missingTokens(request, endpoint);
+				const missing = request.prompt === undefined ? 0 : this.#workAt(request, endpoint, undefined).readTokens;
 				this.#unread.set(request.id, missing);
 				outlook.sent(missing);
 				break;
@@ -130,35 +149,36 @@
 
 	#estimate(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined, now: number): Candidate {
 		const outlook = this.#outlookOf(endpoint);
+		const others = this.#othersAt(endpoint.name, now);
+		const occupancy = others === undefined ? outlook.reportedOccupancy(now) : outlook.underWay + others[0];
 		const distance = endpoint.dataCentre === this.#dataCentre ? 0 : otherDataCentreMilliseconds;
 		if (request.prompt === undefined) {
-			const ahead = outlook.occupancy(now) / Math.max(1, endpoint.slots);
-			const cost = (callMilliseconds * ahead) + distance;
+			const cost = (callMilliseconds * occupancy / Math.max(1, endpoint.slots)) + distance;
 			return {
-				endpoint, outlook, cost, missingTokens: 0,
+				endpoint, cost, occupancy, missingTokens: 0,
 			};
 		}
 
-		const {promptTokens, parts} = request.prompt;
-		const shared = parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
-		const presumed = endpoint.name === home?.name ? shared : 0;
-		const kept = Math.max(presumed, this.#partsOf(endpoint, request).leadingTokens(scopeAt(request, endpoint), parts));
-		const missingTokens = Math.max(0, promptTokens - kept);
-		const reading = rereadWeight * missingTokens / prefillTokensPerMillisecond;
-		const wait = outlook.unreadTokens / prefillTokensPerMillisecond;
-		const occupied = (runningMilliseconds * outlook.occupancy(now)) + (waitingMilliseconds * outlook.waiting(now));
+		const {readTokens, fetchTokens} = this.#workAt(request, endpoint, home);
+		const work = (rereadWeight * readTokens / prefillTokensPerMillisecond) + (fetchTokens / fetchTokensPerMillisecond);
+		const wait = (outlook.unreadTokens + (others?.[1] ?? 0)) / prefillTokensPerMillisecond;
+		const waiting = others === undefined ? outlook.waiting(now) : Math.max(0, occupancy - endpoint.slots);
+		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * waiting);
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
 		return {
-			endpoint, outlook, cost: reading + wait + occupied + distance + weights, missingTokens,
+			endpoint, cost: work + wait + occupied + distance + weights, occupancy, missingTokens: readTokens,
 		};
 	}
 
-	#missingTokens(request: PlacementRequest, endpoint: EndpointRecord): number {
-		if (request.prompt === undefined) {
-			return 0;
-		}
-
-		return Math.max(0, request.prompt.promptTokens - this.#partsOf(endpoint, request).leadingTokens(scopeAt(request, endpoint), request.prompt.parts));
+	/** Tokens of a prompt that an engine would read, and those that it would fetch from stores. */
+	#workAt(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined): {readTokens: number; fetchTokens: number} {
+		const {promptTokens, parts} = request.prompt!;
+		const shared = parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+		const presumed = endpoint.name === home?.name ? shared : 0;
+		const kept = Math.max(presumed, this.#partsOf(endpoint, request).leadingTokens(scopeAt(request, endpoint), parts));
+		const version = endpoint.weightVersions.get(request.prompt!.model);
+		const fetchTokens = version === undefined ? 0 : Math.max(0, request.storedTokensUnder(version) - kept);
+		return {readTokens: Math.max(0, promptTokens - kept - fetchTokens), fetchTokens};
 	}
 
 	#outlookOf(endpoint: EndpointRecord): EndpointOutlook {
--- a/src/decision/placement/endpoint-outlook.ts
+++ b/src/decision/placement/endpoint-outlook.ts
@@ -65,7 +65,7 @@
 	}
 
 	/** Requests running or waiting there, of all instances: the last report if it is recent, at least the own ones. */
-	occupancy(now: number): number {
+	reportedOccupancy(now: number): number {
 		const reported = this.#load !== undefined && now - this.#loadAt < reportLifeMilliseconds
 			? this.#load.running + this.#load.waiting + this.#sentSinceLoad
 			: 0;
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -18,6 +18,8 @@
 	tried: ReadonlySet<string>;
 	/** The weights that its model is to be served with; absent if none were named. */
 	wantedVersion: number | undefined;
+	/** Shared tokens, from the prompt's start, that stores keep and any engine with that weight version can fetch. */
+	storedTokensUnder: (weightVersion: number) => number;
 	/** Engines that load weights now and reject what is sent to them. */
 	loading: ReadonlySet<string>;
 };
@@ -40,6 +42,9 @@
 		| {kind: 'answered'; request: PlacementRequest; endpoint: EndpointRecord; load: ReportedLoad | undefined}
 		| {kind: 'ended'; request: PlacementRequest; endpoint: EndpointRecord; outcome: 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled'};
 
+/** What all other instances have under way at an endpoint: requests, and prompt tokens not read yet. */
+export type OthersAt = (endpoint: string, now: number) => [requests: number, unreadTokens: number] | undefined;
+
 /** Places requests on endpoints. */
 export interface PlacementPolicy {
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement;
--- a/src/gateway/data-path/endpoint-headers.test.ts
+++ b/src/gateway/data-path/endpoint-headers.test.ts
@@ -20,7 +20,7 @@
 		leftMilliseconds: 812.7,
 		bodyBytes: 7,
 		lastEventId: undefined,
-		fetchFrom: undefined,
+		parts: undefined,
 	};
 }
 
@@ -41,3 +41,14 @@
 test('an isolated workspace has a salt of its own', () => {
 	assert.deepEqual(valuesOf(endpointHeaders(planWith([], true), names), names.cacheSalt), ['workspace-split-w3']);
 });
+
+test('parts are fetched and saved by place in the prompt, with a time limit on fetches', () => {
+	const plan = planWith([]);
+	const parts = [{id: 'p1', tokens: 5}, {id: 'p2', tokens: 3}, {id: 'own', tokens: 2}];
+	const headers = endpointHeaders({
+		...plan, head: {...plan.head, prompt: {...plan.head.prompt!, parts}}, parts: {fetchFrom: ['10.0.0.1:1', undefined], saveTo: [undefined, '10.0.0.2:1'], fetchUntil: 5000.7},
+	}, names);
+	assert.deepEqual(valuesOf(headers, names.fetchFrom), ['10.0.0.1:1,-,-']);
+	assert.deepEqual(valuesOf(headers, names.saveTo), ['-,10.0.0.2:1,-']);
+	assert.deepEqual(valuesOf(headers, names.fetchUntil), ['5000']);
+});
--- a/src/gateway/data-path/endpoint-headers.ts
+++ b/src/gateway/data-path/endpoint-headers.ts
@@ -5,6 +5,13 @@
 import {type RequestHead} from './request-head.js';
 import {type WireNames} from './wire-names.js';
 
+/** Addresses by part of the prompt; fetches are thrown away behind `fetchUntil`, on the engines' clock. */
+export type PartOrders = {
+	fetchFrom: ReadonlyArray<string | undefined>;
+	saveTo: ReadonlyArray<string | undefined>;
+	fetchUntil: number;
+};
+
 /** One send of a request. */
 export type SendPlan = {
 	head: RequestHead;
@@ -15,8 +22,8 @@
 	bodyBytes: number;
 	/** Where a resumed stream goes on. */
 	lastEventId: string | undefined;
-	/** Where the engine fetches what it lacks; absent for none. */
-	fetchFrom: string | undefined;
+	/** Which parts the engine fetches from stores and saves there; absent for none. */
+	parts: PartOrders | undefined;
 };
 
 /** Ranks at engines; the least urgent declared rank is clamped to the last one. */
@@ -66,7 +73,7 @@
  * names both, and the engine refuses the request if its weights are no longer those; so no part under this salt was made
  * otherwise.
  */
-function addPromptHeaders({head, permitted, endpoint, fetchFrom}: SendPlan, names: WireNames, add: (name: string, value: string) => void): void {
+function addPromptHeaders({head, permitted, endpoint, parts}: SendPlan, names: WireNames, add: (name: string, value: string) => void): void {
 	if (head.prompt === undefined || !permitted.route.carriesPrompt) {
 		return;
 	}
@@ -79,11 +86,21 @@
 	// Of unknown weights nothing may be shared: the request gets a salt that no other has.
 	add(names.cacheSalt, version === undefined ? `once-${head.attemptId}` : cacheSalt(cacheScopeOf(permitted), version));
 	add(names.engineRank, String(Math.min(lastEngineRank, permitted.rank)));
-	if (fetchFrom !== undefined) {
-		add(names.fetchFrom, fetchFrom);
+	if (parts?.fetchFrom.some(address => address !== undefined)) {
+		add(names.fetchFrom, partList(parts.fetchFrom, head.prompt.parts.length));
+		add(names.fetchUntil, String(Math.floor(parts.fetchUntil)));
+	}
+
+	if (parts?.saveTo.some(address => address !== undefined)) {
+		add(names.saveTo, partList(parts.saveTo, head.prompt.parts.length));
 	}
 }
 
+/** One entry for each part of the prompt. */
+function partList(addresses: ReadonlyArray<string | undefined>, length: number): string {
+	return Array.from({length}, (_, index) => addresses[index] ?? '-').join(',');
+}
+
 /** Who shares cached parts: an isolated workspace with nobody, the others with each other. */
 export function cacheScopeOf({grant}: PermittedRequest): string {
 	return grant?.isIsolated ? `workspace-${grant.name}` : 'shared';
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -3,11 +3,15 @@
 import {test} from 'node:test';
 import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
-import {answerSealed, sealedHeaders, TestGateway} from '../testing/test-gateway.js';
+import {type answerSealed, sealedHeaders, TestGateway} from '../testing/test-gateway.js';
 import {ownWireNames as names} from './wire-names.js';
 
 const eventText = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
-const request = rawRequest({method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '2000', connection: 'close'}, body: 'x'});
+const request = rawRequest({
+	method: 'POST', path: '/', headers: {
+		host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '2000', connection: 'close',
+	}, body: 'x',
+});
 
 async function streamBreaks(kind: 'stream' | 'resumable-stream', breakOff: (response: ServerResponse) => void): Promise<{answer: string; askedBehind: string[]}> {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -16,6 +16,7 @@
 import {cacheScopeOf, endpointHeaders} from './endpoint-headers.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
+import {orderParts, storedTokensOf} from './order-parts.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
 import {relayAnswer} from './relay-answer.js';
 import {type RequestHead} from './request-head.js';
@@ -45,6 +46,7 @@
 	readonly #deadline: number;
 	readonly #tried = new Set<string>();
 	readonly #cutter: EventCutter | undefined;
+	readonly #storedTokens = new Map<number, number>();
 	#exchange: OpenExchange | undefined;
 	#sends = 0;
 	#mayHaveRun = false;
@@ -179,7 +181,13 @@
 			method: head.method,
 			target: head.target,
 			rawHeaders: endpointHeaders({
-				head, permitted, endpoint, leftMilliseconds: this.#deadline - this.#now(), bodyBytes: body.length, lastEventId: this.#cutter?.lastId, fetchFrom: undefined,
+				head,
+				permitted,
+				endpoint,
+				leftMilliseconds: this.#deadline - this.#now(),
+				bodyBytes: body.length,
+				lastEventId: this.#cutter?.lastId,
+				parts: orderParts(this.#context, this.#work, endpoint),
 			}, names),
 			body,
 			attemptId: head.attemptId,
@@ -367,11 +375,24 @@
 			cacheScope: cacheScopeOf(permitted),
 			engine: this.#context.configuration.current?.services.get(permitted.service)?.engine,
 			tried: this.#tried,
+			storedTokensUnder: version => this.#storedTokensUnder(version),
 			wantedVersion: this.#context.goals.goalFor(head.prompt?.model ?? '')?.version,
 			loading: this.#context.loadingEngines.current,
 		};
 	}
 
+	/** Shared tokens that stores keep under a weight version; looked up once for each version while a request is placed. */
+	#storedTokensUnder(version: number): number {
+		const known = this.#storedTokens.get(version);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const tokens = storedTokensOf(this.#context, this.#work, version);
+		this.#storedTokens.set(version, tokens);
+		return tokens;
+	}
+
 	#report(end: RoutedEnd): void {
 		const {log, metrics} = this.#context;
 		const {head, permitted, arrivedAt} = this.#work;
--- /dev/null
+++ b/src/gateway/duty/duty-seat.ts
@@ -0,0 +1,132 @@
+/** Takes, renews and gives back the lease on one duty; what is allowed is decided in `src/protocol/duty`. */
+import {type ClockedTable} from '../../ports/clocked-table.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type TableService} from '../../ports/table-service.js';
+import {
+	decideDuty, type DutyGrant, type DutyRow, leftOfGrant, releasedRow,
+} from '../../protocol/duty/duty-lease.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+
+/** Which duty, and for whom. */
+export type DutyPlan = {
+	table: string;
+	duty: string;
+	instance: string;
+	/** Where other instances reach the holder. */
+	address: string;
+	leaseMilliseconds: number;
+};
+
+/** What a seat works with. */
+export type DutyTools = {
+	store: TableService & ClockedTable;
+	clock: MomentClock;
+	log: DecisionLog;
+};
+
+/** When a lease is looked at again if a call for it failed. */
+const retryMilliseconds = 500;
+
+export class DutySeat {
+	readonly #plan: DutyPlan;
+	readonly #tools: DutyTools;
+	#grant: DutyGrant | undefined;
+	#notBefore = 0;
+	/** The row as it was read last, of whomever. */
+	#seen: DutyRow | undefined;
+
+	constructor(plan: DutyPlan, tools: DutyTools) {
+		this.#plan = plan;
+		this.#tools = tools;
+	}
+
+	/** The grant, as long as this instance may act. */
+	get grant(): DutyGrant | undefined {
+		return this.left() > 0 ? this.#grant : undefined;
+	}
+
+	/** The row as it was read last. */
+	get seen(): DutyRow | undefined {
+		return this.#seen;
+	}
+
+	/** Milliseconds for which this instance may still act; 0 if it may not. */
+	left(): number {
+		const left = this.#grant === undefined ? 0 : leftOfGrant(this.#grant, this.#plan.leaseMilliseconds, this.#tools.clock.moment());
+		return Math.max(0, left);
+	}
+
+	/**
+	 * Takes or renews the lease if the row allows it; asks no sooner than a former answer said.
+	 *
+	 * @param engines - Engines that the holder changes, for others to spare them.
+	 */
+	async seek(engines: string[] = []): Promise<void> {
+		const {store, clock, log} = this.#tools;
+		const name = {table: this.#plan.table, key: this.#plan.duty};
+		if (clock.moment().steady < this.#notBefore) {
+			return;
+		}
+
+		const since = clock.moment();
+		const read = await store.readClocked(name);
+		if (read.isLeft()) {
+			this.#lookAgainIn(retryMilliseconds);
+			return;
+		}
+
+		const {row, storeMilliseconds} = read.unsafeCoerce();
+		this.#seen = row?.value as DutyRow | undefined;
+		const decided = decideDuty(this.#seen, this.#plan.instance, storeMilliseconds, this.#plan.leaseMilliseconds);
+		if (decided.kind === 'wait') {
+			this.lose('another instance holds it');
+			this.#lookAgainIn(decided.milliseconds);
+			return;
+		}
+
+		const granted: DutyRow = {...decided.row, address: this.#plan.address, engines};
+		const written = await store.commit({conditions: [{...name, revision: row?.revision ?? 0}], writes: [{...name, value: granted}]});
+		if (written.isLeft()) {
+			this.#lookAgainIn(retryMilliseconds);
+			return;
+		}
+
+		if (this.left() === 0) {
+			log.record('lease-taken', {duty: this.#plan.duty, fencingNumber: granted.fencingNumber, grantedAt: granted.grantedAt});
+		}
+
+		this.#seen = granted;
+		this.#grant = {row: granted, since};
+	}
+
+	/** Forgets the grant. */
+	lose(reason: string): void {
+		if (this.#grant !== undefined) {
+			this.#tools.log.record('lease-lost', {duty: this.#plan.duty, fencingNumber: this.#grant.row.fencingNumber, reason});
+		}
+
+		this.#grant = undefined;
+	}
+
+	/** Gives the lease back, so that another instance may take it at once. Call it only when nothing of the duty is under way. */
+	async release(): Promise<void> {
+		const {store} = this.#tools;
+		const name = {table: this.#plan.table, key: this.#plan.duty};
+		const held = this.grant;
+		if (held === undefined) {
+			return;
+		}
+
+		this.lose('given back');
+		const read = await store.readClocked(name);
+		const {row} = read.orDefault({row: undefined, storeMilliseconds: 0});
+		const value = row?.value as DutyRow | undefined;
+		if (row !== undefined && value?.holder === this.#plan.instance) {
+			await store.commit({conditions: [{...name, revision: row.revision}], writes: [{...name, value: releasedRow(value)}]});
+		}
+	}
+
+	#lookAgainIn(milliseconds: number): void {
+		this.#notBefore = this.#tools.clock.moment().steady + milliseconds;
+	}
+}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,4 +1,5 @@
 /** What the parts of the routed data path share. */
+import {type PartPlanner} from '../decision/parts/plan-parts.js';
 import {type PlacementPolicy} from '../decision/placement/placement.js';
 import {type SharedRepeatBudget} from '../decision/limits/shared-repeat-budget.js';
 import {type MomentClock} from '../ports/moment-clock.js';
@@ -9,6 +10,7 @@
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
+import {type HubView} from './hub/hub-view.js';
 import {type LoadingEngines} from './watchers/loading-engines.js';
 import {type WeightGoals} from './weights/weight-goals.js';
 
@@ -23,6 +25,8 @@
 	exchanges: EndpointExchanges;
 	goals: WeightGoals;
 	loadingEngines: LoadingEngines;
+	hubView: HubView;
+	partPlanner: PartPlanner;
 	log: DecisionLog;
 	metrics: GatewayMetrics;
 	refuse: Refuse;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -9,8 +9,10 @@
 import {H3} from 'h3';
 import {type Either} from 'purify-ts/Either';
 import {HttpListener, defaultListenerBounds} from '../entry/http-listener.js';
+import {PartPlanner} from '../decision/parts/plan-parts.js';
 import {CostPlacement} from '../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../decision/limits/shared-repeat-budget.js';
+import {type CacheStoreControl} from '../ports/cache-store-control.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
 import {type EngineControl} from '../ports/engine-control.js';
 import {type MomentClock} from '../ports/moment-clock.js';
@@ -27,6 +29,10 @@
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type GatewayContext} from './gateway-context.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
+import {DutySeat} from './duty/duty-seat.js';
+import {Hub} from './hub/hub.js';
+import {HubClient} from './hub/hub-client.js';
+import {HubView} from './hub/hub-view.js';
 import {DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {type Catalog} from './watchers/catalog.js';
@@ -44,6 +50,7 @@
 	catalog: Catalog;
 	store: TableService & TableFeed & ClockedTable;
 	control: EngineControl;
+	storeControl: CacheStoreControl;
 	metrics: GatewayMetrics;
 	/** Numbers from 0 up to 1. */
 	random: () => number;
@@ -54,6 +61,9 @@
 const unreadyMilliseconds = 2300;
 /** Left of the grace period for the end of the process itself. */
 const exitMarginMilliseconds = 400;
+/** Rows of leases that nobody follows. */
+const leaseTable = 'leases';
+const hubDuty = 'hub';
 /** Hints may be late: a feed that brings nothing else waits long, to cost few calls. */
 const hintWaitMilliseconds = 20_000;
 /** More than any deployment's own limit on headers, which is checked behind the parser. */
@@ -62,10 +72,12 @@
 export class GatewayDaemon {
 	readonly #settings: GatewaySettings;
 	readonly #context: GatewayContext;
+	readonly #placement: CostPlacement;
 	readonly #front: GatewayFront;
 	readonly #callers: HttpListener;
 	readonly #ready: HttpListener;
 	readonly #metricsListener: HttpListener;
+	readonly #hub: Hub;
 	readonly #root: Supervisor;
 	readonly #exchanges = new HttpEndpointExchanges();
 	readonly #stop = new AbortController();
@@ -78,6 +90,8 @@
 		this.#graceMilliseconds = settings.bounds.graceMilliseconds;
 		const {clock, metrics} = ports;
 		const timings = timingsOf(settings.bounds);
+		const hubView = new HubView();
+		this.#placement = new CostPlacement(settings.dataCentre, endpoint => hubView.othersAt(endpoint, clock.moment()));
 		const log = new DecisionLog(process.stdout, {instance: settings.instance, dataCentre: settings.dataCentre}, () => clock.moment().wall);
 		this.#context = {
 			dataCentre: settings.dataCentre,
@@ -85,7 +99,9 @@
 			names: ports.names,
 			configuration: new ConfigurationView({freshMilliseconds: timings.freshMilliseconds, leaseMilliseconds: timings.keyLeaseMilliseconds}),
 			endpoints: new EndpointRegistry(),
-			placement: new CostPlacement(settings.dataCentre),
+			placement: this.#placement,
+			hubView,
+			partPlanner: new PartPlanner(),
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			goals: new WeightGoals(),
@@ -101,6 +117,7 @@
 		}, settings.listenCallers, {...defaultListenerBounds, largestHeaderBytes: parserHeaderBytes});
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
+		this.#hub = this.#createHub(ports);
 		this.#root = this.#tree(ports, timings.feedWaitMilliseconds);
 	}
 
@@ -138,6 +155,7 @@
 		const startedAt = clock.moment().steady;
 		log.record('stopping', {openRequests: this.#front.open});
 		this.#callers.announceClose();
+		void this.#hub.leave();
 		await clock.sleep(unreadyMilliseconds, this.#stop.signal);
 		const left = this.#graceMilliseconds - exitMarginMilliseconds - (clock.moment().steady - startedAt);
 		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
@@ -146,7 +164,20 @@
 		log.record('stopped', {openRequests: this.#front.open, milliseconds: Math.round(clock.moment().steady - startedAt)});
 	}
 
-	#tree({store, catalog, clock, random, control}: GatewayPorts, waitMilliseconds: number): Supervisor {
+	#createHub({store, clock, storeControl}: GatewayPorts): Hub {
+		const {log, hubView} = this.#context;
+		const {instance, listenPeers: address, bounds: {leaseMilliseconds}} = this.#settings;
+		const seat = new DutySeat({
+			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds,
+		}, {store, clock, log});
+		const client = new HubClient(hubView, {instance, loads: () => this.#placement.ownLoads()}, clock);
+		return new Hub(this.#context, {
+			instance, address, seat, client, control: storeControl,
+		});
+	}
+
+	#tree(ports: GatewayPorts, waitMilliseconds: number): Supervisor {
+		const {store, catalog, clock, random, control} = ports;
 		const {log, goals, loadingEngines} = this.#context;
 		const {instance, bounds: {leaseMilliseconds}} = this.#settings;
 		const parts = {clock, log, random};
@@ -165,6 +196,8 @@
 				new WeightCoordinator(this.#context, {
 					instance, leaseMilliseconds, store, control, goals,
 				}),
+				this.#hub,
+				this.#hub.server,
 				this.#callers,
 				this.#ready,
 				this.#metricsListener,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -29,6 +29,8 @@
 	listenReady: string;
 	/** Path of the balancer's question. */
 	readyPath: string;
+	/** `IP:port` where other instances connect. */
+	listenPeers: string;
 	/** `IP:port` of the metrics. */
 	listenMetrics: string;
 	storeAddress: string;
--- /dev/null
+++ b/src/gateway/hub/hub-client.ts
@@ -0,0 +1,112 @@
+/**
+ * A follower's connection to the hub. Questions go out at a steady pace; a hub that does not answer is dialled anew, since
+ * a connection may fall silent while new ones work.
+ */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
+import {freshMilliseconds} from '../../protocol/parts/part-times.js';
+import {type EndpointLoad, type FollowerFrame, type HubFrame} from './hub-messages.js';
+import {type HubView} from './hub-view.js';
+
+/** A question at least this often keeps knowledge fresh also when one answer is late. */
+export const askMilliseconds = freshMilliseconds / 4;
+/** Without an answer for so long the connection is given up. */
+const silenceMilliseconds = 1200;
+
+/** What a follower tells of itself. */
+export type FollowerSelf = {
+	instance: string;
+	loads(): Record<string, EndpointLoad>;
+};
+
+export class HubClient {
+	readonly #view: HubView;
+	readonly #self: FollowerSelf;
+	readonly #clock: MomentClock;
+	#socket: Socket | undefined;
+	#reader = new FrameReader();
+	#number = 0;
+	#asked = new Map<number, Moment>();
+	#heardAt = 0;
+
+	constructor(view: HubView, self: FollowerSelf, clock: MomentClock) {
+		this.#view = view;
+		this.#self = self;
+		this.#clock = clock;
+	}
+
+	get isConnected(): boolean {
+		return this.#socket !== undefined;
+	}
+
+	/** Opens a connection to `IP:port`; what was heard before is forgotten. */
+	dial(address: string): void {
+		this.close();
+		const separator = address.lastIndexOf(':');
+		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true});
+		this.#socket = socket;
+		this.#reader = new FrameReader();
+		this.#heardAt = this.#clock.moment().steady;
+		const end = (): void => {
+			if (this.#socket === socket) {
+				this.close();
+			}
+		};
+
+		socket.on('data', (bytes: Uint8Array) => {
+			this.#reader.read(Buffer.from(bytes)).caseOf({
+				Left: end,
+				Right: frames => {
+					for (const frame of frames) {
+						this.#take(frame as HubFrame);
+					}
+				},
+			});
+		});
+		socket.on('error', end).on('close', end);
+	}
+
+	/** Asks once, and gives up a connection that has been silent for too long. */
+	ask(): void {
+		const now = this.#clock.moment();
+		if (this.#socket === undefined) {
+			return;
+		}
+
+		if (now.steady - this.#heardAt > silenceMilliseconds) {
+			this.close();
+			return;
+		}
+
+		this.#number++;
+		this.#asked.set(this.#number, now);
+		const frame: FollowerFrame = {
+			kind: 'ask', number: this.#number, instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
+		};
+		this.#socket.write(encodeFrame(frame));
+	}
+
+	close(): void {
+		this.#socket?.destroy();
+		this.#socket = undefined;
+		this.#asked = new Map();
+		this.#view.reset();
+	}
+
+	#take(frame: HubFrame): void {
+		const now = this.#clock.moment();
+		this.#heardAt = now.steady;
+		if (frame.kind === 'parts') {
+			this.#view.takeParts(frame);
+			return;
+		}
+
+		const askedAt = this.#asked.get(frame.number);
+		this.#asked.delete(frame.number);
+		if (askedAt !== undefined) {
+			this.#view.takeAnswer(frame, askedAt, now);
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/hub/hub-server.ts
@@ -0,0 +1,147 @@
+/**
+ * The hub's side of the connections to its followers. Listens from the start, but takes followers only while this
+ * instance holds the duty; what it tells them is then the duty's word.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type Server, type Socket} from 'node:net';
+import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {type Child} from '../../supervisor/supervisor.js';
+import {type EndpointLoad, type FollowerFrame, type HubFrame} from './hub-messages.js';
+
+/** What the server asks the keeper of the duty. */
+export interface HubSource {
+	/** Whether this instance holds the duty now. */
+	isHub(): boolean;
+	engineClock(): number | undefined;
+	openStores(): string[];
+	/** All that a new follower has to hear. */
+	snapshot(): Array<HubFrame & {kind: 'parts'}>;
+	takeUses(keys: readonly string[]): void;
+}
+
+/** A follower that does not read is dropped; it dials again and hears all anew. */
+const mostWaitingBytes = 1_048_576;
+
+type Follower = {instance: string; loads: Record<string, EndpointLoad>};
+
+export class HubServer implements Child {
+	readonly name = 'hub-server';
+	readonly #address: string;
+	readonly #source: HubSource;
+	readonly #server: Server;
+	readonly #followers = new Map<Socket, Follower>();
+
+	/** @param address - `IP:port` to listen at. */
+	constructor(address: string, source: HubSource) {
+		this.#address = address;
+		this.#source = source;
+		this.#server = createServer(socket => {
+			this.#take(socket);
+		});
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		const separator = this.#address.lastIndexOf(':');
+		this.#server.listen(Number(this.#address.slice(separator + 1)), this.#address.slice(0, separator));
+		await once(this.#server, 'listening');
+		if (!signal.aborted) {
+			await once(signal, 'abort');
+		}
+
+		this.dropAll();
+		this.#server.close();
+	}
+
+	/** Tells all followers. */
+	broadcast(frame: HubFrame & {kind: 'parts'}): void {
+		if (frame.added.length === 0 && frame.removed.length === 0) {
+			return;
+		}
+
+		const bytes = encodeFrame(frame);
+		for (const socket of this.#followers.keys()) {
+			this.#write(socket, bytes);
+		}
+	}
+
+	/** Ends all connections: this instance is the hub no longer. */
+	dropAll(): void {
+		for (const socket of this.#followers.keys()) {
+			socket.destroy();
+		}
+
+		this.#followers.clear();
+	}
+
+	#take(socket: Socket): void {
+		if (!this.#source.isHub()) {
+			socket.destroy();
+			return;
+		}
+
+		const reader = new FrameReader();
+		this.#followers.set(socket, {instance: '', loads: {}});
+		socket.setNoDelay(true);
+		for (const frame of this.#source.snapshot()) {
+			this.#write(socket, encodeFrame(frame));
+		}
+
+		const end = (): void => {
+			this.#followers.delete(socket);
+			socket.destroy();
+		};
+
+		socket.on('data', (bytes: Uint8Array) => {
+			reader.read(Buffer.from(bytes)).caseOf({
+				Left: end,
+				Right: frames => {
+					for (const frame of frames) {
+						this.#answer(socket, frame as FollowerFrame);
+					}
+				},
+			});
+		});
+		socket.on('error', end).on('close', end);
+	}
+
+	#answer(socket: Socket, {number, instance, uses, loads}: FollowerFrame): void {
+		if (!this.#source.isHub()) {
+			socket.destroy();
+			return;
+		}
+
+		this.#followers.set(socket, {instance, loads});
+		this.#source.takeUses(uses);
+		const clock = this.#source.engineClock();
+		const answer: HubFrame = {
+			kind: 'answer', number, ...(clock === undefined ? {} : {clock}), open: this.#source.openStores(), loads: this.#loadsWithout(instance),
+		};
+		this.#write(socket, encodeFrame(answer));
+	}
+
+	#loadsWithout(instance: string): Record<string, EndpointLoad> {
+		const sums: Record<string, EndpointLoad> = {};
+		for (const follower of this.#followers.values()) {
+			if (follower.instance === instance) {
+				continue;
+			}
+
+			for (const [endpoint, [requests, tokens]] of Object.entries(follower.loads)) {
+				const [otherRequests, otherTokens] = sums[endpoint] ?? [0, 0];
+				sums[endpoint] = [otherRequests + requests, otherTokens + tokens];
+			}
+		}
+
+		return sums;
+	}
+
+	#write(socket: Socket, bytes: Uint8Array): void {
+		if (socket.writableLength > mostWaitingBytes) {
+			socket.destroy();
+			return;
+		}
+
+		socket.write(bytes);
+	}
+}
--- /dev/null
+++ b/src/gateway/hub/hub-view.ts
@@ -0,0 +1,85 @@
+/**
+ * What a follower knows from the hub: which parts the stores hold whole, what the other instances have under way, and the
+ * engines' clock. Used only while fresh; counted from the sending of the question whose answer came last.
+ */
+import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
+import {freshMilliseconds} from '../../protocol/parts/part-times.js';
+import {type EndpointLoad, type HubFrame} from './hub-messages.js';
+
+export class HubView {
+	readonly #stores = new Map<string, Map<string, number>>();
+	#open: ReadonlySet<string> = new Set();
+	#loads: Readonly<Record<string, EndpointLoad>> = {};
+	#askedAt: Moment | undefined;
+	#clock: {milliseconds: number; heardAt: number} | undefined;
+	readonly #uses = new Set<string>();
+
+	/** Forgets all: the connection to the hub ended, and the next one tells all anew. */
+	reset(): void {
+		this.#stores.clear();
+		this.#open = new Set();
+		this.#loads = {};
+		this.#askedAt = undefined;
+		this.#clock = undefined;
+	}
+
+	/** Takes what the hub tells of a store. */
+	takeParts({store, added, removed}: HubFrame & {kind: 'parts'}): void {
+		const parts = this.#stores.get(store) ?? new Map<string, number>();
+		this.#stores.set(store, parts);
+		for (const key of removed) {
+			parts.delete(key);
+		}
+
+		for (const [key, tokens] of added) {
+			parts.set(key, tokens);
+		}
+	}
+
+	/** Takes the answer to a question that was sent at `askedAt`. */
+	takeAnswer({clock, open, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
+		this.#open = new Set(open);
+		this.#loads = loads;
+		this.#askedAt = askedAt;
+		this.#clock = clock === undefined ? undefined : {milliseconds: clock, heardAt: now.steady};
+	}
+
+	isFresh(now: Moment): boolean {
+		return this.#askedAt !== undefined && longestElapsed(this.#askedAt, now) < freshMilliseconds;
+	}
+
+	/** Whether parts may be saved to a store and fetched from it. */
+	isOpen(store: string, now: Moment): boolean {
+		return this.isFresh(now) && this.#open.has(store);
+	}
+
+	/** Whether a store holds a part whole. */
+	holds(store: string, key: string, now: Moment): boolean {
+		return this.isOpen(store, now) && (this.#stores.get(store)?.has(key) ?? false);
+	}
+
+	/**
+	 * The engines' clock, at most as far on as it really is: a time limit reckoned from it ends too soon rather than too late.
+	 *
+	 * @returns Milliseconds; `undefined` while it is not known.
+	 */
+	engineClock(now: Moment): number | undefined {
+		return this.#clock === undefined || !this.isFresh(now) ? undefined : this.#clock.milliseconds + (now.steady - this.#clock.heardAt);
+	}
+
+	/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
+	othersAt(endpoint: string, now: Moment): EndpointLoad | undefined {
+		return this.isFresh(now) ? this.#loads[endpoint] ?? [0, 0] : undefined;
+	}
+
+	noteUse(key: string): void {
+		this.#uses.add(key);
+	}
+
+	/** Gives the parts used since the last call. */
+	takeUses(): string[] {
+		const uses = [...this.#uses];
+		this.#uses.clear();
+		return uses;
+	}
+}
--- /dev/null
+++ b/src/gateway/hub/hub.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Left, Right} from 'purify-ts/Either';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {type CacheStoreControl} from '../../ports/cache-store-control.js';
+import {withdrawalMilliseconds} from '../../protocol/parts/part-times.js';
+import {MemoryTable} from '../../test/memory-table.js';
+import {ConfigurationView} from '../configuration/configuration-view.js';
+import {DutySeat} from '../duty/duty-seat.js';
+import {DecisionLog} from '../observability/decision-log.js';
+import {testConfiguration} from '../testing/test-configuration.js';
+import {Hub} from './hub.js';
+import {HubClient} from './hub-client.js';
+import {HubView} from './hub-view.js';
+
+const clock = systemMomentClock;
+const freePorts = async (): Promise<number[]> => {
+	const {createServer} = await import('node:net');
+	const servers = await Promise.all([0, 1, 2].map(async () => new Promise<ReturnType<typeof createServer>>(resolve => {
+		const server = createServer().listen(0, '127.0.0.1', () => {
+			resolve(server);
+		});
+	})));
+	const ports = servers.map(server => (server.address() as {port: number}).port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+};
+
+/** A store that holds one part; it can be made to fail. */
+class PlayedStore implements CacheStoreControl {
+	isDown = false;
+	epoch = 1;
+	clockMilliseconds = 5000;
+
+	async list() {
+		return this.isDown
+			? Left('down')
+			: Right({
+				epoch: this.epoch, next: 1, parts: [{salt: 's', id: 'p', tokens: 800}], partial: [],
+			});
+	}
+
+	async events() {
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+		return this.isDown
+			? Left('down')
+			: Right({
+				epoch: this.epoch, next: 1, isIncomplete: false, added: [], removed: [], clockMilliseconds: this.clockMilliseconds,
+			});
+	}
+
+	async free() {
+		return Right(undefined);
+	}
+}
+
+async function until(what: string, isTrue: () => boolean, withinMilliseconds: number): Promise<void> {
+	const startedAt = clock.moment().steady;
+	while (!isTrue()) {
+		assert.ok(clock.moment().steady - startedAt < withinMilliseconds, `not in time: ${what}`);
+		await new Promise(resolve => {
+			setTimeout(resolve, 10);
+		});
+	}
+}
+
+test('one instance becomes the hub, all hear what stores hold and what the others do, and another one takes over', async () => {
+	// The hub's process stops. Its followers must not go on with what they heard for longer than it is fresh, and a new hub
+	// tells them again.
+	const table = new MemoryTable();
+	const startedAt = clock.moment().steady;
+	const ticking = setInterval(() => {
+		table.now = clock.moment().steady - startedAt;
+	}, 10);
+	const store = new PlayedStore();
+	const configuration = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 60_000});
+	configuration.offer(testConfiguration({
+		services: new Map([['cache', {
+			name: 'cache',
+			connectionLimit: 0,
+			store: {
+				address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
+			},
+		}]]),
+	}));
+	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
+	const ports = await freePorts();
+	const instances = ports.map((port, index) => {
+		const instance = `i${index}`;
+		const address = `127.0.0.1:${port}`;
+		const hubView = new HubView();
+		const seat = new DutySeat({
+			table: 'leases', duty: 'hub', instance, address, leaseMilliseconds: 1000,
+		}, {store: table, clock, log});
+		const hub = new Hub({
+			clock, configuration, log, hubView,
+		}, {
+			instance, address, seat, client: new HubClient(hubView, {instance, loads: () => ({engine: [index + 1, 10]})}, clock), control: store,
+		});
+		const stop = new AbortController();
+		void hub.run(stop.signal);
+		void hub.server.run(stop.signal);
+		return {hub, hubView, stop};
+	});
+	const allKnow = (): boolean => instances.every(({hubView, stop}) => stop.signal.aborted || hubView.holds('cache', 's|p', clock.moment()));
+	await until('all know the part', allKnow, 6000 + withdrawalMilliseconds);
+	assert.equal(instances.filter(({hub}) => hub.isHub()).length, 1);
+	await until('loads of the others are told', () => instances.every(({hubView}, index) => hubView.othersAt('engine', clock.moment())?.[0] === 6 - (index + 1)), 2000);
+	const old = instances.find(({hub}) => hub.isHub())!;
+	await old.hub.leave();
+	old.stop.abort();
+	await until('another hub tells the others', () => instances.some(({hub}) => hub !== old.hub && hub.isHub()) && allKnow(), 8000 + withdrawalMilliseconds);
+	store.isDown = true;
+	await until('nothing is offered from a store that is away', () => instances.every(({hubView}) => !hubView.holds('cache', 's|p', clock.moment())), 2000);
+	clearInterval(ticking);
+	for (const {stop} of instances) {
+		stop.abort();
+	}
+});
--- /dev/null
+++ b/src/gateway/hub/store-keeper.ts
@@ -0,0 +1,138 @@
+/** The hub's care for one cache store: follows its events, tells the followers, and frees what is unused for longest. */
+import {type CacheStoreControl, type StoreEvents} from '../../ports/cache-store-control.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type LedgerChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+import {type RoutedService, type StoreTraits} from '../configuration/routed-configuration.js';
+
+/** How long a call for events may wait; events come at once. */
+const eventWaitMilliseconds = 800;
+/** Pause behind events, so that those of a busy moment are told together. */
+const batchMilliseconds = 60;
+/** Pause behind a failed call. */
+const retryMilliseconds = 250;
+/** A free order is void behind this time, so that it cannot come into force when the duty has passed on. */
+const freeLifeMilliseconds = 400;
+
+/** What a keeper is given. */
+export type KeeperTools = {
+	control: CacheStoreControl;
+	clock: MomentClock;
+	log: DecisionLog;
+	/** Whether this instance may act for the duty. */
+	mayAct(): boolean;
+	tell(store: string, change: LedgerChange): void;
+};
+
+export class StoreKeeper {
+	readonly ledger: StoreLedger;
+	readonly #service: string;
+	readonly #store: StoreTraits;
+	readonly #tools: KeeperTools;
+	#since = 0;
+	#clock: {milliseconds: number; heardAt: number} | undefined;
+
+	constructor(service: RoutedService, store: StoreTraits, tools: KeeperTools) {
+		this.ledger = new StoreLedger(store.capacityTokens);
+		this.#service = service.name;
+		this.#store = store;
+		this.#tools = tools;
+		// Whatever the last keeper told may still be believed.
+		this.ledger.close(this.#now());
+	}
+
+	/** The engines' clock by this store's last word, in milliseconds. */
+	get engineClock(): number | undefined {
+		return this.#clock === undefined ? undefined : this.#clock.milliseconds + (this.#now() - this.#clock.heardAt);
+	}
+
+	get isOpen(): boolean {
+		return this.ledger.isOpen(this.#now());
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const pause = await this.step();
+			await this.#tools.clock.sleep(pause, signal);
+		}
+	}
+
+	/** Makes the next call; gives the pause behind it in milliseconds. */
+	async step(): Promise<number> {
+		if (this.ledger.epoch === undefined) {
+			return this.ledger.mayOpen(this.#now()) ? this.#open() : retryMilliseconds;
+		}
+
+		const answer = await this.#tools.control.events(this.#store.address, this.#since, eventWaitMilliseconds);
+		return answer.caseOf({
+			Left: async reason => this.#lost(reason),
+			Right: async events => this.#take(events),
+		});
+	}
+
+	async #open(): Promise<number> {
+		const listing = await this.#tools.control.list(this.#store.address);
+		return listing.caseOf({
+			Left: () => retryMilliseconds,
+			Right: found => {
+				this.#since = found.next;
+				this.#tools.tell(this.#service, this.ledger.takeListing(found, this.#now()));
+				this.#tools.log.record('store-parts', {
+					store: this.#service, state: 'open', parts: found.parts.length, partial: found.partial.length, heldTokens: this.ledger.heldTokens,
+				});
+				return batchMilliseconds;
+			},
+		});
+	}
+
+	async #take(events: StoreEvents): Promise<number> {
+		const now = this.#now();
+		if (events.clockMilliseconds !== undefined) {
+			this.#clock = {milliseconds: events.clockMilliseconds, heardAt: now};
+		}
+
+		if (events.epoch !== this.ledger.epoch || events.isIncomplete) {
+			return this.#lost(events.isIncomplete ? 'events were lost' : 'the store restarted');
+		}
+
+		this.#since = events.next;
+		this.#tools.tell(this.#service, this.ledger.takeEvents(events, now));
+		this.#tools.tell(this.#service, this.ledger.withdraw(now));
+		await this.#free();
+		return batchMilliseconds;
+	}
+
+	async #free(): Promise<void> {
+		const parts = this.ledger.dueToFree(this.#now());
+		const clock = this.engineClock;
+		const {epoch} = this.ledger;
+		if (parts.length === 0 || clock === undefined || epoch === undefined || !this.#tools.mayAct()) {
+			return;
+		}
+
+		const freed = await this.#tools.control.free(this.#store.address, {parts, epoch, untilMilliseconds: clock + freeLifeMilliseconds});
+		freed.caseOf({
+			Left: reason => {
+				this.#tools.log.record('store-parts', {
+					store: this.#service, state: 'not-freed', parts: parts.length, reason,
+				});
+			},
+			Right: () => {
+				this.ledger.freed(parts);
+				this.#tools.log.record('store-parts', {
+					store: this.#service, state: 'freed', parts: parts.length, heldTokens: this.ledger.heldTokens,
+				});
+			},
+		});
+	}
+
+	#lost(reason: string): number {
+		this.#tools.tell(this.#service, this.ledger.close(this.#now()));
+		this.#tools.log.record('store-parts', {store: this.#service, state: 'closed', reason});
+		return retryMilliseconds;
+	}
+
+	#now(): number {
+		return this.#tools.clock.moment().steady;
+	}
+}
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -3,6 +3,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {systemMomentClock} from '../adapters/system-moment-clock.js';
+import {PlatformCacheStore} from '../platform/platform-cache-store.js';
 import {platformCatalog} from '../platform/platform-catalog.js';
 import {PlatformEngineControl} from '../platform/platform-engine-control.js';
 import {PlatformStore} from '../platform/platform-store.js';
@@ -32,6 +33,7 @@
 		metrics.storeCalls.inc({call, outcome});
 	}),
 	control: new PlatformEngineControl(),
+	storeControl: new PlatformCacheStore(),
 	metrics,
 	random: seededRandom(hashOf(`${settings.instance}|${process.pid}`)),
 });
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -3,6 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {PartPlanner} from '../../decision/parts/plan-parts.js';
 import {CostPlacement} from '../../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../../decision/limits/shared-repeat-budget.js';
 import {HttpListener} from '../../entry/http-listener.js';
@@ -15,6 +16,7 @@
 import {type EndpointRecord} from '../endpoints/endpoint-record.js';
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {HubView} from '../hub/hub-view.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
@@ -53,6 +55,8 @@
 			budget: new SharedRepeatBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			goals: new WeightGoals(),
+			hubView: new HubView(),
+			partPlanner: new PartPlanner(),
 			loadingEngines: new LoadingEngines(() => systemMomentClock.moment().steady),
 			log: new DecisionLog(output, {}, Date.now),
 			metrics,
@@ -103,8 +107,12 @@
 	}
 }
 
+/** An answer to play; a whole 200 without a body unless told otherwise. */
+export type PlayedAnswer = {status?: number; headers?: Record<string, string>; body?: string};
+
 /** Answers as a sound endpoint does: with the id and a seal. */
-export function answerSealed(request: IncomingMessage, response: ServerResponse, {status = 200, headers = {}, body = ''}: {status?: number; headers?: Record<string, string>; body?: string} = {}): void {
+export function answerSealed(request: IncomingMessage, response: ServerResponse, answer: PlayedAnswer = {}): void {
+	const {status = 200, headers = {}, body = ''} = answer;
 	response.writeHead(status, {...sealedHeaders(request), 'content-length': String(body.length), ...headers});
 	response.end(body);
 }
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -6,11 +6,9 @@
 import {type ClockedTable} from '../../ports/clocked-table.js';
 import {type EngineControl, type OrderAnswer} from '../../ports/engine-control.js';
 import {type TableService} from '../../ports/table-service.js';
-import {
-	decideDuty, type DutyGrant, type DutyRow, leftOfGrant,
-} from '../../protocol/duty/duty-lease.js';
 import {hashOf} from '../../shared/hash-of.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {DutySeat} from '../duty/duty-seat.js';
 import {type EndpointRecord} from '../endpoints/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightGoal, type WeightGoals} from './weight-goals.js';
@@ -29,8 +27,6 @@
 const orderMarginMilliseconds = 250;
 /** How often the report of a loading engine is read. */
 const reportPauseMilliseconds = 250;
-/** When the lease is looked at again if a call for it failed. */
-const retryMilliseconds = 500;
 
 type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'log' | 'metrics'>;
 
@@ -47,13 +43,16 @@
 	readonly name = 'weight-coordinator';
 	readonly #context: CoordinatorContext;
 	readonly #parts: CoordinatorParts;
+	readonly #seat: DutySeat;
 	readonly #loading = new Map<string, LoadingEngine & {reportAt: number}>();
-	#grant: DutyGrant | undefined;
-	#notBefore = 0;
 
 	constructor(context: CoordinatorContext, parts: CoordinatorParts) {
 		this.#context = context;
 		this.#parts = parts;
+		const {instance, leaseMilliseconds, store} = parts;
+		this.#seat = new DutySeat({
+			table: dutyTable, duty: weightsDuty, instance, address: '', leaseMilliseconds,
+		}, {store, clock: context.clock, log: context.log});
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -74,15 +73,15 @@
 
 		const heardAt = Math.max(...goals.map(({namedAt}) => namedAt));
 		const offset = spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32);
-		if (this.#grant === undefined && now < heardAt + offset) {
+		if (this.#seat.grant === undefined && now < heardAt + offset) {
 			return;
 		}
 
-		if (now >= this.#notBefore && this.#left() < renewMilliseconds) {
-			await this.#seekDuty([...this.#loading.keys()]);
+		if (this.#seat.left() < renewMilliseconds) {
+			await this.#seat.seek([...this.#loading.keys()]);
 		}
 
-		if (this.#left() <= 0) {
+		if (this.#seat.left() <= 0) {
 			this.#loseDuty();
 			return;
 		}
@@ -100,7 +99,7 @@
 		}
 
 		// The other instances hear which engines are about to load and spare them; the same write renews the grant.
-		await this.#seekDuty([...this.#loading.keys(), ...next.map(({name}) => name)]);
+		await this.#seat.seek([...this.#loading.keys(), ...next.map(({name}) => name)]);
 		await Promise.all(next.map(async engine => this.#order(engine, goal)));
 	}
 
@@ -118,12 +117,13 @@
 			return;
 		}
 
-		const left = this.#left();
-		if (this.#grant === undefined || left < orderMarginMilliseconds) {
+		const left = this.#seat.left();
+		const {grant} = this.#seat;
+		if (grant === undefined || left < orderMarginMilliseconds) {
 			return;
 		}
 
-		const {fencingNumber} = this.#grant.row;
+		const {fencingNumber} = grant.row;
 		const now = this.#now();
 		this.#loading.set(engine.name, {name: engine.name, since: now, reportAt: now + reportPauseMilliseconds});
 		const answer = await control.orderWeights(engine, {
@@ -177,54 +177,11 @@
 		}
 	}
 
-	/** Takes or renews the duty if the row allows it, and tells which engines are being changed. */
-	async #seekDuty(engines: string[]): Promise<void> {
-		const {store, instance, leaseMilliseconds} = this.#parts;
-		const name = {table: dutyTable, key: weightsDuty};
-		const since = this.#context.clock.moment();
-		const read = await store.readClocked(name);
-		if (read.isLeft()) {
-			this.#notBefore = this.#now() + retryMilliseconds;
-			return;
-		}
-
-		const {row, storeMilliseconds} = read.unsafeCoerce();
-		const decided = decideDuty(row?.value as DutyRow | undefined, instance, storeMilliseconds, leaseMilliseconds);
-		if (decided.kind === 'wait') {
-			this.#loseDuty();
-			this.#notBefore = this.#now() + decided.milliseconds;
-			return;
-		}
-
-		const granted = {...decided.row, engines};
-		const written = await store.commit({conditions: [{...name, revision: row?.revision ?? 0}], writes: [{...name, value: granted}]});
-		written.caseOf({
-			Left: failure => {
-				this.#notBefore = this.#now() + (failure.kind === 'conflict' ? 0 : retryMilliseconds);
-			},
-			Right: () => {
-				if (this.#grant === undefined) {
-					this.#context.log.record('lease-taken', {duty: weightsDuty, fencingNumber: granted.fencingNumber, grantedAt: granted.grantedAt});
-				}
-
-				this.#grant = {row: granted, since};
-			},
-		});
-	}
-
 	#loseDuty(): void {
-		if (this.#grant !== undefined) {
-			this.#context.log.record('lease-lost', {duty: weightsDuty, fencingNumber: this.#grant.row.fencingNumber});
-		}
-
-		this.#grant = undefined;
+		this.#seat.lose('it was not renewed in time');
 		this.#loading.clear();
 	}
 
-	#left(): number {
-		return this.#grant === undefined ? 0 : leftOfGrant(this.#grant, this.#parts.leaseMilliseconds, this.#context.clock.moment());
-	}
-
 	#enginesOf(goal: WeightGoal): EndpointRecord[] {
 		return this.#context.endpoints.all().filter(({state, weightVersions}) => state === 'ready' && weightVersions.has(goal.model));
 	}
--- /dev/null
+++ b/src/platform/platform-cache-store.ts
@@ -0,0 +1,84 @@
+/** The calls of a cache store, as the platform spells them. */
+import {type Either, Left, Right} from 'purify-ts/Either';
+import * as zod from 'zod';
+import {describeError, exchangeJson} from '../adapters/http-client.js';
+import {
+	type CacheStoreControl, type FreeOrder, type StoredPart, type StoreEvents, type StoreListing,
+} from '../ports/cache-store-control.js';
+
+/** A store answers within some milliseconds; beyond this the call is taken to be lost. */
+const callMilliseconds = 800;
+
+// Salt, id, tokens; a model or the reserved tokens may follow.
+const partSchema = zod.tuple([zod.string(), zod.string(), zod.number()]).rest(zod.unknown());
+const listSchema = zod.object({
+	boot_epoch: zod.number(),
+	next: zod.number(),
+	held: zod.array(partSchema),
+	// Salt, id, tokens complete, tokens reserved.
+	partial: zod.array(zod.tuple([zod.string(), zod.string(), zod.number(), zod.number()])).default([]),
+});
+const eventsSchema = zod.object({
+	boot_epoch: zod.number(),
+	next: zod.number(),
+	lost: zod.boolean(),
+	// Number, sign, salt, id, tokens, model.
+	events: zod.array(zod.tuple([zod.number(), zod.enum(['+', '-']), zod.string(), zod.string(), zod.number()]).rest(zod.unknown())),
+	clock_ms: zod.number().optional(),
+});
+
+export class PlatformCacheStore implements CacheStoreControl {
+	async list(address: string): Promise<Either<string, StoreListing>> {
+		const answer = await get(`http://${address}/kv-list`, listSchema, {}, callMilliseconds);
+		return answer.map(({boot_epoch: epoch, next, held, partial}) => ({
+			epoch,
+			next,
+			parts: held.map(([salt, id, tokens]) => ({salt, id, tokens})),
+			partial: partial.map(([salt, id, , tokens]) => ({salt, id, tokens})),
+		}));
+	}
+
+	async events(address: string, since: number, waitMilliseconds: number): Promise<Either<string, StoreEvents>> {
+		const url = `http://${address}/kv-events?since=${since}`;
+		const answer = await get(url, eventsSchema, {'wait-ms': String(waitMilliseconds)}, waitMilliseconds + callMilliseconds);
+		return answer.map(({boot_epoch: epoch, next, lost, events, clock_ms: clockMilliseconds}) => ({
+			epoch, next, isIncomplete: lost, added: partsOf(events, '+'), removed: partsOf(events, '-'), clockMilliseconds,
+		}));
+	}
+
+	async free(address: string, {parts, epoch, untilMilliseconds}: FreeOrder): Promise<Either<string, void>> {
+		try {
+			const {status} = await exchangeJson({
+				method: 'POST',
+				url: `http://${address}/kv-free`,
+				body: {parts: parts.map(({salt, id}) => [salt, id]), boot_epoch: epoch, until_ms: Math.floor(untilMilliseconds)},
+				timeoutMilliseconds: callMilliseconds,
+			});
+			return status >= 200 && status < 300 ? Right(undefined) : Left(`status ${status}`);
+		} catch (error) {
+			return Left(describeError(error));
+		}
+	}
+}
+
+async function get<Schema extends zod.ZodType>(url: string, schema: Schema, headers: Record<string, string>, timeoutMilliseconds: number): Promise<Either<string, zod.infer<Schema>>> {
+	try {
+		const {status, body} = await exchangeJson({
+			method: 'GET', url, headers, timeoutMilliseconds,
+		});
+		const checked = schema.safeParse(body);
+		return status === 200 && checked.success ? Right(checked.data) : Left(`status ${status}${checked.success ? '' : ` ${checked.error.message}`}`);
+	} catch (error) {
+		return Left(describeError(error));
+	}
+}
+
+/** The last word on each part decides: a part that came and went in one answer is gone. */
+function partsOf(events: zod.infer<typeof eventsSchema>['events'], sign: '+' | '-'): StoredPart[] {
+	const last = new Map<string, {sign: '+' | '-'; part: StoredPart}>();
+	for (const [, kind, salt, id, tokens] of events) {
+		last.set(`${salt}|${id}`, {sign: kind, part: {salt, id, tokens}});
+	}
+
+	return [...last.values()].filter(entry => entry.sign === sign).map(({part}) => part);
+}
--- a/src/platform/settings-file.test.ts
+++ b/src/platform/settings-file.test.ts
@@ -8,6 +8,7 @@
 ip=10.1.0.40
 listen.front=10.1.0.40:8005
 listen.ready=10.1.0.40:8002
+internal_ports=7700,7715
 platform.address=10.200.1.7:8007
 heartbeat_ms=1200
 bounds.config_apply_ms=2000
@@ -32,6 +33,6 @@
 	const findings = readSettingsFile(broken, 'boot.conf').swap().orDefault([]);
 	assert.deepEqual(findings.map(finding => formatFinding(finding)), [
 		'boot.conf:1:1: zone is missing',
-		'boot.conf:8:1: bounds.revoke_ms must be a number that is not negative',
+		'boot.conf:9:1: bounds.revoke_ms must be a number that is not negative',
 	]);
 });
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -57,6 +57,7 @@
 		listenCallers: textOf('listen.front'),
 		listenReady: textOf('listen.ready'),
 		readyPath,
+		listenPeers: `${textOf('ip')}:${textOf('internal_ports').split(',', 1)[0]}`,
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
 		bounds: {
--- a/src/protocol/duty/duty-lease.test.ts
+++ b/src/protocol/duty/duty-lease.test.ts
@@ -3,24 +3,24 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {seededRandom} from '../../peer/random/seeded-random.js';
 import {
-	decideDuty, type DutyGrant, type DutyRow, leftOfGrant,
+	decideDuty, type DutyGrant, type DutyRow, leftOfGrant, releasedRow,
 } from './duty-lease.js';
 
 const lease = 3000;
 
 test('another instance takes the duty only when the last grant and a whole lease are over', () => {
 	const row: DutyRow = {
-		holder: 'one', fencingNumber: 4, grantedAt: 10_000, engines: ['e1'],
+		holder: 'one', fencingNumber: 4, grantedAt: 10_000, address: '', engines: ['e1'],
 	};
 	assert.deepEqual(decideDuty(row, 'two', 14_000, lease), {kind: 'wait', milliseconds: 800});
 	assert.deepEqual(decideDuty(row, 'two', 14_800, lease), {
 		kind: 'take', row: {
-			holder: 'two', fencingNumber: 5, grantedAt: 14_800, engines: [],
+			holder: 'two', fencingNumber: 5, grantedAt: 14_800, address: '', engines: [],
 		},
 	});
 	assert.deepEqual(decideDuty(row, 'one', 10_200, lease), {
 		kind: 'take', row: {
-			holder: 'one', fencingNumber: 4, grantedAt: 10_200, engines: [],
+			holder: 'one', fencingNumber: 4, grantedAt: 10_200, address: '', engines: [],
 		},
 	});
 });
@@ -28,7 +28,7 @@
 test('a suspended holder stops, whichever clock missed the suspension', () => {
 	const grant: DutyGrant = {
 		row: {
-			holder: 'one', fencingNumber: 1, grantedAt: 0, engines: [],
+			holder: 'one', fencingNumber: 1, grantedAt: 0, address: '', engines: [],
 		},
 		since: {steady: 0, wall: 0},
 	};
@@ -126,3 +126,10 @@
 		assert.ok(last !== undefined);
 	}
 });
+
+test('a duty that was given back is taken at once, with a new number', () => {
+	const row = releasedRow({
+		holder: 'one', fencingNumber: 4, grantedAt: 10_000, address: '', engines: ['e1'],
+	});
+	assert.equal(decideDuty(row, 'two', 10_001, lease).kind, 'take');
+});
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -19,6 +19,8 @@
 	fencingNumber: number;
 	/** The store's clock, in milliseconds, at a moment before the grant. */
 	grantedAt: number;
+	/** Where other instances reach the holder. */
+	address: string;
 	/** Engines that the holder is changing now, for others to spare them. A hint. */
 	engines: string[];
 };
@@ -52,6 +54,15 @@
 	return actingMilliseconds(leaseMilliseconds) - longestElapsed(grant.since, now);
 }
 
+const nobodysRow = {address: '', engines: []};
+/** Long before any time of the store's clock. */
+const neverGranted = Number.MIN_SAFE_INTEGER;
+
+/** The row of a holder that has ended all that it did under the duty: anybody may take it. */
+export function releasedRow(row: DutyRow): DutyRow {
+	return {...row, grantedAt: neverGranted, engines: []};
+}
+
 /**
  * Decides whether an instance may write itself into the row.
  *
@@ -66,7 +77,7 @@
 		return {
 			kind: 'take',
 			row: {
-				holder: taker, fencingNumber: row?.fencingNumber ?? 1, grantedAt: storeMilliseconds, engines: [],
+				...nobodysRow, holder: taker, fencingNumber: row?.fencingNumber ?? 1, grantedAt: storeMilliseconds,
 			},
 		};
 	}
@@ -79,7 +90,7 @@
 	return {
 		kind: 'take',
 		row: {
-			holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds, engines: [],
+			...nobodysRow, holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds,
 		},
 	};
 }
--- /dev/null
+++ b/src/protocol/parts/part-times.ts
@@ -0,0 +1,19 @@
+/**
+ * The times by which no engine reads a stored part that is being freed or written anew.
+ *
+ * An instance uses what it knows of a store only while that knowledge is fresh, counted from its own asking. A fetch that
+ * it asks for is thrown away behind its time limit, on the engines' clock. So a part that the keeper has withdrawn can be
+ * read no longer than both together behind the withdrawal.
+ */
+
+/** For how long an instance uses what it heard, counted from the sending of its question. Questions go out four times as often. */
+export const freshMilliseconds = 800;
+
+/** Within this time a fetch ends or is thrown away: moving the longest prompts takes a tenth of it on an idle link. */
+export const fetchMilliseconds = 800;
+
+/** What a request takes between the decision and the reading of the engines' clock, and what that clock may be off. */
+const marginMilliseconds = 300;
+
+/** How long behind its withdrawal a part is neither freed nor written anew. */
+export const withdrawalMilliseconds = freshMilliseconds + fetchMilliseconds + marginMilliseconds;
--- /dev/null
+++ b/src/protocol/parts/store-ledger.ts
@@ -0,0 +1,196 @@
+/**
+ * What the keeper knows of one cache store that drops nothing by itself, and which parts it frees.
+ *
+ * What must hold: no engine reads a part that is not whole, or that is freed meanwhile. A part is offered only once the
+ * store reports it whole. Before it is freed it is withdrawn, and freed only when nobody can still use it; see
+ * `part-times.ts`. A store that restarts is empty, and a request that was sent before may write a part anew that others
+ * still take for whole: so the store is closed for the same time, for reads and writes, before anything in it is offered.
+ */
+import {type StoredPart, type StoreEvents, type StoreListing} from '../../ports/cache-store-control.js';
+import {withdrawalMilliseconds} from './part-times.js';
+
+/** What followers are told. Keys are `salt|id`. */
+export type LedgerChange = {
+	added: Array<[key: string, tokens: number]>;
+	removed: string[];
+};
+
+/** Parts are freed when a store is fuller than this, */
+const highShare = 0.85;
+/** Down to this. The rest is room for parts that are being written, which events do not tell of. */
+const lowShare = 0.75;
+/** Engines and stores keep memory in blocks. */
+const blockTokens = 16;
+
+type Entry = {tokens: number; usedAt: number};
+
+export class StoreLedger {
+	readonly #capacityTokens: number;
+	readonly #parts = new Map<string, Entry>();
+	/** Withdrawn parts and when they may be freed. */
+	readonly #withdrawn = new Map<string, {tokens: number; freeAt: number}>();
+	#epoch: number | undefined;
+	#closedUntil = 0;
+	#heldTokens = 0;
+
+	constructor(capacityTokens: number) {
+		this.#capacityTokens = capacityTokens;
+	}
+
+	get epoch(): number | undefined {
+		return this.#epoch;
+	}
+
+	get heldTokens(): number {
+		return this.#heldTokens;
+	}
+
+	/** Whether parts may be saved and fetched. */
+	isOpen(now: number): boolean {
+		return this.#epoch !== undefined && now >= this.#closedUntil;
+	}
+
+	/** Whether the store may be listed now; a listing that is taken sooner could offer a part that is written anew. */
+	mayOpen(now: number): boolean {
+		return now >= this.#closedUntil;
+	}
+
+	/** All offered parts. */
+	offered(): Array<[key: string, tokens: number]> {
+		return [...this.#parts].map(([key, {tokens}]) => [key, tokens]);
+	}
+
+	/** Takes a whole listing. */
+	takeListing({epoch, parts, partial}: StoreListing, now: number): LedgerChange {
+		const change: LedgerChange = {added: [], removed: []};
+		this.#epoch = epoch;
+		const listed = new Set(parts.map(part => keyOf(part)));
+		for (const key of this.#parts.keys()) {
+			if (!listed.has(key)) {
+				this.#drop(key, change);
+			}
+		}
+
+		for (const part of parts) {
+			this.#add(part, now, change);
+		}
+
+		this.#heldTokens = [...parts, ...partial].reduce((sum, {tokens}) => sum + inBlocks(tokens), 0);
+		return change;
+	}
+
+	/** Takes events of the same epoch. */
+	takeEvents({added, removed}: StoreEvents, now: number): LedgerChange {
+		const change: LedgerChange = {added: [], removed: []};
+		for (const part of added) {
+			this.#heldTokens += this.#knows(part) ? 0 : inBlocks(part.tokens);
+			this.#add(part, now, change);
+		}
+
+		for (const part of removed) {
+			this.#heldTokens -= this.#knows(part) ? inBlocks(this.#tokensOf(part)) : 0;
+			this.#drop(keyOf(part), change);
+			this.#withdrawn.delete(keyOf(part));
+		}
+
+		return change;
+	}
+
+	/** The store is out of reach or has restarted: nothing in it is offered until nobody can believe anything older. */
+	close(now: number): LedgerChange {
+		const change: LedgerChange = {added: [], removed: [...this.#parts.keys()]};
+		this.#parts.clear();
+		this.#withdrawn.clear();
+		this.#heldTokens = 0;
+		this.#epoch = undefined;
+		this.#closedUntil = now + withdrawalMilliseconds;
+		return change;
+	}
+
+	/** Notes that a part was used. */
+	use(key: string, now: number): void {
+		const entry = this.#parts.get(key);
+		if (entry !== undefined) {
+			// The order of the map is the order of use.
+			this.#parts.delete(key);
+			this.#parts.set(key, {...entry, usedAt: now});
+		}
+	}
+
+	/** Withdraws the parts that were unused for longest, if the store is too full. */
+	withdraw(now: number): LedgerChange {
+		const change: LedgerChange = {added: [], removed: []};
+		let willHold = this.#heldTokens - [...this.#withdrawn.values()].reduce((sum, {tokens}) => sum + inBlocks(tokens), 0);
+		if (willHold <= highShare * this.#capacityTokens) {
+			return change;
+		}
+
+		for (const [key, {tokens}] of this.#parts) {
+			if (willHold <= lowShare * this.#capacityTokens) {
+				break;
+			}
+
+			willHold -= inBlocks(tokens);
+			this.#parts.delete(key);
+			this.#withdrawn.set(key, {tokens, freeAt: now + withdrawalMilliseconds});
+			change.removed.push(key);
+		}
+
+		return change;
+	}
+
+	/** The withdrawn parts that may be freed now. */
+	dueToFree(now: number): Array<{salt: string; id: string}> {
+		return [...this.#withdrawn]
+			.filter(([, {freeAt}]) => freeAt <= now)
+			.map(([key]) => partOf(key));
+	}
+
+	/** Notes that the store has freed parts. */
+	freed(parts: ReadonlyArray<{salt: string; id: string}>): void {
+		for (const part of parts) {
+			const withdrawn = this.#withdrawn.get(keyOf(part));
+			this.#heldTokens -= withdrawn === undefined ? 0 : inBlocks(withdrawn.tokens);
+			this.#withdrawn.delete(keyOf(part));
+		}
+	}
+
+	#add(part: StoredPart, now: number, change: LedgerChange): void {
+		const key = keyOf(part);
+		// A withdrawn part stays withdrawn: it will be freed, whatever a late event says.
+		if (this.#withdrawn.has(key) || this.#parts.has(key)) {
+			return;
+		}
+
+		this.#parts.set(key, {tokens: part.tokens, usedAt: now});
+		change.added.push([key, part.tokens]);
+	}
+
+	#drop(key: string, change: LedgerChange): void {
+		if (this.#parts.delete(key)) {
+			change.removed.push(key);
+		}
+	}
+
+	#knows(part: StoredPart): boolean {
+		return this.#parts.has(keyOf(part)) || this.#withdrawn.has(keyOf(part));
+	}
+
+	#tokensOf(part: StoredPart): number {
+		return this.#parts.get(keyOf(part))?.tokens ?? this.#withdrawn.get(keyOf(part))?.tokens ?? 0;
+	}
+}
+
+/** The text by which instances name a stored part. */
+export function keyOf({salt, id}: {salt: string; id: string}): string {
+	return `${salt}|${id}`;
+}
+
+function partOf(key: string): {salt: string; id: string} {
+	const separator = key.lastIndexOf('|');
+	return {salt: key.slice(0, separator), id: key.slice(separator + 1)};
+}
+
+function inBlocks(tokens: number): number {
+	return Math.ceil(tokens / blockTokens) * blockTokens;
+}
--- a/src/test/memory-table.ts
+++ b/src/test/memory-table.ts
@@ -1,10 +1,13 @@
 /** The table service in memory, with the faults that the platform has. */
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {type ClockedRow, type ClockedTable} from '../ports/clocked-table.js';
 import {
 	type Row, type RowName, type TableFailure, type TableService, type Transaction,
 } from '../ports/table-service.js';
 
-export class MemoryTable implements TableService {
+export class MemoryTable implements TableService, ClockedTable {
+	/** The table's own clock, in milliseconds. */
+	now = 0;
 	/** Every call fails, and nothing is applied. */
 	down = false;
 	/** How many coming commits are applied and then lose their answer. */
@@ -15,6 +18,11 @@
 		return this.down ? Left(away) : Right(this.#rows.get(rowKeyOf(name)));
 	}
 
+	async readClocked(name: RowName): Promise<Either<TableFailure, ClockedRow>> {
+		const read = await this.read(name);
+		return read.map(row => ({row, storeMilliseconds: this.now}));
+	}
+
 	async scan(query: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
 		const rows = [...this.#rows.values()]
 			.filter(({table, key}) => table === query.table && key.startsWith(query.prefix) && key > query.after)
