--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -135,7 +135,7 @@
 		'content-type': 'application/json',
 		'x-request-id': call.requestId,
 		'x-attempt': String(call.attempt),
-		'x-cache-salt': call.cacheSalt,
+		'savorygauge-cache-salt': call.cacheSalt,
 		'x-priority': call.priority,
 		'x-weight-version': call.weightVersion,
 		'x-resume-after': String(call.tokensPassedOn),
--- a/src/stand-in/model-engine-stand-in.ts
+++ b/src/stand-in/model-engine-stand-in.ts
@@ -119,7 +119,7 @@
 		const completion: Completion = {
 			shape,
 			prompt: promptTextOf(body),
-			salt: String(headers['x-cache-salt'] ?? ''),
+			salt: String(headers['savorygauge-cache-salt'] ?? ''),
 			tokens: Number(body.max_tokens ?? body.max_completion_tokens ?? defaultCompletionTokens),
 			resumeAfter: Number(headers['x-resume-after'] ?? 0),
 			weightVersion,
