Admit prompts by the engines' unread tokens and memory; give up endpoints that fall silent

Ruled out: uneven placing (busiest over mean 1.10). Change: each instance tells the hub what it has unread by rank, what memory its prompts claim, how long the oldest has waited and when it last heard an endpoint; prompts that would be late or push others out are refused at once with a time to come back, urgent ones later than others; a request that may be sent elsewhere leaves a silent endpoint; connections get 250 ms to come about in place of 500.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -12,7 +12,11 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {spreadRetry} from '../limits/spread-retry.js';
 import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
+import {admitsPrompt} from './admit-prompt.js';
 import {BelievedParts} from './believed-parts.js';
+import {
+	addLoads, type EndpointLoad, isSilent, noLoad, unreadBefore,
+} from './endpoint-load.js';
 import {EndpointOutlook} from './endpoint-outlook.js';
 import {
 	type OthersAt, type Placement, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
@@ -44,14 +48,13 @@
 /** A service counts as full when each of its endpoints has this multiple of its slots running or waiting. */
 const fullShare = 2;
 
-type Candidate = {endpoint: EndpointRecord; cost: number; occupancy: number; missingTokens: number};
+type Candidate = {endpoint: EndpointRecord; cost: number; isAdmitted: boolean; missingTokens: number};
 
 export class CostPlacement implements PlacementPolicy {
 	readonly #dataCentre: string;
 	readonly #othersAt: OthersAt;
 	readonly #outlooks = new Map<string, EndpointOutlook>();
 	readonly #parts = new Map<string, BelievedParts>();
-	readonly #unread = new Map<string, number>();
 
 	/**
 	 * @param dataCentre - Where this instance stands.
@@ -63,11 +66,12 @@
 	}
 
 	/** What this instance has under way, by endpoint. */
-	ownLoads(): Record<string, [requests: number, unreadTokens: number]> {
-		const loads: Record<string, [number, number]> = {};
-		for (const [key, {underWay, unreadTokens}] of this.#outlooks) {
-			if (underWay > 0) {
-				loads[key.slice(0, key.lastIndexOf('@'))] = [underWay, unreadTokens];
+	ownLoads(now: number): Map<string, EndpointLoad> {
+		const loads = new Map<string, EndpointLoad>();
+		for (const [key, outlook] of this.#outlooks) {
+			const load = outlook.loadAt(now);
+			if (load.requests > 0) {
+				loads.set(key.slice(0, key.lastIndexOf('@')), load);
 			}
 		}
 
@@ -77,7 +81,7 @@
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
 		const untried = endpoints.filter(({name}) => !request.tried.has(name));
 		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
-		const closed = awake.filter(endpoint => !this.#outlookOf(endpoint).isOpen(now));
+		const closed = awake.filter(endpoint => !this.#outlookOf(endpoint).isOpen(now) && !this.isSilent(endpoint, now));
 		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
 		const inView = [closed, awake, untried].find(({length}) => length > 0) ?? [];
 		if (inView.length === 0) {
@@ -86,7 +90,7 @@
 
 		const candidates = inView
 			.map(endpoint => this.#estimate(request, endpoint, homeOf(request, inView), now))
-			.filter(({endpoint, occupancy}) => occupancy < fullShare * Math.max(1, endpoint.slots));
+			.filter(({isAdmitted}) => isAdmitted);
 		const [first, ...others] = candidates;
 		if (first === undefined) {
 			return {kind: 'none', reason: 'overloaded', retryAfterMilliseconds: spreadRetry(overloadRetryMilliseconds, request.id)};
@@ -105,29 +109,21 @@
 		const outlook = this.#outlookOf(endpoint);
 		switch (event.kind) {
 			case 'sent': {
-				const missing = request.prompt === undefined ? 0 : this.#workAt(request, endpoint, undefined).readTokens;
-				this.#unread.set(request.id, missing);
-				outlook.sent(missing);
+				outlook.sent(request.id, {rank: request.rank, unreadTokens: event.missingTokens, heldTokens: heldTokensOf(request)}, now);
 				break;
 			}
 
 			case 'answered': {
-				this.#wasRead(request, outlook);
-				outlook.succeeded();
+				outlook.answered(request.id, event.load, now);
 				if (request.prompt !== undefined) {
 					this.#partsOf(endpoint, request).learn(scopeAt(request, endpoint), request.prompt.parts);
 				}
 
-				if (event.load !== undefined) {
-					outlook.takeLoad(event.load, now);
-				}
-
 				break;
 			}
 
 			case 'ended': {
-				this.#wasRead(request, outlook);
-				outlook.ended();
+				outlook.ended(request.id);
 				if (event.outcome === 'failed' || event.outcome === 'unreachable') {
 					outlook.failed(now);
 				}
@@ -142,34 +138,57 @@
 		this.#parts.delete(keyOf(endpoint));
 	}
 
-	#wasRead(request: PlacementRequest, outlook: EndpointOutlook): void {
-		outlook.read(this.#unread.get(request.id) ?? 0);
-		this.#unread.delete(request.id);
+	heard(endpoint: EndpointRecord, now: number): void {
+		this.#outlookOf(endpoint).heard(now);
 	}
 
-	#estimate(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined, now: number): Candidate {
-		const outlook = this.#outlookOf(endpoint);
+	isSilent(endpoint: EndpointRecord, now: number): boolean {
+		return isSilent(this.#loadAt(endpoint, now).load);
+	}
+
+	/** What all instances have under way at an endpoint, as far as known here. */
+	#loadAt(endpoint: EndpointRecord, now: number): {load: EndpointLoad; isWhole: boolean} {
+		const own = this.#outlookOf(endpoint).loadAt(now);
 		const others = this.#othersAt(endpoint.name, now);
-		const occupancy = others === undefined ? outlook.reportedOccupancy(now) : outlook.underWay + others[0];
+		return {load: addLoads(own, others ?? noLoad), isWhole: others !== undefined};
+	}
+
+	#estimate(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined, now: number): Candidate {
+		const {load, isWhole} = this.#loadAt(endpoint, now);
+		const reported = isWhole ? undefined : this.#outlookOf(endpoint).reportedOccupancy(now);
+		const occupancy = Math.max(load.requests, reported ?? 0);
+		const slots = Math.max(1, endpoint.slots);
 		const distance = endpoint.dataCentre === this.#dataCentre ? 0 : otherDataCentreMilliseconds;
+		const hasRoom = occupancy < fullShare * slots;
 		if (request.prompt === undefined) {
-			const cost = (callMilliseconds * occupancy / Math.max(1, endpoint.slots)) + distance;
+			const cost = (callMilliseconds * occupancy / slots) + distance;
 			return {
-				endpoint, cost, occupancy, missingTokens: 0,
+				endpoint, cost, isAdmitted: hasRoom, missingTokens: 0,
 			};
 		}
 
 		const {readTokens, fetchTokens} = this.#workAt(request, endpoint, home);
 		const work = (rereadWeight * readTokens / prefillTokensPerMillisecond) + (fetchTokens / fetchTokensPerMillisecond);
-		const wait = (outlook.unreadTokens + (others?.[1] ?? 0)) / prefillTokensPerMillisecond;
-		const waiting = others === undefined ? outlook.waiting(now) : Math.max(0, occupancy - endpoint.slots);
-		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * waiting);
+		const wait = unreadBefore(load, request.rank) / prefillTokensPerMillisecond;
+		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
 		return {
-			endpoint, cost: work + wait + occupied + distance + weights, occupancy, missingTokens: readTokens,
+			endpoint, cost: work + wait + occupied + distance + weights, isAdmitted: hasRoom && this.#admits(request, readTokens, isWhole ? load : undefined), missingTokens: readTokens,
 		};
 	}
 
+	/** Without the other instances' work nothing can be said; the engine's own queue decides then. */
+	#admits(request: PlacementRequest, readTokens: number, load: EndpointLoad | undefined): boolean {
+		const capacityTokens = request.engine?.capacityTokens ?? 0;
+		if (load === undefined || capacityTokens === 0) {
+			return true;
+		}
+
+		return admitsPrompt({
+			rank: request.rank, objectiveMilliseconds: request.objectiveMilliseconds, heldTokens: heldTokensOf(request), readTokens,
+		}, load, {capacityTokens, tokensPerMillisecond: prefillTokensPerMillisecond});
+	}
+
 	/** Tokens of a prompt that an engine would read, and those that it would fetch from stores. */
 	#workAt(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined): {readTokens: number; fetchTokens: number} {
 		const {promptTokens, parts} = request.prompt!;
@@ -226,6 +245,11 @@
 	return home;
 }
 
+/** Memory that a prompt needs from its start to its end. */
+function heldTokensOf({prompt}: PlacementRequest): number {
+	return prompt === undefined ? 0 : prompt.promptTokens + prompt.mostOutputTokens;
+}
+
 /** Whether the engine has older weights than were named for the model. */
 function isBehind({prompt, wantedVersion}: PlacementRequest, {weightVersions}: EndpointRecord): boolean {
 	return wantedVersion !== undefined && prompt !== undefined && (weightVersions.get(prompt.model) ?? 0) < wantedVersion;
--- /dev/null
+++ b/src/decision/placement/endpoint-load.ts
@@ -0,0 +1,49 @@
+/** What is under way at an endpoint, of one instance or of several together. */
+
+export type EndpointLoad = {
+	requests: number;
+	/** Prompt tokens that the endpoint has yet to read, by rank; the last entry holds all less urgent ranks. */
+	unreadTokens: readonly number[];
+	/** Tokens of memory that all requests under way may come to need. */
+	heldTokens: number;
+	/** For how long the oldest request without a byte of its answer has waited, in milliseconds. */
+	oldestWaitMilliseconds: number;
+	/** How long ago the last byte came from the endpoint, in milliseconds. */
+	heardAgoMilliseconds: number;
+};
+
+/** Ranks that are told apart; prompts come in two or three. */
+export const toldRanks = 3;
+
+/** An endpoint that nobody uses. */
+export const noLoad: EndpointLoad = {
+	requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: Number.POSITIVE_INFINITY,
+};
+
+/** Adds what two sets of instances have under way. */
+export function addLoads(one: EndpointLoad, other: EndpointLoad): EndpointLoad {
+	return {
+		requests: one.requests + other.requests,
+		unreadTokens: one.unreadTokens.map((tokens, rank) => tokens + (other.unreadTokens[rank] ?? 0)),
+		heldTokens: one.heldTokens + other.heldTokens,
+		oldestWaitMilliseconds: Math.max(one.oldestWaitMilliseconds, other.oldestWaitMilliseconds),
+		heardAgoMilliseconds: Math.min(one.heardAgoMilliseconds, other.heardAgoMilliseconds),
+	};
+}
+
+/** Tokens that are read before those of a rank: engines read more urgent prompts first. */
+export function unreadBefore({unreadTokens}: EndpointLoad, rank: number): number {
+	return unreadTokens.slice(0, rank + 1).reduce((sum, tokens) => sum + tokens, 0);
+}
+
+/**
+ * With requests waiting and not a byte from an endpoint for so long, it is taken for dead: a working engine sends some
+ * event every few dozen milliseconds, and a plain service answers within its usual work time. Less would blame an endpoint
+ * for one long prompt; a row in the list lapses only after several heartbeats.
+ */
+export const silenceMilliseconds = 700;
+
+/** Whether an endpoint has fallen silent with requests waiting. */
+export function isSilent({oldestWaitMilliseconds, heardAgoMilliseconds}: EndpointLoad): boolean {
+	return oldestWaitMilliseconds > silenceMilliseconds && heardAgoMilliseconds > silenceMilliseconds;
+}
--- a/src/decision/placement/endpoint-outlook.ts
+++ b/src/decision/placement/endpoint-outlook.ts
@@ -5,6 +5,7 @@
  * Load it answers: an endpoint that crashes, hangs or fails while its row in the list still says that it is ready.
  * Without it, an endpoint that refuses connections looks idle and draws every request.
  */
+import {type EndpointLoad, toldRanks} from './endpoint-load.js';
 import {type ReportedLoad} from './placement.js';
 
 /** After so many failures in a row the endpoint is left alone; a single one may be the request's own. */
@@ -15,40 +16,56 @@
 /** A report older than this says nothing of the present: a batch of short requests comes and goes in this time. */
 const reportLifeMilliseconds = 2000;
 
+/** A request of this instance at the endpoint. */
+type UnderWay = {rank: number; sentAt: number; unreadTokens: number; heldTokens: number; isAnswered: boolean};
+
 export class EndpointOutlook {
-	/** Requests of this instance that have no whole answer yet. */
-	underWay = 0;
-	/** Prompt tokens of those that have not begun to answer. */
-	unreadTokens = 0;
-	#load: ReportedLoad | undefined;
-	#loadAt = 0;
-	#sentSinceLoad = 0;
+	readonly #requests = new Map<string, UnderWay>();
+	#report: ReportedLoad | undefined;
+	#reportAt = 0;
+	#sentSinceReport = 0;
 	#failures = 0;
 	#openUntil = 0;
+	#heardAt = Number.NEGATIVE_INFINITY;
 
-	sent(tokens: number): void {
-		this.underWay++;
-		this.unreadTokens += tokens;
-		this.#sentSinceLoad++;
+	/** Requests of this instance under way. */
+	get underWay(): number {
+		return this.#requests.size;
 	}
 
-	read(tokens: number): void {
-		this.unreadTokens = Math.max(0, this.unreadTokens - tokens);
+	/** Notes a send; `unreadTokens` are those that the endpoint has to read, `heldTokens` its whole need of memory. */
+	sent(id: string, {rank, unreadTokens, heldTokens}: {rank: number; unreadTokens: number; heldTokens: number}, now: number): void {
+		this.#requests.set(id, {
+			rank: Math.min(toldRanks - 1, rank), sentAt: now, unreadTokens, heldTokens, isAnswered: false,
+		});
+		this.#sentSinceReport++;
 	}
 
-	takeLoad(load: ReportedLoad, now: number): void {
-		this.#load = load;
-		this.#loadAt = now;
-		this.#sentSinceLoad = 0;
+	/** Notes the first byte of an answer. */
+	answered(id: string, report: ReportedLoad | undefined, now: number): void {
+		const request = this.#requests.get(id);
+		if (request !== undefined) {
+			request.isAnswered = true;
+			request.unreadTokens = 0;
+		}
+
+		this.#heardAt = now;
+		this.#failures = 0;
+		this.#openUntil = 0;
+		if (report !== undefined) {
+			this.#report = report;
+			this.#reportAt = now;
+			this.#sentSinceReport = 0;
+		}
 	}
 
-	ended(): void {
-		this.underWay = Math.max(0, this.underWay - 1);
+	/** Notes that bytes came. */
+	heard(now: number): void {
+		this.#heardAt = now;
 	}
 
-	succeeded(): void {
-		this.#failures = 0;
-		this.#openUntil = 0;
+	ended(id: string): void {
+		this.#requests.delete(id);
 	}
 
 	failed(now: number): void {
@@ -64,16 +81,26 @@
 		return now < this.#openUntil;
 	}
 
-	/** Requests running or waiting there, of all instances: the last report if it is recent, at least the own ones. */
-	reportedOccupancy(now: number): number {
-		const reported = this.#load !== undefined && now - this.#loadAt < reportLifeMilliseconds
-			? this.#load.running + this.#load.waiting + this.#sentSinceLoad
-			: 0;
-		return Math.max(this.underWay, reported);
+	/** What this instance has under way there. */
+	loadAt(now: number): EndpointLoad {
+		const unreadTokens = Array.from({length: toldRanks}, () => 0);
+		let heldTokens = 0;
+		let oldest = now;
+		for (const request of this.#requests.values()) {
+			unreadTokens[request.rank]! += request.unreadTokens;
+			heldTokens += request.heldTokens;
+			oldest = request.isAnswered ? oldest : Math.min(oldest, request.sentAt);
+		}
+
+		return {
+			requests: this.#requests.size, unreadTokens, heldTokens, oldestWaitMilliseconds: now - oldest, heardAgoMilliseconds: now - this.#heardAt,
+		};
 	}
 
-	/** Requests that wait for a slot there, by the last recent report. */
-	waiting(now: number): number {
-		return this.#load !== undefined && now - this.#loadAt < reportLifeMilliseconds ? this.#load.waiting : 0;
+	/** Requests running or waiting there by its last report; `undefined` if that is too old. */
+	reportedOccupancy(now: number): number | undefined {
+		return this.#report !== undefined && now - this.#reportAt < reportLifeMilliseconds
+			? this.#report.running + this.#report.waiting + this.#sentSinceReport
+			: undefined;
 	}
 }
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -2,6 +2,7 @@
 import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
 import {type EngineTraits} from '../../gateway/configuration/routed-configuration.js';
 import {type PromptShape} from '../../gateway/data-path/request-head.js';
+import {type EndpointLoad} from './endpoint-load.js';
 
 /** A request to place. */
 export type PlacementRequest = {
@@ -9,6 +10,8 @@
 	service: string;
 	/** 0 is the most urgent. */
 	rank: number;
+	/** Time to the first byte that still counts as prompt. */
+	objectiveMilliseconds: number;
 	/** Absent for calls to plain services. */
 	prompt: PromptShape | undefined;
 	/** Cached parts are shared only under the same text. */
@@ -24,7 +27,7 @@
 	loading: ReadonlySet<string>;
 };
 
-/** Where a request goes, or that there is no place for it. */
+/** Where a request goes and how many tokens the engine then has to read, or that there is no place for it. */
 export type Placement
 	= | {kind: 'send'; endpoint: EndpointRecord; missingTokens: number}
 		| {kind: 'none'; reason: 'no-endpoint' | 'overloaded'; retryAfterMilliseconds: number};
@@ -38,17 +41,21 @@
 
 /** What became of a request that was placed. All times are milliseconds of the steady clock. */
 export type PlacementEvent
-	= | {kind: 'sent'; request: PlacementRequest; endpoint: EndpointRecord}
+	= | {kind: 'sent'; request: PlacementRequest; endpoint: EndpointRecord; missingTokens: number}
 		| {kind: 'answered'; request: PlacementRequest; endpoint: EndpointRecord; load: ReportedLoad | undefined}
 		| {kind: 'ended'; request: PlacementRequest; endpoint: EndpointRecord; outcome: 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled'};
 
-/** What all other instances have under way at an endpoint: requests, and prompt tokens not read yet. */
-export type OthersAt = (endpoint: string, now: number) => [requests: number, unreadTokens: number] | undefined;
+/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
+export type OthersAt = (endpoint: string, now: number) => EndpointLoad | undefined;
 
 /** Places requests on endpoints. */
 export interface PlacementPolicy {
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement;
 	observe(event: PlacementEvent, now: number): void;
+	/** Notes that bytes came from an endpoint. */
+	heard(endpoint: EndpointRecord, now: number): void;
+	/** Whether an endpoint has fallen silent with requests waiting. */
+	isSilent(endpoint: EndpointRecord, now: number): boolean;
 	/** Forgets an incarnation that is gone. */
 	forget(endpoint: EndpointRecord): void;
 }
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -59,9 +59,10 @@
 
 /**
  * How long a connection may take to come about. A round trip within a region takes a few milliseconds; an endpoint that is
- * gone without a trace answers never. Half a second leaves time for a try elsewhere within the shortest usual objective.
+ * gone without a trace answers never. A quarter of a second leaves time for a try elsewhere within the shortest usual
+ * objective, and is less than the second after which a lost opening packet is sent again.
  */
-const connectMilliseconds = 500;
+const connectMilliseconds = 250;
 
 export class HttpEndpointExchanges implements EndpointExchanges {
 	readonly #agent = new EndpointAgent();
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -16,6 +16,8 @@
 	cutter: EventCutter | undefined;
 	/** Told when the first bytes of the body have come. */
 	onFirstBytes(): void;
+	/** Told of all bytes. */
+	onBytes(): void;
 };
 
 /**
@@ -28,7 +30,7 @@
  * @param relay - The answer and the client's response.
  * @returns How it ended. After `whole` the response is ended, else it is left open.
  */
-export async function relayAnswer({answer, response, cutter, onFirstBytes}: Relay): Promise<RelayOutcome> {
+export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes}: Relay): Promise<RelayOutcome> {
 	const {body} = answer;
 	return new Promise(resolve => {
 		let hasBytes = false;
@@ -61,6 +63,7 @@
 		};
 
 		const take = (chunk: Buffer): void => {
+			onBytes();
 			const bytes = cutter === undefined ? chunk : cutter.take(chunk).bytes;
 			if (!hasBytes && bytes.length > 0) {
 				hasBytes = true;
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -37,6 +37,8 @@
 type TryResult = {outcome: TryOutcome | 'whole' | 'client-left'; answer?: EndpointAnswer; detail?: string};
 
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
+/** How often a waiting request looks whether its endpoint has fallen silent. */
+const silenceCheckMilliseconds = 200;
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
 
@@ -95,7 +97,7 @@
 				});
 			}
 
-			const result = await this.#send(placement.endpoint);
+			const result = await this.#send(placement.endpoint, placement.missingTokens);
 			if (result.outcome === 'whole') {
 				return 'whole';
 			}
@@ -166,7 +168,7 @@
 		return placement.place(this.#placementRequest(), candidates, now);
 	}
 
-	async #send(endpoint: EndpointRecord): Promise<TryResult> {
+	async #send(endpoint: EndpointRecord, missingTokens: number): Promise<TryResult> {
 		const {placement, exchanges, names, budget} = this.#context;
 		const {head, permitted, body} = this.#work;
 		const request = this.#placementRequest();
@@ -175,7 +177,9 @@
 			budget.countRequest(permitted.service, this.#now());
 		}
 
-		placement.observe({kind: 'sent', request, endpoint}, this.#now());
+		placement.observe({
+			kind: 'sent', request, endpoint, missingTokens,
+		}, this.#now());
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
 			method: head.method,
@@ -193,7 +197,9 @@
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
 		});
+		const watch = this.#watchForSilence(endpoint, this.#exchange);
 		const result = await this.#awaitResult(endpoint, request);
+		clearInterval(watch);
 		this.#exchange = undefined;
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
@@ -202,6 +208,23 @@
 		return result;
 	}
 
+	/**
+	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
+	 * resets no connection, and the caller would wait until the time-out.
+	 */
+	#watchForSilence(endpoint: EndpointRecord, exchange: OpenExchange): NodeJS.Timeout | undefined {
+		const {route} = this.#work.permitted;
+		if (!isRepeatable(route.kind) || this.#sends + 1 >= route.mostAttempts) {
+			return undefined;
+		}
+
+		return setInterval(() => {
+			if (this.#context.placement.isSilent(endpoint, this.#now())) {
+				exchange.cancel();
+			}
+		}, silenceCheckMilliseconds);
+	}
+
 	async #awaitResult(endpoint: EndpointRecord, request: PlacementRequest): Promise<TryResult> {
 		const answered = await this.#exchange!.answer;
 		if (answered.isLeft()) {
@@ -216,6 +239,7 @@
 
 		this.#sends++;
 		const answer = answered.unsafeCoerce();
+		this.#context.placement.heard(endpoint, this.#now());
 		this.#learnFrom(answer, endpoint);
 		const outcome = this.#judge(answer);
 		if (outcome === 'rejected') {
@@ -264,6 +288,9 @@
 					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
 				}, this.#now());
 			},
+			onBytes: () => {
+				placement.heard(endpoint, this.#now());
+			},
 		});
 		this.#status = answer.status;
 		if (outcome !== 'cut') {
@@ -279,9 +306,7 @@
 	async #passOnFailure(answer: EndpointAnswer): Promise<RoutedEnd> {
 		const {response} = this.#work;
 		const outcome = await relayAnswer({
-			answer, response, cutter: undefined, onFirstBytes() {
-				// A failure is no first byte of an answer.
-			},
+			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
 		});
 		this.#status = answer.status;
 		if (outcome === 'cut') {
@@ -371,6 +396,7 @@
 			id: head.attemptId,
 			service: permitted.service,
 			rank: permitted.rank,
+			objectiveMilliseconds: permitted.route.objectiveMilliseconds,
 			prompt: permitted.route.carriesPrompt ? head.prompt : undefined,
 			cacheScope: cacheScopeOf(permitted),
 			engine: this.#context.configuration.current?.services.get(permitted.service)?.engine,
@@ -423,3 +449,7 @@
 		return this.#context.clock.moment().steady;
 	}
 }
+
+function ignore(): void {
+	// A failure that is passed on says nothing of how fast the endpoint answers.
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -32,6 +32,7 @@
 import {DutySeat} from './duty/duty-seat.js';
 import {Hub} from './hub/hub.js';
 import {HubClient} from './hub/hub-client.js';
+import {packLoads} from './hub/hub-messages.js';
 import {HubView} from './hub/hub-view.js';
 import {DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
@@ -170,7 +171,7 @@
 		const seat = new DutySeat({
 			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds,
 		}, {store, clock, log});
-		const client = new HubClient(hubView, {instance, loads: () => this.#placement.ownLoads()}, clock);
+		const client = new HubClient(hubView, {instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady))}, clock);
 		return new Hub(this.#context, {
 			instance, address, seat, client, control: storeControl,
 		});
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -7,7 +7,7 @@
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
-import {type EndpointLoad, type FollowerFrame, type HubFrame} from './hub-messages.js';
+import {type FollowerFrame, type HubFrame, type PackedLoad} from './hub-messages.js';
 import {type HubView} from './hub-view.js';
 
 /** A question at least this often keeps knowledge fresh also when one answer is late. */
@@ -18,7 +18,7 @@
 /** What a follower tells of itself. */
 export type FollowerSelf = {
 	instance: string;
-	loads(): Record<string, EndpointLoad>;
+	loads(): Record<string, PackedLoad>;
 };
 
 export class HubClient {
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -1,7 +1,27 @@
 /** What the hub and its followers say to each other, as frames over one connection each. */
 
-/** Requests under way at an endpoint, and the prompt tokens of those that have not begun to answer. */
-export type EndpointLoad = [requests: number, unreadTokens: number];
+import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
+
+/** A load as it is sent: requests, held tokens, oldest wait, last heard, then unread tokens by rank. */
+export type PackedLoad = number[];
+
+/** Stands for "never heard" and longer: a day in milliseconds. */
+const neverHeard = 86_400_000;
+
+export function packLoad({requests, heldTokens, oldestWaitMilliseconds, heardAgoMilliseconds, unreadTokens}: EndpointLoad): PackedLoad {
+	return [requests, heldTokens, Math.round(oldestWaitMilliseconds), Math.round(Math.min(neverHeard, heardAgoMilliseconds)), ...unreadTokens];
+}
+
+/** Packs the loads of several endpoints by name. */
+export function packLoads(loads: ReadonlyMap<string, EndpointLoad>): Record<string, PackedLoad> {
+	return Object.fromEntries([...loads].map(([endpoint, load]) => [endpoint, packLoad(load)]));
+}
+
+export function unpackLoad([requests = 0, heldTokens = 0, oldestWaitMilliseconds = 0, heardAgoMilliseconds = neverHeard, ...unreadTokens]: PackedLoad): EndpointLoad {
+	return {
+		requests, heldTokens, oldestWaitMilliseconds, heardAgoMilliseconds, unreadTokens,
+	};
+}
 
 /** A follower's question. Its answer proves that all that the hub knew by then has been told. */
 export type FollowerFrame = {
@@ -11,7 +31,7 @@
 	/** Stored parts used since the last question, as `salt|id`. */
 	uses: string[];
 	/** What this instance has under way, by endpoint. */
-	loads: Record<string, EndpointLoad>;
+	loads: Record<string, PackedLoad>;
 };
 
 /** What the hub sends. */
@@ -24,7 +44,7 @@
 		/** Stores that may be saved to and fetched from. */
 		open: string[];
 		/** What all other instances have under way, by endpoint. */
-		loads: Record<string, EndpointLoad>;
+		loads: Record<string, PackedLoad>;
 	}
 	| {
 		kind: 'parts';
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -5,9 +5,12 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
+import {addLoads, type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type EndpointLoad, type FollowerFrame, type HubFrame} from './hub-messages.js';
+import {
+	type FollowerFrame, type HubFrame, type PackedLoad, packLoads, unpackLoad,
+} from './hub-messages.js';
 
 /** What the server asks the keeper of the duty. */
 export interface HubSource {
@@ -23,7 +26,7 @@
 /** A follower that does not read is dropped; it dials again and hears all anew. */
 const mostWaitingBytes = 1_048_576;
 
-type Follower = {instance: string; loads: Record<string, EndpointLoad>};
+type Follower = {instance: string; loads: Record<string, PackedLoad>};
 
 export class HubServer implements Child {
 	readonly name = 'hub-server';
@@ -120,20 +123,19 @@
 		this.#write(socket, encodeFrame(answer));
 	}
 
-	#loadsWithout(instance: string): Record<string, EndpointLoad> {
-		const sums: Record<string, EndpointLoad> = {};
+	#loadsWithout(instance: string): Record<string, PackedLoad> {
+		const sums = new Map<string, EndpointLoad>();
 		for (const follower of this.#followers.values()) {
 			if (follower.instance === instance) {
 				continue;
 			}
 
-			for (const [endpoint, [requests, tokens]] of Object.entries(follower.loads)) {
-				const [otherRequests, otherTokens] = sums[endpoint] ?? [0, 0];
-				sums[endpoint] = [otherRequests + requests, otherTokens + tokens];
+			for (const [endpoint, packed] of Object.entries(follower.loads)) {
+				sums.set(endpoint, addLoads(sums.get(endpoint) ?? noLoad, unpackLoad(packed)));
 			}
 		}
 
-		return sums;
+		return packLoads(sums);
 	}
 
 	#write(socket: Socket, bytes: Uint8Array): void {
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -2,14 +2,15 @@
  * What a follower knows from the hub: which parts the stores hold whole, what the other instances have under way, and the
  * engines' clock. Used only while fresh; counted from the sending of the question whose answer came last.
  */
+import {type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
-import {type EndpointLoad, type HubFrame} from './hub-messages.js';
+import {type HubFrame, type PackedLoad, unpackLoad} from './hub-messages.js';
 
 export class HubView {
 	readonly #stores = new Map<string, Map<string, number>>();
 	#open: ReadonlySet<string> = new Set();
-	#loads: Readonly<Record<string, EndpointLoad>> = {};
+	#loads: Readonly<Record<string, PackedLoad>> = {};
 	#askedAt: Moment | undefined;
 	#clock: {milliseconds: number; heardAt: number} | undefined;
 	readonly #uses = new Set<string>();
@@ -69,7 +70,12 @@
 
 	/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
 	othersAt(endpoint: string, now: Moment): EndpointLoad | undefined {
-		return this.isFresh(now) ? this.#loads[endpoint] ?? [0, 0] : undefined;
+		if (!this.isFresh(now)) {
+			return undefined;
+		}
+
+		const packed = this.#loads[endpoint];
+		return packed === undefined ? noLoad : unpackLoad(packed);
 	}
 
 	noteUse(key: string): void {
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -99,7 +99,7 @@
 		const hub = new Hub({
 			clock, configuration, log, hubView,
 		}, {
-			instance, address, seat, client: new HubClient(hubView, {instance, loads: () => ({engine: [index + 1, 10]})}, clock), control: store,
+			instance, address, seat, client: new HubClient(hubView, {instance, loads: () => ({engine: [index + 1, 10, 0, 0, 0, 0, 0]})}, clock), control: store,
 		});
 		const stop = new AbortController();
 		void hub.run(stop.signal);
@@ -109,7 +109,7 @@
 	const allKnow = (): boolean => instances.every(({hubView, stop}) => stop.signal.aborted || hubView.holds('cache', 's|p', clock.moment()));
 	await until('all know the part', allKnow, 6000 + withdrawalMilliseconds);
 	assert.equal(instances.filter(({hub}) => hub.isHub()).length, 1);
-	await until('loads of the others are told', () => instances.every(({hubView}, index) => hubView.othersAt('engine', clock.moment())?.[0] === 6 - (index + 1)), 2000);
+	await until('loads of the others are told', () => instances.every(({hubView}, index) => hubView.othersAt('engine', clock.moment())?.requests === 6 - (index + 1)), 2000);
 	const old = instances.find(({hub}) => hub.isHub())!;
 	await old.hub.leave();
 	old.stop.abort();
