Part a try from its request; probe endpoints that cannot be reached; let a younger endpoint take an address

Reading it showed that a failure in answer to a resumption would have been joined to the events passed on. Ruled out: longer pauses, which keep an endpoint out that is back. Change: tries to connect without a caller; an address belongs to its youngest endpoint; EndpointTry stands beside RoutedRequest; a resumption that fails ends the stream without its end; refusals tell when the backlog is read.

--- /dev/null
+++ b/src/decision/placement/cost-placement.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {CostPlacement} from './cost-placement.js';
+import {type EndpointLoad, noLoad} from './endpoint-load.js';
+import {type PlacementRequest} from './placement.js';
+
+const engines = Array.from({length: 6}, (_, index) => testEndpoint({
+	name: `e${index}`, slots: 64, weightVersions: new Map([['permit', 1]]), address: `10.0.0.${index}:1`,
+}));
+
+function promptOf(subject: string, id: string, changes: Partial<PlacementRequest> = {}): PlacementRequest {
+	return {
+		id,
+		service: 'engines',
+		rank: 2,
+		objectiveMilliseconds: 1000,
+		prompt: {
+			model: 'permit', promptTokens: 11_000, mostOutputTokens: 60, parts: [{id: 'all', tokens: 500}, {id: subject, tokens: 8000}, {id, tokens: 2500}],
+		},
+		cacheScope: 'shared',
+		engine: {
+			slots: 64, capacityTokens: 100_000, bytesPerToken: 18_432, linkMegabitsPerSecond: 130_000, models: ['permit'],
+		},
+		tried: new Set(),
+		wantedVersion: undefined,
+		storedTokensUnder: () => 0,
+		loading: new Set(),
+		...changes,
+	};
+}
+
+const chosen = (policy: CostPlacement, request: PlacementRequest, endpoints: readonly EndpointRecord[] = engines, now = 0): string => {
+	const placement = policy.place(request, endpoints, now);
+	return placement.kind === 'send' ? placement.endpoint.name : placement.reason;
+};
+
+test('all instances send a returning subject to the same engine, and subjects spread over all engines', () => {
+	const one = new CostPlacement('split');
+	const other = new CostPlacement('split');
+	const homes = new Map<string, number>();
+	for (let index = 0; index < 300; index++) {
+		const home = chosen(one, promptOf(`subject-${index}`, `a${index}`));
+		assert.equal(chosen(other, promptOf(`subject-${index}`, `b${index}`)), home);
+		homes.set(home, (homes.get(home) ?? 0) + 1);
+	}
+
+	assert.equal(homes.size, 6);
+	assert.ok(Math.max(...homes.values()) < 80);
+});
+
+test('a subject whose home is far behind goes elsewhere, and a tired service refuses what can wait', () => {
+	const loads = new Map<string, EndpointLoad>();
+	const policy = new CostPlacement('split', endpoint => loads.get(endpoint) ?? noLoad);
+	const home = chosen(policy, promptOf('subject', 'a'));
+	loads.set(home, {
+		...noLoad, requests: 20, unreadTokens: [0, 0, 30_000], heldTokens: 80_000,
+	});
+	assert.notEqual(chosen(policy, promptOf('subject', 'a')), home);
+	for (const {name} of engines) {
+		loads.set(name, {
+			...noLoad, requests: 20, unreadTokens: [0, 0, 60_000], heldTokens: 99_000,
+		});
+	}
+
+	assert.equal(chosen(policy, promptOf('subject', 'a')), 'overloaded');
+	assert.notEqual(chosen(policy, promptOf('subject', 'a', {rank: 0})), 'overloaded');
+});
+
+test('an engine that cannot be reached is left to probes, not to callers', () => {
+	// A data centre is cut off. The first caller finds out; the others go elsewhere until a probe connects again.
+	const policy = new CostPlacement('split');
+	const request = promptOf('subject', 'a');
+	const home = engines.find(({name}) => name === chosen(policy, request))!;
+	policy.observe({
+		kind: 'sent', request, endpoint: home, missingTokens: 100,
+	}, 0);
+	policy.observe({
+		kind: 'ended', request, endpoint: home, outcome: 'unreachable',
+	}, 250);
+	assert.notEqual(chosen(policy, promptOf('subject', 'b'), engines, 5000), home.name);
+	assert.deepEqual(policy.dueProbes(300), []);
+	assert.deepEqual(policy.dueProbes(500).map(({name}) => name), [home.name]);
+	policy.probed(home, false, 500);
+	assert.deepEqual(policy.dueProbes(600), []);
+	policy.probed(home, true, 900);
+	assert.equal(chosen(policy, promptOf('subject', 'b'), engines, 1000), home.name);
+});
+
+test('an engine that was sent requests and says nothing is avoided before its row lapses', () => {
+	const loads = new Map<string, EndpointLoad>();
+	const policy = new CostPlacement('split', endpoint => loads.get(endpoint) ?? noLoad);
+	const home = chosen(policy, promptOf('subject', 'a'));
+	loads.set(home, {
+		...noLoad, requests: 3, oldestWaitMilliseconds: 900, heardAgoMilliseconds: 1000,
+	});
+	assert.notEqual(chosen(policy, promptOf('subject', 'a')), home);
+	loads.set(home, {
+		...noLoad, requests: 3, oldestWaitMilliseconds: 900, heardAgoMilliseconds: 50,
+	});
+	assert.equal(chosen(policy, promptOf('subject', 'a')), home);
+});
+
+test('engines that load weights are spared while others serve', () => {
+	const policy = new CostPlacement('split');
+	const home = chosen(policy, promptOf('subject', 'a'));
+	const loading = new Set([home]);
+	assert.notEqual(chosen(policy, promptOf('subject', 'a', {loading, wantedVersion: 2})), home);
+	assert.equal(chosen(policy, promptOf('subject', 'a', {loading: new Set(engines.map(({name}) => name)), wantedVersion: 2})), home);
+});
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -45,6 +45,8 @@
 const noEndpointRetryMilliseconds = 800;
 /** When to come back to a service that is full: some slots come free in this time. */
 const overloadRetryMilliseconds = 600;
+/** Callers do not wait longer than a third of the time that they have left; more would be for nothing. */
+const longestOverloadRetryMilliseconds = 2500;
 /** A service counts as full when each of its endpoints has this multiple of its slots running or waiting. */
 const fullShare = 2;
 
@@ -55,6 +57,7 @@
 	readonly #othersAt: OthersAt;
 	readonly #outlooks = new Map<string, EndpointOutlook>();
 	readonly #parts = new Map<string, BelievedParts>();
+	readonly #unreachable = new Map<string, EndpointRecord>();
 
 	/**
 	 * @param dataCentre - Where this instance stands.
@@ -81,9 +84,10 @@
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
 		const untried = endpoints.filter(({name}) => !request.tried.has(name));
 		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
-		const closed = awake.filter(endpoint => !this.#outlookOf(endpoint).isOpen(now) && !this.isSilent(endpoint, now));
+		const reached = awake.filter(endpoint => !this.#outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
+		const closed = reached.filter(endpoint => !this.#outlookOf(endpoint).isOpen(now));
 		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
-		const inView = [closed, awake, untried].find(({length}) => length > 0) ?? [];
+		const inView = [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
 		if (inView.length === 0) {
 			return {kind: 'none', reason: 'no-endpoint', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.id)};
 		}
@@ -93,7 +97,7 @@
 			.filter(({isAdmitted}) => isAdmitted);
 		const [first, ...others] = candidates;
 		if (first === undefined) {
-			return {kind: 'none', reason: 'overloaded', retryAfterMilliseconds: spreadRetry(overloadRetryMilliseconds, request.id)};
+			return {kind: 'none', reason: 'overloaded', retryAfterMilliseconds: this.#overloadRetry(request, inView, now)};
 		}
 
 		let best = first;
@@ -128,12 +132,29 @@
 					outlook.failed(now);
 				}
 
+				if (event.outcome === 'unreachable') {
+					outlook.unreachable(now);
+					this.#unreachable.set(keyOf(endpoint), endpoint);
+				}
+
 				break;
 			}
 		}
 	}
 
+	dueProbes(now: number): EndpointRecord[] {
+		return [...this.#unreachable.values()].filter(endpoint => this.#outlookOf(endpoint).isProbeDue(now));
+	}
+
+	probed(endpoint: EndpointRecord, isReached: boolean, now: number): void {
+		this.#outlookOf(endpoint).probed(isReached, now);
+		if (isReached) {
+			this.#unreachable.delete(keyOf(endpoint));
+		}
+	}
+
 	forget(endpoint: EndpointRecord): void {
+		this.#unreachable.delete(keyOf(endpoint));
 		this.#outlooks.delete(keyOf(endpoint));
 		this.#parts.delete(keyOf(endpoint));
 	}
@@ -146,6 +167,13 @@
 		return isSilent(this.#loadAt(endpoint, now).load);
 	}
 
+	/** When a refused caller finds room again: when the least laden engine has read what lies before such a prompt. */
+	#overloadRetry(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): number {
+		const waits = endpoints.map(endpoint => unreadBefore(this.#loadAt(endpoint, now).load, request.rank) / prefillTokensPerMillisecond);
+		const wait = Math.min(longestOverloadRetryMilliseconds, overloadRetryMilliseconds + Math.min(...waits));
+		return spreadRetry(wait, request.id);
+	}
+
 	/** What all instances have under way at an endpoint, as far as known here. */
 	#loadAt(endpoint: EndpointRecord, now: number): {load: EndpointLoad; isWhole: boolean} {
 		const own = this.#outlookOf(endpoint).loadAt(now);
--- a/src/decision/placement/endpoint-outlook.ts
+++ b/src/decision/placement/endpoint-outlook.ts
@@ -13,6 +13,12 @@
 /** First pause; doubles with each failure behind it. A connection that fails is retried within a heartbeat or two. */
 const firstPauseMilliseconds = 500;
 const longestPauseMilliseconds = 8000;
+/**
+ * An endpoint that cannot be reached is asked for a connection this often, with no caller waiting for it; doubles up to the
+ * longest. A restarted process is back within a second.
+ */
+const firstProbePauseMilliseconds = 200;
+const longestProbePauseMilliseconds = 1000;
 /** A report older than this says nothing of the present: a batch of short requests comes and goes in this time. */
 const reportLifeMilliseconds = 2000;
 
@@ -27,6 +33,7 @@
 	#failures = 0;
 	#openUntil = 0;
 	#heardAt = Number.NEGATIVE_INFINITY;
+	#probe: {at: number; pause: number} | undefined;
 
 	/** Requests of this instance under way. */
 	get underWay(): number {
@@ -50,6 +57,7 @@
 		}
 
 		this.#heardAt = now;
+		this.#probe = undefined;
 		this.#failures = 0;
 		this.#openUntil = 0;
 		if (report !== undefined) {
@@ -81,6 +89,31 @@
 		return now < this.#openUntil;
 	}
 
+	/** Whether no connection to the endpoint comes about. */
+	get isUnreachable(): boolean {
+		return this.#probe !== undefined;
+	}
+
+	/** Notes that no connection came about, or that the endpoint fell silent. */
+	unreachable(now: number): void {
+		this.#probe ??= {at: now + firstProbePauseMilliseconds, pause: firstProbePauseMilliseconds};
+	}
+
+	isProbeDue(now: number): boolean {
+		return this.#probe !== undefined && now >= this.#probe.at;
+	}
+
+	/** Notes how a try to connect ended. */
+	probed(isReached: boolean, now: number): void {
+		if (isReached || this.#probe === undefined) {
+			this.#probe = undefined;
+			return;
+		}
+
+		const pause = Math.min(longestProbePauseMilliseconds, 2 * this.#probe.pause);
+		this.#probe = {at: now + pause, pause};
+	}
+
 	/** What this instance has under way there. */
 	loadAt(now: number): EndpointLoad {
 		const unreadTokens = Array.from({length: toldRanks}, () => 0);
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -56,6 +56,10 @@
 	heard(endpoint: EndpointRecord, now: number): void;
 	/** Whether an endpoint has fallen silent with requests waiting. */
 	isSilent(endpoint: EndpointRecord, now: number): boolean;
+	/** Endpoints that cannot be reached and are due for a try to connect. */
+	dueProbes(now: number): EndpointRecord[];
+	/** Notes how a try to connect ended. */
+	probed(endpoint: EndpointRecord, isReached: boolean, now: number): void;
 	/** Forgets an incarnation that is gone. */
 	forget(endpoint: EndpointRecord): void;
 }
--- /dev/null
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -0,0 +1,241 @@
+/**
+ * One try of a request at one endpoint: sent, its answer judged by its head, and passed on as it comes. What follows a try
+ * that failed is decided elsewhere.
+ */
+import {type Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {isRepeatable, type TryOutcome} from '../../decision/attempts/next-step.js';
+import {type PlacementRequest} from '../../decision/placement/placement.js';
+import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
+import {endpointHeaders} from './endpoint-headers.js';
+import {type EventCutter} from './event-cutter.js';
+import {type PermittedRequest} from './judge-request.js';
+import {orderParts} from './order-parts.js';
+import {parseEndpointLoad} from './parse-endpoint-load.js';
+import {relayAnswer} from './relay-answer.js';
+import {type RequestHead} from './request-head.js';
+
+/** What is sent, and to whom the answer goes. */
+export type TryWork = {
+	head: RequestHead;
+	permitted: PermittedRequest;
+	body: Buffer;
+	response: ServerResponse;
+	/** For streams that may be resumed. */
+	cutter: EventCutter | undefined;
+	/** When the caller or the route gives up, in milliseconds of the steady clock. */
+	deadline: number;
+};
+
+/** Where it is sent. */
+export type TryTarget = {
+	endpoint: EndpointRecord;
+	request: PlacementRequest;
+	/** Prompt tokens that the endpoint has to read. */
+	missingTokens: number;
+	/** Whether another endpoint may still be tried behind this one. */
+	hasNext: boolean;
+	/** Told when the first bytes of the answer came. */
+	onFirstBytes(): void;
+};
+
+/** How a try ended. */
+export type TryResult = {
+	outcome: TryOutcome | 'whole' | 'client-left';
+	/** Whether the endpoint may have got the request. */
+	wasSent: boolean;
+	/** Whether it may have run. */
+	mayHaveRun: boolean;
+	answer?: EndpointAnswer;
+	detail?: string;
+};
+
+const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
+/** How often a waiting request looks whether its endpoint has fallen silent. */
+const silenceCheckMilliseconds = 200;
+
+export class EndpointTry {
+	readonly #context: GatewayContext;
+	readonly #work: TryWork;
+	readonly #target: TryTarget;
+	#exchange: OpenExchange | undefined;
+	#fellSilent = false;
+	#isCancelled = false;
+
+	constructor(context: GatewayContext, work: TryWork, target: TryTarget) {
+		this.#context = context;
+		this.#work = work;
+		this.#target = target;
+	}
+
+	/** Sends the request and passes the answer on. */
+	async run(): Promise<TryResult> {
+		const {placement, exchanges, names, metrics} = this.#context;
+		const {head, permitted, body, cutter, deadline} = this.#work;
+		const {endpoint, request, missingTokens} = this.#target;
+		placement.observe({
+			kind: 'sent', request, endpoint, missingTokens,
+		}, this.#now());
+		this.#exchange = exchanges.open({
+			address: endpoint.address,
+			method: head.method,
+			target: head.target,
+			rawHeaders: endpointHeaders({
+				head,
+				permitted,
+				endpoint,
+				leftMilliseconds: deadline - this.#now(),
+				bodyBytes: body.length,
+				lastEventId: cutter?.lastId,
+				parts: orderParts(this.#context, this.#work, endpoint),
+			}, names),
+			body,
+			attemptId: head.attemptId,
+			attemptIdHeader: names.attemptId,
+		});
+		const watch = this.#watchForSilence(this.#exchange);
+		const result = await this.#awaitResult(this.#exchange);
+		clearInterval(watch);
+		placement.observe({
+			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
+		}, this.#now());
+		metrics.tries.inc({outcome: result.outcome});
+		return result;
+	}
+
+	/** Closes the connection, so that the endpoint stops its work. */
+	cancel(): void {
+		this.#isCancelled = true;
+		this.#exchange?.cancel();
+	}
+
+	/**
+	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
+	 * resets no connection, and the caller would wait until the time-out.
+	 */
+	#watchForSilence(exchange: OpenExchange): NodeJS.Timeout | undefined {
+		if (!isRepeatable(this.#work.permitted.route.kind) || !this.#target.hasNext) {
+			return undefined;
+		}
+
+		return setInterval(() => {
+			if (this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
+				this.#fellSilent = true;
+				exchange.cancel();
+			}
+		}, silenceCheckMilliseconds);
+	}
+
+	async #awaitResult(exchange: OpenExchange): Promise<TryResult> {
+		const answered = await exchange.answer;
+		if (answered.isLeft()) {
+			const {kind, detail} = answered.extract();
+			const wasSent = kind === 'unknown';
+			return {
+				outcome: kind, wasSent, mayHaveRun: wasSent, detail,
+			};
+		}
+
+		const answer = answered.unsafeCoerce();
+		this.#context.placement.heard(this.#target.endpoint, this.#now());
+		this.#learnFrom(answer);
+		const outcome = this.#judge(answer);
+		if (outcome === 'usable') {
+			return this.#relay(answer);
+		}
+
+		return {
+			outcome, wasSent: true, mayHaveRun: outcome !== 'rejected', answer,
+		};
+	}
+
+	/** What the head of an answer says of the try. `usable` answers are passed on. */
+	#judge(answer: EndpointAnswer): 'usable' | 'rejected' | 'failed' | 'unknown' {
+		const {names} = this.#context;
+		const {status} = answer;
+		const hasWord = status === 421 || answer.header(names.notExecuted) !== undefined;
+		if (rejectionStatuses.has(status) && hasWord) {
+			return 'rejected';
+		}
+
+		const isSuccess = status >= 200 && status < 300;
+		const isOwn = answer.header(names.attemptId) === this.#work.head.attemptId;
+		if (isSuccess && (answer.header(names.seal) === undefined || !isOwn)) {
+			// Nothing proves that these bytes answer this request; the connection may hold somebody else's answer.
+			this.#exchange?.cancel();
+			return 'unknown';
+		}
+
+		if (this.#work.response.headersSent) {
+			// The caller has the head and some events of a success; anything but more events would be joined to them.
+			return status === 200 ? 'usable' : 'failed';
+		}
+
+		return status >= 500 && status !== 504 && isRepeatable(this.#work.permitted.route.kind) ? 'failed' : 'usable';
+	}
+
+	async #relay(answer: EndpointAnswer): Promise<TryResult> {
+		const {placement, names} = this.#context;
+		const {response, cutter} = this.#work;
+		const {endpoint, request, onFirstBytes} = this.#target;
+		const outcome = await relayAnswer({
+			answer,
+			response,
+			cutter: answer.status === 200 ? cutter : undefined,
+			onFirstBytes: () => {
+				onFirstBytes();
+				placement.observe({
+					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
+				}, this.#now());
+			},
+			onBytes: () => {
+				placement.heard(endpoint, this.#now());
+			},
+		});
+		if (outcome !== 'cut') {
+			return {
+				outcome, wasSent: true, mayHaveRun: true, answer,
+			};
+		}
+
+		this.#exchange?.cancel();
+		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
+		cutter?.rest();
+		return {
+			outcome: response.headersSent ? 'cut' : 'unknown', wasSent: true, mayHaveRun: true, detail: 'the endpoint broke off its answer',
+		};
+	}
+
+	#learnFrom(answer: EndpointAnswer): void {
+		const {names, endpoints} = this.#context;
+		const {endpoint} = this.#target;
+		const model = this.#work.head.prompt?.model;
+		const version = Number(answer.header(names.weightVersion));
+		if (model !== undefined && Number.isInteger(version) && version > 0) {
+			endpoints.noteWeightVersion(endpoint.name, model, version);
+		}
+
+		const answering = answer.header(names.endpointName);
+		if (answer.status === 421 && answering !== undefined && answering !== endpoint.name) {
+			endpoints.markLeaving(endpoint.name);
+		}
+	}
+
+	#endOf(outcome: TryResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
+		if (outcome === 'whole' || outcome === 'rejected') {
+			return outcome;
+		}
+
+		if (this.#isCancelled || outcome === 'client-left') {
+			return 'cancelled';
+		}
+
+		return outcome === 'not-sent' || this.#fellSilent ? 'unreachable' : 'failed';
+	}
+
+	#now(): number {
+		return this.#context.clock.moment().steady;
+	}
+}
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
-import {type answerSealed, sealedHeaders, TestGateway} from '../testing/test-gateway.js';
+import {sealedHeaders, TestGateway} from '../testing/test-gateway.js';
 import {ownWireNames as names} from './wire-names.js';
 
 const eventText = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
@@ -17,7 +17,7 @@
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
 	const askedBehind: string[] = [];
 	let isFirst = true;
-	const play = (incoming: Parameters<typeof answerSealed>[0], response: ServerResponse): void => {
+	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
 		askedBehind.push(String(incoming.headers[names.lastEventId] ?? 'start'));
 		if (isFirst) {
 			isFirst = false;
@@ -67,3 +67,30 @@
 	assert.deepEqual(askedBehind, ['start']);
 	assert.equal(bodyOf(answer).isWhole, false);
 });
+
+test('a failure in answer to a resumption is not joined to the events that were passed on', async () => {
+	// The first endpoint breaks off; the second one answers the continued request with an error page. The caller has half
+	// of a stream and must see it end without its end, not with the bytes of an error page.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'resumable-stream'})]})).start();
+	let isFirst = true;
+	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
+		if (isFirst) {
+			isFirst = false;
+			response.writeHead(200, sealedHeaders(incoming));
+			response.write(eventText(1), () => {
+				response.destroy();
+			});
+			return;
+		}
+
+		response.writeHead(404, sealedHeaders(incoming));
+		response.end('no such stream');
+	};
+
+	await gateway.addEndpoint(play);
+	await gateway.addEndpoint(play);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assert.ok(!answer.includes('no such stream'));
+	assert.equal(bodyOf(answer).isWhole, false);
+});
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -5,19 +5,19 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	decideNextStep, isRepeatable, type NextStep, type TryOutcome,
+	decideNextStep, type NextStep, type TryOutcome,
 } from '../../decision/attempts/next-step.js';
 import {type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type EndpointRecord} from '../endpoints/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
-import {cacheScopeOf, endpointHeaders} from './endpoint-headers.js';
+import {type EndpointAnswer} from './endpoint-exchange.js';
+import {cacheScopeOf} from './endpoint-headers.js';
+import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
-import {orderParts, storedTokensOf} from './order-parts.js';
-import {parseEndpointLoad} from './parse-endpoint-load.js';
+import {storedTokensOf} from './order-parts.js';
 import {relayAnswer} from './relay-answer.js';
 import {type RequestHead} from './request-head.js';
 
@@ -34,11 +34,6 @@
 /** How a routed request ended, for logs and metrics. */
 export type RoutedEnd = 'whole' | 'refused' | 'failed' | 'failure-passed-on' | 'broken-off' | 'client-left' | 'timeout';
 
-type TryResult = {outcome: TryOutcome | 'whole' | 'client-left'; answer?: EndpointAnswer; detail?: string};
-
-const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
-/** How often a waiting request looks whether its endpoint has fallen silent. */
-const silenceCheckMilliseconds = 200;
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
 
@@ -49,7 +44,7 @@
 	readonly #tried = new Set<string>();
 	readonly #cutter: EventCutter | undefined;
 	readonly #storedTokens = new Map<number, number>();
-	#exchange: OpenExchange | undefined;
+	#current: EndpointTry | undefined;
 	#sends = 0;
 	#mayHaveRun = false;
 	#hasLeft = false;
@@ -76,7 +71,7 @@
 		response.once('close', onClose);
 		const timer = setTimeout(() => {
 			this.#isExpired = true;
-			this.#exchange?.cancel();
+			this.#current?.cancel();
 		}, Math.max(0, this.#deadline - this.#now()));
 		try {
 			const end = await this.#tryUntilDone();
@@ -97,6 +92,10 @@
 				});
 			}
 
+			if (this.#hasLeft) {
+				return 'client-left';
+			}
+
 			const result = await this.#send(placement.endpoint, placement.missingTokens);
 			if (result.outcome === 'whole') {
 				return 'whole';
@@ -169,142 +168,39 @@
 	}
 
 	async #send(endpoint: EndpointRecord, missingTokens: number): Promise<TryResult> {
-		const {placement, exchanges, names, budget} = this.#context;
-		const {head, permitted, body} = this.#work;
-		const request = this.#placementRequest();
+		const {head, permitted, body, response} = this.#work;
 		this.#tried.add(endpoint.name);
 		if (this.#sends === 0) {
-			budget.countRequest(permitted.service, this.#now());
-		}
-
-		placement.observe({
-			kind: 'sent', request, endpoint, missingTokens,
-		}, this.#now());
-		this.#exchange = exchanges.open({
-			address: endpoint.address,
-			method: head.method,
-			target: head.target,
-			rawHeaders: endpointHeaders({
-				head,
-				permitted,
-				endpoint,
-				leftMilliseconds: this.#deadline - this.#now(),
-				bodyBytes: body.length,
-				lastEventId: this.#cutter?.lastId,
-				parts: orderParts(this.#context, this.#work, endpoint),
-			}, names),
-			body,
-			attemptId: head.attemptId,
-			attemptIdHeader: names.attemptId,
-		});
-		const watch = this.#watchForSilence(endpoint, this.#exchange);
-		const result = await this.#awaitResult(endpoint, request);
-		clearInterval(watch);
-		this.#exchange = undefined;
-		placement.observe({
-			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
-		}, this.#now());
-		this.#context.metrics.tries.inc({outcome: result.outcome});
-		return result;
-	}
-
-	/**
-	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
-	 * resets no connection, and the caller would wait until the time-out.
-	 */
-	#watchForSilence(endpoint: EndpointRecord, exchange: OpenExchange): NodeJS.Timeout | undefined {
-		const {route} = this.#work.permitted;
-		if (!isRepeatable(route.kind) || this.#sends + 1 >= route.mostAttempts) {
-			return undefined;
-		}
-
-		return setInterval(() => {
-			if (this.#context.placement.isSilent(endpoint, this.#now())) {
-				exchange.cancel();
-			}
-		}, silenceCheckMilliseconds);
-	}
-
-	async #awaitResult(endpoint: EndpointRecord, request: PlacementRequest): Promise<TryResult> {
-		const answered = await this.#exchange!.answer;
-		if (answered.isLeft()) {
-			const failure = answered.extract();
-			if (failure.kind === 'unknown') {
-				this.#sends++;
-				this.#mayHaveRun = true;
-			}
-
-			return {outcome: failure.kind, detail: failure.detail};
-		}
-
-		this.#sends++;
-		const answer = answered.unsafeCoerce();
-		this.#context.placement.heard(endpoint, this.#now());
-		this.#learnFrom(answer, endpoint);
-		const outcome = this.#judge(answer);
-		if (outcome === 'rejected') {
-			return {outcome, answer};
-		}
-
-		this.#mayHaveRun = true;
-		if (outcome !== 'usable') {
-			return {outcome, answer};
-		}
-
-		return this.#relay(answer, endpoint, request);
-	}
-
-	/** What the head of an answer says of the try. `usable` answers are passed on. */
-	#judge(answer: EndpointAnswer): 'usable' | 'rejected' | 'failed' | 'unknown' {
-		const {names} = this.#context;
-		const {status} = answer;
-		const hasWord = status === 421 || answer.header(names.notExecuted) !== undefined;
-		if (rejectionStatuses.has(status) && hasWord) {
-			return 'rejected';
+			this.#context.budget.countRequest(permitted.service, this.#now());
 		}
 
-		const isSuccess = status >= 200 && status < 300;
-		const isOwn = answer.header(names.attemptId) === this.#work.head.attemptId;
-		if (isSuccess && (answer.header(names.seal) === undefined || !isOwn)) {
-			// Nothing proves that these bytes answer this request; the connection may hold somebody else's answer.
-			this.#exchange?.cancel();
-			return 'unknown';
-		}
-
-		return status >= 500 && status !== 504 && isRepeatable(this.#work.permitted.route.kind) ? 'failed' : 'usable';
-	}
-
-	async #relay(answer: EndpointAnswer, endpoint: EndpointRecord, request: PlacementRequest): Promise<TryResult> {
-		const {placement, names} = this.#context;
-		const {response} = this.#work;
-		const hadHead = response.headersSent;
-		const outcome = await relayAnswer({
-			answer,
-			response,
-			cutter: answer.status === 200 ? this.#cutter : undefined,
+		this.#current = new EndpointTry(this.#context, {
+			head, permitted, body, response, cutter: this.#cutter, deadline: this.#deadline,
+		}, {
+			endpoint,
+			request: this.#placementRequest(),
+			missingTokens,
+			hasNext: this.#sends + 1 < permitted.route.mostAttempts,
 			onFirstBytes: () => {
 				this.#firstByteAt ??= this.#now();
-				placement.observe({
-					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
-				}, this.#now());
-			},
-			onBytes: () => {
-				placement.heard(endpoint, this.#now());
 			},
 		});
-		this.#status = answer.status;
-		if (outcome !== 'cut') {
-			return {outcome};
-		}
-
-		this.#exchange?.cancel();
-		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
-		this.#cutter?.rest();
-		return {outcome: hadHead || response.headersSent ? 'cut' : 'unknown', detail: 'the endpoint broke off its answer'};
+		const result = await this.#current.run();
+		this.#current = undefined;
+		this.#sends += result.wasSent ? 1 : 0;
+		this.#mayHaveRun ||= result.mayHaveRun;
+		this.#status = result.answer?.status ?? this.#status;
+		return result;
 	}
 
 	async #passOnFailure(answer: EndpointAnswer): Promise<RoutedEnd> {
 		const {response} = this.#work;
+		if (response.headersSent) {
+			answer.body.resume();
+			response.destroy();
+			return 'broken-off';
+		}
+
 		const outcome = await relayAnswer({
 			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
 		});
@@ -317,20 +213,6 @@
 		return outcome === 'whole' ? 'failure-passed-on' : 'client-left';
 	}
 
-	#learnFrom(answer: EndpointAnswer, endpoint: EndpointRecord): void {
-		const {names, endpoints} = this.#context;
-		const model = this.#work.head.prompt?.model;
-		const version = Number(answer.header(names.weightVersion));
-		if (model !== undefined && Number.isInteger(version) && version > 0) {
-			endpoints.noteWeightVersion(endpoint.name, model, version);
-		}
-
-		const answering = answer.header(names.endpointName);
-		if (answer.status === 421 && answering !== undefined && answering !== endpoint.name) {
-			endpoints.markLeaving(endpoint.name);
-		}
-	}
-
 	/** Ends a request that no endpoint serves; the refusal holds only if nothing can have run. */
 	#giveUp(refusal: Refusal): RoutedEnd {
 		const {response} = this.#work;
@@ -374,22 +256,10 @@
 
 		this.#hasLeft = true;
 		if (this.#work.permitted.route.kind !== 'non-idempotent') {
-			this.#exchange?.cancel();
+			this.#current?.cancel();
 		}
 	}
 
-	#endOf(outcome: TryResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
-		if (outcome === 'whole' || outcome === 'rejected') {
-			return outcome;
-		}
-
-		if (this.#hasLeft || this.#isExpired || outcome === 'client-left') {
-			return 'cancelled';
-		}
-
-		return outcome === 'not-sent' ? 'unreachable' : 'failed';
-	}
-
 	#placementRequest(): PlacementRequest {
 		const {head, permitted} = this.#work;
 		return {
--- /dev/null
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -0,0 +1,64 @@
+/**
+ * Tries to connect to endpoints that could not be reached, so that no caller has to be the one who finds out whether they
+ * are back. A data centre that is cut off would otherwise cost each instance a caller for each of its endpoints and pause.
+ */
+import {connect} from 'node:net';
+import {type Child} from '../../supervisor/supervisor.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {type EndpointRecord} from './endpoint-record.js';
+
+/** How often due endpoints are looked for. */
+const tickMilliseconds = 100;
+/** As long as a request's connection may take to come about. */
+const connectMilliseconds = 250;
+
+export class EndpointProber implements Child {
+	readonly name = 'endpoint-prober';
+	readonly #context: Pick<GatewayContext, 'clock' | 'placement'>;
+	readonly #underWay = new Set<string>();
+
+	constructor(context: Pick<GatewayContext, 'clock' | 'placement'>) {
+		this.#context = context;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, placement} = this.#context;
+		while (!signal.aborted) {
+			for (const endpoint of placement.dueProbes(clock.moment().steady)) {
+				if (!this.#underWay.has(endpoint.name)) {
+					this.#underWay.add(endpoint.name);
+					void this.#probe(endpoint);
+				}
+			}
+
+			await clock.sleep(tickMilliseconds, signal);
+		}
+	}
+
+	async #probe(endpoint: EndpointRecord): Promise<void> {
+		const isReached = await reaches(endpoint.address);
+		this.#underWay.delete(endpoint.name);
+		this.#context.placement.probed(endpoint, isReached, this.#context.clock.moment().steady);
+	}
+}
+
+async function reaches(address: string): Promise<boolean> {
+	const separator = address.lastIndexOf(':');
+	return new Promise(resolve => {
+		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
+		const end = (isReached: boolean): void => {
+			socket.destroy();
+			resolve(isReached);
+		};
+
+		socket.setTimeout(connectMilliseconds, () => {
+			end(false);
+		});
+		socket.once('connect', () => {
+			end(true);
+		});
+		socket.once('error', () => {
+			end(false);
+		});
+	});
+}
--- a/src/gateway/endpoints/endpoint-registry.test.ts
+++ b/src/gateway/endpoints/endpoint-registry.test.ts
@@ -7,7 +7,7 @@
 
 test('a row that vanishes while the store is sound ends the use of its endpoint at once', () => {
 	const registry = new EndpointRegistry();
-	registry.replaceAll([testEndpoint({name: 'one'}), testEndpoint({name: 'two'})], 0);
+	registry.replaceAll([testEndpoint({name: 'one'}), testEndpoint({name: 'two', address: '127.0.0.1:2'})], 0);
 	assert.deepEqual(namesOf(registry.remove('one', 10_000).vanished), ['one']);
 	assert.deepEqual(namesOf(registry.usable('desk', 10_000)), ['two']);
 });
@@ -16,7 +16,7 @@
 	// The store is away for five seconds. On its return the list is empty, since no endpoint could renew its row. Calls go
 	// on to the endpoints known before; the one that is back is sure again, the other is dropped after the given time.
 	const registry = new EndpointRegistry();
-	registry.replaceAll([testEndpoint({name: 'one'}), testEndpoint({name: 'two'})], 0);
+	registry.replaceAll([testEndpoint({name: 'one'}), testEndpoint({name: 'two', address: '127.0.0.1:2'})], 0);
 	registry.storeFailed(5000);
 	registry.replaceAll([], 5100);
 	assert.deepEqual(namesOf(registry.usable('desk', 5200)), ['one', 'two']);
@@ -41,3 +41,11 @@
 	assert.deepEqual(change.vanished.map(({bornAt}) => bornAt), [1000]);
 	assert.deepEqual(change.appeared.map(({bornAt}) => bornAt), [2000]);
 });
+
+test('a younger endpoint at the same address takes the place of the one that crashed there', () => {
+	// The crashed one's row lapses some heartbeats later; until then the address would be asked for an endpoint that is gone.
+	const registry = new EndpointRegistry();
+	registry.put(testEndpoint({name: 'old', bornAt: 1000}));
+	registry.put(testEndpoint({name: 'new', bornAt: 2000}));
+	assert.deepEqual(namesOf(registry.usable('desk', 0)), ['new']);
+});
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -128,6 +128,7 @@
 		const known = this.#records.get(record.name) ?? this.#doubts.get(record.name)?.record;
 		this.#doubts.delete(record.name);
 		this.#records.set(record.name, record);
+		this.#supersedeAt(record);
 		if (known?.bornAt === record.bornAt) {
 			return;
 		}
@@ -139,6 +140,19 @@
 		change.appeared.push(record);
 	}
 
+	/**
+	 * An endpoint that crashed and came back under another name has its old row for some heartbeats more. What is sent by
+	 * that row is refused by the new incarnation and costs a caller one of its tries; one address has one endpoint, and the
+	 * younger row is the true one.
+	 */
+	#supersedeAt({name, address, bornAt}: EndpointRecord): void {
+		for (const other of this.#records.values()) {
+			if (other.address === address && other.name !== name && other.bornAt < bornAt) {
+				this.#records.set(other.name, {...other, state: 'leaving'});
+			}
+		}
+	}
+
 	#remove(name: string, now: number, change: RegistryChange): void {
 		const record = this.#records.get(name);
 		if (record === undefined) {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -26,6 +26,7 @@
 import {GatewayFront} from './data-path/gateway-front.js';
 import {createRefuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
+import {EndpointProber} from './endpoints/endpoint-prober.js';
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type GatewayContext} from './gateway-context.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
@@ -197,6 +198,7 @@
 				new WeightCoordinator(this.#context, {
 					instance, leaseMilliseconds, store, control, goals,
 				}),
+				new EndpointProber(this.#context),
 				this.#hub,
 				this.#hub.server,
 				this.#callers,
