--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,7 +1,7 @@
 // Runs the compiled tests by node:test and closes with one line of counts. Test files that are left in dist/ from a
 // deleted source are not run: the list is taken from src/.
 // KNOWN-RED.txt names tests (text before the first ` | `) that may fail; they are printed, and nothing else passes over.
-import {spawn} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
 import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 
@@ -11,6 +11,14 @@
 	.filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)))
 	.map(file => `dist/${file.replace(/\.ts$/v, '.js')}`)
 	.toSorted();
+// The specifications are checked by spin, which compiles its search. Said here, before minutes of tests have passed.
+const missingTools = testFiles.some(file => file.includes('check/models'))
+	? ['spin', 'gcc'].filter(tool => spawnSync(tool, ['--version'], {stdio: 'ignore'}).error !== undefined)
+	: [];
+if (missingTools.length > 0) {
+	throw new Error(`${missingTools.join(' and ')} must be installed to check the specifications in model/; on Debian: apt-get install spin gcc libc6-dev`);
+}
+
 const knownRed = existsSync('KNOWN-RED.txt')
 	? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(Boolean)
 	: [];
