Close the listeners for readiness and metrics when a gateway stops

Six runs of the test, with and without load, showed that the test itself passes and that its process never ends: two listeners stayed open after the stop. In production the process exits behind the stop, so only the test saw it. Ruled out: the connect time-out under load; every run's lines show both streams whole within 3.1 s. Change: both listeners are closed; the test's waits are bounded. Conclusion: traced and mended.

--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -38,6 +38,17 @@
 	}
 }
 
+/** Waits for a condition; under load a process may take seconds to start. */
+async function waitUntil(what: string, isTrue: () => Promise<boolean>): Promise<void> {
+	const giveUpAt = performance.now() + 20_000;
+	while (!await isTrue()) {
+		assert.ok(performance.now() < giveUpAt, `not in time: ${what}`);
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
 const request = rawRequest({
 	method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '20000'}, body: 'x',
 });
@@ -96,20 +107,12 @@
 		return statusOf(answer) === 200;
 	};
 
-	while (!await isReady()) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
-	}
+	await waitUntil('ready', isReady);
 
 	const first = await openSocket(listenCallers);
 	const firstAnswer = readToEnd(first);
 	first.write(request);
-	while (open.length === 0) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 10);
-		});
-	}
+	await waitUntil('the stream has begun', async () => open.length === 1);
 
 	const stopping = daemon.stop();
 	assert.equal(await isReady(), false);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -163,6 +163,9 @@
 		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
 		this.#stop.abort();
 		this.#exchanges.close();
+		// Nobody waits for these two: the balancer and the metrics' reader ask again elsewhere.
+		void this.#ready.drain();
+		void this.#metricsListener.drain();
 		log.record('stopped', {openRequests: this.#front.open, milliseconds: Math.round(clock.moment().steady - startedAt)});
 	}
 
