Move shared types below the decisions; end programs by one function; survive a settings file that is gone

Cause: decisions and ports imported types from the gateway above them; both programs spelled the same signal handling; a SIGHUP while the settings file is missing would have ended the process by an exception. Change: EndpointRecord, the routed configuration and the shape of a prompt stand in src/shared; stopOnSignals serves both programs; a file that cannot be read is a finding. Conclusion: no behaviour of the data path changed.

--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -5,7 +5,7 @@
  * gets an error that a second endpoint would have spared it, or a call that must not repeat runs twice, or a refusal says
  * "not run" of work that ran.
  */
-import {type RouteKind} from '../../gateway/configuration/routed-configuration.js';
+import {type RouteKind} from '../../shared/routed-configuration.js';
 
 /**
  * How a try ended.
--- a/src/decision/parts/plan-parts.ts
+++ b/src/decision/parts/plan-parts.ts
@@ -8,8 +8,8 @@
  * are known to be whole are fetched: an engine takes what lies there without looking. A part is saved if its store does
  * not have it; asked for once in a while only, since the news of a save comes some hundred milliseconds later.
  */
-import {type StoreTraits} from '../../gateway/configuration/routed-configuration.js';
-import {type PromptPart} from '../../gateway/data-path/request-head.js';
+import {type StoreTraits} from '../../shared/routed-configuration.js';
+import {type PromptPart} from '../../shared/prompt-shape.js';
 import {hashOf} from '../../shared/hash-of.js';
 
 /** What is known of the stores now. */
--- a/src/decision/placement/believed-parts.ts
+++ b/src/decision/placement/believed-parts.ts
@@ -2,7 +2,7 @@
  * Which prompt parts this instance believes an engine to keep, from what it sent there itself. Bounded as the engine's
  * memory is, and given up in the same order. A hint: a wrong one costs one prefill.
  */
-import {type PromptPart} from '../../gateway/data-path/request-head.js';
+import {type PromptPart} from '../../shared/prompt-shape.js';
 
 export class BelievedParts {
 	readonly #capacityTokens: number;
--- a/src/decision/placement/cost-placement.test.ts
+++ b/src/decision/placement/cost-placement.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
 import {CostPlacement} from './cost-placement.js';
 import {type EndpointLoad, noLoad} from './endpoint-load.js';
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -11,7 +11,7 @@
  */
 import {hashOf} from '../../shared/hash-of.js';
 import {spreadRetry} from '../limits/spread-retry.js';
-import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {admitsPrompt} from './admit-prompt.js';
 import {BelievedParts} from './believed-parts.js';
 import {
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -1,7 +1,7 @@
 /** What placing decides, and what it is told. */
-import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
-import {type EngineTraits} from '../../gateway/configuration/routed-configuration.js';
-import {type PromptShape} from '../../gateway/data-path/request-head.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type EngineTraits} from '../../shared/routed-configuration.js';
+import {type PromptShape} from '../../shared/prompt-shape.js';
 import {type EndpointLoad} from './endpoint-load.js';
 
 /** A request to place. */
--- a/src/decision/weights/plan-roll.ts
+++ b/src/decision/weights/plan-roll.ts
@@ -5,7 +5,7 @@
  * on old weights for long; loaded all at once, nobody serves, and loads slow each other. So a quarter of the engines
  * loads at a time, at least two where there are three or more, which leaves the others to carry the traffic.
  */
-import {type EndpointRecord} from '../../gateway/endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** Part of the engines that may load at once: loads slow each other where more than about that part does. */
 const loadingShare = 0.25;
--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {addSettingFlags, readSettingsOrExit} from '../settings/read-settings.js';
+import {stopOnSignals} from '../shared/stop-on-signals.js';
 import {programVersion} from '../shared/program-version.js';
 import {EntryDaemon} from './entry-daemon.js';
 import {entrySettingDefinitions} from './entry-settings.js';
@@ -17,16 +18,7 @@
 command.parse();
 const settings = readSettingsOrExit(command, entrySettingDefinitions);
 const daemon = new EntryDaemon(settings);
-const stop = async (): Promise<void> => {
-	await daemon.stop();
-	process.exit(0);
-};
-
-for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-	process.once(signal, () => {
-		void stop();
-	});
-}
+stopOnSignals(async () => daemon.stop());
 
 await daemon.run(addresses => {
 	console.log(JSON.stringify({ready: true, ...addresses}));
--- a/src/gateway/configuration/configuration-view.ts
+++ b/src/gateway/configuration/configuration-view.ts
@@ -8,8 +8,8 @@
  * lease, so with a lease of the permitted length no key outlives its bound.
  */
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
+import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
 import {RouteTable} from './route-table.js';
-import {type RoutedConfiguration} from './routed-configuration.js';
 
 /** A configuration with its routes made ready for look-up. */
 export type ConfigurationInForce = RoutedConfiguration & {table: RouteTable};
--- a/src/gateway/configuration/route-table.ts
+++ b/src/gateway/configuration/route-table.ts
@@ -1,5 +1,5 @@
 /** Finds the route of a request: by host, then by the longest path prefix. */
-import {type Route} from './routed-configuration.js';
+import {type Route} from '../../shared/routed-configuration.js';
 
 export class RouteTable {
 	readonly #byHost = new Map<string, Route[]>();
--- a/src/gateway/data-path/endpoint-headers.ts
+++ b/src/gateway/data-path/endpoint-headers.ts
@@ -1,5 +1,5 @@
 /** Builds the headers that an endpoint gets: the client's own, without those that only the system may set, and ours. */
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type PermittedRequest} from './judge-request.js';
 import {withoutHopByHop} from './hop-by-hop.js';
 import {type RequestHead} from './request-head.js';
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -6,7 +6,7 @@
 import {type ServerResponse} from 'node:http';
 import {isRepeatable, type TryOutcome} from '../../decision/attempts/next-step.js';
 import {type PlacementRequest} from '../../decision/placement/placement.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
--- a/src/gateway/data-path/judge-request.ts
+++ b/src/gateway/data-path/judge-request.ts
@@ -4,7 +4,7 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type Refusal} from '../../shared/types.js';
 import {type ConfigurationInForce, type ConfigurationView} from '../configuration/configuration-view.js';
-import {type Route, type RouteTarget, type WorkspaceGrant} from '../configuration/routed-configuration.js';
+import {type Route, type RouteTarget, type WorkspaceGrant} from '../../shared/routed-configuration.js';
 import {type RequestHead} from './request-head.js';
 
 /** A request that may be sent on. */
--- a/src/gateway/data-path/order-parts.ts
+++ b/src/gateway/data-path/order-parts.ts
@@ -2,11 +2,12 @@
 import {type NamedStore, type StoreKnowledge, storeOf} from '../../decision/parts/plan-parts.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {fetchMilliseconds} from '../../protocol/parts/part-times.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type PromptPart} from '../../shared/prompt-shape.js';
 import {cacheSalt, cacheScopeOf, type PartOrders} from './endpoint-headers.js';
 import {type PermittedRequest} from './judge-request.js';
-import {type PromptPart, type RequestHead} from './request-head.js';
+import {type RequestHead} from './request-head.js';
 
 type PartContext = Pick<GatewayContext, 'clock' | 'configuration' | 'hubView' | 'partPlanner'>;
 type PromptWork = {head: RequestHead; permitted: PermittedRequest};
--- a/src/gateway/data-path/request-head.ts
+++ b/src/gateway/data-path/request-head.ts
@@ -1,22 +1,8 @@
 /** What the head of a client's request says, decoded once. */
 import {type IncomingMessage} from 'node:http';
+import {type PromptPart, type PromptShape} from '../../shared/prompt-shape.js';
 import {type WireNames} from './wire-names.js';
 
-/** One part of a prompt; engines cache parts. */
-export type PromptPart = {
-	id: string;
-	tokens: number;
-};
-
-/** The prompt of a request. */
-export type PromptShape = {
-	model: string;
-	promptTokens: number;
-	mostOutputTokens: number;
-	/** In order; the last one belongs to this request alone. */
-	parts: readonly PromptPart[];
-};
-
 /** A client's request without its body. */
 export type RequestHead = {
 	method: string;
--- a/src/gateway/data-path/routed-request.test.ts
+++ b/src/gateway/data-path/routed-request.test.ts
@@ -5,7 +5,7 @@
 import {
 	exchangeRaw, openSocket, rawRequest, readUntil, statusOf,
 } from '../../test/raw-http.js';
-import {type Route, type RouteKind} from '../configuration/routed-configuration.js';
+import {type Route, type RouteKind} from '../../shared/routed-configuration.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {answerSealed, sealedHeaders, TestGateway} from '../testing/test-gateway.js';
 import {ownWireNames as names} from './wire-names.js';
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -10,7 +10,7 @@
 import {type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {cacheScopeOf} from './endpoint-headers.js';
--- a/src/gateway/endpoints/endpoint-prober.ts
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -5,7 +5,7 @@
 import {connect} from 'node:net';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type EndpointRecord} from './endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** How often due endpoints are looked for. */
 const tickMilliseconds = 100;
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -6,7 +6,7 @@
  * each outage. So it is kept in doubt, used only where no sure one is left, and dropped when the store has been back for
  * as long as a living endpoint needs to write its row again. A row that vanishes while the store is sound is news at once.
  */
-import {type EndpointRecord} from './endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** An endpoint whose row is missing since the store was away. */
 type Doubt = {record: EndpointRecord; until: number};
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -9,7 +9,7 @@
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type StoreTraits} from '../configuration/routed-configuration.js';
+import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {askMilliseconds, type HubClient} from './hub-client.js';
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -3,7 +3,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type LedgerChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
 import {type DecisionLog} from '../observability/decision-log.js';
-import {type RoutedService, type StoreTraits} from '../configuration/routed-configuration.js';
+import {type RoutedService, type StoreTraits} from '../../shared/routed-configuration.js';
 
 /** How long a call for events may wait; events come at once. */
 const eventWaitMilliseconds = 800;
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -2,6 +2,7 @@
 /** `savorygauge-gateway`: the routed data path on the platform; the place that puts its parts together. */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import {Either} from 'purify-ts/Either';
 import {systemMomentClock} from '../adapters/system-moment-clock.js';
 import {PlatformCacheStore} from '../platform/platform-cache-store.js';
 import {platformCatalog} from '../platform/platform-catalog.js';
@@ -11,8 +12,11 @@
 import {platformWireNames} from '../platform/wire-names.js';
 import {seededRandom} from '../peer/random/seeded-random.js';
 import {exitWithFindings} from '../settings/read-settings.js';
+import {stopOnSignals} from '../shared/stop-on-signals.js';
 import {hashOf} from '../shared/hash-of.js';
+import {type Finding} from '../shared/types.js';
 import {GatewayDaemon} from './gateway-daemon.js';
+import {type GatewaySettings} from './gateway-settings.js';
 import {GatewayMetrics} from './observability/gateway-metrics.js';
 
 const path = process.env[settingsPathVariable];
@@ -20,7 +24,10 @@
 	exitWithFindings([{place: {source: 'environment', name: settingsPathVariable}, message: 'is missing'}]);
 }
 
-const settings = readSettingsFile(readFileSync(path, 'utf8'), path).caseOf({
+const readSettings = (): Either<Finding[], GatewaySettings> => Either.encase(() => readFileSync(path, 'utf8'))
+	.mapLeft((error): Finding[] => [{place: {source: 'environment', name: settingsPathVariable}, message: error.message}])
+	.chain(text => readSettingsFile(text, path));
+const settings = readSettings().caseOf({
 	Left: findings => exitWithFindings(findings),
 	Right: value => value,
 });
@@ -37,19 +44,10 @@
 	metrics,
 	random: seededRandom(hashOf(`${settings.instance}|${process.pid}`)),
 });
-const stop = async (): Promise<void> => {
-	await daemon.stop();
-	process.exit(0);
-};
-
-for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-	process.once(signal, () => {
-		void stop();
-	});
-}
+stopOnSignals(async () => daemon.stop());
 
 process.on('SIGHUP', () => {
-	daemon.reload(readSettingsFile(readFileSync(path, 'utf8'), path));
+	daemon.reload(readSettings());
 });
 
 await daemon.run();
--- a/src/gateway/testing/test-configuration.ts
+++ b/src/gateway/testing/test-configuration.ts
@@ -1,5 +1,5 @@
 /** Routes, services and configurations for tests; each test names only what it is about. */
-import {type Route, type RoutedConfiguration, type RoutedService} from '../configuration/routed-configuration.js';
+import {type Route, type RoutedConfiguration, type RoutedService} from '../../shared/routed-configuration.js';
 
 /** A route of a plain, idempotent service without keys. */
 export function testRoute(changes: Partial<Route> = {}): Route {
--- a/src/gateway/testing/test-endpoint.ts
+++ b/src/gateway/testing/test-endpoint.ts
@@ -1,4 +1,4 @@
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** An endpoint of the plain service `desk`; each test names only what it is about. */
 export function testEndpoint(changes: Partial<EndpointRecord> = {}): EndpointRecord {
--- a/src/gateway/watchers/catalog.ts
+++ b/src/gateway/watchers/catalog.ts
@@ -1,8 +1,8 @@
 /** How the rows of the store are read as configuration and endpoints; one implementation for each spelling. */
 import {type Either} from 'purify-ts/Either';
 import {type JsonValue} from '../../shared/types.js';
-import {type RoutedConfiguration} from '../configuration/routed-configuration.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** The weights that a model is to be served with. */
 export type NamedWeights = {
--- a/src/gateway/watchers/endpoint-reader.ts
+++ b/src/gateway/watchers/endpoint-reader.ts
@@ -1,7 +1,7 @@
 /** Keeps the registry of endpoints on the platform's list. */
 import {type Moment} from '../../ports/moment-clock.js';
 import {type FeedRow} from '../../ports/table-feed.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type RegistryChange} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type Catalog} from './catalog.js';
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -9,7 +9,7 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {DutySeat} from '../duty/duty-seat.js';
-import {type EndpointRecord} from '../endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightGoal, type WeightGoals} from './weight-goals.js';
 
--- a/src/platform/platform-catalog.ts
+++ b/src/platform/platform-catalog.ts
@@ -3,8 +3,8 @@
 import * as zod from 'zod';
 import {
 	type Route, type RoutedConfiguration, type RoutedService, type WorkspaceGrant,
-} from '../gateway/configuration/routed-configuration.js';
-import {type EndpointRecord} from '../gateway/endpoints/endpoint-record.js';
+} from '../shared/routed-configuration.js';
+import {type EndpointRecord} from '../shared/endpoint-record.js';
 import {type Catalog, type OperatorRow} from '../gateway/watchers/catalog.js';
 import {type JsonValue} from '../shared/types.js';
 
--- a/src/platform/platform-engine-control.ts
+++ b/src/platform/platform-engine-control.ts
@@ -2,7 +2,7 @@
 import {type Either, Left, Right} from 'purify-ts/Either';
 import * as zod from 'zod';
 import {describeError, exchangeJson} from '../adapters/http-client.js';
-import {type EndpointRecord} from '../gateway/endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../shared/endpoint-record.js';
 import {
 	type EngineControl, type EngineReport, type OrderAnswer, type RunTreatment, type WeightOrder,
 } from '../ports/engine-control.js';
--- a/src/ports/engine-control.ts
+++ b/src/ports/engine-control.ts
@@ -1,6 +1,6 @@
 /** The port to the control calls of an engine whose weights the system changes. */
 import {type Either} from 'purify-ts/Either';
-import {type EndpointRecord} from '../gateway/endpoints/endpoint-record.js';
+import {type EndpointRecord} from '../shared/endpoint-record.js';
 
 /** What an engine says of itself; some hundred milliseconds old. */
 export type EngineReport = {
