Log and outlive a store keeper or a request that throws

Cause: reading the change anew: a keeper's promise had nobody to hear its failure, which would have ended the process, and a request that threw left no line. Change: both leave a line; the keeper is started anew with its store closed.

--- a/src/gateway/data-path/gateway-front.ts
+++ b/src/gateway/data-path/gateway-front.ts
@@ -26,6 +26,10 @@
 		this.#context.metrics.open.set(this.#open);
 		try {
 			await this.#judgeAndRun(request, response);
+		} catch (error) {
+			// One request's fault must not end the process; the listener answers or closes what is open.
+			this.#context.log.record('fault', {path: 'request', error: String(error)});
+			throw error;
 		} finally {
 			this.#open--;
 			this.#context.metrics.open.set(this.#open);
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -149,11 +149,22 @@
 					},
 				});
 				this.#keepers.set(name, keeper);
-				void keeper.run(this.#keeping.signal);
+				void this.#runKeeper(name, keeper, this.#keeping.signal);
 			}
 		}
 	}
 
+	/** A keeper that fails is forgotten, and the next step starts a new one, which trusts nothing that the old one told. */
+	async #runKeeper(name: string, keeper: StoreKeeper, signal: AbortSignal): Promise<void> {
+		try {
+			await keeper.run(signal);
+		} catch (error) {
+			this.#context.log.record('fault', {child: `store-keeper ${name}`, error: String(error)});
+			this.server.broadcast({kind: 'parts', store: name, ...keeper.ledger.close(this.#now())});
+			this.#keepers.delete(name);
+		}
+	}
+
 	#endKeeping(): void {
 		if (this.#keeping !== undefined) {
 			this.#keeping.abort();
