Leak no listeners on kept connections; let the news of a connection go before its time limit

And a process that stood still took every endpoint that it was connecting to for unreachable, since timers run before the news of connections. Ruled out: the relay's listeners (on the answer's body, taken off) and undici (store calls only). Change: the agent calls the base class first; the verdict of the connect timer waits for one round of events.

--- a/src/gateway/data-path/endpoint-agent.ts
+++ b/src/gateway/data-path/endpoint-agent.ts
@@ -58,6 +58,8 @@
 
 	/** Called by Node when an idle connection is used again. */
 	override reuseSocket(socket: Duplex, request: ClientRequest): void {
+		// Takes off the listener that Node put on when the connection became idle; one more would stay with each use.
+		super.reuseSocket(socket as Socket, request);
 		const end = this.#watched.get(socket);
 		if (end !== undefined) {
 			socket.off('data', end);
@@ -65,7 +67,5 @@
 		}
 
 		(socket as Socket).setTimeout(0);
-		(socket as Socket).ref();
-		request.reusedSocket = true;
 	}
 }
--- /dev/null
+++ b/src/gateway/data-path/endpoint-exchange.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type RequestListener, type Server} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {nextTick} from 'node:process';
+import {test, type TestContext} from 'node:test';
+import {promisify} from 'node:util';
+import {type EndpointCall, HttpEndpointExchanges} from './endpoint-exchange.js';
+
+async function listen(context: TestContext, listener: RequestListener): Promise<Server> {
+	const server = createServer(listener).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return server;
+}
+
+function callTo(server: Server): EndpointCall {
+	const {port} = server.address() as AddressInfo;
+	return {
+		address: `127.0.0.1:${port}`, method: 'GET', target: '/', rawHeaders: ['host', 'desk.example'], body: Buffer.alloc(0), attemptId: 'a1', attemptIdHeader: 'x-attempt-id',
+	};
+}
+
+test('a connection that is used again and again gathers no listeners', async context => {
+	// Each answer leaves the connection idle and the next request takes it. What is put on the connection for the idle time
+	// has to come off again: kept connections live for hours, and each use would leave a listener behind for good.
+	const server = await listen(context, (_request, response) => {
+		response.setHeader('keep-alive', 'timeout=30').end('whole');
+	});
+	const exchanges = new HttpEndpointExchanges();
+	context.after(() => {
+		exchanges.close();
+	});
+	const sockets = new Set<Socket>();
+	let listeners = 0;
+	for (let use = 0; use < 20; use++) {
+		const answer = await exchanges.open(callTo(server)).answer;
+		const {body} = answer.unsafeCoerce();
+		const {socket} = body;
+		sockets.add(socket);
+		listeners = socket.listenerCount('error');
+		body.resume();
+		await once(body, 'end');
+		await promisify(setImmediate)();
+	}
+
+	assert.equal(sockets.size, 1);
+	assert.ok(listeners <= 3, `${listeners} error listeners after 20 uses`);
+});
+
+test('a process that stood still does not take its endpoints for unreachable', async context => {
+	// The connection comes about within a millisecond while the process stands still for longer than a connection may take.
+	// When it goes on, the time limit and the news of the connection are due together.
+	const server = await listen(context, (_request, response) => {
+		response.end('whole');
+	});
+	const exchanges = new HttpEndpointExchanges();
+	context.after(() => {
+		exchanges.close();
+	});
+	const {answer} = exchanges.open(callTo(server));
+	for (let tick = 0; tick < 5; tick++) {
+		await promisify(nextTick)();
+	}
+
+	const until = performance.now() + 400;
+	while (performance.now() < until) {
+		// Stands still.
+	}
+
+	const ended = await answer;
+	assert.equal(ended.isRight(), true, ended.isLeft() ? ended.extract().detail : undefined);
+	ended.ifRight(({body}) => {
+		body.resume();
+	});
+});
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -103,8 +103,14 @@
 					return;
 				}
 
+				// In a process that stood still the timer is due together with the news of the connection, and timers run first:
+				// the news is let through before the verdict, or all endpoints would look out of reach after each standstill.
 				const timer = setTimeout(() => {
-					outgoing.destroy(new Error(`no connection within ${connectMilliseconds} ms`));
+					setImmediate(() => {
+						if (!isConnected) {
+							outgoing.destroy(new Error(`no connection within ${connectMilliseconds} ms`));
+						}
+					});
 				}, connectMilliseconds);
 				socket.setNoDelay(true);
 				socket.once('connect', () => {
