--- a/src/decision/parts/plan-parts.test.ts
+++ b/src/decision/parts/plan-parts.test.ts
@@ -14,7 +14,7 @@
 test('what a store holds whole is fetched, what it lacks is saved once', () => {
 	const planner = new PartPlanner();
 	const held = 's-w1|p1';
-	const known = {isOpen: () => true, holds: (_store: string, key: string) => key === held};
+	const known = {isOpen: () => true, holds: (_store: string, key: string) => key === held, engineSource: () => undefined};
 	const first = planner.plan(parts, 's-w1', {stores, known}, 0);
 	assert.deepEqual(first.used, [held]);
 	assert.equal(first.fetchedTokens, 500);
@@ -26,7 +26,7 @@
 });
 
 test('nothing is fetched from or saved to stores of which nothing fresh is known', () => {
-	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known: {isOpen: () => false, holds: () => false}}, 0);
+	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known: {isOpen: () => false, holds: () => false, engineSource: () => undefined}}, 0);
 	assert.deepEqual(plan.saveTo, [undefined, undefined]);
 	assert.deepEqual(plan.fetchFrom, [undefined, undefined]);
 });
@@ -36,3 +36,12 @@
 	const inSmall = ids.filter(id => storeOf(id, stores)!.name === 'small').length;
 	assert.ok(inSmall > 800 && inSmall < 1200, String(inSmall));
 });
+
+test('a part that no store has yet is fetched from an engine that keeps it, and still saved', () => {
+	const known = {isOpen: () => true, holds: () => false, engineSource: (key: string) => key === 's-w1|p2' ? 'engine:1' : undefined};
+	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known}, 0);
+	assert.deepEqual(plan.fetchFrom, [undefined, 'engine:1']);
+	assert.equal(plan.fetchedTokens, 8000);
+	assert.deepEqual(plan.used, []);
+	assert.notEqual(plan.saveTo[1], undefined);
+});
--- a/src/decision/parts/plan-parts.ts
+++ b/src/decision/parts/plan-parts.ts
@@ -4,6 +4,10 @@
  * Load it answers: shared prompt parts that return to engines whose memory holds a fraction of them. Without stores an
  * evicted part is read again, which takes an engine ten times as long as fetching it.
  *
+ * A part that no store has yet is fetched from another engine that keeps it: new weights are first read by one engine, and
+ * all others need the same parts within the seconds that a save and its news take. What an engine keeps is a hint; a part
+ * that is gone there costs a millisecond, and the prompt is read.
+ *
  * Each part has one store by a hash weighed by room, so that all instances look for it in the same place. Only parts that
  * are known to be whole are fetched: an engine takes what lies there without looking. A part is saved if its store does
  * not have it; asked for once in a while only, since the news of a save comes some hundred milliseconds later.
@@ -12,10 +16,12 @@
 import {type PromptPart} from '../../shared/prompt-shape.js';
 import {hashOf} from '../../shared/hash-of.js';
 
-/** What is known of the stores now. */
+/** What is known of the stores and engines now. Keys are `salt|id`. */
 export interface StoreKnowledge {
 	isOpen(store: string): boolean;
 	holds(store: string, key: string): boolean;
+	/** The address of an engine that keeps a part which the engine of the prompt lacks. */
+	engineSource(key: string): string | undefined;
 }
 
 /** Addresses by part, in the prompt's order; an absent one means nothing for that part. */
@@ -56,10 +62,11 @@
 			const key = `${salt}|${id}`;
 			const home = storeOf(id, stores);
 			const isHeld = home !== undefined && known.holds(home.name, key);
-			plan.fetchFrom.push(isHeld ? home.store.address : undefined);
+			const source = isHeld ? home.store.address : known.engineSource(key);
+			plan.fetchFrom.push(source);
+			plan.fetchedTokens += source === undefined ? 0 : tokens;
 			if (isHeld) {
 				plan.used.push(key);
-				plan.fetchedTokens += tokens;
 			}
 
 			const isSaved = home !== undefined && !isHeld && known.isOpen(home.name) && this.#maySave(key, now);
--- a/src/decision/placement/believed-parts.ts
+++ b/src/decision/placement/believed-parts.ts
@@ -6,23 +6,23 @@
 
 export class BelievedParts {
 	readonly #capacityTokens: number;
-	readonly #parts = new Map<string, number>();
+	readonly #parts = new Map<string, {tokens: number; at: number}>();
 	#tokens = 0;
 
 	constructor(capacityTokens: number) {
 		this.#capacityTokens = capacityTokens;
 	}
 
-	/** Takes the parts of a prompt that the engine has read. */
-	learn(scope: string, parts: readonly PromptPart[]): void {
+	/** Takes the parts of a prompt that the engine was sent, at a time of the steady clock in milliseconds. */
+	learn(scope: string, parts: readonly PromptPart[], now: number): void {
 		for (const {id, tokens} of parts) {
 			const key = `${scope}|${id}`;
-			this.#tokens += tokens - (this.#parts.get(key) ?? 0);
+			this.#tokens += tokens - (this.#parts.get(key)?.tokens ?? 0);
 			this.#parts.delete(key);
-			this.#parts.set(key, tokens);
+			this.#parts.set(key, {tokens, at: now});
 		}
 
-		for (const [key, tokens] of this.#parts) {
+		for (const [key, {tokens}] of this.#parts) {
 			if (this.#tokens <= this.#capacityTokens) {
 				break;
 			}
@@ -32,18 +32,9 @@
 		}
 	}
 
-	/** Tokens of the leading parts that the engine is believed to keep. */
-	leadingTokens(scope: string, parts: readonly PromptPart[]): number {
-		let sum = 0;
-		for (const {id} of parts) {
-			const tokens = this.#parts.get(`${scope}|${id}`);
-			if (tokens === undefined) {
-				break;
-			}
-
-			sum += tokens;
-		}
-
-		return sum;
+	/** Tokens of a part that the engine is believed to keep, if it was sent there at `since` or later. */
+	tokensOf(scope: string, {id}: PromptPart, since: number): number {
+		const part = this.#parts.get(`${scope}|${id}`);
+		return part === undefined || part.at < since ? 0 : part.tokens;
 	}
 }
--- a/src/decision/placement/cost-placement.test.ts
+++ b/src/decision/placement/cost-placement.test.ts
@@ -4,7 +4,7 @@
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
 import {CostPlacement} from './cost-placement.js';
 import {type EndpointLoad, noLoad} from './endpoint-load.js';
-import {type PlacementRequest} from './placement.js';
+import {type PlacementBasis, type PlacementRequest} from './placement.js';
 
 const engines = Array.from({length: 6}, (_, index) => testEndpoint({
 	name: `e${index}`, slots: 64, weightVersions: new Map([['permit', 1]]), address: `10.0.0.${index}:1`,
@@ -25,12 +25,17 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
-		storedTokensUnder: () => 0,
+		fetchableUnder: () => [],
+		keptAt: () => undefined,
 		loading: new Set(),
 		...changes,
 	};
 }
 
+const testBasis: PlacementBasis = {
+	keptTokens: 0, fetchTokens: 0, readTokens: 100, unreadBefore: 0, occupancy: 0, costMilliseconds: 0,
+};
+
 const chosen = (policy: CostPlacement, request: PlacementRequest, endpoints: readonly EndpointRecord[] = engines, now = 0): string => {
 	const placement = policy.place(request, endpoints, now);
 	return placement.kind === 'send' ? placement.endpoint.name : placement.reason;
@@ -74,7 +79,7 @@
 	const request = promptOf('subject', 'a');
 	const home = engines.find(({name}) => name === chosen(policy, request))!;
 	policy.observe({
-		kind: 'sent', request, endpoint: home, missingTokens: 100,
+		kind: 'sent', request, endpoint: home, basis: testBasis,
 	}, 0);
 	policy.observe({
 		kind: 'ended', request, endpoint: home, outcome: 'unreachable',
@@ -109,3 +114,52 @@
 	assert.notEqual(chosen(policy, promptOf('subject', 'a', {loading, wantedVersion: 2})), home);
 	assert.equal(chosen(policy, promptOf('subject', 'a', {loading: new Set(engines.map(({name}) => name)), wantedVersion: 2})), home);
 });
+
+test('a prompt goes to the engine that keeps its parts, whichever is their home', () => {
+	const policy = new CostPlacement('split');
+	const home = chosen(policy, promptOf('subject', 'a'));
+	const holder = engines.find(({name}) => name !== home)!.name;
+	const keptAt = ({name}: EndpointRecord): number[] => name === holder ? [500, 8000, 0] : [500, 0, 0];
+	const placement = policy.place(promptOf('subject', 'a', {keptAt}), engines, 0);
+	assert.equal(placement.kind === 'send' && placement.endpoint.name, holder);
+	assert.equal(placement.kind === 'send' && placement.basis.readTokens, 2500);
+});
+
+test('a home that is known to be empty is counted with all that it has to read', () => {
+	// An engine loads new weights and drops all that it kept. As long as each instance presumes the parts at their home,
+	// each sends its prompts there and takes the engine for nearly idle; it reads for seconds, and all its callers are late.
+	const policy = new CostPlacement('split');
+	const home = chosen(policy, promptOf('subject', 'a'));
+	const nobody = (): number[] => [0, 0, 0];
+	const first = policy.place(promptOf('subject', 'a', {keptAt: nobody}), engines, 0);
+	assert.equal(first.kind === 'send' && first.endpoint.name, home);
+	assert.equal(first.kind === 'send' && first.basis.readTokens, 11_000);
+});
+
+test('callers who come together for a part that nobody keeps are sent to one engine, and it counts as kept there', () => {
+	const policy = new CostPlacement('split', () => noLoad);
+	const nobody = (): number[] => [0, 0, 0];
+	const request = promptOf('subject', 'a', {keptAt: nobody});
+	const first = policy.place(request, engines, 0);
+	assert.equal(first.kind, 'send');
+	if (first.kind === 'send') {
+		policy.observe({
+			kind: 'sent', request, endpoint: first.endpoint, basis: first.basis,
+		}, 0);
+		const second = policy.place(promptOf('subject', 'b', {keptAt: nobody}), engines, 100);
+		assert.equal(second.kind === 'send' && second.endpoint.name, first.endpoint.name);
+		assert.equal(second.kind === 'send' && second.basis.readTokens, 2500);
+		const later = policy.place(promptOf('subject', 'c', {keptAt: nobody}), engines, 2000);
+		assert.equal(later.kind === 'send' && later.basis.readTokens, 11_000);
+	}
+});
+
+test('parts that can be fetched make every engine about as good', () => {
+	const policy = new CostPlacement('split');
+	const home = chosen(policy, promptOf('subject', 'a'));
+	const keptAt = (): number[] => [0, 0, 0];
+	const changes = {keptAt, fetchableUnder: () => [true, true]};
+	const placement = policy.place(promptOf('subject', 'a', changes), engines.filter(({name}) => name !== home), 0);
+	assert.equal(placement.kind === 'send' && placement.basis.fetchTokens, 8500);
+	assert.equal(placement.kind === 'send' && placement.basis.readTokens, 2500);
+});
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -5,29 +5,39 @@
  * engines that crash or fill. Without it a returning prompt lands on an engine that does not keep its parts and they are
  * read again, which takes most of an engine's time: reading is what engines are busy with, not writing.
  *
- * Instances share no state, so each shared part has a home: the first engine by rendezvous hash of its id. All instances
- * name the same home, and presume the part to be kept there. Another engine is taken when the wait at home is longer than
- * reading the part again elsewhere, with reading weighed for the time that it takes from others.
+ * What engines keep is known from their own events, as the hub passes them on, and from what was sent there just now. A
+ * part that nobody keeps goes to its home, the first engine by rendezvous hash of its id: all instances name the same home,
+ * so that callers who come together for one part do not have it read in several places. While nothing is known of an
+ * engine, its home is presumed to keep a part. Another engine is taken when the wait is longer than reading the part again
+ * elsewhere, with reading weighed for the time that it takes from others.
  */
-import {hashOf} from '../../shared/hash-of.js';
 import {spreadRetry} from '../limits/spread-retry.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {admitsPrompt} from './admit-prompt.js';
-import {BelievedParts} from './believed-parts.js';
 import {
 	addLoads, type EndpointLoad, isSilent, noLoad, unreadBefore,
 } from './endpoint-load.js';
-import {EndpointOutlook} from './endpoint-outlook.js';
+import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
+import {homeOf} from './home-of.js';
 import {
-	type OthersAt, type Placement, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
+	type OthersAt, type Placement, type PlacementBasis, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
 } from './placement.js';
+import {promptWork, type PromptWork} from './prompt-work.js';
 
-/** Prompt tokens that an engine reads in a millisecond, until measured: the lower end of what current engines state. */
-const prefillTokensPerMillisecond = 55;
 /** Tokens that an engine fetches from a store in a millisecond: 50 Gbit/s at about 18 KB a token, less the way there. */
 const fetchTokensPerMillisecond = 250;
 /** Reading parts again takes an engine's time from all others there; its own caller waits for it once, others as well. */
 const rereadWeight = 3;
+/**
+ * Part of the cost of reading a part that nobody keeps, by which its home is preferred. Callers of one part come within
+ * milliseconds of each other; the one who finds the part kept saves all of that cost, so half of it is worth waiting for.
+ */
+const coldHomeShare = 0.5;
+/**
+ * What was sent to an engine is taken for kept this long before the engine's own events have to say so: reading the longest
+ * prompt, the events' delay, and two questions to the hub.
+ */
+const sentLifeMilliseconds = 1000;
 /** One running request slows the tokens of the others by about a tenth of a millisecond a step, over some dozens of steps. */
 const runningMilliseconds = 3;
 /** A waiting request stands for a full engine: a slot comes free after about the time of a short answer. */
@@ -50,13 +60,14 @@
 /** A service counts as full when each of its endpoints has this multiple of its slots running or waiting. */
 const fullShare = 2;
 
-type Candidate = {endpoint: EndpointRecord; cost: number; isAdmitted: boolean; missingTokens: number};
+const noWork: PromptWork = {keptTokens: 0, fetchTokens: 0, readTokens: 0};
+
+type Candidate = {endpoint: EndpointRecord; isAdmitted: boolean; basis: PlacementBasis};
 
 export class CostPlacement implements PlacementPolicy {
 	readonly #dataCentre: string;
 	readonly #othersAt: OthersAt;
-	readonly #outlooks = new Map<string, EndpointOutlook>();
-	readonly #parts = new Map<string, BelievedParts>();
+	readonly #memories = new EndpointMemories();
 	readonly #unreachable = new Map<string, EndpointRecord>();
 
 	/**
@@ -70,30 +81,23 @@
 
 	/** What this instance has under way, by endpoint. */
 	ownLoads(now: number): Map<string, EndpointLoad> {
-		const loads = new Map<string, EndpointLoad>();
-		for (const [key, outlook] of this.#outlooks) {
-			const load = outlook.loadAt(now);
-			if (load.requests > 0) {
-				loads.set(key.slice(0, key.lastIndexOf('@')), load);
-			}
-		}
-
-		return loads;
+		return this.#memories.loadsAt(now);
 	}
 
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
 		const untried = endpoints.filter(({name}) => !request.tried.has(name));
 		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
-		const reached = awake.filter(endpoint => !this.#outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
-		const closed = reached.filter(endpoint => !this.#outlookOf(endpoint).isOpen(now));
+		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
+		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
 		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
 		const inView = [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
 		if (inView.length === 0) {
 			return {kind: 'none', reason: 'no-endpoint', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.id)};
 		}
 
+		const home = request.prompt === undefined ? undefined : homeOf(request.prompt, request.cacheScope, inView);
 		const candidates = inView
-			.map(endpoint => this.#estimate(request, endpoint, homeOf(request, inView), now))
+			.map(endpoint => this.#estimate(request, endpoint, endpoint === home, now))
 			.filter(({isAdmitted}) => isAdmitted);
 		const [first, ...others] = candidates;
 		if (first === undefined) {
@@ -102,25 +106,30 @@
 
 		let best = first;
 		for (const candidate of others) {
-			best = candidate.cost < best.cost ? candidate : best;
+			best = candidate.basis.costMilliseconds < best.basis.costMilliseconds ? candidate : best;
 		}
 
-		return {kind: 'send', endpoint: best.endpoint, missingTokens: best.missingTokens};
+		return {kind: 'send', endpoint: best.endpoint, basis: best.basis};
 	}
 
 	observe(event: PlacementEvent, now: number): void {
 		const {request, endpoint} = event;
-		const outlook = this.#outlookOf(endpoint);
+		const outlook = this.#memories.outlookOf(endpoint);
 		switch (event.kind) {
 			case 'sent': {
-				outlook.sent(request.id, {rank: request.rank, unreadTokens: event.missingTokens, heldTokens: heldTokensOf(request)}, now);
+				outlook.sent(request.id, {rank: request.rank, heldTokens: heldTokensOf(request), basis: event.basis}, now);
+				if (request.prompt !== undefined) {
+					this.#memories.partsOf(endpoint, request.engine?.capacityTokens ?? 0).learn(scopeAt(request, endpoint), request.prompt.parts, now);
+				}
+
 				break;
 			}
 
 			case 'answered': {
-				outlook.answered(request.id, event.load, now);
-				if (request.prompt !== undefined) {
-					this.#partsOf(endpoint, request).learn(scopeAt(request, endpoint), request.prompt.parts);
+				const first = outlook.answered(request.id, event.load, now);
+				// Alone in the reading and with nothing to fetch, the delay of the first token shows how fast the engine reads.
+				if (request.prompt !== undefined && first?.basis.unreadBefore === 0 && first.basis.fetchTokens === 0) {
+					this.#memories.speedOf(request.service).observe(first.basis.readTokens, first.milliseconds);
 				}
 
 				break;
@@ -134,7 +143,7 @@
 
 				if (event.outcome === 'unreachable') {
 					outlook.unreachable(now);
-					this.#unreachable.set(keyOf(endpoint), endpoint);
+					this.#unreachable.set(incarnationOf(endpoint), endpoint);
 				}
 
 				break;
@@ -143,24 +152,23 @@
 	}
 
 	dueProbes(now: number): EndpointRecord[] {
-		return [...this.#unreachable.values()].filter(endpoint => this.#outlookOf(endpoint).isProbeDue(now));
+		return [...this.#unreachable.values()].filter(endpoint => this.#memories.outlookOf(endpoint).isProbeDue(now));
 	}
 
 	probed(endpoint: EndpointRecord, isReached: boolean, now: number): void {
-		this.#outlookOf(endpoint).probed(isReached, now);
+		this.#memories.outlookOf(endpoint).probed(isReached, now);
 		if (isReached) {
-			this.#unreachable.delete(keyOf(endpoint));
+			this.#unreachable.delete(incarnationOf(endpoint));
 		}
 	}
 
 	forget(endpoint: EndpointRecord): void {
-		this.#unreachable.delete(keyOf(endpoint));
-		this.#outlooks.delete(keyOf(endpoint));
-		this.#parts.delete(keyOf(endpoint));
+		this.#unreachable.delete(incarnationOf(endpoint));
+		this.#memories.forget(endpoint);
 	}
 
 	heard(endpoint: EndpointRecord, now: number): void {
-		this.#outlookOf(endpoint).heard(now);
+		this.#memories.outlookOf(endpoint).heard(now);
 	}
 
 	isSilent(endpoint: EndpointRecord, now: number): boolean {
@@ -169,39 +177,49 @@
 
 	/** When a refused caller finds room again: when the least laden engine has read what lies before such a prompt. */
 	#overloadRetry(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): number {
-		const waits = endpoints.map(endpoint => unreadBefore(this.#loadAt(endpoint, now).load, request.rank) / prefillTokensPerMillisecond);
+		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
+		const waits = endpoints.map(endpoint => unreadBefore(this.#loadAt(endpoint, now).load, request.rank) / speed);
 		const wait = Math.min(longestOverloadRetryMilliseconds, overloadRetryMilliseconds + Math.min(...waits));
 		return spreadRetry(wait, request.id);
 	}
 
 	/** What all instances have under way at an endpoint, as far as known here. */
 	#loadAt(endpoint: EndpointRecord, now: number): {load: EndpointLoad; isWhole: boolean} {
-		const own = this.#outlookOf(endpoint).loadAt(now);
+		const own = this.#memories.outlookOf(endpoint).loadAt(now);
 		const others = this.#othersAt(endpoint.name, now);
 		return {load: addLoads(own, others ?? noLoad), isWhole: others !== undefined};
 	}
 
-	#estimate(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined, now: number): Candidate {
+	#estimate(request: PlacementRequest, endpoint: EndpointRecord, isHome: boolean, now: number): Candidate {
 		const {load, isWhole} = this.#loadAt(endpoint, now);
-		const reported = isWhole ? undefined : this.#outlookOf(endpoint).reportedOccupancy(now);
+		const reported = isWhole ? undefined : this.#memories.outlookOf(endpoint).reportedOccupancy(now);
 		const occupancy = Math.max(load.requests, reported ?? 0);
 		const slots = Math.max(1, endpoint.slots);
 		const distance = endpoint.dataCentre === this.#dataCentre ? 0 : otherDataCentreMilliseconds;
 		const hasRoom = occupancy < fullShare * slots;
 		if (request.prompt === undefined) {
-			const cost = (callMilliseconds * occupancy / slots) + distance;
+			const costMilliseconds = (callMilliseconds * occupancy / slots) + distance;
 			return {
-				endpoint, cost, isAdmitted: hasRoom, missingTokens: 0,
+				endpoint, isAdmitted: hasRoom, basis: {
+					...noWork, unreadBefore: undefined, occupancy, costMilliseconds,
+				},
 			};
 		}
 
-		const {readTokens, fetchTokens} = this.#workAt(request, endpoint, home);
-		const work = (rereadWeight * readTokens / prefillTokensPerMillisecond) + (fetchTokens / fetchTokensPerMillisecond);
-		const wait = unreadBefore(load, request.rank) / prefillTokensPerMillisecond;
+		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
+		const work = this.#workAt(request, endpoint, isHome, now);
+		const before = unreadBefore(load, request.rank);
+		const reading = rereadWeight * work.readTokens / speed;
 		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
+		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
+		const costMilliseconds = reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) + occupied + distance + weights - preference;
 		return {
-			endpoint, cost: work + wait + occupied + distance + weights, isAdmitted: hasRoom && this.#admits(request, readTokens, isWhole ? load : undefined), missingTokens: readTokens,
+			endpoint,
+			isAdmitted: hasRoom && this.#admits(request, work.readTokens, isWhole ? load : undefined),
+			basis: {
+				...work, unreadBefore: isWhole ? before : undefined, occupancy, costMilliseconds,
+			},
 		};
 	}
 
@@ -214,63 +232,29 @@
 
 		return admitsPrompt({
 			rank: request.rank, objectiveMilliseconds: request.objectiveMilliseconds, heldTokens: heldTokensOf(request), readTokens,
-		}, load, {capacityTokens, tokensPerMillisecond: prefillTokensPerMillisecond});
+		}, load, {capacityTokens, tokensPerMillisecond: this.#memories.speedOf(request.service).tokensPerMillisecond});
 	}
 
-	/** Tokens of a prompt that an engine would read, and those that it would fetch from stores. */
-	#workAt(request: PlacementRequest, endpoint: EndpointRecord, home: EndpointRecord | undefined): {readTokens: number; fetchTokens: number} {
-		const {promptTokens, parts} = request.prompt!;
-		const shared = parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
-		const presumed = endpoint.name === home?.name ? shared : 0;
-		const kept = Math.max(presumed, this.#partsOf(endpoint, request).leadingTokens(scopeAt(request, endpoint), parts));
+	/** What an engine would have to do for a prompt. */
+	#workAt(request: PlacementRequest, endpoint: EndpointRecord, isHome: boolean, now: number): PromptWork {
+		const {parts} = request.prompt!;
 		const version = endpoint.weightVersions.get(request.prompt!.model);
-		const fetchTokens = version === undefined ? 0 : Math.max(0, request.storedTokensUnder(version) - kept);
-		return {readTokens: Math.max(0, promptTokens - kept - fetchTokens), fetchTokens};
-	}
-
-	#outlookOf(endpoint: EndpointRecord): EndpointOutlook {
-		const key = keyOf(endpoint);
-		const known = this.#outlooks.get(key);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const outlook = new EndpointOutlook();
-		this.#outlooks.set(key, outlook);
-		return outlook;
-	}
-
-	#partsOf(endpoint: EndpointRecord, request: PlacementRequest): BelievedParts {
-		const key = keyOf(endpoint);
-		const known = this.#parts.get(key);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const parts = new BelievedParts(request.engine?.capacityTokens ?? 0);
-		this.#parts.set(key, parts);
-		return parts;
+		const fetchable = version === undefined ? [] : request.fetchableUnder(version);
+		const kept = request.keptAt(endpoint);
+		const sent = this.#memories.partsOf(endpoint, request.engine?.capacityTokens ?? 0);
+		const scope = scopeAt(request, endpoint);
+		const since = kept === undefined ? Number.NEGATIVE_INFINITY : now - sentLifeMilliseconds;
+		const isPresumed = (index: number): boolean => isHome && kept === undefined && index < parts.length - 1;
+		return promptWork(request.prompt!, {
+			keptTokens: index => isPresumed(index) ? parts[index]!.tokens : Math.max(kept?.[index] ?? 0, sent.tokensOf(scope, parts[index]!, since)),
+			isFetchable: index => fetchable[index] ?? false,
+		});
 	}
 }
 
-/** The engine that keeps the last part that this prompt shares with others. */
-function homeOf({prompt, cacheScope}: PlacementRequest, endpoints: readonly EndpointRecord[]): EndpointRecord | undefined {
-	const part = prompt?.parts.at(-2) ?? prompt?.parts.at(-1);
-	if (part === undefined) {
-		return undefined;
-	}
-
-	let home: EndpointRecord | undefined;
-	let highest = -1;
-	for (const endpoint of endpoints) {
-		const hash = hashOf(`${cacheScope}|${part.id}|${endpoint.name}`);
-		if (hash > highest) {
-			home = endpoint;
-			highest = hash;
-		}
-	}
-
-	return home;
+/** Shared tokens of a prompt that an engine would have to read. */
+function unreadSharedTokens({prompt}: PlacementRequest, {readTokens}: PromptWork): number {
+	return Math.max(0, readTokens - (prompt?.parts.at(-1)?.tokens ?? 0));
 }
 
 /** Memory that a prompt needs from its start to its end. */
@@ -292,8 +276,3 @@
 function scopeAt({cacheScope, prompt}: PlacementRequest, {weightVersions}: EndpointRecord): string {
 	return `${cacheScope}@${weightVersions.get(prompt?.model ?? '') ?? 0}`;
 }
-
-/** One incarnation of an endpoint. */
-function keyOf({name, bornAt}: EndpointRecord): string {
-	return `${name}@${bornAt}`;
-}
--- a/src/decision/placement/endpoint-outlook.ts
+++ b/src/decision/placement/endpoint-outlook.ts
@@ -6,7 +6,7 @@
  * Without it, an endpoint that refuses connections looks idle and draws every request.
  */
 import {type EndpointLoad, toldRanks} from './endpoint-load.js';
-import {type ReportedLoad} from './placement.js';
+import {type PlacementBasis, type ReportedLoad} from './placement.js';
 
 /** After so many failures in a row the endpoint is left alone; a single one may be the request's own. */
 const failuresToOpen = 2;
@@ -23,7 +23,10 @@
 const reportLifeMilliseconds = 2000;
 
 /** A request of this instance at the endpoint. */
-type UnderWay = {rank: number; sentAt: number; unreadTokens: number; heldTokens: number; isAnswered: boolean};
+type UnderWay = {rank: number; sentAt: number; unreadTokens: number; heldTokens: number; isAnswered: boolean; basis: PlacementBasis};
+
+/** How the first token of a request came. */
+export type FirstToken = {basis: PlacementBasis; milliseconds: number};
 
 export class EndpointOutlook {
 	readonly #requests = new Map<string, UnderWay>();
@@ -40,16 +43,16 @@
 		return this.#requests.size;
 	}
 
-	/** Notes a send; `unreadTokens` are those that the endpoint has to read, `heldTokens` its whole need of memory. */
-	sent(id: string, {rank, unreadTokens, heldTokens}: {rank: number; unreadTokens: number; heldTokens: number}, now: number): void {
+	/** Notes a send; `heldTokens` is its whole need of memory. */
+	sent(id: string, {rank, heldTokens, basis}: {rank: number; heldTokens: number; basis: PlacementBasis}, now: number): void {
 		this.#requests.set(id, {
-			rank: Math.min(toldRanks - 1, rank), sentAt: now, unreadTokens, heldTokens, isAnswered: false,
+			rank: Math.min(toldRanks - 1, rank), sentAt: now, unreadTokens: basis.readTokens, heldTokens, isAnswered: false, basis,
 		});
 		this.#sentSinceReport++;
 	}
 
-	/** Notes the first byte of an answer. */
-	answered(id: string, report: ReportedLoad | undefined, now: number): void {
+	/** Notes the first byte of an answer; gives how it came, if the request was sent from here. */
+	answered(id: string, report: ReportedLoad | undefined, now: number): FirstToken | undefined {
 		const request = this.#requests.get(id);
 		if (request !== undefined) {
 			request.isAnswered = true;
@@ -65,6 +68,8 @@
 			this.#reportAt = now;
 			this.#sentSinceReport = 0;
 		}
+
+		return request === undefined ? undefined : {basis: request.basis, milliseconds: now - request.sentAt};
 	}
 
 	/** Notes that bytes came. */
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -3,6 +3,7 @@
 import {type EngineTraits} from '../../shared/routed-configuration.js';
 import {type PromptShape} from '../../shared/prompt-shape.js';
 import {type EndpointLoad} from './endpoint-load.js';
+import {type PromptWork} from './prompt-work.js';
 
 /** A request to place. */
 export type PlacementRequest = {
@@ -21,15 +22,26 @@
 	tried: ReadonlySet<string>;
 	/** The weights that its model is to be served with; absent if none were named. */
 	wantedVersion: number | undefined;
-	/** Shared tokens, from the prompt's start, that stores keep and any engine with that weight version can fetch. */
-	storedTokensUnder: (weightVersion: number) => number;
+	/** Which parts of the prompt any engine with a weight version can fetch from a store or another engine, by index. */
+	fetchableUnder: (weightVersion: number) => readonly boolean[];
+	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
+	keptAt: (endpoint: EndpointRecord) => readonly number[] | undefined;
 	/** Engines that load weights now and reject what is sent to them. */
 	loading: ReadonlySet<string>;
 };
 
-/** Where a request goes and how many tokens the engine then has to read, or that there is no place for it. */
+/** What a place was chosen by; logged, and the base on which placing learns. */
+export type PlacementBasis = PromptWork & {
+	/** Tokens that the engine reads before those of this prompt; `undefined` while the other instances' work is not known. */
+	unreadBefore: number | undefined;
+	/** Requests at the endpoint. */
+	occupancy: number;
+	costMilliseconds: number;
+};
+
+/** Where a request goes and by what, or that there is no place for it. */
 export type Placement
-	= | {kind: 'send'; endpoint: EndpointRecord; missingTokens: number}
+	= | {kind: 'send'; endpoint: EndpointRecord; basis: PlacementBasis}
 		| {kind: 'none'; reason: 'no-endpoint' | 'overloaded'; retryAfterMilliseconds: number};
 
 /** An endpoint's own word on its load, as an answer carries it. */
@@ -41,7 +53,7 @@
 
 /** What became of a request that was placed. All times are milliseconds of the steady clock. */
 export type PlacementEvent
-	= | {kind: 'sent'; request: PlacementRequest; endpoint: EndpointRecord; missingTokens: number}
+	= | {kind: 'sent'; request: PlacementRequest; endpoint: EndpointRecord; basis: PlacementBasis}
 		| {kind: 'answered'; request: PlacementRequest; endpoint: EndpointRecord; load: ReportedLoad | undefined}
 		| {kind: 'ended'; request: PlacementRequest; endpoint: EndpointRecord; outcome: 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled'};
 
--- /dev/null
+++ b/src/decision/placement/prompt-work.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {promptWork} from './prompt-work.js';
+
+const prompt = {
+	model: 'permit', promptTokens: 1600, mostOutputTokens: 10, parts: [{id: 'all', tokens: 100}, {id: 'subject', tokens: 1000}, {id: 'own', tokens: 500}],
+};
+const sources = (kept: number[], fetchable: boolean[]) => ({
+	keptTokens: (index: number) => kept[index] ?? 0, isFetchable: (index: number) => fetchable[index] ?? false,
+});
+
+test('kept and fetched parts count from the start; what is behind a gap is read', () => {
+	assert.deepEqual(promptWork(prompt, sources([100, 1000], [])), {keptTokens: 1100, fetchTokens: 0, readTokens: 500});
+	assert.deepEqual(promptWork(prompt, sources([100, 0], [true, true])), {keptTokens: 100, fetchTokens: 1000, readTokens: 500});
+	assert.deepEqual(promptWork(prompt, sources([0, 1000], [false, true])), {keptTokens: 0, fetchTokens: 0, readTokens: 1600});
+	assert.deepEqual(promptWork(prompt, sources([100, 400], [])), {keptTokens: 500, fetchTokens: 0, readTokens: 1100});
+});
+
+test('the own part of a prompt is never fetched', () => {
+	assert.deepEqual(promptWork(prompt, sources([100, 1000, 0], [true, true, true])), {keptTokens: 1100, fetchTokens: 0, readTokens: 500});
+});
--- /dev/null
+++ b/src/decision/placement/reading-speed.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {seededRandom} from '../../peer/random/seeded-random.js';
+import {ReadingSpeed} from './reading-speed.js';
+
+test('the speed of engines is learned from the delays of some hundred prompts, whatever else delays them', () => {
+	for (const speed of [30, 55, 112, 250]) {
+		const learned = new ReadingSpeed();
+		const random = seededRandom(7);
+		for (let sample = 0; sample < 400; sample++) {
+			const tokens = random() < 0.4 ? 3000 + (9000 * random()) : 200 + (800 * random());
+			learned.observe(tokens, 30 + (60 * random()) + (tokens / speed));
+		}
+
+		assert.ok(Math.abs((learned.tokensPerMillisecond / speed) - 1) < 0.2, `${speed}: ${learned.tokensPerMillisecond}`);
+	}
+});
+
+test('without measurements, and with nonsense, the speed stays within what engines can be', () => {
+	assert.ok(Math.abs(new ReadingSpeed().tokensPerMillisecond - 55) < 1);
+	const confused = new ReadingSpeed();
+	for (let sample = 0; sample < 2000; sample++) {
+		confused.observe(sample % 2 === 0 ? 10_000 : 100, sample % 2 === 0 ? 1 : 900);
+	}
+
+	assert.ok(confused.tokensPerMillisecond >= 20);
+	assert.ok(confused.tokensPerMillisecond <= 500);
+});
--- a/src/gateway/data-path/endpoint-agent.ts
+++ b/src/gateway/data-path/endpoint-agent.ts
@@ -59,7 +59,7 @@
 	/** Called by Node when an idle connection is used again. */
 	override reuseSocket(socket: Duplex, request: ClientRequest): void {
 		// Takes off the listener that Node put on when the connection became idle; one more would stay with each use.
-		super.reuseSocket(socket as Socket, request);
+		super.reuseSocket(socket, request);
 		const end = this.#watched.get(socket);
 		if (end !== undefined) {
 			socket.off('data', end);
--- a/src/gateway/data-path/endpoint-exchange.test.ts
+++ b/src/gateway/data-path/endpoint-exchange.test.ts
@@ -5,7 +5,6 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {nextTick} from 'node:process';
 import {test, type TestContext} from 'node:test';
-import {promisify} from 'node:util';
 import {type EndpointCall, HttpEndpointExchanges} from './endpoint-exchange.js';
 
 async function listen(context: TestContext, listener: RequestListener): Promise<Server> {
@@ -45,7 +44,9 @@
 		listeners = socket.listenerCount('error');
 		body.resume();
 		await once(body, 'end');
-		await promisify(setImmediate)();
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
 	}
 
 	assert.equal(sockets.size, 1);
@@ -64,7 +65,9 @@
 	});
 	const {answer} = exchanges.open(callTo(server));
 	for (let tick = 0; tick < 5; tick++) {
-		await promisify(nextTick)();
+		await new Promise<void>(resolve => {
+			nextTick(resolve);
+		});
 	}
 
 	const until = performance.now() + 400;
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -5,7 +5,7 @@
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {isRepeatable, type TryOutcome} from '../../decision/attempts/next-step.js';
-import {type PlacementRequest} from '../../decision/placement/placement.js';
+import {type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
@@ -33,8 +33,8 @@
 export type TryTarget = {
 	endpoint: EndpointRecord;
 	request: PlacementRequest;
-	/** Prompt tokens that the endpoint has to read. */
-	missingTokens: number;
+	/** By what it was chosen. */
+	basis: PlacementBasis;
 	/** Whether another endpoint may still be tried behind this one. */
 	hasNext: boolean;
 	/** Told when the first bytes of the answer came. */
@@ -74,9 +74,9 @@
 	async run(): Promise<TryResult> {
 		const {placement, exchanges, names, metrics} = this.#context;
 		const {head, permitted, body, cutter, deadline} = this.#work;
-		const {endpoint, request, missingTokens} = this.#target;
+		const {endpoint, request, basis} = this.#target;
 		placement.observe({
-			kind: 'sent', request, endpoint, missingTokens,
+			kind: 'sent', request, endpoint, basis,
 		}, this.#now());
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
--- /dev/null
+++ b/src/gateway/data-path/placement-request.ts
@@ -0,0 +1,32 @@
+/** Tells placing what it has to know of a request. */
+import {type PlacementRequest} from '../../decision/placement/placement.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {cacheScopeOf} from './endpoint-headers.js';
+import {type PermittedRequest} from './judge-request.js';
+import {PromptSources} from './prompt-sources.js';
+import {type RequestHead} from './request-head.js';
+
+/**
+ * Describes a request to placing.
+ *
+ * @param context - What this instance knows.
+ * @param work - The request.
+ * @param tried - The endpoints that had it already.
+ */
+export function placementRequestOf(context: GatewayContext, {head, permitted}: {head: RequestHead; permitted: PermittedRequest}, tried: ReadonlySet<string>): PlacementRequest {
+	const sources = new PromptSources(context, head, permitted);
+	return {
+		id: head.attemptId,
+		service: permitted.service,
+		rank: permitted.rank,
+		objectiveMilliseconds: permitted.route.objectiveMilliseconds,
+		prompt: permitted.route.carriesPrompt ? head.prompt : undefined,
+		cacheScope: cacheScopeOf(permitted),
+		engine: context.configuration.current?.services.get(permitted.service)?.engine,
+		tried,
+		fetchableUnder: version => sources.fetchableUnder(version),
+		keptAt: endpoint => sources.keptAt(endpoint),
+		wantedVersion: context.goals.goalFor(head.prompt?.model ?? '')?.version,
+		loading: context.loadingEngines.current,
+	};
+}
--- /dev/null
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -0,0 +1,101 @@
+/** Where the parts of one request's prompt are kept, as this instance knows now: stores, engines, and which of them. */
+import {type NamedStore, type StoreKnowledge, storeOf} from '../../decision/parts/plan-parts.js';
+import {type Moment} from '../../ports/moment-clock.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {hashOf} from '../../shared/hash-of.js';
+import {type PromptPart} from '../../shared/prompt-shape.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {cacheSalt, cacheScopeOf} from './endpoint-headers.js';
+import {type PermittedRequest} from './judge-request.js';
+import {type RequestHead} from './request-head.js';
+
+export type SourceContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'hubView' | 'loadingEngines' | 'placement'>;
+
+export class PromptSources {
+	readonly #context: SourceContext;
+	readonly #parts: readonly PromptPart[];
+	readonly #model: string;
+	readonly #service: string;
+	readonly #scope: string;
+	readonly #now: Moment;
+	readonly #fetchable = new Map<number, readonly boolean[]>();
+
+	/** Looks once, now; a request that is placed again looks anew. */
+	constructor(context: SourceContext, head: RequestHead, permitted: PermittedRequest) {
+		this.#context = context;
+		this.#parts = head.prompt?.parts ?? [];
+		this.#model = head.prompt?.model ?? '';
+		this.#service = permitted.service;
+		this.#scope = cacheScopeOf(permitted);
+		this.#now = context.clock.moment();
+	}
+
+	/** All parts but the last, which is the request's own. */
+	get sharedParts(): readonly PromptPart[] {
+		return this.#parts.slice(0, -1);
+	}
+
+	get stores(): NamedStore[] {
+		const services = this.#context.configuration.current?.services.values() ?? [];
+		return [...services].flatMap(({name, store}) => store?.isManaged ? [{name, store}] : []);
+	}
+
+	/** The salt under which engines with a weight version keep the parts. */
+	saltUnder(version: number): string {
+		return cacheSalt(this.#scope, version);
+	}
+
+	/** Which parts a store or some engine keeps under a weight version, by index. */
+	fetchableUnder(version: number): readonly boolean[] {
+		const known = this.#fetchable.get(version);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {stores} = this;
+		const fetchable = this.sharedParts.map(({id}) => {
+			const key = `${this.saltUnder(version)}|${id}`;
+			const home = storeOf(id, stores);
+			return (home !== undefined && this.#context.hubView.holds(home.name, key, this.#now)) || this.#enginesWith(key).length > 0;
+		});
+		this.#fetchable.set(version, fetchable);
+		return fetchable;
+	}
+
+	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
+	keptAt({name, weightVersions}: EndpointRecord): readonly number[] | undefined {
+		const version = weightVersions.get(this.#model);
+		const kept = this.#context.hubView.engineParts(name, this.#now);
+		if (version === undefined || kept === undefined) {
+			return undefined;
+		}
+
+		return this.#parts.map(({id}) => kept.get(`${this.saltUnder(version)}|${id}`) ?? 0);
+	}
+
+	/** What an engine can fetch from where. */
+	knowledgeFor(target: EndpointRecord): StoreKnowledge {
+		const {hubView} = this.#context;
+		const own = hubView.engineParts(target.name, this.#now);
+		return {
+			isOpen: store => hubView.isOpen(store, this.#now),
+			holds: (store, key) => hubView.holds(store, key, this.#now),
+			engineSource: key => own?.has(key) ? undefined : this.#sourceFor(target, key),
+		};
+	}
+
+	/** A near engine goes first: transfers between data centres take twice as long. Several share the load by hash. */
+	#sourceFor(target: EndpointRecord, key: string): string | undefined {
+		const others = this.#enginesWith(key).filter(({name}) => name !== target.name);
+		const near = others.filter(({dataCentre}) => dataCentre === target.dataCentre);
+		const sources = near.length > 0 ? near : others;
+		return sources.at(hashOf(`${key}|${target.name}`) % Math.max(1, sources.length))?.address;
+	}
+
+	/** Engines that keep a part and can give it: not one that loads weights or has fallen silent, which costs the fetch's time. */
+	#enginesWith(key: string): EndpointRecord[] {
+		const {endpoints, hubView, loadingEngines, placement} = this.#context;
+		return endpoints.usable(this.#service, this.#now.steady).filter(engine => hubView.engineParts(engine.name, this.#now)?.has(key)
+			&& !loadingEngines.current.has(engine.name) && !placement.isSilent(engine, this.#now.steady));
+	}
+}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -7,17 +7,15 @@
 import {
 	decideNextStep, type NextStep, type TryOutcome,
 } from '../../decision/attempts/next-step.js';
-import {type PlacementRequest} from '../../decision/placement/placement.js';
+import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
-import {type Refusal} from '../../shared/types.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type JsonValue, type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {cacheScopeOf} from './endpoint-headers.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
-import {storedTokensOf} from './order-parts.js';
+import {placementRequestOf} from './placement-request.js';
 import {relayAnswer} from './relay-answer.js';
 import {type RequestHead} from './request-head.js';
 
@@ -43,13 +41,13 @@
 	readonly #deadline: number;
 	readonly #tried = new Set<string>();
 	readonly #cutter: EventCutter | undefined;
-	readonly #storedTokens = new Map<number, number>();
 	#current: EndpointTry | undefined;
 	#sends = 0;
 	#mayHaveRun = false;
 	#hasLeft = false;
 	#isExpired = false;
 	#firstByteAt: number | undefined;
+	#basis: PlacementBasis | undefined;
 	#status = 0;
 
 	constructor(context: GatewayContext, work: RoutedWork) {
@@ -85,7 +83,7 @@
 
 	async #tryUntilDone(): Promise<RoutedEnd> {
 		for (;;) {
-			const placement = this.#place();
+			const {request, placement} = this.#place();
 			if (placement.kind === 'none') {
 				return this.#giveUp({
 					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can take the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
@@ -96,7 +94,7 @@
 				return 'client-left';
 			}
 
-			const result = await this.#send(placement.endpoint, placement.missingTokens);
+			const result = await this.#send(request, placement);
 			if (result.outcome === 'whole') {
 				return 'whole';
 			}
@@ -160,16 +158,18 @@
 		}
 	}
 
-	#place(): ReturnType<GatewayContext['placement']['place']> {
+	#place(): {request: PlacementRequest; placement: Placement} {
 		const {endpoints, placement} = this.#context;
 		const now = this.#now();
 		const candidates = endpoints.usable(this.#work.permitted.service, now);
-		return placement.place(this.#placementRequest(), candidates, now);
+		const request = placementRequestOf(this.#context, this.#work, this.#tried);
+		return {request, placement: placement.place(request, candidates, now)};
 	}
 
-	async #send(endpoint: EndpointRecord, missingTokens: number): Promise<TryResult> {
+	async #send(request: PlacementRequest, {endpoint, basis}: Placement & {kind: 'send'}): Promise<TryResult> {
 		const {head, permitted, body, response} = this.#work;
 		this.#tried.add(endpoint.name);
+		this.#basis = basis;
 		if (this.#sends === 0) {
 			this.#context.budget.countRequest(permitted.service, this.#now());
 		}
@@ -178,8 +178,8 @@
 			head, permitted, body, response, cutter: this.#cutter, deadline: this.#deadline,
 		}, {
 			endpoint,
-			request: this.#placementRequest(),
-			missingTokens,
+			request,
+			basis,
 			hasNext: this.#sends + 1 < permitted.route.mostAttempts,
 			onFirstBytes: () => {
 				this.#firstByteAt ??= this.#now();
@@ -260,35 +260,6 @@
 		}
 	}
 
-	#placementRequest(): PlacementRequest {
-		const {head, permitted} = this.#work;
-		return {
-			id: head.attemptId,
-			service: permitted.service,
-			rank: permitted.rank,
-			objectiveMilliseconds: permitted.route.objectiveMilliseconds,
-			prompt: permitted.route.carriesPrompt ? head.prompt : undefined,
-			cacheScope: cacheScopeOf(permitted),
-			engine: this.#context.configuration.current?.services.get(permitted.service)?.engine,
-			tried: this.#tried,
-			storedTokensUnder: version => this.#storedTokensUnder(version),
-			wantedVersion: this.#context.goals.goalFor(head.prompt?.model ?? '')?.version,
-			loading: this.#context.loadingEngines.current,
-		};
-	}
-
-	/** Shared tokens that stores keep under a weight version; looked up once for each version while a request is placed. */
-	#storedTokensUnder(version: number): number {
-		const known = this.#storedTokens.get(version);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const tokens = storedTokensOf(this.#context, this.#work, version);
-		this.#storedTokens.set(version, tokens);
-		return tokens;
-	}
-
 	#report(end: RoutedEnd): void {
 		const {log, metrics} = this.#context;
 		const {head, permitted, arrivedAt} = this.#work;
@@ -307,6 +278,7 @@
 			outcome: end,
 			status: this.#status,
 			endpoints: [...this.#tried],
+			placedBy: this.#basis === undefined ? undefined : loggedBasis(this.#basis),
 			sends: this.#sends,
 			mayHaveRun: this.#mayHaveRun,
 			configurationVersion: permitted.configurationVersion,
@@ -320,6 +292,11 @@
 	}
 }
 
+/** What a place was chosen by, as it is logged; `null` where the other instances' work was not known. */
+function loggedBasis({unreadBefore, costMilliseconds, ...basis}: PlacementBasis): JsonValue {
+	return {...basis, unreadBefore: unreadBefore ?? null, costMilliseconds: Math.round(costMilliseconds)};
+}
+
 function ignore(): void {
 	// A failure that is passed on says nothing of how fast the endpoint answers.
 }
--- /dev/null
+++ b/src/gateway/hub/engine-watch.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type Either, Left, Right} from 'purify-ts/Either';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {type StoreEvents} from '../../ports/cache-store-control.js';
+import {testEndpoint} from '../testing/test-endpoint.js';
+import {EngineWatch} from './engine-watch.js';
+
+const part = (id: string) => ({salt: 's', id, tokens: 160});
+const events = (changes: Partial<StoreEvents>): Either<string, StoreEvents> => Right({
+	epoch: 1, next: 1, isIncomplete: false, added: [], removed: [], clockMilliseconds: 0, ...changes,
+});
+
+/** A watch over an engine that gives these answers, and what the followers know of it. */
+function watched(answers: Array<Either<string, StoreEvents>>) {
+	const asked: number[] = [];
+	const told = new Set<string>();
+	const watch = new EngineWatch(testEndpoint({name: 'e1'}), {
+		control: {
+			async events(_address, since) {
+				asked.push(since);
+				return answers.shift()!;
+			},
+		},
+		clock: systemMomentClock,
+		tell(_engine, {added, removed}) {
+			for (const key of removed) {
+				told.delete(key);
+			}
+
+			for (const [key] of added) {
+				told.add(key);
+			}
+		},
+	});
+	return {watch, asked, told};
+}
+
+test('followers hear what an engine reads and drops, each event once', async () => {
+	const {watch, asked, told} = watched([
+		events({next: 3, added: [part('p1'), part('p2')]}),
+		events({next: 4, removed: [part('p1')]}),
+	]);
+	await watch.step();
+	await watch.step();
+	assert.deepEqual([...told], ['s|p2']);
+	assert.deepEqual(asked, [0, 3]);
+	assert.deepEqual(watch.parts(), [['s|p2', 160]]);
+});
+
+test('what an engine kept before its restart, or while it was out of reach, is not believed any longer', async () => {
+	// An engine crashes and comes back empty under its name. Prompts that are sent there for parts that it had are read in
+	// full, and the engine that all believe to be the best one falls behind.
+	const {watch, asked, told} = watched([
+		events({next: 9, added: [part('p1')]}),
+		events({epoch: 2, next: 1}),
+		events({epoch: 2, next: 2, added: [part('p3')]}),
+		Left('refused'),
+		events({epoch: 2, next: 2, added: [part('p3')]}),
+	]);
+	await watch.step();
+	await watch.step();
+	assert.deepEqual([...told], []);
+	assert.equal(watch.isKnown, false);
+	await watch.step();
+	assert.deepEqual([...told], ['s|p3']);
+	assert.deepEqual(asked, [0, 9, 0]);
+	await watch.step();
+	assert.deepEqual([...told], []);
+	await watch.step();
+	assert.deepEqual([...told], ['s|p3']);
+});
+
+test('behind a gap in the events only what they still tell is believed', async () => {
+	const {watch, told} = watched([
+		events({next: 5, added: [part('p1')]}),
+		events({next: 9000, isIncomplete: true, added: [part('p2')]}),
+	]);
+	await watch.step();
+	await watch.step();
+	assert.deepEqual([...told], ['s|p2']);
+	assert.equal(watch.isKnown, true);
+});
--- /dev/null
+++ b/src/gateway/hub/engine-watch.ts
@@ -0,0 +1,105 @@
+/**
+ * Follows what one engine keeps, by its events.
+ *
+ * A hint for placing, unlike what is kept of stores: an engine drops parts by itself and reads again what it lost, so a
+ * wrong word costs one reading. So the engine is never listed, which would stall its work: the events that it still has
+ * are taken as they are, and where some are gone, what was known is forgotten.
+ */
+import {type CacheStoreControl, type StoreEvents} from '../../ports/cache-store-control.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type PartsChange} from '../../protocol/parts/store-ledger.js';
+
+/** How long a call for events may wait; events come at once. */
+const eventWaitMilliseconds = 900;
+/** Pause behind events, so that those of a busy moment are told together: a part is reused no sooner than it is read. */
+const batchMilliseconds = 150;
+/** Pause behind a failed call. */
+const retryMilliseconds = 500;
+
+/** What a watch is given. */
+export type EngineWatchTools = {
+	control: Pick<CacheStoreControl, 'events'>;
+	clock: MomentClock;
+	tell(engine: string, change: PartsChange): void;
+};
+
+export class EngineWatch {
+	readonly #engine: EndpointRecord;
+	readonly #tools: EngineWatchTools;
+	readonly #parts = new Map<string, number>();
+	#epoch: number | undefined;
+	#since = 0;
+
+	constructor(engine: EndpointRecord, tools: EngineWatchTools) {
+		this.#engine = engine;
+		this.#tools = tools;
+	}
+
+	/** Whether the engine's last word was heard, and nothing missed since. */
+	get isKnown(): boolean {
+		return this.#epoch !== undefined;
+	}
+
+	/** All parts, for a follower that knows none. */
+	parts(): Array<[key: string, tokens: number]> {
+		return [...this.#parts];
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const pause = await this.step();
+			await this.#tools.clock.sleep(pause, signal);
+		}
+	}
+
+	/** Makes the next call; gives the pause behind it in milliseconds. */
+	async step(): Promise<number> {
+		const answer = await this.#tools.control.events(this.#engine.address, this.#since, eventWaitMilliseconds);
+		return answer.caseOf({
+			Left: () => {
+				this.#forget();
+				return retryMilliseconds;
+			},
+			Right: events => {
+				this.#take(events);
+				return batchMilliseconds;
+			},
+		});
+	}
+
+	#take(events: StoreEvents): void {
+		const hasRestarted = this.#epoch !== undefined && events.epoch !== this.#epoch;
+		if (hasRestarted || events.isIncomplete) {
+			this.#forget();
+		}
+
+		if (hasRestarted) {
+			// The engine counts its events anew; they are asked for from the first one.
+			return;
+		}
+
+		this.#epoch = events.epoch;
+		this.#since = events.next;
+		const change: PartsChange = {
+			added: events.added.map(({salt, id, tokens}) => [`${salt}|${id}`, tokens]),
+			removed: events.removed.map(({salt, id}) => `${salt}|${id}`),
+		};
+		for (const key of change.removed) {
+			this.#parts.delete(key);
+		}
+
+		for (const [key, tokens] of change.added) {
+			this.#parts.set(key, tokens);
+		}
+
+		this.#tools.tell(this.#engine.name, change);
+	}
+
+	#forget(): void {
+		this.#tools.tell(this.#engine.name, {added: [], removed: [...this.#parts.keys()]});
+		this.#parts.clear();
+		this.#epoch = undefined;
+		this.#since = 0;
+	}
+}
--- /dev/null
+++ b/src/gateway/hub/engine-watches.ts
@@ -0,0 +1,76 @@
+/** The hub's watches over all engines: one for each incarnation that is in the list. */
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+import {EngineWatch, type EngineWatchTools} from './engine-watch.js';
+
+type Watched = {watch: EngineWatch; stop: AbortController; engine: EndpointRecord};
+
+export class EngineWatches {
+	readonly #tools: EngineWatchTools;
+	readonly #log: DecisionLog;
+	readonly #watched = new Map<string, Watched>();
+
+	constructor(tools: EngineWatchTools, log: DecisionLog) {
+		this.#tools = tools;
+		this.#log = log;
+	}
+
+	/** Watches these engines and no others. */
+	keep(engines: readonly EndpointRecord[]): void {
+		const wanted = new Map(engines.map(engine => [engine.name, engine]));
+		for (const [name, {engine}] of this.#watched) {
+			if (wanted.get(name)?.bornAt !== engine.bornAt) {
+				this.#end(name);
+			}
+		}
+
+		for (const engine of engines) {
+			if (!this.#watched.has(engine.name)) {
+				this.#start(engine);
+			}
+		}
+	}
+
+	/** Ends all watches. */
+	close(): void {
+		for (const name of this.#watched.keys()) {
+			this.#end(name);
+		}
+	}
+
+	/** The engines whose parts are told and up to date. */
+	known(): string[] {
+		return [...this.#watched].filter(([, {watch}]) => watch.isKnown).map(([name]) => name);
+	}
+
+	/** All parts of all engines. */
+	snapshot(): Array<{engine: string; parts: Array<[key: string, tokens: number]>}> {
+		return [...this.#watched].map(([engine, {watch}]) => ({engine, parts: watch.parts()}));
+	}
+
+	#start(engine: EndpointRecord): void {
+		const watched: Watched = {watch: new EngineWatch(engine, this.#tools), stop: new AbortController(), engine};
+		this.#watched.set(engine.name, watched);
+		void this.#run(watched);
+	}
+
+	/** A watch that fails is forgotten; the next look at the list starts a new one. */
+	async #run(watched: Watched): Promise<void> {
+		const {watch, stop, engine} = watched;
+		try {
+			await watch.run(stop.signal);
+		} catch (error) {
+			this.#log.record('fault', {child: `engine-watch ${engine.name}`, error: String(error)});
+			if (this.#watched.get(engine.name) === watched) {
+				this.#end(engine.name);
+			}
+		}
+	}
+
+	#end(name: string): void {
+		const watched = this.#watched.get(name);
+		this.#watched.delete(name);
+		watched?.stop.abort();
+		this.#tools.tell(name, {added: [], removed: watched?.watch.parts().map(([key]) => key) ?? []});
+	}
+}
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -1,6 +1,7 @@
 /** What the hub and its followers say to each other, as frames over one connection each. */
 
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
+import {type PartsChange} from '../../protocol/parts/store-ledger.js';
 
 /** A load as it is sent: requests, held tokens, oldest wait, last heard, then unread tokens by rank. */
 export type PackedLoad = number[];
@@ -23,6 +24,11 @@
 	};
 }
 
+/** The name of an engine among the holders of parts; stores go by the name of their service, which has no such prefix. */
+export function engineHolder(engine: string): string {
+	return `engine:${engine}`;
+}
+
 /** A follower's question. Its answer proves that all that the hub knew by then has been told. */
 export type FollowerFrame = {
 	kind: 'ask';
@@ -43,12 +49,13 @@
 		clock?: number;
 		/** Stores that may be saved to and fetched from. */
 		open: string[];
+		/** Engines whose parts are told and up to date. */
+		engines: string[];
 		/** What all other instances have under way, by endpoint. */
 		loads: Record<string, PackedLoad>;
 	}
-	| {
+	| PartsChange & {
 		kind: 'parts';
-		store: string;
-		added: Array<[key: string, tokens: number]>;
-		removed: string[];
+		/** A store, or an engine as `engineHolder` names it. */
+		holder: string;
 	};
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -18,6 +18,8 @@
 	isHub(): boolean;
 	engineClock(): number | undefined;
 	openStores(): string[];
+	/** Engines whose parts are told and up to date. */
+	knownEngines(): string[];
 	/** All that a new follower has to hear. */
 	snapshot(): Array<HubFrame & {kind: 'parts'}>;
 	takeUses(keys: readonly string[]): void;
@@ -118,7 +120,7 @@
 		this.#source.takeUses(uses);
 		const clock = this.#source.engineClock();
 		const answer: HubFrame = {
-			kind: 'answer', number, ...(clock === undefined ? {} : {clock}), open: this.#source.openStores(), loads: this.#loadsWithout(instance),
+			kind: 'answer', number, ...(clock === undefined ? {} : {clock}), open: this.#source.openStores(), engines: this.#source.knownEngines(), loads: this.#loadsWithout(instance),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
--- a/src/gateway/hub/hub-view.test.ts
+++ b/src/gateway/hub/hub-view.test.ts
@@ -9,10 +9,10 @@
 function heardAt(askedAt: number, answeredAt: number): HubView {
 	const view = new HubView();
 	view.takeParts({
-		kind: 'parts', store: 'cache', added: [['s|p', 800]], removed: [],
+		kind: 'parts', holder: 'cache', added: [['s|p', 800]], removed: [],
 	});
 	view.takeAnswer({
-		kind: 'answer', number: 1, clock: 50_000, open: ['cache'], loads: {},
+		kind: 'answer', number: 1, clock: 50_000, open: ['cache'], engines: ['e1'], loads: {},
 	}, at(askedAt), at(answeredAt));
 	return view;
 }
@@ -39,7 +39,7 @@
 test('a part that was taken back is not held', () => {
 	const view = heardAt(1000, 1010);
 	view.takeParts({
-		kind: 'parts', store: 'cache', added: [], removed: ['s|p'],
+		kind: 'parts', holder: 'cache', added: [], removed: ['s|p'],
 	});
 	assert.equal(view.holds('cache', 's|p', at(1020)), false);
 });
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -1,15 +1,18 @@
 /**
- * What a follower knows from the hub: which parts the stores hold whole, what the other instances have under way, and the
+ * What a follower knows from the hub: which parts stores and engines hold, what the other instances have under way, and the
  * engines' clock. Used only while fresh; counted from the sending of the question whose answer came last.
  */
 import {type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
-import {type HubFrame, type PackedLoad, unpackLoad} from './hub-messages.js';
+import {
+	engineHolder, type HubFrame, type PackedLoad, unpackLoad,
+} from './hub-messages.js';
 
 export class HubView {
-	readonly #stores = new Map<string, Map<string, number>>();
+	readonly #holders = new Map<string, Map<string, number>>();
 	#open: ReadonlySet<string> = new Set();
+	#engines: ReadonlySet<string> = new Set();
 	#loads: Readonly<Record<string, PackedLoad>> = {};
 	#askedAt: Moment | undefined;
 	#clock: {milliseconds: number; heardAt: number} | undefined;
@@ -17,17 +20,18 @@
 
 	/** Forgets all: the connection to the hub ended, and the next one tells all anew. */
 	reset(): void {
-		this.#stores.clear();
+		this.#holders.clear();
 		this.#open = new Set();
+		this.#engines = new Set();
 		this.#loads = {};
 		this.#askedAt = undefined;
 		this.#clock = undefined;
 	}
 
-	/** Takes what the hub tells of a store. */
-	takeParts({store, added, removed}: HubFrame & {kind: 'parts'}): void {
-		const parts = this.#stores.get(store) ?? new Map<string, number>();
-		this.#stores.set(store, parts);
+	/** Takes what the hub tells of a store or an engine. */
+	takeParts({holder, added, removed}: HubFrame & {kind: 'parts'}): void {
+		const parts = this.#holders.get(holder) ?? new Map<string, number>();
+		this.#holders.set(holder, parts);
 		for (const key of removed) {
 			parts.delete(key);
 		}
@@ -38,8 +42,9 @@
 	}
 
 	/** Takes the answer to a question that was sent at `askedAt`. */
-	takeAnswer({clock, open, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
+	takeAnswer({clock, open, engines, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
 		this.#open = new Set(open);
+		this.#engines = new Set(engines);
 		this.#loads = loads;
 		this.#askedAt = askedAt;
 		this.#clock = clock === undefined ? undefined : {milliseconds: clock, heardAt: now.steady};
@@ -56,7 +61,17 @@
 
 	/** Whether a store holds a part whole. */
 	holds(store: string, key: string, now: Moment): boolean {
-		return this.isOpen(store, now) && (this.#stores.get(store)?.has(key) ?? false);
+		return this.isOpen(store, now) && (this.#holders.get(store)?.has(key) ?? false);
+	}
+
+	/**
+	 * The parts that an engine keeps, by its own events.
+	 *
+	 * @param engine - Its name.
+	 * @returns Tokens by `salt|id`; `undefined` while they are not known. A hint: some events never arrive.
+	 */
+	engineParts(engine: string, now: Moment): ReadonlyMap<string, number> | undefined {
+		return this.isFresh(now) && this.#engines.has(engine) ? this.#holders.get(engineHolder(engine)) ?? new Map<string, number>() : undefined;
 	}
 
 	/**
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -5,6 +5,7 @@
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {withdrawalMilliseconds} from '../../protocol/parts/part-times.js';
 import {MemoryTable} from '../../test/memory-table.js';
+import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
 import {DutySeat} from '../duty/duty-seat.js';
 import {DecisionLog} from '../observability/decision-log.js';
@@ -97,7 +98,7 @@
 			table: 'leases', duty: 'hub', instance, address, leaseMilliseconds: 1000,
 		}, {store: table, clock, log});
 		const hub = new Hub({
-			clock, configuration, log, hubView,
+			clock, configuration, endpoints: new EndpointRegistry(), log, hubView,
 		}, {
 			instance, address, seat, client: new HubClient(hubView, {instance, loads: () => ({engine: [index + 1, 10, 0, 0, 0, 0, 0]})}, clock), control: store,
 		});
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -1,6 +1,6 @@
 /**
  * The hub: one instance, by a lease, gathers hints that no instance can have alone, and tells them to all: what the cache
- * stores hold, and what all instances have under way at each endpoint.
+ * stores and the engines hold, and what all instances have under way at each endpoint.
  *
  * Weighed against it: each instance reading each store and engine itself, which stores and engines do not allow (a few
  * calls at a time from all instances together), and telling each other in a mesh, which costs each pair a connection.
@@ -12,8 +12,9 @@
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {EngineWatches} from './engine-watches.js';
 import {askMilliseconds, type HubClient} from './hub-client.js';
-import {type HubFrame} from './hub-messages.js';
+import {engineHolder, type HubFrame} from './hub-messages.js';
 import {HubServer, type HubSource} from './hub-server.js';
 import {StoreKeeper} from './store-keeper.js';
 
@@ -24,7 +25,7 @@
 /** How long a dialled hub may take to answer before the row is read again. */
 const dialMilliseconds = 700;
 
-type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'log' | 'hubView'>;
+type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'log' | 'hubView'>;
 
 /** What the hub is given. */
 export type HubParts = {
@@ -41,6 +42,7 @@
 	readonly #context: HubContext;
 	readonly #parts: HubParts;
 	readonly #keepers = new Map<string, StoreKeeper>();
+	readonly #engines: EngineWatches;
 	#keeping: AbortController | undefined;
 	#lookAt = 0;
 	#isLeaving = false;
@@ -49,6 +51,13 @@
 		this.#context = context;
 		this.#parts = parts;
 		this.server = new HubServer(parts.address, this);
+		this.#engines = new EngineWatches({
+			control: parts.control,
+			clock: context.clock,
+			tell: (engine, change) => {
+				this.server.broadcast({kind: 'parts', holder: engineHolder(engine), ...change});
+			},
+		}, context.log);
 		this.#lookAt = this.#now() + (spreadMilliseconds * hashOf(parts.instance) / (2 ** 32));
 	}
 
@@ -72,8 +81,8 @@
 	/** Renews the duty or looks for its holder, and asks it. */
 	async step(): Promise<void> {
 		const {seat, client} = this.#parts;
-		const hasStores = !this.#isLeaving && this.#stores().length > 0;
-		if (hasStores && this.isHub() && seat.left() < renewMilliseconds) {
+		const isNeeded = !this.#isLeaving && (this.#stores().length > 0 || this.#engineServices().size > 0);
+		if (isNeeded && this.isHub() && seat.left() < renewMilliseconds) {
 			await seat.seek();
 		}
 
@@ -85,7 +94,7 @@
 
 		if (client.isConnected) {
 			client.ask();
-		} else if (hasStores && this.#now() >= this.#lookAt) {
+		} else if (isNeeded && this.#now() >= this.#lookAt) {
 			await this.#look();
 		}
 	}
@@ -102,9 +111,15 @@
 		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name]) => name);
 	}
 
+	knownEngines(): string[] {
+		return this.#engines.known();
+	}
+
 	snapshot(): Array<HubFrame & {kind: 'parts'}> {
-		return [...this.#keepers].map(([store, {ledger}]) => ({
-			kind: 'parts', store, added: ledger.offered(), removed: [],
+		const ofStores = [...this.#keepers].map(([holder, {ledger}]) => ({holder, added: ledger.offered()}));
+		const ofEngines = this.#engines.snapshot().map(({engine, parts}) => ({holder: engineHolder(engine), added: parts}));
+		return [...ofStores, ...ofEngines].map(({holder, added}) => ({
+			kind: 'parts', holder, added, removed: [],
 		}));
 	}
 
@@ -134,9 +149,11 @@
 		}
 	}
 
-	/** Starts to keep stores that are not kept yet. */
+	/** Starts to keep stores that are not kept yet, and to watch the engines of the list. */
 	#keep(): void {
 		this.#keeping ??= new AbortController();
+		const services = this.#engineServices();
+		this.#engines.keep(this.#context.endpoints.all().filter(({service, state}) => state === 'ready' && services.has(service)));
 		for (const [name, store] of this.#stores()) {
 			if (!this.#keepers.has(name)) {
 				const keeper = new StoreKeeper({name, connectionLimit: 0}, store, {
@@ -145,7 +162,7 @@
 					log: this.#context.log,
 					mayAct: () => this.isHub(),
 					tell: (kept, change) => {
-						this.server.broadcast({kind: 'parts', store: kept, ...change});
+						this.server.broadcast({kind: 'parts', holder: kept, ...change});
 					},
 				});
 				this.#keepers.set(name, keeper);
@@ -160,7 +177,7 @@
 			await keeper.run(signal);
 		} catch (error) {
 			this.#context.log.record('fault', {child: `store-keeper ${name}`, error: String(error)});
-			this.server.broadcast({kind: 'parts', store: name, ...keeper.ledger.close(this.#now())});
+			this.server.broadcast({kind: 'parts', holder: name, ...keeper.ledger.close(this.#now())});
 			this.#keepers.delete(name);
 		}
 	}
@@ -170,6 +187,7 @@
 			this.#keeping.abort();
 			this.#keeping = undefined;
 			this.#keepers.clear();
+			this.#engines.close();
 			this.server.dropAll();
 		}
 	}
@@ -179,6 +197,12 @@
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
 	}
 
+	/** Services of model engines. */
+	#engineServices(): Set<string> {
+		const services = this.#context.configuration.current?.services.values() ?? [];
+		return new Set([...services].filter(({engine}) => engine !== undefined).map(({name}) => name));
+	}
+
 	#now(): number {
 		return this.#context.clock.moment().steady;
 	}
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -1,7 +1,7 @@
 /** The hub's care for one cache store: follows its events, tells the followers, and frees what is unused for longest. */
 import {type CacheStoreControl, type StoreEvents} from '../../ports/cache-store-control.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
-import {type LedgerChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
+import {type PartsChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type RoutedService, type StoreTraits} from '../../shared/routed-configuration.js';
 
@@ -21,7 +21,7 @@
 	log: DecisionLog;
 	/** Whether this instance may act for the duty. */
 	mayAct(): boolean;
-	tell(store: string, change: LedgerChange): void;
+	tell(store: string, change: PartsChange): void;
 };
 
 export class StoreKeeper {
--- a/src/protocol/parts/store-ledger.ts
+++ b/src/protocol/parts/store-ledger.ts
@@ -9,8 +9,8 @@
 import {type StoredPart, type StoreEvents, type StoreListing} from '../../ports/cache-store-control.js';
 import {withdrawalMilliseconds} from './part-times.js';
 
-/** What followers are told. Keys are `salt|id`. */
-export type LedgerChange = {
+/** What a holder of parts has got and lost, as followers are told. Keys are `salt|id`. */
+export type PartsChange = {
 	added: Array<[key: string, tokens: number]>;
 	removed: string[];
 };
@@ -61,8 +61,8 @@
 	}
 
 	/** Takes a whole listing. */
-	takeListing({epoch, parts, partial}: StoreListing, now: number): LedgerChange {
-		const change: LedgerChange = {added: [], removed: []};
+	takeListing({epoch, parts, partial}: StoreListing, now: number): PartsChange {
+		const change: PartsChange = {added: [], removed: []};
 		this.#epoch = epoch;
 		const listed = new Set(parts.map(part => keyOf(part)));
 		for (const key of this.#parts.keys()) {
@@ -80,8 +80,8 @@
 	}
 
 	/** Takes events of the same epoch. */
-	takeEvents({added, removed}: StoreEvents, now: number): LedgerChange {
-		const change: LedgerChange = {added: [], removed: []};
+	takeEvents({added, removed}: StoreEvents, now: number): PartsChange {
+		const change: PartsChange = {added: [], removed: []};
 		for (const part of added) {
 			this.#heldTokens += this.#knows(part) ? 0 : inBlocks(part.tokens);
 			this.#add(part, now, change);
@@ -97,8 +97,8 @@
 	}
 
 	/** The store is out of reach or has restarted: nothing in it is offered until nobody can believe anything older. */
-	close(now: number): LedgerChange {
-		const change: LedgerChange = {added: [], removed: [...this.#parts.keys()]};
+	close(now: number): PartsChange {
+		const change: PartsChange = {added: [], removed: [...this.#parts.keys()]};
 		this.#parts.clear();
 		this.#withdrawn.clear();
 		this.#heldTokens = 0;
@@ -118,8 +118,8 @@
 	}
 
 	/** Withdraws the parts that were unused for longest, if the store is too full. */
-	withdraw(now: number): LedgerChange {
-		const change: LedgerChange = {added: [], removed: []};
+	withdraw(now: number): PartsChange {
+		const change: PartsChange = {added: [], removed: []};
 		let willHold = this.#heldTokens - [...this.#withdrawn.values()].reduce((sum, {tokens}) => sum + inBlocks(tokens), 0);
 		if (willHold <= highShare * this.#capacityTokens) {
 			return change;
@@ -155,7 +155,7 @@
 		}
 	}
 
-	#add(part: StoredPart, now: number, change: LedgerChange): void {
+	#add(part: StoredPart, now: number, change: PartsChange): void {
 		const key = keyOf(part);
 		// A withdrawn part stays withdrawn: it will be freed, whatever a late event says.
 		if (this.#withdrawn.has(key) || this.#parts.has(key)) {
@@ -166,7 +166,7 @@
 		change.added.push([key, part.tokens]);
 	}
 
-	#drop(key: string, change: LedgerChange): void {
+	#drop(key: string, change: PartsChange): void {
 		if (this.#parts.delete(key)) {
 			change.removed.push(key);
 		}
