Save parts where there is room, free what no engine can use, and fill the stores further

Change: a new part goes to the first store of its order with room, and is fetched from wherever it lies; the keeper withdraws parts of weights that every engine has left behind; marks 94% and 88% in place of 85% and 75%.

--- a/src/decision/parts/plan-parts.test.ts
+++ b/src/decision/parts/plan-parts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type NamedStore, PartPlanner, storeOf} from './plan-parts.js';
+import {type NamedStore, PartPlanner, storesInOrder} from './plan-parts.js';
 
 const store = (name: string, capacityTokens: number): NamedStore => ({
 	name,
@@ -14,31 +14,52 @@
 test('what a store holds whole is fetched, what it lacks is saved once', () => {
 	const planner = new PartPlanner();
 	const held = 's-w1|p1';
-	const known = {isOpen: () => true, holds: (_store: string, key: string) => key === held, engineSource: () => undefined};
+	const known = {
+		isOpen: () => true, holds: (name: string, key: string) => name === storesInOrder('p1', stores)[0]!.name && key === held, heldTokens: () => 0, engineSource: () => undefined,
+	};
 	const first = planner.plan(parts, 's-w1', {stores, known}, 0);
 	assert.deepEqual(first.used, [held]);
 	assert.equal(first.fetchedTokens, 500);
-	assert.equal(first.fetchFrom[0], storeOf('p1', stores)!.store.address);
+	assert.equal(first.fetchFrom[0], storesInOrder('p1', stores)[0]!.store.address);
 	assert.deepEqual([first.saveTo[0], first.fetchFrom[1]], [undefined, undefined]);
-	assert.equal(first.saveTo[1], storeOf('p2', stores)!.store.address);
+	assert.equal(first.saveTo[1], storesInOrder('p2', stores)[0]!.store.address);
 	assert.equal(planner.plan(parts, 's-w1', {stores, known}, 1000).saveTo[1], undefined);
 	assert.notEqual(planner.plan(parts, 's-w1', {stores, known}, 5000).saveTo[1], undefined);
 });
 
 test('nothing is fetched from or saved to stores of which nothing fresh is known', () => {
-	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known: {isOpen: () => false, holds: () => false, engineSource: () => undefined}}, 0);
+	const plan = new PartPlanner().plan(parts, 's-w1', {
+		stores, known: {
+			isOpen: () => false, holds: () => false, heldTokens: () => 0, engineSource: () => undefined,
+		},
+	}, 0);
 	assert.deepEqual(plan.saveTo, [undefined, undefined]);
 	assert.deepEqual(plan.fetchFrom, [undefined, undefined]);
 });
 
 test('parts spread over stores by their room', () => {
 	const ids = Array.from({length: 6000}, (_, index) => `part-${index}`);
-	const inSmall = ids.filter(id => storeOf(id, stores)!.name === 'small').length;
+	const inSmall = ids.filter(id => storesInOrder(id, stores)[0]!.name === 'small').length;
 	assert.ok(inSmall > 800 && inSmall < 1200, String(inSmall));
 });
 
+test('a part goes to a store with room, and is fetched from wherever it lies', () => {
+	// Stores fill unevenly. A part whose first store is full would push out another one that is in use, while others lie empty.
+	const [first, second] = storesInOrder('p2', stores);
+	const known = {
+		isOpen: () => true, holds: () => false, heldTokens: (name: string) => name === first!.name ? first!.store.capacityTokens : 0, engineSource: () => undefined,
+	};
+	assert.equal(new PartPlanner().plan(parts, 's-w1', {stores, known}, 0).saveTo[1], second!.store.address);
+	const full = {...known, heldTokens: () => 1_000_000};
+	assert.equal(new PartPlanner().plan(parts, 's-w1', {stores, known: full}, 0).saveTo[1], first!.store.address);
+	const lies = {...known, holds: (name: string) => name === second!.name};
+	assert.equal(new PartPlanner().plan(parts, 's-w1', {stores, known: lies}, 0).fetchFrom[1], second!.store.address);
+});
+
 test('a part that no store has yet is fetched from an engine that keeps it, and still saved', () => {
-	const known = {isOpen: () => true, holds: () => false, engineSource: (key: string) => key === 's-w1|p2' ? 'engine:1' : undefined};
+	const known = {
+		isOpen: () => true, holds: () => false, heldTokens: () => 0, engineSource: (key: string) => key === 's-w1|p2' ? 'engine:1' : undefined,
+	};
 	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known}, 0);
 	assert.deepEqual(plan.fetchFrom, [undefined, 'engine:1']);
 	assert.equal(plan.fetchedTokens, 8000);
--- a/src/decision/parts/plan-parts.ts
+++ b/src/decision/parts/plan-parts.ts
@@ -8,9 +8,10 @@
  * all others need the same parts within the seconds that a save and its news take. What an engine keeps is a hint; a part
  * that is gone there costs a millisecond, and the prompt is read.
  *
- * Each part has one store by a hash weighed by room, so that all instances look for it in the same place. Only parts that
- * are known to be whole are fetched: an engine takes what lies there without looking. A part is saved if its store does
- * not have it; asked for once in a while only, since the news of a save comes some hundred milliseconds later.
+ * Each part has an order of stores by a hash weighed by room, the same for all instances, and is saved to the first one that
+ * has room left: with one store for each part, some stores dropped parts in use while a quarter of the others lay empty.
+ * Only parts that are known to be whole are fetched: an engine takes what lies there without looking. A part is saved if no
+ * store has it; asked for once in a while only, since the news of a save comes some hundred milliseconds later.
  */
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type PromptPart} from '../../shared/prompt-shape.js';
@@ -20,6 +21,8 @@
 export interface StoreKnowledge {
 	isOpen(store: string): boolean;
 	holds(store: string, key: string): boolean;
+	/** Tokens of all parts that a store is known to hold. */
+	heldTokens(store: string): number;
 	/** The address of an engine that keeps a part which the engine of the prompt lacks. */
 	engineSource(key: string): string | undefined;
 }
@@ -41,6 +44,8 @@
 /** How many asked-for saves are remembered. */
 const rememberedSaves = 2000;
 const hashRange = 2 ** 32;
+/** A store that is fuller than this counts as full: what is being written is not yet known, and the keeper makes room above it. */
+const roomShare = 0.92;
 
 export class PartPlanner {
 	readonly #askedAt = new Map<string, number>();
@@ -60,17 +65,16 @@
 		};
 		for (const {id, tokens} of parts) {
 			const key = `${salt}|${id}`;
-			const home = storeOf(id, stores);
-			const isHeld = home !== undefined && known.holds(home.name, key);
-			const source = isHeld ? home.store.address : known.engineSource(key);
+			const holder = stores.find(({name}) => known.holds(name, key));
+			const source = holder?.store.address ?? known.engineSource(key);
 			plan.fetchFrom.push(source);
 			plan.fetchedTokens += source === undefined ? 0 : tokens;
-			if (isHeld) {
+			if (holder !== undefined) {
 				plan.used.push(key);
 			}
 
-			const isSaved = home !== undefined && !isHeld && known.isOpen(home.name) && this.#maySave(key, now);
-			plan.saveTo.push(isSaved ? home.store.address : undefined);
+			const room = holder === undefined ? storeWithRoom({id, tokens}, stores, known) : undefined;
+			plan.saveTo.push(room !== undefined && this.#maySave(key, now) ? room.store.address : undefined);
 		}
 
 		return plan;
@@ -92,18 +96,16 @@
 	}
 }
 
-/** The store of a part: rendezvous hashing, each store weighed by its room. */
-export function storeOf(partId: string, stores: readonly NamedStore[]): NamedStore | undefined {
-	let best: NamedStore | undefined;
-	let highest = Number.NEGATIVE_INFINITY;
-	for (const named of stores) {
-		const uniform = (hashOf(`${partId}|${named.name}`) + 1) / (hashRange + 1);
-		const score = -named.store.capacityTokens / Math.log(uniform);
-		if (score > highest) {
-			best = named;
-			highest = score;
-		}
-	}
+/** The store that a new part is saved to: the first of its order with room; if none has, the first one, which makes room. */
+function storeWithRoom({id, tokens}: PromptPart, stores: readonly NamedStore[], known: StoreKnowledge): NamedStore | undefined {
+	const order = storesInOrder(id, stores.filter(({name}) => known.isOpen(name)));
+	return order.find(({name, store}) => known.heldTokens(name) + tokens <= roomShare * store.capacityTokens) ?? order[0];
+}
 
-	return best;
+/** The stores of a part in the order of preference: rendezvous hashing, each store weighed by its room. */
+export function storesInOrder(partId: string, stores: readonly NamedStore[]): NamedStore[] {
+	return stores
+		.map(named => ({named, score: -named.store.capacityTokens / Math.log((hashOf(`${partId}|${named.name}`) + 1) / (hashRange + 1))}))
+		.toSorted((one, other) => other.score - one.score)
+		.map(({named}) => named);
 }
--- a/src/gateway/data-path/endpoint-headers.ts
+++ b/src/gateway/data-path/endpoint-headers.ts
@@ -1,4 +1,5 @@
 /** Builds the headers that an endpoint gets: the client's own, without those that only the system may set, and ours. */
+import {cacheSalt} from '../../protocol/parts/cache-salt.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type PermittedRequest} from './judge-request.js';
 import {withoutHopByHop} from './hop-by-hop.js';
@@ -106,11 +107,6 @@
 	return grant?.isIsolated ? `workspace-${grant.name}` : 'shared';
 }
 
-/** The text under which an engine finds parts. */
-export function cacheSalt(scope: string, version: number): string {
-	return `${scope}-w${version}`;
-}
-
 function hasBodyByMethod({method, rawHeaders}: RequestHead): boolean {
 	const declares = rawHeaders.some((text, index) => index % 2 === 0 && /^(?:content-length|transfer-encoding)$/iv.test(text));
 	return declares && method !== 'GET' && method !== 'HEAD';
--- a/src/gateway/data-path/prompt-sources.ts
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -1,11 +1,12 @@
 /** Where the parts of one request's prompt are kept, as this instance knows now: stores, engines, and which of them. */
-import {type NamedStore, type StoreKnowledge, storeOf} from '../../decision/parts/plan-parts.js';
+import {type NamedStore, type StoreKnowledge} from '../../decision/parts/plan-parts.js';
 import {type Moment} from '../../ports/moment-clock.js';
+import {cacheSalt} from '../../protocol/parts/cache-salt.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {hashOf} from '../../shared/hash-of.js';
 import {type PromptPart} from '../../shared/prompt-shape.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {cacheSalt, cacheScopeOf} from './endpoint-headers.js';
+import {cacheScopeOf} from './endpoint-headers.js';
 import {type PermittedRequest} from './judge-request.js';
 import {type RequestHead} from './request-head.js';
 
@@ -55,8 +56,7 @@
 		const {stores} = this;
 		const fetchable = this.sharedParts.map(({id}) => {
 			const key = `${this.saltUnder(version)}|${id}`;
-			const home = storeOf(id, stores);
-			return (home !== undefined && this.#context.hubView.holds(home.name, key, this.#now)) || this.#enginesWith(key).length > 0;
+			return stores.some(({name}) => this.#context.hubView.holds(name, key, this.#now)) || this.#enginesWith(key).length > 0;
 		});
 		this.#fetchable.set(version, fetchable);
 		return fetchable;
@@ -80,6 +80,7 @@
 		return {
 			isOpen: store => hubView.isOpen(store, this.#now),
 			holds: (store, key) => hubView.holds(store, key, this.#now),
+			heldTokens: store => hubView.heldTokens(store),
 			engineSource: key => own?.has(key) ? undefined : this.#sourceFor(target, key),
 		};
 	}
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -11,6 +11,7 @@
 
 export class HubView {
 	readonly #holders = new Map<string, Map<string, number>>();
+	readonly #heldTokens = new Map<string, number>();
 	#open: ReadonlySet<string> = new Set();
 	#engines: ReadonlySet<string> = new Set();
 	#loads: Readonly<Record<string, PackedLoad>> = {};
@@ -21,6 +22,7 @@
 	/** Forgets all: the connection to the hub ended, and the next one tells all anew. */
 	reset(): void {
 		this.#holders.clear();
+		this.#heldTokens.clear();
 		this.#open = new Set();
 		this.#engines = new Set();
 		this.#loads = {};
@@ -32,13 +34,18 @@
 	takeParts({holder, added, removed}: HubFrame & {kind: 'parts'}): void {
 		const parts = this.#holders.get(holder) ?? new Map<string, number>();
 		this.#holders.set(holder, parts);
+		let heldTokens = this.#heldTokens.get(holder) ?? 0;
 		for (const key of removed) {
+			heldTokens -= parts.get(key) ?? 0;
 			parts.delete(key);
 		}
 
 		for (const [key, tokens] of added) {
+			heldTokens += tokens - (parts.get(key) ?? 0);
 			parts.set(key, tokens);
 		}
+
+		this.#heldTokens.set(holder, heldTokens);
 	}
 
 	/** Takes the answer to a question that was sent at `askedAt`. */
@@ -64,6 +71,11 @@
 		return this.isOpen(store, now) && (this.#holders.get(store)?.has(key) ?? false);
 	}
 
+	/** Tokens of all parts that a store is known to hold. */
+	heldTokens(store: string): number {
+		return this.#heldTokens.get(store) ?? 0;
+	}
+
 	/**
 	 * The parts that an engine keeps, by its own events.
 	 *
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -8,6 +8,7 @@
  */
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
+import {versionOfSalt} from '../../protocol/parts/cache-salt.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
@@ -161,6 +162,7 @@
 					clock: this.#context.clock,
 					log: this.#context.log,
 					mayAct: () => this.isHub(),
+					isDead: salt => this.#isDead(salt),
 					tell: (kept, change) => {
 						this.server.broadcast({kind: 'parts', holder: kept, ...change});
 					},
@@ -197,6 +199,13 @@
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
 	}
 
+	/** Whether all engines of the list have newer weights than a salt names; without engines nothing is known. */
+	#isDead(salt: string): boolean {
+		const version = versionOfSalt(salt);
+		const versions = this.#context.endpoints.all().flatMap(({weightVersions}) => [...weightVersions.values()]);
+		return version !== undefined && versions.length > 0 && versions.every(live => live > version);
+	}
+
 	/** Services of model engines. */
 	#engineServices(): Set<string> {
 		const services = this.#context.configuration.current?.services.values() ?? [];
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -21,6 +21,8 @@
 	log: DecisionLog;
 	/** Whether this instance may act for the duty. */
 	mayAct(): boolean;
+	/** Whether no engine can use what lies under a salt. */
+	isDead(salt: string): boolean;
 	tell(store: string, change: PartsChange): void;
 };
 
@@ -97,7 +99,7 @@
 
 		this.#since = events.next;
 		this.#tools.tell(this.#service, this.ledger.takeEvents(events, now));
-		this.#tools.tell(this.#service, this.ledger.withdraw(now));
+		this.#tools.tell(this.#service, this.ledger.withdraw(now, this.#tools.isDead));
 		await this.#free();
 		return batchMilliseconds;
 	}
--- a/src/protocol/parts/store-ledger.test.ts
+++ b/src/protocol/parts/store-ledger.test.ts
@@ -10,7 +10,7 @@
 });
 
 function fullLedger(): StoreLedger {
-	const ledger = new StoreLedger(16_000);
+	const ledger = new StoreLedger(14_500);
 	ledger.takeListing({
 		epoch: 1, next: 1, parts: [], partial: [],
 	}, 0);
@@ -57,3 +57,13 @@
 	assert.deepEqual(ledger.offered(), [['shared-w1|p5', 1600]]);
 	assert.equal(ledger.heldTokens, 3200);
 });
+
+test('parts under weights that no engine has any more make room at once', () => {
+	// New weights are loaded everywhere. Their parts arrive at a rate that room made tenth by tenth cannot follow, and what
+	// finds no room is read again.
+	const ledger = fullLedger();
+	const {removed} = ledger.withdraw(100, salt => salt === 'shared-w1');
+	assert.equal(removed.length, 9);
+	assert.equal(ledger.dueToFree(100 + withdrawalMilliseconds - 1).length, 0);
+	assert.equal(ledger.dueToFree(100 + withdrawalMilliseconds).length, 9);
+});
--- a/src/protocol/parts/store-ledger.ts
+++ b/src/protocol/parts/store-ledger.ts
@@ -16,9 +16,12 @@
 };
 
 /** Parts are freed when a store is fuller than this, */
-const highShare = 0.85;
-/** Down to this. The rest is room for parts that are being written, which events do not tell of. */
-const lowShare = 0.75;
+const highShare = 0.94;
+/**
+ * Down to this. The rest is room for parts that are being written, which events do not tell of. A part that finds no room
+ * is only not saved, and tried again; room that lies empty is parts read again, where the parts in use fill the stores.
+ */
+const lowShare = 0.88;
 /** Engines and stores keep memory in blocks. */
 const blockTokens = 16;
 
@@ -117,9 +120,20 @@
 		}
 	}
 
-	/** Withdraws the parts that were unused for longest, if the store is too full. */
-	withdraw(now: number): PartsChange {
+	/**
+	 * Withdraws the parts that nobody can use any more, and those that were unused for longest if the store is too full.
+	 *
+	 * @param isDead - Whether no engine can use what lies under a salt: its weights are gone everywhere. New weights fill the
+	 * stores with new parts within seconds, faster than room is made one tenth at a time.
+	 */
+	withdraw(now: number, isDead: (salt: string) => boolean = () => false): PartsChange {
 		const change: PartsChange = {added: [], removed: []};
+		for (const [key, {tokens}] of this.#parts) {
+			if (isDead(partOf(key).salt)) {
+				this.#withdraw(key, tokens, now, change);
+			}
+		}
+
 		let willHold = this.#heldTokens - [...this.#withdrawn.values()].reduce((sum, {tokens}) => sum + inBlocks(tokens), 0);
 		if (willHold <= highShare * this.#capacityTokens) {
 			return change;
@@ -131,9 +145,7 @@
 			}
 
 			willHold -= inBlocks(tokens);
-			this.#parts.delete(key);
-			this.#withdrawn.set(key, {tokens, freeAt: now + withdrawalMilliseconds});
-			change.removed.push(key);
+			this.#withdraw(key, tokens, now, change);
 		}
 
 		return change;
@@ -155,6 +167,12 @@
 		}
 	}
 
+	#withdraw(key: string, tokens: number, now: number, change: PartsChange): void {
+		this.#parts.delete(key);
+		this.#withdrawn.set(key, {tokens, freeAt: now + withdrawalMilliseconds});
+		change.removed.push(key);
+	}
+
 	#add(part: StoredPart, now: number, change: PartsChange): void {
 		const key = keyOf(part);
 		// A withdrawn part stays withdrawn: it will be freed, whatever a late event says.
