Go on with hints behind a lapsed hub lease, and renew sooner where the store is slow

Change: a hub whose lease lapsed tells hints for up to 15 s unless it hears of another holder; stores stay under the lease, and followers are told that nothing is held; calls to the store run beside the questions; a grant is renewed with two renewals of the last one's length left; the engines' clock comes from engines too. hub.ts split (store-keepers).

--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -26,12 +26,15 @@
 
 /** When a lease is looked at again if a call for it failed. */
 const retryMilliseconds = 500;
+/** A store that answers slowly is asked again so much sooner that one slow renewal behind the last one still comes in time. */
+const renewalsBefore = 2;
 
 export class DutySeat {
 	readonly #plan: DutyPlan;
 	readonly #tools: DutyTools;
 	#grant: DutyGrant | undefined;
 	#notBefore = 0;
+	#seekMilliseconds = 0;
 	/** The row as it was read last, of whomever. */
 	#seen: DutyRow | undefined;
 
@@ -50,6 +53,11 @@
 		return this.#seen;
 	}
 
+	/** With less than this left a grant is to be renewed: two renewals as slow as the last one. */
+	get renewalMilliseconds(): number {
+		return renewalsBefore * this.#seekMilliseconds;
+	}
+
 	/** Milliseconds for which this instance may still act; 0 if it may not. */
 	left(): number {
 		const left = this.#grant === undefined ? 0 : leftOfGrant(this.#grant, this.#plan.leaseMilliseconds, this.#tools.clock.moment());
@@ -95,6 +103,7 @@
 			log.record('lease-taken', {duty: this.#plan.duty, fencingNumber: granted.fencingNumber, grantedAt: granted.grantedAt});
 		}
 
+		this.#seekMilliseconds = clock.moment().steady - since.steady;
 		this.#seen = granted;
 		this.#grant = {row: granted, since};
 	}
--- a/src/gateway/hub/engine-watch.ts
+++ b/src/gateway/hub/engine-watch.ts
@@ -28,6 +28,7 @@
 	readonly #engine: EndpointRecord;
 	readonly #tools: EngineWatchTools;
 	readonly #parts = new Map<string, number>();
+	#clock: {milliseconds: number; heardAt: number} | undefined;
 	#epoch: number | undefined;
 	#since = 0;
 
@@ -41,6 +42,11 @@
 		return this.#epoch !== undefined;
 	}
 
+	/** The engines' clock by this engine's last word, in milliseconds. */
+	get engineClock(): number | undefined {
+		return this.#clock === undefined ? undefined : this.#clock.milliseconds + (this.#tools.clock.moment().steady - this.#clock.heardAt);
+	}
+
 	/** All parts, for a follower that knows none. */
 	parts(): Array<[key: string, tokens: number]> {
 		return [...this.#parts];
@@ -69,6 +75,10 @@
 	}
 
 	#take(events: StoreEvents): void {
+		if (events.clockMilliseconds !== undefined) {
+			this.#clock = {milliseconds: events.clockMilliseconds, heardAt: this.#tools.clock.moment().steady};
+		}
+
 		const hasRestarted = this.#epoch !== undefined && events.epoch !== this.#epoch;
 		if (hasRestarted || events.isIncomplete) {
 			this.#forget();
--- a/src/gateway/hub/engine-watches.ts
+++ b/src/gateway/hub/engine-watches.ts
@@ -43,6 +43,11 @@
 		return [...this.#watched].filter(([, {watch}]) => watch.isKnown).map(([name]) => name);
 	}
 
+	/** The engines' clock, in milliseconds, if any engine told it. */
+	engineClock(): number | undefined {
+		return [...this.#watched.values()].map(({watch}) => watch.engineClock).find(clock => clock !== undefined);
+	}
+
 	/** All parts of all engines. */
 	snapshot(): Array<{engine: string; parts: Array<[key: string, tokens: number]>}> {
 		return [...this.#watched].map(([engine, {watch}]) => ({engine, parts: watch.parts()}));
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -26,6 +26,7 @@
 	readonly #self: FollowerSelf;
 	readonly #clock: MomentClock;
 	#socket: Socket | undefined;
+	#address: string | undefined;
 	#reader = new FrameReader();
 	#number = 0;
 	#asked = new Map<number, Moment>();
@@ -41,12 +42,18 @@
 		return this.#socket !== undefined;
 	}
 
+	/** Where the hub was dialled; absent without a connection. */
+	get address(): string | undefined {
+		return this.#socket === undefined ? undefined : this.#address;
+	}
+
 	/** Opens a connection to `IP:port`; what was heard before is forgotten. */
 	dial(address: string): void {
 		this.close();
 		const separator = address.lastIndexOf(':');
 		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true});
 		this.#socket = socket;
+		this.#address = address;
 		this.#reader = new FrameReader();
 		this.#heardAt = this.#clock.moment().steady;
 		const end = (): void => {
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -47,6 +47,8 @@
 		number: number;
 		/** The engines' clock, in milliseconds; absent while it is not known. */
 		clock?: number;
+		/** Whether the hub has lost its lease: it tells hints still, but nothing of stores, and another one may be found. */
+		isLapsed: boolean;
 		/** Stores that may be saved to and fetched from. */
 		open: string[];
 		/** Engines whose parts are told and up to date. */
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -16,6 +16,8 @@
 export interface HubSource {
 	/** Whether this instance holds the duty now. */
 	isHub(): boolean;
+	/** Whether followers are told anything, under the duty or for a while behind it. */
+	isServing(): boolean;
 	engineClock(): number | undefined;
 	openStores(): string[];
 	/** Engines whose parts are told and up to date. */
@@ -80,7 +82,7 @@
 	}
 
 	#take(socket: Socket): void {
-		if (!this.#source.isHub()) {
+		if (!this.#source.isServing()) {
 			socket.destroy();
 			return;
 		}
@@ -111,7 +113,7 @@
 	}
 
 	#answer(socket: Socket, {number, instance, uses, loads}: FollowerFrame): void {
-		if (!this.#source.isHub()) {
+		if (!this.#source.isServing()) {
 			socket.destroy();
 			return;
 		}
@@ -120,7 +122,13 @@
 		this.#source.takeUses(uses);
 		const clock = this.#source.engineClock();
 		const answer: HubFrame = {
-			kind: 'answer', number, ...(clock === undefined ? {} : {clock}), open: this.#source.openStores(), engines: this.#source.knownEngines(), loads: this.#loadsWithout(instance),
+			kind: 'answer',
+			number,
+			...(clock === undefined ? {} : {clock}),
+			isLapsed: !this.#source.isHub(),
+			open: this.#source.openStores(),
+			engines: this.#source.knownEngines(),
+			loads: this.#loadsWithout(instance),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
--- a/src/gateway/hub/hub-view.test.ts
+++ b/src/gateway/hub/hub-view.test.ts
@@ -12,7 +12,7 @@
 		kind: 'parts', holder: 'cache', added: [['s|p', 800]], removed: [],
 	});
 	view.takeAnswer({
-		kind: 'answer', number: 1, clock: 50_000, open: ['cache'], engines: ['e1'], loads: {},
+		kind: 'answer', number: 1, clock: 50_000, isLapsed: false, open: ['cache'], engines: ['e1'], loads: {},
 	}, at(askedAt), at(answeredAt));
 	return view;
 }
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -14,6 +14,7 @@
 	readonly #heldTokens = new Map<string, number>();
 	#open: ReadonlySet<string> = new Set();
 	#engines: ReadonlySet<string> = new Set();
+	#isLapsed = false;
 	#loads: Readonly<Record<string, PackedLoad>> = {};
 	#askedAt: Moment | undefined;
 	#clock: {milliseconds: number; heardAt: number} | undefined;
@@ -25,6 +26,7 @@
 		this.#heldTokens.clear();
 		this.#open = new Set();
 		this.#engines = new Set();
+		this.#isLapsed = false;
 		this.#loads = {};
 		this.#askedAt = undefined;
 		this.#clock = undefined;
@@ -49,14 +51,20 @@
 	}
 
 	/** Takes the answer to a question that was sent at `askedAt`. */
-	takeAnswer({clock, open, engines, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
+	takeAnswer({clock, isLapsed, open, engines, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
 		this.#open = new Set(open);
 		this.#engines = new Set(engines);
+		this.#isLapsed = isLapsed;
 		this.#loads = loads;
 		this.#askedAt = askedAt;
 		this.#clock = clock === undefined ? undefined : {milliseconds: clock, heardAt: now.steady};
 	}
 
+	/** Whether the hub has lost its lease. */
+	get isLapsed(): boolean {
+		return this.#isLapsed;
+	}
+
 	isFresh(now: Moment): boolean {
 		return this.#askedAt !== undefined && longestElapsed(this.#askedAt, now) < freshMilliseconds;
 	}
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {Left, Right} from 'purify-ts/Either';
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
@@ -69,9 +69,8 @@
 	}
 }
 
-test('one instance becomes the hub, all hear what stores hold and what the others do, and another one takes over', async () => {
-	// The hub's process stops. Its followers must not go on with what they heard for longer than it is fresh, and a new hub
-	// tells them again.
+/** Three instances over one table, before one cache store that holds one part. */
+async function startHubs(context: TestContext) {
 	const table = new MemoryTable();
 	const startedAt = clock.moment().steady;
 	const ticking = setInterval(() => {
@@ -108,6 +107,21 @@
 		return {hub, hubView, stop};
 	});
 	const allKnow = (): boolean => instances.every(({hubView, stop}) => stop.signal.aborted || hubView.holds('cache', 's|p', clock.moment()));
+	context.after(() => {
+		clearInterval(ticking);
+		for (const {stop} of instances) {
+			stop.abort();
+		}
+	});
+	return {
+		table, store, instances, allKnow,
+	};
+}
+
+test('one instance becomes the hub, all hear what stores hold and what the others do, and another one takes over', async context => {
+	// The hub's process stops. Its followers must not go on with what they heard for longer than it is fresh, and a new hub
+	// tells them again.
+	const {store, instances, allKnow} = await startHubs(context);
 	await until('all know the part', allKnow, 6000 + withdrawalMilliseconds);
 	assert.equal(instances.filter(({hub}) => hub.isHub()).length, 1);
 	await until('loads of the others are told', () => instances.every(({hubView}, index) => hubView.othersAt('engine', clock.moment())?.requests === 6 - (index + 1)), 2000);
@@ -117,8 +131,22 @@
 	await until('another hub tells the others', () => instances.some(({hub}) => hub !== old.hub && hub.isHub()) && allKnow(), 8000 + withdrawalMilliseconds);
 	store.isDown = true;
 	await until('nothing is offered from a store that is away', () => instances.every(({hubView}) => !hubView.holds('cache', 's|p', clock.moment())), 2000);
-	clearInterval(ticking);
-	for (const {stop} of instances) {
-		stop.abort();
-	}
+});
+
+test('a hub whose lease lapses goes on with hints, but tells nothing of stores until it holds the lease again', async context => {
+	// The store is away for some seconds: nobody can renew a lease or take one over. Without hints every instance would be
+	// blind for all that time. What stores hold is not told: behind the lapse another hub might free it.
+	const {table, instances, allKnow} = await startHubs(context);
+	await until('all know the part', allKnow, 6000 + withdrawalMilliseconds);
+	table.down = true;
+	await until('nothing is offered from stores', () => instances.every(({hubView}) => !hubView.holds('cache', 's|p', clock.moment())), 2000);
+	const until2500 = clock.moment().steady + 2500;
+	await until('time passes', () => {
+		assert.ok(instances.every(({hubView}) => hubView.othersAt('engine', clock.moment()) !== undefined), 'hints are gone');
+		return clock.moment().steady >= until2500;
+	}, 3000);
+	assert.equal(instances.every(({hubView}) => hubView.isLapsed), true);
+	table.down = false;
+	await until('all know the part again', allKnow, 6000 + withdrawalMilliseconds);
+	assert.equal(instances.some(({hubView}) => hubView.isLapsed), false);
 });
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -9,6 +9,7 @@
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
 import {versionOfSalt} from '../../protocol/parts/cache-salt.js';
+import {type PartsChange} from '../../protocol/parts/store-ledger.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
@@ -17,10 +18,18 @@
 import {askMilliseconds, type HubClient} from './hub-client.js';
 import {engineHolder, type HubFrame} from './hub-messages.js';
 import {HubServer, type HubSource} from './hub-server.js';
-import {StoreKeeper} from './store-keeper.js';
+import {StoreKeepers} from './store-keepers.js';
 
-/** The lease is renewed when less than this is left of a grant. */
+/** The lease is renewed when less than this is left of a grant, or less than the last renewals took. */
 const renewMilliseconds = 750;
+/**
+ * A hub that could not renew its lease goes on telling hints for this long, unless it hears of another holder: a store that
+ * is slow or away for seconds keeps others from taking over as well, and without hints prompts are read again everywhere.
+ * What cache stores hold is told under the lease only, since the next holder may free it.
+ */
+const lapsedMilliseconds = 15_000;
+/** While the hub's lease has lapsed, followers look for a new one at this pace; most find the store out of reach too. */
+const lapsedLookMilliseconds = 1500;
 /** Instances that miss the hub look for it, or take its place, spread over this time. */
 const spreadMilliseconds = 600;
 /** How long a dialled hub may take to answer before the row is read again. */
@@ -42,61 +51,70 @@
 	readonly server: HubServer;
 	readonly #context: HubContext;
 	readonly #parts: HubParts;
-	readonly #keepers = new Map<string, StoreKeeper>();
+	readonly #stores: StoreKeepers;
 	readonly #engines: EngineWatches;
-	#keeping: AbortController | undefined;
 	#lookAt = 0;
+	#heldAt = Number.NEGATIVE_INFINITY;
+	#isSeeking = false;
 	#isLeaving = false;
 
 	constructor(context: HubContext, parts: HubParts) {
 		this.#context = context;
 		this.#parts = parts;
 		this.server = new HubServer(parts.address, this);
+		const {control} = parts;
+		const {clock, log} = context;
+		const tell = (holder: string, change: PartsChange): void => {
+			this.server.broadcast({kind: 'parts', holder, ...change});
+		};
+
+		this.#stores = new StoreKeepers({
+			control, clock, log, tell, mayAct: () => this.isHub(), isDead: salt => this.#isDead(salt),
+		});
 		this.#engines = new EngineWatches({
-			control: parts.control,
-			clock: context.clock,
-			tell: (engine, change) => {
-				this.server.broadcast({kind: 'parts', holder: engineHolder(engine), ...change});
+			control,
+			clock,
+			tell(engine, change) {
+				tell(engineHolder(engine), change);
 			},
-		}, context.log);
+		}, log);
 		this.#lookAt = this.#now() + (spreadMilliseconds * hashOf(parts.instance) / (2 ** 32));
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await this.step();
+			this.step();
 			await this.#context.clock.sleep(askMilliseconds, signal);
 		}
 
-		this.#endKeeping();
+		this.#endServing();
 		this.#parts.client.close();
 	}
 
 	/** Gives the duty back, for good: the process is about to end. */
 	async leave(): Promise<void> {
 		this.#isLeaving = true;
-		this.#endKeeping();
+		this.#endServing();
 		await this.#parts.seat.release();
 	}
 
-	/** Renews the duty or looks for its holder, and asks it. */
-	async step(): Promise<void> {
+	/** Renews the duty or looks for its holder, and asks it. Calls to the store run beside the questions, which must not wait. */
+	step(): void {
 		const {seat, client} = this.#parts;
-		const isNeeded = !this.#isLeaving && (this.#stores().length > 0 || this.#engineServices().size > 0);
-		if (isNeeded && this.isHub() && seat.left() < renewMilliseconds) {
-			await seat.seek();
-		}
-
-		if (this.isHub()) {
-			this.#keep();
-		} else {
-			this.#endKeeping();
+		const isNeeded = !this.#isLeaving && (this.#declaredStores().length > 0 || this.#engineServices().size > 0);
+		if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
+			void this.#seekBeside(async () => seat.seek());
 		}
 
+		this.#serve();
 		if (client.isConnected) {
 			client.ask();
-		} else if (isNeeded && this.#now() >= this.#lookAt) {
-			await this.#look();
+		}
+
+		const hasHub = client.isConnected && !this.#context.hubView.isLapsed;
+		if (isNeeded && !hasHub && this.#now() >= this.#lookAt) {
+			this.#lookAt = this.#now() + (client.isConnected ? lapsedLookMilliseconds : dialMilliseconds);
+			void this.#seekBeside(async () => this.#look());
 		}
 	}
 
@@ -104,12 +122,19 @@
 		return this.#parts.seat.left() > 0;
 	}
 
+	/** Whether followers are told anything: under the lease, and for a while behind it. */
+	isServing(): boolean {
+		const {seat, instance} = this.#parts;
+		const isSucceeded = seat.seen !== undefined && seat.seen.holder !== instance;
+		return !this.#isLeaving && (this.isHub() || (!isSucceeded && this.#now() - this.#heldAt < lapsedMilliseconds));
+	}
+
 	engineClock(): number | undefined {
-		return [...this.#keepers.values()].map(({engineClock}) => engineClock).find(clock => clock !== undefined);
+		return this.#stores.engineClock() ?? this.#engines.engineClock();
 	}
 
 	openStores(): string[] {
-		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name]) => name);
+		return this.#stores.open();
 	}
 
 	knownEngines(): string[] {
@@ -117,84 +142,66 @@
 	}
 
 	snapshot(): Array<HubFrame & {kind: 'parts'}> {
-		const ofStores = [...this.#keepers].map(([holder, {ledger}]) => ({holder, added: ledger.offered()}));
-		const ofEngines = this.#engines.snapshot().map(({engine, parts}) => ({holder: engineHolder(engine), added: parts}));
-		return [...ofStores, ...ofEngines].map(({holder, added}) => ({
-			kind: 'parts', holder, added, removed: [],
-		}));
+		const ofEngines = this.#engines.snapshot().map(({engine, parts}) => ({holder: engineHolder(engine), added: parts, removed: []}));
+		return [...this.#stores.snapshot(), ...ofEngines].map(parts => ({kind: 'parts', ...parts}));
 	}
 
 	takeUses(keys: readonly string[]): void {
-		const now = this.#now();
-		for (const {ledger} of this.#keepers.values()) {
-			for (const key of keys) {
-				ledger.use(key, now);
-			}
+		this.#stores.use(keys);
+	}
+
+	async #seekBeside(seek: () => Promise<void>): Promise<void> {
+		if (this.#isSeeking) {
+			return;
+		}
+
+		this.#isSeeking = true;
+		try {
+			await seek();
+		} catch (error) {
+			this.#context.log.record('fault', {child: 'hub', error: String(error)});
+		} finally {
+			this.#isSeeking = false;
 		}
 	}
 
 	/** Reads the row: takes the duty if it is free, else dials its holder. */
 	async #look(): Promise<void> {
 		const {seat, client, instance, address} = this.#parts;
-		this.#lookAt = this.#now() + dialMilliseconds;
 		await seat.seek();
-		if (this.isHub()) {
-			client.dial(address);
-			return;
-		}
-
 		const {seen} = seat;
-		if (seen !== undefined && seen.address !== '' && seen.holder !== instance) {
-			client.dial(seen.address);
+		const hubAddress = this.isHub() ? address : seen?.address ?? '';
+		const isOther = this.isHub() || seen?.holder !== instance;
+		if (hubAddress !== '' && isOther && client.address !== hubAddress) {
+			client.dial(hubAddress);
 			client.ask();
 		}
 	}
 
-	/** Starts to keep stores that are not kept yet, and to watch the engines of the list. */
-	#keep(): void {
-		this.#keeping ??= new AbortController();
-		const services = this.#engineServices();
-		this.#engines.keep(this.#context.endpoints.all().filter(({service, state}) => state === 'ready' && services.has(service)));
-		for (const [name, store] of this.#stores()) {
-			if (!this.#keepers.has(name)) {
-				const keeper = new StoreKeeper({name, connectionLimit: 0}, store, {
-					control: this.#parts.control,
-					clock: this.#context.clock,
-					log: this.#context.log,
-					mayAct: () => this.isHub(),
-					isDead: salt => this.#isDead(salt),
-					tell: (kept, change) => {
-						this.server.broadcast({kind: 'parts', holder: kept, ...change});
-					},
-				});
-				this.#keepers.set(name, keeper);
-				void this.#runKeeper(name, keeper, this.#keeping.signal);
-			}
+	/** Keeps stores under the lease, and watches engines as long as followers are served. */
+	#serve(): void {
+		if (this.isHub()) {
+			this.#heldAt = this.#now();
+			this.#stores.keep(this.#declaredStores());
+		} else {
+			this.#stores.close();
 		}
-	}
 
-	/** A keeper that fails is forgotten, and the next step starts a new one, which trusts nothing that the old one told. */
-	async #runKeeper(name: string, keeper: StoreKeeper, signal: AbortSignal): Promise<void> {
-		try {
-			await keeper.run(signal);
-		} catch (error) {
-			this.#context.log.record('fault', {child: `store-keeper ${name}`, error: String(error)});
-			this.server.broadcast({kind: 'parts', holder: name, ...keeper.ledger.close(this.#now())});
-			this.#keepers.delete(name);
+		if (this.isServing()) {
+			const services = this.#engineServices();
+			this.#engines.keep(this.#context.endpoints.all().filter(({service, state}) => state === 'ready' && services.has(service)));
+		} else {
+			this.#endServing();
 		}
 	}
 
-	#endKeeping(): void {
-		if (this.#keeping !== undefined) {
-			this.#keeping.abort();
-			this.#keeping = undefined;
-			this.#keepers.clear();
-			this.#engines.close();
-			this.server.dropAll();
-		}
+	#endServing(): void {
+		this.#stores.close();
+		this.#engines.close();
+		this.server.dropAll();
 	}
 
-	#stores(): Array<[name: string, store: StoreTraits]> {
+	#declaredStores(): Array<[name: string, store: StoreTraits]> {
 		const services = this.#context.configuration.current?.services.values() ?? [];
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
 	}
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -3,7 +3,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type PartsChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
 import {type DecisionLog} from '../observability/decision-log.js';
-import {type RoutedService, type StoreTraits} from '../../shared/routed-configuration.js';
+import {type StoreTraits} from '../../shared/routed-configuration.js';
 
 /** How long a call for events may wait; events come at once. */
 const eventWaitMilliseconds = 800;
@@ -34,9 +34,10 @@
 	#since = 0;
 	#clock: {milliseconds: number; heardAt: number} | undefined;
 
-	constructor(service: RoutedService, store: StoreTraits, tools: KeeperTools) {
+	/** @param service - The name of the store's service. */
+	constructor(service: string, store: StoreTraits, tools: KeeperTools) {
 		this.ledger = new StoreLedger(store.capacityTokens);
-		this.#service = service.name;
+		this.#service = service;
 		this.#store = store;
 		this.#tools = tools;
 		// Whatever the last keeper told may still be believed.
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -77,7 +77,7 @@
 			return;
 		}
 
-		if (this.#seat.left() < renewMilliseconds) {
+		if (this.#seat.left() < Math.max(renewMilliseconds, this.#seat.renewalMilliseconds)) {
 			await this.#seat.seek([...this.#loading.keys()]);
 		}
 
