Promise less of an engine's memory, and let near-equal engines share what comes together

All instances act on news some hundred milliseconds old, choose the same engine, and together promise more than it has. Change: memory shares 1, 0.9, 0.75 in place of 1.3, 1.15, 1; costs within 80 ms are decided by the request's id. Urgent prompts are still late at engines that looked idle: 18 of 29 prompts within 180 ms went to one engine of nine, all with no unread tokens before them by the news.

--- a/src/decision/placement/admit-prompt.ts
+++ b/src/decision/placement/admit-prompt.ts
@@ -26,8 +26,12 @@
  * prompts pass all others, so what they wait for is little; they are refused only if they would surely be late.
  */
 const waitShares = [1.5, 1, 0.7];
-/** Part of the engine's memory that requests under way may claim, by rank. Most end before they need all that they claim. */
-const memoryShares = [1.3, 1.15, 1];
+/**
+ * Part of the engine's memory that requests under way may claim, by rank. The rest is for what the others sent since the
+ * last news of them: where it is missing, running prompts are pushed out of memory and read again, the long ones first,
+ * and on the busiest days a fifth of all reading was that. More room than this pushed out no fewer prompts.
+ */
+const memoryShares = [1, 0.9, 0.75];
 
 /**
  * Decides whether an engine takes a prompt.
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -11,6 +11,7 @@
  * engine, its home is presumed to keep a part. Another engine is taken when the wait is longer than reading the part again
  * elsewhere, with reading weighed for the time that it takes from others.
  */
+import {hashOf} from '../../shared/hash-of.js';
 import {spreadRetry} from '../limits/spread-retry.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {admitsPrompt} from './admit-prompt.js';
@@ -60,8 +61,17 @@
 /** A service counts as full when each of its endpoints has this multiple of its slots running or waiting. */
 const fullShare = 2;
 
+const hashRange = 2 ** 32;
+
 const noWork: PromptWork = {keptTokens: 0, fetchTokens: 0, readTokens: 0};
 
+/**
+ * What instances know of each other's work is some hundred milliseconds old. Many instances that all choose the best engine
+ * by the same old news choose the same one, and its memory runs over; so costs that differ by less than this are taken for
+ * equal, and the request's id decides. About what one long prompt adds to an engine's cost.
+ */
+const staleNewsMilliseconds = 80;
+
 type Candidate = {endpoint: EndpointRecord; isAdmitted: boolean; basis: PlacementBasis};
 
 export class CostPlacement implements PlacementPolicy {
@@ -212,8 +222,9 @@
 		const reading = rereadWeight * work.readTokens / speed;
 		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
+		const spread = staleNewsMilliseconds * hashOf(`${request.id}|${endpoint.name}`) / hashRange;
 		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
-		const costMilliseconds = reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) + occupied + distance + weights - preference;
+		const costMilliseconds = reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) + occupied + distance + weights + spread - preference;
 		return {
 			endpoint,
 			isAdmitted: hasRoom && this.#admits(request, work.readTokens, isWhole ? load : undefined),
