Ask the hub right before a prompt is placed, and tell it right after

Cause: news of the others' work was 200 to 400 ms old. Clients come in clumps, so dozens of prompts were placed on the same old news; engines that looked idle got a second's worth of reading, and memory ran over. Change: the data path asks the hub before each placing of a prompt and waits for at most 15 ms, only while the mean round trip is below 10 ms and the hub not silent; after the send it tells its load without asking.

--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -83,6 +83,10 @@
 
 	async #tryUntilDone(): Promise<RoutedEnd> {
 		for (;;) {
+			if (this.#work.permitted.route.carriesPrompt) {
+				await this.#context.peerNews.refresh();
+			}
+
 			const {request, placement} = this.#place();
 			if (placement.kind === 'none') {
 				return this.#giveUp({
@@ -185,7 +189,12 @@
 				this.#firstByteAt ??= this.#now();
 			},
 		});
-		const result = await this.#current.run();
+		const running = this.#current.run();
+		if (request.prompt !== undefined) {
+			this.#context.peerNews.tell();
+		}
+
+		const result = await running;
 		this.#current = undefined;
 		this.#sends += result.wasSent ? 1 : 0;
 		this.#mayHaveRun ||= result.mayHaveRun;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -10,6 +10,7 @@
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
+import {type PeerNews} from './hub/hub-client.js';
 import {type HubView} from './hub/hub-view.js';
 import {type LoadingEngines} from './watchers/loading-engines.js';
 import {type WeightGoals} from './weights/weight-goals.js';
@@ -26,6 +27,7 @@
 	goals: WeightGoals;
 	loadingEngines: LoadingEngines;
 	hubView: HubView;
+	peerNews: PeerNews;
 	partPlanner: PartPlanner;
 	log: DecisionLog;
 	metrics: GatewayMetrics;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -80,6 +80,7 @@
 	readonly #ready: HttpListener;
 	readonly #metricsListener: HttpListener;
 	readonly #hub: Hub;
+	readonly #hubClient: HubClient;
 	readonly #root: Supervisor;
 	readonly #exchanges = new HttpEndpointExchanges();
 	readonly #stop = new AbortController();
@@ -94,6 +95,9 @@
 		const timings = timingsOf(settings.bounds);
 		const hubView = new HubView();
 		this.#placement = new CostPlacement(settings.dataCentre, endpoint => hubView.othersAt(endpoint, clock.moment()));
+		this.#hubClient = new HubClient(hubView, {
+			instance: settings.instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance, dataCentre: settings.dataCentre}, () => clock.moment().wall);
 		this.#context = {
 			dataCentre: settings.dataCentre,
@@ -103,6 +107,7 @@
 			endpoints: new EndpointRegistry(),
 			placement: this.#placement,
 			hubView,
+			peerNews: this.#hubClient,
 			partPlanner: new PartPlanner(),
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
 			exchanges: this.#exchanges,
@@ -170,14 +175,13 @@
 	}
 
 	#createHub({store, clock, storeControl}: GatewayPorts): Hub {
-		const {log, hubView} = this.#context;
+		const {log} = this.#context;
 		const {instance, listenPeers: address, bounds: {leaseMilliseconds}} = this.#settings;
 		const seat = new DutySeat({
 			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds,
 		}, {store, clock, log});
-		const client = new HubClient(hubView, {instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady))}, clock);
 		return new Hub(this.#context, {
-			instance, address, seat, client, control: storeControl,
+			instance, address, seat, client: this.#hubClient, control: storeControl,
 		});
 	}
 
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -14,6 +14,17 @@
 export const askMilliseconds = freshMilliseconds / 4;
 /** Without an answer for so long the connection is given up. */
 const silenceMilliseconds = 1200;
+/**
+ * Before a prompt is placed the hub is asked for fresh news, where that takes no longer than this: a round trip within a
+ * region takes a few milliseconds, and a prompt's first token some hundred. A hub farther away is asked at its pace only.
+ */
+const longestRoundTripMilliseconds = 10;
+/** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
+const mostWaitMilliseconds = 15;
+/** A hub that has not answered two questions in a row is not waited for. */
+const longestSilenceMilliseconds = 2.5 * askMilliseconds;
+/** Weight of the newest round trip in the mean. */
+const newestShare = 0.3;
 
 /** What a follower tells of itself. */
 export type FollowerSelf = {
@@ -21,7 +32,15 @@
 	loads(): Record<string, PackedLoad>;
 };
 
-export class HubClient {
+/** News of what the other instances do, fresh at the moment of a decision. */
+export interface PeerNews {
+	/** Asks for news and waits for them, if that takes a few milliseconds only. */
+	refresh(): Promise<void>;
+	/** Tells the others what this instance has under way. */
+	tell(): void;
+}
+
+export class HubClient implements PeerNews {
 	readonly #view: HubView;
 	readonly #self: FollowerSelf;
 	readonly #clock: MomentClock;
@@ -31,6 +50,8 @@
 	#number = 0;
 	#asked = new Map<number, Moment>();
 	#heardAt = 0;
+	readonly #waiting = new Map<number, () => void>();
+	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	constructor(view: HubView, self: FollowerSelf, clock: MomentClock) {
 		this.#view = view;
@@ -95,7 +116,38 @@
 		this.#socket.write(encodeFrame(frame));
 	}
 
+	async refresh(): Promise<void> {
+		const silence = this.#clock.moment().steady - this.#heardAt;
+		if (this.#socket === undefined || this.#roundTripMilliseconds > longestRoundTripMilliseconds || silence > longestSilenceMilliseconds) {
+			return;
+		}
+
+		this.ask();
+		const number = this.#number;
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				this.#answered(number);
+			}, mostWaitMilliseconds);
+			this.#waiting.set(number, () => {
+				clearTimeout(timer);
+				resolve();
+			});
+		});
+	}
+
+	tell(): void {
+		const frame: FollowerFrame = {
+			kind: 'tell', instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
+		};
+		this.#socket?.write(encodeFrame(frame));
+	}
+
 	close(): void {
+		for (const number of this.#waiting.keys()) {
+			this.#answered(number);
+		}
+
+		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 		this.#socket?.destroy();
 		this.#socket = undefined;
 		this.#asked = new Map();
@@ -113,7 +165,22 @@
 		const askedAt = this.#asked.get(frame.number);
 		this.#asked.delete(frame.number);
 		if (askedAt !== undefined) {
+			this.#noteRoundTrip(now.steady - askedAt.steady);
 			this.#view.takeAnswer(frame, askedAt, now);
 		}
+
+		this.#answered(frame.number);
+	}
+
+	#noteRoundTrip(milliseconds: number): void {
+		const mean = Number.isFinite(this.#roundTripMilliseconds) ? this.#roundTripMilliseconds : milliseconds;
+		this.#roundTripMilliseconds = (newestShare * milliseconds) + ((1 - newestShare) * mean);
+	}
+
+	/** Lets the caller go on who waits for an answer. */
+	#answered(number: number): void {
+		const go = this.#waiting.get(number);
+		this.#waiting.delete(number);
+		go?.();
 	}
 }
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -29,17 +29,20 @@
 	return `engine:${engine}`;
 }
 
-/** A follower's question. Its answer proves that all that the hub knew by then has been told. */
-export type FollowerFrame = {
-	kind: 'ask';
-	number: number;
+/** What a follower says of itself. */
+type FollowerNews = {
 	instance: string;
-	/** Stored parts used since the last question, as `salt|id`. */
+	/** Stored parts used since the last word, as `salt|id`. */
 	uses: string[];
 	/** What this instance has under way, by endpoint. */
 	loads: Record<string, PackedLoad>;
 };
 
+/** What a follower sends. The answer to a question proves that all that the hub knew by then has been told. */
+export type FollowerFrame
+	= | FollowerNews & {kind: 'ask'; number: number}
+		| FollowerNews & {kind: 'tell'};
+
 /** What the hub sends. */
 export type HubFrame
 	= | {
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -104,7 +104,7 @@
 				Left: end,
 				Right: frames => {
 					for (const frame of frames) {
-						this.#answer(socket, frame as FollowerFrame);
+						this.#hear(socket, frame as FollowerFrame);
 					}
 				},
 			});
@@ -112,14 +112,20 @@
 		socket.on('error', end).on('close', end);
 	}
 
-	#answer(socket: Socket, {number, instance, uses, loads}: FollowerFrame): void {
+	#hear(socket: Socket, frame: FollowerFrame): void {
 		if (!this.#source.isServing()) {
 			socket.destroy();
 			return;
 		}
 
-		this.#followers.set(socket, {instance, loads});
-		this.#source.takeUses(uses);
+		this.#followers.set(socket, {instance: frame.instance, loads: frame.loads});
+		this.#source.takeUses(frame.uses);
+		if (frame.kind === 'ask') {
+			this.#answer(socket, frame);
+		}
+	}
+
+	#answer(socket: Socket, {number, instance}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
 		const answer: HubFrame = {
 			kind: 'answer',
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -56,6 +56,14 @@
 			exchanges: this.#exchanges,
 			goals: new WeightGoals(),
 			hubView: new HubView(),
+			peerNews: {
+				async refresh() {
+					// A single instance has no others to hear of.
+				},
+				tell() {
+					// And none to tell.
+				},
+			},
 			partPlanner: new PartPlanner(),
 			loadingEngines: new LoadingEngines(() => systemMomentClock.moment().steady),
 			log: new DecisionLog(output, {}, Date.now),
