Report a request's end in a module of its own; test what fresh news are worth waiting for

Ruled out: a test with real round trips (its first one took longer than a hub is waited for); the client's clock is played. Change: report-end.ts; hub-client.test.ts (news fresh at the decision; no wait for a hub that is not connected, silent or far; a waiting caller is let through when the hub goes). The prober's time limit waits for the news of a connection too.

--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -9,7 +9,7 @@
 } from '../../decision/attempts/next-step.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
-import {type JsonValue, type Refusal} from '../../shared/types.js';
+import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
@@ -17,6 +17,7 @@
 import {type PermittedRequest} from './judge-request.js';
 import {placementRequestOf} from './placement-request.js';
 import {relayAnswer} from './relay-answer.js';
+import {reportEnd, type RoutedEnd} from './report-end.js';
 import {type RequestHead} from './request-head.js';
 
 /** A request that may be sent on, with its body. */
@@ -29,9 +30,6 @@
 	response: ServerResponse;
 };
 
-/** How a routed request ended, for logs and metrics. */
-export type RoutedEnd = 'whole' | 'refused' | 'failed' | 'failure-passed-on' | 'broken-off' | 'client-left' | 'timeout';
-
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
 
@@ -73,7 +71,15 @@
 		}, Math.max(0, this.#deadline - this.#now()));
 		try {
 			const end = await this.#tryUntilDone();
-			this.#report(end);
+			reportEnd(this.#context, this.#work, {
+				end,
+				status: this.#status,
+				endpoints: [...this.#tried],
+				sends: this.#sends,
+				mayHaveRun: this.#mayHaveRun,
+				placedBy: this.#basis,
+				firstByteAt: this.#firstByteAt,
+			}, this.#now());
 			return end;
 		} finally {
 			clearTimeout(timer);
@@ -269,43 +275,11 @@
 		}
 	}
 
-	#report(end: RoutedEnd): void {
-		const {log, metrics} = this.#context;
-		const {head, permitted, arrivedAt} = this.#work;
-		const {kind} = permitted.route;
-		const now = this.#now();
-		metrics.requests.inc({kind, outcome: end});
-		metrics.whole.observe({kind}, (now - arrivedAt.steady) / 1000);
-		if (this.#firstByteAt !== undefined) {
-			metrics.firstByte.observe({kind}, (this.#firstByteAt - arrivedAt.steady) / 1000);
-		}
-
-		log.record('request-ended', {
-			id: head.attemptId,
-			route: permitted.route.name,
-			service: permitted.service,
-			outcome: end,
-			status: this.#status,
-			endpoints: [...this.#tried],
-			placedBy: this.#basis === undefined ? undefined : loggedBasis(this.#basis),
-			sends: this.#sends,
-			mayHaveRun: this.#mayHaveRun,
-			configurationVersion: permitted.configurationVersion,
-			firstByteMilliseconds: this.#firstByteAt === undefined ? undefined : Math.round(this.#firstByteAt - arrivedAt.steady),
-			milliseconds: Math.round(now - arrivedAt.steady),
-		});
-	}
-
 	#now(): number {
 		return this.#context.clock.moment().steady;
 	}
 }
 
-/** What a place was chosen by, as it is logged; `null` where the other instances' work was not known. */
-function loggedBasis({unreadBefore, costMilliseconds, ...basis}: PlacementBasis): JsonValue {
-	return {...basis, unreadBefore: unreadBefore ?? null, costMilliseconds: Math.round(costMilliseconds)};
-}
-
 function ignore(): void {
 	// A failure that is passed on says nothing of how fast the endpoint answers.
 }
--- a/src/gateway/endpoints/endpoint-prober.ts
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -52,7 +52,8 @@
 		};
 
 		socket.setTimeout(connectMilliseconds, () => {
-			end(false);
+			// In a process that stood still the news of the connection may be due as well, and timers run first.
+			setImmediate(end, false);
 		});
 		socket.once('connect', () => {
 			end(true);
--- /dev/null
+++ b/src/gateway/hub/hub-client.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {HubClient} from './hub-client.js';
+import {type FollowerFrame, type HubFrame} from './hub-messages.js';
+import {HubView} from './hub-view.js';
+
+/** Longer than any test takes: nobody is let through without an answer. */
+const foreverMilliseconds = 60_000;
+
+/**
+ * A hub that answers each question, with as many requests at engine `e1` as frames it heard, and a client with a clock of
+ * the test's own. Each answer comes `roundTripMilliseconds` of that clock behind its question.
+ */
+async function playHub(context: TestContext) {
+	const played = {
+		now: 1000, roundTripMilliseconds: 1, isSilent: false, heard: [] as FollowerFrame[], address: '',
+	};
+	const clock: MomentClock = {
+		moment: () => ({steady: played.now, wall: played.now}),
+		async sleep() {
+			// Nothing under test sleeps.
+		},
+	};
+	const sockets = new Set<Socket>();
+	const answer = (socket: Socket, number: number): void => {
+		const frame: HubFrame = {
+			kind: 'answer', number, isLapsed: false, open: [], engines: [], loads: {e1: [played.heard.length, 0, 0, 0, 0, 0, 0]},
+		};
+		socket.write(encodeFrame(frame));
+	};
+
+	const server = createServer(socket => {
+		const reader = new FrameReader();
+		sockets.add(socket);
+		socket.on('data', bytes => {
+			for (const frame of reader.read(Buffer.from(bytes)).unsafeCoerce() as FollowerFrame[]) {
+				played.heard.push(frame);
+				if (frame.kind === 'ask' && !played.isSilent) {
+					played.now += played.roundTripMilliseconds;
+					answer(socket, frame.number);
+				}
+			}
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	played.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const view = new HubView();
+	const client = new HubClient(view, {instance: 'i1', loads: () => ({})}, clock, foreverMilliseconds);
+	context.after(() => {
+		client.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	const meet = async (): Promise<void> => {
+		client.dial(played.address);
+		client.ask();
+		await until(() => view.isFresh(clock.moment()));
+	};
+
+	return {
+		played, view, client, clock, meet,
+	};
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+	while (!isTrue()) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
+
+test('news are fresh when a prompt is placed, and others hear of it at once', async context => {
+	// Clients come in clumps. On news that are some hundred milliseconds old, all instances choose the engine that looked idle
+	// then, and it gets a second's worth of reading.
+	const {played, view, client, clock, meet} = await playHub(context);
+	await meet();
+	for (let use = 0; use < 3; use++) {
+		const heardBefore = played.heard.length;
+		await client.refresh();
+		assert.equal(view.othersAt('e1', clock.moment())?.requests, heardBefore + 1);
+		client.tell();
+		await until(() => played.heard.length === heardBefore + 2);
+		assert.equal(played.heard.at(-1)?.kind, 'tell');
+	}
+});
+
+test('no caller waits for a hub that is not connected, silent, or far away', async context => {
+	const {played, client, meet} = await playHub(context);
+	await client.refresh();
+	await meet();
+	played.isSilent = true;
+	played.now += 600;
+	await client.refresh();
+	assert.equal(played.heard.length, 1);
+	played.isSilent = false;
+	played.roundTripMilliseconds = 60;
+	await meet();
+	await client.refresh();
+	assert.equal(played.heard.length, 2);
+});
+
+test('a caller who waits for a hub that goes away is let through', async context => {
+	const {played, client, meet} = await playHub(context);
+	await meet();
+	played.isSilent = true;
+	const waiting = client.refresh();
+	client.close();
+	await waiting;
+});
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -53,10 +53,13 @@
 	readonly #waiting = new Map<number, () => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
-	constructor(view: HubView, self: FollowerSelf, clock: MomentClock) {
+	readonly #waitMilliseconds: number;
+
+	constructor(view: HubView, self: FollowerSelf, clock: MomentClock, waitMilliseconds = mostWaitMilliseconds) {
 		this.#view = view;
 		this.#self = self;
 		this.#clock = clock;
+		this.#waitMilliseconds = waitMilliseconds;
 	}
 
 	get isConnected(): boolean {
@@ -127,7 +130,7 @@
 		await new Promise<void>(resolve => {
 			const timer = setTimeout(() => {
 				this.#answered(number);
-			}, mostWaitMilliseconds);
+			}, this.#waitMilliseconds);
 			this.#waiting.set(number, () => {
 				clearTimeout(timer);
 				resolve();
