--- a/src/check/models.ts
+++ b/src/check/models.ts
@@ -42,6 +42,10 @@
 	{model: 'fenced-order', broken: ''},
 	{model: 'fenced-order', broken: 'BROKEN'},
 	{model: 'fenced-order', broken: 'BROKEN_WAIT'},
+	{model: 'duty-lease', broken: ''},
+	{model: 'duty-lease', broken: 'BROKEN'},
+	{model: 'duty-lease', broken: 'BROKEN_LEASE'},
+	{model: 'duty-lease', broken: 'BROKEN_WRITE'},
 	{model: 'stream', broken: ''},
 	{model: 'stream', broken: 'BROKEN'},
 ];
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -4,6 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {request as sendRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {EndpointAgent} from './endpoint-agent.js';
 
@@ -98,6 +99,15 @@
 		let isBroken = false;
 		return new Promise(resolve => {
 			outgoing.once('socket', socket => {
+				const noteReset = (): void => {
+					isBroken ||= !isStillPaired(socket);
+				};
+
+				// Before Node's own listener, which closes this side.
+				socket.prependOnceListener('end', noteReset);
+				outgoing.once('close', () => {
+					socket.off('end', noteReset);
+				});
 				if (!socket.connecting) {
 					isConnected = true;
 					return;
@@ -144,6 +154,18 @@
 	}
 }
 
+/**
+ * Whether a connection that was just reported as ended still has its other side.
+ *
+ * A reset that arrives together with the last bytes is reported by Node as an ordinary end: an answer that ends with its
+ * connection would pass for whole though the endpoint died in the middle of it. The operating system knows no peer of a
+ * connection that was reset, while one that the peer closed in order still has it until this side closes as well; so the
+ * peer's address is looked up, which must not have been done before on this connection, since Node remembers it.
+ */
+function isStillPaired(socket: Socket): boolean {
+	return socket.remoteAddress !== undefined;
+}
+
 function answerOf(response: IncomingMessage, isBroken: () => boolean): EndpointAnswer {
 	return {
 		status: response.statusCode ?? 0,
--- a/src/gateway/data-path/routed-request.test.ts
+++ b/src/gateway/data-path/routed-request.test.ts
@@ -66,20 +66,39 @@
 	assert.equal(body, 'abcdefg');
 });
 
-test('an answer without a length that ends in a reset does not look whole', async () => {
-	// The endpoint's host dies while it sends an answer that ends with its connection. Passed on as whole, the caller would
-	// take half of the answer for all of it.
+for (const pauseMilliseconds of [20, 0]) {
+	test(`an answer without a length that ends in a reset ${pauseMilliseconds} ms behind its bytes does not look whole`, async () => {
+		// The endpoint's host dies while it sends an answer that ends with its connection. Passed on as whole, the caller would
+		// take half of the answer for all of it. A reset that comes together with the bytes looks like an ordinary end.
+		const gateway = await gatewayFor('non-idempotent');
+		await gateway.addEndpoint((request, response) => {
+			response.socket!.write(`HTTP/1.1 200 OK\r\n${names.attemptId}: a1\r\n${names.seal}: s\r\nconnection: close\r\n\r\nhalf`, () => {
+				const reset = (): void => {
+					response.socket!.resetAndDestroy();
+				};
+
+				if (pauseMilliseconds === 0) {
+					reset();
+				} else {
+					setTimeout(reset, pauseMilliseconds);
+				}
+			});
+		});
+		const answer = await exchangeRaw(gateway.address, post);
+		await gateway.close();
+		assert.ok(!answer.endsWith('0\r\n\r\n'), answer);
+	});
+}
+
+test('an answer without a length that ends in order is whole', async () => {
 	const gateway = await gatewayFor('non-idempotent');
 	await gateway.addEndpoint((request, response) => {
-		response.socket!.write(`HTTP/1.1 200 OK\r\n${names.attemptId}: a1\r\n${names.seal}: s\r\nconnection: close\r\n\r\nhalf`, () => {
-			setTimeout(() => {
-				response.socket!.resetAndDestroy();
-			}, 20);
-		});
+		response.socket!.end(`HTTP/1.1 200 OK\r\n${names.attemptId}: a1\r\n${names.seal}: s\r\nconnection: close\r\n\r\nwhole`);
 	});
 	const answer = await exchangeRaw(gateway.address, post);
 	await gateway.close();
-	assert.ok(!answer.endsWith('0\r\n\r\n'), answer);
+	assert.equal(statusOf(answer), 200);
+	assert.ok(answer.endsWith('0\r\n\r\n'), answer);
 });
 
 test('an answer that belongs to another request is not passed on, and its connection is not used again', async () => {
