--- a/model/duty-lease.pml
+++ b/model/duty-lease.pml
@@ -15,7 +15,7 @@
 #define ACTING 2
 #define LEASE 2
 #define MARGIN 1
-#define END 11
+#define END 8
 #define NOBODY 0
 
 #ifdef BROKEN_LEASE
--- a/src/decision/parts/plan-parts.ts
+++ b/src/decision/parts/plan-parts.ts
@@ -18,7 +18,7 @@
 import {hashOf} from '../../shared/hash-of.js';
 
 /** What is known of the stores and engines now. Keys are `salt|id`. */
-export interface StoreKnowledge {
+export interface PartKnowledge {
 	isOpen(store: string): boolean;
 	holds(store: string, key: string): boolean;
 	/** Tokens of all parts that a store is known to hold. */
@@ -59,7 +59,7 @@
 	 * @param known - What they hold.
 	 * @param now - Milliseconds of the steady clock.
 	 */
-	plan(parts: readonly PromptPart[], salt: string, {stores, known}: {stores: readonly NamedStore[]; known: StoreKnowledge}, now: number): PartPlan {
+	plan(parts: readonly PromptPart[], salt: string, {stores, known}: {stores: readonly NamedStore[]; known: PartKnowledge}, now: number): PartPlan {
 		const plan: PartPlan = {
 			fetchFrom: [], saveTo: [], used: [], fetchedTokens: 0,
 		};
@@ -97,7 +97,7 @@
 }
 
 /** The store that a new part is saved to: the first of its order with room; if none has, the first one, which makes room. */
-function storeWithRoom({id, tokens}: PromptPart, stores: readonly NamedStore[], known: StoreKnowledge): NamedStore | undefined {
+function storeWithRoom({id, tokens}: PromptPart, stores: readonly NamedStore[], known: PartKnowledge): NamedStore | undefined {
 	const order = storesInOrder(id, stores.filter(({name}) => known.isOpen(name)));
 	return order.find(({name, store}) => known.heldTokens(name) + tokens <= roomShare * store.capacityTokens) ?? order[0];
 }
--- a/src/gateway/data-path/prompt-sources.ts
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -1,5 +1,5 @@
 /** Where the parts of one request's prompt are kept, as this instance knows now: stores, engines, and which of them. */
-import {type NamedStore, type StoreKnowledge} from '../../decision/parts/plan-parts.js';
+import {type NamedStore, type PartKnowledge} from '../../decision/parts/plan-parts.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {cacheSalt} from '../../protocol/parts/cache-salt.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
@@ -74,7 +74,7 @@
 	}
 
 	/** What an engine can fetch from where. */
-	knowledgeFor(target: EndpointRecord): StoreKnowledge {
+	knowledgeFor(target: EndpointRecord): PartKnowledge {
 		const {hubView} = this.#context;
 		const own = hubView.engineParts(target.name, this.#now);
 		return {
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -56,6 +56,7 @@
 	#lookAt = 0;
 	#heldAt = Number.NEGATIVE_INFINITY;
 	#isSeeking = false;
+	#hadHub: boolean | undefined;
 	#isLeaving = false;
 
 	constructor(context: HubContext, parts: HubParts) {
@@ -112,6 +113,7 @@
 		}
 
 		const hasHub = client.isConnected && !this.#context.hubView.isLapsed;
+		this.#logHub(hasHub);
 		if (isNeeded && !hasHub && this.#now() >= this.#lookAt) {
 			this.#lookAt = this.#now() + (client.isConnected ? lapsedLookMilliseconds : dialMilliseconds);
 			void this.#seekBeside(async () => this.#look());
@@ -150,6 +152,21 @@
 		this.#stores.use(keys);
 	}
 
+	#logHub(hasHub: boolean): void {
+		if (hasHub === this.#hadHub) {
+			return;
+		}
+
+		const {client} = this.#parts;
+		if (this.#hadHub !== undefined || hasHub) {
+			this.#context.log.record(hasHub ? 'dependency-regained' : 'dependency-lost', {
+				dependency: 'hub', address: client.address, isLapsed: this.#context.hubView.isLapsed,
+			});
+		}
+
+		this.#hadHub = hasHub;
+	}
+
 	async #seekBeside(seek: () => Promise<void>): Promise<void> {
 		if (this.#isSeeking) {
 			return;
@@ -184,6 +201,7 @@
 			this.#heldAt = this.#now();
 			this.#stores.keep(this.#declaredStores());
 		} else {
+			this.#parts.seat.lose('it was not renewed in time');
 			this.#stores.close();
 		}
 
