Split what a place costs into what reading costs and the rest

Cause: the estimate of one endpoint had grown to forty lines with one formula of seven terms. Ruled out: nothing; no behaviour changes.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -209,29 +209,32 @@
 		const hasRoom = occupancy < fullShare * slots;
 		if (request.prompt === undefined) {
 			const costMilliseconds = (callMilliseconds * occupancy / slots) + distance;
-			return {
-				endpoint, isAdmitted: hasRoom, basis: {
-					...noWork, unreadBefore: undefined, occupancy, costMilliseconds,
-				},
+			const basis = {
+				...noWork, unreadBefore: undefined, occupancy, costMilliseconds,
 			};
+			return {endpoint, isAdmitted: hasRoom, basis};
 		}
 
-		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
 		const work = this.#workAt(request, endpoint, isHome, now);
-		const before = unreadBefore(load, request.rank);
-		const reading = rereadWeight * work.readTokens / speed;
 		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
 		const spread = staleNewsMilliseconds * hashOf(`${request.id}|${endpoint.name}`) / hashRange;
-		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
-		const costMilliseconds = reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) + occupied + distance + weights + spread - preference;
-		return {
-			endpoint,
-			isAdmitted: hasRoom && this.#admits(request, work.readTokens, isWhole ? load : undefined),
-			basis: {
-				...work, unreadBefore: isWhole ? before : undefined, occupancy, costMilliseconds,
-			},
+		const before = unreadBefore(load, request.rank);
+		const basis = {
+			...work,
+			unreadBefore: isWhole ? before : undefined,
+			occupancy,
+			costMilliseconds: this.#readingCost(request, work, {before, isHome}) + occupied + distance + weights + spread,
 		};
+		return {endpoint, isAdmitted: hasRoom && this.#admits(request, work.readTokens, isWhole ? load : undefined), basis};
+	}
+
+	/** What fetching, reading and waiting for the reading of others cost, in milliseconds; less at the home of unread parts. */
+	#readingCost(request: PlacementRequest, work: PromptWork, {before, isHome}: {before: number; isHome: boolean}): number {
+		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
+		const reading = rereadWeight * work.readTokens / speed;
+		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
+		return reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) - preference;
 	}
 
 	/** Without the other instances' work nothing can be said; the engine's own queue decides then. */
