Do not continue a plain answer that broke off by another one

Ruled out: a stream's continuation, which stays as it was. Change: behind a cut only a resumable stream goes on; anything else ends without looking complete. Figures: the new test was red without the change (the step was 'resume').

--- a/src/decision/attempts/next-step.test.ts
+++ b/src/decision/attempts/next-step.test.ts
@@ -39,3 +39,9 @@
 test('what never left needs no budget', () => {
 	assert.equal(decideNextStep('not-sent', {...state, sends: 0}, () => false), 'repeat');
 });
+
+test('a plain answer that broke off behind its first bytes is not continued by another one', () => {
+	// An endpoint dies in the middle of a lookup's answer. Asked again, another endpoint answers from the start, and the
+	// caller would get that answer behind the part of the first one.
+	assert.equal(decideNextStep('cut', {...state, mayHaveRun: true}, always), 'break-off');
+});
--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -55,7 +55,10 @@
  * @returns The step.
  */
 export function decideNextStep(outcome: TryOutcome, state: TryState, takeRepeat: () => boolean): NextStep {
-	const mayRepeat = isRepeatable(state.kind) || (!state.mayHaveRun && (outcome === 'not-sent' || outcome === 'rejected'));
+	// Behind a part of an answer only a stream can go on; another whole answer would be joined to that part.
+	const mayRepeat = outcome === 'cut'
+		? state.kind === 'resumable-stream'
+		: isRepeatable(state.kind) || (!state.mayHaveRun && (outcome === 'not-sent' || outcome === 'rejected'));
 	const hasRoom = state.sends < state.mostSends && state.leftMilliseconds >= leastRepeatMilliseconds;
 	if (mayRepeat && hasRoom && (state.sends === 0 || takeRepeat())) {
 		return outcome === 'cut' ? 'resume' : 'repeat';
