Tell nothing that arrives behind the end of a duty; one part key, one engines' clock

Since followers stay connected behind a lapsed lease, a listing under way at that moment was told to them when it arrived, and would have counted as held with the next grant, though another holder may have freed it: an engine could then read memory of another prompt. Besides: the key of a part was spelled in four places, the engines' clock kept in three, PartPlan.fetchedTokens used by tests alone (fetchFrom, checked beside it, says it). Ruled out: events under way (a closed ledger has no epoch and takes none).

--- a/src/decision/parts/plan-parts.test.ts
+++ b/src/decision/parts/plan-parts.test.ts
@@ -19,7 +19,6 @@
 	};
 	const first = planner.plan(parts, 's-w1', {stores, known}, 0);
 	assert.deepEqual(first.used, [held]);
-	assert.equal(first.fetchedTokens, 500);
 	assert.equal(first.fetchFrom[0], storesInOrder('p1', stores)[0]!.store.address);
 	assert.deepEqual([first.saveTo[0], first.fetchFrom[1]], [undefined, undefined]);
 	assert.equal(first.saveTo[1], storesInOrder('p2', stores)[0]!.store.address);
@@ -62,7 +61,6 @@
 	};
 	const plan = new PartPlanner().plan(parts, 's-w1', {stores, known}, 0);
 	assert.deepEqual(plan.fetchFrom, [undefined, 'engine:1']);
-	assert.equal(plan.fetchedTokens, 8000);
 	assert.deepEqual(plan.used, []);
 	assert.notEqual(plan.saveTo[1], undefined);
 });
--- a/src/decision/parts/plan-parts.ts
+++ b/src/decision/parts/plan-parts.ts
@@ -15,6 +15,7 @@
  */
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type PromptPart} from '../../shared/prompt-shape.js';
+import {partKey} from '../../protocol/parts/part-key.js';
 import {hashOf} from '../../shared/hash-of.js';
 
 /** What is known of the stores and engines now. Keys are `salt|id`. */
@@ -33,7 +34,6 @@
 	saveTo: Array<string | undefined>;
 	/** The stored parts that are fetched, as `salt|id`. */
 	used: string[];
-	fetchedTokens: number;
 };
 
 /** A named store. */
@@ -61,14 +61,13 @@
 	 */
 	plan(parts: readonly PromptPart[], salt: string, {stores, known}: {stores: readonly NamedStore[]; known: PartKnowledge}, now: number): PartPlan {
 		const plan: PartPlan = {
-			fetchFrom: [], saveTo: [], used: [], fetchedTokens: 0,
+			fetchFrom: [], saveTo: [], used: [],
 		};
 		for (const {id, tokens} of parts) {
-			const key = `${salt}|${id}`;
+			const key = partKey({salt, id});
 			const holder = stores.find(({name}) => known.holds(name, key));
 			const source = holder?.store.address ?? known.engineSource(key);
 			plan.fetchFrom.push(source);
-			plan.fetchedTokens += source === undefined ? 0 : tokens;
 			if (holder !== undefined) {
 				plan.used.push(key);
 			}
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -66,9 +66,9 @@
 const noWork: PromptWork = {keptTokens: 0, fetchTokens: 0, readTokens: 0};
 
 /**
- * What instances know of each other's work is some hundred milliseconds old. Many instances that all choose the best engine
- * by the same old news choose the same one, and its memory runs over; so costs that differ by less than this are taken for
- * equal, and the request's id decides. About what one long prompt adds to an engine's cost.
+ * Where the hub is far away or silent, what instances know of each other's work is some hundred milliseconds old. Many that
+ * choose the best engine by the same old news choose the same one, and its memory runs over; so costs that differ by less
+ * than this are taken for equal, and the request's id decides. About what one long prompt adds to an engine's cost.
  */
 const staleNewsMilliseconds = 80;
 
--- a/src/decision/routing/expected-first-token-policy.ts
+++ b/src/decision/routing/expected-first-token-policy.ts
@@ -11,9 +11,9 @@
  * prefixes get different ones.
  */
 import {type PriorityClass} from '../../shared/types.js';
-import {hashOf} from '../../shared/hash-of.js';
 import {spreadRetry} from '../limits/spread-retry.js';
 import {type KeptPrefixes} from '../kept/kept-prefixes.js';
+import {chooseNearlyEqual} from './choose-nearly-equal.js';
 import {EndpointIndex} from './endpoint-index.js';
 import {EndpointState} from './endpoint-state.js';
 import {isCandidate} from './is-candidate.js';
@@ -42,9 +42,6 @@
 const latencyWeight: Record<PriorityClass, number> = {urgent: 1, normal: 1, overnight: 0.5};
 /** A fetch takes the link from others: the same reckoning for its time on the link. */
 const linkWeight: Record<PriorityClass, number> = {urgent: 0.3, normal: 3, overnight: 3};
-/** Two endpoints whose scores are closer than this share are taken as equal: the reports are no better than that. */
-const nearlyEqualShare = 0.1;
-const nearlyEqualMilliseconds: Record<PriorityClass, number> = {urgent: 20, normal: 300, overnight: 1000};
 /**
  * A long prefill makes every step longer for those that decode beside it, so their places come free later. Work that can
  * wait counts that against an endpoint for each request that runs there, and urgent work keeps away from an endpoint
@@ -102,7 +99,7 @@
 		const store = this.#bestStore(kept);
 		const meanUrgentSends = this.#meanUrgentSends(request, candidates, now);
 		const estimates = candidates.map(endpoint => this.#estimate(request, endpoint, {kept: kept.get(endpoint.name) ?? 0, store, meanUrgentSends}, now));
-		const best = chooseAmong(estimates, request);
+		const best = chooseNearlyEqual(estimates, request);
 		if (best === undefined) {
 			return {kind: 'none', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.requestId)};
 		}
@@ -281,25 +278,3 @@
 		return state;
 	}
 }
-
-/** The least score; among those nearly as good, the one that the hash of the prefix names. */
-function chooseAmong(estimates: readonly Estimate[], request: RouteRequest): Estimate | undefined {
-	let least = Number.POSITIVE_INFINITY;
-	for (const {score} of estimates) {
-		least = Math.min(least, score);
-	}
-
-	const limit = least + Math.max(nearlyEqualMilliseconds[request.priority], least * nearlyEqualShare);
-	const key = request.pieceKeys[0] ?? request.requestId;
-	let best: Estimate | undefined;
-	let bestHash = -1;
-	for (const estimate of estimates) {
-		const hash = estimate.score <= limit ? hashOf(`${key}|${estimate.endpoint.name}`) : -1;
-		if (hash > bestHash) {
-			best = estimate;
-			bestHash = hash;
-		}
-	}
-
-	return best;
-}
--- a/src/gateway/data-path/prompt-sources.ts
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -2,6 +2,7 @@
 import {type NamedStore, type PartKnowledge} from '../../decision/parts/plan-parts.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {cacheSalt} from '../../protocol/parts/cache-salt.js';
+import {partKey} from '../../protocol/parts/part-key.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {hashOf} from '../../shared/hash-of.js';
 import {type PromptPart} from '../../shared/prompt-shape.js';
@@ -55,7 +56,7 @@
 
 		const {stores} = this;
 		const fetchable = this.sharedParts.map(({id}) => {
-			const key = `${this.saltUnder(version)}|${id}`;
+			const key = partKey({salt: this.saltUnder(version), id});
 			return stores.some(({name}) => this.#context.hubView.holds(name, key, this.#now)) || this.#enginesWith(key).length > 0;
 		});
 		this.#fetchable.set(version, fetchable);
@@ -70,7 +71,7 @@
 			return undefined;
 		}
 
-		return this.#parts.map(({id}) => kept.get(`${this.saltUnder(version)}|${id}`) ?? 0);
+		return this.#parts.map(({id}) => kept.get(partKey({salt: this.saltUnder(version), id})) ?? 0);
 	}
 
 	/** What an engine can fetch from where. */
--- a/src/gateway/hub/engine-watch.ts
+++ b/src/gateway/hub/engine-watch.ts
@@ -8,7 +8,9 @@
 import {type CacheStoreControl, type StoreEvents} from '../../ports/cache-store-control.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {partKey} from '../../protocol/parts/part-key.js';
 import {type PartsChange} from '../../protocol/parts/store-ledger.js';
+import {EngineClock} from './engine-clock.js';
 
 /** How long a call for events may wait; events come at once. */
 const eventWaitMilliseconds = 900;
@@ -28,7 +30,7 @@
 	readonly #engine: EndpointRecord;
 	readonly #tools: EngineWatchTools;
 	readonly #parts = new Map<string, number>();
-	#clock: {milliseconds: number; heardAt: number} | undefined;
+	readonly #engineClock = new EngineClock();
 	#epoch: number | undefined;
 	#since = 0;
 
@@ -44,7 +46,7 @@
 
 	/** The engines' clock by this engine's last word, in milliseconds. */
 	get engineClock(): number | undefined {
-		return this.#clock === undefined ? undefined : this.#clock.milliseconds + (this.#tools.clock.moment().steady - this.#clock.heardAt);
+		return this.#engineClock.at(this.#tools.clock.moment().steady);
 	}
 
 	/** All parts, for a follower that knows none. */
@@ -75,10 +77,7 @@
 	}
 
 	#take(events: StoreEvents): void {
-		if (events.clockMilliseconds !== undefined) {
-			this.#clock = {milliseconds: events.clockMilliseconds, heardAt: this.#tools.clock.moment().steady};
-		}
-
+		this.#engineClock.hear(events.clockMilliseconds, this.#tools.clock.moment().steady);
 		const hasRestarted = this.#epoch !== undefined && events.epoch !== this.#epoch;
 		if (hasRestarted || events.isIncomplete) {
 			this.#forget();
@@ -92,8 +91,8 @@
 		this.#epoch = events.epoch;
 		this.#since = events.next;
 		const change: PartsChange = {
-			added: events.added.map(({salt, id, tokens}) => [`${salt}|${id}`, tokens]),
-			removed: events.removed.map(({salt, id}) => `${salt}|${id}`),
+			added: events.added.map(part => [partKey(part), part.tokens]),
+			removed: events.removed.map(part => partKey(part)),
 		};
 		for (const key of change.removed) {
 			this.#parts.delete(key);
--- a/src/gateway/hub/engine-watches.ts
+++ b/src/gateway/hub/engine-watches.ts
@@ -54,7 +54,17 @@
 	}
 
 	#start(engine: EndpointRecord): void {
-		const watched: Watched = {watch: new EngineWatch(engine, this.#tools), stop: new AbortController(), engine};
+		const stop = new AbortController();
+		const tools: EngineWatchTools = {
+			...this.#tools,
+			tell: (name, change) => {
+				// A call may be under way when the watch ends; what it brings belongs to an incarnation that is gone.
+				if (!stop.signal.aborted) {
+					this.#tools.tell(name, change);
+				}
+			},
+		};
+		const watched: Watched = {watch: new EngineWatch(engine, tools), stop, engine};
 		this.#watched.set(engine.name, watched);
 		void this.#run(watched);
 	}
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -5,6 +5,7 @@
 import {type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
+import {EngineClock} from './engine-clock.js';
 import {
 	engineHolder, type HubFrame, type PackedLoad, unpackLoad,
 } from './hub-messages.js';
@@ -17,7 +18,7 @@
 	#isLapsed = false;
 	#loads: Readonly<Record<string, PackedLoad>> = {};
 	#askedAt: Moment | undefined;
-	#clock: {milliseconds: number; heardAt: number} | undefined;
+	readonly #engineClock = new EngineClock();
 	readonly #uses = new Set<string>();
 
 	/** Forgets all: the connection to the hub ended, and the next one tells all anew. */
@@ -29,7 +30,7 @@
 		this.#isLapsed = false;
 		this.#loads = {};
 		this.#askedAt = undefined;
-		this.#clock = undefined;
+		this.#engineClock.forget();
 	}
 
 	/** Takes what the hub tells of a store or an engine. */
@@ -57,7 +58,8 @@
 		this.#isLapsed = isLapsed;
 		this.#loads = loads;
 		this.#askedAt = askedAt;
-		this.#clock = clock === undefined ? undefined : {milliseconds: clock, heardAt: now.steady};
+		this.#engineClock.forget();
+		this.#engineClock.hear(clock, now.steady);
 	}
 
 	/** Whether the hub has lost its lease. */
@@ -100,7 +102,7 @@
 	 * @returns Milliseconds; `undefined` while it is not known.
 	 */
 	engineClock(now: Moment): number | undefined {
-		return this.#clock === undefined || !this.isFresh(now) ? undefined : this.#clock.milliseconds + (now.steady - this.#clock.heardAt);
+		return this.isFresh(now) ? this.#engineClock.at(now.steady) : undefined;
 	}
 
 	/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -4,6 +4,7 @@
 import {type PartsChange, StoreLedger} from '../../protocol/parts/store-ledger.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type StoreTraits} from '../../shared/routed-configuration.js';
+import {EngineClock} from './engine-clock.js';
 
 /** How long a call for events may wait; events come at once. */
 const eventWaitMilliseconds = 800;
@@ -32,7 +33,7 @@
 	readonly #store: StoreTraits;
 	readonly #tools: KeeperTools;
 	#since = 0;
-	#clock: {milliseconds: number; heardAt: number} | undefined;
+	readonly #engineClock = new EngineClock();
 
 	/** @param service - The name of the store's service. */
 	constructor(service: string, store: StoreTraits, tools: KeeperTools) {
@@ -46,7 +47,7 @@
 
 	/** The engines' clock by this store's last word, in milliseconds. */
 	get engineClock(): number | undefined {
-		return this.#clock === undefined ? undefined : this.#clock.milliseconds + (this.#now() - this.#clock.heardAt);
+		return this.#engineClock.at(this.#now());
 	}
 
 	get isOpen(): boolean {
@@ -90,10 +91,7 @@
 
 	async #take(events: StoreEvents): Promise<number> {
 		const now = this.#now();
-		if (events.clockMilliseconds !== undefined) {
-			this.#clock = {milliseconds: events.clockMilliseconds, heardAt: now};
-		}
-
+		this.#engineClock.hear(events.clockMilliseconds, now);
 		if (events.epoch !== this.ledger.epoch || events.isIncomplete) {
 			return this.#lost(events.isIncomplete ? 'events were lost' : 'the store restarted');
 		}
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -15,11 +15,12 @@
 	/** Starts to keep the stores that are not kept yet. */
 	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>): void {
 		this.#keeping ??= new AbortController();
+		const {signal} = this.#keeping;
 		for (const [name, store] of stores) {
 			if (!this.#keepers.has(name)) {
-				const keeper = new StoreKeeper(name, store, this.#tools);
+				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal));
 				this.#keepers.set(name, keeper);
-				void this.#run(name, keeper, this.#keeping.signal);
+				void this.#run(name, keeper, signal);
 			}
 		}
 	}
@@ -63,6 +64,21 @@
 		}
 	}
 
+	/**
+	 * A call may be under way when the duty ends. What it brings is told to nobody: followers that stay connected would take
+	 * it for held with the next grant, though another holder may have freed it.
+	 */
+	#toolsUntil(signal: AbortSignal): KeeperTools {
+		return {
+			...this.#tools,
+			tell: (store, change) => {
+				if (!signal.aborted) {
+					this.#tools.tell(store, change);
+				}
+			},
+		};
+	}
+
 	/** A keeper that fails is forgotten, and the next step starts a new one, which trusts nothing that the old one told. */
 	async #run(name: string, keeper: StoreKeeper, signal: AbortSignal): Promise<void> {
 		try {
--- a/src/protocol/parts/store-ledger.ts
+++ b/src/protocol/parts/store-ledger.ts
@@ -7,6 +7,7 @@
  * still take for whole: so the store is closed for the same time, for reads and writes, before anything in it is offered.
  */
 import {type StoredPart, type StoreEvents, type StoreListing} from '../../ports/cache-store-control.js';
+import {partKey, partNamedBy} from './part-key.js';
 import {withdrawalMilliseconds} from './part-times.js';
 
 /** What a holder of parts has got and lost, as followers are told. Keys are `salt|id`. */
@@ -67,7 +68,7 @@
 	takeListing({epoch, parts, partial}: StoreListing, now: number): PartsChange {
 		const change: PartsChange = {added: [], removed: []};
 		this.#epoch = epoch;
-		const listed = new Set(parts.map(part => keyOf(part)));
+		const listed = new Set(parts.map(part => partKey(part)));
 		for (const key of this.#parts.keys()) {
 			if (!listed.has(key)) {
 				this.#drop(key, change);
@@ -92,8 +93,8 @@
 
 		for (const part of removed) {
 			this.#heldTokens -= this.#knows(part) ? inBlocks(this.#tokensOf(part)) : 0;
-			this.#drop(keyOf(part), change);
-			this.#withdrawn.delete(keyOf(part));
+			this.#drop(partKey(part), change);
+			this.#withdrawn.delete(partKey(part));
 		}
 
 		return change;
@@ -129,7 +130,7 @@
 	withdraw(now: number, isDead: (salt: string) => boolean = () => false): PartsChange {
 		const change: PartsChange = {added: [], removed: []};
 		for (const [key, {tokens}] of this.#parts) {
-			if (isDead(partOf(key).salt)) {
+			if (isDead(partNamedBy(key).salt)) {
 				this.#withdraw(key, tokens, now, change);
 			}
 		}
@@ -155,15 +156,15 @@
 	dueToFree(now: number): Array<{salt: string; id: string}> {
 		return [...this.#withdrawn]
 			.filter(([, {freeAt}]) => freeAt <= now)
-			.map(([key]) => partOf(key));
+			.map(([key]) => partNamedBy(key));
 	}
 
 	/** Notes that the store has freed parts. */
 	freed(parts: ReadonlyArray<{salt: string; id: string}>): void {
 		for (const part of parts) {
-			const withdrawn = this.#withdrawn.get(keyOf(part));
+			const withdrawn = this.#withdrawn.get(partKey(part));
 			this.#heldTokens -= withdrawn === undefined ? 0 : inBlocks(withdrawn.tokens);
-			this.#withdrawn.delete(keyOf(part));
+			this.#withdrawn.delete(partKey(part));
 		}
 	}
 
@@ -174,7 +175,7 @@
 	}
 
 	#add(part: StoredPart, now: number, change: PartsChange): void {
-		const key = keyOf(part);
+		const key = partKey(part);
 		// A withdrawn part stays withdrawn: it will be freed, whatever a late event says.
 		if (this.#withdrawn.has(key) || this.#parts.has(key)) {
 			return;
@@ -191,24 +192,14 @@
 	}
 
 	#knows(part: StoredPart): boolean {
-		return this.#parts.has(keyOf(part)) || this.#withdrawn.has(keyOf(part));
+		return this.#parts.has(partKey(part)) || this.#withdrawn.has(partKey(part));
 	}
 
 	#tokensOf(part: StoredPart): number {
-		return this.#parts.get(keyOf(part))?.tokens ?? this.#withdrawn.get(keyOf(part))?.tokens ?? 0;
+		return this.#parts.get(partKey(part))?.tokens ?? this.#withdrawn.get(partKey(part))?.tokens ?? 0;
 	}
 }
 
-/** The text by which instances name a stored part. */
-export function keyOf({salt, id}: {salt: string; id: string}): string {
-	return `${salt}|${id}`;
-}
-
-function partOf(key: string): {salt: string; id: string} {
-	const separator = key.lastIndexOf('|');
-	return {salt: key.slice(0, separator), id: key.slice(separator + 1)};
-}
-
 function inBlocks(tokens: number): number {
 	return Math.ceil(tokens / blockTokens) * blockTokens;
 }
