Log how an answer was framed, how many bytes came and how its body ended

Cause: a caller got half of an answer as whole, and nothing in the logs told the hypotheses apart: a line said that a try failed or that a request was whole, not whether a length, a last chunk or the connection ended the answer, how many bytes came, whether the connection was reset, given up by us or closed too early, or whether it was new or had served before. Change: a try gives an `AnswerTransfer` (connection, framing, bodyBytes, bodyEnd). `try-failed` has it always, `request-ended` only if the body did not end in order or was framed by its connection, and no line before told it. What is passed on as whole is judged as before.

--- /dev/null
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {answerSealed, type PlayedEndpoint, TestGateway} from '../testing/test-gateway.js';
+import {framingOf} from './answer-transfer.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const post = rawRequest({
+	method: 'POST', path: '/', headers: {
+		host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '2000', connection: 'close',
+	}, body: 'x',
+});
+
+test('the framing of an answer is read from its head', () => {
+	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '0'}}, 'GET'), 'length');
+	assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': 'gzip, Chunked'}}, 'GET'), 'chunked');
+	assert.equal(framingOf({statusCode: 200, headers: {}}, 'GET'), 'connection');
+	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '9'}}, 'HEAD'), 'none');
+	assert.equal(framingOf({statusCode: 204, headers: {}}, 'GET'), 'none');
+});
+
+async function linesOf(play: PlayedEndpoint, requests = 1): Promise<Array<Record<string, unknown>>> {
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'non-idempotent'})]})).start();
+	await gateway.addEndpoint(play);
+	for (let sent = 0; sent < requests; sent++) {
+		await exchangeRaw(gateway.address, post);
+	}
+
+	await gateway.close();
+	return gateway.lines;
+}
+
+const unframedHead = `HTTP/1.1 200 OK\r\n${names.attemptId}: a1\r\n${names.seal}: s\r\nconnection: close\r\n\r\n`;
+
+for (const {name, play, line, transfer} of [
+	{
+		name: 'a reset', line: 'try-failed', transfer: {
+			connection: 'new', framing: 'connection', bodyBytes: 4, bodyEnd: 'reset',
+		},
+		play(_request, response) {
+			response.socket!.write(`${unframedHead}half`, () => {
+				setTimeout(() => {
+					response.socket!.resetAndDestroy();
+				}, 20);
+			});
+		},
+	},
+	{
+		name: 'an end in order before the stated length', line: 'try-failed', transfer: {
+			connection: 'new', framing: 'length', bodyBytes: 4, bodyEnd: 'short',
+		},
+		play(_request, response) {
+			response.socket!.end(`${unframedHead.replace('connection: close', 'content-length: 8')}half`);
+		},
+	},
+	{
+		name: 'an answer that ends with its connection', line: 'request-ended', transfer: {
+			connection: 'new', framing: 'connection', bodyBytes: 5, bodyEnd: 'in-order',
+		},
+		play(_request, response) {
+			response.socket!.end(`${unframedHead}whole`);
+		},
+	},
+] as Array<{name: string; line: string; transfer: Record<string, unknown>; play: PlayedEndpoint}>) {
+	test(`the log tells ${name} from other ends`, async () => {
+		// A caller reports half of an answer. Whether the endpoint's host died, the endpoint closed too early or the answer
+		// itself was short can be told afterwards only if the line of the try or of the request says it.
+		const lines = await linesOf(play);
+		assert.deepEqual(lines.find(({kind}) => kind === line)?.transfer, transfer, JSON.stringify(lines));
+	});
+}
+
+test('the line of an ordinary whole answer stays as short as it was', async () => {
+	const lines = await linesOf((request, response) => {
+		answerSealed(request, response, {body: 'whole', headers: {'keep-alive': 'timeout=5'}});
+	}, 2);
+	const ended = lines.filter(({kind}) => kind === 'request-ended');
+	assert.deepEqual(ended.map(({transfer}) => transfer), [undefined, undefined]);
+});
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -6,6 +6,9 @@
 import {request as sendRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {
+	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
+} from './answer-transfer.js';
 import {EndpointAgent} from './endpoint-agent.js';
 
 /** A request to an endpoint. */
@@ -31,6 +34,7 @@
  */
 export type ExchangeFailure = {
 	kind: 'not-sent' | 'unknown';
+	connection: ConnectionUse;
 	detail: string;
 };
 
@@ -41,9 +45,11 @@
 	/** Names and values by turns. */
 	rawHeaders: string[];
 	body: IncomingMessage;
+	framing: AnswerFraming;
+	connection: ConnectionUse;
 	header(name: string): string | undefined;
-	/** Whether the connection failed while the body was read; a body that ends with the connection is not whole then. */
-	isBroken(): boolean;
+	/** What became of the connection so far; a body that ends with a connection that failed is not whole. */
+	connectionEnd(): ConnectionEnd;
 };
 
 /** A call under way. */
@@ -65,6 +71,11 @@
  */
 const connectMilliseconds = 250;
 
+type ConnectionNotes = {
+	noteEnd(end: ConnectionEnd): void;
+	connectionEnd(): ConnectionEnd;
+};
+
 export class HttpEndpointExchanges implements EndpointExchanges {
 	readonly #agent = new EndpointAgent();
 
@@ -79,11 +90,17 @@
 			setHost: false,
 			agent: this.#agent,
 		});
-		const answer = this.#awaitAnswer(outgoing, call);
+		let connectionEnd: ConnectionEnd = 'open';
+		const noteEnd = (end: ConnectionEnd): void => {
+			connectionEnd = connectionEnd === 'open' || connectionEnd === 'in-order' ? end : connectionEnd;
+		};
+
+		const answer = this.#awaitAnswer(outgoing, call, {noteEnd, connectionEnd: () => connectionEnd});
 		outgoing.end(call.body.length === 0 ? undefined : call.body);
 		return {
 			answer,
 			cancel() {
+				noteEnd('cancelled');
 				outgoing.destroy();
 			},
 		};
@@ -94,19 +111,19 @@
 		this.#agent.destroy();
 	}
 
-	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall): Promise<Either<ExchangeFailure, EndpointAnswer>> {
+	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall, {noteEnd, connectionEnd}: ConnectionNotes): Promise<Either<ExchangeFailure, EndpointAnswer>> {
 		let isConnected = false;
-		let isBroken = false;
+		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: isConnected ? 'unknown' : 'not-sent', connection: useOf(outgoing), detail});
 		return new Promise(resolve => {
 			outgoing.once('socket', socket => {
-				const noteReset = (): void => {
-					isBroken ||= !isStillPaired(socket);
+				const noteSocketEnd = (): void => {
+					noteEnd(isStillPaired(socket) ? 'in-order' : 'reset');
 				};
 
 				// Before Node's own listener, which closes this side.
-				socket.prependOnceListener('end', noteReset);
+				socket.prependOnceListener('end', noteSocketEnd);
 				outgoing.once('close', () => {
-					socket.off('end', noteReset);
+					socket.off('end', noteSocketEnd);
 				});
 				if (!socket.connecting) {
 					isConnected = true;
@@ -133,22 +150,24 @@
 			});
 			// Node reports the reset of a connection here before it ends a body that has no length, so the mark is set first.
 			outgoing.on('error', error => {
-				isBroken = true;
-				resolve(Left({kind: isConnected ? 'unknown' : 'not-sent', detail: error.message}));
+				noteEnd('reset');
+				resolve(failure(error.message));
 			});
 			outgoing.once('close', () => {
-				resolve(Left({kind: isConnected ? 'unknown' : 'not-sent', detail: 'the connection ended without an answer'}));
+				resolve(failure('the connection ended without an answer'));
 			});
 			outgoing.once('response', response => {
 				const echoed = response.headers[call.attemptIdHeader];
 				if (echoed !== undefined && echoed !== call.attemptId) {
 					outgoing.destroy();
-					resolve(Left({kind: 'unknown', detail: 'the answer belongs to another request'}));
+					resolve(failure('the answer belongs to another request'));
 					return;
 				}
 
 				this.#agent.noteKeepAlive(response.socket, response.headers['keep-alive']);
-				resolve(Right(answerOf(response, () => isBroken)));
+				resolve(Right({
+					...answerOf(response), framing: framingOf(response, call.method), connection: useOf(outgoing), connectionEnd,
+				}));
 			});
 		});
 	}
@@ -166,7 +185,11 @@
 	return socket.remoteAddress !== undefined;
 }
 
-function answerOf(response: IncomingMessage, isBroken: () => boolean): EndpointAnswer {
+function useOf(outgoing: ClientRequest): ConnectionUse {
+	return outgoing.reusedSocket ? 'kept' : 'new';
+}
+
+function answerOf(response: IncomingMessage): Pick<EndpointAnswer, 'status' | 'statusText' | 'rawHeaders' | 'header' | 'body'> {
 	return {
 		status: response.statusCode ?? 0,
 		statusText: response.statusMessage ?? '',
@@ -176,6 +199,5 @@
 			return Array.isArray(value) ? value[0] : value;
 		},
 		body: response,
-		isBroken,
 	};
 }
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -8,6 +8,7 @@
 import {type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {type EventCutter} from './event-cutter.js';
@@ -49,6 +50,7 @@
 	/** Whether it may have run. */
 	mayHaveRun: boolean;
 	answer?: EndpointAnswer;
+	transfer: AnswerTransfer;
 	detail?: string;
 };
 
@@ -131,10 +133,10 @@
 	async #awaitResult(exchange: OpenExchange): Promise<TryResult> {
 		const answered = await exchange.answer;
 		if (answered.isLeft()) {
-			const {kind, detail} = answered.extract();
+			const {kind, connection, detail} = answered.extract();
 			const wasSent = kind === 'unknown';
 			return {
-				outcome: kind, wasSent, mayHaveRun: wasSent, detail,
+				outcome: kind, wasSent, mayHaveRun: wasSent, transfer: {connection}, detail,
 			};
 		}
 
@@ -147,7 +149,7 @@
 		}
 
 		return {
-			outcome, wasSent: true, mayHaveRun: outcome !== 'rejected', answer,
+			outcome, wasSent: true, mayHaveRun: outcome !== 'rejected', answer, transfer: transferOf(answer, {bodyEnd: 'unread'}),
 		};
 	}
 
@@ -180,7 +182,7 @@
 		const {placement, names} = this.#context;
 		const {response, cutter} = this.#work;
 		const {endpoint, request, onFirstBytes} = this.#target;
-		const outcome = await relayAnswer({
+		const {outcome, ...read} = await relayAnswer({
 			answer,
 			response,
 			cutter: answer.status === 200 ? cutter : undefined,
@@ -194,9 +196,10 @@
 				placement.heard(endpoint, this.#now());
 			},
 		});
+		const transfer = transferOf(answer, read);
 		if (outcome !== 'cut') {
 			return {
-				outcome, wasSent: true, mayHaveRun: true, answer,
+				outcome, wasSent: true, mayHaveRun: true, answer, transfer,
 			};
 		}
 
@@ -204,7 +207,7 @@
 		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
 		cutter?.rest();
 		return {
-			outcome: response.headersSent ? 'cut' : 'unknown', wasSent: true, mayHaveRun: true, detail: 'the endpoint broke off its answer',
+			outcome: response.headersSent ? 'cut' : 'unknown', wasSent: true, mayHaveRun: true, transfer, detail: 'the endpoint broke off its answer',
 		};
 	}
 
@@ -239,3 +242,14 @@
 		return this.#context.clock.moment().steady;
 	}
 }
+
+/**
+ * Tells how an answer came.
+ *
+ * @param answer - The answer, of which the framing and the connection are told.
+ * @param read - What was read of its body.
+ * @returns The facts for the log.
+ */
+export function transferOf({connection, framing}: EndpointAnswer, read: Pick<AnswerTransfer, 'bodyBytes' | 'bodyEnd'>): AnswerTransfer {
+	return {connection, framing, ...read};
+}
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -1,6 +1,7 @@
 /** Passes an endpoint's answer on to the client as it comes. */
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {brokenBodyEnd, type BodyEnd} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {type EventCutter} from './event-cutter.js';
 import {withoutHopByHop} from './hop-by-hop.js';
@@ -8,6 +9,14 @@
 /** How an answer ended. `cut`: the endpoint or the connection broke off. */
 export type RelayOutcome = 'whole' | 'cut' | 'client-left';
 
+/** How an answer was passed on. */
+export type Relayed = {
+	outcome: RelayOutcome;
+	bodyEnd: BodyEnd;
+	/** As they came from the endpoint. */
+	bodyBytes: number;
+};
+
 /** What is passed on, and where. */
 export type Relay = {
 	answer: EndpointAnswer;
@@ -30,11 +39,18 @@
  * @param relay - The answer and the client's response.
  * @returns How it ended. After `whole` the response is ended, else it is left open.
  */
-export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes}: Relay): Promise<RelayOutcome> {
+export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes}: Relay): Promise<Relayed> {
 	const {body} = answer;
 	return new Promise(resolve => {
 		let hasBytes = false;
+		let bodyBytes = 0;
 		let isDone = false;
+		let isLeft = false;
+		const bodyEndNow = (): BodyEnd => {
+			const connectionEnd = answer.connectionEnd();
+			return isLeft && connectionEnd === 'open' ? 'cancelled' : brokenBodyEnd(connectionEnd);
+		};
+
 		const finish = (outcome: RelayOutcome): void => {
 			if (isDone) {
 				return;
@@ -44,7 +60,7 @@
 			response.off('close', leave).off('drain', resume);
 			body.off('data', take).off('end', end).off('close', cut);
 			body.on('error', ignore);
-			resolve(outcome);
+			resolve({outcome, bodyBytes, bodyEnd: outcome === 'whole' ? 'in-order' : bodyEndNow()});
 		};
 
 		const resume = (): void => {
@@ -52,6 +68,7 @@
 		};
 
 		const leave = (): void => {
+			isLeft = true;
 			finish('client-left');
 		};
 
@@ -64,6 +81,7 @@
 
 		const take = (chunk: Buffer): void => {
 			onBytes();
+			bodyBytes += chunk.length;
 			const bytes = cutter === undefined ? chunk : cutter.take(chunk).bytes;
 			if (!hasBytes && bytes.length > 0) {
 				hasBytes = true;
@@ -76,7 +94,7 @@
 		};
 
 		const end = (): void => {
-			if (answer.isBroken() || !body.complete) {
+			if (answer.connectionEnd() === 'reset' || !body.complete) {
 				finish('cut');
 				return;
 			}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,8 +11,9 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {EndpointTry, type TryResult} from './endpoint-try.js';
+import {EndpointTry, transferOf, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
 import {placementRequestOf} from './placement-request.js';
@@ -47,6 +48,8 @@
 	#firstByteAt: number | undefined;
 	#basis: PlacementBasis | undefined;
 	#status = 0;
+	/** Of the last answer, until a line of the log has told it. */
+	#untoldTransfer: AnswerTransfer | undefined;
 
 	constructor(context: GatewayContext, work: RoutedWork) {
 		this.#context = context;
@@ -79,6 +82,7 @@
 				mayHaveRun: this.#mayHaveRun,
 				placedBy: this.#basis,
 				firstByteAt: this.#firstByteAt,
+				...this.#unusualTransfer(),
 			}, this.#now());
 			return end;
 		} finally {
@@ -120,8 +124,9 @@
 			const {outcome} = result;
 			const step = this.#stepAfter(outcome);
 			this.#context.log.record('try-failed', {
-				id: this.#work.head.attemptId, endpoint: placement.endpoint.name, outcome, step, sends: this.#sends, detail: result.detail, status: result.answer?.status,
+				id: this.#work.head.attemptId, endpoint: placement.endpoint.name, outcome, step, sends: this.#sends, detail: result.detail, status: result.answer?.status, transfer: result.transfer,
 			});
+			this.#untoldTransfer = undefined;
 			const end = await this.#carryOut(step, result.answer);
 			if (end !== undefined) {
 				return end;
@@ -204,6 +209,7 @@
 		this.#current = undefined;
 		this.#sends += result.wasSent ? 1 : 0;
 		this.#mayHaveRun ||= result.mayHaveRun;
+		this.#untoldTransfer = result.transfer;
 		this.#status = result.answer?.status ?? this.#status;
 		return result;
 	}
@@ -216,9 +222,10 @@
 			return 'broken-off';
 		}
 
-		const outcome = await relayAnswer({
+		const {outcome, ...read} = await relayAnswer({
 			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
 		});
+		this.#untoldTransfer = transferOf(answer, read);
 		this.#status = answer.status;
 		if (outcome === 'cut') {
 			response.destroy();
@@ -256,6 +263,12 @@
 		return 'timeout';
 	}
 
+	/** How the last answer came, unless it ended as nearly all do, by its own framing: the line of a request is to stay short. */
+	#unusualTransfer(): {transfer?: AnswerTransfer} {
+		const transfer = this.#untoldTransfer;
+		return transfer === undefined || (transfer.bodyEnd === 'in-order' && transfer.framing !== 'connection') ? {} : {transfer};
+	}
+
 	#refuse(refusal: Refusal): void {
 		this.#status = this.#context.refuse(this.#work.response, refusal);
 	}
