Show three ways in which an answer looks whole to its caller and is not

(2) A connection whose peer's address was looked up before is reset together with its last bytes; Node remembers the address, so the connection seems to have its peer. (3) A caller of HTTP/1.0 has no chunks: a broken answer is closed in order, as a whole one is. Callers saw: the framing of a whole answer around a part of it.

--- /dev/null
+++ b/src/gateway/data-path/broken-answer.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {test} from 'node:test';
+import {type RouteKind} from '../../shared/routed-configuration.js';
+import {openSocket, rawRequest} from '../../test/raw-http.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {TestGateway} from '../testing/test-gateway.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const post = rawRequest({
+	method: 'POST', path: '/', headers: {
+		host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '2000', connection: 'close',
+	}, body: 'x',
+});
+const sealed = `${names.attemptId}: a1\r\n${names.seal}: s\r\n`;
+
+/** What the caller of one request gets, and whether its connection was reset. */
+async function answerTo(request: string, play: (socket: Socket) => void, kind: RouteKind = 'non-idempotent'): Promise<{text: string; wasReset: boolean}> {
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
+	await gateway.addEndpoint((_request: IncomingMessage, response: ServerResponse) => {
+		play(response.socket!);
+	});
+	const caller = await openSocket(gateway.address);
+	let text = '';
+	let wasReset = false;
+	caller.setEncoding('utf8').on('data', chunk => {
+		text += String(chunk);
+	}).on('error', () => {
+		wasReset = true;
+	});
+	caller.write(request);
+	await new Promise(resolve => {
+		caller.once('close', resolve);
+	});
+	await gateway.close();
+	return {text, wasReset};
+}
+
+function resetBehind(bytes: string): (socket: Socket) => void {
+	return socket => {
+		socket.write(bytes, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	};
+}
+
+const brokenAnswers = [
+	{name: 'without a length that is reset', play: resetBehind(`HTTP/1.1 200 OK\r\n${sealed}connection: close\r\n\r\nhalf`)},
+	{name: 'in chunks without the last chunk', play: resetBehind(`HTTP/1.1 200 OK\r\n${sealed}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`)},
+	{name: 'in chunks whose trailer is cut', play: resetBehind(`HTTP/1.1 200 OK\r\n${sealed}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nx-sum: 1`)},
+	{name: 'that is a failure without a length and is reset', play: resetBehind(`HTTP/1.1 500 Internal Server Error\r\n${sealed}connection: close\r\n\r\nhalf`)},
+];
+
+for (const {name, play} of brokenAnswers) {
+	test(`a caller of HTTP/1.1 sees that an answer ${name} is not whole`, async () => {
+		// The endpoint breaks off in the middle. The caller is answered in chunks, and must not get the last one.
+		const {text} = await answerTo(post, play);
+		assert.match(text, /half/v);
+		assert.ok(!text.endsWith('0\r\n\r\n'), text);
+	});
+
+	test(`a caller of HTTP/1.0 sees that an answer ${name} is not whole`, async () => {
+		// The caller gets half of an answer and then the end of its connection, which is how a whole answer ends towards it:
+		// HTTP/1.0 has no chunks. The endpoint broke off, the gateway closed the caller's connection in order.
+		const {text, wasReset} = await answerTo(post.replace('HTTP/1.1', 'HTTP/1.0'), play);
+		assert.match(text, /half/v);
+		assert.equal(wasReset, true, text);
+	});
+}
+
+test('a resumable stream without a length that is reset and cannot go on elsewhere does not look whole', async () => {
+	// The endpoint's host dies behind a whole event and half of another. No other endpoint is there to go on.
+	const {text} = await answerTo(post, resetBehind(`HTTP/1.1 200 OK\r\n${sealed}content-type: text/event-stream\r\nconnection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda`), 'resumable-stream');
+	assert.match(text, /data: a/v);
+	assert.ok(!text.includes('id: 2') && !text.endsWith('0\r\n\r\n'), text);
+});
+
+test('an answer shorter than its length does not end as whole on the caller\'s connection', async () => {
+	// The endpoint promises ten bytes, sends four and closes in order. The caller was promised ten bytes as well.
+	const {text} = await answerTo(post, socket => {
+		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 10\r\n\r\nhalf`);
+	});
+	assert.match(text, /content-length: 10\r\n[\s\S]*half$/v);
+});
+
+test('an answer with both a length and chunks is not passed on', async () => {
+	// Two framings contradict each other; a caller that believes the other one would see another end.
+	const {text} = await answerTo(post, socket => {
+		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n`);
+	});
+	assert.match(text, /^HTTP\/1\.1 502/v);
+});
+
+test('an answer that is whole by its length stays whole though its connection is reset behind it', async () => {
+	// The endpoint's host dies right behind the last byte of an answer with a length: all that was promised came.
+	const {text} = await answerTo(post, socket => {
+		socket.write(`HTTP/1.1 200 OK\r\n${sealed}content-length: 5\r\n\r\nwhole`, () => {
+			socket.resetAndDestroy();
+		});
+	});
+	assert.match(text, /whole$/v);
+});
+
+for (const status of [204, 304]) {
+	test(`an answer with status ${status} has no body and is whole with its head`, async () => {
+		const {text} = await answerTo(post, socket => {
+			socket.write(`HTTP/1.1 ${status} Fine\r\n${sealed}\r\n`);
+		});
+		assert.match(text, new RegExp(String.raw`^HTTP/1.1 ${status} Fine\r\n[\s\S]*\r\n\r\n$`, 'v'));
+	});
+}
+
+test('an interim answer before an answer that is reset does not make it whole', async () => {
+	// 103 is followed by the final head; only the final answer's body counts.
+	const {text} = await answerTo(post, resetBehind(`HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n${sealed}connection: close\r\n\r\nhalf`));
+	assert.ok(text.includes('half') && !text.endsWith('0\r\n\r\n'), text);
+});
--- /dev/null
+++ b/src/gateway/data-path/connection-end.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Buffer} from 'node:buffer';
+import {HttpEndpointExchanges, type EndpointAnswer} from './endpoint-exchange.js';
+import {type ConnectionEnd} from './answer-transfer.js';
+
+const head = 'HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nconnection: close\r\n\r\n';
+
+/** Plays an endpoint that sends a head and a first part, and the last part and the end when told to. */
+async function openAnswer(context: TestContext): Promise<{answer: EndpointAnswer; endpointSocket: Socket}> {
+	let endpointSocket: Socket | undefined;
+	const server = createServer(socket => {
+		endpointSocket = socket;
+		socket.once('data', () => {
+			socket.write(`${head}first`);
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const exchanges = new HttpEndpointExchanges();
+	context.after(() => {
+		exchanges.close();
+		endpointSocket?.destroy();
+		server.close();
+	});
+	const address = server.address();
+	assert.ok(typeof address === 'object' && address !== null);
+	const answer = await exchanges.open({
+		address: `127.0.0.1:${address.port}`, method: 'GET', target: '/', rawHeaders: ['host', 'desk.example'], body: Buffer.alloc(0), attemptId: 'a1', attemptIdHeader: 'x-attempt-id',
+	}).answer;
+	return {answer: answer.unsafeCoerce(), endpointSocket: endpointSocket!};
+}
+
+async function readToClose({body, connectionEnd}: EndpointAnswer): Promise<ConnectionEnd> {
+	body.on('error', () => undefined).resume();
+	if (!body.closed) {
+		await once(body, 'close');
+	}
+
+	return connectionEnd();
+}
+
+for (const {name, end, expected} of [
+	{name: 'reset', end: (socket: Socket) => socket.resetAndDestroy(), expected: 'reset'},
+	{name: 'closed in order', end: (socket: Socket) => socket.end(), expected: 'in-order'},
+]) {
+	test(`a connection that is ${name} behind its last bytes is known to be so, though its peer's address was looked up before`, async context => {
+		// A caller gets half of an answer as whole. The endpoint's host resets the connection together with the last bytes,
+		// which Node reports as an ordinary end. Node remembers a peer's address: once a log line, an inspector or an earlier
+		// request on the connection has asked for it, it says nothing of what the connection is now.
+		const {answer, endpointSocket} = await openAnswer(context);
+		assert.equal(answer.body.socket.remoteAddress, '127.0.0.1');
+		await pause(5);
+		endpointSocket.write('last', () => {
+			end(endpointSocket);
+		});
+		assert.equal(await readToClose(answer), expected);
+	});
+}
