Take an answer for whole only on proof by its own framing, not because its reading ended

Cause: when a try is given up (the route's time-out, an endpoint fallen silent), Node throws away what waits of its answer for a slow caller and then reports the end of a body that its parser had read to the end. The relay took that report as proof. Callers saw: a last chunk, or fewer bytes than the length on a kept connection, around an answer without its last part; the log said `whole`. Ruled out: a mark at the time-out alone; the silence watch and a caller's leaving go the same way. Answers framed by their connection: Node has ended that request by then, so giving it up does nothing; it is left alone there, and stays whole. Change: `cancel()` marks the exchange before it destroys the request. `judgeBodyEnd` holds what was passed on against what was promised: the bytes of the length, a last chunk that no giving up preceded, a connection known to be closed in order. An answer whole by its length or last chunk is no longer cut for a reset right behind it.

--- a/src/gateway/data-path/answer-transfer.test.ts
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -3,7 +3,7 @@
 import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {answerSealed, type PlayedEndpoint, TestGateway} from '../testing/test-gateway.js';
-import {framingOf} from './answer-transfer.js';
+import {framingOf, judgeBodyEnd} from './answer-transfer.js';
 import {ownWireNames as names} from './wire-names.js';
 
 const post = rawRequest({
@@ -20,6 +20,18 @@
 	assert.equal(framingOf({statusCode: 204, headers: {}}, 'GET'), 'none');
 });
 
+test('a body is whole only on proof by its own framing', () => {
+	// The news of an end comes also behind a reset and behind our own giving up. Each framing has one proof that all came.
+	const judge = (framing: 'length' | 'chunked' | 'connection', connectionEnd: 'open' | 'in-order' | 'reset' | 'cancelled', bodyBytes = 8): string => judgeBodyEnd({
+		framing, promisedBytes: 8, isComplete: true, connectionEnd,
+	}, bodyBytes);
+	const ends = ['open', 'in-order', 'reset', 'cancelled'] as const;
+	assert.deepEqual(ends.map(end => judge('length', end, 7)), ['short', 'short', 'reset', 'cancelled']);
+	assert.deepEqual(ends.map(end => judge('length', end)), ['in-order', 'in-order', 'in-order', 'in-order']);
+	assert.deepEqual(ends.map(end => judge('chunked', end)), ['in-order', 'in-order', 'in-order', 'cancelled']);
+	assert.deepEqual(ends.map(end => judge('connection', end)), ['short', 'in-order', 'reset', 'cancelled']);
+});
+
 async function linesOf(play: PlayedEndpoint, requests = 1): Promise<Array<Record<string, unknown>>> {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'non-idempotent'})]})).start();
 	await gateway.addEndpoint(play);
--- a/src/gateway/data-path/answer-transfer.ts
+++ b/src/gateway/data-path/answer-transfer.ts
@@ -68,6 +68,38 @@
 	return headers['content-length'] === undefined ? 'connection' : 'length';
 }
 
+/** What an answer promised, and what is known of its end. */
+export type AnswerEnd = {
+	framing: AnswerFraming;
+	/** By its head; used only for the framing `length`. */
+	promisedBytes: number;
+	/** Whether the parser found the end of the body. */
+	isComplete: boolean;
+	connectionEnd: ConnectionEnd;
+};
+
+/**
+ * Judges whether all of a body came, when its reader is told that it ended.
+ *
+ * The news of an end proves nothing by itself: it comes also when this process gives the answer up, and the parts that
+ * still waited for a slow caller are thrown away then, behind a parser that had found the end. So what was passed on is
+ * held against what the answer promised: the bytes of its length, a last chunk that nobody's giving up preceded, or a
+ * connection that the endpoint is known to have closed in order. Whatever is not proved is not whole.
+ *
+ * @param end - What the answer promised, and what is known of its end.
+ * @param bodyBytes - How many bytes of the body were passed on.
+ * @returns `in-order` if all came, else what kept the rest from coming.
+ */
+export function judgeBodyEnd({framing, promisedBytes, isComplete, connectionEnd}: AnswerEnd, bodyBytes: number): BodyEnd {
+	const isWhole = isComplete && {
+		length: bodyBytes === promisedBytes,
+		chunked: connectionEnd !== 'cancelled',
+		connection: connectionEnd === 'in-order',
+		none: true,
+	}[framing];
+	return isWhole ? 'in-order' : brokenBodyEnd(connectionEnd);
+}
+
 /** Names how a body ended that was not read to its end. */
 export function brokenBodyEnd(connectionEnd: ConnectionEnd): BodyEnd {
 	return connectionEnd === 'open' || connectionEnd === 'in-order' ? 'short' : connectionEnd;
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -100,6 +100,11 @@
 		return {
 			answer,
 			cancel() {
+				if (outgoing.destroyed) {
+					return;
+				}
+
+				// First: destroying the request throws away what waits of its answer, and reports that as an ordinary end.
 				noteEnd('cancelled');
 				outgoing.destroy();
 			},
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -1,7 +1,7 @@
 /** Passes an endpoint's answer on to the client as it comes. */
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {brokenBodyEnd, type BodyEnd} from './answer-transfer.js';
+import {brokenBodyEnd, judgeBodyEnd, type BodyEnd} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {type EventCutter} from './event-cutter.js';
 import {withoutHopByHop} from './hop-by-hop.js';
@@ -94,7 +94,13 @@
 		};
 
 		const end = (): void => {
-			if (answer.connectionEnd() === 'reset' || !body.complete) {
+			const bodyEnd = judgeBodyEnd({
+				framing: answer.framing,
+				promisedBytes: Number(answer.header('content-length')),
+				isComplete: body.complete,
+				connectionEnd: answer.connectionEnd(),
+			}, bodyBytes);
+			if (bodyEnd !== 'in-order') {
 				finish('cut');
 				return;
 			}
