Ask the system itself whether an ended connection still has its peer

Cause: an answer without a length was judged by `socket.remoteAddress`, which Node remembers. Any earlier look at it, by a log line, an inspector or for an earlier request on a kept connection, made each later reset that comes with the last bytes an end in order. Callers would see: half of an answer as whole. Nothing in this code looks the address up today, so no record shows it. Ruled out, for the look-up at the moment of `end`: a reset that arrives later than that (the look can be only behind the last byte, and an end without a reset needs the peer's close, which is behind all bytes); an end delivered late to a paused body; this side half closed first (this code never half-closes before the end). Change: `isClosedInOrder`, in a file of its own, asks the connection's handle each time; where it cannot be asked, the answer does not count as whole.

--- a/src/gateway/data-path/connection-end.test.ts
+++ b/src/gateway/data-path/connection-end.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type Socket} from 'node:net';
+import {createServer, Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Buffer} from 'node:buffer';
 import {HttpEndpointExchanges, type EndpointAnswer} from './endpoint-exchange.js';
 import {type ConnectionEnd} from './answer-transfer.js';
+import {isClosedInOrder} from './is-closed-in-order.js';
 
 const head = 'HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nconnection: close\r\n\r\n';
 
@@ -59,3 +60,7 @@
 		assert.equal(await readToClose(answer), expected);
 	});
 }
+
+test('a connection of which the system cannot be asked does not count as closed in order', () => {
+	assert.equal(isClosedInOrder(new Socket()), false);
+});
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -10,6 +10,7 @@
 	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
 } from './answer-transfer.js';
 import {EndpointAgent} from './endpoint-agent.js';
+import {isClosedInOrder} from './is-closed-in-order.js';
 
 /** A request to an endpoint. */
 export type EndpointCall = {
@@ -122,7 +123,7 @@
 		return new Promise(resolve => {
 			outgoing.once('socket', socket => {
 				const noteSocketEnd = (): void => {
-					noteEnd(isStillPaired(socket) ? 'in-order' : 'reset');
+					noteEnd(isClosedInOrder(socket) ? 'in-order' : 'reset');
 				};
 
 				// Before Node's own listener, which closes this side.
@@ -178,18 +179,6 @@
 	}
 }
 
-/**
- * Whether a connection that was just reported as ended still has its other side.
- *
- * A reset that arrives together with the last bytes is reported by Node as an ordinary end: an answer that ends with its
- * connection would pass for whole though the endpoint died in the middle of it. The operating system knows no peer of a
- * connection that was reset, while one that the peer closed in order still has it until this side closes as well; so the
- * peer's address is looked up, which must not have been done before on this connection, since Node remembers it.
- */
-function isStillPaired(socket: Socket): boolean {
-	return socket.remoteAddress !== undefined;
-}
-
 function useOf(outgoing: ClientRequest): ConnectionUse {
 	return outgoing.reusedSocket ? 'kept' : 'new';
 }
