Reset the connection of a caller that is not answered in chunks when its answer breaks off

Cause: a caller of HTTP/1.0 is answered without chunks; where the answer has no length of its own, the end of the connection is the end of the answer. A broken answer was ended by closing that connection in order. Callers saw: half of an answer and its proper end. Change: `breakOffAnswer` resets the connection where answers are not chunked; used by routed requests, by the listener for a fault behind the head, and by prompts' writers. A process that is killed closes its connections in order whatever we do; such a caller can't tell that.

--- a/src/entry/callers/completion-writer.ts
+++ b/src/entry/callers/completion-writer.ts
@@ -9,6 +9,7 @@
 import {type AnswerSink} from './completion-job.js';
 import {type CompletionRequest} from './completion-request.js';
 import {refusalBody, sendRefusal} from './send-refusal.js';
+import {breakOffAnswer} from './break-off-answer.js';
 
 /** Stands for the text while the frame of a streamed event is made; no member of an event can hold it. */
 const textPlace = '\u0000text\u0000';
@@ -74,7 +75,7 @@
 	}
 
 	abandon(): void {
-		this.#response.destroy();
+		breakOffAnswer(this.#response);
 	}
 
 	/** Closes a whole answer. */
--- a/src/entry/http-listener.ts
+++ b/src/entry/http-listener.ts
@@ -10,6 +10,7 @@
 import {type Duplex} from 'node:stream';
 import {type H3, toNodeHandler} from 'h3';
 import {type Child} from '../supervisor/supervisor.js';
+import {breakOffAnswer} from './callers/break-off-answer.js';
 import {sendRefusal} from './callers/send-refusal.js';
 import {connectionRefusalBytes, judgeConnectionError} from './connection-refusal.js';
 
@@ -171,7 +172,7 @@
 		} catch {
 			// A fault in one request must not end the process and all other answers with it.
 			if (response.headersSent) {
-				response.destroy();
+				breakOffAnswer(response);
 			} else {
 				sendRefusal(response, {reason: 'internal', ran: 'unknown', message: 'the request could not be served'});
 			}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,6 +11,7 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, transferOf, type TryResult} from './endpoint-try.js';
@@ -159,7 +160,7 @@
 			}
 
 			case 'break-off': {
-				this.#work.response.destroy();
+				breakOffAnswer(this.#work.response);
 				return 'broken-off';
 			}
 
@@ -218,7 +219,7 @@
 		const {response} = this.#work;
 		if (response.headersSent) {
 			answer.body.resume();
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
@@ -228,7 +229,7 @@
 		this.#untoldTransfer = transferOf(answer, read);
 		this.#status = answer.status;
 		if (outcome === 'cut') {
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
@@ -239,7 +240,7 @@
 	#giveUp(refusal: Refusal): RoutedEnd {
 		const {response} = this.#work;
 		if (response.headersSent) {
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
@@ -255,7 +256,7 @@
 	#expire(): RoutedEnd {
 		const {response} = this.#work;
 		if (response.headersSent) {
-			response.destroy();
+			breakOffAnswer(response);
 		} else {
 			this.#refuse({reason: 'timeout', ran: 'unknown', message: 'the request was not answered in time'});
 		}
