Do not promise the caller of a resumable stream the length of its first answer

Cause: the head of the first answer is passed on with its length; when the stream breaks and goes on at another endpoint, the events add up to another sum. Callers saw: 30 bytes where 200 were promised, ended by us as whole; on a kept connection the next answer would be taken for the rest. Ruled out: other kinds of route; their answers never go on elsewhere, and the bytes are held against the length. Change: answers whose events may go on elsewhere are passed on without the length, so in chunks.

--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -73,7 +73,7 @@
 		};
 
 		const pass = (bytes: Buffer): void => {
-			writeHeadOnce(answer, response);
+			writeHeadOnce(answer, response, cutter !== undefined);
 			if (bytes.length > 0 && !response.write(bytes)) {
 				body.pause();
 			}
@@ -109,7 +109,7 @@
 				onFirstBytes();
 			}
 
-			writeHeadOnce(answer, response);
+			writeHeadOnce(answer, response, cutter !== undefined);
 			response.end(cutter?.rest());
 			finish('whole');
 		};
@@ -123,9 +123,12 @@
 	});
 }
 
-function writeHeadOnce(answer: EndpointAnswer, response: ServerResponse): void {
+/** A resumed stream ends with another endpoint's events, so the length that the first one states may not be promised. */
+const unpromisedInResumable: ReadonlySet<string> = new Set(['content-length']);
+
+function writeHeadOnce(answer: EndpointAnswer, response: ServerResponse, mayBeResumed: boolean): void {
 	if (!response.headersSent) {
-		response.writeHead(answer.status, answer.statusText, withoutHopByHop(answer.rawHeaders, answer.header('connection')));
+		response.writeHead(answer.status, answer.statusText, withoutHopByHop(answer.rawHeaders, answer.header('connection'), mayBeResumed ? unpromisedInResumable : undefined));
 	}
 }
 
