Let no events follow a failure that broke off

Cause: the answer to a resumable stream's request was a failure (404) whose page broke off behind its first bytes. It counted as a cut stream, so the request was resumed elsewhere and the events were joined to the half page. Callers saw: the head and half of the page of a 404, events of a success behind it, and the end of a whole answer. Ruled out: a 200 that is cut before its first whole event (nothing was passed on, so it starts anew) and a failure in answer to a resumption (an older test). Change: an answer other than a 200 that breaks off behind its first bytes ends its try as `torn`, and the step is `break-off`.

--- a/src/decision/attempts/next-step.test.ts
+++ b/src/decision/attempts/next-step.test.ts
@@ -30,6 +30,10 @@
 	}, always), 'break-off');
 });
 
+test('nothing goes on behind a failure that broke off', () => {
+	assert.equal(decideNextStep('torn', {...state, kind: 'resumable-stream', mayHaveRun: true}, always), 'break-off');
+});
+
 test('repeats stop at the budget, the number of endpoints and the time left', () => {
 	assert.equal(decideNextStep('rejected', state, () => false), 'refuse');
 	assert.equal(decideNextStep('rejected', {...state, leftMilliseconds: 20}, always), 'refuse');
--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -15,8 +15,9 @@
  * - `unknown`: it was sent, and no usable answer came.
  * - `failed`: the endpoint ran it and answered with a failure, which was not passed on yet.
  * - `cut`: the answer broke off after parts of it were passed on; for an event stream behind a whole event.
+ * - `torn`: the same of an answer other than a 200, such as a failure's page; it holds no events, so none can follow it.
  */
-export type TryOutcome = 'not-sent' | 'rejected' | 'unknown' | 'failed' | 'cut';
+export type TryOutcome = 'not-sent' | 'rejected' | 'unknown' | 'failed' | 'cut' | 'torn';
 
 /** What is known when the step is decided. */
 export type TryState = {
@@ -55,6 +56,10 @@
  * @returns The step.
  */
 export function decideNextStep(outcome: TryOutcome, state: TryState, takeRepeat: () => boolean): NextStep {
+	if (outcome === 'torn') {
+		return 'break-off';
+	}
+
 	// Behind a part of an answer only a stream can go on; another whole answer would be joined to that part.
 	const mayRepeat = outcome === 'cut'
 		? state.kind === 'resumable-stream'
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -204,10 +204,12 @@
 		}
 
 		this.#exchange?.cancel();
+		// Behind half of a failure's page, events from elsewhere would be joined to it, and the whole would end in order.
+		const brokenOutcome = answer.status === 200 ? 'cut' : 'torn';
 		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
 		cutter?.rest();
 		return {
-			outcome: response.headersSent ? 'cut' : 'unknown', wasSent: true, mayHaveRun: true, transfer, detail: 'the endpoint broke off its answer',
+			outcome: response.headersSent ? brokenOutcome : 'unknown', wasSent: true, mayHaveRun: true, transfer, detail: 'the endpoint broke off its answer',
 		};
 	}
 
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -94,3 +94,30 @@
 	assert.ok(!answer.includes('no such stream'));
 	assert.equal(bodyOf(answer).isWhole, false);
 });
+
+test('events are not joined to a failure that broke off', async () => {
+	// The first endpoint breaks off in the middle of an error page. The request would be resumed elsewhere, and the caller
+	// get the head and half of the page of an error, with the events of a success behind it and the end of a whole answer.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'resumable-stream'})]})).start();
+	let isFirst = true;
+	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
+		if (isFirst) {
+			isFirst = false;
+			response.writeHead(404, sealedHeaders(incoming));
+			response.write('half of a page', () => {
+				response.destroy();
+			});
+			return;
+		}
+
+		response.writeHead(200, sealedHeaders(incoming));
+		response.end(eventText(1));
+	};
+
+	await gateway.addEndpoint(play);
+	await gateway.addEndpoint(play);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assert.ok(!answer.includes('piece'), answer);
+	assert.equal(bodyOf(answer).isWhole, false);
+});
