--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,8 +11,10 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {EndpointTry, type TryResult} from './endpoint-try.js';
+import {EndpointTry, transferOf, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
 import {placementRequestOf} from './placement-request.js';
@@ -47,6 +49,8 @@
 	#firstByteAt: number | undefined;
 	#basis: PlacementBasis | undefined;
 	#status = 0;
+	/** Of the last answer, until a line of the log has told it. */
+	#untoldTransfer: AnswerTransfer | undefined;
 
 	constructor(context: GatewayContext, work: RoutedWork) {
 		this.#context = context;
@@ -79,6 +83,7 @@
 				mayHaveRun: this.#mayHaveRun,
 				placedBy: this.#basis,
 				firstByteAt: this.#firstByteAt,
+				...this.#unusualTransfer(),
 			}, this.#now());
 			return end;
 		} finally {
@@ -120,8 +125,9 @@
 			const {outcome} = result;
 			const step = this.#stepAfter(outcome);
 			this.#context.log.record('try-failed', {
-				id: this.#work.head.attemptId, endpoint: placement.endpoint.name, outcome, step, sends: this.#sends, detail: result.detail, status: result.answer?.status,
+				id: this.#work.head.attemptId, endpoint: placement.endpoint.name, outcome, step, sends: this.#sends, detail: result.detail, status: result.answer?.status, transfer: result.transfer,
 			});
+			this.#untoldTransfer = undefined;
 			const end = await this.#carryOut(step, result.answer);
 			if (end !== undefined) {
 				return end;
@@ -154,7 +160,7 @@
 			}
 
 			case 'break-off': {
-				this.#work.response.destroy();
+				breakOffAnswer(this.#work.response);
 				return 'broken-off';
 			}
 
@@ -204,6 +210,7 @@
 		this.#current = undefined;
 		this.#sends += result.wasSent ? 1 : 0;
 		this.#mayHaveRun ||= result.mayHaveRun;
+		this.#untoldTransfer = result.transfer;
 		this.#status = result.answer?.status ?? this.#status;
 		return result;
 	}
@@ -212,16 +219,17 @@
 		const {response} = this.#work;
 		if (response.headersSent) {
 			answer.body.resume();
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
-		const outcome = await relayAnswer({
+		const {outcome, ...read} = await relayAnswer({
 			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
 		});
+		this.#untoldTransfer = transferOf(answer, read);
 		this.#status = answer.status;
 		if (outcome === 'cut') {
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
@@ -232,7 +240,7 @@
 	#giveUp(refusal: Refusal): RoutedEnd {
 		const {response} = this.#work;
 		if (response.headersSent) {
-			response.destroy();
+			breakOffAnswer(response);
 			return 'broken-off';
 		}
 
@@ -248,7 +256,7 @@
 	#expire(): RoutedEnd {
 		const {response} = this.#work;
 		if (response.headersSent) {
-			response.destroy();
+			breakOffAnswer(response);
 		} else {
 			this.#refuse({reason: 'timeout', ran: 'unknown', message: 'the request was not answered in time'});
 		}
@@ -256,6 +264,12 @@
 		return 'timeout';
 	}
 
+	/** How the last answer came, unless it ended as nearly all do, by its own framing: the line of a request is to stay short. */
+	#unusualTransfer(): {transfer?: AnswerTransfer} {
+		const transfer = this.#untoldTransfer;
+		return transfer === undefined || (transfer.bodyEnd === 'in-order' && transfer.framing !== 'connection') ? {} : {transfer};
+	}
+
 	#refuse(refusal: Refusal): void {
 		this.#status = this.#context.refuse(this.#work.response, refusal);
 	}
