Give ordinary ends a short line, and bound the bytes of the log so that failures keep theirs

Ruled out: several ends in one line (shorter, but one line a decision is the promise, and a line not yet written is lost when the process is killed); 2 KB a second in all (142 KB hold 60 s at the busiest, but 75 of 100 ordinary ends and four `request-ended` are left out); 4 KB (30 s). Both of these trials still had the data centre in each line.

Change: - `request-served`: whole, one send to the first endpoint, below status 400, within the route's objective (a stream's first byte, else the end), and not ended by its connection alone. Id, service, endpoint, placement basis as a list (four tokens fields only for prompts), configuration version, milliseconds; no instance. All else keeps the full line, with the objective where the answer was whole. - An answer that only the end of its connection marks as whole always gets the full line: the half answer that was passed on as whole looked ordinary. Takes effect when `framing` is told to reportEnd. - LineBudget: 3 KB a second, 32 KB at once, for all lines; ordinary ends may use the upper half, then refusals, failures, process lines. A line that is left out is never written out as JSON. - The data centre stands in the `started` line only.

--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -1,8 +1,17 @@
-/** Tells logs and metrics how a routed request ended, and by what its endpoint was chosen. */
+/**
+ * Tells logs and metrics how a routed request ended, and by what its endpoint was chosen.
+ *
+ * Nine of ten requests end as they should, and their lines would fill what is kept of a log before anybody looks for a
+ * failure. An ordinary end therefore has a short line of its own kind. What decided it is still there: the version of the
+ * configuration, and by what the endpoint was chosen, as a list whose places docs/OPERATIONS.md names.
+ */
 import {type PlacementBasis} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
+import {type Route} from '../../shared/routed-configuration.js';
 import {type JsonValue} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type AnswerFraming} from '../observability/answer-labels.js';
+import {type DecisionFields, type DecisionKind} from '../observability/decision-log.js';
 import {type PermittedRequest} from './judge-request.js';
 import {type RequestHead} from './request-head.js';
 
@@ -21,8 +30,21 @@
 	placedBy: PlacementBasis | undefined;
 	/** On the steady clock, in milliseconds. */
 	firstByteAt: number | undefined;
+	/** How the end of the last answer was marked; absent where there was none. */
+	framing?: AnswerFraming;
+	/** Bytes of the last answer's body that came. */
+	bodyBytes?: number;
 };
 
+/** The request that ended. */
+export type EndedRequest = {head: Pick<RequestHead, 'attemptId'>; permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>; arrivedAt: Moment};
+
+/** A line of the log. */
+export type EndLine = {kind: DecisionKind; fields: DecisionFields};
+
+/** Answers from here on say that the request was not served, by whomever. */
+const firstFailureStatus = 400;
+
 /**
  * Writes one log line and counts the request.
  *
@@ -31,27 +53,86 @@
  * @param facts - How it ended.
  * @param now - Milliseconds of the steady clock.
  */
-export function reportEnd({log, metrics}: Pick<GatewayContext, 'log' | 'metrics'>, work: {head: RequestHead; permitted: PermittedRequest; arrivedAt: Moment}, facts: EndFacts, now: number): void {
-	const {head, permitted, arrivedAt} = work;
+export function reportEnd({log, metrics}: Pick<GatewayContext, 'log' | 'metrics'>, work: EndedRequest, facts: EndFacts, now: number): void {
+	const {permitted, arrivedAt} = work;
 	const {kind} = permitted.route;
-	const {end, placedBy, firstByteAt, ...counts} = facts;
+	const {end, firstByteAt} = facts;
 	metrics.requests.inc({kind, outcome: end});
 	metrics.whole.observe({kind}, (now - arrivedAt.steady) / 1000);
 	if (firstByteAt !== undefined) {
 		metrics.firstByte.observe({kind}, (firstByteAt - arrivedAt.steady) / 1000);
 	}
 
-	log.record('request-ended', {
-		id: head.attemptId,
-		route: permitted.route.name,
-		service: permitted.service,
-		outcome: end,
-		...counts,
-		placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
-		configurationVersion: permitted.configurationVersion,
-		firstByteMilliseconds: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt.steady),
-		milliseconds: Math.round(now - arrivedAt.steady),
-	});
+	const line = endLine(work, facts, now);
+	log.record(line.kind, line.fields);
+}
+
+/**
+ * Gives the line for the end of a request: a short one for an ordinary end, else all that is known.
+ *
+ * @param work - The request.
+ * @param facts - How it ended.
+ * @param now - Milliseconds of the steady clock.
+ */
+export function endLine(work: EndedRequest, facts: EndFacts, now: number): EndLine {
+	return isOrdinary(work, facts, now) ? servedLine(work, facts, now) : endedLine(work, facts, now);
+}
+
+/**
+ * Whether a request ended as it should: whole, at the first endpoint, within the route's objective.
+ *
+ * An answer that ends with its connection is never ordinary. The end of a connection is all that says that such an answer
+ * is whole; where that is wrong the caller has half of it, and the full line with its bytes is the only trace.
+ */
+function isOrdinary({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
+	const {end, status, sends, endpoints, framing, firstByteAt} = facts;
+	const isServedAtOnce = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
+	const promptAt = isStream(route) ? firstByteAt ?? now : now;
+	return isServedAtOnce && framing !== 'connection' && promptAt - arrivedAt.steady <= route.objectiveMilliseconds;
+}
+
+function servedLine({head, permitted, arrivedAt}: EndedRequest, {endpoints, placedBy}: EndFacts, now: number): EndLine {
+	return {
+		kind: 'request-served',
+		fields: {
+			id: head.attemptId,
+			service: permitted.service,
+			endpoint: endpoints[0],
+			placedBy: placedBy === undefined ? undefined : shortBasis(placedBy, permitted.route),
+			version: permitted.configurationVersion,
+			milliseconds: Math.round(now - arrivedAt.steady),
+		},
+	};
+}
+
+function endedLine({head, permitted, arrivedAt}: EndedRequest, facts: EndFacts, now: number): EndLine {
+	const {end, placedBy, firstByteAt, ...counts} = facts;
+	return {
+		kind: 'request-ended',
+		fields: {
+			id: head.attemptId,
+			route: permitted.route.name,
+			service: permitted.service,
+			outcome: end,
+			...counts,
+			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
+			configurationVersion: permitted.configurationVersion,
+			objectiveMilliseconds: end === 'whole' ? permitted.route.objectiveMilliseconds : undefined,
+			firstByteMilliseconds: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt.steady),
+			milliseconds: Math.round(now - arrivedAt.steady),
+		},
+	};
+}
+
+function isStream({kind}: Route): boolean {
+	return kind === 'stream' || kind === 'resumable-stream';
+}
+
+/** Requests there and cost; for a prompt also its tokens kept there, to fetch and to read, and unread ones before them. */
+function shortBasis(basis: PlacementBasis, {carriesPrompt}: Route): JsonValue {
+	const {occupancy, keptTokens, fetchTokens, readTokens, unreadBefore} = basis;
+	const every = [occupancy, Math.round(basis.costMilliseconds)];
+	return carriesPrompt ? [...every, keptTokens, fetchTokens, readTokens, unreadBefore ?? null] : every;
 }
 
 /** What a place was chosen by, as it is logged; `null` where the other instances' work was not known. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -98,7 +98,7 @@
 		this.#hubClient = new HubClient(hubView, {
 			instance: settings.instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 		}, clock);
-		const log = new DecisionLog(process.stdout, {instance: settings.instance, dataCentre: settings.dataCentre}, () => clock.moment().wall);
+		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
 		this.#context = {
 			dataCentre: settings.dataCentre,
 			clock,
@@ -131,7 +131,9 @@
 	/** Listens, and runs until it is stopped. */
 	async run(): Promise<void> {
 		await Promise.all([this.#callers.listen(), this.#ready.listen(), this.#metricsListener.listen()]);
-		this.#context.log.record('started', {callers: this.#settings.listenCallers, store: this.#settings.storeAddress, process: process.pid});
+		this.#context.log.record('started', {
+			dataCentre: this.#settings.dataCentre, callers: this.#settings.listenCallers, store: this.#settings.storeAddress, process: process.pid,
+		});
 		await this.#root.run(this.#stop.signal);
 	}
 
--- a/src/gateway/observability/decision-log.test.ts
+++ b/src/gateway/observability/decision-log.test.ts
@@ -25,6 +25,33 @@
 	assert.equal(told.reduce((sum, {leftOut = 0}) => sum + leftOut, 0) + lines.length, 10_001);
 });
 
+test('ordinary ends fill their share of the bytes, and a failure among them is written', () => {
+	// A busy instance ends 45 requests a second in order. Its newest lines are all that is kept; among them must be the
+	// line of the one request a second that failed.
+	const lines: string[] = [];
+	let now = 0;
+	const output = {writableLength: 0, write: (line: string) => lines.push(line) > 0};
+	const log = new DecisionLog(output, {instance: 'e1'}, () => now);
+	for (; now < 60_000; now += 1000) {
+		for (let count = 0; count < 45; count++) {
+			log.record('request-served', {id: '0123456789abcdef', endpoint: 'endpoint-of-some-service', milliseconds: count});
+		}
+
+		log.record('request-ended', {id: 'failed', detail: 'x'.repeat(300)});
+	}
+
+	const bytes = lines.reduce((sum, line) => sum + line.length, 0);
+	now += 10_000;
+	log.record('request-served', {id: 'last'});
+
+	const told = lines.map(line => JSON.parse(line) as {kind: string; instance?: string; leftOut?: number});
+	const served = told.filter(({kind}) => kind === 'request-served');
+	assert.equal(told.filter(({kind}) => kind === 'request-ended').length, 60);
+	assert.equal(served.reduce((sum, {leftOut = 0}) => sum + leftOut + 1, 0), (45 * 60) + 1);
+	assert.ok(bytes < 32_768 + (60 * 3072));
+	assert.ok(served.every(({instance}) => instance === undefined));
+});
+
 test('a reader that does not read costs lines, not memory', () => {
 	const output = {
 		writableLength: 1_000_000, write(): boolean {
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -1,20 +1,23 @@
 /**
  * Structured lines on standard output, one for each decision that touches a request or changes what the process believes.
  *
- * Two failures are guarded against. A storm of refusals turns into a storm of lines that takes the processor from the
- * requests: each kind of line has a rate, and what is over it is counted and told with the next line of that kind. A
- * reader that is slow makes writes pile up: beyond a bound of bytes that wait, lines are dropped and counted, and no write
- * is ever waited for.
+ * Three failures are guarded against. A storm of refusals turns into a storm of lines that takes the processor from the
+ * requests: each kind of line has a rate, and what is over it is counted and told with the next line of that kind. Lines on
+ * requests that went well push those on failures out of what a collector keeps: all lines together have a rate in bytes, of
+ * which ordinary ends may take only a part. A reader that is slow makes writes pile up: beyond a bound of bytes that wait,
+ * lines are dropped and counted, and no write is ever waited for.
  */
+import {Buffer} from 'node:buffer';
 import {type Writable} from 'node:stream';
 import {type JsonValue} from '../../shared/types.js';
+import {LineBudget, type LineRank} from './line-budget.js';
 
 /** A kind of line; each has a rate of its own. */
 export type DecisionKind
 	= | 'started' | 'stopping' | 'stopped' | 'reloaded'
 		| 'dependency-lost' | 'dependency-regained'
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
-		| 'request-ended' | 'request-refused' | 'try-failed'
+		| 'request-served' | 'request-ended' | 'request-refused' | 'try-failed'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
 		| 'store-parts' | 'fault';
 
@@ -26,6 +29,11 @@
 /** Bytes that may wait for a slow reader: a few seconds of lines. */
 const mostWaitingBytes = 262_144;
 
+/** Kinds about a single request; all others are about the process. */
+const ranksOfRequests: ReadonlyMap<DecisionKind, LineRank> = new Map([
+	['request-served', 'ordinary'], ['request-refused', 'refusal'], ['request-ended', 'failure'], ['try-failed', 'failure'],
+]);
+
 type Rate = {second: number; written: number; left: number};
 
 export class DecisionLog {
@@ -33,10 +41,11 @@
 	readonly #identity: Record<string, string>;
 	readonly #now: () => number;
 	readonly #rates = new Map<DecisionKind, Rate>();
+	readonly #budget = new LineBudget();
 
 	/**
 	 * @param output - Where lines go; standard output in a program.
-	 * @param identity - Fields of every line.
+	 * @param identity - Fields of every line but those of ordinary ends.
 	 * @param now - Gives milliseconds since the epoch.
 	 */
 	constructor(output: Pick<Writable, 'write' | 'writableLength'>, identity: Record<string, string>, now: () => number) {
@@ -45,22 +54,29 @@
 		this.#now = now;
 	}
 
-	/** Writes a line, or counts it if too many of its kind were written in this second. */
+	/** Writes a line, or counts it if too many of its kind were written in this second or too many bytes of all kinds. */
 	record(kind: DecisionKind, fields: DecisionFields = {}): void {
 		const now = this.#now();
 		const rate = this.#rateOf(kind, Math.floor(now / 1000));
-		if (rate.written >= linesPerSecond || this.#output.writableLength > mostWaitingBytes) {
+		const rank = ranksOfRequests.get(kind) ?? 'process';
+		if (rate.written >= linesPerSecond || this.#output.writableLength > mostWaitingBytes || !this.#budget.hasRoomFor(rank, now)) {
 			rate.left++;
 			return;
 		}
 
-		const leftOut = rate.left === 0 ? {} : {leftOut: rate.left};
+		const line = this.#lineOf(kind, rank, rate.left === 0 ? fields : {...fields, leftOut: rate.left}, now);
+		this.#budget.spend(Buffer.byteLength(line));
 		rate.written++;
 		rate.left = 0;
-		const line = {
-			time: new Date(now).toISOString(), ...this.#identity, kind, ...fields, ...leftOut,
-		};
-		this.#output.write(`${JSON.stringify(line)}\n`);
+		this.#output.write(line);
+	}
+
+	/** Ordinary ends are told without the identity, a quarter of their length: a collector knows the process that it reads from. */
+	#lineOf(kind: DecisionKind, rank: LineRank, fields: DecisionFields, now: number): string {
+		const identity = rank === 'ordinary' ? {} : this.#identity;
+		return `${JSON.stringify({
+			time: new Date(now).toISOString(), ...identity, kind, ...fields,
+		})}\n`;
 	}
 
 	#rateOf(kind: DecisionKind, second: number): Rate {
