Make the reference pages in a folder above the programs, not below them

Cause: src/settings/settings-pages.ts, at the bottom, imported the definitions of three programs and the metrics: the only imports that ran from below back up.

Ruled out: registering definitions at import from the program side; the page's order and content would then depend on which modules happened to be loaded.

Change: src/reference composes the pages from the programs' definitions; settings-page.ts and metrics-page.ts get definitions as arguments. src/settings keeps what a setting is and how it is read. The test moved unchanged in what it checks: both pages must be byte for byte what the definitions give.

--- /dev/null
+++ b/src/reference/reference-pages.ts
@@ -0,0 +1,19 @@
+/** The pages that are made from the definitions which the programs themselves use; the place that puts them together. */
+import {entrySettingDefinitions} from '../entry/entry-settings.js';
+import {metricDefinitions} from '../observability/metrics.js';
+import {operatorSettingDefinitions} from '../operator/operator-settings.js';
+import {timelineSettingDefinitions} from '../timeline/timeline-settings.js';
+import {metricsPage} from './metrics-page.js';
+import {settingsPage} from './settings-page.js';
+
+/** Makes all pages anew; gives their text by file. */
+export function referencePages(): Record<string, string> {
+	return {
+		'docs/SETTINGS.md': settingsPage({
+			'savorygauge-entry': entrySettingDefinitions,
+			savorygauge: operatorSettingDefinitions,
+			'savorygauge-timeline': timelineSettingDefinitions,
+		}),
+		'docs/METRICS.md': metricsPage(metricDefinitions),
+	};
+}
