--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -20,6 +20,11 @@
 		name: 'savorygauge_tries_total', help: 'Sends to endpoints, by how they ended.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
+	/** Labels have the names of `AnswerFraming` and `AnswerEnding`. */
+	readonly answers = new Counter({
+		name: 'savorygauge_answers_total', help: 'Bodies of endpoints\' answers, by how their end is marked and how they ended.', labelNames: ['framing', 'ending'], registers: [this.registry],
+	});
+
 	readonly firstByte = new Histogram({
 		name: 'savorygauge_first_byte_seconds', help: 'From the arrival of a request to the first byte of its answer.', labelNames: ['kind'], buckets: latencyBuckets, registers: [this.registry],
 	});
