Show how to get from the id of half an answer to its cause

Cause: docs/OPERATIONS.md had a way for refusals, broken streams and bookings, and none for a 200 with too few bytes.

Two tests walk it: an endpoint that resets its connection behind the first bytes of an answer without a length (waits until the caller has these bytes, so nothing depends on time), and an endpoint that marks too little as whole.

--- a/src/gateway/observability/operations.test.ts
+++ b/src/gateway/observability/operations.test.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict';
+import {type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
-import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
+import {
+	exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
+} from '../../test/raw-http.js';
+import {type RouteKind} from '../../shared/routed-configuration.js';
 import {ownWireNames as names} from '../data-path/wire-names.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
-import {sealedHeaders, TestGateway, type PlayedEndpoint} from '../testing/test-gateway.js';
+import {
+	answerSealed, sealedHeaders, TestGateway, type PlayedEndpoint,
+} from '../testing/test-gateway.js';
 
 const requestOf = (id: string): string => rawRequest({
 	method: 'POST',
@@ -15,7 +21,7 @@
 });
 
 /** Sends one request to a gateway before one endpoint; gives the status and the lines with the request's id. */
-async function linesOf(kind: 'stream' | 'non-idempotent', play: PlayedEndpoint | undefined): Promise<{status: number; lines: Array<Record<string, unknown>>}> {
+async function linesOf(kind: RouteKind, play: PlayedEndpoint | undefined): Promise<{status: number; answer: string; lines: Array<Record<string, unknown>>}> {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds: 400})]})).start();
 	if (play !== undefined) {
 		await gateway.addEndpoint(play);
@@ -23,7 +29,7 @@
 
 	const answer = await exchangeRaw(gateway.address, requestOf('lost-1'));
 	await gateway.close();
-	return {status: statusOf(answer), lines: gateway.lines.filter(({id}) => id === 'lost-1')};
+	return {status: statusOf(answer), answer, lines: gateway.lines.filter(({id}) => id === 'lost-1')};
 }
 
 test('from the id of a refused request to its cause: no endpoint of the service is known', async () => {
@@ -66,3 +72,45 @@
 	assert.deepEqual([end?.outcome, end?.endpoints, end?.status], ['timeout', ['desk-1'], 504]);
 	assert.ok(Number(end?.milliseconds) >= 399);
 });
+
+/** The head of an answer without a length: its end is the end of the connection. */
+function headWithoutLength(request: IncomingMessage): string {
+	const headers = Object.entries({...sealedHeaders(request), connection: 'close'});
+	return `HTTP/1.1 200 OK\r\n${headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`;
+}
+
+test('from the id of half an answer to its cause: the endpoint reset its connection in the middle of it', async () => {
+	// An endpoint sends the first bytes of an answer without a length. The caller gets them, then the endpoint dies and its
+	// host resets the connection. The caller has a 200 and "half", and must be able to see that the rest is missing.
+	const gateway = await new TestGateway(testConfiguration()).start();
+	let resetEndpoint = (): void => {
+		assert.fail('the caller got bytes before the endpoint sent any');
+	};
+
+	const {name} = await gateway.addEndpoint((request, response) => {
+		resetEndpoint = () => {
+			response.socket!.resetAndDestroy();
+		};
+
+		response.socket!.write(`${headWithoutLength(request)}half`);
+	});
+	const caller = await openSocket(gateway.address);
+	caller.write(requestOf('half-1'));
+	await readUntil(caller, text => text.includes('half'));
+	resetEndpoint();
+	const rest = await readToEnd(caller);
+	await gateway.close();
+	assert.ok(!rest.includes('0\r\n\r\n'), rest);
+	const [failed, ended, ...others] = gateway.lines.filter(({id}) => id === 'half-1');
+	assert.deepEqual([failed?.kind, failed?.endpoint, failed?.outcome, failed?.step], ['try-failed', name, 'cut', 'break-off']);
+	assert.deepEqual([ended?.kind, ended?.outcome, ended?.endpoints, ended?.sends], ['request-ended', 'broken-off', [name], 1]);
+	assert.deepEqual(others, []);
+});
+
+test('from the id of half an answer to its cause: the endpoint gave less than it should and marked that as whole', async () => {
+	const {answer, lines} = await linesOf('idempotent', (request, response) => {
+		answerSealed(request, response, {body: 'half'});
+	});
+	assert.ok(answer.endsWith('\r\n\r\nhalf'), answer);
+	assert.deepEqual(lines.map(({kind, endpoint}) => ({kind, endpoint})), [{kind: 'request-served', endpoint: 'desk-1'}]);
+});
