--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -104,6 +104,11 @@
 			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
 		}, this.#now());
 		metrics.tries.inc({outcome: result.outcome});
+		const {framing, bodyEnd} = result.transfer;
+		if (framing !== undefined && bodyEnd !== undefined) {
+			metrics.answers.inc({framing, ending: bodyEnd});
+		}
+
 		return result;
 	}
 
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -10,8 +10,8 @@
 import {type Route} from '../../shared/routed-configuration.js';
 import {type JsonValue} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type AnswerFraming} from '../observability/answer-labels.js';
 import {type DecisionFields, type DecisionKind} from '../observability/decision-log.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {type PermittedRequest} from './judge-request.js';
 import {type RequestHead} from './request-head.js';
 
@@ -30,10 +30,8 @@
 	placedBy: PlacementBasis | undefined;
 	/** On the steady clock, in milliseconds. */
 	firstByteAt: number | undefined;
-	/** How the end of the last answer was marked; absent where there was none. */
-	framing?: AnswerFraming;
-	/** Bytes of the last answer's body that came. */
-	bodyBytes?: number;
+	/** How the last answer came; absent where it marked its own end and ended there, as nearly all do. */
+	transfer?: AnswerTransfer;
 };
 
 /** The request that ended. */
@@ -85,10 +83,10 @@
  * is whole; where that is wrong the caller has half of it, and the full line with its bytes is the only trace.
  */
 function isOrdinary({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
-	const {end, status, sends, endpoints, framing, firstByteAt} = facts;
+	const {end, status, sends, endpoints, transfer, firstByteAt} = facts;
 	const isServedAtOnce = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
 	const promptAt = isStream(route) ? firstByteAt ?? now : now;
-	return isServedAtOnce && framing !== 'connection' && promptAt - arrivedAt.steady <= route.objectiveMilliseconds;
+	return isServedAtOnce && transfer === undefined && promptAt - arrivedAt.steady <= route.objectiveMilliseconds;
 }
 
 function servedLine({head, permitted, arrivedAt}: EndedRequest, {endpoints, placedBy}: EndFacts, now: number): EndLine {
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -20,7 +20,7 @@
 		name: 'savorygauge_tries_total', help: 'Sends to endpoints, by how they ended.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
-	/** Labels have the names of `AnswerFraming` and `AnswerEnding`. */
+	/** Labels have the names of `AnswerFraming` and `BodyEnd`. */
 	readonly answers = new Counter({
 		name: 'savorygauge_answers_total', help: 'Bodies of endpoints\' answers, by how their end is marked and how they ended.', labelNames: ['framing', 'ending'], registers: [this.registry],
 	});
--- a/src/gateway/observability/operations.test.ts
+++ b/src/gateway/observability/operations.test.ts
@@ -103,6 +103,9 @@
 	assert.ok(!rest.includes('0\r\n\r\n'), rest);
 	const [failed, ended, ...others] = gateway.lines.filter(({id}) => id === 'half-1');
 	assert.deepEqual([failed?.kind, failed?.endpoint, failed?.outcome, failed?.step], ['try-failed', name, 'cut', 'break-off']);
+	assert.deepEqual(failed?.transfer, {
+		connection: 'new', framing: 'connection', bodyBytes: 4, bodyEnd: 'reset',
+	});
 	assert.deepEqual([ended?.kind, ended?.outcome, ended?.endpoints, ended?.sends], ['request-ended', 'broken-off', [name], 1]);
 	assert.deepEqual(others, []);
 });
