Show that a stream closed in the middle of an event passes for whole

Cause: a stream without a length ends with its connection, and an orderly close counts as its end whatever came before. Callers see: the pieces so far as the whole stream, the last one torn (rule: no stream ends as complete before its last piece). Ruled out: resets (the connection is known to be reset) and streams in chunks (the last chunk is missing).

--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -121,3 +121,29 @@
 	assert.ok(!answer.includes('piece'), answer);
 	assert.equal(bodyOf(answer).isWhole, false);
 });
+
+for (const kind of ['stream', 'resumable-stream'] as const) {
+	test(`a ${kind} without a length that is closed in order in the middle of an event is not whole`, async () => {
+		// The endpoint's process dies; its host closes the connection in order, behind half of event 3. The stream has no other
+		// end than its connection, so all looks well, but an event without its empty line is half of one. The caller would take
+		// three pieces for the whole stream, the last of them torn.
+		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
+		let isFirst = true;
+		const play = (incoming: IncomingMessage, response: ServerResponse): void => {
+			const head = Object.entries({...sealedHeaders(incoming), 'content-type': 'text/event-stream', connection: 'close'});
+			const events = isFirst ? `${eventText(1)}${eventText(2)}id: 3\ndata: pie` : eventText(3) + eventText(4);
+			isFirst = false;
+			response.socket!.end(`HTTP/1.1 200 OK\r\n${head.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${events}`);
+		};
+
+		await gateway.addEndpoint(play);
+		await gateway.addEndpoint(play);
+		const answer = await exchangeRaw(gateway.address, request);
+		await gateway.close();
+		const {text, isWhole} = bodyOf(answer);
+		assert.equal(isWhole, kind === 'resumable-stream', answer);
+		if (isWhole) {
+			assert.equal(text, [1, 2, 3, 4].map(id => eventText(id)).join(''));
+		}
+	});
+}
