Take no stream for whole that is closed in the middle of an event

Cause: an event stream without a length ends with its connection. A process that dies closes its connections in order, and that close was taken as proof that all events came. Callers saw: the pieces so far as the whole stream, the last one torn. Ruled out: telling a stream that stops between two events; no byte of it differs from a whole one. Change: for such a stream the bytes must stop behind an empty line, else its end is `short`: a stream that may be resumed goes on elsewhere, another is broken off.

--- a/src/gateway/data-path/answer-transfer.test.ts
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -22,14 +22,15 @@
 
 test('a body is whole only on proof by its own framing', () => {
 	// The news of an end comes also behind a reset and behind our own giving up. Each framing has one proof that all came.
-	const judge = (framing: 'length' | 'chunked' | 'connection', connectionEnd: 'open' | 'in-order' | 'reset' | 'cancelled', bodyBytes = 8): string => judgeBodyEnd({
-		framing, promisedBytes: 8, isComplete: true, connectionEnd,
+	const judge = (framing: 'length' | 'chunked' | 'connection', connectionEnd: 'open' | 'in-order' | 'reset' | 'cancelled', bodyBytes = 8, isTorn = false): string => judgeBodyEnd({
+		framing, promisedBytes: 8, isComplete: true, isTorn, connectionEnd,
 	}, bodyBytes);
 	const ends = ['open', 'in-order', 'reset', 'cancelled'] as const;
 	assert.deepEqual(ends.map(end => judge('length', end, 7)), ['short', 'short', 'reset', 'cancelled']);
 	assert.deepEqual(ends.map(end => judge('length', end)), ['in-order', 'in-order', 'in-order', 'in-order']);
 	assert.deepEqual(ends.map(end => judge('chunked', end)), ['in-order', 'in-order', 'in-order', 'cancelled']);
 	assert.deepEqual(ends.map(end => judge('connection', end)), ['short', 'in-order', 'reset', 'cancelled']);
+	assert.deepEqual(ends.map(end => judge('connection', end, 8, true)), ['short', 'short', 'reset', 'cancelled']);
 });
 
 async function linesOf(play: PlayedEndpoint, requests = 1): Promise<Array<Record<string, unknown>>> {
--- a/src/gateway/data-path/answer-transfer.ts
+++ b/src/gateway/data-path/answer-transfer.ts
@@ -75,6 +75,8 @@
 	promisedBytes: number;
 	/** Whether the parser found the end of the body. */
 	isComplete: boolean;
+	/** Whether it is a stream that stopped in the middle of an event. */
+	isTorn: boolean;
 	connectionEnd: ConnectionEnd;
 };
 
@@ -84,17 +86,20 @@
  * The news of an end proves nothing by itself: it comes also when this process gives the answer up, and the parts that
  * still waited for a slow caller are thrown away then, behind a parser that had found the end. So what was passed on is
  * held against what the answer promised: the bytes of its length, a last chunk that nobody's giving up preceded, or a
- * connection that the endpoint is known to have closed in order. Whatever is not proved is not whole.
+ * connection that the endpoint is known to have closed in order, for a stream behind a whole event. Whatever is not proved
+ * is not whole.
  *
  * @param end - What the answer promised, and what is known of its end.
  * @param bodyBytes - How many bytes of the body were passed on.
  * @returns `in-order` if all came, else what kept the rest from coming.
  */
-export function judgeBodyEnd({framing, promisedBytes, isComplete, connectionEnd}: AnswerEnd, bodyBytes: number): BodyEnd {
+export function judgeBodyEnd({
+	framing, promisedBytes, isComplete, isTorn, connectionEnd,
+}: AnswerEnd, bodyBytes: number): BodyEnd {
 	const isWhole = isComplete && {
 		length: bodyBytes === promisedBytes,
 		chunked: connectionEnd !== 'cancelled',
-		connection: connectionEnd === 'in-order',
+		connection: connectionEnd === 'in-order' && !isTorn,
 		none: true,
 	}[framing];
 	return isWhole ? 'in-order' : brokenBodyEnd(connectionEnd);
--- /dev/null
+++ b/src/gateway/data-path/event-end.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {EventEnd} from './event-end.js';
+
+function isTorn(...chunks: string[]): boolean {
+	const end = new EventEnd();
+	for (const chunk of chunks) {
+		end.take(Buffer.from(chunk));
+	}
+
+	return end.isTorn;
+}
+
+test('a stream is torn unless it stops behind an empty line, wherever its chunks are cut', () => {
+	assert.equal(isTorn(), false);
+	assert.equal(isTorn('id: 1\ndata: a\n\n'), false);
+	assert.equal(isTorn('id: 1\r\ndata: a\r\n\r\n'), false);
+	assert.equal(isTorn('id: 1\ndata: a\n', '\n'), false);
+	assert.equal(isTorn('data: a\r', '\n\r', '\n'), false);
+	assert.equal(isTorn('id: 1\ndata: a\n'), true);
+	assert.equal(isTorn('id: 1\ndata: a\n\n', 'i'), true);
+	assert.equal(isTorn('id: 1\r\ndata: a\r\n'), true);
+});
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -4,6 +4,7 @@
 import {brokenBodyEnd, judgeBodyEnd, type BodyEnd} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {type EventCutter} from './event-cutter.js';
+import {EventEnd} from './event-end.js';
 import {withoutHopByHop} from './hop-by-hop.js';
 
 /** How an answer ended. `cut`: the endpoint or the connection broke off. */
@@ -41,6 +42,8 @@
  */
 export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes}: Relay): Promise<Relayed> {
 	const {body} = answer;
+	const eventEnd = new EventEnd();
+	const isEventStream = answer.header('content-type')?.startsWith('text/event-stream') ?? false;
 	return new Promise(resolve => {
 		let hasBytes = false;
 		let bodyBytes = 0;
@@ -82,6 +85,7 @@
 		const take = (chunk: Buffer): void => {
 			onBytes();
 			bodyBytes += chunk.length;
+			eventEnd.take(chunk);
 			const bytes = cutter === undefined ? chunk : cutter.take(chunk).bytes;
 			if (!hasBytes && bytes.length > 0) {
 				hasBytes = true;
@@ -98,6 +102,7 @@
 				framing: answer.framing,
 				promisedBytes: Number(answer.header('content-length')),
 				isComplete: body.complete,
+				isTorn: isEventStream && eventEnd.isTorn,
 				connectionEnd: answer.connectionEnd(),
 			}, bodyBytes);
 			if (bodyEnd !== 'in-order') {
