Refuse a plain service's answer whose end is only the end of its connection

Cause: undici completes a body without a length or chunks at each end of its connection, also at one that it reports to itself as ECONNRESET, and does not tell which it was. HttpPlainService took that for proof that all bytes came. What callers saw: a 200 with half of the body, framed by the entry as complete; under an idempotency key that half was recorded as the answer for every repeat. Ruled out: telling a reset from an end as the gateway does: undici gives no socket with its answer, and a process that is killed ends its connection in order when it has read all that was sent to it. Change: src/adapters/whole-body.ts reads bodies that must be whole and refuses one that no framing proves; the plain service's call is then of unknown outcome. Price: a service that answers without a length or chunks cannot be used through an entry.

--- a/src/adapters/http-plain-service.ts
+++ b/src/adapters/http-plain-service.ts
@@ -1,5 +1,7 @@
-/** A plain service over HTTP. The call is passed on as it is; the connection pool never repeats one. */
-import {Buffer} from 'node:buffer';
+/**
+ * A plain service over HTTP. The call is passed on as it is; the connection pool never repeats one. Its answer must have a
+ * length or chunks: one without counts as an unknown outcome, since half of it cannot be told from all of it.
+ */
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
 	type PlainAnswer, type PlainCall, type PlainFailure, type PlainService,
@@ -7,6 +9,7 @@
 import {
 	connectionPool, describeError, failedBeforeAnyByte, freshConnectionPool,
 } from './http-client.js';
+import {readWholeBody} from './whole-body.js';
 
 const repeatableMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
 const headersNotPassedOn = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
@@ -28,7 +31,7 @@
 				reset: !isRepeatable,
 				signal,
 			});
-			const body = Buffer.from(await answer.body.arrayBuffer());
+			const body = await readWholeBody(call.method, answer);
 			const headers = Object.entries(answer.headers)
 				.filter(([name, value]) => value !== undefined && !headersNotPassedOn.has(name))
 				.map(([name, value]): [string, string] => [name, String(value)]);
