Show that half of an engine's piece is given out to be saved as whole

Cause: exportPiece takes the end of the connection for the end of a piece that has no length or chunks. What callers saw: not seen in the record; a prompt would go on from a state that no engine computed, since the seal of a saved piece is made over the bytes that came, and a half so sealed passes every later check.

--- a/src/adapters/http-model-engine.test.ts
+++ b/src/adapters/http-model-engine.test.ts
@@ -5,6 +5,7 @@
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 import {ModelEngineStandIn} from '../stand-in/model-engine-stand-in.js';
 import {startStandIn, type StandIn} from '../stand-in/stand-in-server.js';
+import {connectionEndings, startEndingServer} from '../test/ending-server.js';
 import {HttpModelEngine} from './http-model-engine.js';
 
 const engine = new HttpModelEngine();
@@ -101,3 +102,19 @@
 		assert.equal((closed.extract() as EngineFailure).kind, 'not-sent');
 	}
 });
+
+test('half of a piece without a length or chunks is never given out to be saved', async t => {
+	// A later prompt is answered from a state that its engine never computed. The engine that exports a piece dies in the
+	// middle of it; the half is taken for the piece, gets a seal over its own bytes in the store, and so passes every check
+	// when it is brought to another engine.
+	const outcomes = new Set<string>();
+	for (const ending of connectionEndings) {
+		const address = await startEndingServer(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of a piece', ending);
+		for (let count = 0; count < 100; count++) {
+			const exported = await engine.exportPiece(address, 'key');
+			outcomes.add(`${ending}: ${exported.caseOf({Left: ({kind}) => kind, Right: String})}`);
+		}
+	}
+
+	assert.deepEqual([...outcomes], connectionEndings.map(ending => `${ending}: broken`));
+});
