Take a piece of an engine only when its framing proves it whole

Cause: exportPiece read a piece without a length or chunks to the end of its connection and took that for all of it. What callers saw: not seen in the record. The half would be sealed by its own digest, kept, and brought to other engines. Ruled out: a check of the seal: it is made from the same bytes. Pieces read from a cache store: their seal is older than the reading, so a cut one is damaged (http-cache-store.test.ts). Change: exportPiece reads by readWholeBody; a piece that is not proved whole is a broken export and is not saved.

--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -3,7 +3,7 @@
  * `/v1/completions` with `stream: true`, answered by server-sent events and closed by `[DONE]`. Beside it the engine has
  * `GET /load`, `GET /cache-events`, `POST /orders` and `GET`/`PUT /kv/{pieceKey}`.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
@@ -15,6 +15,7 @@
 import {
 	connectionPool, describeError, exchangeJson, failedBeforeAnyByte,
 } from './http-client.js';
+import {readWholeBody} from './whole-body.js';
 
 const controlTimeoutMilliseconds = 1000;
 /** A last bound under a stream that nobody watches any more; callers of this port have shorter ones. */
@@ -95,7 +96,8 @@
 			const answer = await connectionPool.request({
 				origin: `http://${address}`, path: `/kv/${pieceKey}`, method: 'GET', signal: AbortSignal.timeout(controlTimeoutMilliseconds),
 			});
-			const content = Buffer.from(await answer.body.arrayBuffer());
+			// The seal of a saved piece is made over these bytes, so no later check finds that half of them is missing.
+			const content = await readWholeBody('GET', answer);
 			return Right(answer.statusCode === 200 ? content : undefined);
 		} catch (error) {
 			return Left({kind: 'broken', detail: describeError(error)});
