Show that half of an object is read as whole from the object store

Cause: HttpObjectStore takes the end of the connection for the end of an object that has no length or chunks. What callers saw: nothing yet, since no process reads objects today.

--- a/src/adapters/http-stores.test.ts
+++ b/src/adapters/http-stores.test.ts
@@ -5,6 +5,7 @@
 import {createObjectStoreStandIn} from '../stand-in/object-store-stand-in.js';
 import {startStandIn} from '../stand-in/stand-in-server.js';
 import {createWeightStoreStandIn} from '../stand-in/weight-store-stand-in.js';
+import {connectionEndings, startEndingServer} from '../test/ending-server.js';
 import {exchangeJson} from './http-client.js';
 import {HttpObjectStore} from './http-object-store.js';
 import {HttpWeightStore} from './http-weight-store.js';
@@ -67,3 +68,18 @@
 	const down = await store.load();
 	assert.deepEqual(down.extract(), {kind: 'unavailable', detail: 'status 503'});
 });
+
+test('half of an object without a length or chunks is a failure, not the object', async t => {
+	// Whoever reads a file of lines from the store goes on with its first lines. The store sends a head without a length and
+	// half of the object, and dies; the end of its connection is taken for the end of the object.
+	const outcomes = new Set<string>();
+	for (const ending of connectionEndings) {
+		const address = await startEndingServer(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst line\nsecond line\n', ending);
+		for (let count = 0; count < 100; count++) {
+			const read = await new HttpObjectStore(address).read('key');
+			outcomes.add(`${ending}: ${read.caseOf({Left: ({kind}) => kind, Right: String})}`);
+		}
+	}
+
+	assert.deepEqual([...outcomes], connectionEndings.map(ending => `${ending}: unavailable`));
+});
