Read an object only when its framing proves it whole

Cause: HttpObjectStore read an object without a length or chunks to the end of its connection and took that for all of it. What callers saw: nothing yet, since no process reads objects today. Ruled out: a digest: the port has none, and a store's writer may be another release. Change: reads and the answers to writes go through readWholeBody; what is not proved whole is `unavailable`.

--- a/src/adapters/http-object-store.ts
+++ b/src/adapters/http-object-store.ts
@@ -1,8 +1,9 @@
 /** The object store over HTTP: `GET` and `PUT /objects/{key}`. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type ObjectStore, type ObjectStoreFailure} from '../ports/object-store.js';
 import {connectionPool, describeError} from './http-client.js';
+import {readWholeBody} from './whole-body.js';
 
 const timeoutMilliseconds = 5000;
 
@@ -39,7 +40,7 @@
 				body: body ?? null,
 				signal: AbortSignal.timeout(timeoutMilliseconds),
 			});
-			return Right({status: answer.statusCode, content: Buffer.from(await answer.body.arrayBuffer())});
+			return Right({status: answer.statusCode, content: await readWholeBody(method, answer)});
 		} catch (error) {
 			return Left(unavailable(describeError(error)));
 		}
