Show that a JSON answer of which nothing came is taken for an answer

Cause: a JSON answer without a length that ends behind its head has an empty body for undici, and exchangeJson gives an empty body as `undefined`; the first digits of a number parse as a number. The table service's reader takes it for "no such row", a load report becomes `undefined`. Ruled out: half of an object or array (50 for each of three endings: all are syntax errors); lengths and chunks.

--- /dev/null
+++ b/src/adapters/http-client.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {connectionEndings, startEndingServer} from '../test/ending-server.js';
+import {exchangeJson} from './http-client.js';
+import {HttpModelEngine} from './http-model-engine.js';
+import {HttpTableService} from './http-table-service.js';
+import {HttpWeightStore} from './http-weight-store.js';
+
+const unframedHead = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+
+test('a JSON answer that only the end of its connection ends, and that could go on, is a failure', async t => {
+	// An instance reads the claim of a booking and finds none, although there is one. The table service sends the head of a
+	// 200 without a length and dies: nothing came, and nothing is taken for "no row". A number that is cut is a number too.
+	const outcomes = new Set<string>();
+	for (const ending of connectionEndings) {
+		for (const came of ['', '12']) {
+			const address = await startEndingServer(t, unframedHead + came, ending);
+			const url = `http://${address}/`;
+			for (let count = 0; count < 50; count++) {
+				const row = await new HttpTableService(address).read({table: 'claims', key: 'booking'});
+				const load = await new HttpModelEngine().loadReport(address);
+				const weights = await new HttpWeightStore(address).load();
+				const answered = await exchangeJson({method: 'GET', url, timeoutMilliseconds: 1000}).then(() => true, () => false);
+				outcomes.add(JSON.stringify([row.isRight(), load.isRight(), weights.isRight(), answered]));
+			}
+		}
+	}
+
+	assert.deepEqual([...outcomes], ['[false,false,false,false]']);
+});
+
+test('a JSON object or array proves by its last brace that it is whole, and an empty answer by its length', async t => {
+	for (const ending of connectionEndings) {
+		const object = await startEndingServer(t, `${unframedHead}{"rows":[{}]}`, ending);
+		const empty = await startEndingServer(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n', ending);
+		const number = await startEndingServer(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\n12', ending);
+		for (let count = 0; count < 50; count++) {
+			const bodies = await Promise.all([object, empty, number].map(async address => exchangeJson({method: 'GET', url: `http://${address}/`, timeoutMilliseconds: 1000})));
+			assert.deepEqual(bodies.map(({body}) => body), [{rows: [{}]}, undefined, 12]);
+		}
+	}
+});
+
+test('half of a JSON object is a failure, however its connection ends', async t => {
+	for (const ending of connectionEndings) {
+		const address = await startEndingServer(t, `${unframedHead}{"rows":[{}`, ending);
+		for (let count = 0; count < 50; count++) {
+			await assert.rejects(exchangeJson({method: 'GET', url: `http://${address}/`, timeoutMilliseconds: 1000}), SyntaxError);
+		}
+	}
+});
