Take a JSON answer only when its framing or its last brace proves it whole

Cause: exchangeJson gave a body of which nothing came as `undefined`, and the first digits of a number as a number, where only the end of the connection ended them. "No such row" from the table of claims has a caller that asks for its call told `none`; the platform's store threw a TypeError past its own failure path; a load report became `undefined`. Ruled out: refusing every unframed JSON answer, as plain answers are: a part of an object or array is never valid JSON, and an engine's report may come without a length. Change: readWholeJson in whole-body.ts; exchangeJson and the weight store read by it. The outcome of a commit is then unknown.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -2,9 +2,9 @@
  * What the HTTP adapters share: one connection pool for the process, whole JSON exchanges, and the judgement whether a
  * failed exchange can have reached the other side.
  */
-import {Buffer} from 'node:buffer';
 import {Agent} from 'undici';
 import {type JsonValue} from '../shared/types.js';
+import {readWholeJson} from './whole-body.js';
 
 const connectTimeoutMilliseconds = 1000;
 /** Shorter than the 5 s after which many servers close an idle connection without having said so. */
@@ -47,7 +47,7 @@
  *
  * @param exchange - What to send, and how many milliseconds the whole exchange may take.
  * @returns The status and the parsed body; the body is `undefined` when it is empty.
- * @throws The error of the connection, a timeout, or a body that is no JSON.
+ * @throws The error of the connection, a timeout, a body that is no JSON, or one that nothing proves to be whole.
  */
 export async function exchangeJson(exchange: JsonExchange): Promise<JsonAnswer> {
 	const {origin, pathname, search} = new URL(exchange.url);
@@ -59,8 +59,7 @@
 		body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
 		signal: AbortSignal.timeout(exchange.timeoutMilliseconds),
 	});
-	const text = Buffer.from(await answer.body.arrayBuffer()).toString('utf8');
-	return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as JsonValue};
+	return {status: answer.statusCode, body: await readWholeJson(exchange.method, answer)};
 }
 
 const errorCodesBeforeAnyByte = new Set([
--- a/src/adapters/http-weight-store.ts
+++ b/src/adapters/http-weight-store.ts
@@ -4,6 +4,7 @@
 	type StoredWeights, type WeightStore, type WeightStoreFailure, type WeightStoreLoad,
 } from '../ports/weight-store.js';
 import {connectionPool, describeError} from './http-client.js';
+import {readWholeJson} from './whole-body.js';
 
 const timeoutMilliseconds = 2000;
 const defaultRetryMilliseconds = 1000;
@@ -30,15 +31,17 @@
 			const answer = await connectionPool.request({
 				origin: this.#origin, path, method: 'GET', signal: AbortSignal.timeout(timeoutMilliseconds),
 			});
-			const text = await answer.body.text();
+			if (answer.statusCode === 200) {
+				return Right(await readWholeJson('GET', answer) as Value);
+			}
+
+			await answer.body.dump();
 			if (answer.statusCode === 429) {
 				const seconds = Number(answer.headers['retry-after']);
 				return Left({kind: 'rate-limited', retryAfterMilliseconds: seconds > 0 ? seconds * 1000 : defaultRetryMilliseconds});
 			}
 
-			return answer.statusCode === 200
-				? Right(JSON.parse(text) as Value)
-				: Left({kind: 'unavailable', detail: `status ${answer.statusCode}`});
+			return Left({kind: 'unavailable', detail: `status ${answer.statusCode}`});
 		} catch (error) {
 			return Left({kind: 'unavailable', detail: describeError(error)});
 		}
--- a/src/adapters/whole-body.ts
+++ b/src/adapters/whole-body.ts
@@ -5,9 +5,12 @@
  * connection as well, and undici reports that body as complete, also when the connection was reset: half of an answer
  * would pass for all of it. So such a body is refused, whatever ended it. This is enough, since for the other two framings
  * undici counts the bytes or waits for the last chunk, and fails when the connection ends before that.
+ *
+ * A JSON object or array needs no framing: no part of it that lacks its end can be parsed.
  */
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
+import {type JsonValue} from '../shared/types.js';
 
 /** An answer came, but nothing proves that its body is whole; whether the request ran is not known from it. */
 export class UnprovedBodyError extends Error {
@@ -39,6 +42,28 @@
 	return body;
 }
 
+/**
+ * Reads a JSON body that its framing or its own last brace proves to be whole.
+ *
+ * Without either, nothing at all and the first digits of a number would pass for an answer: a table whose server died behind
+ * the head of a 200 would seem to have no such row.
+ *
+ * @param method - The method of the request.
+ * @param answer - The answer, its body unread.
+ * @returns The parsed body; `undefined` when it is empty.
+ * @throws `UnprovedBodyError`, a `SyntaxError` for a body that is no JSON, or the error of the connection.
+ */
+export async function readWholeJson(method: string, answer: Answer): Promise<JsonValue | undefined> {
+	const text = await answer.body.text();
+	const value = text === '' ? undefined : JSON.parse(text) as JsonValue;
+	const closesItself = typeof value === 'object' && value !== null;
+	if (!closesItself && !isFramed(method, answer)) {
+		throw new UnprovedBodyError();
+	}
+
+	return value;
+}
+
 function isFramed(method: string, {statusCode, headers}: Answer): boolean {
 	if (method === 'HEAD' || statusesWithoutBody.has(statusCode)) {
 		return true;
