Show that half of a cache store's list throws past the port's failure

Cause: HttpCacheStore parses a list of pieces outside of the path that turns errors into failures; half of a list without a length is complete to undici and no JSON. By the code, the error passes KeptContext.find and CompletionRunner.run up to the listener (500 for a prompt that every engine could serve), and the prompt's place at the gate is not given back.

--- a/src/adapters/http-cache-store.test.ts
+++ b/src/adapters/http-cache-store.test.ts
@@ -4,6 +4,7 @@
 import {sealOf} from '../protocol/cache/piece-seal.js';
 import {CacheStoreStandIn} from '../stand-in/cache-store-stand-in.js';
 import {startStandIn} from '../stand-in/stand-in-server.js';
+import {connectionEndings, startEndingServer} from '../test/ending-server.js';
 import {HttpCacheStore} from './http-cache-store.js';
 
 const store = new HttpCacheStore();
@@ -47,3 +48,30 @@
 	const dead = await store.write(standIn.address, piece, content);
 	assert.equal((dead.extract() as {kind: string}).kind, 'unavailable');
 });
+
+test('a list of pieces that breaks off is a failure of the store, and half of a piece is damaged', async context => {
+	// A prompt is answered with 500 although every engine could serve it. Before it is placed, its store is asked for kept
+	// pieces; the store dies in the middle of a list without a length. Half of the list is no JSON, and the error of reading
+	// it went past the failure that the port promises, up to the listener.
+	const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\n';
+	const outcomes = new Set<string>();
+	for (const ending of connectionEndings) {
+		const half = await startEndingServer(context, `${head}\r\n{"pieces":[{"piece":{`, ending);
+		const nothing = await startEndingServer(context, `${head}\r\n`, ending);
+		const seal = sealOf(content);
+		const sealHead = `x-length: ${seal.length}\r\nx-digest: ${seal.digest}\r\n`;
+		const cutPiece = await startEndingServer(context, `${head}${sealHead}\r\n${content.toString().slice(0, 5)}`, ending);
+		for (let count = 0; count < 50; count++) {
+			for (const address of [half, nothing]) {
+				const asked = await Promise.all([store.findPieces(address, ['key']), store.oldest(address, 1)]
+					.map(async listed => listed.then(answer => (answer.extract() as {kind: string}).kind, (error: unknown) => `threw ${(error as Error).name}`)));
+				outcomes.add(asked.join(' '));
+			}
+
+			const read = await store.read(cutPiece, piece, seal);
+			outcomes.add((read.extract() as {kind: string}).kind);
+		}
+	}
+
+	assert.deepEqual([...outcomes], ['unavailable unavailable', 'damaged']);
+});
