Judge a cache store's answer inside of the path that makes failures of errors

Cause: findPieces and oldest parsed their list behind the exchange; half of a list threw a SyntaxError past the port. Ruled out: catching it in KeptContext: each user of the port would need the same catch. Change: each call hands its judgement to `exchange`, which turns every error into `unavailable`; lists are read by readWholeJson, and what is refused is thrown away unread.

--- a/src/adapters/http-cache-store.ts
+++ b/src/adapters/http-cache-store.ts
@@ -1,80 +1,98 @@
 /** A cache store over HTTP; the paths are `/pieces/{key}/{generation}` and `…/seal`, `/find` and `/oldest`. */
 import {Buffer} from 'node:buffer';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {type Dispatcher} from 'undici';
 import {
 	type CacheStore, type CacheStoreFailure, type PieceName, type PieceSeal, type StoredPiece,
 } from '../ports/cache-store.js';
 import {checkPiece} from '../protocol/cache/piece-seal.js';
 import {connectionPool, describeError} from './http-client.js';
+import {readWholeJson} from './whole-body.js';
 
 const timeoutMilliseconds = 2000;
 /** A caller waits while the store is asked; one that is slower than this counts as having nothing. */
 const findTimeoutMilliseconds = 100;
 
 type Exchange = {method: 'GET' | 'PUT' | 'POST' | 'DELETE'; path: string; body?: Buffer | string; timeoutMilliseconds?: number};
-type Answer = {status: number; headers: Record<string, string | string[] | undefined>; content: Buffer};
+
+type Answer = Dispatcher.ResponseData;
+
+type Judge<Value> = (answer: Answer) => Promise<Either<CacheStoreFailure, Value>>;
 
 export class HttpCacheStore implements CacheStore {
 	async write(address: string, piece: PieceName, content: Buffer): Promise<Either<CacheStoreFailure, void>> {
-		const answer = await exchange(address, {method: 'PUT', path: pathOf(piece), body: content});
-		return answer.chain(judgeWrite);
+		return exchange(address, {method: 'PUT', path: pathOf(piece), body: content}, judgeWrite);
 	}
 
 	async seal(address: string, piece: PieceName, seal: PieceSeal): Promise<Either<CacheStoreFailure, void>> {
-		const answer = await exchange(address, {method: 'POST', path: `${pathOf(piece)}/seal`, body: JSON.stringify(seal)});
-		return answer.chain(judgeWrite);
+		return exchange(address, {method: 'POST', path: `${pathOf(piece)}/seal`, body: JSON.stringify(seal)}, judgeWrite);
 	}
 
 	async read(address: string, piece: PieceName, seal: PieceSeal): Promise<Either<CacheStoreFailure, Buffer>> {
-		const answer = await exchange(address, {method: 'GET', path: pathOf(piece)});
-		return answer.chain(({status, headers, content}) => {
-			if (status !== 200) {
-				return Left(failureOf(status));
-			}
-
-			return checkPiece(seal, {length: Number(headers['x-length']), digest: String(headers['x-digest'])}, content);
+		return exchange(address, {method: 'GET', path: pathOf(piece)}, async ({statusCode, headers, body}) => {
+			// The seal is older than this reading, so it also proves that the whole piece came.
+			const content = Buffer.from(await body.arrayBuffer());
+			return statusCode === 200
+				? checkPiece(seal, {length: Number(headers['x-length']), digest: String(headers['x-digest'])}, content)
+				: Left(failureOf(statusCode));
 		});
 	}
 
 	async findPieces(address: string, pieceKeys: readonly string[]): Promise<Either<CacheStoreFailure, StoredPiece[]>> {
-		const answer = await exchange(address, {
+		return exchange(address, {
 			method: 'POST', path: '/find', body: JSON.stringify({pieceKeys}), timeoutMilliseconds: findTimeoutMilliseconds,
-		});
-		return answer.chain(storedPiecesOf);
+		}, judgeList);
 	}
 
 	async oldest(address: string, count: number): Promise<Either<CacheStoreFailure, StoredPiece[]>> {
-		const answer = await exchange(address, {method: 'GET', path: `/oldest?count=${count}`});
-		return answer.chain(storedPiecesOf);
+		return exchange(address, {method: 'GET', path: `/oldest?count=${count}`}, judgeList);
 	}
 
 	async free(address: string, piece: PieceName): Promise<Either<CacheStoreFailure, void>> {
-		const answer = await exchange(address, {method: 'DELETE', path: pathOf(piece)});
-		return answer.chain(judgeWrite);
+		return exchange(address, {method: 'DELETE', path: pathOf(piece)}, judgeWrite);
 	}
 }
 
-function storedPiecesOf({status, content}: Answer): Either<CacheStoreFailure, StoredPiece[]> {
-	return status === 200 ? Right((JSON.parse(content.toString('utf8')) as {pieces: StoredPiece[]}).pieces) : Left(failureOf(status));
-}
-
 function pathOf({pieceKey, generation}: PieceName): string {
 	return `/pieces/${encodeURIComponent(pieceKey)}/${encodeURIComponent(generation)}`;
 }
 
-async function exchange(address: string, {method, path, body, ...limits}: Exchange): Promise<Either<CacheStoreFailure, Answer>> {
+/**
+ * Makes an exchange. The answer is judged inside of the failure path: half of a list is no JSON, and an error that went past
+ * this port would end a prompt that every engine could serve.
+ */
+async function exchange<Value>(address: string, {method, path, body, ...limits}: Exchange, judge: Judge<Value>): Promise<Either<CacheStoreFailure, Value>> {
 	try {
 		const answer = await connectionPool.request({
 			origin: `http://${address}`, path, method, body: body ?? null, headers: {'content-type': typeof body === 'string' ? 'application/json' : 'application/octet-stream'}, signal: AbortSignal.timeout(limits.timeoutMilliseconds ?? timeoutMilliseconds),
 		});
-		return Right({status: answer.statusCode, headers: answer.headers, content: Buffer.from(await answer.body.arrayBuffer())});
+		return await judge(answer);
 	} catch (error) {
 		return Left({kind: 'unavailable', detail: describeError(error)});
 	}
 }
 
-function judgeWrite({status}: Answer): Either<CacheStoreFailure, void> {
-	return status === 204 ? Right(undefined) : Left(failureOf(status));
+async function judgeList(answer: Answer): Promise<Either<CacheStoreFailure, StoredPiece[]>> {
+	if (answer.statusCode !== 200) {
+		return judgeRefusal(answer);
+	}
+
+	const {pieces} = await readWholeJson('GET', answer) as unknown as {pieces: StoredPiece[]};
+	return Right(pieces);
+}
+
+async function judgeWrite(answer: Answer): Promise<Either<CacheStoreFailure, void>> {
+	if (answer.statusCode !== 204) {
+		return judgeRefusal(answer);
+	}
+
+	await answer.body.dump();
+	return Right(undefined);
+}
+
+async function judgeRefusal({statusCode, body}: Answer): Promise<Either<CacheStoreFailure, never>> {
+	await body.dump();
+	return Left(failureOf(statusCode));
 }
 
 function failureOf(status: number): CacheStoreFailure {
