--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -31,6 +31,7 @@
 import {type GatewayContext} from './gateway-context.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
 import {DutySeat} from './duty/duty-seat.js';
+import {dutyTable} from './duty/weights-duty.js';
 import {Hub} from './hub/hub.js';
 import {HubClient} from './hub/hub-client.js';
 import {packLoads} from './hub/hub-messages.js';
@@ -42,7 +43,7 @@
 import {FeedFollower} from './watchers/feed-follower.js';
 import {OperatorReader} from './watchers/operator-reader.js';
 import {LoadingEngines} from './watchers/loading-engines.js';
-import {dutyTable, WeightCoordinator} from './weights/weight-coordinator.js';
+import {WeightCoordinator} from './weights/weight-coordinator.js';
 import {WeightGoals} from './weights/weight-goals.js';
 
 /** What speaks to the outside, by the deployment's protocol. */
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -9,14 +9,11 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {DutySeat} from '../duty/duty-seat.js';
+import {dutyTable, weightsDuty} from '../duty/weights-duty.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightGoal, type WeightGoals} from './weight-goals.js';
 
-/** Where the duty's row lies. */
-export const dutyTable = 'duties';
-export const weightsDuty = 'weights';
-
 /** How often the coordinator looks at what it knows; no call is made for that. */
 const tickMilliseconds = 100;
 /** Instances that hear of new weights together try for the lease spread over this time. */
