Split the rows of the capacity page by role

Ruled out: one table of data in place of functions; the rows share sums that a table would have to repeat.

Change: the target stands in capacity-target.ts, the row and the figures in capacity-row.ts, and each group of rows in a file of its own; capacity-rows.ts puts them in their order. The rows themselves are the same text.

Conclusion: same page, smaller modules.

--- a/src/bench/capacity/capacity-page.ts
+++ b/src/bench/capacity/capacity-page.ts
@@ -1,6 +1,7 @@
 /** Writes the tables of docs/CAPACITY.md into the page, between marks; all else on the page is written by hand. */
 import {type SlopesData} from '../slopes/slopes-data.js';
-import {type CapacityRow, capacityRows} from './capacity-rows.js';
+import {type CapacityRow} from './capacity-row.js';
+import {capacityRows} from './capacity-rows.js';
 import {targetLines} from './target-lines.js';
 
 /** Where the page stands. */
--- a/src/bench/capacity/target-lines.ts
+++ b/src/bench/capacity/target-lines.ts
@@ -1,5 +1,5 @@
 /** Every line of the target, whether it is carried, and by what. docs/CAPACITY.md shows them in this order. */
-import {type CapacityStatus} from './capacity-rows.js';
+import {type CapacityStatus} from './capacity-row.js';
 
 /** One line of the target. */
 export type TargetLine = {line: string; status: CapacityStatus; mechanism: string};
