Ask an engine for its newest evictions before a prompt relies on it

What callers saw: a prompt that returned within two seconds of its eviction was computed again, though its pieces lay in a store.

Cause: an entry read the engines' cache events each 2 s and nothing else. Prompts that other entries brought to an engine pushed out what this entry still held to be kept there; so it did not ask the store at all (believed whole), or brought only the later pieces behind a first one that was gone (believed in part), and the engine computed everything.

Change: CacheEventReader reads events for the watcher, and, before a prompt that has stores to ask, from those engines alone that are believed to keep its leading pieces, unless they answered within 100 ms. A prompt waits 100 ms at most, and not at all for an engine that failed to answer before. The answer of an engine that was replaced meanwhile is passed over. That is one small request for a returning prompt; events told then are not told again by the poll.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -30,11 +30,12 @@
 import {type EntrySettings} from './entry-settings.js';
 import {HttpListener} from './http-listener.js';
 import {createOperatorRoutes} from './operators/operator-routes.js';
+import {CacheEventReader, pieceTokens} from './kept/cache-event-reader.js';
 import {StoreKeptContext} from './kept/kept-context.js';
 import {PieceSaver} from './kept/piece-saver.js';
 import {EntryPeers} from './peers/entry-peers.js';
 import {RequestRegistry} from './request-registry.js';
-import {CacheEventWatcher, pieceTokens} from './watchers/cache-event-watcher.js';
+import {CacheEventWatcher} from './watchers/cache-event-watcher.js';
 import {ConfigurationWatcher} from './watchers/configuration-watcher.js';
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
@@ -58,6 +59,7 @@
 	readonly #root: Supervisor;
 	readonly #kept: StoreKeptContext;
 	readonly #saver: PieceSaver;
+	readonly #reader: CacheEventReader;
 	readonly #stop = new AbortController();
 	readonly #timeline: TimelineSender;
 
@@ -87,8 +89,9 @@
 		const stores = new HttpCacheStore();
 		const links = new Map<string, LinkEstimate>();
 		this.#saver = new PieceSaver(this.#context, stores, this.#prefixes);
+		this.#reader = new CacheEventReader(this.#context, this.#prefixes);
 		this.#kept = new StoreKeptContext(this.#context, {
-			prefixes: this.#prefixes, stores, saver: this.#saver, links,
+			prefixes: this.#prefixes, stores, reader: this.#reader, saver: this.#saver, links,
 		});
 		const policy = new ExpectedFirstTokenPolicy(this.#prefixes, {dataCentre: settings.dataCentre, links, pieceTokens});
 		const routes = new CallerRoutes(this.#context, {
@@ -148,7 +151,7 @@
 				new InstanceWatcher(this.#context, [this.#context.endpoints, this.#peers, this.#kept], this.#peers.random),
 				new LoadWatcher(this.#context, this.#peers, new CapacityFeed(this.#context, gate)),
 				this.#saver,
-				new CacheEventWatcher(this.#context, this.#prefixes, this.#peers.random),
+				new CacheEventWatcher(this.#context, this.#reader, this.#peers.random),
 			],
 		});
 		const dataPath = new Supervisor({
--- a/src/entry/kept/kept-context.test.ts
+++ b/src/entry/kept/kept-context.test.ts
@@ -13,37 +13,43 @@
 import {ModelEngineStandIn} from '../../stand-in/model-engine-stand-in.js';
 import {startStandIn, type StandIn} from '../../stand-in/stand-in-server.js';
 import {TestEntry} from '../../test/test-entry.js';
-import {StoreKeptContext} from './kept-context.js';
+import {CacheEventReader} from './cache-event-reader.js';
+import {type FoundPieces, StoreKeptContext} from './kept-context.js';
 import {PieceSaver} from './piece-saver.js';
 
 const pieces = 3;
 const prompt = 'rulebook '.repeat(Math.ceil(pieces * 8192 / 9));
 const pieceBytes = 16_384;
+/** Room for one prompt and a little more. */
+const engineBlocks = 16;
 const owner = {salt: 'salt', model: 'permit-1', weightVersion: 'w1'};
 const here = {host: '127.0.0.1', port: 0};
 
 type Scene = {
+	entry: TestEntry;
+	engines: readonly ModelEngineStandIn[];
 	first: EndpointView;
 	second: EndpointView;
 	store: CacheStoreStandIn;
 	storeStandIn: StandIn;
 	route: RouteRequest;
 	/** An instance of its own: it shares nothing with another but the store. */
-	instance(): {kept: StoreKeptContext; saver: PieceSaver; prefixes: KeptPrefixes};
-	/** Sends the prompt; gives how many of its tokens were not computed. */
-	cachedTokensAt(endpoint: EndpointView): Promise<number>;
+	instance(): {kept: StoreKeptContext; saver: PieceSaver; prefixes: KeptPrefixes; reader: CacheEventReader};
+	/** Sends the prompt, or another one; gives how many of its tokens were not computed. */
+	cachedTokensAt(endpoint: EndpointView, sent?: string): Promise<number>;
 };
 
-async function createScene(context: TestContext, room = 100 * pieceBytes): Promise<Scene> {
+async function createScene(context: TestContext, {room = 100 * pieceBytes, engineBlocks = 100} = {}): Promise<Scene> {
 	const entry = new TestEntry();
 	const engine = new HttpModelEngine();
 	const store = new CacheStoreStandIn(room);
 	const storeStandIn = await startStandIn(store, here);
-	const engines = await Promise.all(['w1', 'w1'].map(async weightVersion => startStandIn(new ModelEngineStandIn({
-		model: 'permit-1', weightVersion, prefillTokensPerSecond: 1_000_000, millisecondsPerToken: 0, cachePieces: 100, batchLimit: 8,
-	}), here)));
-	context.after(async () => Promise.all([storeStandIn, ...engines].map(async standIn => standIn.close())));
-	const [first, second] = engines.map(({address}, index): EndpointView => ({
+	const engines = ['w1', 'w1'].map(weightVersion => new ModelEngineStandIn({
+		model: 'permit-1', weightVersion, prefillTokensPerSecond: 1_000_000, millisecondsPerToken: 0, cachePieces: engineBlocks, batchLimit: 8,
+	}));
+	const engineStandIns = await Promise.all(engines.map(async standIn => startStandIn(standIn, here)));
+	context.after(async () => Promise.all([storeStandIn, ...engineStandIns].map(async standIn => standIn.close())));
+	const [first, second] = engineStandIns.map(({address}, index): EndpointView => ({
 		name: `engine-${index}`, address, dataCentre: 'riva', service: 'permits', model: 'permit-1', weightVersion: 'w1', state: 'live', heardAt: 0,
 	}));
 	const route: RouteRequest = {
@@ -54,10 +60,15 @@
 		priority: 'urgent',
 		promptTokens: prompt.length / 4, pieceKeys: pieceKeysOf(owner, prompt), avoid: [], deadline: 0,
 	};
+	entry.context.endpoints.takeList([first!, second!].map(({name, address, dataCentre, service}) => ({
+		name, role: 'model-engine', dataCentre, service, address, peerAddress: '', state: 'live',
+	})));
 	const listed = {
 		name: 'store-1', role: 'cache-store' as const, dataCentre: 'riva', service: '', address: storeStandIn.address, peerAddress: '', state: 'live' as const,
 	};
 	return {
+		entry,
+		engines,
 		first: first!,
 		second: second!,
 		store,
@@ -68,16 +79,19 @@
 			const stores = new HttpCacheStore();
 			const own = {...entry.context, engine};
 			const saver = new PieceSaver(own, stores, prefixes);
+			const reader = new CacheEventReader(own, prefixes);
 			const kept = new StoreKeptContext(own, {
-				prefixes, stores, saver, links: new Map<string, LinkEstimate>(),
+				prefixes, stores, reader, saver, links: new Map<string, LinkEstimate>(),
 			});
 			kept.takeList([listed]);
-			return {kept, saver, prefixes};
+			return {
+				kept, saver, prefixes, reader,
+			};
 		},
-		async cachedTokensAt(endpoint) {
+		async cachedTokensAt(endpoint, sent = prompt) {
 			const call = {
 				requestId: 'request-1', attempt: 1,
-				shape: 'text' as const, body: {model: 'permit-1', prompt, max_tokens: 1}, cacheSalt: owner.salt, priority: 'urgent' as const, weightVersion: 'w1', tokensPassedOn: 0,
+				shape: 'text' as const, body: {model: 'permit-1', prompt: sent, max_tokens: 1}, cacheSalt: owner.salt, priority: 'urgent' as const, weightVersion: 'w1', tokensPassedOn: 0,
 			};
 			let cached: number | undefined;
 			for await (const answer of engine.complete(endpoint.address, call, new AbortController().signal)) {
@@ -151,7 +165,7 @@
 });
 
 test('a full store frees what was unused for longest, and the new pieces are kept', async context => {
-	const scene = await createScene(context, 2 * pieceBytes);
+	const scene = await createScene(context, {room: 2 * pieceBytes});
 	const stores = new HttpCacheStore();
 	const {saver} = scene.instance();
 	await scene.cachedTokensAt(scene.first);
@@ -185,3 +199,49 @@
 	const stored = await engine.cacheEvents(scene.second.address, 0);
 	assert.deepEqual(stored.orDefault([]), []);
 });
+
+test('an engine that evicted a prompt since all events were read is not believed to keep it', async context => {
+	// A rulebook is computed and saved, and the instance reads that the engine keeps it. Another prompt pushes it out, and
+	// the rulebook returns before the instance reads again. Sent to that engine as if it were kept, it would be computed
+	// again; its pieces are found in the store instead.
+	const scene = await createScene(context, {engineBlocks});
+	await saveFrom(scene);
+	const {kept, prefixes, reader} = scene.instance();
+	scene.entry.reportEngine(scene.first.name);
+	await reader.readAll();
+	assert.equal(prefixes.leadingPieces(scene.route.pieceKeys).get(scene.first.name), pieces);
+	await scene.cachedTokensAt(scene.first, 'harbour '.repeat(prompt.length / 8));
+	scene.entry.clock.advance(1000);
+	const found = await kept.find(scene.route.pieceKeys);
+	assert.equal(found?.pieces.length, pieces);
+	assert.equal(prefixes.leadingPieces(scene.route.pieceKeys).get(scene.first.name), 1);
+});
+
+test('an engine that keeps a prompt still is believed, and the store is not asked', async context => {
+	const scene = await createScene(context);
+	await saveFrom(scene);
+	const {kept, prefixes} = scene.instance();
+	prefixes.learn(scene.first.name, scene.route.pieceKeys);
+	assert.equal(await kept.find(scene.route.pieceKeys), undefined);
+	assert.equal(prefixes.leadingPieces(scene.route.pieceKeys).get(scene.first.name), pieces);
+});
+
+test('an engine that does not tell its events holds up one prompt, and that for a tenth of a second', async context => {
+	// The engine hangs. The first prompt that would rely on it waits for its events until the limit, and goes on with what
+	// was believed before; the next one does not wait at all.
+	const scene = await createScene(context);
+	await saveFrom(scene);
+	const {kept, prefixes} = scene.instance();
+	prefixes.learn(scene.first.name, scene.route.pieceKeys);
+	scene.engines[0]!.faults.slowMilliseconds = 500;
+	const findPrompt = async (): Promise<FoundPieces | undefined> => {
+		const found = await kept.find(scene.route.pieceKeys);
+		return found;
+	};
+
+	const waiting = findPrompt();
+	scene.entry.clock.advance(100);
+	assert.equal(await waiting, undefined);
+	assert.equal(await kept.find(scene.route.pieceKeys), undefined);
+	assert.equal(prefixes.leadingPieces(scene.route.pieceKeys).get(scene.first.name), pieces);
+});
--- a/src/entry/kept/kept-context.ts
+++ b/src/entry/kept/kept-context.ts
@@ -17,6 +17,7 @@
 import {type CacheStore, type StoredPiece} from '../../ports/cache-store.js';
 import {type ListedInstance} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
+import {type CacheEventReader} from './cache-event-reader.js';
 import {type PieceSaver} from './piece-saver.js';
 
 /** A store that did not answer is left alone for this long, so that prompts do not wait for a dead store in turn. */
@@ -41,7 +42,7 @@
 
 /** Kept context as the data path uses it. */
 export interface KeptContext {
-	/** Finds out what the prompt's store has, unless an endpoint is believed to have it all. */
+	/** Finds out what the prompt's store has, unless an endpoint has it all by its newest events. */
 	find(pieceKeys: readonly string[]): Promise<FoundPieces | undefined>;
 	/** Brings pieces to an endpoint; resolves when they are there or were given up. */
 	bring(order: BringOrder, policy: RoutingPolicy): Promise<void>;
@@ -53,6 +54,7 @@
 export type KeptParts = {
 	prefixes: KeptPrefixes;
 	stores: CacheStore;
+	reader: CacheEventReader;
 	saver: PieceSaver;
 	/** The links by store, which routing reads; kept in step with the list here. */
 	links: Map<string, LinkEstimate>;
@@ -94,8 +96,13 @@
 	}
 
 	async find(pieceKeys: readonly string[]): Promise<FoundPieces | undefined> {
-		const {prefixes, stores, links} = this.#parts;
-		if (pieceKeys.length === 0 || links.size === 0 || this.#isKeptByAnEngine(pieceKeys)) {
+		const {prefixes, stores, links, reader} = this.#parts;
+		if (pieceKeys.length === 0 || links.size === 0) {
+			return undefined;
+		}
+
+		await reader.confirm(pieceKeys);
+		if (this.#isKeptByAnEngine(pieceKeys)) {
 			return undefined;
 		}
 
