Split the claim machine: its own rows, the closing write, a repeat's patience

Ruled out: a class for each phase; phases go over into each other in both directions and share the revision.

Change: OwnClaim makes the rows and steps under the own nonce, ClaimClosing tries the last write, RepeatPatience gives the pauses of a repeat. The machine keeps the order of steps and what each event means. No step, pause or limit differs.

Conclusion: same behaviour; what is left is one job.

--- a/src/protocol/claim/claim-machine.ts
+++ b/src/protocol/claim/claim-machine.ts
@@ -7,44 +7,35 @@
  * was paused, or one that was under way for long, fails once somebody else has written.
  */
 import {type Refusal} from '../../shared/types.js';
+import {ClaimClosing} from './claim-closing.js';
 import {type ClaimRow} from './claim-row.js';
 import {
 	type ClaimDecision, type ClaimedCall, type ClaimEvent, type ClaimOutcome, type FoundClaim,
 } from './claim-steps.js';
+import {OwnClaim} from './own-claim.js';
+import {RepeatPatience} from './repeat-patience.js';
 import {unsentOutcome} from './unsent-outcome.js';
 
-/** How long a claim stands before others may take it over. */
-export const leaseMilliseconds = 5000;
-/** How long a call may be under way; behind it a repeat is told that the outcome is unknown. */
-export const sendingMilliseconds = 35_000;
-const repeatPatienceMilliseconds = 3000;
-const firstPollMilliseconds = 25;
-const longestPollMilliseconds = 400;
 const tryLimit = 3;
-const closeTryLimit = 6;
-const closeRetryMilliseconds = 1000;
 
 type Phase = 'claiming' | 'confirming' | 'sending' | 'closing' | 'repeating' | 'done';
 
 export class ClaimMachine {
 	readonly #call: ClaimedCall;
+	readonly #own: OwnClaim;
+	readonly #patience = new RepeatPatience();
 	#phase: Phase = 'claiming';
 	/** Revision that the claim's row must have for the next write. */
 	#revision = 0;
-	#version: number;
-	/** Counts claims of this request, so that each has a nonce of its own. */
-	#round = 0;
 	#tries = 0;
 	#catchUps = 0;
 	#isCatchingUp = false;
-	#pollMilliseconds = firstPollMilliseconds;
-	#patienceUntil: number | undefined;
 	#hasSeenOther = false;
-	#closing: {row: ClaimRow; outcome: ClaimOutcome | undefined} | undefined;
+	#closing: ClaimClosing | undefined;
 
 	constructor(call: ClaimedCall) {
 		this.#call = call;
-		this.#version = call.configurationVersion;
+		this.#own = new OwnClaim(call);
 	}
 
 	/** True once nothing more will be done. */
@@ -101,25 +92,10 @@
 		}
 	}
 
-	get #nonce(): string {
-		return `${this.#call.nonce}/${this.#round}`;
-	}
-
-	#row(stage: ClaimRow['stage'], leaseUntil: number): ClaimRow {
-		const {holder, bodyDigest} = this.#call;
-		return {
-			stage, nonce: this.#nonce, holder, leaseUntil, bodyDigest, configurationVersion: this.#version,
-		};
-	}
-
 	#claim(revision: number, now: number): ClaimDecision {
 		this.#phase = 'claiming';
 		this.#revision = revision;
-		return {
-			next: {
-				kind: 'write', row: this.#row('claimed', now + leaseMilliseconds), revision, version: this.#version,
-			},
-		};
+		return {next: this.#own.claimStep(revision, now)};
 	}
 
 	#takeClaiming(event: ClaimEvent, now: number): ClaimDecision {
@@ -142,7 +118,7 @@
 
 	/** Judges the row behind a claim that failed or whose answer was lost. */
 	#judgeClaim(found: FoundClaim | undefined, now: number): ClaimDecision {
-		if (found?.row.nonce === this.#nonce) {
+		if (found !== undefined && this.#own.isOwn(found)) {
 			return this.#confirm(found.revision, now);
 		}
 
@@ -161,11 +137,7 @@
 		this.#revision = revision;
 		// The lease may have lapsed while this process was paused, and another may have taken the claim over and sent
 		// the call. Sending then would be the second run. The take-over changed the revision, so this write fails.
-		return {
-			next: {
-				kind: 'write', row: this.#row('sending', now + sendingMilliseconds), revision, version: this.#version,
-			},
-		};
+		return {next: this.#own.confirmStep(revision, now)};
 	}
 
 	#takeConfirming(event: ClaimEvent, now: number): ClaimDecision {
@@ -187,11 +159,11 @@
 	}
 
 	#judgeConfirm(found: FoundClaim | undefined, now: number): ClaimDecision {
-		if (found?.row.nonce === this.#nonce && found.row.stage === 'sending') {
+		if (found !== undefined && this.#own.isOwn(found) && found.row.stage === 'sending') {
 			return this.#send(found.revision);
 		}
 
-		if (found !== undefined && found.row.nonce !== this.#nonce) {
+		if (found !== undefined && !this.#own.isOwn(found)) {
 			return this.#judgeOther(found, now);
 		}
 
@@ -208,42 +180,28 @@
 	#takeSending(event: ClaimEvent, now: number): ClaimDecision {
 		if (event.kind === 'answered') {
 			const {answer} = event;
-			return this.#close({...this.#row('recorded', now), answer}, {kind: 'answer', answer});
+			return this.#close({...this.#own.row('recorded', now), answer}, {kind: 'answer', answer});
 		}
 
 		if (event.kind === 'not-sent') {
-			return this.#close(this.#row('abandoned', now), unsentOutcome('no-endpoint', `the call was not sent: ${event.detail}`, 'not-run'));
+			return this.#close(this.#own.row('abandoned', now), unsentOutcome('no-endpoint', `the call was not sent: ${event.detail}`, 'not-run'));
 		}
 
-		const decision = this.#close(this.#row('unknown', now), undefined);
+		const decision = this.#close(this.#own.row('unknown', now), undefined);
 		return {...decision, outcome: this.#unknown('outcome-unknown', 'the call may have run; it will not be sent again')};
 	}
 
-	/** Writes the end of the claim; the caller's outcome waits for the first try only. */
 	#close(row: ClaimRow, outcome: ClaimOutcome | undefined): ClaimDecision {
 		this.#phase = 'closing';
-		this.#tries = 0;
-		this.#closing = {row, outcome};
-		return {next: {kind: 'write', row, revision: this.#revision}};
+		this.#closing = new ClaimClosing({row, revision: this.#revision, outcome});
+		return this.#closing.start();
 	}
 
 	#takeClosing(event: ClaimEvent): ClaimDecision {
-		const {row, outcome} = this.#closing!;
-		if (event.kind === 'woken') {
-			return {next: {kind: 'write', row, revision: this.#revision}};
-		}
-
-		const first: ClaimDecision = outcome === undefined ? {} : {outcome};
-		this.#closing = {row, outcome: undefined};
-		this.#tries++;
-		// A conflict means that an earlier try of this same write was applied: nobody else writes behind `sending`.
-		const isOver = event.kind === 'written' || event.kind === 'write-conflict' || this.#tries >= closeTryLimit;
-		if (isOver) {
-			this.#phase = 'done';
-			return first;
-		}
-
-		return {...first, next: {kind: 'wait', milliseconds: closeRetryMilliseconds}};
+		const closing = this.#closing!;
+		const decision = closing.take(event);
+		this.#phase = closing.isOver ? 'done' : 'closing';
+		return decision;
 	}
 
 	#catchUp(): ClaimDecision {
@@ -258,18 +216,18 @@
 
 	#takeCatchUp(event: ClaimEvent, now: number): ClaimDecision {
 		this.#isCatchingUp = false;
-		if (event.kind !== 'caught-up' || event.version <= this.#version) {
+		if (event.kind !== 'caught-up' || event.version <= this.#own.version) {
 			return this.#refuseUnsent('this instance has not the newest configuration', 'stale-configuration');
 		}
 
-		this.#version = event.version;
+		this.#own.version = event.version;
 		const isClaimed = this.#phase === 'confirming';
 		if (event.refusal === undefined) {
 			return isClaimed ? this.#confirm(this.#revision, now) : this.#claim(this.#revision, now);
 		}
 
 		const outcome: ClaimOutcome = {kind: 'refusal', refusal: event.refusal};
-		return isClaimed ? this.#close(this.#row('abandoned', now), outcome) : this.#end(outcome);
+		return isClaimed ? this.#close(this.#own.row('abandoned', now), outcome) : this.#end(outcome);
 	}
 
 	/** Judges the claim of somebody else: answer from it, wait for it, or take it over. */
@@ -286,7 +244,7 @@
 		}
 
 		if (row.stage === 'abandoned' || (row.stage === 'claimed' && row.leaseUntil < now)) {
-			this.#round++;
+			this.#own.beginAgain();
 			this.#tries = 0;
 			return this.#claim(revision, now);
 		}
@@ -299,14 +257,10 @@
 	}
 
 	#waitFor(now: number): ClaimDecision {
-		this.#patienceUntil ??= now + repeatPatienceMilliseconds;
-		if (now >= this.#patienceUntil) {
-			return this.#end(this.#unknown('in-progress', 'another call under this key is under way'));
-		}
-
-		const milliseconds = this.#pollMilliseconds;
-		this.#pollMilliseconds = Math.min(milliseconds * 2, longestPollMilliseconds);
-		return {next: {kind: 'wait', milliseconds}};
+		const milliseconds = this.#patience.nextPause(now);
+		return milliseconds === undefined
+			? this.#end(this.#unknown('in-progress', 'another call under this key is under way'))
+			: {next: {kind: 'wait', milliseconds}};
 	}
 
 	#takeRepeating(event: ClaimEvent, now: number): ClaimDecision {
