--- /dev/null
+++ b/src/bench/log-cost/main.ts
@@ -0,0 +1,95 @@
+/**
+ * `npm run --silent bench:log | cat > /dev/null`: what the log costs a gateway in processor time, against none.
+ *
+ * A caller sends short requests as fast as they are answered, in turns straight to the endpoint, through the gateway without
+ * a log, with the log as it is, and with every line written, which no bound allows. Caller, endpoint and gateway share this
+ * process, so what the first turn takes is subtracted from the others. Lines go to standard output and the report to
+ * standard error. A loop that only writes lines would tell a quarter of the cost: between requests each write wakes the
+ * reader and finds the processor's caches cold.
+ */
+import {Agent, request as sendRequest} from 'node:http';
+import process from 'node:process';
+import {ownWireNames as names} from '../../gateway/data-path/wire-names.js';
+import {DecisionLog} from '../../gateway/observability/decision-log.js';
+import {answerSealed, TestGateway} from '../../gateway/testing/test-gateway.js';
+import {quantileOf} from '../../load/measure/statistics.js';
+
+const rounds = 41;
+const requestsInRound = 1000;
+const requestsAtOnce = 8;
+const bodyBytes = 800;
+const millisecondsInSecond = 1000;
+
+type Turn = 'straight' | 'without a log' | 'log as it is' | 'every line written';
+
+async function sendOne(agent: Agent, address: string, id: string): Promise<void> {
+	const [host, port] = address.split(':');
+	return new Promise((resolve, reject) => {
+		const outgoing = sendRequest({
+			host, port, agent, method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: id, [names.deadline]: '2000'},
+		}, response => {
+			response.resume().once('end', resolve);
+		});
+		outgoing.once('error', reject).end('x');
+	});
+}
+
+/** Gives microseconds of processor time for each request. */
+async function costOfRound(agent: Agent, address: string): Promise<number> {
+	const start = process.cpuUsage();
+	for (let sent = 0; sent < requestsInRound; sent += requestsAtOnce) {
+		await Promise.all(Array.from({length: requestsAtOnce}, async (_, index) => sendOne(agent, address, `a${sent + index}`)));
+	}
+
+	const {user, system} = process.cpuUsage(start);
+	return (user + system) / requestsInRound;
+}
+
+class NoLog extends DecisionLog {
+	override record(): void {
+		// Nothing is written, counted or bounded; the fields of a line are still made, some microseconds a request.
+	}
+}
+
+/** A log that takes each line for the only one of its second, so that its bounds leave out none. */
+function unboundedLog(): DecisionLog {
+	let now = Date.UTC(2000);
+	return new DecisionLog(process.stdout, {instance: 'front-zone-1'}, () => {
+		now += millisecondsInSecond;
+		return now;
+	});
+}
+
+const gateway = await new TestGateway().start();
+const endpoint = await gateway.addEndpoint((request, response) => {
+	request.resume();
+	answerSealed(request, response, {body: 'x'.repeat(bodyBytes)});
+});
+const agent = new Agent({keepAlive: true, maxSockets: requestsAtOnce});
+const noLog = new NoLog({writableLength: 0, write: () => true}, {}, () => 0);
+const turns: Record<Turn, {address: string; log: DecisionLog}> = {
+	straight: {address: endpoint.address, log: noLog},
+	'without a log': {address: gateway.address, log: noLog},
+	'log as it is': {address: gateway.address, log: new DecisionLog(process.stdout, {instance: 'front-zone-1'}, Date.now)},
+	'every line written': {address: gateway.address, log: unboundedLog()},
+};
+const costs = new Map<Turn, number[]>();
+for (let round = 0; round <= rounds; round++) {
+	for (const [turn, {address, log}] of Object.entries(turns) as Array<[Turn, {address: string; log: DecisionLog}]>) {
+		gateway.context.log = log;
+		const cost = await costOfRound(agent, address);
+		// The first round compiles.
+		costs.set(turn, round === 0 ? [] : [...costs.get(turn)!, cost]);
+	}
+}
+
+agent.destroy();
+await gateway.close();
+// Differences within a round: the machine's other load changes from round to round more than the log costs.
+const medianBetween = (turn: Turn, base: Turn): number => quantileOf(costs.get(turn)!.map((cost, round) => cost - costs.get(base)![round]!), 0.5);
+const own = medianBetween('without a log', 'straight');
+console.error(`the gateway without a log: ${own.toFixed(0)} µs of processor time a request (median of ${rounds} rounds of ${requestsInRound} requests)`);
+for (const turn of ['log as it is', 'every line written'] as const) {
+	const added = medianBetween(turn, 'without a log');
+	console.error(`${turn}: ${added.toFixed(1)} µs more a request, ${(added / own * 100).toFixed(1)}% of that`);
+}
