--- a/src/bench/log-cost/main.ts
+++ b/src/bench/log-cost/main.ts
@@ -4,8 +4,8 @@
  * A caller sends short requests as fast as they are answered, in turns straight to the endpoint, through the gateway without
  * a log, with the log as it is, and with every line written, which no bound allows. Caller, endpoint and gateway share this
  * process, so what the first turn takes is subtracted from the others. Lines go to standard output and the report to
- * standard error. A loop that only writes lines would tell a quarter of the cost: between requests each write wakes the
- * reader and finds the processor's caches cold.
+ * standard error. A loop that only writes lines would tell a quarter to a half of the cost: between requests each write
+ * wakes the reader and finds the processor's caches cold.
  */
 import {Agent, request as sendRequest} from 'node:http';
 import process from 'node:process';
