Keep the lines of failed requests in a storm of refused ones

Cause: refused ends shared their 50 lines a second and their bytes with ends that broke off, and endpoints' rejections with the tries that were cut. The engineer finds no line for the one stream that broke while all endpoints were full.

Ruled out: a kind of its own for refused ends: whoever follows an id would have one more kind to know, and the outcome says it.

Change: `request-ended` with outcome `refused` and `try-failed` with outcome `rejected` are ranked as refusals, and their lines are counted apart from those of failures.

--- a/src/gateway/observability/decision-log.test.ts
+++ b/src/gateway/observability/decision-log.test.ts
@@ -52,6 +52,28 @@
 	assert.ok(served.every(({instance}) => instance === undefined));
 });
 
+test('a stream that breaks off in a storm of refusals has its line', () => {
+	// All endpoints are full: they reject 200 requests a second, and their callers are refused. One stream a second breaks
+	// off, behind the refusals.
+	const lines: string[] = [];
+	let now = 0;
+	const output = {writableLength: 0, write: (line: string) => lines.push(line) > 0};
+	const log = new DecisionLog(output, {instance: 'e1'}, () => now);
+	for (; now < 60_000; now += 1000) {
+		for (let count = 0; count < 200; count++) {
+			log.record('try-failed', {id: '0123456789abcdef', outcome: 'rejected', detail: 'x'.repeat(150)});
+			log.record('request-ended', {id: '0123456789abcdef', outcome: 'refused', detail: 'x'.repeat(150)});
+		}
+
+		log.record('try-failed', {id: 'broken', outcome: 'cut'});
+		log.record('request-ended', {id: 'broken', outcome: 'broken-off', detail: 'x'.repeat(300)});
+	}
+
+	const told = lines.map(line => JSON.parse(line) as {id: string; kind: string});
+	const broken = told.filter(({id}) => id === 'broken');
+	assert.deepEqual([broken.length, broken.filter(({kind}) => kind === 'try-failed').length], [120, 60]);
+});
+
 test('a reader that does not read costs lines, not memory', () => {
 	const output = {
 		writableLength: 1_000_000, write(): boolean {
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -40,7 +40,8 @@
 	readonly #output: Pick<Writable, 'write' | 'writableLength'>;
 	readonly #identity: Record<string, string>;
 	readonly #now: () => number;
-	readonly #rates = new Map<DecisionKind, Rate>();
+	/** By kind and rank: when all endpoints are full, refused requests would use up the lines of those that broke off. */
+	readonly #rates = new Map<string, Rate>();
 	readonly #budget = new LineBudget();
 
 	/**
@@ -57,8 +58,8 @@
 	/** Writes a line, or counts it if too many of its kind were written in this second or too many bytes of all kinds. */
 	record(kind: DecisionKind, fields: DecisionFields = {}): void {
 		const now = this.#now();
-		const rate = this.#rateOf(kind, Math.floor(now / 1000));
-		const rank = ranksOfRequests.get(kind) ?? 'process';
+		const rank = rankOf(kind, fields);
+		const rate = this.#rateOf(`${kind} ${rank}`, Math.floor(now / 1000));
 		if (rate.written >= linesPerSecond || this.#output.writableLength > mostWaitingBytes || !this.#budget.hasRoomFor(rank, now)) {
 			rate.left++;
 			return;
@@ -71,7 +72,7 @@
 		this.#output.write(line);
 	}
 
-	/** Ordinary ends are told without the identity, a quarter of their length: a collector knows the process that it reads from. */
+	/** Ordinary ends are told without the identity, a seventh of their length: a collector knows the process that it reads from. */
 	#lineOf(kind: DecisionKind, rank: LineRank, fields: DecisionFields, now: number): string {
 		const identity = rank === 'ordinary' ? {} : this.#identity;
 		return `${JSON.stringify({
@@ -79,11 +80,11 @@
 		})}\n`;
 	}
 
-	#rateOf(kind: DecisionKind, second: number): Rate {
-		let rate = this.#rates.get(kind);
+	#rateOf(name: string, second: number): Rate {
+		let rate = this.#rates.get(name);
 		if (rate === undefined) {
 			rate = {second, written: 0, left: 0};
-			this.#rates.set(kind, rate);
+			this.#rates.set(name, rate);
 		}
 
 		if (rate.second !== second) {
@@ -94,3 +95,12 @@
 		return rate;
 	}
 }
+
+/**
+ * Requests that no endpoint took, and the endpoints' rejections that led there, come in storms like requests refused from
+ * their heads, and are ranked with them.
+ */
+function rankOf(kind: DecisionKind, {outcome}: DecisionFields): LineRank {
+	const rank = ranksOfRequests.get(kind) ?? 'process';
+	return rank === 'failure' && (outcome === 'refused' || outcome === 'rejected') ? 'refusal' : rank;
+}
--- a/src/gateway/observability/line-budget.ts
+++ b/src/gateway/observability/line-budget.ts
@@ -12,7 +12,7 @@
  * What a line is about, the first to be left out first.
  *
  * - `ordinary`: a request that ended as it should.
- * - `refusal`: a request that was refused from its head or body; all such lines of a second are alike.
+ * - `refusal`: a request that was refused, or rejected by an endpoint; all such lines of a second are alike.
  * - `failure`: a request that failed, was late, repeated or broken off.
  * - `process`: what the process believes: configuration, leases, endpoints, dependencies.
  */
