Let the facts of an end say that an answer's framing is not known

Cause: with exact optional types a caller that holds 'AnswerFraming | undefined' could not hand it on. Ruled out: a condition at the caller. Change: two types.

--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -31,9 +31,9 @@
 	/** On the steady clock, in milliseconds. */
 	firstByteAt: number | undefined;
 	/** How the end of the last answer was marked; absent where there was none. */
-	framing?: AnswerFraming;
+	framing?: AnswerFraming | undefined;
 	/** Bytes of the last answer's body that came. */
-	bodyBytes?: number;
+	bodyBytes?: number | undefined;
 };
 
 /** The request that ended. */
