Split the peer node: outbox, rumours, pace of views, tries of members that are gone

Cause: peer-node.ts had grown to 371 lines, in which the node kept four small books beside its own job of putting membership, fan-out and knowledge together; `bare` said again what `rumourOf` of the membership says.

Ruled out: splitting by kind of message; the kinds share the membership and the outbox.

Change: PeerOutbox (messages and links), RumourBatch, ViewPace and GoneRetry are classes of their own, and the types of what a node is given stand in peer-node-options.ts. Random numbers are drawn in the same order as before, and no pause differs.

--- a/src/peer/link/peer-service.ts
+++ b/src/peer/link/peer-service.ts
@@ -15,7 +15,9 @@
 import {
 	type MemberRumour, type PeerMessage, spokenVersions, type VersionRange,
 } from '../message/peer-message.js';
-import {type Outgoing, PeerNode, type PeerNodeOptions} from '../node/peer-node.js';
+import {PeerNode} from '../node/peer-node.js';
+import {type PeerNodeOptions} from '../node/peer-node-options.js';
+import {type Outgoing} from '../node/peer-outbox.js';
 import {type LinkCounts, type LinkOwner, PeerLink} from './peer-link.js';
 import {redialDelay} from './redial-delay.js';
 
--- a/src/peer/membership/membership.ts
+++ b/src/peer/membership/membership.ts
@@ -252,7 +252,8 @@
 	}
 }
 
-function rumourOf(member: Member): MemberRumour {
+/** Gives what peers are told of a member; a suspicion is this instance's own and is not passed on. */
+export function rumourOf(member: Member): MemberRumour {
 	const {
 		name, dataCentre, peerAddress, incarnation, status,
 	} = member;
--- a/src/peer/node/peer-node.ts
+++ b/src/peer/node/peer-node.ts
@@ -4,12 +4,17 @@
  */
 import {type LoadReport} from '../../ports/model-engine.js';
 import {type ConfigurationChange, type ListedInstance} from '../../shared/types.js';
-import {ConfigurationFanout, type ConfigurationKeeper, type FanoutMode} from '../configuration/configuration-fanout.js';
-import {type LearnedLoad, LoadKnowledge} from '../knowledge/load-knowledge.js';
-import {type Member, Membership} from '../membership/membership.js';
+import {ConfigurationFanout} from '../configuration/configuration-fanout.js';
+import {LoadKnowledge} from '../knowledge/load-knowledge.js';
+import {Membership, rumourOf} from '../membership/membership.js';
 import {type Overlay, overlayOf} from '../membership/overlay.js';
-import {type ConfigurationSnapshot, type MemberRumour, type PeerMessage} from '../message/peer-message.js';
+import {type MemberRumour, type PeerMessage} from '../message/peer-message.js';
 import {bestMembers, hashOfText, ownerOf} from '../sharing/rendezvous.js';
+import {GoneRetry} from './gone-retry.js';
+import {type PeerNodeOptions} from './peer-node-options.js';
+import {type Outgoing, PeerOutbox} from './peer-outbox.js';
+import {RumourBatch} from './rumour-batch.js';
+import {ViewPace} from './view-pace.js';
 
 /** Time between two heartbeats. */
 export const heartbeatMilliseconds = 1000;
@@ -18,53 +23,25 @@
 export const readersPerDataCentre = 2;
 
 const heartbeatJitter = 0.1;
-const rumourDelayMilliseconds = 25;
-const viewMilliseconds = 2000;
-const retryGoneMilliseconds = 2000;
 const readerKey = hashOfText('configuration-reader');
 
-/** A message and whom it is for. */
-export type Outgoing = {to: string; message: PeerMessage};
-
-/** What the instance tells its surroundings. */
-export interface PeerListener {
-	loadsLearned(loads: readonly LearnedLoad[]): void;
-	/** Brings a snapshot into force if it is newer; false if it is damaged or old. */
-	snapshotOffered(snapshot: ConfigurationSnapshot): boolean;
-	memberChanged(rumour: MemberRumour): void;
-	endpointsShared(shared: {taken: number; released: number}): void;
-}
-
-export type PeerNodeOptions = {
-	self: Omit<MemberRumour, 'status'>;
-	keeper: ConfigurationKeeper;
-	listener: PeerListener;
-	fanoutMode: FanoutMode;
-	/** The longest random wait before an ask; the usual one unless given. */
-	askBackoffMilliseconds?: number;
-	/** Gives numbers from 0 up to 1, from a seeded generator. */
-	random(): number;
-};
-
 export class PeerNode {
 	readonly membership: Membership;
 	readonly fanout: ConfigurationFanout;
 	readonly knowledge: LoadKnowledge;
 	readonly #options: PeerNodeOptions;
-	#outgoing: Outgoing[] = [];
+	readonly #outbox = new PeerOutbox();
+	readonly #rumours = new RumourBatch();
+	readonly #viewPace: ViewPace;
+	readonly #goneRetry: GoneRetry;
 	#overlay: {revision: number; overlay: Overlay} | undefined;
 	#sharedRevision = -1;
 	#nextHeartbeatAt: number;
-	#nextRetryAt = 0;
-	#retried = '';
-	#rumoursDueAt = Number.POSITIVE_INFINITY;
-	readonly #rumours = new Map<string, MemberRumour>();
-	readonly #viewSentAt = new Map<string, number>();
-	/** Peers with a link, whoever wanted it: each gets heartbeats, as its view may make it expect them. */
-	readonly #linked = new Set<string>();
 
 	constructor(options: PeerNodeOptions, now: number) {
 		this.#options = options;
+		this.#viewPace = new ViewPace(() => options.random());
+		this.#goneRetry = new GoneRetry(() => options.random());
 		this.membership = new Membership(options.self, now);
 		this.fanout = new ConfigurationFanout(options.keeper, options.random, options.askBackoffMilliseconds);
 		this.knowledge = new LoadKnowledge(options.self.name);
@@ -104,13 +81,13 @@
 
 	/** The peers to have links to, with their addresses. */
 	wantedLinks(): Array<{name: string; peerAddress: string}> {
-		const retried = this.membership.member(this.#retried);
+		const retried = this.membership.member(this.#goneRetry.name);
 		return [...this.overlay.neighbours.values(), ...(retried === undefined ? [] : [retried])];
 	}
 
 	/** When `tick` should be called next, at the latest. */
 	get dueAt(): number {
-		return Math.min(this.fanout.dueAt, this.#nextHeartbeatAt, this.#rumoursDueAt);
+		return Math.min(this.fanout.dueAt, this.#nextHeartbeatAt, this.#rumours.dueAt);
 	}
 
 	/** Takes the platform's list. */
@@ -124,17 +101,17 @@
 	linkUp(peer: MemberRumour, now: number): Outgoing[] {
 		this.#takeRumours([peer], now);
 		this.membership.heard(peer.name, peer.incarnation, now);
-		this.#linked.add(peer.name);
-		this.#send(peer.name, this.#heartbeat());
+		this.#outbox.linkUp(peer.name);
+		this.#outbox.send(peer.name, this.#heartbeat());
 		this.knowledge.tellWhole();
-		return this.#taken();
+		return this.#outbox.take();
 	}
 
 	/** Notes that a link ended. */
 	linkDown(peer: string): void {
-		this.#linked.delete(peer);
+		this.#outbox.linkDown(peer);
 		this.fanout.forget(peer);
-		this.#viewSentAt.delete(peer);
+		this.#viewPace.forget(peer);
 	}
 
 	/** Takes a message. */
@@ -158,7 +135,7 @@
 			case 'ask-changes': {
 				const answer = this.fanout.answer(message.after);
 				if (answer !== undefined) {
-					this.#send(from, answer);
+					this.#outbox.send(from, answer);
 				}
 
 				break;
@@ -179,56 +156,60 @@
 				const {learned, passOn} = this.knowledge.takeLoads(message, now);
 				this.#options.listener.loadsLearned(learned);
 				if (passOn !== undefined) {
-					this.#sendAll(passOn, from);
+					this.#outbox.sendAll(passOn, from);
 				}
 
 				break;
 			}
 		}
 
-		return this.#taken();
+		return this.#outbox.take();
 	}
 
 	/** Tells peers of a change that came into force here by the table or an operator. */
 	changeInForce(change: ConfigurationChange): Outgoing[] {
 		this.#announce([change], '');
-		return this.#taken();
+		return this.#outbox.take();
 	}
 
 	/** Takes a report that this instance asked an endpoint for. */
 	takeReport(name: string, report: LoadReport, now: number): Outgoing[] {
 		const message = this.knowledge.takeReport(name, report, now);
 		if (message !== undefined) {
-			this.#sendAll(message, '');
+			this.#outbox.sendAll(message);
 		}
 
-		return this.#taken();
+		return this.#outbox.take();
 	}
 
 	/** Says good-bye: the shards go to others at once. */
 	leave(): Outgoing[] {
-		this.#sendAll({...this.#heartbeat(), rumours: [{...this.membership.self, status: 'left'}]}, '');
-		return this.#taken();
+		this.#outbox.sendAll({...this.#heartbeat(), rumours: [{...this.membership.self, status: 'left'}]});
+		return this.#outbox.take();
 	}
 
 	/** Lets time pass. */
 	tick(now: number): Outgoing[] {
 		this.#spread(this.membership.tick(new Set(this.overlay.neighbours.keys()), now), now);
-		this.#flushRumours(now);
+		const rumours = this.#rumours.takeDue(now);
+		if (rumours.length > 0) {
+			this.#outbox.sendAll({...this.#heartbeat(), rumours});
+		}
+
 		if (now >= this.#nextHeartbeatAt) {
-			this.#sendAll(this.#heartbeat(), '');
+			this.#outbox.sendAll(this.#heartbeat());
 			this.#nextHeartbeatAt = now + (heartbeatMilliseconds * (1 - (heartbeatJitter * this.#options.random())));
 		}
 
 		const ask = this.fanout.tick(now);
 		if (ask !== undefined) {
-			this.#send(ask.peer, {kind: 'ask-changes', after: ask.after});
+			this.#outbox.send(ask.peer, {kind: 'ask-changes', after: ask.after});
 		}
 
 		this.#tell(now);
-		this.#retryGone(now);
+		this.#goneRetry.tick(() => this.membership.goneButListed(), now);
 		this.#shareOut();
-		return this.#taken();
+		return this.#outbox.take();
 	}
 
 	#takeHeartbeat(from: string, message: Extract<PeerMessage, {kind: 'heartbeat'}>, now: number): void {
@@ -237,20 +218,9 @@
 		this.fanout.takeAnnouncement(from, message.configurationVersion, now);
 		const member = this.membership.member(from);
 		if (member?.status === 'gone') {
-			this.#send(from, {...this.#heartbeat(), rumours: [{...bare(member), status: 'gone' as const}]});
-		} else if (member?.dataCentre === this.#options.self.dataCentre && message.viewDigest !== this.membership.viewDigest) {
-			this.#sendView(from, now);
-		}
-	}
-
-	/** Sends the whole view to a peer that has another one, not too often, as rumours under way explain most differences. */
-	#sendView(peer: string, now: number): void {
-		const sentAt = this.#viewSentAt.get(peer);
-		if (sentAt === undefined) {
-			this.#viewSentAt.set(peer, now - (viewMilliseconds * this.#options.random()));
-		} else if (now - sentAt >= viewMilliseconds) {
-			this.#viewSentAt.set(peer, now);
-			this.#send(peer, {kind: 'view', members: this.membership.view()});
+			this.#outbox.send(from, {...this.#heartbeat(), rumours: [rumourOf(member)]});
+		} else if (member?.dataCentre === this.#options.self.dataCentre && message.viewDigest !== this.membership.viewDigest && this.#viewPace.takeTurn(from, now)) {
+			this.#outbox.send(from, {kind: 'view', members: this.membership.view()});
 		}
 	}
 
@@ -268,21 +238,11 @@
 
 		for (const rumour of rumours) {
 			if (rumour.dataCentre === this.#options.self.dataCentre) {
-				this.#rumours.set(rumour.name, rumour);
-				this.#rumoursDueAt = Math.min(this.#rumoursDueAt, now + rumourDelayMilliseconds);
+				this.#rumours.add(rumour, now);
 			}
 		}
 	}
 
-	/** Rumours wait a moment, so that a rack that dies, or a data centre that starts, is one message and not dozens. */
-	#flushRumours(now: number): void {
-		if (now >= this.#rumoursDueAt) {
-			this.#sendAll({...this.#heartbeat(), rumours: [...this.#rumours.values()]}, '');
-			this.#rumours.clear();
-			this.#rumoursDueAt = Number.POSITIVE_INFINITY;
-		}
-	}
-
 	#announce(changes: readonly ConfigurationChange[], from: string): void {
 		if (changes.length === 0) {
 			return;
@@ -294,9 +254,9 @@
 
 		const newest = changes.at(-1)!.version;
 		const message: PeerMessage = this.#options.fanoutMode === 'push' ? {kind: 'changes', changes: [...changes]} : this.#heartbeat();
-		for (const name of this.#linked) {
+		for (const name of this.#outbox.linked) {
 			if (name !== from && this.fanout.announcedBy(name) < newest) {
-				this.#send(name, message);
+				this.#outbox.send(name, message);
 			}
 		}
 	}
@@ -306,22 +266,11 @@
 		const message = this.knowledge.tell(cell.size, now);
 		if (message !== undefined) {
 			for (const name of cell.keys()) {
-				this.#send(name, message);
+				this.#outbox.send(name, message);
 			}
 		}
 	}
 
-	/** After a cut both sides hold each other gone and are silent; one try now and then finds the end of it. */
-	#retryGone(now: number): void {
-		if (now < this.#nextRetryAt) {
-			return;
-		}
-
-		this.#nextRetryAt = now + (retryGoneMilliseconds * (0.5 + this.#options.random()));
-		const gone = this.membership.goneButListed();
-		this.#retried = gone[Math.floor(this.#options.random() * gone.length)]?.name ?? '';
-	}
-
 	#shareOut(): void {
 		const {revision} = this.membership;
 		if (this.#sharedRevision !== revision) {
@@ -341,31 +290,4 @@
 			configurationVersion: this.#options.keeper.state.version,
 		};
 	}
-
-	#send(to: string, message: PeerMessage): void {
-		this.#outgoing.push({to, message});
-	}
-
-	#sendAll(message: PeerMessage, except: string): void {
-		for (const name of this.#linked) {
-			if (name !== except) {
-				this.#send(name, message);
-			}
-		}
-	}
-
-	#taken(): Outgoing[] {
-		const outgoing = this.#outgoing;
-		this.#outgoing = [];
-		return outgoing;
-	}
-}
-
-function bare(member: Member): Omit<MemberRumour, 'status'> {
-	const {
-		name, dataCentre, peerAddress, incarnation,
-	} = member;
-	return {
-		name, dataCentre, peerAddress, incarnation,
-	};
 }
