Say in one place where the demo's declaration lies and which model service it names

Cause: the path of examples/demo.yaml was worked out in nine files and that of demo-changed.yaml in three; the model service that engines are started for stood in eight.

Ruled out: a default in Deployment; a plan should say what it starts.

Change: src/demo/demo-declaration.ts names the two paths and the service; benches, checks and tests take them from there.

--- a/src/bench/slopes/data-path-run.ts
+++ b/src/bench/slopes/data-path-run.ts
@@ -1,15 +1,14 @@
 /** Measures what serving costs an entry process: processor time for a request, by the tokens of its answer. */
 import {readFileSync} from 'node:fs';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {sendPrompt} from '../../demo/demo-client.js';
 import {demoCallers} from '../../demo/demo-traffic.js';
+import {demoDeclarationPath} from '../../demo/demo-declaration.js';
 import {demoOperatorKey, Deployment} from '../../demo/deployment.js';
 import {runApply} from '../../operator/declaration-commands.js';
 import {OperatorClient} from '../../operator/operator-client.js';
 
-const declarationPath = fileURLToPath(new URL('../../../examples/demo.yaml', import.meta.url));
 const service = 'permits';
 const promptCharacters = 8000;
 const atOnce = 8;
@@ -39,7 +38,7 @@
 		await deployment.start();
 		const [entry] = deployment.withRole('entry');
 		const client = new OperatorClient(String(entry!.process.ready.operators), demoOperatorKey);
-		await runApply([declarationPath], {author: 'bench', reason: 'slopes'}, client, {line: () => undefined, problem: () => undefined});
+		await runApply([demoDeclarationPath], {author: 'bench', reason: 'slopes'}, client, {line: () => undefined, problem: () => undefined});
 		await untilReady(entry!.listed.address);
 		const costs: DataPathCost[] = [];
 		await runOnce(entry!.listed.address, entry!.process.child.pid!, 16);
--- a/src/bench/weigh/entry-kill-run.ts
+++ b/src/bench/weigh/entry-kill-run.ts
@@ -4,15 +4,14 @@
  */
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {sendPrompt} from '../../demo/demo-client.js';
 import {demoCallers} from '../../demo/demo-traffic.js';
+import {demoDeclarationPath, permitsModelService} from '../../demo/demo-declaration.js';
 import {type DeployedProcess, demoOperatorKey, Deployment} from '../../demo/deployment.js';
 import {runApply} from '../../operator/declaration-commands.js';
 import {OperatorClient} from '../../operator/operator-client.js';
 
-const declaration = fileURLToPath(new URL('../../../examples/demo.yaml', import.meta.url));
 const entriesPerDataCentre = 12;
 const enginesPerDataCentre = 3;
 const settleMilliseconds = 8000;
@@ -40,14 +39,14 @@
 		dataCentres: ['split-riva', 'split-luka'],
 		entriesPerDataCentre,
 		enginesPerDataCentre,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 	});
 	try {
 		await deployment.start();
 		const entries = deployment.withRole('entry');
 		const client = new OperatorClient(String(entries[0]!.process.ready.operators), demoOperatorKey);
-		await runApply([declaration], {author: 'bench', reason: 'deaths'}, client, {line: () => undefined, problem: () => undefined});
+		await runApply([demoDeclarationPath], {author: 'bench', reason: 'deaths'}, client, {line: () => undefined, problem: () => undefined});
 		await delay(settleMilliseconds);
 		return await killAThird(deployment, entries);
 	} finally {
--- a/src/bench/weigh/outage-run.ts
+++ b/src/bench/weigh/outage-run.ts
@@ -3,16 +3,14 @@
  * served and refused, whether a new entry gets its configuration from peers, and how fast all are on the next one.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {sendBooking, sendPrompt} from '../../demo/demo-client.js';
 import {demoCallers} from '../../demo/demo-traffic.js';
+import {changedDemoDeclarationPath, demoDeclarationPath, permitsModelService} from '../../demo/demo-declaration.js';
 import {demoOperatorKey, Deployment} from '../../demo/deployment.js';
 import {runApply} from '../../operator/declaration-commands.js';
 import {OperatorClient} from '../../operator/operator-client.js';
 
-const firstDeclaration = fileURLToPath(new URL('../../../examples/demo.yaml', import.meta.url));
-const nextDeclaration = fileURLToPath(new URL('../../../examples/demo-changed.yaml', import.meta.url));
 const outageMilliseconds = 10_000;
 const lookMilliseconds = 20;
 const limitMilliseconds = 20_000;
@@ -36,12 +34,12 @@
 		dataCentres: ['split-riva', 'split-luka'],
 		entriesPerDataCentre: 3,
 		enginesPerDataCentre: 2,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 	});
 	try {
 		await deployment.start();
-		await apply(deployment, firstDeclaration);
+		await apply(deployment, demoDeclarationPath);
 		await timeUntil(async () => allReady(deployment, 1));
 		await deployment.setFaults(deployment.platform.table, {down: true});
 		await delay(outageMilliseconds);
@@ -49,7 +47,7 @@
 		const newEntryReadyMilliseconds = await startNewEntry(deployment);
 		await deployment.setFaults(deployment.platform.table, {down: false});
 		const before = await tableReads(deployment);
-		await apply(deployment, nextDeclaration);
+		await apply(deployment, changedDemoDeclarationPath);
 		const everywhereMilliseconds = await timeUntil(async () => allReady(deployment, 2));
 		const readFrom = Date.now();
 		await delay(3000);
--- a/src/check/bookings-over-processes.ts
+++ b/src/check/bookings-over-processes.ts
@@ -4,12 +4,11 @@
  * count their own runs. The order of faults comes from a seed; the processes' own timing does not.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
+import {demoDeclarationPath} from '../demo/demo-declaration.js';
 import {type DeployedProcess, Deployment} from '../demo/deployment.js';
 import {Choices} from './choices.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
 const standstillMilliseconds = 6500;
 const callerTimeoutMilliseconds = 4000;
 const repeatMilliseconds = 200;
@@ -49,7 +48,7 @@
 	});
 	try {
 		await deployment.start();
-		await deployment.apply(declarationPath, 'bookings under faults', () => undefined);
+		await deployment.apply(demoDeclarationPath, 'bookings under faults', () => undefined);
 		return await new BookingsRun(deployment, Choices.fromSeed(seed)).run(bookings);
 	} finally {
 		await deployment.stop();
--- a/src/check/configuration-over-processes.ts
+++ b/src/check/configuration-over-processes.ts
@@ -6,6 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {HttpTableService} from '../adapters/http-table-service.js';
+import {permitsModelService} from '../demo/demo-declaration.js';
 import {Deployment} from '../demo/deployment.js';
 import {acceptProposal, readHead} from '../protocol/configuration/configuration-table.js';
 import {seededRandom} from '../peer/random/seeded-random.js';
@@ -40,7 +41,7 @@
 		dataCentres: ['split-riva', 'split-luka'],
 		entriesPerDataCentre: 2,
 		enginesPerDataCentre: 1,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 		async tableAddressFor(instance, table) {
 			const before = links.get(instance);
--- a/src/check/returning-over-processes.ts
+++ b/src/check/returning-over-processes.ts
@@ -4,13 +4,12 @@
  * of the prompts.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {sendPrompt} from '../demo/demo-client.js';
 import {quantileOf} from '../demo/demo-report.js';
+import {demoDeclarationPath, permitsModelService} from '../demo/demo-declaration.js';
 import {Deployment} from '../demo/deployment.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
 const prompts = 8;
 const promptCharacters = 40_000;
 const answerTokens = 6;
@@ -44,13 +43,13 @@
 		entriesPerDataCentre: 3,
 		enginesPerDataCentre: 2,
 		cacheStoresPerDataCentre: plan.stores,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 		engineArguments: ['--cache-pieces', cacheBlocks, '--prefill-tokens-per-second', '20000', '--milliseconds-per-token', '1'],
 	});
 	try {
 		await deployment.start();
-		await deployment.apply(declarationPath, 'returning prompts', () => undefined);
+		await deployment.apply(demoDeclarationPath, 'returning prompts', () => undefined);
 		return await new ReturningRun(deployment).run(plan);
 	} finally {
 		await deployment.stop();
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -1,16 +1,14 @@
 /** The demo: starts a small deployment of processes, drives both users' traffic through it, and prints the figures. */
 import {once} from 'node:events';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
 import {Command} from 'commander';
+import {changedDemoDeclarationPath, demoDeclarationPath, permitsModelService} from './demo-declaration.js';
 import {demoOperatorKey, Deployment} from './deployment.js';
 import {type DemoReport, reportOf} from './demo-report.js';
 import {
 	demoCallers, promptsOfRound, sendAll, sendBookings, type SentPrompt,
 } from './demo-traffic.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
-const changedDeclarationPath = fileURLToPath(new URL('../../examples/demo-changed.yaml', import.meta.url));
 const rounds = 6;
 const bookingNames = Array.from({length: 8}, (_, index) => `pitch-${index + 1}`);
 
@@ -29,7 +27,7 @@
 	entriesPerDataCentre: 3,
 	enginesPerDataCentre: 3,
 	modelServices: [
-		{service: 'permits', model: 'permit-1', weightVersion: 'w1'},
+		permitsModelService,
 		{service: 'lessons', model: 'lesson-1', weightVersion: 'w1'},
 	],
 	plainService: 'bookings',
@@ -47,7 +45,7 @@
 	}
 
 	const bookings = await sendBookings(bookingNames, entries);
-	const configurationVersion = await apply(changedDeclarationPath, 'parish questions become urgent');
+	const configurationVersion = await apply(changedDemoDeclarationPath, 'parish questions become urgent');
 	for (let round = rounds / 2; round < rounds; round++) {
 		prompts.push(...await sendAll(promptsOfRound(round, entries)));
 	}
@@ -97,7 +95,7 @@
 try {
 	say('starting two data centres …');
 	await deployment.start();
-	await apply(declarationPath, 'the first declaration');
+	await apply(demoDeclarationPath, 'the first declaration');
 	if (options.hold) {
 		await hold();
 	} else {
--- a/src/load/overhead/main.ts
+++ b/src/load/overhead/main.ts
@@ -3,15 +3,14 @@
  * stand-in engines that answer at once, direct and through the entry side by side in one run. This process is the load
  * generator; entry and engines are processes of their own.
  */
-import {fileURLToPath} from 'node:url';
 import {Command} from 'commander';
+import {demoDeclarationPath, permitsModelService} from '../../demo/demo-declaration.js';
 import {Deployment} from '../../demo/deployment.js';
 import {LoadClient} from './load-client.js';
 import {
 	type EntryUsage, type LatencyFigures, measureLatency, measureThroughput, type ThroughputFigures, withUsage,
 } from './overhead-phases.js';
 
-const declarationPath = fileURLToPath(new URL('../../../examples/demo.yaml', import.meta.url));
 const engineAtOnce = ['--prefill-tokens-per-second', '1000000000', '--batch-limit', '1000'];
 const latencyPlan = {perSecond: 200, seconds: 10, tokens: 16};
 const shortPlan = {callers: 64, seconds: 5, tokens: 8};
@@ -32,13 +31,13 @@
 		dataCentres: ['split-riva'],
 		entriesPerDataCentre: 1,
 		enginesPerDataCentre: 3,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 		engineArguments: [...engineAtOnce, '--milliseconds-per-token', String(millisecondsPerToken)],
 	});
 	try {
 		await deployment.start();
-		await deployment.apply(declarationPath, 'for the measurement', () => {
+		await deployment.apply(demoDeclarationPath, 'for the measurement', () => {
 			// The edits are of no interest here.
 		});
 		const [entryProcess] = deployment.withRole('entry');
--- a/src/test/openai-client.test.ts
+++ b/src/test/openai-client.test.ts
@@ -1,12 +1,11 @@
 /** An unchanged client library of the published protocol, pointed at an entry of a small deployment of processes. */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import {fileURLToPath} from 'node:url';
 import OpenAI from 'openai';
+import {demoDeclarationPath, permitsModelService} from '../demo/demo-declaration.js';
 import {Deployment} from '../demo/deployment.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
 const content = 'Which pitches are free on the quay tonight?';
 const tokens = 24;
 const chatText = engineAnswerTo(`user: ${content}`, tokens);
@@ -14,7 +13,7 @@
 	dataCentres: ['split-riva'],
 	entriesPerDataCentre: 1,
 	enginesPerDataCentre: 1,
-	modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+	modelServices: [permitsModelService],
 	plainService: 'bookings',
 });
 
@@ -27,7 +26,7 @@
 
 before(async () => {
 	await deployment.start();
-	await deployment.apply(declarationPath, 'for the client library', () => {
+	await deployment.apply(demoDeclarationPath, 'for the client library', () => {
 		// The edits are of no interest here.
 	});
 });
--- a/src/test/process-operations.test.ts
+++ b/src/test/process-operations.test.ts
@@ -3,13 +3,11 @@
 import {once} from 'node:events';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {sendBooking, sendPrompt} from '../demo/demo-client.js';
+import {changedDemoDeclarationPath, demoDeclarationPath, permitsModelService} from '../demo/demo-declaration.js';
 import {type DeployedProcess, Deployment} from '../demo/deployment.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
-const changedDeclarationPath = fileURLToPath(new URL('../../examples/demo-changed.yaml', import.meta.url));
 const leavingBoundMilliseconds = 3000;
 const configurationBoundMilliseconds = 3000;
 const lookMilliseconds = 20;
@@ -19,13 +17,13 @@
 		dataCentres: ['split-riva'],
 		entriesPerDataCentre: 3,
 		enginesPerDataCentre: 2,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 		plainServicesPerDataCentre: 2,
 		engineArguments: ['--milliseconds-per-token', '20', '--batch-limit', '64'],
 	});
 	await deployment.start();
-	await deployment.apply(declarationPath, 'test', () => undefined);
+	await deployment.apply(demoDeclarationPath, 'test', () => undefined);
 	return deployment;
 }
 
@@ -51,7 +49,7 @@
 	await context.test('an accepted change is in force on every instance within 3 s', async () => {
 		// An operator applies a change at one entry; each of the three entries says which version it has in force.
 		const acceptedAt = performance.now();
-		await deployment.apply(changedDeclarationPath, 'test', () => undefined);
+		await deployment.apply(changedDemoDeclarationPath, 'test', () => undefined);
 		const took = performance.now() - acceptedAt;
 		assert.ok(took <= configurationBoundMilliseconds, `${took} ms`);
 	});
