Let prompts return as soon as their pieces are saved, without a fixed gap

Cause: the check of returning prompts waited until the stores held the same number of pieces at two looks 20 ms apart, then 2.5 s. The first is no sign that saving has ended (a store that is late makes a pause of any length); the second was there to let entries hear of evictions, and so hid for the first prompts of a round what it could not hide for the later ones.

Ruled out: keeping the gap beside the right wait; it spares the product the hardest moment and costs 5 s a test.

Change: each round begins once the stores hold every whole piece of every prompt (bounded by ten seconds; a piece that is never saved is then computed again and told by the share).

--- a/src/check/returning-over-processes.ts
+++ b/src/check/returning-over-processes.ts
@@ -4,6 +4,7 @@
  * of the prompts.
  */
 import {setTimeout as delay} from 'node:timers/promises';
+import {pieceCharacters} from '../cache/piece-keys.js';
 import {sendPrompt} from '../demo/demo-client.js';
 import {quantileOf} from '../demo/demo-report.js';
 import {demoDeclarationPath, permitsModelService} from '../demo/demo-declaration.js';
@@ -15,10 +16,10 @@
 const answerTokens = 6;
 /** Blocks of 512 tokens that an engine holds: 40,000 characters are 19. */
 const cacheBlocks = '40';
-/** The gap before prompts return: longer than the two seconds after which entries hear of an engine's evictions. */
-const gapMilliseconds = 2500;
+const wholePiecesOfPrompt = Math.floor(promptCharacters / pieceCharacters);
 const settleMilliseconds = 20;
-const settleTries = 200;
+/** Ten seconds: saves are tried for 1.4 s, one prompt behind the other. */
+const settleTries = 500;
 
 /** What the rounds came to, the first one left out: nothing was kept before it. */
 export type ReturningReport = {
@@ -74,7 +75,6 @@
 
 			const haveDied = storesDie && round > 0;
 			await this.#settle(haveDied ? 0 : stores);
-			await delay(gapMilliseconds);
 			if (storesDie && round === 0) {
 				for (const {process} of this.#deployment.withRole('cache-store')) {
 					process.child.kill('SIGKILL');
@@ -111,20 +111,16 @@
 		};
 	}
 
-	/** Waits until the stores hold the same number of pieces at two looks. */
+	/**
+	 * Waits until the stores hold every whole piece of every prompt. One that is never saved is not waited for without end:
+	 * its prompt is computed again, and the share of the report tells.
+	 */
 	async #settle(stores: number): Promise<void> {
 		if (stores === 0) {
 			return;
 		}
 
-		let before = -1;
-		for (let count = 0; count < settleTries; count++) {
-			const now = await this.#countAtStores('pieces');
-			if (now === before) {
-				return;
-			}
-
-			before = now;
+		for (let count = 0; count < settleTries && await this.#countAtStores('pieces') < prompts * wholePiecesOfPrompt; count++) {
 			await delay(settleMilliseconds);
 		}
 	}
