Show that a stream that breaks behind a slow caller ends the process

Cause: undici pauses the parser of an answer whose reader is slow, and finishes the parser when the connection of an answer with `connection: close` ends; finishing asserts that it is not paused, and the assertion is thrown out of a socket event. Ruled out: bodies that are read whole (3 MB, 100 for each of six endings: no assertion); streams on kept connections (90 streams: none). Beside it a safe one: events without the end mark, or without their blank line.

--- a/src/adapters/http-model-engine.test.ts
+++ b/src/adapters/http-model-engine.test.ts
@@ -1,5 +1,6 @@
 /** The HTTP side of the engine port against the stand-in engine: what a stream that is cut, left or resumed becomes. */
 import assert from 'node:assert/strict';
+import {setTimeout as delay} from 'node:timers/promises';
 import {after, before, test} from 'node:test';
 import {type EngineCall, type EngineEvent, type EngineFailure} from '../ports/model-engine.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
@@ -118,3 +119,45 @@
 
 	assert.deepEqual([...outcomes], connectionEndings.map(ending => `${ending}: broken`));
 });
+
+test('a stream that breaks while its caller is slow breaks for this caller only', async t => {
+	// All callers of an instance lose their answers at once. An engine that leaves answers with "connection: close", a caller
+	// reads so slowly that undici pauses the stream, and the connection ends; undici then finishes a parser that it forbids to
+	// be paused, and the failed assertion is thrown out of a socket event, which ends the process.
+	const events = Array.from({length: 3000}, (_, index) => `data: ${JSON.stringify({choices: [{text: 'w'.repeat(200)}], token_index: index})}\n\n`).join('');
+	const chunk = `${events.length.toString(16)}\r\n${events}\r\n`;
+	const bodies = [`\r\n${events}`, `transfer-encoding: chunked\r\n\r\n${chunk}`];
+	for (const ending of connectionEndings) {
+		for (const body of bodies) {
+			const address = await startEndingServer(t, `HTTP/1.1 200 OK\r\nconnection: close\r\n${body}`, ending);
+			const ends = await Promise.all(Array.from({length: 20}, async () => {
+				let last: EngineEvent | EngineFailure | undefined;
+				for await (const event of engine.complete(address, call, AbortSignal.timeout(5000))) {
+					last = event.extract();
+					await delay(40);
+				}
+
+				return last?.kind;
+			}));
+			assert.deepEqual(new Set(ends), new Set(['broken']));
+		}
+	}
+});
+
+test('a stream without its end mark is broken, also where its last event lacks only its blank line', async t => {
+	const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+	const event = 'data: {"choices":[{"text":"one"}],"token_index":0}\n\n';
+	for (const ending of connectionEndings) {
+		for (const [body, expected] of [[event, 1], [event + event.replace('0', '1').slice(0, -1), 1], [`${event}data: [DONE]`, 1], [`${event}data: [DONE]\n`, 1]] as const) {
+			const address = await startEndingServer(t, head + body, ending);
+			for (let count = 0; count < 50; count++) {
+				const kinds: string[] = [];
+				for await (const came of engine.complete(address, call, new AbortController().signal)) {
+					kinds.push((came.extract()).kind);
+				}
+
+				assert.deepEqual(kinds, ['started', ...Array.from({length: expected}, () => 'tokens'), 'broken']);
+			}
+		}
+	}
+});
