Never let undici pause the stream of an engine, so that its end cannot end the process

Cause: undici finishes the parser of an answer with `connection: close` when its connection ends, and asserts that the parser is not paused; it is paused while the reader of the answer is slow. The assertion is thrown out of a socket event. Change: streams have a pool of their own that takes at most 64 MiB of an answer, and a buffer that is one byte longer, so that the reader never pauses the parser. Price: a slow caller holds up to the rest of its answer in this process.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -27,6 +27,25 @@
 	pipelining: 1,
 });
 
+/** The longest stream taken: some hundred thousand tokens with the frame of an event around each. */
+const longestStreamBytes = 67_108_864;
+
+/** For answers that are passed on as they come, with `streamBufferBytes`. A longer one is broken off. */
+export const streamPool = new Agent({
+	connect: {timeout: connectTimeoutMilliseconds},
+	keepAliveTimeout: idleConnectionMilliseconds,
+	pipelining: 1,
+	maxResponseSize: longestStreamBytes,
+});
+
+/**
+ * How much of a stream may wait for its reader before undici pauses it: more than ever comes. When the connection of a
+ * paused answer with `connection: close` ends, undici throws a failed assertion out of a socket event, which ends the
+ * process with all its answers. A stream that is never paused never meets that assertion; a slow caller costs this process
+ * at most the rest of its answer.
+ */
+export const streamBufferBytes = longestStreamBytes + 1;
+
 /** The answer to a JSON exchange. */
 export type JsonAnswer = {
 	status: number;
--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -13,7 +13,7 @@
 import {type JsonValue} from '../shared/types.js';
 import {CompletionStreamReader} from './completion-stream.js';
 import {
-	connectionPool, describeError, exchangeJson, failedBeforeAnyByte,
+	connectionPool, describeError, exchangeJson, failedBeforeAnyByte, streamBufferBytes, streamPool,
 } from './http-client.js';
 import {readWholeBody} from './whole-body.js';
 
@@ -23,13 +23,14 @@
 export class HttpModelEngine implements ModelEngine {
 	async * complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
 		try {
-			const answer = await connectionPool.request({
+			const answer = await streamPool.request({
 				origin: `http://${address}`,
 				path: call.shape === 'chat' ? '/v1/chat/completions' : '/v1/completions',
 				method: 'POST',
 				headers: headersOf(call),
 				body: JSON.stringify({...call.body, stream: true, stream_options: {include_usage: true}}),
 				headersTimeout: 0,
+				highWaterMark: streamBufferBytes,
 				bodyTimeout: longestPauseMilliseconds,
 				signal,
 			});
