--- a/src/test/ending-server.ts
+++ b/src/test/ending-server.ts
@@ -25,7 +25,7 @@
  * @param ending - How each connection ends behind them.
  * @returns `IP:port`.
  */
-export async function startEndingServer(context: TestContext, answer: string, ending: ConnectionEnding): Promise<string> {
+export async function startEndingServer(context: TestContext, answer: string | Uint8Array, ending: ConnectionEnding): Promise<string> {
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
--- /dev/null
+++ b/src/timeline/read-collector.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {encodeFrame} from '../peer/framing/frame-codec.js';
+import {connectionEndings, startEndingServer} from '../test/ending-server.js';
+import {readCollector} from './read-collector.js';
+import {type TimelineQuery} from './timeline-messages.js';
+
+test('a time line that breaks off is an error for its reader, however the connection ends', async t => {
+	// An operator looks at the way of a request and misses its end. The collector dies behind a reply that is not the last
+	// one, or in the middle of the last one; what came must not look like all there is.
+	const first = encodeFrame({
+		events: [], missing: [], skipped: 0, isComplete: false,
+	});
+	const last = encodeFrame({
+		events: [], missing: [], skipped: 0, isComplete: true,
+	});
+	const query: TimelineQuery = {query: {}, follow: false};
+	const outcomes = new Map<string, number>();
+	for (const ending of connectionEndings) {
+		for (const bytes of [first, Buffer.concat([first, last.subarray(0, -1)]), Buffer.concat([first, last])]) {
+			const isWhole = bytes.length === first.length + last.length;
+			const address = await startEndingServer(t, bytes, ending);
+			for (let count = 0; count < 50; count++) {
+				const outcome = await readToEnd(address, query);
+				const name = `${isWhole ? 'whole' : 'half'} ${ending}: ${outcome}`;
+				outcomes.set(name, (outcomes.get(name) ?? 0) + 1);
+			}
+		}
+	}
+
+	t.diagnostic(JSON.stringify([...outcomes]));
+	assert.deepEqual([...outcomes.keys()].filter(name => name.startsWith('half') && !name.endsWith('error')), []);
+	assert.equal(outcomes.get('whole closed: complete'), 50);
+});
+
+async function readToEnd(address: string, query: TimelineQuery): Promise<string> {
+	let isComplete = false;
+	try {
+		for await (const reply of readCollector(address, query)) {
+			isComplete ||= reply.isComplete;
+		}
+	} catch {
+		return 'error';
+	}
+
+	return isComplete ? 'complete' : 'ended without an error';
+}
