Send an answer that is known whole with its length

Cause: plain answers, the list of models and the report of a call were written without a length, so that for a caller of HTTP/1.0 only the end of the connection ended them. What callers saw: not seen in the record; half of such an answer looks whole to that caller when the entry goes down on the way. Ruled out: refusals and completions (length or end mark); callers of HTTP/1.1 (chunks). Change: send-whole.ts writes the length; the three places use it.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -22,6 +22,7 @@
 import {readBody} from './read-body.js';
 import {requestRule} from './request-rule.js';
 import {refusalBody, sendRefusal} from './send-refusal.js';
+import {sendJson} from './send-whole.js';
 
 export const defaultBodyLimitBytes = 8_388_608;
 
@@ -87,8 +88,7 @@
 					.map(service => ({
 						id: service.model, object: 'model', created: 0, owned_by: 'savorygauge',
 					}));
-				response.writeHead(200, {'content-type': 'application/json'});
-				response.end(JSON.stringify({object: 'list', data: models}));
+				sendJson(response, {object: 'list', data: models});
 			},
 		});
 	}
--- a/src/entry/callers/calls-route.ts
+++ b/src/entry/callers/calls-route.ts
@@ -10,6 +10,7 @@
 import {type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
 import {sendRefusal} from './send-refusal.js';
+import {sendJson} from './send-whole.js';
 
 const comeBackMilliseconds = 2000;
 const pathPattern = /^\/v1\/calls\/(?<service>[^\/?]+)\/(?<key>[^\/?]+)$/v;
@@ -88,7 +89,7 @@
 				});
 			},
 			Right(found) {
-				sendReport(response, reportOfClaim(found?.value as unknown as ClaimRow | undefined, clock.now()));
+				sendJson(response, reportOfClaim(found?.value as unknown as ClaimRow | undefined, clock.now()));
 			},
 		});
 	}
@@ -101,8 +102,3 @@
 		return undefined;
 	}
 }
-
-function sendReport(response: ServerResponse, report: CallReport): void {
-	response.writeHead(200, {'content-type': 'application/json'});
-	response.end(JSON.stringify(report));
-}
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -12,6 +12,7 @@
 import {type NeverTwiceRunner} from './never-twice-runner.js';
 import {readBody} from './read-body.js';
 import {sendRefusal} from './send-refusal.js';
+import {sendWhole} from './send-whole.js';
 
 const defaultBodyLimitBytes = 1_048_576;
 const comeBackMilliseconds = 2000;
@@ -189,8 +190,7 @@
 			sendRefusal(response, refusal);
 		},
 		Right(plain) {
-			response.writeHead(plain.status, plain.headers);
-			response.end(plain.body);
+			sendWhole(response, plain);
 		},
 	});
 }
