Ask a store that was late once again a moment later

What callers saw: behind one answer later than 100 ms, every prompt of the next two seconds whose pieces lay in that store was computed again at that entry, though the store was well.

Cause: one rest of 2 s served both a store that is dead and one that is late once beside a busy machine.

Ruled out: no rest at all (prompts would wait 100 ms each for a hung store); counting several late answers before the first rest (each of them is a caller who waits).

Change: StoreSuspicion rests 100 ms behind the first late answer and twice as long each time, up to 2 s; an answer ends it, and questions that are late together count once. A store that names pieces and then stalls in giving one rests 2 s as before: its caller waited longer, and its next answer to `find` would say that it is well.

--- a/src/entry/kept/kept-context.ts
+++ b/src/entry/kept/kept-context.ts
@@ -19,9 +19,8 @@
 import {type EntryContext} from '../entry-context.js';
 import {type CacheEventReader} from './cache-event-reader.js';
 import {type PieceSaver} from './piece-saver.js';
+import {StoreSuspicion} from './store-suspicion.js';
 
-/** A store that did not answer is left alone for this long, so that prompts do not wait for a dead store in turn. */
-const suspectMilliseconds = 2000;
 /** Bringing pieces is given up when it takes so many times as long as was expected, and this much more. */
 const patienceTimes = 4;
 const patienceMilliseconds = 200;
@@ -64,7 +63,7 @@
 	readonly #context: EntryContext;
 	readonly #parts: KeptParts;
 	readonly #addresses = new Map<string, string>();
-	readonly #suspectUntil = new Map<string, number>();
+	readonly #suspicion = new StoreSuspicion();
 	#keeping: KeepingPolicy;
 
 	constructor(context: EntryContext, parts: KeptParts) {
@@ -96,6 +95,7 @@
 	}
 
 	async find(pieceKeys: readonly string[]): Promise<FoundPieces | undefined> {
+		const {clock} = this.#context;
 		const {prefixes, stores, links, reader} = this.#parts;
 		if (pieceKeys.length === 0 || links.size === 0) {
 			return undefined;
@@ -107,18 +107,19 @@
 		}
 
 		const store = storeOf(pieceKeys, [...links.keys()].toSorted());
-		if (this.#isSuspect(store)) {
+		if (this.#suspicion.isSuspect(store, clock.now())) {
 			return undefined;
 		}
 
 		const found = await stores.findPieces(this.#addresses.get(store)!, pieceKeys);
 		return found.caseOf({
 			Left: () => {
-				this.#suspect(store);
+				this.#suspicion.late(store, clock.now());
 				prefixes.forget(store, pieceKeys);
 				return undefined;
 			},
-			Right(pieces) {
+			Right: pieces => {
+				this.#suspicion.answered(store);
 				prefixes.learn(store, pieceKeys.slice(0, pieces.length));
 				prefixes.forget(store, pieceKeys.slice(pieces.length));
 				return {store, pieces};
@@ -196,7 +197,7 @@
 		if (read.isLeft()) {
 			const {kind} = read.extract() as {kind: string};
 			if (kind === 'unavailable') {
-				this.#suspect(store);
+				this.#suspicion.stalled(store, this.#context.clock.now());
 			}
 
 			return false;
@@ -210,14 +211,6 @@
 		const {prefixes, links} = this.#parts;
 		return [...prefixes.leadingPieces(pieceKeys)].some(([name, pieces]) => !links.has(name) && pieces === pieceKeys.length);
 	}
-
-	#isSuspect(store: string): boolean {
-		return this.#context.clock.now() < (this.#suspectUntil.get(store) ?? 0);
-	}
-
-	#suspect(store: string): void {
-		this.#suspectUntil.set(store, this.#context.clock.now() + suspectMilliseconds);
-	}
 }
 
 /** No stores: everything that no engine keeps is recomputed. A baseline, and what tests without stores use. */
