Say of kept context's safeguards what was measured

Cause: read once more as a newcomer. A comment gave "two or three of eight prompts" where the trials showed one to three, and another a ratio of processes to cores that was a load average; a map of times had no word of what it holds. Ruled out: nothing. Change: comments alone.

--- a/src/entry/kept/cache-event-reader.ts
+++ b/src/entry/kept/cache-event-reader.ts
@@ -50,9 +50,9 @@
 	 * Reads the events of those engines that are believed to keep leading pieces of a prompt.
 	 *
 	 * Between two readings of all engines other prompts evict what is believed kept. A prompt that returned within that
-	 * time was sent to such an engine and computed again while its pieces lay in a store: two or three of eight prompts
-	 * that returned within two seconds, over real processes. The events on record when the prompt returns are the engine's
-	 * own word of what it has left.
+	 * time was sent to such an engine and computed again while its pieces lay in a store: one to three of eight prompts
+	 * in a run over real processes. The events on record when the prompt returns are the engine's own word of what it has
+	 * left.
 	 *
 	 * @param pieceKeys - The prompt's pieces, first one first.
 	 */
--- a/src/entry/kept/piece-saver.ts
+++ b/src/entry/kept/piece-saver.ts
@@ -19,7 +19,7 @@
  * Pauses before a piece is tried again that a store or an engine was late for. Nobody waits for a save, so it has more
  * patience than a caller: beside a busy machine a store that answers in milliseconds is late by 100 ms to 800 ms at times.
  * Given up at the first late answer, a prompt is kept nowhere and is computed again when it returns; that befell 95 of
- * 448 returning prompts over real processes on a machine with four times as many busy processes as cores.
+ * 448 returning prompts over real processes at a load of up to four for each core.
  */
 const retryPausesMilliseconds = [200, 400, 800];
 /**
@@ -46,6 +46,7 @@
 	readonly #prefixes: KeptPrefixes;
 	readonly #waiting: SaveOrder[] = [];
 	readonly #arrived = new EventTarget();
+	/** By store, until when nothing is saved to it. */
 	readonly #restUntil = new Map<string, number>();
 
 	constructor(context: EntryContext, stores: CacheStore, prefixes: KeptPrefixes) {
