Keep whole answers from crowding the lines of failures out of the log

A service slows down and ends 10 late answers a second; one answer a second breaks off behind them. A caller complains of a broken one, and for most of them there is no line: the late answers' full lines had the rank of failures, came first and used up the 3 KB a second. The same holds for services that answer without a length, whose whole answers all had full lines.

Cause: `request-ended` was ranked as a failure whatever its outcome.

Change: `request-ended` with outcome `whole` has the rank `whole`, between ordinary ends and refusals, with three eighths of the burst left for those above it; one with a status of 500 or more stays a failure. An answer that ended in order with its connection and is ordinary otherwise has a short `request-ended` (365 bytes, 562 before) that keeps `transfer` whole. The test that wanted a full line for it is replaced by one that compares the short line field by field, and by three that keep full lines for such answers that were late, repeated or not closed in order.

--- a/src/gateway/data-path/report-end.test.ts
+++ b/src/gateway/data-path/report-end.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {type Route} from '../../shared/routed-configuration.js';
 import {testRoute} from '../testing/test-configuration.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {endLine, type EndFacts, type EndLine} from './report-end.js';
 
 const basis = {
@@ -39,6 +40,25 @@
 	assert.deepEqual([late.kind, late.fields.objectiveMilliseconds, late.fields.milliseconds], ['request-ended', 150, 200]);
 });
 
+const endedByConnection: AnswerTransfer = {
+	connection: 'new', framing: 'connection', bodyBytes: 812, bodyEnd: 'in-order',
+};
+
+test('an ordinary answer that ended by nothing but its connection has a short line with what tells half from whole', () => {
+	// Some services answer nothing else. With full lines for all of them, the lines of failures found no room.
+	assert.deepEqual(lineOf({facts: {transfer: endedByConnection}}), {
+		kind: 'request-ended',
+		fields: {
+			id: 'a1', service: 'desk', outcome: 'whole', endpoints: ['desk-1'], transfer: endedByConnection, placedBy: [17, 123], configurationVersion: 7, milliseconds: 200,
+		},
+	});
+});
+
+test('a late answer that ended by nothing but its connection has a full line', () => {
+	const {fields} = lineOf({route: {objectiveMilliseconds: 150}, facts: {transfer: endedByConnection}});
+	assert.deepEqual([fields.objectiveMilliseconds, fields.milliseconds, fields.transfer], [150, 200, endedByConnection]);
+});
+
 const extraordinary: Record<string, Partial<EndFacts>> = {
 	refused: {
 		end: 'refused', status: 503, endpoints: [], sends: 0,
@@ -47,10 +67,14 @@
 	repeated: {sends: 2, endpoints: ['desk-1', 'desk-2']},
 	'sent on behind an endpoint that was out of reach': {endpoints: ['desk-1', 'desk-2']},
 	'answered with a failure': {status: 500},
-	'ended by nothing but its connection': {
-		transfer: {
-			connection: 'new', framing: 'connection', bodyBytes: 812, bodyEnd: 'in-order',
-		},
+	'repeated and ended by nothing but its connection': {
+		transfer: endedByConnection, sends: 2, endpoints: ['desk-1', 'desk-2'],
+	},
+	'whole over a connection that was not closed in order': {
+		transfer: {...endedByConnection, bodyEnd: 'reset'},
+	},
+	'whole by an end of which nothing is known': {
+		transfer: {connection: 'kept'},
 	},
 };
 for (const [name, facts] of Object.entries(extraordinary)) {
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -2,7 +2,8 @@
  * Tells logs and metrics how a routed request ended, and by what its endpoint was chosen.
  *
  * Nine of ten requests end as they should, and their lines would fill what is kept of a log before anybody looks for a
- * failure. An ordinary end therefore has a short line of its own kind. What decided it is still there: the version of the
+ * failure. An ordinary end therefore has a short line of its own kind, and one with an answer that only the end of its connection
+ * marks as whole has a short `request-ended`. What decided it is still there: the version of the
  * configuration, and by what the endpoint was chosen, as a list whose places docs/OPERATIONS.md names.
  */
 import {type PlacementBasis} from '../../decision/placement/placement.js';
@@ -66,27 +67,36 @@
 }
 
 /**
- * Gives the line for the end of a request: a short one for an ordinary end, else all that is known.
+ * Gives the line for the end of a request: a short one for an end as it should be, else all that is known.
  *
  * @param work - The request.
  * @param facts - How it ended.
  * @param now - Milliseconds of the steady clock.
  */
 export function endLine(work: EndedRequest, facts: EndFacts, now: number): EndLine {
-	return isOrdinary(work, facts, now) ? servedLine(work, facts, now) : endedLine(work, facts, now);
+	if (!isAsItShould(work, facts, now)) {
+		return endedLine(work, facts, now);
+	}
+
+	const {transfer} = facts;
+	if (transfer === undefined) {
+		return servedLine(work, facts, now);
+	}
+
+	return isEndedByConnection(transfer) ? unmarkedLine(work, facts, transfer, now) : endedLine(work, facts, now);
 }
 
-/**
- * Whether a request ended as it should: whole, at the first endpoint, within the route's objective.
- *
- * An answer that ends with its connection is never ordinary. The end of a connection is all that says that such an answer
- * is whole; where that is wrong the caller has half of it, and the full line with its bytes is the only trace.
- */
-function isOrdinary({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
-	const {end, status, sends, endpoints, transfer, firstByteAt} = facts;
+/** Whether a request ended as it should: whole, at the first endpoint, within the route's objective. */
+function isAsItShould({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
+	const {end, status, sends, endpoints, firstByteAt} = facts;
 	const isServedAtOnce = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
 	const promptAt = isStream(route) ? firstByteAt ?? now : now;
-	return isServedAtOnce && transfer === undefined && promptAt - arrivedAt.steady <= route.objectiveMilliseconds;
+	return isServedAtOnce && promptAt - arrivedAt.steady <= route.objectiveMilliseconds;
+}
+
+/** Whether nothing but the orderly end of its connection says that an answer is whole. */
+function isEndedByConnection({framing, bodyEnd}: AnswerTransfer): boolean {
+	return framing === 'connection' && bodyEnd === 'in-order';
 }
 
 function servedLine({head, permitted, arrivedAt}: EndedRequest, {endpoints, placedBy}: EndFacts, now: number): EndLine {
@@ -103,6 +113,30 @@
 	};
 }
 
+/**
+ * Gives the line of an answer that ended with its connection and is ordinary otherwise.
+ *
+ * The end of a connection is all that says that such an answer is whole; where that is wrong the caller has half of it. So
+ * it is not told as an ordinary end, whose lines are left out first: the line has the bytes that came, the connection and
+ * how it ended, which tell half from whole. Some services answer nothing else, so
+ * it has little more than that: 365 bytes with a prompt's placement, where the full line of the same request has 562.
+ */
+function unmarkedLine({head, permitted, arrivedAt}: EndedRequest, {endpoints, placedBy}: EndFacts, transfer: AnswerTransfer, now: number): EndLine {
+	return {
+		kind: 'request-ended',
+		fields: {
+			id: head.attemptId,
+			service: permitted.service,
+			outcome: 'whole',
+			endpoints,
+			transfer,
+			placedBy: placedBy === undefined ? undefined : shortBasis(placedBy, permitted.route),
+			configurationVersion: permitted.configurationVersion,
+			milliseconds: Math.round(now - arrivedAt.steady),
+		},
+	};
+}
+
 function endedLine({head, permitted, arrivedAt}: EndedRequest, facts: EndFacts, now: number): EndLine {
 	const {end, placedBy, firstByteAt, ...counts} = facts;
 	return {
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -34,6 +34,9 @@
 	['request-served', 'ordinary'], ['request-refused', 'refusal'], ['request-ended', 'failure'], ['try-failed', 'failure'],
 ]);
 
+/** Statuses from here on say that the request failed for a cause that is not its caller's. */
+const firstServerError = 500;
+
 type Rate = {second: number; written: number; left: number};
 
 export class DecisionLog {
@@ -97,10 +100,23 @@
 }
 
 /**
- * Requests that no endpoint took, and the endpoints' rejections that led there, come in storms like requests refused from
- * their heads, and are ranked with them.
+ * Ranks a line. Requests that no endpoint took, and the endpoints' rejections that led there, come in storms like requests
+ * refused from their heads, and are ranked with them. A request that ended whole is no failure, unless the endpoint answered
+ * that it failed itself.
  */
-function rankOf(kind: DecisionKind, {outcome}: DecisionFields): LineRank {
+function rankOf(kind: DecisionKind, {outcome, status}: DecisionFields): LineRank {
 	const rank = ranksOfRequests.get(kind) ?? 'process';
-	return rank === 'failure' && (outcome === 'refused' || outcome === 'rejected') ? 'refusal' : rank;
+	if (rank !== 'failure') {
+		return rank;
+	}
+
+	if (outcome === 'refused' || outcome === 'rejected') {
+		return 'refusal';
+	}
+
+	return outcome === 'whole' && !isServerError(status) ? 'whole' : 'failure';
+}
+
+function isServerError(status: JsonValue | undefined): boolean {
+	return typeof status === 'number' && status >= firstServerError;
 }
--- /dev/null
+++ b/src/gateway/observability/failures-among-others.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {endLine, type EndFacts, type EndLine} from '../data-path/report-end.js';
+import {testRoute} from '../testing/test-configuration.js';
+import {DecisionLog} from './decision-log.js';
+
+const seconds = 60;
+const objectiveMilliseconds = 1500;
+const basis = {
+	keptTokens: 131, fetchTokens: 1004, readTokens: 184, occupancy: 17, unreadBefore: 2048, costMilliseconds: 122.6,
+};
+const whole: EndFacts = {
+	end: 'whole', status: 200, endpoints: ['quay-desk-zone-1-12'], sends: 1, mayHaveRun: true, placedBy: basis, firstByteAt: 100,
+};
+const brokenTransfer = {
+	connection: 'kept', framing: 'chunked', bodyBytes: 8120, bodyEnd: 'reset',
+} as const;
+
+/** The line of a request that took so long. */
+function lineOf(id: string, facts: EndFacts, milliseconds: number): EndLine {
+	return endLine({
+		head: {attemptId: id},
+		permitted: {route: testRoute({objectiveMilliseconds, carriesPrompt: true}), service: 'quay-desk', configurationVersion: 1207},
+		arrivedAt: {steady: 0, wall: 0},
+	}, facts, milliseconds);
+}
+
+const wholeEnds: Record<string, (id: string) => EndLine> = {
+	ordinary: id => lineOf(id, whole, 900),
+	late: id => lineOf(id, whole, 1600),
+	repeated: id => lineOf(id, {...whole, sends: 2, endpoints: ['quay-desk-zone-1-3', 'quay-desk-zone-1-12']}, 900),
+	'framed by their connections': id => lineOf(id, {
+		...whole, transfer: {
+			connection: 'new', framing: 'connection', bodyBytes: 812, bodyEnd: 'in-order',
+		},
+	}, 900),
+};
+
+/** Writes both lines of an answer that broke off. */
+function recordBrokenOff(log: DecisionLog, id: string): void {
+	log.record('try-failed', {
+		id, endpoint: 'quay-desk-zone-1-12', outcome: 'cut', step: 'break-off', sends: 1, detail: 'read ECONNRESET', status: 200, transfer: brokenTransfer,
+	});
+	const {kind, fields} = lineOf(id, {...whole, end: 'broken-off', transfer: brokenTransfer}, 700);
+	log.record(kind, fields);
+}
+
+for (const [name, endOf] of Object.entries(wholeEnds)) {
+	for (const each of [5, 10, 20, 45]) {
+		test(`${each} whole answers a second (${name}) leave room for the lines of those that break off`, () => {
+			// One answer a second breaks off behind many that come whole. Its caller complains, and the engineer finds no line
+			// of it: those of the whole answers, which are written first, used up the bytes that a process may write.
+			const lines: string[] = [];
+			let now = 0;
+			const log = new DecisionLog({writableLength: 0, write: (line: string) => lines.push(line) > 0}, {instance: 'front-zone-1'}, () => now);
+			for (; now < seconds * 1000; now += 1000) {
+				for (let count = 0; count < each; count++) {
+					const {kind, fields} = endOf(`0123456789-${now}-${count}`);
+					log.record(kind, fields);
+				}
+
+				recordBrokenOff(log, `broken-${now}`);
+			}
+
+			const broken = lines.map(line => JSON.parse(line) as {id: string; kind: string}).filter(({id}) => id.startsWith('broken'));
+			const tries = broken.filter(({kind}) => kind === 'try-failed');
+			assert.deepEqual([tries.length, broken.length - tries.length], [seconds, seconds]);
+		});
+	}
+}
--- a/src/gateway/observability/line-budget.test.ts
+++ b/src/gateway/observability/line-budget.test.ts
@@ -75,3 +75,13 @@
 	assert.ok(!write(budget, {rank: 'process', bytes: 300}, 0));
 	assert.ok(write(budget, {rank: 'process', bytes: 300}, 1000));
 });
+
+test('a slow minute of whole answers leaves room for refusals and failures', () => {
+	const budget = new LineBudget();
+	while (write(budget, {rank: 'whole', bytes: 600}, 0)) {
+		// Until the budget turns whole answers away.
+	}
+
+	assert.ok(!write(budget, {rank: 'ordinary', bytes: 200}, 0));
+	assert.ok(write(budget, {rank: 'refusal', bytes: 350}, 0));
+});
--- a/src/gateway/observability/line-budget.ts
+++ b/src/gateway/observability/line-budget.ts
@@ -4,19 +4,22 @@
  * Collectors keep the newest part of what a process wrote. A process that writes much about requests that went well
  * pushes its lines about failures out of what is kept: whoever looks for a failure a minute later finds only successes.
  * So all lines together have a rate in bytes, and each rank may draw on the allowance only down to a reserve that is left
- * for the ranks above it. Ordinary ends are left out first, and however many there are, half of the burst is there for a
- * failure in any moment.
+ * for the ranks above it. Ordinary ends are left out first, and however many there are, half of the burst is there for the
+ * other ranks in any moment.
  */
 
 /**
  * What a line is about, the first to be left out first.
  *
  * - `ordinary`: a request that ended as it should.
+ * - `whole`: a request that ended whole, but late, repeated, or with nothing but the end of its connection to say so. Their
+ *   callers have their answers, and on a slow day they are many: 10 a second with the rank of failures left of 60 broken
+ *   answers a minute the lines of 7 to 10.
  * - `refusal`: a request that was refused, or rejected by an endpoint; all such lines of a second are alike.
- * - `failure`: a request that failed, was late, repeated or broken off.
+ * - `failure`: a request that failed or broke off.
  * - `process`: what the process believes: configuration, leases, endpoints, dependencies.
  */
-export type LineRank = 'ordinary' | 'refusal' | 'failure' | 'process';
+export type LineRank = 'ordinary' | 'whole' | 'refusal' | 'failure' | 'process';
 
 /**
  * What may be written on average: sixteen ordinary ends a second, the load of one instance at the target size. A collector
@@ -31,6 +34,7 @@
 /** What a rank leaves for those above it. */
 const reservedBytes: Record<LineRank, number> = {
 	ordinary: burstBytes / 2,
+	whole: burstBytes * 3 / 8,
 	refusal: burstBytes / 4,
 	failure: burstBytes / 8,
 	process: 0,
