Keep the lines of all requests that fail when two endpoints die at once

Two endpoints of one host die with 40 requests each. The engineer looks for one of them and finds no line on the endpoint that it was cut at.

Cause: two bounds. `try-failed` has 50 lines a second, so 30 of 80 sends that were cut at once had none. Before that the bytes ran out: behind late answers the 32 KB left failures room for some ten requests with both lines. Ends that are late and ends that failed had one rate of 50 lines too; since late ones have a rank of their own each has its own rate.

Change: 300 lines a second of a kind on failures. The burst is 96 KB; ordinary ends may take 16 KB of it as before, whole answers 20, refusals 24 (as before), so three quarters wait for failures. The average stays at 3 KB a second.

The price: behind such a burst a collector that keeps 142 KB holds some 15 s of what was before it (computed, 46 KB at 3 KB a second). More than some hundred failures in one moment still lose lines, and are counted.

--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -24,8 +24,14 @@
 /** The fields of a line beside its kind and time. */
 export type DecisionFields = Record<string, JsonValue | undefined>;
 
-/** Lines of one kind that are written in a second; a busy instance ends some dozens of requests in that time. */
+/** Lines of one kind and rank that are written in a second; a busy instance ends some dozens of requests in that time. */
 const linesPerSecond = 50;
+/**
+ * Lines of one kind on failures that are written in a second. When two endpoints die at once, some 80 sends are cut in one
+ * moment; at the rate of the other ranks 30 of them would have no line. 300 lines of a cut send, 320 bytes each, fill the burst
+ * of the budget, which bounds longer ones before this does.
+ */
+const failureLinesPerSecond = 300;
 /** Bytes that may wait for a slow reader: a few seconds of lines. */
 const mostWaitingBytes = 262_144;
 
@@ -63,7 +69,7 @@
 		const now = this.#now();
 		const rank = rankOf(kind, fields);
 		const rate = this.#rateOf(`${kind} ${rank}`, Math.floor(now / 1000));
-		if (rate.written >= linesPerSecond || this.#output.writableLength > mostWaitingBytes || !this.#budget.hasRoomFor(rank, now)) {
+		if (rate.written >= mostLinesPerSecond(rank) || this.#output.writableLength > mostWaitingBytes || !this.#budget.hasRoomFor(rank, now)) {
 			rate.left++;
 			return;
 		}
@@ -99,6 +105,10 @@
 	}
 }
 
+function mostLinesPerSecond(rank: LineRank): number {
+	return rank === 'failure' ? failureLinesPerSecond : linesPerSecond;
+}
+
 /**
  * Ranks a line. Requests that no endpoint took, and the endpoints' rejections that led there, come in storms like requests
  * refused from their heads, and are ranked with them. A request that ended whole is no failure, unless the endpoint answered
--- a/src/gateway/observability/failures-among-others.test.ts
+++ b/src/gateway/observability/failures-among-others.test.ts
@@ -25,10 +25,14 @@
 	}, facts, milliseconds);
 }
 
+function repeatedEnd(id: string): EndLine {
+	return lineOf(id, {...whole, sends: 2, endpoints: ['quay-desk-zone-1-3', 'quay-desk-zone-1-12']}, 900);
+}
+
 const wholeEnds: Record<string, (id: string) => EndLine> = {
 	ordinary: id => lineOf(id, whole, 900),
 	late: id => lineOf(id, whole, 1600),
-	repeated: id => lineOf(id, {...whole, sends: 2, endpoints: ['quay-desk-zone-1-3', 'quay-desk-zone-1-12']}, 900),
+	repeated: repeatedEnd,
 	'framed by their connections': id => lineOf(id, {
 		...whole, transfer: {
 			connection: 'new', framing: 'connection', bodyBytes: 812, bodyEnd: 'in-order',
@@ -36,11 +40,16 @@
 	}, 900),
 };
 
-/** Writes both lines of an answer that broke off. */
-function recordBrokenOff(log: DecisionLog, id: string): void {
+/** Writes the line of a send that was cut. */
+function recordCut(log: DecisionLog, id: string, step: 'break-off' | 'repeat'): void {
 	log.record('try-failed', {
-		id, endpoint: 'quay-desk-zone-1-12', outcome: 'cut', step: 'break-off', sends: 1, detail: 'read ECONNRESET', status: 200, transfer: brokenTransfer,
+		id, endpoint: 'quay-desk-zone-1-12', outcome: 'cut', step, sends: 1, detail: 'read ECONNRESET', status: 200, transfer: brokenTransfer,
 	});
+}
+
+/** Writes both lines of an answer that broke off. */
+function recordBrokenOff(log: DecisionLog, id: string): void {
+	recordCut(log, id, 'break-off');
 	const {kind, fields} = lineOf(id, {...whole, end: 'broken-off', transfer: brokenTransfer}, 700);
 	log.record(kind, fields);
 }
@@ -68,3 +77,36 @@
 		});
 	}
 }
+
+/** Late answers of one second, more than their share of the burst holds. */
+function fillWithLateAnswers(log: DecisionLog): void {
+	for (let count = 0; count < 45; count++) {
+		const {kind, fields} = wholeEnds.late!(`late-${count}`);
+		log.record(kind, fields);
+	}
+}
+
+const endedAtOnce: Record<string, (log: DecisionLog, id: string) => void> = {
+	'are sent elsewhere and come whole'(log, id) {
+		recordCut(log, id, 'repeat');
+		const {kind, fields} = repeatedEnd(id);
+		log.record(kind, fields);
+	},
+	'break off': recordBrokenOff,
+};
+for (const [name, recordEnd] of Object.entries(endedAtOnce)) {
+	test(`when two endpoints die at once, each send that was cut has its line: all requests ${name}`, () => {
+		// Two endpoints of one host die, with 40 requests each, behind a second of late answers. Whoever asks why one of them
+		// broke or was late must find at which endpoint it was cut, also where the log was busy with the answers before.
+		const lines: string[] = [];
+		const log = new DecisionLog({writableLength: 0, write: (line: string) => lines.push(line) > 0}, {instance: 'front-zone-1'}, () => 0);
+		fillWithLateAnswers(log);
+		for (let count = 0; count < 80; count++) {
+			recordEnd(log, `cut-${count}`);
+		}
+
+		const count = (text: string): number => lines.filter(line => line.includes(text)).length;
+		assert.equal(count('"kind":"try-failed"'), 80);
+		assert.equal(count('"outcome":"broken-off"'), name === 'break off' ? 80 : 0);
+	});
+}
--- a/src/gateway/observability/line-budget.ts
+++ b/src/gateway/observability/line-budget.ts
@@ -4,8 +4,8 @@
  * Collectors keep the newest part of what a process wrote. A process that writes much about requests that went well
  * pushes its lines about failures out of what is kept: whoever looks for a failure a minute later finds only successes.
  * So all lines together have a rate in bytes, and each rank may draw on the allowance only down to a reserve that is left
- * for the ranks above it. Ordinary ends are left out first, and however many there are, half of the burst is there for the
- * other ranks in any moment.
+ * for the ranks above it. Ordinary ends are left out first, and however many there are, three quarters of the burst
+ * are there for failures in any moment.
  */
 
 /**
@@ -28,15 +28,22 @@
  */
 export const bytesPerSecond = 3072;
 
-/** What may be written at once: the lines of some 40 requests that fail when an endpoint dies, in the failures' share. */
-export const burstBytes = 32_768;
+/**
+ * What may be written at once: both lines of 80 requests that break off when two endpoints die together, 860 bytes each,
+ * behind any storm of other lines. With a third of it 10 of the 80 had both. A collector that keeps 142 KB still holds what
+ * came before such a burst, some 15 s.
+ */
+export const burstBytes = 98_304;
+
+/** What the ranks up to refusals may take of the burst; the rest is there for failures in any moment. */
+const burstOfRanks = {ordinary: 16_384, whole: 20_480, refusal: 24_576} as const;
 
 /** What a rank leaves for those above it. */
 const reservedBytes: Record<LineRank, number> = {
-	ordinary: burstBytes / 2,
-	whole: burstBytes * 3 / 8,
-	refusal: burstBytes / 4,
-	failure: burstBytes / 8,
+	ordinary: burstBytes - burstOfRanks.ordinary,
+	whole: burstBytes - burstOfRanks.whole,
+	refusal: burstBytes - burstOfRanks.refusal,
+	failure: 4096,
 	process: 0,
 };
 
