Tell how many lines were left out when no further line of their kind comes

A storm of refusals ends, or the process stops in the middle of one. Whoever counts refusals by their lines gets the 50 a second that were written: the number of the others waited for a next line of its kind, which never came.

Cause: counts were told by nothing but the next line of the same kind and rank.

Change: 5 s after a line was left out, counts that are still untold go into one `left-out` line; a timer runs only as long as there are any and holds no process. `stopped` is always written, behind such a line. Counts that find no room or a reader that is behind wait another 5 s.

--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -2,10 +2,10 @@
  * Structured lines on standard output, one for each decision that touches a request or changes what the process believes.
  *
  * Three failures are guarded against. A storm of refusals turns into a storm of lines that takes the processor from the
- * requests: each kind of line has a rate, and what is over it is counted and told with the next line of that kind. Lines on
- * requests that went well push those on failures out of what a collector keeps: all lines together have a rate in bytes, of
- * which ordinary ends may take only a part. A reader that is slow makes writes pile up: beyond a bound of bytes that wait,
- * lines are dropped and counted, and no write is ever waited for.
+ * requests: each kind of line has a rate, and what is over it is counted and told with the next line of that kind, or by a
+ * line of counts some seconds later. Lines on requests that went well push those on failures out of what a collector keeps:
+ * all lines together have a rate in bytes, of which ordinary ends may take only a part. A reader that is slow makes writes
+ * pile up: beyond a bound of bytes that wait, lines are dropped and counted, and no write is ever waited for.
  */
 import {Buffer} from 'node:buffer';
 import {type Writable} from 'node:stream';
@@ -19,7 +19,7 @@
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
 		| 'request-served' | 'request-ended' | 'request-refused' | 'try-failed'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
-		| 'store-parts' | 'fault';
+		| 'store-parts' | 'left-out' | 'fault';
 
 /** The fields of a line beside its kind and time. */
 export type DecisionFields = Record<string, JsonValue | undefined>;
@@ -40,6 +40,13 @@
 	['request-served', 'ordinary'], ['request-refused', 'refusal'], ['request-ended', 'failure'], ['try-failed', 'failure'],
 ]);
 
+/**
+ * How long counts of lines that were left out wait for a next line of their kind to tell them. Behind the last storm of a
+ * quiet day there is none, and whoever counts lines would take those that were written for all. A `left-out` line tells them
+ * after this time: 150 bytes in 5 s are 1% of the bytes, and a process that is killed takes no more than this with it.
+ */
+export const leftOutWaitMilliseconds = 5000;
+
 /** Statuses from here on say that the request failed for a cause that is not its caller's. */
 const firstServerError = 500;
 
@@ -52,6 +59,7 @@
 	/** By kind and rank: when all endpoints are full, refused requests would use up the lines of those that broke off. */
 	readonly #rates = new Map<string, Rate>();
 	readonly #budget = new LineBudget();
+	#telling: NodeJS.Timeout | undefined;
 
 	/**
 	 * @param output - Where lines go; standard output in a program.
@@ -64,29 +72,74 @@
 		this.#now = now;
 	}
 
-	/** Writes a line, or counts it if too many of its kind were written in this second or too many bytes of all kinds. */
+	/**
+	 * Writes a line, or counts it if too many of its kind were written in this second or too many bytes of all kinds. The last
+	 * line of a process is always written, behind the counts that are not told yet.
+	 */
 	record(kind: DecisionKind, fields: DecisionFields = {}): void {
 		const now = this.#now();
 		const rank = rankOf(kind, fields);
+		if (kind === 'stopped') {
+			this.#tellLeftOut(now);
+			this.#write(kind, rank, fields, now);
+			return;
+		}
+
 		const rate = this.#rateOf(`${kind} ${rank}`, Math.floor(now / 1000));
-		if (rate.written >= mostLinesPerSecond(rank) || this.#output.writableLength > mostWaitingBytes || !this.#budget.hasRoomFor(rank, now)) {
+		if (rate.written >= mostLinesPerSecond(rank) || !this.#hasRoomFor(rank, now)) {
 			rate.left++;
+			this.#awaitTelling();
 			return;
 		}
 
-		const line = this.#lineOf(kind, rank, rate.left === 0 ? fields : {...fields, leftOut: rate.left}, now);
-		this.#budget.spend(Buffer.byteLength(line));
+		this.#write(kind, rank, rate.left === 0 ? fields : {...fields, leftOut: rate.left}, now);
 		rate.written++;
 		rate.left = 0;
-		this.#output.write(line);
+	}
+
+	#hasRoomFor(rank: LineRank, now: number): boolean {
+		const isReaderBehind = this.#output.writableLength > mostWaitingBytes;
+		return !isReaderBehind && this.#budget.hasRoomFor(rank, now);
+	}
+
+	/** The timer holds no process that is done otherwise, and one runs at a time however many lines are left out. */
+	#awaitTelling(): void {
+		if (this.#telling !== undefined) {
+			return;
+		}
+
+		this.#telling = setTimeout(() => {
+			this.#telling = undefined;
+			const now = this.#now();
+			if (this.#hasRoomFor('process', now)) {
+				this.#tellLeftOut(now);
+			} else {
+				this.#awaitTelling();
+			}
+		}, leftOutWaitMilliseconds).unref();
+	}
+
+	/** Writes all counts that no line of their kind has told. */
+	#tellLeftOut(now: number): void {
+		const untold = [...this.#rates].filter(([, {left}]) => left > 0);
+		if (untold.length === 0) {
+			return;
+		}
+
+		this.#write('left-out', 'process', {counts: Object.fromEntries(untold.map(([name, {left}]) => [name, left]))}, now);
+		for (const [, rate] of untold) {
+			rate.left = 0;
+		}
 	}
 
 	/** Ordinary ends are told without the identity, a seventh of their length: a collector knows the process that it reads from. */
-	#lineOf(kind: DecisionKind, rank: LineRank, fields: DecisionFields, now: number): string {
+	#write(kind: DecisionKind, rank: LineRank, fields: DecisionFields, now: number): void {
 		const identity = rank === 'ordinary' ? {} : this.#identity;
-		return `${JSON.stringify({
+		const line = `${JSON.stringify({
 			time: new Date(now).toISOString(), ...identity, kind, ...fields,
 		})}\n`;
+		this.#budget.spend(Buffer.byteLength(line));
+		this.#output.write(line);
 	}
 
 	#rateOf(name: string, second: number): Rate {
--- /dev/null
+++ b/src/gateway/observability/left-out.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {DecisionLog, leftOutWaitMilliseconds, type DecisionKind} from './decision-log.js';
+
+type ToldLine = {kind: DecisionKind; leftOut?: number; counts?: Record<string, number>};
+
+/** A log on a mocked clock and timer. */
+function loggedBy(context: TestContext): {log: DecisionLog; output: {writableLength: number}; lines: () => ToldLine[]; pass: (milliseconds: number) => void} {
+	context.mock.timers.enable({apis: ['setTimeout', 'Date']});
+	const lines: string[] = [];
+	const output = {writableLength: 0, write: (line: string) => lines.push(line) > 0};
+	return {
+		log: new DecisionLog(output, {instance: 'front-zone-1'}, Date.now),
+		output,
+		lines: () => lines.map(line => JSON.parse(line) as ToldLine),
+		pass(milliseconds) {
+			context.mock.timers.tick(milliseconds);
+		},
+	};
+}
+
+function recordMany(log: DecisionLog, kind: DecisionKind, count: number): void {
+	for (let index = 0; index < count; index++) {
+		log.record(kind, {id: String(index)});
+	}
+}
+
+test('what a storm left out is told within seconds though no further line of its kind comes', context => {
+	// A storm of refusals ends and the service is quiet. Whoever counts the refusals of that storm by its lines counts the 50
+	// that were written: the number of the others waits for a next refusal, which does not come.
+	const {log, lines, pass} = loggedBy(context);
+	recordMany(log, 'request-refused', 70);
+	recordMany(log, 'try-failed', 1);
+	pass(leftOutWaitMilliseconds);
+	assert.deepEqual(lines().at(-1)?.counts, {'request-refused refusal': 20});
+	pass(10 * leftOutWaitMilliseconds);
+	assert.equal(lines().filter(({kind}) => kind === 'left-out').length, 1);
+});
+
+test('what was left out when a process stops is told before its last line', context => {
+	const {log, lines} = loggedBy(context);
+	recordMany(log, 'request-refused', 70);
+	recordMany(log, 'request-served', 60);
+	log.record('stopped');
+	const [counted, stopped] = lines().slice(-2);
+	assert.deepEqual(counted?.counts, {'request-refused refusal': 20, 'request-served ordinary': 10});
+	assert.equal(stopped?.kind, 'stopped');
+});
+
+test('a process that wrote all that it may still tells what it left out when it stops', context => {
+	const {log, lines} = loggedBy(context);
+	log.record('configuration-refused', {findings: ['x'.repeat(200_000)]});
+	recordMany(log, 'request-refused', 3);
+	log.record('stopped');
+	assert.deepEqual(lines().map(({kind}) => kind), ['configuration-refused', 'left-out', 'stopped']);
+});
+
+test('a count that a line of its kind told is not told again', context => {
+	const {log, lines, pass} = loggedBy(context);
+	recordMany(log, 'request-refused', 70);
+	pass(1000);
+	recordMany(log, 'request-refused', 1);
+	pass(leftOutWaitMilliseconds);
+	assert.equal(lines().at(-1)?.leftOut, 20);
+});
+
+test('a storm without end has one line of counts in each wait, and none is told twice or lost', context => {
+	const {log, lines, pass} = loggedBy(context);
+	const seconds = 60;
+	for (let second = 0; second < seconds; second++) {
+		recordMany(log, 'request-refused', 1000);
+		pass(1000);
+	}
+
+	pass(leftOutWaitMilliseconds);
+	const told = lines();
+	const counted = told.filter(({kind}) => kind === 'left-out');
+	const left = told.reduce((sum, {leftOut = 0, counts = {}}) => sum + leftOut + (counts['request-refused refusal'] ?? 0), 0);
+	assert.ok(counted.length <= (seconds * 1000 / leftOutWaitMilliseconds) + 1, `${counted.length}`);
+	assert.equal(left + told.length - counted.length, seconds * 1000);
+});
+
+test('counts wait for a reader that is slow, and are told when it reads again', context => {
+	const {log, output, lines, pass} = loggedBy(context);
+	output.writableLength = 1_000_000;
+	recordMany(log, 'request-refused', 7);
+	pass(2 * leftOutWaitMilliseconds);
+	assert.deepEqual(lines(), []);
+	output.writableLength = 0;
+	pass(leftOutWaitMilliseconds);
+	assert.deepEqual(lines().map(({kind, counts}) => ({kind, counts})), [{kind: 'left-out', counts: {'request-refused refusal': 7}}]);
+});
