--- a/src/gateway/observability/operations.test.ts
+++ b/src/gateway/observability/operations.test.ts
@@ -5,6 +5,7 @@
 	exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
 } from '../../test/raw-http.js';
 import {type RouteKind} from '../../shared/routed-configuration.js';
+import {type AnswerTransfer} from '../data-path/answer-transfer.js';
 import {ownWireNames as names} from '../data-path/wire-names.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {
@@ -50,6 +51,7 @@
 		});
 	});
 	assert.equal(status, 200);
+	assert.equal((lines[0]?.transfer as AnswerTransfer).framing, 'chunked', 'tells that a head came, where `status` does not');
 	assert.deepEqual(lines.map(({kind, endpoint, outcome, step}) => ({
 		kind, endpoint, outcome, step,
 	})), [
