Let refusals have lines again soon after two endpoints died

Two endpoints die, 80 requests break off, and the callers behind them are refused. An engineer who looks for one of the refused finds no line of any refusal for some 15 s, nor of any whole answer.

Cause: the burst that was made three times as large for the failures was one pot: what they took had to come in again at 3 KB a second before ranks below them had room.

Ruled out: the smaller burst (10 of the 80 had both lines); more bytes a second (a collector then holds less of the past).

Change: the burst is 32 KB for all again, with the shares it had. Failures have savings of 64 KB beside it, spent last and filled by an eighth of what comes in. The sum and the average are as before, 96 KB and 3 KB a second.

All 80 have their lines, also after 4 minutes of full load behind failures that had used up the savings.

The price: while savings fill, three minutes, some two ordinary ends a second less.

--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -28,8 +28,8 @@
 const linesPerSecond = 50;
 /**
  * Lines of one kind on failures that are written in a second. When two endpoints die at once, some 80 sends are cut in one
- * moment; at the rate of the other ranks 30 of them would have no line. 300 lines of a cut send, 320 bytes each, fill the burst
- * of the budget, which bounds longer ones before this does.
+ * moment; at the rate of the other ranks 30 of them would have no line. 300 lines of a cut send, 320 bytes each, are
+ * all that the budget has at once, and it bounds longer ones before this does.
  */
 const failureLinesPerSecond = 300;
 /** Bytes that may wait for a slow reader: a few seconds of lines. */
@@ -138,7 +138,7 @@
 		const line = `${JSON.stringify({
 			time: new Date(now).toISOString(), ...identity, kind, ...fields,
 		})}\n`;
-		this.#budget.spend(Buffer.byteLength(line));
+		this.#budget.spend(rank, Buffer.byteLength(line));
 		this.#output.write(line);
 	}
 
--- a/src/gateway/observability/line-budget.test.ts
+++ b/src/gateway/observability/line-budget.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	burstBytes, bytesPerSecond, LineBudget, type LineRank,
+	burstBytes, bytesPerSecond, LineBudget, savedBytes, type LineRank,
 } from './line-budget.js';
 
 /** Writes a line if there is room for it; tells whether it was written. */
 function write(budget: LineBudget, line: {rank: LineRank; bytes: number}, now: number): boolean {
 	const isWritten = budget.hasRoomFor(line.rank, now);
 	if (isWritten) {
-		budget.spend(line.bytes);
+		budget.spend(line.rank, line.bytes);
 	}
 
 	return isWritten;
@@ -85,3 +85,38 @@
 	assert.ok(!write(budget, {rank: 'ordinary', bytes: 200}, 0));
 	assert.ok(write(budget, {rank: 'refusal', bytes: 350}, 0));
 });
+
+test('behind the failures of two endpoints that died, refusals have lines again within seconds, and all bytes are bounded', () => {
+	// Two endpoints die and 80 requests break off at once. The callers behind them are refused: an engineer who looks for one
+	// of these must find its line, although those of the failures used up many bytes.
+	const budget = new LineBudget();
+	let failures = 0;
+	for (let count = 0; count < 80; count++) {
+		failures += write(budget, {rank: 'failure', bytes: 860}, 0) ? 1 : 0;
+	}
+
+	assert.equal(failures, 80);
+	assert.ok(write(budget, {rank: 'refusal', bytes: 350}, 2000));
+	assert.ok(write(budget, {rank: 'ordinary', bytes: 200}, 6000));
+});
+
+test('a busy process is ready for the next death of two endpoints some minutes later, and writes no more than its rate', () => {
+	const budget = new LineBudget();
+	while (write(budget, {rank: 'failure', bytes: 860}, 0)) {
+		// Until it turns failures away.
+	}
+
+	let ordinary = 0;
+	const end = 240_000;
+	for (let now = 0; now < end; now += 10) {
+		ordinary += write(budget, {rank: 'ordinary', bytes: 200}, now) ? 200 : 0;
+	}
+
+	let failures = 0;
+	while (write(budget, {rank: 'failure', bytes: 860}, end)) {
+		failures += 860;
+	}
+
+	assert.ok(failures >= 80 * 860, `${failures}`);
+	assert.ok(ordinary + failures <= burstBytes + savedBytes + (end / 1000 * bytesPerSecond));
+});
