--- /dev/null
+++ b/src/gateway/observability/failures-among-others.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {endLine, type EndFacts, type EndLine} from '../data-path/report-end.js';
+import {testRoute} from '../testing/test-configuration.js';
+import {DecisionLog} from './decision-log.js';
+
+const seconds = 60;
+const objectiveMilliseconds = 1500;
+const basis = {
+	keptTokens: 131, fetchTokens: 1004, readTokens: 184, occupancy: 17, unreadBefore: 2048, costMilliseconds: 122.6,
+};
+const whole: EndFacts = {
+	end: 'whole', status: 200, endpoints: ['quay-desk-zone-1-12'], sends: 1, mayHaveRun: true, placedBy: basis, firstByteAt: 100,
+};
+const brokenTransfer = {
+	connection: 'kept', framing: 'chunked', bodyBytes: 8120, bodyEnd: 'reset',
+} as const;
+
+/** The line of a request that took so long. */
+function lineOf(id: string, facts: EndFacts, milliseconds: number): EndLine {
+	return endLine({
+		head: {attemptId: id},
+		permitted: {route: testRoute({objectiveMilliseconds, carriesPrompt: true}), service: 'quay-desk', configurationVersion: 1207},
+		arrivedAt: {steady: 0, wall: 0},
+	}, facts, milliseconds);
+}
+
+function repeatedEnd(id: string): EndLine {
+	return lineOf(id, {...whole, sends: 2, endpoints: ['quay-desk-zone-1-3', 'quay-desk-zone-1-12']}, 900);
+}
+
+const wholeEnds: Record<string, (id: string) => EndLine> = {
+	ordinary: id => lineOf(id, whole, 900),
+	late: id => lineOf(id, whole, 1600),
+	repeated: repeatedEnd,
+	'framed by their connections': id => lineOf(id, {
+		...whole, transfer: {
+			connection: 'new', framing: 'connection', bodyBytes: 812, bodyEnd: 'in-order',
+		},
+	}, 900),
+};
+
+/** Writes the line of a send that was cut. */
+function recordCut(log: DecisionLog, id: string, step: 'break-off' | 'repeat'): void {
+	log.record('try-failed', {
+		id, endpoint: 'quay-desk-zone-1-12', outcome: 'cut', step, sends: 1, detail: 'read ECONNRESET', status: 200, transfer: brokenTransfer,
+	});
+}
+
+/** Writes both lines of an answer that broke off. */
+function recordBrokenOff(log: DecisionLog, id: string): void {
+	recordCut(log, id, 'break-off');
+	const {kind, fields} = lineOf(id, {...whole, end: 'broken-off', transfer: brokenTransfer}, 700);
+	log.record(kind, fields);
+}
+
+for (const [name, endOf] of Object.entries(wholeEnds)) {
+	for (const each of [5, 10, 20, 45]) {
+		test(`${each} whole answers a second (${name}) leave room for the lines of those that break off`, () => {
+			// One answer a second breaks off behind many that come whole. Its caller complains, and the engineer finds no line
+			// of it: those of the whole answers, which are written first, used up the bytes that a process may write.
+			const lines: string[] = [];
+			let now = 0;
+			const log = new DecisionLog({writableLength: 0, write: (line: string) => lines.push(line) > 0}, {instance: 'front-zone-1'}, () => now);
+			for (; now < seconds * 1000; now += 1000) {
+				for (let count = 0; count < each; count++) {
+					const {kind, fields} = endOf(`0123456789-${now}-${count}`);
+					log.record(kind, fields);
+				}
+
+				recordBrokenOff(log, `broken-${now}`);
+			}
+
+			const broken = lines.map(line => JSON.parse(line) as {id: string; kind: string}).filter(({id}) => id.startsWith('broken'));
+			const tries = broken.filter(({kind}) => kind === 'try-failed');
+			assert.deepEqual([tries.length, broken.length - tries.length], [seconds, seconds]);
+		});
+	}
+}
+
+/** Late answers of one second, more than their share of the burst holds. */
+function fillWithLateAnswers(log: DecisionLog): void {
+	for (let count = 0; count < 45; count++) {
+		const {kind, fields} = wholeEnds.late!(`late-${count}`);
+		log.record(kind, fields);
+	}
+}
+
+const endedAtOnce: Record<string, (log: DecisionLog, id: string) => void> = {
+	'are sent elsewhere and come whole'(log, id) {
+		recordCut(log, id, 'repeat');
+		const {kind, fields} = repeatedEnd(id);
+		log.record(kind, fields);
+	},
+	'break off': recordBrokenOff,
+};
+for (const [name, recordEnd] of Object.entries(endedAtOnce)) {
+	test(`when two endpoints die at once, each send that was cut has its line: all requests ${name}`, () => {
+		// Two endpoints of one host die, with 40 requests each, behind a second of late answers. Whoever asks why one of them
+		// broke or was late must find at which endpoint it was cut, also where the log was busy with the answers before.
+		const lines: string[] = [];
+		const log = new DecisionLog({writableLength: 0, write: (line: string) => lines.push(line) > 0}, {instance: 'front-zone-1'}, () => 0);
+		fillWithLateAnswers(log);
+		for (let count = 0; count < 80; count++) {
+			recordEnd(log, `cut-${count}`);
+		}
+
+		const count = (text: string): number => lines.filter(line => line.includes(text)).length;
+		assert.equal(count('"kind":"try-failed"'), 80);
+		assert.equal(count('"outcome":"broken-off"'), name === 'break off' ? 80 : 0);
+	});
+}
