--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -3,7 +3,7 @@
  * `/v1/completions` with `stream: true`, answered by server-sent events and closed by `[DONE]`. Beside it the engine has
  * `GET /load`, `GET /cache-events`, `POST /orders` and `GET`/`PUT /kv/{pieceKey}`.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {
@@ -13,8 +13,9 @@
 import {type JsonValue} from '../shared/types.js';
 import {CompletionStreamReader} from './completion-stream.js';
 import {
-	connectionPool, describeError, exchangeJson, failedBeforeAnyByte,
+	connectionPool, describeError, exchangeJson, failedBeforeAnyByte, streamBufferBytes, streamPool,
 } from './http-client.js';
+import {readWholeBody} from './whole-body.js';
 
 const controlTimeoutMilliseconds = 1000;
 /** A last bound under a stream that nobody watches any more; callers of this port have shorter ones. */
@@ -22,13 +23,14 @@
 export class HttpModelEngine implements ModelEngine {
 	async * complete(address: string, call: EngineCall, signal: AbortSignal): AsyncIterable<Either<EngineFailure, EngineEvent>> {
 		try {
-			const answer = await connectionPool.request({
+			const answer = await streamPool.request({
 				origin: `http://${address}`,
 				path: call.shape === 'chat' ? '/v1/chat/completions' : '/v1/completions',
 				method: 'POST',
 				headers: headersOf(call),
 				body: JSON.stringify({...call.body, stream: true, stream_options: {include_usage: true}}),
 				headersTimeout: 0,
+				highWaterMark: streamBufferBytes,
 				bodyTimeout: longestPauseMilliseconds,
 				signal,
 			});
@@ -95,7 +97,8 @@
 			const answer = await connectionPool.request({
 				origin: `http://${address}`, path: `/kv/${pieceKey}`, method: 'GET', signal: AbortSignal.timeout(controlTimeoutMilliseconds),
 			});
-			const content = Buffer.from(await answer.body.arrayBuffer());
+			// The seal of a saved piece is made over these bytes, so no later check finds that half of them is missing.
+			const content = await readWholeBody('GET', answer);
 			return Right(answer.statusCode === 200 ? content : undefined);
 		} catch (error) {
 			return Left({kind: 'broken', detail: describeError(error)});
--- a/src/check/returning-over-processes.ts
+++ b/src/check/returning-over-processes.ts
@@ -4,22 +4,22 @@
  * of the prompts.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
+import {pieceCharacters} from '../cache/piece-keys.js';
 import {sendPrompt} from '../demo/demo-client.js';
 import {quantileOf} from '../demo/demo-report.js';
+import {demoDeclarationPath, permitsModelService} from '../demo/demo-declaration.js';
 import {Deployment} from '../demo/deployment.js';
 import {engineAnswerTo} from '../stand-in/engine-token-at.js';
 
-const declarationPath = fileURLToPath(new URL('../../examples/demo.yaml', import.meta.url));
 const prompts = 8;
 const promptCharacters = 40_000;
 const answerTokens = 6;
 /** Blocks of 512 tokens that an engine holds: 40,000 characters are 19. */
 const cacheBlocks = '40';
-/** The gap before prompts return: longer than the two seconds after which entries hear of an engine's evictions. */
-const gapMilliseconds = 2500;
+const wholePiecesOfPrompt = Math.floor(promptCharacters / pieceCharacters);
 const settleMilliseconds = 20;
-const settleTries = 200;
+/** Ten seconds: saves are tried for 1.4 s, one prompt behind the other. */
+const settleTries = 500;
 
 /** What the rounds came to, the first one left out: nothing was kept before it. */
 export type ReturningReport = {
@@ -44,13 +44,13 @@
 		entriesPerDataCentre: 3,
 		enginesPerDataCentre: 2,
 		cacheStoresPerDataCentre: plan.stores,
-		modelServices: [{service: 'permits', model: 'permit-1', weightVersion: 'w1'}],
+		modelServices: [permitsModelService],
 		plainService: 'bookings',
 		engineArguments: ['--cache-pieces', cacheBlocks, '--prefill-tokens-per-second', '20000', '--milliseconds-per-token', '1'],
 	});
 	try {
 		await deployment.start();
-		await deployment.apply(declarationPath, 'returning prompts', () => undefined);
+		await deployment.apply(demoDeclarationPath, 'returning prompts', () => undefined);
 		return await new ReturningRun(deployment).run(plan);
 	} finally {
 		await deployment.stop();
@@ -75,7 +75,6 @@
 
 			const haveDied = storesDie && round > 0;
 			await this.#settle(haveDied ? 0 : stores);
-			await delay(gapMilliseconds);
 			if (storesDie && round === 0) {
 				for (const {process} of this.#deployment.withRole('cache-store')) {
 					process.child.kill('SIGKILL');
@@ -112,20 +111,16 @@
 		};
 	}
 
-	/** Waits until the stores hold the same number of pieces at two looks. */
+	/**
+	 * Waits until the stores hold every whole piece of every prompt. One that is never saved is not waited for without end:
+	 * its prompt is computed again, and the share of the report tells.
+	 */
 	async #settle(stores: number): Promise<void> {
 		if (stores === 0) {
 			return;
 		}
 
-		let before = -1;
-		for (let count = 0; count < settleTries; count++) {
-			const now = await this.#countAtStores('pieces');
-			if (now === before) {
-				return;
-			}
-
-			before = now;
+		for (let count = 0; count < settleTries && await this.#countAtStores('pieces') < prompts * wholePiecesOfPrompt; count++) {
 			await delay(settleMilliseconds);
 		}
 	}
