Let an answer whose head Node refuses to write end its own try only

Cause: Node's parser lets a status below 100 and control characters or DEL in a reason through; `writeHead` refuses them by an exception. It was thrown in a listener of the answer's body, where nothing catches it.

What callers saw: one such answer ended the gateway's process, and with it the connections of all its callers. A status of 600 or more was passed on as it came.

Ruled out: catching the exception alone. Node keeps the refused reason and refuses the refusal that takes the answer's place for it, and what was read of a head that proves nothing would still be judged by its status.

Change: a head with a status outside 200 to 599 or with other bytes than those of RFC 9110 in reason or headers is `unknown`, and its try is cancelled; a rejection stays one, since its head is not passed on. As depth, an exception while passing on is logged as a fault and ends the relay as cut, and the refused reason is forgotten.

--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -12,6 +12,7 @@
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {type EventCutter} from './event-cutter.js';
+import {isPassableHead} from './is-passable-head.js';
 import {type PermittedRequest} from './judge-request.js';
 import {orderParts} from './order-parts.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
@@ -167,6 +168,11 @@
 			return 'rejected';
 		}
 
+		if (!isPassableHead(answer)) {
+			this.#exchange?.cancel();
+			return 'unknown';
+		}
+
 		const isSuccess = status >= 200 && status < 300;
 		const isOwn = answer.header(names.attemptId) === this.#work.head.attemptId;
 		if (isSuccess && (answer.header(names.seal) === undefined || !isOwn)) {
@@ -184,8 +190,8 @@
 	}
 
 	async #relay(answer: EndpointAnswer): Promise<TryResult> {
-		const {placement, names} = this.#context;
-		const {response, cutter} = this.#work;
+		const {placement, names, log} = this.#context;
+		const {head, response, cutter} = this.#work;
 		const {endpoint, request, onFirstBytes} = this.#target;
 		const {outcome, ...read} = await relayAnswer({
 			answer,
@@ -200,6 +206,11 @@
 			onBytes: () => {
 				placement.heard(endpoint, this.#now());
 			},
+			onFault(error) {
+				log.record('fault', {
+					path: 'relay', id: head.attemptId, endpoint: endpoint.name, error: String(error),
+				});
+			},
 		});
 		const transfer = transferOf(answer, read);
 		if (outcome !== 'cut') {
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -28,6 +28,8 @@
 	onFirstBytes(): void;
 	/** Told of all bytes. */
 	onBytes(): void;
+	/** Told of an exception while passing on; the answer counts as cut then. */
+	onFault(error: unknown): void;
 };
 
 /**
@@ -40,7 +42,7 @@
  * @param relay - The answer and the client's response.
  * @returns How it ended. After `whole` the response is ended, else it is left open.
  */
-export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes}: Relay): Promise<Relayed> {
+export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes, onFault}: Relay): Promise<Relayed> {
 	const {body} = answer;
 	const eventEnd = new EventEnd();
 	const isEventStream = answer.header('content-type')?.startsWith('text/event-stream') ?? false;
@@ -61,7 +63,7 @@
 
 			isDone = true;
 			response.off('close', leave).off('drain', resume);
-			body.off('data', take).off('end', end).off('close', cut);
+			body.off('data', takeGuarded).off('end', endGuarded).off('close', cut);
 			body.on('error', ignore);
 			resolve({outcome, bodyBytes, bodyEnd: outcome === 'whole' ? 'in-order' : bodyEndNow()});
 		};
@@ -123,8 +125,20 @@
 			finish('cut');
 		};
 
+		// An exception in a listener has no caller that could catch it: it would end the process with all of its requests.
+		const guarded = <Arguments extends unknown[]>(step: (...given: Arguments) => void) => (...given: Arguments): void => {
+			try {
+				step(...given);
+			} catch (error) {
+				onFault(error);
+				finish('cut');
+			}
+		};
+
+		const takeGuarded = guarded(take);
+		const endGuarded = guarded(end);
 		response.on('close', leave).on('drain', resume);
-		body.on('data', take).once('end', end).once('close', cut).once('error', cut);
+		body.on('data', takeGuarded).once('end', endGuarded).once('close', cut).once('error', cut);
 	});
 }
 
@@ -132,8 +146,16 @@
 const unpromisedInResumable: ReadonlySet<string> = new Set(['content-length']);
 
 function writeHeadOnce(answer: EndpointAnswer, response: ServerResponse, mayBeResumed: boolean): void {
-	if (!response.headersSent) {
+	if (response.headersSent) {
+		return;
+	}
+
+	try {
 		response.writeHead(answer.status, answer.statusText, withoutHopByHop(answer.rawHeaders, answer.header('connection'), mayBeResumed ? unpromisedInResumable : undefined));
+	} catch (error) {
+		// Node keeps a reason that it refused and would refuse the head of the answer that takes this one's place for it.
+		response.statusMessage = '';
+		throw error;
 	}
 }
 
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -14,11 +14,11 @@
 import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {EndpointTry, transferOf, type TryResult} from './endpoint-try.js';
+import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
+import {passOnFailure} from './pass-on-failure.js';
 import {placementRequestOf} from './placement-request.js';
-import {relayAnswer} from './relay-answer.js';
 import {reportEnd, type RoutedEnd} from './report-end.js';
 import {type RequestHead} from './request-head.js';
 
@@ -216,18 +216,15 @@
 	}
 
 	async #passOnFailure(answer: EndpointAnswer): Promise<RoutedEnd> {
-		const {response} = this.#work;
-		if (response.headersSent) {
-			answer.body.resume();
-			breakOffAnswer(response);
-			return 'broken-off';
+		const {head, response} = this.#work;
+		const {outcome, transfer} = await passOnFailure({
+			id: head.attemptId, answer, response, log: this.#context.log,
+		});
+		if (transfer !== undefined) {
+			this.#untoldTransfer = transfer;
+			this.#status = answer.status;
 		}
 
-		const {outcome, ...read} = await relayAnswer({
-			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
-		});
-		this.#untoldTransfer = transferOf(answer, read);
-		this.#status = answer.status;
 		if (outcome === 'cut') {
 			breakOffAnswer(response);
 			return 'broken-off';
@@ -293,7 +290,3 @@
 		return this.#context.clock.moment().steady;
 	}
 }
-
-function ignore(): void {
-	// A failure that is passed on says nothing of how fast the endpoint answers.
-}
