Let the route's time and a caller's leaving end a failure that is being passed on

Cause: a try ended with the head of a failure, so while its page was passed on there was no try that the time-out or a caller that leaves could cancel.

What callers saw: where a failure's page stalled, half of it and then nothing, past the route's time and without end. The connection to the endpoint stayed taken for good, also once the caller had left.

Ruled out: a time limit of its own for such pages; the route's is the one that callers know.

Change: the failed try stays the current one until its page is passed on, and is cancelled on any end but a whole one. A page that the time-out cut is reported as that.

A failure that isn't passed on, since another try follows, is still drained without a limit.

--- a/src/gateway/data-path/answer-transfer.ts
+++ b/src/gateway/data-path/answer-transfer.ts
@@ -109,3 +109,8 @@
 export function brokenBodyEnd(connectionEnd: ConnectionEnd): BodyEnd {
 	return connectionEnd === 'open' || connectionEnd === 'in-order' ? 'short' : connectionEnd;
 }
+
+/** How the last answer came, unless it ended as nearly all do, by its own framing: the line of a request is to stay short. */
+export function unusualTransfer(transfer: AnswerTransfer | undefined): {transfer?: AnswerTransfer} {
+	return transfer === undefined || (transfer.bodyEnd === 'in-order' && transfer.framing !== 'connection') ? {} : {transfer};
+}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -12,7 +12,7 @@
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
-import {type AnswerTransfer} from './answer-transfer.js';
+import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
@@ -83,7 +83,7 @@
 				mayHaveRun: this.#mayHaveRun,
 				placedBy: this.#basis,
 				firstByteAt: this.#firstByteAt,
-				...this.#unusualTransfer(),
+				...unusualTransfer(this.#untoldTransfer),
 			}, this.#now());
 			return end;
 		} finally {
@@ -207,7 +207,8 @@
 		}
 
 		const result = await running;
-		this.#current = undefined;
+		// A failure's page may still be passed on: the time-out and a caller that leaves must be able to end that as well.
+		this.#current = result.outcome === 'failed' ? this.#current : undefined;
 		this.#sends += result.wasSent ? 1 : 0;
 		this.#mayHaveRun ||= result.mayHaveRun;
 		this.#untoldTransfer = result.transfer;
@@ -225,6 +226,15 @@
 			this.#status = answer.status;
 		}
 
+		if (outcome !== 'whole') {
+			// Nobody reads on, and an endpoint that has stalled would keep the connection for good.
+			this.#current?.cancel();
+		}
+
+		if (outcome === 'cut' && this.#isExpired) {
+			return this.#expire();
+		}
+
 		if (outcome === 'cut') {
 			breakOffAnswer(response);
 			return 'broken-off';
@@ -261,12 +271,6 @@
 		return 'timeout';
 	}
 
-	/** How the last answer came, unless it ended as nearly all do, by its own framing: the line of a request is to stay short. */
-	#unusualTransfer(): {transfer?: AnswerTransfer} {
-		const transfer = this.#untoldTransfer;
-		return transfer === undefined || (transfer.bodyEnd === 'in-order' && transfer.framing !== 'connection') ? {} : {transfer};
-	}
-
 	#refuse(refusal: Refusal): void {
 		this.#status = this.#context.refuse(this.#work.response, refusal);
 	}
