Read the coding of an answer by the blanks of HTTP only

Cause: the framing was read from `Transfer-Encoding` with `\s`, which also matches a no-break space. The parser takes `chunked` behind one for another coding, so the answer ended with its connection and yet counted as chunked.

What callers saw: half of an answer with the last chunk of a whole one, where the endpoint's host reset the connection.

Ruled out: nothing further was tried.

Change: only space and tab are left out around the coding's name.

Whether the parser had found the end before the connection ended is not recorded yet.

--- a/src/gateway/data-path/answer-transfer.test.ts
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -15,6 +15,11 @@
 test('the framing of an answer is read from its head', () => {
 	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '0'}}, 'GET'), 'length');
 	assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': 'gzip, Chunked'}}, 'GET'), 'chunked');
+	assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': 'gzip,\tchunked '}}, 'GET'), 'chunked');
+	for (const coding of ['\u00A0chunked', 'chunked\u00A0', '\u000Bchunked', 'chunked, gzip', 'x-chunked']) {
+		assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': coding}}, 'GET'), 'connection', coding);
+	}
+
 	assert.equal(framingOf({statusCode: 200, headers: {}}, 'GET'), 'connection');
 	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '9'}}, 'HEAD'), 'none');
 	assert.equal(framingOf({statusCode: 204, headers: {}}, 'GET'), 'none');
--- a/src/gateway/data-path/answer-transfer.ts
+++ b/src/gateway/data-path/answer-transfer.ts
@@ -61,7 +61,9 @@
 		return 'none';
 	}
 
-	if (/(?:^|,)\s*chunked\s*$/iv.test(headers['transfer-encoding'] ?? '')) {
+	// Only the blanks of HTTP: `\s` also matches a no-break space, which the parser takes for a part of another coding's name.
+	// Such an answer ends with its connection, and the end behind a reset would count as its last chunk.
+	if (/(?:^|,)[\t ]*chunked[\t ]*$/iv.test(headers['transfer-encoding'] ?? '')) {
 		return 'chunked';
 	}
 
--- a/src/gateway/data-path/broken-answer.test.ts
+++ b/src/gateway/data-path/broken-answer.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {test} from 'node:test';
@@ -86,6 +87,18 @@
 	assert.match(text, /content-length: 10\r\n[\s\S]*half$/v);
 });
 
+test('an answer in a coding that only looks like chunks and is reset is not whole', async () => {
+	// The caller gets half of an answer with the end of a whole one. 1. The endpoint names a coding that is `chunked` behind
+	// a no-break space, which the parser reads as another coding: the answer ends with its connection. 2. The endpoint's
+	// host dies. 3. The end that Node reports behind the reset is taken for a last chunk.
+	const {text} = await answerTo(post, socket => {
+		socket.write(Buffer.from(`HTTP/1.1 200 OK\r\n${sealed}transfer-encoding: \u00A0chunked\r\n\r\nhalf`, 'latin1'), () => {
+			socket.resetAndDestroy();
+		});
+	});
+	assert.ok(!text.endsWith('0\r\n\r\n'), text);
+});
+
 test('an answer with both a length and chunks is not passed on', async () => {
 	// Two framings contradict each other; a caller that believes the other one would see another end.
 	const {text} = await answerTo(post, socket => {
