Break a stream off rather than begin it again behind events without ids

Cause: a stream that may be resumed was sent elsewhere whenever its answer broke, also where no event passed on had an id. Without `Last-Event-Id` the next endpoint begins at the start.

What callers saw: events twice, in a stream that ended as whole.

Ruled out: nothing further was tried.

Change: behind events of which none had an id (or the last id is empty) the answer counts as torn and is broken off.

--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -15,7 +15,8 @@
  * - `unknown`: it was sent, and no usable answer came.
  * - `failed`: the endpoint ran it and answered with a failure, which was not passed on yet.
  * - `cut`: the answer broke off after parts of it were passed on; for an event stream behind a whole event.
- * - `torn`: the same of an answer other than a 200, such as a failure's page; it holds no events, so none can follow it.
+ * - `torn`: the same of an answer behind which none can go on: other than a 200, such as a failure's page, since it holds
+ *   no events, or a stream to be resumed whose events have no ids.
  */
 export type TryOutcome = 'not-sent' | 'rejected' | 'unknown' | 'failed' | 'cut' | 'torn';
 
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -221,7 +221,9 @@
 
 		this.#exchange?.cancel();
 		// Behind half of a failure's page, events from elsewhere would be joined to it, and the whole would end in order.
-		const brokenOutcome = answer.status === 200 ? 'cut' : 'torn';
+		// Behind events without an id no endpoint knows where to go on: it would begin again, and its events come twice.
+		const mayGoOn = answer.status === 200 && (cutter === undefined || (cutter.lastId ?? '') !== '');
+		const brokenOutcome = mayGoOn ? 'cut' : 'torn';
 		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
 		cutter?.rest();
 		return {
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -95,6 +95,34 @@
 	assert.equal(bodyOf(answer).isWhole, false);
 });
 
+test('a stream whose events have no ids is not begun again behind events that were passed on', async () => {
+	// The caller gets the first piece twice, in a stream that ends as whole. 1. The endpoint breaks off behind an event
+	// without an id. 2. The request is sent elsewhere to go on, but without an id there is nothing to go on behind. 3. The
+	// other endpoint begins at the start, and its events are joined to the first one's.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'resumable-stream'})]})).start();
+	let isFirst = true;
+	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
+		response.writeHead(200, sealedHeaders(incoming));
+		if (isFirst) {
+			isFirst = false;
+			response.write('data: piece 1\n\n', () => {
+				response.destroy();
+			});
+			return;
+		}
+
+		response.end('data: piece 1\n\ndata: piece 2\n\n');
+	};
+
+	await gateway.addEndpoint(play);
+	await gateway.addEndpoint(play);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	const {text, isWhole} = bodyOf(answer);
+	assert.equal(text.split('piece 1').length - 1, 1, answer);
+	assert.equal(isWhole, false);
+});
+
 test('events are not joined to a failure that broke off', async () => {
 	// The first endpoint breaks off in the middle of an error page. The request would be resumed elsewhere, and the caller
 	// get the head and half of the page of an error, with the events of a success behind it and the end of a whole answer.
