Test that a body whose end the parser did not find is never whole

Cause: no test caught a judgement that left `isComplete` out. Callers saw nothing; the code is right.

Change: a row for each framing and each end of the connection. Without `isComplete` in the judgement, `node scripts/run-tests.mjs answer-transfer` gave 6 passed, 1 failed; with it 7 passed, 0 failed.

--- a/src/gateway/data-path/answer-transfer.test.ts
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -38,6 +38,16 @@
 	assert.deepEqual(ends.map(end => judge('connection', end, 8, true)), ['short', 'short', 'reset', 'cancelled']);
 });
 
+test('a body whose end the parser did not find is not whole by any framing', () => {
+	const ends = ['open', 'in-order', 'reset', 'cancelled'] as const;
+	for (const framing of ['length', 'chunked', 'connection', 'none'] as const) {
+		const judged = ends.map(connectionEnd => judgeBodyEnd({
+			framing, promisedBytes: 8, isComplete: false, isTorn: false, connectionEnd,
+		}, 8));
+		assert.deepEqual(judged, ['short', 'short', 'reset', 'cancelled'], framing);
+	}
+});
+
 async function linesOf(play: PlayedEndpoint, requests = 1): Promise<Array<Record<string, unknown>>> {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'non-idempotent'})]})).start();
 	await gateway.addEndpoint(play);
