Know an event stream by its type in any case of letters

Cause: `Content-Type` was compared with its lower-case form only; types are written in any case.

What callers saw: a stream whose endpoint died in the middle of an event ended as whole, with half of its last event.

Change: the type is compared in lower case.

Ruled out: nothing further was tried.

--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -45,7 +45,7 @@
 export async function relayAnswer({answer, response, cutter, onFirstBytes, onBytes, onFault}: Relay): Promise<Relayed> {
 	const {body} = answer;
 	const eventEnd = new EventEnd();
-	const isEventStream = answer.header('content-type')?.startsWith('text/event-stream') ?? false;
+	const isEventStream = answer.header('content-type')?.toLowerCase().startsWith('text/event-stream') ?? false;
 	return new Promise(resolve => {
 		let hasBytes = false;
 		let bodyBytes = 0;
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -150,15 +150,19 @@
 	assert.equal(bodyOf(answer).isWhole, false);
 });
 
-for (const kind of ['stream', 'resumable-stream'] as const) {
-	test(`a ${kind} without a length that is closed in order in the middle of an event is not whole`, async () => {
+for (const {kind, contentType} of [
+	{kind: 'stream', contentType: 'text/event-stream'},
+	{kind: 'stream', contentType: 'Text/Event-Stream; charset=utf-8'},
+	{kind: 'resumable-stream', contentType: 'text/event-stream'},
+] as const) {
+	test(`a ${kind} of ${contentType} without a length that is closed in order in the middle of an event is not whole`, async () => {
 		// The endpoint's process dies; its host closes the connection in order, behind half of event 3. The stream has no other
 		// end than its connection, so all looks well, but an event without its empty line is half of one. The caller would take
 		// three pieces for the whole stream, the last of them torn.
 		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
 		let isFirst = true;
 		const play = (incoming: IncomingMessage, response: ServerResponse): void => {
-			const head = Object.entries({...sealedHeaders(incoming), 'content-type': 'text/event-stream', connection: 'close'});
+			const head = Object.entries({...sealedHeaders(incoming), 'content-type': contentType, connection: 'close'});
 			const events = isFirst ? `${eventText(1)}${eventText(2)}id: 3\ndata: pie` : eventText(3) + eventText(4);
 			isFirst = false;
 			response.socket!.end(`HTTP/1.1 200 OK\r\n${head.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${events}`);
