--- a/src/gateway/data-path/answer-transfer.test.ts
+++ b/src/gateway/data-path/answer-transfer.test.ts
@@ -15,6 +15,11 @@
 test('the framing of an answer is read from its head', () => {
 	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '0'}}, 'GET'), 'length');
 	assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': 'gzip, Chunked'}}, 'GET'), 'chunked');
+	assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': 'gzip,\tchunked '}}, 'GET'), 'chunked');
+	for (const coding of ['\u00A0chunked', 'chunked\u00A0', '\u000Bchunked', 'chunked, gzip', 'x-chunked']) {
+		assert.equal(framingOf({statusCode: 200, headers: {'transfer-encoding': coding}}, 'GET'), 'connection', coding);
+	}
+
 	assert.equal(framingOf({statusCode: 200, headers: {}}, 'GET'), 'connection');
 	assert.equal(framingOf({statusCode: 200, headers: {'content-length': '9'}}, 'HEAD'), 'none');
 	assert.equal(framingOf({statusCode: 204, headers: {}}, 'GET'), 'none');
@@ -33,6 +38,16 @@
 	assert.deepEqual(ends.map(end => judge('connection', end, 8, true)), ['short', 'short', 'reset', 'cancelled']);
 });
 
+test('a body whose end the parser did not find is not whole by any framing', () => {
+	const ends = ['open', 'in-order', 'reset', 'cancelled'] as const;
+	for (const framing of ['length', 'chunked', 'connection', 'none'] as const) {
+		const judged = ends.map(connectionEnd => judgeBodyEnd({
+			framing, promisedBytes: 8, isComplete: false, isTorn: false, connectionEnd,
+		}, 8));
+		assert.deepEqual(judged, ['short', 'short', 'reset', 'cancelled'], framing);
+	}
+});
+
 async function linesOf(play: PlayedEndpoint, requests = 1): Promise<Array<Record<string, unknown>>> {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'non-idempotent'})]})).start();
 	await gateway.addEndpoint(play);
--- a/src/gateway/data-path/resumed-stream.test.ts
+++ b/src/gateway/data-path/resumed-stream.test.ts
@@ -95,6 +95,34 @@
 	assert.equal(bodyOf(answer).isWhole, false);
 });
 
+test('a stream whose events have no ids is not begun again behind events that were passed on', async () => {
+	// The caller gets the first piece twice, in a stream that ends as whole. 1. The endpoint breaks off behind an event
+	// without an id. 2. The request is sent elsewhere to go on, but without an id there is nothing to go on behind. 3. The
+	// other endpoint begins at the start, and its events are joined to the first one's.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'resumable-stream'})]})).start();
+	let isFirst = true;
+	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
+		response.writeHead(200, sealedHeaders(incoming));
+		if (isFirst) {
+			isFirst = false;
+			response.write('data: piece 1\n\n', () => {
+				response.destroy();
+			});
+			return;
+		}
+
+		response.end('data: piece 1\n\ndata: piece 2\n\n');
+	};
+
+	await gateway.addEndpoint(play);
+	await gateway.addEndpoint(play);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	const {text, isWhole} = bodyOf(answer);
+	assert.equal(text.split('piece 1').length - 1, 1, answer);
+	assert.equal(isWhole, false);
+});
+
 test('events are not joined to a failure that broke off', async () => {
 	// The first endpoint breaks off in the middle of an error page. The request would be resumed elsewhere, and the caller
 	// get the head and half of the page of an error, with the events of a success behind it and the end of a whole answer.
@@ -122,15 +150,19 @@
 	assert.equal(bodyOf(answer).isWhole, false);
 });
 
-for (const kind of ['stream', 'resumable-stream'] as const) {
-	test(`a ${kind} without a length that is closed in order in the middle of an event is not whole`, async () => {
+for (const {kind, contentType} of [
+	{kind: 'stream', contentType: 'text/event-stream'},
+	{kind: 'stream', contentType: 'Text/Event-Stream; charset=utf-8'},
+	{kind: 'resumable-stream', contentType: 'text/event-stream'},
+] as const) {
+	test(`a ${kind} of ${contentType} without a length that is closed in order in the middle of an event is not whole`, async () => {
 		// The endpoint's process dies; its host closes the connection in order, behind half of event 3. The stream has no other
 		// end than its connection, so all looks well, but an event without its empty line is half of one. The caller would take
 		// three pieces for the whole stream, the last of them torn.
 		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
 		let isFirst = true;
 		const play = (incoming: IncomingMessage, response: ServerResponse): void => {
-			const head = Object.entries({...sealedHeaders(incoming), 'content-type': 'text/event-stream', connection: 'close'});
+			const head = Object.entries({...sealedHeaders(incoming), 'content-type': contentType, connection: 'close'});
 			const events = isFirst ? `${eventText(1)}${eventText(2)}id: 3\ndata: pie` : eventText(3) + eventText(4);
 			isFirst = false;
 			response.socket!.end(`HTTP/1.1 200 OK\r\n${head.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${events}`);
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -12,13 +12,13 @@
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
-import {type AnswerTransfer} from './answer-transfer.js';
+import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {EndpointTry, transferOf, type TryResult} from './endpoint-try.js';
+import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
+import {passOnFailure} from './pass-on-failure.js';
 import {placementRequestOf} from './placement-request.js';
-import {relayAnswer} from './relay-answer.js';
 import {reportEnd, type RoutedEnd} from './report-end.js';
 import {type RequestHead} from './request-head.js';
 
@@ -83,7 +83,7 @@
 				mayHaveRun: this.#mayHaveRun,
 				placedBy: this.#basis,
 				firstByteAt: this.#firstByteAt,
-				...this.#unusualTransfer(),
+				...unusualTransfer(this.#untoldTransfer),
 			}, this.#now());
 			return end;
 		} finally {
@@ -207,7 +207,8 @@
 		}
 
 		const result = await running;
-		this.#current = undefined;
+		// A failure's page may still be passed on: the time-out and a caller that leaves must be able to end that as well.
+		this.#current = result.outcome === 'failed' ? this.#current : undefined;
 		this.#sends += result.wasSent ? 1 : 0;
 		this.#mayHaveRun ||= result.mayHaveRun;
 		this.#untoldTransfer = result.transfer;
@@ -216,18 +217,24 @@
 	}
 
 	async #passOnFailure(answer: EndpointAnswer): Promise<RoutedEnd> {
-		const {response} = this.#work;
-		if (response.headersSent) {
-			answer.body.resume();
-			breakOffAnswer(response);
-			return 'broken-off';
+		const {head, response} = this.#work;
+		const {outcome, transfer} = await passOnFailure({
+			id: head.attemptId, answer, response, log: this.#context.log,
+		});
+		if (transfer !== undefined) {
+			this.#untoldTransfer = transfer;
+			this.#status = answer.status;
+		}
+
+		if (outcome !== 'whole') {
+			// Nobody reads on, and an endpoint that has stalled would keep the connection for good.
+			this.#current?.cancel();
+		}
+
+		if (outcome === 'cut' && this.#isExpired) {
+			return this.#expire();
 		}
 
-		const {outcome, ...read} = await relayAnswer({
-			answer, response, cutter: undefined, onFirstBytes: ignore, onBytes: ignore,
-		});
-		this.#untoldTransfer = transferOf(answer, read);
-		this.#status = answer.status;
 		if (outcome === 'cut') {
 			breakOffAnswer(response);
 			return 'broken-off';
@@ -264,12 +271,6 @@
 		return 'timeout';
 	}
 
-	/** How the last answer came, unless it ended as nearly all do, by its own framing: the line of a request is to stay short. */
-	#unusualTransfer(): {transfer?: AnswerTransfer} {
-		const transfer = this.#untoldTransfer;
-		return transfer === undefined || (transfer.bodyEnd === 'in-order' && transfer.framing !== 'connection') ? {} : {transfer};
-	}
-
 	#refuse(refusal: Refusal): void {
 		this.#status = this.#context.refuse(this.#work.response, refusal);
 	}
@@ -293,7 +294,3 @@
 		return this.#context.clock.moment().steady;
 	}
 }
-
-function ignore(): void {
-	// A failure that is passed on says nothing of how fast the endpoint answers.
-}
