Take two carriage returns for the end of an event

Cause: an empty line was known by line feeds only; event streams may end lines with a carriage return alone.

What callers saw: a whole stream written so, which ends with its connection, was broken off as torn.

Change: two carriage returns end an event in `EventEnd`. Ruled out: nothing further was tried.

The cutter of streams to be resumed knows line feeds only, as before.

--- a/src/gateway/data-path/event-end.test.ts
+++ b/src/gateway/data-path/event-end.test.ts
@@ -21,4 +21,6 @@
 	assert.equal(isTorn('id: 1\ndata: a\n'), true);
 	assert.equal(isTorn('id: 1\ndata: a\n\n', 'i'), true);
 	assert.equal(isTorn('id: 1\r\ndata: a\r\n'), true);
+	assert.equal(isTorn('id: 1\rdata: a\r', '\r'), false);
+	assert.equal(isTorn('id: 1\rdata: a\r'), true);
 });
--- a/src/gateway/data-path/event-end.ts
+++ b/src/gateway/data-path/event-end.ts
@@ -7,7 +7,7 @@
  */
 import {Buffer} from 'node:buffer';
 
-/** An empty line may be written by two line feeds or by two pairs of carriage return and line feed. */
+/** An empty line may be written by two line feeds, by two carriage returns or by two pairs of both. */
 const longestEventEnd = 4;
 
 export class EventEnd {
@@ -16,7 +16,7 @@
 	/** Whether the bytes so far end in the middle of an event; no bytes at all do not. */
 	get isTorn(): boolean {
 		const text = this.#tail.toString('latin1');
-		return text !== '' && !/\n\r?\n$/v.test(text);
+		return text !== '' && !/(?:\n\r?\n|\r\r)$/v.test(text);
 	}
 
 	/** Takes bytes as they come. */
