Cut no answer that has begun because its endpoint is silent; say who broke a try

Cause: the watch for silent endpoints went on after an answer had begun, and counted time in which this process did not read because its caller was slow. A plain answer cannot go elsewhere then, so the watch could only break it. Ruled out: dropping the watch; before the answer, and in a stream that may be resumed, it spares the wait for the time-out. Change: behind the first bytes only such a stream is given up, and not while its caller is slow. `detail` says that the endpoint fell silent, that this process gave up, or that a head proves nothing; cut tries have their status. Not mended: connections that stay open behind rejections with stalled bodies and callers who leave early.

--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -52,7 +52,7 @@
 	mayHaveRun: boolean;
 	answer?: EndpointAnswer;
 	transfer: AnswerTransfer;
-	detail?: string;
+	detail?: string | undefined;
 };
 
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
@@ -121,7 +121,9 @@
 
 	/**
 	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
-	 * resets no connection, and the caller would wait until the time-out.
+	 * resets no connection, and the caller would wait until the time-out. Behind the first bytes only a stream that may be
+	 * resumed can go elsewhere; a cut would leave any other caller with half of an answer that may only be slow. An endpoint
+	 * whose answer waits here for a slow caller is not silent: it is this process that does not read.
 	 */
 	#watchForSilence(exchange: OpenExchange): NodeJS.Timeout | undefined {
 		if (!isRepeatable(this.#work.permitted.route.kind) || !this.#target.hasNext) {
@@ -129,7 +131,9 @@
 		}
 
 		return setInterval(() => {
-			if (this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
+			const {response, cutter} = this.#work;
+			const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
+			if (canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
 				this.#fellSilent = true;
 				exchange.cancel();
 			}
@@ -142,7 +146,7 @@
 			const {kind, connection, detail} = answered.extract();
 			const wasSent = kind === 'unknown';
 			return {
-				outcome: kind, wasSent, mayHaveRun: wasSent, transfer: {connection}, detail,
+				outcome: kind, wasSent, mayHaveRun: wasSent, transfer: {connection}, detail: this.#detailOf(detail),
 			};
 		}
 
@@ -155,7 +159,12 @@
 		}
 
 		return {
-			outcome, wasSent: true, mayHaveRun: outcome !== 'rejected', answer, transfer: transferOf(answer, {bodyEnd: 'unread'}),
+			outcome,
+			wasSent: true,
+			mayHaveRun: outcome !== 'rejected',
+			answer,
+			transfer: transferOf(answer, {bodyEnd: 'unread'}),
+			detail: outcome === 'unknown' ? 'the head of the answer does not prove whose it is, or cannot be passed on' : undefined,
 		};
 	}
 
@@ -227,7 +236,7 @@
 		// Half an event is left of the answer that broke; the next endpoint sends that event from its start.
 		cutter?.rest();
 		return {
-			outcome: response.headersSent ? brokenOutcome : 'unknown', wasSent: true, mayHaveRun: true, transfer, detail: 'the endpoint broke off its answer',
+			outcome: response.headersSent ? brokenOutcome : 'unknown', wasSent: true, mayHaveRun: true, answer, transfer, detail: this.#detailOf('the endpoint broke off its answer'),
 		};
 	}
 
@@ -246,6 +255,15 @@
 		}
 	}
 
+	/** What broke a try, which must not be laid at the endpoint's door where this process gave it up. */
+	#detailOf(seen: string): string {
+		if (this.#fellSilent) {
+			return 'the endpoint fell silent';
+		}
+
+		return this.#isCancelled ? 'given up: the caller left or the time was over' : seen;
+	}
+
 	#endOf(outcome: TryResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
 		if (outcome === 'whole' || outcome === 'rejected') {
 			return outcome;
--- a/src/gateway/observability/operations.test.ts
+++ b/src/gateway/observability/operations.test.ts
@@ -108,7 +108,7 @@
 	assert.deepEqual(failed?.transfer, {
 		connection: 'new', framing: 'connection', bodyBytes: 4, bodyEnd: 'reset',
 	});
-	assert.deepEqual([ended?.kind, ended?.outcome, ended?.endpoints, ended?.sends], ['request-ended', 'broken-off', [name], 1]);
+	assert.deepEqual([ended?.kind, ended?.outcome, ended?.status, ended?.endpoints, ended?.sends], ['request-ended', 'broken-off', 200, [name], 1]);
 	assert.deepEqual(others, []);
 });
 
