Count the listeners for a connection's end as well

Cause: no test caught a listener for the end of a connection that is left behind with each use (a review's mutation). Change: the test of twenty uses counts them.

--- a/src/gateway/data-path/endpoint-exchange.test.ts
+++ b/src/gateway/data-path/endpoint-exchange.test.ts
@@ -35,13 +35,15 @@
 		exchanges.close();
 	});
 	const sockets = new Set<Socket>();
-	let listeners = 0;
+	let errorListeners = 0;
+	let endListeners = 0;
 	for (let use = 0; use < 20; use++) {
 		const answer = await exchanges.open(callTo(server)).answer;
 		const {body} = answer.unsafeCoerce();
 		const {socket} = body;
 		sockets.add(socket);
-		listeners = socket.listenerCount('error');
+		errorListeners = socket.listenerCount('error');
+		endListeners = socket.listenerCount('end');
 		body.resume();
 		await once(body, 'end');
 		await new Promise<void>(resolve => {
@@ -50,7 +52,8 @@
 	}
 
 	assert.equal(sockets.size, 1);
-	assert.ok(listeners <= 3, `${listeners} error listeners after 20 uses`);
+	assert.ok(errorListeners <= 3, `${errorListeners} error listeners after 20 uses`);
+	assert.ok(endListeners <= 4, `${endListeners} listeners for the end after 20 uses`);
 });
 
 test('a process that stood still does not take its endpoints for unreachable', async context => {
