Give up the rest of an answer that nobody waits for

An endpoint that rejected a request and stalled within the page that says so kept its connection for good: what was left of the answer was read to its end for nobody, with no bound on how long that end took to come. The caller saw nothing, but each further rejection held one connection more, until the endpoint took no new ones. Ruled out: the idle limit of kept connections, which counts only once an answer is over, and the route's time-out, which ends with the request.

An answer can be discarded now: it is read to its end, so that the connection can be used again, and closed if the end does not come within half a second.

--- a/src/gateway/data-path/abandoned-body.test.ts
+++ b/src/gateway/data-path/abandoned-body.test.ts
@@ -19,7 +19,8 @@
 test('the connection of a rejection whose page stalls is given up', async () => {
 	// The caller gets its answer from another endpoint and sees nothing. The first endpoint rejected the request and stalled
 	// within the page that says so. Nobody waits for the rest, and nobody closes the connection: it is kept until the endpoint
-	// closes it, and each further rejection keeps one more, until the endpoint takes no new ones.
+	// closes it, and each further rejection keeps one more, until the endpoint takes no new ones. Cause: what is left of an
+	// answer was read to its end for nobody, however long that end took to come.
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'idempotent'})]})).start();
 	let stalled: Socket | undefined;
 	const play = (incoming: IncomingMessage, response: ServerResponse): void => {
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -51,6 +51,8 @@
 	header(name: string): string | undefined;
 	/** What became of the connection so far; a body that ends with a connection that failed is not whole. */
 	connectionEnd(): ConnectionEnd;
+	/** Gives the answer up where nobody waits for its body. */
+	discard(): void;
 };
 
 /** A call under way. */
@@ -72,6 +74,13 @@
  */
 const connectMilliseconds = 250;
 
+/**
+ * How long the rest of an answer that nobody waits for may take to come, so that its connection can be used again. The page
+ * of a rejection takes a round trip. An endpoint that stalls within it would hold the connection for good, and with each
+ * further rejection one more, until the endpoint takes no new ones.
+ */
+const discardMilliseconds = 500;
+
 type ConnectionNotes = {
 	noteEnd(end: ConnectionEnd): void;
 	connectionEnd(): ConnectionEnd;
@@ -172,13 +181,34 @@
 
 				this.#agent.noteKeepAlive(response.socket, response.headers['keep-alive']);
 				resolve(Right({
-					...answerOf(response), framing: framingOf(response, call.method), connection: useOf(outgoing), connectionEnd,
+					...answerOf(response),
+					framing: framingOf(response, call.method),
+					connection: useOf(outgoing),
+					connectionEnd,
+					discard() {
+						discardBody(response, outgoing);
+					},
 				}));
 			});
 		});
 	}
 }
 
+/** Reads a body to its end for nobody; closes the connection if that end does not come soon. */
+function discardBody(body: IncomingMessage, outgoing: ClientRequest): void {
+	if (body.destroyed) {
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		outgoing.destroy();
+	}, discardMilliseconds);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+	body.resume();
+}
+
 function useOf(outgoing: ClientRequest): ConnectionUse {
 	return outgoing.reusedSocket ? 'kept' : 'new';
 }
--- a/src/gateway/data-path/malformed-head.test.ts
+++ b/src/gateway/data-path/malformed-head.test.ts
@@ -68,7 +68,7 @@
 	const faults: unknown[] = [];
 	const relayed = relayAnswer({
 		answer: {
-			status: 200, statusText: 'O\u0001K', rawHeaders: [], body, framing: 'length', connection: 'new', header: () => undefined, connectionEnd: () => 'open',
+			status: 200, statusText: 'O\u0001K', rawHeaders: [], body, framing: 'length', connection: 'new', header: () => undefined, connectionEnd: () => 'open', discard: () => undefined,
 		},
 		response,
 		cutter: undefined,
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -151,7 +151,7 @@
 		switch (step) {
 			case 'repeat':
 			case 'resume': {
-				answer?.body.resume();
+				answer?.discard();
 				return undefined;
 			}
 
@@ -166,7 +166,7 @@
 
 			case 'refuse':
 			case 'fail': {
-				answer?.body.resume();
+				answer?.discard();
 				return this.#giveUp({
 					reason: 'no-endpoint', ran: 'not-run', message: 'no endpoint took the request', retryAfterMilliseconds: rejectedRetryMilliseconds,
 				});
