Let no run begin on older weights behind the time granted for them

Cause: an engine with replaced weights only cost placing some delay more; nothing stopped sending there. Callers got answers on weights that the operators had been promised to be gone. The class: an obligation with a time limit that nobody's clock watches where requests are passed on.

Ruled out: a list of engines that lags (the engines' own reports and answers told their versions in time).

Change: a goal knows since when its weights may have been named: the moment of hearing while the feed is followed, the last proven read where calls failed, unknown for a process that has just started. Placing leaves out an engine on which a prompt would begin behind the grant, its wait there counted; a prompt that is held up longer than reckoned is taken back before the grant ends. Siblings looked at: keys run under a lease of their own (judge-request), withdrawn routes and leaving endpoints are looked up at each send; none goes on without an end.

Tests red without each part (mutations): older-weights.test.ts 3 of 3 without the limit in placing, weights-grant.test.ts without the taking back.

--- a/src/decision/placement/cost-placement.test.ts
+++ b/src/decision/placement/cost-placement.test.ts
@@ -25,6 +25,7 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
 		fetchableUnder: () => [],
 		keptAt: () => undefined,
 		loading: new Set(),
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -20,6 +20,7 @@
 } from './endpoint-load.js';
 import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
 import {homeOf} from './home-of.js';
+import {beginsInGrant, isBehind} from './older-weights.js';
 import {
 	type OthersAt, type Placement, type PlacementBasis, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
 } from './placement.js';
@@ -95,7 +96,7 @@
 	}
 
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
-		const untried = endpoints.filter(({name}) => !request.tried.has(name));
+		const untried = endpoints.filter(endpoint => !request.tried.has(endpoint.name) && beginsInGrant(request, endpoint, 0, now));
 		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
 		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
 		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
@@ -226,7 +227,10 @@
 			occupancy,
 			costMilliseconds: this.#readingCost(request, work, {before, isHome}) + occupied + distance + weights + spread,
 		};
-		return {endpoint, isAdmitted: hasRoom && this.#admits(request, work.readTokens, isWhole ? load : undefined), basis};
+		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
+		const wait = ((before + work.readTokens) / speed) + (work.fetchTokens / fetchTokensPerMillisecond) + (waitingMilliseconds * Math.max(0, occupancy - slots));
+		const isAdmitted = hasRoom && beginsInGrant(request, endpoint, wait, now) && this.#admits(request, work.readTokens, isWhole ? load : undefined);
+		return {endpoint, isAdmitted, basis};
 	}
 
 	/** What fetching, reading and waiting for the reading of others cost, in milliseconds; less at the home of unread parts. */
@@ -276,11 +280,6 @@
 	return prompt === undefined ? 0 : prompt.promptTokens + prompt.mostOutputTokens;
 }
 
-/** Whether the engine has older weights than were named for the model. */
-function isBehind({prompt, wantedVersion}: PlacementRequest, {weightVersions}: EndpointRecord): boolean {
-	return wantedVersion !== undefined && prompt !== undefined && (weightVersions.get(prompt.model) ?? 0) < wantedVersion;
-}
-
 /** Whether the engine loads weights; one that shows the named weights is done, whatever an old hint says. */
 function isLoading(request: PlacementRequest, endpoint: EndpointRecord): boolean {
 	return request.loading.has(endpoint.name) && isBehind(request, endpoint);
--- a/src/decision/placement/fresh-news.test.ts
+++ b/src/decision/placement/fresh-news.test.ts
@@ -40,6 +40,7 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
 		fetchableUnder: () => [],
 		keptAt: () => [0],
 		loading: new Set(),
--- /dev/null
+++ b/src/decision/placement/older-weights.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {CostPlacement} from './cost-placement.js';
+import {type EndpointLoad, noLoad} from './endpoint-load.js';
+import {type PlacementRequest} from './placement.js';
+
+const engine = (name: string, version: number): EndpointRecord => testEndpoint({name, slots: 12, weightVersions: new Map([['lease', version]])});
+
+function prompt(changes: Partial<PlacementRequest> = {}): PlacementRequest {
+	return {
+		id: 'a',
+		service: 'engines',
+		rank: 1,
+		objectiveMilliseconds: 600,
+		prompt: {
+			model: 'lease', promptTokens: 640, mostOutputTokens: 20, parts: [{id: 'own', tokens: 640}],
+		},
+		cacheScope: 'shared',
+		engine: {
+			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
+		},
+		tried: new Set(),
+		wantedVersion: 2,
+		olderWeightsUntil: 6000,
+		fetchableUnder: () => [],
+		keptAt: () => [0],
+		loading: new Set(),
+		...changes,
+	};
+}
+
+const placeOf = (policy: CostPlacement, request: PlacementRequest, engines: readonly EndpointRecord[], now: number): string => {
+	const placement = policy.place(request, engines, now);
+	return placement.kind === 'send' ? placement.endpoint.name : placement.reason;
+};
+
+test('no prompt is sent to older weights when it would begin behind the time granted for them', () => {
+	// Operators name new weights; the instance that orders engines to load them stands still. Callers get answers on the old
+	// weights for as long as that takes, though the operators were promised that none begins on them after six seconds.
+	const policy = new CostPlacement('split');
+	const engines = [engine('e0', 1), engine('e1', 1)];
+	assert.match(placeOf(policy, prompt(), engines, 4000), /^e[01]$/v);
+	assert.equal(placeOf(policy, prompt(), engines, 5000), 'no-endpoint');
+	assert.equal(placeOf(policy, prompt(), [...engines, engine('e2', 2)], 5000), 'e2');
+});
+
+test('the wait at an engine counts: a prompt begins only when the engine gets to it', () => {
+	// Two seconds before the end one engine has three seconds of reading before it. A prompt that is sent there now begins
+	// a second too late.
+	const loads = new Map<string, EndpointLoad>([['e0', {...noLoad, requests: 10, unreadTokens: [0, 165_000, 0]}]]);
+	const policy = new CostPlacement('split', name => loads.get(name) ?? noLoad);
+	const urgent = prompt({objectiveMilliseconds: 60_000});
+	assert.equal(placeOf(policy, urgent, [engine('e0', 1)], 0), 'e0');
+	assert.equal(placeOf(policy, urgent, [engine('e0', 1)], 4000), 'overloaded');
+	assert.equal(placeOf(policy, urgent, [engine('e0', 2)], 4000), 'e0');
+});
+
+test('weights of unknown age are taken for overdue: a process that has just started cannot tell', () => {
+	const policy = new CostPlacement('split');
+	const request = prompt({olderWeightsUntil: 100});
+	assert.equal(placeOf(policy, request, [engine('e0', 1)], 100), 'no-endpoint');
+	assert.equal(placeOf(policy, request, [engine('e0', 1), engine('e1', 2)], 100), 'e1');
+});
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -22,6 +22,8 @@
 	tried: ReadonlySet<string>;
 	/** The weights that its model is to be served with; absent if none were named. */
 	wantedVersion: number | undefined;
+	/** No run may begin on older weights behind this time, in milliseconds of the steady clock. */
+	olderWeightsUntil: number;
 	/** Which parts of the prompt any engine with a weight version can fetch from a store or another engine, by index. */
 	fetchableUnder: (weightVersion: number) => readonly boolean[];
 	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -5,6 +5,7 @@
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {isRepeatable, type TryOutcome} from '../../decision/attempts/next-step.js';
+import {isBehind} from '../../decision/placement/older-weights.js';
 import {type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -58,6 +59,8 @@
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
 /** How often a waiting request looks whether its endpoint has fallen silent. */
 const silenceCheckMilliseconds = 200;
+/** A prompt is taken back from an engine with older weights this long before the grant ends: the way to the engine. */
+const takeBackMilliseconds = 250;
 
 export class EndpointTry {
 	readonly #context: GatewayContext;
@@ -66,6 +69,8 @@
 	#exchange: OpenExchange | undefined;
 	#fellSilent = false;
 	#isCancelled = false;
+	#isOutOfGrant = false;
+	#hasBegun = false;
 
 	constructor(context: GatewayContext, work: TryWork, target: TryTarget) {
 		this.#context = context;
@@ -99,8 +104,10 @@
 			attemptIdHeader: names.attemptId,
 		});
 		const watch = this.#watchForSilence(this.#exchange);
+		const grantEnd = this.#watchGrantOfWeights(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
 		clearInterval(watch);
+		clearTimeout(grantEnd);
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
 		}, this.#now());
@@ -140,6 +147,24 @@
 		}, silenceCheckMilliseconds);
 	}
 
+	/**
+	 * Takes a prompt back that its engine has not begun when the time ends in which runs may begin on the engine's older
+	 * weights. It waited there longer than placing had reckoned; an answer on those weights must not come any more.
+	 */
+	#watchGrantOfWeights(exchange: OpenExchange): NodeJS.Timeout | undefined {
+		const {request, endpoint} = this.#target;
+		if (!isBehind(request, endpoint) || !Number.isFinite(request.olderWeightsUntil)) {
+			return undefined;
+		}
+
+		return setTimeout(() => {
+			if (!this.#hasBegun) {
+				this.#isOutOfGrant = true;
+				exchange.cancel();
+			}
+		}, Math.max(0, request.olderWeightsUntil - takeBackMilliseconds - this.#now()));
+	}
+
 	async #awaitResult(exchange: OpenExchange): Promise<TryResult> {
 		const answered = await exchange.answer;
 		if (answered.isLeft()) {
@@ -207,6 +232,7 @@
 			response,
 			cutter: answer.status === 200 ? cutter : undefined,
 			onFirstBytes: () => {
+				this.#hasBegun = true;
 				onFirstBytes();
 				placement.observe({
 					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
@@ -261,6 +287,10 @@
 			return 'the endpoint fell silent';
 		}
 
+		if (this.#isOutOfGrant) {
+			return 'not begun when the grant of older weights ended';
+		}
+
 		return this.#isCancelled ? 'given up: the caller left or the time was over' : seen;
 	}
 
@@ -269,7 +299,7 @@
 			return outcome;
 		}
 
-		if (this.#isCancelled || outcome === 'client-left') {
+		if (this.#isCancelled || this.#isOutOfGrant || outcome === 'client-left') {
 			return 'cancelled';
 		}
 
--- a/src/gateway/data-path/placement-request.ts
+++ b/src/gateway/data-path/placement-request.ts
@@ -15,6 +15,8 @@
  */
 export function placementRequestOf(context: GatewayContext, {head, permitted}: {head: RequestHead; permitted: PermittedRequest}, tried: ReadonlySet<string>): PlacementRequest {
 	const sources = new PromptSources(context, head, permitted);
+	const now = context.clock.moment();
+	const goal = context.goals.goalFor(head.prompt?.model ?? '');
 	return {
 		id: head.attemptId,
 		service: permitted.service,
@@ -26,7 +28,8 @@
 		tried,
 		fetchableUnder: version => sources.fetchableUnder(version),
 		keptAt: endpoint => sources.keptAt(endpoint),
-		wantedVersion: context.goals.goalFor(head.prompt?.model ?? '')?.version,
+		wantedVersion: goal?.version,
+		olderWeightsUntil: goal === undefined ? Number.POSITIVE_INFINITY : now.steady + context.goals.leftOf(goal, now),
 		loading: context.loadingEngines.current,
 	};
 }
--- /dev/null
+++ b/src/gateway/data-path/weights-grant.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type IncomingMessage} from 'node:http';
+import {test} from 'node:test';
+import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
+import {WeightGoals} from '../weights/weight-goals.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {sealedHeaders, TestGateway} from '../testing/test-gateway.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const boundMilliseconds = 1600;
+const request = rawRequest({
+	method: 'POST', path: '/', headers: {
+		host: 'quay.example',
+		[names.attemptId]: 'a1',
+		[names.deadline]: '5000',
+		[names.model]: 'lease',
+		[names.tokenCount]: '100,10',
+		[names.promptParts]: 'ab:100',
+		connection: 'close',
+	}, body: 'x',
+});
+
+test('a prompt that its engine has not begun when the grant of older weights ends is taken back', async () => {
+	// Weights were named; the prompt still went to an engine with the old ones, which had time enough by what was known. The
+	// engine is held up and would begin it behind the time granted: the caller would get an answer that nobody may rely on
+	// any more. The engine sees its connection close before that, and the prompt goes to one that is done.
+	const route = testRoute({kind: 'resumable-stream', carriesPrompt: true, timeoutMilliseconds: 5000});
+	const gateway = await new TestGateway(testConfiguration({routes: [route]})).start();
+	Object.assign(gateway.context, {goals: new WeightGoals(boundMilliseconds)});
+	const namedAt = gateway.context.clock.moment();
+	gateway.context.goals.name({model: 'lease', version: 2}, {heardAt: namedAt, namedSince: namedAt});
+	// The engine goes on with other prompts.
+	gateway.context.placement.isSilent = () => false;
+	let hold: (incoming: IncomingMessage) => void = () => undefined;
+	const holding = new Promise<IncomingMessage>(resolve => {
+		hold = resolve;
+	});
+	await gateway.addEndpoint(incoming => {
+		hold(incoming);
+	}, {weightVersions: new Map([['lease', 1]])});
+	const answering = exchangeRaw(gateway.address, request);
+	const held = await holding;
+	const closed = once(held.socket, 'close').then(() => gateway.context.clock.moment().steady - namedAt.steady);
+	await gateway.addEndpoint((incoming, response) => {
+		response.writeHead(200, {...sealedHeaders(incoming), 'content-type': 'text/event-stream'});
+		response.end('id: 1\ndata: new\n\n');
+	}, {weightVersions: new Map([['lease', 2]])});
+	const answer = await answering;
+	const closedBehind = await closed;
+	await gateway.close();
+	assert.equal(statusOf(answer), 200);
+	assert.match(answer, /data: new/v);
+	assert.ok(closedBehind < boundMilliseconds, `closed ${closedBehind} ms behind the naming`);
+	assert.equal(gateway.lines.find(({kind}) => kind === 'try-failed')?.detail, 'not begun when the grant of older weights ended');
+});
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -112,7 +112,7 @@
 			partPlanner: new PartPlanner(),
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
 			exchanges: this.#exchanges,
-			goals: new WeightGoals(),
+			goals: new WeightGoals(settings.bounds.weightsMilliseconds),
 			loadingEngines: new LoadingEngines(() => clock.moment().steady),
 			log,
 			metrics,
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -54,7 +54,7 @@
 			placement: new CostPlacement('split'),
 			budget: new SharedRepeatBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
-			goals: new WeightGoals(),
+			goals: new WeightGoals(10_000),
 			hubView: new HubView(),
 			peerNews: {
 				async refresh() {
--- /dev/null
+++ b/src/gateway/watchers/operator-reader.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Right} from 'purify-ts/Either';
+import {type Moment} from '../../ports/moment-clock.js';
+import {type FeedRow} from '../../ports/table-feed.js';
+import {DecisionLog} from '../observability/decision-log.js';
+import {GatewayMetrics} from '../observability/gateway-metrics.js';
+import {ConfigurationView} from '../configuration/configuration-view.js';
+import {WeightGoals} from '../weights/weight-goals.js';
+import {type Catalog} from './catalog.js';
+import {OperatorReader} from './operator-reader.js';
+
+const boundMilliseconds = 6000;
+const at = (milliseconds: number): Moment => ({steady: milliseconds, wall: milliseconds});
+const rowOf = (version: number): FeedRow => ({key: `weights-${version}`, content: version, isDeleted: false});
+
+/** A reader, and what it makes of weights that it reads at a time. */
+function readerOfWeights() {
+	const goals = new WeightGoals(boundMilliseconds);
+	const catalog: Catalog = {
+		operatorTable: 'operators',
+		endpointTable: 'endpoints',
+		readOperatorRow: (_key, content) => Right({kind: 'weights', weights: {model: 'lease', version: content as number}}),
+		readEndpointRow() {
+			throw new Error('not read here');
+		},
+	};
+	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
+	const reader = new OperatorReader({
+		configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), log, metrics: new GatewayMetrics(),
+	}, catalog, goals);
+	return {reader, leftAt: (now: Moment): number => goals.leftOf(goals.goalFor('lease')!, now)};
+}
+
+test('weights that come while the feed is followed were named just now', () => {
+	const {reader, leftAt} = readerOfWeights();
+	reader.takeWhole([], at(0), at(5));
+	reader.takeChanges([rowOf(2)], at(5), at(1800));
+	assert.equal(leftAt(at(1800)), boundMilliseconds);
+	assert.equal(leftAt(at(4800)), 3000);
+});
+
+test('weights that a process finds when it starts may be of any age', () => {
+	// An instance is restarted seconds behind a naming. Counting from its own reading, it would send callers to engines with
+	// the old weights long after the time granted for them.
+	const {reader, leftAt} = readerOfWeights();
+	reader.takeWhole([rowOf(2)], at(0), at(5));
+	assert.equal(leftAt(at(5)), 0);
+});
+
+test('weights that come behind failed calls were named at any time since the last answered one', () => {
+	// The store turned the instance away for four seconds, and weights were named meanwhile.
+	const {reader, leftAt} = readerOfWeights();
+	reader.takeWhole([], at(0), at(5));
+	reader.takeChanges([], at(1000), at(3000));
+	reader.takeFailure();
+	reader.takeChanges([rowOf(2)], at(7000), at(7010));
+	assert.equal(leftAt(at(7010)), boundMilliseconds - 6010);
+});
--- a/src/gateway/watchers/operator-reader.ts
+++ b/src/gateway/watchers/operator-reader.ts
@@ -10,6 +10,10 @@
 	readonly #context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>;
 	readonly #catalog: Catalog;
 	readonly #goals: WeightGoals;
+	/** When a call was sent whose answer proved what stood in the table; what comes later was written later. */
+	#provenAt: Moment | undefined;
+	/** Whether the feed has been followed without a gap, so that news come as they are written. */
+	#isFollowing = false;
 
 	constructor(context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>, catalog: Catalog, goals: WeightGoals) {
 		this.#context = context;
@@ -18,6 +22,7 @@
 	}
 
 	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void {
+		this.#isFollowing = false;
 		this.takeChanges(rows, sentAt, now);
 	}
 
@@ -26,11 +31,14 @@
 			this.#take(row, sentAt, now);
 		}
 
+		this.#provenAt = sentAt;
+		this.#isFollowing = true;
 		this.#context.configuration.confirm(sentAt);
 	}
 
 	takeFailure(): void {
 		// The lease on the configuration runs out by itself.
+		this.#isFollowing = false;
 	}
 
 	#take({key, content, isDeleted}: FeedRow, sentAt: Moment, now: Moment): void {
@@ -50,8 +58,8 @@
 					this.#context.log.record('configuration-taken', {
 						version, isTaken, routes: routes.length, readMilliseconds: Math.round(now.steady - sentAt.steady),
 					});
-				} else if (row.kind === 'weights' && this.#goals.name(row.weights, now.steady)) {
-					this.#context.log.record('weights-named', {...row.weights});
+				} else if (row.kind === 'weights' && this.#goals.name(row.weights, {heardAt: now, namedSince: this.#isFollowing ? now : this.#provenAt})) {
+					this.#context.log.record('weights-named', {...row.weights, isFollowing: this.#isFollowing});
 				}
 			},
 		});
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -68,7 +68,7 @@
 			return;
 		}
 
-		const heardAt = Math.max(...goals.map(({namedAt}) => namedAt));
+		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
 		const offset = spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32);
 		if (this.#seat.grant === undefined && now < heardAt + offset) {
 			return;
