Roll weights out within the time granted, also when the holder stands still

Cause: the holder of the duty to load weights acted for 1.5 s on one grant, so that a holder that stood still kept all others out for 4.8 s; its successor then went on a quarter of the engines at a time, for which the rest of the time was too short (weights named, holder frozen half a second later, all instances restarted in turn).

Ruled out: the 12 s of patience for an order. An order that left no trace is given again after 0.75 s already.

Change: the row of a duty states for how long its holder acts on a grant; for weights 0.6 s, more where the store is slow; a renewal never ends sooner than the grant before it, whose holder goes on where the answer is lost. More engines load at a time the less of the granted time is left, by how long loads were seen to take. An engine that is busy with an order of the holder before is watched and not asked again at each step.

Tests: weight-coordinator.test.ts and plan-roll.test.ts red without the pace, duty-lease.test.ts red without the rule on renewals; its 200 simulated runs now mix three lengths of grants.

--- a/src/decision/weights/plan-roll.test.ts
+++ b/src/decision/weights/plan-roll.test.ts
@@ -3,7 +3,9 @@
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
 import {loadPatienceMilliseconds, planRoll} from './plan-roll.js';
 
-const goal = {model: 'permit', version: 3};
+const goal = {
+	model: 'permit', version: 3, dueAt: 60_000, loadMilliseconds: 1000,
+};
 const engines = (versions: number[]) => versions.map((version, index) => testEndpoint({name: `e${index}`, weightVersions: new Map([['permit', version]])}));
 const namesOf = (chosen: Array<{name: string}>): string[] => chosen.map(({name}) => name);
 
@@ -25,3 +27,14 @@
 test('engines that do not serve the model are left alone', () => {
 	assert.deepEqual(planRoll([testEndpoint()], goal, [], 0), []);
 });
+
+test('the less time is left, the more engines load at a time', () => {
+	// The holder of the duty stood still; its successor has as many engines before it and a part of the time. At the usual
+	// pace the last engines would still have the old weights when no run may begin on them, and stand idle until their turn.
+	const behind = engines(Array.from({length: 13}, () => 1));
+	assert.equal(planRoll(behind, {...goal, dueAt: 6000}, [], 0).length, 3);
+	assert.equal(planRoll(behind, {...goal, dueAt: 6000}, [], 3900).length, 7);
+	assert.equal(planRoll(behind, {...goal, dueAt: 6000}, [{name: 'e0', since: 3900}], 3900).length, 6);
+	assert.equal(planRoll(behind, {...goal, dueAt: 6000}, [], 5900).length, 13);
+	assert.equal(planRoll(behind, {...goal, dueAt: 6000}, [], 7000).length, 13);
+});
--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -3,7 +3,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type TableService} from '../../ports/table-service.js';
 import {
-	decideDuty, type DutyGrant, type DutyRow, leftOfGrant, releasedRow,
+	decideDuty, type DutyGrant, type DutyRow, leftOfGrant, mostActingMilliseconds, releasedRow,
 } from '../../protocol/duty/duty-lease.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 
@@ -15,6 +15,8 @@
 	/** Where other instances reach the holder. */
 	address: string;
 	leaseMilliseconds: number;
+	/** For how long a grant is acted on, if the store answers quickly. */
+	actingMilliseconds: number;
 };
 
 /** What a seat works with. */
@@ -28,6 +30,8 @@
 const retryMilliseconds = 500;
 /** A store that answers slowly is asked again so much sooner that one slow renewal behind the last one still comes in time. */
 const renewalsBefore = 2;
+/** A grant lasts for as many renewals as slow as the last one at least, or a slow store would leave no time to act in. */
+const renewalsInGrant = 4;
 
 export class DutySeat {
 	readonly #plan: DutyPlan;
@@ -53,6 +57,11 @@
 		return this.#seen;
 	}
 
+	get #actingMilliseconds(): number {
+		const {actingMilliseconds, leaseMilliseconds} = this.#plan;
+		return Math.min(mostActingMilliseconds(leaseMilliseconds), Math.max(actingMilliseconds, renewalsInGrant * this.#seekMilliseconds));
+	}
+
 	/** With less than this left a grant is to be renewed: two renewals as slow as the last one. */
 	get renewalMilliseconds(): number {
 		return renewalsBefore * this.#seekMilliseconds;
@@ -60,7 +69,7 @@
 
 	/** Milliseconds for which this instance may still act; 0 if it may not. */
 	left(): number {
-		const left = this.#grant === undefined ? 0 : leftOfGrant(this.#grant, this.#plan.leaseMilliseconds, this.#tools.clock.moment());
+		const left = this.#grant === undefined ? 0 : leftOfGrant(this.#grant, this.#tools.clock.moment());
 		return Math.max(0, left);
 	}
 
@@ -85,7 +94,9 @@
 
 		const {row, storeMilliseconds} = read.unsafeCoerce();
 		this.#seen = row?.value as DutyRow | undefined;
-		const decided = decideDuty(this.#seen, this.#plan.instance, storeMilliseconds, this.#plan.leaseMilliseconds);
+		const decided = decideDuty(this.#seen, this.#plan.instance, storeMilliseconds, {
+			leaseMilliseconds: this.#plan.leaseMilliseconds, actingMilliseconds: this.#actingMilliseconds,
+		});
 		if (decided.kind === 'wait') {
 			this.lose('another instance holds it');
 			this.#lookAgainIn(decided.milliseconds);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -13,6 +13,7 @@
 import {CostPlacement} from '../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../decision/limits/shared-repeat-budget.js';
 import {type CacheStoreControl} from '../ports/cache-store-control.js';
+import {mostActingMilliseconds} from '../protocol/duty/duty-lease.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
 import {type EngineControl} from '../ports/engine-control.js';
 import {type MomentClock} from '../ports/moment-clock.js';
@@ -181,7 +182,7 @@
 		const {log} = this.#context;
 		const {instance, listenPeers: address, bounds: {leaseMilliseconds}} = this.#settings;
 		const seat = new DutySeat({
-			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds,
+			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds, actingMilliseconds: mostActingMilliseconds(leaseMilliseconds),
 		}, {store, clock, log});
 		return new Hub(this.#context, {
 			instance, address, seat, client: this.#hubClient, control: storeControl,
@@ -191,7 +192,7 @@
 	#tree(ports: GatewayPorts, waitMilliseconds: number): Supervisor {
 		const {store, catalog, clock, random, control} = ports;
 		const {log, goals, loadingEngines} = this.#context;
-		const {instance, bounds: {leaseMilliseconds}} = this.#settings;
+		const {instance, bounds: {leaseMilliseconds, weightsMilliseconds}} = this.#settings;
 		const parts = {clock, log, random};
 		return new Supervisor({
 			name: 'gateway',
@@ -206,7 +207,7 @@
 				new FeedFollower(store, {table: catalog.endpointTable, waitMilliseconds}, new EndpointReader(this.#context, catalog), parts),
 				new FeedFollower(store, {table: dutyTable, waitMilliseconds: hintWaitMilliseconds}, loadingEngines, parts),
 				new WeightCoordinator(this.#context, {
-					instance, leaseMilliseconds, store, control, goals,
+					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals,
 				}),
 				new EndpointProber(this.#context),
 				this.#hub,
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -95,7 +95,7 @@
 		const address = `127.0.0.1:${port}`;
 		const hubView = new HubView();
 		const seat = new DutySeat({
-			table: 'leases', duty: 'hub', instance, address, leaseMilliseconds: 1000,
+			table: 'leases', duty: 'hub', instance, address, leaseMilliseconds: 1000, actingMilliseconds: 500,
 		}, {store: table, clock, log});
 		const hub = new Hub({
 			clock, configuration, endpoints: new EndpointRegistry(), log, hubView,
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -18,12 +18,25 @@
 const tickMilliseconds = 100;
 /** Instances that hear of new weights together try for the lease spread over this time. */
 const spreadMilliseconds = 250;
+/**
+ * For how long a grant is acted on. A holder that stands still right behind a renewal keeps all others out for this time and
+ * a lease, out of the time in which engines must have their weights; each renewal costs two calls to the store.
+ */
+const actingMilliseconds = 600;
 /** A grant with less than this left is renewed before the next order. */
-const renewMilliseconds = 700;
+const renewMilliseconds = 300;
 /** An order is sent only with this much of the grant left: the check and the sending are not one step. */
 const orderMarginMilliseconds = 250;
 /** How often the report of a loading engine is read. */
-const reportPauseMilliseconds = 250;
+const reportPauseMilliseconds = 150;
+/** Nothing is seen of an order for so long: an engine that is not busy then has not got it. */
+const tracelessMilliseconds = 750;
+/** Part of the time granted for the weights in which they are rolled out; what waits at an engine begins in the rest. */
+const rollShare = 0.8;
+/** What an engine takes for a load, before one was seen: its runs end, and the weights are read. */
+const firstLoadMilliseconds = 1000;
+/** Weight of the newest load in the mean. */
+const newestLoadShare = 0.5;
 
 type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'log' | 'metrics'>;
 
@@ -31,6 +44,8 @@
 export type CoordinatorParts = {
 	instance: string;
 	leaseMilliseconds: number;
+	/** Granted from the naming of weights until all engines must have them. */
+	boundMilliseconds: number;
 	store: TableService & ClockedTable;
 	control: EngineControl;
 	goals: WeightGoals;
@@ -42,13 +57,14 @@
 	readonly #parts: CoordinatorParts;
 	readonly #seat: DutySeat;
 	readonly #loading = new Map<string, LoadingEngine & {reportAt: number}>();
+	#loadMilliseconds = firstLoadMilliseconds;
 
 	constructor(context: CoordinatorContext, parts: CoordinatorParts) {
 		this.#context = context;
 		this.#parts = parts;
 		const {instance, leaseMilliseconds, store} = parts;
 		this.#seat = new DutySeat({
-			table: dutyTable, duty: weightsDuty, instance, address: '', leaseMilliseconds,
+			table: dutyTable, duty: weightsDuty, instance, address: '', leaseMilliseconds, actingMilliseconds,
 		}, {store, clock: context.clock, log: context.log});
 	}
 
@@ -90,7 +106,10 @@
 
 	async #pursue(goal: WeightGoal): Promise<void> {
 		await this.#readReports();
-		const next = planRoll(this.#enginesOf(goal), goal, [...this.#loading.values()], this.#now());
+		const {boundMilliseconds} = this.#parts;
+		// Weights whose age is not known are paced as if named when they were heard of: all engines at once would serve nobody.
+		const dueAt = (goal.namedSince ?? goal.heardAt).steady + (rollShare * boundMilliseconds);
+		const next = planRoll(this.#enginesOf(goal), {...goal, dueAt, loadMilliseconds: this.#loadMilliseconds}, [...this.#loading.values()], this.#now());
 		if (next.length === 0) {
 			return;
 		}
@@ -110,7 +129,13 @@
 
 		const {isBusy, ordersTaken, weightVersions} = report.unsafeCoerce();
 		this.#noteVersions(engine, weightVersions);
-		if (isBusy || (weightVersions.get(goal.model) ?? 0) >= goal.version) {
+		if ((weightVersions.get(goal.model) ?? 0) >= goal.version) {
+			return;
+		}
+
+		if (isBusy) {
+			// It carries out the order of a holder before.
+			this.#noteLoading(engine);
 			return;
 		}
 
@@ -121,8 +146,7 @@
 		}
 
 		const {fencingNumber} = grant.row;
-		const now = this.#now();
-		this.#loading.set(engine.name, {name: engine.name, since: now, reportAt: now + reportPauseMilliseconds});
+		this.#noteLoading(engine);
 		const answer = await control.orderWeights(engine, {
 			model: goal.model, version: goal.version, treatment: 'finish', holder: instance, fencingNumber, ordersTaken,
 		});
@@ -131,6 +155,11 @@
 		});
 	}
 
+	#noteLoading({name}: EndpointRecord): void {
+		const now = this.#now();
+		this.#loading.set(name, {name, since: now, reportAt: now + reportPauseMilliseconds});
+	}
+
 	#ordered(engine: EndpointRecord, goal: WeightGoal, given: {answer: OrderAnswer; fencingNumber: number; ordersTaken: number; left: number}): void {
 		const {log, metrics, endpoints} = this.#context;
 		metrics.orders.inc({outcome: given.answer});
@@ -161,7 +190,7 @@
 			const report = await this.#parts.control.report(engine);
 			report.ifRight(({isBusy, weightVersions}) => {
 				this.#noteVersions(engine, weightVersions);
-				if (!isBusy && now - loading.since > reportPauseMilliseconds * 3) {
+				if (!isBusy && now - loading.since > tracelessMilliseconds) {
 					this.#loading.delete(loading.name);
 				}
 			});
@@ -172,6 +201,13 @@
 		for (const [model, version] of weightVersions) {
 			this.#context.endpoints.noteWeightVersion(engine.name, model, version);
 		}
+
+		const loading = this.#loading.get(engine.name);
+		const isDone = this.#parts.goals.all().every(goal => (weightVersions.get(goal.model) ?? goal.version) >= goal.version);
+		if (loading !== undefined && isDone) {
+			this.#loading.delete(engine.name);
+			this.#loadMilliseconds = (newestLoadShare * (this.#now() - loading.since)) + ((1 - newestLoadShare) * this.#loadMilliseconds);
+		}
 	}
 
 	#loseDuty(): void {
--- a/src/protocol/duty/duty-lease.test.ts
+++ b/src/protocol/duty/duty-lease.test.ts
@@ -7,34 +7,49 @@
 } from './duty-lease.js';
 
 const lease = 3000;
+const terms = {leaseMilliseconds: lease, actingMilliseconds: 1500};
 
 test('another instance takes the duty only when the last grant and a whole lease are over', () => {
 	const row: DutyRow = {
-		holder: 'one', fencingNumber: 4, grantedAt: 10_000, address: '', engines: ['e1'],
+		holder: 'one', fencingNumber: 4, grantedAt: 10_000, actingMilliseconds: 1500, address: '', engines: ['e1'],
 	};
-	assert.deepEqual(decideDuty(row, 'two', 14_000, lease), {kind: 'wait', milliseconds: 800});
-	assert.deepEqual(decideDuty(row, 'two', 14_800, lease), {
+	assert.deepEqual(decideDuty(row, 'two', 14_000, terms), {kind: 'wait', milliseconds: 800});
+	assert.deepEqual(decideDuty(row, 'two', 14_800, terms), {
 		kind: 'take', row: {
-			holder: 'two', fencingNumber: 5, grantedAt: 14_800, address: '', engines: [],
+			holder: 'two', fencingNumber: 5, grantedAt: 14_800, actingMilliseconds: 1500, address: '', engines: [],
 		},
 	});
-	assert.deepEqual(decideDuty(row, 'one', 10_200, lease), {
+	assert.deepEqual(decideDuty(row, 'one', 10_200, terms), {
 		kind: 'take', row: {
-			holder: 'one', fencingNumber: 4, grantedAt: 10_200, address: '', engines: [],
+			holder: 'one', fencingNumber: 4, grantedAt: 10_200, actingMilliseconds: 1500, address: '', engines: [],
 		},
 	});
 });
 
+test('a holder that acts on shorter grants is followed sooner, and not before its last grant is over', () => {
+	// The holder of the orders stands still right behind a renewal. The time within which engines must have their new weights
+	// runs on until another instance may act.
+	const short = {leaseMilliseconds: lease, actingMilliseconds: 600};
+	const first = decideDuty(undefined, 'one', 10_000, terms);
+	assert.ok(first.kind === 'take');
+	const renewed = decideDuty(first.row, 'one', 10_200, short);
+	assert.ok(renewed.kind === 'take');
+	assert.equal(renewed.row.actingMilliseconds, 1300);
+	const later = decideDuty(renewed.row, 'one', 12_000, short);
+	assert.ok(later.kind === 'take');
+	assert.deepEqual(decideDuty(later.row, 'two', 13_000, terms), {kind: 'wait', milliseconds: 2900});
+});
+
 test('a suspended holder stops, whichever clock missed the suspension', () => {
 	const grant: DutyGrant = {
 		row: {
-			holder: 'one', fencingNumber: 1, grantedAt: 0, address: '', engines: [],
+			holder: 'one', fencingNumber: 1, grantedAt: 0, actingMilliseconds: 1500, address: '', engines: [],
 		},
 		since: {steady: 0, wall: 0},
 	};
-	assert.equal(leftOfGrant(grant, lease, {steady: 100, wall: 5100}), -3600);
-	assert.equal(leftOfGrant(grant, lease, {steady: 5100, wall: -2000}), -3600);
-	assert.equal(leftOfGrant(grant, lease, {steady: 400, wall: 400}), 1100);
+	assert.equal(leftOfGrant(grant, {steady: 100, wall: 5100}), -3600);
+	assert.equal(leftOfGrant(grant, {steady: 5100, wall: -2000}), -3600);
+	assert.equal(leftOfGrant(grant, {steady: 400, wall: 400}), 1100);
 });
 
 /** One instance of the simulation; its two clocks fail in different ways. */
@@ -85,7 +100,8 @@
 
 	#read(time: number, random: () => number): void {
 		const {seen, at, since} = this.#reading!;
-		const decided = decideDuty(seen.row, this.name, at, lease);
+		const actingMilliseconds = actingTimes[Math.floor(random() * actingTimes.length)]!;
+		const decided = decideDuty(seen.row, this.name, at, {leaseMilliseconds: lease, actingMilliseconds});
 		this.#reading = undefined;
 		if (decided.kind === 'take') {
 			this.#writing = {
@@ -98,6 +114,8 @@
 type Stored = {row: DutyRow | undefined; revision: number};
 
 const stepMilliseconds = 20;
+/** A holder acts longer on one grant where its store is slow. */
+const actingTimes = [300, 600, 1500];
 
 test('orders of two holders are never less than a lease apart', () => {
 	// Five instances take and lose the duty over random suspensions, jumps of the time of day, slow calls, late writes and
@@ -111,7 +129,7 @@
 		for (let time = 0; time < 60_000; time += stepMilliseconds) {
 			for (const one of instances) {
 				const moment = one.step(time, store, random);
-				if (moment === undefined || one.grant === undefined || leftOfGrant(one.grant, lease, moment) <= 0) {
+				if (moment === undefined || one.grant === undefined || leftOfGrant(one.grant, moment) <= 0) {
 					continue;
 				}
 
@@ -129,7 +147,7 @@
 
 test('a duty that was given back is taken at once, with a new number', () => {
 	const row = releasedRow({
-		holder: 'one', fencingNumber: 4, grantedAt: 10_000, address: '', engines: ['e1'],
+		holder: 'one', fencingNumber: 4, grantedAt: 10_000, actingMilliseconds: 1500, address: '', engines: ['e1'],
 	});
-	assert.equal(decideDuty(row, 'two', 10_001, lease).kind, 'take');
+	assert.equal(decideDuty(row, 'two', 10_001, terms).kind, 'take');
 });
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -3,10 +3,11 @@
  *
  * What must hold: orders of two holders are never less than a lease apart, over kills, freezes, cuts and jumps of the time
  * of day. The row says when it was granted, by the store's steady clock at a read that came before the grant. A holder
- * acts only for a short while, counted by the longer of its two clocks from the sending of that same read, which was
- * before the store's reading; so it stops before the store's clock shows grant plus that while. Anybody else takes the
- * row only when the store's clock shows the grant to be older than that while and a whole lease. No two instances need
- * to agree on a clock.
+ * acts only for a short while, which the row states, counted by the longer of its two clocks from the sending of that same
+ * read, which was before the store's reading; so it stops before the store's clock shows grant plus that while. Anybody
+ * else takes the row only when the store's clock shows the grant to be older than that while and a whole lease. No two
+ * instances need to agree on a clock. A holder that stands still keeps others out for that long: the shorter it acts on one
+ * grant, the sooner another takes over, and the more often it has to renew.
  *
  * The fencing number rises whenever the holder changes. The write is conditional on the row's revision, so two takers
  * cannot get the same one; a write whose answer was lost is not relied on, and the row is read again.
@@ -19,12 +20,27 @@
 	fencingNumber: number;
 	/** The store's clock, in milliseconds, at a moment before the grant. */
 	grantedAt: number;
+	/** For how long the holder acts after the grant. */
+	actingMilliseconds: number;
 	/** Where other instances reach the holder. */
 	address: string;
 	/** Engines that the holder is changing now, for others to spare them. A hint. */
 	engines: string[];
 };
 
+/** Times of a duty, in milliseconds. */
+export type DutyTerms = {
+	/** Orders of two holders are at least so far apart. */
+	leaseMilliseconds: number;
+	/** For how long a holder acts on one grant. */
+	actingMilliseconds: number;
+};
+
+/** What an instance may do about a duty. */
+export type DutyDecision
+	= | {kind: 'take'; row: DutyRow}
+		| {kind: 'wait'; milliseconds: number};
+
 /** A grant as its holder sees it. */
 export type DutyGrant = {
 	row: DutyRow;
@@ -32,26 +48,25 @@
 	since: Moment;
 };
 
-/** Share of the lease for which a holder acts after a grant. The rest of the bound is the pause between two holders. */
-const actingShare = 0.5;
+/** Share of the lease for which a holder acts after a grant at most. */
+const mostActingShare = 0.5;
 /** Beside a whole lease between two holders: what an order takes to arrive, and a check that was made just before. */
 const takeoverMarginMilliseconds = 300;
 
-/** For how long a holder acts after a grant, in milliseconds. */
-export function actingMilliseconds(leaseMilliseconds: number): number {
-	return actingShare * leaseMilliseconds;
+/** For how long a holder acts after a grant at most, in milliseconds. */
+export function mostActingMilliseconds(leaseMilliseconds: number): number {
+	return mostActingShare * leaseMilliseconds;
 }
 
 /**
  * Gives what is left of a grant.
  *
  * @param grant - The grant.
- * @param leaseMilliseconds - The lease.
  * @param now - The present moment.
  * @returns Milliseconds for which the holder may still act; 0 or less if it may not.
  */
-export function leftOfGrant(grant: DutyGrant, leaseMilliseconds: number, now: Moment): number {
-	return actingMilliseconds(leaseMilliseconds) - longestElapsed(grant.since, now);
+export function leftOfGrant({row, since}: DutyGrant, now: Moment): number {
+	return row.actingMilliseconds - longestElapsed(since, now);
 }
 
 const nobodysRow = {address: '', engines: []};
@@ -69,20 +84,22 @@
  * @param row - The row as read; absent if nobody ever held the duty.
  * @param taker - The instance.
  * @param storeMilliseconds - The store's clock at that read.
- * @param leaseMilliseconds - The lease.
+ * @param terms - The lease, and for how long the taker would act on one grant.
  * @returns The row to write; or after how many milliseconds to look again.
  */
-export function decideDuty(row: DutyRow | undefined, taker: string, storeMilliseconds: number, leaseMilliseconds: number): {kind: 'take'; row: DutyRow} | {kind: 'wait'; milliseconds: number} {
+export function decideDuty(row: DutyRow | undefined, taker: string, storeMilliseconds: number, {leaseMilliseconds, actingMilliseconds}: DutyTerms): DutyDecision {
 	if (row === undefined || row.holder === taker) {
+		// The holder goes on under the grant before where the answer to this write is lost: the row must not end sooner.
+		const leftBefore = row === undefined ? 0 : row.grantedAt + row.actingMilliseconds - storeMilliseconds;
 		return {
 			kind: 'take',
 			row: {
-				...nobodysRow, holder: taker, fencingNumber: row?.fencingNumber ?? 1, grantedAt: storeMilliseconds,
+				...nobodysRow, holder: taker, fencingNumber: row?.fencingNumber ?? 1, grantedAt: storeMilliseconds, actingMilliseconds: Math.max(actingMilliseconds, leftBefore),
 			},
 		};
 	}
 
-	const freeAt = row.grantedAt + actingMilliseconds(leaseMilliseconds) + leaseMilliseconds + takeoverMarginMilliseconds;
+	const freeAt = row.grantedAt + row.actingMilliseconds + leaseMilliseconds + takeoverMarginMilliseconds;
 	if (storeMilliseconds < freeAt) {
 		return {kind: 'wait', milliseconds: freeAt - storeMilliseconds};
 	}
@@ -90,7 +107,7 @@
 	return {
 		kind: 'take',
 		row: {
-			...nobodysRow, holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds,
+			...nobodysRow, holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds, actingMilliseconds,
 		},
 	};
 }
