Count all that an engine has let in as work before a short prompt

Placing counted only what is at least as urgent, as if an urgent prompt passed all others; but an engine lets the more urgent in first, and then reads what it has let in to its end.

Change: less urgent work counts as well as far as the engine's slots have let it in. Admission is as before.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -16,7 +16,7 @@
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {admitsPrompt} from './admit-prompt.js';
 import {
-	addLoads, type EndpointLoad, isSilent, noLoad, unreadBefore,
+	addLoads, type EndpointLoad, isSilent, noLoad, unreadAhead, unreadBefore,
 } from './endpoint-load.js';
 import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
 import {homeOf} from './home-of.js';
@@ -220,7 +220,7 @@
 		const occupied = (runningMilliseconds * occupancy) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const weights = isBehind(request, endpoint) ? oldWeightsMilliseconds : 0;
 		const spread = staleNewsMilliseconds * hashOf(`${request.id}|${endpoint.name}`) / hashRange;
-		const before = unreadBefore(load, request.rank);
+		const before = unreadAhead(load, request.rank, slots);
 		const basis = {
 			...work,
 			unreadBefore: isWhole ? before : undefined,
--- a/src/decision/placement/endpoint-load.ts
+++ b/src/decision/placement/endpoint-load.ts
@@ -36,6 +36,19 @@
 	return unreadTokens.slice(0, rank + 1).reduce((sum, tokens) => sum + tokens, 0);
 }
 
+/**
+ * Tokens that are read before those of a prompt that comes now. A more urgent prompt passes those that wait for a slot, but
+ * not those that have one: an engine reads what it has let in to its end, also a long prompt before a short urgent one.
+ *
+ * @param load - What is under way at the engine.
+ * @param rank - The prompt's rank.
+ * @param slots - Requests that the engine runs at a time.
+ */
+export function unreadAhead({requests, unreadTokens}: EndpointLoad, rank: number, slots: number): number {
+	const letInShare = Math.min(1, slots / Math.max(1, requests));
+	return unreadTokens.reduce((sum, tokens, other) => sum + (other <= rank ? tokens : letInShare * tokens), 0);
+}
+
 /**
  * With requests waiting and not a byte from an endpoint for so long, it is taken for dead: a working engine sends some
  * event every few dozen milliseconds, and a plain service answers within its usual work time. Less would blame an endpoint
--- /dev/null
+++ b/src/decision/placement/long-among-short.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {seededRandom} from '../../peer/random/seeded-random.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {CostPlacement} from './cost-placement.js';
+import {type PlacementRequest} from './placement.js';
+
+const tokensPerMillisecond = 64;
+const seconds = 30;
+const engines = Array.from({length: 13}, (_, index) => testEndpoint({
+	name: `e${index}`, address: `10.0.0.${index}:1`, slots: 12, weightVersions: new Map([['lease', 1]]),
+}));
+
+/** A kind of prompt: how often it comes, its size, and by when its first token is due. */
+type Kind = {rank: number; perSecond: number; leastTokens: number; mostTokens: number; objectiveMilliseconds: number};
+
+const long: Kind = {
+	rank: 1, perSecond: 32, leastTokens: 2000, mostTokens: 30_000, objectiveMilliseconds: 600,
+};
+const short: Kind = {
+	rank: 0, perSecond: 173, leastTokens: 100, mostTokens: 500, objectiveMilliseconds: 300,
+};
+
+function promptOf({rank, objectiveMilliseconds}: Kind, id: string, promptTokens: number): PlacementRequest {
+	return {
+		id,
+		service: 'engines',
+		rank,
+		objectiveMilliseconds,
+		prompt: {
+			model: 'lease', promptTokens, mostOutputTokens: 20, parts: [{id, tokens: promptTokens}],
+		},
+		cacheScope: 'shared',
+		engine: {
+			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
+		},
+		tried: new Set(),
+		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		fetchableUnder: () => [],
+		keptAt: () => [0],
+		loading: new Set(),
+	};
+}
+
+/** Prompts of a kind by random times, as they come to the instances. */
+function arrivalsOf(kind: Kind, random: () => number): Array<{kind: Kind; at: number; tokens: number}> {
+	const count = kind.perSecond * seconds;
+	return Array.from({length: count}, () => ({
+		kind, at: 1000 * seconds * random(), tokens: Math.round(kind.leastTokens + ((kind.mostTokens - kind.leastTokens) * random())),
+	}));
+}
+
+/** Plays the load; gives how many prompts of each rank were answered in time. Engines read what they let in to its end. */
+function play(): Map<Kind, number> {
+	const random = seededRandom(7);
+	const policy = new CostPlacement('split', () => ({
+		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
+	}));
+	const freeAt = new Map<string, number>();
+	const inTime = new Map<Kind, number>([[long, 0], [short, 0]]);
+	let underWay: Array<{endsAt: number; request: PlacementRequest; endpoint: EndpointRecord}> = [];
+	const arrivals = [...arrivalsOf(long, random), ...arrivalsOf(short, random)].toSorted((one, other) => one.at - other.at);
+	for (const [index, {kind, at, tokens}] of arrivals.entries()) {
+		for (const {endsAt, request, endpoint} of underWay.filter(({endsAt}) => endsAt <= at)) {
+			policy.observe({
+				kind: 'answered', request, endpoint, load: undefined,
+			}, endsAt);
+			policy.observe({
+				kind: 'ended', request, endpoint, outcome: 'whole',
+			}, endsAt);
+		}
+
+		underWay = underWay.filter(({endsAt}) => endsAt > at);
+		const request = promptOf(kind, `p${index}`, tokens);
+		const placement = policy.place(request, engines, at);
+		if (placement.kind === 'none') {
+			continue;
+		}
+
+		const {endpoint, basis} = placement;
+		policy.observe({
+			kind: 'sent', request, endpoint, basis,
+		}, at);
+		const endsAt = Math.max(at, freeAt.get(endpoint.name) ?? 0) + (tokens / tokensPerMillisecond);
+		freeAt.set(endpoint.name, endsAt);
+		underWay.push({endsAt, request, endpoint});
+		inTime.set(kind, inTime.get(kind)! + (endsAt - at <= kind.objectiveMilliseconds ? 1 : 0));
+	}
+
+	return inTime;
+}
+
+test('short urgent prompts do not wait behind long ones that an engine has let in', t => {
+	// Long prompts of some ten thousand tokens come among many short ones that are more urgent. An engine passes them only in
+	// its queue: once it has let a long prompt in, it reads it to its end. A short prompt that is sent there waits for
+	// hundreds of milliseconds while other engines stand idle.
+	const inTime = play();
+	const shareOf = (kind: Kind): number => inTime.get(kind)! / (kind.perSecond * seconds);
+	t.diagnostic(`in time: short ${shareOf(short).toFixed(3)}, long ${shareOf(long).toFixed(3)}`);
+	assert.ok(shareOf(short) >= 0.95, `short: ${shareOf(short)}`);
+	assert.ok(shareOf(long) >= 0.95, `long: ${shareOf(long)}`);
+});
