Reckon with the declared link for fetches, and count a fetch as work before others

Hypothesis: on engines whose tokens are eighteen times as large, fetching was taken for four times as fast as the link can be (250 tokens a millisecond, true of another make, where 99 are declared here), and an engine that fetches looked idle: with nothing to read, it drew prompts that then waited for the fetch. Evidence: in the logs, short prompts that were sent to an engine which fetched a long part were late in 22 to 70 of 100 cases.

Change: the speed of a fetch follows from the declared link and the size of a token, three fifths of it; the time of the fetch counts as tokens still to read at that engine.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -19,6 +19,7 @@
 	addLoads, type EndpointLoad, isSilent, noLoad, unreadAhead, unreadBefore,
 } from './endpoint-load.js';
 import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
+import {fetchTokensPerMillisecond} from './fetch-speed.js';
 import {homeOf} from './home-of.js';
 import {beginsInGrant, isBehind} from './older-weights.js';
 import {
@@ -26,8 +27,6 @@
 } from './placement.js';
 import {promptWork, type PromptWork} from './prompt-work.js';
 
-/** Tokens that an engine fetches from a store in a millisecond: 50 Gbit/s at about 18 KB a token, less the way there. */
-const fetchTokensPerMillisecond = 250;
 /** Reading parts again takes an engine's time from all others there; its own caller waits for it once, others as well. */
 const rereadWeight = 3;
 /**
@@ -128,7 +127,9 @@
 		const outlook = this.#memories.outlookOf(endpoint);
 		switch (event.kind) {
 			case 'sent': {
-				outlook.sent(request.id, {rank: request.rank, heldTokens: heldTokensOf(request), basis: event.basis}, now);
+				outlook.sent(request.id, {
+					rank: request.rank, heldTokens: heldTokensOf(request), unreadTokens: this.#unreadTokensOf(request, event.basis), basis: event.basis,
+				}, now);
 				if (request.prompt !== undefined) {
 					this.#memories.partsOf(endpoint, request.engine?.capacityTokens ?? 0).learn(scopeAt(request, endpoint), request.prompt.parts, now);
 				}
@@ -228,17 +229,23 @@
 			costMilliseconds: this.#readingCost(request, work, {before, isHome}) + occupied + distance + weights + spread,
 		};
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
-		const wait = ((before + work.readTokens) / speed) + (work.fetchTokens / fetchTokensPerMillisecond) + (waitingMilliseconds * Math.max(0, occupancy - slots));
+		const wait = ((before + work.readTokens) / speed) + (work.fetchTokens / fetchTokensPerMillisecond(request.engine)) + (waitingMilliseconds * Math.max(0, occupancy - slots));
 		const isAdmitted = hasRoom && beginsInGrant(request, endpoint, wait, now) && this.#admits(request, work.readTokens, isWhole ? load : undefined);
 		return {endpoint, isAdmitted, basis};
 	}
 
+	/** What an engine has to read for a prompt; the time in which it fetches counts as well, since it reads no other meanwhile. */
+	#unreadTokensOf(request: PlacementRequest, {readTokens, fetchTokens}: PromptWork): number {
+		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
+		return Math.round(readTokens + (fetchTokens * speed / fetchTokensPerMillisecond(request.engine)));
+	}
+
 	/** What fetching, reading and waiting for the reading of others cost, in milliseconds; less at the home of unread parts. */
 	#readingCost(request: PlacementRequest, work: PromptWork, {before, isHome}: {before: number; isHome: boolean}): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
 		const reading = rereadWeight * work.readTokens / speed;
 		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
-		return reading + (work.fetchTokens / fetchTokensPerMillisecond) + (before / speed) - preference;
+		return reading + (work.fetchTokens / fetchTokensPerMillisecond(request.engine)) + (before / speed) - preference;
 	}
 
 	/** Without the other instances' work nothing can be said; the engine's own queue decides then. */
--- a/src/decision/placement/endpoint-outlook.ts
+++ b/src/decision/placement/endpoint-outlook.ts
@@ -43,10 +43,10 @@
 		return this.#requests.size;
 	}
 
-	/** Notes a send; `heldTokens` is its whole need of memory. */
-	sent(id: string, {rank, heldTokens, basis}: {rank: number; heldTokens: number; basis: PlacementBasis}, now: number): void {
+	/** Notes a send; `heldTokens` is its whole need of memory, `unreadTokens` what keeps the engine from reading others. */
+	sent(id: string, {rank, heldTokens, unreadTokens, basis}: {rank: number; heldTokens: number; unreadTokens: number; basis: PlacementBasis}, now: number): void {
 		this.#requests.set(id, {
-			rank: Math.min(toldRanks - 1, rank), sentAt: now, unreadTokens: basis.readTokens, heldTokens, isAnswered: false, basis,
+			rank: Math.min(toldRanks - 1, rank), sentAt: now, unreadTokens, heldTokens, isAnswered: false, basis,
 		});
 		this.#sentSinceReport++;
 	}
--- /dev/null
+++ b/src/decision/placement/fetch-speed.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type EngineTraits} from '../../shared/routed-configuration.js';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {CostPlacement} from './cost-placement.js';
+import {fetchTokensPerMillisecond} from './fetch-speed.js';
+import {type PlacementRequest} from './placement.js';
+
+const traits: EngineTraits = {
+	slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
+};
+
+test('the speed of a fetch follows the declared link and the size of a token', () => {
+	assert.equal(Math.round(fetchTokensPerMillisecond(traits)), 60);
+	assert.equal(Math.round(fetchTokensPerMillisecond({...traits, bytesPerToken: 18_432})), 1058);
+	assert.equal(fetchTokensPerMillisecond(undefined), fetchTokensPerMillisecond({...traits, linkMegabitsPerSecond: 0}));
+});
+
+test('an engine that fetches a long part is left to itself by the prompts that come meanwhile', () => {
+	// A long prompt's shared part comes over the link for a quarter of a second. The engine reads no other prompt meanwhile,
+	// but with nothing to read it looked idle, and short prompts were sent there.
+	const engines = ['e0', 'e1'].map(name => testEndpoint({name, slots: 12, weightVersions: new Map([['lease', 1]])}));
+	const policy = new CostPlacement('split', () => ({
+		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
+	}));
+	const requestOf = (id: string, parts: Array<{id: string; tokens: number}>): PlacementRequest => ({
+		id,
+		service: 'engines',
+		rank: 1,
+		objectiveMilliseconds: 600,
+		prompt: {
+			model: 'lease', promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0), mostOutputTokens: 20, parts,
+		},
+		cacheScope: 'shared',
+		engine: traits,
+		tried: new Set(),
+		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		fetchableUnder: () => parts.map(({tokens}) => tokens > 10_000),
+		keptAt: () => parts.map(() => 0),
+		loading: new Set(),
+	});
+	const long = requestOf('long', [{id: 'shared', tokens: 15_000}, {id: 'own', tokens: 100}]);
+	const first = policy.place(long, engines, 0);
+	assert.ok(first.kind === 'send');
+	assert.equal(first.basis.fetchTokens, 15_000);
+	policy.observe({
+		kind: 'sent', request: long, endpoint: first.endpoint, basis: first.basis,
+	}, 0);
+	for (let index = 0; index < 20; index++) {
+		const short = policy.place(requestOf(`short-${index}`, [{id: `own-${index}`, tokens: 300}]), engines, 10);
+		assert.ok(short.kind === 'send');
+		assert.notEqual(short.endpoint.name, first.endpoint.name);
+	}
+});
