Give what both listeners share a folder of its own; split the try at an endpoint

The gateway's data path reached up into the entry's folders for the listener, the body's reader, refusals and the breaking off of answers. They stand in `src/serving` now, below both.

--- a/src/entry/callers/answer-unrouted.ts
+++ b/src/entry/callers/answer-unrouted.ts
@@ -1,5 +1,5 @@
 import {type NodeExchange} from '../../shared/node-route.js';
-import {sendRefusal} from './send-refusal.js';
+import {sendRefusal} from '../../serving/send-refusal.js';
 
 /** The methods of each path; a path under `/services/` takes any. */
 const methodsOfPath: ReadonlyMap<string, string> = new Map([
--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -7,6 +7,8 @@
 import {promptTextOf} from '../../shared/prompt-text-of.js';
 import {type Refusal, type ServiceItem, type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
+import {readBody} from '../../serving/read-body.js';
+import {refusalBody, sendRefusal} from '../../serving/send-refusal.js';
 import {type AdmissionGate} from './admission-gate.js';
 import {authenticate} from './authenticate.js';
 import {CallsRoute} from './calls-route.js';
@@ -19,9 +21,7 @@
 import {answerUnrouted} from './answer-unrouted.js';
 import {OpenRequests} from './open-requests.js';
 import {type PlainRoute} from './plain-route.js';
-import {readBody} from './read-body.js';
 import {requestRule} from './request-rule.js';
-import {refusalBody, sendRefusal} from './send-refusal.js';
 import {sendJson} from './send-whole.js';
 
 export const defaultBodyLimitBytes = 8_388_608;
--- a/src/entry/callers/calls-route.ts
+++ b/src/entry/callers/calls-route.ts
@@ -9,7 +9,7 @@
 import {type NodeExchange} from '../../shared/node-route.js';
 import {type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
-import {sendRefusal} from './send-refusal.js';
+import {sendRefusal} from '../../serving/send-refusal.js';
 import {sendJson} from './send-whole.js';
 
 const comeBackMilliseconds = 2000;
--- a/src/entry/callers/completion-writer.ts
+++ b/src/entry/callers/completion-writer.ts
@@ -6,10 +6,10 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {type Refusal} from '../../shared/types.js';
+import {refusalBody, sendRefusal} from '../../serving/send-refusal.js';
+import {breakOffAnswer} from '../../serving/break-off-answer.js';
 import {type AnswerSink} from './completion-job.js';
 import {type CompletionRequest} from './completion-request.js';
-import {refusalBody, sendRefusal} from './send-refusal.js';
-import {breakOffAnswer} from './break-off-answer.js';
 
 /** Stands for the text while the frame of a streamed event is made; no member of an event can hold it. */
 const textPlace = '\u0000text\u0000';
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -9,9 +9,9 @@
 import {type NodeExchange} from '../../shared/node-route.js';
 import {type Refusal, type ServiceItem, type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
+import {readBody} from '../../serving/read-body.js';
+import {sendRefusal} from '../../serving/send-refusal.js';
 import {type NeverTwiceRunner} from './never-twice-runner.js';
-import {readBody} from './read-body.js';
-import {sendRefusal} from './send-refusal.js';
 import {sendWhole} from './send-whole.js';
 
 const defaultBodyLimitBytes = 1_048_576;
--- a/src/gateway/data-path/endpoint-try.ts
+++ b/src/gateway/data-path/endpoint-try.ts
@@ -2,47 +2,17 @@
  * One try of a request at one endpoint: sent, its answer judged by its head, and passed on as it comes. What follows a try
  * that failed is decided elsewhere.
  */
-import {type Buffer} from 'node:buffer';
-import {type ServerResponse} from 'node:http';
 import {isRepeatable, type TryOutcome} from '../../decision/attempts/next-step.js';
-import {isBehind} from '../../decision/placement/older-weights.js';
-import {type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
-import {type EventCutter} from './event-cutter.js';
 import {isPassableHead} from './is-passable-head.js';
-import {type PermittedRequest} from './judge-request.js';
 import {orderParts} from './order-parts.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
 import {relayAnswer} from './relay-answer.js';
-import {type RequestHead} from './request-head.js';
-
-/** What is sent, and to whom the answer goes. */
-export type TryWork = {
-	head: RequestHead;
-	permitted: PermittedRequest;
-	body: Buffer;
-	response: ServerResponse;
-	/** For streams that may be resumed. */
-	cutter: EventCutter | undefined;
-	/** When the caller or the route gives up, in milliseconds of the steady clock. */
-	deadline: number;
-};
-
-/** Where it is sent. */
-export type TryTarget = {
-	endpoint: EndpointRecord;
-	request: PlacementRequest;
-	/** By what it was chosen. */
-	basis: PlacementBasis;
-	/** Whether another endpoint may still be tried behind this one. */
-	hasNext: boolean;
-	/** Told when the first bytes of the answer came. */
-	onFirstBytes(): void;
-};
+import {type GivenUpFor, TryWatch} from './try-watch.js';
+import {type TryTarget, type TryWork} from './try-work.js';
 
 /** How a try ended. */
 export type TryResult = {
@@ -56,26 +26,27 @@
 	detail?: string | undefined;
 };
 
+/** How the log tells of a try that was given up. */
+const givenUpDetails: Record<GivenUpFor, string> = {
+	silence: 'the endpoint fell silent',
+	'older-weights': 'not begun when the grant of older weights ended',
+};
+
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
-/** How often a waiting request looks whether its endpoint has fallen silent. */
-const silenceCheckMilliseconds = 200;
-/** A prompt is taken back from an engine with older weights this long before the grant ends: the way to the engine. */
-const takeBackMilliseconds = 250;
 
 export class EndpointTry {
 	readonly #context: GatewayContext;
 	readonly #work: TryWork;
 	readonly #target: TryTarget;
+	readonly #watch: TryWatch;
 	#exchange: OpenExchange | undefined;
-	#fellSilent = false;
 	#isCancelled = false;
-	#isOutOfGrant = false;
-	#hasBegun = false;
 
 	constructor(context: GatewayContext, work: TryWork, target: TryTarget) {
 		this.#context = context;
 		this.#work = work;
 		this.#target = target;
+		this.#watch = new TryWatch(context, work, target);
 	}
 
 	/** Sends the request and passes the answer on. */
@@ -103,11 +74,9 @@
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
 		});
-		const watch = this.#watchForSilence(this.#exchange);
-		const grantEnd = this.#watchGrantOfWeights(this.#exchange);
+		this.#watch.start(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
-		clearInterval(watch);
-		clearTimeout(grantEnd);
+		this.#watch.stop();
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#endOf(result.outcome),
 		}, this.#now());
@@ -126,45 +95,6 @@
 		this.#exchange?.cancel();
 	}
 
-	/**
-	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
-	 * resets no connection, and the caller would wait until the time-out. Behind the first bytes only a stream that may be
-	 * resumed can go elsewhere; a cut would leave any other caller with half of an answer that may only be slow. An endpoint
-	 * whose answer waits here for a slow caller is not silent: it is this process that does not read.
-	 */
-	#watchForSilence(exchange: OpenExchange): NodeJS.Timeout | undefined {
-		if (!isRepeatable(this.#work.permitted.route.kind) || !this.#target.hasNext) {
-			return undefined;
-		}
-
-		return setInterval(() => {
-			const {response, cutter} = this.#work;
-			const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
-			if (canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
-				this.#fellSilent = true;
-				exchange.cancel();
-			}
-		}, silenceCheckMilliseconds);
-	}
-
-	/**
-	 * Takes a prompt back that its engine has not begun when the time ends in which runs may begin on the engine's older
-	 * weights. It waited there longer than placing had reckoned; an answer on those weights must not come any more.
-	 */
-	#watchGrantOfWeights(exchange: OpenExchange): NodeJS.Timeout | undefined {
-		const {request, endpoint} = this.#target;
-		if (!isBehind(request, endpoint) || !Number.isFinite(request.olderWeightsUntil)) {
-			return undefined;
-		}
-
-		return setTimeout(() => {
-			if (!this.#hasBegun) {
-				this.#isOutOfGrant = true;
-				exchange.cancel();
-			}
-		}, Math.max(0, request.olderWeightsUntil - takeBackMilliseconds - this.#now()));
-	}
-
 	async #awaitResult(exchange: OpenExchange): Promise<TryResult> {
 		const answered = await exchange.answer;
 		if (answered.isLeft()) {
@@ -232,7 +162,7 @@
 			response,
 			cutter: answer.status === 200 ? cutter : undefined,
 			onFirstBytes: () => {
-				this.#hasBegun = true;
+				this.#watch.noteBegun();
 				onFirstBytes();
 				placement.observe({
 					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
@@ -283,12 +213,9 @@
 
 	/** What broke a try, which must not be laid at the endpoint's door where this process gave it up. */
 	#detailOf(seen: string): string {
-		if (this.#fellSilent) {
-			return 'the endpoint fell silent';
-		}
-
-		if (this.#isOutOfGrant) {
-			return 'not begun when the grant of older weights ended';
+		const {givenUpFor} = this.#watch;
+		if (givenUpFor !== undefined) {
+			return givenUpDetails[givenUpFor];
 		}
 
 		return this.#isCancelled ? 'given up: the caller left or the time was over' : seen;
@@ -299,11 +226,12 @@
 			return outcome;
 		}
 
-		if (this.#isCancelled || this.#isOutOfGrant || outcome === 'client-left') {
+		const {givenUpFor} = this.#watch;
+		if (this.#isCancelled || givenUpFor === 'older-weights' || outcome === 'client-left') {
 			return 'cancelled';
 		}
 
-		return outcome === 'not-sent' || this.#fellSilent ? 'unreachable' : 'failed';
+		return outcome === 'not-sent' || givenUpFor === 'silence' ? 'unreachable' : 'failed';
 	}
 
 	#now(): number {
--- a/src/gateway/data-path/gateway-front.ts
+++ b/src/gateway/data-path/gateway-front.ts
@@ -1,6 +1,6 @@
 /** Takes clients' requests: judges the head, reads the body, and hands on what may be sent to an endpoint. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {readBody} from '../../entry/callers/read-body.js';
+import {readBody} from '../../serving/read-body.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {judgeRequest, type PermittedRequest} from './judge-request.js';
--- a/src/gateway/data-path/refuse.ts
+++ b/src/gateway/data-path/refuse.ts
@@ -1,6 +1,6 @@
 /** Writes a gateway's refusals. */
 import {type ServerResponse} from 'node:http';
-import {sendRefusal, statusOfReason} from '../../entry/callers/send-refusal.js';
+import {sendRefusal, statusOfReason} from '../../serving/send-refusal.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,7 +11,7 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {breakOffAnswer} from '../../entry/callers/break-off-answer.js';
+import {breakOffAnswer} from '../../serving/break-off-answer.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
--- /dev/null
+++ b/src/gateway/data-path/try-watch.ts
@@ -0,0 +1,97 @@
+/** Watches one try at an endpoint, and gives it up before the caller's time is over where waiting on helps nobody. */
+import {isRepeatable} from '../../decision/attempts/next-step.js';
+import {isBehind} from '../../decision/placement/older-weights.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {type OpenExchange} from './endpoint-exchange.js';
+import {type TryTarget, type TryWork} from './try-work.js';
+
+/** Why a try was given up. */
+export type GivenUpFor = 'silence' | 'older-weights';
+
+/** How often a waiting request looks whether its endpoint has fallen silent. */
+const silenceCheckMilliseconds = 200;
+/** A prompt is taken back from an engine with older weights this long before the grant ends: the way to the engine. */
+const takeBackMilliseconds = 250;
+
+export class TryWatch {
+	readonly #context: GatewayContext;
+	readonly #work: TryWork;
+	readonly #target: TryTarget;
+	#silenceCheck: NodeJS.Timeout | undefined;
+	#grantEnd: NodeJS.Timeout | undefined;
+	#hasBegun = false;
+	#givenUpFor: GivenUpFor | undefined;
+
+	constructor(context: GatewayContext, work: TryWork, target: TryTarget) {
+		this.#context = context;
+		this.#work = work;
+		this.#target = target;
+	}
+
+	/** Why the try was given up; absent if it was not. */
+	get givenUpFor(): GivenUpFor | undefined {
+		return this.#givenUpFor;
+	}
+
+	/** Begins to watch a call that was sent. */
+	start(exchange: OpenExchange): void {
+		this.#watchForSilence(exchange);
+		this.#watchGrantOfWeights(exchange);
+	}
+
+	/** Notes that the endpoint has begun to answer. */
+	noteBegun(): void {
+		this.#hasBegun = true;
+	}
+
+	stop(): void {
+		clearInterval(this.#silenceCheck);
+		clearTimeout(this.#grantEnd);
+	}
+
+	/**
+	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
+	 * resets no connection, and the caller would wait until the time-out. Behind the first bytes only a stream that may be
+	 * resumed can go elsewhere; a cut would leave any other caller with half of an answer that may only be slow. An endpoint
+	 * whose answer waits here for a slow caller is not silent: it is this process that does not read.
+	 */
+	#watchForSilence(exchange: OpenExchange): void {
+		if (!isRepeatable(this.#work.permitted.route.kind) || !this.#target.hasNext) {
+			return;
+		}
+
+		this.#silenceCheck = setInterval(() => {
+			const {response, cutter} = this.#work;
+			const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
+			if (canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
+				this.#giveUp(exchange, 'silence');
+			}
+		}, silenceCheckMilliseconds);
+	}
+
+	/**
+	 * Takes a prompt back that its engine has not begun when the time ends in which runs may begin on the engine's older
+	 * weights. It waited there longer than placing had reckoned; an answer on those weights must not come any more.
+	 */
+	#watchGrantOfWeights(exchange: OpenExchange): void {
+		const {request, endpoint} = this.#target;
+		if (!isBehind(request, endpoint) || !Number.isFinite(request.olderWeightsUntil)) {
+			return;
+		}
+
+		this.#grantEnd = setTimeout(() => {
+			if (!this.#hasBegun) {
+				this.#giveUp(exchange, 'older-weights');
+			}
+		}, Math.max(0, request.olderWeightsUntil - takeBackMilliseconds - this.#now()));
+	}
+
+	#giveUp(exchange: OpenExchange, reason: GivenUpFor): void {
+		this.#givenUpFor ??= reason;
+		exchange.cancel();
+	}
+
+	#now(): number {
+		return this.#context.clock.moment().steady;
+	}
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {H3} from 'h3';
 import {type Either} from 'purify-ts/Either';
-import {HttpListener, defaultListenerBounds} from '../entry/http-listener.js';
+import {HttpListener, defaultListenerBounds} from '../serving/http-listener.js';
 import {PartPlanner} from '../decision/parts/plan-parts.js';
 import {CostPlacement} from '../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../decision/limits/shared-repeat-budget.js';
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -6,7 +6,7 @@
 import {PartPlanner} from '../../decision/parts/plan-parts.js';
 import {CostPlacement} from '../../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../../decision/limits/shared-repeat-budget.js';
-import {HttpListener} from '../../entry/http-listener.js';
+import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
 import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
 import {HttpEndpointExchanges} from '../data-path/endpoint-exchange.js';
--- a/src/entry/connection-refusal.ts
+++ b/src/serving/connection-refusal.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {STATUS_CODES} from 'node:http';
 import {type Refusal} from '../shared/types.js';
-import {refusalBody} from './callers/send-refusal.js';
+import {refusalBody} from './send-refusal.js';
 
 /** A refusal with the status that fits the fault of the connection better than the reason's own. */
 export type ConnectionRefusal = {
--- a/src/entry/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -10,9 +10,9 @@
 import {type Duplex} from 'node:stream';
 import {type H3, toNodeHandler} from 'h3';
 import {type Child} from '../supervisor/supervisor.js';
-import {breakOffAnswer} from './callers/break-off-answer.js';
-import {sendRefusal} from './callers/send-refusal.js';
 import {connectionRefusalBytes, judgeConnectionError} from './connection-refusal.js';
+import {breakOffAnswer} from './break-off-answer.js';
+import {sendRefusal} from './send-refusal.js';
 
 /** What a client may cost before its request has arrived. */
 export type ListenerBounds = {
--- a/src/entry/callers/read-body.test.ts
+++ b/src/serving/read-body.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
-import {HttpListener} from '../http-listener.js';
-import {connectionEndings} from '../../test/ending-server.js';
-import {openSocket} from '../../test/raw-http.js';
+import {connectionEndings} from '../test/ending-server.js';
+import {openSocket} from '../test/raw-http.js';
+import {HttpListener} from './http-listener.js';
 import {readBody} from './read-body.js';
 
 const head = 'POST /bookings HTTP/1.1\r\nhost: entry\r\n';
--- a/src/entry/callers/read-body.ts
+++ b/src/serving/read-body.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Either, Left, Right} from 'purify-ts/Either';
-import {type Refusal} from '../../shared/types.js';
+import {type Refusal} from '../shared/types.js';
 
 /**
  * Reads the body of a request up to a limit. A body that is too long is refused as soon as that is known: by its
--- a/src/entry/callers/send-refusal.ts
+++ b/src/serving/send-refusal.ts
@@ -1,7 +1,7 @@
 /** Writes refusals: the error body of the published completions protocol, with our reason and the word on the work. */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {type Refusal, type RefusalReason} from '../../shared/types.js';
+import {type Refusal, type RefusalReason} from '../shared/types.js';
 
 /** The HTTP status of each reason. */
 export const statusOfReason: Record<RefusalReason, number> = {
--- a/src/test/caller-limits.test.ts
+++ b/src/test/caller-limits.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {after, before, test} from 'node:test';
-import {defaultListenerBounds} from '../entry/http-listener.js';
+import {defaultListenerBounds} from '../serving/http-listener.js';
 import {
 	errorCodeOf, exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
 } from './raw-http.js';
--- a/src/test/drain.test.ts
+++ b/src/test/drain.test.ts
@@ -1,7 +1,7 @@
 /** A graceful stop of one entry: what its callers see, and that the stop ends. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {defaultListenerBounds} from '../entry/http-listener.js';
+import {defaultListenerBounds} from '../serving/http-listener.js';
 import {
 	errorCodeOf, exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
 } from './raw-http.js';
--- a/src/test/malformed-requests.test.ts
+++ b/src/test/malformed-requests.test.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {defaultListenerBounds} from '../entry/http-listener.js';
+import {defaultListenerBounds} from '../serving/http-listener.js';
 import {
 	errorCodeOf, exchangeRaw, openSocket, readToEnd, statusOf,
 } from './raw-http.js';
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -8,7 +8,7 @@
 import {ConfigurationHolder} from '../entry/configuration-holder.js';
 import {EndpointDirectory} from '../entry/endpoint-directory.js';
 import {type EntryContext} from '../entry/entry-context.js';
-import {defaultListenerBounds, HttpListener} from '../entry/http-listener.js';
+import {defaultListenerBounds, HttpListener} from '../serving/http-listener.js';
 import {NoKeptContext} from '../entry/kept/kept-context.js';
 import {RequestRegistry} from '../entry/request-registry.js';
 import {createOperatorRoutes} from '../entry/operators/operator-routes.js';
