Let the hub tell of cache stores until another one could hold its lease

Hypothesis: a hub that cannot renew its lease stopped telling what stores hold 1.5 s behind its last grant, though nobody else can hold the lease, and free what is told, for another 3.3 s. All instances then read returning prompts again while the platform's table is slow or away.

Change: stores are told of as long as the duty is uncontested; nothing is freed meanwhile.

--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -3,7 +3,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type TableService} from '../../ports/table-service.js';
 import {
-	decideDuty, type DutyGrant, type DutyRow, leftOfGrant, mostActingMilliseconds, releasedRow,
+	decideDuty, type DutyGrant, type DutyRow, isUncontested, leftOfGrant, mostActingMilliseconds, releasedRow,
 } from '../../protocol/duty/duty-lease.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 
@@ -52,6 +52,11 @@
 		return this.left() > 0 ? this.#grant : undefined;
 	}
 
+	/** Whether no other instance can hold the duty yet, though this one may not act any more. */
+	get isUncontested(): boolean {
+		return this.#grant !== undefined && isUncontested(this.#grant, this.#plan.leaseMilliseconds, this.#tools.clock.moment());
+	}
+
 	/** The row as it was read last. */
 	get seen(): DutyRow | undefined {
 		return this.#seen;
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -25,7 +25,7 @@
 /**
  * A hub that could not renew its lease goes on telling hints for this long, unless it hears of another holder: a store that
  * is slow or away for seconds keeps others from taking over as well, and without hints prompts are read again everywhere.
- * What cache stores hold is told under the lease only, since the next holder may free it.
+ * What cache stores hold is told only as long as there can be no next holder, who may free it.
  */
 const lapsedMilliseconds = 15_000;
 /** While the hub's lease has lapsed, followers look for a new one at this pace; most find the store out of reach too. */
@@ -195,12 +195,16 @@
 		}
 	}
 
-	/** Keeps stores under the lease, and watches engines as long as followers are served. */
+	/**
+	 * Keeps stores under the lease, and watches engines as long as followers are served. Behind the lease, while no other
+	 * instance can hold it, stores are told of further and nothing is freed: only another holder could free what is told, and
+	 * without the stores each returning prompt is read again for as long as the platform's table is away.
+	 */
 	#serve(): void {
 		if (this.isHub()) {
 			this.#heldAt = this.#now();
 			this.#stores.keep(this.#declaredStores());
-		} else {
+		} else if (!this.#parts.seat.isUncontested) {
 			this.#parts.seat.lose('it was not renewed in time');
 			this.#stores.close();
 		}
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -69,6 +69,18 @@
 	return row.actingMilliseconds - longestElapsed(since, now);
 }
 
+/**
+ * Tells whether no other instance can hold the duty yet, though the holder may not act on its grant any more. What only
+ * another holder could change still stands as the holder left it.
+ *
+ * @param grant - The holder's last grant.
+ * @param leaseMilliseconds - The lease.
+ * @param now - The present moment.
+ */
+export function isUncontested({row, since}: DutyGrant, leaseMilliseconds: number, now: Moment): boolean {
+	return longestElapsed(since, now) < row.actingMilliseconds + leaseMilliseconds;
+}
+
 const nobodysRow = {address: '', engines: []};
 /** Long before any time of the store's clock. */
 const neverGranted = Number.MIN_SAFE_INTEGER;
