Be without a hub for less long: a shorter lease, and no second pause behind the hub's own word

Hypothesis: when the hub died its lease kept others out for 4.8 s, and all instances placed without news of each other; then the new hub waited until nobody could believe the old one. A hub that came back behind an outage of the platform's table waited as if another one had been there.

Change: the hub's lease is 1.5 s, apart from that of orders to engines: what the hub orders stores to free is void behind 0.4 s. A hub under the same number as before reckons with the end of its own last word: the number rises when the holder changes. The simulated runs of the lease mix both lengths.

--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -64,7 +64,7 @@
 
 	get #actingMilliseconds(): number {
 		const {actingMilliseconds, leaseMilliseconds} = this.#plan;
-		return Math.min(mostActingMilliseconds(leaseMilliseconds), Math.max(actingMilliseconds, renewalsInGrant * this.#seekMilliseconds));
+		return Math.max(actingMilliseconds, Math.min(mostActingMilliseconds(leaseMilliseconds), renewalsInGrant * this.#seekMilliseconds));
 	}
 
 	/** With less than this left a grant is to be renewed: two renewals as slow as the last one. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -13,7 +13,6 @@
 import {CostPlacement} from '../decision/placement/cost-placement.js';
 import {SharedRepeatBudget} from '../decision/limits/shared-repeat-budget.js';
 import {type CacheStoreControl} from '../ports/cache-store-control.js';
-import {mostActingMilliseconds} from '../protocol/duty/duty-lease.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
 import {type EngineControl} from '../ports/engine-control.js';
 import {type MomentClock} from '../ports/moment-clock.js';
@@ -68,6 +67,13 @@
 /** Rows of leases that nobody follows. */
 const leaseTable = 'leases';
 const hubDuty = 'hub';
+/**
+ * The hub's lease may be shorter than that of orders to engines: what it orders stores to free is void behind a fraction of a
+ * second. While a hub that died holds its lease, every instance places without news of the others, and prompts are read again.
+ */
+const hubLeaseMilliseconds = 1500;
+/** For how long the hub acts on a grant: a table that is away for less is not noticed. */
+const hubActingMilliseconds = 1500;
 /** Hints may be late: a feed that brings nothing else waits long, to cost few calls. */
 const hintWaitMilliseconds = 20_000;
 /** More than any deployment's own limit on headers, which is checked behind the parser. */
@@ -180,9 +186,9 @@
 
 	#createHub({store, clock, storeControl}: GatewayPorts): Hub {
 		const {log} = this.#context;
-		const {instance, listenPeers: address, bounds: {leaseMilliseconds}} = this.#settings;
+		const {instance, listenPeers: address} = this.#settings;
 		const seat = new DutySeat({
-			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds, actingMilliseconds: mostActingMilliseconds(leaseMilliseconds),
+			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds: hubLeaseMilliseconds, actingMilliseconds: hubActingMilliseconds,
 		}, {store, clock, log});
 		return new Hub(this.#context, {
 			instance, address, seat, client: this.#hubClient, control: storeControl,
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -203,7 +203,7 @@
 	#serve(): void {
 		if (this.isHub()) {
 			this.#heldAt = this.#now();
-			this.#stores.keep(this.#declaredStores());
+			this.#stores.keep(this.#declaredStores(), this.#parts.seat.grant?.row.fencingNumber ?? 0);
 		} else if (!this.#parts.seat.isUncontested) {
 			this.#parts.seat.lose('it was not renewed in time');
 			this.#stores.close();
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -35,14 +35,19 @@
 	#since = 0;
 	readonly #engineClock = new EngineClock();
 
-	/** @param service - The name of the store's service. */
-	constructor(service: string, store: StoreTraits, tools: KeeperTools) {
+	/**
+	 * @param service - The name of the store's service.
+	 * @param store - Where it is, and its size.
+	 * @param tools - What a keeper is given.
+	 * @param believedUntil - When followers were last told of it, in milliseconds of the steady clock.
+	 */
+	constructor(service: string, store: StoreTraits, tools: KeeperTools, believedUntil: number) {
 		this.ledger = new StoreLedger(store.capacityTokens);
 		this.#service = service;
 		this.#store = store;
 		this.#tools = tools;
 		// Whatever the last keeper told may still be believed.
-		this.ledger.close(this.#now());
+		this.ledger.close(believedUntil);
 	}
 
 	/** The engines' clock by this store's last word, in milliseconds. */
--- a/src/gateway/hub/store-keepers.test.ts
+++ b/src/gateway/hub/store-keepers.test.ts
@@ -3,6 +3,8 @@
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type CacheStoreControl, type StoreListing} from '../../ports/cache-store-control.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
+import {withdrawalMilliseconds} from '../../protocol/parts/part-times.js';
+import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {StoreKeepers} from './store-keepers.js';
 
@@ -49,7 +51,7 @@
 	});
 	keepers.keep([['cache', {
 		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
-	}]]);
+	}]], 1);
 	while (asked.length === 0) {
 		await new Promise(resolve => {
 			setImmediate(resolve);
@@ -65,3 +67,52 @@
 	});
 	assert.deepEqual([...told], []);
 });
+
+test('a hub that held the duty all the while offers its stores again as soon as nobody believes its last word', async () => {
+	// The platform's table is away for longer than the lease, and no other hub can take it. Back under the same number, the
+	// hub need not wait once more for what another one might have told; its callers' prompts were read again meanwhile.
+	let now = 0;
+	let listings = 0;
+	const clock: MomentClock = {
+		moment: () => ({steady: now, wall: now}),
+		sleep: async () => new Promise(resolve => {
+			setImmediate(resolve);
+		}),
+	};
+	const control: CacheStoreControl = {
+		async list() {
+			listings++;
+			return Left('counted only');
+		},
+		events: async () => Left('not asked for in this test'),
+		free: async () => Right(undefined),
+	};
+	const keepers = new StoreKeepers({
+		control,
+		clock,
+		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => now),
+		mayAct: () => true,
+		isDead: () => false,
+		tell() {
+			// Followers hear nothing in this test.
+		},
+	});
+	const stores: Array<[string, StoreTraits]> = [['cache', {
+		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
+	}]];
+	const listsBehind = async (milliseconds: number, fencingNumber: number): Promise<boolean> => {
+		now += milliseconds;
+		listings = 0;
+		keepers.keep(stores, fencingNumber);
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+		keepers.close();
+		return listings > 0;
+	};
+
+	assert.equal(await listsBehind(0, 1), false, 'the first word of a new hub comes too soon');
+	assert.equal(await listsBehind(withdrawalMilliseconds, 1), true);
+	assert.equal(await listsBehind(withdrawalMilliseconds - 1, 1), false, 'its own last word may still be believed');
+	assert.equal(await listsBehind(withdrawalMilliseconds, 3), false, 'another hub held the duty meanwhile');
+});
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -7,18 +7,28 @@
 	readonly #tools: KeeperTools;
 	readonly #keepers = new Map<string, StoreKeeper>();
 	#keeping: AbortController | undefined;
+	#fencingNumber = 0;
+	/** Under which number of the duty stores were kept last, and until when. */
+	#lastKept: {fencingNumber: number; until: number} | undefined;
 
 	constructor(tools: KeeperTools) {
 		this.#tools = tools;
 	}
 
-	/** Starts to keep the stores that are not kept yet. */
-	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>): void {
+	/**
+	 * Starts to keep the stores that are not kept yet.
+	 *
+	 * @param stores - All stores.
+	 * @param fencingNumber - The number of the duty, which rises when its holder changes.
+	 */
+	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>, fencingNumber: number): void {
 		this.#keeping ??= new AbortController();
 		const {signal} = this.#keeping;
+		const believedUntil = this.#believedUntil(fencingNumber);
+		this.#fencingNumber = fencingNumber;
 		for (const [name, store] of stores) {
 			if (!this.#keepers.has(name)) {
-				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal));
+				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal), believedUntil);
 				this.#keepers.set(name, keeper);
 				void this.#run(name, keeper, signal);
 			}
@@ -30,10 +40,15 @@
 	 * they heard under it must not come back into force with the next grant.
 	 */
 	close(): void {
+		const now = this.#tools.clock.moment().steady;
+		if (this.#keeping !== undefined) {
+			this.#lastKept = {fencingNumber: this.#fencingNumber, until: now};
+		}
+
 		this.#keeping?.abort();
 		this.#keeping = undefined;
 		for (const [name, {ledger}] of this.#keepers) {
-			this.#tools.tell(name, ledger.close(this.#tools.clock.moment().steady));
+			this.#tools.tell(name, ledger.close(now));
 		}
 
 		this.#keepers.clear();
@@ -64,6 +79,14 @@
 		}
 	}
 
+	/**
+	 * When the last word of stores was told that followers may still believe: just now, by a holder that is not known here;
+	 * but if the number of the duty is the same as before, nobody held it meanwhile, and it was this instance's own.
+	 */
+	#believedUntil(fencingNumber: number): number {
+		return this.#lastKept?.fencingNumber === fencingNumber ? this.#lastKept.until : this.#tools.clock.moment().steady;
+	}
+
 	/**
 	 * A call may be under way when the duty ends. What it brings is told to nobody: followers that stay connected would take
 	 * it for held with the next grant, though another holder may have freed it.
--- a/src/protocol/duty/duty-lease.test.ts
+++ b/src/protocol/duty/duty-lease.test.ts
@@ -56,14 +56,16 @@
 class SimulatedInstance {
 	readonly name: string;
 	grant: DutyGrant | undefined;
+	readonly #leaseMilliseconds: number;
 	#steady = 0;
 	#jump = 0;
 	#suspendedUntil = 0;
 	#reading: {answerAt: number; since: Moment; seen: Stored; at: number} | undefined;
 	#writing: {doneAt: number; row: DutyRow; revision: number; since: Moment} | undefined;
 
-	constructor(name: string) {
+	constructor(name: string, leaseMilliseconds: number) {
 		this.name = name;
+		this.#leaseMilliseconds = leaseMilliseconds;
 	}
 
 	/** Moves on by one step; gives the moment that the instance sees, or `undefined` while it is suspended. */
@@ -101,7 +103,7 @@
 	#read(time: number, random: () => number): void {
 		const {seen, at, since} = this.#reading!;
 		const actingMilliseconds = actingTimes[Math.floor(random() * actingTimes.length)]!;
-		const decided = decideDuty(seen.row, this.name, at, {leaseMilliseconds: lease, actingMilliseconds});
+		const decided = decideDuty(seen.row, this.name, at, {leaseMilliseconds: this.#leaseMilliseconds, actingMilliseconds});
 		this.#reading = undefined;
 		if (decided.kind === 'take') {
 			this.#writing = {
@@ -122,16 +124,17 @@
 	// lost answers. Whoever thinks that it may act gives an order. Two orders of different holders less than a lease apart
 	// would let an engine see holders that take turns; an older number behind a newer one would let it obey the older.
 	for (let seed = 1; seed <= 200; seed++) {
+		const leaseMilliseconds = seed % 2 === 0 ? lease : lease / 2;
 		const random = seededRandom(seed);
 		const store: {stored: Stored} = {stored: {row: undefined, revision: 0}};
-		const instances = Array.from({length: 5}, (_, index) => new SimulatedInstance(`i${index}`));
+		const instances = Array.from({length: 5}, (_, index) => new SimulatedInstance(`i${index}`, leaseMilliseconds));
 		let last: {holder: string; at: number; fence: number} | undefined;
 		for (let time = 0; time < 60_000; time += stepMilliseconds) {
 			const uncontested: string[] = [];
 			const acting: string[] = [];
 			for (const one of instances) {
 				const moment = one.step(time, store, random);
-				if (moment !== undefined && one.grant !== undefined && isUncontested(one.grant, lease, moment)) {
+				if (moment !== undefined && one.grant !== undefined && isUncontested(one.grant, leaseMilliseconds, moment)) {
 					uncontested.push(one.name);
 				}
 
@@ -143,7 +146,7 @@
 
 				const {holder, fencingNumber: fence} = one.grant.row;
 				const isTurn = last !== undefined && last.holder !== holder;
-				assert.ok(!isTurn || time - last!.at >= lease, `seed ${seed}: ${last?.holder} at ${last?.at}, ${holder} at ${time}`);
+				assert.ok(!isTurn || time - last!.at >= leaseMilliseconds, `seed ${seed}: ${last?.holder} at ${last?.at}, ${holder} at ${time}`);
 				assert.ok(!isTurn || fence > last!.fence, `seed ${seed}: number ${fence} behind ${last?.fence}`);
 				last = {holder, at: time, fence};
 			}
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -48,12 +48,12 @@
 	since: Moment;
 };
 
-/** Share of the lease for which a holder acts after a grant at most. */
+/** Share of the lease for which a grant is stretched at most where the store is slow. */
 const mostActingShare = 0.5;
 /** Beside a whole lease between two holders: what an order takes to arrive, and a check that was made just before. */
 const takeoverMarginMilliseconds = 300;
 
-/** For how long a holder acts after a grant at most, in milliseconds. */
+/** To what length a grant is stretched at most where the store is slow, in milliseconds. */
 export function mostActingMilliseconds(leaseMilliseconds: number): number {
 	return mostActingShare * leaseMilliseconds;
 }
