Know how near the source of a long part is to each engine

Hypothesis: all stores stand in one data centre, and an engine elsewhere takes twice as long for a fetch. Placing took the same mean time for all engines, so that two of three long fetches went over the slow way, filled the links there, and delayed all prompts behind them.

--- a/src/decision/placement/candidate-estimates.ts
+++ b/src/decision/placement/candidate-estimates.ts
@@ -106,9 +106,9 @@
 	}
 
 	/** What an engine has to read for a prompt; the time in which it fetches counts as well, since it reads no other meanwhile. */
-	unreadTokensOf(request: PlacementRequest, {readTokens, fetchTokens}: PromptWork): number {
+	unreadTokensOf(request: PlacementRequest, endpoint: EndpointRecord, work: PromptWork): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
-		return Math.round(readTokens + (fetchTokens * speed / fetchTokensPerMillisecond(request.engine)));
+		return Math.round(work.readTokens + (speed * fetchMillisecondsOf(request, endpoint, work)));
 	}
 
 	#estimateCall(endpoint: EndpointRecord, {occupancy, slots}: Occupancy): Candidate {
@@ -131,10 +131,10 @@
 			...work,
 			unreadBefore: isWhole ? before : undefined,
 			occupancy,
-			costMilliseconds: this.#readingCost(request, work, {before, isHome}) + (runningMilliseconds * occupancy) + queued + this.#distanceTo(endpoint) + weights + spread,
+			costMilliseconds: this.#readingCost(request, endpoint, work, {before, isHome}) + (runningMilliseconds * occupancy) + queued + this.#distanceTo(endpoint) + weights + spread,
 		};
 		const isAdmitted = occupancy < fullShare * slots
-			&& beginsInGrant(request, endpoint, this.#waitOf(request, work, before) + queued, now)
+			&& beginsInGrant(request, endpoint, this.#waitOf(request, endpoint, work, before) + queued, now)
 			&& this.#admits(request, work.readTokens, isWhole ? load : undefined);
 		return {endpoint, isAdmitted, basis};
 	}
@@ -144,17 +144,17 @@
 	}
 
 	/** How long a prompt waits for its first token at an engine that has a slot for it. */
-	#waitOf(request: PlacementRequest, {readTokens, fetchTokens}: PromptWork, before: number): number {
+	#waitOf(request: PlacementRequest, endpoint: EndpointRecord, work: PromptWork, before: number): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
-		return ((before + readTokens) / speed) + (fetchTokens / fetchTokensPerMillisecond(request.engine));
+		return ((before + work.readTokens) / speed) + fetchMillisecondsOf(request, endpoint, work);
 	}
 
 	/** What fetching, reading and waiting for the reading of others cost, in milliseconds; less at the home of unread parts. */
-	#readingCost(request: PlacementRequest, work: PromptWork, {before, isHome}: {before: number; isHome: boolean}): number {
+	#readingCost(request: PlacementRequest, endpoint: EndpointRecord, work: PromptWork, {before, isHome}: {before: number; isHome: boolean}): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
 		const reading = rereadWeight * work.readTokens / speed;
 		const preference = isHome ? coldHomeShare * rereadWeight * unreadSharedTokens(request, work) / speed : 0;
-		return reading + (work.fetchTokens / fetchTokensPerMillisecond(request.engine)) + (before / speed) - preference;
+		return reading + fetchMillisecondsOf(request, endpoint, work) + (before / speed) - preference;
 	}
 
 	/** Without the other instances' work nothing can be said; the engine's own queue decides then. */
@@ -186,6 +186,11 @@
 	}
 }
 
+/** How long an engine fetches for a prompt. */
+function fetchMillisecondsOf(request: PlacementRequest, endpoint: EndpointRecord, {fetchTokens}: PromptWork): number {
+	return fetchTokens === 0 ? 0 : fetchTokens / fetchTokensPerMillisecond(request.engine, request.isSourceNear(endpoint));
+}
+
 /** Shared tokens of a prompt that an engine would have to read. */
 function unreadSharedTokens({prompt}: PlacementRequest, {readTokens}: PromptWork): number {
 	return Math.max(0, readTokens - (prompt?.parts.at(-1)?.tokens ?? 0));
--- a/src/decision/placement/cost-placement.test.ts
+++ b/src/decision/placement/cost-placement.test.ts
@@ -26,6 +26,7 @@
 		tried: new Set(),
 		wantedVersion: undefined,
 		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		isSourceNear: () => true,
 		fetchableUnder: () => [],
 		keptAt: () => undefined,
 		loading: new Set(),
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -81,7 +81,7 @@
 		switch (event.kind) {
 			case 'sent': {
 				outlook.sent(request.id, {
-					rank: request.rank, heldTokens: heldTokensOf(request), unreadTokens: this.#estimates.unreadTokensOf(request, event.basis), basis: event.basis,
+					rank: request.rank, heldTokens: heldTokensOf(request), unreadTokens: this.#estimates.unreadTokensOf(request, endpoint, event.basis), basis: event.basis,
 				}, now);
 				if (request.prompt !== undefined) {
 					this.#memories.partsOf(endpoint, request.engine?.capacityTokens ?? 0).learn(scopeAt(request, endpoint), request.prompt.parts, now);
--- a/src/decision/placement/long-among-short.test.ts
+++ b/src/decision/placement/long-among-short.test.ts
@@ -38,6 +38,7 @@
 		tried: new Set(),
 		wantedVersion: undefined,
 		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		isSourceNear: () => true,
 		fetchableUnder: () => [],
 		keptAt: () => [0],
 		loading: new Set(),
--- /dev/null
+++ b/src/decision/placement/near-source.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {seededRandom} from '../../peer/random/seeded-random.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {CostPlacement} from './cost-placement.js';
+import {type PlacementRequest} from './placement.js';
+
+const tokensPerMillisecond = 64;
+/** Within a data centre; a transfer from another one takes twice as long. */
+const fetchPerMillisecond = 89;
+const seconds = 30;
+const longsPerSecond = 38;
+const objectiveMilliseconds = 600;
+const storeDataCentre = 'baton';
+const dataCentres = ['mobile', storeDataCentre, 'jackson'];
+const engines = Array.from({length: 13}, (_, index) => testEndpoint({
+	name: `e${index}`, address: `10.0.0.${index}:1`, dataCentre: dataCentres[index % 3]!, slots: 12, weightVersions: new Map([['lease', 1]]),
+}));
+
+function longPrompt(id: string, sharedTokens: number, ownTokens: number, isSourceNear: PlacementRequest['isSourceNear']): PlacementRequest {
+	return {
+		id,
+		service: 'engines',
+		rank: 1,
+		objectiveMilliseconds,
+		prompt: {
+			model: 'lease', promptTokens: sharedTokens + ownTokens, mostOutputTokens: 20, parts: [{id: `s-${id}`, tokens: sharedTokens}, {id, tokens: ownTokens}],
+		},
+		cacheScope: 'shared',
+		engine: {
+			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
+		},
+		tried: new Set(),
+		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		fetchableUnder: () => [true, false],
+		isSourceNear,
+		keptAt: () => [0, 0],
+		loading: new Set(),
+	};
+}
+
+/** Plays long prompts whose shared parts lie in a store of one data centre; gives the share that was answered in time. */
+function play(isSourceNear: PlacementRequest['isSourceNear']): number {
+	const random = seededRandom(5);
+	const policy = new CostPlacement('mobile', () => ({
+		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
+	}));
+	const freeAt = new Map<string, number>();
+	let underWay: Array<{endsAt: number; request: PlacementRequest; endpoint: EndpointRecord}> = [];
+	let inTime = 0;
+	const arrivals = Array.from({length: longsPerSecond * seconds}, () => 1000 * seconds * random()).toSorted((one, other) => one - other);
+	for (const [index, at] of arrivals.entries()) {
+		for (const {endsAt, request, endpoint} of underWay.filter(({endsAt}) => endsAt <= at)) {
+			policy.observe({
+				kind: 'answered', request, endpoint, load: undefined,
+			}, endsAt);
+			policy.observe({
+				kind: 'ended', request, endpoint, outcome: 'whole',
+			}, endsAt);
+		}
+
+		underWay = underWay.filter(({endsAt}) => endsAt > at);
+		const sharedTokens = Math.round(6000 + (14_000 * random()));
+		const ownTokens = Math.round(1000 + (6000 * random()));
+		const request = longPrompt(`p${index}`, sharedTokens, ownTokens, isSourceNear);
+		const placement = policy.place(request, engines, at);
+		if (placement.kind === 'none') {
+			continue;
+		}
+
+		const {endpoint, basis} = placement;
+		policy.observe({
+			kind: 'sent', request, endpoint, basis,
+		}, at);
+		const distance = endpoint.dataCentre === storeDataCentre ? 1 : 2;
+		const endsAt = Math.max(at, freeAt.get(endpoint.name) ?? 0) + (distance * sharedTokens / fetchPerMillisecond) + (ownTokens / tokensPerMillisecond);
+		freeAt.set(endpoint.name, endsAt);
+		underWay.push({endsAt, request, endpoint});
+		inTime += endsAt - at <= objectiveMilliseconds ? 1 : 0;
+	}
+
+	return inTime / arrivals.length;
+}
+
+test('long parts are fetched by engines beside their store as far as these have room', t => {
+	// All stores stand in one data centre. Engines elsewhere take twice as long for a fetch, and their links and queues fill; the
+	// callers of long prompts, and of short ones behind them, are late while engines beside the stores have time.
+	const blind = play(() => false);
+	const near = play(({dataCentre}) => dataCentre === storeDataCentre);
+	t.diagnostic(`in time: ${blind.toFixed(3)} where the distance is not known, ${near.toFixed(3)} where it is`);
+	assert.ok(near >= 0.95, `${near}`);
+	assert.ok(blind < near, `${blind}`);
+});
--- a/src/decision/placement/older-weights.test.ts
+++ b/src/decision/placement/older-weights.test.ts
@@ -24,6 +24,7 @@
 		tried: new Set(),
 		wantedVersion: 2,
 		olderWeightsUntil: 6000,
+		isSourceNear: () => true,
 		fetchableUnder: () => [],
 		keptAt: () => [0],
 		loading: new Set(),
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -26,6 +26,8 @@
 	olderWeightsUntil: number;
 	/** Which parts of the prompt any engine with a weight version can fetch from a store or another engine, by index. */
 	fetchableUnder: (weightVersion: number) => readonly boolean[];
+	/** Whether the largest part that an engine would fetch lies in its own data centre. */
+	isSourceNear: (endpoint: EndpointRecord) => boolean;
 	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
 	keptAt: (endpoint: EndpointRecord) => readonly number[] | undefined;
 	/** Engines that load weights now and reject what is sent to them. */
--- a/src/gateway/data-path/placement-request.ts
+++ b/src/gateway/data-path/placement-request.ts
@@ -27,6 +27,7 @@
 		engine: context.configuration.current?.services.get(permitted.service)?.engine,
 		tried,
 		fetchableUnder: version => sources.fetchableUnder(version),
+		isSourceNear: endpoint => sources.isSourceNear(endpoint),
 		keptAt: endpoint => sources.keptAt(endpoint),
 		wantedVersion: goal?.version,
 		olderWeightsUntil: goal === undefined ? Number.POSITIVE_INFINITY : now.steady + context.goals.leftOf(goal, now),
--- a/src/gateway/data-path/prompt-sources.ts
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -63,6 +63,21 @@
 		return fetchable;
 	}
 
+	/** Whether the last shared part, before which there are only short ones, can be fetched from an engine's own data centre. */
+	isSourceNear({dataCentre, weightVersions}: EndpointRecord): boolean {
+		const part = this.sharedParts.at(-1);
+		const version = weightVersions.get(this.#model);
+		if (part === undefined || version === undefined) {
+			return false;
+		}
+
+		const key = partKey({salt: this.saltUnder(version), id: part.id});
+		const holder = this.stores.find(({name}) => this.#context.hubView.holds(name, key, this.#now));
+		return holder === undefined
+			? this.#enginesWith(key).some(engine => engine.dataCentre === dataCentre)
+			: holder.store.dataCentre === dataCentre;
+	}
+
 	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
 	keptAt({name, weightVersions}: EndpointRecord): readonly number[] | undefined {
 		const version = weightVersions.get(this.#model);
