Let the next keeper of a store wait for the word of one that has failed

Behind an outage the hub reckons with the end of its own last word; a keeper that failed afterwards was followed by one that reckoned from there as well, though the failed one had told followers of the store just now. They could have fetched a part that another caller's engine was writing anew. The hub's own word counts only when nothing is kept. Test red before ("the next keeper offers the store at once").

--- a/src/gateway/hub/store-keepers.test.ts
+++ b/src/gateway/hub/store-keepers.test.ts
@@ -68,6 +68,75 @@
 	assert.deepEqual([...told], []);
 });
 
+test('a keeper that fails is followed by one that waits until nobody believes its word', async context => {
+	// The hub comes back under its number and tells of a store again; then the keeper fails. Reckoned from the hub's absence,
+	// the next one would offer the store at once, and let parts be written anew that followers of the failed one still fetch.
+	let now = 0;
+	let fails = false;
+	const listedAt: number[] = [];
+	const clock: MomentClock = {
+		moment: () => ({steady: now, wall: now}),
+		sleep: async () => new Promise(resolve => {
+			setImmediate(resolve);
+		}),
+	};
+	const control: CacheStoreControl = {
+		async list() {
+			listedAt.push(now);
+			return Right({
+				epoch: 1, next: 1, parts: [], partial: [],
+			});
+		},
+		async events() {
+			if (fails) {
+				throw new Error('a fault of the keeper');
+			}
+
+			return Right({
+				epoch: 1, next: 1, isIncomplete: false, added: [], removed: [], clockMilliseconds: now,
+			});
+		},
+		free: async () => Right(undefined),
+	};
+	const keepers = new StoreKeepers({
+		control,
+		clock,
+		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => now),
+		mayAct: () => true,
+		isDead: () => false,
+		tell() {
+			// Followers hear nothing in this test.
+		},
+	});
+	const stores: Array<[string, StoreTraits]> = [['cache', {
+		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
+	}]];
+	context.after(() => {
+		keepers.close();
+	});
+	const keepAt = async (milliseconds: number): Promise<void> => {
+		now = milliseconds;
+		keepers.keep(stores, 1);
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	};
+
+	await keepAt(0);
+	keepers.close();
+	const backAt = 10 * withdrawalMilliseconds;
+	await keepAt(backAt);
+	assert.deepEqual(listedAt, [backAt]);
+	fails = true;
+	await keepAt(backAt + 100);
+	fails = false;
+	await keepAt(backAt + 200);
+	assert.deepEqual(listedAt, [backAt], 'the next keeper offers the store at once');
+	await keepAt(backAt + 200 + withdrawalMilliseconds);
+	keepers.close();
+	assert.equal(listedAt.length, 2);
+});
+
 test('a hub that held the duty all the while offers its stores again as soon as nobody believes its last word', async () => {
 	// The platform's table is away for longer than the lease, and no other hub can take it. Back under the same number, the
 	// hub need not wait once more for what another one might have told; its callers' prompts were read again meanwhile.
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -22,9 +22,9 @@
 	 * @param fencingNumber - The number of the duty, which rises when its holder changes.
 	 */
 	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>, fencingNumber: number): void {
+		const believedUntil = this.#believedUntil(fencingNumber);
 		this.#keeping ??= new AbortController();
 		const {signal} = this.#keeping;
-		const believedUntil = this.#believedUntil(fencingNumber);
 		this.#fencingNumber = fencingNumber;
 		for (const [name, store] of stores) {
 			if (!this.#keepers.has(name)) {
@@ -80,11 +80,13 @@
 	}
 
 	/**
-	 * When the last word of stores was told that followers may still believe: just now, by a holder that is not known here;
-	 * but if the number of the duty is the same as before, nobody held it meanwhile, and it was this instance's own.
+	 * When the last word of stores was told that followers may still believe: just now, by a holder that is not known here, or
+	 * by a keeper of this one that has failed. But if nothing is kept, and the number of the duty is the same as before, nobody
+	 * held it meanwhile, and the last word was this instance's own.
 	 */
 	#believedUntil(fencingNumber: number): number {
-		return this.#lastKept?.fencingNumber === fencingNumber ? this.#lastKept.until : this.#tools.clock.moment().steady;
+		const isOwnWord = this.#keeping === undefined && this.#lastKept?.fencingNumber === fencingNumber;
+		return isOwnWord ? this.#lastKept!.until : this.#tools.clock.moment().steady;
 	}
 
 	/**
