Say what played loads and keepers share in one place

The new tests of placing each described a prompt and played engines for themselves, those of the stores' keepers their clock and tools. `src/decision/testing` holds the prompt and the engines now.

--- a/src/decision/placement/fetch-speed.test.ts
+++ b/src/decision/placement/fetch-speed.test.ts
@@ -2,7 +2,9 @@
 import {test} from 'node:test';
 import {type EngineTraits} from '../../shared/routed-configuration.js';
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {testPromptRequest} from '../testing/test-prompt-request.js';
 import {CostPlacement} from './cost-placement.js';
+import {noLoad} from './endpoint-load.js';
 import {fetchTokensPerMillisecond} from './fetch-speed.js';
 import {type PlacementRequest} from './placement.js';
 
@@ -21,26 +23,15 @@
 	// A long prompt's shared part comes over the link for a quarter of a second. The engine reads no other prompt meanwhile,
 	// but with nothing to read it looked idle, and short prompts were sent there.
 	const engines = ['e0', 'e1'].map(name => testEndpoint({name, slots: 12, weightVersions: new Map([['lease', 1]])}));
-	const policy = new CostPlacement('split', () => ({
-		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
-	}));
-	const requestOf = (id: string, parts: Array<{id: string; tokens: number}>): PlacementRequest => ({
+	const policy = new CostPlacement('split', () => noLoad);
+	const requestOf = (id: string, parts: Array<{id: string; tokens: number}>): PlacementRequest => testPromptRequest({
 		id,
-		service: 'engines',
-		rank: 1,
-		objectiveMilliseconds: 600,
 		prompt: {
 			model: 'lease', promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0), mostOutputTokens: 20, parts,
 		},
-		cacheScope: 'shared',
 		engine: traits,
-		tried: new Set(),
-		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
-		isSourceNear: () => true,
 		fetchableUnder: () => parts.map(({tokens}) => tokens > 10_000),
 		keptAt: () => parts.map(() => 0),
-		loading: new Set(),
 	});
 	const long = requestOf('long', [{id: 'shared', tokens: 15_000}, {id: 'own', tokens: 100}]);
 	const first = policy.place(long, engines, 0);
--- a/src/decision/placement/long-among-short.test.ts
+++ b/src/decision/placement/long-among-short.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {seededRandom} from '../../peer/random/seeded-random.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
-import {CostPlacement} from './cost-placement.js';
+import {ReadingEngines} from '../testing/reading-engines.js';
+import {testPromptRequest} from '../testing/test-prompt-request.js';
 import {type PlacementRequest} from './placement.js';
 
 const tokensPerMillisecond = 64;
@@ -23,26 +23,14 @@
 };
 
 function promptOf({rank, objectiveMilliseconds}: Kind, id: string, promptTokens: number): PlacementRequest {
-	return {
+	return testPromptRequest({
 		id,
-		service: 'engines',
 		rank,
 		objectiveMilliseconds,
 		prompt: {
 			model: 'lease', promptTokens, mostOutputTokens: 20, parts: [{id, tokens: promptTokens}],
 		},
-		cacheScope: 'shared',
-		engine: {
-			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
-		},
-		tried: new Set(),
-		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
-		isSourceNear: () => true,
-		fetchableUnder: () => [],
-		keptAt: () => [0],
-		loading: new Set(),
-	};
+	});
 }
 
 /** Prompts of a kind by random times, as they come to the instances. */
@@ -56,38 +44,13 @@
 /** Plays the load; gives how many prompts of each rank were answered in time. Engines read what they let in to its end. */
 function play(): Map<Kind, number> {
 	const random = seededRandom(7);
-	const policy = new CostPlacement('split', () => ({
-		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
-	}));
-	const freeAt = new Map<string, number>();
+	const played = new ReadingEngines('split', engines);
 	const inTime = new Map<Kind, number>([[long, 0], [short, 0]]);
-	let underWay: Array<{endsAt: number; request: PlacementRequest; endpoint: EndpointRecord}> = [];
 	const arrivals = [...arrivalsOf(long, random), ...arrivalsOf(short, random)].toSorted((one, other) => one.at - other.at);
 	for (const [index, {kind, at, tokens}] of arrivals.entries()) {
-		for (const {endsAt, request, endpoint} of underWay.filter(({endsAt}) => endsAt <= at)) {
-			policy.observe({
-				kind: 'answered', request, endpoint, load: undefined,
-			}, endsAt);
-			policy.observe({
-				kind: 'ended', request, endpoint, outcome: 'whole',
-			}, endsAt);
-		}
-
-		underWay = underWay.filter(({endsAt}) => endsAt > at);
-		const request = promptOf(kind, `p${index}`, tokens);
-		const placement = policy.place(request, engines, at);
-		if (placement.kind === 'none') {
-			continue;
-		}
-
-		const {endpoint, basis} = placement;
-		policy.observe({
-			kind: 'sent', request, endpoint, basis,
-		}, at);
-		const endsAt = Math.max(at, freeAt.get(endpoint.name) ?? 0) + (tokens / tokensPerMillisecond);
-		freeAt.set(endpoint.name, endsAt);
-		underWay.push({endsAt, request, endpoint});
-		inTime.set(kind, inTime.get(kind)! + (endsAt - at <= kind.objectiveMilliseconds ? 1 : 0));
+		const milliseconds = played.send(promptOf(kind, `p${index}`, tokens), at, () => tokens / tokensPerMillisecond);
+		const isInTime = milliseconds !== undefined && milliseconds <= kind.objectiveMilliseconds;
+		inTime.set(kind, inTime.get(kind)! + (isInTime ? 1 : 0));
 	}
 
 	return inTime;
--- a/src/decision/placement/near-source.test.ts
+++ b/src/decision/placement/near-source.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {seededRandom} from '../../peer/random/seeded-random.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
-import {CostPlacement} from './cost-placement.js';
+import {ReadingEngines} from '../testing/reading-engines.js';
+import {testPromptRequest} from '../testing/test-prompt-request.js';
 import {type PlacementRequest} from './placement.js';
 
 const tokensPerMillisecond = 64;
@@ -19,66 +19,32 @@
 }));
 
 function longPrompt(id: string, sharedTokens: number, ownTokens: number, isSourceNear: PlacementRequest['isSourceNear']): PlacementRequest {
-	return {
+	return testPromptRequest({
 		id,
-		service: 'engines',
-		rank: 1,
 		objectiveMilliseconds,
 		prompt: {
 			model: 'lease', promptTokens: sharedTokens + ownTokens, mostOutputTokens: 20, parts: [{id: `s-${id}`, tokens: sharedTokens}, {id, tokens: ownTokens}],
 		},
-		cacheScope: 'shared',
-		engine: {
-			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
-		},
-		tried: new Set(),
-		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
 		fetchableUnder: () => [true, false],
 		isSourceNear,
 		keptAt: () => [0, 0],
-		loading: new Set(),
-	};
+	});
 }
 
 /** Plays long prompts whose shared parts lie in a store of one data centre; gives the share that was answered in time. */
 function play(isSourceNear: PlacementRequest['isSourceNear']): number {
 	const random = seededRandom(5);
-	const policy = new CostPlacement('mobile', () => ({
-		requests: 0, unreadTokens: [0, 0, 0], heldTokens: 0, oldestWaitMilliseconds: 0, heardAgoMilliseconds: 0,
-	}));
-	const freeAt = new Map<string, number>();
-	let underWay: Array<{endsAt: number; request: PlacementRequest; endpoint: EndpointRecord}> = [];
+	const played = new ReadingEngines('mobile', engines);
 	let inTime = 0;
 	const arrivals = Array.from({length: longsPerSecond * seconds}, () => 1000 * seconds * random()).toSorted((one, other) => one - other);
 	for (const [index, at] of arrivals.entries()) {
-		for (const {endsAt, request, endpoint} of underWay.filter(({endsAt}) => endsAt <= at)) {
-			policy.observe({
-				kind: 'answered', request, endpoint, load: undefined,
-			}, endsAt);
-			policy.observe({
-				kind: 'ended', request, endpoint, outcome: 'whole',
-			}, endsAt);
-		}
-
-		underWay = underWay.filter(({endsAt}) => endsAt > at);
 		const sharedTokens = Math.round(6000 + (14_000 * random()));
 		const ownTokens = Math.round(1000 + (6000 * random()));
-		const request = longPrompt(`p${index}`, sharedTokens, ownTokens, isSourceNear);
-		const placement = policy.place(request, engines, at);
-		if (placement.kind === 'none') {
-			continue;
-		}
-
-		const {endpoint, basis} = placement;
-		policy.observe({
-			kind: 'sent', request, endpoint, basis,
-		}, at);
-		const distance = endpoint.dataCentre === storeDataCentre ? 1 : 2;
-		const endsAt = Math.max(at, freeAt.get(endpoint.name) ?? 0) + (distance * sharedTokens / fetchPerMillisecond) + (ownTokens / tokensPerMillisecond);
-		freeAt.set(endpoint.name, endsAt);
-		underWay.push({endsAt, request, endpoint});
-		inTime += endsAt - at <= objectiveMilliseconds ? 1 : 0;
+		const milliseconds = played.send(longPrompt(`p${index}`, sharedTokens, ownTokens, isSourceNear), at, ({dataCentre}) => {
+			const distance = dataCentre === storeDataCentre ? 1 : 2;
+			return (distance * sharedTokens / fetchPerMillisecond) + (ownTokens / tokensPerMillisecond);
+		});
+		inTime += milliseconds !== undefined && milliseconds <= objectiveMilliseconds ? 1 : 0;
 	}
 
 	return inTime / arrivals.length;
--- a/src/decision/placement/older-weights.test.ts
+++ b/src/decision/placement/older-weights.test.ts
@@ -2,35 +2,14 @@
 import {test} from 'node:test';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {testPromptRequest} from '../testing/test-prompt-request.js';
 import {CostPlacement} from './cost-placement.js';
 import {type EndpointLoad, noLoad} from './endpoint-load.js';
 import {type PlacementRequest} from './placement.js';
 
 const engine = (name: string, version: number): EndpointRecord => testEndpoint({name, slots: 12, weightVersions: new Map([['lease', version]])});
 
-function prompt(changes: Partial<PlacementRequest> = {}): PlacementRequest {
-	return {
-		id: 'a',
-		service: 'engines',
-		rank: 1,
-		objectiveMilliseconds: 600,
-		prompt: {
-			model: 'lease', promptTokens: 640, mostOutputTokens: 20, parts: [{id: 'own', tokens: 640}],
-		},
-		cacheScope: 'shared',
-		engine: {
-			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
-		},
-		tried: new Set(),
-		wantedVersion: 2,
-		olderWeightsUntil: 6000,
-		isSourceNear: () => true,
-		fetchableUnder: () => [],
-		keptAt: () => [0],
-		loading: new Set(),
-		...changes,
-	};
-}
+const prompt = (changes: Partial<PlacementRequest> = {}): PlacementRequest => testPromptRequest({wantedVersion: 2, olderWeightsUntil: 6000, ...changes});
 
 const placeOf = (policy: CostPlacement, request: PlacementRequest, engines: readonly EndpointRecord[], now: number): string => {
 	const placement = policy.place(request, engines, now);
--- /dev/null
+++ b/src/decision/testing/reading-engines.ts
@@ -0,0 +1,61 @@
+/** Engines of a played load that read what they let in one prompt after the other, and one instance that places there. */
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {CostPlacement} from '../placement/cost-placement.js';
+import {noLoad} from '../placement/endpoint-load.js';
+import {type PlacementRequest} from '../placement/placement.js';
+
+type UnderWay = {endsAt: number; request: PlacementRequest; endpoint: EndpointRecord};
+
+export class ReadingEngines {
+	readonly #policy: CostPlacement;
+	readonly #engines: readonly EndpointRecord[];
+	readonly #freeAt = new Map<string, number>();
+	#underWay: UnderWay[] = [];
+
+	/**
+	 * @param dataCentre - Where the instance stands.
+	 * @param engines - The engines.
+	 */
+	constructor(dataCentre: string, engines: readonly EndpointRecord[]) {
+		this.#policy = new CostPlacement(dataCentre, () => noLoad);
+		this.#engines = engines;
+	}
+
+	/**
+	 * Places a prompt.
+	 *
+	 * @param request - The prompt.
+	 * @param now - Milliseconds; never less than before.
+	 * @param workAt - How long an engine works on it.
+	 * @returns How long its first token takes; `undefined` if it is refused.
+	 */
+	send(request: PlacementRequest, now: number, workAt: (endpoint: EndpointRecord) => number): number | undefined {
+		this.#finish(now);
+		const placement = this.#policy.place(request, this.#engines, now);
+		if (placement.kind === 'none') {
+			return undefined;
+		}
+
+		const {endpoint, basis} = placement;
+		this.#policy.observe({
+			kind: 'sent', request, endpoint, basis,
+		}, now);
+		const endsAt = Math.max(now, this.#freeAt.get(endpoint.name) ?? 0) + workAt(endpoint);
+		this.#freeAt.set(endpoint.name, endsAt);
+		this.#underWay.push({endsAt, request, endpoint});
+		return endsAt - now;
+	}
+
+	#finish(now: number): void {
+		for (const {endsAt, request, endpoint} of this.#underWay.filter(({endsAt: at}) => at <= now)) {
+			this.#policy.observe({
+				kind: 'answered', request, endpoint, load: undefined,
+			}, endsAt);
+			this.#policy.observe({
+				kind: 'ended', request, endpoint, outcome: 'whole',
+			}, endsAt);
+		}
+
+		this.#underWay = this.#underWay.filter(({endsAt}) => endsAt > now);
+	}
+}
--- /dev/null
+++ b/src/decision/testing/test-prompt-request.ts
@@ -0,0 +1,26 @@
+import {type PlacementRequest} from '../placement/placement.js';
+
+/** A prompt of 640 tokens that shares no part and that nobody keeps; each test names only what it is about. */
+export function testPromptRequest(changes: Partial<PlacementRequest> = {}): PlacementRequest {
+	return {
+		id: 'a',
+		service: 'engines',
+		rank: 1,
+		objectiveMilliseconds: 600,
+		prompt: {
+			model: 'lease', promptTokens: 640, mostOutputTokens: 20, parts: [{id: 'own', tokens: 640}],
+		},
+		cacheScope: 'shared',
+		engine: {
+			slots: 12, capacityTokens: 75_000, bytesPerToken: 327_680, linkMegabitsPerSecond: 260_000, models: ['lease'],
+		},
+		tried: new Set(),
+		wantedVersion: undefined,
+		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		fetchableUnder: () => [],
+		isSourceNear: () => true,
+		keptAt: () => [0],
+		loading: new Set(),
+		...changes,
+	};
+}
--- a/src/gateway/hub/store-keepers.test.ts
+++ b/src/gateway/hub/store-keepers.test.ts
@@ -8,6 +8,30 @@
 import {DecisionLog} from '../observability/decision-log.js';
 import {StoreKeepers} from './store-keepers.js';
 
+const stores: Array<[string, StoreTraits]> = [['cache', {
+	address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
+}]];
+
+/** Keepers at a time that the test sets; pauses pass at once. */
+function keepersThatTellNobody(control: CacheStoreControl, now: () => number): StoreKeepers {
+	const clock: MomentClock = {
+		moment: () => ({steady: now(), wall: now()}),
+		sleep: async () => new Promise(resolve => {
+			setImmediate(resolve);
+		}),
+	};
+	return new StoreKeepers({
+		control,
+		clock,
+		log: new DecisionLog({writableLength: 0, write: () => true}, {}, now),
+		mayAct: () => true,
+		isDead: () => false,
+		tell() {
+			// Nobody follows.
+		},
+	});
+}
+
 test('a listing that arrives when the duty is over is told to nobody', async () => {
 	// The hub's lease lapses while it lists a store. Its followers stay connected, and the store is closed for them. The
 	// listing arrives then; told, it would count as held again with the next grant, though the parts may have been freed
@@ -49,9 +73,7 @@
 			}
 		},
 	});
-	keepers.keep([['cache', {
-		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
-	}]], 1);
+	keepers.keep(stores, 1);
 	while (asked.length === 0) {
 		await new Promise(resolve => {
 			setImmediate(resolve);
@@ -74,12 +96,6 @@
 	let now = 0;
 	let fails = false;
 	const listedAt: number[] = [];
-	const clock: MomentClock = {
-		moment: () => ({steady: now, wall: now}),
-		sleep: async () => new Promise(resolve => {
-			setImmediate(resolve);
-		}),
-	};
 	const control: CacheStoreControl = {
 		async list() {
 			listedAt.push(now);
@@ -98,19 +114,7 @@
 		},
 		free: async () => Right(undefined),
 	};
-	const keepers = new StoreKeepers({
-		control,
-		clock,
-		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => now),
-		mayAct: () => true,
-		isDead: () => false,
-		tell() {
-			// Followers hear nothing in this test.
-		},
-	});
-	const stores: Array<[string, StoreTraits]> = [['cache', {
-		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
-	}]];
+	const keepers = keepersThatTellNobody(control, () => now);
 	context.after(() => {
 		keepers.close();
 	});
@@ -142,12 +146,6 @@
 	// hub need not wait once more for what another one might have told; its callers' prompts were read again meanwhile.
 	let now = 0;
 	let listings = 0;
-	const clock: MomentClock = {
-		moment: () => ({steady: now, wall: now}),
-		sleep: async () => new Promise(resolve => {
-			setImmediate(resolve);
-		}),
-	};
 	const control: CacheStoreControl = {
 		async list() {
 			listings++;
@@ -156,19 +154,7 @@
 		events: async () => Left('not asked for in this test'),
 		free: async () => Right(undefined),
 	};
-	const keepers = new StoreKeepers({
-		control,
-		clock,
-		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => now),
-		mayAct: () => true,
-		isDead: () => false,
-		tell() {
-			// Followers hear nothing in this test.
-		},
-	});
-	const stores: Array<[string, StoreTraits]> = [['cache', {
-		address: '127.0.0.1:1', dataCentre: 'split', capacityTokens: 10_000, linkMegabitsPerSecond: 1, firstMilliseconds: 1, isManaged: true,
-	}]];
+	const keepers = keepersThatTellNobody(control, () => now);
 	const listsBehind = async (milliseconds: number, fencingNumber: number): Promise<boolean> => {
 		now += milliseconds;
 		listings = 0;
