Let at most half of the engines load new weights at a time

Change: half of the engines at most; loads are learned while no more than usual run; the roll is due a second before the granted time ends, in place of four fifths of it. Engines that are not done then are not used until they are.

--- a/src/decision/weights/plan-roll.ts
+++ b/src/decision/weights/plan-roll.ts
@@ -7,13 +7,16 @@
  *
  * The operators grant a time for all of it. Where a holder of the duty stood still, orders were lost or runs took long to
  * end, what is left to do no longer fits into what is left of that time at this pace, and engines that are not done are not
- * used any more: then more load at a time, up to all.
+ * used any more: then more load at a time, up to half. With more, callers are refused for want of engines, which is worse
+ * than some engines that stand idle behind the granted time until they are done.
  */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** Part of the engines that may load at once: loads slow each other where more than about that part does. */
 const loadingShare = 0.25;
 const leastLoading = 2;
+/** Part of the engines that loads at once where time is short; the others carry the traffic. */
+const mostLoadingShare = 0.5;
 
 /** An engine that was given an order and has not shown the weights yet. */
 export type LoadingEngine = {
@@ -48,7 +51,8 @@
 	const versionOf = ({weightVersions}: EndpointRecord): number => weightVersions.get(goal.model) ?? 0;
 	const underWay = new Set(loading.filter(({since}) => now - since < loadPatienceMilliseconds).map(({name}) => name));
 	const behind = engines.filter(engine => engine.weightVersions.has(goal.model) && versionOf(engine) < goal.version);
-	const most = Math.max(usualLoading(engines.length), Math.ceil(behind.length / roundsLeft(goal, now)));
+	const needed = Math.min(Math.floor(engines.length * mostLoadingShare), Math.ceil(behind.length / roundsLeft(goal, now)));
+	const most = Math.max(usualLoading(engines.length), needed);
 	const room = most - behind.filter(({name}) => underWay.has(name)).length;
 	return behind
 		.filter(({name}) => !underWay.has(name))
@@ -56,8 +60,8 @@
 		.slice(0, Math.max(0, room));
 }
 
-/** How many of so many engines load at a time while there is time enough. */
-function usualLoading(engines: number): number {
+/** How many of so many engines load at a time while there is time enough; loads slow each other where more do. */
+export function usualLoading(engines: number): number {
 	return engines < leastLoading + 1 ? 1 : Math.max(leastLoading, Math.floor(engines * loadingShare));
 }
 
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -2,7 +2,7 @@
  * Brings engines to the weights that operators name. Every instance runs one; the lease on the duty decides which of them
  * acts. It is sought only while an engine is behind, so that a calm day costs no calls to the store.
  */
-import {planRoll, type LoadingEngine} from '../../decision/weights/plan-roll.js';
+import {planRoll, usualLoading, type LoadingEngine} from '../../decision/weights/plan-roll.js';
 import {type ClockedTable} from '../../ports/clocked-table.js';
 import {type EngineControl, type OrderAnswer} from '../../ports/engine-control.js';
 import {type TableService} from '../../ports/table-service.js';
@@ -31,8 +31,8 @@
 const reportPauseMilliseconds = 150;
 /** Nothing is seen of an order for so long: an engine that is not busy then has not got it. */
 const tracelessMilliseconds = 750;
-/** Part of the time granted for the weights in which they are rolled out; what waits at an engine begins in the rest. */
-const rollShare = 0.8;
+/** Left of the time granted for the weights when all engines are to be done: a prompt that waits at one begins in it. */
+const rollMarginMilliseconds = 1000;
 /** What an engine takes for a load, before one was seen: its runs end, and the weights are read. */
 const firstLoadMilliseconds = 1000;
 /** Weight of the newest load in the mean. */
@@ -108,7 +108,7 @@
 		await this.#readReports();
 		const {boundMilliseconds} = this.#parts;
 		// Weights whose age is not known are paced as if named when they were heard of: all engines at once would serve nobody.
-		const dueAt = (goal.namedSince ?? goal.heardAt).steady + (rollShare * boundMilliseconds);
+		const dueAt = (goal.namedSince ?? goal.heardAt).steady + boundMilliseconds - rollMarginMilliseconds;
 		const next = planRoll(this.#enginesOf(goal), {...goal, dueAt, loadMilliseconds: this.#loadMilliseconds}, [...this.#loading.values()], this.#now());
 		if (next.length === 0) {
 			return;
@@ -205,8 +205,18 @@
 		const loading = this.#loading.get(engine.name);
 		const isDone = this.#parts.goals.all().every(goal => (weightVersions.get(goal.model) ?? goal.version) >= goal.version);
 		if (loading !== undefined && isDone) {
+			this.#learnLoad(this.#now() - loading.since);
 			this.#loading.delete(engine.name);
-			this.#loadMilliseconds = (newestLoadShare * (this.#now() - loading.since)) + ((1 - newestLoadShare) * this.#loadMilliseconds);
+		}
+	}
+
+	/**
+	 * Loads slow each other where more than usual run at a time. Learned from those, the time of a load would call for still
+	 * more at a time, until no engine is left that serves.
+	 */
+	#learnLoad(milliseconds: number): void {
+		if (this.#loading.size <= usualLoading(this.#context.endpoints.all().filter(({weightVersions}) => weightVersions.size > 0).length)) {
+			this.#loadMilliseconds = (newestLoadShare * milliseconds) + ((1 - newestLoadShare) * this.#loadMilliseconds);
 		}
 	}
 
