--- a/src/protocol/parts/part-times.ts
+++ b/src/protocol/parts/part-times.ts
@@ -9,7 +9,10 @@
 /** For how long an instance uses what it heard, counted from the sending of its question. Questions go out four times as often. */
 export const freshMilliseconds = 800;
 
-/** Within this time a fetch ends or is thrown away: moving the longest prompts takes a tenth of it on an idle link. */
+/**
+ * Within this time a fetch ends or is thrown away. Thrown away it costs its caller the wait and its engine the reading, so it
+ * leaves the largest parts time to wait behind others at a link; each withdrawal of a stored part waits as long.
+ */
 export const fetchMilliseconds = 1600;
 
 /** What a request takes between the decision and the reading of the engines' clock, and what that clock may be off. */
