Report an engine's rejection without waiting for its page

What callers saw: a prompt that an engine rejected was held until the engine had sent the whole page of its rejection. An engine that stalled within that page kept the caller waiting for up to 300 s, one that dripped without end for good, while other engines were free. One that flooded turned a rejection into a broken stream after 64 MiB.

Cause: `HttpModelEngine.complete` read the body of each answer other than 200 to its end before it judged the status. The body was used for a text that nobody reads.

Change: status and headers decide at once.

--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -12,6 +12,7 @@
 } from '../ports/model-engine.js';
 import {type JsonValue} from '../shared/types.js';
 import {CompletionStreamReader} from './completion-stream.js';
+import {discardBody} from './discard-body.js';
 import {
 	connectionPool, describeError, exchangeJson, failedBeforeAnyByte, streamBufferBytes, streamPool,
 } from './http-client.js';
@@ -35,7 +36,9 @@
 				signal,
 			});
 			if (answer.statusCode !== 200) {
-				yield Left(judgeRefusal(answer.statusCode, answer.headers, await answer.body.text()));
+				// The status and the headers decide; a page that stalls must not delay the try at another engine.
+				void discardBody(answer.body);
+				yield Left(judgeRefusal(answer.statusCode, answer.headers));
 				return;
 			}
 
@@ -145,16 +148,16 @@
 	};
 }
 
-function judgeRefusal(status: number, headers: IncomingHttpHeaders, detail: string): EngineFailure {
+function judgeRefusal(status: number, headers: IncomingHttpHeaders): EngineFailure {
 	if (status === 409) {
 		return {kind: 'version-swapped', weightVersion: String(headers['x-weight-version'] ?? '')};
 	}
 
 	const retryAfter = headers['retry-after'];
 	return retryAfter === undefined
-		? {kind: 'refused', status, detail}
+		? {kind: 'refused', status, detail: ''}
 		: {
-			kind: 'refused', status, detail, retryAfterMilliseconds: Number(retryAfter) * 1000,
+			kind: 'refused', status, detail: '', retryAfterMilliseconds: Number(retryAfter) * 1000,
 		};
 }
 
--- /dev/null
+++ b/src/adapters/unfinished-engine-answer.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {type Socket} from 'node:net';
+import {test} from 'node:test';
+import {type EngineCall, type EngineEvent, type EngineFailure} from '../ports/model-engine.js';
+import {drip, flood, startScriptedServer} from '../test/scripted-server.js';
+import {HttpModelEngine} from './http-model-engine.js';
+
+const engine = new HttpModelEngine();
+const call: EngineCall = {
+	requestId: 'r', attempt: 1, shape: 'text', body: {model: 'permit-1', prompt: 'hello', max_tokens: 8}, cacheSalt: 's', priority: 'normal', weightVersion: 'w1', tokensPassedOn: 0,
+};
+/** A round trip on loopback takes a few milliseconds; the rest leaves room for a busy machine. */
+const promptMilliseconds = 1000;
+const releaseMilliseconds = 3000;
+
+const rests: Record<string, (socket: Socket) => void> = {
+	stalls() {
+		// Nothing follows.
+	},
+	drips(socket) {
+		drip(socket, '5\r\nfull \r\n', 50);
+	},
+	floods(socket) {
+		flood(socket, `8000\r\n${'f'.repeat(0x80_00)}\r\n`);
+	},
+};
+
+async function collect(address: string): Promise<Array<EngineEvent | EngineFailure>> {
+	const seen: Array<EngineEvent | EngineFailure> = [];
+	for await (const event of engine.complete(address, call, AbortSignal.timeout(8000))) {
+		seen.push(event.extract());
+	}
+
+	return seen;
+}
+
+for (const [name, writeRest] of Object.entries(rests)) {
+	test(`a rejection is reported at once although its page ${name}`, async t => {
+		// Guards against callers who wait on a page that nobody reads while other engines are free.
+		const server = await startScriptedServer(t, socket => {
+			socket.write('HTTP/1.1 429 Too Many Requests\r\nretry-after: 2\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfull \r\n');
+			writeRest(socket);
+		});
+		const sentAt = performance.now();
+		const seen = await collect(server.address);
+		const waited = performance.now() - sentAt;
+		assert.deepEqual(seen, [{
+			kind: 'refused', status: 429, detail: '', retryAfterMilliseconds: 2000,
+		}]);
+		assert.ok(waited < promptMilliseconds, `reported after ${waited} ms`);
+		assert.equal(await server.isReleasedWithin(releaseMilliseconds), true);
+	});
+}
