Close the connection of an engine that goes on after its end mark

What callers saw: nothing; they had their whole answers. The engine's connection stayed open for each of them: for 300 s after an engine that did not end its body, and for good after one that went on with comments. An engine with a limit on its connections takes no new ones then.

Cause: after the end mark one more chunk was read, with the last bound of a stream as its only limit, and whatever that chunk was, nothing read or closed the rest.

Change: the iterator gives the body back without closing it, and the body is drained under the limits that already hold for rejections (500 ms, 128 KiB).

--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -6,6 +6,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {type Dispatcher} from 'undici';
 import {
 	type CacheEvent, type EngineCall, type EngineEvent, type EngineFailure, type EngineOrder, type LoadReport,
 	type ModelEngine, type OrderFailure,
@@ -45,7 +46,7 @@
 			yield Right({kind: 'started', weightVersion: String(answer.headers['x-weight-version'] ?? '')});
 			// One generator reads and yields: with a second one behind `yield *`, each token cost twice the promises.
 			const reader = new CompletionStreamReader();
-			const chunks = answer.body[Symbol.asyncIterator]();
+			const chunks = answer.body.iterator({destroyOnReturn: false}) as AsyncIterator<Buffer>;
 			try {
 				while (!reader.isEnded) {
 					const {done, value} = await chunks.next() as IteratorResult<Buffer, undefined>;
@@ -60,7 +61,7 @@
 					}
 				}
 			} finally {
-				void leave(chunks, reader.isEnded);
+				void leave(answer.body, chunks, reader.isEnded);
 			}
 		} catch (error) {
 			const kind = failedBeforeAnyByte(error) ? 'not-sent' : 'broken';
@@ -162,13 +163,15 @@
 }
 
 /**
- * Leaves a stream. Behind the end mark only the end of the HTTP body is missing; leaving it unread would cost the
- * connection to the engine with every answer. A stream that is left before its end mark is closed, which cancels it.
+ * Releases the connection of a stream. After the end mark only the end of the HTTP body is missing, so it is drained and
+ * its connection kept; a stream that is left before its end mark is closed, which cancels it.
  */
-async function leave(chunks: AsyncIterator<unknown>, isEnded: boolean): Promise<void> {
-	try {
-		await (isEnded ? chunks.next() : chunks.return?.());
-	} catch {
-		// The connection broke behind the end mark, or while it was being closed; the answer is judged already.
+async function leave(body: Dispatcher.ResponseData['body'], chunks: AsyncIterator<Buffer>, isEnded: boolean): Promise<void> {
+	if (!isEnded) {
+		body.destroy();
+		return;
 	}
+
+	await chunks.return?.();
+	await discardBody(body);
 }
--- a/src/adapters/unfinished-engine-answer.test.ts
+++ b/src/adapters/unfinished-engine-answer.test.ts
@@ -51,3 +51,21 @@
 		assert.equal(await server.isReleasedWithin(releaseMilliseconds), true);
 	});
 }
+
+for (const [name, writeRest] of Object.entries({
+	...rests, comments(socket: Socket) {
+		drip(socket, '4\r\n:ok\n\r\n', 50);
+	},
+})) {
+	test(`the connection of an engine whose answer goes on after its end mark is closed (${name})`, async t => {
+		// Guards against connections that stay with an engine after its callers have got their whole answers.
+		const events = 'data: {"choices":[{"text":"one"}],"token_index":0}\n\ndata: [DONE]\n\n';
+		const server = await startScriptedServer(t, socket => {
+			socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`);
+			writeRest(socket);
+		});
+		const seen = await collect(server.address);
+		assert.deepEqual(seen.map(({kind}) => kind), ['started', 'tokens', 'finished']);
+		assert.equal(await server.isReleasedWithin(releaseMilliseconds), true);
+	});
+}
