Release the endpoint's connection of a call that runs once when its caller has left

What callers saw: nothing, they had left. At the endpoint each of them held a connection: after a rejection whose page stalled, within an answer or a failure that stalled, or within a large answer that the caller had not read. With a route of 2 s the connection was still open after 9 s, and nothing had a clock that would have closed it. An endpoint with a limit on its connections takes no new ones then, and its other callers are refused.

Cause: a call that may run only once is not cancelled when its caller leaves, so that it is not left half done. The request then ended as `client-left` without its answer, and the timer of the route had ended with the request. The mend for rejections covers only answers that a further try or a refusal follows.

Evidence: the new test plays six stages at which callers leave for each kind of route, and one call that has to finish.

Change: a request that ends because its caller left discards its answer: a rejection within the 500 ms of its page, any other within the time that its route has left. Discarding stops after 128 KiB too, so that a large answer is not read for nobody. Both bounds have their own timer and counter, and so hold after the request has ended.

--- /dev/null
+++ b/src/gateway/data-path/caller-left.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {type RouteKind} from '../../shared/routed-configuration.js';
+import {openSocket, rawRequest} from '../../test/raw-http.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {answerSealed, sealedHeaders, TestGateway} from '../testing/test-gateway.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const timeoutMilliseconds = 1500;
+/** The route's timeout, and time for a busy machine. */
+const releaseMilliseconds = timeoutMilliseconds + 1500;
+const request = rawRequest({
+	method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: 'a1', [names.deadline]: '60000'}, body: 'x',
+});
+
+type Stage = {
+	/** Whether the caller waits for the first bytes of its answer before it leaves. */
+	leavesWithinAnswer: boolean;
+	/** What the endpoint does; `left` resolves when its caller has left. */
+	play(incoming: IncomingMessage, response: ServerResponse, left: Promise<unknown>): void | Promise<void>;
+};
+
+const stages: Record<string, Stage> = {
+	'before the head of a rejection whose page stalls': {
+		async play(incoming, response, left) {
+			await left;
+			response.writeHead(503, {...sealedHeaders(incoming), [names.notExecuted]: '1', 'content-length': '100'});
+			response.write('full');
+		},
+		leavesWithinAnswer: false,
+	},
+	'before the head of an answer that stalls': {
+		async play(incoming, response, left) {
+			await left;
+			response.writeHead(200, {...sealedHeaders(incoming), 'content-length': '100'});
+			response.write('half');
+		},
+		leavesWithinAnswer: false,
+	},
+	'before the head of an answer that never comes': {
+		play() {
+			// The endpoint hangs.
+		},
+		leavesWithinAnswer: false,
+	},
+	'within an answer that stalls': {
+		play(incoming, response) {
+			response.writeHead(200, {...sealedHeaders(incoming), 'content-length': '100'});
+			response.write('half');
+		},
+		leavesWithinAnswer: true,
+	},
+	'within an answer that it does not read': {
+		play(incoming, response) {
+			response.writeHead(200, {...sealedHeaders(incoming), 'content-length': '100000000'});
+			response.write('f'.repeat(50_000_000));
+		},
+		leavesWithinAnswer: true,
+	},
+	'within a failure that stalls': {
+		play(incoming, response) {
+			response.writeHead(500, {...sealedHeaders(incoming), 'content-length': '100'});
+			response.write('half');
+		},
+		leavesWithinAnswer: true,
+	},
+};
+
+async function isReleasedWithin(socket: Socket, milliseconds: number): Promise<boolean> {
+	return socket.destroyed || Promise.race([
+		new Promise<boolean>(resolve => {
+			socket.once('close', () => {
+				resolve(true);
+			});
+		}),
+		pause(milliseconds, false),
+	]);
+}
+
+for (const kind of ['idempotent', 'non-idempotent', 'stream', 'resumable-stream'] satisfies RouteKind[]) {
+	for (const [stage, {play, leavesWithinAnswer}] of Object.entries(stages)) {
+		test(`an endpoint's connection is released when the caller leaves ${stage} (${kind})`, async () => {
+			// Guards against endpoints that run out of connections because each caller who left holds one.
+			const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds, mostAttempts: 1})]})).start();
+			const departure = new AbortController();
+			const left = once(departure.signal, 'abort');
+			let arrive!: (socket: Socket) => void;
+			const arrival = new Promise<Socket>(resolve => {
+				arrive = resolve;
+			});
+			await gateway.addEndpoint(async (incoming, response) => {
+				arrive(incoming.socket);
+				return play(incoming, response, left);
+			});
+			const caller = await openSocket(gateway.address);
+			caller.write(request);
+			const socket = await arrival;
+			if (leavesWithinAnswer) {
+				await once(caller, 'readable');
+			}
+
+			caller.destroy();
+			await pause(50);
+			departure.abort();
+			const isReleased = await isReleasedWithin(socket, releaseMilliseconds);
+			await gateway.close();
+			assert.equal(isReleased, true);
+		});
+	}
+}
+
+test('a call that may run only once is left to finish when its caller has left', async () => {
+	// Guards against bookings that are left half done because their callers closed their connections.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'non-idempotent', timeoutMilliseconds, mostAttempts: 1})]})).start();
+	let arrive!: (response: ServerResponse) => void;
+	const arrival = new Promise<ServerResponse>(resolve => {
+		arrive = resolve;
+	});
+	await gateway.addEndpoint(async (incoming, response) => {
+		arrive(response);
+		await pause(700);
+		answerSealed(incoming, response, {body: 'booked'});
+	});
+	const caller = await openSocket(gateway.address);
+	caller.write(request);
+	const answer = await arrival;
+	caller.destroy();
+	await once(answer, 'close');
+	await gateway.close();
+	assert.equal(answer.writableFinished, true);
+});
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -51,8 +51,12 @@
 	header(name: string): string | undefined;
 	/** What became of the connection so far; a body that ends with a connection that failed is not whole. */
 	connectionEnd(): ConnectionEnd;
-	/** Gives the answer up where nobody waits for its body. */
-	discard(): void;
+	/**
+	 * Drains a body that nobody waits for, so that the connection can be reused.
+	 *
+	 * @param withinMilliseconds - Time for the rest to arrive before the connection is closed; by default that of a short page.
+	 */
+	discard(withinMilliseconds?: number): void;
 };
 
 /** A call under way. */
@@ -75,11 +79,12 @@
 const connectMilliseconds = 250;
 
 /**
- * How long the rest of an answer that nobody waits for may take to come, so that its connection can be used again. The page
- * of a rejection takes a round trip. An endpoint that stalls within it would hold the connection for good, and with each
- * further rejection one more, until the endpoint takes no new ones.
+ * Time allowed to drain an unconsumed response body before its connection is closed. Without it, an endpoint that stalls in
+ * the body would leak the connection.
  */
 const discardMilliseconds = 500;
+/** A longer body costs more to read than a new connection. */
+const discardBytes = 131_072;
 
 type ConnectionNotes = {
 	noteEnd(end: ConnectionEnd): void;
@@ -185,8 +190,8 @@
 					framing: framingOf(response, call.method),
 					connection: useOf(outgoing),
 					connectionEnd,
-					discard() {
-						discardBody(response, outgoing);
+					discard(withinMilliseconds = discardMilliseconds) {
+						discardBody(response, outgoing, withinMilliseconds);
 					},
 				}));
 			});
@@ -194,15 +199,22 @@
 	}
 }
 
-/** Reads a body to its end for nobody; closes the connection if that end does not come soon. */
-function discardBody(body: IncomingMessage, outgoing: ClientRequest): void {
+/** Drains a body; closes its connection if the end does not come within the time and the bytes that draining may cost. */
+function discardBody(body: IncomingMessage, outgoing: ClientRequest, withinMilliseconds: number): void {
 	if (body.destroyed) {
 		return;
 	}
 
 	const timer = setTimeout(() => {
 		outgoing.destroy();
-	}, discardMilliseconds);
+	}, withinMilliseconds);
+	let bytes = 0;
+	body.on('data', (chunk: Buffer) => {
+		bytes += chunk.length;
+		if (bytes > discardBytes) {
+			outgoing.destroy();
+		}
+	});
 	body.once('close', () => {
 		clearTimeout(timer);
 	});
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -115,6 +115,7 @@
 			}
 
 			if (result.outcome === 'client-left' || this.#hasLeft) {
+				this.#discardUnread(result);
 				return 'client-left';
 			}
 
@@ -271,6 +272,16 @@
 		return 'timeout';
 	}
 
+	/** Releases the connection of an answer whose caller has left; an endpoint that stalls within it would hold it for good. */
+	#discardUnread({outcome, answer}: TryResult): void {
+		if (outcome === 'rejected') {
+			answer?.discard();
+		} else {
+			// A call that may run only once has the time of its route to finish.
+			answer?.discard(Math.max(0, this.#deadline - this.#now()));
+		}
+	}
+
 	#refuse(refusal: Refusal): void {
 		this.#status = this.#context.refuse(this.#work.response, refusal);
 	}
