Look for closed callers before a request is sent on by a process that is behind

What callers saw: nothing, they had left.

Cause: a process that was paused, or short of processor time, reads a request and the close behind it from the same socket. Node gives the request first, and it was placed and sent in the same turn of the event loop. The close is read one poll later, and the response learns of it some turns after that, when the socket has been shut down. Of the three hypotheses this one is proved; two more ways were found beside it: a request whose time ran out while it waited for news of other instances was sent on, since the timer of its route had already fired with no try to cancel; and a response that was closed before its request began would never have told of it.

Evidence: callers in a thread of their own send and leave while the event loop stands still for 600 ms.

Change: `EventLoopLag` measures how late the loop is. With a lag over 100 ms within the last second a request waits for one more poll, and is dropped if its caller's side of the connection has ended. Every send, the first as well, now checks the close and the deadline right before it is placed; a request that was never sent is refused with a true "not run". The log gets `event-loop-late` lines and `sentMilliseconds`, the metrics `savorygauge_event_loop_lag_seconds`.

Why it holds: a close that came before the lag ended lies behind the request in the same socket and is read in the next poll, which is waited for. What stays: when bytes came that waited in a socket is not known to Node, so a caller who gave up without closing its connection cannot be told from one who waits.

--- /dev/null
+++ b/src/gateway/data-path/gone-caller.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
+import {type RouteKind} from '../../shared/routed-configuration.js';
+import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {answerSealed, TestGateway} from '../testing/test-gateway.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const requests = 20;
+const stallMilliseconds = 600;
+
+/** Sends one request on each of many open connections when told to, and closes some of them at once. */
+const callersProgram = `
+	const {parentPort, workerData} = require('node:worker_threads');
+	const {connect} = require('node:net');
+	const {port, requests} = workerData;
+	const sockets = requests.map(() => connect(port, '127.0.0.1').on('error', () => {}).resume());
+	let open = 0;
+	for (const socket of sockets) {
+		socket.once('connect', () => {
+			socket.setNoDelay(true);
+			if (++open === sockets.length) {
+				parentPort.postMessage('connected');
+			}
+		});
+	}
+
+	parentPort.once('message', () => {
+		for (const [index, socket] of sockets.entries()) {
+			socket.write(requests[index].bytes, () => {
+				if (requests[index].leaves) {
+					socket.end();
+				}
+			});
+		}
+	});
+`;
+
+function requestBytes(id: string, deadlineMilliseconds: number): string {
+	return rawRequest({
+		method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: id, [names.deadline]: String(deadlineMilliseconds)}, body: 'x',
+	});
+}
+
+for (const kind of ['idempotent', 'non-idempotent', 'stream', 'resumable-stream'] satisfies RouteKind[]) {
+	test(`a request whose caller left before it was read is not sent on (${kind})`, async () => {
+		// Guards against work for callers who left while the process did not read: the request is acted on before the close behind it.
+		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
+		const seen = new Set<string>();
+		await gateway.addEndpoint((incoming, response) => {
+			seen.add(String(incoming.headers[names.attemptId]));
+			answerSealed(incoming, response);
+		}, {slots: requests});
+		const calls = Array.from({length: requests}, (_, index) => {
+			const leaves = index % 2 === 0;
+			return {bytes: requestBytes(`${leaves ? 'leaves' : 'stays'}-${index}`, 2000), leaves};
+		});
+		const callers = new Worker(callersProgram, {eval: true, workerData: {port: Number(gateway.address.split(':')[1]), requests: calls}});
+		await once(callers, 'message');
+		await pause(100);
+		callers.postMessage('send');
+		// Nothing is read in this time, as in a process that is paused or short of processor time.
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, stallMilliseconds);
+		await pause(500);
+		await callers.terminate();
+		await gateway.close();
+		assert.deepEqual([...seen].filter(id => id.startsWith('leaves')), []);
+		assert.equal(seen.size, requests / 2);
+	});
+}
+
+test('a request whose time is over when its place is known is not sent on', async () => {
+	// Guards against work for callers who gave up while the request waited for news of other instances.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({carriesPrompt: true})]})).start();
+	gateway.context.peerNews = {
+		...gateway.context.peerNews,
+		async refresh() {
+			await pause(400);
+		},
+	};
+	let runs = 0;
+	await gateway.addEndpoint((incoming, response) => {
+		runs++;
+		answerSealed(incoming, response);
+	});
+	const bytes = requestBytes('late', 200).replace('host:', 'connection: close\r\nhost:');
+	const answer = await exchangeRaw(gateway.address, bytes);
+	await gateway.close();
+	assert.equal(runs, 0);
+	assert.equal(statusOf(answer), 503);
+	assert.match(answer, /"ran":"not-run"/v);
+});
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -31,6 +31,8 @@
 	placedBy: PlacementBasis | undefined;
 	/** On the steady clock, in milliseconds. */
 	firstByteAt: number | undefined;
+	/** When the last try was sent, on the steady clock, in milliseconds. */
+	sentAt?: number | undefined;
 	/** How the last answer came; absent where it marked its own end and ended there, as nearly all do. */
 	transfer?: AnswerTransfer;
 };
@@ -138,7 +140,7 @@
 }
 
 function endedLine({head, permitted, arrivedAt}: EndedRequest, facts: EndFacts, now: number): EndLine {
-	const {end, placedBy, firstByteAt, ...counts} = facts;
+	const {end, placedBy, firstByteAt, sentAt, ...counts} = facts;
 	return {
 		kind: 'request-ended',
 		fields: {
@@ -150,6 +152,7 @@
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
 			objectiveMilliseconds: end === 'whole' ? permitted.route.objectiveMilliseconds : undefined,
+			sentMilliseconds: sentAt === undefined ? undefined : Math.round(sentAt - arrivedAt.steady),
 			firstByteMilliseconds: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt.steady),
 			milliseconds: Math.round(now - arrivedAt.steady),
 		},
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -9,9 +9,9 @@
 } from '../../decision/attempts/next-step.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
-import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../serving/break-off-answer.js';
+import {afterNextPoll} from './after-next-poll.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
@@ -20,6 +20,7 @@
 import {passOnFailure} from './pass-on-failure.js';
 import {placementRequestOf} from './placement-request.js';
 import {reportEnd, type RoutedEnd} from './report-end.js';
+import {RequestEnding} from './request-ending.js';
 import {type RequestHead} from './request-head.js';
 
 /** A request that may be sent on, with its body. */
@@ -34,6 +35,11 @@
 
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
+/**
+ * With a longer event loop lag a request looks for the close of its caller's connection before it is sent: it may have been
+ * read together with that close, and an endpoint would work for nobody.
+ */
+const lookedForCloseMilliseconds = 100;
 
 export class RoutedRequest {
 	readonly #context: GatewayContext;
@@ -41,12 +47,14 @@
 	readonly #deadline: number;
 	readonly #tried = new Set<string>();
 	readonly #cutter: EventCutter | undefined;
+	readonly #ending: RequestEnding;
 	#current: EndpointTry | undefined;
 	#sends = 0;
 	#mayHaveRun = false;
 	#hasLeft = false;
 	#isExpired = false;
 	#firstByteAt: number | undefined;
+	#sentAt: number | undefined;
 	#basis: PlacementBasis | undefined;
 	#status = 0;
 	/** Of the last answer, until a line of the log has told it. */
@@ -59,6 +67,7 @@
 		const patience = work.head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
 		this.#deadline = work.arrivedAt.steady + Math.min(route.timeoutMilliseconds, patience);
 		this.#cutter = route.kind === 'resumable-stream' ? new EventCutter() : undefined;
+		this.#ending = new RequestEnding(work.response, context.refuse);
 	}
 
 	/** Serves the request to its end, which is always answered or closed when this resolves. */
@@ -68,6 +77,10 @@
 			this.#leave();
 		};
 
+		if (response.destroyed) {
+			this.#leave();
+		}
+
 		response.once('close', onClose);
 		const timer = setTimeout(() => {
 			this.#isExpired = true;
@@ -77,12 +90,13 @@
 			const end = await this.#tryUntilDone();
 			reportEnd(this.#context, this.#work, {
 				end,
-				status: this.#status,
+				status: this.#ending.status ?? this.#status,
 				endpoints: [...this.#tried],
 				sends: this.#sends,
 				mayHaveRun: this.#mayHaveRun,
 				placedBy: this.#basis,
 				firstByteAt: this.#firstByteAt,
+				sentAt: this.#sentAt,
 				...unusualTransfer(this.#untoldTransfer),
 			}, this.#now());
 			return end;
@@ -98,17 +112,26 @@
 				await this.#context.peerNews.refresh();
 			}
 
-			const {request, placement} = this.#place();
-			if (placement.kind === 'none') {
-				return this.#giveUp({
-					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can take the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
-				});
+			if (this.#context.eventLoopLag.at(this.#now()) > lookedForCloseMilliseconds) {
+				await afterNextPoll();
 			}
 
-			if (this.#hasLeft) {
+			// Node reports a close to the response some turns of the event loop after it has read it.
+			if (this.#hasLeft || this.#work.request.socket.readableEnded) {
 				return 'client-left';
 			}
 
+			if (this.#isExpired || this.#now() >= this.#deadline) {
+				return this.#ending.expire(this.#mayHaveRun);
+			}
+
+			const {request, placement} = this.#place();
+			if (placement.kind === 'none') {
+				return this.#ending.giveUp({
+					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can take the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
+				}, this.#mayHaveRun);
+			}
+
 			const result = await this.#send(request, placement);
 			if (result.outcome === 'whole') {
 				return 'whole';
@@ -120,7 +143,7 @@
 			}
 
 			if (this.#isExpired) {
-				return this.#expire();
+				return this.#ending.expire(this.#mayHaveRun);
 			}
 
 			const {outcome} = result;
@@ -168,9 +191,9 @@
 			case 'refuse':
 			case 'fail': {
 				answer?.discard();
-				return this.#giveUp({
+				return this.#ending.giveUp({
 					reason: 'no-endpoint', ran: 'not-run', message: 'no endpoint took the request', retryAfterMilliseconds: rejectedRetryMilliseconds,
-				});
+				}, this.#mayHaveRun);
 			}
 		}
 	}
@@ -202,6 +225,7 @@
 				this.#firstByteAt ??= this.#now();
 			},
 		});
+		this.#sentAt = this.#now();
 		const running = this.#current.run();
 		if (request.prompt !== undefined) {
 			this.#context.peerNews.tell();
@@ -233,7 +257,7 @@
 		}
 
 		if (outcome === 'cut' && this.#isExpired) {
-			return this.#expire();
+			return this.#ending.expire(this.#mayHaveRun);
 		}
 
 		if (outcome === 'cut') {
@@ -244,34 +268,6 @@
 		return outcome === 'whole' ? 'failure-passed-on' : 'client-left';
 	}
 
-	/** Ends a request that no endpoint serves; the refusal holds only if nothing can have run. */
-	#giveUp(refusal: Refusal): RoutedEnd {
-		const {response} = this.#work;
-		if (response.headersSent) {
-			breakOffAnswer(response);
-			return 'broken-off';
-		}
-
-		if (this.#mayHaveRun) {
-			this.#refuse({reason: 'outcome-unknown', ran: 'unknown', message: 'the request was sent and its answer was lost'});
-			return 'failed';
-		}
-
-		this.#refuse(refusal);
-		return 'refused';
-	}
-
-	#expire(): RoutedEnd {
-		const {response} = this.#work;
-		if (response.headersSent) {
-			breakOffAnswer(response);
-		} else {
-			this.#refuse({reason: 'timeout', ran: 'unknown', message: 'the request was not answered in time'});
-		}
-
-		return 'timeout';
-	}
-
 	/** Releases the connection of an answer whose caller has left; an endpoint that stalls within it would hold it for good. */
 	#discardUnread({outcome, answer}: TryResult): void {
 		if (outcome === 'rejected') {
@@ -282,10 +278,6 @@
 		}
 	}
 
-	#refuse(refusal: Refusal): void {
-		this.#status = this.#context.refuse(this.#work.response, refusal);
-	}
-
 	/**
 	 * The client closed its connection. Work that may be repeated, or streams to it, are cancelled, since nobody reads them;
 	 * a call that may run only once is left to finish, since cutting it would leave it half done and save little.
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -9,6 +9,7 @@
 import {type WireNames} from './data-path/wire-names.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type DecisionLog} from './observability/decision-log.js';
+import {type EventLoopLag} from './observability/event-loop-lag.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {type PeerNews} from './hub/hub-client.js';
 import {type HubView} from './hub/hub-view.js';
@@ -29,6 +30,7 @@
 	hubView: HubView;
 	peerNews: PeerNews;
 	partPlanner: PartPlanner;
+	eventLoopLag: Pick<EventLoopLag, 'at'>;
 	log: DecisionLog;
 	metrics: GatewayMetrics;
 	refuse: Refuse;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -37,6 +37,7 @@
 import {packLoads} from './hub/hub-messages.js';
 import {HubView} from './hub/hub-view.js';
 import {DecisionLog} from './observability/decision-log.js';
+import {EventLoopLag} from './observability/event-loop-lag.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {type Catalog} from './watchers/catalog.js';
 import {EndpointReader} from './watchers/endpoint-reader.js';
@@ -90,6 +91,7 @@
 	readonly #hub: Hub;
 	readonly #hubClient: HubClient;
 	readonly #root: Supervisor;
+	readonly #eventLoopLag: EventLoopLag;
 	readonly #exchanges = new HttpEndpointExchanges();
 	readonly #stop = new AbortController();
 	#isStopping = false;
@@ -107,6 +109,7 @@
 			instance: settings.instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
+		this.#eventLoopLag = new EventLoopLag(clock, log, metrics);
 		this.#context = {
 			dataCentre: settings.dataCentre,
 			clock,
@@ -117,6 +120,7 @@
 			hubView,
 			peerNews: this.#hubClient,
 			partPlanner: new PartPlanner(),
+			eventLoopLag: this.#eventLoopLag,
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			goals: new WeightGoals(settings.bounds.weightsMilliseconds),
@@ -138,6 +142,7 @@
 
 	/** Listens, and runs until it is stopped. */
 	async run(): Promise<void> {
+		this.#eventLoopLag.start();
 		await Promise.all([this.#callers.listen(), this.#ready.listen(), this.#metricsListener.listen()]);
 		this.#context.log.record('started', {
 			dataCentre: this.#settings.dataCentre, callers: this.#settings.listenCallers, store: this.#settings.storeAddress, process: process.pid,
@@ -177,6 +182,7 @@
 		const left = this.#graceMilliseconds - exitMarginMilliseconds - (clock.moment().steady - startedAt);
 		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
 		this.#stop.abort();
+		this.#eventLoopLag.stop();
 		this.#exchanges.close();
 		// Nobody waits for these two: the balancer and the metrics' reader ask again elsewhere.
 		void this.#ready.drain();
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -19,7 +19,7 @@
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
 		| 'request-served' | 'request-ended' | 'request-refused' | 'try-failed'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
-		| 'store-parts' | 'left-out' | 'fault';
+		| 'store-parts' | 'event-loop-late' | 'left-out' | 'fault';
 
 /** The fields of a line beside its kind and time. */
 export type DecisionFields = Record<string, JsonValue | undefined>;
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -48,4 +48,8 @@
 	readonly open = new Gauge({
 		name: 'savorygauge_open_requests', help: 'Requests under way.', registers: [this.registry],
 	});
+
+	readonly eventLoopLag = new Histogram({
+		name: 'savorygauge_event_loop_lag_seconds', help: 'How late the event loop ran a timer.', buckets: latencyBuckets, registers: [this.registry],
+	});
 }
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -18,6 +18,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {HubView} from '../hub/hub-view.js';
 import {DecisionLog} from '../observability/decision-log.js';
+import {EventLoopLag} from '../observability/event-loop-lag.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
 import {WeightGoals} from '../weights/weight-goals.js';
@@ -35,6 +36,7 @@
 	readonly #exchanges = new HttpEndpointExchanges();
 	readonly #endpoints: Array<{close(): void}> = [];
 	readonly #stop = new AbortController();
+	readonly #eventLoopLag: EventLoopLag;
 
 	constructor(configuration: RoutedConfiguration = testConfiguration()) {
 		const metrics = new GatewayMetrics();
@@ -45,6 +47,8 @@
 			writableLength: 0,
 			write: (line: string) => this.lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
 		};
+		const log = new DecisionLog(output, {}, Date.now);
+		this.#eventLoopLag = new EventLoopLag(systemMomentClock, log, metrics);
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
@@ -66,7 +70,8 @@
 			},
 			partPlanner: new PartPlanner(),
 			loadingEngines: new LoadingEngines(() => systemMomentClock.moment().steady),
-			log: new DecisionLog(output, {}, Date.now),
+			eventLoopLag: this.#eventLoopLag,
+			log,
 			metrics,
 			refuse: createRefuse(metrics),
 		};
@@ -76,6 +81,7 @@
 
 	/** Starts to listen. */
 	async start(): Promise<this> {
+		this.#eventLoopLag.start();
 		this.address = await this.#listener.listen();
 		return this;
 	}
@@ -106,6 +112,7 @@
 
 	async close(): Promise<void> {
 		this.#stop.abort();
+		this.#eventLoopLag.stop();
 		for (const endpoint of this.#endpoints) {
 			endpoint.close();
 		}
