Close the connection of a refused upload that goes on

What callers saw: nothing wrong themselves; other callers got less of the processor.

Cause: Node drops what follows of a body when its request has been answered, and does so until the body ends. The only limit on that was the one for a whole request. It holds for any answer before the end of a body, also for refusals by the head.

Change: the listener, and with it gateway, entry and operators' calls, closes the connection 2 s after the answer if the body is not there by then. The refusal has been written in full before that time begins, so a caller that reads it gets it.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -1,6 +1,7 @@
 /**
- * Serves an h3 application, or a plain handler where requests must be passed on raw, on one address, with bounds that keep slow or broken clients from holding it, and with a
- * drain that ends: open answers are finished, idle connections closed, half-sent requests given their usual time.
+ * Serves an h3 application, or a plain handler where requests must be passed on raw, on one address, with bounds that keep
+ * slow or broken clients from holding it, and with a drain that ends: open answers are finished, idle connections closed,
+ * half-sent requests given their usual time.
  */
 import {once} from 'node:events';
 import {
@@ -31,6 +32,13 @@
 	largestHeaderBytes: 32_768,
 };
 
+/**
+ * Time for the rest of a body to arrive after its request has been answered. Node reads it on, since closing the connection
+ * with unread bytes would reset it and could take the answer with it; without a limit, a sender that ignores a refusal is
+ * read for as long as a request may take.
+ */
+const outstandingBodyMilliseconds = 2000;
+
 /** Answers a request that `node:http` gives. */
 export type NodeHandle = (request: IncomingMessage, response: ServerResponse) => unknown;
 
@@ -159,6 +167,9 @@
 				socket.end();
 			}
 		});
+		response.once('finish', () => {
+			closeIfOutstanding(request);
+		});
 		if (this.#draining || this.#closesConnections) {
 			response.setHeader('connection', 'close');
 		}
@@ -215,3 +226,20 @@
 		}
 	}
 }
+
+/** Closes the connection of an answered request unless the rest of its body arrives soon. */
+function closeIfOutstanding(request: IncomingMessage): void {
+	const {socket} = request;
+	if (request.complete || socket.destroyed) {
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		if (!request.complete) {
+			socket.destroy();
+		}
+	}, outstandingBodyMilliseconds);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
--- a/src/serving/read-body.ts
+++ b/src/serving/read-body.ts
@@ -7,9 +7,8 @@
  * Reads the body of a request up to a limit. A body that is too long is refused as soon as that is known: by its
  * declared length before any of it is read, else at the first byte too many.
  *
- * What follows of a refused body is read and thrown away, by Node behind the answer: a connection that is closed with
- * unread bytes is reset, and the caller would lose the refusal that is on its way. The time limit of the listener ends a
- * body that never does.
+ * Node reads what follows of a refused body and drops it: a connection that is closed with unread bytes is reset, and the
+ * caller would lose the refusal that is on its way. The listener closes the connection of a body that does not end soon.
  *
  * @param request - The request.
  * @param limitBytes - The longest body taken.
