Bound the size of answers that are read whole

What callers saw: an instance that one faulty store, engine or service could bring down, with the answers of all its callers. The time limit of a call was its only bound: what comes over a fast link in that time was held in memory.

Cause: the connection pools for whole answers had no `maxResponseSize`; only the pool for streams had one.

Evidence: tests against a server that floods or drips, with 200 and 503, for JSON exchanges (the platform's store, operators' calls, engine reports), cache, object and weight stores and plain services. Before, 8 of 15 red: 1.8 GB read of a JSON answer within 1 s, 9.6 and 11.8 GB of an object store's, 8.3 GB of a plain service's rejection; the process of the test grew by up to 5.8 GB. After: 15 green. The suspects without a fault: answers that drip (the time limit covers the whole exchange), and `body.dump()` of the cache and weight stores, which stops at 128 KiB and with the time limit: both green before as well.

Change: 256 MiB for whole answers, 32 MiB for JSON. A longer one ends its call as a broken connection does.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -10,11 +10,27 @@
 /** Shorter than the 5 s after which many servers close an idle connection without having said so. */
 const idleConnectionMilliseconds = 4000;
 
+/**
+ * The longest body that is read whole, such as a cache block. Answers are held in memory: without a limit, one that never
+ * ends would take all of it within the time limit of its call.
+ */
+const longestAnswerBytes = 268_435_456;
+/** The same for JSON, such as a page of rows. */
+const longestJsonBytes = 33_554_432;
+
 /** The connection pool of this process. */
 export const connectionPool = new Agent({
 	connect: {timeout: connectTimeoutMilliseconds},
 	keepAliveTimeout: idleConnectionMilliseconds,
 	pipelining: 1,
+	maxResponseSize: longestAnswerBytes,
+});
+
+const jsonPool = new Agent({
+	connect: {timeout: connectTimeoutMilliseconds},
+	keepAliveTimeout: idleConnectionMilliseconds,
+	pipelining: 1,
+	maxResponseSize: longestJsonBytes,
 });
 
 /**
@@ -25,6 +41,7 @@
 export const freshConnectionPool = new Agent({
 	connect: {timeout: connectTimeoutMilliseconds},
 	pipelining: 1,
+	maxResponseSize: longestAnswerBytes,
 });
 
 /** The longest stream taken: some hundred thousand tokens with the frame of an event around each. */
@@ -66,11 +83,11 @@
  *
  * @param exchange - What to send, and how many milliseconds the whole exchange may take.
  * @returns The status and the parsed body; the body is `undefined` when it is empty.
- * @throws The error of the connection, a timeout, a body that is no JSON, or one that nothing proves to be whole.
+ * @throws The error of the connection, a timeout, a body that is too long, no JSON, or that nothing proves to be whole.
  */
 export async function exchangeJson(exchange: JsonExchange): Promise<JsonAnswer> {
 	const {origin, pathname, search} = new URL(exchange.url);
-	const answer = await connectionPool.request({
+	const answer = await jsonPool.request({
 		origin,
 		path: pathname + search,
 		method: exchange.method,
