Forget what an instance had under way when its connection to the hub is idle

What callers saw: endpoints that nobody used looked laden, or silent, and were left alone, for as long as TCP went on trying to reach an instance that had lost its power or was cut off.

Cause: the hub closed no connection of a follower. The follower gives up a hub that is silent for 1.2 s; nothing did the same the other way, and the last load that a follower had sent was added to what all others were told. A connection that stops within a frame is of the same kind. Found while looking for links that stop within a message.

Evidence: a follower sends a load of 7 requests and falls silent. After: gone, closed.

Change: a connection on which no whole frame came for 1.2 s, six of the followers' questions, is closed when the next question of another follower is answered, before the loads are added up. One limit for both sides now.

--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -7,13 +7,13 @@
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
-import {type FollowerFrame, type HubFrame, type PackedLoad} from './hub-messages.js';
+import {
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad,
+} from './hub-messages.js';
 import {type HubView} from './hub-view.js';
 
 /** A question at least this often keeps knowledge fresh also when one answer is late. */
 export const askMilliseconds = freshMilliseconds / 4;
-/** Without an answer for so long the connection is given up. */
-const silenceMilliseconds = 1200;
 /**
  * Before a prompt is placed the hub is asked for fresh news, where that takes no longer than this: a round trip within a
  * region takes a few milliseconds, and a prompt's first token some hundred. A hub farther away is asked at its pace only.
@@ -99,14 +99,14 @@
 		socket.on('error', end).on('close', end);
 	}
 
-	/** Asks once, and gives up a connection that has been silent for too long. */
+	/** Asks once, or closes a connection that has been idle for too long. */
 	ask(): void {
 		const now = this.#clock.moment();
 		if (this.#socket === undefined) {
 			return;
 		}
 
-		if (now.steady - this.#heardAt > silenceMilliseconds) {
+		if (now.steady - this.#heardAt > idleTimeoutMilliseconds) {
 			this.close();
 			return;
 		}
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -3,6 +3,9 @@
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
 import {type PartsChange} from '../../protocol/parts/store-ledger.js';
 
+/** A connection between the hub and a follower on which no whole frame came for so long is closed, by either side. */
+export const idleTimeoutMilliseconds = 1200;
+
 /** A load as it is sent: requests, held tokens, oldest wait, last heard, then unread tokens by rank. */
 export type PackedLoad = number[];
 
--- /dev/null
+++ b/src/gateway/hub/hub-server.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {HubServer, type HubSource} from './hub-server.js';
+import {type FollowerFrame, type HubFrame} from './hub-messages.js';
+
+const source: HubSource = {
+	isHub: () => true,
+	isServing: () => true,
+	engineClock: () => undefined,
+	openStores: () => [],
+	knownEngines: () => [],
+	snapshot: () => [],
+	takeUses() {
+		// No store is played.
+	},
+};
+
+async function freePort(): Promise<number> {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return port;
+}
+
+async function follow(port: number): Promise<Socket> {
+	const socket = connect(port, '127.0.0.1');
+	await once(socket, 'connect');
+	return socket;
+}
+
+function send(socket: Socket, frame: FollowerFrame): void {
+	socket.write(encodeFrame(frame));
+}
+
+test('what an instance had under way is forgotten when its connection falls silent', async () => {
+	// Guards against endpoints that look laden, and are left alone, because an instance that lost its power or was cut off
+	// closes no connection.
+	const port = await freePort();
+	const server = new HubServer(`127.0.0.1:${port}`, source, systemMomentClock);
+	const stop = new AbortController();
+	void server.run(stop.signal);
+	await pause(50);
+	const silent = await follow(port);
+	const asking = await follow(port);
+	let loads: Record<string, number[]> = {};
+	const reader = new FrameReader();
+	asking.on('data', bytes => {
+		for (const frame of reader.read(bytes).unsafeCoerce() as HubFrame[]) {
+			loads = frame.kind === 'answer' ? frame.loads : loads;
+		}
+	});
+	send(silent, {
+		kind: 'tell', instance: 'silent', uses: [], loads: {engine: [7, 100, 0, 0, 0, 0, 0]},
+	});
+	const ask = async (count: number): Promise<void> => {
+		for (let number = 0; number < count; number++) {
+			send(asking, {
+				kind: 'ask', number, instance: 'asking', uses: [], loads: {},
+			});
+			await pause(100);
+		}
+	};
+
+	await ask(3);
+	assert.equal(loads.engine?.[0], 7);
+	await ask(25);
+	const isClosed = silent.destroyed || silent.readableEnded;
+	silent.destroy();
+	asking.destroy();
+	stop.abort();
+	assert.deepEqual(loads, {});
+	assert.equal(isClosed, true);
+});
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -7,9 +7,10 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {addLoads, type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {
-	type FollowerFrame, type HubFrame, type PackedLoad, packLoads, unpackLoad,
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, packLoads, unpackLoad,
 } from './hub-messages.js';
 
 /** What the server asks the keeper of the duty. */
@@ -30,19 +31,26 @@
 /** A follower that does not read is dropped; it dials again and hears all anew. */
 const mostWaitingBytes = 1_048_576;
 
-type Follower = {instance: string; loads: Record<string, PackedLoad>};
+type Follower = {
+	instance: string;
+	loads: Record<string, PackedLoad>;
+	/** Of its last whole frame, on the steady clock, in milliseconds. */
+	lastSeenAt: number;
+};
 
 export class HubServer implements Child {
 	readonly name = 'hub-server';
 	readonly #address: string;
 	readonly #source: HubSource;
+	readonly #clock: MomentClock;
 	readonly #server: Server;
 	readonly #followers = new Map<Socket, Follower>();
 
 	/** @param address - `IP:port` to listen at. */
-	constructor(address: string, source: HubSource) {
+	constructor(address: string, source: HubSource, clock: MomentClock) {
 		this.#address = address;
 		this.#source = source;
+		this.#clock = clock;
 		this.#server = createServer(socket => {
 			this.#take(socket);
 		});
@@ -88,7 +96,7 @@
 		}
 
 		const reader = new FrameReader();
-		this.#followers.set(socket, {instance: '', loads: {}});
+		this.#followers.set(socket, {instance: '', loads: {}, lastSeenAt: this.#now()});
 		socket.setNoDelay(true);
 		for (const frame of this.#source.snapshot()) {
 			this.#write(socket, encodeFrame(frame));
@@ -118,14 +126,28 @@
 			return;
 		}
 
-		this.#followers.set(socket, {instance: frame.instance, loads: frame.loads});
+		this.#followers.set(socket, {instance: frame.instance, loads: frame.loads, lastSeenAt: this.#now()});
 		this.#source.takeUses(frame.uses);
 		if (frame.kind === 'ask') {
 			this.#answer(socket, frame);
 		}
 	}
 
+	/**
+	 * Closes connections that are idle for too long. An instance that lost its power or was cut off closes none, and what it
+	 * had under way would weigh on its endpoints for as long as TCP goes on trying.
+	 */
+	#closeIdle(now: number): void {
+		for (const [socket, {lastSeenAt}] of this.#followers) {
+			if (now - lastSeenAt > idleTimeoutMilliseconds) {
+				this.#followers.delete(socket);
+				socket.destroy();
+			}
+		}
+	}
+
 	#answer(socket: Socket, {number, instance}: FollowerFrame & {kind: 'ask'}): void {
+		this.#closeIdle(this.#now());
 		const clock = this.#source.engineClock();
 		const answer: HubFrame = {
 			kind: 'answer',
@@ -154,6 +176,10 @@
 		return packLoads(sums);
 	}
 
+	#now(): number {
+		return this.#clock.moment().steady;
+	}
+
 	#write(socket: Socket, bytes: Uint8Array): void {
 		if (socket.writableLength > mostWaitingBytes) {
 			socket.destroy();
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -62,7 +62,7 @@
 	constructor(context: HubContext, parts: HubParts) {
 		this.#context = context;
 		this.#parts = parts;
-		this.server = new HubServer(parts.address, this);
+		this.server = new HubServer(parts.address, this, context.clock);
 		const {control} = parts;
 		const {clock, log} = context;
 		const tell = (holder: string, change: PartsChange): void => {
