--- a/src/timeline/read-collector.test.ts
+++ b/src/timeline/read-collector.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {encodeFrame} from '../peer/framing/frame-codec.js';
 import {connectionEndings, startEndingServer} from '../test/ending-server.js';
+import {startScriptedServer} from '../test/scripted-server.js';
 import {readCollector} from './read-collector.js';
 import {type TimelineQuery} from './timeline-messages.js';
 
@@ -34,6 +36,22 @@
 	assert.equal(outcomes.get('whole closed: complete'), 50);
 });
 
+for (const [name, bytes] of Object.entries({
+	'says nothing': Buffer.alloc(0),
+	'stops within a reply': encodeFrame({
+		events: [], missing: [], skipped: 0, isComplete: true,
+	}).subarray(0, -1),
+})) {
+	test(`a collector that ${name} is an error for its reader`, async t => {
+		// Guards against operators and scripts that wait for good on a collector that hangs.
+		const server = await startScriptedServer(t, socket => {
+			socket.write(bytes);
+		});
+		const outcome = await Promise.race([readToEnd(server.address, {query: {}, follow: false}), pause(8000, 'waits')]);
+		assert.equal(outcome, 'error');
+	});
+}
+
 async function readToEnd(address: string, query: TimelineQuery): Promise<string> {
 	let isComplete = false;
 	try {
