Read the sockets before an endpoint is taken for unresponsive

What callers saw: answers later than need be, and failures when no second endpoint was free. After a process had been paused for longer than 700 ms, each of its waiting requests was cancelled at its endpoint and sent to another one, all of them at once and out of the shared budget of retries, while the answers lay unread in their sockets.

Cause: timers run before sockets are read. The check for unresponsive endpoints found a request that had waited through the pause and no byte since, and gave the endpoint up.

A first try, no verdict within a second of a lag, passed as well and was dropped: a process that is always behind would never find a dead endpoint.

Change: an endpoint that looks unresponsive is judged again after the next poll. Whatever came during the pause has been read then.

--- a/src/gateway/data-path/try-watch.ts
+++ b/src/gateway/data-path/try-watch.ts
@@ -2,6 +2,7 @@
 import {isRepeatable} from '../../decision/attempts/next-step.js';
 import {isBehind} from '../../decision/placement/older-weights.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {afterNextPoll} from './after-next-poll.js';
 import {type OpenExchange} from './endpoint-exchange.js';
 import {type TryTarget, type TryWork} from './try-work.js';
 
@@ -20,6 +21,7 @@
 	#silenceCheck: NodeJS.Timeout | undefined;
 	#grantEnd: NodeJS.Timeout | undefined;
 	#hasBegun = false;
+	#isStopped = false;
 	#givenUpFor: GivenUpFor | undefined;
 
 	constructor(context: GatewayContext, work: TryWork, target: TryTarget) {
@@ -45,6 +47,7 @@
 	}
 
 	stop(): void {
+		this.#isStopped = true;
 		clearInterval(this.#silenceCheck);
 		clearTimeout(this.#grantEnd);
 	}
@@ -61,12 +64,27 @@
 		}
 
 		this.#silenceCheck = setInterval(() => {
-			const {response, cutter} = this.#work;
-			const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
-			if (canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now())) {
+			void this.#checkSilence(exchange);
+		}, silenceCheckMilliseconds);
+	}
+
+	/**
+	 * Timers run before sockets are read. Judged at once, every endpoint would look unresponsive after a pause of this process,
+	 * and every request that waits would run a second time.
+	 */
+	async #checkSilence(exchange: OpenExchange): Promise<void> {
+		if (this.#isSilent()) {
+			await afterNextPoll();
+			if (!this.#isStopped && this.#isSilent()) {
 				this.#giveUp(exchange, 'silence');
 			}
-		}, silenceCheckMilliseconds);
+		}
+	}
+
+	#isSilent(): boolean {
+		const {response, cutter} = this.#work;
+		const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
+		return canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now());
 	}
 
 	/**
