End a prompt soon when its only engine has stopped

What callers saw: a prompt that one engine alone can take waited for it until the route's timeout when the engine went dark, although nothing could serve it any more: within its answer always, before its answer if no further attempt was left.

Cause: unresponsive endpoints were looked for only while a request without a byte waited there, and only by requests that could be sent elsewhere. With nothing but running streams at an engine nobody looked.

Evidence: a prompt with one engine that falls silent before or within its answer, 1 to 3 attempts, a route of 8 s.

Change: a prompt's try is watched whether or not another one may follow. An engine that has sent no byte to any instance for 1.4 s counts as stopped for the streams that run there; a resumable one then goes on elsewhere, or is broken off so that its caller can come back. Calls to plain services are judged as before, since they may just be slow.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -140,6 +140,10 @@
 		return isSilent(this.#estimates.loadAt(endpoint, now).load);
 	}
 
+	idleMilliseconds(endpoint: EndpointRecord, now: number): number {
+		return this.#estimates.loadAt(endpoint, now).load.heardAgoMilliseconds;
+	}
+
 	/** When a refused caller finds room again: when the least laden engine has read what lies before such a prompt. */
 	#overloadRetry(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -72,6 +72,8 @@
 	heard(endpoint: EndpointRecord, now: number): void;
 	/** Whether an endpoint has fallen silent with requests waiting. */
 	isSilent(endpoint: EndpointRecord, now: number): boolean;
+	/** How long ago the last byte came from an endpoint to any instance, in milliseconds. */
+	idleMilliseconds(endpoint: EndpointRecord, now: number): number;
 	/** Endpoints that cannot be reached and are due for a try to connect. */
 	dueProbes(now: number): EndpointRecord[];
 	/** Notes how a try to connect ended. */
--- /dev/null
+++ b/src/gateway/data-path/dark-endpoint.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {test} from 'node:test';
+import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
+import {testConfiguration, testRoute} from '../testing/test-configuration.js';
+import {sealedHeaders, TestGateway} from '../testing/test-gateway.js';
+import {ownWireNames as names} from './wire-names.js';
+
+const timeoutMilliseconds = 8000;
+/** Two periods after which an endpoint counts as unresponsive, and time for a busy machine. */
+const answeredMilliseconds = 3000;
+const request = rawRequest({
+	method: 'POST', path: '/', headers: {
+		host: 'quay.example',
+		[names.attemptId]: 'a1',
+		[names.deadline]: String(timeoutMilliseconds),
+		[names.model]: 'lease',
+		[names.tokenCount]: '100,10',
+		[names.promptParts]: 'ab:100',
+		connection: 'close',
+	}, body: 'x',
+});
+
+const stages: Record<string, (incoming: IncomingMessage, response: ServerResponse) => void> = {
+	'before its answer'() {
+		// It lost its power, and resets nothing.
+	},
+	'within its answer'(incoming, response) {
+		response.writeHead(200, {...sealedHeaders(incoming), 'content-type': 'text/event-stream'});
+		response.write('id: 1\ndata: one\n\n');
+	},
+};
+
+for (const [stage, play] of Object.entries(stages)) {
+	for (const mostAttempts of [1, 2, 3]) {
+		test(`a prompt whose only engine falls silent ${stage} is ended soon (${mostAttempts} attempts)`, async () => {
+			// Guards against callers who wait until their time is over although nothing can serve them any more.
+			const route = testRoute({
+				kind: 'resumable-stream', carriesPrompt: true, timeoutMilliseconds, mostAttempts,
+			});
+			const gateway = await new TestGateway(testConfiguration({routes: [route]})).start();
+			await gateway.addEndpoint(play);
+			const startedAt = performance.now();
+			const answer = await exchangeRaw(gateway.address, request);
+			const milliseconds = performance.now() - startedAt;
+			await gateway.close();
+			assert.ok(milliseconds < answeredMilliseconds, `ended after ${Math.round(milliseconds)} ms: ${answer}`);
+		});
+	}
+}
--- a/src/gateway/data-path/try-watch.ts
+++ b/src/gateway/data-path/try-watch.ts
@@ -11,6 +11,11 @@
 
 /** How often a waiting request looks whether its endpoint has fallen silent. */
 const silenceCheckMilliseconds = 200;
+/**
+ * An engine that writes answers sends some event every few dozen milliseconds. One that has sent none to anybody for so long
+ * has stopped; a load of new weights, during which its runs pause, takes less.
+ */
+const stoppedEngineMilliseconds = 1400;
 /** A prompt is taken back from an engine with older weights this long before the grant ends: the way to the engine. */
 const takeBackMilliseconds = 250;
 
@@ -53,13 +58,15 @@
 	}
 
 	/**
-	 * Gives up a request at an endpoint that has fallen silent, if it may be sent elsewhere: an endpoint that lost its power
-	 * resets no connection, and the caller would wait until the time-out. Behind the first bytes only a stream that may be
-	 * resumed can go elsewhere; a cut would leave any other caller with half of an answer that may only be slow. An endpoint
-	 * whose answer waits here for a slow caller is not silent: it is this process that does not read.
+	 * Gives up a request at an endpoint that has become unresponsive: one that lost its power resets no connection, and the
+	 * caller would wait until the timeout. A call to a plain service is given up only if it may be sent elsewhere, since it may
+	 * just be slow. A prompt is given up also where no other engine may be tried: its caller can come back at once. After the
+	 * first bytes only a stream that may be resumed is given up; any other caller would be left with half of an answer. An
+	 * endpoint whose answer waits here for a slow caller is not unresponsive: it is this process that does not read.
 	 */
 	#watchForSilence(exchange: OpenExchange): void {
-		if (!isRepeatable(this.#work.permitted.route.kind) || !this.#target.hasNext) {
+		const {kind, carriesPrompt} = this.#work.permitted.route;
+		if (!isRepeatable(kind) || !(this.#target.hasNext || carriesPrompt)) {
 			return;
 		}
 
@@ -83,8 +90,14 @@
 
 	#isSilent(): boolean {
 		const {response, cutter} = this.#work;
-		const canGoElsewhere = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
-		return canGoElsewhere && this.#context.placement.isSilent(this.#target.endpoint, this.#now());
+		const mayBeGivenUp = !response.headersSent || (cutter !== undefined && !response.writableNeedDrain);
+		return mayBeGivenUp && (this.#context.placement.isSilent(this.#target.endpoint, this.#now()) || this.#isEngineStopped());
+	}
+
+	/** With no request waiting, only the running streams show that an engine has stopped. */
+	#isEngineStopped(): boolean {
+		const {permitted: {route}} = this.#work;
+		return route.carriesPrompt && this.#hasBegun && this.#context.placement.idleMilliseconds(this.#target.endpoint, this.#now()) > stoppedEngineMilliseconds;
 	}
 
 	/**
