Look for closed callers in savorygauge-entry too

What callers saw: nothing, they had left. Engines and plain services worked for them, calls that may run once included.

Cause: the same as in the gateway: after a pause of the process a request is acted on before the close behind it is read.

A first try polled once more for every request; it took typed refusals from callers who close their side right after a malformed request ("1,000 malformed requests get a typed error each" turned red), so the poll is made only after a lag, as in the gateway.

Change: the measure of the lag and the check move from the gateway to `src/serving`, which both programs use; the gateway behaves as before.

--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -7,6 +7,7 @@
 import {type ModelEngine} from '../ports/model-engine.js';
 import {type PlainService} from '../ports/plain-service.js';
 import {type TableService} from '../ports/table-service.js';
+import {type EventLoopLag} from '../serving/event-loop-lag.js';
 import {type ConfigurationHolder} from './configuration-holder.js';
 import {type EndpointDirectory} from './endpoint-directory.js';
 import {type EntrySettings} from './entry-settings.js';
@@ -28,6 +29,7 @@
 	configuration: ConfigurationHolder;
 	endpoints: EndpointDirectory;
 	requests: RequestRegistry;
+	eventLoopLag: Pick<EventLoopLag, 'current'>;
 	/** True from the order to stop on: nothing new is taken. */
 	draining: boolean;
 };
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -17,6 +17,7 @@
 import {StatsdMetrics} from '../observability/metrics.js';
 import {TimelineSender} from '../observability/timeline-sender.js';
 import {Supervisor} from '../supervisor/supervisor.js';
+import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {HttpListener} from '../serving/http-listener.js';
 import {CapacityFeed} from './capacity-feed.js';
 import {AdmissionGate} from './callers/admission-gate.js';
@@ -49,6 +50,9 @@
 	peers: string;
 };
 
+/** A longer lag of the event loop gets a line in the log. */
+const loggedLagMilliseconds = 200;
+
 export class EntryDaemon {
 	readonly #context: EntryContext;
 	readonly #prefixes = new KeptPrefixes();
@@ -62,6 +66,11 @@
 	readonly #reader: CacheEventReader;
 	readonly #stop = new AbortController();
 	readonly #timeline: TimelineSender;
+	readonly #eventLoopLag = new EventLoopLag(() => performance.now(), lagMilliseconds => {
+		if (lagMilliseconds >= loggedLagMilliseconds) {
+			this.#context.logger.warn('the event loop is late', {milliseconds: Math.round(lagMilliseconds)});
+		}
+	});
 
 	constructor(settings: EntrySettings) {
 		const identity = {program: 'savorygauge-entry', instance: settings.instance, dataCentre: settings.dataCentre};
@@ -81,6 +90,7 @@
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
 			requests: new RequestRegistry(),
+			eventLoopLag: this.#eventLoopLag,
 			draining: false,
 		};
 		this.#neverTwice = new NeverTwiceRunner(this.#context);
@@ -107,6 +117,7 @@
 
 	/** Starts to listen, then runs until `stop`. `onListening` is told the addresses. */
 	async run(onListening: (addresses: EntryAddresses) => void): Promise<void> {
+		this.#eventLoopLag.start();
 		const addresses = {callers: await this.#callers.listen(), operators: await this.#operators.listen(), peers: await this.#peers.service.listen()};
 		this.#timeline.record({kind: 'process-started', at: this.#context.clock.now()});
 		this.#context.logger.info('listening', {...addresses});
@@ -125,6 +136,7 @@
 		await this.#neverTwice.settle();
 		this.#peers.service.leave();
 		this.#stop.abort();
+		this.#eventLoopLag.stop();
 		this.#timeline.record({kind: 'process-stopped', at: clock.now()});
 		this.#timeline.flush(clock.now());
 		await this.#timeline.close();
--- a/src/gateway/data-path/gone-caller.test.ts
+++ b/src/gateway/data-path/gone-caller.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {Worker} from 'node:worker_threads';
 import {type RouteKind} from '../../shared/routed-configuration.js';
 import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
+import {connectCallers, standStill} from '../../test/separate-callers.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {answerSealed, TestGateway} from '../testing/test-gateway.js';
 import {ownWireNames as names} from './wire-names.js';
@@ -12,33 +11,6 @@
 const requests = 20;
 const stallMilliseconds = 600;
 
-/** Sends one request on each of many open connections when told to, and closes some of them at once. */
-const callersProgram = `
-	const {parentPort, workerData} = require('node:worker_threads');
-	const {connect} = require('node:net');
-	const {port, requests} = workerData;
-	const sockets = requests.map(() => connect(port, '127.0.0.1').on('error', () => {}).resume());
-	let open = 0;
-	for (const socket of sockets) {
-		socket.once('connect', () => {
-			socket.setNoDelay(true);
-			if (++open === sockets.length) {
-				parentPort.postMessage('connected');
-			}
-		});
-	}
-
-	parentPort.once('message', () => {
-		for (const [index, socket] of sockets.entries()) {
-			socket.write(requests[index].bytes, () => {
-				if (requests[index].leaves) {
-					socket.end();
-				}
-			});
-		}
-	});
-`;
-
 function requestBytes(id: string, deadlineMilliseconds: number): string {
 	return rawRequest({
 		method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: id, [names.deadline]: String(deadlineMilliseconds)}, body: 'x',
@@ -58,14 +30,12 @@
 			const leaves = index % 2 === 0;
 			return {bytes: requestBytes(`${leaves ? 'leaves' : 'stays'}-${index}`, 2000), leaves};
 		});
-		const callers = new Worker(callersProgram, {eval: true, workerData: {port: Number(gateway.address.split(':')[1]), requests: calls}});
-		await once(callers, 'message');
+		const callers = await connectCallers(gateway.address, calls);
 		await pause(100);
-		callers.postMessage('send');
-		// Nothing is read in this time, as in a process that is paused or short of processor time.
-		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, stallMilliseconds);
+		callers.send();
+		standStill(stallMilliseconds);
 		await pause(500);
-		await callers.terminate();
+		await callers.stop();
 		await gateway.close();
 		assert.deepEqual([...seen].filter(id => id.startsWith('leaves')), []);
 		assert.equal(seen.size, requests / 2);
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,7 +11,7 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../serving/break-off-answer.js';
-import {afterNextPoll} from './after-next-poll.js';
+import {hasCallerLeft} from '../../serving/has-caller-left.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
@@ -35,12 +35,6 @@
 
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
-/**
- * With a longer event loop lag a request looks for the close of its caller's connection before it is sent: it may have been
- * read together with that close, and an endpoint would work for nobody.
- */
-const lookedForCloseMilliseconds = 100;
-
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
@@ -112,12 +106,8 @@
 				await this.#context.peerNews.refresh();
 			}
 
-			if (this.#context.eventLoopLag.at(this.#now()) > lookedForCloseMilliseconds) {
-				await afterNextPoll();
-			}
-
-			// Node reports a close to the response some turns of the event loop after it has read it.
-			if (this.#hasLeft || this.#work.request.socket.readableEnded) {
+			const hasLeft = await hasCallerLeft(this.#work.request, this.#context.eventLoopLag.current);
+			if (hasLeft || this.#hasLeft) {
 				return 'client-left';
 			}
 
--- a/src/gateway/data-path/try-watch.ts
+++ b/src/gateway/data-path/try-watch.ts
@@ -2,7 +2,7 @@
 import {isRepeatable} from '../../decision/attempts/next-step.js';
 import {isBehind} from '../../decision/placement/older-weights.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {afterNextPoll} from './after-next-poll.js';
+import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type OpenExchange} from './endpoint-exchange.js';
 import {type TryTarget, type TryWork} from './try-work.js';
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -21,6 +21,7 @@
 import {formatFinding} from '../shared/format-finding.js';
 import {type Finding} from '../shared/types.js';
 import {Supervisor} from '../supervisor/supervisor.js';
+import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {ConfigurationView} from './configuration/configuration-view.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayFront} from './data-path/gateway-front.js';
@@ -37,8 +38,8 @@
 import {packLoads} from './hub/hub-messages.js';
 import {HubView} from './hub/hub-view.js';
 import {DecisionLog} from './observability/decision-log.js';
-import {EventLoopLag} from './observability/event-loop-lag.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
+import {reportLag} from './observability/report-lag.js';
 import {type Catalog} from './watchers/catalog.js';
 import {EndpointReader} from './watchers/endpoint-reader.js';
 import {FeedFollower} from './watchers/feed-follower.js';
@@ -109,7 +110,9 @@
 			instance: settings.instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
-		this.#eventLoopLag = new EventLoopLag(clock, log, metrics);
+		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, lagMilliseconds => {
+			reportLag({log, metrics}, lagMilliseconds);
+		});
 		this.#context = {
 			dataCentre: settings.dataCentre,
 			clock,
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -18,10 +18,11 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {HubView} from '../hub/hub-view.js';
 import {DecisionLog} from '../observability/decision-log.js';
-import {EventLoopLag} from '../observability/event-loop-lag.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
+import {reportLag} from '../observability/report-lag.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
 import {WeightGoals} from '../weights/weight-goals.js';
+import {EventLoopLag} from '../../serving/event-loop-lag.js';
 import {testConfiguration} from './test-configuration.js';
 import {testEndpoint} from './test-endpoint.js';
 
@@ -48,7 +49,9 @@
 			write: (line: string) => this.lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
 		};
 		const log = new DecisionLog(output, {}, Date.now);
-		this.#eventLoopLag = new EventLoopLag(systemMomentClock, log, metrics);
+		this.#eventLoopLag = new EventLoopLag(() => systemMomentClock.moment().steady, lagMilliseconds => {
+			reportLag({log, metrics}, lagMilliseconds);
+		});
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
--- a/src/gateway/observability/event-loop-lag.test.ts
+++ b/src/serving/event-loop-lag.test.ts
@@ -1,25 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type MomentClock} from '../../ports/moment-clock.js';
 import {EventLoopLag} from './event-loop-lag.js';
-import {GatewayMetrics} from './gateway-metrics.js';
 
-test('a lag is known while it lasts and for a second after it, and gets one line', t => {
+test('a lag is known while it lasts and for a second after it, and is reported once', t => {
 	// Guards against closes of connections that are looked for only while the loop stands still, when nothing can look.
 	t.mock.timers.enable({apis: ['setInterval']});
 	let now = 0;
-	const clock: MomentClock = {
-		moment: () => ({steady: now, wall: now}),
-		async sleep() {
-			// Not used.
-		},
-	};
-	const lines: unknown[] = [];
-	const lag = new EventLoopLag(clock, {
-		record(kind, fields) {
-			lines.push([kind, fields]);
-		},
-	}, new GatewayMetrics());
+	const lags: number[] = [];
+	const lag = new EventLoopLag(() => now, lagMilliseconds => {
+		lags.push(lagMilliseconds);
+	});
 	const pass = (milliseconds: number): void => {
 		for (let passed = 0; passed < milliseconds; passed += 50) {
 			now += 50;
@@ -38,5 +28,5 @@
 	pass(1000);
 	assert.equal(lag.at(now), 0);
 	lag.stop();
-	assert.deepEqual(lines, [['event-loop-late', {milliseconds: 600}]]);
+	assert.deepEqual(lags.filter(milliseconds => milliseconds > 0), [600]);
 });
--- a/src/gateway/observability/event-loop-lag.ts
+++ b/src/serving/event-loop-lag.ts
@@ -5,36 +5,32 @@
  * callers may have left meanwhile, and the close of a connection is read after the request before it. Whoever acts on a
  * request can tell from the lag whether to look first.
  */
-import {type MomentClock} from '../../ports/moment-clock.js';
-import {type DecisionLog} from './decision-log.js';
-import {type GatewayMetrics} from './gateway-metrics.js';
-
 const tickMilliseconds = 50;
 /** What waited during a lag is read within this time after it: connections are accepted first, then read. */
 const rememberedMilliseconds = 1000;
-/** A longer lag gets a line in the log. */
-const reportedMilliseconds = 200;
 
 export class EventLoopLag {
-	readonly #clock: MomentClock;
-	readonly #log: Pick<DecisionLog, 'record'>;
-	readonly #metrics: Pick<GatewayMetrics, 'eventLoopLag'>;
+	readonly #now: () => number;
+	readonly #report: (lagMilliseconds: number) => void;
 	#tickedAt: number;
 	#longest = {lag: 0, at: Number.NEGATIVE_INFINITY};
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(clock: MomentClock, log: Pick<DecisionLog, 'record'>, metrics: Pick<GatewayMetrics, 'eventLoopLag'>) {
-		this.#clock = clock;
-		this.#log = log;
-		this.#metrics = metrics;
-		this.#tickedAt = clock.moment().steady;
+	/**
+	 * @param now - Gives milliseconds of a steady clock.
+	 * @param report - Told the lag of each tick.
+	 */
+	constructor(now: () => number, report: (lagMilliseconds: number) => void) {
+		this.#now = now;
+		this.#report = report;
+		this.#tickedAt = now();
 	}
 
 	/** Begins to measure; holds no process that is done otherwise. */
 	start(): void {
-		this.#tickedAt = this.#clock.moment().steady;
+		this.#tickedAt = this.#now();
 		this.#timer = setInterval(() => {
-			this.#tick(this.#clock.moment().steady);
+			this.#tick(this.#now());
 		}, tickMilliseconds).unref();
 	}
 
@@ -42,6 +38,11 @@
 		clearInterval(this.#timer);
 	}
 
+	/** The lag with which something that is read now may be read, in milliseconds. */
+	get current(): number {
+		return this.at(this.#now());
+	}
+
 	/**
 	 * Gives the lag with which something that is read now may be read.
 	 *
@@ -59,10 +60,7 @@
 			this.#longest = {lag, at: now};
 		}
 
-		this.#metrics.eventLoopLag.observe(lag / 1000);
-		if (lag >= reportedMilliseconds) {
-			this.#log.record('event-loop-late', {milliseconds: Math.round(lag)});
-		}
+		this.#report(lag);
 	}
 
 	#lateness(now: number): number {
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -8,6 +8,7 @@
 import {ConfigurationHolder} from '../entry/configuration-holder.js';
 import {EndpointDirectory} from '../entry/endpoint-directory.js';
 import {type EntryContext} from '../entry/entry-context.js';
+import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {defaultListenerBounds, HttpListener} from '../serving/http-listener.js';
 import {NoKeptContext} from '../entry/kept/kept-context.js';
 import {RequestRegistry} from '../entry/request-registry.js';
@@ -75,6 +76,10 @@
 	readonly operators: HttpListener;
 	callersAddress = '';
 	operatorsAddress = '';
+	readonly #eventLoopLag = new EventLoopLag(() => performance.now(), () => {
+		// Nothing is reported in tests.
+	});
+
 	#requests = 0;
 
 	constructor(bounds = defaultListenerBounds) {
@@ -117,6 +122,7 @@
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
 			requests: new RequestRegistry(),
+			eventLoopLag: this.#eventLoopLag,
 			draining: false,
 		};
 		this.callers = new HttpListener('callers', this.#routes().app, '127.0.0.1:0', bounds);
@@ -136,6 +142,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.#eventLoopLag.stop();
 		await Promise.all([this.callers.drain(), this.operators.drain()]);
 	}
 
@@ -191,6 +198,7 @@
 	}
 
 	async #listen(): Promise<void> {
+		this.#eventLoopLag.start();
 		this.callersAddress = await this.callers.listen();
 		this.operatorsAddress = await this.operators.listen();
 	}
