Let a hub that was paused keep its followers

What callers saw: prompts read again that engines kept. An instance that loses the hub forgets what it knew of the others.

Change: idle followers are looked for by a timer, after one more poll of the sockets.

--- a/src/gateway/hub/hub-server.test.ts
+++ b/src/gateway/hub/hub-server.test.ts
@@ -5,8 +5,10 @@
 } from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {standStill} from '../../test/separate-callers.js';
 import {HubServer, type HubSource} from './hub-server.js';
 import {type FollowerFrame, type HubFrame} from './hub-messages.js';
 
@@ -80,3 +82,40 @@
 	assert.deepEqual(loads, {});
 	assert.equal(isClosed, true);
 });
+
+/** Followers that ask five times a second, and report the end of a connection. */
+const followersProgram = `
+	const {parentPort, workerData: {port, bytes, count}} = require('node:worker_threads');
+	const {connect} = require('node:net');
+	for (let index = 0; index < count; index++) {
+		const socket = connect(port, '127.0.0.1', () => {
+			setInterval(() => socket.write(bytes), 200);
+		});
+		socket.resume().on('error', () => {}).on('close', () => parentPort.postMessage('closed'));
+	}
+`;
+
+test('a hub that was paused keeps its followers', async context => {
+	// Guards against instances that all lose what they know of each other: what they sent meanwhile waits in their sockets.
+	const port = await freePort();
+	const server = new HubServer(`127.0.0.1:${port}`, source, systemMomentClock);
+	const stop = new AbortController();
+	void server.run(stop.signal);
+	await pause(50);
+	const bytes = encodeFrame({
+		kind: 'ask', number: 1, instance: 'asking', uses: [], loads: {},
+	});
+	const followers = new Worker(followersProgram, {eval: true, workerData: {port, bytes, count: 8}});
+	context.after(async () => {
+		stop.abort();
+		await followers.terminate();
+	});
+	let closed = 0;
+	followers.on('message', () => {
+		closed++;
+	});
+	await pause(600);
+	standStill(2000);
+	await pause(600);
+	assert.equal(closed, 0);
+});
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -8,6 +8,7 @@
 import {addLoads, type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
+import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {
 	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, packLoads, unpackLoad,
@@ -31,6 +32,8 @@
 /** A follower that does not read is dropped; it dials again and hears all anew. */
 const mostWaitingBytes = 1_048_576;
 
+const idleCheckMilliseconds = 400;
+
 type Follower = {
 	instance: string;
 	loads: Record<string, PackedLoad>;
@@ -60,10 +63,15 @@
 		const separator = this.#address.lastIndexOf(':');
 		this.#server.listen(Number(this.#address.slice(separator + 1)), this.#address.slice(0, separator));
 		await once(this.#server, 'listening');
+		const check = setInterval(() => {
+			void this.#closeIdle();
+		}, idleCheckMilliseconds);
 		if (!signal.aborted) {
 			await once(signal, 'abort');
 		}
 
+		clearInterval(check);
+
 		this.dropAll();
 		this.#server.close();
 	}
@@ -135,9 +143,12 @@
 
 	/**
 	 * Closes connections that are idle for too long. An instance that lost its power or was cut off closes none, and what it
-	 * had under way would weigh on its endpoints for as long as TCP goes on trying.
+	 * had under way would weigh on its endpoints for as long as TCP goes on trying. What came while this process stood still
+	 * is read first, or it would close all of them.
 	 */
-	#closeIdle(now: number): void {
+	async #closeIdle(): Promise<void> {
+		await afterNextPoll();
+		const now = this.#now();
 		for (const [socket, {lastSeenAt}] of this.#followers) {
 			if (now - lastSeenAt > idleTimeoutMilliseconds) {
 				this.#followers.delete(socket);
@@ -147,7 +158,6 @@
 	}
 
 	#answer(socket: Socket, {number, instance}: FollowerFrame & {kind: 'ask'}): void {
-		this.#closeIdle(this.#now());
 		const clock = this.#source.engineClock();
 		const answer: HubFrame = {
 			kind: 'answer',
