Let a follower that was paused keep its hub

What callers saw: after a pause of its process an instance placed prompts without news of the others, and parts were read again that engines and stores kept.

It found a hub that had said nothing for 1.2 s, closed the connection and forgot all that it had been told, although the answers lay in the socket.

The suspect "a hub that stops within a frame" is refuted: a test that was green before.

Change: an idle connection is judged again after one more poll.

--- a/src/gateway/hub/hub-client.test.ts
+++ b/src/gateway/hub/hub-client.test.ts
@@ -3,8 +3,13 @@
 import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {startScriptedServer} from '../../test/scripted-server.js';
+import {standStill} from '../../test/separate-callers.js';
 import {HubClient} from './hub-client.js';
 import {type FollowerFrame, type HubFrame} from './hub-messages.js';
 import {HubView} from './hub-view.js';
@@ -115,3 +120,57 @@
 	client.close();
 	await waiting;
 });
+
+/** A hub that says something five times a second. */
+const hubProgram = `
+	const {parentPort, workerData: bytes} = require('node:worker_threads');
+	const {createServer} = require('node:net');
+	const server = createServer(socket => {
+		const timer = setInterval(() => socket.write(bytes), 200);
+		socket.resume().on('error', () => {}).on('close', () => clearInterval(timer));
+	}).listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+test('a follower that was paused keeps its hub', async context => {
+	// Guards against instances that forget what all others do after a pause, although the hub's answers lie in the socket.
+	const bytes = encodeFrame({
+		kind: 'answer', number: 1, isLapsed: false, open: [], engines: [], loads: {},
+	} satisfies HubFrame);
+	const hub = new Worker(hubProgram, {eval: true, workerData: bytes});
+	const [port] = await once(hub, 'message') as [number];
+	const client = new HubClient(new HubView(), {instance: 'i1', loads: () => ({})}, systemMomentClock);
+	client.dial(`127.0.0.1:${port}`);
+	const asking = setInterval(() => {
+		client.ask();
+	}, 200);
+	context.after(async () => {
+		clearInterval(asking);
+		client.close();
+		await hub.terminate();
+	});
+	await pause(600);
+	standStill(2000);
+	await pause(300);
+	assert.equal(client.isConnected, true);
+});
+
+test('a hub that stops within a frame is left', async context => {
+	// Guards against followers that wait for good on a connection that carries bytes but no news.
+	const frame = encodeFrame({
+		kind: 'answer', number: 1, isLapsed: false, open: [], engines: [], loads: {},
+	} satisfies HubFrame);
+	const server = await startScriptedServer(context, socket => {
+		socket.write(frame.subarray(0, 5));
+	});
+	const client = new HubClient(new HubView(), {instance: 'i1', loads: () => ({})}, systemMomentClock);
+	client.dial(server.address);
+	const asking = setInterval(() => {
+		client.ask();
+	}, 200);
+	context.after(() => {
+		clearInterval(asking);
+		client.close();
+	});
+	await pause(2500);
+	assert.equal(client.isConnected, false);
+});
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -7,6 +7,7 @@
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
+import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {
 	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad,
 } from './hub-messages.js';
@@ -106,8 +107,8 @@
 			return;
 		}
 
-		if (now.steady - this.#heardAt > idleTimeoutMilliseconds) {
-			this.close();
+		if (this.#isIdle()) {
+			void this.#closeIfIdle(this.#socket);
 			return;
 		}
 
@@ -157,6 +158,18 @@
 		this.#view.reset();
 	}
 
+	#isIdle(): boolean {
+		return this.#clock.moment().steady - this.#heardAt > idleTimeoutMilliseconds;
+	}
+
+	/** What came while this process stood still is read first, or it would lose its hub with each pause. */
+	async #closeIfIdle(socket: Socket): Promise<void> {
+		await afterNextPoll();
+		if (this.#socket === socket && this.#isIdle()) {
+			this.close();
+		}
+	}
+
 	#take(frame: HubFrame): void {
 		const now = this.#clock.moment();
 		this.#heardAt = now.steady;
