Count the lateness of the event loop in place of a histogram

Change: a counter of seconds, of which the rate says how much of the time the loop is behind; single lags are in the log.

--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -49,7 +49,7 @@
 		name: 'savorygauge_open_requests', help: 'Requests under way.', registers: [this.registry],
 	});
 
-	readonly eventLoopLag = new Histogram({
-		name: 'savorygauge_event_loop_lag_seconds', help: 'How late the event loop ran a timer.', buckets: latencyBuckets, registers: [this.registry],
+	readonly eventLoopLate = new Counter({
+		name: 'savorygauge_event_loop_late_seconds_total', help: 'Time by which the event loop ran timers late.', registers: [this.registry],
 	});
 }
--- a/src/gateway/observability/report-lag.ts
+++ b/src/gateway/observability/report-lag.ts
@@ -5,7 +5,7 @@
 
 /** Tells logs and metrics how late the event loop ran a timer. */
 export function reportLag({log, metrics}: Pick<GatewayContext, 'log' | 'metrics'>, lagMilliseconds: number): void {
-	metrics.eventLoopLag.observe(lagMilliseconds / 1000);
+	metrics.eventLoopLate.inc(lagMilliseconds / 1000);
 	if (lagMilliseconds >= loggedMilliseconds) {
 		log.record('event-loop-late', {milliseconds: Math.round(lagMilliseconds)});
 	}
--- a/src/serving/event-loop-lag.ts
+++ b/src/serving/event-loop-lag.ts
@@ -5,7 +5,7 @@
  * callers may have left meanwhile, and the close of a connection is read after the request before it. Whoever acts on a
  * request can tell from the lag whether to look first.
  */
-const tickMilliseconds = 50;
+const tickMilliseconds = 100;
 /** What waited during a lag is read within this time after it: connections are accepted first, then read. */
 const rememberedMilliseconds = 1000;
 
