Keep no listener for each refused upload on its connection

Found by reading the diff: each refusal before the end of a body left a listener on the connection until it closed; a caller with more than ten such uploads on one connection would have had Node warn of a leak. Also words for a request whose time ran out: it may have been sent and rejected. The tests of serving and of callers who left pass as before.

--- a/src/gateway/data-path/request-ending.ts
+++ b/src/gateway/data-path/request-ending.ts
@@ -48,7 +48,7 @@
 		} else if (mayHaveRun) {
 			this.#write({reason: 'timeout', ran: 'unknown', message: 'the request was not answered in time'});
 		} else {
-			this.#write({reason: 'deadline', ran: 'not-run', message: 'the time of the request was over before it was sent'});
+			this.#write({reason: 'deadline', ran: 'not-run', message: 'the time of the request was over before an endpoint took it'});
 		}
 
 		return 'timeout';
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -230,16 +230,13 @@
 /** Closes the connection of an answered request unless the rest of its body arrives soon. */
 function closeIfOutstanding(request: IncomingMessage): void {
 	const {socket} = request;
-	if (request.complete || socket.destroyed) {
+	if (request.complete) {
 		return;
 	}
 
-	const timer = setTimeout(() => {
+	setTimeout(() => {
 		if (!request.complete) {
 			socket.destroy();
 		}
-	}, outstandingBodyMilliseconds);
-	socket.once('close', () => {
-		clearTimeout(timer);
-	});
+	}, outstandingBodyMilliseconds).unref();
 }
