Bound the hello of a peer by its whole time

What callers saw: nothing. A connection that dripped bytes without a whole hello was held for good; enough of them leave an instance without connections for its peers.

Cause: the limit was the socket's idle timeout, which each byte starts anew.

Change: a timer of its own from the connection to the proof of the shared secret.

--- a/src/peer/link/peer-link.ts
+++ b/src/peer/link/peer-link.ts
@@ -50,6 +50,7 @@
 	readonly #counts: LinkCounts;
 	readonly #reader = createMessageReader();
 	readonly #challenge = randomUUID();
+	readonly #helloTimer: NodeJS.Timeout;
 	#hello: Hello | undefined;
 	#closeReason = 'connection ended';
 
@@ -65,9 +66,10 @@
 		this.#owner = owner;
 		this.#counts = counts;
 		socket.setNoDelay(true);
-		socket.setTimeout(helloTimeoutMilliseconds, () => {
+		// Not an idle timeout of the socket, which a peer could put off with a byte now and then.
+		this.#helloTimer = setTimeout(() => {
 			this.close('no hello in time');
-		});
+		}, helloTimeoutMilliseconds);
 		socket.on('data', bytes => {
 			this.#take(bytes);
 		});
@@ -75,6 +77,7 @@
 			this.#closeReason = String(error);
 		});
 		socket.on('close', () => {
+			clearTimeout(this.#helloTimer);
 			owner.linkClosed(this, this.#closeReason);
 		});
 		if (dialled) {
@@ -191,7 +194,7 @@
 		}
 
 		this.peer = hello.from;
-		this.#socket.setTimeout(0);
+		clearTimeout(this.#helloTimer);
 		this.#owner.linkReady(this);
 	}
 
--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -4,6 +4,7 @@
 import {createHmac} from 'node:crypto';
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {systemClock} from '../../adapters/system-clock.js';
 import {changeOf} from '../../bench/bench-changes.js';
 import {VirtualKeeper} from '../../bench/virtual-peers.js';
@@ -11,6 +12,7 @@
 import {createMessageReader, encodeMessage} from '../message/message-codec.js';
 import {type Hello, spokenVersions, type VersionRange} from '../message/peer-message.js';
 import {seededRandom} from '../random/seeded-random.js';
+import {helloTimeoutMilliseconds} from './peer-link.js';
 import {PeerService} from './peer-service.js';
 
 const usualSecret = 'secret of the test';
@@ -157,6 +159,23 @@
 	await one.stop();
 });
 
+test('a peer that drips its hello is cut off in time', async () => {
+	// Guards against connections that are held for good by sending a byte before each idle timeout.
+	const one = await new Running('a').start();
+	const socket = connect({host: '127.0.0.1', port: Number(one.address.split(':')[1])});
+	const head = Buffer.alloc(4);
+	head.writeUInt32BE(frameLimitBytes, 0);
+	socket.write(head);
+	const dripping = setInterval(() => {
+		socket.write('x');
+	}, 200);
+	const isClosed = await Promise.race([once(socket.resume(), 'close').then(() => true, () => true), pause(2 * helloTimeoutMilliseconds, false)]);
+	clearInterval(dripping);
+	socket.destroy();
+	await one.stop();
+	assert.equal(isClosed, true);
+});
+
 test('whoever does not know the shared secret is no peer', async () => {
 	// It could otherwise bring a configuration of its own into force everywhere.
 	const [first, stranger] = [new Running('a'), new Running('b', spokenVersions, [], 'another secret')];
