Count the grant of older weights from the version that replaced them

What callers saw: answers on weights that had been replaced 15 s before, where 6 s are granted (the rule VERSION).

Cause: weights are named again (version 3) while engines still have version 1, because the giver of orders stood still. Placing knew one end for all older weights, counted from the newest naming, so that each naming granted the oldest weights their whole time anew.

Change: the goals keep the namings whose grant may still be counted and the newest one that is over, and placing asks for the end of the weights that an engine has. Five test values of one type became functions of the same value; no check changed.

--- a/src/decision/placement/cost-placement.test.ts
+++ b/src/decision/placement/cost-placement.test.ts
@@ -25,7 +25,7 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		olderWeightsUntil: () => Number.POSITIVE_INFINITY,
 		isSourceNear: () => true,
 		fetchableUnder: () => [],
 		keptAt: () => undefined,
--- a/src/decision/placement/fresh-news.test.ts
+++ b/src/decision/placement/fresh-news.test.ts
@@ -40,7 +40,7 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		olderWeightsUntil: () => Number.POSITIVE_INFINITY,
 		isSourceNear: () => true,
 		fetchableUnder: () => [],
 		keptAt: () => [0],
--- a/src/decision/placement/older-weights.test.ts
+++ b/src/decision/placement/older-weights.test.ts
@@ -9,7 +9,7 @@
 
 const engine = (name: string, version: number): EndpointRecord => testEndpoint({name, slots: 12, weightVersions: new Map([['lease', version]])});
 
-const prompt = (changes: Partial<PlacementRequest> = {}): PlacementRequest => testPromptRequest({wantedVersion: 2, olderWeightsUntil: 6000, ...changes});
+const prompt = (changes: Partial<PlacementRequest> = {}): PlacementRequest => testPromptRequest({wantedVersion: 2, olderWeightsUntil: () => 6000, ...changes});
 
 const placeOf = (policy: CostPlacement, request: PlacementRequest, engines: readonly EndpointRecord[], now: number): string => {
 	const placement = policy.place(request, engines, now);
@@ -39,7 +39,7 @@
 
 test('weights of unknown age are taken for overdue: a process that has just started cannot tell', () => {
 	const policy = new CostPlacement('split');
-	const request = prompt({olderWeightsUntil: 100});
+	const request = prompt({olderWeightsUntil: () => 100});
 	assert.equal(placeOf(policy, request, [engine('e0', 1)], 100), 'no-endpoint');
 	assert.equal(placeOf(policy, request, [engine('e0', 1), engine('e1', 2)], 100), 'e1');
 });
--- a/src/decision/placement/older-weights.ts
+++ b/src/decision/placement/older-weights.ts
@@ -13,8 +13,15 @@
 const beginMarginMilliseconds = 1000;
 
 /** Whether the engine has older weights than were named for the model. */
-export function isBehind({prompt, wantedVersion}: PlacementRequest, {weightVersions}: EndpointRecord): boolean {
-	return wantedVersion !== undefined && prompt !== undefined && (weightVersions.get(prompt.model) ?? 0) < wantedVersion;
+export function isBehind(request: PlacementRequest, endpoint: EndpointRecord): boolean {
+	const {prompt, wantedVersion} = request;
+	return wantedVersion !== undefined && prompt !== undefined && versionAt(endpoint, prompt.model) < wantedVersion;
+}
+
+/** Until when runs may begin on the weights that the engine has, in milliseconds of the steady clock. */
+export function grantEnd(request: PlacementRequest, endpoint: EndpointRecord): number {
+	const {prompt} = request;
+	return prompt === undefined || !isBehind(request, endpoint) ? Number.POSITIVE_INFINITY : request.olderWeightsUntil(versionAt(endpoint, prompt.model));
 }
 
 /**
@@ -26,5 +33,9 @@
  * @param now - Milliseconds of the steady clock.
  */
 export function beginsInGrant(request: PlacementRequest, endpoint: EndpointRecord, waitMilliseconds: number, now: number): boolean {
-	return !isBehind(request, endpoint) || now + waitMilliseconds + beginMarginMilliseconds < request.olderWeightsUntil;
+	return now + waitMilliseconds + beginMarginMilliseconds < grantEnd(request, endpoint);
+}
+
+function versionAt({weightVersions}: EndpointRecord, model: string): number {
+	return weightVersions.get(model) ?? 0;
 }
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -22,8 +22,8 @@
 	tried: ReadonlySet<string>;
 	/** The weights that its model is to be served with; absent if none were named. */
 	wantedVersion: number | undefined;
-	/** No run may begin on older weights behind this time, in milliseconds of the steady clock. */
-	olderWeightsUntil: number;
+	/** Until when runs may begin on weights of a version that is older than the wanted one, in milliseconds of the steady clock. */
+	olderWeightsUntil: (weightVersion: number) => number;
 	/** Which parts of the prompt any engine with a weight version can fetch from a store or another engine, by index. */
 	fetchableUnder: (weightVersion: number) => readonly boolean[];
 	/** Whether the largest part that an engine would fetch lies in its own data centre. */
--- a/src/decision/testing/test-prompt-request.ts
+++ b/src/decision/testing/test-prompt-request.ts
@@ -16,7 +16,7 @@
 		},
 		tried: new Set(),
 		wantedVersion: undefined,
-		olderWeightsUntil: Number.POSITIVE_INFINITY,
+		olderWeightsUntil: () => Number.POSITIVE_INFINITY,
 		fetchableUnder: () => [],
 		isSourceNear: () => true,
 		keptAt: () => [0],
--- a/src/gateway/data-path/placement-request.ts
+++ b/src/gateway/data-path/placement-request.ts
@@ -30,7 +30,7 @@
 		isSourceNear: endpoint => sources.isSourceNear(endpoint),
 		keptAt: endpoint => sources.keptAt(endpoint),
 		wantedVersion: goal?.version,
-		olderWeightsUntil: goal === undefined ? Number.POSITIVE_INFINITY : now.steady + context.goals.leftOf(goal, now),
+		olderWeightsUntil: weightVersion => goal === undefined ? Number.POSITIVE_INFINITY : now.steady + context.goals.leftOf(goal, now, weightVersion),
 		loading: context.loadingEngines.current,
 	};
 }
--- a/src/gateway/data-path/try-watch.ts
+++ b/src/gateway/data-path/try-watch.ts
@@ -1,6 +1,6 @@
 /** Watches one try at an endpoint, and gives it up before the caller's time is over where waiting on helps nobody. */
 import {isRepeatable} from '../../decision/attempts/next-step.js';
-import {isBehind} from '../../decision/placement/older-weights.js';
+import {grantEnd} from '../../decision/placement/older-weights.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type OpenExchange} from './endpoint-exchange.js';
@@ -106,7 +106,8 @@
 	 */
 	#watchGrantOfWeights(exchange: OpenExchange): void {
 		const {request, endpoint} = this.#target;
-		if (!isBehind(request, endpoint) || !Number.isFinite(request.olderWeightsUntil)) {
+		const end = grantEnd(request, endpoint);
+		if (!Number.isFinite(end)) {
 			return;
 		}
 
@@ -114,7 +115,7 @@
 			if (!this.#hasBegun) {
 				this.#giveUp(exchange, 'older-weights');
 			}
-		}, Math.max(0, request.olderWeightsUntil - takeBackMilliseconds - this.#now()));
+		}, Math.max(0, end - takeBackMilliseconds - this.#now()));
 	}
 
 	#giveUp(exchange: OpenExchange, reason: GivenUpFor): void {
--- a/src/gateway/weights/weight-goals.ts
+++ b/src/gateway/weights/weight-goals.ts
@@ -14,7 +14,8 @@
 export type WeightGoal = NamedWeights & NamingTime;
 
 export class WeightGoals {
-	readonly #goals = new Map<string, WeightGoal>();
+	/** By model, the newest first: those whose grant may still be counted, and the newest one whose grant is over. */
+	readonly #goals = new Map<string, WeightGoal[]>();
 	readonly #boundMilliseconds: number;
 
 	/** @param boundMilliseconds - Behind it no run may begin on older weights, counted from the naming. */
@@ -24,25 +25,40 @@
 
 	/** Takes a goal unless a higher version is known; true if it is new. */
 	name(weights: NamedWeights, time: NamingTime): boolean {
-		const known = this.#goals.get(weights.model);
-		if (known !== undefined && known.version >= weights.version) {
+		const known = this.#goals.get(weights.model) ?? [];
+		if (known[0] !== undefined && known[0].version >= weights.version) {
 			return false;
 		}
 
-		this.#goals.set(weights.model, {...weights, ...time});
+		const lastEnded = known.findIndex(goal => this.#leftSince(goal, time.heardAt) <= 0);
+		const counted = lastEnded === -1 ? known : known.slice(0, lastEnded + 1);
+		this.#goals.set(weights.model, [{...weights, ...time}, ...counted]);
 		return true;
 	}
 
 	goalFor(model: string): WeightGoal | undefined {
-		return this.#goals.get(model);
+		return this.#goals.get(model)?.[0];
 	}
 
-	/** For how many milliseconds runs may still begin on weights that are older than a goal; 0 or less if they may not. */
-	leftOf({namedSince}: WeightGoal, now: Moment): number {
-		return namedSince === undefined ? 0 : this.#boundMilliseconds - longestElapsed(namedSince, now);
+	/**
+	 * Gives for how long runs may still begin on weights that are older than a goal. The time counts from the naming of the
+	 * first version that replaced them: counted from the newest goal, each further one would grant it to them anew.
+	 *
+	 * @param goal - The newest goal of a model.
+	 * @param now - The present moment.
+	 * @param weightVersion - The weights that an engine has; by default those just before the goal.
+	 * @returns Milliseconds; 0 or less if no run may begin.
+	 */
+	leftOf(goal: WeightGoal, now: Moment, weightVersion = goal.version - 1): number {
+		const replacedBy = this.#goals.get(goal.model)?.filter(({version}) => version > weightVersion) ?? [goal];
+		return Math.min(...replacedBy.map(later => this.#leftSince(later, now)));
 	}
 
 	all(): WeightGoal[] {
-		return [...this.#goals.values()];
+		return [...this.#goals.values()].map(([newest]) => newest!);
+	}
+
+	#leftSince({namedSince}: WeightGoal, now: Moment): number {
+		return namedSince === undefined ? 0 : this.#boundMilliseconds - longestElapsed(namedSince, now);
 	}
 }
