--- a/src/gateway/hub/hub-client.test.ts
+++ b/src/gateway/hub/hub-client.test.ts
@@ -154,13 +154,20 @@
 	assert.equal(client.isConnected, true);
 });
 
-test('a hub that stops within a frame is left', async context => {
+test('a hub that drips within a frame is left', async context => {
 	// Guards against followers that wait for good on a connection that carries bytes but no news.
 	const frame = encodeFrame({
 		kind: 'answer', number: 1, isLapsed: false, open: [], engines: [], loads: {},
 	} satisfies HubFrame);
 	const server = await startScriptedServer(context, socket => {
-		socket.write(frame.subarray(0, 5));
+		let sent = 0;
+		const dripping = setInterval(() => {
+			socket.write(frame.subarray(sent, sent + 1));
+			sent = Math.min(sent + 1, frame.length - 2);
+		}, 100);
+		socket.once('close', () => {
+			clearInterval(dripping);
+		});
 	});
 	const client = new HubClient(new HubView(), {instance: 'i1', loads: () => ({})}, systemMomentClock);
 	client.dial(server.address);
