--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -66,6 +66,7 @@
 /** The answer to a JSON exchange. */
 export type JsonAnswer = {
 	status: number;
+	headers: Record<string, string | string[] | undefined>;
 	body: JsonValue | undefined;
 };
 
@@ -95,7 +96,7 @@
 		body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
 		signal: AbortSignal.timeout(exchange.timeoutMilliseconds),
 	});
-	return {status: answer.statusCode, body: await readWholeJson(exchange.method, answer)};
+	return {status: answer.statusCode, headers: answer.headers, body: await readWholeJson(exchange.method, answer)};
 }
 
 const errorCodesBeforeAnyByte = new Set([
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -16,11 +16,12 @@
 import {CandidateEstimates, heldTokensOf, scopeAt} from './candidate-estimates.js';
 import {type EndpointLoad, isSilent, unreadBefore} from './endpoint-load.js';
 import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
-import {homeOf} from './home-of.js';
+import {homesOf} from './home-of.js';
 import {beginsInGrant, isBehind} from './older-weights.js';
 import {
 	type OthersAt, type Placement, type PlacementEvent, type PlacementPolicy, type PlacementRequest,
 } from './placement.js';
+import {shortlist} from './shortlist.js';
 
 /** When to come back if no endpoint is known, or all are left alone: the time of a heartbeat or two. */
 const noEndpointRetryMilliseconds = 800;
@@ -30,6 +31,7 @@
 const longestOverloadRetryMilliseconds = 2500;
 
 export class CostPlacement implements PlacementPolicy {
+	readonly #dataCentre: string;
 	readonly #memories = new EndpointMemories();
 	readonly #estimates: CandidateEstimates;
 	readonly #unreachable = new Map<string, EndpointRecord>();
@@ -39,6 +41,7 @@
 	 * @param othersAt - What the other instances have under way.
 	 */
 	constructor(dataCentre: string, othersAt: OthersAt = () => undefined) {
+		this.#dataCentre = dataCentre;
 		this.#estimates = new CandidateEstimates(dataCentre, this.#memories, othersAt);
 	}
 
@@ -47,18 +50,17 @@
 		return this.#memories.loadsAt(now);
 	}
 
+	choices(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number, sample: number): EndpointRecord[] {
+		return shortlist(request, this.#inView(request, endpoints, now), this.#dataCentre, sample);
+	}
+
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement {
-		const untried = endpoints.filter(endpoint => !request.tried.has(endpoint.name) && beginsInGrant(request, endpoint, 0, now));
-		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
-		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
-		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
-		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
-		const inView = [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
+		const inView = this.#inView(request, endpoints, now);
 		if (inView.length === 0) {
 			return {kind: 'none', reason: 'no-endpoint', retryAfterMilliseconds: spreadRetry(noEndpointRetryMilliseconds, request.id)};
 		}
 
-		const home = request.prompt === undefined ? undefined : homeOf(request.prompt, request.cacheScope, inView);
+		const [home] = request.prompt === undefined ? [] : homesOf(request.prompt, request.cacheScope, inView, 1);
 		const candidates = inView
 			.map(endpoint => this.#estimates.estimate(request, endpoint, endpoint === home, now))
 			.filter(({isAdmitted}) => isAdmitted);
@@ -75,6 +77,16 @@
 		return {kind: 'send', endpoint: best.endpoint, basis: best.basis};
 	}
 
+	/** The endpoints that could get a request now. */
+	#inView(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): readonly EndpointRecord[] {
+		const untried = endpoints.filter(endpoint => !request.tried.has(endpoint.name) && beginsInGrant(request, endpoint, 0, now));
+		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
+		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
+		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
+		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
+		return [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
+	}
+
 	observe(event: PlacementEvent, now: number): void {
 		const {request, endpoint} = event;
 		const outlook = this.#memories.outlookOf(endpoint);
--- a/src/decision/placement/home-of.ts
+++ b/src/decision/placement/home-of.ts
@@ -4,28 +4,31 @@
 import {type PromptShape} from '../../shared/prompt-shape.js';
 
 /**
- * Gives the home of a prompt.
+ * Gives the home of a prompt, and those that take its place when it is gone.
  *
  * @param prompt - Its last shared part counts; its own part if it shares none.
  * @param cacheScope - Who shares cached parts with it.
  * @param endpoints - The engines to choose from. When one joins or leaves, only its own parts change their home.
- * @returns The home; `undefined` without engines or parts.
+ * @param count - How many to give.
+ * @returns The home first; nothing without engines or parts.
  */
-export function homeOf({parts}: PromptShape, cacheScope: string, endpoints: readonly EndpointRecord[]): EndpointRecord | undefined {
+export function homesOf({parts}: PromptShape, cacheScope: string, endpoints: readonly EndpointRecord[], count: number): EndpointRecord[] {
 	const part = parts.at(-2) ?? parts.at(-1);
 	if (part === undefined) {
-		return undefined;
+		return [];
 	}
 
-	let home: EndpointRecord | undefined;
-	let highest = -1;
+	const best: Array<{endpoint: EndpointRecord; hash: number}> = [];
 	for (const endpoint of endpoints) {
 		const hash = hashOf(`${cacheScope}|${part.id}|${endpoint.name}`);
-		if (hash > highest) {
-			home = endpoint;
-			highest = hash;
+		const place = best.findIndex(other => hash > other.hash);
+		if (place !== -1) {
+			best.splice(place, 0, {endpoint, hash});
+			best.length = Math.min(best.length, count);
+		} else if (best.length < count) {
+			best.push({endpoint, hash});
 		}
 	}
 
-	return home;
+	return best.map(({endpoint}) => endpoint);
 }
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -66,6 +66,12 @@
 
 /** Places requests on endpoints. */
 export interface PlacementPolicy {
+	/**
+	 * The endpoints worth asking about before the request is placed: all, or a bounded number of many.
+	 *
+	 * @param sample - 0 for the first look; each further one is at others.
+	 */
+	choices(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number, sample: number): EndpointRecord[];
 	place(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): Placement;
 	observe(event: PlacementEvent, now: number): void;
 	/** Notes that bytes came from an endpoint. */
--- a/src/gateway/configuration/configuration-view.ts
+++ b/src/gateway/configuration/configuration-view.ts
@@ -54,12 +54,14 @@
 	}
 
 	/**
-	 * Renews the lease.
+	 * Renews the lease, unless a later read was answered before.
 	 *
 	 * @param sentAt - When the read was sent that has now been answered.
 	 */
 	confirm(sentAt: Moment): void {
-		this.#confirmedAt = sentAt;
+		if (this.#confirmedAt === undefined || sentAt.steady > this.#confirmedAt.steady) {
+			this.#confirmedAt = sentAt;
+		}
 	}
 
 	/** Milliseconds since the last answered read was sent; infinite before the first. */
--- a/src/gateway/data-path/prompt-sources.ts
+++ b/src/gateway/data-path/prompt-sources.ts
@@ -7,12 +7,16 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type PromptPart} from '../../shared/prompt-shape.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type PlaceQuestion} from '../hub/hub-messages.js';
 import {cacheScopeOf} from './endpoint-headers.js';
 import {type PermittedRequest} from './judge-request.js';
 import {type RequestHead} from './request-head.js';
 
 export type SourceContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'hubView' | 'loadingEngines' | 'placement'>;
 
+/** Parts are asked for under so many versions of the weights; while new ones are loaded, engines have two. */
+const mostVersions = 2;
+
 export class PromptSources {
 	readonly #context: SourceContext;
 	readonly #parts: readonly PromptPart[];
@@ -81,23 +85,39 @@
 	/** Tokens of each part that an engine keeps, by its own events; `undefined` while those are not known. */
 	keptAt({name, weightVersions}: EndpointRecord): readonly number[] | undefined {
 		const version = weightVersions.get(this.#model);
-		const kept = this.#context.hubView.engineParts(name, this.#now);
-		if (version === undefined || kept === undefined) {
+		if (version === undefined) {
 			return undefined;
 		}
 
-		return this.#parts.map(({id}) => kept.get(partKey({salt: this.saltUnder(version), id})) ?? 0);
+		const kept = this.#keysUnder(version).map(key => this.#context.hubView.tokensAt(name, key, this.#now));
+		return kept.includes(undefined) ? undefined : kept as number[];
+	}
+
+	/** What to ask before the prompt is placed on one of some endpoints. */
+	question(endpoints: readonly EndpointRecord[]): PlaceQuestion {
+		const engines = this.#context.endpoints.usable(this.#service, this.#now.steady);
+		const versions = new Set(engines.map(({weightVersions}) => weightVersions.get(this.#model)).filter(version => version !== undefined));
+		const newest = [...versions].toSorted((one, other) => other - one).slice(0, mostVersions);
+		return {
+			endpoints: endpoints.map(({name}) => name), keys: newest.flatMap(version => this.#keysUnder(version)), partCount: this.#parts.length,
+		};
+	}
+
+	/** Engines that are known to keep a part of the prompt. */
+	keepers(): EndpointRecord[] {
+		const {endpoints, hubView} = this.#context;
+		const names = new Set(this.question([]).keys.flatMap(key => hubView.enginesWith(key, this.#now)));
+		return endpoints.usable(this.#service, this.#now.steady).filter(({name}) => names.has(name));
 	}
 
 	/** What an engine can fetch from where. */
 	knowledgeFor(target: EndpointRecord): PartKnowledge {
 		const {hubView} = this.#context;
-		const own = hubView.engineParts(target.name, this.#now);
 		return {
 			isOpen: store => hubView.isOpen(store, this.#now),
 			holds: (store, key) => hubView.holds(store, key, this.#now),
 			heldTokens: store => hubView.heldTokens(store),
-			engineSource: key => own?.has(key) ? undefined : this.#sourceFor(target, key),
+			engineSource: key => (hubView.tokensAt(target.name, key, this.#now) ?? 0) > 0 ? undefined : this.#sourceFor(target, key),
 		};
 	}
 
@@ -112,7 +132,14 @@
 	/** Engines that keep a part and can give it: not one that loads weights or has fallen silent, which costs the fetch's time. */
 	#enginesWith(key: string): EndpointRecord[] {
 		const {endpoints, hubView, loadingEngines, placement} = this.#context;
-		return endpoints.usable(this.#service, this.#now.steady).filter(engine => hubView.engineParts(engine.name, this.#now)?.has(key)
-			&& !loadingEngines.current.has(engine.name) && !placement.isSilent(engine, this.#now.steady));
+		return hubView.enginesWith(key, this.#now)
+			.map(name => endpoints.byName(name))
+			.filter((engine): engine is EndpointRecord => engine?.service === this.#service && engine.state === 'ready'
+				&& !loadingEngines.current.has(engine.name) && !placement.isSilent(engine, this.#now.steady));
+	}
+
+	/** Under a weight version, from the prompt's start. */
+	#keysUnder(version: number): string[] {
+		return this.#parts.map(({id}) => partKey({salt: this.saltUnder(version), id}));
 	}
 }
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -9,6 +9,7 @@
 } from '../../decision/attempts/next-step.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../serving/break-off-answer.js';
 import {hasCallerLeft} from '../../serving/has-caller-left.js';
@@ -19,6 +20,7 @@
 import {type PermittedRequest} from './judge-request.js';
 import {passOnFailure} from './pass-on-failure.js';
 import {placementRequestOf} from './placement-request.js';
+import {PromptSources} from './prompt-sources.js';
 import {reportEnd, type RoutedEnd} from './report-end.js';
 import {RequestEnding} from './request-ending.js';
 import {type RequestHead} from './request-head.js';
@@ -35,6 +37,9 @@
 
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
+/** A request that finds no room at the endpoints it looked at looks at others, so often in all; then the service is full. */
+const mostSamples = 3;
+
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
@@ -44,6 +49,7 @@
 	readonly #ending: RequestEnding;
 	#current: EndpointTry | undefined;
 	#sends = 0;
+	#samples = 0;
 	#mayHaveRun = false;
 	#hasLeft = false;
 	#isExpired = false;
@@ -102,9 +108,8 @@
 
 	async #tryUntilDone(): Promise<RoutedEnd> {
 		for (;;) {
-			if (this.#work.permitted.route.carriesPrompt) {
-				await this.#context.peerNews.refresh();
-			}
+			const choices = this.#choices();
+			await this.#hearOf(choices);
 
 			const hasLeft = await hasCallerLeft(this.#work.request, this.#context.eventLoopLag.current);
 			if (hasLeft || this.#hasLeft) {
@@ -115,7 +120,11 @@
 				return this.#ending.expire(this.#mayHaveRun);
 			}
 
-			const {request, placement} = this.#place();
+			const {request, placement} = this.#place(choices);
+			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#mayLookFurther(choices)) {
+				continue;
+			}
+
 			if (placement.kind === 'none') {
 				return this.#ending.giveUp({
 					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can take the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
@@ -188,12 +197,38 @@
 		}
 	}
 
-	#place(): {request: PlacementRequest; placement: Placement} {
-		const {endpoints, placement} = this.#context;
+	/** The endpoints to choose from: all, or some of many. */
+	#choices(): EndpointRecord[] {
 		const now = this.#now();
-		const candidates = endpoints.usable(this.#work.permitted.service, now);
 		const request = placementRequestOf(this.#context, this.#work, this.#tried);
-		return {request, placement: placement.place(request, candidates, now)};
+		return this.#context.placement.choices(request, this.#usable(now), now, this.#samples);
+	}
+
+	/** Asks what the others do there and where the parts of a prompt are kept; a plain call is placed by what is known. */
+	async #hearOf(choices: readonly EndpointRecord[]): Promise<void> {
+		const {head, permitted} = this.#work;
+		if (permitted.route.carriesPrompt) {
+			await this.#context.peerNews.refresh(new PromptSources(this.#context, head, permitted).question(choices));
+		}
+	}
+
+	#place(choices: readonly EndpointRecord[]): {request: PlacementRequest; placement: Placement} {
+		const {head, permitted} = this.#work;
+		const now = this.#now();
+		const request = placementRequestOf(this.#context, this.#work, this.#tried);
+		const keepers = request.prompt === undefined ? [] : new PromptSources(this.#context, head, permitted).keepers();
+		const names = new Set([...choices, ...keepers].map(({name}) => name));
+		const known = this.#usable(now).filter(({name}) => names.has(name));
+		return {request, placement: this.#context.placement.place(request, known, now)};
+	}
+
+	#usable(now: number): EndpointRecord[] {
+		return this.#context.endpoints.usable(this.#work.permitted.service, now);
+	}
+
+	#mayLookFurther(choices: readonly EndpointRecord[]): boolean {
+		this.#samples++;
+		return this.#samples < mostSamples && choices.length < this.#usable(this.#now()).length;
 	}
 
 	async #send(request: PlacementRequest, {endpoint, basis}: Placement & {kind: 'send'}): Promise<TryResult> {
--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -1,6 +1,6 @@
 /** Takes, renews and gives back the lease on one duty; what is allowed is decided in `src/protocol/duty`. */
 import {type ClockedTable} from '../../ports/clocked-table.js';
-import {type MomentClock} from '../../ports/moment-clock.js';
+import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {type TableService} from '../../ports/table-service.js';
 import {
 	decideDuty, type DutyGrant, type DutyRow, isUncontested, leftOfGrant, mostActingMilliseconds, releasedRow,
@@ -17,6 +17,8 @@
 	leaseMilliseconds: number;
 	/** For how long a grant is acted on, if the store answers quickly. */
 	actingMilliseconds: number;
+	/** How much later than allowed this instance looks for a duty that another one holds, in milliseconds; 0 if absent. */
+	patienceMilliseconds?: () => number;
 };
 
 /** What a seat works with. */
@@ -41,6 +43,8 @@
 	#seekMilliseconds = 0;
 	/** The row as it was read last, of whomever. */
 	#seen: DutyRow | undefined;
+	/** The state of the row that was read last, and since when it has been the same, on the steady clock. */
+	#unchanged: {era: number; revision: number; since: number} | undefined;
 
 	constructor(plan: DutyPlan, tools: DutyTools) {
 		this.#plan = plan;
@@ -97,20 +101,22 @@
 			return;
 		}
 
-		const {row, storeMilliseconds} = read.unsafeCoerce();
+		const {row, storeMilliseconds, era} = read.unsafeCoerce();
 		this.#seen = row?.value as DutyRow | undefined;
-		const decided = decideDuty(this.#seen, this.#plan.instance, storeMilliseconds, {
+		const reading = {storeMilliseconds, era, unchangedMilliseconds: this.#unchangedFor(era, row?.revision ?? 0, since)};
+		const decided = decideDuty(this.#seen, this.#plan.instance, reading, {
 			leaseMilliseconds: this.#plan.leaseMilliseconds, actingMilliseconds: this.#actingMilliseconds,
 		});
 		if (decided.kind === 'wait') {
-			this.lose('another instance holds it');
-			this.#lookAgainIn(decided.milliseconds);
+			this.lose('another instance holds it, or may hold it');
+			this.#lookAgainIn(decided.milliseconds + (this.#plan.patienceMilliseconds?.() ?? 0));
 			return;
 		}
 
 		const granted: DutyRow = {...decided.row, address: this.#plan.address, engines};
 		const written = await store.commit({conditions: [{...name, revision: row?.revision ?? 0}], writes: [{...name, value: granted}]});
-		if (written.isLeft()) {
+		// In a later era the condition may have held by accident, for a revision that was given out again.
+		if (written.isLeft() || store.era > era) {
 			this.#lookAgainIn(retryMilliseconds);
 			return;
 		}
@@ -144,13 +150,22 @@
 
 		this.lose('given back');
 		const read = await store.readClocked(name);
-		const {row} = read.orDefault({row: undefined, storeMilliseconds: 0});
+		const {row} = read.orDefault({row: undefined, storeMilliseconds: 0, era: 0});
 		const value = row?.value as DutyRow | undefined;
 		if (row !== undefined && value?.holder === this.#plan.instance) {
 			await store.commit({conditions: [{...name, revision: row.revision}], writes: [{...name, value: releasedRow(value)}]});
 		}
 	}
 
+	/** For how long the row has surely stood as it was found by a read that was sent at `sentAt`. */
+	#unchangedFor(era: number, revision: number, sentAt: Moment): number {
+		if (this.#unchanged?.era !== era || this.#unchanged.revision !== revision) {
+			this.#unchanged = {era, revision, since: this.#tools.clock.moment().steady};
+		}
+
+		return Math.max(0, sentAt.steady - this.#unchanged.since);
+	}
+
 	#lookAgainIn(milliseconds: number): void {
 		this.#notBefore = this.#tools.clock.moment().steady + milliseconds;
 	}
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -5,12 +5,18 @@
  * vanished around an outage may live: dropped at once, a whole service would be without endpoints for two seconds behind
  * each outage. So it is kept in doubt, used only where no sure one is left, and dropped when the store has been back for
  * as long as a living endpoint needs to write its row again. A row that vanishes while the store is sound is news at once.
+ *
+ * A store that comes back from an older copy shows endpoints as ready that have left since. Such a row brings none of them
+ * back: a living endpoint writes its row again, and the row of one that is gone lapses.
  */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** An endpoint whose row is missing since the store was away. */
 type Doubt = {record: EndpointRecord; until: number};
 
+/** Tells one incarnation of an endpoint from the next. */
+type Incarnation = string;
+
 /** What changed in the registry. */
 export type RegistryChange = {
 	appeared: EndpointRecord[];
@@ -23,16 +29,24 @@
  * One tenth is added for the way of the news.
  */
 export const reappearanceMilliseconds = 2200;
+/** How many endpoints that left are remembered: more than leave in the seconds by which a copy of the store is old. */
+const rememberedDepartures = 1000;
+/** How long the row of an endpoint that is gone may stay in a store that came back from a copy: three heartbeats and the way. */
+const staleRowMilliseconds = 5000;
 
 export class EndpointRegistry {
 	readonly #records = new Map<string, EndpointRecord>();
 	readonly #doubts = new Map<string, Doubt>();
 	/** Until when a vanished row may be the trace of an outage. */
 	#unsureUntil = 0;
+	/** Endpoints that were found to leave or to be gone, in that order. */
+	readonly #departures = new Set<Incarnation>();
+	/** Rows of a restored store that contradict a departure, and until when they are not believed. */
+	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
 	/** Tells that the store failed to answer, at a time of the steady clock in milliseconds. */
-	storeFailed(now: number): void {
-		this.#unsureUntil = now + reappearanceMilliseconds;
+	storeFailed(failedAt: number): void {
+		this.#unsureUntil = Math.max(this.#unsureUntil, failedAt + reappearanceMilliseconds);
 		for (const doubt of this.#doubts.values()) {
 			doubt.until = this.#unsureUntil;
 		}
@@ -43,9 +57,11 @@
 	 *
 	 * @param records - All rows that could be read.
 	 * @param now - Milliseconds of the steady clock.
+	 * @param isRestored - Whether the store has just come back from an older copy.
 	 */
-	replaceAll(records: readonly EndpointRecord[], now: number): RegistryChange {
+	replaceAll(records: readonly EndpointRecord[], now: number, isRestored = false): RegistryChange {
 		const change: RegistryChange = {appeared: [], vanished: []};
+		this.#staleRows.clear();
 		const names = new Set(records.map(({name}) => name));
 		for (const name of this.#records.keys()) {
 			if (!names.has(name)) {
@@ -54,7 +70,11 @@
 		}
 
 		for (const record of records) {
-			this.#put(record, change);
+			if (isRestored && record.state === 'ready' && this.#departures.has(incarnationOf(record))) {
+				this.#staleRows.set(record.name, {record, until: now + staleRowMilliseconds});
+			} else {
+				this.#put(record, change);
+			}
 		}
 
 		return change;
@@ -80,10 +100,17 @@
 		for (const [name, {record, until}] of this.#doubts) {
 			if (until <= now) {
 				this.#doubts.delete(name);
+				this.#noteDeparture(record);
 				change.vanished.push(record);
 			}
 		}
 
+		for (const {record, until} of this.#staleRows.values()) {
+			if (until <= now) {
+				this.#put(record, change);
+			}
+		}
+
 		return change;
 	}
 
@@ -92,6 +119,7 @@
 		const record = this.#records.get(name);
 		if (record !== undefined) {
 			this.#records.set(name, {...record, state: 'leaving'});
+			this.#noteDeparture(record);
 		}
 	}
 
@@ -127,7 +155,14 @@
 	#put(record: EndpointRecord, change: RegistryChange): void {
 		const known = this.#records.get(record.name) ?? this.#doubts.get(record.name)?.record;
 		this.#doubts.delete(record.name);
+		this.#staleRows.delete(record.name);
 		this.#records.set(record.name, record);
+		if (record.state === 'leaving') {
+			this.#noteDeparture(record);
+		} else {
+			this.#departures.delete(incarnationOf(record));
+		}
+
 		this.#supersedeAt(record);
 		if (known?.bornAt === record.bornAt) {
 			return;
@@ -153,7 +188,15 @@
 		}
 	}
 
+	#noteDeparture(record: EndpointRecord): void {
+		this.#departures.add(incarnationOf(record));
+		if (this.#departures.size > rememberedDepartures) {
+			this.#departures.delete(this.#departures.values().next().value!);
+		}
+	}
+
 	#remove(name: string, now: number, change: RegistryChange): void {
+		this.#staleRows.delete(name);
 		const record = this.#records.get(name);
 		if (record === undefined) {
 			return;
@@ -165,6 +208,11 @@
 			return;
 		}
 
+		this.#noteDeparture(record);
 		change.vanished.push(record);
 	}
 }
+
+function incarnationOf({name, bornAt}: EndpointRecord): Incarnation {
+	return `${name}@${bornAt}`;
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -15,7 +15,7 @@
 import {type CacheStoreControl} from '../ports/cache-store-control.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
 import {type EngineControl} from '../ports/engine-control.js';
-import {type MomentClock} from '../ports/moment-clock.js';
+import {type Moment, type MomentClock} from '../ports/moment-clock.js';
 import {type TableFeed} from '../ports/table-feed.js';
 import {type TableService} from '../ports/table-service.js';
 import {formatFinding} from '../shared/format-finding.js';
@@ -30,7 +30,7 @@
 import {EndpointProber} from './endpoints/endpoint-prober.js';
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type GatewayContext} from './gateway-context.js';
-import {type GatewaySettings, timingsOf} from './gateway-settings.js';
+import {type GatewaySettings, type GatewayTimings, timingsOf} from './gateway-settings.js';
 import {DutySeat} from './duty/duty-seat.js';
 import {dutyTable} from './duty/weights-duty.js';
 import {Hub} from './hub/hub.js';
@@ -42,7 +42,7 @@
 import {reportLag} from './observability/report-lag.js';
 import {type Catalog} from './watchers/catalog.js';
 import {EndpointReader} from './watchers/endpoint-reader.js';
-import {FeedFollower} from './watchers/feed-follower.js';
+import {FeedFollower, type FeedNews} from './watchers/feed-follower.js';
 import {OperatorReader} from './watchers/operator-reader.js';
 import {LoadingEngines} from './watchers/loading-engines.js';
 import {WeightCoordinator} from './weights/weight-coordinator.js';
@@ -78,6 +78,12 @@
 const hubActingMilliseconds = 1500;
 /** Hints may be late: a feed that brings nothing else waits long, to cost few calls. */
 const hintWaitMilliseconds = 20_000;
+/** The same, where another instance reads for this one. */
+const relayedHintWaitMilliseconds = 1000;
+/** Without the instance that reads for all, an instance asks for hints itself behind this time. */
+const hintLapseMilliseconds = 4000;
+/** How many endpoints of plain services the steady questions are about. */
+const mostWatched = 16;
 /** More than any deployment's own limit on headers, which is checked behind the parser. */
 const parserHeaderBytes = 65_536;
 
@@ -91,6 +97,7 @@
 	readonly #metricsListener: HttpListener;
 	readonly #hub: Hub;
 	readonly #hubClient: HubClient;
+	readonly #feeds: readonly FeedFollower[];
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
 	readonly #exchanges = new HttpEndpointExchanges();
@@ -107,7 +114,14 @@
 		const hubView = new HubView();
 		this.#placement = new CostPlacement(settings.dataCentre, endpoint => hubView.othersAt(endpoint, clock.moment()));
 		this.#hubClient = new HubClient(hubView, {
-			instance: settings.instance, loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+			instance: settings.instance,
+			cores: settings.cores,
+			loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+			watched: () => this.#watchedEndpoints(),
+			places: () => Object.fromEntries(this.#feeds.flatMap(({table, place}) => place === undefined ? [] : [[table, place]])),
+			takeTables: (news, askedAt) => {
+				this.#takeTables(news, askedAt);
+			},
 		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
 		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, lagMilliseconds => {
@@ -140,7 +154,8 @@
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
 		this.#hub = this.#createHub(ports);
-		this.#root = this.#tree(ports, timings.feedWaitMilliseconds);
+		this.#feeds = this.#createFeeds(ports, timings);
+		this.#root = this.#tree(ports);
 	}
 
 	/** Listens, and runs until it is stopped. */
@@ -195,20 +210,60 @@
 
 	#createHub({store, clock, storeControl}: GatewayPorts): Hub {
 		const {log} = this.#context;
-		const {instance, listenPeers: address} = this.#settings;
+		const {instance, listenPeers: address, cores} = this.#settings;
 		const seat = new DutySeat({
-			table: leaseTable, duty: hubDuty, instance, address, leaseMilliseconds: hubLeaseMilliseconds, actingMilliseconds: hubActingMilliseconds,
+			table: leaseTable,
+			duty: hubDuty,
+			instance,
+			address,
+			leaseMilliseconds: hubLeaseMilliseconds,
+			actingMilliseconds: hubActingMilliseconds,
+			patienceMilliseconds: () => this.#hub.patienceMilliseconds(),
 		}, {store, clock, log});
 		return new Hub(this.#context, {
-			instance, address, seat, client: this.#hubClient, control: storeControl,
+			instance, address, seat, client: this.#hubClient, control: storeControl, cores, feeds: () => this.#feeds,
 		});
 	}
 
-	#tree(ports: GatewayPorts, waitMilliseconds: number): Supervisor {
-		const {store, catalog, clock, random, control} = ports;
+	#createFeeds({store, catalog, clock, random}: GatewayPorts, timings: GatewayTimings): FeedFollower[] {
 		const {log, goals, loadingEngines} = this.#context;
+		const {feedWaitMilliseconds: waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds} = timings;
+		const tools = {
+			clock, log, random, isReader: () => this.#hub.isHub(),
+		};
+		return [
+			new FeedFollower(store, {
+				table: catalog.operatorTable, waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds,
+			}, new OperatorReader(this.#context, catalog, goals), tools),
+			new FeedFollower(store, {
+				table: catalog.endpointTable, waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds,
+			}, new EndpointReader(this.#context, catalog), tools),
+			new FeedFollower(store, {
+				table: dutyTable, waitMilliseconds: hintWaitMilliseconds, readerWaitMilliseconds: relayedHintWaitMilliseconds, relayLapseMilliseconds: hintLapseMilliseconds,
+			}, loadingEngines, tools),
+		];
+	}
+
+	#takeTables(news: readonly FeedNews[], askedAt: Moment): void {
+		for (const one of news) {
+			this.#feeds.find(({table}) => table === one.table)?.takeRelayed(one, askedAt);
+		}
+	}
+
+	/** Plain calls are placed without a question for each; what others do at their endpoints comes with the steady ones. */
+	#watchedEndpoints(): string[] {
+		const {endpoints, configuration} = this.#context;
+		const services = configuration.current?.services;
+		return endpoints.all()
+			.filter(({service, state}) => state === 'ready' && services?.get(service)?.engine === undefined)
+			.slice(0, mostWatched)
+			.map(({name}) => name);
+	}
+
+	#tree(ports: GatewayPorts): Supervisor {
+		const {store, clock, control} = ports;
+		const {log, goals} = this.#context;
 		const {instance, bounds: {leaseMilliseconds, weightsMilliseconds}} = this.#settings;
-		const parts = {clock, log, random};
 		return new Supervisor({
 			name: 'gateway',
 			strategy: 'one-for-one',
@@ -218,9 +273,7 @@
 				log.record('fault', {child: event.child, event: event.kind, error: String(event.error)});
 			},
 			children: [
-				new FeedFollower(store, {table: catalog.operatorTable, waitMilliseconds}, new OperatorReader(this.#context, catalog, goals), parts),
-				new FeedFollower(store, {table: catalog.endpointTable, waitMilliseconds}, new EndpointReader(this.#context, catalog), parts),
-				new FeedFollower(store, {table: dutyTable, waitMilliseconds: hintWaitMilliseconds}, loadingEngines, parts),
+				...this.#feeds,
 				new WeightCoordinator(this.#context, {
 					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals,
 				}),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -34,6 +34,8 @@
 	/** `IP:port` of the metrics. */
 	listenMetrics: string;
 	storeAddress: string;
+	/** Cores that the machine gives to this process; may be a fraction. */
+	cores: number;
 	bounds: GatewayBounds;
 };
 
@@ -41,6 +43,10 @@
 export type GatewayTimings = {
 	/** How long a call to the feed may wait for changes. */
 	feedWaitMilliseconds: number;
+	/** The same for the instance that reads for the others. */
+	readerWaitMilliseconds: number;
+	/** With what another instance tells, an instance goes on without calls of its own for as long as it is no older. */
+	relayLapseMilliseconds: number;
 	/** Beyond this age of the configuration, what it lacks is not called unknown. */
 	freshMilliseconds: number;
 	/** Beyond this age, no key is accepted. */
@@ -54,6 +60,15 @@
 const feedWaitShare = 0.4;
 /** A feed call waits no longer than this: silence of the connection hides endpoints that leave for as long. */
 const longestFeedWaitMilliseconds = 2000;
+/**
+ * Share of the bound on configuration that the news of the instance that reads for all may be old. Beyond, each reads for
+ * itself, spread over a moment, and has to be answered within the rest.
+ */
+const relayLapseShare = 0.6;
+/** The longest that they may be old, in milliseconds: what a follower knows of endpoints that leave is as old. */
+const longestRelayLapseMilliseconds = 1200;
+/** Share of that age that the waiting of one call may take; the way through the reader and the pace of questions take the rest. */
+const readerWaitShare = 0.35;
 /** Between a lease check and the sending of the request: a late timer and a slow instance. */
 const keyLeaseMarginMilliseconds = 150;
 /** Two answered calls in a row may be this late before the configuration counts as old. */
@@ -67,8 +82,11 @@
  */
 export function timingsOf(bounds: GatewayBounds): GatewayTimings {
 	const feedWaitMilliseconds = Math.min(longestFeedWaitMilliseconds, Math.round(feedWaitShare * bounds.revocationMilliseconds));
+	const relayLapseMilliseconds = Math.min(longestRelayLapseMilliseconds, Math.round(relayLapseShare * bounds.configurationMilliseconds));
 	return {
 		feedWaitMilliseconds,
+		readerWaitMilliseconds: Math.round(readerWaitShare * relayLapseMilliseconds),
+		relayLapseMilliseconds,
 		freshMilliseconds: freshWaits * feedWaitMilliseconds,
 		keyLeaseMilliseconds: bounds.revocationMilliseconds - keyLeaseMarginMilliseconds,
 	};
--- a/src/gateway/hub/engine-watch.ts
+++ b/src/gateway/hub/engine-watch.ts
@@ -23,6 +23,8 @@
 export type EngineWatchTools = {
 	control: Pick<CacheStoreControl, 'events'>;
 	clock: MomentClock;
+	/** How long the engine is left alone behind events, where that is more than the usual time. */
+	pauseMilliseconds?: () => number;
 	tell(engine: string, change: PartsChange): void;
 };
 
@@ -71,7 +73,7 @@
 			},
 			Right: events => {
 				this.#take(events);
-				return batchMilliseconds;
+				return Math.max(batchMilliseconds, this.#tools.pauseMilliseconds?.() ?? 0);
 			},
 		});
 	}
--- a/src/gateway/hub/engine-watches.ts
+++ b/src/gateway/hub/engine-watches.ts
@@ -3,6 +3,9 @@
 import {type DecisionLog} from '../observability/decision-log.js';
 import {EngineWatch, type EngineWatchTools} from './engine-watch.js';
 
+/** All engines together are asked for events no more often than one each so many milliseconds. */
+const pausePerEngineMilliseconds = 4;
+
 type Watched = {watch: EngineWatch; stop: AbortController; engine: EndpointRecord};
 
 export class EngineWatches {
@@ -38,9 +41,9 @@
 		}
 	}
 
-	/** The engines whose parts are told and up to date. */
-	known(): string[] {
-		return [...this.#watched].filter(([, {watch}]) => watch.isKnown).map(([name]) => name);
+	/** Whether the parts of an engine are told and up to date. */
+	isKnown(engine: string): boolean {
+		return this.#watched.get(engine)?.watch.isKnown ?? false;
 	}
 
 	/** The engines' clock, in milliseconds, if any engine told it. */
@@ -48,15 +51,11 @@
 		return [...this.#watched.values()].map(({watch}) => watch.engineClock).find(clock => clock !== undefined);
 	}
 
-	/** All parts of all engines. */
-	snapshot(): Array<{engine: string; parts: Array<[key: string, tokens: number]>}> {
-		return [...this.#watched].map(([engine, {watch}]) => ({engine, parts: watch.parts()}));
-	}
-
 	#start(engine: EndpointRecord): void {
 		const stop = new AbortController();
 		const tools: EngineWatchTools = {
 			...this.#tools,
+			pauseMilliseconds: () => pausePerEngineMilliseconds * this.#watched.size,
 			tell: (name, change) => {
 				// A call may be under way when the watch ends; what it brings belongs to an incarnation that is gone.
 				if (!stop.signal.aborted) {
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -8,20 +8,22 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {
-	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad,
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, noQuestion, type PackedLoad, type PlaceQuestion,
 } from './hub-messages.js';
 import {type HubView} from './hub-view.js';
 
 /** A question at least this often keeps knowledge fresh also when one answer is late. */
 export const askMilliseconds = freshMilliseconds / 4;
 /**
- * Before a prompt is placed the hub is asked for fresh news, where that takes no longer than this: a round trip within a
- * region takes a few milliseconds, and a prompt's first token some hundred. A hub farther away is asked at its pace only.
+ * Before a prompt is placed the hub is asked where its parts are kept and what the engines have to do, where that takes no
+ * longer than this. A round trip within a region takes a few milliseconds; reading a long prompt again takes an engine some
+ * hundred, so a hub in another region is worth the wait as well.
  */
-const longestRoundTripMilliseconds = 10;
+const longestRoundTripMilliseconds = 40;
 /** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
-const mostWaitMilliseconds = 15;
+const mostWaitMilliseconds = 50;
 /** A hub that has not answered two questions in a row is not waited for. */
 const longestSilenceMilliseconds = 2.5 * askMilliseconds;
 /** Weight of the newest round trip in the mean. */
@@ -30,13 +32,24 @@
 /** What a follower tells of itself. */
 export type FollowerSelf = {
 	instance: string;
+	/** Cores that its machine gives it. */
+	cores: number;
 	loads(): Record<string, PackedLoad>;
+	/** Endpoints that are chosen by what the steady questions bring, without a question for each request. */
+	watched(): string[];
+	/** Where it stands in the tables that it follows, by table. */
+	places(): Record<string, FeedPlace>;
+	/** Takes what changed in those tables, by an answer to a question that was sent at `askedAt`. */
+	takeTables(news: readonly FeedNews[], askedAt: Moment): void;
 };
 
+/** A question under way. */
+type Asked = {at: Moment; about: PlaceQuestion};
+
 /** News of what the other instances do, fresh at the moment of a decision. */
 export interface PeerNews {
-	/** Asks for news and waits for them, if that takes a few milliseconds only. */
-	refresh(): Promise<void>;
+	/** Asks for news and waits for them, if that takes a short time only. */
+	refresh(question: PlaceQuestion): Promise<void>;
 	/** Tells the others what this instance has under way. */
 	tell(): void;
 }
@@ -49,8 +62,9 @@
 	#address: string | undefined;
 	#reader = new FrameReader();
 	#number = 0;
-	#asked = new Map<number, Moment>();
+	#asked = new Map<number, Asked>();
 	#heardAt = 0;
+	#mostCores = 0;
 	readonly #waiting = new Map<number, () => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -67,6 +81,11 @@
 		return this.#socket !== undefined;
 	}
 
+	/** Cores of the largest machine that a hub has told of; 0 before. */
+	get mostCores(): number {
+		return this.#mostCores;
+	}
+
 	/** Where the hub was dialled; absent without a connection. */
 	get address(): string | undefined {
 		return this.#socket === undefined ? undefined : this.#address;
@@ -100,9 +119,8 @@
 		socket.on('error', end).on('close', end);
 	}
 
-	/** Asks once, or closes a connection that has been idle for too long. */
+	/** Asks at the steady pace, or closes a connection that has been idle for too long. */
 	ask(): void {
-		const now = this.#clock.moment();
 		if (this.#socket === undefined) {
 			return;
 		}
@@ -112,21 +130,16 @@
 			return;
 		}
 
-		this.#number++;
-		this.#asked.set(this.#number, now);
-		const frame: FollowerFrame = {
-			kind: 'ask', number: this.#number, instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
-		};
-		this.#socket.write(encodeFrame(frame));
+		this.#ask({...noQuestion, endpoints: this.#self.watched()});
 	}
 
-	async refresh(): Promise<void> {
+	async refresh(question: PlaceQuestion): Promise<void> {
 		const silence = this.#clock.moment().steady - this.#heardAt;
 		if (this.#socket === undefined || this.#roundTripMilliseconds > longestRoundTripMilliseconds || silence > longestSilenceMilliseconds) {
 			return;
 		}
 
-		this.ask();
+		this.#ask(question);
 		const number = this.#number;
 		await new Promise<void>(resolve => {
 			const timer = setTimeout(() => {
@@ -141,7 +154,7 @@
 
 	tell(): void {
 		const frame: FollowerFrame = {
-			kind: 'tell', instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
+			kind: 'tell', instance: this.#self.instance, cores: this.#self.cores, uses: this.#view.takeUses(), loads: this.#self.loads(),
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
@@ -158,6 +171,17 @@
 		this.#view.reset();
 	}
 
+	#ask(about: PlaceQuestion): void {
+		const now = this.#clock.moment();
+		this.#number++;
+		this.#asked.set(this.#number, {at: now, about});
+		const {instance, cores} = this.#self;
+		const frame: FollowerFrame = {
+			kind: 'ask', number: this.#number, instance, cores, uses: this.#view.takeUses(), loads: this.#self.loads(), about, places: this.#self.places(),
+		};
+		this.#socket?.write(encodeFrame(frame));
+	}
+
 	#isIdle(): boolean {
 		return this.#clock.moment().steady - this.#heardAt > idleTimeoutMilliseconds;
 	}
@@ -173,16 +197,13 @@
 	#take(frame: HubFrame): void {
 		const now = this.#clock.moment();
 		this.#heardAt = now.steady;
-		if (frame.kind === 'parts') {
-			this.#view.takeParts(frame);
-			return;
-		}
-
-		const askedAt = this.#asked.get(frame.number);
+		const asked = this.#asked.get(frame.number);
 		this.#asked.delete(frame.number);
-		if (askedAt !== undefined) {
-			this.#noteRoundTrip(now.steady - askedAt.steady);
-			this.#view.takeAnswer(frame, askedAt, now);
+		if (asked !== undefined) {
+			this.#noteRoundTrip(now.steady - asked.at.steady);
+			this.#view.takeAnswer(frame, asked.about, asked.at, now);
+			this.#mostCores = Math.max(this.#mostCores, frame.mostCores);
+			this.#self.takeTables(frame.tables, asked.at);
 		}
 
 		this.#answered(frame.number);
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -1,7 +1,7 @@
 /** What the hub and its followers say to each other, as frames over one connection each. */
 
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
-import {type PartsChange} from '../../protocol/parts/store-ledger.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 
 /** A connection between the hub and a follower on which no whole frame came for so long is closed, by either side. */
 export const idleTimeoutMilliseconds = 1200;
@@ -32,38 +32,69 @@
 	return `engine:${engine}`;
 }
 
+/** What a follower wants to know before it places a request. The answer is bounded, whatever the number of endpoints. */
+export type PlaceQuestion = {
+	/** Endpoints that it would choose from. */
+	endpoints: string[];
+	/** The parts of the prompt as `salt|id`, from its start; one run of them for each salt. */
+	keys: string[];
+	/** Parts in one run. */
+	partCount: number;
+};
+
+/** A question about nothing but the state of the hub. */
+export const noQuestion: PlaceQuestion = {endpoints: [], keys: [], partCount: 0};
+
+/** Tokens of the parts that a holder keeps, by their index in the question. */
+export type KeptParts = Array<[index: number, tokens: number]>;
+
+/** Which of the parts in question are kept where. */
+export type PartsAnswer = {
+	/** By store, or engine as `engineHolder` names it. A holder that is told of and not named here keeps none. */
+	kept: Array<[holder: string, parts: KeptParts]>;
+	/** Engines that are told of: those in question, and some that keep the deepest parts. */
+	engines: string[];
+	/** Those of them whose parts are not known now. */
+	unknown: string[];
+};
+
 /** What a follower says of itself. */
 type FollowerNews = {
 	instance: string;
+	/** Cores that its machine gives it. */
+	cores: number;
 	/** Stored parts used since the last word, as `salt|id`. */
 	uses: string[];
 	/** What this instance has under way, by endpoint. */
 	loads: Record<string, PackedLoad>;
 };
 
-/** What a follower sends. The answer to a question proves that all that the hub knew by then has been told. */
+/** What a follower sends. */
 export type FollowerFrame
-	= | FollowerNews & {kind: 'ask'; number: number}
-		| FollowerNews & {kind: 'tell'};
-
-/** What the hub sends. */
-export type HubFrame
-	= | {
-		kind: 'answer';
+	= | FollowerNews & {
+		kind: 'ask';
 		number: number;
-		/** The engines' clock, in milliseconds; absent while it is not known. */
-		clock?: number;
-		/** Whether the hub has lost its lease: it tells hints still, but nothing of stores, and another one may be found. */
-		isLapsed: boolean;
-		/** Stores that may be saved to and fetched from. */
-		open: string[];
-		/** Engines whose parts are told and up to date. */
-		engines: string[];
-		/** What all other instances have under way, by endpoint. */
-		loads: Record<string, PackedLoad>;
+		about: PlaceQuestion;
+		/** Where it stands in the tables that it follows, by table. */
+		places: Record<string, FeedPlace>;
 	}
-	| PartsChange & {
-		kind: 'parts';
-		/** A store, or an engine as `engineHolder` names it. */
-		holder: string;
-	};
+	| FollowerNews & {kind: 'tell'};
+
+/** What the hub sends. */
+export type HubFrame = {
+	kind: 'answer';
+	number: number;
+	/** The engines' clock, in milliseconds; absent while it is not known. */
+	clock?: number;
+	/** Whether the hub has lost its lease: it tells hints still, but nothing of stores, and another one may be found. */
+	isLapsed: boolean;
+	/** Stores that may be saved to and fetched from, and the tokens that they hold. */
+	open: Array<[store: string, heldTokens: number]>;
+	/** What all other instances have under way at the endpoints in question and those where the asker has something itself. */
+	loads: Record<string, PackedLoad>;
+	parts: PartsAnswer;
+	/** What changed in the tables that the asker follows. */
+	tables: FeedNews[];
+	/** Cores of the largest machine that the hub knows. */
+	mostCores: number;
+};
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -5,14 +5,15 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
-import {addLoads, type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {
-	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, packLoads, unpackLoad,
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, packLoad, type PartsAnswer, type PlaceQuestion,
 } from './hub-messages.js';
+import {LoadTotals} from './load-totals.js';
 
 /** What the server asks the keeper of the duty. */
 export interface HubSource {
@@ -21,11 +22,14 @@
 	/** Whether followers are told anything, under the duty or for a while behind it. */
 	isServing(): boolean;
 	engineClock(): number | undefined;
-	openStores(): string[];
-	/** Engines whose parts are told and up to date. */
-	knownEngines(): string[];
-	/** All that a new follower has to hear. */
-	snapshot(): Array<HubFrame & {kind: 'parts'}>;
+	/** Stores that may be saved to and fetched from, and the tokens that they hold. */
+	openStores(): Array<[store: string, heldTokens: number]>;
+	/** Where the parts in question are kept; `requestsAt` gives the requests under way at an engine. */
+	whereKept(question: PlaceQuestion, requestsAt: (engine: string) => number): PartsAnswer;
+	/** What changed behind the places where a follower stands in the tables. */
+	tableNews(places: Record<string, FeedPlace>): FeedNews[];
+	/** Cores of this instance's machine. */
+	readonly cores: number;
 	takeUses(keys: readonly string[]): void;
 }
 
@@ -36,7 +40,7 @@
 
 type Follower = {
 	instance: string;
-	loads: Record<string, PackedLoad>;
+	cores: number;
 	/** Of its last whole frame, on the steady clock, in milliseconds. */
 	lastSeenAt: number;
 };
@@ -48,6 +52,7 @@
 	readonly #clock: MomentClock;
 	readonly #server: Server;
 	readonly #followers = new Map<Socket, Follower>();
+	readonly #loads = new LoadTotals();
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: HubSource, clock: MomentClock) {
@@ -76,25 +81,11 @@
 		this.#server.close();
 	}
 
-	/** Tells all followers. */
-	broadcast(frame: HubFrame & {kind: 'parts'}): void {
-		if (frame.added.length === 0 && frame.removed.length === 0) {
-			return;
-		}
-
-		const bytes = encodeFrame(frame);
-		for (const socket of this.#followers.keys()) {
-			this.#write(socket, bytes);
-		}
-	}
-
 	/** Ends all connections: this instance is the hub no longer. */
 	dropAll(): void {
 		for (const socket of this.#followers.keys()) {
-			socket.destroy();
+			this.#drop(socket);
 		}
-
-		this.#followers.clear();
 	}
 
 	#take(socket: Socket): void {
@@ -104,15 +95,10 @@
 		}
 
 		const reader = new FrameReader();
-		this.#followers.set(socket, {instance: '', loads: {}, lastSeenAt: this.#now()});
+		this.#followers.set(socket, {instance: '', cores: 0, lastSeenAt: this.#now()});
 		socket.setNoDelay(true);
-		for (const frame of this.#source.snapshot()) {
-			this.#write(socket, encodeFrame(frame));
-		}
-
 		const end = (): void => {
-			this.#followers.delete(socket);
-			socket.destroy();
+			this.#drop(socket);
 		};
 
 		socket.on('data', (bytes: Uint8Array) => {
@@ -134,7 +120,13 @@
 			return;
 		}
 
-		this.#followers.set(socket, {instance: frame.instance, loads: frame.loads, lastSeenAt: this.#now()});
+		if (!this.#followers.has(socket)) {
+			return;
+		}
+
+		const {instance, cores} = frame;
+		this.#followers.set(socket, {instance, cores, lastSeenAt: this.#now()});
+		this.#loads.set(instance, frame.loads);
 		this.#source.takeUses(frame.uses);
 		if (frame.kind === 'ask') {
 			this.#answer(socket, frame);
@@ -151,39 +143,46 @@
 		const now = this.#now();
 		for (const [socket, {lastSeenAt}] of this.#followers) {
 			if (now - lastSeenAt > idleTimeoutMilliseconds) {
-				this.#followers.delete(socket);
-				socket.destroy();
+				this.#drop(socket);
 			}
 		}
 	}
 
-	#answer(socket: Socket, {number, instance}: FollowerFrame & {kind: 'ask'}): void {
+	/** An instance that has dialled anew meanwhile is still told of by its new connection. */
+	#drop(socket: Socket): void {
+		const instance = this.#followers.get(socket)?.instance;
+		this.#followers.delete(socket);
+		socket.destroy();
+		if (instance !== undefined && [...this.#followers.values()].every(follower => follower.instance !== instance)) {
+			this.#loads.remove(instance);
+		}
+	}
+
+	#answer(socket: Socket, {number, instance, about, loads, places}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
+		const parts = this.#source.whereKept(about, engine => this.#loads.requestsAt(engine));
+		const endpoints = new Set([...about.endpoints, ...parts.engines, ...Object.keys(loads)]);
 		const answer: HubFrame = {
 			kind: 'answer',
 			number,
 			...(clock === undefined ? {} : {clock}),
 			isLapsed: !this.#source.isHub(),
 			open: this.#source.openStores(),
-			engines: this.#source.knownEngines(),
-			loads: this.#loadsWithout(instance),
+			loads: Object.fromEntries([...endpoints].map((endpoint): [string, PackedLoad] => [endpoint, packLoad(this.#loads.withoutInstance(endpoint, instance))])),
+			parts,
+			tables: this.#source.tableNews(places),
+			mostCores: this.#mostCores(),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
 
-	#loadsWithout(instance: string): Record<string, PackedLoad> {
-		const sums = new Map<string, EndpointLoad>();
-		for (const follower of this.#followers.values()) {
-			if (follower.instance === instance) {
-				continue;
-			}
-
-			for (const [endpoint, packed] of Object.entries(follower.loads)) {
-				sums.set(endpoint, addLoads(sums.get(endpoint) ?? noLoad, unpackLoad(packed)));
-			}
+	#mostCores(): number {
+		let most = this.#source.cores;
+		for (const {cores} of this.#followers.values()) {
+			most = Math.max(most, cores);
 		}
 
-		return packLoads(sums);
+		return most;
 	}
 
 	#now(): number {
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -1,65 +1,71 @@
 /**
- * What a follower knows from the hub: which parts stores and engines hold, what the other instances have under way, and the
- * engines' clock. Used only while fresh; counted from the sending of the question whose answer came last.
+ * What a follower knows from the hub: which stores and engines hold the parts that it asked about, what the other instances
+ * have under way, and the engines' clock. Each answer is used only while fresh, counted from the sending of its question.
  */
-import {type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
+import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
 import {EngineClock} from './engine-clock.js';
 import {
-	engineHolder, type HubFrame, type PackedLoad, unpackLoad,
+	engineHolder, type HubFrame, type PackedLoad, type PlaceQuestion, unpackLoad,
 } from './hub-messages.js';
 
+/** Where a part is kept, by the answer to a question. */
+type PartNews = {
+	askedAt: Moment;
+	/** Tokens by holder. */
+	holders: Map<string, number>;
+	/** Engines whose parts were not known. */
+	unknown: ReadonlySet<string>;
+};
+
+type LoadNews = {askedAt: Moment; load: PackedLoad};
+
+/** How many parts and endpoints are remembered; the oldest news go first. */
+const mostParts = 2000;
+const mostLoads = 2000;
+
 export class HubView {
-	readonly #holders = new Map<string, Map<string, number>>();
-	readonly #heldTokens = new Map<string, number>();
-	#open: ReadonlySet<string> = new Set();
-	#engines: ReadonlySet<string> = new Set();
+	readonly #parts = new Map<string, PartNews>();
+	readonly #loads = new Map<string, LoadNews>();
+	#open: ReadonlyMap<string, number> = new Map();
 	#isLapsed = false;
-	#loads: Readonly<Record<string, PackedLoad>> = {};
 	#askedAt: Moment | undefined;
 	readonly #engineClock = new EngineClock();
 	readonly #uses = new Set<string>();
 
-	/** Forgets all: the connection to the hub ended, and the next one tells all anew. */
+	/** Forgets all: the connection to the hub ended, and the next one may be to another hub. */
 	reset(): void {
-		this.#holders.clear();
-		this.#heldTokens.clear();
-		this.#open = new Set();
-		this.#engines = new Set();
+		this.#parts.clear();
+		this.#loads.clear();
+		this.#open = new Map();
 		this.#isLapsed = false;
-		this.#loads = {};
 		this.#askedAt = undefined;
 		this.#engineClock.forget();
 	}
 
-	/** Takes what the hub tells of a store or an engine. */
-	takeParts({holder, added, removed}: HubFrame & {kind: 'parts'}): void {
-		const parts = this.#holders.get(holder) ?? new Map<string, number>();
-		this.#holders.set(holder, parts);
-		let heldTokens = this.#heldTokens.get(holder) ?? 0;
-		for (const key of removed) {
-			heldTokens -= parts.get(key) ?? 0;
-			parts.delete(key);
-		}
-
-		for (const [key, tokens] of added) {
-			heldTokens += tokens - (parts.get(key) ?? 0);
-			parts.set(key, tokens);
-		}
-
-		this.#heldTokens.set(holder, heldTokens);
-	}
-
 	/** Takes the answer to a question that was sent at `askedAt`. */
-	takeAnswer({clock, isLapsed, open, engines, loads}: HubFrame & {kind: 'answer'}, askedAt: Moment, now: Moment): void {
-		this.#open = new Set(open);
-		this.#engines = new Set(engines);
+	takeAnswer({clock, isLapsed, open, loads, parts}: HubFrame, {keys}: PlaceQuestion, askedAt: Moment, now: Moment): void {
+		this.#open = new Map(open);
 		this.#isLapsed = isLapsed;
-		this.#loads = loads;
 		this.#askedAt = askedAt;
 		this.#engineClock.forget();
 		this.#engineClock.hear(clock, now.steady);
+		for (const [endpoint, load] of Object.entries(loads)) {
+			remember(this.#loads, endpoint, {askedAt, load}, mostLoads);
+		}
+
+		const unknown = new Set(parts.unknown);
+		const news = keys.map((): PartNews => ({askedAt, holders: new Map(), unknown}));
+		for (const [holder, kept] of parts.kept) {
+			for (const [index, tokens] of kept) {
+				news[index]?.holders.set(holder, tokens);
+			}
+		}
+
+		for (const [index, key] of keys.entries()) {
+			remember(this.#parts, key, news[index]!, mostParts);
+		}
 	}
 
 	/** Whether the hub has lost its lease. */
@@ -68,7 +74,7 @@
 	}
 
 	isFresh(now: Moment): boolean {
-		return this.#askedAt !== undefined && longestElapsed(this.#askedAt, now) < freshMilliseconds;
+		return isFreshAt(this.#askedAt, now);
 	}
 
 	/** Whether parts may be saved to a store and fetched from it. */
@@ -78,22 +84,28 @@
 
 	/** Whether a store holds a part whole. */
 	holds(store: string, key: string, now: Moment): boolean {
-		return this.isOpen(store, now) && (this.#holders.get(store)?.has(key) ?? false);
+		return this.isOpen(store, now) && (this.#newsOf(key, now)?.holders.has(store) ?? false);
 	}
 
 	/** Tokens of all parts that a store is known to hold. */
 	heldTokens(store: string): number {
-		return this.#heldTokens.get(store) ?? 0;
+		return this.#open.get(store) ?? 0;
 	}
 
 	/**
-	 * The parts that an engine keeps, by its own events.
+	 * Tokens of a part that an engine keeps, by its own events.
 	 *
-	 * @param engine - Its name.
-	 * @returns Tokens by `salt|id`; `undefined` while they are not known. A hint: some events never arrive.
+	 * @returns `undefined` while that is not known. A hint: some events never arrive.
 	 */
-	engineParts(engine: string, now: Moment): ReadonlyMap<string, number> | undefined {
-		return this.isFresh(now) && this.#engines.has(engine) ? this.#holders.get(engineHolder(engine)) ?? new Map<string, number>() : undefined;
+	tokensAt(engine: string, key: string, now: Moment): number | undefined {
+		const news = this.#newsOf(key, now);
+		return news === undefined || news.unknown.has(engine) ? undefined : news.holders.get(engineHolder(engine)) ?? 0;
+	}
+
+	/** The engines that are known to keep a part: all, or several with little to do where many keep it. */
+	enginesWith(key: string, now: Moment): string[] {
+		const prefix = engineHolder('');
+		return [...this.#newsOf(key, now)?.holders.keys() ?? []].filter(holder => holder.startsWith(prefix)).map(holder => holder.slice(prefix.length));
 	}
 
 	/**
@@ -107,12 +119,8 @@
 
 	/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
 	othersAt(endpoint: string, now: Moment): EndpointLoad | undefined {
-		if (!this.isFresh(now)) {
-			return undefined;
-		}
-
-		const packed = this.#loads[endpoint];
-		return packed === undefined ? noLoad : unpackLoad(packed);
+		const news = this.#loads.get(endpoint);
+		return news !== undefined && isFreshAt(news.askedAt, now) ? unpackLoad(news.load) : undefined;
 	}
 
 	noteUse(key: string): void {
@@ -125,4 +133,22 @@
 		this.#uses.clear();
 		return uses;
 	}
+
+	#newsOf(key: string, now: Moment): PartNews | undefined {
+		const news = this.#parts.get(key);
+		return isFreshAt(news?.askedAt, now) ? news : undefined;
+	}
+}
+
+function isFreshAt(askedAt: Moment | undefined, now: Moment): boolean {
+	return askedAt !== undefined && longestElapsed(askedAt, now) < freshMilliseconds;
+}
+
+/** The order of the map is the order of the news. */
+function remember<News>(map: Map<string, News>, key: string, news: News, most: number): void {
+	map.delete(key);
+	map.set(key, news);
+	if (map.size > most) {
+		map.delete(map.keys().next().value!);
+	}
 }
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -13,11 +13,13 @@
 import {type Child} from '../../supervisor/supervisor.js';
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
+import {type FeedFollower, type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {EngineWatches} from './engine-watches.js';
 import {askMilliseconds, type HubClient} from './hub-client.js';
-import {engineHolder, type HubFrame} from './hub-messages.js';
+import {engineHolder, type PartsAnswer, type PlaceQuestion} from './hub-messages.js';
 import {HubServer, type HubSource} from './hub-server.js';
+import {PartDirectory} from './part-directory.js';
 import {StoreKeepers} from './store-keepers.js';
 
 /** The lease is renewed when less than this is left of a grant, or less than the last renewals took. */
@@ -32,6 +34,14 @@
 const lapsedLookMilliseconds = 1500;
 /** Instances that miss the hub look for it, or take its place, spread over this time. */
 const spreadMilliseconds = 600;
+/** Instances that wait for the same lease to end try for it spread over this time. */
+const takeoverSpreadMilliseconds = 150;
+/** The lead of large machines: the time in which one of them reads the row, takes it, and is found by the others. */
+const smallMachineMilliseconds = 400;
+/** A machine counts as large with this share of the cores of the largest known one; */
+const largeShare = 0.75;
+/** While none is known, with this many cores. */
+const wholeCore = 1;
 /** How long a dialled hub may take to answer before the row is read again. */
 const dialMilliseconds = 700;
 
@@ -44,6 +54,10 @@
 	seat: DutySeat;
 	client: HubClient;
 	control: CacheStoreControl;
+	/** Cores that this instance's machine gives it. */
+	cores: number;
+	/** The tables that are read here for all. */
+	feeds(): readonly FeedFollower[];
 };
 
 export class Hub implements Child, HubSource {
@@ -53,6 +67,7 @@
 	readonly #parts: HubParts;
 	readonly #stores: StoreKeepers;
 	readonly #engines: EngineWatches;
+	readonly #directory = new PartDirectory();
 	#lookAt = 0;
 	#heldAt = Number.NEGATIVE_INFINITY;
 	#isSeeking = false;
@@ -66,7 +81,7 @@
 		const {control} = parts;
 		const {clock, log} = context;
 		const tell = (holder: string, change: PartsChange): void => {
-			this.server.broadcast({kind: 'parts', holder, ...change});
+			this.#directory.take(holder, change);
 		};
 
 		this.#stores = new StoreKeepers({
@@ -79,7 +94,11 @@
 				tell(engineHolder(engine), change);
 			},
 		}, log);
-		this.#lookAt = this.#now() + (spreadMilliseconds * hashOf(parts.instance) / (2 ** 32));
+		this.#lookAt = this.#now() + this.#patience() + (spreadMilliseconds * this.#ownShare);
+	}
+
+	get cores(): number {
+		return this.#parts.cores;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -102,7 +121,7 @@
 	/** Renews the duty or looks for its holder, and asks it. Calls to the store run beside the questions, which must not wait. */
 	step(): void {
 		const {seat, client} = this.#parts;
-		const isNeeded = !this.#isLeaving && (this.#declaredStores().length > 0 || this.#engineServices().size > 0);
+		const isNeeded = !this.#isLeaving;
 		if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
 			void this.#seekBeside(async () => seat.seek());
 		}
@@ -135,17 +154,28 @@
 		return this.#stores.engineClock() ?? this.#engines.engineClock();
 	}
 
-	openStores(): string[] {
-		return this.#stores.open();
+	/** A process that stood still answers before its next step; by then another hub may have freed parts. */
+	openStores(): Array<[store: string, heldTokens: number]> {
+		return this.isHub() || this.#parts.seat.isUncontested ? this.#stores.open() : [];
+	}
+
+	whereKept(question: PlaceQuestion, requestsAt: (engine: string) => number): PartsAnswer {
+		return this.#directory.answer(question, {
+			stores: this.openStores().map(([store]) => store), isKnown: engine => this.#engines.isKnown(engine), requestsAt,
+		});
 	}
 
-	knownEngines(): string[] {
-		return this.#engines.known();
+	tableNews(places: Record<string, FeedPlace>): FeedNews[] {
+		return this.#parts.feeds().flatMap(feed => {
+			const place = places[feed.table];
+			const news = place === undefined ? undefined : feed.newsFor(place);
+			return news === undefined ? [] : [news];
+		});
 	}
 
-	snapshot(): Array<HubFrame & {kind: 'parts'}> {
-		const ofEngines = this.#engines.snapshot().map(({engine, parts}) => ({holder: engineHolder(engine), added: parts, removed: []}));
-		return [...this.#stores.snapshot(), ...ofEngines].map(parts => ({kind: 'parts', ...parts}));
+	/** How much later than others this instance tries for the duty, in milliseconds. */
+	patienceMilliseconds(): number {
+		return this.#patience() + (takeoverSpreadMilliseconds * this.#ownShare);
 	}
 
 	takeUses(keys: readonly string[]): void {
@@ -223,6 +253,18 @@
 		this.server.dropAll();
 	}
 
+	/** A duty that all ask belongs on a large machine; the others give those a lead. */
+	#patience(): number {
+		const {client, cores} = this.#parts;
+		const enough = client.mostCores === 0 ? wholeCore : largeShare * client.mostCores;
+		return cores < enough ? smallMachineMilliseconds : 0;
+	}
+
+	/** From 0 up to 1, another one for each instance. */
+	get #ownShare(): number {
+		return hashOf(this.#parts.instance) / (2 ** 32);
+	}
+
 	#declaredStores(): Array<[name: string, store: StoreTraits]> {
 		const services = this.#context.configuration.current?.services.values() ?? [];
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -36,8 +36,8 @@
 	}
 
 	/**
-	 * Keeps no store any longer. The followers are told that nothing is held: a connection may outlive the duty, and what
-	 * they heard under it must not come back into force with the next grant.
+	 * Keeps no store any longer. Nothing counts as held from then on: what was gathered under the duty must not come back into
+	 * force with the next grant.
 	 */
 	close(): void {
 		const now = this.#tools.clock.moment().steady;
@@ -59,14 +59,9 @@
 		return [...this.#keepers.values()].map(({engineClock}) => engineClock).find(clock => clock !== undefined);
 	}
 
-	/** Stores that may be saved to and fetched from. */
-	open(): string[] {
-		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name]) => name);
-	}
-
-	/** All that a new follower has to hear. */
-	snapshot(): Array<{holder: string} & PartsChange> {
-		return [...this.#keepers].map(([holder, {ledger}]) => ({holder, added: ledger.offered(), removed: []}));
+	/** Stores that may be saved to and fetched from, and the tokens of the parts that they offer. */
+	open(): Array<[store: string, heldTokens: number]> {
+		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name, {ledger}]) => [name, ledger.offeredTokens]);
 	}
 
 	/** Notes that parts were used. */
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -15,7 +15,7 @@
 /** A kind of line; each has a rate of its own. */
 export type DecisionKind
 	= | 'started' | 'stopping' | 'stopped' | 'reloaded'
-		| 'dependency-lost' | 'dependency-regained'
+		| 'dependency-lost' | 'dependency-regained' | 'store-restored'
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
 		| 'request-served' | 'request-ended' | 'request-refused' | 'try-failed'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
--- a/src/gateway/watchers/endpoint-reader.ts
+++ b/src/gateway/watchers/endpoint-reader.ts
@@ -5,7 +5,7 @@
 import {type RegistryChange} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type Catalog} from './catalog.js';
-import {type FeedReader} from './feed-follower.js';
+import {type Arrival, type FeedReader} from './feed-follower.js';
 
 type ReaderContext = Pick<GatewayContext, 'endpoints' | 'placement' | 'log'>;
 
@@ -18,9 +18,9 @@
 		this.#catalog = catalog;
 	}
 
-	takeWhole(rows: readonly FeedRow[], _sentAt: Moment, now: Moment): void {
+	takeWhole(rows: readonly FeedRow[], _sentAt: Moment, now: Moment, arrival: Arrival): void {
 		const records = rows.map(row => this.#read(row)).filter(record => record !== undefined);
-		this.#changed(this.#context.endpoints.replaceAll(records, now.steady));
+		this.#changed(this.#context.endpoints.replaceAll(records, now.steady, arrival === 'restored'));
 	}
 
 	takeChanges(rows: readonly FeedRow[], _sentAt: Moment, now: Moment): void {
@@ -33,8 +33,8 @@
 		this.#changed(this.#context.endpoints.settle(now.steady));
 	}
 
-	takeFailure(now: Moment): void {
-		this.#context.endpoints.storeFailed(now.steady);
+	takeFailure(failedAt: Moment): void {
+		this.#context.endpoints.storeFailed(failedAt.steady);
 	}
 
 	#read({key, content}: FeedRow): EndpointRecord | undefined {
--- a/src/gateway/watchers/feed-follower.ts
+++ b/src/gateway/watchers/feed-follower.ts
@@ -4,29 +4,72 @@
  * Each answered call, also one without changes, proves that the table stood so when the call was sent; whoever holds a
  * lease on that knowledge renews it from there. A call that hangs proves nothing and is given up after its own time limit,
  * on a connection of its own. When the feed has forgotten what came behind the last position, the table is read whole
- * again: changes in between would be missed otherwise.
+ * again: changes in between would be missed otherwise. The same holds where the store has come back from an older copy: it
+ * gives positions out again, and what was written up to the last position would never be told.
+ *
+ * With hundreds of instances, one of them reads for all: the others hear from it what changed and how old its proof is, and
+ * make no calls as long as that is recent. When it dies, stalls, is cut off or is turned away by the store, the age grows,
+ * and each of them reads for itself again, spread over a moment.
  */
-import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
+import {longestElapsed, type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {
 	type FeedAnswer, type FeedFailure, type FeedRow, type TableFeed,
 } from '../../ports/table-feed.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {reappearanceMilliseconds} from '../endpoints/endpoint-registry.js';
 import {type DecisionLog} from '../observability/decision-log.js';
+import {FeedHistory} from './feed-history.js';
+
+/**
+ * How rows came: by a call of this instance to the feed, as they were written; from another instance that reads, a moment
+ * later; or from a store that has just come back from an older copy and may lack what is being written again.
+ */
+export type Arrival = 'live' | 'relayed' | 'restored';
 
 /** What a follower is for. */
 export interface FeedReader {
 	/** Takes the whole table. */
-	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void;
+	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void;
 	/** Takes what changed, in order; may be nothing. */
-	takeChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void;
-	/** Hears that a call failed. */
-	takeFailure(now: Moment): void;
+	takeChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void;
+	/** Hears that a call failed at a moment. */
+	takeFailure(failedAt: Moment): void;
 }
 
 /** Which table, and how long a call may wait for changes. */
 export type FeedPlan = {
 	table: string;
 	waitMilliseconds: number;
+	/** The same for the instance that reads for the others: what it tells them is as old as its last call. */
+	readerWaitMilliseconds: number;
+	/** With a proof that is older than this, an instance reads for itself. */
+	relayLapseMilliseconds: number;
+};
+
+/** Where an instance stands in a table; positions of two eras cannot be compared. */
+export type FeedPlace = {
+	era: number;
+	position: number;
+};
+
+/** What the instance that reads tells another one of a table. */
+export type FeedNews = FeedPlace & {
+	table: string;
+	/** What changed behind the other's place; absent where the other has to read the table itself. */
+	rows?: FeedRow[];
+	/** How long ago the call was sent whose answer proved this place. */
+	ageMilliseconds: number;
+	/** How long ago a call failed last; absent if none did. */
+	failedMilliseconds?: number;
+};
+
+/** What a follower works with. */
+export type FeedTools = {
+	clock: MomentClock;
+	log: DecisionLog;
+	random: () => number;
+	/** Whether this instance reads for the others. */
+	isReader?: () => boolean;
 };
 
 /** First pause behind a failed call; doubles up to the longest. Short, since knowledge ages while nothing is heard. */
@@ -34,81 +77,212 @@
 const longestPauseMilliseconds = 800;
 /** Jitter of a pause, so that instances that lost the store together do not return together. */
 const jitterShare = 0.5;
+/** Pause behind a call that brought changes: while many rows change, one call brings those of a moment together. */
+const batchMilliseconds = 60;
+/** How often a follower that hears from another instance looks whether it still does. */
+const relayCheckMilliseconds = 100;
+/** Instances that miss the one that reads begin to read spread over this time. */
+const relaySpreadMilliseconds = 300;
+/** Failures that are older say nothing of rows that vanish now. */
+const failureLifeMilliseconds = 4000;
 
 export class FeedFollower implements Child {
 	readonly name: string;
 	readonly #feed: TableFeed;
 	readonly #plan: FeedPlan;
 	readonly #reader: FeedReader;
-	readonly #parts: {clock: MomentClock; log: DecisionLog; random: () => number};
-	#position: number | undefined;
+	readonly #tools: FeedTools;
+	readonly #history = new FeedHistory();
+	readonly #spreadMilliseconds: number;
+	#place: FeedPlace | undefined;
+	/** The latest era that was seen, also while there is no place. */
+	#era: number | undefined;
+	/** When the call was sent whose answer proved the place. */
+	#provenAt: Moment | undefined;
+	/** The same, of a proof that another instance told. */
+	#relayedAt: Moment | undefined;
+	#failedAt: Moment | undefined;
+	/** Until when a store that came back from an older copy may lack what is being written again, on the steady clock. */
+	#restoredUntil = Number.NEGATIVE_INFINITY;
+	#mustRead = true;
 	#pause = 0;
 	#isLost = false;
 
-	constructor(feed: TableFeed, plan: FeedPlan, reader: FeedReader, parts: {clock: MomentClock; log: DecisionLog; random: () => number}) {
+	constructor(feed: TableFeed, plan: FeedPlan, reader: FeedReader, tools: FeedTools) {
 		this.name = `feed-${plan.table}`;
 		this.#feed = feed;
 		this.#plan = plan;
 		this.#reader = reader;
-		this.#parts = parts;
+		this.#tools = tools;
+		this.#spreadMilliseconds = relaySpreadMilliseconds * tools.random();
+	}
+
+	/** Where this instance stands; absent until the table was read. */
+	get place(): FeedPlace | undefined {
+		return this.#place;
+	}
+
+	get table(): string {
+		return this.#plan.table;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#tools;
 		while (!signal.aborted) {
+			if (this.#hearsEnough(clock.moment())) {
+				await clock.sleep(relayCheckMilliseconds, signal);
+				continue;
+			}
+
 			await this.step();
 			if (this.#pause > 0) {
-				await this.#parts.clock.sleep(this.#pause * (1 - (jitterShare * this.#parts.random())), signal);
+				await clock.sleep(this.#pause * (1 - (jitterShare * random())), signal);
 			}
 		}
 	}
 
 	/** Makes one call. */
 	async step(): Promise<void> {
-		const {clock} = this.#parts;
+		const {clock, isReader} = this.#tools;
+		const {table, waitMilliseconds, readerWaitMilliseconds} = this.#plan;
 		const sentAt = clock.moment();
-		const position = this.#position;
-		const answer = position === undefined
-			? await this.#feed.readWhole(this.#plan.table)
-			: await this.#feed.follow({table: this.#plan.table, after: position, waitMilliseconds: this.#plan.waitMilliseconds});
+		const place = this.#place;
+		this.#mustRead = false;
+		const answer = place === undefined
+			? await this.#feed.readWhole(table)
+			: await this.#feed.follow({table, after: place.position, waitMilliseconds: isReader?.() ? readerWaitMilliseconds : waitMilliseconds});
 		answer.caseOf({
 			Left: failure => {
 				this.#failed(failure);
 			},
-			Right: ({rows, position: next}: FeedAnswer) => {
-				this.#answered();
-				this.#position = next;
-				if (position === undefined) {
-					this.#reader.takeWhole(rows, sentAt, clock.moment());
+			Right: (found: FeedAnswer) => {
+				this.#answered(found);
+				this.#noteEra(found.era);
+				if (place === undefined) {
+					this.#takeWhole(found, sentAt);
 				} else {
-					this.#reader.takeChanges(rows, sentAt, clock.moment());
+					this.#takeChanges(found, sentAt, 'live');
 				}
 			},
 		});
 	}
 
-	#answered(): void {
+	/**
+	 * Takes what the instance that reads tells.
+	 *
+	 * @param news - Its news of this table.
+	 * @param askedAt - When the question was sent that they answer: their proof is older by its age at most.
+	 */
+	takeRelayed(news: FeedNews, askedAt: Moment): void {
+		if (news.failedMilliseconds !== undefined && news.failedMilliseconds < failureLifeMilliseconds) {
+			this.#reader.takeFailure(before(askedAt, news.failedMilliseconds));
+		}
+
+		if (this.#place?.era !== news.era || (news.rows === undefined && news.position > this.#place.position)) {
+			this.#mustRead = true;
+			return;
+		}
+
+		const provenAt = before(askedAt, news.ageMilliseconds);
+		if (this.#relayedAt === undefined || provenAt.steady > this.#relayedAt.steady) {
+			this.#relayedAt = provenAt;
+		}
+
+		this.#takeChanges({...news, rows: news.rows ?? []}, provenAt, 'relayed');
+	}
+
+	/** What another instance that stands at a place hears of this one; `undefined` while there is no proof to tell. */
+	newsFor({era, position}: FeedPlace): FeedNews | undefined {
+		const now = this.#tools.clock.moment();
+		if (this.#place === undefined || this.#provenAt === undefined || now.steady < this.#restoredUntil) {
+			return undefined;
+		}
+
+		const rows = era === this.#place.era ? this.#history.behind(position) : undefined;
+		return {
+			table: this.#plan.table,
+			...this.#place,
+			...(rows === undefined ? {} : {rows}),
+			ageMilliseconds: longestElapsed(this.#provenAt, now),
+			...(this.#failedAt === undefined ? {} : {failedMilliseconds: longestElapsed(this.#failedAt, now)}),
+		};
+	}
+
+	#hearsEnough(now: Moment): boolean {
+		return !this.#mustRead && !this.#tools.isReader?.() && this.#relayedAt !== undefined
+			&& longestElapsed(this.#relayedAt, now) < this.#plan.relayLapseMilliseconds + this.#spreadMilliseconds;
+	}
+
+	#takeWhole({rows, position, era}: FeedAnswer, sentAt: Moment): void {
+		const now = this.#tools.clock.moment();
+		this.#place = {position, era};
+		this.#provenAt = sentAt;
+		this.#history.begin(position);
+		this.#reader.takeWhole(rows, sentAt, now, now.steady < this.#restoredUntil ? 'restored' : 'live');
+	}
+
+	/** Another source may have told some of the rows meanwhile, and later ones; or the place was given up. */
+	#takeChanges({rows, position, era}: FeedAnswer, provenAt: Moment, arrival: Arrival): void {
+		const known = this.#place;
+		if (known?.era !== era) {
+			return;
+		}
+
+		const now = this.#tools.clock.moment();
+		const news = rows.filter(({revision}) => revision > known.position);
+		this.#place = {position: Math.max(known.position, position), era};
+		this.#provenAt = this.#provenAt === undefined || provenAt.steady > this.#provenAt.steady ? provenAt : this.#provenAt;
+		this.#history.add(news, this.#place.position, now.steady);
+		this.#pause = news.length > 0 ? batchMilliseconds : 0;
+		this.#reader.takeChanges(news, provenAt, now, now.steady < this.#restoredUntil ? 'restored' : arrival);
+	}
+
+	/**
+	 * In another era the place is none, and the table is read whole. What the store has lost is written to it again within some
+	 * seconds; until then it proves nothing.
+	 */
+	#noteEra(era: number): void {
+		const formerEra = this.#era;
+		this.#era = era;
+		if (formerEra === undefined || formerEra === era) {
+			return;
+		}
+
+		const now = this.#tools.clock.moment();
+		this.#place = undefined;
+		this.#restoredUntil = now.steady + reappearanceMilliseconds;
+		this.#reader.takeFailure(now);
+		this.#tools.log.record('store-restored', {table: this.#plan.table, era, formerEra});
+	}
+
+	#answered({era}: FeedAnswer): void {
 		this.#pause = 0;
 		if (this.#isLost) {
 			this.#isLost = false;
-			this.#parts.log.record('dependency-regained', {dependency: 'store', table: this.#plan.table});
+			this.#tools.log.record('dependency-regained', {dependency: 'store', table: this.#plan.table, era});
 		}
 	}
 
 	#failed(failure: FeedFailure): void {
 		if (failure.kind === 'history-lost') {
-			this.#position = undefined;
+			this.#place = undefined;
 			this.#pause = 0;
-			this.#parts.log.record('dependency-lost', {dependency: 'store-history', table: this.#plan.table});
+			this.#tools.log.record('dependency-lost', {dependency: 'store-history', table: this.#plan.table});
 			return;
 		}
 
 		this.#pause = Math.min(longestPauseMilliseconds, Math.max(firstPauseMilliseconds, this.#pause * 2));
-		this.#reader.takeFailure(this.#parts.clock.moment());
+		this.#failedAt = this.#tools.clock.moment();
+		this.#reader.takeFailure(this.#failedAt);
 		if (!this.#isLost) {
 			this.#isLost = true;
-			this.#parts.log.record('dependency-lost', {
+			this.#tools.log.record('dependency-lost', {
 				dependency: 'store', table: this.#plan.table, failure: failure.kind, detail: 'detail' in failure ? failure.detail : undefined,
 			});
 		}
 	}
 }
+
+function before({steady, wall}: Moment, milliseconds: number): Moment {
+	return {steady: steady - milliseconds, wall: wall - milliseconds};
+}
--- a/src/gateway/watchers/operator-reader.ts
+++ b/src/gateway/watchers/operator-reader.ts
@@ -4,7 +4,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightGoals} from '../weights/weight-goals.js';
 import {type Catalog} from './catalog.js';
-import {type FeedReader} from './feed-follower.js';
+import {type Arrival, type FeedReader} from './feed-follower.js';
 
 export class OperatorReader implements FeedReader {
 	readonly #context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>;
@@ -21,19 +21,27 @@
 		this.#goals = goals;
 	}
 
-	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void {
+	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void {
 		this.#isFollowing = false;
-		this.takeChanges(rows, sentAt, now);
+		this.takeChanges(rows, sentAt, now, arrival);
 	}
 
-	takeChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void {
+	takeChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void {
 		for (const row of rows) {
-			this.#take(row, sentAt, now);
+			this.#take(row, sentAt, now, arrival);
+		}
+
+		if (arrival === 'restored') {
+			// A newer configuration that took a key away may be missing still: the lease must not begin anew.
+			this.#isFollowing = false;
+			return;
 		}
 
-		this.#provenAt = sentAt;
 		this.#isFollowing = true;
 		this.#context.configuration.confirm(sentAt);
+		if (this.#provenAt === undefined || sentAt.steady > this.#provenAt.steady) {
+			this.#provenAt = sentAt;
+		}
 	}
 
 	takeFailure(): void {
@@ -41,7 +49,7 @@
 		this.#isFollowing = false;
 	}
 
-	#take({key, content, isDeleted}: FeedRow, sentAt: Moment, now: Moment): void {
+	#take({key, content, isDeleted}: FeedRow, sentAt: Moment, now: Moment, arrival: Arrival): void {
 		if (isDeleted) {
 			return;
 		}
@@ -58,8 +66,8 @@
 					this.#context.log.record('configuration-taken', {
 						version, isTaken, routes: routes.length, readMilliseconds: Math.round(now.steady - sentAt.steady),
 					});
-				} else if (row.kind === 'weights' && this.#goals.name(row.weights, {heardAt: now, namedSince: this.#isFollowing ? now : this.#provenAt})) {
-					this.#context.log.record('weights-named', {...row.weights, isFollowing: this.#isFollowing});
+				} else if (row.kind === 'weights' && this.#goals.name(row.weights, {heardAt: now, namedSince: this.#isFollowing && arrival === 'live' ? now : this.#provenAt})) {
+					this.#context.log.record('weights-named', {...row.weights, isFollowing: this.#isFollowing, arrival});
 				}
 			},
 		});
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -19,8 +19,9 @@
 import {type JsonValue} from '../shared/types.js';
 
 /** A row on the wire; `value` is base64. */
-type WireRow = {table: string; part: string; key: string; value?: string; ver: number; deleted?: boolean};
+type WireRow = {table: string; part: string; key: string; value?: string; ver?: number; deleted?: boolean};
 type RowsAnswer = {rows: WireRow[]; ver: number; now_ms: number; has_more?: boolean};
+type RowsRead = RowsAnswer & {era: number};
 
 /** Counts calls by kind and outcome. */
 export type CountCall = (call: 'get' | 'feed' | 'tx', outcome: 'answered' | 'refused' | 'lost') => void;
@@ -33,16 +34,23 @@
 const historyLostStatus = 410;
 const conflictStatus = 412;
 const refusedStatuses: ReadonlySet<number> = new Set([403, 429, 503, 507]);
+/** Rises by one when the store comes back from an older copy. */
+const eraHeader = 'store-era';
 
 export class PlatformStore implements TableService, TableFeed, ClockedTable {
 	readonly #baseUrl: string;
 	readonly #count: CountCall;
+	#era = 0;
 
 	constructor(address: string, count: CountCall) {
 		this.#baseUrl = `http://${address}`;
 		this.#count = count;
 	}
 
+	get era(): number {
+		return this.#era;
+	}
+
 	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
 		const answer = await this.readClocked(name);
 		return answer.map(({row}) => row);
@@ -53,8 +61,8 @@
 			table, part: '', from: key, to: `${key}\0`, limit: 1,
 		});
 		const answer = await this.#get('get', `/rows-get?${query}`);
-		return answer.map(({rows, now_ms: storeMilliseconds}) => ({
-			row: rows.map(row => rowOf(row)).find(row => row.key === key), storeMilliseconds,
+		return answer.map(({rows, now_ms: storeMilliseconds, era}) => ({
+			row: rows.map(row => rowOf(row)).find(row => row.key === key), storeMilliseconds, era,
 		}));
 	}
 
@@ -80,6 +88,7 @@
 			const answer = await exchangeJson({
 				method: 'POST', url: `${this.#baseUrl}/rows-tx`, body, timeoutMilliseconds: callMilliseconds,
 			});
+			this.#noteEra(answer);
 			this.#count('tx', answer.status === 200 || answer.status === conflictStatus ? 'answered' : 'refused');
 			return judgeCommit(answer);
 		} catch (error) {
@@ -89,8 +98,8 @@
 	}
 
 	async readWhole(table: string): Promise<Either<TableFailure, FeedAnswer>> {
-		const rows: FeedRow[] = [];
-		let position: number | undefined;
+		let rows: FeedRow[] = [];
+		let first: RowsRead | undefined;
 		let from = '';
 		for (;;) {
 			const answer = await this.#get('get', `/rows-get?${queryOf({table, part: '', ...(from === '' ? {} : {from})})}`);
@@ -99,12 +108,20 @@
 			}
 
 			const page = answer.unsafeCoerce();
+			if (first !== undefined && page.era !== first.era) {
+				// The pages before are of a state that the store no longer has.
+				first = undefined;
+				rows = [];
+				from = '';
+				continue;
+			}
+
 			rows.push(...page.rows.map(row => feedRowOf(row)));
 			// What changes between two pages lies behind the first page's version, so the feed tells it again from there.
-			position ??= page.ver;
+			first ??= page;
 			const last = page.rows.at(-1);
 			if (!page.has_more || last === undefined) {
-				return Right({rows, position});
+				return Right({rows, position: first.ver, era: first.era});
 			}
 
 			from = `${last.key}\0`;
@@ -115,22 +132,32 @@
 		const query = queryOf({table, after, wait_ms: waitMilliseconds});
 		const answer = await this.#get('feed', `/rows-feed?${query}`, waitMilliseconds);
 		return answer
-			.map(({rows, ver}) => ({rows: rows.map(row => feedRowOf(row)), position: ver}))
+			.map(({rows, ver, era}) => ({rows: rows.map(row => feedRowOf(row)), position: ver, era}))
 			.mapLeft(failure => failure.kind === 'unavailable' && failure.detail === `status ${historyLostStatus}` ? {kind: 'history-lost'} : failure);
 	}
 
-	async #get(call: 'get' | 'feed', path: string, waitMilliseconds = 0): Promise<Either<TableFailure, RowsAnswer>> {
+	async #get(call: 'get' | 'feed', path: string, waitMilliseconds = 0): Promise<Either<TableFailure, RowsRead>> {
 		try {
-			const {status, body} = await exchangeJson({
+			const answer = await exchangeJson({
 				method: 'GET', url: this.#baseUrl + path, timeoutMilliseconds: callMilliseconds + waitMilliseconds,
 			});
+			const {status, body} = answer;
+			const era = this.#noteEra(answer);
 			this.#count(call, status === 200 ? 'answered' : 'refused');
-			return status === 200 ? Right(body as unknown as RowsAnswer) : Left({kind: 'unavailable', detail: `status ${status}`});
+			return status === 200 ? Right({...body as unknown as RowsAnswer, era}) : Left({kind: 'unavailable', detail: `status ${status}`});
 		} catch (error) {
 			this.#count(call, 'lost');
 			return Left({kind: 'unavailable', detail: describeError(error)});
 		}
 	}
+
+	/** Gives the era of an answer. Answers of two connections may cross, so an earlier era never becomes the latest again. */
+	#noteEra({headers}: JsonAnswer): number {
+		const era = Number(headers[eraHeader] ?? 0);
+		const told = Number.isSafeInteger(era) ? era : 0;
+		this.#era = Math.max(this.#era, told);
+		return told;
+	}
 }
 
 function judgeCommit({status, body}: JsonAnswer): Either<TableFailure, void> {
@@ -155,12 +182,14 @@
 
 function rowOf({table, key, value, ver}: WireRow): Row {
 	return {
-		table, key, revision: ver, value: decodeValue(value) ?? null,
+		table, key, revision: ver ?? 0, value: decodeValue(value) ?? null,
 	};
 }
 
-function feedRowOf({key, value, deleted}: WireRow): FeedRow {
-	return {key, content: decodeValue(value), isDeleted: deleted === true};
+function feedRowOf({key, value, deleted, ver}: WireRow): FeedRow {
+	return {
+		key, content: decodeValue(value), isDeleted: deleted === true, revision: ver ?? Number.POSITIVE_INFINITY,
+	};
 }
 
 /** Bytes that are no JSON come from other writers; they are told as absent, and the reader reports them. */
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -60,6 +60,7 @@
 		listenPeers: `${textOf('ip')}:${textOf('internal_ports').split(',', 1)[0]}`,
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
+		cores: numberOf('limits.cpu_share', 1) * numberOf('limits.cores', 1),
 		bounds: {
 			configurationMilliseconds: numberOf('bounds.config_apply_ms'),
 			revocationMilliseconds: numberOf('bounds.revoke_ms'),
--- a/src/ports/clocked-table.ts
+++ b/src/ports/clocked-table.ts
@@ -7,8 +7,12 @@
 	row: Row | undefined;
 	/** Milliseconds of the store's steady clock. */
 	storeMilliseconds: number;
+	/** The era of the answer; 0 where the store tells none. */
+	era: number;
 };
 
 export interface ClockedTable {
+	/** The latest era that any answer told. It rises when the store comes back from a copy and has lost what was written since. */
+	readonly era: number;
 	readClocked(name: RowName): Promise<Either<TableFailure, ClockedRow>>;
 }
--- a/src/ports/table-feed.ts
+++ b/src/ports/table-feed.ts
@@ -12,12 +12,16 @@
 	key: string;
 	content: JsonValue | undefined;
 	isDeleted: boolean;
+	/** The position of the row's last change. */
+	revision: number;
 };
 
 /** What a call to the feed gives. `position` is where the next call goes on. */
 export type FeedAnswer = {
 	rows: FeedRow[];
 	position: number;
+	/** Rises when the store comes back from an older copy; positions of two eras cannot be compared. */
+	era: number;
 };
 
 /** The feed no longer holds what came behind the asked position: the table has to be read whole again. */
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -11,6 +11,11 @@
  *
  * The fencing number rises whenever the holder changes. The write is conditional on the row's revision, so two takers
  * cannot get the same one; a write whose answer was lost is not relied on, and the row is read again.
+ *
+ * A store that comes back from an older copy has lost rows, and gives their revisions out again: a holder whose row is gone
+ * may still act, and a condition may hold by accident. Each row names the era of the store in which it was granted. A row of
+ * another era, or none, tells nothing of who acts. Whoever finds one waits from then on for as long as any grant lasts and a
+ * whole lease, and takes a number that lies above all numbers of earlier eras.
  */
 import {longestElapsed, type Moment} from '../../ports/moment-clock.js';
 
@@ -26,6 +31,18 @@
 	address: string;
 	/** Engines that the holder is changing now, for others to spare them. A hint. */
 	engines: string[];
+	/** The era of the store in which it was granted. */
+	era: number;
+};
+
+/** The store as it was when the row was read. */
+export type DutyReading = {
+	/** Milliseconds of the store's steady clock. */
+	storeMilliseconds: number;
+	/** The store's era; 0 where it tells none, and never loses what it has acknowledged. */
+	era: number;
+	/** For how long this same state of the row, or its absence, has been seen in this era, in milliseconds. */
+	unchangedMilliseconds: number;
 };
 
 /** Times of a duty, in milliseconds. */
@@ -82,6 +99,8 @@
 }
 
 const nobodysRow = {address: '', engines: []};
+/** Far more than holders change within one era. */
+const numbersOfAnEra = 1_000_000;
 /** Long before any time of the store's clock. */
 const neverGranted = Number.MIN_SAFE_INTEGER;
 
@@ -95,18 +114,23 @@
  *
  * @param row - The row as read; absent if nobody ever held the duty.
  * @param taker - The instance.
- * @param storeMilliseconds - The store's clock at that read.
+ * @param reading - The store at that read.
  * @param terms - The lease, and for how long the taker would act on one grant.
  * @returns The row to write; or after how many milliseconds to look again.
  */
-export function decideDuty(row: DutyRow | undefined, taker: string, storeMilliseconds: number, {leaseMilliseconds, actingMilliseconds}: DutyTerms): DutyDecision {
-	if (row === undefined || row.holder === taker) {
+export function decideDuty(row: DutyRow | undefined, taker: string, reading: DutyReading, {leaseMilliseconds, actingMilliseconds}: DutyTerms): DutyDecision {
+	const {storeMilliseconds, era} = reading;
+	if (row === undefined || eraOf(row) !== era) {
+		return decideWithoutRow(row, taker, reading, {leaseMilliseconds, actingMilliseconds});
+	}
+
+	if (row.holder === taker) {
 		// The holder goes on under the grant before where the answer to this write is lost: the row must not end sooner.
-		const leftBefore = row === undefined ? 0 : row.grantedAt + row.actingMilliseconds - storeMilliseconds;
+		const leftBefore = row.grantedAt + row.actingMilliseconds - storeMilliseconds;
 		return {
 			kind: 'take',
 			row: {
-				...nobodysRow, holder: taker, fencingNumber: row?.fencingNumber ?? 1, grantedAt: storeMilliseconds, actingMilliseconds: Math.max(actingMilliseconds, leftBefore),
+				...nobodysRow, holder: taker, fencingNumber: row.fencingNumber, grantedAt: storeMilliseconds, actingMilliseconds: Math.max(actingMilliseconds, leftBefore), era,
 			},
 		};
 	}
@@ -119,7 +143,29 @@
 	return {
 		kind: 'take',
 		row: {
-			...nobodysRow, holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds, actingMilliseconds,
+			...nobodysRow, holder: taker, fencingNumber: row.fencingNumber + 1, grantedAt: storeMilliseconds, actingMilliseconds, era,
+		},
+	};
+}
+
+/** Without a row of this era a grant may be in force that the store has lost. */
+function decideWithoutRow(row: DutyRow | undefined, taker: string, {storeMilliseconds, era, unchangedMilliseconds}: DutyReading, {leaseMilliseconds, actingMilliseconds}: DutyTerms): DutyDecision {
+	const longestGrant = Math.max(actingMilliseconds, mostActingMilliseconds(leaseMilliseconds), row?.actingMilliseconds ?? 0);
+	const wait = longestGrant + leaseMilliseconds + takeoverMarginMilliseconds - unchangedMilliseconds;
+	if (era > 0 && wait > 0) {
+		return {kind: 'wait', milliseconds: wait};
+	}
+
+	const fencingNumber = Math.max((row?.fencingNumber ?? 0) + 1, (era * numbersOfAnEra) + 1);
+	return {
+		kind: 'take',
+		row: {
+			...nobodysRow, holder: taker, fencingNumber, grantedAt: storeMilliseconds, actingMilliseconds, era,
 		},
 	};
 }
+
+/** Rows of a version that knew no eras name none. */
+function eraOf({era}: Partial<DutyRow>): number {
+	return era ?? 0;
+}
--- a/src/protocol/parts/store-ledger.ts
+++ b/src/protocol/parts/store-ledger.ts
@@ -36,6 +36,7 @@
 	#epoch: number | undefined;
 	#closedUntil = 0;
 	#heldTokens = 0;
+	#offeredTokens = 0;
 
 	constructor(capacityTokens: number) {
 		this.#capacityTokens = capacityTokens;
@@ -49,6 +50,11 @@
 		return this.#heldTokens;
 	}
 
+	/** Tokens of all offered parts. */
+	get offeredTokens(): number {
+		return this.#offeredTokens;
+	}
+
 	/** Whether parts may be saved and fetched. */
 	isOpen(now: number): boolean {
 		return this.#epoch !== undefined && now >= this.#closedUntil;
@@ -105,6 +111,7 @@
 		const change: PartsChange = {added: [], removed: [...this.#parts.keys()]};
 		this.#parts.clear();
 		this.#withdrawn.clear();
+		this.#offeredTokens = 0;
 		this.#heldTokens = 0;
 		this.#epoch = undefined;
 		this.#closedUntil = now + withdrawalMilliseconds;
@@ -170,6 +177,7 @@
 
 	#withdraw(key: string, tokens: number, now: number, change: PartsChange): void {
 		this.#parts.delete(key);
+		this.#offeredTokens -= tokens;
 		this.#withdrawn.set(key, {tokens, freeAt: now + withdrawalMilliseconds});
 		change.removed.push(key);
 	}
@@ -182,11 +190,15 @@
 		}
 
 		this.#parts.set(key, {tokens: part.tokens, usedAt: now});
+		this.#offeredTokens += part.tokens;
 		change.added.push([key, part.tokens]);
 	}
 
 	#drop(key: string, change: PartsChange): void {
-		if (this.#parts.delete(key)) {
+		const entry = this.#parts.get(key);
+		if (entry !== undefined) {
+			this.#parts.delete(key);
+			this.#offeredTokens -= entry.tokens;
 			change.removed.push(key);
 		}
 	}
