Test relayed tables, the directory of parts, loads and shortlists; number holders by the store's clock

Where both clocks of an instance fail within one grant no lease is proof; the schedules leave that out.

--- /dev/null
+++ b/src/decision/placement/shortlist.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {testEndpoint} from '../../gateway/testing/test-endpoint.js';
+import {homesOf} from './home-of.js';
+import {type PlacementRequest} from './placement.js';
+import {shortlist, shortlistLength} from './shortlist.js';
+
+const dataCentres = ['split', 'zadar', 'sibenik', 'makarska'];
+const engines = Array.from({length: 200}, (_, index) => testEndpoint({
+	name: `e${index}`, address: `127.0.0.1:${index + 1}`, dataCentre: dataCentres[index % dataCentres.length]!,
+}));
+const requestOf = (id: string, tried: string[] = []): PlacementRequest => ({
+	id,
+	service: 'lm',
+	rank: 0,
+	objectiveMilliseconds: 500,
+	prompt: {
+		model: 'm', promptTokens: 1000, mostOutputTokens: 10, parts: [{id: `shared-${id}`, tokens: 800}, {id, tokens: 200}],
+	},
+	cacheScope: 'shared',
+	engine: undefined,
+	tried: new Set(tried),
+	wantedVersion: undefined,
+	olderWeightsUntil: () => Number.POSITIVE_INFINITY,
+	fetchableUnder: () => [],
+	isSourceNear: () => false,
+	keptAt: () => undefined,
+	loading: new Set(),
+});
+
+test('a few of many are looked at, the homes of the prompt and the own data centre among them', () => {
+	const request = requestOf('a1');
+	const chosen = shortlist(request, engines, 'zadar');
+	assert.equal(chosen.length, shortlistLength);
+	assert.deepEqual(chosen.slice(0, 2), homesOf(request.prompt!, 'shared', engines, 2));
+	assert.ok(chosen.filter(({dataCentre}) => dataCentre === 'zadar').length >= 7);
+});
+
+test('all are looked at where there are few', () => {
+	assert.equal(shortlist(requestOf('a1'), engines.slice(0, shortlistLength), 'zadar').length, shortlistLength);
+});
+
+test('requests that come together spread over all endpoints', () => {
+	// Guards against instances that all choose the engine that looked idle in the same news.
+	const counts = new Map<string, number>();
+	for (let index = 0; index < 2000; index++) {
+		for (const {name} of shortlist(requestOf(`r${index}`), engines, dataCentres[index % dataCentres.length]!)) {
+			counts.set(name, (counts.get(name) ?? 0) + 1);
+		}
+	}
+
+	assert.equal(counts.size, engines.length);
+	assert.ok(Math.max(...counts.values()) < 2 * 2000 * shortlistLength / engines.length);
+});
+
+test('a further look is at others, and so is a further try', () => {
+	const names = (chosen: Array<{name: string}>): string => chosen.slice(2).map(({name}) => name).join(' ');
+	const first = names(shortlist(requestOf('a1'), engines, 'zadar'));
+	assert.notEqual(names(shortlist(requestOf('a1'), engines, 'zadar', 1)), first);
+	assert.notEqual(names(shortlist(requestOf('a1', ['e1']), engines, 'zadar')), first);
+	assert.equal(names(shortlist(requestOf('a1'), engines, 'zadar')), first);
+});
--- a/src/gateway/endpoints/endpoint-registry.test.ts
+++ b/src/gateway/endpoints/endpoint-registry.test.ts
@@ -49,3 +49,39 @@
 	registry.put(testEndpoint({name: 'new', bornAt: 2000}));
 	assert.deepEqual(namesOf(registry.usable('desk', 0)), ['new']);
 });
+
+test('a store that comes back from an older copy brings back nobody who has left', () => {
+	// Guards against calls to endpoints that were seen to leave: the copy still shows them as ready.
+	const registry = new EndpointRegistry();
+	const [one, two, three] = [1, 2, 3].map(port => testEndpoint({name: `e${port}`, address: `127.0.0.1:${port}`}));
+	registry.replaceAll([one!, two!, three!], 0);
+	registry.put({...one!, state: 'leaving'});
+	registry.remove('e2', 1000);
+	registry.replaceAll([one!, two!, three!], 2000, true);
+	assert.deepEqual(namesOf(registry.usable('desk', 2000)), ['e3']);
+	registry.put(two!);
+	assert.deepEqual(namesOf(registry.usable('desk', 2500)), ['e3', 'e2'], 'an endpoint that wrote its row again lives');
+	registry.remove('e1', 4000);
+	registry.settle(20_000);
+	assert.deepEqual(namesOf(registry.usable('desk', 20_000)), ['e3', 'e2'], 'a row that lapsed names nobody');
+});
+
+test('an endpoint whose row stays in a restored store lives', () => {
+	// Its row was written again before the store was read.
+	const registry = new EndpointRegistry();
+	registry.replaceAll([testEndpoint({name: 'one'})], 0);
+	registry.remove('one', 1000);
+	registry.replaceAll([testEndpoint({name: 'one'})], 2000, true);
+	assert.deepEqual(registry.usable('desk', 3000), []);
+	registry.settle(10_000);
+	assert.deepEqual(namesOf(registry.usable('desk', 10_000)), ['one']);
+});
+
+test('an older failure of the store does not shorten the doubt of a later one', () => {
+	const registry = new EndpointRegistry();
+	registry.replaceAll([testEndpoint({name: 'one'})], 0);
+	registry.storeFailed(5000);
+	registry.storeFailed(3000);
+	registry.replaceAll([], 5000 + reappearanceMilliseconds - 1);
+	assert.deepEqual(namesOf(registry.usable('desk', 5000 + reappearanceMilliseconds - 1)), ['one']);
+});
--- /dev/null
+++ b/src/gateway/watchers/feed-history.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type FeedRow} from '../../ports/table-feed.js';
+import {FeedHistory} from './feed-history.js';
+
+const row = (key: string, revision: number, content = ''): FeedRow => ({
+	key, content, isDeleted: false, revision,
+});
+const keysOf = (rows: FeedRow[] | undefined): string[] | undefined => rows?.map(({key}) => key);
+
+test('changes are told from a position on, and none where some are missing', () => {
+	const history = new FeedHistory();
+	assert.equal(history.behind(0), undefined);
+	history.begin(10);
+	history.add([row('a', 12), row('b', 13)], 13, 0);
+	history.add([row('c', 20)], 25, 100);
+	assert.deepEqual(keysOf(history.behind(10)), ['a', 'b', 'c']);
+	assert.deepEqual(keysOf(history.behind(12)), ['b', 'c']);
+	assert.deepEqual(keysOf(history.behind(25)), []);
+	assert.equal(history.behind(9), undefined);
+});
+
+test('old changes are forgotten, and whoever needs them reads the table', () => {
+	const history = new FeedHistory();
+	history.begin(0);
+	history.add([row('a', 1)], 1, 0);
+	history.add([row('b', 2)], 2, 60_000);
+	assert.equal(history.behind(0), undefined);
+	assert.deepEqual(keysOf(history.behind(1)), ['b']);
+});
+
+test('large rows are left to the store', () => {
+	// Guards against a hub that sends a large configuration to all others over the link of one machine.
+	const history = new FeedHistory();
+	history.begin(0);
+	history.add([row('a', 1, 'x'.repeat(100_000))], 1, 0);
+	history.add([row('b', 2)], 2, 0);
+	assert.equal(history.behind(0), undefined);
+	assert.deepEqual(keysOf(history.behind(1)), ['b']);
+});
--- a/src/gateway/watchers/operator-reader.test.ts
+++ b/src/gateway/watchers/operator-reader.test.ts
@@ -6,6 +6,7 @@
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
+import {testConfiguration} from '../testing/test-configuration.js';
 import {WeightGoals} from '../weights/weight-goals.js';
 import {type Catalog} from './catalog.js';
 import {OperatorReader} from './operator-reader.js';
@@ -59,3 +60,34 @@
 	reader.takeChanges([rowOf(2)], at(7000), at(7010), 'live');
 	assert.equal(leftAt(at(7010)), boundMilliseconds - 6010);
 });
+
+test('weights that another instance told of were named since the last proof', () => {
+	// Guards against older weights that are served for longer than granted: the news were on their way for a while.
+	const {reader, leftAt} = readerOfWeights();
+	reader.takeWhole([], at(0), at(5), 'live');
+	reader.takeChanges([], at(900), at(1000), 'relayed');
+	reader.takeChanges([rowOf(2)], at(1400), at(1800), 'relayed');
+	assert.equal(leftAt(at(1800)), boundMilliseconds - 900);
+});
+
+test('a store that has just come back from an older copy renews no trust', () => {
+	// Guards against a revoked key that is served on: the configuration that took it away is not written again yet.
+	const configuration = new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 2000});
+	configuration.offer(testConfiguration({version: 7}));
+	const reader = new OperatorReader({
+		configuration, log: new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now), metrics: new GatewayMetrics(),
+	}, {
+		operatorTable: 'operators',
+		endpointTable: 'endpoints',
+		readOperatorRow: (_key, content) => Right({kind: 'configuration', configuration: testConfiguration({version: content as number})}),
+		readEndpointRow() {
+			throw new Error('not read here');
+		},
+	}, new WeightGoals(boundMilliseconds));
+	reader.takeChanges([], at(1000), at(1000), 'live');
+	reader.takeWhole([rowOf(6)], at(2500), at(2500), 'restored');
+	assert.equal(configuration.current?.version, 7);
+	assert.equal(configuration.trustAt(at(2900)), 'ageing');
+	reader.takeChanges([], at(4000), at(4000), 'live');
+	assert.equal(configuration.trustAt(at(4100)), 'fresh');
+});
--- a/src/protocol/duty/duty-lease.ts
+++ b/src/protocol/duty/duty-lease.ts
@@ -99,8 +99,12 @@
 }
 
 const nobodysRow = {address: '', engines: []};
-/** Far more than holders change within one era. */
-const numbersOfAnEra = 1_000_000;
+/**
+ * Where the last number may be lost, the next one is made of the era and the store's clock: holders are more than a lease
+ * apart, so the clock, in this unit, runs ahead of numbers that rise by one.
+ */
+const numberUnitMilliseconds = 100;
+const numbersOfAnEra = 100_000_000_000;
 /** Long before any time of the store's clock. */
 const neverGranted = Number.MIN_SAFE_INTEGER;
 
@@ -156,7 +160,8 @@
 		return {kind: 'wait', milliseconds: wait};
 	}
 
-	const fencingNumber = Math.max((row?.fencingNumber ?? 0) + 1, (era * numbersOfAnEra) + 1);
+	const numberInEra = era === 0 ? 0 : (era * numbersOfAnEra) + Math.floor(storeMilliseconds / numberUnitMilliseconds);
+	const fencingNumber = Math.max((row?.fencingNumber ?? 0) + 1, numberInEra);
 	return {
 		kind: 'take',
 		row: {
