--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -57,6 +57,8 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const round = new AbortController();
+			// Every child listens while it waits for something; there may be more of them than Node takes for a leak.
+			setMaxListeners(0, round.signal);
 			const stop = (): void => {
 				round.abort();
 			};
