--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -3,6 +3,7 @@
  * within a period fails its supervisor, which is the child of the next one up; at the root the process ends, and the
  * platform replaces the instance.
  */
+import {setMaxListeners} from 'node:events';
 
 /** A long-lived part. `run` resolves once the signal aborts; if it throws or resolves sooner, the child has failed. */
 export interface Child {
