--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -14,7 +14,9 @@
 import {spreadRetry} from '../limits/spread-retry.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {CandidateEstimates, heldTokensOf, scopeAt} from './candidate-estimates.js';
-import {type EndpointLoad, isSilent, unreadBefore} from './endpoint-load.js';
+import {
+	type EndpointLoad, isSilent, lonelySilenceMilliseconds, silenceMilliseconds, unreadBefore,
+} from './endpoint-load.js';
 import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
 import {homesOf} from './home-of.js';
 import {beginsInGrant, isBehind} from './older-weights.js';
@@ -149,7 +151,8 @@
 	}
 
 	isSilent(endpoint: EndpointRecord, now: number): boolean {
-		return isSilent(this.#estimates.loadAt(endpoint, now).load);
+		const {load, isWhole} = this.#estimates.loadAt(endpoint, now);
+		return isSilent(load, isWhole ? silenceMilliseconds : lonelySilenceMilliseconds);
 	}
 
 	idleMilliseconds(endpoint: EndpointRecord, now: number): number {
--- a/src/decision/placement/endpoint-load.ts
+++ b/src/decision/placement/endpoint-load.ts
@@ -56,7 +56,13 @@
  */
 export const silenceMilliseconds = 700;
 
-/** Whether an endpoint has fallen silent with requests waiting. */
-export function isSilent({oldestWaitMilliseconds, heardAgoMilliseconds}: EndpointLoad): boolean {
-	return oldestWaitMilliseconds > silenceMilliseconds && heardAgoMilliseconds > silenceMilliseconds;
+/**
+ * The same where nothing is known of the other instances. One of many has a single request at an endpoint, and hears nothing
+ * from it while that waits in the endpoint's queue behind those of the others.
+ */
+export const lonelySilenceMilliseconds = 1400;
+
+/** Whether an endpoint has fallen silent with requests waiting, for longer than a time in milliseconds. */
+export function isSilent({oldestWaitMilliseconds, heardAgoMilliseconds}: EndpointLoad, longestMilliseconds = silenceMilliseconds): boolean {
+	return oldestWaitMilliseconds > longestMilliseconds && heardAgoMilliseconds > longestMilliseconds;
 }
--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -1,7 +1,8 @@
 /** Takes, renews and gives back the lease on one duty; what is allowed is decided in `src/protocol/duty`. */
+import {type Either} from 'purify-ts/Either';
 import {type ClockedTable} from '../../ports/clocked-table.js';
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
-import {type TableService} from '../../ports/table-service.js';
+import {type TableFailure, type TableService} from '../../ports/table-service.js';
 import {
 	decideDuty, type DutyGrant, type DutyRow, isUncontested, leftOfGrant, mostActingMilliseconds, releasedRow,
 } from '../../protocol/duty/duty-lease.js';
@@ -117,6 +118,7 @@
 		const written = await store.commit({conditions: [{...name, revision: row?.revision ?? 0}], writes: [{...name, value: granted}]});
 		// In a later era the condition may have held by accident, for a revision that was given out again.
 		if (written.isLeft() || store.era > era) {
+			this.#noteConflict(written);
 			this.#lookAgainIn(retryMilliseconds);
 			return;
 		}
@@ -157,6 +159,15 @@
 		}
 	}
 
+	/** Whoever was first is known from the refusal, without another read. */
+	#noteConflict(written: Either<TableFailure, void>): void {
+		written.ifLeft(failure => {
+			if (failure.kind === 'conflict') {
+				this.#seen = failure.current.find(({key}) => key === this.#plan.duty)?.value as DutyRow | undefined ?? this.#seen;
+			}
+		});
+	}
+
 	/** For how long the row has surely stood as it was found by a read that was sent at `sentAt`. */
 	#unchangedFor(era: number, revision: number, sentAt: Moment): number {
 		if (this.#unchanged?.era !== era || this.#unchanged.revision !== revision) {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -82,8 +82,8 @@
 const relayedHintWaitMilliseconds = 1000;
 /** Without the instance that reads for all, an instance asks for hints itself behind this time. */
 const hintLapseMilliseconds = 4000;
-/** How many endpoints of plain services the steady questions are about. */
-const mostWatched = 16;
+/** How many endpoints the steady questions are about: all of a small deployment; of a large one, those of plain services. */
+const mostWatched = 24;
 /** More than any deployment's own limit on headers, which is checked behind the parser. */
 const parserHeaderBytes = 65_536;
 
@@ -254,10 +254,9 @@
 	#watchedEndpoints(): string[] {
 		const {endpoints, configuration} = this.#context;
 		const services = configuration.current?.services;
-		return endpoints.all()
-			.filter(({service, state}) => state === 'ready' && services?.get(service)?.engine === undefined)
-			.slice(0, mostWatched)
-			.map(({name}) => name);
+		const ready = endpoints.all().filter(({state}) => state === 'ready');
+		const watched = ready.length <= mostWatched ? ready : ready.filter(({service}) => services?.get(service)?.engine === undefined);
+		return watched.slice(0, mostWatched).map(({name}) => name);
 	}
 
 	#tree(ports: GatewayPorts): Supervisor {
@@ -275,7 +274,7 @@
 			children: [
 				...this.#feeds,
 				new WeightCoordinator(this.#context, {
-					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals,
+					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals, isHub: () => this.#hub.isHub(),
 				}),
 				new EndpointProber(this.#context),
 				this.#hub,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -68,7 +68,7 @@
 /** The longest that they may be old, in milliseconds: what a follower knows of endpoints that leave is as old. */
 const longestRelayLapseMilliseconds = 1200;
 /** Share of that age that the waiting of one call may take; the way through the reader and the pace of questions take the rest. */
-const readerWaitShare = 0.35;
+const readerWaitShare = 0.5;
 /** Between a lease check and the sending of the request: a late timer and a slow instance. */
 const keyLeaseMarginMilliseconds = 150;
 /** Two answered calls in a row may be this late before the configuration counts as old. */
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -18,12 +18,12 @@
 export const askMilliseconds = freshMilliseconds / 4;
 /**
  * Before a prompt is placed the hub is asked where its parts are kept and what the engines have to do, where that takes no
- * longer than this. A round trip within a region takes a few milliseconds; reading a long prompt again takes an engine some
- * hundred, so a hub in another region is worth the wait as well.
+ * longer than this. A round trip within a region takes a few milliseconds, between small machines at work some dozens;
+ * reading a long prompt again takes an engine some hundred, and that of all who wait there.
  */
-const longestRoundTripMilliseconds = 40;
+const longestRoundTripMilliseconds = 100;
 /** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
-const mostWaitMilliseconds = 50;
+const mostWaitMilliseconds = 120;
 /** A hub that has not answered two questions in a row is not waited for. */
 const longestSilenceMilliseconds = 2.5 * askMilliseconds;
 /** Weight of the newest round trip in the mean. */
--- a/src/gateway/watchers/loading-engines.ts
+++ b/src/gateway/watchers/loading-engines.ts
@@ -10,11 +10,13 @@
 
 /** A hint is forgotten behind this time: its holder may have died before it could take it back. */
 const hintLifeMilliseconds = 4000;
+/** A holder that has not renewed its grant for so long cannot act; nobody may follow it sooner than a lease later. */
+const holderLifeMilliseconds = 2000;
 
 export class LoadingEngines implements FeedReader {
 	readonly #now: () => number;
 	#engines: ReadonlySet<string> = new Set();
-	#heardAt = 0;
+	#heardAt = Number.NEGATIVE_INFINITY;
 
 	/** @param now - Gives milliseconds of the steady clock. */
 	constructor(now: () => number) {
@@ -26,6 +28,11 @@
 		return this.#now() - this.#heardAt < hintLifeMilliseconds ? this.#engines : new Set();
 	}
 
+	/** Whether a holder of the duty was heard of a moment ago: it writes its row with each renewal. */
+	isHolderAlive(): boolean {
+		return this.#now() - this.#heardAt < holderLifeMilliseconds;
+	}
+
 	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment): void {
 		this.takeChanges(rows, sentAt, now);
 	}
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -18,6 +18,8 @@
 const tickMilliseconds = 100;
 /** Instances that hear of new weights together try for the lease spread over this time. */
 const spreadMilliseconds = 250;
+/** They leave the instance that is the hub a lead, and hear of its orders before they would ask the store for the duty. */
+const hubLeadMilliseconds = 700;
 /**
  * For how long a grant is acted on. A holder that stands still right behind a renewal keeps all others out for this time and
  * a lease, out of the time in which engines must have their weights; each renewal costs two calls to the store.
@@ -38,7 +40,7 @@
 /** Weight of the newest load in the mean. */
 const newestLoadShare = 0.5;
 
-type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'log' | 'metrics'>;
+type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'loadingEngines' | 'log' | 'metrics'>;
 
 /** What the coordinator is told. */
 export type CoordinatorParts = {
@@ -49,6 +51,8 @@
 	store: TableService & ClockedTable;
 	control: EngineControl;
 	goals: WeightGoals;
+	/** Whether this instance is the hub. */
+	isHub: () => boolean;
 };
 
 export class WeightCoordinator implements Child {
@@ -84,9 +88,7 @@
 			return;
 		}
 
-		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
-		const offset = spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32);
-		if (this.#seat.grant === undefined && now < heardAt + offset) {
+		if (this.#seat.grant === undefined && !this.#maySeek(goals, now)) {
 			return;
 		}
 
@@ -104,6 +106,17 @@
 		}
 	}
 
+	/** Whether to ask the store for the duty: not while another instance is heard to carry it out. */
+	#maySeek(goals: readonly WeightGoal[], now: number): boolean {
+		if (this.#parts.isHub()) {
+			return true;
+		}
+
+		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
+		const offset = hubLeadMilliseconds + (spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32));
+		return now >= heardAt + offset && !this.#context.loadingEngines.isHolderAlive();
+	}
+
 	async #pursue(goal: WeightGoal): Promise<void> {
 		await this.#readReports();
 		const {boundMilliseconds} = this.#parts;
--- a/src/test/memory-table.ts
+++ b/src/test/memory-table.ts
@@ -13,6 +13,8 @@
 	/** How many coming commits are applied and then lose their answer. */
 	loseAnswers = 0;
 	era = 0;
+	/** Calls that read, answered or not. */
+	reads = 0;
 	#rows = new Map<string, Row>();
 
 	/** Gives a copy, to which the table can be restored. */
@@ -31,6 +33,7 @@
 	}
 
 	async readClocked(name: RowName): Promise<Either<TableFailure, ClockedRow>> {
+		this.reads++;
 		const read = await this.read(name);
 		return read.map(row => ({row, storeMilliseconds: this.now, era: this.era}));
 	}
