--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -61,14 +61,12 @@
 /** A feed call waits no longer than this: silence of the connection hides endpoints that leave for as long. */
 const longestFeedWaitMilliseconds = 2000;
 /**
- * Share of the bound on configuration that the news of the instance that reads for all may be old. Beyond, each reads for
- * itself, spread over a moment, and has to be answered within the rest.
+ * Share of the bounds on configuration and on endpoints that leave that the news of the instance that reads for all may be
+ * old. Beyond, each reads for itself, spread over a moment, and has to be answered within the rest.
  */
 const relayLapseShare = 0.6;
-/** The longest that they may be old, in milliseconds: what a follower knows of endpoints that leave is as old. */
-const longestRelayLapseMilliseconds = 1200;
 /** Share of that age that the waiting of one call may take; the way through the reader and the pace of questions take the rest. */
-const readerWaitShare = 0.5;
+const readerWaitShare = 0.3;
 /** Between a lease check and the sending of the request: a late timer and a slow instance. */
 const keyLeaseMarginMilliseconds = 150;
 /** Two answered calls in a row may be this late before the configuration counts as old. */
@@ -82,7 +80,7 @@
  */
 export function timingsOf(bounds: GatewayBounds): GatewayTimings {
 	const feedWaitMilliseconds = Math.min(longestFeedWaitMilliseconds, Math.round(feedWaitShare * bounds.revocationMilliseconds));
-	const relayLapseMilliseconds = Math.min(longestRelayLapseMilliseconds, Math.round(relayLapseShare * bounds.configurationMilliseconds));
+	const relayLapseMilliseconds = Math.round(relayLapseShare * Math.min(bounds.configurationMilliseconds, bounds.drainMilliseconds));
 	return {
 		feedWaitMilliseconds,
 		readerWaitMilliseconds: Math.round(readerWaitShare * relayLapseMilliseconds),
