--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -274,7 +274,7 @@
 			children: [
 				...this.#feeds,
 				new WeightCoordinator(this.#context, {
-					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals, isHub: () => this.#hub.isHub(),
+					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals, isHub: () => this.#hub.isHub(), instances: () => this.#hubClient.instances,
 				}),
 				new EndpointProber(this.#context),
 				this.#hub,
--- a/src/gateway/hub/engine-watches.ts
+++ b/src/gateway/hub/engine-watches.ts
@@ -4,7 +4,7 @@
 import {EngineWatch, type EngineWatchTools} from './engine-watch.js';
 
 /** All engines together are asked for events no more often than one each so many milliseconds. */
-const pausePerEngineMilliseconds = 4;
+const pausePerEngineMilliseconds = 6;
 
 type Watched = {watch: EngineWatch; stop: AbortController; engine: EndpointRecord};
 
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -15,7 +15,9 @@
 import {type HubView} from './hub-view.js';
 
 /** A question at least this often keeps knowledge fresh also when one answer is late. */
-export const askMilliseconds = freshMilliseconds / 4;
+export const askMilliseconds = 0.375 * freshMilliseconds;
+/** A question about a prompt that was asked so shortly before takes the place of a steady one. */
+const recentMilliseconds = askMilliseconds / 2;
 /**
  * Before a prompt is placed the hub is asked where its parts are kept and what the engines have to do, where that takes no
  * longer than this. A round trip within a region takes a few milliseconds, between small machines at work some dozens;
@@ -25,7 +27,7 @@
 /** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
 const mostWaitMilliseconds = 120;
 /** A hub that has not answered two questions in a row is not waited for. */
-const longestSilenceMilliseconds = 2.5 * askMilliseconds;
+const longestSilenceMilliseconds = 1.9 * askMilliseconds;
 /** Weight of the newest round trip in the mean. */
 const newestShare = 0.3;
 
@@ -64,7 +66,9 @@
 	#number = 0;
 	#asked = new Map<number, Asked>();
 	#heardAt = 0;
+	#askedAt = Number.NEGATIVE_INFINITY;
 	#mostCores = 0;
+	#instances = 0;
 	readonly #waiting = new Map<number, () => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -86,6 +90,11 @@
 		return this.#mostCores;
 	}
 
+	/** How many instances a hub has told of last; 0 before. */
+	get instances(): number {
+		return this.#instances;
+	}
+
 	/** Where the hub was dialled; absent without a connection. */
 	get address(): string | undefined {
 		return this.#socket === undefined ? undefined : this.#address;
@@ -100,6 +109,7 @@
 		this.#address = address;
 		this.#reader = new FrameReader();
 		this.#heardAt = this.#clock.moment().steady;
+		this.#askedAt = Number.NEGATIVE_INFINITY;
 		const end = (): void => {
 			if (this.#socket === socket) {
 				this.close();
@@ -130,7 +140,9 @@
 			return;
 		}
 
-		this.#ask({...noQuestion, endpoints: this.#self.watched()});
+		if (this.#clock.moment().steady - this.#askedAt >= recentMilliseconds) {
+			this.#ask({...noQuestion, endpoints: this.#self.watched()});
+		}
 	}
 
 	async refresh(question: PlaceQuestion): Promise<void> {
@@ -174,6 +186,7 @@
 	#ask(about: PlaceQuestion): void {
 		const now = this.#clock.moment();
 		this.#number++;
+		this.#askedAt = now.steady;
 		this.#asked.set(this.#number, {at: now, about});
 		const {instance, cores} = this.#self;
 		const frame: FollowerFrame = {
@@ -203,6 +216,7 @@
 			this.#noteRoundTrip(now.steady - asked.at.steady);
 			this.#view.takeAnswer(frame, asked.about, asked.at, now);
 			this.#mostCores = Math.max(this.#mostCores, frame.mostCores);
+			this.#instances = frame.instances;
 			this.#self.takeTables(frame.tables, asked.at);
 		}
 
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -97,4 +97,6 @@
 	tables: FeedNews[];
 	/** Cores of the largest machine that the hub knows. */
 	mostCores: number;
+	/** How many instances the hub hears from. */
+	instances: number;
 };
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -11,7 +11,7 @@
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {
-	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, packLoad, type PartsAnswer, type PlaceQuestion,
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, type PartsAnswer, type PlaceQuestion,
 } from './hub-messages.js';
 import {LoadTotals} from './load-totals.js';
 
@@ -168,10 +168,11 @@
 			...(clock === undefined ? {} : {clock}),
 			isLapsed: !this.#source.isHub(),
 			open: this.#source.openStores(),
-			loads: Object.fromEntries([...endpoints].map((endpoint): [string, PackedLoad] => [endpoint, packLoad(this.#loads.withoutInstance(endpoint, instance))])),
+			loads: Object.fromEntries([...endpoints].map((endpoint): [string, PackedLoad] => [endpoint, this.#loads.withoutInstance(endpoint, instance)])),
 			parts,
 			tables: this.#source.tableNews(places),
 			mostCores: this.#mostCores(),
+			instances: this.#followers.size,
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
--- a/src/gateway/hub/hub-view.test.ts
+++ b/src/gateway/hub/hub-view.test.ts
@@ -19,6 +19,7 @@
 	parts: {kept: [['cache', [[1, 800]]], ['engine:e1', [[1, 800]]]], engines: ['e1', 'e2'], unknown: ['e2']},
 	tables: [],
 	mostCores: 1,
+	instances: 1,
 };
 
 function heardAt(askedAt: number, answeredAt: number): HubView {
--- a/src/gateway/hub/load-totals.ts
+++ b/src/gateway/hub/load-totals.ts
@@ -1,12 +1,14 @@
 /**
  * What all instances have under way, by endpoint. Kept as it is told, so that an answer costs as much as the endpoints in
- * question are busy, not as much as there are instances.
+ * question are busy, not as much as there are instances; and packed, since the hub sums thousands of loads a second.
  */
-import {addLoads, type EndpointLoad, noLoad} from '../../decision/placement/endpoint-load.js';
-import {type PackedLoad, unpackLoad} from './hub-messages.js';
+import {noLoad} from '../../decision/placement/endpoint-load.js';
+import {packLoad, type PackedLoad} from './hub-messages.js';
+
+const nothing = packLoad(noLoad);
 
 export class LoadTotals {
-	readonly #byEndpoint = new Map<string, Map<string, EndpointLoad>>();
+	readonly #byEndpoint = new Map<string, Map<string, PackedLoad>>();
 	readonly #endpointsOf = new Map<string, string[]>();
 
 	/** Takes the place of all that an instance told before. */
@@ -15,9 +17,9 @@
 		const endpoints = Object.keys(loads);
 		this.#endpointsOf.set(instance, endpoints);
 		for (const endpoint of endpoints) {
-			const byInstance = this.#byEndpoint.get(endpoint) ?? new Map<string, EndpointLoad>();
+			const byInstance = this.#byEndpoint.get(endpoint) ?? new Map<string, PackedLoad>();
 			this.#byEndpoint.set(endpoint, byInstance);
-			byInstance.set(instance, unpackLoad(loads[endpoint]!));
+			byInstance.set(instance, loads[endpoint]!);
 		}
 	}
 
@@ -35,10 +37,12 @@
 	}
 
 	/** What all instances but one have under way at an endpoint. */
-	withoutInstance(endpoint: string, instance: string): EndpointLoad {
-		let sum = noLoad;
+	withoutInstance(endpoint: string, instance: string): PackedLoad {
+		const sum = [...nothing];
 		for (const [other, load] of this.#byEndpoint.get(endpoint) ?? []) {
-			sum = other === instance ? sum : addLoads(sum, load);
+			if (other !== instance) {
+				addPacked(sum, load);
+			}
 		}
 
 		return sum;
@@ -47,10 +51,21 @@
 	/** Requests of all instances at an endpoint. */
 	requestsAt(endpoint: string): number {
 		let requests = 0;
-		for (const load of this.#byEndpoint.get(endpoint)?.values() ?? []) {
-			requests += load.requests;
+		for (const [count = 0] of this.#byEndpoint.get(endpoint)?.values() ?? []) {
+			requests += count;
 		}
 
 		return requests;
 	}
 }
+
+/** Adds as `addLoads` does. */
+function addPacked(sum: PackedLoad, load: PackedLoad): void {
+	const [, , oldestWait = 0, heardAgo = 0] = sum;
+	for (const [index, value] of load.entries()) {
+		sum[index] = (sum[index] ?? 0) + value;
+	}
+
+	sum[2] = Math.max(oldestWait, load[2] ?? 0);
+	sum[3] = Math.min(heardAgo, load[3] ?? heardAgo);
+}
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -14,6 +14,8 @@
 const retryMilliseconds = 250;
 /** A free order is void behind this time, so that it cannot come into force when the duty has passed on. */
 const freeLifeMilliseconds = 400;
+/** How often all parts are looked through for those that no engine can use any more. */
+const deadCheckMilliseconds = 500;
 
 /** What a keeper is given. */
 export type KeeperTools = {
@@ -25,6 +27,8 @@
 	/** Whether no engine can use what lies under a salt. */
 	isDead(salt: string): boolean;
 	tell(store: string, change: PartsChange): void;
+	/** How long a store is left alone behind events, where that is more than the usual time. */
+	pauseMilliseconds?: () => number;
 };
 
 export class StoreKeeper {
@@ -33,6 +37,7 @@
 	readonly #store: StoreTraits;
 	readonly #tools: KeeperTools;
 	#since = 0;
+	#deadCheckedAt = Number.NEGATIVE_INFINITY;
 	readonly #engineClock = new EngineClock();
 
 	/**
@@ -103,9 +108,11 @@
 
 		this.#since = events.next;
 		this.#tools.tell(this.#service, this.ledger.takeEvents(events, now));
-		this.#tools.tell(this.#service, this.ledger.withdraw(now, this.#tools.isDead));
+		const isDeadDue = now - this.#deadCheckedAt >= deadCheckMilliseconds;
+		this.#deadCheckedAt = isDeadDue ? now : this.#deadCheckedAt;
+		this.#tools.tell(this.#service, this.ledger.withdraw(now, isDeadDue ? this.#tools.isDead : undefined));
 		await this.#free();
-		return batchMilliseconds;
+		return Math.max(batchMilliseconds, this.#tools.pauseMilliseconds?.() ?? 0);
 	}
 
 	async #free(): Promise<void> {
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -3,6 +3,9 @@
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {StoreKeeper, type KeeperTools} from './store-keeper.js';
 
+/** All stores together are asked for events no more often than one each so many milliseconds. */
+const pausePerStoreMilliseconds = 10;
+
 export class StoreKeepers {
 	readonly #tools: KeeperTools;
 	readonly #keepers = new Map<string, StoreKeeper>();
@@ -91,6 +94,7 @@
 	#toolsUntil(signal: AbortSignal): KeeperTools {
 		return {
 			...this.#tools,
+			pauseMilliseconds: () => pausePerStoreMilliseconds * this.#keepers.size,
 			tell: (store, change) => {
 				if (!signal.aborted) {
 					this.#tools.tell(store, change);
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -16,10 +16,10 @@
 
 /** How often the coordinator looks at what it knows; no call is made for that. */
 const tickMilliseconds = 100;
-/** Instances that hear of new weights together try for the lease spread over this time. */
-const spreadMilliseconds = 250;
-/** They leave the instance that is the hub a lead, and hear of its orders before they would ask the store for the duty. */
-const hubLeadMilliseconds = 700;
+/** Instances that hear of new weights together try for the lease spread over this time at least, */
+const shortestSpreadMilliseconds = 250;
+/** And over so much for each of them: most hear of the orders of the first one before they would ask the store. */
+const spreadPerInstanceMilliseconds = 10;
 /**
  * For how long a grant is acted on. A holder that stands still right behind a renewal keeps all others out for this time and
  * a lease, out of the time in which engines must have their weights; each renewal costs two calls to the store.
@@ -51,8 +51,10 @@
 	store: TableService & ClockedTable;
 	control: EngineControl;
 	goals: WeightGoals;
-	/** Whether this instance is the hub. */
+	/** Whether this instance is the hub. It comes last: whatever befalls the holder of orders would cost all their hub as well. */
 	isHub: () => boolean;
+	/** How many instances there are, as far as known. */
+	instances: () => number;
 };
 
 export class WeightCoordinator implements Child {
@@ -108,13 +110,11 @@
 
 	/** Whether to ask the store for the duty: not while another instance is heard to carry it out. */
 	#maySeek(goals: readonly WeightGoal[], now: number): boolean {
-		if (this.#parts.isHub()) {
-			return true;
-		}
-
+		const {instance, isHub, instances} = this.#parts;
 		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
-		const offset = hubLeadMilliseconds + (spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32));
-		return now >= heardAt + offset && !this.#context.loadingEngines.isHolderAlive();
+		const spread = Math.max(shortestSpreadMilliseconds, spreadPerInstanceMilliseconds * instances());
+		const share = isHub() ? 1 : hashOf(`${instance}|${heardAt}`) / (2 ** 32);
+		return now >= heardAt + (spread * share) && !this.#context.loadingEngines.isHolderAlive();
 	}
 
 	async #pursue(goal: WeightGoal): Promise<void> {
--- a/src/protocol/parts/part-times.ts
+++ b/src/protocol/parts/part-times.ts
@@ -6,7 +6,7 @@
  * read no longer than both together behind the withdrawal.
  */
 
-/** For how long an instance uses what it heard, counted from the sending of its question. Questions go out four times as often. */
+/** For how long an instance uses what it heard, counted from the sending of its question. */
 export const freshMilliseconds = 800;
 
 /**
