--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -79,16 +79,6 @@
 		return {kind: 'send', endpoint: best.endpoint, basis: best.basis};
 	}
 
-	/** The endpoints that could get a request now. */
-	#inView(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): readonly EndpointRecord[] {
-		const untried = endpoints.filter(endpoint => !request.tried.has(endpoint.name) && beginsInGrant(request, endpoint, 0, now));
-		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
-		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
-		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
-		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
-		return [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
-	}
-
 	observe(event: PlacementEvent, now: number): void {
 		const {request, endpoint} = event;
 		const outlook = this.#memories.outlookOf(endpoint);
@@ -159,6 +149,16 @@
 		return this.#estimates.loadAt(endpoint, now).load.heardAgoMilliseconds;
 	}
 
+	/** The endpoints that could get a request now. */
+	#inView(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): readonly EndpointRecord[] {
+		const untried = endpoints.filter(endpoint => !request.tried.has(endpoint.name) && beginsInGrant(request, endpoint, 0, now));
+		const awake = untried.filter(endpoint => !isLoading(request, endpoint));
+		const reached = awake.filter(endpoint => !this.#memories.outlookOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
+		const closed = reached.filter(endpoint => !this.#memories.outlookOf(endpoint).isOpen(now));
+		// With every endpoint left alone, the rest would be refused though one may be back; then all are tried.
+		return [closed, reached, awake, untried].find(({length}) => length > 0) ?? [];
+	}
+
 	/** When a refused caller finds room again: when the least laden engine has read what lies before such a prompt. */
 	#overloadRetry(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): number {
 		const speed = this.#memories.speedOf(request.service).tokensPerMillisecond;
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -8,6 +8,8 @@
 
 /** A load as it is sent: requests, held tokens, oldest wait, last heard, then unread tokens by rank. */
 export type PackedLoad = number[];
+export const oldestWaitIndex = 2;
+export const heardAgoIndex = 3;
 
 /** Stands for "never heard" and longer: a day in milliseconds. */
 const neverHeard = 86_400_000;
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -17,6 +17,8 @@
 
 /** What the server asks the keeper of the duty. */
 export interface HubSource {
+	/** Cores of this instance's machine. */
+	readonly cores: number;
 	/** Whether this instance holds the duty now. */
 	isHub(): boolean;
 	/** Whether followers are told anything, under the duty or for a while behind it. */
@@ -28,8 +30,6 @@
 	whereKept(question: PlaceQuestion, requestsAt: (engine: string) => number): PartsAnswer;
 	/** What changed behind the places where a follower stands in the tables. */
 	tableNews(places: Record<string, FeedPlace>): FeedNews[];
-	/** Cores of this instance's machine. */
-	readonly cores: number;
 	takeUses(keys: readonly string[]): void;
 }
 
--- a/src/gateway/hub/hub-view.test.ts
+++ b/src/gateway/hub/hub-view.test.ts
@@ -47,7 +47,10 @@
 test('an answer about other parts makes no older news fresh', () => {
 	// Guards against an engine that reads a freed part: the hub may have withdrawn it between the two questions.
 	const view = heardAt(1000, 1010);
-	view.takeAnswer({...answer, number: 2, loads: {}, parts: {kept: [], engines: [], unknown: []}}, {endpoints: [], keys: ['s|q'], partCount: 1}, at(1700), at(1710));
+	const laterAnswer: HubFrame = {
+		...answer, number: 2, loads: {}, parts: {kept: [], engines: [], unknown: []},
+	};
+	view.takeAnswer(laterAnswer, {endpoints: [], keys: ['s|q'], partCount: 1}, at(1700), at(1710));
 	const later = at(1000 + freshMilliseconds);
 	assert.equal(view.isOpen('cache', later), true);
 	assert.equal(view.holds('cache', 's|p', later), false);
--- a/src/gateway/hub/load-totals.ts
+++ b/src/gateway/hub/load-totals.ts
@@ -3,7 +3,9 @@
  * question are busy, not as much as there are instances; and packed, since the hub sums thousands of loads a second.
  */
 import {noLoad} from '../../decision/placement/endpoint-load.js';
-import {packLoad, type PackedLoad} from './hub-messages.js';
+import {
+	heardAgoIndex, oldestWaitIndex, packLoad, type PackedLoad,
+} from './hub-messages.js';
 
 const nothing = packLoad(noLoad);
 
@@ -61,11 +63,14 @@
 
 /** Adds as `addLoads` does. */
 function addPacked(sum: PackedLoad, load: PackedLoad): void {
-	const [, , oldestWait = 0, heardAgo = 0] = sum;
 	for (const [index, value] of load.entries()) {
-		sum[index] = (sum[index] ?? 0) + value;
+		const known = sum[index] ?? 0;
+		if (index === oldestWaitIndex) {
+			sum[index] = Math.max(known, value);
+		} else if (index === heardAgoIndex) {
+			sum[index] = Math.min(known, value);
+		} else {
+			sum[index] = known + value;
+		}
 	}
-
-	sum[2] = Math.max(oldestWait, load[2] ?? 0);
-	sum[3] = Math.min(heardAgo, load[3] ?? heardAgo);
 }
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -22,13 +22,13 @@
 	control: CacheStoreControl;
 	clock: MomentClock;
 	log: DecisionLog;
+	/** How long a store is left alone behind events, where that is more than the usual time. */
+	pauseMilliseconds?: () => number;
 	/** Whether this instance may act for the duty. */
 	mayAct(): boolean;
 	/** Whether no engine can use what lies under a salt. */
 	isDead(salt: string): boolean;
 	tell(store: string, change: PartsChange): void;
-	/** How long a store is left alone behind events, where that is more than the usual time. */
-	pauseMilliseconds?: () => number;
 };
 
 export class StoreKeeper {
--- a/src/gateway/weights/weight-coordinator.test.ts
+++ b/src/gateway/weights/weight-coordinator.test.ts
@@ -108,7 +108,8 @@
 	const stepAll = async (isRunning: (instance: string) => boolean): Promise<void> => {
 		clock.now += stepMilliseconds;
 		store.now = clock.now;
-		const row = (await store.read({table: dutyTable, key: weightsDuty})).unsafeCoerce();
+		const read = await store.read({table: dutyTable, key: weightsDuty});
+		const row = read.unsafeCoerce();
 		const isNews = row !== undefined && row.revision > revision;
 		revision = row?.revision ?? 0;
 		for (const {instance, coordinator, loadingEngines} of coordinators) {
@@ -201,13 +202,13 @@
 	}
 
 	const {holder} = engines.orders[0]!;
-	let isHolderRunning = true;
+	const isOther = (instance: string): boolean => instance !== holder;
 	let reads = 0;
 	while (engines.with(2) < engineCount) {
-		isHolderRunning = !isHolderRunning;
+		await stepAll(() => true);
 		const before = store.reads;
-		await stepAll(instance => isHolderRunning || instance !== holder);
-		reads += isHolderRunning ? 0 : store.reads - before;
+		await stepAll(isOther);
+		reads += store.reads - before;
 	}
 
 	assert.equal(reads, 0, 'others ask for the duty');
--- a/src/protocol/duty/duty-lease.test.ts
+++ b/src/protocol/duty/duty-lease.test.ts
@@ -138,6 +138,12 @@
 /** Over thousands of schedules both clocks of one instance would fail within one grant, against which no lease is proof. */
 const oneClock: readonly Failing[] = ['steady', 'wall'];
 
+/** The store, which comes back from a copy of the last six seconds once in a while. */
+function restored(stored: Stored, copies: readonly Stored[], random: () => number): Stored {
+	const copy = copies.at(-1 - Math.floor(random() * 300)) ?? copies[0]!;
+	return random() < 0.0008 ? {...copy, era: stored.era + 1} : stored;
+}
+
 /** Plays five instances for a minute; throws if two of them give orders less than a lease apart, or numbers fall. */
 function playHolders(seed: number, era: number, restores: boolean): number {
 	// No instance acts for longer on one grant than half of a lease that may be lost.
@@ -150,10 +156,7 @@
 	let turns = 0;
 	for (let time = 0; time < 60_000; time += stepMilliseconds) {
 		copies.push(store.stored);
-		if (restores && random() < 0.0008) {
-			const copy = copies.at(-1 - Math.floor(random() * 300)) ?? copies[0]!;
-			store.stored = {...copy, era: store.stored.era + 1};
-		}
+		store.stored = restores ? restored(store.stored, copies, random) : store.stored;
 
 		const uncontested: string[] = [];
 		const acting: string[] = [];
