--- a/src/gateway/endpoints/endpoint-prober.ts
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -8,7 +8,7 @@
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 
 /** How often due endpoints are looked for. */
-const tickMilliseconds = 100;
+const tickMilliseconds = 200;
 /** As long as a request's connection may take to come about. */
 const connectMilliseconds = 250;
 
--- a/src/gateway/watchers/feed-follower.ts
+++ b/src/gateway/watchers/feed-follower.ts
@@ -79,8 +79,8 @@
 const jitterShare = 0.5;
 /** Pause behind a call that brought changes: while many rows change, one call brings those of a moment together. */
 const batchMilliseconds = 60;
-/** How often a follower that hears from another instance looks whether it still does. */
-const relayCheckMilliseconds = 100;
+/** How often an instance that hears from another one looks whether it has become the one that reads. */
+const longestRelayWaitMilliseconds = 400;
 /** Instances that miss the one that reads begin to read spread over this time. */
 const relaySpreadMilliseconds = 300;
 /** Failures that are older say nothing of rows that vanish now. */
@@ -105,6 +105,7 @@
 	/** Until when a store that came back from an older copy may lack what is being written again, on the steady clock. */
 	#restoredUntil = Number.NEGATIVE_INFINITY;
 	#mustRead = true;
+	#wake: AbortController | undefined;
 	#pause = 0;
 	#isLost = false;
 
@@ -129,8 +130,9 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.#tools;
 		while (!signal.aborted) {
-			if (this.#hearsEnough(clock.moment())) {
-				await clock.sleep(relayCheckMilliseconds, signal);
+			const relayMilliseconds = this.#relayLeft(clock.moment());
+			if (relayMilliseconds > 0) {
+				await this.#awaitRelay(relayMilliseconds, signal);
 				continue;
 			}
 
@@ -180,6 +182,7 @@
 
 		if (this.#place?.era !== news.era || (news.rows === undefined && news.position > this.#place.position)) {
 			this.#mustRead = true;
+			this.#wake?.abort();
 			return;
 		}
 
@@ -208,9 +211,25 @@
 		};
 	}
 
-	#hearsEnough(now: Moment): boolean {
-		return !this.#mustRead && !this.#tools.isReader?.() && this.#relayedAt !== undefined
-			&& longestElapsed(this.#relayedAt, now) < this.#plan.relayLapseMilliseconds + this.#spreadMilliseconds;
+	/** For how long this instance needs no calls of its own, by what another one told last, in milliseconds. */
+	#relayLeft(now: Moment): number {
+		const isNeeded = this.#mustRead || this.#tools.isReader?.();
+		return isNeeded || this.#relayedAt === undefined
+			? 0
+			: this.#plan.relayLapseMilliseconds + this.#spreadMilliseconds - longestElapsed(this.#relayedAt, now);
+	}
+
+	/** Waits until the proof has grown old, or the table has to be read. */
+	async #awaitRelay(milliseconds: number, signal: AbortSignal): Promise<void> {
+		const wake = new AbortController();
+		this.#wake = wake;
+		const stop = (): void => {
+			wake.abort();
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		await this.#tools.clock.sleep(Math.min(milliseconds, longestRelayWaitMilliseconds), wake.signal);
+		signal.removeEventListener('abort', stop);
 	}
 
 	#takeWhole({rows, position, era}: FeedAnswer, sentAt: Moment): void {
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -16,6 +16,8 @@
 
 /** How often the coordinator looks at what it knows; no call is made for that. */
 const tickMilliseconds = 100;
+/** The same while all engines have the weights that were named. */
+const idleTickMilliseconds = 300;
 /** Instances that hear of new weights together try for the lease spread over this time at least, */
 const shortestSpreadMilliseconds = 250;
 /** And over so much for each of them: most hear of the orders of the first one before they would ask the store. */
@@ -76,22 +78,22 @@
 
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await this.step();
-			await this.#context.clock.sleep(tickMilliseconds, signal);
+			const isBusy = await this.step();
+			await this.#context.clock.sleep(isBusy ? tickMilliseconds : idleTickMilliseconds, signal);
 		}
 	}
 
-	/** Looks once whether there is something to do, and does the next part of it. */
-	async step(): Promise<void> {
+	/** Looks once whether there is something to do, and does the next part of it; false if all engines have their weights. */
+	async step(): Promise<boolean> {
 		const now = this.#now();
 		const goals = this.#parts.goals.all().filter(goal => this.#enginesBehind(goal).length > 0);
 		if (goals.length === 0) {
 			this.#loading.clear();
-			return;
+			return false;
 		}
 
 		if (this.#seat.grant === undefined && !this.#maySeek(goals, now)) {
-			return;
+			return true;
 		}
 
 		if (this.#seat.left() < Math.max(renewMilliseconds, this.#seat.renewalMilliseconds)) {
@@ -100,12 +102,14 @@
 
 		if (this.#seat.left() <= 0) {
 			this.#loseDuty();
-			return;
+			return true;
 		}
 
 		for (const goal of goals) {
 			await this.#pursue(goal);
 		}
+
+		return true;
 	}
 
 	/** Whether to ask the store for the duty: not while another instance is heard to carry it out. */
--- a/src/test/platform-boundary.test.ts
+++ b/src/test/platform-boundary.test.ts
@@ -3,7 +3,7 @@
 import {test} from 'node:test';
 
 /** The place that puts the programs together: the only one that may import from the platform's folder. */
-const composers = new Set(['gateway/main.ts']);
+const composers = new Set(['gateway/run-gateway.ts']);
 /** Words that only the platform's pages use: paths of its calls, names of its headers, rows and settings. */
 const platformWords = new RegExp([
 	'rows-(?:tx|get|feed|parts)',
