--- a/scripts/bundle-gateway.mjs
+++ b/scripts/bundle-gateway.mjs
@@ -31,14 +31,14 @@
 import vm from 'node:vm';
 
 const file = new URL('gateway-bundle.cjs', import.meta.url);
-const source = '(function (exports, require, module) {' + readFileSync(file, 'utf8') + '\\n})';
+const source = '(function (exports, require, module) {' + readFileSync(file, 'utf8') + '})';
 const script = new vm.Script(source, {filename: file.pathname, cachedData: readFileSync(new URL('gateway-bundle.cache', import.meta.url))});
 const bundle = {exports: {}};
 script.runInThisContext()(bundle.exports, createRequire(import.meta.url), bundle);
 await bundle.exports.runGateway();
 `;
 
-const source = `(function (exports, require, module) {${readFileSync(bundle, 'utf8')}\n})`;
+const source = `(function (exports, require, module) {${readFileSync(bundle, 'utf8')}})`;
 const script = new vm.Script(source, {filename: bundle});
 // Functions that run while the modules are loaded are compiled by now, and come into the cache as well.
 script.runInThisContext()({}, createRequire(import.meta.url), {exports: {}});
--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -132,6 +132,20 @@
 		this.#grant = {row: granted, since};
 	}
 
+	/** Reads who holds the duty, and does not take it. */
+	async look(): Promise<void> {
+		const {store, clock} = this.#tools;
+		if (clock.moment().steady < this.#notBefore) {
+			return;
+		}
+
+		const read = await store.readClocked({table: this.#plan.table, key: this.#plan.duty});
+		read.ifRight(({row}) => {
+			this.#seen = row?.value as DutyRow | undefined;
+		});
+		this.#lookAgainIn(retryMilliseconds);
+	}
+
 	/** Forgets the grant. */
 	lose(reason: string): void {
 		if (this.#grant !== undefined) {
--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -70,7 +70,7 @@
 	}).listen(0, '127.0.0.1');
 	await once(endpoint, 'listening');
 	const address = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`;
-	const [listenCallers, listenReady, listenPeers, listenMetrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+	const [listenCallers, listenReady, listenPeers, listenDeputy, listenMetrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
 	const ports: GatewayPorts = {
 		clock: systemMomentClock,
 		names,
@@ -93,6 +93,7 @@
 		listenReady,
 		readyPath: '/ready',
 		listenPeers,
+		listenDeputy,
 		listenMetrics,
 		storeAddress: '',
 		cores: 1,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -33,10 +33,11 @@
 import {type GatewaySettings, type GatewayTimings, timingsOf} from './gateway-settings.js';
 import {DutySeat} from './duty/duty-seat.js';
 import {dutyTable} from './duty/weights-duty.js';
-import {Hub} from './hub/hub.js';
-import {HubClient} from './hub/hub-client.js';
+import {Hub, type HubRole} from './hub/hub.js';
+import {type FollowerSelf, HubClient} from './hub/hub-client.js';
 import {packLoads} from './hub/hub-messages.js';
 import {HubView} from './hub/hub-view.js';
+import {NewsSources} from './hub/news-sources.js';
 import {DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
@@ -68,7 +69,6 @@
 const exitMarginMilliseconds = 400;
 /** Rows of leases that nobody follows. */
 const leaseTable = 'leases';
-const hubDuty = 'hub';
 /**
  * The hub's lease may be shorter than that of orders to engines: what it orders stores to free is void behind a fraction of a
  * second. While a hub that died holds its lease, every instance places without news of the others, and prompts are read again.
@@ -97,6 +97,8 @@
 	readonly #metricsListener: HttpListener;
 	readonly #hub: Hub;
 	readonly #hubClient: HubClient;
+	readonly #deputy: Hub;
+	readonly #deputyClient: HubClient;
 	readonly #feeds: readonly FeedFollower[];
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
@@ -113,15 +115,28 @@
 		const timings = timingsOf(settings.bounds);
 		const hubView = new HubView();
 		this.#placement = new CostPlacement(settings.dataCentre, endpoint => hubView.othersAt(endpoint, clock.moment()));
-		this.#hubClient = new HubClient(hubView, {
+		const self: FollowerSelf = {
 			instance: settings.instance,
 			cores: settings.cores,
 			loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+			takeUses: () => hubView.takeUses(),
+			closed() {
+				hubView.reset();
+			},
 			watched: () => this.#watchedEndpoints(),
 			places: () => Object.fromEntries(this.#feeds.flatMap(({table, place}) => place === undefined ? [] : [[table, place]])),
 			takeTables: (news, askedAt) => {
 				this.#takeTables(news, askedAt);
 			},
+		};
+		this.#hubClient = new HubClient(hubView, self, clock);
+		this.#deputyClient = new HubClient(hubView, {
+			...self,
+			// The stores that were used are the hub's.
+			takeUses: () => [],
+			closed() {
+				// What the hub told holds on.
+			},
 		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
 		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, lagMilliseconds => {
@@ -135,7 +150,7 @@
 			endpoints: new EndpointRegistry(),
 			placement: this.#placement,
 			hubView,
-			peerNews: this.#hubClient,
+			peerNews: new NewsSources([this.#hubClient, this.#deputyClient]),
 			partPlanner: new PartPlanner(),
 			eventLoopLag: this.#eventLoopLag,
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
@@ -153,7 +168,8 @@
 		}, settings.listenCallers, {...defaultListenerBounds, largestHeaderBytes: parserHeaderBytes});
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
-		this.#hub = this.#createHub(ports);
+		this.#hub = this.#createHub('hub', ports);
+		this.#deputy = this.#createHub('hub-deputy', ports);
 		this.#feeds = this.#createFeeds(ports, timings);
 		this.#root = this.#tree(ports);
 	}
@@ -196,6 +212,7 @@
 		log.record('stopping', {openRequests: this.#front.open});
 		this.#callers.announceClose();
 		void this.#hub.leave();
+		void this.#deputy.leave();
 		await clock.sleep(unreadyMilliseconds, this.#stop.signal);
 		const left = this.#graceMilliseconds - exitMarginMilliseconds - (clock.moment().steady - startedAt);
 		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
@@ -208,28 +225,40 @@
 		log.record('stopped', {openRequests: this.#front.open, milliseconds: Math.round(clock.moment().steady - startedAt)});
 	}
 
-	#createHub({store, clock, storeControl}: GatewayPorts): Hub {
+	#createHub(role: HubRole, {store, clock, storeControl}: GatewayPorts): Hub {
 		const {log} = this.#context;
-		const {instance, listenPeers: address, cores} = this.#settings;
+		const {instance, listenPeers, listenDeputy, cores} = this.#settings;
+		const isDeputy = role === 'hub-deputy';
+		const address = isDeputy ? listenDeputy : listenPeers;
 		const seat = new DutySeat({
 			table: leaseTable,
-			duty: hubDuty,
+			duty: role,
 			instance,
 			address,
 			leaseMilliseconds: hubLeaseMilliseconds,
 			actingMilliseconds: hubActingMilliseconds,
-			patienceMilliseconds: () => this.#hub.patienceMilliseconds(),
+			patienceMilliseconds: (): number => hub.patienceMilliseconds(),
 		}, {store, clock, log});
-		return new Hub(this.#context, {
-			instance, address, seat, client: this.#hubClient, control: storeControl, cores, feeds: () => this.#feeds,
+		const hub = new Hub(this.#context, {
+			role,
+			instance,
+			address,
+			seat,
+			client: isDeputy ? this.#deputyClient : this.#hubClient,
+			control: storeControl,
+			cores,
+			feeds: () => this.#feeds,
+			hasOtherDuty: () => (isDeputy ? this.#hub : this.#deputy)?.isHub() ?? false,
+			otherDataCentre: () => (isDeputy ? this.#hubClient : this.#deputyClient).dataCentre,
 		});
+		return hub;
 	}
 
 	#createFeeds({store, catalog, clock, random}: GatewayPorts, timings: GatewayTimings): FeedFollower[] {
 		const {log, goals, loadingEngines} = this.#context;
 		const {feedWaitMilliseconds: waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds} = timings;
 		const tools = {
-			clock, log, random, isReader: () => this.#hub.isHub(),
+			clock, log, random, isReader: () => this.#hub.isHub() || (this.#deputy.isHub() && !this.#hubClient.isResponsive),
 		};
 		return [
 			new FeedFollower(store, {
@@ -279,6 +308,8 @@
 				new EndpointProber(this.#context),
 				this.#hub,
 				this.#hub.server,
+				this.#deputy,
+				this.#deputy.server,
 				this.#callers,
 				this.#ready,
 				this.#metricsListener,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -31,6 +31,8 @@
 	readyPath: string;
 	/** `IP:port` where other instances connect. */
 	listenPeers: string;
+	/** `IP:port` where they connect to the deputy of the hub. */
+	listenDeputy: string;
 	/** `IP:port` of the metrics. */
 	listenMetrics: string;
 	storeAddress: string;
--- a/src/gateway/hub/hub-client.test.ts
+++ b/src/gateway/hub/hub-client.test.ts
@@ -13,12 +13,17 @@
 import {type FollowerSelf, HubClient} from './hub-client.js';
 import {type FollowerFrame, type HubFrame, noQuestion} from './hub-messages.js';
 import {HubView} from './hub-view.js';
+import {NewsSources} from './news-sources.js';
 
 /** An instance that follows no tables and watches no endpoints. */
 const self: FollowerSelf = {
 	instance: 'i1',
 	cores: 1,
 	loads: () => ({}),
+	takeUses: () => [],
+	closed() {
+		// Nothing is to be forgotten here.
+	},
 	watched: () => [],
 	places: () => ({}),
 	takeTables() {
@@ -28,7 +33,7 @@
 
 /** An answer that says nothing; each test adds what it is about. */
 const emptyAnswer: HubFrame = {
-	kind: 'answer', number: 1, isLapsed: false, open: [], loads: {}, parts: {kept: [], engines: [], unknown: []}, tables: [], mostCores: 1, instances: 1,
+	kind: 'answer', number: 1, isDeputy: false, dataCentre: 'split', isLapsed: false, open: [], loads: {}, parts: {kept: [], engines: [], unknown: []}, tables: [], mostCores: 1, instances: 1,
 };
 
 /** Longer than any test takes: nobody is let through without an answer. */
@@ -38,7 +43,7 @@
  * A hub that answers each question, with as many requests at engine `e1` as frames it heard, and a client with a clock of
  * the test's own. Each answer comes `roundTripMilliseconds` of that clock behind its question.
  */
-async function playHub(context: TestContext) {
+async function playHub(context: TestContext, waitMilliseconds = foreverMilliseconds) {
 	const played = {
 		now: 1000, roundTripMilliseconds: 1, isSilent: false, heard: [] as FollowerFrame[], address: '',
 	};
@@ -72,7 +77,12 @@
 	await once(server, 'listening');
 	played.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 	const view = new HubView();
-	const client = new HubClient(view, self, clock, foreverMilliseconds);
+	const client = new HubClient(view, {
+		...self,
+		closed() {
+			view.reset();
+		},
+	}, clock, waitMilliseconds);
 	context.after(() => {
 		client.close();
 		server.close();
@@ -138,6 +148,25 @@
 	await waiting;
 });
 
+test('while the hub does not answer, its deputy does', async context => {
+	// Guards against instances that know nothing of each other for the seconds until another one may be the hub.
+	const hub = await playHub(context, 50);
+	const deputy = await playHub(context);
+	await hub.meet();
+	await deputy.meet();
+	const sources = new NewsSources([hub.client, deputy.client]);
+	await sources.refresh(noQuestion);
+	assert.deepEqual([hub.played.heard.length, deputy.played.heard.length], [2, 1]);
+	hub.played.isSilent = true;
+	await sources.refresh(noQuestion);
+	assert.deepEqual([hub.played.heard.length, deputy.played.heard.length], [3, 2]);
+	hub.played.now += 600;
+	await sources.refresh(noQuestion);
+	sources.tell();
+	await until(() => deputy.played.heard.length === 4);
+	assert.deepEqual([hub.played.heard.length, deputy.played.heard.at(-1)?.kind], [3, 'tell']);
+});
+
 /** A hub that says something five times a second. */
 const hubProgram = `
 	const {parentPort, workerData: bytes} = require('node:worker_threads');
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -37,6 +37,10 @@
 	/** Cores that its machine gives it. */
 	cores: number;
 	loads(): Record<string, PackedLoad>;
+	/** Gives, and forgets, the stored parts that it used since the last call. */
+	takeUses(): string[];
+	/** Hears that the connection ended. */
+	closed(): void;
 	/** Endpoints that are chosen by what the steady questions bring, without a question for each request. */
 	watched(): string[];
 	/** Where it stands in the tables that it follows, by table. */
@@ -56,7 +60,7 @@
 	tell(): void;
 }
 
-export class HubClient implements PeerNews {
+export class HubClient {
 	readonly #view: HubView;
 	readonly #self: FollowerSelf;
 	readonly #clock: MomentClock;
@@ -69,7 +73,9 @@
 	#askedAt = Number.NEGATIVE_INFINITY;
 	#mostCores = 0;
 	#instances = 0;
-	readonly #waiting = new Map<number, () => void>();
+	#isLapsed = false;
+	#dataCentre: string | undefined;
+	readonly #waiting = new Map<number, (isAnswered: boolean) => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -90,6 +96,22 @@
 		return this.#mostCores;
 	}
 
+	/** Whether the hub that is connected has lost its lease. */
+	get isLapsed(): boolean {
+		return this.#isLapsed;
+	}
+
+	/** Where the hub stands; absent before it answered. */
+	get dataCentre(): string | undefined {
+		return this.#dataCentre;
+	}
+
+	/** Whether it is worth waiting for an answer. */
+	get isResponsive(): boolean {
+		const silence = this.#clock.moment().steady - this.#heardAt;
+		return this.#socket !== undefined && this.#roundTripMilliseconds <= longestRoundTripMilliseconds && silence <= longestSilenceMilliseconds;
+	}
+
 	/** How many instances a hub has told of last; 0 before. */
 	get instances(): number {
 		return this.#instances;
@@ -145,42 +167,44 @@
 		}
 	}
 
-	async refresh(question: PlaceQuestion): Promise<void> {
-		const silence = this.#clock.moment().steady - this.#heardAt;
-		if (this.#socket === undefined || this.#roundTripMilliseconds > longestRoundTripMilliseconds || silence > longestSilenceMilliseconds) {
-			return;
+	/** Asks, and waits for the answer if that takes a short time only; gives whether it came. */
+	async refresh(question: PlaceQuestion): Promise<boolean> {
+		if (!this.isResponsive) {
+			return false;
 		}
 
 		this.#ask(question);
 		const number = this.#number;
-		await new Promise<void>(resolve => {
+		return new Promise(resolve => {
 			const timer = setTimeout(() => {
-				this.#answered(number);
+				this.#answered(number, false);
 			}, this.#waitMilliseconds);
-			this.#waiting.set(number, () => {
+			this.#waiting.set(number, isAnswered => {
 				clearTimeout(timer);
-				resolve();
+				resolve(isAnswered);
 			});
 		});
 	}
 
 	tell(): void {
 		const frame: FollowerFrame = {
-			kind: 'tell', instance: this.#self.instance, cores: this.#self.cores, uses: this.#view.takeUses(), loads: this.#self.loads(),
+			kind: 'tell', instance: this.#self.instance, cores: this.#self.cores, uses: this.#self.takeUses(), loads: this.#self.loads(),
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
 
 	close(): void {
 		for (const number of this.#waiting.keys()) {
-			this.#answered(number);
+			this.#answered(number, false);
 		}
 
 		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 		this.#socket?.destroy();
 		this.#socket = undefined;
 		this.#asked = new Map();
-		this.#view.reset();
+		this.#isLapsed = false;
+		this.#dataCentre = undefined;
+		this.#self.closed();
 	}
 
 	#ask(about: PlaceQuestion): void {
@@ -190,7 +214,7 @@
 		this.#asked.set(this.#number, {at: now, about});
 		const {instance, cores} = this.#self;
 		const frame: FollowerFrame = {
-			kind: 'ask', number: this.#number, instance, cores, uses: this.#view.takeUses(), loads: this.#self.loads(), about, places: this.#self.places(),
+			kind: 'ask', number: this.#number, instance, cores, uses: this.#self.takeUses(), loads: this.#self.loads(), about, places: this.#self.places(),
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
@@ -217,10 +241,12 @@
 			this.#view.takeAnswer(frame, asked.about, asked.at, now);
 			this.#mostCores = Math.max(this.#mostCores, frame.mostCores);
 			this.#instances = frame.instances;
+			this.#isLapsed = frame.isLapsed;
+			this.#dataCentre = frame.dataCentre;
 			this.#self.takeTables(frame.tables, asked.at);
 		}
 
-		this.#answered(frame.number);
+		this.#answered(frame.number, asked !== undefined);
 	}
 
 	#noteRoundTrip(milliseconds: number): void {
@@ -229,9 +255,9 @@
 	}
 
 	/** Lets the caller go on who waits for an answer. */
-	#answered(number: number): void {
+	#answered(number: number, isAnswered: boolean): void {
 		const go = this.#waiting.get(number);
 		this.#waiting.delete(number);
-		go?.();
+		go?.(isAnswered);
 	}
 }
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -88,6 +88,10 @@
 	number: number;
 	/** The engines' clock, in milliseconds; absent while it is not known. */
 	clock?: number;
+	/** Whether a deputy answers, which knows nothing of stores. */
+	isDeputy: boolean;
+	/** Where the hub stands. */
+	dataCentre: string;
 	/** Whether the hub has lost its lease: it tells hints still, but nothing of stores, and another one may be found. */
 	isLapsed: boolean;
 	/** Stores that may be saved to and fetched from, and the tokens that they hold. */
--- a/src/gateway/hub/hub-server.test.ts
+++ b/src/gateway/hub/hub-server.test.ts
@@ -13,6 +13,8 @@
 import {type FollowerFrame, type HubFrame, noQuestion} from './hub-messages.js';
 
 const source: HubSource = {
+	isDeputy: false,
+	dataCentre: 'split',
 	isHub: () => true,
 	isServing: () => true,
 	engineClock: () => undefined,
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -17,6 +17,9 @@
 
 /** What the server asks the keeper of the duty. */
 export interface HubSource {
+	/** Whether this is the deputy, which keeps no stores. */
+	readonly isDeputy: boolean;
+	readonly dataCentre: string;
 	/** Cores of this instance's machine. */
 	readonly cores: number;
 	/** Whether this instance holds the duty now. */
@@ -46,7 +49,7 @@
 };
 
 export class HubServer implements Child {
-	readonly name = 'hub-server';
+	readonly name: string;
 	readonly #address: string;
 	readonly #source: HubSource;
 	readonly #clock: MomentClock;
@@ -56,6 +59,7 @@
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: HubSource, clock: MomentClock) {
+		this.name = source.isDeputy ? 'hub-deputy-server' : 'hub-server';
 		this.#address = address;
 		this.#source = source;
 		this.#clock = clock;
@@ -166,6 +170,8 @@
 			kind: 'answer',
 			number,
 			...(clock === undefined ? {} : {clock}),
+			isDeputy: this.#source.isDeputy,
+			dataCentre: this.#source.dataCentre,
 			isLapsed: !this.#source.isHub(),
 			open: this.#source.openStores(),
 			loads: Object.fromEntries([...endpoints].map((endpoint): [string, PackedLoad] => [endpoint, this.#loads.withoutInstance(endpoint, instance)])),
--- a/src/gateway/hub/hub-view.test.ts
+++ b/src/gateway/hub/hub-view.test.ts
@@ -13,6 +13,8 @@
 	kind: 'answer',
 	number: 1,
 	clock: 50_000,
+	isDeputy: false,
+	dataCentre: 'split',
 	isLapsed: false,
 	open: [['cache', 4000]],
 	loads: {e1: [3, 0, 0, 0, 0, 0, 0]},
--- a/src/gateway/hub/hub-view.ts
+++ b/src/gateway/hub/hub-view.ts
@@ -31,24 +31,29 @@
 	#open: ReadonlyMap<string, number> = new Map();
 	#isLapsed = false;
 	#askedAt: Moment | undefined;
+	#clockAskedAt: Moment | undefined;
 	readonly #engineClock = new EngineClock();
 	readonly #uses = new Set<string>();
 
-	/** Forgets all: the connection to the hub ended, and the next one may be to another hub. */
+	/** Forgets what only the hub may tell: the connection to it ended, and the next one may be to another hub. */
 	reset(): void {
 		this.#parts.clear();
-		this.#loads.clear();
 		this.#open = new Map();
 		this.#isLapsed = false;
 		this.#askedAt = undefined;
-		this.#engineClock.forget();
 	}
 
 	/** Takes the answer to a question that was sent at `askedAt`. */
-	takeAnswer({clock, isLapsed, open, loads, parts}: HubFrame, {keys}: PlaceQuestion, askedAt: Moment, now: Moment): void {
-		this.#open = new Map(open);
-		this.#isLapsed = isLapsed;
-		this.#askedAt = askedAt;
+	takeAnswer({
+		clock, isDeputy, isLapsed, open, loads, parts,
+	}: HubFrame, {keys}: PlaceQuestion, askedAt: Moment, now: Moment): void {
+		if (!isDeputy) {
+			this.#open = new Map(open);
+			this.#isLapsed = isLapsed;
+			this.#askedAt = askedAt;
+		}
+
+		this.#clockAskedAt = askedAt;
 		this.#engineClock.forget();
 		this.#engineClock.hear(clock, now.steady);
 		for (const [endpoint, load] of Object.entries(loads)) {
@@ -114,7 +119,7 @@
 	 * @returns Milliseconds; `undefined` while it is not known.
 	 */
 	engineClock(now: Moment): number | undefined {
-		return this.isFresh(now) ? this.#engineClock.at(now.steady) : undefined;
+		return isFreshAt(this.#clockAskedAt, now) ? this.#engineClock.at(now.steady) : undefined;
 	}
 
 	/** What all other instances have under way at an endpoint; `undefined` while that is not known. */
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -101,6 +101,10 @@
 			instance,
 			cores: 1,
 			loads: () => ({engine: [index + 1, 10, 0, 0, 0, 0, 0]}),
+			takeUses: () => [],
+			closed() {
+				hubView.reset();
+			},
 			watched: () => [],
 			places: () => ({}),
 			takeTables() {
@@ -108,9 +112,9 @@
 			},
 		}, clock);
 		const hub = new Hub({
-			clock, configuration, endpoints: new EndpointRegistry(), log, hubView,
+			clock, configuration, dataCentre: 'split', endpoints: new EndpointRegistry(), log,
 		}, {
-			instance, address, seat, client, control: store, cores: 1, feeds: () => [],
+			role: 'hub', instance, address, seat, client, control: store, cores: 1, feeds: () => [], hasOtherDuty: () => false, otherDataCentre: () => undefined,
 		});
 		const asking = setInterval(() => {
 			void client.refresh({endpoints: [], keys: ['s|p'], partCount: 1});
@@ -177,3 +181,55 @@
 		assert.ok(lines.some(line => line.includes(told)), told);
 	}
 });
+
+test('an instance that has become the hub leaves the duty of the deputy to another one', async () => {
+	// Guards against a deputy that is no help: it would stand still together with the hub.
+	const table = new MemoryTable();
+	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
+	let isHub = false;
+	const seatOf = (instance: string): DutySeat => new DutySeat({
+		table: 'leases', duty: 'hub-deputy', instance, address: '127.0.0.1:1', leaseMilliseconds: 1000, actingMilliseconds: 60_000,
+	}, {store: table, clock, log});
+	const seat = seatOf('i1');
+	const deputy = new Hub({
+		clock, configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), dataCentre: 'split', endpoints: new EndpointRegistry(), log,
+	}, {
+		role: 'hub-deputy',
+		instance: 'i1',
+		address: '127.0.0.1:1',
+		seat,
+		client: new HubClient(new HubView(), {
+			instance: 'i1',
+			cores: 1,
+			loads: () => ({}),
+			takeUses: () => [],
+			closed() {
+				// Nothing is known here.
+			},
+			watched: () => [],
+			places: () => ({}),
+			takeTables() {
+				// No tables are followed here.
+			},
+		}, clock),
+		control: new PlayedStore(),
+		cores: 1,
+		feeds: () => [],
+		hasOtherDuty: () => isHub,
+		otherDataCentre: () => undefined,
+	});
+	await seat.seek();
+	assert.equal(deputy.isHub(), true);
+	isHub = true;
+	deputy.step();
+	await until('the duty is given back', () => !deputy.isHub(), 1000);
+	await clock.sleep(50, new AbortController().signal);
+	const other = seatOf('i2');
+	await until('another one has it', () => {
+		void other.seek();
+		return other.left() > 0;
+	}, 2000);
+	deputy.step();
+	await clock.sleep(50, new AbortController().signal);
+	assert.equal(deputy.isHub(), false);
+});
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -4,7 +4,8 @@
  *
  * Weighed against it: each instance reading each store and engine itself, which stores and engines do not allow (a few
  * calls at a time from all instances together), and telling each other in a mesh, which costs each pair a connection.
- * When the hub dies or is cut off, instances go on with what they know themselves until another one has taken the lease.
+ * When the hub dies or is cut off, another one takes the lease some seconds later. Meanwhile a deputy answers, an instance
+ * with a lease of its own that follows the engines as well and keeps no stores.
  */
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
@@ -45,10 +46,23 @@
 /** How long a dialled hub may take to answer before the row is read again. */
 const dialMilliseconds = 700;
 
-type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'log' | 'hubView'>;
+/** The deputy is asked at a slower pace: only its knowledge of loads is as old as that when it is needed. */
+const stepsPerDeputyQuestion = 2;
+/** The duty of the deputy is looked for when that of the hub has been taken. */
+const deputyDelayMilliseconds = 1500;
+/** A deputy elsewhere is left when the hub's data centre is cut off; so much lead it gets. */
+const sameDataCentreMilliseconds = 300;
+/** How much later an instance with one of the two duties tries for the other one. */
+const otherDutyMilliseconds = 1000;
+
+/** Which of the two duties: to tell hints and keep the stores, or to tell hints while the hub does not answer. */
+export type HubRole = 'hub' | 'hub-deputy';
+
+type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'dataCentre' | 'endpoints' | 'log'>;
 
 /** What the hub is given. */
 export type HubParts = {
+	role: HubRole;
 	instance: string;
 	address: string;
 	seat: DutySeat;
@@ -58,10 +72,14 @@
 	cores: number;
 	/** The tables that are read here for all. */
 	feeds(): readonly FeedFollower[];
+	/** Whether this instance has the other one of the two duties. */
+	hasOtherDuty(): boolean;
+	/** In which data centre the holder of the other duty stands, if that is known. */
+	otherDataCentre(): string | undefined;
 };
 
 export class Hub implements Child, HubSource {
-	readonly name = 'hub';
+	readonly name: HubRole;
 	readonly server: HubServer;
 	readonly #context: HubContext;
 	readonly #parts: HubParts;
@@ -73,8 +91,10 @@
 	#isSeeking = false;
 	#hadHub: boolean | undefined;
 	#isLeaving = false;
+	#steps = 0;
 
 	constructor(context: HubContext, parts: HubParts) {
+		this.name = parts.role;
 		this.#context = context;
 		this.#parts = parts;
 		this.server = new HubServer(parts.address, this, context.clock);
@@ -94,7 +114,15 @@
 				tell(engineHolder(engine), change);
 			},
 		}, log);
-		this.#lookAt = this.#now() + this.#patience() + (spreadMilliseconds * this.#ownShare);
+		this.#lookAt = this.#now() + this.#patience() + (spreadMilliseconds * this.#ownShare) + (this.isDeputy ? deputyDelayMilliseconds : 0);
+	}
+
+	get isDeputy(): boolean {
+		return this.#parts.role === 'hub-deputy';
+	}
+
+	get dataCentre(): string {
+		return this.#context.dataCentre;
 	}
 
 	get cores(): number {
@@ -122,16 +150,19 @@
 	step(): void {
 		const {seat, client} = this.#parts;
 		const isNeeded = !this.#isLeaving;
-		if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
+		this.#steps++;
+		if (isNeeded && this.isHub() && this.#isInTheWay()) {
+			void this.#seekBeside(async () => seat.release());
+		} else if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
 			void this.#seekBeside(async () => seat.seek());
 		}
 
 		this.#serve();
-		if (client.isConnected) {
+		if (client.isConnected && (!this.isDeputy || this.#steps % stepsPerDeputyQuestion === 0)) {
 			client.ask();
 		}
 
-		const hasHub = client.isConnected && !this.#context.hubView.isLapsed;
+		const hasHub = client.isConnected && !client.isLapsed;
 		this.#logHub(hasHub);
 		if (isNeeded && !hasHub && this.#now() >= this.#lookAt) {
 			this.#lookAt = this.#now() + (client.isConnected ? lapsedLookMilliseconds : dialMilliseconds);
@@ -190,7 +221,7 @@
 		const {client} = this.#parts;
 		if (this.#hadHub !== undefined || hasHub) {
 			this.#context.log.record(hasHub ? 'dependency-regained' : 'dependency-lost', {
-				dependency: 'hub', address: client.address, isLapsed: this.#context.hubView.isLapsed,
+				dependency: this.name, address: client.address, isLapsed: client.isLapsed,
 			});
 		}
 
@@ -206,7 +237,7 @@
 		try {
 			await seek();
 		} catch (error) {
-			this.#context.log.record('fault', {child: 'hub', error: String(error)});
+			this.#context.log.record('fault', {child: this.name, error: String(error)});
 		} finally {
 			this.#isSeeking = false;
 		}
@@ -215,7 +246,7 @@
 	/** Reads the row: takes the duty if it is free, else dials its holder. */
 	async #look(): Promise<void> {
 		const {seat, client, instance, address} = this.#parts;
-		await seat.seek();
+		await (this.#isInTheWay() ? seat.look() : seat.seek());
 		const {seen} = seat;
 		const hubAddress = this.isHub() ? address : seen?.address ?? '';
 		const isOther = this.isHub() || seen?.holder !== instance;
@@ -253,11 +284,18 @@
 		this.server.dropAll();
 	}
 
-	/** A duty that all ask belongs on a large machine; the others give those a lead. */
+	/** One instance with both duties would be no help when it fails. */
+	#isInTheWay(): boolean {
+		return this.isDeputy && this.#parts.hasOtherDuty();
+	}
+
+	/** A duty that all ask belongs on a large machine, and the two in different data centres; the others give those a lead. */
 	#patience(): number {
-		const {client, cores} = this.#parts;
+		const {client, cores, hasOtherDuty, otherDataCentre} = this.#parts;
 		const enough = client.mostCores === 0 ? wholeCore : largeShare * client.mostCores;
-		return cores < enough ? smallMachineMilliseconds : 0;
+		return (cores < enough ? smallMachineMilliseconds : 0)
+			+ (hasOtherDuty() ? otherDutyMilliseconds : 0)
+			+ (otherDataCentre() === this.#context.dataCentre ? sameDataCentreMilliseconds : 0);
 	}
 
 	/** From 0 up to 1, another one for each instance. */
@@ -265,7 +303,12 @@
 		return hashOf(this.#parts.instance) / (2 ** 32);
 	}
 
+	/** The stores to keep; a deputy keeps none. */
 	#declaredStores(): Array<[name: string, store: StoreTraits]> {
+		if (this.isDeputy) {
+			return [];
+		}
+
 		const services = this.#context.configuration.current?.services.values() ?? [];
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
 	}
--- a/src/gateway/watchers/feed-follower.ts
+++ b/src/gateway/watchers/feed-follower.ts
@@ -213,8 +213,8 @@
 
 	/** For how long this instance needs no calls of its own, by what another one told last, in milliseconds. */
 	#relayLeft(now: Moment): number {
-		const isNeeded = this.#mustRead || this.#tools.isReader?.();
-		return isNeeded || this.#relayedAt === undefined
+		const isReader = this.#tools.isReader?.() ?? false;
+		return this.#mustRead || isReader || this.#relayedAt === undefined
 			? 0
 			: this.#plan.relayLapseMilliseconds + this.#spreadMilliseconds - longestElapsed(this.#relayedAt, now);
 	}
--- a/src/test/bundle-gateway.test.ts
+++ b/src/test/bundle-gateway.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {execFileSync, spawnSync} from 'node:child_process';
-import {statSync} from 'node:fs';
+import {readFileSync, statSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {test} from 'node:test';
+import vm from 'node:vm';
 
 /** Where the tests' own build lies. */
 const folder = 'dist';
@@ -17,10 +18,26 @@
 	// An instance is restarted and must be back within a second. Loaded from hundreds of files a start takes longer, and a
 	// library that is missing from the one file would only show when its first call is made.
 	execFileSync(process.execPath, ['scripts/bundle-gateway.mjs', folder]);
-	assert.ok(statSync(`${folder}/gateway.mjs`).size > 100_000);
+	assert.ok(statSync(`${folder}/gateway-bundle.cjs`).size > 100_000);
 	const compiled = startWithoutSettings(`${folder}/gateway/main.js`);
 	const bundled = startWithoutSettings(`${folder}/gateway.mjs`);
 	assert.deepEqual(bundled, compiled);
 	assert.match(bundled.output, /SAVORYGAUGE_BOOT.* is missing/v);
 	assert.notEqual(bundled.status, 0);
 });
+
+test('a start compiles nothing that was compiled before', () => {
+	// Guards against starts that take twice as long because the cache is not that of the code, or of another Node.
+	execFileSync(process.execPath, ['scripts/bundle-gateway.mjs', folder]);
+	const source = `(function (exports, require, module) {${readFileSync(`${folder}/gateway-bundle.cjs`, 'utf8')}})`;
+	const {cachedDataRejected} = new vm.Script(source, {cachedData: readFileSync(`${folder}/gateway-bundle.cache`)});
+	assert.equal(cachedDataRejected, false);
+	const launcher = readFileSync(`${folder}/gateway.mjs`, 'utf8');
+	assert.ok(launcher.includes('\'(function (exports, require, module) {\' + readFileSync(file, \'utf8\') + \'})\''), 'the launcher wraps the code in another way');
+});
+
+test('a cache that is not of this code is passed over', () => {
+	execFileSync(process.execPath, ['scripts/bundle-gateway.mjs', folder]);
+	writeFileSync(`${folder}/gateway-bundle.cache`, 'of another version');
+	assert.match(startWithoutSettings(`${folder}/gateway.mjs`).output, /SAVORYGAUGE_BOOT.* is missing/v);
+});
