Look up what is remembered of an endpoint by its record

Placing asks for the outlook of all endpoints of a service several times for each request; with 82 of them the keys that were built for it took some hundredths of the time (reckoned, not measured).

--- a/src/decision/placement/candidate-estimates.ts
+++ b/src/decision/placement/candidate-estimates.ts
@@ -5,9 +5,7 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {admitsPrompt} from './admit-prompt.js';
-import {
-	addLoads, type EndpointLoad, noLoad, unreadAhead,
-} from './endpoint-load.js';
+import {addLoads, type EndpointLoad, unreadAhead} from './endpoint-load.js';
 import {type EndpointMemories} from './endpoint-memories.js';
 import {fetchTokensPerMillisecond} from './fetch-speed.js';
 import {beginsInGrant, isBehind} from './older-weights.js';
@@ -83,7 +81,7 @@
 	loadAt(endpoint: EndpointRecord, now: number): SharedLoad {
 		const own = this.#memories.outlookOf(endpoint).loadAt(now);
 		const others = this.#othersAt(endpoint.name, now);
-		return {load: addLoads(own, others ?? noLoad), isWhole: others !== undefined};
+		return others === undefined ? {load: own, isWhole: false} : {load: addLoads(own, others), isWhole: true};
 	}
 
 	/**
--- a/src/decision/placement/endpoint-memories.ts
+++ b/src/decision/placement/endpoint-memories.ts
@@ -7,12 +7,21 @@
 
 export class EndpointMemories {
 	readonly #outlooks = new Map<string, {name: string; outlook: EndpointOutlook}>();
+	/** The same by record: each placing asks for those of all endpoints, several times. */
+	readonly #outlookByRecord = new WeakMap<EndpointRecord, EndpointOutlook>();
 	readonly #parts = new Map<string, BelievedParts>();
 	readonly #speeds = new Map<string, ReadingSpeed>();
 
 	/** The present state of an endpoint as this instance knows it. */
 	outlookOf(endpoint: EndpointRecord): EndpointOutlook {
-		return remembered(this.#outlooks, incarnationOf(endpoint), () => ({name: endpoint.name, outlook: new EndpointOutlook()})).outlook;
+		const known = this.#outlookByRecord.get(endpoint);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {outlook} = remembered(this.#outlooks, incarnationOf(endpoint), () => ({name: endpoint.name, outlook: new EndpointOutlook()}));
+		this.#outlookByRecord.set(endpoint, outlook);
+		return outlook;
 	}
 
 	/** The parts that were sent to an engine with that much memory. */
@@ -40,6 +49,7 @@
 
 	/** Forgets an incarnation that is gone. */
 	forget(endpoint: EndpointRecord): void {
+		this.#outlookByRecord.delete(endpoint);
 		this.#outlooks.delete(incarnationOf(endpoint));
 		this.#parts.delete(incarnationOf(endpoint));
 	}
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -17,7 +17,7 @@
 /** How often the coordinator looks at what it knows; no call is made for that. */
 const tickMilliseconds = 100;
 /** The same while all engines have the weights that were named. */
-const idleTickMilliseconds = 300;
+const idleTickMilliseconds = 400;
 /** Instances that hear of new weights together try for the lease spread over this time at least, */
 const shortestSpreadMilliseconds = 250;
 /** And over so much for each of them: most hear of the orders of the first one before they would ask the store. */
