--- a/src/gateway/duty/duty-seat.ts
+++ b/src/gateway/duty/duty-seat.ts
@@ -1,7 +1,8 @@
 /** Takes, renews and gives back the lease on one duty; what is allowed is decided in `src/protocol/duty`. */
+import {type Either} from 'purify-ts/Either';
 import {type ClockedTable} from '../../ports/clocked-table.js';
-import {type MomentClock} from '../../ports/moment-clock.js';
-import {type TableService} from '../../ports/table-service.js';
+import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
+import {type TableFailure, type TableService} from '../../ports/table-service.js';
 import {
 	decideDuty, type DutyGrant, type DutyRow, isUncontested, leftOfGrant, mostActingMilliseconds, releasedRow,
 } from '../../protocol/duty/duty-lease.js';
@@ -17,6 +18,8 @@
 	leaseMilliseconds: number;
 	/** For how long a grant is acted on, if the store answers quickly. */
 	actingMilliseconds: number;
+	/** How much later than allowed this instance looks for a duty that another one holds, in milliseconds; 0 if absent. */
+	patienceMilliseconds?: () => number;
 };
 
 /** What a seat works with. */
@@ -41,6 +44,9 @@
 	#seekMilliseconds = 0;
 	/** The row as it was read last, of whomever. */
 	#seen: DutyRow | undefined;
+	#inherited: Readonly<Record<string, number>> = {};
+	/** The state of the row that was read last, and since when it has been the same, on the steady clock. */
+	#unchanged: {era: number; revision: number; since: number} | undefined;
 
 	constructor(plan: DutyPlan, tools: DutyTools) {
 		this.#plan = plan;
@@ -62,6 +68,11 @@
 		return this.#seen;
 	}
 
+	/** What the row held before the last grant: what the holder before left, or this one itself. */
+	get inherited(): Readonly<Record<string, number>> {
+		return this.#inherited;
+	}
+
 	get #actingMilliseconds(): number {
 		const {actingMilliseconds, leaseMilliseconds} = this.#plan;
 		return Math.max(actingMilliseconds, Math.min(mostActingMilliseconds(leaseMilliseconds), renewalsInGrant * this.#seekMilliseconds));
@@ -82,8 +93,9 @@
 	 * Takes or renews the lease if the row allows it; asks no sooner than a former answer said.
 	 *
 	 * @param engines - Engines that the holder changes, for others to spare them.
+	 * @param legacy - What it leaves to the next holder.
 	 */
-	async seek(engines: string[] = []): Promise<void> {
+	async seek(engines: string[] = [], legacy?: Record<string, number>): Promise<void> {
 		const {store, clock, log} = this.#tools;
 		const name = {table: this.#plan.table, key: this.#plan.duty};
 		if (clock.moment().steady < this.#notBefore) {
@@ -97,20 +109,25 @@
 			return;
 		}
 
-		const {row, storeMilliseconds} = read.unsafeCoerce();
+		const {row, storeMilliseconds, era} = read.unsafeCoerce();
 		this.#seen = row?.value as DutyRow | undefined;
-		const decided = decideDuty(this.#seen, this.#plan.instance, storeMilliseconds, {
+		const reading = {storeMilliseconds, era, unchangedMilliseconds: this.#unchangedFor(era, row?.revision ?? 0, since)};
+		const decided = decideDuty(this.#seen, this.#plan.instance, reading, {
 			leaseMilliseconds: this.#plan.leaseMilliseconds, actingMilliseconds: this.#actingMilliseconds,
 		});
 		if (decided.kind === 'wait') {
-			this.lose('another instance holds it');
-			this.#lookAgainIn(decided.milliseconds);
+			this.lose('another instance holds it, or may hold it');
+			this.#lookAgainIn(decided.milliseconds + (this.#plan.patienceMilliseconds?.() ?? 0));
 			return;
 		}
 
-		const granted: DutyRow = {...decided.row, address: this.#plan.address, engines};
+		const granted: DutyRow = {
+			...decided.row, address: this.#plan.address, engines, ...(legacy === undefined ? {} : {legacy}),
+		};
 		const written = await store.commit({conditions: [{...name, revision: row?.revision ?? 0}], writes: [{...name, value: granted}]});
-		if (written.isLeft()) {
+		// In a later era the condition may have held by accident, for a revision that was given out again.
+		if (written.isLeft() || store.era > era) {
+			this.#noteConflict(written);
 			this.#lookAgainIn(retryMilliseconds);
 			return;
 		}
@@ -120,10 +137,25 @@
 		}
 
 		this.#seekMilliseconds = clock.moment().steady - since.steady;
+		this.#inherited = row?.value === undefined ? {} : (row.value as DutyRow).legacy ?? {};
 		this.#seen = granted;
 		this.#grant = {row: granted, since};
 	}
 
+	/** Reads who holds the duty, and does not take it. */
+	async look(): Promise<void> {
+		const {store, clock} = this.#tools;
+		if (clock.moment().steady < this.#notBefore) {
+			return;
+		}
+
+		const read = await store.readClocked({table: this.#plan.table, key: this.#plan.duty});
+		read.ifRight(({row}) => {
+			this.#seen = row?.value as DutyRow | undefined;
+		});
+		this.#lookAgainIn(retryMilliseconds);
+	}
+
 	/** Forgets the grant. */
 	lose(reason: string): void {
 		if (this.#grant !== undefined) {
@@ -144,13 +176,31 @@
 
 		this.lose('given back');
 		const read = await store.readClocked(name);
-		const {row} = read.orDefault({row: undefined, storeMilliseconds: 0});
+		const {row} = read.orDefault({row: undefined, storeMilliseconds: 0, era: 0});
 		const value = row?.value as DutyRow | undefined;
 		if (row !== undefined && value?.holder === this.#plan.instance) {
 			await store.commit({conditions: [{...name, revision: row.revision}], writes: [{...name, value: releasedRow(value)}]});
 		}
 	}
 
+	/** Whoever was first is known from the refusal, without another read. */
+	#noteConflict(written: Either<TableFailure, void>): void {
+		written.ifLeft(failure => {
+			if (failure.kind === 'conflict') {
+				this.#seen = failure.current.find(({key}) => key === this.#plan.duty)?.value as DutyRow | undefined ?? this.#seen;
+			}
+		});
+	}
+
+	/** For how long the row has surely stood as it was found by a read that was sent at `sentAt`. */
+	#unchangedFor(era: number, revision: number, sentAt: Moment): number {
+		if (this.#unchanged?.era !== era || this.#unchanged.revision !== revision) {
+			this.#unchanged = {era, revision, since: this.#tools.clock.moment().steady};
+		}
+
+		return Math.max(0, sentAt.steady - this.#unchanged.since);
+	}
+
 	#lookAgainIn(milliseconds: number): void {
 		this.#notBefore = this.#tools.clock.moment().steady + milliseconds;
 	}
--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -27,14 +27,20 @@
 /** A store whose feeds tell one configuration and one endpoint, and then nothing more. */
 class QuietStore extends MemoryTable {
 	async readWhole(table: string) {
-		return Right({rows: [{key: table, content: null, isDeleted: false}], position: 1});
+		return Right({
+			rows: [{
+				key: table, content: null, isDeleted: false, revision: 1,
+			}],
+			position: 1,
+			era: 0,
+		});
 	}
 
 	async follow() {
 		await new Promise(resolve => {
 			setTimeout(resolve, 200).unref();
 		});
-		return Right({rows: [], position: 1});
+		return Right({rows: [], position: 1, era: 0});
 	}
 }
 
@@ -64,7 +70,7 @@
 	}).listen(0, '127.0.0.1');
 	await once(endpoint, 'listening');
 	const address = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`;
-	const [listenCallers, listenReady, listenPeers, listenMetrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+	const [listenCallers, listenReady, listenPeers, listenDeputy, listenMetrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
 	const ports: GatewayPorts = {
 		clock: systemMomentClock,
 		names,
@@ -87,8 +93,10 @@
 		listenReady,
 		readyPath: '/ready',
 		listenPeers,
+		listenDeputy,
 		listenMetrics,
 		storeAddress: '',
+		cores: 1,
 		bounds: {
 			configurationMilliseconds: 2000,
 			revocationMilliseconds: 5000,
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -8,40 +8,59 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {
-	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad,
+	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, noQuestion, type PackedLoad, type PlaceQuestion,
 } from './hub-messages.js';
 import {type HubView} from './hub-view.js';
 
 /** A question at least this often keeps knowledge fresh also when one answer is late. */
-export const askMilliseconds = freshMilliseconds / 4;
+export const askMilliseconds = 0.375 * freshMilliseconds;
+/** A question about a prompt that was asked so shortly before takes the place of a steady one. */
+const recentMilliseconds = askMilliseconds / 2;
 /**
- * Before a prompt is placed the hub is asked for fresh news, where that takes no longer than this: a round trip within a
- * region takes a few milliseconds, and a prompt's first token some hundred. A hub farther away is asked at its pace only.
+ * Before a prompt is placed the hub is asked where its parts are kept and what the engines have to do, where that takes no
+ * longer than this. A round trip within a region takes a few milliseconds, between small machines at work some dozens;
+ * reading a long prompt again takes an engine some hundred, and that of all who wait there.
  */
-const longestRoundTripMilliseconds = 10;
+const longestRoundTripMilliseconds = 100;
 /** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
-const mostWaitMilliseconds = 15;
+const mostWaitMilliseconds = 120;
 /** A hub that has not answered two questions in a row is not waited for. */
-const longestSilenceMilliseconds = 2.5 * askMilliseconds;
+const longestSilenceMilliseconds = 1.9 * askMilliseconds;
 /** Weight of the newest round trip in the mean. */
 const newestShare = 0.3;
 
 /** What a follower tells of itself. */
 export type FollowerSelf = {
 	instance: string;
+	/** Cores that its machine gives it. */
+	cores: number;
 	loads(): Record<string, PackedLoad>;
+	/** Gives, and forgets, the stored parts that it used since the last call. */
+	takeUses(): string[];
+	/** Hears that the connection ended. */
+	closed(): void;
+	/** Endpoints that are chosen by what the steady questions bring, without a question for each request. */
+	watched(): string[];
+	/** Where it stands in the tables that it follows, by table. */
+	places(): Record<string, FeedPlace>;
+	/** Takes what changed in those tables, by an answer to a question that was sent at `askedAt`. */
+	takeTables(news: readonly FeedNews[], askedAt: Moment): void;
 };
 
+/** A question under way. */
+type Asked = {at: Moment; about: PlaceQuestion};
+
 /** News of what the other instances do, fresh at the moment of a decision. */
 export interface PeerNews {
-	/** Asks for news and waits for them, if that takes a few milliseconds only. */
-	refresh(): Promise<void>;
+	/** Asks for news and waits for them, if that takes a short time only. */
+	refresh(question: PlaceQuestion): Promise<void>;
 	/** Tells the others what this instance has under way. */
 	tell(): void;
 }
 
-export class HubClient implements PeerNews {
+export class HubClient {
 	readonly #view: HubView;
 	readonly #self: FollowerSelf;
 	readonly #clock: MomentClock;
@@ -49,9 +68,14 @@
 	#address: string | undefined;
 	#reader = new FrameReader();
 	#number = 0;
-	#asked = new Map<number, Moment>();
+	#asked = new Map<number, Asked>();
 	#heardAt = 0;
-	readonly #waiting = new Map<number, () => void>();
+	#askedAt = Number.NEGATIVE_INFINITY;
+	#mostCores = 0;
+	#instances = 0;
+	#isLapsed = false;
+	#dataCentre: string | undefined;
+	readonly #waiting = new Map<number, (isAnswered: boolean) => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -67,6 +91,32 @@
 		return this.#socket !== undefined;
 	}
 
+	/** Cores of the largest machine that a hub has told of; 0 before. */
+	get mostCores(): number {
+		return this.#mostCores;
+	}
+
+	/** Whether the hub that is connected has lost its lease. */
+	get isLapsed(): boolean {
+		return this.#isLapsed;
+	}
+
+	/** Where the hub stands; absent before it answered. */
+	get dataCentre(): string | undefined {
+		return this.#dataCentre;
+	}
+
+	/** Whether it is worth waiting for an answer. */
+	get isResponsive(): boolean {
+		const silence = this.#clock.moment().steady - this.#heardAt;
+		return this.#socket !== undefined && this.#roundTripMilliseconds <= longestRoundTripMilliseconds && silence <= longestSilenceMilliseconds;
+	}
+
+	/** How many instances a hub has told of last; 0 before. */
+	get instances(): number {
+		return this.#instances;
+	}
+
 	/** Where the hub was dialled; absent without a connection. */
 	get address(): string | undefined {
 		return this.#socket === undefined ? undefined : this.#address;
@@ -81,6 +131,7 @@
 		this.#address = address;
 		this.#reader = new FrameReader();
 		this.#heardAt = this.#clock.moment().steady;
+		this.#askedAt = Number.NEGATIVE_INFINITY;
 		const end = (): void => {
 			if (this.#socket === socket) {
 				this.close();
@@ -100,9 +151,8 @@
 		socket.on('error', end).on('close', end);
 	}
 
-	/** Asks once, or closes a connection that has been idle for too long. */
+	/** Asks at the steady pace, or closes a connection that has been idle for too long. */
 	ask(): void {
-		const now = this.#clock.moment();
 		if (this.#socket === undefined) {
 			return;
 		}
@@ -112,50 +162,61 @@
 			return;
 		}
 
-		this.#number++;
-		this.#asked.set(this.#number, now);
-		const frame: FollowerFrame = {
-			kind: 'ask', number: this.#number, instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
-		};
-		this.#socket.write(encodeFrame(frame));
+		if (this.#clock.moment().steady - this.#askedAt >= recentMilliseconds) {
+			this.#ask({...noQuestion, endpoints: this.#self.watched()});
+		}
 	}
 
-	async refresh(): Promise<void> {
-		const silence = this.#clock.moment().steady - this.#heardAt;
-		if (this.#socket === undefined || this.#roundTripMilliseconds > longestRoundTripMilliseconds || silence > longestSilenceMilliseconds) {
-			return;
+	/** Asks, and waits for the answer if that takes a short time only; gives whether it came. */
+	async refresh(question: PlaceQuestion): Promise<boolean> {
+		if (!this.isResponsive) {
+			return false;
 		}
 
-		this.ask();
+		this.#ask(question);
 		const number = this.#number;
-		await new Promise<void>(resolve => {
+		return new Promise(resolve => {
 			const timer = setTimeout(() => {
-				this.#answered(number);
+				this.#answered(number, false);
 			}, this.#waitMilliseconds);
-			this.#waiting.set(number, () => {
+			this.#waiting.set(number, isAnswered => {
 				clearTimeout(timer);
-				resolve();
+				resolve(isAnswered);
 			});
 		});
 	}
 
 	tell(): void {
 		const frame: FollowerFrame = {
-			kind: 'tell', instance: this.#self.instance, uses: this.#view.takeUses(), loads: this.#self.loads(),
+			kind: 'tell', instance: this.#self.instance, cores: this.#self.cores, uses: this.#self.takeUses(), loads: this.#self.loads(),
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
 
 	close(): void {
 		for (const number of this.#waiting.keys()) {
-			this.#answered(number);
+			this.#answered(number, false);
 		}
 
 		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 		this.#socket?.destroy();
 		this.#socket = undefined;
 		this.#asked = new Map();
-		this.#view.reset();
+		this.#isLapsed = false;
+		this.#dataCentre = undefined;
+		this.#self.closed();
+	}
+
+	#ask(about: PlaceQuestion): void {
+		const now = this.#clock.moment();
+		this.#number++;
+		this.#askedAt = now.steady;
+		this.#asked.set(this.#number, {at: now, about});
+		const {instance, cores} = this.#self;
+		const frame: FollowerFrame = {
+			kind: 'ask', number: this.#number, instance, cores, uses: this.#self.takeUses(), loads: this.#self.loads(), about, places: this.#self.places(),
+		};
+		this.#socket?.write(encodeFrame(frame));
 	}
 
 	#isIdle(): boolean {
@@ -173,19 +234,19 @@
 	#take(frame: HubFrame): void {
 		const now = this.#clock.moment();
 		this.#heardAt = now.steady;
-		if (frame.kind === 'parts') {
-			this.#view.takeParts(frame);
-			return;
-		}
-
-		const askedAt = this.#asked.get(frame.number);
+		const asked = this.#asked.get(frame.number);
 		this.#asked.delete(frame.number);
-		if (askedAt !== undefined) {
-			this.#noteRoundTrip(now.steady - askedAt.steady);
-			this.#view.takeAnswer(frame, askedAt, now);
+		if (asked !== undefined) {
+			this.#noteRoundTrip(now.steady - asked.at.steady);
+			this.#view.takeAnswer(frame, asked.about, asked.at, now);
+			this.#mostCores = Math.max(this.#mostCores, frame.mostCores);
+			this.#instances = frame.instances;
+			this.#isLapsed = frame.isLapsed;
+			this.#dataCentre = frame.dataCentre;
+			this.#self.takeTables(frame.tables, asked.at);
 		}
 
-		this.#answered(frame.number);
+		this.#answered(frame.number, asked !== undefined);
 	}
 
 	#noteRoundTrip(milliseconds: number): void {
@@ -194,9 +255,9 @@
 	}
 
 	/** Lets the caller go on who waits for an answer. */
-	#answered(number: number): void {
+	#answered(number: number, isAnswered: boolean): void {
 		const go = this.#waiting.get(number);
 		this.#waiting.delete(number);
-		go?.();
+		go?.(isAnswered);
 	}
 }
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -4,7 +4,8 @@
  *
  * Weighed against it: each instance reading each store and engine itself, which stores and engines do not allow (a few
  * calls at a time from all instances together), and telling each other in a mesh, which costs each pair a connection.
- * When the hub dies or is cut off, instances go on with what they know themselves until another one has taken the lease.
+ * When the hub dies or is cut off, another one takes the lease some seconds later. Meanwhile a deputy answers, an instance
+ * with a lease of its own that follows the engines as well and keeps no stores.
  */
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
@@ -13,11 +14,13 @@
 import {type Child} from '../../supervisor/supervisor.js';
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
+import {type FeedFollower, type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {EngineWatches} from './engine-watches.js';
 import {askMilliseconds, type HubClient} from './hub-client.js';
-import {engineHolder, type HubFrame} from './hub-messages.js';
+import {engineHolder, type PartsAnswer, type PlaceQuestion} from './hub-messages.js';
 import {HubServer, type HubSource} from './hub-server.js';
+import {PartDirectory} from './part-directory.js';
 import {StoreKeepers} from './store-keepers.js';
 
 /** The lease is renewed when less than this is left of a grant, or less than the last renewals took. */
@@ -32,41 +35,73 @@
 const lapsedLookMilliseconds = 1500;
 /** Instances that miss the hub look for it, or take its place, spread over this time. */
 const spreadMilliseconds = 600;
+/** Instances that wait for the same lease to end try for it spread over this time. */
+const takeoverSpreadMilliseconds = 150;
+/** The lead of large machines: the time in which one of them reads the row, takes it, and is found by the others. */
+const smallMachineMilliseconds = 400;
+/** A machine counts as large with this share of the cores of the largest known one; */
+const largeShare = 0.75;
+/** While none is known, with this many cores. */
+const wholeCore = 1;
 /** How long a dialled hub may take to answer before the row is read again. */
 const dialMilliseconds = 700;
 
-type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'log' | 'hubView'>;
+/** The deputy is asked at a slower pace: only its knowledge of loads is as old as that when it is needed. */
+const stepsPerDeputyQuestion = 2;
+/** The duty of the deputy is looked for when that of the hub has been taken. */
+const deputyDelayMilliseconds = 1500;
+/** A deputy elsewhere is left when the hub's data centre is cut off; so much lead it gets. */
+const sameDataCentreMilliseconds = 300;
+/** How much later an instance with one of the two duties tries for the other one. */
+const otherDutyMilliseconds = 1000;
+
+/** Which of the two duties: to tell hints and keep the stores, or to tell hints while the hub does not answer. */
+export type HubRole = 'hub' | 'hub-deputy';
+
+type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'dataCentre' | 'endpoints' | 'log'>;
 
 /** What the hub is given. */
 export type HubParts = {
+	role: HubRole;
 	instance: string;
 	address: string;
 	seat: DutySeat;
 	client: HubClient;
 	control: CacheStoreControl;
+	/** Cores that this instance's machine gives it. */
+	cores: number;
+	/** The tables that are read here for all. */
+	feeds(): readonly FeedFollower[];
+	/** Whether this instance has the other one of the two duties. */
+	hasOtherDuty(): boolean;
+	/** In which data centre the holder of the other duty stands, if that is known. */
+	otherDataCentre(): string | undefined;
 };
 
 export class Hub implements Child, HubSource {
-	readonly name = 'hub';
+	readonly name: HubRole;
 	readonly server: HubServer;
 	readonly #context: HubContext;
 	readonly #parts: HubParts;
 	readonly #stores: StoreKeepers;
 	readonly #engines: EngineWatches;
+	readonly #directory = new PartDirectory();
 	#lookAt = 0;
 	#heldAt = Number.NEGATIVE_INFINITY;
 	#isSeeking = false;
 	#hadHub: boolean | undefined;
 	#isLeaving = false;
+	#steps = 0;
 
 	constructor(context: HubContext, parts: HubParts) {
+		this.name = parts.role;
 		this.#context = context;
 		this.#parts = parts;
 		this.server = new HubServer(parts.address, this, context.clock);
 		const {control} = parts;
 		const {clock, log} = context;
 		const tell = (holder: string, change: PartsChange): void => {
-			this.server.broadcast({kind: 'parts', holder, ...change});
+			this.#directory.take(holder, change);
 		};
 
 		this.#stores = new StoreKeepers({
@@ -79,7 +114,19 @@
 				tell(engineHolder(engine), change);
 			},
 		}, log);
-		this.#lookAt = this.#now() + (spreadMilliseconds * hashOf(parts.instance) / (2 ** 32));
+		this.#lookAt = this.#now() + this.#patience() + (spreadMilliseconds * this.#ownShare) + (this.isDeputy ? deputyDelayMilliseconds : 0);
+	}
+
+	get isDeputy(): boolean {
+		return this.#parts.role === 'hub-deputy';
+	}
+
+	get dataCentre(): string {
+		return this.#context.dataCentre;
+	}
+
+	get cores(): number {
+		return this.#parts.cores;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -102,17 +149,20 @@
 	/** Renews the duty or looks for its holder, and asks it. Calls to the store run beside the questions, which must not wait. */
 	step(): void {
 		const {seat, client} = this.#parts;
-		const isNeeded = !this.#isLeaving && (this.#declaredStores().length > 0 || this.#engineServices().size > 0);
-		if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
-			void this.#seekBeside(async () => seat.seek());
+		const isNeeded = !this.#isLeaving;
+		this.#steps++;
+		if (isNeeded && this.isHub() && this.#isInTheWay()) {
+			void this.#seekBeside(async () => seat.release());
+		} else if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
+			void this.#seekBeside(async () => seat.seek([], this.#stores.epochs()));
 		}
 
 		this.#serve();
-		if (client.isConnected) {
+		if (client.isConnected && (!this.isDeputy || this.#steps % stepsPerDeputyQuestion === 0)) {
 			client.ask();
 		}
 
-		const hasHub = client.isConnected && !this.#context.hubView.isLapsed;
+		const hasHub = client.isConnected && !client.isLapsed;
 		this.#logHub(hasHub);
 		if (isNeeded && !hasHub && this.#now() >= this.#lookAt) {
 			this.#lookAt = this.#now() + (client.isConnected ? lapsedLookMilliseconds : dialMilliseconds);
@@ -135,17 +185,28 @@
 		return this.#stores.engineClock() ?? this.#engines.engineClock();
 	}
 
-	openStores(): string[] {
-		return this.#stores.open();
+	/** A process that stood still answers before its next step; by then another hub may have freed parts. */
+	openStores(): Array<[store: string, heldTokens: number]> {
+		return this.isHub() || this.#parts.seat.isUncontested ? this.#stores.open() : [];
+	}
+
+	whereKept(question: PlaceQuestion, requestsAt: (engine: string) => number): PartsAnswer {
+		return this.#directory.answer(question, {
+			stores: this.openStores().map(([store]) => store), isKnown: engine => this.#engines.isKnown(engine), requestsAt,
+		});
 	}
 
-	knownEngines(): string[] {
-		return this.#engines.known();
+	tableNews(places: Record<string, FeedPlace>): FeedNews[] {
+		return this.#parts.feeds().flatMap(feed => {
+			const place = places[feed.table];
+			const news = place === undefined ? undefined : feed.newsFor(place);
+			return news === undefined ? [] : [news];
+		});
 	}
 
-	snapshot(): Array<HubFrame & {kind: 'parts'}> {
-		const ofEngines = this.#engines.snapshot().map(({engine, parts}) => ({holder: engineHolder(engine), added: parts, removed: []}));
-		return [...this.#stores.snapshot(), ...ofEngines].map(parts => ({kind: 'parts', ...parts}));
+	/** How much later than others this instance tries for the duty, in milliseconds. */
+	patienceMilliseconds(): number {
+		return this.#patience() + (takeoverSpreadMilliseconds * this.#ownShare);
 	}
 
 	takeUses(keys: readonly string[]): void {
@@ -160,7 +221,7 @@
 		const {client} = this.#parts;
 		if (this.#hadHub !== undefined || hasHub) {
 			this.#context.log.record(hasHub ? 'dependency-regained' : 'dependency-lost', {
-				dependency: 'hub', address: client.address, isLapsed: this.#context.hubView.isLapsed,
+				dependency: this.name, address: client.address, isLapsed: client.isLapsed,
 			});
 		}
 
@@ -176,7 +237,7 @@
 		try {
 			await seek();
 		} catch (error) {
-			this.#context.log.record('fault', {child: 'hub', error: String(error)});
+			this.#context.log.record('fault', {child: this.name, error: String(error)});
 		} finally {
 			this.#isSeeking = false;
 		}
@@ -185,7 +246,7 @@
 	/** Reads the row: takes the duty if it is free, else dials its holder. */
 	async #look(): Promise<void> {
 		const {seat, client, instance, address} = this.#parts;
-		await seat.seek();
+		await (this.#isInTheWay() ? seat.look() : seat.seek());
 		const {seen} = seat;
 		const hubAddress = this.isHub() ? address : seen?.address ?? '';
 		const isOther = this.isHub() || seen?.holder !== instance;
@@ -203,7 +264,7 @@
 	#serve(): void {
 		if (this.isHub()) {
 			this.#heldAt = this.#now();
-			this.#stores.keep(this.#declaredStores(), this.#parts.seat.grant?.row.fencingNumber ?? 0);
+			this.#stores.keep(this.#declaredStores(), this.#parts.seat.grant?.row.fencingNumber ?? 0, this.#parts.seat.inherited);
 		} else if (!this.#parts.seat.isUncontested) {
 			this.#parts.seat.lose('it was not renewed in time');
 			this.#stores.close();
@@ -223,7 +284,31 @@
 		this.server.dropAll();
 	}
 
+	/** One instance with both duties would be no help when it fails. */
+	#isInTheWay(): boolean {
+		return this.isDeputy && this.#parts.hasOtherDuty();
+	}
+
+	/** A duty that all ask belongs on a large machine, and the two in different data centres; the others give those a lead. */
+	#patience(): number {
+		const {client, cores, hasOtherDuty, otherDataCentre} = this.#parts;
+		const enough = client.mostCores === 0 ? wholeCore : largeShare * client.mostCores;
+		return (cores < enough ? smallMachineMilliseconds : 0)
+			+ (hasOtherDuty() ? otherDutyMilliseconds : 0)
+			+ (otherDataCentre() === this.#context.dataCentre ? sameDataCentreMilliseconds : 0);
+	}
+
+	/** From 0 up to 1, another one for each instance. */
+	get #ownShare(): number {
+		return hashOf(this.#parts.instance) / (2 ** 32);
+	}
+
+	/** The stores to keep; a deputy keeps none. */
 	#declaredStores(): Array<[name: string, store: StoreTraits]> {
+		if (this.isDeputy) {
+			return [];
+		}
+
 		const services = this.#context.configuration.current?.services.values() ?? [];
 		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
 	}
--- a/src/gateway/hub/store-keeper.ts
+++ b/src/gateway/hub/store-keeper.ts
@@ -14,12 +14,16 @@
 const retryMilliseconds = 250;
 /** A free order is void behind this time, so that it cannot come into force when the duty has passed on. */
 const freeLifeMilliseconds = 400;
+/** How often all parts are looked through for those that no engine can use any more. */
+const deadCheckMilliseconds = 500;
 
 /** What a keeper is given. */
 export type KeeperTools = {
 	control: CacheStoreControl;
 	clock: MomentClock;
 	log: DecisionLog;
+	/** How long a store is left alone behind events, where that is more than the usual time. */
+	pauseMilliseconds?: () => number;
 	/** Whether this instance may act for the duty. */
 	mayAct(): boolean;
 	/** Whether no engine can use what lies under a salt. */
@@ -32,20 +36,24 @@
 	readonly #service: string;
 	readonly #store: StoreTraits;
 	readonly #tools: KeeperTools;
+	#inheritedEpoch: number | undefined;
 	#since = 0;
+	#deadCheckedAt = Number.NEGATIVE_INFINITY;
 	readonly #engineClock = new EngineClock();
 
 	/**
 	 * @param service - The name of the store's service.
 	 * @param store - Where it is, and its size.
 	 * @param tools - What a keeper is given.
-	 * @param believedUntil - When followers were last told of it, in milliseconds of the steady clock.
+	 * @param before - When followers were last told of it, in milliseconds of the steady clock, and its epoch as the keeper
+	 * before knew it: if that is still the same, the store has not restarted since, and nothing in it is written anew.
 	 */
-	constructor(service: string, store: StoreTraits, tools: KeeperTools, believedUntil: number) {
+	constructor(service: string, store: StoreTraits, tools: KeeperTools, {believedUntil, inheritedEpoch}: {believedUntil: number; inheritedEpoch: number | undefined}) {
 		this.ledger = new StoreLedger(store.capacityTokens);
 		this.#service = service;
 		this.#store = store;
 		this.#tools = tools;
+		this.#inheritedEpoch = inheritedEpoch;
 		// Whatever the last keeper told may still be believed.
 		this.ledger.close(believedUntil);
 	}
@@ -69,7 +77,7 @@
 	/** Makes the next call; gives the pause behind it in milliseconds. */
 	async step(): Promise<number> {
 		if (this.ledger.epoch === undefined) {
-			return this.ledger.mayOpen(this.#now()) ? this.#open() : retryMilliseconds;
+			return this.#inheritedEpoch !== undefined || this.ledger.mayOpen(this.#now()) ? this.#open() : retryMilliseconds;
 		}
 
 		const answer = await this.#tools.control.events(this.#store.address, this.#since, eventWaitMilliseconds);
@@ -84,6 +92,16 @@
 		return listing.caseOf({
 			Left: () => retryMilliseconds,
 			Right: found => {
+				const isUnchanged = found.epoch === this.#inheritedEpoch;
+				this.#inheritedEpoch = undefined;
+				if (!isUnchanged && !this.ledger.mayOpen(this.#now())) {
+					return retryMilliseconds;
+				}
+
+				if (isUnchanged) {
+					this.ledger.reopen();
+				}
+
 				this.#since = found.next;
 				this.#tools.tell(this.#service, this.ledger.takeListing(found, this.#now()));
 				this.#tools.log.record('store-parts', {
@@ -103,9 +121,11 @@
 
 		this.#since = events.next;
 		this.#tools.tell(this.#service, this.ledger.takeEvents(events, now));
-		this.#tools.tell(this.#service, this.ledger.withdraw(now, this.#tools.isDead));
+		const isDeadDue = now - this.#deadCheckedAt >= deadCheckMilliseconds;
+		this.#deadCheckedAt = isDeadDue ? now : this.#deadCheckedAt;
+		this.#tools.tell(this.#service, this.ledger.withdraw(now, isDeadDue ? this.#tools.isDead : undefined));
 		await this.#free();
-		return batchMilliseconds;
+		return Math.max(batchMilliseconds, this.#tools.pauseMilliseconds?.() ?? 0);
 	}
 
 	async #free(): Promise<void> {
@@ -133,6 +153,7 @@
 	}
 
 	#lost(reason: string): number {
+		this.#inheritedEpoch = undefined;
 		this.#tools.tell(this.#service, this.ledger.close(this.#now()));
 		this.#tools.log.record('store-parts', {store: this.#service, state: 'closed', reason});
 		return retryMilliseconds;
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -3,6 +3,9 @@
 import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {StoreKeeper, type KeeperTools} from './store-keeper.js';
 
+/** All stores together are asked for events no more often than one each so many milliseconds. */
+const pausePerStoreMilliseconds = 10;
+
 export class StoreKeepers {
 	readonly #tools: KeeperTools;
 	readonly #keepers = new Map<string, StoreKeeper>();
@@ -20,15 +23,16 @@
 	 *
 	 * @param stores - All stores.
 	 * @param fencingNumber - The number of the duty, which rises when its holder changes.
+	 * @param inheritedEpochs - The stores' epochs as the last holder of the duty knew them.
 	 */
-	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>, fencingNumber: number): void {
+	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>, fencingNumber: number, inheritedEpochs: Readonly<Record<string, number>> = {}): void {
 		const believedUntil = this.#believedUntil(fencingNumber);
 		this.#keeping ??= new AbortController();
 		const {signal} = this.#keeping;
 		this.#fencingNumber = fencingNumber;
 		for (const [name, store] of stores) {
 			if (!this.#keepers.has(name)) {
-				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal), believedUntil);
+				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal), {believedUntil, inheritedEpoch: inheritedEpochs[name]});
 				this.#keepers.set(name, keeper);
 				void this.#run(name, keeper, signal);
 			}
@@ -36,8 +40,8 @@
 	}
 
 	/**
-	 * Keeps no store any longer. The followers are told that nothing is held: a connection may outlive the duty, and what
-	 * they heard under it must not come back into force with the next grant.
+	 * Keeps no store any longer. Nothing counts as held from then on: what was gathered under the duty must not come back into
+	 * force with the next grant.
 	 */
 	close(): void {
 		const now = this.#tools.clock.moment().steady;
@@ -54,19 +58,19 @@
 		this.#keepers.clear();
 	}
 
+	/** The epochs of the stores that are known, for the next holder of the duty. */
+	epochs(): Record<string, number> {
+		return Object.fromEntries([...this.#keepers].flatMap(([name, {ledger: {epoch}}]) => epoch === undefined ? [] : [[name, epoch]]));
+	}
+
 	/** The engines' clock, in milliseconds, if any store told it. */
 	engineClock(): number | undefined {
 		return [...this.#keepers.values()].map(({engineClock}) => engineClock).find(clock => clock !== undefined);
 	}
 
-	/** Stores that may be saved to and fetched from. */
-	open(): string[] {
-		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name]) => name);
-	}
-
-	/** All that a new follower has to hear. */
-	snapshot(): Array<{holder: string} & PartsChange> {
-		return [...this.#keepers].map(([holder, {ledger}]) => ({holder, added: ledger.offered(), removed: []}));
+	/** Stores that may be saved to and fetched from, and the tokens of the parts that they offer. */
+	open(): Array<[store: string, heldTokens: number]> {
+		return [...this.#keepers].filter(([, {isOpen}]) => isOpen).map(([name, {ledger}]) => [name, ledger.offeredTokens]);
 	}
 
 	/** Notes that parts were used. */
@@ -96,6 +100,7 @@
 	#toolsUntil(signal: AbortSignal): KeeperTools {
 		return {
 			...this.#tools,
+			pauseMilliseconds: () => pausePerStoreMilliseconds * this.#keepers.size,
 			tell: (store, change) => {
 				if (!signal.aborted) {
 					this.#tools.tell(store, change);
--- a/src/gateway/weights/weight-coordinator.ts
+++ b/src/gateway/weights/weight-coordinator.ts
@@ -16,8 +16,12 @@
 
 /** How often the coordinator looks at what it knows; no call is made for that. */
 const tickMilliseconds = 100;
-/** Instances that hear of new weights together try for the lease spread over this time. */
-const spreadMilliseconds = 250;
+/** The same while all engines have the weights that were named. */
+const idleTickMilliseconds = 400;
+/** Instances that hear of new weights together try for the lease spread over this time at least, */
+const shortestSpreadMilliseconds = 250;
+/** And over so much for each of them: most hear of the orders of the first one before they would ask the store. */
+const spreadPerInstanceMilliseconds = 10;
 /**
  * For how long a grant is acted on. A holder that stands still right behind a renewal keeps all others out for this time and
  * a lease, out of the time in which engines must have their weights; each renewal costs two calls to the store.
@@ -38,7 +42,7 @@
 /** Weight of the newest load in the mean. */
 const newestLoadShare = 0.5;
 
-type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'log' | 'metrics'>;
+type CoordinatorContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'loadingEngines' | 'log' | 'metrics'>;
 
 /** What the coordinator is told. */
 export type CoordinatorParts = {
@@ -49,6 +53,10 @@
 	store: TableService & ClockedTable;
 	control: EngineControl;
 	goals: WeightGoals;
+	/** Whether this instance is the hub. It comes last: whatever befalls the holder of orders would cost all their hub as well. */
+	isHub: () => boolean;
+	/** How many instances there are, as far as known. */
+	instances: () => number;
 };
 
 export class WeightCoordinator implements Child {
@@ -70,24 +78,22 @@
 
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await this.step();
-			await this.#context.clock.sleep(tickMilliseconds, signal);
+			const isBusy = await this.step();
+			await this.#context.clock.sleep(isBusy ? tickMilliseconds : idleTickMilliseconds, signal);
 		}
 	}
 
-	/** Looks once whether there is something to do, and does the next part of it. */
-	async step(): Promise<void> {
+	/** Looks once whether there is something to do, and does the next part of it; false if all engines have their weights. */
+	async step(): Promise<boolean> {
 		const now = this.#now();
 		const goals = this.#parts.goals.all().filter(goal => this.#enginesBehind(goal).length > 0);
 		if (goals.length === 0) {
 			this.#loading.clear();
-			return;
+			return false;
 		}
 
-		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
-		const offset = spreadMilliseconds * hashOf(`${this.#parts.instance}|${heardAt}`) / (2 ** 32);
-		if (this.#seat.grant === undefined && now < heardAt + offset) {
-			return;
+		if (this.#seat.grant === undefined && !this.#maySeek(goals, now)) {
+			return true;
 		}
 
 		if (this.#seat.left() < Math.max(renewMilliseconds, this.#seat.renewalMilliseconds)) {
@@ -96,12 +102,23 @@
 
 		if (this.#seat.left() <= 0) {
 			this.#loseDuty();
-			return;
+			return true;
 		}
 
 		for (const goal of goals) {
 			await this.#pursue(goal);
 		}
+
+		return true;
+	}
+
+	/** Whether to ask the store for the duty: not while another instance is heard to carry it out. */
+	#maySeek(goals: readonly WeightGoal[], now: number): boolean {
+		const {instance, isHub, instances} = this.#parts;
+		const heardAt = Math.max(...goals.map(goal => goal.heardAt.steady));
+		const spread = Math.max(shortestSpreadMilliseconds, spreadPerInstanceMilliseconds * instances());
+		const share = isHub() ? 1 : hashOf(`${instance}|${heardAt}`) / (2 ** 32);
+		return now >= heardAt + (spread * share) && !this.#context.loadingEngines.isHolderAlive();
 	}
 
 	async #pursue(goal: WeightGoal): Promise<void> {
--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -3,6 +3,7 @@
  * within a period fails its supervisor, which is the child of the next one up; at the root the process ends, and the
  * platform replaces the instance.
  */
+import {setMaxListeners} from 'node:events';
 
 /** A long-lived part. `run` resolves once the signal aborts; if it throws or resolves sooner, the child has failed. */
 export interface Child {
@@ -57,6 +58,8 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const round = new AbortController();
+			// Every child listens while it waits for something; there may be more of them than Node takes for a leak.
+			setMaxListeners(0, round.signal);
 			const stop = (): void => {
 				round.abort();
 			};
--- a/src/test/memory-table.ts
+++ b/src/test/memory-table.ts
@@ -12,15 +12,30 @@
 	down = false;
 	/** How many coming commits are applied and then lose their answer. */
 	loseAnswers = 0;
-	readonly #rows = new Map<string, Row>();
+	era = 0;
+	/** Calls that read, answered or not. */
+	reads = 0;
+	#rows = new Map<string, Row>();
+
+	/** Gives a copy, to which the table can be restored. */
+	copy(): ReadonlyMap<string, Row> {
+		return structuredClone(this.#rows);
+	}
+
+	/** Comes back from a copy, in a new era: what was written since is lost, and its revisions are given out again. */
+	restore(copy: ReadonlyMap<string, Row>): void {
+		this.#rows = new Map(structuredClone(copy));
+		this.era++;
+	}
 
 	async read(name: RowName): Promise<Either<TableFailure, Row | undefined>> {
 		return this.down ? Left(away) : Right(this.#rows.get(rowKeyOf(name)));
 	}
 
 	async readClocked(name: RowName): Promise<Either<TableFailure, ClockedRow>> {
+		this.reads++;
 		const read = await this.read(name);
-		return read.map(row => ({row, storeMilliseconds: this.now}));
+		return read.map(row => ({row, storeMilliseconds: this.now, era: this.era}));
 	}
 
 	async scan(query: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
