--- a/src/gateway/hub/hub-client.test.ts
+++ b/src/gateway/hub/hub-client.test.ts
@@ -10,27 +10,12 @@
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {startScriptedServer} from '../../test/scripted-server.js';
 import {standStill} from '../../test/separate-callers.js';
-import {type FollowerSelf, HubClient} from './hub-client.js';
+import {testFollower} from '../testing/test-follower.js';
+import {HubClient} from './hub-client.js';
 import {type FollowerFrame, type HubFrame, noQuestion} from './hub-messages.js';
 import {HubView} from './hub-view.js';
 import {NewsSources} from './news-sources.js';
 
-/** An instance that follows no tables and watches no endpoints. */
-const self: FollowerSelf = {
-	instance: 'i1',
-	cores: 1,
-	loads: () => ({}),
-	takeUses: () => [],
-	closed() {
-		// Nothing is to be forgotten here.
-	},
-	watched: () => [],
-	places: () => ({}),
-	takeTables() {
-		// It follows none.
-	},
-};
-
 /** An answer that says nothing; each test adds what it is about. */
 const emptyAnswer: HubFrame = {
 	kind: 'answer', number: 1, isDeputy: false, dataCentre: 'split', isLapsed: false, open: [], loads: {}, parts: {kept: [], engines: [], unknown: []}, tables: [], mostCores: 1, instances: 1,
@@ -77,12 +62,11 @@
 	await once(server, 'listening');
 	played.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 	const view = new HubView();
-	const client = new HubClient(view, {
-		...self,
+	const client = new HubClient(view, testFollower({
 		closed() {
 			view.reset();
 		},
-	}, clock, waitMilliseconds);
+	}), clock, waitMilliseconds);
 	context.after(() => {
 		client.close();
 		server.close();
@@ -182,7 +166,7 @@
 	const bytes = encodeFrame(emptyAnswer);
 	const hub = new Worker(hubProgram, {eval: true, workerData: bytes});
 	const [port] = await once(hub, 'message') as [number];
-	const client = new HubClient(new HubView(), self, systemMomentClock);
+	const client = new HubClient(new HubView(), testFollower(), systemMomentClock);
 	client.dial(`127.0.0.1:${port}`);
 	const asking = setInterval(() => {
 		client.ask();
@@ -211,7 +195,7 @@
 			clearInterval(dripping);
 		});
 	});
-	const client = new HubClient(new HubView(), self, systemMomentClock);
+	const client = new HubClient(new HubView(), testFollower(), systemMomentClock);
 	client.dial(server.address);
 	const asking = setInterval(() => {
 		client.ask();
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -10,6 +10,7 @@
 import {DutySeat} from '../duty/duty-seat.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {testConfiguration} from '../testing/test-configuration.js';
+import {testFollower} from '../testing/test-follower.js';
 import {Hub} from './hub.js';
 import {HubClient} from './hub-client.js';
 import {HubView} from './hub-view.js';
@@ -97,20 +98,13 @@
 		const seat = new DutySeat({
 			table: 'leases', duty: 'hub', instance, address, leaseMilliseconds: 1000, actingMilliseconds: 500,
 		}, {store: table, clock, log});
-		const client = new HubClient(hubView, {
+		const client = new HubClient(hubView, testFollower({
 			instance,
-			cores: 1,
 			loads: () => ({engine: [index + 1, 10, 0, 0, 0, 0, 0]}),
-			takeUses: () => [],
 			closed() {
 				hubView.reset();
 			},
-			watched: () => [],
-			places: () => ({}),
-			takeTables() {
-				// No tables are followed here.
-			},
-		}, clock);
+		}), clock);
 		const hub = new Hub({
 			clock, configuration, dataCentre: 'split', endpoints: new EndpointRegistry(), log,
 		}, {
@@ -198,20 +192,7 @@
 		instance: 'i1',
 		address: '127.0.0.1:1',
 		seat,
-		client: new HubClient(new HubView(), {
-			instance: 'i1',
-			cores: 1,
-			loads: () => ({}),
-			takeUses: () => [],
-			closed() {
-				// Nothing is known here.
-			},
-			watched: () => [],
-			places: () => ({}),
-			takeTables() {
-				// No tables are followed here.
-			},
-		}, clock),
+		client: new HubClient(new HubView(), testFollower(), clock),
 		control: new PlayedStore(),
 		cores: 1,
 		feeds: () => [],
