Let a keeper that replaces a failed one trust no inherited epoch

Cause: every keeper got the epochs that the last holder of the duty had left, also one that takes the place of a keeper that failed. It opened its store at once, though an order of the failed keeper to free a part could still be on its way: the part would have been offered, and fetched while it is freed.

The test fails without the change (offered again 100 ms behind the failure or sooner) and passes with it.

--- a/src/gateway/hub/store-keepers.test.ts
+++ b/src/gateway/hub/store-keepers.test.ts
@@ -207,3 +207,46 @@
 	assert.ok(await firstOffer(8, {cache: 7}) >= withdrawalMilliseconds);
 	assert.ok(await firstOffer(7, {}) >= withdrawalMilliseconds);
 });
+
+test('a keeper that takes the place of one that failed offers nothing until nobody believes older news', async () => {
+	// Guards against a part that is offered while an order of the failed keeper to free it is on its way.
+	let now = 0;
+	let hasFailed = false;
+	const epoch = 7;
+	const keepers = keepersThatTellNobody({
+		list: async () => Right({
+			epoch, next: 1, parts: [{salt: 's', id: 'p', tokens: 800}], partial: [],
+		}),
+		async events() {
+			if (!hasFailed) {
+				hasFailed = true;
+				throw new Error('played');
+			}
+
+			return Right({
+				epoch, next: 1, isIncomplete: false, added: [], removed: [], clockMilliseconds: now,
+			});
+		},
+		free: async () => Right(undefined),
+	}, () => now);
+	const turns = async (): Promise<void> => {
+		for (let turn = 0; turn < 20; turn++) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	};
+
+	keepers.keep(stores, 2, {cache: epoch});
+	await turns();
+	assert.equal(hasFailed, true);
+	const failedAt = now;
+	while (keepers.open().length === 0 && now < 10_000) {
+		keepers.keep(stores, 2, {cache: epoch});
+		await turns();
+		now += 100;
+	}
+
+	keepers.close();
+	assert.ok(now - failedAt >= withdrawalMilliseconds, `offered again ${now - failedAt} ms behind the failure`);
+});
--- a/src/gateway/hub/store-keepers.ts
+++ b/src/gateway/hub/store-keepers.ts
@@ -27,12 +27,14 @@
 	 */
 	keep(stores: ReadonlyArray<[name: string, store: StoreTraits]>, fencingNumber: number, inheritedEpochs: Readonly<Record<string, number>> = {}): void {
 		const believedUntil = this.#believedUntil(fencingNumber);
+		// Later on only a keeper that failed is replaced: an order of that one may still be on its way.
+		const epochs = this.#keeping === undefined ? inheritedEpochs : {};
 		this.#keeping ??= new AbortController();
 		const {signal} = this.#keeping;
 		this.#fencingNumber = fencingNumber;
 		for (const [name, store] of stores) {
 			if (!this.#keepers.has(name)) {
-				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal), {believedUntil, inheritedEpoch: inheritedEpochs[name]});
+				const keeper = new StoreKeeper(name, store, this.#toolsUntil(signal), {believedUntil, inheritedEpoch: epochs[name]});
 				this.#keepers.set(name, keeper);
 				void this.#run(name, keeper, signal);
 			}
