--- a/src/protocol/duty/duty-lease.test.ts
+++ b/src/protocol/duty/duty-lease.test.ts
@@ -62,6 +62,7 @@
 	grant: DutyGrant | undefined;
 	readonly #failing: Failing;
 	readonly #leaseMilliseconds: number;
+	readonly #actingTimes: readonly number[];
 	#steady = 0;
 	#jump = 0;
 	#suspendedUntil = 0;
@@ -69,7 +70,8 @@
 	#reading: {answerAt: number; since: Moment; seen: Stored; at: number} | undefined;
 	#writing: {doneAt: number; row: DutyRow; revision: number; era: number; since: Moment} | undefined;
 
-	constructor(name: string, leaseMilliseconds: number, failing: Failing) {
+	constructor(name: string, {leaseMilliseconds, actingTimes}: SimulatedTerms, failing: Failing) {
+		this.#actingTimes = actingTimes;
 		this.#failing = failing;
 		this.name = name;
 		this.#leaseMilliseconds = leaseMilliseconds;
@@ -109,7 +111,7 @@
 
 	#read(time: number, random: () => number): void {
 		const {seen, at, since} = this.#reading!;
-		const actingMilliseconds = actingTimes[Math.floor(random() * actingTimes.length)]!;
+		const actingMilliseconds = this.#actingTimes[Math.floor(random() * this.#actingTimes.length)]!;
 		const decided = decideDuty(seen.row, this.name, this.#readingOf(seen, at, since), {leaseMilliseconds: this.#leaseMilliseconds, actingMilliseconds});
 		this.#reading = undefined;
 		if (decided.kind === 'take') {
@@ -132,8 +134,13 @@
 type Stored = {row: DutyRow | undefined; revision: number; era: number};
 
 const stepMilliseconds = 20;
-/** A holder acts longer on one grant where its store is slow. */
-const actingTimes = [300, 600, 1500];
+/** The lease, and for how long holders act on one grant: longer where their store is slow. */
+type SimulatedTerms = {leaseMilliseconds: number; actingTimes: readonly number[]};
+
+const varyingTerms: SimulatedTerms = {leaseMilliseconds: lease, actingTimes: [300, 600, 1500]};
+const shortTerms: SimulatedTerms = {leaseMilliseconds: lease / 2, actingTimes: [300, 600, 1500]};
+/** Where a grant may be lost, its length must be known: it is the same for all, or at most half of the lease. */
+const hubTerms: SimulatedTerms = {leaseMilliseconds: lease / 2, actingTimes: [1500]};
 
 /** Over thousands of schedules both clocks of one instance would fail within one grant, against which no lease is proof. */
 const oneClock: readonly Failing[] = ['steady', 'wall'];
@@ -146,12 +153,13 @@
 
 /** Plays five instances for a minute; throws if two of them give orders less than a lease apart, or numbers fall. */
 function playHolders(seed: number, era: number, restores: boolean): number {
-	// No instance acts for longer on one grant than half of a lease that may be lost.
-	const leaseMilliseconds = restores || seed % 2 === 0 ? lease : lease / 2;
+	const oddTerms = restores ? hubTerms : shortTerms;
+	const simulatedTerms = seed % 2 === 0 ? varyingTerms : oddTerms;
+	const {leaseMilliseconds} = simulatedTerms;
 	const random = seededRandom(seed);
 	const store: {stored: Stored} = {stored: {row: undefined, revision: 0, era}};
 	const copies: Stored[] = [];
-	const instances = Array.from({length: 5}, (_, index) => new SimulatedInstance(`i${index}`, leaseMilliseconds, restores ? oneClock[index % 2]! : 'either'));
+	const instances = Array.from({length: 5}, (_, index) => new SimulatedInstance(`i${index}`, simulatedTerms, restores ? oneClock[index % 2]! : 'either'));
 	let last: {holder: string; at: number; fence: number} | undefined;
 	let turns = 0;
 	for (let time = 0; time < 60_000; time += stepMilliseconds) {
