Let the deputy read in time, and split what had grown large

Fault: when the hub stops, its deputy was to read the tables for all; every other instance made calls of its own all the same where the news may be 1.2 s old. Change: the deputy looks every 80 ms whether it is to read, its first call does not wait, and it is asked at the full pace while the hub does not answer. Not covered: a hub that stands still is noticed behind 0.6 s only, so there some others may still read for themselves at the shortest bounds.

Split without a change of behaviour: the choice of endpoints out of routed-request, the hub and its deputy out of the daemon (hub-pair), the followers of tables (table-feeds, feed-news), what the hub follows (hub-services), and the lead of large machines (duty-patience), which had no test. One name for incarnations stands in endpoint-record.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -12,12 +12,12 @@
  * elsewhere, with reading weighed for the time that it takes from others.
  */
 import {spreadRetry} from '../limits/spread-retry.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {CandidateEstimates, heldTokensOf, scopeAt} from './candidate-estimates.js';
 import {
 	type EndpointLoad, isSilent, lonelySilenceMilliseconds, silenceMilliseconds, unreadBefore,
 } from './endpoint-load.js';
-import {EndpointMemories, incarnationOf} from './endpoint-memories.js';
+import {EndpointMemories} from './endpoint-memories.js';
 import {homesOf} from './home-of.js';
 import {beginsInGrant, isBehind} from './older-weights.js';
 import {
--- a/src/decision/placement/endpoint-memories.ts
+++ b/src/decision/placement/endpoint-memories.ts
@@ -1,5 +1,5 @@
 /** What placing remembers: of each incarnation of an endpoint, and of the engines of each service together. */
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {BelievedParts} from './believed-parts.js';
 import {type EndpointLoad} from './endpoint-load.js';
 import {EndpointOutlook} from './endpoint-outlook.js';
@@ -55,11 +55,6 @@
 	}
 }
 
-/** Tells one incarnation of an endpoint from the next. */
-export function incarnationOf({name, bornAt}: EndpointRecord): string {
-	return `${name}@${bornAt}`;
-}
-
 function remembered<Value>(map: Map<string, Value>, key: string, create: () => Value): Value {
 	const known = map.get(key);
 	if (known !== undefined) {
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -9,18 +9,16 @@
 } from '../../decision/attempts/next-step.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {breakOffAnswer} from '../../serving/break-off-answer.js';
 import {hasCallerLeft} from '../../serving/has-caller-left.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
+import {EndpointChoice} from './endpoint-choice.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointTry, type TryResult} from './endpoint-try.js';
 import {EventCutter} from './event-cutter.js';
 import {type PermittedRequest} from './judge-request.js';
 import {passOnFailure} from './pass-on-failure.js';
-import {placementRequestOf} from './placement-request.js';
-import {PromptSources} from './prompt-sources.js';
 import {reportEnd, type RoutedEnd} from './report-end.js';
 import {RequestEnding} from './request-ending.js';
 import {type RequestHead} from './request-head.js';
@@ -37,19 +35,16 @@
 
 /** When a caller may come back whom every endpoint rejected: the time in which a queue of short requests drains. */
 const rejectedRetryMilliseconds = 500;
-/** A request that finds no room at the endpoints it looked at looks at others, so often in all; then the service is full. */
-const mostSamples = 3;
-
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
 	readonly #deadline: number;
 	readonly #tried = new Set<string>();
+	readonly #choice: EndpointChoice;
 	readonly #cutter: EventCutter | undefined;
 	readonly #ending: RequestEnding;
 	#current: EndpointTry | undefined;
 	#sends = 0;
-	#samples = 0;
 	#mayHaveRun = false;
 	#hasLeft = false;
 	#isExpired = false;
@@ -63,6 +58,7 @@
 	constructor(context: GatewayContext, work: RoutedWork) {
 		this.#context = context;
 		this.#work = work;
+		this.#choice = new EndpointChoice(context, work, this.#tried);
 		const {route} = work.permitted;
 		const patience = work.head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
 		this.#deadline = work.arrivedAt.steady + Math.min(route.timeoutMilliseconds, patience);
@@ -108,8 +104,7 @@
 
 	async #tryUntilDone(): Promise<RoutedEnd> {
 		for (;;) {
-			const choices = this.#choices();
-			await this.#hearOf(choices);
+			await this.#choice.look();
 
 			const hasLeft = await hasCallerLeft(this.#work.request, this.#context.eventLoopLag.current);
 			if (hasLeft || this.#hasLeft) {
@@ -120,8 +115,8 @@
 				return this.#ending.expire(this.#mayHaveRun);
 			}
 
-			const {request, placement} = this.#place(choices);
-			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#mayLookFurther(choices)) {
+			const {request, placement} = this.#choice.place();
+			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#choice.mayLookFurther()) {
 				continue;
 			}
 
@@ -197,40 +192,6 @@
 		}
 	}
 
-	/** The endpoints to choose from: all, or some of many. */
-	#choices(): EndpointRecord[] {
-		const now = this.#now();
-		const request = placementRequestOf(this.#context, this.#work, this.#tried);
-		return this.#context.placement.choices(request, this.#usable(now), now, this.#samples);
-	}
-
-	/** Asks what the others do there and where the parts of a prompt are kept; a plain call is placed by what is known. */
-	async #hearOf(choices: readonly EndpointRecord[]): Promise<void> {
-		const {head, permitted} = this.#work;
-		if (permitted.route.carriesPrompt) {
-			await this.#context.peerNews.refresh(new PromptSources(this.#context, head, permitted).question(choices));
-		}
-	}
-
-	#place(choices: readonly EndpointRecord[]): {request: PlacementRequest; placement: Placement} {
-		const {head, permitted} = this.#work;
-		const now = this.#now();
-		const request = placementRequestOf(this.#context, this.#work, this.#tried);
-		const keepers = request.prompt === undefined ? [] : new PromptSources(this.#context, head, permitted).keepers();
-		const names = new Set([...choices, ...keepers].map(({name}) => name));
-		const known = this.#usable(now).filter(({name}) => names.has(name));
-		return {request, placement: this.#context.placement.place(request, known, now)};
-	}
-
-	#usable(now: number): EndpointRecord[] {
-		return this.#context.endpoints.usable(this.#work.permitted.service, now);
-	}
-
-	#mayLookFurther(choices: readonly EndpointRecord[]): boolean {
-		this.#samples++;
-		return this.#samples < mostSamples && choices.length < this.#usable(this.#now()).length;
-	}
-
 	async #send(request: PlacementRequest, {endpoint, basis}: Placement & {kind: 'send'}): Promise<TryResult> {
 		const {head, permitted, body, response} = this.#work;
 		this.#tried.add(endpoint.name);
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -9,14 +9,11 @@
  * A store that comes back from an older copy shows endpoints as ready that have left since. Such a row brings none of them
  * back: a living endpoint writes its row again, and the row of one that is gone lapses.
  */
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 
 /** An endpoint whose row is missing since the store was away. */
 type Doubt = {record: EndpointRecord; until: number};
 
-/** Tells one incarnation of an endpoint from the next. */
-type Incarnation = string;
-
 /** What changed in the registry. */
 export type RegistryChange = {
 	appeared: EndpointRecord[];
@@ -40,7 +37,7 @@
 	/** Until when a vanished row may be the trace of an outage. */
 	#unsureUntil = 0;
 	/** Endpoints that were found to leave or to be gone, in that order. */
-	readonly #departures = new Set<Incarnation>();
+	readonly #departures = new Set<string>();
 	/** Rows of a restored store that contradict a departure, and until when they are not believed. */
 	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
@@ -212,7 +209,3 @@
 		change.vanished.push(record);
 	}
 }
-
-function incarnationOf({name, bornAt}: EndpointRecord): Incarnation {
-	return `${name}@${bornAt}`;
-}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -15,7 +15,7 @@
 import {type CacheStoreControl} from '../ports/cache-store-control.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
 import {type EngineControl} from '../ports/engine-control.js';
-import {type Moment, type MomentClock} from '../ports/moment-clock.js';
+import {type MomentClock} from '../ports/moment-clock.js';
 import {type TableFeed} from '../ports/table-feed.js';
 import {type TableService} from '../ports/table-service.js';
 import {formatFinding} from '../shared/format-finding.js';
@@ -30,21 +30,16 @@
 import {EndpointProber} from './endpoints/endpoint-prober.js';
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type GatewayContext} from './gateway-context.js';
-import {type GatewaySettings, type GatewayTimings, timingsOf} from './gateway-settings.js';
-import {DutySeat} from './duty/duty-seat.js';
-import {dutyTable} from './duty/weights-duty.js';
-import {Hub, type HubRole} from './hub/hub.js';
-import {type FollowerSelf, HubClient} from './hub/hub-client.js';
+import {type GatewaySettings, timingsOf} from './gateway-settings.js';
+import {type HubContext} from './hub/hub.js';
 import {packLoads} from './hub/hub-messages.js';
+import {HubPair} from './hub/hub-pair.js';
 import {HubView} from './hub/hub-view.js';
-import {NewsSources} from './hub/news-sources.js';
 import {DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
 import {type Catalog} from './watchers/catalog.js';
-import {EndpointReader} from './watchers/endpoint-reader.js';
-import {FeedFollower, type FeedNews} from './watchers/feed-follower.js';
-import {OperatorReader} from './watchers/operator-reader.js';
+import {TableFeeds} from './watchers/table-feeds.js';
 import {LoadingEngines} from './watchers/loading-engines.js';
 import {WeightCoordinator} from './weights/weight-coordinator.js';
 import {WeightGoals} from './weights/weight-goals.js';
@@ -67,21 +62,6 @@
 const unreadyMilliseconds = 2300;
 /** Left of the grace period for the end of the process itself. */
 const exitMarginMilliseconds = 400;
-/** Rows of leases that nobody follows. */
-const leaseTable = 'leases';
-/**
- * The hub's lease may be shorter than that of orders to engines: what it orders stores to free is void behind a fraction of a
- * second. While a hub that died holds its lease, every instance places without news of the others, and prompts are read again.
- */
-const hubLeaseMilliseconds = 1500;
-/** For how long the hub acts on a grant: a table that is away for less is not noticed. */
-const hubActingMilliseconds = 1500;
-/** Hints may be late: a feed that brings nothing else waits long, to cost few calls. */
-const hintWaitMilliseconds = 20_000;
-/** The same, where another instance reads for this one. */
-const relayedHintWaitMilliseconds = 1000;
-/** Without the instance that reads for all, an instance asks for hints itself behind this time. */
-const hintLapseMilliseconds = 4000;
 /** How many endpoints the steady questions are about: all of a small deployment; of a large one, those of plain services. */
 const mostWatched = 24;
 /** More than any deployment's own limit on headers, which is checked behind the parser. */
@@ -95,11 +75,8 @@
 	readonly #callers: HttpListener;
 	readonly #ready: HttpListener;
 	readonly #metricsListener: HttpListener;
-	readonly #hub: Hub;
-	readonly #hubClient: HubClient;
-	readonly #deputy: Hub;
-	readonly #deputyClient: HubClient;
-	readonly #feeds: readonly FeedFollower[];
+	readonly #hubs: HubPair;
+	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
 	readonly #exchanges = new HttpEndpointExchanges();
@@ -115,49 +92,30 @@
 		const timings = timingsOf(settings.bounds);
 		const hubView = new HubView();
 		this.#placement = new CostPlacement(settings.dataCentre, endpoint => hubView.othersAt(endpoint, clock.moment()));
-		const self: FollowerSelf = {
-			instance: settings.instance,
-			cores: settings.cores,
-			loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
-			takeUses: () => hubView.takeUses(),
-			closed() {
-				hubView.reset();
-			},
-			watched: () => this.#watchedEndpoints(),
-			places: () => Object.fromEntries(this.#feeds.flatMap(({table, place}) => place === undefined ? [] : [[table, place]])),
-			takeTables: (news, askedAt) => {
-				this.#takeTables(news, askedAt);
-			},
-		};
-		this.#hubClient = new HubClient(hubView, self, clock);
-		this.#deputyClient = new HubClient(hubView, {
-			...self,
-			// The stores that were used are the hub's.
-			takeUses: () => [],
-			closed() {
-				// What the hub told holds on.
-			},
-		}, clock);
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
 		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, lagMilliseconds => {
 			reportLag({log, metrics}, lagMilliseconds);
 		});
-		this.#context = {
+		const shared = {
 			dataCentre: settings.dataCentre,
 			clock,
-			names: ports.names,
+			log,
 			configuration: new ConfigurationView({freshMilliseconds: timings.freshMilliseconds, leaseMilliseconds: timings.keyLeaseMilliseconds}),
 			endpoints: new EndpointRegistry(),
+		};
+		this.#hubs = this.#createHubs(shared, hubView, ports);
+		this.#context = {
+			...shared,
+			names: ports.names,
 			placement: this.#placement,
 			hubView,
-			peerNews: new NewsSources([this.#hubClient, this.#deputyClient]),
+			peerNews: this.#hubs.news,
 			partPlanner: new PartPlanner(),
 			eventLoopLag: this.#eventLoopLag,
 			budget: new SharedRepeatBudget({ratio: settings.bounds.repeatRatio, windowMilliseconds: settings.bounds.repeatWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			goals: new WeightGoals(settings.bounds.weightsMilliseconds),
 			loadingEngines: new LoadingEngines(() => clock.moment().steady),
-			log,
 			metrics,
 			refuse: createRefuse(metrics),
 		};
@@ -168,9 +126,7 @@
 		}, settings.listenCallers, {...defaultListenerBounds, largestHeaderBytes: parserHeaderBytes});
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
-		this.#hub = this.#createHub('hub', ports);
-		this.#deputy = this.#createHub('hub-deputy', ports);
-		this.#feeds = this.#createFeeds(ports, timings);
+		this.#feeds = new TableFeeds(this.#context, {...ports, isReader: () => this.#hubs.isReader, isStandby: () => this.#hubs.isDeputy}, timings);
 		this.#root = this.#tree(ports);
 	}
 
@@ -211,8 +167,7 @@
 		const startedAt = clock.moment().steady;
 		log.record('stopping', {openRequests: this.#front.open});
 		this.#callers.announceClose();
-		void this.#hub.leave();
-		void this.#deputy.leave();
+		void this.#hubs.leave();
 		await clock.sleep(unreadyMilliseconds, this.#stop.signal);
 		const left = this.#graceMilliseconds - exitMarginMilliseconds - (clock.moment().steady - startedAt);
 		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
@@ -225,58 +180,25 @@
 		log.record('stopped', {openRequests: this.#front.open, milliseconds: Math.round(clock.moment().steady - startedAt)});
 	}
 
-	#createHub(role: HubRole, {store, clock, storeControl}: GatewayPorts): Hub {
-		const {log} = this.#context;
-		const {instance, listenPeers, listenDeputy, cores} = this.#settings;
-		const isDeputy = role === 'hub-deputy';
-		const address = isDeputy ? listenDeputy : listenPeers;
-		const seat = new DutySeat({
-			table: leaseTable,
-			duty: role,
-			instance,
-			address,
-			leaseMilliseconds: hubLeaseMilliseconds,
-			actingMilliseconds: hubActingMilliseconds,
-			patienceMilliseconds: (): number => hub.patienceMilliseconds(),
-		}, {store, clock, log});
-		const hub = new Hub(this.#context, {
-			role,
-			instance,
-			address,
-			seat,
-			client: isDeputy ? this.#deputyClient : this.#hubClient,
+	#createHubs(shared: HubContext, view: HubView, {store, storeControl, clock}: GatewayPorts): HubPair {
+		const {instance, cores, listenPeers, listenDeputy} = this.#settings;
+		return new HubPair(shared, {
+			store,
 			control: storeControl,
-			cores,
-			feeds: () => this.#feeds,
-			hasOtherDuty: () => (isDeputy ? this.#hub : this.#deputy)?.isHub() ?? false,
-			otherDataCentre: () => (isDeputy ? this.#hubClient : this.#deputyClient).dataCentre,
+			view,
+			addresses: {hub: listenPeers, 'hub-deputy': listenDeputy},
+			self: {
+				instance,
+				cores,
+				loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+				watched: () => this.#watchedEndpoints(),
+				places: () => this.#feeds.places(),
+				takeTables: (news, askedAt) => {
+					this.#feeds.takeNews(news, askedAt);
+				},
+			},
+			tableNews: places => this.#feeds.newsFor(places),
 		});
-		return hub;
-	}
-
-	#createFeeds({store, catalog, clock, random}: GatewayPorts, timings: GatewayTimings): FeedFollower[] {
-		const {log, goals, loadingEngines} = this.#context;
-		const {feedWaitMilliseconds: waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds} = timings;
-		const tools = {
-			clock, log, random, isReader: () => this.#hub.isHub() || (this.#deputy.isHub() && !this.#hubClient.isResponsive),
-		};
-		return [
-			new FeedFollower(store, {
-				table: catalog.operatorTable, waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds,
-			}, new OperatorReader(this.#context, catalog, goals), tools),
-			new FeedFollower(store, {
-				table: catalog.endpointTable, waitMilliseconds, readerWaitMilliseconds, relayLapseMilliseconds,
-			}, new EndpointReader(this.#context, catalog), tools),
-			new FeedFollower(store, {
-				table: dutyTable, waitMilliseconds: hintWaitMilliseconds, readerWaitMilliseconds: relayedHintWaitMilliseconds, relayLapseMilliseconds: hintLapseMilliseconds,
-			}, loadingEngines, tools),
-		];
-	}
-
-	#takeTables(news: readonly FeedNews[], askedAt: Moment): void {
-		for (const one of news) {
-			this.#feeds.find(({table}) => table === one.table)?.takeRelayed(one, askedAt);
-		}
 	}
 
 	/** Plain calls are placed without a question for each; what others do at their endpoints comes with the steady ones. */
@@ -301,15 +223,12 @@
 				log.record('fault', {child: event.child, event: event.kind, error: String(event.error)});
 			},
 			children: [
-				...this.#feeds,
+				...this.#feeds.followers,
 				new WeightCoordinator(this.#context, {
-					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals, isHub: () => this.#hub.isHub(), instances: () => this.#hubClient.instances,
+					instance, leaseMilliseconds, boundMilliseconds: weightsMilliseconds, store, control, goals, isHub: () => this.#hubs.isHub, instances: () => this.#hubs.instances,
 				}),
 				new EndpointProber(this.#context),
-				this.#hub,
-				this.#hub.server,
-				this.#deputy,
-				this.#deputy.server,
+				...this.#hubs.children(),
 				this.#callers,
 				this.#ready,
 				this.#metricsListener,
--- a/src/gateway/hub/hub-client.ts
+++ b/src/gateway/hub/hub-client.ts
@@ -8,7 +8,7 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {freshMilliseconds} from '../../protocol/parts/part-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
-import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-news.js';
 import {
 	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, noQuestion, type PackedLoad, type PlaceQuestion,
 } from './hub-messages.js';
--- a/src/gateway/hub/hub-messages.ts
+++ b/src/gateway/hub/hub-messages.ts
@@ -1,7 +1,7 @@
 /** What the hub and its followers say to each other, as frames over one connection each. */
 
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
-import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-news.js';
 
 /** A connection between the hub and a follower on which no whole frame came for so long is closed, by either side. */
 export const idleTimeoutMilliseconds = 1200;
--- /dev/null
+++ b/src/gateway/hub/hub-pair.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {Left, Right} from 'purify-ts/Either';
+import {systemMomentClock as clock} from '../../adapters/system-moment-clock.js';
+import {type FeedRow, type FollowQuery, type TableFeed} from '../../ports/table-feed.js';
+import {MemoryTable} from '../../test/memory-table.js';
+import {ConfigurationView} from '../configuration/configuration-view.js';
+import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {DecisionLog} from '../observability/decision-log.js';
+import {testFollower} from '../testing/test-follower.js';
+import {FeedFollower} from '../watchers/feed-follower.js';
+import {HubPair} from './hub-pair.js';
+import {HubView} from './hub-view.js';
+
+/** A store with a table that grows; its feed answers when there is news, or the wait is over. */
+class GrowingStore extends MemoryTable implements TableFeed {
+	readonly rows: FeedRow[] = [];
+	position = 1;
+	/** The instances that called the feed. */
+	readonly callers = new Set<string>();
+
+	add(row: Omit<FeedRow, 'revision'>): void {
+		this.position++;
+		this.rows.push({...row, revision: this.position});
+	}
+
+	async readWhole() {
+		return Right({rows: [...this.rows], position: this.position, era: 0});
+	}
+
+	async follow({after, waitMilliseconds}: FollowQuery) {
+		const until = clock.moment().steady + waitMilliseconds;
+		while (this.position <= after && clock.moment().steady < until) {
+			await pause(5);
+		}
+
+		return Right({rows: this.rows.filter(({revision}) => revision > after), position: this.position, era: 0});
+	}
+}
+
+async function freeAddress(): Promise<string> {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return `127.0.0.1:${port}`;
+}
+
+async function until(what: string, isTrue: () => boolean, withinMilliseconds: number): Promise<void> {
+	const giveUpAt = clock.moment().steady + withinMilliseconds;
+	while (!isTrue()) {
+		assert.ok(clock.moment().steady < giveUpAt, `not in time: ${what}`);
+		await pause(10);
+	}
+}
+
+/** An instance that may be the hub or its deputy, and follows one table. */
+async function startInstance(name: string, store: GrowingStore) {
+	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
+	const stop = new AbortController();
+	const heard: FeedRow[] = [];
+	const take = (rows: readonly FeedRow[]): void => {
+		heard.push(...rows);
+	};
+
+	const pair: HubPair = new HubPair({
+		clock, log, configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), dataCentre: 'split', endpoints: new EndpointRegistry(),
+	}, {
+		store,
+		control: {list: async () => Left('none'), events: async () => Left('none'), free: async () => Left('none')},
+		view: new HubView(),
+		addresses: {hub: await freeAddress(), 'hub-deputy': await freeAddress()},
+		self: testFollower({
+			instance: name,
+			places: () => follower.place === undefined ? {} : {list: follower.place},
+			takeTables(news, askedAt) {
+				for (const one of news) {
+					follower.takeRelayed(one, askedAt);
+				}
+			},
+		}),
+		tableNews(places) {
+			const news = places.list === undefined ? undefined : follower.newsFor(places.list);
+			return news === undefined ? [] : [news];
+		},
+	});
+	const follower = new FeedFollower({
+		readWhole: async () => store.readWhole(),
+		async follow(query) {
+			store.callers.add(name);
+			return store.follow(query);
+		},
+	}, {
+		table: 'list', waitMilliseconds: 2000, readerWaitMilliseconds: 300, relayLapseMilliseconds: 1200,
+	}, {
+		takeWhole: take,
+		takeChanges: take,
+		takeFailure() {
+			// The store is sound here.
+		},
+	}, {
+		clock, log, random: () => 0, isReader: () => pair.isReader, isStandby: () => pair.isDeputy,
+	});
+	for (const child of [follower, ...pair.children()]) {
+		void child.run(stop.signal);
+	}
+
+	return {
+		pair, heard, stop, name,
+	};
+}
+
+/** Four instances, when one of them is the hub and another one its deputy. */
+async function startInstances(context: TestContext) {
+	const store = new GrowingStore();
+	const startedAt = clock.moment().steady;
+	const ticking = setInterval(() => {
+		store.now = clock.moment().steady - startedAt;
+	}, 10);
+	const instances = await Promise.all(['i1', 'i2', 'i3', 'i4'].map(async name => startInstance(name, store)));
+	context.after(() => {
+		clearInterval(ticking);
+		for (const {stop} of instances) {
+			stop.abort();
+		}
+	});
+	await until('all hear from a hub', () => instances.every(({pair}) => pair.instances === instances.length), 8000);
+	const rowOfDeputy = async (): Promise<string | undefined> => {
+		const read = await store.read({table: 'leases', key: 'hub-deputy'});
+		return (read.unsafeCoerce()?.value as {holder: string} | undefined)?.holder;
+	};
+
+	const giveUpAt = clock.moment().steady + 8000;
+	while (await rowOfDeputy() === undefined && clock.moment().steady < giveUpAt) {
+		await pause(20);
+	}
+
+	return {
+		store, instances, hub: instances.find(({pair}) => pair.isHub)!, deputyName: await rowOfDeputy(),
+	};
+}
+
+test('rows come to all instances as the store has them, by calls of one', async context => {
+	// Guards against calls that grow with the instances, and against rows that change on their way.
+	const {store, instances, hub, deputyName} = await startInstances(context);
+	assert.equal(instances.filter(({pair}) => pair.isHub).length, 1);
+	assert.notEqual(deputyName, undefined);
+	assert.notEqual(deputyName, hub.name);
+	await pause(2200);
+	store.callers.clear();
+	const rows = [
+		{key: 'a', content: {text: 'ä', list: [1, 2.5, null, true], nested: {empty: ''}}, isDeleted: false},
+		{key: 'b', content: undefined, isDeleted: false},
+		{key: 'c', content: undefined, isDeleted: true},
+	];
+	for (const row of rows) {
+		store.add(row);
+	}
+
+	await until('all have the rows', () => instances.every(({heard}) => heard.length === rows.length), 1000);
+	for (const {heard} of instances) {
+		assert.deepEqual(heard.map(({key, content, isDeleted}) => ({key, content, isDeleted})), rows);
+	}
+
+	await pause(1500);
+	assert.deepEqual([...store.callers], [hub.name]);
+});
+
+test('when the hub stops, its deputy reads for all until another one may be the hub', async context => {
+	// Guards against changes that nobody hears of, and against calls of all instances, for as long as the lease of the hub runs.
+	const {store, instances, hub, deputyName} = await startInstances(context);
+	await pause(2200);
+	hub.stop.abort();
+	const others = instances.filter(instance => instance !== hub);
+	store.callers.clear();
+	await pause(1600);
+	store.add({key: 'late', content: 1, isDeleted: false});
+	await until('the others have the row', () => others.every(({heard}) => heard.some(({key}) => key === 'late')), 1500);
+	assert.deepEqual([...store.callers], [deputyName]);
+	assert.equal(others.some(({pair}) => pair.isHub), false, 'another instance is the hub too soon');
+});
--- a/src/gateway/hub/hub-server.ts
+++ b/src/gateway/hub/hub-server.ts
@@ -9,7 +9,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-news.js';
 import {
 	type FollowerFrame, type HubFrame, idleTimeoutMilliseconds, type PackedLoad, type PartsAnswer, type PlaceQuestion,
 } from './hub-messages.js';
--- a/src/gateway/hub/hub.test.ts
+++ b/src/gateway/hub/hub.test.ts
@@ -108,7 +108,7 @@
 		const hub = new Hub({
 			clock, configuration, dataCentre: 'split', endpoints: new EndpointRegistry(), log,
 		}, {
-			role: 'hub', instance, address, seat, client, control: store, cores: 1, feeds: () => [], hasOtherDuty: () => false, otherDataCentre: () => undefined,
+			role: 'hub', instance, address, seat, client, control: store, cores: 1, tableNews: () => [], hasOtherDuty: () => false, doesOtherAnswer: () => true, otherDataCentre: () => undefined,
 		});
 		const asking = setInterval(() => {
 			void client.refresh({endpoints: [], keys: ['s|p'], partCount: 1});
@@ -195,8 +195,9 @@
 		client: new HubClient(new HubView(), testFollower(), clock),
 		control: new PlayedStore(),
 		cores: 1,
-		feeds: () => [],
+		tableNews: () => [],
 		hasOtherDuty: () => isHub,
+		doesOtherAnswer: () => true,
 		otherDataCentre: () => undefined,
 	});
 	await seat.seek();
--- a/src/gateway/hub/hub.ts
+++ b/src/gateway/hub/hub.ts
@@ -9,16 +9,16 @@
  */
 import {type CacheStoreControl} from '../../ports/cache-store-control.js';
 import {hashOf} from '../../shared/hash-of.js';
-import {versionOfSalt} from '../../protocol/parts/cache-salt.js';
 import {type PartsChange} from '../../protocol/parts/store-ledger.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type StoreTraits} from '../../shared/routed-configuration.js';
 import {type DutySeat} from '../duty/duty-seat.js';
-import {type FeedFollower, type FeedNews, type FeedPlace} from '../watchers/feed-follower.js';
+import {type FeedNews, type FeedPlace} from '../watchers/feed-news.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {dutyPatience} from './duty-patience.js';
 import {EngineWatches} from './engine-watches.js';
 import {askMilliseconds, type HubClient} from './hub-client.js';
 import {engineHolder, type PartsAnswer, type PlaceQuestion} from './hub-messages.js';
+import {isDeadSalt, managedStores, readyEngines} from './hub-services.js';
 import {HubServer, type HubSource} from './hub-server.js';
 import {PartDirectory} from './part-directory.js';
 import {StoreKeepers} from './store-keepers.js';
@@ -37,28 +37,19 @@
 const spreadMilliseconds = 600;
 /** Instances that wait for the same lease to end try for it spread over this time. */
 const takeoverSpreadMilliseconds = 150;
-/** The lead of large machines: the time in which one of them reads the row, takes it, and is found by the others. */
-const smallMachineMilliseconds = 400;
-/** A machine counts as large with this share of the cores of the largest known one; */
-const largeShare = 0.75;
-/** While none is known, with this many cores. */
-const wholeCore = 1;
 /** How long a dialled hub may take to answer before the row is read again. */
 const dialMilliseconds = 700;
 
-/** The deputy is asked at a slower pace: only its knowledge of loads is as old as that when it is needed. */
+/** The deputy is asked at a slower pace while the hub answers: only its knowledge of loads is as old as that when it is needed. */
 const stepsPerDeputyQuestion = 2;
 /** The duty of the deputy is looked for when that of the hub has been taken. */
 const deputyDelayMilliseconds = 1500;
-/** A deputy elsewhere is left when the hub's data centre is cut off; so much lead it gets. */
-const sameDataCentreMilliseconds = 300;
-/** How much later an instance with one of the two duties tries for the other one. */
-const otherDutyMilliseconds = 1000;
 
 /** Which of the two duties: to tell hints and keep the stores, or to tell hints while the hub does not answer. */
 export type HubRole = 'hub' | 'hub-deputy';
 
-type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'dataCentre' | 'endpoints' | 'log'>;
+/** What the hub knows of the instance. */
+export type HubContext = Pick<GatewayContext, 'clock' | 'configuration' | 'dataCentre' | 'endpoints' | 'log'>;
 
 /** What the hub is given. */
 export type HubParts = {
@@ -70,10 +61,12 @@
 	control: CacheStoreControl;
 	/** Cores that this instance's machine gives it. */
 	cores: number;
-	/** The tables that are read here for all. */
-	feeds(): readonly FeedFollower[];
+	/** What another instance that stands at some places in the tables hears of this one. */
+	tableNews(places: Record<string, FeedPlace>): FeedNews[];
 	/** Whether this instance has the other one of the two duties. */
 	hasOtherDuty(): boolean;
+	/** Whether the holder of the other duty answers. */
+	doesOtherAnswer(): boolean;
 	/** In which data centre the holder of the other duty stands, if that is known. */
 	otherDataCentre(): string | undefined;
 };
@@ -105,7 +98,7 @@
 		};
 
 		this.#stores = new StoreKeepers({
-			control, clock, log, tell, mayAct: () => this.isHub(), isDead: salt => this.#isDead(salt),
+			control, clock, log, tell, mayAct: () => this.isHub(), isDead: salt => isDeadSalt(salt, context.endpoints.all()),
 		});
 		this.#engines = new EngineWatches({
 			control,
@@ -151,14 +144,14 @@
 		const {seat, client} = this.#parts;
 		const isNeeded = !this.#isLeaving;
 		this.#steps++;
-		if (isNeeded && this.isHub() && this.#isInTheWay()) {
+		if (isNeeded && this.isHub() && this.#isBarred()) {
 			void this.#seekBeside(async () => seat.release());
 		} else if (isNeeded && this.isHub() && seat.left() < Math.max(renewMilliseconds, seat.renewalMilliseconds)) {
 			void this.#seekBeside(async () => seat.seek([], this.#stores.epochs()));
 		}
 
 		this.#serve();
-		if (client.isConnected && (!this.isDeputy || this.#steps % stepsPerDeputyQuestion === 0)) {
+		if (client.isConnected && this.#isQuestionDue()) {
 			client.ask();
 		}
 
@@ -197,11 +190,7 @@
 	}
 
 	tableNews(places: Record<string, FeedPlace>): FeedNews[] {
-		return this.#parts.feeds().flatMap(feed => {
-			const place = places[feed.table];
-			const news = place === undefined ? undefined : feed.newsFor(place);
-			return news === undefined ? [] : [news];
-		});
+		return this.#parts.tableNews(places);
 	}
 
 	/** How much later than others this instance tries for the duty, in milliseconds. */
@@ -246,7 +235,7 @@
 	/** Reads the row: takes the duty if it is free, else dials its holder. */
 	async #look(): Promise<void> {
 		const {seat, client, instance, address} = this.#parts;
-		await (this.#isInTheWay() ? seat.look() : seat.seek());
+		await (this.#isBarred() ? seat.look() : seat.seek());
 		const {seen} = seat;
 		const hubAddress = this.isHub() ? address : seen?.address ?? '';
 		const isOther = this.isHub() || seen?.holder !== instance;
@@ -264,15 +253,15 @@
 	#serve(): void {
 		if (this.isHub()) {
 			this.#heldAt = this.#now();
-			this.#stores.keep(this.#declaredStores(), this.#parts.seat.grant?.row.fencingNumber ?? 0, this.#parts.seat.inherited);
+			this.#stores.keep(this.isDeputy ? [] : managedStores(this.#context.configuration.current), this.#parts.seat.grant?.row.fencingNumber ?? 0, this.#parts.seat.inherited);
 		} else if (!this.#parts.seat.isUncontested) {
 			this.#parts.seat.lose('it was not renewed in time');
 			this.#stores.close();
 		}
 
 		if (this.isServing()) {
-			const services = this.#engineServices();
-			this.#engines.keep(this.#context.endpoints.all().filter(({service, state}) => state === 'ready' && services.has(service)));
+			const {configuration, endpoints} = this.#context;
+			this.#engines.keep(readyEngines(configuration.current, endpoints.all()));
 		} else {
 			this.#endServing();
 		}
@@ -284,18 +273,20 @@
 		this.server.dropAll();
 	}
 
-	/** One instance with both duties would be no help when it fails. */
-	#isInTheWay(): boolean {
+	#isQuestionDue(): boolean {
+		return !this.isDeputy || !this.#parts.doesOtherAnswer() || this.#steps % stepsPerDeputyQuestion === 0;
+	}
+
+	/** Whether this instance must leave the duty to others: with both, it would be no help when it fails. */
+	#isBarred(): boolean {
 		return this.isDeputy && this.#parts.hasOtherDuty();
 	}
 
-	/** A duty that all ask belongs on a large machine, and the two in different data centres; the others give those a lead. */
 	#patience(): number {
 		const {client, cores, hasOtherDuty, otherDataCentre} = this.#parts;
-		const enough = client.mostCores === 0 ? wholeCore : largeShare * client.mostCores;
-		return (cores < enough ? smallMachineMilliseconds : 0)
-			+ (hasOtherDuty() ? otherDutyMilliseconds : 0)
-			+ (otherDataCentre() === this.#context.dataCentre ? sameDataCentreMilliseconds : 0);
+		return dutyPatience({
+			cores, mostCores: client.mostCores, hasOtherDuty: hasOtherDuty(), isBesideOther: otherDataCentre() === this.#context.dataCentre,
+		});
 	}
 
 	/** From 0 up to 1, another one for each instance. */
@@ -303,29 +294,6 @@
 		return hashOf(this.#parts.instance) / (2 ** 32);
 	}
 
-	/** The stores to keep; a deputy keeps none. */
-	#declaredStores(): Array<[name: string, store: StoreTraits]> {
-		if (this.isDeputy) {
-			return [];
-		}
-
-		const services = this.#context.configuration.current?.services.values() ?? [];
-		return [...services].flatMap(({name, store}) => store?.isManaged ? [[name, store] as [string, StoreTraits]] : []);
-	}
-
-	/** Whether all engines of the list have newer weights than a salt names; without engines nothing is known. */
-	#isDead(salt: string): boolean {
-		const version = versionOfSalt(salt);
-		const versions = this.#context.endpoints.all().flatMap(({weightVersions}) => [...weightVersions.values()]);
-		return version !== undefined && versions.length > 0 && versions.every(live => live > version);
-	}
-
-	/** Services of model engines. */
-	#engineServices(): Set<string> {
-		const services = this.#context.configuration.current?.services.values() ?? [];
-		return new Set([...services].filter(({engine}) => engine !== undefined).map(({name}) => name));
-	}
-
 	#now(): number {
 		return this.#context.clock.moment().steady;
 	}
--- a/src/gateway/watchers/endpoint-reader.ts
+++ b/src/gateway/watchers/endpoint-reader.ts
@@ -5,7 +5,7 @@
 import {type RegistryChange} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type Catalog} from './catalog.js';
-import {type Arrival, type FeedReader} from './feed-follower.js';
+import {type Arrival, type FeedReader} from './feed-news.js';
 
 type ReaderContext = Pick<GatewayContext, 'endpoints' | 'placement' | 'log'>;
 
--- a/src/gateway/watchers/feed-follower.test.ts
+++ b/src/gateway/watchers/feed-follower.test.ts
@@ -5,7 +5,8 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type FeedAnswer, type FeedFailure, type FeedRow} from '../../ports/table-feed.js';
 import {DecisionLog} from '../observability/decision-log.js';
-import {type Arrival, FeedFollower, type FeedNews} from './feed-follower.js';
+import {FeedFollower} from './feed-follower.js';
+import {type Arrival, type FeedNews} from './feed-news.js';
 
 function followerOf(answers: Array<Either<FeedFailure, FeedAnswer>>): {follower: FeedFollower; heard: string[]; asked: string[]} {
 	const heard: string[] = [];
--- a/src/gateway/watchers/feed-follower.ts
+++ b/src/gateway/watchers/feed-follower.ts
@@ -12,29 +12,14 @@
  * and each of them reads for itself again, spread over a moment.
  */
 import {longestElapsed, type Moment, type MomentClock} from '../../ports/moment-clock.js';
-import {
-	type FeedAnswer, type FeedFailure, type FeedRow, type TableFeed,
-} from '../../ports/table-feed.js';
+import {type FeedAnswer, type FeedFailure, type TableFeed} from '../../ports/table-feed.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {reappearanceMilliseconds} from '../endpoints/endpoint-registry.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {FeedHistory} from './feed-history.js';
-
-/**
- * How rows came: by a call of this instance to the feed, as they were written; from another instance that reads, a moment
- * later; or from a store that has just come back from an older copy and may lack what is being written again.
- */
-export type Arrival = 'live' | 'relayed' | 'restored';
-
-/** What a follower is for. */
-export interface FeedReader {
-	/** Takes the whole table. */
-	takeWhole(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void;
-	/** Takes what changed, in order; may be nothing. */
-	takeChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void;
-	/** Hears that a call failed at a moment. */
-	takeFailure(failedAt: Moment): void;
-}
+import {
+	type Arrival, type FeedNews, type FeedPlace, type FeedReader,
+} from './feed-news.js';
 
 /** Which table, and how long a call may wait for changes. */
 export type FeedPlan = {
@@ -46,23 +31,6 @@
 	relayLapseMilliseconds: number;
 };
 
-/** Where an instance stands in a table; positions of two eras cannot be compared. */
-export type FeedPlace = {
-	era: number;
-	position: number;
-};
-
-/** What the instance that reads tells another one of a table. */
-export type FeedNews = FeedPlace & {
-	table: string;
-	/** What changed behind the other's place; absent where the other has to read the table itself. */
-	rows?: FeedRow[];
-	/** How long ago the call was sent whose answer proved this place. */
-	ageMilliseconds: number;
-	/** How long ago a call failed last; absent if none did. */
-	failedMilliseconds?: number;
-};
-
 /** What a follower works with. */
 export type FeedTools = {
 	clock: MomentClock;
@@ -70,6 +38,8 @@
 	random: () => number;
 	/** Whether this instance reads for the others. */
 	isReader?: () => boolean;
+	/** Whether it does so as soon as the one that reads now is gone. */
+	isStandby?: () => boolean;
 };
 
 /** First pause behind a failed call; doubles up to the longest. Short, since knowledge ages while nothing is heard. */
@@ -81,6 +51,8 @@
 const batchMilliseconds = 60;
 /** How often an instance that hears from another one looks whether it has become the one that reads. */
 const longestRelayWaitMilliseconds = 400;
+/** The same for the one that reads next: the others must hear from it before the last proof that they have is too old. */
+const standbyWaitMilliseconds = 80;
 /** Instances that miss the one that reads begin to read spread over this time. */
 const relaySpreadMilliseconds = 300;
 /** Failures that are older say nothing of rows that vanish now. */
@@ -105,6 +77,8 @@
 	/** Until when a store that came back from an older copy may lack what is being written again, on the steady clock. */
 	#restoredUntil = Number.NEGATIVE_INFINITY;
 	#mustRead = true;
+	/** Whether the last call was made for the others. */
+	#wasReader = false;
 	#wake: AbortController | undefined;
 	#pause = 0;
 	#isLost = false;
@@ -145,14 +119,14 @@
 
 	/** Makes one call. */
 	async step(): Promise<void> {
-		const {clock, isReader} = this.#tools;
-		const {table, waitMilliseconds, readerWaitMilliseconds} = this.#plan;
+		const {clock} = this.#tools;
+		const {table} = this.#plan;
 		const sentAt = clock.moment();
 		const place = this.#place;
 		this.#mustRead = false;
 		const answer = place === undefined
 			? await this.#feed.readWhole(table)
-			: await this.#feed.follow({table, after: place.position, waitMilliseconds: isReader?.() ? readerWaitMilliseconds : waitMilliseconds});
+			: await this.#feed.follow({table, after: place.position, waitMilliseconds: this.#nextWait()});
 		answer.caseOf({
 			Left: failure => {
 				this.#failed(failure);
@@ -211,6 +185,19 @@
 		};
 	}
 
+	/** How long the next call may wait; the first one for the others does not, since they have a proof only when it is answered. */
+	#nextWait(): number {
+		const {waitMilliseconds, readerWaitMilliseconds} = this.#plan;
+		const isReader = this.#tools.isReader?.() ?? false;
+		const isFirst = isReader && !this.#wasReader;
+		this.#wasReader = isReader;
+		if (!isReader) {
+			return waitMilliseconds;
+		}
+
+		return isFirst ? 0 : readerWaitMilliseconds;
+	}
+
 	/** For how long this instance needs no calls of its own, by what another one told last, in milliseconds. */
 	#relayLeft(now: Moment): number {
 		const isReader = this.#tools.isReader?.() ?? false;
@@ -221,6 +208,7 @@
 
 	/** Waits until the proof has grown old, or the table has to be read. */
 	async #awaitRelay(milliseconds: number, signal: AbortSignal): Promise<void> {
+		const longest = this.#tools.isStandby?.() ? standbyWaitMilliseconds : longestRelayWaitMilliseconds;
 		const wake = new AbortController();
 		this.#wake = wake;
 		const stop = (): void => {
@@ -228,7 +216,7 @@
 		};
 
 		signal.addEventListener('abort', stop, {once: true});
-		await this.#tools.clock.sleep(Math.min(milliseconds, longestRelayWaitMilliseconds), wake.signal);
+		await this.#tools.clock.sleep(Math.min(milliseconds, longest), wake.signal);
 		signal.removeEventListener('abort', stop);
 	}
 
--- a/src/gateway/watchers/loading-engines.ts
+++ b/src/gateway/watchers/loading-engines.ts
@@ -6,7 +6,7 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type DutyRow} from '../../protocol/duty/duty-lease.js';
 import {weightsDuty} from '../duty/weights-duty.js';
-import {type FeedReader} from './feed-follower.js';
+import {type FeedReader} from './feed-news.js';
 
 /** A hint is forgotten behind this time: its holder may have died before it could take it back. */
 const hintLifeMilliseconds = 4000;
--- a/src/gateway/watchers/operator-reader.ts
+++ b/src/gateway/watchers/operator-reader.ts
@@ -4,7 +4,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightGoals} from '../weights/weight-goals.js';
 import {type Catalog} from './catalog.js';
-import {type Arrival, type FeedReader} from './feed-follower.js';
+import {type Arrival, type FeedReader} from './feed-news.js';
 
 export class OperatorReader implements FeedReader {
 	readonly #context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>;
--- a/src/shared/endpoint-record.ts
+++ b/src/shared/endpoint-record.ts
@@ -18,3 +18,8 @@
 	/** The version of the weights of each model. */
 	weightVersions: ReadonlyMap<string, number>;
 };
+
+/** Tells one incarnation of an endpoint from the next. */
+export function incarnationOf({name, bornAt}: EndpointRecord): string {
+	return `${name}@${bornAt}`;
+}
