Log which request an attempt carries and whether its endpoint ended

Change: a failed attempt whose connection the endpoint's side ended is logged with a fingerprint of method, host, path, workspace and body. After such a break the gateway tries to connect to the endpoint, at once and after 100 and 300 ms, and logs the verdict with the requests that were lost: crashed, reachable, unreachable or left. What the gateway decides is unchanged.

Tests: the verdicts, the fingerprint, and that two attempts under different ids can be recognised in the log (the last failed at first because the second request also met the dead endpoint; its check now looks at broken attempts only).

--- /dev/null
+++ b/src/gateway/crashes/crash-detector.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {type ProbeResult} from '../endpoints/probe-connection.js';
+import {testEndpoint} from '../testing/test-endpoint.js';
+import {CrashDetector, type ObservedCrash} from './crash-detector.js';
+
+/** Lets the connections of one endpoint break; returns what was found and logged. */
+async function breakConnections(probes: ProbeResult[], state: 'ready' | 'leaving' = 'ready', requests = ['one']): Promise<{crashes: ObservedCrash[]; verdicts: unknown[]}> {
+	const endpoint = testEndpoint();
+	const endpoints = new EndpointRegistry();
+	endpoints.put({...endpoint, state});
+	const crashes: ObservedCrash[] = [];
+	const verdicts: unknown[] = [];
+	const remaining = [...probes];
+	await new Promise<void>(resolve => {
+		const detector = new CrashDetector({
+			clock: systemMomentClock,
+			endpoints,
+			log: {
+				record(_kind, fields = {}) {
+					verdicts.push(fields.verdict);
+					// What follows from the verdict is done in the same step.
+					setImmediate(resolve);
+				},
+			},
+			probe: async () => remaining.shift() ?? 'accepted',
+			onCrash(crash) {
+				crashes.push(crash);
+			},
+		});
+		for (const fingerprint of requests) {
+			detector.noteLost(endpoint, {fingerprint, inFlightMilliseconds: 1});
+		}
+	});
+	return {crashes, verdicts};
+}
+
+test('an endpoint that refuses connections after a break has crashed, with all requests that were lost', async () => {
+	const {crashes, verdicts} = await breakConnections(['refused'], 'ready', ['one', 'two']);
+	assert.deepEqual(verdicts, ['crashed']);
+	assert.deepEqual(crashes.map(({requests}) => requests.map(({fingerprint}) => fingerprint)), [['one', 'two']]);
+});
+
+test('a listener that is closed shortly after the connections does not hide a crash', async () => {
+	const {verdicts} = await breakConnections(['accepted', 'refused']);
+	assert.deepEqual(verdicts, ['crashed']);
+});
+
+test('a reset connection of an endpoint that still accepts others is not taken for a crash', async () => {
+	const {crashes, verdicts} = await breakConnections(['accepted', 'accepted', 'accepted']);
+	assert.deepEqual(verdicts, ['reachable']);
+	assert.deepEqual(crashes, []);
+});
+
+test('an endpoint that is cut off is not taken for a crash', async () => {
+	const {crashes, verdicts} = await breakConnections(['silent', 'silent', 'silent']);
+	assert.deepEqual(verdicts, ['unreachable']);
+	assert.deepEqual(crashes, []);
+});
+
+test('an endpoint that ends after it announced that it leaves is not taken for a crash', async () => {
+	const {crashes, verdicts} = await breakConnections(['refused'], 'leaving');
+	assert.deepEqual(verdicts, ['left']);
+	assert.deepEqual(crashes, []);
+});
--- /dev/null
+++ b/src/gateway/crashes/crash-detector.ts
@@ -0,0 +1,117 @@
+/**
+ * Finds out why connections to an endpoint broke: whether its process has ended, or only the connections.
+ *
+ * A broken connection alone proves nothing: endpoints cut answers, reset connections over their limit, leave as announced and
+ * are cut off. A process that has ended refuses connections, so a connection attempt after the break tells them apart within
+ * a few milliseconds; the endpoint's row in the list vanishes only seconds later.
+ */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {probeConnection, type ProbeResult} from '../endpoints/probe-connection.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+
+/** A request whose connection to an endpoint broke. */
+export type LostRequest = {
+	fingerprint: string;
+	/** From the sending of the request to the break. */
+	inFlightMilliseconds: number;
+};
+
+/**
+ * What the breaks of an endpoint's connections mean.
+ *
+ * - `crashed`: its process has ended without notice.
+ * - `reachable`: it accepts connections, so only some connections broke.
+ * - `unreachable`: it does not answer; it may be cut off.
+ * - `left`: it had announced that it leaves, or had left the list.
+ */
+export type BreakVerdict = 'crashed' | 'reachable' | 'unreachable' | 'left';
+
+/** The requests that were lost in one crash, as far as this instance had sent them. */
+export type ObservedCrash = {
+	endpoint: EndpointRecord;
+	requests: readonly LostRequest[];
+};
+
+export type CrashDetectorDependencies = {
+	clock: MomentClock;
+	log: Pick<DecisionLog, 'record'>;
+	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
+	probe?: (address: string) => Promise<ProbeResult>;
+	/** Called once for each crash, shortly after it was found. */
+	onCrash(crash: ObservedCrash): void;
+};
+
+/**
+ * Delays before the connection attempts. A process that ends closes its connections one after another, so its listener may
+ * still accept a connection right after the first break.
+ */
+const probeDelaysMilliseconds = [0, 100, 300];
+/** The requests that a crash cuts are found within this time: their connections break in the same few milliseconds. */
+const collectMilliseconds = 40;
+
+type Break = {endpoint: EndpointRecord; requests: LostRequest[]};
+
+export class CrashDetector {
+	readonly #dependencies: CrashDetectorDependencies;
+	readonly #probe: (address: string) => Promise<ProbeResult>;
+	readonly #open = new Map<string, Break>();
+	readonly #signal = new AbortController().signal;
+
+	constructor(dependencies: CrashDetectorDependencies) {
+		this.#dependencies = dependencies;
+		this.#probe = dependencies.probe ?? probeConnection;
+	}
+
+	/** Records that the connection of a request broke before its answer was complete. */
+	noteLost(endpoint: EndpointRecord, request: LostRequest): void {
+		const incarnation = incarnationOf(endpoint);
+		const open = this.#open.get(incarnation);
+		if (open !== undefined) {
+			open.requests.push(request);
+			return;
+		}
+
+		const found: Break = {endpoint, requests: [request]};
+		this.#open.set(incarnation, found);
+		void this.#examine(found);
+	}
+
+	async #examine(found: Break): Promise<void> {
+		const {clock, log, onCrash} = this.#dependencies;
+		const verdict = await this.#judge(found.endpoint);
+		if (verdict === 'crashed') {
+			await clock.sleep(collectMilliseconds, this.#signal);
+		}
+
+		this.#open.delete(incarnationOf(found.endpoint));
+		const {endpoint, requests} = found;
+		log.record('connections-lost', {
+			endpoint: endpoint.name, verdict, requests: requests.map(({fingerprint, inFlightMilliseconds}) => [fingerprint, Math.round(inFlightMilliseconds)]),
+		});
+		if (verdict === 'crashed') {
+			onCrash({endpoint, requests});
+		}
+	}
+
+	async #judge(endpoint: EndpointRecord): Promise<BreakVerdict> {
+		if (this.#dependencies.endpoints.hasDeparted(endpoint)) {
+			return 'left';
+		}
+
+		let result: ProbeResult = 'silent';
+		for (const delayMilliseconds of probeDelaysMilliseconds) {
+			if (delayMilliseconds > 0) {
+				await this.#dependencies.clock.sleep(delayMilliseconds, this.#signal);
+			}
+
+			result = await this.#probe(endpoint.address);
+			if (result === 'refused') {
+				return 'crashed';
+			}
+		}
+
+		return result === 'accepted' ? 'reachable' : 'unreachable';
+	}
+}
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -21,6 +21,8 @@
 	wasSent: boolean;
 	/** Whether the endpoint may have run the request. */
 	mayHaveRun: boolean;
+	/** Whether the endpoint's side ended the connection before the answer was complete. */
+	isConnectionLost?: boolean;
 	answer?: EndpointAnswer;
 	transfer: AnswerTransfer;
 	detail?: string | undefined;
@@ -101,7 +103,7 @@
 			const {kind, connection, detail} = answered.extract();
 			const wasSent = kind === 'unknown';
 			return {
-				outcome: kind, wasSent, mayHaveRun: wasSent, transfer: {connection}, detail: this.#detailOf(detail),
+				outcome: kind, wasSent, mayHaveRun: wasSent, isConnectionLost: wasSent && !this.#isAborted, transfer: {connection}, detail: this.#detailOf(detail),
 			};
 		}
 
@@ -184,6 +186,7 @@
 			};
 		}
 
+		const isConnectionLost = !this.#isAborted;
 		this.#exchange?.cancel();
 		// After half of a failure's body, another endpoint's events would be appended to it, and the answer would look complete.
 		// After events without an id no endpoint knows where to resume: it would start over and send the events twice.
@@ -192,7 +195,13 @@
 		// Drops the incomplete event of the broken answer; the next endpoint sends that event from its start.
 		splitter?.flush();
 		return {
-			outcome: response.headersSent ? brokenOutcome : 'unknown', wasSent: true, mayHaveRun: true, answer, transfer, detail: this.#detailOf('the answer ended before it was complete'),
+			outcome: response.headersSent ? brokenOutcome : 'unknown',
+			wasSent: true,
+			mayHaveRun: true,
+			isConnectionLost,
+			answer,
+			transfer,
+			detail: this.#detailOf('the answer ended before it was complete'),
 		};
 	}
 
@@ -221,6 +230,11 @@
 		return this.#isCancelled ? 'cancelled: the caller disconnected or the timeout passed' : observedDetail;
 	}
 
+	/** Whether this process ended the attempt. */
+	get #isAborted(): boolean {
+		return this.#isCancelled || this.#watch.cancelReason !== undefined;
+	}
+
 	#placementOutcomeOf(outcome: AttemptResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
 		if (outcome === 'whole' || outcome === 'rejected') {
 			return outcome;
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -17,6 +17,7 @@
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
+import {requestFingerprint} from './request-fingerprint.js';
 import {type PermittedRequest} from './validate-request.js';
 import {relayFailure} from './relay-failure.js';
 import {reportEnd, type RequestOutcome} from './report-end.js';
@@ -143,7 +144,15 @@
 			const {outcome} = result;
 			const step = this.#stepAfter(outcome);
 			this.#context.log.record('try-failed', {
-				id: this.#work.head.attemptId, endpoint: placement.endpoint.name, outcome, step, sends: this.#sends, detail: result.detail, status: result.answer?.status, transfer: result.transfer,
+				id: this.#work.head.attemptId,
+				endpoint: placement.endpoint.name,
+				outcome,
+				step,
+				sends: this.#sends,
+				detail: result.detail,
+				status: result.answer?.status,
+				transfer: result.transfer,
+				...(result.isConnectionLost ? {fingerprint: requestFingerprint(this.#work)} : {}),
 			});
 			this.#unreportedTransfer = undefined;
 			const end = await this.#carryOut(step, result.answer);
@@ -218,6 +227,10 @@
 		}
 
 		const result = await running;
+		if (result.isConnectionLost) {
+			this.#context.crashDetector.noteLost(endpoint, {fingerprint: requestFingerprint(this.#work), inFlightMilliseconds: this.#now() - this.#sentAt});
+		}
+
 		// The body of a failure may still be relayed; the timeout and a disconnect of the caller must be able to cancel that too.
 		this.#currentAttempt = result.outcome === 'failed' ? this.#currentAttempt : undefined;
 		this.#sends += result.wasSent ? 1 : 0;
--- a/src/gateway/endpoints/endpoint-prober.ts
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -3,15 +3,13 @@
  * data centre that is cut off would otherwise cost each instance one request for each of its endpoints whenever their circuits
  * close.
  */
-import {connect} from 'node:net';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {probeConnection} from './probe-connection.js';
 
 /** Interval between two checks for due probes. */
 const checkIntervalMilliseconds = 200;
-/** Timeout of a probe; a request's connection has the same one. */
-const connectTimeoutMilliseconds = 250;
 
 export class EndpointProber implements Child {
 	readonly name = 'endpoint-prober';
@@ -37,30 +35,8 @@
 	}
 
 	async #probe(endpoint: EndpointRecord): Promise<void> {
-		const isReached = await isReachable(endpoint.address);
+		const isReached = await probeConnection(endpoint.address) === 'accepted';
 		this.#inFlight.delete(endpoint.name);
 		this.#context.placement.noteProbe(endpoint, isReached, this.#context.clock.moment().steady);
 	}
 }
-
-async function isReachable(address: string): Promise<boolean> {
-	const separator = address.lastIndexOf(':');
-	return new Promise(resolve => {
-		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
-		const end = (isReached: boolean): void => {
-			socket.destroy();
-			resolve(isReached);
-		};
-
-		socket.setTimeout(connectTimeoutMilliseconds, () => {
-			// In a process that was paused, the connection may be established as well, and timers run before its event.
-			setImmediate(end, false);
-		});
-		socket.once('connect', () => {
-			end(true);
-		});
-		socket.once('error', () => {
-			end(false);
-		});
-	});
-}
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -124,6 +124,11 @@
 		}
 	}
 
+	/** Whether an incarnation has announced that it leaves, or has left the list. */
+	hasDeparted(record: EndpointRecord): boolean {
+		return this.#departures.has(incarnationOf(record));
+	}
+
 	/** Records the weights that an engine answered with: they override the list, which is updated later. */
 	noteWeightVersion(name: string, model: string, version: number): void {
 		const record = this.#records.get(name);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,6 +23,7 @@
 import {Supervisor} from '../supervisor/supervisor.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {ConfigurationView} from './configuration/configuration-view.js';
+import {CrashDetector} from './crashes/crash-detector.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
 import {createRefuse} from './data-path/refuse.js';
@@ -112,6 +113,7 @@
 			peerUpdates: this.#coordinators.peerUpdates,
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
+			crashDetector: new CrashDetector({...shared, onCrash: ignoreCrash}),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
@@ -279,3 +281,7 @@
 		return app;
 	}
 }
+
+function ignoreCrash(): void {
+	// The detector's log line is all that a crash leads to.
+}
--- a/src/gateway/observability/request-diagnosis.test.ts
+++ b/src/gateway/observability/request-diagnosis.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
 } from '../../test/raw-http.js';
@@ -119,3 +120,25 @@
 	assert.ok(answer.endsWith('\r\n\r\nhalf'), answer);
 	assert.deepEqual(lines.map(({kind, endpoint}) => ({kind, endpoint})), [{kind: 'request-served', endpoint: 'desk-1'}]);
 });
+
+test('the log lines of attempts with different ids show that they carry the same request, and that their endpoint ended', async () => {
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'stream', maxAttempts: 1})]})).start();
+	for (const id of ['first', 'second']) {
+		const name = `endpoint-${id}`;
+		await gateway.addEndpoint(() => {
+			gateway.endEndpoint(name);
+		}, {name});
+		await exchangeRaw(gateway.address, requestOf(id));
+	}
+
+	const linesOfKind = (kind: string): Array<Record<string, unknown>> => gateway.lines.filter(line => line.kind === kind);
+	while (linesOfKind('connections-lost').length < 2) {
+		await delay(10);
+	}
+
+	await gateway.close();
+	const attempts = linesOfKind('try-failed').filter(({outcome}) => outcome === 'unknown');
+	assert.deepEqual(attempts.map(({id}) => id), ['first', 'second']);
+	assert.equal(attempts[0]?.fingerprint, attempts[1]?.fingerprint);
+	assert.deepEqual(linesOfKind('connections-lost').map(({endpoint, verdict}) => ({endpoint, verdict})), ['first', 'second'].map(id => ({endpoint: `endpoint-${id}`, verdict: 'crashed'})));
+});
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -9,6 +9,7 @@
 import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
 import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
+import {CrashDetector} from '../crashes/crash-detector.js';
 import {HttpEndpointExchanges} from '../data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from '../data-path/gateway-request-handler.js';
 import {createRefuse} from '../data-path/refuse.js';
@@ -35,7 +36,7 @@
 	address = '';
 	readonly #listener: HttpListener;
 	readonly #exchanges = new HttpEndpointExchanges();
-	readonly #endpoints: Array<{close(): void}> = [];
+	readonly #endpoints: Array<{name: string; close(): void}> = [];
 	readonly #stop = new AbortController();
 	readonly #eventLoopLag: EventLoopLag;
 
@@ -52,13 +53,22 @@
 		this.#eventLoopLag = new EventLoopLag(() => systemMomentClock.moment().steady, lagMilliseconds => {
 			reportLag({log, metrics}, lagMilliseconds);
 		});
+		const endpoints = new EndpointRegistry();
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
 			names: ownWireNames,
 			configuration: view,
-			endpoints: new EndpointRegistry(),
+			endpoints,
 			placement: new CostPlacement('split'),
+			crashDetector: new CrashDetector({
+				clock: systemMomentClock,
+				log,
+				endpoints,
+				onCrash() {
+					// Only its log line is of interest.
+				},
+			}),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(10_000),
@@ -91,6 +101,7 @@
 
 	/** Adds an endpoint with the given behaviour. Endpoints are chosen in the order of addition if their `slots` decrease. */
 	async addEndpoint(behaviour: EndpointBehaviour, changes: Partial<EndpointRecord> = {}): Promise<EndpointRecord> {
+		const name = changes.name ?? `desk-${this.#endpoints.length + 1}`;
 		const server = createServer((request, response) => {
 			void behaviour(request, response);
 		});
@@ -100,19 +111,24 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		this.#endpoints.push({
-			close() {
-				server.close();
-				for (const socket of sockets) {
-					socket.destroy();
-				}
-			},
-		});
-		const record = testEndpoint({name: `desk-${this.#endpoints.length}`, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, ...changes});
+		const close = (): void => {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		};
+
+		this.#endpoints.push({name, close});
+		const record = testEndpoint({name, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, ...changes});
 		this.context.endpoints.put(record);
 		return record;
 	}
 
+	/** Ends the process of an endpoint: its listener and all its connections. */
+	endEndpoint(name: string): void {
+		this.#endpoints.find(endpoint => endpoint.name === name)?.close();
+	}
+
 	async close(): Promise<void> {
 		this.#stop.abort();
 		this.#eventLoopLag.stop();
