--- /dev/null
+++ b/src/check/crashing-requests-over-processes.ts
@@ -0,0 +1,262 @@
+/**
+ * Checks over real gateway processes that a request which crashes its endpoints is kept from them once three have ended, at
+ * whichever instance it arrives, and that no other request is taken for it.
+ *
+ * Beside the crashing requests, which return again and again, there are requests that share endpoints with them, one request
+ * that many callers send in the same words, and different requests that crash an endpoint once. Endpoints also end for other
+ * reasons, leave and reset connections; instances are killed and started again; data centres are cut off from the store.
+ */
+import {type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Choices} from './choices.js';
+import {DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
+import {contactMilliseconds, GatewayDeployment, type GatewayInstance} from './gateway-deployment.js';
+
+export type CrashingRequestsOptions = {
+	seed: number;
+	/** Second byte of the loopback addresses. */
+	network: number;
+	milliseconds: number;
+};
+
+export type CrashingRequestsReport = {
+	seed: number;
+	/** Returns of the crashing requests. */
+	returns: number;
+	/** Crashes by request. */
+	crashes: Record<string, number>;
+	/** By request: arrivals at endpoints later than the contact time after its third crash, through instances in touch. */
+	lateArrivals: Record<string, number>;
+	/** Refusals of other requests as if they crashed endpoints. */
+	wronglyBlocked: number;
+	/** Other requests, and those of them that got a complete answer in the end. */
+	others: number;
+	served: number;
+};
+
+/** Sends of a crashing request that may still reach endpoints later than the contact time after its third crash. */
+export const allowedLateArrivals = 3;
+const crashesBeforeBlock = 3;
+const blockedCode = 'crashes-endpoints';
+
+const dataCentres = 3;
+const instancesPerDataCentre = 2;
+const endpointsPerDataCentre = 2;
+const route = {
+	host: 'quay.example', kind: 'stream', timeout_ms: 4000, target_latency_ms: 600, gap_aim_ms: 800, service: 'desk',
+};
+const othersPerSecond = 40;
+const hotBody = 'the same words';
+
+export async function runCrashingRequests({seed, network, milliseconds}: CrashingRequestsOptions): Promise<CrashingRequestsReport> {
+	const run = new CrashingRequestsRun(seed, network);
+	try {
+		await run.start();
+		return await run.play(milliseconds);
+	} finally {
+		await run.stop();
+	}
+}
+
+class CrashingRequestsRun implements EndpointScript {
+	readonly #seed: number;
+	readonly #choices: Choices;
+	readonly #deployment: GatewayDeployment;
+	readonly #endpoints: DeploymentEndpoint[] = [];
+	readonly #crashesAt = new Map<string, number[]>();
+	readonly #arrivals: Array<Arrival & {isInTouch: boolean}> = [];
+	#returns = 0;
+	#others = 0;
+	#served = 0;
+	#wronglyBlocked = 0;
+	#endsAt = 0;
+	#numbers = 0;
+
+	constructor(seed: number, network: number) {
+		this.#seed = seed;
+		this.#choices = Choices.fromSeed(seed);
+		this.#deployment = new GatewayDeployment({
+			network,
+			dataCentres,
+			instancesPerDataCentre,
+			routes: [
+				{
+					...route, name: 'once', prefix: '/once/', max_attempts: 1,
+				},
+				{
+					...route, name: 'resumable', prefix: '/resumable/', resumable: true, max_attempts: 2,
+				},
+				{
+					...route, name: 'lookup', prefix: '/lookup/', kind: 'idempotent', max_attempts: 2,
+				},
+			],
+			services: [{name: 'desk'}],
+		});
+	}
+
+	async start(): Promise<void> {
+		for (const [index, dataCentre] of this.#deployment.dataCentres.entries()) {
+			for (let number = 1; number <= endpointsPerDataCentre; number++) {
+				this.#endpoints.push(new DeploymentEndpoint(this.#deployment, {dataCentre, address: this.#deployment.endpointAddress(index + 1, number), service: 'desk'}, this));
+			}
+		}
+
+		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
+		await this.#deployment.start();
+	}
+
+	async play(milliseconds: number): Promise<CrashingRequestsReport> {
+		this.#endsAt = performance.now() + milliseconds;
+		const crashing = Array.from({length: this.#choices.between(1, 2)}, (_, index) => `crash ${index + 1}`);
+		await Promise.all([
+			...crashing.map(async body => this.#returnAgain(body)),
+			this.#sendOthers(),
+			this.#sendHot(),
+			this.#flood(),
+			this.#disturb(),
+		]);
+		return {
+			seed: this.#seed,
+			returns: this.#returns,
+			crashes: Object.fromEntries(crashing.map(body => [body, this.#crashesAt.get(body)?.length ?? 0])),
+			lateArrivals: Object.fromEntries(crashing.map(body => [body, this.#lateArrivalsOf(body)])),
+			wronglyBlocked: this.#wronglyBlocked,
+			others: this.#others,
+			served: this.#served,
+		};
+	}
+
+	async stop(): Promise<void> {
+		for (const endpoint of this.#endpoints) {
+			endpoint.close();
+		}
+
+		await this.#deployment.stop();
+	}
+
+	arrived(arrival: Arrival): void {
+		const instance = this.#deployment.instances.find(({name}) => name === arrival.instance);
+		const isInTouch = instance !== undefined && performance.now() - instance.disturbedAt > contactMilliseconds;
+		this.#arrivals.push({...arrival, isInTouch});
+	}
+
+	headers(): Record<string, string> {
+		return {};
+	}
+
+	async run(endpoint: DeploymentEndpoint, {body}: Arrival, response: ServerResponse): Promise<void> {
+		await delay(this.#choices.between(5, 60));
+		if (!body.startsWith('crash')) {
+			await endpoint.answer(response, this.#choices.between(2, 25));
+			return;
+		}
+
+		if (this.#choices.chance(70)) {
+			endpoint.begin(response);
+		}
+
+		await delay(this.#choices.between(20, 60));
+		if (!response.destroyed && endpoint.isUp) {
+			this.#crashesAt.set(body, [...this.#crashesAt.get(body) ?? [], performance.now()]);
+			await endpoint.crash(this.#choices.between(400, 1200));
+		}
+	}
+
+	/** A caller of a crashing request: it tries again after each failure, at any instance, and comes back later. */
+	async #returnAgain(body: string): Promise<void> {
+		const path = this.#choices.oneOf(['/once/', '/resumable/', '/lookup/']);
+		await delay(this.#choices.between(200, 1500));
+		while (!this.#isOver) {
+			const instance = this.#anyInstance();
+			this.#returns++;
+			await this.#deployment.send(instance, {path, body, deadlineMilliseconds: 3000});
+			await delay(this.#choices.between(50, 700));
+		}
+	}
+
+	async #sendOthers(): Promise<void> {
+		const sent: Array<Promise<void>> = [];
+		while (!this.#isOver) {
+			this.#numbers++;
+			sent.push(this.#sendOther(`other ${this.#numbers}`, this.#choices.oneOf(['/once/', '/resumable/', '/lookup/'])));
+			await delay(1000 / othersPerSecond);
+		}
+
+		await Promise.all(sent);
+	}
+
+	async #sendHot(): Promise<void> {
+		const sent: Array<Promise<void>> = [];
+		while (!this.#isOver) {
+			sent.push(this.#sendOther(hotBody, '/lookup/'));
+			await delay(this.#choices.between(40, 120));
+		}
+
+		await Promise.all(sent);
+	}
+
+	/** Many different requests that crash an endpoint once each. */
+	async #flood(): Promise<void> {
+		if (!this.#choices.chance(30)) {
+			return;
+		}
+
+		for (let count = this.#choices.between(5, 15); count > 0 && !this.#isOver; count--) {
+			this.#numbers++;
+			await this.#deployment.send(this.#anyInstance(), {path: '/once/', body: `crash once ${this.#numbers}`, deadlineMilliseconds: 2000});
+			await delay(this.#choices.between(100, 500));
+		}
+	}
+
+	/** A caller that repeats a failed request once. */
+	async #sendOther(body: string, path: string): Promise<void> {
+		this.#others++;
+		for (let attempt = 0; attempt < 2; attempt++) {
+			const answer = await this.#deployment.send(this.#anyInstance(), {path, body, deadlineMilliseconds: 3000});
+			if (answer.status === 200 && answer.isWhole) {
+				this.#served++;
+				return;
+			}
+
+			if (answer.body.includes(blockedCode)) {
+				this.#wronglyBlocked++;
+			}
+		}
+	}
+
+	async #disturb(): Promise<void> {
+		const disturbances: Array<() => Promise<void>> = [
+			async () => this.#anyEndpoint().crash(this.#choices.between(400, 1200)),
+			async () => this.#anyEndpoint().leave(this.#choices.between(200, 800), this.#choices.between(200, 800)),
+			async () => {
+				this.#anyEndpoint().resetConnections(0.5);
+			},
+			async () => this.#deployment.restart(this.#anyInstance()),
+			async () => this.#deployment.cutStore(this.#choices.oneOf(this.#deployment.dataCentres), this.#choices.between(500, 3000)),
+		];
+		const running: Array<Promise<void>> = [];
+		while (!this.#isOver) {
+			await delay(this.#choices.between(300, 2500));
+			running.push(this.#choices.oneOf(disturbances)());
+		}
+
+		await Promise.all(running);
+	}
+
+	#lateArrivalsOf(body: string): number {
+		const third = this.#crashesAt.get(body)?.at(crashesBeforeBlock - 1) ?? Number.POSITIVE_INFINITY;
+		return this.#arrivals.filter(arrival => arrival.body === body && arrival.isInTouch && arrival.at > third + contactMilliseconds).length;
+	}
+
+	#anyInstance(): GatewayInstance {
+		return this.#choices.oneOf(this.#deployment.instances);
+	}
+
+	#anyEndpoint(): DeploymentEndpoint {
+		return this.#choices.oneOf(this.#endpoints);
+	}
+
+	get #isOver(): boolean {
+		return performance.now() >= this.#endsAt;
+	}
+}
--- /dev/null
+++ b/src/check/deployment-endpoint.ts
@@ -0,0 +1,181 @@
+/** An endpoint of a check: registers itself in the store, answers with events, and can crash, leave and come back. */
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type Socket} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	deploymentWireNames as names, endpointTable, type GatewayDeployment, heartbeatMilliseconds, instanceHeader,
+} from './gateway-deployment.js';
+
+/** A request that reached an endpoint; `at` is in milliseconds of `performance.now()`. */
+export type Arrival = {
+	at: number;
+	endpoint: string;
+	/** The instance that the caller sent it to. */
+	instance: string;
+	target: string;
+	body: string;
+};
+
+/** What an endpoint does with a request. */
+export interface EndpointScript {
+	/** Called for each request, also those that are rejected. */
+	arrived(arrival: Arrival): void;
+	/** Answers the request, or ends the endpoint. */
+	run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void>;
+	/** Headers of every answer. */
+	headers(endpoint: DeploymentEndpoint): Record<string, string>;
+}
+
+/** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
+const heartbeatsToExpiry = 3;
+const eventMilliseconds = 15;
+
+export class DeploymentEndpoint {
+	name = '';
+	readonly dataCentre: string;
+	readonly #deployment: GatewayDeployment;
+	readonly #address: string;
+	readonly #service: string;
+	readonly #script: EndpointScript;
+	#server: Server | undefined;
+	readonly #sockets = new Set<Socket>();
+	#starts = 0;
+	#isClosed = false;
+
+	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string}, script: EndpointScript) {
+		this.#deployment = deployment;
+		this.dataCentre = place.dataCentre;
+		this.#address = place.address;
+		this.#service = place.service;
+		this.#script = script;
+	}
+
+	get isUp(): boolean {
+		return this.#server !== undefined;
+	}
+
+	/** Starts a new incarnation with a new name. */
+	async start(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#starts++;
+		this.name = `${this.#service}-${this.#address}-${this.#starts}`;
+		const server = createServer((request, response) => {
+			void this.#serve(request, response);
+		});
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
+		const [ip = '', port = ''] = this.#address.split(':');
+		server.listen(Number(port), ip);
+		await once(server, 'listening');
+		this.#server = server;
+		this.#writeRow('ready');
+	}
+
+	/** Ends the process: its listener and all its connections at once. It is back under another name after a time. */
+	async crash(restartMilliseconds: number): Promise<void> {
+		if (this.#server === undefined) {
+			return;
+		}
+
+		const {name} = this;
+		this.#end();
+		void this.#expireRow(name);
+		await delay(restartMilliseconds);
+		await this.start();
+	}
+
+	/** Leaves as announced: its row says so, and it serves on for a while. */
+	async leave(drainMilliseconds: number, restartMilliseconds: number): Promise<void> {
+		const {name} = this;
+		this.#writeRow('draining');
+		await delay(drainMilliseconds);
+		if (this.name === name && this.#server !== undefined) {
+			this.#end();
+			this.#deployment.table.write({table: endpointTable, key: name});
+			await delay(restartMilliseconds);
+			await this.start();
+		}
+	}
+
+	/** Resets some of its connections, and serves on. */
+	resetConnections(share: number): void {
+		const sockets = [...this.#sockets];
+		for (const socket of sockets.slice(0, Math.ceil(sockets.length * share))) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/** Answers with events. */
+	async answer(response: ServerResponse, events: number): Promise<void> {
+		this.begin(response);
+		for (let id = 1; id <= events && !response.destroyed; id++) {
+			response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+			await delay(eventMilliseconds);
+		}
+
+		response.end();
+	}
+
+	/** Sends the head of an answer. */
+	begin(response: ServerResponse): void {
+		response.writeHead(200, {
+			[names.attemptId]: String(response.req.headers[names.attemptId]), [names.seal]: 'seal', 'content-type': 'text/event-stream', ...this.#script.headers(this),
+		});
+		response.flushHeaders();
+	}
+
+	/** Ends it for good. */
+	close(): void {
+		this.#isClosed = true;
+		this.#end();
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await text(request).catch(() => undefined);
+		if (body === undefined) {
+			return;
+		}
+
+		const arrival: Arrival = {
+			at: performance.now(), endpoint: this.name, instance: String(request.headers[instanceHeader]), target: request.url ?? '', body,
+		};
+		this.#script.arrived(arrival);
+		if (request.headers[names.expectedEndpoint] !== this.name) {
+			response.writeHead(421, {[names.notExecuted]: '1', [names.endpointName]: this.name, ...this.#script.headers(this)});
+			response.end();
+			return;
+		}
+
+		await this.#script.run(this, arrival, response);
+	}
+
+	#end(): void {
+		this.#server?.close();
+		this.#server = undefined;
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	async #expireRow(name: string): Promise<void> {
+		await delay(heartbeatsToExpiry * heartbeatMilliseconds);
+		this.#deployment.table.write({table: endpointTable, key: name});
+	}
+
+	#writeRow(state: 'ready' | 'draining'): void {
+		this.#deployment.table.write({table: endpointTable, key: this.name}, {
+			service: this.#service, address: this.#address, zone: this.dataCentre, slots: 16, state, born: Date.now(),
+		});
+	}
+}
--- a/src/test/platform-boundary.test.ts
+++ b/src/test/platform-boundary.test.ts
@@ -2,8 +2,8 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {test} from 'node:test';
 
-/** The modules that assemble the programs: only they may import from the platform's folder. */
-const assemblers = new Set(['gateway/run-gateway.ts']);
+/** The modules that assemble the programs, and a deployment of them for checks: only they may import from the platform's folder. */
+const assemblers = new Set(['gateway/run-gateway.ts', 'check/gateway-deployment.ts']);
 /** Names of the platform's protocol: paths of its calls, and names of its headers, rows and settings. */
 const platformWords = new RegExp([
 	'rows-(?:tx|get|feed|parts)',
