Block a request under which three endpoints have ended, at every instance

Cause: nothing remembered that an endpoint had ended under a request. Each attempt was judged by itself, and a caller that returned was a new request to every instance.

Change: when an endpoint has crashed (it refuses connections after they broke, and had not announced that it leaves), the instance reports the fingerprints of the requests it lost there as a row of the store's table. All instances follow that table through the reader, within half of the contact time or by a call of their own. The crashes are attributed to as few requests as possible; one that accounts for three is refused with 503, not-run if this attempt was not sent, and the time when the evidence expires. A complete answer to a request anywhere voids the crashes that it was present at, so a request that many callers send in the same words is not taken for it. Reports are bounded at 500, those that block a request are dropped last. Why it holds: the block follows from the reports alone, so instances with the same reports decide alike, in any order; a restarted instance reads them from the store, and one that cannot reach the store counts what it has seen itself.

--- a/src/check/crashes-main.ts
+++ b/src/check/crashes-main.ts
@@ -17,7 +17,7 @@
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runCrashingRequests({seed, network: Number(options.network), milliseconds: Number(options.seconds) * 1000});
 	console.log(JSON.stringify(report));
-	violations += report.wronglyBlocked + Object.values(report.lateArrivals).filter(late => late > allowedLateArrivals).length;
+	violations += report.wronglyBlocked.length + Object.values(report.lateArrivals).filter(late => late > allowedLateArrivals).length;
 }
 
 process.exitCode = violations === 0 ? 0 : 1;
--- a/src/check/crashing-requests-over-processes.ts
+++ b/src/check/crashing-requests-over-processes.ts
@@ -27,8 +27,8 @@
 	crashes: Record<string, number>;
 	/** By request: arrivals at endpoints later than the contact time after its third crash, through instances in touch. */
 	lateArrivals: Record<string, number>;
-	/** Refusals of other requests as if they crashed endpoints. */
-	wronglyBlocked: number;
+	/** Other requests that were refused as if they crashed endpoints. */
+	wronglyBlocked: string[];
 	/** Other requests, and those of them that got a complete answer in the end. */
 	others: number;
 	served: number;
@@ -68,7 +68,7 @@
 	#returns = 0;
 	#others = 0;
 	#served = 0;
-	#wronglyBlocked = 0;
+	readonly #wronglyBlocked: string[] = [];
 	#endsAt = 0;
 	#numbers = 0;
 
@@ -212,14 +212,15 @@
 	async #sendOther(body: string, path: string): Promise<void> {
 		this.#others++;
 		for (let attempt = 0; attempt < 2; attempt++) {
-			const answer = await this.#deployment.send(this.#anyInstance(), {path, body, deadlineMilliseconds: 3000});
+			const instance = this.#anyInstance();
+			const answer = await this.#deployment.send(instance, {path, body, deadlineMilliseconds: 3000});
 			if (answer.status === 200 && answer.isWhole) {
 				this.#served++;
 				return;
 			}
 
 			if (answer.body.includes(blockedCode)) {
-				this.#wronglyBlocked++;
+				this.#wronglyBlocked.push(`${body} at ${instance.name}, ${Math.round(performance.now() - instance.disturbedAt)} ms after its last disturbance`);
 			}
 		}
 	}
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -123,11 +123,16 @@
 		return `${this.addressOf(100 + dataCentreNumber, number)}:${ports.endpoint}`;
 	}
 
-	/** Kills an instance and starts it again. */
+	/** Kills an instance and starts it again, unless it has just been killed. */
 	async restart(instance: GatewayInstance): Promise<void> {
+		const {child} = instance.process;
+		if (child.killed) {
+			return;
+		}
+
 		instance.disturbedAt = performance.now();
-		instance.process.child.kill('SIGKILL');
-		await once(instance.process.child, 'exit');
+		child.kill('SIGKILL');
+		await once(child, 'exit');
 		const [ip = ''] = instance.address.split(':', 1);
 		instance.process = await this.#startProcess(instance.name, instance.dataCentre, ip);
 		instance.disturbedAt = performance.now();
--- /dev/null
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	CrashLedger, maxReports, reportRetentionMilliseconds, type CrashReport,
+} from './crash-ledger.js';
+import {decodeReport, encodeReport, keyOfReport} from './crash-report-rows.js';
+
+function crash(incarnation: string, requests: string[], at = 0, instance = 'e1'): CrashReport {
+	return {
+		kind: 'crash', incarnation, instance, at, requests: requests.map(fingerprint => [fingerprint, 1]),
+	};
+}
+
+function ledgerOf(...reports: CrashReport[]): CrashLedger {
+	const ledger = new CrashLedger();
+	for (const report of reports) {
+		ledger.put(keyOfReport(report), report);
+	}
+
+	return ledger;
+}
+
+test('reports of several instances about one crash count as one crash', () => {
+	const ledger = ledgerOf(crash('a', ['poison'], 0, 'e1'), crash('a', ['poison'], 0, 'e2'), crash('a', ['poison'], 0, 'e3'));
+	assert.equal(ledger.blockOf('poison', 1), undefined);
+});
+
+test('a block names the crashes that it follows from, with who reported them and when', () => {
+	const ledger = ledgerOf(crash('a', ['poison'], 5, 'e1'), crash('b', ['poison'], 6, 'e2'), crash('c', ['poison', 'beside'], 7, 'e3'));
+	assert.deepEqual(ledger.blockOf('poison', 8)?.crashes.map(({incarnation, instance, at}) => [incarnation, instance, at]), [['a', 'e1', 5], ['b', 'e2', 6], ['c', 'e3', 7]]);
+	assert.equal(ledger.blockOf('beside', 8), undefined);
+});
+
+test('a request that was answered since is not blocked by the crashes that it was present at', () => {
+	const ledger = ledgerOf(crash('a', ['hot']), crash('b', ['hot']), crash('c', ['hot']));
+	assert.notEqual(ledger.blockOf('hot', 1), undefined);
+	ledger.put('s', {
+		kind: 'survival', fingerprint: 'hot', instance: 'e1', at: 1, incarnations: ['a', 'b'],
+	});
+	assert.equal(ledger.blockOf('hot', 1), undefined);
+});
+
+test('a block ends when its evidence expires', () => {
+	const ledger = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20));
+	assert.equal(ledger.blockOf('poison', reportRetentionMilliseconds), undefined);
+	ledger.prune(reportRetentionMilliseconds + 100);
+	assert.equal(ledger.reports().size, 0);
+});
+
+test('a flood of different requests that crash endpoints does not push out the evidence of a blocked one', () => {
+	const ledger = ledgerOf(crash('a', ['poison']), crash('b', ['poison']), crash('c', ['poison']));
+	for (let number = 0; number < maxReports * 2; number++) {
+		const report = crash(`flood-${number}`, [`once-${number}`], number + 1);
+		ledger.put(keyOfReport(report), report);
+		ledger.prune(number + 1);
+	}
+
+	assert.equal(ledger.reports().size, maxReports);
+	assert.notEqual(ledger.blockOf('poison', maxReports * 2), undefined);
+});
+
+test('rows of other writers that cannot be read name no crash', () => {
+	const report = crash('a', ['poison']);
+	assert.deepEqual(decodeReport(encodeReport(report)), report);
+	for (const content of [undefined, null, 'text', {kind: 'crash'}, {...report, requests: [['poison']]}, {...report, kind: 'other'}]) {
+		assert.equal(decodeReport(content), undefined);
+	}
+});
--- /dev/null
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -0,0 +1,123 @@
+/**
+ * Writes the reports of this instance to the store's table, from which all instances read them.
+ *
+ * A report counts at this instance from the moment it is made. Its write is repeated until the store confirms it: one that was
+ * lost is written by the next call, and writing it twice changes nothing. While the store is unavailable each instance counts
+ * what it has seen itself.
+ */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type RowWrite, type TableService} from '../../ports/table-service.js';
+import {type Child} from '../../supervisor/supervisor.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+import {type CrashLedger, type Report} from './crash-ledger.js';
+import {crashTable, encodeReport, keyOfReport} from './crash-report-rows.js';
+
+export type CrashReportPublisherDependencies = {
+	instance: string;
+	ledger: CrashLedger;
+	store: Pick<TableService, 'commit'>;
+	clock: MomentClock;
+	log: Pick<DecisionLog, 'record'>;
+	/** Whether this instance is the coordinator, which removes expired rows. */
+	isCoordinator: () => boolean;
+};
+
+/** Delay after a failed call. Others have to know of a crash within seconds of the store's return. */
+const retryDelayMilliseconds = 250;
+/** Rows in one transaction: fewer than the platform allows, and far less than its bytes. */
+const maxRowsPerWrite = 50;
+/** How often expired reports are removed. */
+const pruneIntervalMilliseconds = 10_000;
+
+export class CrashReportPublisher implements Child {
+	readonly name = 'crash-reports';
+	readonly #dependencies: CrashReportPublisherDependencies;
+	readonly #pending = new Map<string, RowWrite>();
+	#wake = new AbortController();
+	#isStoreUnavailable = false;
+
+	constructor(dependencies: CrashReportPublisherDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/** Records a report and queues its write. */
+	publish(report: Report): void {
+		const key = keyOfReport(report);
+		this.#dependencies.ledger.put(key, report);
+		this.#queue({table: crashTable, key, value: encodeReport(report)});
+	}
+
+	/** Queues all reports of this instance again, for a store that may have lost them. */
+	republish(): void {
+		const {instance, ledger} = this.#dependencies;
+		for (const [key, report] of ledger.reports()) {
+			if (report.instance === instance) {
+				this.#queue({table: crashTable, key, value: encodeReport(report)});
+			}
+		}
+	}
+
+	/** Whether the write of a row is still to be confirmed. */
+	isPending(key: string): boolean {
+		return this.#pending.has(key);
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock} = this.#dependencies;
+		while (!signal.aborted) {
+			this.#wake = new AbortController();
+			const isWritten = await this.step();
+			if (this.#pending.size === 0) {
+				await clock.sleep(pruneIntervalMilliseconds, AbortSignal.any([signal, this.#wake.signal]));
+				this.#prune();
+			} else if (!isWritten) {
+				await clock.sleep(retryDelayMilliseconds, signal);
+			}
+		}
+	}
+
+	/** Writes the rows that were queued first; returns false if the store did not confirm them. */
+	async step(): Promise<boolean> {
+		const writes = [...this.#pending.values()].slice(0, maxRowsPerWrite);
+		if (writes.length === 0) {
+			return true;
+		}
+
+		const result = await this.#dependencies.store.commit({conditions: [], writes});
+		this.#logAvailability(result.isRight());
+		if (result.isLeft()) {
+			return false;
+		}
+
+		for (const write of writes) {
+			// It may have been queued again, as a removal, while the call was in flight.
+			if (this.#pending.get(write.key) === write) {
+				this.#pending.delete(write.key);
+			}
+		}
+
+		return true;
+	}
+
+	#prune(): void {
+		const {ledger, clock, isCoordinator} = this.#dependencies;
+		const removed = ledger.prune(clock.moment().wall);
+		if (isCoordinator()) {
+			for (const key of removed) {
+				this.#queue({table: crashTable, key});
+			}
+		}
+	}
+
+	#queue(write: RowWrite): void {
+		this.#pending.set(write.key, write);
+		this.#wake.abort();
+	}
+
+	#logAvailability(isAvailable: boolean): void {
+		if (isAvailable === this.#isStoreUnavailable) {
+			this.#isStoreUnavailable = !isAvailable;
+			this.#dependencies.log.record(isAvailable ? 'dependency-regained' : 'dependency-lost', {dependency: 'store', table: crashTable, pending: this.#pending.size});
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/crashes/crash-report-rows.ts
@@ -0,0 +1,41 @@
+/** Encodes reports of crashes as rows of the store's table, and decodes them. Reports are written once and never changed. */
+import * as zod from 'zod';
+import {type JsonValue} from '../../shared/types.js';
+import {type Report} from './crash-ledger.js';
+
+/** The table of the reports; every instance follows it. */
+export const crashTable = 'crashes';
+
+const reportSchema = zod.discriminatedUnion('kind', [
+	zod.object({
+		kind: zod.literal('crash'),
+		incarnation: zod.string(),
+		instance: zod.string(),
+		at: zod.number(),
+		requests: zod.array(zod.tuple([zod.string(), zod.number()])),
+	}),
+	zod.object({
+		kind: zod.literal('survival'),
+		fingerprint: zod.string(),
+		instance: zod.string(),
+		at: zod.number(),
+		incarnations: zod.array(zod.string()),
+	}),
+]);
+
+/** Returns the key of a report's row: unique, since an instance makes no two reports about the same thing at the same time. */
+export function keyOfReport(report: Report): string {
+	const subject = report.kind === 'crash' ? report.incarnation : report.fingerprint;
+	return `${report.kind}/${subject}/${report.instance}/${Math.round(report.at)}`;
+}
+
+/** Returns the content of a report's row. */
+export function encodeReport(report: Report): JsonValue {
+	return report;
+}
+
+/** Returns the report that a row holds; `undefined` for a row that cannot be decoded. */
+export function decodeReport(content: JsonValue | undefined): Report | undefined {
+	const checked = reportSchema.safeParse(content);
+	return checked.success ? checked.data : undefined;
+}
--- /dev/null
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -0,0 +1,137 @@
+/** What the data path uses of the knowledge about crashes: reports what it lost and served, and asks what is blocked. */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {type ProbeResult} from '../endpoints/probe-connection.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+import {type GatewayMetrics} from '../observability/gateway-metrics.js';
+import {CrashDetector, type LostRequest, type ObservedCrash} from './crash-detector.js';
+import {
+	type Block, type CrashLedger, maxRequestsPerReport, type Report,
+} from './crash-ledger.js';
+
+export type EndpointCrashesDependencies = {
+	instance: string;
+	clock: MomentClock;
+	log: Pick<DecisionLog, 'record'>;
+	metrics: Pick<GatewayMetrics, 'crashes'>;
+	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
+	ledger: CrashLedger;
+	probe?: (address: string) => Promise<ProbeResult>;
+	/** Returns a random number from 0 up to 1. */
+	random(): number;
+	/** Records a report here and passes it on to the other instances. */
+	publish(report: Report): void;
+};
+
+/** How many answered requests are remembered: those of some minutes at an instance that answers 16 a second. */
+const maxServed = 4096;
+/** How long an answer proves that its request crashes nothing; endpoints may get other software or weights later. */
+const servedValidityMilliseconds = 600_000;
+/** Longest delay of a report about a request that one more crash would block. */
+const maxSurvivalDelayMilliseconds = 300;
+/** The same while requests are blocked, which may be that request. */
+const maxUrgentDelayMilliseconds = 100;
+
+export class EndpointCrashes {
+	readonly #dependencies: EndpointCrashesDependencies;
+	readonly #detector: CrashDetector;
+	/** Requests that were answered completely here, the latest last: when that was, in milliseconds of the steady clock. */
+	readonly #served = new Map<string, number>();
+	readonly #signal = new AbortController().signal;
+	#isScheduled = false;
+
+	constructor(dependencies: EndpointCrashesDependencies) {
+		this.#dependencies = dependencies;
+		dependencies.ledger.onChange(() => {
+			this.#scheduleSurvivals();
+		});
+
+		this.#detector = new CrashDetector({
+			...dependencies,
+			onCrash: crash => {
+				this.#reportCrash(crash);
+			},
+		});
+	}
+
+	/** Whether a fingerprint has to be computed to ask whether its request is blocked. */
+	get hasBlocks(): boolean {
+		return this.#dependencies.ledger.hasBlocks;
+	}
+
+	/** Records that the connection of a request broke before its answer was complete. */
+	noteLost(endpoint: EndpointRecord, request: LostRequest): void {
+		this.#detector.noteLost(endpoint, request);
+	}
+
+	/**
+	 * Records a complete answer to a request: it does not crash the endpoints that run it. A request that many callers send in
+	 * the same words is in flight at most crashes, so an earlier answer counts at later crashes too.
+	 */
+	noteServed(fingerprint: string): void {
+		this.#served.delete(fingerprint);
+		this.#served.set(fingerprint, this.#now());
+		if (this.#served.size > maxServed) {
+			this.#served.delete(this.#served.keys().next().value!);
+		}
+
+		this.#scheduleSurvivals();
+	}
+
+	/** Why a request may not be sent to any endpoint; `undefined` if it may. */
+	blockOf(fingerprint: string): Block | undefined {
+		const {ledger, clock} = this.#dependencies;
+		return this.#wasServed(fingerprint) ? undefined : ledger.blockOf(fingerprint, clock.moment().wall);
+	}
+
+	#wasServed(fingerprint: string): boolean {
+		return this.#now() - (this.#served.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < servedValidityMilliseconds;
+	}
+
+	/** The suspects that were answered completely here. */
+	#survivors(): string[] {
+		return [...this.#dependencies.ledger.suspects.keys()].filter(fingerprint => this.#wasServed(fingerprint));
+	}
+
+	/** Lets instances that served the same request take turns: the first report makes the others needless. */
+	#scheduleSurvivals(): void {
+		if (this.#isScheduled || this.#survivors().length === 0) {
+			return;
+		}
+
+		this.#isScheduled = true;
+		const {clock, random, ledger} = this.#dependencies;
+		const maxDelayMilliseconds = ledger.hasBlocks ? maxUrgentDelayMilliseconds : maxSurvivalDelayMilliseconds;
+		void clock.sleep(maxDelayMilliseconds * random(), this.#signal).then(() => {
+			this.#isScheduled = false;
+			this.#reportSurvivals();
+		});
+	}
+
+	#reportSurvivals(): void {
+		const {ledger, instance, clock, publish} = this.#dependencies;
+		for (const fingerprint of this.#survivors()) {
+			publish({
+				kind: 'survival', fingerprint, instance, at: clock.moment().wall, incarnations: [...ledger.suspects.get(fingerprint) ?? []],
+			});
+		}
+	}
+
+	#now(): number {
+		return this.#dependencies.clock.moment().steady;
+	}
+
+	#reportCrash({endpoint, requests}: ObservedCrash): void {
+		const {instance, clock, metrics, publish} = this.#dependencies;
+		metrics.crashes.inc();
+		const latest = requests.toSorted((left, right) => left.inFlightMilliseconds - right.inFlightMilliseconds).slice(0, maxRequestsPerReport);
+		publish({
+			kind: 'crash',
+			incarnation: incarnationOf(endpoint),
+			instance,
+			at: clock.moment().wall,
+			requests: latest.map(({fingerprint, inFlightMilliseconds}) => [fingerprint, Math.round(inFlightMilliseconds)]),
+		});
+	}
+}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -13,11 +13,11 @@
 import {abortAnswer} from '../../serving/abort-answer.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
+import {CrashScreen} from './crash-screen.js';
 import {EndpointChoice} from './endpoint-choice.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
-import {requestFingerprint} from './request-fingerprint.js';
 import {type PermittedRequest} from './validate-request.js';
 import {relayFailure} from './relay-failure.js';
 import {reportEnd, type RequestOutcome} from './report-end.js';
@@ -42,6 +42,7 @@
 	readonly #deadline: number;
 	readonly #attempted = new Set<string>();
 	readonly #choice: EndpointChoice;
+	readonly #crashScreen: CrashScreen;
 	readonly #splitter: EventSplitter | undefined;
 	readonly #failureResponder: FailureResponder;
 	#currentAttempt: EndpointAttempt | undefined;
@@ -60,6 +61,7 @@
 		this.#context = context;
 		this.#work = work;
 		this.#choice = new EndpointChoice(context, work, this.#attempted);
+		this.#crashScreen = new CrashScreen(context, work);
 		const {route} = work.permitted;
 		const callerTimeoutMilliseconds = work.head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
 		this.#deadline = work.arrivedAt.steady + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds);
@@ -116,6 +118,11 @@
 				return this.#failureResponder.expire(this.#mayHaveRun);
 			}
 
+			const blocked = this.#crashScreen.refusal();
+			if (blocked !== undefined) {
+				return this.#failureResponder.fail(blocked, this.#mayHaveRun);
+			}
+
 			const {request, placement} = this.#choice.place();
 			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#choice.nextRound()) {
 				continue;
@@ -129,6 +136,7 @@
 
 			const result = await this.#send(request, placement);
 			if (result.outcome === 'whole') {
+				this.#crashScreen.noteServed();
 				return 'whole';
 			}
 
@@ -152,7 +160,7 @@
 				detail: result.detail,
 				status: result.answer?.status,
 				transfer: result.transfer,
-				...(result.isConnectionLost ? {fingerprint: requestFingerprint(this.#work)} : {}),
+				...(result.isConnectionLost ? {fingerprint: this.#crashScreen.fingerprint} : {}),
 			});
 			this.#unreportedTransfer = undefined;
 			const end = await this.#carryOut(step, result.answer);
@@ -228,7 +236,7 @@
 
 		const result = await running;
 		if (result.isConnectionLost) {
-			this.#context.crashDetector.noteLost(endpoint, {fingerprint: requestFingerprint(this.#work), inFlightMilliseconds: this.#now() - this.#sentAt});
+			this.#crashScreen.noteLost(endpoint, this.#now() - this.#sentAt);
 		}
 
 		// The body of a failure may still be relayed; the timeout and a disconnect of the caller must be able to cancel that too.
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -4,8 +4,8 @@
 import {type SharedRetryBudget} from '../decision/limits/shared-retry-budget.js';
 import {type MomentClock} from '../ports/moment-clock.js';
 import {type EventLoopLag} from '../serving/event-loop-lag.js';
-import {type CrashDetector} from './crashes/crash-detector.js';
 import {type ConfigurationView} from './configuration/configuration-view.js';
+import {type EndpointCrashes} from './crashes/endpoint-crashes.js';
 import {type EndpointExchanges} from './data-path/endpoint-exchange.js';
 import {type Refuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
@@ -25,7 +25,7 @@
 	endpoints: EndpointRegistry;
 	placement: PlacementPolicy;
 	retryBudget: SharedRetryBudget;
-	crashDetector: Pick<CrashDetector, 'noteLost'>;
+	crashes: EndpointCrashes;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
 	loadingEngines: LoadingEngines;
--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -107,6 +107,7 @@
 			leaseMilliseconds: 3000,
 			weightsMilliseconds: 10_000,
 			heartbeatMilliseconds: 1000,
+			contactMilliseconds: 3000,
 		},
 	}, ports);
 	const running = daemon.run();
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,7 +23,10 @@
 import {Supervisor} from '../supervisor/supervisor.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {ConfigurationView} from './configuration/configuration-view.js';
-import {CrashDetector} from './crashes/crash-detector.js';
+import {CrashLedger} from './crashes/crash-ledger.js';
+import {CrashFeedHandler} from './crashes/crash-feed-handler.js';
+import {CrashReportPublisher} from './crashes/crash-report-publisher.js';
+import {EndpointCrashes} from './crashes/endpoint-crashes.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
 import {createRefuse} from './data-path/refuse.js';
@@ -77,6 +80,7 @@
 	readonly #ready: HttpListener;
 	readonly #metricsListener: HttpListener;
 	readonly #coordinators: CoordinatorPair;
+	readonly #crashReports: CrashReportPublisher;
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
@@ -105,6 +109,10 @@
 			endpoints: new EndpointRegistry(),
 		};
 		this.#coordinators = this.#createCoordinators(shared, coordinatorView, ports);
+		const ledger = new CrashLedger();
+		this.#crashReports = new CrashReportPublisher({
+			...shared, instance: settings.instance, ledger, store: ports.store, isCoordinator: () => this.#coordinators.isCoordinator,
+		});
 		this.#context = {
 			...shared,
 			names: ports.names,
@@ -113,7 +121,11 @@
 			peerUpdates: this.#coordinators.peerUpdates,
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
-			crashDetector: new CrashDetector({...shared, onCrash: ignoreCrash}),
+			crashes: new EndpointCrashes({
+				...shared, instance: settings.instance, metrics, random: ports.random, ledger, publish: report => {
+					this.#crashReports.publish(report);
+				},
+			}),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
@@ -128,7 +140,8 @@
 		}, settings.listenCallers, {...defaultListenerBounds, maxHeaderBytes: parserHeaderBytes});
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
-		this.#feeds = new TableFeeds(this.#context, {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby}, timings);
+		const crashHandler = new CrashFeedHandler(ledger, this.#crashReports);
+		this.#feeds = new TableFeeds(this.#context, {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby}, timings, crashHandler);
 		this.#root = this.#createSupervisor(ports);
 	}
 
@@ -238,6 +251,7 @@
 				}),
 				new EndpointProber(this.#context),
 				...this.#coordinators.children(),
+				this.#crashReports,
 				this.#callers,
 				this.#ready,
 				this.#metricsListener,
@@ -281,7 +295,3 @@
 		return app;
 	}
 }
-
-function ignoreCrash(): void {
-	// The detector's log line is all that a crash leads to.
-}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -18,6 +18,8 @@
 	weightsMilliseconds: number;
 	/** How often an endpoint renews its row in the store. */
 	heartbeatMilliseconds: number;
+	/** Within this time an instance that reaches the store knows what another one has reported. */
+	contactMilliseconds: number;
 };
 
 export type GatewaySettings = {
@@ -49,6 +51,9 @@
 	readerWaitMilliseconds: number;
 	/** An instance makes no calls to the feed as long as the reader's latest confirmation is no older than this. */
 	maxRelayedAgeMilliseconds: number;
+	/** Both for the table of crashes. */
+	readerCrashWaitMilliseconds: number;
+	maxRelayedCrashAgeMilliseconds: number;
 	/** Beyond this age of the configuration, a route or key that is missing from it is not reported as unknown. */
 	freshMilliseconds: number;
 	/** Beyond this age, no key is accepted. */
@@ -69,6 +74,10 @@
 const relayedAgeShare = 0.6;
 /** Share of that age that a call of the reader may wait; the relaying and the interval of queries take up the rest. */
 const readerWaitShare = 0.3;
+/** Share of the contact time that a call of the reader for new crashes may wait. */
+const readerCrashWaitShare = 0.25;
+/** Share of the contact time after which an instance without relayed crashes reads them itself; the rest is for that call. */
+const relayedCrashAgeShare = 0.5;
 /** Time between the check of a lease and the sending of the request, on a slow instance with a late timer. */
 const keyLeaseMarginMilliseconds = 150;
 /** Feed waits for which a configuration is fresh after the last answered call: one for the next call, the rest for lateness. */
@@ -87,6 +96,8 @@
 		feedWaitMilliseconds,
 		readerWaitMilliseconds: Math.round(readerWaitShare * maxRelayedAgeMilliseconds),
 		maxRelayedAgeMilliseconds,
+		readerCrashWaitMilliseconds: Math.round(readerCrashWaitShare * bounds.contactMilliseconds),
+		maxRelayedCrashAgeMilliseconds: Math.round(relayedCrashAgeShare * bounds.contactMilliseconds),
 		freshMilliseconds: freshWaits * feedWaitMilliseconds,
 		keyLeaseMilliseconds: bounds.revocationMilliseconds - keyLeaseMarginMilliseconds,
 	};
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -52,4 +52,8 @@
 	readonly eventLoopLate = new Counter({
 		name: 'savorygauge_event_loop_late_seconds_total', help: 'Time by which the event loop ran timers late.', registers: [this.registry],
 	});
+
+	readonly crashes = new Counter({
+		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
+	});
 }
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -9,7 +9,9 @@
 import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
 import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
-import {CrashDetector} from '../crashes/crash-detector.js';
+import {CrashLedger} from '../crashes/crash-ledger.js';
+import {keyOfReport} from '../crashes/crash-report-rows.js';
+import {EndpointCrashes} from '../crashes/endpoint-crashes.js';
 import {HttpEndpointExchanges} from '../data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from '../data-path/gateway-request-handler.js';
 import {createRefuse} from '../data-path/refuse.js';
@@ -40,7 +42,8 @@
 	readonly #stop = new AbortController();
 	readonly #eventLoopLag: EventLoopLag;
 
-	constructor(configuration: RoutedConfiguration = testConfiguration()) {
+	/** @param crashLedger - Shared by gateways of a test that know of each other's crashes at once. */
+	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger()) {
 		const metrics = new GatewayMetrics();
 		const view = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 120_000});
 		view.offer(configuration);
@@ -61,12 +64,16 @@
 			configuration: view,
 			endpoints,
 			placement: new CostPlacement('split'),
-			crashDetector: new CrashDetector({
+			crashes: new EndpointCrashes({
+				instance: 'test',
 				clock: systemMomentClock,
 				log,
+				metrics,
 				endpoints,
-				onCrash() {
-					// Only its log line is of interest.
+				ledger: crashLedger,
+				random: () => 0,
+				publish(report) {
+					crashLedger.put(keyOfReport(report), report);
 				},
 			}),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -72,6 +72,7 @@
 			leaseMilliseconds: numberOf('bounds.lease_ms', 3000),
 			weightsMilliseconds: numberOf('bounds.version_ms', 10_000),
 			heartbeatMilliseconds: numberOf('heartbeat_ms'),
+			contactMilliseconds: numberOf('bounds.contact_ms', 3000),
 		},
 	};
 	return findings.length > 0 ? Left(findings) : Right(settings);
--- a/src/serving/send-refusal.ts
+++ b/src/serving/send-refusal.ts
@@ -24,6 +24,7 @@
 	'in-progress': 409,
 	'outcome-unknown': 502,
 	'endpoint-failed': 502,
+	'crashes-endpoints': 503,
 	'stream-cut': 502,
 	timeout: 504,
 	cancelled: 499,
--- a/src/shared/types.ts
+++ b/src/shared/types.ts
@@ -33,6 +33,7 @@
 		| 'in-progress'
 		| 'outcome-unknown'
 		| 'endpoint-failed'
+		| 'crashes-endpoints'
 		| 'stream-cut'
 		| 'timeout'
 		| 'cancelled'
--- a/src/test/process-crashing-requests.test.ts
+++ b/src/test/process-crashing-requests.test.ts
@@ -6,5 +6,5 @@
 	const {crashes, lateArrivals, wronglyBlocked} = await runCrashingRequests({seed: 1, network: 31, milliseconds: 15_000});
 	assert.ok(Object.values(crashes).some(count => count >= 3), 'the request has crashed three endpoints');
 	assert.deepEqual(Object.entries(lateArrivals).filter(([, late]) => late > allowedLateArrivals), []);
-	assert.equal(wronglyBlocked, 0);
+	assert.deepEqual(wronglyBlocked, []);
 });
