Void crashes for answered requests at the first crash, in one report

Cause: answers were reported only for requests that were present at two crashes. When two more endpoints crashed within the time of a report, an instance that had not served the request itself blocked it until the report arrived.

Change: an instance reports all requests of a crash that it has answered, before or after it, within 0.3 s, in one row. What stays counted is what nobody has answered: the crashing request, and requests that were beside it and were not served yet.

--- a/src/check/crashing-requests-over-processes.ts
+++ b/src/check/crashing-requests-over-processes.ts
@@ -8,6 +8,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
 import {DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
 import {contactMilliseconds, GatewayDeployment, type GatewayInstance} from './gateway-deployment.js';
@@ -74,7 +75,7 @@
 
 	constructor(seed: number, network: number) {
 		this.#seed = seed;
-		this.#choices = Choices.fromSeed(seed);
+		this.#choices = Choices.fromSeed(hashOf(`crashing requests ${seed}`));
 		this.#deployment = new GatewayDeployment({
 			network,
 			dataCentres,
--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -35,7 +35,7 @@
 	const ledger = ledgerOf(crash('a', ['hot']), crash('b', ['hot']), crash('c', ['hot']));
 	assert.notEqual(ledger.blockOf('hot', 1), undefined);
 	ledger.put('s', {
-		kind: 'survival', fingerprint: 'hot', instance: 'e1', at: 1, incarnations: ['a', 'b'],
+		kind: 'survival', instance: 'e1', at: 1, requests: [['hot', ['a', 'b']]],
 	});
 	assert.equal(ledger.blockOf('hot', 1), undefined);
 });
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -23,14 +23,13 @@
 	requests: Array<[fingerprint: string, inFlightMilliseconds: number]>;
 };
 
-/** A complete answer to a request that was present at some crashes. */
+/** Requests that were present at crashes, and that one instance has answered completely. */
 export type SurvivalReport = {
 	kind: 'survival';
-	fingerprint: string;
 	instance: string;
 	at: number;
-	/** The crashes that it was known to have been present at. */
-	incarnations: string[];
+	/** The crashes that each was known to have been present at, by their incarnations. */
+	requests: Array<[fingerprint: string, incarnations: string[]]>;
 };
 
 export type Report = CrashReport | SurvivalReport;
@@ -63,7 +62,7 @@
 		return this.#blocks().size > 0;
 	}
 
-	/** The requests that were present at enough crashes for one more to block them: by fingerprint, these crashes. */
+	/** The requests that were present at crashes and not answered since: by fingerprint, these crashes. */
 	get suspects(): ReadonlyMap<string, ReadonlySet<string>> {
 		this.#blocks();
 		return this.#suspects;
@@ -127,7 +126,7 @@
 
 	#compute(): Map<string, Block> {
 		const crashes = [...this.#crashes().values()];
-		this.#suspects = new Map(findSuspects(crashes, crashesToBlock - 1).map(({fingerprint, incarnations}) => [fingerprint, incarnations]));
+		this.#suspects = new Map(findSuspects(crashes, 1).map(({fingerprint, incarnations}) => [fingerprint, incarnations]));
 		return new Map(findCrashingRequests(crashes).map(({fingerprint, incarnations}) => [fingerprint, this.#blockFor(fingerprint, new Set(incarnations))]));
 	}
 
@@ -136,8 +135,10 @@
 		const survivals = new Set<string>();
 		for (const report of this.#reports.values()) {
 			if (report.kind === 'survival') {
-				for (const incarnation of report.incarnations) {
-					survivals.add(`${report.fingerprint}|${incarnation}`);
+				for (const [fingerprint, incarnations] of report.requests) {
+					for (const incarnation of incarnations) {
+						survivals.add(`${fingerprint}|${incarnation}`);
+					}
 				}
 			}
 		}
--- a/src/gateway/crashes/crash-report-rows.ts
+++ b/src/gateway/crashes/crash-report-rows.ts
@@ -16,17 +16,16 @@
 	}),
 	zod.object({
 		kind: zod.literal('survival'),
-		fingerprint: zod.string(),
 		instance: zod.string(),
 		at: zod.number(),
-		incarnations: zod.array(zod.string()),
+		requests: zod.array(zod.tuple([zod.string(), zod.array(zod.string())])),
 	}),
 ]);
 
 /** Returns the key of a report's row: unique, since an instance makes no two reports about the same thing at the same time. */
 export function keyOfReport(report: Report): string {
-	const subject = report.kind === 'crash' ? report.incarnation : report.fingerprint;
-	return `${report.kind}/${subject}/${report.instance}/${Math.round(report.at)}`;
+	const subject = report.kind === 'crash' ? `crash/${report.incarnation}` : 'survival';
+	return `${subject}/${report.instance}/${Math.round(report.at)}`;
 }
 
 /** Returns the content of a report's row. */
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -28,10 +28,8 @@
 const maxServed = 4096;
 /** How long an answer proves that its request crashes nothing; endpoints may get other software or weights later. */
 const servedValidityMilliseconds = 600_000;
-/** Longest delay of a report about a request that one more crash would block. */
+/** Longest delay of a report about answered requests. */
 const maxSurvivalDelayMilliseconds = 300;
-/** The same while requests are blocked, which may be that request. */
-const maxUrgentDelayMilliseconds = 100;
 
 export class EndpointCrashes {
 	readonly #dependencies: EndpointCrashesDependencies;
@@ -76,7 +74,9 @@
 			this.#served.delete(this.#served.keys().next().value!);
 		}
 
-		this.#scheduleSurvivals();
+		if (this.#dependencies.ledger.suspects.has(fingerprint)) {
+			this.#scheduleSurvivals();
+		}
 	}
 
 	/** Why a request may not be sent to any endpoint; `undefined` if it may. */
@@ -89,31 +89,26 @@
 		return this.#now() - (this.#served.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < servedValidityMilliseconds;
 	}
 
-	/** The suspects that were answered completely here. */
-	#survivors(): string[] {
-		return [...this.#dependencies.ledger.suspects.keys()].filter(fingerprint => this.#wasServed(fingerprint));
-	}
-
-	/** Lets instances that served the same request take turns: the first report makes the others needless. */
+	/** Reports after a random delay: the first report of a request makes those of other instances needless. */
 	#scheduleSurvivals(): void {
-		if (this.#isScheduled || this.#survivors().length === 0) {
+		if (this.#isScheduled) {
 			return;
 		}
 
 		this.#isScheduled = true;
-		const {clock, random, ledger} = this.#dependencies;
-		const maxDelayMilliseconds = ledger.hasBlocks ? maxUrgentDelayMilliseconds : maxSurvivalDelayMilliseconds;
-		void clock.sleep(maxDelayMilliseconds * random(), this.#signal).then(() => {
+		const {clock, random} = this.#dependencies;
+		void clock.sleep(maxSurvivalDelayMilliseconds * random(), this.#signal).then(() => {
 			this.#isScheduled = false;
 			this.#reportSurvivals();
 		});
 	}
 
 	#reportSurvivals(): void {
-		const {ledger, instance, clock, publish} = this.#dependencies;
-		for (const fingerprint of this.#survivors()) {
+		const {ledger: {suspects}, instance, clock, publish} = this.#dependencies;
+		const survivors = [...suspects.keys()].filter(fingerprint => this.#wasServed(fingerprint)).slice(0, maxRequestsPerReport);
+		if (survivors.length > 0) {
 			publish({
-				kind: 'survival', fingerprint, instance, at: clock.moment().wall, incarnations: [...ledger.suspects.get(fingerprint) ?? []],
+				kind: 'survival', instance, at: clock.moment().wall, requests: survivors.map(fingerprint => [fingerprint, [...suspects.get(fingerprint) ?? []]]),
 			});
 		}
 	}
