Log the limits that endpoints name in their answers

Change: each answer's limit is recorded by incarnation of its endpoint, and logged when it changes or ends. What the gateway decides is unchanged.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -206,7 +206,7 @@
 	}
 
 	#updateRegistry(answer: EndpointAnswer): void {
-		const {names, endpoints} = this.#context;
+		const {names, endpoints, limits} = this.#context;
 		const {endpoint} = this.#target;
 		const model = this.#work.head.prompt?.model;
 		const version = Number(answer.header(names.weightVersion));
@@ -215,6 +215,10 @@
 		}
 
 		const answeringEndpoint = answer.header(names.endpointName);
+		if (answeringEndpoint === undefined || answeringEndpoint === endpoint.name) {
+			limits.note(endpoint, answer.header(names.endpointLimit));
+		}
+
 		if (answer.status === 421 && answeringEndpoint !== undefined && answeringEndpoint !== endpoint.name) {
 			endpoints.markLeaving(endpoint.name);
 		}
--- a/src/gateway/data-path/wire-names.ts
+++ b/src/gateway/data-path/wire-names.ts
@@ -30,6 +30,8 @@
 	notExecuted: string;
 	/** Running requests, waiting requests and slots, separated by commas. */
 	endpointLoad: string;
+	/** Requests a second that the endpoint takes from all instances together, as long as its answers say so. */
+	endpointLimit: string;
 	/** The weight version that an engine answered with. */
 	weightVersion: string;
 	/** Separates cached prompt blocks: an engine finds a block only under the salt that it was stored with. */
@@ -63,6 +65,7 @@
 	seal: 'savorygauge-seal',
 	notExecuted: 'savorygauge-not-executed',
 	endpointLoad: 'savorygauge-endpoint-load',
+	endpointLimit: 'savorygauge-limit',
 	weightVersion: 'savorygauge-weight-version',
 	cacheSalt: 'savorygauge-cache-salt',
 	engineRank: 'savorygauge-rank',
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -9,6 +9,7 @@
 import {type EndpointExchanges} from './data-path/endpoint-exchange.js';
 import {type Refuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
+import {type EndpointLimits} from './limits/endpoint-limits.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
@@ -26,6 +27,7 @@
 	placement: PlacementPolicy;
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
+	limits: EndpointLimits;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
 	loadingEngines: LoadingEngines;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -40,6 +40,7 @@
 import {CoordinatorPair} from './coordinator/coordinator-pair.js';
 import {CoordinatorView} from './coordinator/coordinator-view.js';
 import {DecisionLog} from './observability/decision-log.js';
+import {EndpointLimits} from './limits/endpoint-limits.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
 import {type StoreSchema} from './watchers/store-schema.js';
@@ -126,6 +127,7 @@
 					this.#crashReports.publish(report);
 				},
 			}),
+			limits: new EndpointLimits(log),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -20,6 +20,7 @@
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {CoordinatorView} from '../coordinator/coordinator-view.js';
+import {EndpointLimits} from '../limits/endpoint-limits.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {reportLag} from '../observability/report-lag.js';
@@ -76,6 +77,7 @@
 					crashLedger.put(keyOfReport(report), report);
 				},
 			}),
+			limits: new EndpointLimits(log),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(10_000),
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -15,6 +15,7 @@
 	seal: 'x-server-seal',
 	notExecuted: 'x-not-executed',
 	endpointLoad: 'x-server-load',
+	endpointLimit: 'server-limit',
 	weightVersion: 'x-weight-versions',
 	cacheSalt: 'x-cache-salt',
 	engineRank: 'x-request-priority',
