--- a/src/check/crashing-requests-over-processes.ts
+++ b/src/check/crashing-requests-over-processes.ts
@@ -145,15 +145,16 @@
 		return {};
 	}
 
-	async run(endpoint: DeploymentEndpoint, {body}: Arrival, response: ServerResponse): Promise<void> {
+	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
+		const {body} = arrival;
 		await delay(this.#choices.between(5, 60));
 		if (!body.startsWith('crash')) {
-			await endpoint.answer(response, this.#choices.between(2, 25));
+			await endpoint.answer(response, arrival, this.#choices.between(2, 25));
 			return;
 		}
 
 		if (this.#choices.chance(70)) {
-			endpoint.begin(response);
+			endpoint.begin(response, arrival);
 		}
 
 		await delay(this.#choices.between(20, 60));
--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -27,7 +27,7 @@
 	/** Answers the request, or ends the endpoint. */
 	run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void>;
 	/** Headers of every answer. */
-	headers(endpoint: DeploymentEndpoint): Record<string, string>;
+	headers(endpoint: DeploymentEndpoint, instance: string): Record<string, string>;
 }
 
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
@@ -117,8 +117,8 @@
 	}
 
 	/** Answers with events. */
-	async answer(response: ServerResponse, events: number): Promise<void> {
-		this.begin(response);
+	async answer(response: ServerResponse, arrival: Arrival, events: number): Promise<void> {
+		this.begin(response, arrival);
 		for (let id = 1; id <= events && !response.destroyed; id++) {
 			response.write(`id: ${id}\ndata: piece ${id}\n\n`);
 			await delay(eventMilliseconds);
@@ -128,9 +128,9 @@
 	}
 
 	/** Sends the head of an answer. */
-	begin(response: ServerResponse): void {
+	begin(response: ServerResponse, {instance}: Arrival): void {
 		response.writeHead(200, {
-			[names.attemptId]: String(response.req.headers[names.attemptId]), [names.seal]: 'seal', 'content-type': 'text/event-stream', ...this.#script.headers(this),
+			[names.attemptId]: String(response.req.headers[names.attemptId]), [names.seal]: 'seal', 'content-type': 'text/event-stream', ...this.#script.headers(this, instance),
 		});
 		response.flushHeaders();
 	}
@@ -152,7 +152,7 @@
 		};
 		this.#script.arrived(arrival);
 		if (request.headers[names.expectedEndpoint] !== this.name) {
-			response.writeHead(421, {[names.notExecuted]: '1', [names.endpointName]: this.name, ...this.#script.headers(this)});
+			response.writeHead(421, {[names.notExecuted]: '1', [names.endpointName]: this.name, ...this.#script.headers(this, arrival.instance)});
 			response.end();
 			return;
 		}
