Hold a request that was blocked just now until other instances can report its answers

Cause: a block took effect at the moment of the third crash, while reports of complete answers at other instances arrive some hundred milliseconds later.

Sending it on in that time would cost one more endpoint for each return of a crashing request.

--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -30,6 +30,8 @@
 const servedValidityMilliseconds = 600_000;
 /** Longest delay of a report about answered requests. */
 const maxSurvivalDelayMilliseconds = 300;
+/** Time for the reports of other instances to arrive: their delay, the write, and the queries by which they are relayed. */
+const settleMilliseconds = 900;
 
 export class EndpointCrashes {
 	readonly #dependencies: EndpointCrashesDependencies;
@@ -37,6 +39,8 @@
 	/** Requests that were answered completely here, the latest last: when that was, in milliseconds of the steady clock. */
 	readonly #served = new Map<string, number>();
 	readonly #signal = new AbortController().signal;
+	/** When a blocked request was first asked for, in milliseconds of the steady clock. */
+	readonly #blockedAt = new Map<string, number>();
 	#isScheduled = false;
 
 	constructor(dependencies: EndpointCrashesDependencies) {
@@ -85,6 +89,22 @@
 		return this.#wasServed(fingerprint) ? undefined : ledger.blockOf(fingerprint, clock.moment().wall);
 	}
 
+	/** Whether a request was blocked so recently that reports of its answers at other instances may still arrive. */
+	isUnsettled(fingerprint: string): boolean {
+		if (this.blockOf(fingerprint) === undefined) {
+			this.#blockedAt.delete(fingerprint);
+			return false;
+		}
+
+		const blockedAt = this.#blockedAt.get(fingerprint) ?? this.#now();
+		this.#blockedAt.set(fingerprint, blockedAt);
+		if (this.#blockedAt.size > maxServed) {
+			this.#blockedAt.delete(this.#blockedAt.keys().next().value!);
+		}
+
+		return this.#now() - blockedAt < settleMilliseconds;
+	}
+
 	#wasServed(fingerprint: string): boolean {
 		return this.#now() - (this.#served.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < servedValidityMilliseconds;
 	}
--- a/src/gateway/data-path/crash-screen.ts
+++ b/src/gateway/data-path/crash-screen.ts
@@ -8,8 +8,8 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {requestFingerprint, type IdentifiedRequest} from './request-fingerprint.js';
 
-/** Within this time after the last crash another instance may still report that the request was answered elsewhere. */
-const settleMilliseconds = 3000;
+/** How often a held request checks whether it is still blocked. */
+const holdCheckMilliseconds = 50;
 
 type ScreenContext = Pick<GatewayContext, 'clock' | 'crashes' | 'log'>;
 
@@ -28,10 +28,23 @@
 		return this.#fingerprint;
 	}
 
-	/** The refusal of a request that is blocked; `undefined` if it may be sent. */
-	refusal(): Refusal | undefined {
+	/**
+	 * The refusal of a request that is blocked; `undefined` if it may be sent. A request that was blocked just now is held
+	 * until the reports of other instances have arrived, which may have answered it.
+	 *
+	 * @param signal - Ends the holding, without a refusal, when the caller disconnects or its time is over.
+	 */
+	async refusal(signal: AbortSignal): Promise<Refusal | undefined> {
 		const {crashes, clock} = this.#context;
-		const block = crashes.hasBlocks ? crashes.blockOf(this.fingerprint) : undefined;
+		if (!crashes.hasBlocks) {
+			return undefined;
+		}
+
+		while (crashes.isUnsettled(this.fingerprint) && !signal.aborted) {
+			await clock.sleep(holdCheckMilliseconds, signal);
+		}
+
+		const block = signal.aborted ? undefined : crashes.blockOf(this.fingerprint);
 		if (block === undefined) {
 			return undefined;
 		}
@@ -42,7 +55,8 @@
 			reason: 'crashes-endpoints',
 			ran: 'not-run',
 			message: `${block.crashes.length} endpoints ended while they ran this request`,
-			retryAfterMilliseconds: retryDelay(block, now),
+			// The caller is not invited to come back before the evidence expires.
+			retryAfterMilliseconds: Math.round(block.until - now),
 		};
 	}
 
@@ -64,9 +78,3 @@
 		});
 	}
 }
-
-/** The caller of a request that is blocked for good is not invited to come back before the evidence expires. */
-function retryDelay({crashes, until}: Block, now: number): number {
-	const settledAt = (crashes.at(-1)?.at ?? 0) + settleMilliseconds;
-	return Math.round(Math.max(1000, (now < settledAt ? settledAt : until) - now));
-}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -50,6 +50,8 @@
 	#mayHaveRun = false;
 	#hasCallerDisconnected = false;
 	#isExpired = false;
+	/** Aborts when the caller disconnects or the deadline passes. */
+	readonly #stop = new AbortController();
 	#firstByteAt: number | undefined;
 	#sentAt: number | undefined;
 	#basis: PlacementBasis | undefined;
@@ -83,6 +85,7 @@
 		response.once('close', onClose);
 		const timer = setTimeout(() => {
 			this.#isExpired = true;
+			this.#stop.abort();
 			this.#currentAttempt?.cancel();
 		}, Math.max(0, this.#deadline - this.#now()));
 		try {
@@ -107,6 +110,11 @@
 
 	async #attemptUntilDone(): Promise<RequestOutcome> {
 		for (;;) {
+			const blocked = await this.#crashScreen.refusal(this.#stop.signal);
+			if (blocked !== undefined) {
+				return this.#failureResponder.fail(blocked, this.#mayHaveRun);
+			}
+
 			await this.#choice.selectCandidates();
 
 			const isDisconnected = await hasCallerDisconnected(this.#work.request, this.#context.eventLoopLag.current);
@@ -118,11 +126,6 @@
 				return this.#failureResponder.expire(this.#mayHaveRun);
 			}
 
-			const blocked = this.#crashScreen.refusal();
-			if (blocked !== undefined) {
-				return this.#failureResponder.fail(blocked, this.#mayHaveRun);
-			}
-
 			const {request, placement} = this.#choice.place();
 			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#choice.nextRound()) {
 				continue;
@@ -295,6 +298,7 @@
 		}
 
 		this.#hasCallerDisconnected = true;
+		this.#stop.abort();
 		if (this.#work.permitted.route.kind !== 'non-idempotent') {
 			this.#currentAttempt?.cancel();
 		}
