Send an endpoint that names a limit no more than that, summed over all instances

Cause: the limit was not read. No instance knew it, and no sum over all instances existed that a send could be checked against.

Change: the limit of each answer is kept by incarnation of its endpoint. A request that is placed at such an endpoint first takes a permit from the coordinator, in a query of the connection that is open anyway, or from its standby; without a permit it is placed elsewhere, or refused as not run at once with a Retry-After. One place grants all permits, at the rate of the limit with two unused ones at most, so fixed shares, which would leave each of 18 instances one request in 15 s at 1.2 a second, are needed only while neither answers: then an instance sends at most its own share. First sends, retries and resumed streams all pass the same check. The limit ends with the first answer that does not name it; permits go on, so such an answer comes. A coordinator of an older build ignores the question, which counts as no answer.

An instance learns a limit with the first answer that it passes on, not from others.

--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -10,7 +10,7 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
-	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PlacementQuery,
+	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {type CoordinatorView} from './coordinator-view.js';
 
@@ -75,7 +75,7 @@
 	#instances = 0;
 	#isLapsed = false;
 	#dataCentre: string | undefined;
-	readonly #waiters = new Map<number, (isAnswered: boolean) => void>();
+	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -169,21 +169,13 @@
 
 	/** Sends a query, and waits for the answer if that takes only a short time; returns whether it arrived. */
 	async refresh(query: PlacementQuery): Promise<boolean> {
-		if (!this.isResponsive) {
-			return false;
-		}
+		return await this.#ask(query) !== undefined;
+	}
 
-		this.#sendQuery(query);
-		const number = this.#number;
-		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				this.#resumeCaller(number, false);
-			}, this.#waitMilliseconds);
-			this.#waiters.set(number, isAnswered => {
-				clearTimeout(timer);
-				resolve(isAnswered);
-			});
-		});
+	/** Asks to send one request to an endpoint with a limit; `undefined` without an answer in time. */
+	async takePermit(permit: PermitQuery): Promise<boolean | undefined> {
+		const answer = await this.#ask(emptyQuery, permit);
+		return answer?.isPermitted;
 	}
 
 	report(): void {
@@ -195,7 +187,7 @@
 
 	close(): void {
 		for (const number of this.#waiters.keys()) {
-			this.#resumeCaller(number, false);
+			this.#resumeCaller(number, undefined);
 		}
 
 		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
@@ -207,14 +199,41 @@
 		this.#follower.closed();
 	}
 
-	#sendQuery(query: PlacementQuery): void {
+	/** Sends a query, and waits for the answer if that takes only a short time. */
+	async #ask(query: PlacementQuery, permit?: PermitQuery): Promise<CoordinatorFrame | undefined> {
+		if (!this.isResponsive) {
+			return undefined;
+		}
+
+		this.#sendQuery(query, permit);
+		const number = this.#number;
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.#resumeCaller(number, undefined);
+			}, this.#waitMilliseconds);
+			this.#waiters.set(number, answer => {
+				clearTimeout(timer);
+				resolve(answer);
+			});
+		});
+	}
+
+	#sendQuery(query: PlacementQuery, permit?: PermitQuery): void {
 		const now = this.#clock.moment();
 		this.#number++;
 		this.#lastQueryAt = now.steady;
 		this.#pending.set(this.#number, {sentAt: now, query});
 		const {instance, cores} = this.#follower;
 		const frame: FollowerFrame = {
-			kind: 'ask', number: this.#number, instance, cores, uses: this.#follower.takeUses(), loads: this.#follower.loads(), about: query, places: this.#follower.cursors(),
+			kind: 'ask',
+			number: this.#number,
+			instance,
+			cores,
+			uses: this.#follower.takeUses(),
+			loads: this.#follower.loads(),
+			about: query,
+			places: this.#follower.cursors(),
+			...(permit === undefined ? {} : {permit}),
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
@@ -246,7 +265,7 @@
 			this.#follower.applyTableUpdates(frame.tables, pending.sentAt);
 		}
 
-		this.#resumeCaller(frame.number, pending !== undefined);
+		this.#resumeCaller(frame.number, pending === undefined ? undefined : frame);
 	}
 
 	#noteRoundTrip(milliseconds: number): void {
@@ -255,9 +274,9 @@
 	}
 
 	/** Resumes the caller that waits for an answer. */
-	#resumeCaller(number: number, isAnswered: boolean): void {
+	#resumeCaller(number: number, answer: CoordinatorFrame | undefined): void {
 		const resume = this.#waiters.get(number);
 		this.#waiters.delete(number);
-		resume?.(isAnswered);
+		resume?.(answer);
 	}
 }
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -66,6 +66,13 @@
 	unknown: string[];
 };
 
+/** A question for one request to an endpoint that has named a limit. */
+export type PermitQuery = {
+	/** Identifies the incarnation of the endpoint. */
+	incarnation: string;
+	limitPerSecond: number;
+};
+
 /** What a follower reports about itself. */
 type FollowerReport = {
 	instance: string;
@@ -85,6 +92,8 @@
 		about: PlacementQuery;
 		/** Its position in each table that it follows. */
 		places: Record<string, FeedCursor>;
+		/** An endpoint with a limit that it asks to send one request to. */
+		permit?: PermitQuery;
 	}
 	| FollowerReport & {kind: 'tell'};
 
@@ -114,4 +123,6 @@
 	mostCores: number;
 	/** How many instances report to the coordinator. */
 	instances: number;
+	/** Whether the permit that was asked for is granted; absent if none was. */
+	isPermitted?: boolean;
 };
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -13,6 +13,7 @@
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
+import {PermitGrants} from './permit-grants.js';
 import {LoadTotals} from './load-totals.js';
 
 /** What the server needs from the coordinator to answer queries. */
@@ -56,6 +57,7 @@
 	readonly #server: Server;
 	readonly #followers = new Map<Socket, Follower>();
 	readonly #loads = new LoadTotals();
+	readonly #permits = new PermitGrants();
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: CoordinatorSource, clock: MomentClock) {
@@ -162,7 +164,9 @@
 		}
 	}
 
-	#answer(socket: Socket, {number, instance, about, loads, places}: FollowerFrame & {kind: 'ask'}): void {
+	#answer(socket: Socket, {
+		number, instance, about, loads, places, permit,
+	}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
 		const blocks = this.#source.locateBlocks(about, engine => this.#loads.requestsAt(engine));
 		const endpoints = new Set([...about.endpoints, ...blocks.engines, ...Object.keys(loads)]);
@@ -179,6 +183,7 @@
 			tables: this.#source.tableUpdates(places),
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
+			...(permit === undefined ? {} : {isPermitted: this.#permits.grant(permit.incarnation, permit.limitPerSecond, this.#now())}),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -5,10 +5,11 @@
  * send orders to stores. The cached blocks of engines and the loads of instances are hints, which the standby may serve
  * meanwhile: without them every returning prompt is prefilled again, at engines that look idle to all instances at once.
  */
+import {type PermitSource} from '../limits/endpoint-limits.js';
 import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
-import {type PlacementQuery} from './coordinator-messages.js';
+import {type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
 
-export class PeerUpdateSources implements PeerUpdates {
+export class PeerUpdateSources implements PeerUpdates, PermitSource {
 	readonly #sources: readonly CoordinatorClient[];
 
 	/** @param sources - In the order in which they are tried. */
@@ -24,6 +25,17 @@
 		}
 	}
 
+	async takePermit(permit: PermitQuery): Promise<boolean | undefined> {
+		for (const source of this.#sources) {
+			const isPermitted = await source.takePermit(permit);
+			if (isPermitted !== undefined) {
+				return isPermitted;
+			}
+		}
+
+		return undefined;
+	}
+
 	report(): void {
 		this.#sources.find(({isResponsive}) => isResponsive)?.report();
 	}
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -18,6 +18,8 @@
 	readonly #work: {head: RequestHead; permitted: PermittedRequest};
 	readonly #attempted: ReadonlySet<string>;
 	#candidates: readonly EndpointRecord[] = [];
+	/** Endpoints whose limit has no room for this request. */
+	readonly #excluded = new Set<string>();
 	#rounds = 0;
 
 	/** @param attempted - The endpoints that the request was already sent to; the caller may add to it. */
@@ -58,6 +60,12 @@
 		return this.#rounds < maxRounds && this.#candidates.length < this.#usable(this.#now()).length;
 	}
 
+	/** Excludes an endpoint whose limit has no room for the request; returns whether another one is usable. */
+	exclude(endpoint: EndpointRecord): boolean {
+		this.#excluded.add(endpoint.name);
+		return this.#usable(this.#now()).some(({name}) => !this.#attempted.has(name));
+	}
+
 	#request(): PlacementRequest {
 		return placementRequestOf(this.#context, this.#work, this.#attempted);
 	}
@@ -67,7 +75,7 @@
 	}
 
 	#usable(now: number): EndpointRecord[] {
-		return this.#context.endpoints.usable(this.#work.permitted.service, now);
+		return this.#context.endpoints.usable(this.#work.permitted.service, now).filter(({name}) => !this.#excluded.has(name));
 	}
 
 	#now(): number {
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -7,6 +7,7 @@
 import {
 	decideNextStep, type NextStep, type AttemptOutcome,
 } from '../../decision/attempts/next-step.js';
+import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -36,6 +37,9 @@
 
 /** `Retry-After` of a request that every endpoint rejected: a queue of short requests drains in this time. */
 const rejectedRetryMilliseconds = 500;
+/** `Retry-After` of a request that no endpoint's limit leaves room for; endpoints in need take one request in a second or so. */
+const limitedRetryMilliseconds = 1000;
+
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
@@ -137,6 +141,19 @@
 				}, this.#mayHaveRun);
 			}
 
+			if (!(await this.#context.limits.maySend(placement.endpoint))) {
+				if (this.#choice.exclude(placement.endpoint)) {
+					continue;
+				}
+
+				return this.#failureResponder.fail({
+					reason: 'overloaded',
+					ran: 'not-run',
+					message: 'the endpoints of the service have named limits that leave no room now',
+					retryAfterMilliseconds: spreadRetry(limitedRetryMilliseconds, this.#work.head.attemptId),
+				}, this.#mayHaveRun);
+			}
+
 			const result = await this.#send(request, placement);
 			if (result.outcome === 'whole') {
 				this.#crashScreen.noteServed();
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -127,7 +127,9 @@
 					this.#crashReports.publish(report);
 				},
 			}),
-			limits: new EndpointLimits(log),
+			limits: new EndpointLimits({
+				...shared, metrics, permits: this.#coordinators.peerUpdates, instances: () => this.#coordinators.instances,
+			}),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -53,6 +53,10 @@
 		name: 'savorygauge_event_loop_late_seconds_total', help: 'Time by which the event loop ran timers late.', registers: [this.registry],
 	});
 
+	readonly permits = new Counter({
+		name: 'savorygauge_permits_total', help: 'Requests for endpoints that had named a limit, by whether they were let through.', labelNames: ['outcome'], registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
 	});
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -77,7 +77,9 @@
 					crashLedger.put(keyOfReport(report), report);
 				},
 			}),
-			limits: new EndpointLimits(log),
+			limits: new EndpointLimits({
+				clock: systemMomentClock, log, metrics, permits: {takePermit: async () => undefined}, instances: () => 1,
+			}),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(10_000),
