Send nothing for a caller who disconnects while a permit is awaited

What endpoints saw: a request whose caller had left was sent to an endpoint with a limit.

Change: the search for an endpoint is a module of its own (EndpointSearch), after which the disconnect and the deadline are checked once more; the loop over attempts is shorter for it. The new test was red without that check (1 request arrived).

--- /dev/null
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -0,0 +1,91 @@
+/**
+ * Finds the endpoint of a request's next attempt: keeps a request that crashes its endpoints from all of them, places any
+ * other, and takes a permit where the chosen endpoint has named a limit.
+ */
+import {spreadRetry} from '../../decision/limits/spread-retry.js';
+import {type Placement, type PlacementRequest} from '../../decision/placement/placement.js';
+import {type Refusal} from '../../shared/types.js';
+import {type GatewayContext} from '../gateway-context.js';
+import {type CrashScreen} from './crash-screen.js';
+import {EndpointChoice} from './endpoint-choice.js';
+import {type PermittedRequest} from './validate-request.js';
+import {type RequestHead} from './request-head.js';
+
+/** The endpoint that a request is to be sent to. */
+export type FoundEndpoint = {
+	kind: 'found';
+	request: PlacementRequest;
+	placement: Placement & {kind: 'send'};
+};
+
+/** The endpoint, or why there is none. */
+export type SearchResult = FoundEndpoint | {kind: 'refused'; refusal: Refusal};
+
+/** `Retry-After` of a request that no endpoint's limit leaves room for; endpoints in need take one request in a second or so. */
+const limitedRetryMilliseconds = 1000;
+
+export class EndpointSearch {
+	readonly #context: GatewayContext;
+	readonly #id: string;
+	readonly #choice: EndpointChoice;
+	readonly #crashScreen: CrashScreen;
+
+	/** @param attempted - The endpoints that the request was already sent to; the caller may add to it. */
+	constructor(context: GatewayContext, work: {head: RequestHead; permitted: PermittedRequest}, crashScreen: CrashScreen, attempted: ReadonlySet<string>) {
+		this.#context = context;
+		this.#id = work.head.attemptId;
+		this.#choice = new EndpointChoice(context, work, attempted);
+		this.#crashScreen = crashScreen;
+	}
+
+	/**
+	 * Queries what the placement depends on.
+	 *
+	 * @param signal - Aborts when the request needs no endpoint any more.
+	 * @returns The refusal of a request that may not be sent at all.
+	 */
+	async prepare(signal: AbortSignal): Promise<Refusal | undefined> {
+		const refusal = await this.#crashScreen.refusal(signal);
+		if (refusal === undefined) {
+			await this.#choice.selectCandidates();
+		}
+
+		return refusal;
+	}
+
+	/** Places the request; where endpoints are full or their limits leave no room, on one of the others. */
+	async find(): Promise<SearchResult> {
+		for (;;) {
+			const {request, placement} = this.#choice.place();
+			if (placement.kind === 'none') {
+				if (placement.reason === 'overloaded' && this.#choice.nextRound()) {
+					await this.#choice.selectCandidates();
+					continue;
+				}
+
+				return refused({
+					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can accept the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
+				});
+			}
+
+			if (await this.#context.limits.maySend(placement.endpoint)) {
+				return {kind: 'found', request, placement};
+			}
+
+			if (!this.#choice.exclude(placement.endpoint)) {
+				return refused({
+					reason: 'overloaded',
+					ran: 'not-run',
+					message: 'the limits that the endpoints have named leave no room now',
+					retryAfterMilliseconds: spreadRetry(limitedRetryMilliseconds, this.#id),
+				});
+			}
+
+			await this.#choice.selectCandidates();
+		}
+	}
+}
+
+function refused(refusal: Refusal): SearchResult {
+	return {kind: 'refused', refusal};
+}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -7,7 +7,6 @@
 import {
 	decideNextStep, type NextStep, type AttemptOutcome,
 } from '../../decision/attempts/next-step.js';
-import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -15,7 +14,7 @@
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {CrashScreen} from './crash-screen.js';
-import {EndpointChoice} from './endpoint-choice.js';
+import {EndpointSearch, type FoundEndpoint} from './endpoint-search.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
@@ -37,15 +36,12 @@
 
 /** `Retry-After` of a request that every endpoint rejected: a queue of short requests drains in this time. */
 const rejectedRetryMilliseconds = 500;
-/** `Retry-After` of a request that no endpoint's limit leaves room for; endpoints in need take one request in a second or so. */
-const limitedRetryMilliseconds = 1000;
-
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
 	readonly #deadline: number;
 	readonly #attempted = new Set<string>();
-	readonly #choice: EndpointChoice;
+	readonly #search: EndpointSearch;
 	readonly #crashScreen: CrashScreen;
 	readonly #splitter: EventSplitter | undefined;
 	readonly #failureResponder: FailureResponder;
@@ -66,8 +62,8 @@
 	constructor(context: GatewayContext, work: RoutedWork) {
 		this.#context = context;
 		this.#work = work;
-		this.#choice = new EndpointChoice(context, work, this.#attempted);
 		this.#crashScreen = new CrashScreen(context, work);
+		this.#search = new EndpointSearch(context, work, this.#crashScreen, this.#attempted);
 		const {route} = work.permitted;
 		const callerTimeoutMilliseconds = work.head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
 		this.#deadline = work.arrivedAt.steady + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds);
@@ -114,80 +110,77 @@
 
 	async #attemptUntilDone(): Promise<RequestOutcome> {
 		for (;;) {
-			const blocked = await this.#crashScreen.refusal(this.#stop.signal);
+			const blocked = await this.#search.prepare(this.#stop.signal);
 			if (blocked !== undefined) {
 				return this.#failureResponder.fail(blocked, this.#mayHaveRun);
 			}
 
-			await this.#choice.selectCandidates();
-
-			const isDisconnected = await hasCallerDisconnected(this.#work.request, this.#context.eventLoopLag.current);
-			if (isDisconnected || this.#hasCallerDisconnected) {
+			if (await hasCallerDisconnected(this.#work.request, this.#context.eventLoopLag.current)) {
 				return 'client-left';
 			}
 
-			if (this.#isExpired || this.#now() >= this.#deadline) {
-				return this.#failureResponder.expire(this.#mayHaveRun);
+			const early = this.#earlyEnd();
+			if (early !== undefined) {
+				return early;
 			}
 
-			const {request, placement} = this.#choice.place();
-			if (placement.kind === 'none' && placement.reason === 'overloaded' && this.#choice.nextRound()) {
-				continue;
+			const found = await this.#search.find();
+			if (found.kind === 'refused') {
+				return this.#failureResponder.fail(found.refusal, this.#mayHaveRun);
 			}
 
-			if (placement.kind === 'none') {
-				return this.#failureResponder.fail({
-					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can accept the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
-				}, this.#mayHaveRun);
+			// The search may have waited for other instances.
+			const end = this.#earlyEnd() ?? await this.#attempt(found);
+			if (end !== undefined) {
+				return end;
 			}
+		}
+	}
 
-			if (!(await this.#context.limits.maySend(placement.endpoint))) {
-				if (this.#choice.exclude(placement.endpoint)) {
-					continue;
-				}
-
-				return this.#failureResponder.fail({
-					reason: 'overloaded',
-					ran: 'not-run',
-					message: 'the endpoints of the service have named limits that leave no room now',
-					retryAfterMilliseconds: spreadRetry(limitedRetryMilliseconds, this.#work.head.attemptId),
-				}, this.#mayHaveRun);
-			}
+	/** How the request ended if its caller has disconnected or its deadline has passed. */
+	#earlyEnd(): RequestOutcome | undefined {
+		if (this.#hasCallerDisconnected) {
+			return 'client-left';
+		}
 
-			const result = await this.#send(request, placement);
-			if (result.outcome === 'whole') {
-				this.#crashScreen.noteServed();
-				return 'whole';
-			}
+		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#mayHaveRun) : undefined;
+	}
 
-			if (result.outcome === 'client-left' || this.#hasCallerDisconnected) {
-				this.#discardUnread(result);
-				return 'client-left';
-			}
+	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
+	async #attempt({request, placement}: FoundEndpoint): Promise<RequestOutcome | undefined> {
+		const result = await this.#send(request, placement);
+		if (result.outcome === 'whole') {
+			this.#crashScreen.noteServed();
+			return 'whole';
+		}
 
-			if (this.#isExpired) {
-				return this.#failureResponder.expire(this.#mayHaveRun);
-			}
+		if (result.outcome === 'client-left' || this.#hasCallerDisconnected) {
+			this.#discardUnread(result);
+			return 'client-left';
+		}
 
-			const {outcome} = result;
-			const step = this.#stepAfter(outcome);
-			this.#context.log.record('try-failed', {
-				id: this.#work.head.attemptId,
-				endpoint: placement.endpoint.name,
-				outcome,
-				step,
-				sends: this.#sends,
-				detail: result.detail,
-				status: result.answer?.status,
-				transfer: result.transfer,
-				...(result.isConnectionLost ? {fingerprint: this.#crashScreen.fingerprint} : {}),
-			});
-			this.#unreportedTransfer = undefined;
-			const end = await this.#carryOut(step, result.answer);
-			if (end !== undefined) {
-				return end;
-			}
+		if (this.#isExpired) {
+			return this.#failureResponder.expire(this.#mayHaveRun);
 		}
+
+		const step = this.#stepAfter(result.outcome);
+		this.#logFailure(result, placement.endpoint.name, step);
+		return this.#carryOut(step, result.answer);
+	}
+
+	#logFailure({outcome, detail, answer, transfer, isConnectionLost}: AttemptResult, endpoint: string, step: NextStep): void {
+		this.#context.log.record('try-failed', {
+			id: this.#work.head.attemptId,
+			endpoint,
+			outcome,
+			step,
+			sends: this.#sends,
+			detail,
+			status: answer?.status,
+			transfer,
+			...(isConnectionLost ? {fingerprint: this.#crashScreen.fingerprint} : {}),
+		});
+		this.#unreportedTransfer = undefined;
 	}
 
 	#stepAfter(outcome: AttemptOutcome): NextStep {
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
-	errorCodeOf, exchangeRaw, rawRequest, statusOf,
+	errorCodeOf, exchangeRaw, openSocket, rawRequest, statusOf,
 } from '../../test/raw-http.js';
 import {ownWireNames as names} from '../data-path/wire-names.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
@@ -54,6 +56,41 @@
 	assert.deepEqual(reached, ['limited', 'free']);
 });
 
+test('nothing is sent for a caller who disconnects while a permit is awaited', async () => {
+	const gateway = await new TestGateway().start();
+	const questions = new EventTarget();
+	gateway.context.limits = new EndpointLimits({
+		...gateway.context,
+		permits: {
+			async takePermit() {
+				questions.dispatchEvent(new Event('asked'));
+				await once(questions, 'granted');
+				return true;
+			},
+		},
+		instances: () => 1,
+	});
+	let arrivals = 0;
+	const endpoint = await gateway.addEndpoint(() => {
+		arrivals++;
+	});
+	gateway.context.limits.note(endpoint, '1');
+	const caller = await openSocket(gateway.address);
+	const asked = once(questions, 'asked');
+	caller.write(request);
+	await asked;
+	caller.destroy();
+	await delay(50);
+	questions.dispatchEvent(new Event('granted'));
+	while (!gateway.lines.some(({kind}) => kind === 'request-ended')) {
+		await delay(10);
+	}
+
+	await gateway.close();
+	assert.equal(gateway.lines.find(({kind}) => kind === 'request-ended')?.outcome, 'client-left');
+	assert.equal(arrivals, 0);
+});
+
 /** Limits of an endpoint that has named 2 a second, at an instance whose coordinator answers as given. */
 function limitsWith(takePermit: () => boolean | undefined): {limits: EndpointLimits; advance: (milliseconds: number) => void; asked: () => number} {
 	let now = 0;
