Grant no permits once the coordinator's lease has lapsed

A coordinator goes on serving hints for a while after its lease has lapsed, and a successor may grant permits meanwhile, so that an endpoint could get its limit from each. Found by reading; the new test was red without the check (a permit was granted).

--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -123,6 +123,6 @@
 	mostCores: number;
 	/** How many instances report to the coordinator. */
 	instances: number;
-	/** Whether the permit that was asked for is granted; absent if none was. */
+	/** Whether the permit that was asked for is granted; absent if none was, or if the lease has lapsed. */
 	isPermitted?: boolean;
 };
--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
 	connect, createServer, type AddressInfo, type Socket,
@@ -123,3 +124,32 @@
 	await pause(600);
 	assert.equal(closed, 0);
 });
+
+test('a coordinator whose lease has lapsed grants no permit that its successor may grant too', async context => {
+	const port = await freePort();
+	let holdsLease = true;
+	const server = new CoordinatorServer(`127.0.0.1:${port}`, {...source, holdsLease: () => holdsLease}, systemMomentClock);
+	const stop = new AbortController();
+	void server.run(stop.signal);
+	await pause(50);
+	const follower = await follow(port);
+	context.after(() => {
+		follower.destroy();
+		stop.abort();
+	});
+	const reader = new FrameReader();
+	const ask = async (number: number): Promise<boolean | undefined> => {
+		send(follower, {
+			kind: 'ask', number, instance: 'i1', cores: 1, uses: [], loads: {}, about: emptyQuery, places: {}, permit: {incarnation: 'desk-1@1', limitPerSecond: 1000},
+		});
+		const [bytes] = await once(follower, 'data') as [Uint8Array];
+		const [answer] = reader.read(Buffer.from(bytes)).unsafeCoerce() as CoordinatorFrame[];
+		return answer?.isPermitted;
+	};
+
+	assert.equal(await ask(1), false, 'a new coordinator starts without permits');
+	await pause(20);
+	assert.equal(await ask(2), true);
+	holdsLease = false;
+	assert.equal(await ask(3), undefined);
+});
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -11,7 +11,7 @@
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
-	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type BlocksAnswer, type PlacementQuery,
+	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
 import {PermitGrants} from './permit-grants.js';
 import {LoadTotals} from './load-totals.js';
@@ -183,11 +183,18 @@
 			tables: this.#source.tableUpdates(places),
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
-			...(permit === undefined ? {} : {isPermitted: this.#permits.grant(permit.incarnation, permit.limitPerSecond, this.#now())}),
+			...this.#answerPermit(permit),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
 
+	/** Grants no permits once the lease has lapsed: a successor may grant the same ones. */
+	#answerPermit(permit: PermitQuery | undefined): Pick<CoordinatorFrame, 'isPermitted'> {
+		return permit === undefined || !this.#source.holdsLease()
+			? {}
+			: {isPermitted: this.#permits.grant(permit.incarnation, permit.limitPerSecond, this.#now())};
+	}
+
 	#maxCores(): number {
 		let max = this.#source.cores;
 		for (const {cores} of this.#followers.values()) {
