--- a/src/check/crashing-requests-over-processes.ts
+++ b/src/check/crashing-requests-over-processes.ts
@@ -10,8 +10,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
-import {DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
-import {contactMilliseconds, GatewayDeployment, type GatewayInstance} from './gateway-deployment.js';
+import {deskDeployment, deskPaths, startDesk} from './desk-deployment.js';
+import {type DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
+import {contactMilliseconds, type GatewayDeployment, type GatewayInstance} from './gateway-deployment.js';
 
 export type CrashingRequestsOptions = {
 	seed: number;
@@ -40,12 +41,6 @@
 const crashesBeforeBlock = 3;
 const blockedCode = 'crashes-endpoints';
 
-const dataCentres = 3;
-const instancesPerDataCentre = 2;
-const endpointsPerDataCentre = 2;
-const route = {
-	host: 'quay.example', kind: 'stream', timeout_ms: 4000, target_latency_ms: 600, gap_aim_ms: 800, service: 'desk',
-};
 const othersPerSecond = 40;
 const hotBody = 'the same words';
 
@@ -63,7 +58,7 @@
 	readonly #seed: number;
 	readonly #choices: Choices;
 	readonly #deployment: GatewayDeployment;
-	readonly #endpoints: DeploymentEndpoint[] = [];
+	#endpoints: DeploymentEndpoint[] = [];
 	readonly #crashesAt = new Map<string, number[]>();
 	readonly #arrivals: Array<Arrival & {isInTouch: boolean}> = [];
 	#returns = 0;
@@ -76,34 +71,11 @@
 	constructor(seed: number, network: number) {
 		this.#seed = seed;
 		this.#choices = Choices.fromSeed(hashOf(`crashing requests ${seed}`));
-		this.#deployment = new GatewayDeployment({
-			network,
-			dataCentres,
-			instancesPerDataCentre,
-			routes: [
-				{
-					...route, name: 'once', prefix: '/once/', max_attempts: 1,
-				},
-				{
-					...route, name: 'resumable', prefix: '/resumable/', resumable: true, max_attempts: 2,
-				},
-				{
-					...route, name: 'lookup', prefix: '/lookup/', kind: 'idempotent', max_attempts: 2,
-				},
-			],
-			services: [{name: 'desk'}],
-		});
+		this.#deployment = deskDeployment(network);
 	}
 
 	async start(): Promise<void> {
-		for (const [index, dataCentre] of this.#deployment.dataCentres.entries()) {
-			for (let number = 1; number <= endpointsPerDataCentre; number++) {
-				this.#endpoints.push(new DeploymentEndpoint(this.#deployment, {dataCentre, address: this.#deployment.endpointAddress(index + 1, number), service: 'desk'}, this));
-			}
-		}
-
-		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
-		await this.#deployment.start();
+		this.#endpoints = await startDesk(this.#deployment, this);
 	}
 
 	async play(milliseconds: number): Promise<CrashingRequestsReport> {
@@ -166,7 +138,7 @@
 
 	/** A caller of a crashing request: it tries again after each failure, at any instance, and comes back later. */
 	async #returnAgain(body: string): Promise<void> {
-		const path = this.#choices.oneOf(['/once/', '/resumable/', '/lookup/']);
+		const path = this.#choices.oneOf(deskPaths);
 		await delay(this.#choices.between(200, 1500));
 		while (!this.#isOver) {
 			const instance = this.#anyInstance();
@@ -180,7 +152,7 @@
 		const sent: Array<Promise<void>> = [];
 		while (!this.#isOver) {
 			this.#numbers++;
-			sent.push(this.#sendOther(`other ${this.#numbers}`, this.#choices.oneOf(['/once/', '/resumable/', '/lookup/'])));
+			sent.push(this.#sendOther(`other ${this.#numbers}`, this.#choices.oneOf(deskPaths)));
 			await delay(1000 / othersPerSecond);
 		}
 
--- /dev/null
+++ b/src/check/desk-deployment.ts
@@ -0,0 +1,46 @@
+/** The deployment of the checks of crashing requests and of limits: six instances and six endpoints in three data centres. */
+import {DeploymentEndpoint, type EndpointScript} from './deployment-endpoint.js';
+import {GatewayDeployment, host} from './gateway-deployment.js';
+
+const dataCentres = 3;
+const instancesPerDataCentre = 2;
+const endpointsPerDataCentre = 2;
+const service = 'desk';
+const route = {
+	host, kind: 'stream', timeout_ms: 4000, target_latency_ms: 600, gap_aim_ms: 800, service,
+};
+
+/** The paths of its routes: a stream that is sent once, one that may be resumed, and an idempotent call. */
+export const deskPaths = ['/once/', '/resumable/', '/lookup/'] as const;
+
+/** Returns the deployment, which is not started yet. `network` is the second byte of its loopback addresses. */
+export function deskDeployment(network: number): GatewayDeployment {
+	return new GatewayDeployment({
+		network,
+		dataCentres,
+		instancesPerDataCentre,
+		routes: [
+			{
+				...route, name: 'once', prefix: '/once/', max_attempts: 1,
+			},
+			{
+				...route, name: 'resumable', prefix: '/resumable/', resumable: true, max_attempts: 3,
+			},
+			{
+				...route, name: 'lookup', prefix: '/lookup/', kind: 'idempotent', max_attempts: 3,
+			},
+		],
+		services: [{name: service}],
+	});
+}
+
+/** Starts the endpoints, and then the instances. */
+export async function startDesk(deployment: GatewayDeployment, script: EndpointScript): Promise<DeploymentEndpoint[]> {
+	const endpoints = deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: endpointsPerDataCentre}, (_, number) => {
+		const address = deployment.endpointAddress(index + 1, number + 1);
+		return new DeploymentEndpoint(deployment, {dataCentre, address, service}, script);
+	}));
+	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
+	await deployment.start();
+	return endpoints;
+}
--- a/src/check/limited-endpoints-over-processes.ts
+++ b/src/check/limited-endpoints-over-processes.ts
@@ -9,9 +9,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
-import {DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
+import {deskDeployment, deskPaths, startDesk} from './desk-deployment.js';
+import {type DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
 import {
-	contactMilliseconds, deploymentWireNames as names, GatewayDeployment, type GatewayInstance,
+	contactMilliseconds, deploymentWireNames as names, type GatewayDeployment, type GatewayInstance,
 } from './gateway-deployment.js';
 
 export type LimitedEndpointsOptions = {
@@ -46,15 +47,9 @@
 const allowedExtra = 5;
 /** An instance that has passed on an answer with the limit this long ago has to keep to it. */
 const toldMilliseconds = 500;
-const dataCentres = 3;
-const instancesPerDataCentre = 2;
-const endpointsPerDataCentre = 2;
 const requestsPerSecond = 40;
 /** How long before the end of the run the limits end. */
 const freeMilliseconds = 5000;
-const route = {
-	host: 'quay.example', kind: 'stream', timeout_ms: 4000, target_latency_ms: 600, gap_aim_ms: 800, service: 'desk',
-};
 
 type Limit = {limitPerSecond: number; namedAt: number; toldAt: Map<string, number>};
 
@@ -72,7 +67,7 @@
 	readonly #seed: number;
 	readonly #choices: Choices;
 	readonly #deployment: GatewayDeployment;
-	readonly #endpoints: DeploymentEndpoint[] = [];
+	#endpoints: DeploymentEndpoint[] = [];
 	readonly #limits = new Map<string, Limit>();
 	readonly #arrivals: Array<Arrival & {isInTouch: boolean}> = [];
 	#limitedPlaces: ReadonlySet<DeploymentEndpoint> = new Set();
@@ -84,34 +79,11 @@
 	constructor(seed: number, network: number) {
 		this.#seed = seed;
 		this.#choices = Choices.fromSeed(hashOf(`limited endpoints ${seed}`));
-		this.#deployment = new GatewayDeployment({
-			network,
-			dataCentres,
-			instancesPerDataCentre,
-			routes: [
-				{
-					...route, name: 'once', prefix: '/once/', max_attempts: 1,
-				},
-				{
-					...route, name: 'resumable', prefix: '/resumable/', resumable: true, max_attempts: 3,
-				},
-				{
-					...route, name: 'lookup', prefix: '/lookup/', kind: 'idempotent', max_attempts: 3,
-				},
-			],
-			services: [{name: 'desk'}],
-		});
+		this.#deployment = deskDeployment(network);
 	}
 
 	async start(): Promise<void> {
-		for (const [index, dataCentre] of this.#deployment.dataCentres.entries()) {
-			for (let number = 1; number <= endpointsPerDataCentre; number++) {
-				this.#endpoints.push(new DeploymentEndpoint(this.#deployment, {dataCentre, address: this.#deployment.endpointAddress(index + 1, number), service: 'desk'}, this));
-			}
-		}
-
-		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
-		await this.#deployment.start();
+		this.#endpoints = await startDesk(this.#deployment, this);
 	}
 
 	async play(milliseconds: number): Promise<LimitedEndpointsReport> {
@@ -190,7 +162,7 @@
 	async #send(): Promise<void> {
 		this.#requests++;
 		const answer = await this.#deployment.send(this.#anyInstance(), {
-			path: this.#choices.oneOf(['/once/', '/resumable/', '/lookup/']), body: `request ${this.#requests}`, deadlineMilliseconds: 3000,
+			path: this.#choices.oneOf(deskPaths), body: `request ${this.#requests}`, deadlineMilliseconds: 3000,
 		});
 		this.#served += answer.status === 200 && answer.isWhole ? 1 : 0;
 	}
