Share the end of an endpoint's limit between the instances

Cause: the end was known only to the instance that passed on the answer without a limit. Each other one went on asking for permits until a request of its own found out, at the pace of the limit: 15 s for 18 instances at 1.2 a second, ten minutes for 760.

Change: the instance that sees the end reports it to the coordinator, which answers later questions with 'unlimited' if the asking instance's last answer with the limit is older. A limit that is named again after that holds again.

--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -10,7 +10,7 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
-	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitQuery, type PlacementQuery,
+	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {type CoordinatorView} from './coordinator-view.js';
 
@@ -173,9 +173,9 @@
 	}
 
 	/** Asks to send one request to an endpoint with a limit; `undefined` without an answer in time. */
-	async takePermit(permit: PermitQuery): Promise<boolean | undefined> {
+	async takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined> {
 		const answer = await this.#ask(emptyQuery, permit);
-		return answer?.isPermitted;
+		return answer?.permit;
 	}
 
 	report(): void {
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -70,9 +70,15 @@
 export type PermitQuery = {
 	/** Identifies the incarnation of the endpoint. */
 	incarnation: string;
-	limitPerSecond: number;
+	/** `null` reports that an answer has named no limit any more. */
+	limitPerSecond: number | null;
+	/** How long ago the asking instance received the last answer that named the limit, or the one that named none. */
+	answeredMilliseconds: number;
 };
 
+/** The answer to it. `unlimited`: another instance has seen since that the limit has ended. */
+export type PermitAnswer = 'granted' | 'denied' | 'unlimited';
+
 /** What a follower reports about itself. */
 type FollowerReport = {
 	instance: string;
@@ -124,5 +130,5 @@
 	/** How many instances report to the coordinator. */
 	instances: number;
 	/** Whether the permit that was asked for is granted; absent if none was, or if the lease has lapsed. */
-	isPermitted?: boolean;
+	permit?: PermitAnswer;
 };
--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -138,18 +138,18 @@
 		stop.abort();
 	});
 	const reader = new FrameReader();
-	const ask = async (number: number): Promise<boolean | undefined> => {
+	const ask = async (number: number): Promise<string | undefined> => {
 		send(follower, {
-			kind: 'ask', number, instance: 'i1', cores: 1, uses: [], loads: {}, about: emptyQuery, places: {}, permit: {incarnation: 'desk-1@1', limitPerSecond: 1000},
+			kind: 'ask', number, instance: 'i1', cores: 1, uses: [], loads: {}, about: emptyQuery, places: {}, permit: {incarnation: 'desk-1@1', limitPerSecond: 1000, answeredMilliseconds: 0},
 		});
 		const [bytes] = await once(follower, 'data') as [Uint8Array];
 		const [answer] = reader.read(Buffer.from(bytes)).unsafeCoerce() as CoordinatorFrame[];
-		return answer?.isPermitted;
+		return answer?.permit;
 	};
 
-	assert.equal(await ask(1), false, 'a new coordinator starts without permits');
+	assert.equal(await ask(1), 'denied', 'a new coordinator starts without permits');
 	await pause(20);
-	assert.equal(await ask(2), true);
+	assert.equal(await ask(2), 'granted');
 	holdsLease = false;
 	assert.equal(await ask(3), undefined);
 });
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -189,10 +189,10 @@
 	}
 
 	/** Grants no permits once the lease has lapsed: a successor may grant the same ones. */
-	#answerPermit(permit: PermitQuery | undefined): Pick<CoordinatorFrame, 'isPermitted'> {
+	#answerPermit(permit: PermitQuery | undefined): Pick<CoordinatorFrame, 'permit'> {
 		return permit === undefined || !this.#source.holdsLease()
 			? {}
-			: {isPermitted: this.#permits.grant(permit.incarnation, permit.limitPerSecond, this.#now())};
+			: {permit: this.#permits.answer(permit, this.#now())};
 	}
 
 	#maxCores(): number {
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -7,7 +7,7 @@
  */
 import {type PermitSource} from '../limits/endpoint-limits.js';
 import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
-import {type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
+import {type PermitAnswer, type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
 
 export class PeerUpdateSources implements PeerUpdates, PermitSource {
 	readonly #sources: readonly CoordinatorClient[];
@@ -25,11 +25,11 @@
 		}
 	}
 
-	async takePermit(permit: PermitQuery): Promise<boolean | undefined> {
+	async takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined> {
 		for (const source of this.#sources) {
-			const isPermitted = await source.takePermit(permit);
-			if (isPermitted !== undefined) {
-				return isPermitted;
+			const answer = await source.takePermit(permit);
+			if (answer !== undefined) {
+				return answer;
 			}
 		}
 
--- a/src/gateway/coordinator/permit-grants.test.ts
+++ b/src/gateway/coordinator/permit-grants.test.ts
@@ -1,12 +1,25 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {type PermitQuery} from './coordinator-messages.js';
 import {PermitGrants} from './permit-grants.js';
 
+const query = (incarnation: string, changes: Partial<PermitQuery> = {}): PermitQuery => ({
+	incarnation, limitPerSecond: 1, answeredMilliseconds: 0, ...changes,
+});
+
 test('permits are counted for each incarnation of an endpoint, and a new coordinator starts without any', () => {
 	const grants = new PermitGrants();
-	assert.equal(grants.grant('desk-1@1', 1, 0), false);
-	assert.equal(grants.grant('desk-1@1', 1, 1000), true);
-	assert.equal(grants.grant('desk-1@1', 1, 1000), false);
-	assert.equal(grants.grant('desk-1@2', 1, 1000), false, 'its predecessor\'s time does not count');
-	assert.equal(grants.grant('desk-1@2', 1, 2000), true);
+	assert.equal(grants.answer(query('desk-1@1'), 0), 'denied');
+	assert.equal(grants.answer(query('desk-1@1'), 1000), 'granted');
+	assert.equal(grants.answer(query('desk-1@1'), 1000), 'denied');
+	assert.equal(grants.answer(query('desk-1@2'), 1000), 'denied', 'its predecessor\'s time does not count');
+	assert.equal(grants.answer(query('desk-1@2'), 2000), 'granted');
+});
+
+test('the latest answer of an endpoint decides whether its limit holds', () => {
+	const grants = new PermitGrants();
+	grants.answer(query('desk-1@1', {limitPerSecond: null}), 1000);
+	assert.equal(grants.answer(query('desk-1@1', {answeredMilliseconds: 500}), 1100), 'unlimited');
+	assert.equal(grants.answer(query('desk-1@1', {answeredMilliseconds: 50}), 1100), 'denied');
+	assert.equal(grants.answer(query('desk-1@1', {answeredMilliseconds: 500}), 1200), 'denied', 'the end is forgotten once the limit was named again');
 });
--- a/src/gateway/coordinator/permit-grants.ts
+++ b/src/gateway/coordinator/permit-grants.ts
@@ -1,28 +1,45 @@
 /** The permits that the coordinator grants for endpoints with a limit, one bucket for each incarnation of an endpoint. */
 import {PermitBucket} from '../../decision/limits/permit-bucket.js';
+import {type PermitAnswer, type PermitQuery} from './coordinator-messages.js';
 
-/** How many buckets are kept; the one that was used longest ago is dropped first. */
-const maxBuckets = 1000;
+/** How many buckets and ends are kept; the one that was used longest ago is dropped first. */
+const maxEndpoints = 1000;
 
 export class PermitGrants {
 	readonly #buckets = new Map<string, PermitBucket>();
+	/** When an instance received an answer without a limit, by incarnation; in milliseconds of the steady clock. */
+	readonly #ends = new Map<string, number>();
 
 	/**
-	 * Grants one request to an endpoint, or refuses it.
+	 * Answers a question for one request to an endpoint. The latest answer of the endpoint counts: a limit that another
+	 * instance has seen to end since is over, and one that was named after its end holds again.
 	 *
-	 * @param incarnation - Identifies the incarnation of the endpoint.
-	 * @param limitPerSecond - The limit that it has named.
+	 * @param query - The question, or the report that a limit has ended.
 	 * @param now - Milliseconds of the steady clock.
 	 */
-	grant(incarnation: string, limitPerSecond: number, now: number): boolean {
+	answer({incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery, now: number): PermitAnswer {
+		const answeredAt = now - answeredMilliseconds;
+		if (limitPerSecond === null) {
+			remember(this.#ends, incarnation, answeredAt);
+			return 'unlimited';
+		}
+
+		if (answeredAt < (this.#ends.get(incarnation) ?? Number.NEGATIVE_INFINITY)) {
+			return 'unlimited';
+		}
+
+		this.#ends.delete(incarnation);
 		// A new coordinator does not know what its predecessor has granted, so a bucket starts empty.
 		const bucket = this.#buckets.get(incarnation) ?? new PermitBucket(0, now);
-		this.#buckets.delete(incarnation);
-		this.#buckets.set(incarnation, bucket);
-		if (this.#buckets.size > maxBuckets) {
-			this.#buckets.delete(this.#buckets.keys().next().value!);
-		}
+		remember(this.#buckets, incarnation, bucket);
+		return bucket.take(limitPerSecond, now) ? 'granted' : 'denied';
+	}
+}
 
-		return bucket.take(limitPerSecond, now);
+function remember<Entry>(map: Map<string, Entry>, incarnation: string, entry: Entry): void {
+	map.delete(incarnation);
+	map.set(incarnation, entry);
+	if (map.size > maxEndpoints) {
+		map.delete(map.keys().next().value!);
 	}
 }
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -6,6 +6,8 @@
 	errorCodeOf, exchangeRaw, openSocket, rawRequest, statusOf,
 } from '../../test/raw-http.js';
 import {ownWireNames as names} from '../data-path/wire-names.js';
+import {type PermitAnswer, type PermitQuery} from '../coordinator/coordinator-messages.js';
+import {PermitGrants} from '../coordinator/permit-grants.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {testEndpoint} from '../testing/test-endpoint.js';
 import {answerSealed, TestGateway} from '../testing/test-gateway.js';
@@ -65,7 +67,7 @@
 			async takePermit() {
 				questions.dispatchEvent(new Event('asked'));
 				await once(questions, 'granted');
-				return true;
+				return 'granted';
 			},
 		},
 		instances: () => 1,
@@ -92,7 +94,7 @@
 });
 
 /** Limits of an endpoint that has named 2 a second, at an instance whose coordinator answers as given. */
-function limitsWith(takePermit: () => boolean | undefined): {limits: EndpointLimits; advance: (milliseconds: number) => void; asked: () => number} {
+function limitsWith(takePermit: (query: PermitQuery, now: number) => PermitAnswer | undefined): {limits: EndpointLimits; advance: (milliseconds: number) => void; asked: () => number} {
 	let now = 0;
 	let asked = 0;
 	const limits = new EndpointLimits({
@@ -109,9 +111,9 @@
 		},
 		metrics: new GatewayMetrics(),
 		permits: {
-			async takePermit() {
+			async takePermit(query) {
 				asked++;
-				return takePermit();
+				return takePermit(query, now);
 			},
 		},
 		instances: () => 4,
@@ -138,7 +140,7 @@
 });
 
 test('a refused permit is not asked for again at once', async () => {
-	const {limits, advance, asked} = limitsWith(() => false);
+	const {limits, advance, asked} = limitsWith(() => 'denied');
 	for (let step = 0; step < 100; step++) {
 		assert.equal(await limits.maySend(testEndpoint()), false);
 		advance(10);
@@ -148,6 +150,22 @@
 });
 
 test('a limit holds for its incarnation only: another endpoint at the address is free', async () => {
-	const {limits} = limitsWith(() => false);
+	const {limits} = limitsWith(() => 'denied');
 	assert.equal(await limits.maySend(testEndpoint({startedAt: 2})), true);
 });
+
+test('a limit whose end one instance has seen ends at the others with their next request', async () => {
+	const grants = new PermitGrants();
+	const answer = (query: PermitQuery, now: number): PermitAnswer => grants.answer(query, now);
+	const [first, second] = [limitsWith(answer), limitsWith(answer)];
+	first.advance(10);
+	second.advance(10);
+	first.limits.note(testEndpoint(), undefined);
+	for (let step = 0; step < 10; step++) {
+		assert.equal(await second.limits.maySend(testEndpoint()), true);
+	}
+
+	second.advance(10);
+	second.limits.note(testEndpoint(), '2');
+	assert.equal(await second.limits.maySend(testEndpoint()), false, 'a limit that is named again holds again');
+});
--- a/src/gateway/limits/endpoint-limits.ts
+++ b/src/gateway/limits/endpoint-limits.ts
@@ -7,14 +7,14 @@
 import {PermitBucket} from '../../decision/limits/permit-bucket.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
-import {type PermitQuery} from '../coordinator/coordinator-messages.js';
+import {type PermitAnswer, type PermitQuery} from '../coordinator/coordinator-messages.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 
 /** Asks the coordinator for permits. */
 export interface PermitSource {
 	/** Whether one request may be sent to an endpoint; `undefined` if neither the coordinator nor its standby answers. */
-	takePermit(permit: PermitQuery): Promise<boolean | undefined>;
+	takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined>;
 }
 
 export type EndpointLimitsDependencies = {
@@ -28,6 +28,8 @@
 
 type KnownLimit = {
 	limitPerSecond: number;
+	/** When the last answer that named it arrived, in milliseconds of the steady clock. */
+	namedAt: number;
 	/** No permit is asked for before this time: the coordinator has just refused one. */
 	deniedUntil: number;
 	/** This instance's own share, for the time in which nobody grants permits. */
@@ -60,18 +62,25 @@
 		const incarnation = incarnationOf(endpoint);
 		const known = this.#limits.get(incarnation);
 		const limitPerSecond = parseLimit(named);
-		if (limitPerSecond === known?.limitPerSecond) {
+		if (known === undefined && limitPerSecond === undefined) {
+			return;
+		}
+
+		if (known !== undefined && limitPerSecond === known.limitPerSecond) {
+			known.namedAt = this.#now();
 			return;
 		}
 
 		this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond: limitPerSecond ?? null});
 		if (limitPerSecond === undefined) {
 			this.#limits.delete(incarnation);
+			// Otherwise each instance would have to find out by a request of its own, at the pace of the limit.
+			void this.#dependencies.permits.takePermit({incarnation, limitPerSecond: null, answeredMilliseconds: 0});
 			return;
 		}
 
 		this.#limits.set(incarnation, {
-			deniedUntil: 0, ownShare: undefined, ...known, limitPerSecond,
+			deniedUntil: 0, ownShare: undefined, ...known, limitPerSecond, namedAt: this.#now(),
 		});
 		if (this.#limits.size > maxLimits) {
 			this.#limits.delete(this.#limits.keys().next().value!);
@@ -90,17 +99,20 @@
 			return false;
 		}
 
-		const {limitPerSecond} = known;
-		const granted = await this.#dependencies.permits.takePermit({incarnation: incarnationOf(endpoint), limitPerSecond});
-		const isGranted = granted ?? this.#takeOwnShare(known);
-		known.ownShare = granted === undefined ? known.ownShare : undefined;
-		if (!isGranted) {
+		const incarnation = incarnationOf(endpoint);
+		const {limitPerSecond, namedAt} = known;
+		const answer = await this.#dependencies.permits.takePermit({incarnation, limitPerSecond, answeredMilliseconds: this.#now() - namedAt});
+		known.ownShare = answer === undefined ? known.ownShare : undefined;
+		const outcome = answer ?? (this.#takeOwnShare(known) ? 'own-share' : 'denied');
+		this.#dependencies.metrics.permits.inc({outcome});
+		if (outcome === 'denied') {
 			known.deniedUntil = this.#now() + Math.min(maxDenialMilliseconds, denialShare * 1000 / limitPerSecond);
+		} else if (outcome === 'unlimited' && this.#limits.get(incarnation)?.namedAt === namedAt) {
+			this.#limits.delete(incarnation);
+			this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond: null, isRelayed: true});
 		}
 
-		const grantedBy = granted === undefined ? 'own-share' : 'granted';
-		this.#dependencies.metrics.permits.inc({outcome: isGranted ? grantedBy : 'denied'});
-		return isGranted;
+		return outcome !== 'denied';
 	}
 
 	/** An own share starts empty: the coordinator may have granted permits until just now. */
