End a block when the third latest of its crashes expires, however many instances reported them

Found by reading: with several reports of one crash the block lasted as long as the third latest report. The added check was written together with the change and not run against the code before.

--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -43,6 +43,8 @@
 test('a block ends when its evidence expires', () => {
 	const ledger = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20));
 	assert.equal(ledger.blockOf('poison', reportRetentionMilliseconds), undefined);
+	const reported = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20), crash('c', ['poison'], 21, 'e2'), crash('c', ['poison'], 22, 'e3'));
+	assert.equal(reported.blockOf('poison', reportRetentionMilliseconds), undefined, 'further reports of one crash do not extend it');
 	ledger.prune(reportRetentionMilliseconds + 100);
 	assert.equal(ledger.reports().size, 0);
 });
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -45,7 +45,7 @@
 
 /** A report expires after one day: by then the cause may have been fixed at the endpoints. */
 export const reportRetentionMilliseconds = 86_400_000;
-/** How many reports are kept: far more than endpoints fail in a day, and about 2 MB if each holds 64 requests. */
+/** How many reports are kept: far more than endpoints fail in a day. */
 export const maxReports = 500;
 /** More requests than an endpoint runs and queues for one instance; those in flight for the shortest time are kept. */
 export const maxRequestsPerReport = 64;
@@ -167,9 +167,10 @@
 		const crashes = [...this.#reports.values()]
 			.filter((report): report is CrashReport => report.kind === 'crash' && incarnations.has(report.incarnation) && report.requests.some(([present]) => present === fingerprint))
 			.toSorted((left, right) => left.at - right.at);
-		// The evidence holds as long as enough of it has not expired.
-		const deciding = crashes.at(-crashesToBlock);
-		return {fingerprint, crashes, until: (deciding?.at ?? 0) + reportRetentionMilliseconds};
+		// Several instances may report one crash; the evidence holds as long as enough crashes have not expired.
+		const crashedAt = new Map(crashes.map(({incarnation, at}) => [incarnation, at]));
+		const decidingAt = [...crashedAt.values()].toSorted((left, right) => left - right).at(-crashesToBlock) ?? 0;
+		return {fingerprint, crashes, until: decidingAt + reportRetentionMilliseconds};
 	}
 
 	/** The keys of all reports, those first that are dropped first. */
