Follow the table of crashes by the reader's calls for longer

Cause: the reader's call for crashes waited 0.75 s and its relayed confirmation was good for 1.5 s. The wait, a query interval and a slow answer could exceed that, and instances then called the store themselves.

Change: the reader waits 0.36 s as for the other tables, and a confirmation is good for 1.8 s; an own call after that still ends within the contact time of 3 s.

--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -75,9 +75,9 @@
 /** Share of that age that a call of the reader may wait; the relaying and the interval of queries take up the rest. */
 const readerWaitShare = 0.3;
 /** Share of the contact time that a call of the reader for new crashes may wait. */
-const readerCrashWaitShare = 0.25;
+const readerCrashWaitShare = 0.12;
 /** Share of the contact time after which an instance without relayed crashes reads them itself; the rest is for that call. */
-const relayedCrashAgeShare = 0.5;
+const relayedCrashAgeShare = 0.6;
 /** Time between the check of a lease and the sending of the request, on a slow instance with a late timer. */
 const keyLeaseMarginMilliseconds = 150;
 /** Feed waits for which a configuration is fresh after the last answered call: one for the next call, the rest for lateness. */
