--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -18,6 +18,7 @@
 import {type EndpointAnswer} from './endpoint-exchange.js';
 import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
+import {logFailedAttempt} from './log-failed-attempt.js';
 import {type PermittedRequest} from './validate-request.js';
 import {relayFailure} from './relay-failure.js';
 import {reportEnd, type RequestOutcome} from './report-end.js';
@@ -155,7 +156,8 @@
 		}
 
 		if (result.outcome === 'client-left' || this.#hasCallerDisconnected) {
-			this.#discardUnread(result);
+			// An endpoint that stalls would hold the connection indefinitely; a non-idempotent call may finish within its timeout.
+			result.answer?.discard(result.outcome === 'rejected' ? undefined : Math.max(0, this.#deadline - this.#now()));
 			return 'client-left';
 		}
 
@@ -164,23 +166,11 @@
 		}
 
 		const step = this.#stepAfter(result.outcome);
-		this.#logFailure(result, placement.endpoint.name, step);
-		return this.#carryOut(step, result.answer);
-	}
-
-	#logFailure({outcome, detail, answer, transfer, isConnectionLost}: AttemptResult, endpoint: string, step: NextStep): void {
-		this.#context.log.record('try-failed', {
-			id: this.#work.head.attemptId,
-			endpoint,
-			outcome,
-			step,
-			sends: this.#sends,
-			detail,
-			status: answer?.status,
-			transfer,
-			...(isConnectionLost ? {fingerprint: this.#crashScreen.fingerprint} : {}),
+		logFailedAttempt(this.#context.log, {
+			id: this.#work.head.attemptId, endpoint: placement.endpoint.name, result, step, sends: this.#sends, fingerprint: () => this.#crashScreen.fingerprint,
 		});
 		this.#unreportedTransfer = undefined;
+		return this.#carryOut(step, result.answer);
 	}
 
 	#stepAfter(outcome: AttemptOutcome): NextStep {
@@ -288,16 +278,6 @@
 		return outcome === 'whole' ? 'failure-passed-on' : 'client-left';
 	}
 
-	/** Releases the connection of an answer whose caller has disconnected; an endpoint that stalls would hold it indefinitely. */
-	#discardUnread({outcome, answer}: AttemptResult): void {
-		if (outcome === 'rejected') {
-			answer?.discard();
-		} else {
-			// A non-idempotent call may finish within the timeout of its route.
-			answer?.discard(Math.max(0, this.#deadline - this.#now()));
-		}
-	}
-
 	/**
 	 * Handles a disconnect of the caller. Idempotent requests and streams are cancelled, since nobody reads their answers. A
 	 * non-idempotent call is left to finish, since cancelling it would leave it half done and save little.
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,10 +23,8 @@
 import {Supervisor} from '../supervisor/supervisor.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {ConfigurationView} from './configuration/configuration-view.js';
-import {CrashLedger} from './crashes/crash-ledger.js';
-import {CrashFeedHandler} from './crashes/crash-feed-handler.js';
-import {CrashReportPublisher} from './crashes/crash-report-publisher.js';
-import {EndpointCrashes} from './crashes/endpoint-crashes.js';
+import {type CrashReportPublisher} from './crashes/crash-report-publisher.js';
+import {createCrashes} from './crashes/create-crashes.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
 import {createRefuse} from './data-path/refuse.js';
@@ -110,10 +108,10 @@
 			endpoints: new EndpointRegistry(),
 		};
 		this.#coordinators = this.#createCoordinators(shared, coordinatorView, ports);
-		const ledger = new CrashLedger();
-		this.#crashReports = new CrashReportPublisher({
-			...shared, instance: settings.instance, ledger, store: ports.store, isCoordinator: () => this.#coordinators.isCoordinator,
+		const {crashes, publisher, handler: crashHandler} = createCrashes({
+			...shared, instance: settings.instance, metrics, random: ports.random, store: ports.store, isCoordinator: () => this.#coordinators.isCoordinator,
 		});
+		this.#crashReports = publisher;
 		this.#context = {
 			...shared,
 			names: ports.names,
@@ -122,11 +120,7 @@
 			peerUpdates: this.#coordinators.peerUpdates,
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
-			crashes: new EndpointCrashes({
-				...shared, instance: settings.instance, metrics, random: ports.random, ledger, publish: report => {
-					this.#crashReports.publish(report);
-				},
-			}),
+			crashes,
 			limits: new EndpointLimits({
 				...shared, metrics, permits: this.#coordinators.peerUpdates, instances: () => this.#coordinators.instances,
 			}),
@@ -144,7 +138,6 @@
 		}, settings.listenCallers, {...defaultListenerBounds, maxHeaderBytes: parserHeaderBytes});
 		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
-		const crashHandler = new CrashFeedHandler(ledger, this.#crashReports);
 		this.#feeds = new TableFeeds(this.#context, {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby}, timings, crashHandler);
 		this.#root = this.#createSupervisor(ports);
 	}
