--- a/src/test/steered-caller.ts
+++ b/src/test/steered-caller.ts
@@ -119,11 +119,17 @@
 	}
 }
 
-/** Returns the complete answers at the start of received bytes; an answer that is cut off is not among them. */
+const interimAnswer = /^HTTP\/1\.1 1\d\d [^\r]*\r\n(?:[^\r]+\r\n)*\r\n/v;
+
+/** Returns the complete answers at the start of received bytes, without interim ones; an answer that is cut off is not among them. */
 export function completeAnswers(received: string): string[] {
 	const answers: string[] = [];
 	let rest = received;
 	for (;;) {
+		while (interimAnswer.test(rest)) {
+			rest = rest.replace(interimAnswer, '');
+		}
+
 		const headEnd = rest.indexOf('\r\n\r\n') + 4;
 		const head = rest.slice(0, headEnd);
 		const length = /^content-length: (?<length>\d+)/imv.exec(head)?.groups?.length;
