Remember each lag of the event loop for a second

What callers saw: nothing, they had left; work could go on for them.

Cause: a lag that was shorter than one within the second before it was not recorded, and the longer one was forgotten a second after its own time. Requests read after the second pause were then not checked for closed callers.

Change: all lags of the last second are kept, except those that a longer one follows.

--- a/src/serving/event-loop-lag.test.ts
+++ b/src/serving/event-loop-lag.test.ts
@@ -30,3 +30,31 @@
 	lag.stop();
 	assert.deepEqual(lags.filter(milliseconds => milliseconds > 0), [600]);
 });
+
+test('a lag is remembered for a second although a longer one came shortly before it', t => {
+	// Guards against requests for callers that have left during the second of two pauses.
+	t.mock.timers.enable({apis: ['setInterval']});
+	let now = 0;
+	const lag = new EventLoopLag(() => now, () => {
+		// Only the remembered lag matters here.
+	});
+	const tickAfter = (milliseconds: number): void => {
+		now += milliseconds;
+		t.mock.timers.tick(100);
+	};
+
+	lag.start();
+	tickAfter(700);
+	for (let ticks = 0; ticks < 4; ticks++) {
+		tickAfter(100);
+	}
+
+	tickAfter(400);
+	assert.equal(lag.at(now), 600);
+	for (let ticks = 0; ticks < 3; ticks++) {
+		tickAfter(100);
+	}
+
+	assert.equal(lag.at(now), 300);
+	lag.stop();
+});
--- a/src/serving/event-loop-lag.ts
+++ b/src/serving/event-loop-lag.ts
@@ -13,7 +13,8 @@
 	readonly #now: () => number;
 	readonly #report: (lagMilliseconds: number) => void;
 	#tickedAt: number;
-	#longest = {lag: 0, at: Number.NEGATIVE_INFINITY};
+	/** The remembered lags, the latest last. One that a later and longer lag follows is dropped. */
+	#lags: Array<{lag: number; at: number}> = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
@@ -50,16 +51,15 @@
 	 * @returns Milliseconds: the time since the last tick was due, or the longest lag of the last second.
 	 */
 	at(now: number): number {
-		return Math.max(now - this.#longest.at <= rememberedMilliseconds ? this.#longest.lag : 0, this.#lateness(now));
+		const longest = this.#lags.find(({at}) => now - at <= rememberedMilliseconds)?.lag ?? 0;
+		return Math.max(longest, this.#lateness(now));
 	}
 
 	#tick(now: number): void {
 		const lag = this.#lateness(now);
 		this.#tickedAt = now;
-		if (lag >= this.#longest.lag || now - this.#longest.at > rememberedMilliseconds) {
-			this.#longest = {lag, at: now};
-		}
-
+		this.#lags = this.#lags.filter(former => now - former.at <= rememberedMilliseconds && former.lag > lag);
+		this.#lags.push({lag, at: now});
 		this.#report(lag);
 	}
 
