Answer callers that have closed only their sending side

What callers saw: no byte of an answer after a complete request whose sender had half-closed; the endpoint had run it, calls that may run once included.

Cause: Node's server closes a connection as soon as it reads the FIN (httpAllowHalfOpen is off), and hasCallerDisconnected takes an ended readable side for a disconnect. Either is sufficient, so that neither alone showed a difference before.

Failed tries: both out, or half-open connections alone.

Change: the listener leaves half-open connections open, and HalfClosedCaller finds out which callers still read. From the FIN on it sends bytes that mean nothing to an HTTP client; a closed connection replies with a reset, which the operating system is asked for, since Node no longer polls the connection. A request whose FIN was read before it was placed waits for the reply. Where nothing can be sent (HTTP/1.0 before the head) the FIN stays a disconnect.

--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,6 +11,7 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {abortAnswer} from '../../serving/abort-answer.js';
+import {HalfClosedCaller} from '../../serving/half-closed-caller.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {CrashScreen} from './crash-screen.js';
@@ -131,7 +132,7 @@
 			}
 
 			// The search may have waited for other instances.
-			const end = this.#earlyEnd() ?? await this.#attempt(found);
+			const end = this.#earlyEnd() ?? await this.#attemptUnlessDisconnected(found);
 			if (end !== undefined) {
 				return end;
 			}
@@ -147,6 +148,13 @@
 		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#mayHaveRun) : undefined;
 	}
 
+	async #attemptUnlessDisconnected(found: FoundEndpoint): Promise<RequestOutcome | undefined> {
+		const {request} = this.#work;
+		return HalfClosedCaller.of(request.socket) !== undefined && await hasCallerDisconnected(request, 0)
+			? 'client-left'
+			: this.#attempt(found);
+	}
+
 	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
 	async #attempt({request, placement}: FoundEndpoint): Promise<RequestOutcome | undefined> {
 		const result = await this.#send(request, placement);
--- /dev/null
+++ b/src/serving/half-closed-caller.ts
@@ -0,0 +1,157 @@
+/**
+ * Tells a caller that has closed its connection from one that has closed only its sending side and waits for its answer.
+ *
+ * Both send a FIN, and nothing more until something is sent to them: a closed connection replies to any byte with a reset,
+ * a half-closed one accepts it. So bytes that mean nothing to an HTTP client are sent while an answer is pending: before
+ * its head an interim answer, within a chunked body a leading zero of the next chunk's size. Node stops to poll a connection
+ * whose end it has read, so the operating system is asked whether the reset has arrived.
+ *
+ * Where neither is possible, any bytes of the answer itself serve; without them the caller is taken for disconnected.
+ */
+import {type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {hasConnectedPeer} from './has-connected-peer.js';
+
+/** Delays between two checks for a reset, from one probe to the next. Most callers reply within some milliseconds. */
+const checkDelaysMilliseconds = [5, 10, 20, 40, 75, 100] as const;
+/** Time for the reply to the first probe; requests are not sent on before it. */
+const replyMilliseconds = 150;
+/** Parsers limit the digits of a chunk size; 16 are common. */
+const maxLeadingZeros = 8;
+
+/** How bytes can be sent to a caller without a change to its answer. */
+export type ProbeKind = 'interim-answer' | 'chunk-size' | 'none';
+
+/**
+ * Selects the probe for the present stage of an answer. HTTP/1.0 has neither interim answers nor chunks.
+ *
+ * @param response - The answer.
+ */
+export function probeKindOf(response: Pick<ServerResponse, 'headersSent' | 'chunkedEncoding' | 'useChunkedEncodingByDefault'>): ProbeKind {
+	if (!response.headersSent) {
+		return response.useChunkedEncodingByDefault ? 'interim-answer' : 'none';
+	}
+
+	return response.chunkedEncoding ? 'chunk-size' : 'none';
+}
+
+const callers = new WeakMap<Socket, HalfClosedCaller>();
+
+export class HalfClosedCaller {
+	/** The caller at the other end of a connection; `undefined` unless its sending side ended while an answer was pending. */
+	static of(socket: Socket): HalfClosedCaller | undefined {
+		return callers.get(socket);
+	}
+
+	/**
+	 * Starts to probe a caller whose sending side has ended. A connection that the caller has closed is destroyed, which
+	 * closes the pending answers.
+	 *
+	 * @param socket - The connection, when `end` is emitted.
+	 * @param pending - Its unfinished answers, kept up to date by the owner of the connection.
+	 */
+	static watch(socket: Socket, pending: ReadonlySet<ServerResponse>): void {
+		if (pending.size > 0 && socket.writable) {
+			callers.set(socket, new HalfClosedCaller(socket, pending));
+		}
+	}
+
+	readonly #socket: Socket;
+	readonly #pending: ReadonlySet<ServerResponse>;
+	/** Resolves when the caller has had time to reply to the first probe, or its connection has closed. */
+	readonly #firstReply: Promise<void>;
+	#leadingZeros = 0;
+	/** Bytes sent up to the last probe, including it. */
+	#bytesWritten: number;
+
+	private constructor(socket: Socket, pending: ReadonlySet<ServerResponse>) {
+		this.#socket = socket;
+		this.#pending = pending;
+		this.#bytesWritten = socket.bytesWritten;
+		this.#firstReply = new Promise(resolve => {
+			const timer = setTimeout(resolve, replyMilliseconds);
+			socket.once('close', () => {
+				clearTimeout(timer);
+				resolve();
+			});
+		});
+		void this.#run();
+	}
+
+	/** Checks whether the caller has closed its connection, after it has had time to reply to a probe. */
+	async hasDisconnected(): Promise<boolean> {
+		await this.#firstReply;
+		return this.#closeIfReset();
+	}
+
+	async #run(): Promise<void> {
+		if (this.#closeIfReset() || !this.#canWait()) {
+			this.#socket.destroy();
+			return;
+		}
+
+		while (this.#pending.size > 0) {
+			this.#probe();
+			for (const milliseconds of checkDelaysMilliseconds) {
+				await delay(milliseconds);
+				if (this.#closeIfReset()) {
+					return;
+				}
+			}
+
+			if (!this.#hasProof()) {
+				this.#socket.destroy();
+				return;
+			}
+		}
+	}
+
+	/** The answer that is sent at present; the others of the connection wait for its end. */
+	#current(): ServerResponse | undefined {
+		return [...this.#pending].find(({socket, writableEnded}) => socket !== null && !writableEnded);
+	}
+
+	/** Whether a probe or a body that is being sent can show if the caller reads. */
+	#canWait(): boolean {
+		const response = this.#current();
+		return response === undefined || response.headersSent || probeKindOf(response) !== 'none';
+	}
+
+	#probe(): void {
+		const response = this.#current();
+		const hasNewBytes = this.#socket.bytesWritten > this.#bytesWritten;
+		this.#leadingZeros = hasNewBytes ? 0 : this.#leadingZeros;
+		this.#bytesWritten = this.#socket.bytesWritten;
+		if (response === undefined || this.#socket.writableLength > 0) {
+			return;
+		}
+
+		const kind = probeKindOf(response);
+		if (kind === 'interim-answer') {
+			response.writeContinue();
+		} else if (kind === 'chunk-size' && this.#leadingZeros < maxLeadingZeros) {
+			this.#leadingZeros++;
+			response.flushHeaders();
+			this.#socket.write('0');
+		}
+	}
+
+	/** Whether something was sent since the last probe, or is still being sent, to which a closed connection would reply. */
+	#hasProof(): boolean {
+		const response = this.#current();
+		return response === undefined
+			|| probeKindOf(response) !== 'none'
+			|| this.#socket.bytesWritten > this.#bytesWritten
+			|| this.#socket.writableLength > 0;
+	}
+
+	#closeIfReset(): boolean {
+		if (hasConnectedPeer(this.#socket)) {
+			return false;
+		}
+
+		this.#socket.destroy();
+		return true;
+	}
+}
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -13,6 +13,7 @@
 import {type Child} from '../supervisor/supervisor.js';
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
+import {HalfClosedCaller} from './half-closed-caller.js';
 import {sendRefusal} from './send-refusal.js';
 
 /** Limits for a client until its request has arrived. */
@@ -73,6 +74,8 @@
 		// By default Node silently drops headers after the 2,000th; a dropped Idempotency-Key would let a booking run twice.
 		// The limit on the bytes of all headers is enough.
 		this.#server.maxHeadersCount = 0;
+		// By default Node closes a connection as soon as its caller closes the sending side, and the answer is lost.
+		(this.#server as Server & {httpAllowHalfOpen: boolean}).httpAllowHalfOpen = true;
 		this.#listenToServer();
 	}
 
@@ -130,10 +133,14 @@
 
 	#listenToServer(): void {
 		this.#server.on('connection', (socket: Socket) => {
-			this.#connections.set(socket, new Set());
+			const pending = new Set<ServerResponse>();
+			this.#connections.set(socket, pending);
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
+			socket.once('end', () => {
+				HalfClosedCaller.watch(socket, pending);
+			});
 		});
 		this.#server.on('request', (request, response) => {
 			this.#serve(request, response);
