Report crashes in a table that all instances follow anyway

Cause: the reports had a table of their own. The reader asked for it each 0.36 s, and each instance paid for one table more at its start, at each change of the reader and after each loss of history.

Change: the reports are in the table of the weights lease, told apart by their keys. The reader's call waits 0.9 s, since a new report ends it, and a relayed confirmation is good for 2.1 s; the random delay and an own call then still end within the contact time of 3 s.

--- a/src/gateway/crashes/crash-feed-handler.ts
+++ b/src/gateway/crashes/crash-feed-handler.ts
@@ -1,4 +1,4 @@
-/** Applies the reports of crashes in the store's table to the ledger of this instance. */
+/** Applies the reports of crashes in the store's table to the ledger of this instance; the table's other rows are ignored. */
 import {type FeedRow} from '../../ports/table-feed.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Arrival, type FeedHandler} from '../watchers/feed-update.js';
--- a/src/gateway/crashes/crash-report-rows.ts
+++ b/src/gateway/crashes/crash-report-rows.ts
@@ -1,10 +1,15 @@
-/** Encodes reports of crashes as rows of the store's table, and decodes them. Reports are written once and never changed. */
+/**
+ * Encodes reports of crashes as rows of the store's table, and decodes them. Reports are written once and never changed.
+ *
+ * They are in the table of the weights lease, which every instance follows: a table of their own would double the calls that
+ * each instance makes for both whenever its reader fails, and those of the reader at all times.
+ */
 import * as zod from 'zod';
 import {type JsonValue} from '../../shared/types.js';
 import {type Report} from './crash-ledger.js';
 
-/** The table of the reports; every instance follows it. */
-export const crashTable = 'crashes';
+/** The table of the reports, beside other rows. */
+export {weightsLeaseTable as crashTable} from '../leadership/weights-lease.js';
 
 const reportSchema = zod.discriminatedUnion('kind', [
 	zod.object({
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -51,9 +51,9 @@
 	readerWaitMilliseconds: number;
 	/** An instance makes no calls to the feed as long as the reader's latest confirmation is no older than this. */
 	maxRelayedAgeMilliseconds: number;
-	/** Both for the table of crashes. */
-	readerCrashWaitMilliseconds: number;
-	maxRelayedCrashAgeMilliseconds: number;
+	/** Both for the table of what instances report to each other. */
+	readerReportWaitMilliseconds: number;
+	maxRelayedReportAgeMilliseconds: number;
 	/** Beyond this age of the configuration, a route or key that is missing from it is not reported as unknown. */
 	freshMilliseconds: number;
 	/** Beyond this age, no key is accepted. */
@@ -74,10 +74,16 @@
 const relayedAgeShare = 0.6;
 /** Share of that age that a call of the reader may wait; the relaying and the interval of queries take up the rest. */
 const readerWaitShare = 0.3;
-/** Share of the contact time that a call of the reader for new crashes may wait. */
-const readerCrashWaitShare = 0.12;
-/** Share of the contact time after which an instance without relayed crashes reads them itself; the rest is for that call. */
-const relayedCrashAgeShare = 0.6;
+/**
+ * Share of the contact time after which an instance without relayed reports reads them itself; the rest is for the random
+ * delay and that call.
+ */
+const relayedReportAgeShare = 0.7;
+/**
+ * Share of the contact time that a call of the reader for reports may wait. New ones end it, so the wait delays only the
+ * confirmation that there are none; the relaying, the interval of queries and a slow store take up the rest of its validity.
+ */
+const readerReportWaitShare = 0.3;
 /** Time between the check of a lease and the sending of the request, on a slow instance with a late timer. */
 const keyLeaseMarginMilliseconds = 150;
 /** Feed waits for which a configuration is fresh after the last answered call: one for the next call, the rest for lateness. */
@@ -96,8 +102,8 @@
 		feedWaitMilliseconds,
 		readerWaitMilliseconds: Math.round(readerWaitShare * maxRelayedAgeMilliseconds),
 		maxRelayedAgeMilliseconds,
-		readerCrashWaitMilliseconds: Math.round(readerCrashWaitShare * bounds.contactMilliseconds),
-		maxRelayedCrashAgeMilliseconds: Math.round(relayedCrashAgeShare * bounds.contactMilliseconds),
+		readerReportWaitMilliseconds: Math.round(readerReportWaitShare * bounds.contactMilliseconds),
+		maxRelayedReportAgeMilliseconds: Math.round(relayedReportAgeShare * bounds.contactMilliseconds),
 		freshMilliseconds: freshWaits * feedWaitMilliseconds,
 		keyLeaseMilliseconds: bounds.revocationMilliseconds - keyLeaseMarginMilliseconds,
 	};
--- a/src/gateway/watchers/table-feeds.ts
+++ b/src/gateway/watchers/table-feeds.ts
@@ -1,23 +1,16 @@
 /** The followers of the store's tables at one instance, fed by calls to the store or by updates that the reader relays. */
 import {type MomentClock, type Moment} from '../../ports/moment-clock.js';
 import {type TableFeed} from '../../ports/table-feed.js';
-import {crashTable} from '../crashes/crash-report-rows.js';
 import {weightsLeaseTable} from '../leadership/weights-lease.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type GatewayTimings} from '../gateway-settings.js';
 import {type StoreSchema} from './store-schema.js';
 import {EndpointFeedHandler} from './endpoint-feed-handler.js';
 import {FeedFollower} from './feed-follower.js';
+import {FeedHandlers} from './feed-handlers.js';
 import {type FeedUpdate, type FeedCursor, type FeedHandler} from './feed-update.js';
 import {OperatorFeedHandler} from './operator-feed-handler.js';
 
-/** Hints may be late, so the calls of a feed that carries only hints wait long; this keeps their number small. */
-const hintWaitMilliseconds = 20_000;
-/** The same for the reader. */
-const readerHintWaitMilliseconds = 1000;
-/** An instance that has received no relayed hints for this long calls the store for them itself. */
-const maxRelayedHintAgeMilliseconds = 4000;
-
 export type TableFeedDependencies = {
 	store: TableFeed;
 	storeSchema: StoreSchema;
@@ -39,16 +32,14 @@
 	}: TableFeedDependencies, timings: GatewayTimings, crashHandler: FeedHandler) {
 		const {feedWaitMilliseconds: waitMilliseconds, readerWaitMilliseconds, maxRelayedAgeMilliseconds} = timings;
 		const waits = {waitMilliseconds, readerWaitMilliseconds, maxRelayedAgeMilliseconds};
-		const hintWaits = {waitMilliseconds: hintWaitMilliseconds, readerWaitMilliseconds: readerHintWaitMilliseconds, maxRelayedAgeMilliseconds: maxRelayedHintAgeMilliseconds};
-		const crashWaits = {waitMilliseconds, readerWaitMilliseconds: timings.readerCrashWaitMilliseconds, maxRelayedAgeMilliseconds: timings.maxRelayedCrashAgeMilliseconds};
+		const reportWaits = {waitMilliseconds, readerWaitMilliseconds: timings.readerReportWaitMilliseconds, maxRelayedAgeMilliseconds: timings.maxRelayedReportAgeMilliseconds};
 		const dependencies = {
 			clock, random, isReader, isStandby, log: context.log,
 		};
 		this.followers = [
 			new FeedFollower(store, {table: schema.operatorTable, ...waits}, new OperatorFeedHandler(context, schema, context.weightTargets), dependencies),
 			new FeedFollower(store, {table: schema.endpointTable, ...waits}, new EndpointFeedHandler(context, schema), dependencies),
-			new FeedFollower(store, {table: weightsLeaseTable, ...hintWaits}, context.loadingEngines, dependencies),
-			new FeedFollower(store, {table: crashTable, ...crashWaits}, crashHandler, dependencies),
+			new FeedFollower(store, {table: weightsLeaseTable, ...reportWaits}, new FeedHandlers([context.loadingEngines, crashHandler]), dependencies),
 		];
 	}
 
