Count the calls to the store by table

Seen: neither logs nor metrics told which of the tables the calls of an instance were for; a trial needed a line in the code.

Change: savorygauge_store_calls_total has the label `table`. A transaction counts for the table of its first row; all of ours are about one table.

--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -34,7 +34,7 @@
 	});
 
 	readonly storeCalls = new Counter({
-		name: 'savorygauge_store_calls_total', help: 'Calls to the platform\'s store, by kind and outcome.', labelNames: ['call', 'outcome'], registers: [this.registry],
+		name: 'savorygauge_store_calls_total', help: 'Calls to the platform\'s store, by kind, table and outcome.', labelNames: ['call', 'table', 'outcome'], registers: [this.registry],
 	});
 
 	readonly configurationVersion = new Gauge({
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -37,8 +37,8 @@
 		clock: systemMomentClock,
 		names: platformWireNames,
 		storeSchema: platformStoreSchema,
-		store: new PlatformStore(settings.storeAddress, (call, outcome) => {
-			metrics.storeCalls.inc({call, outcome});
+		store: new PlatformStore(settings.storeAddress, (call, table, outcome) => {
+			metrics.storeCalls.inc({call, table, outcome});
 		}),
 		control: new PlatformEngineControl(),
 		storeControl: new PlatformCacheStore(),
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -24,8 +24,8 @@
 type RowsAnswer = {rows: WireRow[]; ver: number; now_ms: number; has_more?: boolean};
 type RowsWithEra = RowsAnswer & {era: number};
 
-/** Counts calls by kind and outcome. */
-export type CountCall = (call: 'get' | 'feed' | 'tx', outcome: 'answered' | 'refused' | 'lost') => void;
+/** Counts calls by kind, table and outcome. */
+export type CountCall = (call: 'get' | 'feed' | 'tx', table: string, outcome: 'answered' | 'refused' | 'lost') => void;
 
 /**
  * Timeout of a call, in addition to the time that a call to the feed may wait for changes. The store answers within a few
@@ -61,7 +61,7 @@
 		const query = queryOf({
 			table, part: '', from: key, to: `${key}\0`, limit: 1,
 		});
-		const answer = await this.#get('get', `/rows-get?${query}`);
+		const answer = await this.#get('get', table, `/rows-get?${query}`);
 		return answer.map(({rows, now_ms: storeMilliseconds, era}) => ({
 			row: rows.map(row => rowOf(row)).find(row => row.key === key), storeMilliseconds, era,
 		}));
@@ -69,13 +69,14 @@
 
 	async scan({table, prefix, after, limit}: {table: string; prefix: string; after: string; limit: number}): Promise<Either<TableFailure, Row[]>> {
 		const from = after > prefix ? `${after}\0` : prefix;
-		const answer = await this.#get('get', `/rows-get?${queryOf({
+		const answer = await this.#get('get', table, `/rows-get?${queryOf({
 			table, part: '', from, limit,
 		})}`);
 		return answer.map(({rows}) => rows.map(row => rowOf(row)).filter(({key}) => key.startsWith(prefix)));
 	}
 
 	async commit({conditions, writes}: Transaction): Promise<Either<TableFailure, void>> {
+		const table = [...writes, ...conditions][0]?.table ?? '';
 		const body = {
 			expected_rev: conditions.map(({table, key, revision}) => ({
 				table, part: '', key, ver: revision,
@@ -90,10 +91,10 @@
 				method: 'POST', url: `${this.#baseUrl}/rows-tx`, body, timeoutMilliseconds: callTimeoutMilliseconds,
 			});
 			this.#noteEra(answer);
-			this.#count('tx', answer.status === 200 || answer.status === conflictStatus ? 'answered' : 'refused');
+			this.#count('tx', table, answer.status === 200 || answer.status === conflictStatus ? 'answered' : 'refused');
 			return commitResultOf(answer);
 		} catch (error) {
-			this.#count('tx', 'lost');
+			this.#count('tx', table, 'lost');
 			return Left({kind: failedBeforeAnyByte(error) ? 'unavailable' : 'outcome-unknown', detail: describeError(error)});
 		}
 	}
@@ -103,7 +104,7 @@
 		let first: RowsWithEra | undefined;
 		let from = '';
 		for (;;) {
-			const answer = await this.#get('get', `/rows-get?${queryOf({table, part: '', ...(from === '' ? {} : {from})})}`);
+			const answer = await this.#get('get', table, `/rows-get?${queryOf({table, part: '', ...(from === '' ? {} : {from})})}`);
 			if (answer.isLeft()) {
 				return Left(answer.extract());
 			}
@@ -131,23 +132,23 @@
 
 	async follow({table, after, waitMilliseconds}: FollowQuery): Promise<Either<FeedFailure, FeedAnswer>> {
 		const query = queryOf({table, after, wait_ms: waitMilliseconds});
-		const answer = await this.#get('feed', `/rows-feed?${query}`, waitMilliseconds);
+		const answer = await this.#get('feed', table, `/rows-feed?${query}`, waitMilliseconds);
 		return answer
 			.map(({rows, ver, era}) => ({rows: rows.map(row => feedRowOf(row)), position: ver, era}))
 			.mapLeft(failure => failure.kind === 'unavailable' && failure.detail === `status ${historyLostStatus}` ? {kind: 'history-lost'} : failure);
 	}
 
-	async #get(call: 'get' | 'feed', path: string, waitMilliseconds = 0): Promise<Either<TableFailure, RowsWithEra>> {
+	async #get(call: 'get' | 'feed', table: string, path: string, waitMilliseconds = 0): Promise<Either<TableFailure, RowsWithEra>> {
 		try {
 			const answer = await exchangeJson({
 				method: 'GET', url: this.#baseUrl + path, timeoutMilliseconds: callTimeoutMilliseconds + waitMilliseconds,
 			});
 			const {status, body} = answer;
 			const era = this.#noteEra(answer);
-			this.#count(call, status === 200 ? 'answered' : 'refused');
+			this.#count(call, table, status === 200 ? 'answered' : 'refused');
 			return status === 200 ? Right({...body as unknown as RowsAnswer, era}) : Left({kind: 'unavailable', detail: `status ${status}`});
 		} catch (error) {
-			this.#count(call, 'lost');
+			this.#count(call, table, 'lost');
 			return Left({kind: 'unavailable', detail: describeError(error)});
 		}
 	}
