Keep what happened to each change of the check over configuration changes

Cause: the check failed once beside load and kept only its counts, so nobody could tell which of them was wrong, at which change and at which entry. An exception kept nothing at all. Change: the report carries for each change the fault before it, the time of its acceptance, when the check saw it in force at each entry (the last one is the last in the list), which entries were cut off, and each lower version. It also carries the timeline's lines about configurations and members, which tell when an entry brought a version into force by its own clock. The event `configuration-in-force` now says "from the table" or "from a peer" in its detail.

--- a/src/check/configuration-over-processes.ts
+++ b/src/check/configuration-over-processes.ts
@@ -16,8 +16,27 @@
 const pollIntervalMilliseconds = 20;
 const timeoutMilliseconds = 15_000;
 const boundMilliseconds = 3000;
+const tracedKinds = ['process-started', 'configuration-in-force', 'instance-seen', 'instance-gone', 'child-restarted'];
 
-/** The counts of a run. `late` and `wentBack` must be 0. */
+/** A change, and what happened until it was in force on every entry. */
+export type ChangeTrace = {
+	/** The fault before the change, and its entry. */
+	fault: string;
+	version: number;
+	/** Milliseconds since the epoch. */
+	acceptedAt: number;
+	/**
+	 * Milliseconds after the acceptance until this check saw the change in force at each entry, in that order. An entry that
+	 * is missing never had it.
+	 */
+	inForceAfter: Record<string, number>;
+	/** Entries that were cut off from the table. */
+	cutOff: string[];
+	/** Ready entries that reported a lower version than before. */
+	wentBack: Array<{name: string; before: number; reported: number}>;
+};
+
+/** The counts of a run, and its trace. `late` and `wentBack` must be 0. */
 export type ConfigurationReport = {
 	restarts: number;
 	cuts: number;
@@ -28,13 +47,22 @@
 	/** How often a ready entry reported a lower version than an entry of the same name did before. */
 	wentBack: number;
 	slowestMilliseconds: number;
+	traces: ChangeTrace[];
+	/** The timeline's events of configuration changes and memberships, as the entries themselves recorded them. */
+	events: string[];
 };
 
+/** Thrown when a run ends early. Its message carries the trace up to there. */
+export class ConfigurationRunError extends Error {
+	override readonly name = 'ConfigurationRunError';
+}
+
 /**
  * Injects faults and accepts a change after each.
  *
  * @param plan - The number of faults, and their seed.
- * @returns The counts of the run.
+ * @returns The counts of the run, and its trace.
+ * @throws `ConfigurationRunError` if a process or the table does not answer.
  */
 export async function runConfigurationChanges({faults, seed}: {faults: number; seed: number}): Promise<ConfigurationReport> {
 	const links = new Map<string, CuttableLink>();
@@ -75,7 +103,7 @@
 	readonly #table: HttpTableService;
 	readonly #highest = new Map<string, number>();
 	readonly #report: ConfigurationReport = {
-		restarts: 0, cuts: 0, mends: 0, changes: 0, late: 0, wentBack: 0, slowestMilliseconds: 0,
+		restarts: 0, cuts: 0, mends: 0, changes: 0, late: 0, wentBack: 0, slowestMilliseconds: 0, traces: [], events: [],
 	};
 
 	constructor(deployment: Deployment, links: ReadonlyMap<string, CuttableLink>, random: () => number) {
@@ -86,33 +114,55 @@
 	}
 
 	async run(faults: number): Promise<ConfigurationReport> {
-		await this.#acceptChange();
-		for (let count = 0; count < faults; count++) {
-			await this.#injectFault();
-			await this.#acceptChange();
+		try {
+			await this.#acceptChange('none');
+			for (let count = 0; count < faults; count++) {
+				await this.#acceptChange(await this.#injectFault());
+			}
+		} catch (error) {
+			throw new ConfigurationRunError(`${String(error)}${formatRun(this.#reportWithEvents())}`, {cause: error});
 		}
 
-		return this.#report;
+		return this.#reportWithEvents();
 	}
 
-	async #injectFault(): Promise<void> {
+	#reportWithEvents(): ConfigurationReport {
+		return {...this.#report, events: this.#deployment.timeline.lines.filter(line => tracedKinds.some(kind => line.includes(` ${kind} `)))};
+	}
+
+	/** Returns the fault and its entry. */
+	async #injectFault(): Promise<string> {
 		const entries = this.#deployment.withRole('entry');
 		const entry = entries[Math.floor(this.#random() * entries.length)]!;
 		const link = this.#links.get(entry.listed.name)!;
 		if (this.#random() < 0.5) {
 			this.#report.restarts++;
+			const startedAt = performance.now();
 			await this.#deployment.replaceEntry(entry);
-		} else if (link.isCut) {
+			return `restart ${entry.listed.name} in ${Math.round(performance.now() - startedAt)} ms`;
+		}
+
+		if (link.isCut) {
 			this.#report.mends++;
 			link.restore();
-		} else if ([...this.#links.values()].filter(({isCut}) => !isCut).length > 1) {
+			return `mend ${entry.listed.name}`;
+		}
+
+		if ([...this.#links.values()].filter(({isCut}) => !isCut).length > 1) {
 			this.#report.cuts++;
 			link.cut();
+			return `cut ${entry.listed.name}`;
 		}
+
+		return 'none';
 	}
 
 	/** Accepts a change and waits until it is in force on every entry. */
-	async #acceptChange(): Promise<void> {
+	async #acceptChange(fault: string): Promise<void> {
+		const trace: ChangeTrace = {
+			fault, version: 0, acceptedAt: 0, inForceAfter: {}, cutOff: [...this.#links].filter(([, {isCut}]) => isCut).map(([name]) => name), wentBack: [],
+		};
+		this.#report.traces.push(trace);
 		const head = await readHead(this.#table);
 		const accepted = await acceptProposal(this.#table, {
 			plannedAgainst: head.unsafeCoerce().version,
@@ -123,7 +173,8 @@
 		this.#report.changes++;
 		const {version} = accepted.unsafeCoerce();
 		const acceptedAt = performance.now();
-		while (!await this.#isInForceEverywhere(version)) {
+		Object.assign(trace, {version, acceptedAt: Date.now()});
+		while (!await this.#isInForceEverywhere(trace, acceptedAt)) {
 			if (performance.now() - acceptedAt > timeoutMilliseconds) {
 				break;
 			}
@@ -136,21 +187,38 @@
 		this.#report.late += took > boundMilliseconds ? 1 : 0;
 	}
 
-	async #isInForceEverywhere(version: number): Promise<boolean> {
-		const seen = await Promise.all(this.#deployment.withRole('entry').map(async ({listed}) => this.#readVersion(listed.name, listed.address)));
-		return seen.every(found => found >= version);
+	async #isInForceEverywhere(trace: ChangeTrace, acceptedAt: number): Promise<boolean> {
+		const seen = await Promise.all(this.#deployment.withRole('entry').map(async ({listed: {name, address}}) => {
+			const found = await this.#readVersion(name, address, trace);
+			if (found >= trace.version) {
+				trace.inForceAfter[name] ??= Math.round(performance.now() - acceptedAt);
+			}
+
+			return found;
+		}));
+		return seen.every(found => found >= trace.version);
 	}
 
 	/** Returns the version that an entry reports, and counts it if it is lower than before. */
-	async #readVersion(name: string, address: string): Promise<number> {
+	async #readVersion(name: string, address: string, trace: ChangeTrace): Promise<number> {
 		const answer = await request(`http://${address}/readyz`);
 		const {ready, configurationVersion} = await answer.body.json() as {ready: boolean; configurationVersion: number};
 		const before = this.#highest.get(name) ?? 0;
 		if (ready && configurationVersion < before) {
 			this.#report.wentBack++;
+			trace.wentBack.push({name, before, reported: configurationVersion});
 		}
 
 		this.#highest.set(name, Math.max(before, configurationVersion));
 		return configurationVersion;
 	}
 }
+
+/**
+ * Formats a run for the message of a failed check.
+ *
+ * @returns One line for each change, and one for each event.
+ */
+export function formatRun({traces, events}: Pick<ConfigurationReport, 'traces' | 'events'>): string {
+	return ['', 'Changes and events of the run:', ...traces.map(trace => JSON.stringify(trace)), ...events].join('\n');
+}
--- a/src/check/processes-main.ts
+++ b/src/check/processes-main.ts
@@ -4,7 +4,7 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
-import {runConfigurationChanges} from './configuration-over-processes.js';
+import {formatRun, runConfigurationChanges} from './configuration-over-processes.js';
 import {runBookings} from './bookings-over-processes.js';
 
 const command = new Command('check:processes')
@@ -16,7 +16,11 @@
 const report = await runBookings({bookings: Number(options.bookings), seed: Number(options.seed)});
 console.log(JSON.stringify(report));
 const {duplicateRuns, falseNotRun, crossedAnswers, answeredButNotRun, withoutFinalWord} = report;
-const configuration = await runConfigurationChanges({faults: Number(options.changes), seed: Number(options.seed)});
+const {traces, events, ...configuration} = await runConfigurationChanges({faults: Number(options.changes), seed: Number(options.seed)});
 console.log(JSON.stringify(configuration));
+if (configuration.late + configuration.wentBack > 0) {
+	console.log(formatRun({traces, events}));
+}
+
 const violations = duplicateRuns + falseNotRun + crossedAnswers + answeredButNotRun + withoutFinalWord + configuration.late + configuration.wentBack;
 process.exitCode = violations === 0 ? 0 : 1;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -176,9 +176,13 @@
 
 	#reportConfiguration(): void {
 		const {configuration, endpoints, clock, metrics} = this.#context;
-		configuration.onChange(state => {
+		configuration.onChange((state, change) => {
 			endpoints.setDrained(new Set(state.drains.keys()));
-			this.#timeline.record({kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version});
+			// Snapshots, which carry no change, come from peers only.
+			const isFromPeer = change === undefined || this.#peers.isApplyingPeerChange;
+			this.#timeline.record({
+				kind: 'configuration-in-force', at: clock.now(), configurationVersion: state.version, detail: isFromPeer ? 'from a peer' : 'from the table',
+			});
 			metrics.report('configuration.version', state.version);
 		});
 	}
--- a/src/entry/peers/entry-peers.ts
+++ b/src/entry/peers/entry-peers.ts
@@ -82,6 +82,11 @@
 		});
 	}
 
+	/** Whether the change that is being brought into force came from a peer. */
+	get isApplyingPeerChange(): boolean {
+		return this.#isApplyingPeerChange;
+	}
+
 	/** Whether this entry reads configuration changes from the table service; an entry without links to peers always does. */
 	get isReader(): boolean {
 		return this.service.node.isReader || this.service.linked.length === 0;
