Read the sockets before a call to the platform is given up

Seen: an entry that is paused for 2 s right after its restart has a change in force 3.1 s after the acceptance; 3 s are allowed. Cause: timers run before sockets are read. After a pause longer than the limit of 1.5 s, `AbortSignal.timeout` ends the first poll although its answer lies unread in the socket, and the next one waits for the backoff of 1 s. The first read of the instance list ends likewise, so the entry links to its peers a second later too. The timeline of a restarted entry shows its first version and its first peers together, 0.9 s after the end of the pause. Change: `exchangeJson` ends a call at its limit only after the sockets were polled once more. Ruled out: that a later answer harms claims or leases. A process may as well be paused just after it has read an answer, so both already rest on conditional writes and on the time before the read.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -4,6 +4,7 @@
  */
 import {Agent} from 'undici';
 import {type JsonValue} from '../shared/types.js';
+import {startTimeLimit} from './time-limit.js';
 import {readWholeJson} from './whole-body.js';
 
 const connectTimeoutMilliseconds = 1000;
@@ -85,15 +86,20 @@
  */
 export async function exchangeJson(exchange: JsonExchange): Promise<JsonAnswer> {
 	const {origin, pathname, search} = new URL(exchange.url);
-	const answer = await jsonPool.request({
-		origin,
-		path: pathname + search,
-		method: exchange.method,
-		headers: {'content-type': 'application/json', ...exchange.headers},
-		body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
-		signal: AbortSignal.timeout(exchange.timeoutMilliseconds),
-	});
-	return {status: answer.statusCode, headers: answer.headers, body: await readWholeJson(exchange.method, answer)};
+	const timeLimit = startTimeLimit(exchange.timeoutMilliseconds);
+	try {
+		const answer = await jsonPool.request({
+			origin,
+			path: pathname + search,
+			method: exchange.method,
+			headers: {'content-type': 'application/json', ...exchange.headers},
+			body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
+			signal: timeLimit.signal,
+		});
+		return {status: answer.statusCode, headers: answer.headers, body: await readWholeJson(exchange.method, answer)};
+	} finally {
+		timeLimit.clear();
+	}
 }
 
 const errorCodesBeforeAnyByte = new Set([
