Add failing tests: an entry sends work on for a caller that has closed

A close is now known only after the reply to a probe, and the entry starts an attempt, admits a prompt or tries a further endpoint in the meantime.

--- a/src/entry/callers/half-closing-caller.test.ts
+++ b/src/entry/callers/half-closing-caller.test.ts
@@ -4,8 +4,17 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {Left} from 'purify-ts/Either';
 import {rawRequest, statusOf} from '../../test/raw-http.js';
+import {BoundedQueueAdmission} from '../../decision/admission/bounded-queue-admission.js';
+import {LeastLoadedPolicy} from '../../decision/routing/least-loaded-policy.js';
+import {HttpListener} from '../../serving/http-listener.js';
 import {type CallerEnd, completeAnswers, SteeredCaller} from '../../test/steered-caller.js';
 import {TestEntry, testEngines, testKey} from '../../test/test-entry.js';
+import {NoCachedContext} from '../cache/cached-context.js';
+import {AdmissionGate} from './admission-gate.js';
+import {AtMostOnceRunner} from './at-most-once-runner.js';
+import {CallerRoutes} from './caller-routes.js';
+import {CompletionRunner} from './completion-runner.js';
+import {PlainRoute} from './plain-route.js';
 
 const lagMilliseconds = 400;
 const noticeMilliseconds = 500;
@@ -176,3 +185,67 @@
 		assert.equal(isCancelled, true);
 	});
 }
+
+for (const end of ['close', 'reset'] satisfies CallerEnd[]) {
+	test(`a prompt whose caller has left is not sent to a further engine (${end})`, async t => {
+		// Guards against new work for nobody while it is not yet known whether a caller has closed or half-closed.
+		const {entry, caller} = await startEntry(t, {hasLag: false});
+		pauseEngines(entry, 0);
+		await caller.send(prompt());
+		await entry.engine.halted();
+		await caller.send('', end);
+		entry.engine.cutFirstHalted();
+		await pause(noticeMilliseconds);
+		assert.equal(entry.engine.calls.length, 1);
+	});
+
+	test(`a prompt whose caller left while it waited is not sent on (${end})`, async t => {
+		// Guards against prompts that are admitted while it is not yet known whether their callers have closed or half-closed.
+		const {entry} = await startEntry(t, {hasLag: false});
+		const gate = new AdmissionGate(new BoundedQueueAdmission(), entry.clock);
+		gate.setCapacity('permits', {maxRequests: 0, maxUrgentRequests: 0});
+		const {app} = new CallerRoutes(entry.context, {
+			gate,
+			runner: new CompletionRunner(entry.context, new LeastLoadedPolicy(), new NoCachedContext()),
+			plainRoute: new PlainRoute(entry.context, new AtMostOnceRunner(entry.context)),
+		});
+		const listener = new HttpListener('waiting-callers', app, '127.0.0.1:0');
+		const caller = await SteeredCaller.connect(await listener.listen());
+		t.after(async () => {
+			await caller.stop();
+			await listener.drain();
+		});
+		await caller.send(prompt());
+		assert.equal(gate.policy.waiting().length, 1);
+		await caller.send('', end);
+		gate.setCapacity('permits', {maxRequests: 1, maxUrgentRequests: 1});
+		await pause(noticeMilliseconds);
+		assert.equal(entry.engine.calls.length, 0);
+	});
+
+	test(`a plain call whose caller has left is not sent to a further endpoint (${end})`, async t => {
+		// Guards against new calls for nobody while it is not yet known whether a caller has closed or half-closed.
+		const {entry, caller} = await startEntry(t, {hasLag: false});
+		entry.context.endpoints.applyList(['riva-plain-1', 'riva-plain-2'].map(name => ({
+			name, role: 'plain-service', dataCentre: 'riva', service: 'bookings', address: name, peerAddress: '', state: 'live',
+		})));
+		const release = new AbortController();
+		const addresses: string[] = [];
+		entry.context.plain = {
+			async call(called, _call, signal) {
+				if (!signal.aborted) {
+					addresses.push(called);
+					await once(AbortSignal.any([signal, release.signal]), 'abort');
+				}
+
+				return Left({kind: 'not-sent', detail: 'refused'});
+			},
+		};
+		await caller.send(plainCall('PUT'));
+		assert.equal(addresses.length, 1);
+		await caller.send('', end);
+		release.abort();
+		await pause(noticeMilliseconds);
+		assert.equal(addresses.length, 1);
+	});
+}
