--- a/src/gateway/data-path/half-closing-caller.test.ts
+++ b/src/gateway/data-path/half-closing-caller.test.ts
@@ -162,6 +162,17 @@
 		await scene.assertAnswers([200]);
 	});
 
+	test(`a sender that half-closes with its request gets all of its answer if the endpoint pauses within it (${kind})`, async t => {
+		// Guards against answers with a stated length that are cut off at a pause, since no probe is possible within them.
+		const scene = await Scene.start(t, {kind, hasLag: false, answers: false});
+		await scene.caller.send(requestBytes('a1'), 'half-close');
+		const exchange = await scene.arrival();
+		startAnswer(exchange);
+		await pause(2 * noticeMilliseconds);
+		exchange.response.end(body.slice(firstLength));
+		await scene.assertAnswers([200]);
+	});
+
 	for (const end of ['close', 'reset'] satisfies CallerEnd[]) {
 		test(`a request whose caller left during a lag is not forwarded (${kind}, ${end})`, async t => {
 			// Guards against work for callers that have closed their connections: here nothing was unread at the caller's.
