--- a/src/serving/half-closed-caller.test.ts
+++ b/src/serving/half-closed-caller.test.ts
@@ -65,3 +65,20 @@
 	const end = await caller.ended;
 	assert.ok(end === 'error' || !/\r\n0+$/v.test(caller.received()), `ended in order after: ${JSON.stringify(caller.received())}`);
 });
+
+test('all pipelined requests of a caller that closes are told of it', async t => {
+	// Guards against work for nobody, and open requests that are counted for ever: Node tells only the answer being sent.
+	let open = 0;
+	const caller = await connectCaller(t, async response => {
+		open++;
+		response.once('close', () => {
+			open--;
+		});
+	});
+	caller.socket.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n');
+	await pause(noticeMilliseconds);
+	assert.equal(open, 2);
+	caller.socket.destroy();
+	await pause(noticeMilliseconds);
+	assert.equal(open, 0);
+});
