--- a/src/serving/half-closed-caller.test.ts
+++ b/src/serving/half-closed-caller.test.ts
@@ -82,3 +82,24 @@
 	await pause(noticeMilliseconds);
 	assert.equal(open, 0);
 });
+
+for (const isWithin of [false, true]) {
+	test(`a caller that half-closes and later closes ${isWithin ? 'within' : 'before'} its answer is noticed`, async t => {
+		// Guards against a single probe: it is accepted by a caller that closes only afterwards.
+		let noticedAt = Number.POSITIVE_INFINITY;
+		const caller = await connectCaller(t, async response => {
+			response.once('close', () => {
+				noticedAt = performance.now();
+			});
+			if (isWithin) {
+				response.write('first');
+			}
+		});
+		caller.socket.end('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+		await pause(2 * noticeMilliseconds);
+		const leftAt = performance.now();
+		caller.socket.destroy();
+		await pause(2 * noticeMilliseconds);
+		assert.ok(noticedAt > leftAt && noticedAt - leftAt <= noticeMilliseconds, `noticed after ${noticedAt - leftAt} ms`);
+	});
+}
