Apply the limit of leading zeros

A probe's own byte counted as new bytes of the answer, so the limit was never reached. After the limit a close is only noticed with the next bytes of the answer.

--- a/src/serving/half-closed-caller.ts
+++ b/src/serving/half-closed-caller.ts
@@ -122,19 +122,16 @@
 		const response = this.#current();
 		const hasNewBytes = this.#socket.bytesWritten > this.#bytesWritten;
 		this.#leadingZeros = hasNewBytes ? 0 : this.#leadingZeros;
-		this.#bytesWritten = this.#socket.bytesWritten;
-		if (response === undefined || this.#socket.writableLength > 0) {
-			return;
-		}
-
-		const kind = probeKindOf(response);
+		const kind = response === undefined || this.#socket.writableLength > 0 ? 'none' : probeKindOf(response);
 		if (kind === 'interim-answer') {
-			response.writeContinue();
+			response?.writeContinue();
 		} else if (kind === 'chunk-size' && this.#leadingZeros < maxLeadingZeros) {
 			this.#leadingZeros++;
-			response.flushHeaders();
+			response?.flushHeaders();
 			this.#socket.write('0');
 		}
+
+		this.#bytesWritten = this.#socket.bytesWritten;
 	}
 
 	/** Whether something was sent since the last probe, or is still being sent, to which a closed connection would reply. */
