Tell all pipelined answers of a connection that it has closed

What callers saw: nothing, they had left. Work for the later of their pipelined requests went on, and in savorygauge-entry each of them counted as open for good, so that a workspace could use up its limit of open requests.

Cause: Node emits `close` only for the answer that is being sent. Those that wait for it are never told.

Change: the listener closes the waiting answers when their connection closes.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -137,6 +137,7 @@
 			this.#connections.set(socket, pending);
 			socket.once('close', () => {
 				this.#connections.delete(socket);
+				closeQueuedAnswers(pending);
 			});
 			socket.once('end', () => {
 				HalfClosedCaller.watch(socket, pending);
@@ -234,6 +235,16 @@
 	}
 }
 
+/** Closes the answers that waited for an earlier one on their connection; Node closes only the one that was being sent. */
+function closeQueuedAnswers(pending: ReadonlySet<ServerResponse>): void {
+	for (const response of pending) {
+		if (response.socket === null) {
+			response.destroy();
+			response.emit('close');
+		}
+	}
+}
+
 /** Closes the connection of an answered request unless the rest of its body arrives soon. */
 function closeIfBodyOutstanding(request: IncomingMessage): void {
 	const {socket} = request;
