Send nothing on while it is open whether a caller has closed, and serve pauses within its answer

- The entry sent work on between the FIN and the reply to the probe: a prompt that left the admission queue, a prompt's next engine, a plain call's next endpoint.
Each attempt now waits for the reply first, as in the gateway.
- A caller that half-closes with its request lost the rest of an answer with a stated length that paused for half a second.
One that has accepted bytes since its end is now served to the end.
- HTTP/1.0 with `TE: chunked` would have been sent an interim answer; the version decides now.

The check of the gateway after its search had no test, as a mutant showed; there is one now.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -200,6 +200,7 @@
 			prompt,
 			arrivedAt,
 			signal,
+			hasCallerDisconnected: async () => hasCallerDisconnected(request, 0),
 			dataCentres: rule.dataCentres,
 			route: {
 				requestId: this.#context.newRequestId(),
--- a/src/entry/callers/completion-job.ts
+++ b/src/entry/callers/completion-job.ts
@@ -11,6 +11,8 @@
 	arrivedAt: number;
 	/** Aborts when the caller disconnects or the request is cancelled. */
 	signal: AbortSignal;
+	/** Checks whether the caller has disconnected, also shortly before the signal tells. */
+	hasCallerDisconnected(): Promise<boolean>;
 };
 
 /** Receives the answer of a prompt. */
--- a/src/entry/callers/completion-runner.test.ts
+++ b/src/entry/callers/completion-runner.test.ts
@@ -57,6 +57,7 @@
 		prompt: 'user: hello',
 		arrivedAt: clock.now(),
 		signal: caller.signal,
+		hasCallerDisconnected: async () => false,
 	});
 	const sink = new RecordingSink(!options.streamed);
 	const runner = new CompletionRunner(entry.context, new LeastLoadedPolicy(), new NoCachedContext());
--- a/src/entry/callers/completion-runner.ts
+++ b/src/entry/callers/completion-runner.ts
@@ -77,6 +77,10 @@
 				}, this.#policy);
 			}
 
+			if (await job.hasCallerDisconnected()) {
+				break;
+			}
+
 			if (count === 0) {
 				this.#retries.countAttempt(route.workspace, choice.endpoint.name);
 			}
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -35,6 +35,14 @@
 	idempotencyKey: string | undefined;
 };
 
+/** The caller of a call that is not worth finishing for nobody. */
+type Caller = {
+	/** Aborts if the caller disconnects before the answer was written. */
+	disconnectSignal: AbortSignal;
+	/** Checks whether the caller has disconnected, also shortly before the signal tells. */
+	hasDisconnected(): Promise<boolean>;
+};
+
 export class PlainRoute {
 	readonly #context: EntryContext;
 	readonly #atMostOnceRunner: AtMostOnceRunner;
@@ -76,14 +84,14 @@
 			requestId, workspace: workspace.name, service: service.name, priority: workspace.priority, arrivedAt: clock.now(),
 		});
 		requests.admit(requestId);
-		answer(response, await this.#run(plainRequest, {version, disconnectSignal: disconnectSignalOf(response)}));
+		answer(response, await this.#run(plainRequest, {version, caller: callerOf(request, response)}));
 		requests.end(requestId);
 	}
 
-	async #run(request: PlainRequest, {version, disconnectSignal}: {version: number; disconnectSignal: AbortSignal}): Promise<Either<Refusal, PlainAnswer>> {
+	async #run(request: PlainRequest, {version, caller}: {version: number; caller: Caller}): Promise<Either<Refusal, PlainAnswer>> {
 		const {workspace, service, call, idempotencyKey} = request;
 		if (idempotencyKey === undefined || !needsClaim(service, call)) {
-			const sent = await this.#send(request, disconnectSignal);
+			const sent = await this.#send(request, caller);
 			return sent.mapLeft(refusalOf);
 		}
 
@@ -117,14 +125,18 @@
 	 * Sends the call to one endpoint after another until one answers. After a failure with unknown outcome, only idempotent
 	 * calls are sent to the next endpoint, because it could run any other call a second time.
 	 */
-	async #send({service, call}: PlainRequest, callerSignal?: AbortSignal): Promise<Either<PlainFailure, PlainAnswer>> {
+	async #send({service, call}: PlainRequest, caller?: Caller): Promise<Either<PlainFailure, PlainAnswer>> {
 		const {endpoints, settings, plain, clock} = this.#context;
 		const timeout = AbortSignal.timeout(callTimeoutMilliseconds);
-		const signal = callerSignal === undefined ? timeout : AbortSignal.any([timeout, callerSignal]);
+		const signal = caller === undefined ? timeout : AbortSignal.any([timeout, caller.disconnectSignal]);
 		const mayRetry = idempotentMethods.has(call.method) && !isAtMostOnce(service, call);
 		let mayHaveRun = false;
 		let sent: Either<PlainFailure, PlainAnswer> = Left({kind: 'not-sent', detail: 'no endpoint is live'});
 		for (const {address} of endpoints.plainEndpointsOf(service.name, settings.dataCentre, clock.now()).slice(0, maxAttempts)) {
+			if (await caller?.hasDisconnected() === true) {
+				break;
+			}
+
 			sent = await plain.call(address, call, signal);
 			const failure = sent.isLeft() ? sent.extract() : undefined;
 			if (failure === undefined || (failure.kind === 'outcome-unknown' && !mayRetry)) {
@@ -150,15 +162,14 @@
 	return isUsable ? Right(key) : Left({reason: 'bad-request', ran: 'not-run', message: `an idempotency key has 1 to ${maxKeyCharacters} characters`});
 }
 
-/** Returns a signal that aborts if the caller disconnects before the answer was written. */
-function disconnectSignalOf(response: ServerResponse): AbortSignal {
+function callerOf(request: IncomingMessage, response: ServerResponse): Caller {
 	const disconnected = new AbortController();
 	response.once('close', () => {
 		if (!response.writableFinished) {
 			disconnected.abort();
 		}
 	});
-	return disconnected.signal;
+	return {disconnectSignal: disconnected.signal, hasDisconnected: async () => hasCallerDisconnected(request, 0)};
 }
 
 function isAtMostOnce(service: PlainServiceItem, call: PlainCall): boolean {
--- a/src/gateway/data-path/half-closing-caller.test.ts
+++ b/src/gateway/data-path/half-closing-caller.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
@@ -200,3 +201,32 @@
 		}
 	}
 }
+
+for (const end of ['close', 'reset'] satisfies CallerEnd[]) {
+	test(`a request whose caller left while it waited for the coordinator is not forwarded (${end})`, async t => {
+		// Guards against work for nobody while it is not yet known whether a caller has closed or half-closed.
+		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({carriesPrompt: true})]})).start();
+		const refreshed = new AbortController();
+		gateway.context.peerUpdates = {
+			...gateway.context.peerUpdates,
+			async refresh() {
+				await once(refreshed.signal, 'abort');
+			},
+		};
+		let runs = 0;
+		await gateway.addEndpoint((incoming, response) => {
+			runs++;
+			answerSealed(incoming, response);
+		});
+		const caller = await SteeredCaller.connect(gateway.address);
+		t.after(async () => {
+			await caller.stop();
+			await gateway.close();
+		});
+		await caller.send(requestBytes('a1'));
+		await caller.send('', end);
+		refreshed.abort();
+		await pause(noticeMilliseconds);
+		assert.equal(runs, 0);
+	});
+}
--- a/src/serving/half-closed-caller.ts
+++ b/src/serving/half-closed-caller.ts
@@ -6,31 +6,33 @@
  * its head an interim answer, within a chunked body a leading zero of the next chunk's size. Node stops to poll a connection
  * whose end it has read, so the operating system is asked whether the reset has arrived.
  *
- * Where neither is possible, any bytes of the answer itself serve; without them the caller is taken for disconnected.
+ * Where neither is possible, any bytes of the answer itself serve. Without them a caller that has read nothing since its end
+ * is taken for disconnected: one of HTTP/1.0 before the head of its answer, and one that half-closes within an answer with a
+ * length which then stalls.
  */
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hasConnectedPeer} from './has-connected-peer.js';
 
-/** Delays between two checks for a reset, from one probe to the next. Most callers reply within some milliseconds. */
+/** Delays between two checks for a reset, from one probe to the next; short at first, since most callers are near. */
 const checkDelaysMilliseconds = [5, 10, 20, 40, 75, 100] as const;
 /** Time for the reply to the first probe; requests are not sent on before it. */
 const replyMilliseconds = 150;
-/** Parsers limit the digits of a chunk size; 16 are common. */
+/** Parsers accept some sixteen digits of a chunk size. */
 const maxLeadingZeros = 8;
 
 /** How bytes can be sent to a caller without a change to its answer. */
-export type ProbeKind = 'interim-answer' | 'chunk-size' | 'none';
+type ProbeKind = 'interim-answer' | 'chunk-size' | 'none';
+
+/** Selects the probe for the present stage of an answer. HTTP/1.0 has neither interim answers nor chunks. */
+function probeKindOf(response: ServerResponse): ProbeKind {
+	if (response.req.httpVersion !== '1.1') {
+		return 'none';
+	}
 
-/**
- * Selects the probe for the present stage of an answer. HTTP/1.0 has neither interim answers nor chunks.
- *
- * @param response - The answer.
- */
-export function probeKindOf(response: Pick<ServerResponse, 'headersSent' | 'chunkedEncoding' | 'useChunkedEncodingByDefault'>): ProbeKind {
 	if (!response.headersSent) {
-		return response.useChunkedEncodingByDefault ? 'interim-answer' : 'none';
+		return 'interim-answer';
 	}
 
 	return response.chunkedEncoding ? 'chunk-size' : 'none';
@@ -61,6 +63,8 @@
 	readonly #pending: ReadonlySet<ServerResponse>;
 	/** Resolves when the caller has had time to reply to the first probe, or its connection has closed. */
 	readonly #firstReply: Promise<void>;
+	/** Whether it has accepted bytes since its end; its answer may then be silent where no probe is possible. */
+	#hasAcceptedBytes = false;
 	#leadingZeros = 0;
 	/** Bytes sent up to the last probe, including it. */
 	#bytesWritten: number;
@@ -86,7 +90,7 @@
 	}
 
 	async #run(): Promise<void> {
-		if (this.#closeIfReset() || !this.#canWait()) {
+		if (this.#closeIfReset() || !this.#canShowThatItReads()) {
 			this.#socket.destroy();
 			return;
 		}
@@ -100,7 +104,8 @@
 				}
 			}
 
-			if (!this.#hasProof()) {
+			this.#hasAcceptedBytes ||= this.#wasSentBytes();
+			if (!this.#hasAcceptedBytes) {
 				this.#socket.destroy();
 				return;
 			}
@@ -113,7 +118,7 @@
 	}
 
 	/** Whether a probe or a body that is being sent can show if the caller reads. */
-	#canWait(): boolean {
+	#canShowThatItReads(): boolean {
 		const response = this.#current();
 		return response === undefined || response.headersSent || probeKindOf(response) !== 'none';
 	}
@@ -135,7 +140,7 @@
 	}
 
 	/** Whether something was sent since the last probe, or is still being sent, to which a closed connection would reply. */
-	#hasProof(): boolean {
+	#wasSentBytes(): boolean {
 		const response = this.#current();
 		return response === undefined
 			|| probeKindOf(response) !== 'none'
