Send ended answers whole before a drain closes idle connections

What callers saw: the end of a complete answer missing when an instance stops while they still read: 3.9 of 20 MB arrived.

Cause: a drain calls closeIdleConnections, and Node takes a connection for idle as soon as its answer was ended, although bytes of it are still unsent.

Change: a drain closes idle connections after the answers that were ended have been sent. It does not end later for that, since it waits for these answers anyway; connections that are used meanwhile are told to close with their next answer.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -122,7 +122,7 @@
 		// `http.Server.close` also stops the check of the timeouts, so that one client with half a request would block the
 		// drain forever. The method of `net.Server` stops listening and leaves the check running.
 		NetServer.prototype.close.call(this.#server);
-		this.#server.closeIdleConnections();
+		void this.#closeIdleConnections();
 		for (const [connection, responses] of this.#connections) {
 			this.#announceClose(connection as Socket, responses);
 		}
@@ -131,6 +131,15 @@
 		this.#server.close();
 	}
 
+	/** Closes idle connections. Node takes one for idle whose answer was ended but not sent yet, so those are waited for. */
+	async #closeIdleConnections(): Promise<void> {
+		const unsent = [...this.#connections.values()].flatMap(responses => [...responses]).filter(({writableEnded, socket}) => writableEnded && socket !== null);
+		await Promise.all(unsent.map(async response => new Promise(resolve => {
+			response.once('close', resolve);
+		})));
+		this.#server.closeIdleConnections();
+	}
+
 	#listenToServer(): void {
 		this.#server.on('connection', (socket: Socket) => {
 			const pending = new Set<ServerResponse>();
