Answer an operator's request that is cut off in its body as a bad request

Seen: a raw stack in the output of the tests, and in a program among the lines of its structured log.

Cause: readJsonBody let the error of an aborted body through, and H3 prints every error that is not its own.

Change: such a body is a bad request, with status 400 like one that is no JSON.

--- a/src/entry/operators/operator-routes.ts
+++ b/src/entry/operators/operator-routes.ts
@@ -85,23 +85,33 @@
  *
  * @param event - The exchange.
  * @returns The parsed value.
- * @throws An `HTTPError` with status 413 if the body is too long, or 400 if it is not valid JSON.
+ * @throws An `HTTPError` with status 413 if the body is too long, or 400 if it is cut off or not valid JSON.
  */
 export async function readJsonBody(event: H3Event): Promise<unknown> {
+	const body = await readBytes((event.req.body ?? []) as AsyncIterable<Uint8Array>);
+	try {
+		return JSON.parse(body.toString('utf8')) as unknown;
+	} catch {
+		throw new HTTPError({status: 400, message: 'the body is no JSON'});
+	}
+}
+
+async function readBytes(body: AsyncIterable<Uint8Array>): Promise<Buffer> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
-	for await (const chunk of (event.req.body ?? []) as AsyncIterable<Uint8Array>) {
-		length += chunk.length;
-		if (length > bodyLimitBytes) {
-			throw new HTTPError({status: 413, message: `the body is longer than ${bodyLimitBytes} bytes`});
-		}
+	try {
+		for await (const chunk of body) {
+			length += chunk.length;
+			if (length > bodyLimitBytes) {
+				throw new HTTPError({status: 413, message: `the body is longer than ${bodyLimitBytes} bytes`});
+			}
 
-		chunks.push(chunk);
+			chunks.push(chunk);
+		}
+	} catch (error) {
+		// H3 writes any other error to the standard error output, within the lines of the log.
+		throw HTTPError.isError(error) ? error : new HTTPError({status: 400, message: 'the body was cut off'});
 	}
 
-	try {
-		return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
-	} catch {
-		throw new HTTPError({status: 400, message: 'the body is no JSON'});
-	}
+	return Buffer.concat(chunks);
 }
