--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -133,13 +133,21 @@
 
 	/** Closes idle connections. Node takes one for idle whose answer was ended but not sent yet, so those are waited for. */
 	async #closeIdleConnections(): Promise<void> {
-		const unsent = [...this.#connections.values()].flatMap(responses => [...responses]).filter(({writableEnded, socket}) => writableEnded && socket !== null);
-		await Promise.all(unsent.map(async response => new Promise(resolve => {
-			response.once('close', resolve);
-		})));
+		for (let unsent = this.#unsentAnswers(); unsent.length > 0; unsent = this.#unsentAnswers()) {
+			await Promise.all(unsent.map(async response => new Promise(resolve => {
+				response.once('close', resolve);
+			})));
+		}
+
 		this.#server.closeIdleConnections();
 	}
 
+	#unsentAnswers(): ServerResponse[] {
+		return [...this.#connections.values()]
+			.flatMap(responses => [...responses])
+			.filter(({writableEnded, socket}) => writableEnded && socket !== null);
+	}
+
 	#listenToServer(): void {
 		this.#server.on('connection', (socket: Socket) => {
 			const pending = new Set<ServerResponse>();
