Log who grants each permit for an endpoint with a limit

The grantor now logs each permit, with the instance and the age of the answer that named the limit; an instance logs each request that it sends by its own share, with the number of instances that the share was computed from.

--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -23,6 +23,9 @@
 	locateBlocks: () => ({kept: [], engines: [], unknown: []}),
 	tableUpdates: () => [],
 	cores: 1,
+	recordPermit() {
+		// The line is written by the coordinator.
+	},
 	recordUses() {
 		// No stores in this test.
 	},
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -35,6 +35,8 @@
 	/** Changes in the tables after a follower's positions. */
 	tableUpdates(cursors: Record<string, FeedCursor>): FeedUpdate[];
 	recordUses(keys: readonly string[]): void;
+	/** Called for each request that an instance may send to an endpoint with a limit. */
+	recordPermit(instance: string, permit: PermitQuery): void;
 }
 
 /** A follower that does not read is disconnected; it dials again and receives the whole state. */
@@ -183,16 +185,23 @@
 			tables: this.#source.tableUpdates(places),
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
-			...this.#answerPermit(permit),
+			...this.#answerPermit(instance, permit),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
 
 	/** Grants no permits once the lease has lapsed: a successor may grant the same ones. */
-	#answerPermit(permit: PermitQuery | undefined): Pick<CoordinatorFrame, 'permit'> {
-		return permit === undefined || !this.#source.holdsLease()
-			? {}
-			: {permit: this.#permits.answer(permit, this.#now())};
+	#answerPermit(instance: string, query: PermitQuery | undefined): Pick<CoordinatorFrame, 'permit'> {
+		if (query === undefined || !this.#source.holdsLease()) {
+			return {};
+		}
+
+		const permit = this.#permits.answer(query, this.#now());
+		if (permit === 'granted') {
+			this.#source.recordPermit(instance, query);
+		}
+
+		return {permit};
 	}
 
 	#maxCores(): number {
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -17,7 +17,9 @@
 import {leaseAcquisitionDelay} from './lease-acquisition-delay.js';
 import {EngineCacheWatchers} from './engine-cache-watchers.js';
 import {queryIntervalMilliseconds, type CoordinatorClient} from './coordinator-client.js';
-import {engineHolder, type BlocksAnswer, type PlacementQuery} from './coordinator-messages.js';
+import {
+	engineHolder, type BlocksAnswer, type PermitQuery, type PlacementQuery,
+} from './coordinator-messages.js';
 import {isExpiredSalt, managedStores, readyEngines} from './managed-services.js';
 import {CoordinatorServer, type CoordinatorSource} from './coordinator-server.js';
 import {BlockDirectory} from './block-directory.js';
@@ -217,6 +219,12 @@
 		this.#stores.recordUses(keys);
 	}
 
+	recordPermit(instance: string, {incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery): void {
+		this.#context.log.record('permit-granted', {
+			duty: this.name, to: instance, endpoint: incarnation, limitPerSecond, answeredMilliseconds: Math.round(answeredMilliseconds),
+		});
+	}
+
 	#logConnection(hasCoordinator: boolean): void {
 		if (hasCoordinator === this.#hadCoordinator) {
 			return;
--- a/src/gateway/limits/endpoint-limits.ts
+++ b/src/gateway/limits/endpoint-limits.ts
@@ -105,6 +105,10 @@
 		known.ownShare = answer === undefined ? known.ownShare : undefined;
 		const outcome = answer ?? (this.#takeOwnShare(known) ? 'own-share' : 'denied');
 		this.#dependencies.metrics.permits.inc({outcome});
+		if (outcome === 'own-share') {
+			this.#dependencies.log.record('permit-granted', {endpoint: incarnation, limitPerSecond, shareOf: this.#dependencies.instances()});
+		}
+
 		if (outcome === 'denied') {
 			known.deniedUntil = this.#now() + Math.min(maxDenialMilliseconds, denialShare * 1000 / limitPerSecond);
 		} else if (outcome === 'unlimited' && this.#limits.get(incarnation)?.namedAt === namedAt) {
