Add failing tests: an answer without a limit, or an old one, ends a limit for all instances

The check over processes is judged by the rule's own words now: only a restart or a freeze of an instance excuses what it sends, where before a store that was unavailable excused a whole data centre. It also draws conditions from its seed: rejections that do not name the limit, late answers, a coordinator that freezes again and again, one to six endpoints with a limit, more requests. Nothing that it checked before is checked less.

Seen on the code before: 22 and 36 requests in 4 s at a limit of 1.2 a second, where 12.2 are allowed (the test over processes).

--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -66,6 +66,8 @@
 	address: string;
 	/** When it was last killed, started, or cut off from the store, in milliseconds of `performance.now()`. */
 	disturbedAt: number;
+	/** When it was last killed, started, frozen or resumed, in milliseconds of `performance.now()`. */
+	interruptedAt: number;
 	process: StartedProcess;
 };
 
@@ -106,7 +108,7 @@
 			const name = `${dataCentre}-${number + 1}`;
 			const ip = this.addressOf(index + 1, number + 1);
 			const instance: GatewayInstance = {
-				name, dataCentre, address: `${ip}:${ports.callers}`, disturbedAt: 0, process: await this.#startProcess(name, dataCentre, ip),
+				name, dataCentre, address: `${ip}:${ports.callers}`, disturbedAt: 0, interruptedAt: 0, process: await this.#startProcess(name, dataCentre, ip),
 			};
 			this.instances.push(instance);
 			await waitUntilReady(ip);
@@ -130,12 +132,28 @@
 			return;
 		}
 
-		instance.disturbedAt = performance.now();
+		noteInterruption(instance);
 		child.kill('SIGKILL');
 		await once(child, 'exit');
 		const [ip = ''] = instance.address.split(':', 1);
 		instance.process = await this.#startProcess(instance.name, instance.dataCentre, ip);
-		instance.disturbedAt = performance.now();
+		noteInterruption(instance);
+	}
+
+	/** Freezes an instance for a time: its connections stay open, and nothing reads them. */
+	async freeze(instance: GatewayInstance, milliseconds: number): Promise<void> {
+		const {child} = instance.process;
+		noteInterruption(instance);
+		child.kill('SIGSTOP');
+		await delay(milliseconds);
+		child.kill('SIGCONT');
+		noteInterruption(instance);
+	}
+
+	/** The instance that holds the coordinator's lease, as far as the store knows. */
+	coordinator(): GatewayInstance | undefined {
+		const row = this.table.range('leases', 'hub', undefined).find(({key}) => key === 'hub');
+		return this.instances.find(({name}) => name === (row?.value as {holder?: string} | undefined)?.holder);
 	}
 
 	/** Cuts a data centre off from the store for a time. */
@@ -229,6 +247,11 @@
 	}
 }
 
+function noteInterruption(instance: GatewayInstance): void {
+	instance.disturbedAt = performance.now();
+	instance.interruptedAt = instance.disturbedAt;
+}
+
 async function waitUntilReady(ip: string): Promise<void> {
 	const endsAt = performance.now() + readyTimeoutMilliseconds;
 	while (performance.now() < endsAt) {
--- a/src/check/limited-endpoints-over-processes.ts
+++ b/src/check/limited-endpoints-over-processes.ts
@@ -3,7 +3,11 @@
  * all instances, that it still gets some, and that the limit ends when its answers no longer name it.
  *
  * Beside this, endpoints crash and come back under another name at the same address, reset connections, reject requests and
- * cut streams that are then resumed; instances are killed and started again; data centres are cut off from the store.
+ * cut streams that are then resumed; instances are killed and started again; data centres are cut off from the store; the
+ * coordinator is frozen for a moment again and again. In some runs rejections do not name the limit, and answers take long.
+ *
+ * Only a restart or a freeze of an instance excuses what it sends. A store that is unavailable, a coordinator that does not
+ * answer and a rejection without the header do not.
  */
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -20,6 +24,8 @@
 	/** Second byte of the loopback addresses. */
 	network: number;
 	milliseconds: number;
+	/** Conditions that are not drawn from the seed. */
+	conditions?: Partial<Conditions>;
 };
 
 /** What one endpoint got while it named its limit. */
@@ -35,6 +41,7 @@
 
 export type LimitedEndpointsReport = {
 	seed: number;
+	conditions: Conditions;
 	limited: LimitedEndpointReport[];
 	/** Endpoints that got fewer than half as many requests as the others once their limit had ended. */
 	forgotten: string[];
@@ -47,14 +54,31 @@
 const allowedExtra = 5;
 /** An instance that has passed on an answer with the limit this long ago has to keep to it. */
 const toldMilliseconds = 500;
-const requestsPerSecond = 40;
 /** How long before the end of the run the limits end. */
 const freeMilliseconds = 5000;
 
+/** How often the coordinator is frozen, and for how long. */
+type Freezes = {everyMilliseconds: number; forMilliseconds: number};
+
+/** What a run is like, drawn from its seed. */
+type Conditions = {
+	/** Whether rejections name the limit as other answers do. */
+	doRejectionsName: boolean;
+	rejectionPercent: number;
+	/** Longest time to the head of an answer. */
+	answerMilliseconds: number;
+	/** Endpoints that name a limit. */
+	limitedEndpoints: number;
+	/** Lowest and highest limit, in tenths of a request a second. */
+	limitTenths: readonly [minimum: number, maximum: number];
+	coordinatorFreezes: Freezes | undefined;
+	requestsPerSecond: number;
+};
+
 type Limit = {limitPerSecond: number; namedAt: number; toldAt: Map<string, number>};
 
-export async function runLimitedEndpoints({seed, network, milliseconds}: LimitedEndpointsOptions): Promise<LimitedEndpointsReport> {
-	const run = new LimitedEndpointsRun(seed, network);
+export async function runLimitedEndpoints({seed, network, milliseconds, conditions}: LimitedEndpointsOptions): Promise<LimitedEndpointsReport> {
+	const run = new LimitedEndpointsRun(seed, network, conditions);
 	try {
 		await run.start();
 		return await run.play(milliseconds);
@@ -66,19 +90,21 @@
 class LimitedEndpointsRun implements EndpointScript {
 	readonly #seed: number;
 	readonly #choices: Choices;
+	readonly #conditions: Conditions;
 	readonly #deployment: GatewayDeployment;
 	#endpoints: DeploymentEndpoint[] = [];
 	readonly #limits = new Map<string, Limit>();
-	readonly #arrivals: Array<Arrival & {isInTouch: boolean}> = [];
+	readonly #arrivals: Array<Arrival & {isExcused: boolean}> = [];
 	#limitedPlaces: ReadonlySet<DeploymentEndpoint> = new Set();
 	#endsAt = 0;
 	#limitsEndAt = 0;
 	#requests = 0;
 	#served = 0;
 
-	constructor(seed: number, network: number) {
+	constructor(seed: number, network: number, conditions: Partial<Conditions> = {}) {
 		this.#seed = seed;
 		this.#choices = Choices.fromSeed(hashOf(`limited endpoints ${seed}`));
+		this.#conditions = {...drawConditions(this.#choices), ...conditions};
 		this.#deployment = deskDeployment(network);
 	}
 
@@ -91,12 +117,13 @@
 		this.#limitsEndAt = this.#endsAt - freeMilliseconds;
 		const sending = this.#sendAll();
 		const disturbing = this.#disturb();
+		const freezing = this.#freezeCoordinator();
 		await delay(1000);
-		const limitedCount = this.#choices.between(1, 3);
-		this.#limitedPlaces = new Set(this.#endpoints.slice(0, limitedCount));
-		await Promise.all([sending, disturbing]);
+		this.#limitedPlaces = new Set(this.#endpoints.slice(0, this.#conditions.limitedEndpoints));
+		await Promise.all([sending, disturbing, freezing]);
 		return {
 			seed: this.#seed,
+			conditions: this.#conditions,
 			limited: [...this.#limits].map(([endpoint, limit]) => this.#reportOf(endpoint, limit)),
 			forgotten: this.#forgotten(),
 			requests: this.#requests,
@@ -114,8 +141,8 @@
 
 	arrived(arrival: Arrival): void {
 		const instance = this.#deployment.instances.find(({name}) => name === arrival.instance);
-		const isInTouch = instance !== undefined && performance.now() - instance.disturbedAt > contactMilliseconds;
-		this.#arrivals.push({...arrival, isInTouch});
+		const isExcused = instance === undefined || performance.now() - instance.interruptedAt <= contactMilliseconds;
+		this.#arrivals.push({...arrival, isExcused});
 	}
 
 	headers(endpoint: DeploymentEndpoint, instance: string): Record<string, string> {
@@ -124,20 +151,21 @@
 		}
 
 		const now = performance.now();
-		const limit = this.#limits.get(endpoint.name) ?? {limitPerSecond: this.#choices.between(6, 30) / 10, namedAt: now, toldAt: new Map<string, number>()};
+		const limit = this.#limits.get(endpoint.name) ?? {limitPerSecond: this.#choices.between(...this.#conditions.limitTenths) / 10, namedAt: now, toldAt: new Map<string, number>()};
 		this.#limits.set(endpoint.name, limit);
 		limit.toldAt.set(instance, limit.toldAt.get(instance) ?? now);
 		return {'server-limit': limit.limitPerSecond.toFixed(1)};
 	}
 
 	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
-		await delay(this.#choices.between(5, 60));
-		if (this.#choices.chance(5)) {
-			response.writeHead(503, {[names.notExecuted]: '1', ...this.headers(endpoint, arrival.instance)});
+		const {answerMilliseconds, rejectionPercent, doRejectionsName} = this.#conditions;
+		if (this.#choices.chance(rejectionPercent)) {
+			response.writeHead(503, {[names.notExecuted]: '1', ...(doRejectionsName ? this.headers(endpoint, arrival.instance) : {})});
 			response.end();
 			return;
 		}
 
+		await delay(this.#choices.between(5, answerMilliseconds));
 		if (this.#choices.chance(5)) {
 			endpoint.begin(response, arrival);
 			response.write('id: 1\ndata: piece 1\n\n', () => {
@@ -153,7 +181,7 @@
 		const sent: Array<Promise<void>> = [];
 		while (performance.now() < this.#endsAt) {
 			sent.push(this.#send());
-			await delay(1000 / requestsPerSecond);
+			await delay(1000 / this.#conditions.requestsPerSecond);
 		}
 
 		await Promise.all(sent);
@@ -167,6 +195,22 @@
 		this.#served += answer.status === 200 && answer.isWhole ? 1 : 0;
 	}
 
+	async #freezeCoordinator(): Promise<void> {
+		const {coordinatorFreezes: freezes} = this.#conditions;
+		if (freezes === undefined) {
+			return;
+		}
+
+		while (performance.now() < this.#limitsEndAt) {
+			const coordinator = this.#deployment.coordinator();
+			if (coordinator !== undefined) {
+				await this.#deployment.freeze(coordinator, freezes.forMilliseconds);
+			}
+
+			await delay(freezes.everyMilliseconds - freezes.forMilliseconds);
+		}
+	}
+
 	async #disturb(): Promise<void> {
 		const disturbances: Array<() => Promise<void>> = [
 			async () => this.#anyEndpoint().crash(this.#choices.between(400, 1200)),
@@ -187,7 +231,7 @@
 
 	#reportOf(endpoint: string, {limitPerSecond, namedAt, toldAt}: Limit): LimitedEndpointReport {
 		const later = this.#arrivals.filter(({endpoint: name, at}) => name === endpoint && at > namedAt + contactMilliseconds && at < this.#limitsEndAt);
-		const counted = later.filter(({at, instance, isInTouch}) => isInTouch && at - (toldAt.get(instance) ?? Number.POSITIVE_INFINITY) >= toldMilliseconds).map(({at}) => at);
+		const counted = later.filter(({at, instance, isExcused}) => !isExcused && at - (toldAt.get(instance) ?? Number.POSITIVE_INFINITY) >= toldMilliseconds).map(({at}) => at);
 		const most = Math.max(0, ...counted.map(start => counted.filter(at => at >= start && at < start + windowMilliseconds).length));
 		const seconds = (this.#limitsEndAt - namedAt - contactMilliseconds) / 1000;
 		return {
@@ -215,3 +259,17 @@
 		return this.#choices.oneOf(this.#endpoints);
 	}
 }
+
+function drawConditions(choices: Choices): Conditions {
+	return {
+		doRejectionsName: choices.chance(50),
+		rejectionPercent: choices.oneOf([5, 10]),
+		answerMilliseconds: choices.oneOf([60, 60, 800]),
+		limitedEndpoints: choices.oneOf([1, 2, 3, 6]),
+		limitTenths: [6, choices.oneOf([12, 30, 50])],
+		coordinatorFreezes: choices.oneOf([
+			undefined, {everyMilliseconds: 600, forMilliseconds: 300}, {everyMilliseconds: 2000, forMilliseconds: 1200},
+		]),
+		requestsPerSecond: choices.oneOf([40, 80]),
+	};
+}
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -38,6 +38,63 @@
 	assert.deepEqual(gateway.lines.filter(({kind}) => kind === 'limit-named').map(({limitPerSecond}) => limitPerSecond), [1000, 2000, null]);
 });
 
+/** What the log of a gateway says about limits. */
+function limitsNamed({lines}: TestGateway): unknown[] {
+	return lines.filter(({kind}) => kind === 'limit-named').map(({limitPerSecond}) => limitPerSecond);
+}
+
+test('a rejection that does not name a limit does not end it', async () => {
+	const gateway = await new TestGateway().start();
+	const answers = [
+		{headers: {[names.endpointLimit]: '1000'}},
+		{status: 503, headers: {[names.notExecuted]: '1'}},
+		{status: 500},
+	];
+	let number = 0;
+	await gateway.addEndpoint((incoming, response) => {
+		answerSealed(incoming, response, answers[number++]);
+	});
+	for (const _ of answers) {
+		let answer = await exchangeRaw(gateway.address, request);
+		while (statusOf(answer) === 429) {
+			answer = await exchangeRaw(gateway.address, request);
+		}
+	}
+
+	await gateway.close();
+	assert.deepEqual(limitsNamed(gateway), [1000]);
+});
+
+test('an answer to a request that was sent before a limit was named neither ends nor raises it', async () => {
+	const gateway = await new TestGateway().start();
+	const waiting = new EventTarget();
+	const late = [undefined, '2000'];
+	let number = 0;
+	await gateway.addEndpoint(async (incoming, response) => {
+		const limit = late[number];
+		if (number++ < late.length) {
+			waiting.dispatchEvent(new Event('waits'));
+			await once(waiting, 'limit named');
+			answerSealed(incoming, response, {headers: limit === undefined ? {} : {[names.endpointLimit]: limit}});
+			return;
+		}
+
+		answerSealed(incoming, response, {headers: {[names.endpointLimit]: '1000'}});
+	});
+	const answered: Array<Promise<string>> = [];
+	for (const _ of late) {
+		const waits = once(waiting, 'waits');
+		answered.push(exchangeRaw(gateway.address, request));
+		await waits;
+	}
+
+	await exchangeRaw(gateway.address, request);
+	waiting.dispatchEvent(new Event('limit named'));
+	await Promise.all(answered);
+	await gateway.close();
+	assert.deepEqual(limitsNamed(gateway), [1000]);
+});
+
 test('a request goes to an endpoint without a limit, or is refused as not run at once, where the limit leaves no room', async () => {
 	const gateway = await new TestGateway().start();
 	const reached: string[] = [];
--- a/src/test/process-limited-endpoints.test.ts
+++ b/src/test/process-limited-endpoints.test.ts
@@ -1,10 +1,24 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {runLimitedEndpoints} from '../check/limited-endpoints-over-processes.js';
+import {type LimitedEndpointsOptions, runLimitedEndpoints} from '../check/limited-endpoints-over-processes.js';
 
-test('over real processes: an endpoint that names a limit gets no more than that from all instances together', async () => {
-	const {limited, forgotten} = await runLimitedEndpoints({seed: 1, network: 36, milliseconds: 18_000});
+async function assertLimitsHold(options: Omit<LimitedEndpointsOptions, 'milliseconds'>): Promise<void> {
+	const {limited, forgotten} = await runLimitedEndpoints({...options, milliseconds: 18_000});
 	assert.ok(limited.length > 0, 'an endpoint has named a limit');
 	assert.deepEqual(limited.filter(({most, allowed}) => most > allowed), []);
 	assert.deepEqual(forgotten, [], 'endpoints whose limit has ended get requests again');
+}
+
+test('over real processes: an endpoint that names a limit gets no more than that from all instances together', async () => {
+	await assertLimitsHold({seed: 1, network: 36});
+});
+
+test('over real processes: a rejection that does not name the limit ends it at no instance', async () => {
+	await assertLimitsHold({
+		seed: 1,
+		network: 37,
+		conditions: {
+			doRejectionsName: false, rejectionPercent: 10, answerMilliseconds: 800, limitedEndpoints: 3, limitTenths: [12, 12], coordinatorFreezes: undefined,
+		},
+	});
 });
