End a limit only by an answer that served a request sent after the limit was named

What endpoints saw: one that named 1.2 requests a second got up to 36 in 4 s, where 12.2 are allowed, though each request took a permit. Any answer without the header ended the limit at its instance, and through the coordinator at all of them until an answer of each named it again: a 503 of a full endpoint, a 500, or an answer that was written before the limit was named and read late.

Change: a limit is ended only by a complete proof that the endpoint served the request, and, like a higher limit, only by an answer to a request that was sent after the last answer that named the limit had arrived. The report to the coordinator says when that request was sent, and the coordinator keeps the limit if any instance has seen it named since. A rule by time alone would let an old answer through; a rule by status alone would let a late one through.

--- a/src/check/limited-endpoints-over-processes.ts
+++ b/src/check/limited-endpoints-over-processes.ts
@@ -47,6 +47,8 @@
 	forgotten: string[];
 	requests: number;
 	served: number;
+	/** Permits that were logged, by who granted them. */
+	permits: Record<string, number>;
 };
 
 const windowMilliseconds = 4000;
@@ -128,6 +130,7 @@
 			forgotten: this.#forgotten(),
 			requests: this.#requests,
 			served: this.#served,
+			permits: this.#permits(),
 		};
 	}
 
@@ -251,6 +254,16 @@
 		return counts.filter(({name, count}) => this.#limits.has(name) && count < mean / 2).map(({name}) => name);
 	}
 
+	#permits(): Record<string, number> {
+		const counts: Record<string, number> = {};
+		for (const {duty} of this.#deployment.lines().filter(({kind}) => kind === 'permit-granted')) {
+			const grantor = typeof duty === 'string' ? duty : 'own-share';
+			counts[grantor] = (counts[grantor] ?? 0) + 1;
+		}
+
+		return counts;
+	}
+
 	#anyInstance(): GatewayInstance {
 		return this.#choices.oneOf(this.#deployment.instances);
 	}
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -72,7 +72,10 @@
 	incarnation: string;
 	/** `null` reports that an answer has named no limit any more. */
 	limitPerSecond: number | null;
-	/** How long ago the asking instance received the last answer that named the limit, or the one that named none. */
+	/**
+	 * How long ago the asking instance received the last answer that named the limit, or sent the request whose answer named
+	 * none.
+	 */
 	answeredMilliseconds: number;
 };
 
--- a/src/gateway/coordinator/permit-grants.ts
+++ b/src/gateway/coordinator/permit-grants.ts
@@ -7,7 +7,11 @@
 
 export class PermitGrants {
 	readonly #buckets = new Map<string, PermitBucket>();
-	/** When an instance received an answer without a limit, by incarnation; in milliseconds of the steady clock. */
+	/**
+	 * When the last answer that named a limit arrived at any instance, by incarnation; in milliseconds of the steady clock.
+	 */
+	readonly #named = new Map<string, number>();
+	/** When the request was sent whose answer ended a limit, by incarnation; in milliseconds of the steady clock. */
 	readonly #ends = new Map<string, number>();
 
 	/**
@@ -20,7 +24,10 @@
 	answer({incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery, now: number): PermitAnswer {
 		const answeredAt = now - answeredMilliseconds;
 		if (limitPerSecond === null) {
-			remember(this.#ends, incarnation, answeredAt);
+			if (answeredAt >= (this.#named.get(incarnation) ?? Number.NEGATIVE_INFINITY)) {
+				remember(this.#ends, incarnation, answeredAt);
+			}
+
 			return 'unlimited';
 		}
 
@@ -29,6 +36,7 @@
 		}
 
 		this.#ends.delete(incarnation);
+		remember(this.#named, incarnation, Math.max(answeredAt, this.#named.get(incarnation) ?? answeredAt));
 		// A new coordinator does not know what its predecessor has granted, so a bucket starts empty.
 		const bucket = this.#buckets.get(incarnation) ?? new PermitBucket(0, now);
 		remember(this.#buckets, incarnation, bucket);
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -43,6 +43,7 @@
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
 	#isCancelled = false;
+	#sentAt = 0;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
 		this.#context = context;
@@ -56,9 +57,10 @@
 		const {placement, exchanges, names, metrics} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
+		this.#sentAt = this.#now();
 		placement.observe({
 			kind: 'sent', request, endpoint, basis,
-		}, this.#now());
+		}, this.#sentAt);
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
 			method: head.method,
@@ -109,8 +111,8 @@
 
 		const answer = answered.unsafeCoerce();
 		this.#context.placement.received(this.#target.endpoint, this.#now());
-		this.#updateRegistry(answer);
 		const outcome = this.#classify(answer);
+		this.#updateRegistry(answer, outcome === 'usable' && isSuccess(answer.status));
 		if (outcome === 'usable') {
 			return this.#relay(answer);
 		}
@@ -139,9 +141,8 @@
 			return 'unknown';
 		}
 
-		const isSuccess = status >= 200 && status < 300;
 		const echoesAttemptId = answer.header(names.attemptId) === this.#work.head.attemptId;
-		if (isSuccess && (answer.header(names.seal) === undefined || !echoesAttemptId)) {
+		if (isSuccess(status) && (answer.header(names.seal) === undefined || !echoesAttemptId)) {
 			// Nothing proves that these bytes answer this request; the connection may carry the answer to another one.
 			this.#exchange?.cancel();
 			return 'unknown';
@@ -205,7 +206,7 @@
 		};
 	}
 
-	#updateRegistry(answer: EndpointAnswer): void {
+	#updateRegistry(answer: EndpointAnswer, isServed: boolean): void {
 		const {names, endpoints, limits} = this.#context;
 		const {endpoint} = this.#target;
 		const model = this.#work.head.prompt?.model;
@@ -216,7 +217,7 @@
 
 		const answeringEndpoint = answer.header(names.endpointName);
 		if (answeringEndpoint === undefined || answeringEndpoint === endpoint.name) {
-			limits.note(endpoint, answer.header(names.endpointLimit));
+			limits.note(endpoint, {limit: answer.header(names.endpointLimit), isServed, sentAt: this.#sentAt});
 		}
 
 		if (answer.status === 421 && answeringEndpoint !== undefined && answeringEndpoint !== endpoint.name) {
@@ -257,6 +258,10 @@
 	}
 }
 
+function isSuccess(status: number): boolean {
+	return status >= 200 && status < 300;
+}
+
 /**
  * Describes for the log how an answer was transferred.
  *
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -133,7 +133,7 @@
 	const endpoint = await gateway.addEndpoint(() => {
 		arrivals++;
 	});
-	gateway.context.limits.note(endpoint, '1');
+	gateway.context.limits.note(endpoint, {limit: '1', isServed: true, sentAt: 0});
 	const caller = await openSocket(gateway.address);
 	const asked = once(questions, 'asked');
 	caller.write(request);
@@ -175,7 +175,7 @@
 		},
 		instances: () => 4,
 	});
-	limits.note(testEndpoint(), '2');
+	limits.note(testEndpoint(), {limit: '2', isServed: true, sentAt: now});
 	return {
 		limits,
 		advance(milliseconds) {
@@ -217,12 +217,12 @@
 	const [first, second] = [limitsWith(answer), limitsWith(answer)];
 	first.advance(10);
 	second.advance(10);
-	first.limits.note(testEndpoint(), undefined);
+	first.limits.note(testEndpoint(), {limit: undefined, isServed: true, sentAt: 10});
 	for (let step = 0; step < 10; step++) {
 		assert.equal(await second.limits.maySend(testEndpoint()), true);
 	}
 
 	second.advance(10);
-	second.limits.note(testEndpoint(), '2');
+	second.limits.note(testEndpoint(), {limit: '2', isServed: true, sentAt: 20});
 	assert.equal(await second.limits.maySend(testEndpoint()), false, 'a limit that is named again holds again');
 });
--- a/src/gateway/limits/endpoint-limits.ts
+++ b/src/gateway/limits/endpoint-limits.ts
@@ -26,6 +26,16 @@
 	instances: () => number;
 };
 
+/** An answer of an endpoint. */
+export type LimitedAnswer = {
+	/** The limit that it names, in requests a second, as text; `undefined` if it names none. */
+	limit: string | undefined;
+	/** Whether it proves that the endpoint served the request. Rejections and failures may lack headers of other answers. */
+	isServed: boolean;
+	/** When its request was sent, in milliseconds of the steady clock. */
+	sentAt: number;
+};
+
 type KnownLimit = {
 	limitPerSecond: number;
 	/** When the last answer that named it arrived, in milliseconds of the steady clock. */
@@ -53,32 +63,29 @@
 	}
 
 	/**
-	 * Records what an answer of an endpoint says of its limit.
-	 *
-	 * @param endpoint - The endpoint that answered.
-	 * @param named - The limit in requests a second, as text; `undefined` if the answer names none, which ends the limit.
+	 * Records what an answer of an endpoint says of its limit. An answer may be read late: after a pause of this process, or
+	 * from a slow link. So a limit is raised or ended only by an answer to a request that was sent after the last answer that named
+	 * it had arrived.
 	 */
-	note(endpoint: EndpointRecord, named: string | undefined): void {
+	note(endpoint: EndpointRecord, {limit: named, isServed, sentAt}: LimitedAnswer): void {
 		const incarnation = incarnationOf(endpoint);
 		const known = this.#limits.get(incarnation);
 		const limitPerSecond = parseLimit(named);
-		if (known === undefined && limitPerSecond === undefined) {
-			return;
-		}
+		if (limitPerSecond === undefined) {
+			if (known !== undefined && isServed && sentAt >= known.namedAt) {
+				this.#end(endpoint, sentAt);
+			}
 
-		if (known !== undefined && limitPerSecond === known.limitPerSecond) {
-			known.namedAt = this.#now();
 			return;
 		}
 
-		this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond: limitPerSecond ?? null});
-		if (limitPerSecond === undefined) {
-			this.#limits.delete(incarnation);
-			// Otherwise each instance would have to find out by a request of its own, at the pace of the limit.
-			void this.#dependencies.permits.takePermit({incarnation, limitPerSecond: null, answeredMilliseconds: 0});
+		const isOlder = known !== undefined && sentAt < known.namedAt;
+		if (known !== undefined && (limitPerSecond === known.limitPerSecond || (isOlder && limitPerSecond > known.limitPerSecond))) {
+			known.namedAt = this.#now();
 			return;
 		}
 
+		this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond});
 		this.#limits.set(incarnation, {
 			deniedUntil: 0, ownShare: undefined, ...known, limitPerSecond, namedAt: this.#now(),
 		});
@@ -119,6 +126,14 @@
 		return outcome !== 'denied';
 	}
 
+	/** Ends a limit here and at the other instances: each would otherwise have to find out by a request at the pace of the limit. */
+	#end(endpoint: EndpointRecord, sentAt: number): void {
+		const incarnation = incarnationOf(endpoint);
+		this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond: null});
+		this.#limits.delete(incarnation);
+		void this.#dependencies.permits.takePermit({incarnation, limitPerSecond: null, answeredMilliseconds: this.#now() - sentAt});
+	}
+
 	/** An own share starts empty: the coordinator may have granted permits until just now. */
 	#takeOwnShare(known: KnownLimit): boolean {
 		const now = this.#now();
