--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -9,11 +9,14 @@
 import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
 import {type PermitAnswer, type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
 
+/** One of the instances that state is exchanged through. */
+export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'report' | 'isResponsive'>;
+
 export class PeerUpdateSources implements PeerUpdates, PermitSource {
-	readonly #sources: readonly CoordinatorClient[];
+	readonly #sources: readonly PeerUpdateSource[];
 
 	/** @param sources - In the order in which they are tried. */
-	constructor(sources: readonly CoordinatorClient[]) {
+	constructor(sources: readonly PeerUpdateSource[]) {
 		this.#sources = sources;
 	}
 
