Let one coordinator grant all permits for an endpoint with a limit

What endpoints saw: the sum of requests came near 1.5 times the limit while the coordinator was slow or frozen, and could be up to three times the limit. Three parties granted, each up to the whole limit: the coordinator, its standby to instances that got no answer within 120 ms, and each instance by an own share whose divisor was the number of instances in the last answer (0 before any). Nothing bounded their sum.

Change: only the coordinator grants, and only while no other instance can hold its lease: by its term, the lease's fencing number. Each term starts with empty buckets, so in any window all terms together grant at most the rate of the limit and two unused permits. An instance that gets no answer sends the endpoint nothing; the request goes elsewhere or is refused at once as not run. A permit is used within 250 ms or not at all (the time limit of a connection). The coordinator applies the limit that was named last, not that of the asking instance.

Cost: while the coordinator is replaced (some 3 s) or the store is unavailable for longer than its lease, endpoints with a limit get nothing, and one whose limit ends meanwhile is used again a little after.

The test of an own share is replaced by one that allows none; the test of a lapsed lease also demands that a later term starts without the permits that an earlier one left.

--- a/src/check/permit-sum.ts
+++ b/src/check/permit-sum.ts
@@ -4,7 +4,7 @@
  * while the store is unavailable, so that nobody holds a lease.
  */
 import {EndpointLimits} from '../gateway/limits/endpoint-limits.js';
-import {PeerUpdateSources} from '../gateway/coordinator/peer-update-sources.js';
+import {type PeerUpdateSource, PeerUpdateSources} from '../gateway/coordinator/peer-update-sources.js';
 import {PermitGrants} from '../gateway/coordinator/permit-grants.js';
 import {type PermitAnswer, type PermitQuery} from '../gateway/coordinator/coordinator-messages.js';
 import {GatewayMetrics} from '../gateway/observability/gateway-metrics.js';
@@ -84,19 +84,20 @@
 			// Time advances by steps.
 		},
 	};
-	const grantors = [new Grantor(choices), new Grantor(choices)];
+	const [coordinator, standby] = [new Grantor(choices), new Grantor(choices)];
+	const sourceAt = (grantor: Grantor): PeerUpdateSource => {
+		const reach = new Switch(choices, [200, 4000], [100, 3000]);
+		return {
+			isResponsive: true,
+			refresh: async () => true,
+			report() {
+				// Loads play no part here.
+			},
+			takePermit: async query => reach.isOnAt(now) ? grantor.answer(query, now) : undefined,
+		};
+	};
+
 	const createLimits = (): EndpointLimits => {
-		const sources = grantors.map(grantor => {
-			const reach = new Switch(choices, [200, 4000], [100, 3000]);
-			return {
-				isResponsive: true,
-				refresh: async () => true,
-				report() {
-					// Loads play no part here.
-				},
-				takePermit: async (query: PermitQuery) => reach.isOnAt(now) ? grantor.answer(query, now) : undefined,
-			};
-		});
 		const limits = new EndpointLimits({
 			clock,
 			log: {
@@ -105,8 +106,7 @@
 				},
 			},
 			metrics: new GatewayMetrics(),
-			permits: new PeerUpdateSources(sources),
-			instances: () => instances.length,
+			permits: new PeerUpdateSources(sourceAt(coordinator), sourceAt(standby)),
 		});
 		limits.note(endpoint, {limit: String(limitPerSecond), isServed: true, sentAt: now});
 		return limits;
--- a/src/gateway/coordinator/coordinator-client.test.ts
+++ b/src/gateway/coordinator/coordinator-client.test.ts
@@ -138,7 +138,7 @@
 	const standby = await startFakeCoordinator(context);
 	await coordinator.connect();
 	await standby.connect();
-	const sources = new PeerUpdateSources([coordinator.client, standby.client]);
+	const sources = new PeerUpdateSources(coordinator.client, standby.client);
 	await sources.refresh(emptyQuery);
 	assert.deepEqual([coordinator.fake.received.length, standby.fake.received.length], [2, 1]);
 	coordinator.fake.isUnresponsive = true;
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -58,7 +58,7 @@
 				},
 			}, context.clock),
 		};
-		this.peerUpdates = new PeerUpdateSources([this.#clients.hub, this.#clients['hub-deputy']]);
+		this.peerUpdates = new PeerUpdateSources(this.#clients.hub, this.#clients['hub-deputy']);
 		this.#coordinators = {
 			hub: this.#create('hub', context, dependencies),
 			'hub-deputy': this.#create('hub-deputy', context, dependencies),
--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -18,6 +18,7 @@
 	dataCentre: 'split',
 	holdsLease: () => true,
 	isServing: () => true,
+	permitTerm: () => 1,
 	engineClock: () => undefined,
 	openStores: () => [],
 	locateBlocks: () => ({kept: [], engines: [], unknown: []}),
@@ -128,10 +129,10 @@
 	assert.equal(closed, 0);
 });
 
-test('a coordinator whose lease has lapsed grants no permit that its successor may grant too', async context => {
+test('a coordinator grants no permit that its successor may grant too, and none that a former term left unused', async context => {
 	const port = await freePort();
-	let holdsLease = true;
-	const server = new CoordinatorServer(`127.0.0.1:${port}`, {...source, holdsLease: () => holdsLease}, systemMomentClock);
+	let term: number | undefined = 1;
+	const server = new CoordinatorServer(`127.0.0.1:${port}`, {...source, permitTerm: () => term}, systemMomentClock);
 	const stop = new AbortController();
 	void server.run(stop.signal);
 	await pause(50);
@@ -153,6 +154,8 @@
 	assert.equal(await ask(1), 'denied', 'a new coordinator starts without permits');
 	await pause(20);
 	assert.equal(await ask(2), 'granted');
-	holdsLease = false;
+	term = undefined;
 	assert.equal(await ask(3), undefined);
+	term = 3;
+	assert.equal(await ask(4), 'denied');
 });
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -27,6 +27,8 @@
 	holdsLease(): boolean;
 	/** Whether followers are served, under the lease or for a while after it has lapsed. */
 	isServing(): boolean;
+	/** The term in which this instance alone may grant permits; `undefined` if it may not. */
+	permitTerm(): number | undefined;
 	engineClock(): number | undefined;
 	/** Stores that blocks may be saved to and fetched from, and the tokens that they hold. */
 	openStores(): Array<[store: string, heldTokens: number]>;
@@ -36,7 +38,7 @@
 	tableUpdates(cursors: Record<string, FeedCursor>): FeedUpdate[];
 	recordUses(keys: readonly string[]): void;
 	/** Called for each request that an instance may send to an endpoint with a limit. */
-	recordPermit(instance: string, permit: PermitQuery): void;
+	recordPermit(instance: string, term: number, permit: PermitQuery): void;
 }
 
 /** A follower that does not read is disconnected; it dials again and receives the whole state. */
@@ -59,7 +61,8 @@
 	readonly #server: Server;
 	readonly #followers = new Map<Socket, Follower>();
 	readonly #loads = new LoadTotals();
-	readonly #permits = new PermitGrants();
+	#permits = new PermitGrants();
+	#permitTerm: number | undefined;
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: CoordinatorSource, clock: MomentClock) {
@@ -190,15 +193,21 @@
 		this.#write(socket, encodeFrame(answer));
 	}
 
-	/** Grants no permits once the lease has lapsed: a successor may grant the same ones. */
+	/** Grants no permits when another coordinator may grant the same ones. What an earlier term left unused is not granted. */
 	#answerPermit(instance: string, query: PermitQuery | undefined): Pick<CoordinatorFrame, 'permit'> {
-		if (query === undefined || !this.#source.holdsLease()) {
+		const term = this.#source.permitTerm();
+		if (query === undefined || term === undefined) {
 			return {};
 		}
 
+		if (term !== this.#permitTerm) {
+			this.#permits = new PermitGrants();
+			this.#permitTerm = term;
+		}
+
 		const permit = this.#permits.answer(query, this.#now());
 		if (permit === 'granted') {
-			this.#source.recordPermit(instance, query);
+			this.#source.recordPermit(instance, term, query);
 		}
 
 		return {permit};
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -219,9 +219,15 @@
 		this.#stores.recordUses(keys);
 	}
 
-	recordPermit(instance: string, {incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery): void {
+	/** Permits end with the time in which no other instance can hold the lease, since the next holder grants them from then on. */
+	permitTerm(): number | undefined {
+		const {election} = this.#options;
+		return !this.isStandby && !this.#hasResigned && election.isUncontested ? election.lastGrant?.row.fencingNumber : undefined;
+	}
+
+	recordPermit(instance: string, term: number, {incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery): void {
 		this.#context.log.record('permit-granted', {
-			duty: this.name, to: instance, endpoint: incarnation, limitPerSecond, answeredMilliseconds: Math.round(answeredMilliseconds),
+			to: instance, term, endpoint: incarnation, limitPerSecond, answeredMilliseconds: Math.round(answeredMilliseconds),
 		});
 	}
 
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -13,11 +13,12 @@
 export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'report' | 'isResponsive'>;
 
 export class PeerUpdateSources implements PeerUpdates, PermitSource {
+	readonly #coordinator: PeerUpdateSource;
 	readonly #sources: readonly PeerUpdateSource[];
 
-	/** @param sources - In the order in which they are tried. */
-	constructor(sources: readonly PeerUpdateSource[]) {
-		this.#sources = sources;
+	constructor(coordinator: PeerUpdateSource, standby: PeerUpdateSource) {
+		this.#coordinator = coordinator;
+		this.#sources = [coordinator, standby];
 	}
 
 	async refresh(query: PlacementQuery): Promise<void> {
@@ -28,15 +29,12 @@
 		}
 	}
 
+	/**
+	 * Asks the coordinator only. A standby does not know what the coordinator grants to the instances that reach it, so that both
+	 * together would grant twice the limit.
+	 */
 	async takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined> {
-		for (const source of this.#sources) {
-			const answer = await source.takePermit(permit);
-			if (answer !== undefined) {
-				return answer;
-			}
-		}
-
-		return undefined;
+		return this.#coordinator.takePermit(permit);
 	}
 
 	report(): void {
--- a/src/gateway/coordinator/permit-grants.test.ts
+++ b/src/gateway/coordinator/permit-grants.test.ts
@@ -23,3 +23,14 @@
 	assert.equal(grants.answer(query('desk-1@1', {answeredMilliseconds: 50}), 1100), 'denied');
 	assert.equal(grants.answer(query('desk-1@1', {answeredMilliseconds: 500}), 1200), 'denied', 'the end is forgotten once the limit was named again');
 });
+
+test('an instance that was answered while the limit was higher gets permits at the present limit', () => {
+	const grants = new PermitGrants();
+	let granted = 0;
+	for (let now = 0; now < 10_000; now += 100) {
+		grants.answer({incarnation: 'desk-1@1', limitPerSecond: 1, answeredMilliseconds: 0}, now);
+		granted += grants.answer({incarnation: 'desk-1@1', limitPerSecond: 100, answeredMilliseconds: now + 1000}, now) === 'granted' ? 1 : 0;
+	}
+
+	assert.ok(granted <= 10, `${granted} permits in 10 s at 1 a second`);
+});
--- a/src/gateway/coordinator/permit-grants.ts
+++ b/src/gateway/coordinator/permit-grants.ts
@@ -2,21 +2,21 @@
 import {PermitBucket} from '../../decision/limits/permit-bucket.js';
 import {type PermitAnswer, type PermitQuery} from './coordinator-messages.js';
 
-/** How many buckets and ends are kept; the one that was used longest ago is dropped first. */
+/** How many buckets, limits and ends are kept; the one that was used longest ago is dropped first. */
 const maxEndpoints = 1000;
 
+/** A limit by the last answer that named it at any instance; `namedAt` is in milliseconds of the steady clock. */
+type NamedLimit = {limitPerSecond: number; namedAt: number};
+
 export class PermitGrants {
 	readonly #buckets = new Map<string, PermitBucket>();
-	/**
-	 * When the last answer that named a limit arrived at any instance, by incarnation; in milliseconds of the steady clock.
-	 */
-	readonly #named = new Map<string, number>();
+	readonly #limits = new Map<string, NamedLimit>();
 	/** When the request was sent whose answer ended a limit, by incarnation; in milliseconds of the steady clock. */
 	readonly #ends = new Map<string, number>();
 
 	/**
 	 * Answers a question for one request to an endpoint. The latest answer of the endpoint counts: a limit that another
-	 * instance has seen to end since is over, and one that was named after its end holds again.
+	 * instance has seen to end or to change since is over, and one that was named after its end holds again.
 	 *
 	 * @param query - The question, or the report that a limit has ended.
 	 * @param now - Milliseconds of the steady clock.
@@ -24,7 +24,7 @@
 	answer({incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery, now: number): PermitAnswer {
 		const answeredAt = now - answeredMilliseconds;
 		if (limitPerSecond === null) {
-			if (answeredAt >= (this.#named.get(incarnation) ?? Number.NEGATIVE_INFINITY)) {
+			if (answeredAt >= (this.#limits.get(incarnation)?.namedAt ?? Number.NEGATIVE_INFINITY)) {
 				remember(this.#ends, incarnation, answeredAt);
 			}
 
@@ -36,11 +36,17 @@
 		}
 
 		this.#ends.delete(incarnation);
-		remember(this.#named, incarnation, Math.max(answeredAt, this.#named.get(incarnation) ?? answeredAt));
+		const latest = this.#latestLimit(incarnation, {limitPerSecond, namedAt: answeredAt});
+		remember(this.#limits, incarnation, latest);
 		// A new coordinator does not know what its predecessor has granted, so a bucket starts empty.
 		const bucket = this.#buckets.get(incarnation) ?? new PermitBucket(0, now);
 		remember(this.#buckets, incarnation, bucket);
-		return bucket.take(limitPerSecond, now) ? 'granted' : 'denied';
+		return bucket.take(latest.limitPerSecond, now) ? 'granted' : 'denied';
+	}
+
+	#latestLimit(incarnation: string, named: NamedLimit): NamedLimit {
+		const known = this.#limits.get(incarnation);
+		return known === undefined || named.namedAt >= known.namedAt ? named : known;
 	}
 }
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -121,9 +121,7 @@
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
 			crashes,
-			limits: new EndpointLimits({
-				...shared, metrics, permits: this.#coordinators.peerUpdates, instances: () => this.#coordinators.instances,
-			}),
+			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
--- a/src/gateway/leadership/leader-election.ts
+++ b/src/gateway/leadership/leader-election.ts
@@ -58,6 +58,11 @@
 		return this.remainingMilliseconds() > 0 ? this.#grant : undefined;
 	}
 
+	/** The last grant, which may have ended; absent once another instance may hold the lease or this one has released it. */
+	get lastGrant(): LeaseGrant | undefined {
+		return this.#grant;
+	}
+
 	/** Whether no other instance can hold the lease yet; stays true for a while after this instance's grant has ended. */
 	get isUncontested(): boolean {
 		return this.#grant !== undefined && isUncontested(this.#grant, this.#options.leaseMilliseconds, this.#dependencies.clock.moment());
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -127,7 +127,6 @@
 				return 'granted';
 			},
 		},
-		instances: () => 1,
 	});
 	let arrivals = 0;
 	const endpoint = await gateway.addEndpoint(() => {
@@ -173,7 +172,6 @@
 				return takePermit(query, now);
 			},
 		},
-		instances: () => 4,
 	});
 	limits.note(testEndpoint(), {limit: '2', isServed: true, sentAt: now});
 	return {
@@ -185,15 +183,12 @@
 	};
 }
 
-test('an instance that reaches no coordinator sends no more than its own share of a limit', async () => {
+test('an instance that reaches no coordinator sends nothing to an endpoint with a limit', async () => {
 	const {limits, advance} = limitsWith(() => undefined);
-	let sent = 0;
 	for (let step = 0; step < 200; step++) {
-		sent += await limits.maySend(testEndpoint()) ? 1 : 0;
+		assert.equal(await limits.maySend(testEndpoint()), false);
 		advance(100);
 	}
-
-	assert.ok(sent >= 8 && sent <= 10, `${sent} in 20 s at a share of 0.5 a second`);
 });
 
 test('a refused permit is not asked for again at once', async () => {
--- a/src/gateway/limits/endpoint-limits.ts
+++ b/src/gateway/limits/endpoint-limits.ts
@@ -1,10 +1,9 @@
 /**
  * The limits that endpoints have named in their answers, and the permits to send to such endpoints.
  *
- * A limit holds for all instances together, so each request to such an endpoint needs a permit of the coordinator, or of its
- * standby while the coordinator does not answer. An instance that reaches neither sends at most its own share.
+ * A limit holds for all instances together, so each request to such an endpoint needs a permit of the one coordinator. An
+ * instance that does not reach it sends none: whatever a second party granted would add up to more than the limit.
  */
-import {PermitBucket} from '../../decision/limits/permit-bucket.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type PermitAnswer, type PermitQuery} from '../coordinator/coordinator-messages.js';
@@ -13,7 +12,7 @@
 
 /** Asks the coordinator for permits. */
 export interface PermitSource {
-	/** Whether one request may be sent to an endpoint; `undefined` if neither the coordinator nor its standby answers. */
+	/** Whether one request may be sent to an endpoint; `undefined` if the coordinator does not answer or may not grant. */
 	takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined>;
 }
 
@@ -22,8 +21,6 @@
 	log: Pick<DecisionLog, 'record'>;
 	metrics: Pick<GatewayMetrics, 'permits'>;
 	permits: PermitSource;
-	/** How many instances there are, as far as known; 0 before. */
-	instances: () => number;
 };
 
 /** An answer of an endpoint. */
@@ -40,10 +37,8 @@
 	limitPerSecond: number;
 	/** When the last answer that named it arrived, in milliseconds of the steady clock. */
 	namedAt: number;
-	/** No permit is asked for before this time: the coordinator has just refused one. */
+	/** No permit is asked for before this time: the last question was in vain. */
 	deniedUntil: number;
-	/** This instance's own share, for the time in which nobody grants permits. */
-	ownShare: PermitBucket | undefined;
 };
 
 /** Share of the time between two permits for which a refusal holds. */
@@ -87,7 +82,7 @@
 
 		this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond});
 		this.#limits.set(incarnation, {
-			deniedUntil: 0, ownShare: undefined, ...known, limitPerSecond, namedAt: this.#now(),
+			deniedUntil: 0, ...known, limitPerSecond, namedAt: this.#now(),
 		});
 		if (this.#limits.size > maxLimits) {
 			this.#limits.delete(this.#limits.keys().next().value!);
@@ -109,21 +104,18 @@
 		const incarnation = incarnationOf(endpoint);
 		const {limitPerSecond, namedAt} = known;
 		const answer = await this.#dependencies.permits.takePermit({incarnation, limitPerSecond, answeredMilliseconds: this.#now() - namedAt});
-		known.ownShare = answer === undefined ? known.ownShare : undefined;
-		const outcome = answer ?? (this.#takeOwnShare(known) ? 'own-share' : 'denied');
-		this.#dependencies.metrics.permits.inc({outcome});
-		if (outcome === 'own-share') {
-			this.#dependencies.log.record('permit-granted', {endpoint: incarnation, limitPerSecond, shareOf: this.#dependencies.instances()});
+		this.#dependencies.metrics.permits.inc({outcome: answer ?? 'no-coordinator'});
+		if (answer === undefined || answer === 'denied') {
+			known.deniedUntil = this.#now() + Math.min(maxDenialMilliseconds, denialShare * 1000 / limitPerSecond);
+			return false;
 		}
 
-		if (outcome === 'denied') {
-			known.deniedUntil = this.#now() + Math.min(maxDenialMilliseconds, denialShare * 1000 / limitPerSecond);
-		} else if (outcome === 'unlimited' && this.#limits.get(incarnation)?.namedAt === namedAt) {
+		if (answer === 'unlimited' && this.#limits.get(incarnation)?.namedAt === namedAt) {
 			this.#limits.delete(incarnation);
 			this.#dependencies.log.record('limit-named', {endpoint: endpoint.name, limitPerSecond: null, isRelayed: true});
 		}
 
-		return outcome !== 'denied';
+		return true;
 	}
 
 	/** Ends a limit here and at the other instances: each would otherwise have to find out by a request at the pace of the limit. */
@@ -134,13 +126,6 @@
 		void this.#dependencies.permits.takePermit({incarnation, limitPerSecond: null, answeredMilliseconds: this.#now() - sentAt});
 	}
 
-	/** An own share starts empty: the coordinator may have granted permits until just now. */
-	#takeOwnShare(known: KnownLimit): boolean {
-		const now = this.#now();
-		known.ownShare ??= new PermitBucket(0, now);
-		return known.ownShare.take(known.limitPerSecond / Math.max(1, this.#dependencies.instances()), now);
-	}
-
 	#now(): number {
 		return this.#dependencies.clock.moment().steady;
 	}
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -20,6 +20,7 @@
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {CoordinatorView} from '../coordinator/coordinator-view.js';
+import {PermitGrants} from '../coordinator/permit-grants.js';
 import {EndpointLimits} from '../limits/endpoint-limits.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
@@ -58,6 +59,7 @@
 			reportLag({log, metrics}, lagMilliseconds);
 		});
 		const endpoints = new EndpointRegistry();
+		const permits = new PermitGrants();
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
@@ -78,7 +80,7 @@
 				},
 			}),
 			limits: new EndpointLimits({
-				clock: systemMomentClock, log, metrics, permits: {takePermit: async () => undefined}, instances: () => 1,
+				clock: systemMomentClock, log, metrics, permits: {takePermit: async query => permits.answer(query, systemMomentClock.moment().steady)},
 			}),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
--- a/src/test/process-limited-endpoints.test.ts
+++ b/src/test/process-limited-endpoints.test.ts
@@ -22,3 +22,19 @@
 		},
 	});
 });
+
+test('over real processes: a limit holds while some instances reach the coordinator and others do not', async () => {
+	await assertLimitsHold({
+		seed: 1,
+		network: 38,
+		conditions: {
+			doRejectionsName: true,
+			rejectionPercent: 5,
+			answerMilliseconds: 60,
+			limitedEndpoints: 6,
+			limitTenths: [50, 50],
+			coordinatorFreezes: {everyMilliseconds: 600, forMilliseconds: 300},
+			requestsPerSecond: 80,
+		},
+	});
+});
