--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -217,6 +217,7 @@
 
 		const answeringEndpoint = answer.header(names.endpointName);
 		if (answeringEndpoint === undefined || answeringEndpoint === endpoint.name) {
+			this.#noteLeaving(answer);
 			limits.note(endpoint, {limit: answer.header(names.endpointLimit), isServed, sentAt: this.#sentAt});
 		}
 
@@ -225,6 +226,16 @@
 		}
 	}
 
+	#noteLeaving(answer: EndpointAnswer): void {
+		const {names, log, endpoints} = this.#context;
+		const {endpoint} = this.#target;
+		if (answer.header(names.endpointLeaving)?.trim() === '1') {
+			log.record('leaving-announced', {
+				id: this.#work.head.attemptId, endpoint: endpoint.name, status: answer.status, state: endpoints.byName(endpoint.name)?.state,
+			});
+		}
+	}
+
 	/** Explains why an attempt failed. The endpoint must not be blamed for an attempt that this process cancelled. */
 	#detailOf(observedDetail: string): string {
 		const {cancelReason} = this.#watch;
--- a/src/gateway/data-path/wire-names.ts
+++ b/src/gateway/data-path/wire-names.ts
@@ -32,6 +32,8 @@
 	endpointLoad: string;
 	/** Requests a second that the endpoint takes from all instances together, as long as its answers say so. */
 	endpointLimit: string;
+	/** `1` in the answers of an endpoint that finishes its work and accepts no new requests. */
+	endpointLeaving: string;
 	/** The weight version that an engine answered with. */
 	weightVersion: string;
 	/** Separates cached prompt blocks: an engine finds a block only under the salt that it was stored with. */
@@ -66,6 +68,7 @@
 	notExecuted: 'savorygauge-not-executed',
 	endpointLoad: 'savorygauge-endpoint-load',
 	endpointLimit: 'savorygauge-limit',
+	endpointLeaving: 'savorygauge-leaving',
 	weightVersion: 'savorygauge-weight-version',
 	cacheSalt: 'savorygauge-cache-salt',
 	engineRank: 'savorygauge-rank',
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -16,6 +16,7 @@
 	notExecuted: 'x-not-executed',
 	endpointLoad: 'x-server-load',
 	endpointLimit: 'server-limit',
+	endpointLeaving: 'server-leaving',
 	weightVersion: 'x-weight-versions',
 	cacheSalt: 'x-cache-salt',
 	engineRank: 'x-request-priority',
