Send nothing to an endpoint whose answers say that it leaves

Cause: the header was not read. Marking the row would not have been enough: the next update of the row, a list that is read again, or a restored store made the endpoint usable again.

A new incarnation is usable.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -229,9 +229,9 @@
 	#noteLeaving(answer: EndpointAnswer): void {
 		const {names, log, endpoints} = this.#context;
 		const {endpoint} = this.#target;
-		if (answer.header(names.endpointLeaving)?.trim() === '1') {
+		if (answer.header(names.endpointLeaving)?.trim() === '1' && endpoints.announceLeaving(endpoint)) {
 			log.record('leaving-announced', {
-				id: this.#work.head.attemptId, endpoint: endpoint.name, status: answer.status, state: endpoints.byName(endpoint.name)?.state,
+				id: this.#work.head.attemptId, endpoint: endpoint.name, status: answer.status,
 			});
 		}
 	}
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -9,6 +9,9 @@
  *
  * A store that comes back from an older copy shows endpoints as ready that have left since. Such a row does not make an
  * endpoint usable: a living endpoint writes its row again, and the row of one that has departed expires.
+ *
+ * An endpoint also says in its answers that it leaves, at times long before its row can say so. Rows of that incarnation that
+ * arrive later do not make it usable again.
  */
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 
@@ -27,7 +30,7 @@
  * and one tenth more for the delay of the update.
  */
 export const reRegistrationMilliseconds = 2200;
-/** How many departed endpoints are remembered: more than leave in the seconds by which a copy of the store is old. */
+/** How many departed endpoints, and announcements of answers, are remembered: more than leave in the seconds by which a copy of the store is old. */
 const maxDepartures = 1000;
 /**
  * How long the row of a departed endpoint may stay in a store that came back from a copy: three heartbeats and the delay of the
@@ -42,6 +45,8 @@
 	#outageUntil = 0;
 	/** Incarnations that are leaving or have departed, those found first at the front. */
 	readonly #departures = new Set<string>();
+	/** Incarnations that have said in an answer that they leave, those found first at the front. */
+	readonly #announced = new Set<string>();
 	/** Rows of a restored store that contradict a departure, and until when they are ignored. */
 	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
@@ -115,7 +120,33 @@
 		return change;
 	}
 
-	/** Records that an endpoint has announced its own departure. */
+	/**
+	 * Records that an endpoint has said in an answer that it leaves.
+	 *
+	 * @returns Whether this incarnation had not said so before.
+	 */
+	announceLeaving(endpoint: EndpointRecord): boolean {
+		const incarnation = incarnationOf(endpoint);
+		if (this.#announced.has(incarnation)) {
+			return false;
+		}
+
+		remember(this.#announced, incarnation);
+		const listed = this.#records.get(endpoint.name);
+		if (listed !== undefined && incarnationOf(listed) === incarnation) {
+			this.#records.set(endpoint.name, {...listed, state: 'leaving'});
+		}
+
+		const unconfirmed = this.#unconfirmed.get(endpoint.name);
+		if (unconfirmed !== undefined && incarnationOf(unconfirmed.record) === incarnation) {
+			unconfirmed.record = {...unconfirmed.record, state: 'leaving'};
+		}
+
+		remember(this.#departures, incarnation);
+		return true;
+	}
+
+	/** Records that the address of an endpoint answers under another name. */
 	markLeaving(name: string): void {
 		const record = this.#records.get(name);
 		if (record !== undefined) {
@@ -158,7 +189,8 @@
 		return this.#records.get(name);
 	}
 
-	#put(record: EndpointRecord, change: RegistryChange): void {
+	#put(listed: EndpointRecord, change: RegistryChange): void {
+		const record = this.#announced.has(incarnationOf(listed)) ? {...listed, state: 'leaving' as const} : listed;
 		const known = this.#records.get(record.name) ?? this.#unconfirmed.get(record.name)?.record;
 		this.#unconfirmed.delete(record.name);
 		this.#staleRows.delete(record.name);
@@ -195,10 +227,7 @@
 	}
 
 	#noteDeparture(record: EndpointRecord): void {
-		this.#departures.add(incarnationOf(record));
-		if (this.#departures.size > maxDepartures) {
-			this.#departures.delete(this.#departures.values().next().value!);
-		}
+		remember(this.#departures, incarnationOf(record));
 	}
 
 	#remove(name: string, now: number, change: RegistryChange): void {
@@ -218,3 +247,10 @@
 		change.vanished.push(record);
 	}
 }
+
+function remember(incarnations: Set<string>, incarnation: string): void {
+	incarnations.add(incarnation);
+	if (incarnations.size > maxDepartures) {
+		incarnations.delete(incarnations.values().next().value!);
+	}
+}
