--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -34,6 +34,9 @@
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 };
 
+/** An answer with this status may ask for a rest. */
+const restStatus = 503;
+
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
 
 export class EndpointAttempt {
@@ -218,6 +221,7 @@
 		const answeringEndpoint = answer.header(names.endpointName);
 		if (answeringEndpoint === undefined || answeringEndpoint === endpoint.name) {
 			this.#noteLeaving(answer);
+			this.#noteRest(answer);
 			limits.note(endpoint, {limit: answer.header(names.endpointLimit), isServed, sentAt: this.#sentAt});
 		}
 
@@ -236,6 +240,13 @@
 		}
 	}
 
+	#noteRest({status, header}: EndpointAnswer): void {
+		const retryAfter = header('retry-after');
+		if (status === restStatus && retryAfter !== undefined) {
+			this.#context.log.record('rest-requested', {id: this.#work.head.attemptId, endpoint: this.#target.endpoint.name, retryAfter});
+		}
+	}
+
 	/** Explains why an attempt failed. The endpoint must not be blamed for an attempt that this process cancelled. */
 	#detailOf(observedDetail: string): string {
 		const {cancelReason} = this.#watch;
