Let endpoints rest for as long as they ask when they reject a request

What callers saw: refusals after attempts that could only be rejected, though other endpoints of the service were free.

Cause: Retry-After of an endpoint was not read. A rejection took nothing from its standing, and without requests it looked idle.

Change: the rest of each incarnation is kept, in seconds with a fraction or as a date; the later end counts, and an answer that arrives within it does not end it. Endpoints that rest are not usable for any attempt. Where all rest, callers are refused at once as not run, and told to return when the first one has rested. Instances come back up to 0.5 s apart, and each lets requests through one by one until the endpoint accepts one. What an answer says of its endpoint (leaving, rest, limit) is read in one module.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -3,11 +3,13 @@
  * as it arrives. What follows a failed attempt is decided in `decision/attempts`.
  */
 import {isRetryable, type AttemptOutcome} from '../../decision/attempts/next-step.js';
+import {incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {isForwardableHead} from './is-forwardable-head.js';
+import {noteAnnouncements} from './note-announcements.js';
 import {planBlockTransfers} from './plan-block-transfers.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
 import {relayAnswer} from './relay-answer.js';
@@ -34,9 +36,6 @@
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 };
 
-/** An answer with this status may ask for a rest. */
-const restStatus = 503;
-
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
 
 export class EndpointAttempt {
@@ -57,13 +56,16 @@
 
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
-		const {placement, exchanges, names, metrics} = this.#context;
+		const {
+			placement, rests, exchanges, names, metrics,
+		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
 		this.#sentAt = this.#now();
 		placement.observe({
 			kind: 'sent', request, endpoint, basis,
 		}, this.#sentAt);
+		rests.noteSent(incarnationOf(endpoint), this.#sentAt);
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
 			method: head.method,
@@ -210,7 +212,7 @@
 	}
 
 	#updateRegistry(answer: EndpointAnswer, isServed: boolean): void {
-		const {names, endpoints, limits} = this.#context;
+		const {names, endpoints} = this.#context;
 		const {endpoint} = this.#target;
 		const model = this.#work.head.prompt?.model;
 		const version = Number(answer.header(names.weightVersion));
@@ -218,35 +220,15 @@
 			endpoints.noteWeightVersion(endpoint.name, model, version);
 		}
 
+		noteAnnouncements(this.#context, {
+			attemptId: this.#work.head.attemptId, endpoint, answer, isServed, sentAt: this.#sentAt,
+		});
 		const answeringEndpoint = answer.header(names.endpointName);
-		if (answeringEndpoint === undefined || answeringEndpoint === endpoint.name) {
-			this.#noteLeaving(answer);
-			this.#noteRest(answer);
-			limits.note(endpoint, {limit: answer.header(names.endpointLimit), isServed, sentAt: this.#sentAt});
-		}
-
 		if (answer.status === 421 && answeringEndpoint !== undefined && answeringEndpoint !== endpoint.name) {
 			endpoints.markLeaving(endpoint.name);
 		}
 	}
 
-	#noteLeaving(answer: EndpointAnswer): void {
-		const {names, log, endpoints} = this.#context;
-		const {endpoint} = this.#target;
-		if (answer.header(names.endpointLeaving)?.trim() === '1' && endpoints.announceLeaving(endpoint)) {
-			log.record('leaving-announced', {
-				id: this.#work.head.attemptId, endpoint: endpoint.name, status: answer.status,
-			});
-		}
-	}
-
-	#noteRest({status, header}: EndpointAnswer): void {
-		const retryAfter = header('retry-after');
-		if (status === restStatus && retryAfter !== undefined) {
-			this.#context.log.record('rest-requested', {id: this.#work.head.attemptId, endpoint: this.#target.endpoint.name, retryAfter});
-		}
-	}
-
 	/** Explains why an attempt failed. The endpoint must not be blamed for an attempt that this process cancelled. */
 	#detailOf(observedDetail: string): string {
 		const {cancelReason} = this.#watch;
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -3,7 +3,7 @@
  * of them. Each answer of the coordinator changes what this instance knows, so every placement starts with a new selection.
  */
 import {type Placement, type PlacementRequest} from '../../decision/placement/placement.js';
-import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type PermittedRequest} from './validate-request.js';
 import {placementRequestOf} from './placement-request.js';
@@ -66,6 +66,13 @@
 		return this.#usable(this.#now()).some(({name}) => !this.#attempted.has(name));
 	}
 
+	/** Time until the first endpoint has rested, if all of them rest. */
+	restMilliseconds(): number | undefined {
+		const now = this.#now();
+		const shortest = Math.min(...this.#listed(now).map(endpoint => this.#restOf(endpoint, now)));
+		return Number.isFinite(shortest) && shortest > 0 ? shortest : undefined;
+	}
+
 	#request(): PlacementRequest {
 		return placementRequestOf(this.#context, this.#work, this.#attempted);
 	}
@@ -74,10 +81,20 @@
 		return new PromptBlockSources(this.#context, this.#work.head, this.#work.permitted);
 	}
 
+	/** The endpoints that may get this request now. */
 	#usable(now: number): EndpointRecord[] {
+		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0);
+	}
+
+	/** The same, with those that rest. */
+	#listed(now: number): EndpointRecord[] {
 		return this.#context.endpoints.usable(this.#work.permitted.service, now).filter(({name}) => !this.#excluded.has(name));
 	}
 
+	#restOf(endpoint: EndpointRecord, now: number): number {
+		return this.#context.rests.remainingMilliseconds(incarnationOf(endpoint), now);
+	}
+
 	#now(): number {
 		return this.#context.clock.moment().steady;
 	}
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -63,6 +63,13 @@
 					continue;
 				}
 
+				const restMilliseconds = this.restMilliseconds();
+				if (restMilliseconds !== undefined) {
+					return refused({
+						reason: 'overloaded', ran: 'not-run', message: 'all endpoints of the service have asked for a rest', retryAfterMilliseconds: restMilliseconds,
+					});
+				}
+
 				return refused({
 					reason: placement.reason, ran: 'not-run', message: 'no endpoint of the service can accept the request now', retryAfterMilliseconds: placement.retryAfterMilliseconds,
 				});
@@ -84,6 +91,12 @@
 			await this.#choice.selectCandidates();
 		}
 	}
+
+	/** When a refused caller should return if all endpoints rest. */
+	restMilliseconds(): number | undefined {
+		const milliseconds = this.#choice.restMilliseconds();
+		return milliseconds === undefined ? undefined : spreadRetry(milliseconds, this.#id);
+	}
 }
 
 function refused(refusal: Refusal): SearchResult {
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -214,7 +214,7 @@
 			case 'fail': {
 				answer?.discard();
 				return this.#failureResponder.fail({
-					reason: 'no-endpoint', ran: 'not-run', message: 'no endpoint accepted the request', retryAfterMilliseconds: rejectedRetryMilliseconds,
+					reason: 'no-endpoint', ran: 'not-run', message: 'no endpoint accepted the request', retryAfterMilliseconds: this.#search.restMilliseconds() ?? rejectedRetryMilliseconds,
 				}, this.#mayHaveRun);
 			}
 		}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,6 +1,7 @@
 /** The components that the routed data path shares. */
 import {type BlockPlanner} from '../decision/blocks/plan-blocks.js';
 import {type PlacementPolicy} from '../decision/placement/placement.js';
+import {type EndpointRests} from '../decision/limits/endpoint-rests.js';
 import {type SharedRetryBudget} from '../decision/limits/shared-retry-budget.js';
 import {type MomentClock} from '../ports/moment-clock.js';
 import {type EventLoopLag} from '../serving/event-loop-lag.js';
@@ -28,6 +29,7 @@
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
 	limits: EndpointLimits;
+	rests: EndpointRests;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
 	loadingEngines: LoadingEngines;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -11,6 +11,7 @@
 import {HttpListener, defaultListenerBounds} from '../serving/http-listener.js';
 import {BlockPlanner} from '../decision/blocks/plan-blocks.js';
 import {CostPlacement} from '../decision/placement/cost-placement.js';
+import {EndpointRests} from '../decision/limits/endpoint-rests.js';
 import {SharedRetryBudget} from '../decision/limits/shared-retry-budget.js';
 import {type CacheStoreControl} from '../ports/cache-store-control.js';
 import {type ClockedTable} from '../ports/clocked-table.js';
@@ -122,6 +123,7 @@
 			eventLoopLag: this.#eventLoopLag,
 			crashes,
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
+			rests: new EndpointRests(),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -5,6 +5,7 @@
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
 import {BlockPlanner} from '../../decision/blocks/plan-blocks.js';
 import {CostPlacement} from '../../decision/placement/cost-placement.js';
+import {EndpointRests} from '../../decision/limits/endpoint-rests.js';
 import {SharedRetryBudget} from '../../decision/limits/shared-retry-budget.js';
 import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
@@ -82,6 +83,7 @@
 			limits: new EndpointLimits({
 				clock: systemMomentClock, log, metrics, permits: {takePermit: async query => permits.answer(query, systemMomentClock.moment().steady)},
 			}),
+			rests: new EndpointRests(),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(10_000),
