Wait for an unresponsive coordinator once, not for each endpoint with a limit

What callers would see: while the coordinator does not answer, a request asked for a permit at each endpoint of its service in turn, 120 ms each, and was refused after all of them; a refusal that is certain is due at once. Since only the coordinator grants, a question without an answer holds for all endpoints: the next requests within 250 ms do not ask. The test failed before (6 questions, one wanted).

--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -191,6 +191,23 @@
 	}
 });
 
+test('a coordinator that does not answer is asked once in a while, not for each endpoint', async () => {
+	const {limits, advance, asked} = limitsWith(() => undefined);
+	const endpoints = Array.from({length: 6}, (_, number) => testEndpoint({name: `desk-${number + 1}`}));
+	for (const endpoint of endpoints) {
+		limits.note(endpoint, {limit: '2', isServed: true, sentAt: 0});
+	}
+
+	for (const endpoint of endpoints) {
+		assert.equal(await limits.maySend(endpoint), false);
+	}
+
+	assert.equal(asked(), 1);
+	advance(1000);
+	await limits.maySend(testEndpoint());
+	assert.equal(asked(), 2);
+});
+
 test('a refused permit is not asked for again at once', async () => {
 	const {limits, advance, asked} = limitsWith(() => 'denied');
 	for (let step = 0; step < 100; step++) {
--- a/src/gateway/limits/endpoint-limits.ts
+++ b/src/gateway/limits/endpoint-limits.ts
@@ -37,13 +37,15 @@
 	limitPerSecond: number;
 	/** When the last answer that named it arrived, in milliseconds of the steady clock. */
 	namedAt: number;
-	/** No permit is asked for before this time: the last question was in vain. */
+	/** No permit is asked for before this time: the coordinator has just refused one. */
 	deniedUntil: number;
 };
 
 /** Share of the time between two permits for which a refusal holds. */
 const denialShare = 0.25;
 const maxDenialMilliseconds = 500;
+/** A caller waits for a coordinator that does not answer; the next ones within this time do not. */
+const unansweredMilliseconds = 250;
 /** Limits below this are taken for it, so that some request still finds out when the limit ends: one in a minute. */
 const minLimitPerSecond = 1 / 60;
 /** How many limits are remembered; far more than endpoints are in need at a time. */
@@ -52,6 +54,8 @@
 export class EndpointLimits {
 	readonly #dependencies: EndpointLimitsDependencies;
 	readonly #limits = new Map<string, KnownLimit>();
+	/** No permit is asked for before this time: the coordinator has just not answered. */
+	#unansweredUntil = 0;
 
 	constructor(dependencies: EndpointLimitsDependencies) {
 		this.#dependencies = dependencies;
@@ -96,8 +100,8 @@
 			return true;
 		}
 
-		if (this.#now() < known.deniedUntil) {
-			this.#dependencies.metrics.permits.inc({outcome: 'denied'});
+		if (this.#now() < Math.max(known.deniedUntil, this.#unansweredUntil)) {
+			this.#dependencies.metrics.permits.inc({outcome: this.#now() < known.deniedUntil ? 'denied' : 'no-coordinator'});
 			return false;
 		}
 
@@ -105,7 +109,12 @@
 		const {limitPerSecond, namedAt} = known;
 		const answer = await this.#dependencies.permits.takePermit({incarnation, limitPerSecond, answeredMilliseconds: this.#now() - namedAt});
 		this.#dependencies.metrics.permits.inc({outcome: answer ?? 'no-coordinator'});
-		if (answer === undefined || answer === 'denied') {
+		if (answer === undefined) {
+			this.#unansweredUntil = this.#now() + unansweredMilliseconds;
+			return false;
+		}
+
+		if (answer === 'denied') {
 			known.deniedUntil = this.#now() + Math.min(maxDenialMilliseconds, denialShare * 1000 / limitPerSecond);
 			return false;
 		}
