--- a/src/gateway/data-path/note-announcements.ts
+++ b/src/gateway/data-path/note-announcements.ts
@@ -1,6 +1,6 @@
 /**
  * What an endpoint says of itself in the head of an answer: that it leaves, that it needs a rest, or how many requests it
- * takes from all instances together. What another endpoint says at its address counts for neither.
+ * takes from all instances together. What another endpoint says at its address is ignored.
  */
 import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
@@ -24,6 +24,7 @@
 /** Instances that were told to rest at the same time come back spread over this time. */
 const maxRestSpreadMilliseconds = 500;
 
+/** Records what the head of an answer announces, whatever its status. */
 export function noteAnnouncements(context: GatewayContext, received: ReceivedAnswer): void {
 	const {names, limits} = context;
 	const {endpoint, answer, isServed, sentAt} = received;
