End the limit of an endpoint by redirects and errors of the request as well

Only a success ended a limit since, so an endpoint whose service answers with redirects, or with errors that are the request's own, would have kept its limit for good. An answer below 500 that is no rejection, is signed, and echoes the attempt shows as well that the endpoint served the request. The test failed before.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -117,7 +117,7 @@
 		const answer = answered.unsafeCoerce();
 		this.#context.placement.received(this.#target.endpoint, this.#now());
 		const outcome = this.#classify(answer);
-		this.#updateRegistry(answer, outcome === 'usable' && isSuccess(answer.status));
+		this.#updateRegistry(answer, this.#isServed(answer, outcome));
 		if (outcome === 'usable') {
 			return this.#relay(answer);
 		}
@@ -146,8 +146,7 @@
 			return 'unknown';
 		}
 
-		const echoesAttemptId = answer.header(names.attemptId) === this.#work.head.attemptId;
-		if (isSuccess(status) && (answer.header(names.seal) === undefined || !echoesAttemptId)) {
+		if (status >= 200 && status < 300 && !this.#isProven(answer)) {
 			// Nothing proves that these bytes answer this request; the connection may carry the answer to another one.
 			this.#exchange?.cancel();
 			return 'unknown';
@@ -161,6 +160,17 @@
 		return status >= 500 && status !== 504 && isRetryable(this.#work.permitted.route.kind) ? 'failed' : 'usable';
 	}
 
+	/** Whether the endpoint signed the answer, and it answers this attempt. */
+	#isProven(answer: EndpointAnswer): boolean {
+		const {names} = this.#context;
+		return answer.header(names.seal) !== undefined && answer.header(names.attemptId) === this.#work.head.attemptId;
+	}
+
+	/** Whether the endpoint served the request, whatever it answered, rather than rejecting it or failing. */
+	#isServed(answer: EndpointAnswer, outcome: string): boolean {
+		return outcome === 'usable' && answer.status < 500 && !rejectionStatuses.has(answer.status) && this.#isProven(answer);
+	}
+
 	async #relay(answer: EndpointAnswer): Promise<AttemptResult> {
 		const {placement, names, log} = this.#context;
 		const {head, response, splitter} = this.#work;
@@ -262,10 +272,6 @@
 	}
 }
 
-function isSuccess(status: number): boolean {
-	return status >= 200 && status < 300;
-}
-
 /**
  * Describes for the log how an answer was transferred.
  *
--- a/src/gateway/limits/endpoint-limits.test.ts
+++ b/src/gateway/limits/endpoint-limits.test.ts
@@ -65,6 +65,25 @@
 	assert.deepEqual(limitsNamed(gateway), [1000]);
 });
 
+test('a limit ends at a service that answers with redirects or errors of the request', async () => {
+	for (const status of [302, 404]) {
+		const gateway = await new TestGateway().start();
+		let number = 0;
+		await gateway.addEndpoint((incoming, response) => {
+			answerSealed(incoming, response, {status, headers: number++ === 0 ? {[names.endpointLimit]: '1000'} : {}});
+		});
+		for (let count = 0; count < 2; count++) {
+			let answer = await exchangeRaw(gateway.address, request);
+			while (statusOf(answer) === 429) {
+				answer = await exchangeRaw(gateway.address, request);
+			}
+		}
+
+		await gateway.close();
+		assert.deepEqual(limitsNamed(gateway), [1000, null]);
+	}
+});
+
 test('an answer to a request that was sent before a limit was named neither ends nor raises it', async () => {
 	const gateway = await new TestGateway().start();
 	const waiting = new EventTarget();
