Check over processes that each term has one grantor of permits, and share the traffic of the two checks

The test that limits hold while some instances do not reach the coordinator could not fail: it passed on the code before as well, where coordinator and standby granted side by side but just within what the rule allows. The checks of limits now also demand, from the lines of the grants, that each term has one grantor. The report's count of permits by grantor, which the fix had left counting everything as own shares, is gone.

The two checks of what endpoints announce shared their callers and the way endpoints misbehave line by line; both are in desk-traffic.ts now. Interruptions of an instance are recorded once, by the deployment, and no longer by each check.

--- a/src/check/announcing-endpoints-over-processes.ts
+++ b/src/check/announcing-endpoints-over-processes.ts
@@ -10,7 +10,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
-import {deskDeployment, deskPaths, startDesk} from './desk-deployment.js';
+import {deskDeployment, startDesk} from './desk-deployment.js';
+import {answerUnreliably, DeskTraffic} from './desk-traffic.js';
 import {type Arrival, type DeploymentEndpoint, type EndpointScript} from './deployment-endpoint.js';
 import {
 	type CallerAnswer, deploymentWireNames as names, type GatewayDeployment, type GatewayInstance,
@@ -51,6 +52,7 @@
 /** Requests that arrive this long after a rest was asked for may have been under way. */
 const restNoticeMilliseconds = 500;
 const requestsPerSecond = 60;
+const freezeMilliseconds = 300;
 /** How long the endpoints behave before they announce anything. */
 const calmMilliseconds = 2000;
 
@@ -71,16 +73,13 @@
 	readonly #options: AnnouncingEndpointsOptions;
 	readonly #choices: Choices;
 	readonly #deployment: GatewayDeployment;
+	readonly #traffic: DeskTraffic;
 	readonly #announcingCount: number;
 	#endpoints: DeploymentEndpoint[] = [];
 	#announcing: ReadonlySet<DeploymentEndpoint> = new Set();
 	readonly #arrivals: Arrival[] = [];
 	readonly #told: Told[] = [];
-	/** When instances were interrupted. */
-	readonly #interruptions: Array<{instance: string; at: number}> = [];
 	#endsAt = 0;
-	#requests = 0;
-	#served = 0;
 	#slowestRefusal = 0;
 	#refusalsWithoutRetry = 0;
 
@@ -89,6 +88,9 @@
 		this.#choices = Choices.fromSeed(hashOf(`announcing endpoints ${options.seed}`));
 		this.#announcingCount = this.#choices.oneOf(options.announcement === 'rest' ? [2, 3, 6] : [2, 3]);
 		this.#deployment = deskDeployment(options.network);
+		this.#traffic = new DeskTraffic(this.#deployment, this.#choices, (answer, instance, sentAt) => {
+			this.#noteRefusal(answer, instance, sentAt);
+		});
 	}
 
 	async start(): Promise<void> {
@@ -97,7 +99,7 @@
 
 	async play(): Promise<AnnouncingEndpointsReport> {
 		this.#endsAt = performance.now() + this.#options.milliseconds;
-		const sending = this.#sendAll();
+		const sending = this.#traffic.sendUntil(this.#endsAt, requestsPerSecond);
 		const disturbing = this.#disturb();
 		await delay(calmMilliseconds);
 		this.#announcing = new Set(this.#endpoints.slice(0, this.#announcingCount));
@@ -111,8 +113,8 @@
 			mostInRest: this.#findMostInRest(),
 			slowestRefusal: Math.round(this.#slowestRefusal),
 			refusalsWithoutRetry: this.#refusalsWithoutRetry,
-			requests: this.#requests,
-			served: this.#served,
+			requests: this.#traffic.requests,
+			served: this.#traffic.served,
 		};
 	}
 
@@ -146,22 +148,9 @@
 			return;
 		}
 
-		if (this.#choices.chance(5)) {
-			response.writeHead(503, {[names.notExecuted]: '1', ...this.headers(endpoint, arrival.instance)});
-			response.end();
-			return;
-		}
-
-		await delay(this.#choices.between(5, 60));
-		if (this.#choices.chance(5)) {
-			endpoint.begin(response, arrival);
-			response.write('id: 1\ndata: piece 1\n\n', () => {
-				response.destroy();
-			});
-			return;
-		}
-
-		await endpoint.answer(response, arrival, this.#choices.between(2, 25));
+		await answerUnreliably(endpoint, arrival, response, {
+			choices: this.#choices, rejectionPercent: 5, rejectionHeaders: () => this.headers(endpoint, arrival.instance), answerMilliseconds: 60,
+		});
 	}
 
 	#note(endpoint: DeploymentEndpoint, instance: string, restMilliseconds: number): void {
@@ -170,32 +159,10 @@
 		});
 	}
 
-	async #sendAll(): Promise<void> {
-		const sent: Array<Promise<void>> = [];
-		while (performance.now() < this.#endsAt) {
-			sent.push(this.#send());
-			await delay(1000 / requestsPerSecond);
-		}
-
-		await Promise.all(sent);
-	}
-
-	async #send(): Promise<void> {
-		this.#requests++;
-		const instance = this.#anyInstance();
-		const sentAt = performance.now();
-		const answer = await this.#deployment.send(instance, {
-			path: this.#choices.oneOf(deskPaths), body: `request ${this.#requests}`, deadlineMilliseconds: 3000,
-		});
-		this.#served += answer.status === 200 && answer.isWhole ? 1 : 0;
-		if (instance.interruptedAt < sentAt - drainMilliseconds) {
-			this.#noteRefusal(answer, performance.now() - sentAt);
-		}
-	}
-
-	#noteRefusal({status, retryAfterSeconds}: CallerAnswer, milliseconds: number): void {
-		if (status === 429 || status === 503) {
-			this.#slowestRefusal = Math.max(this.#slowestRefusal, milliseconds);
+	#noteRefusal({status, retryAfterSeconds}: CallerAnswer, instance: GatewayInstance, sentAt: number): void {
+		const isSteady = (instance.interruptions.at(-1) ?? Number.NEGATIVE_INFINITY) < sentAt - drainMilliseconds;
+		if (isSteady && (status === 429 || status === 503)) {
+			this.#slowestRefusal = Math.max(this.#slowestRefusal, performance.now() - sentAt);
 			this.#refusalsWithoutRetry += retryAfterSeconds === undefined ? 1 : 0;
 		}
 	}
@@ -207,8 +174,8 @@
 			async () => {
 				this.#choices.oneOf(this.#endpoints).resetConnections(0.5);
 			},
-			async () => this.#interrupt(async instance => this.#deployment.restart(instance)),
-			async () => this.#interrupt(async instance => this.#deployment.freeze(instance, 300)),
+			async () => this.#deployment.restart(this.#anyInstance()),
+			async () => this.#deployment.freeze(this.#anyInstance(), freezeMilliseconds),
 		];
 		const running: Array<Promise<void>> = [];
 		while (performance.now() < this.#endsAt) {
@@ -224,13 +191,6 @@
 		await Promise.all(this.#deployment.dataCentres.map(async dataCentre => this.#deployment.cutStore(dataCentre, milliseconds)));
 	}
 
-	async #interrupt(disturb: (instance: GatewayInstance) => Promise<void>): Promise<void> {
-		const instance = this.#anyInstance();
-		this.#interruptions.push({instance: instance.name, at: performance.now()});
-		await disturb(instance);
-		this.#interruptions.push({instance: instance.name, at: performance.now()});
-	}
-
 	#countLate(): number {
 		if (this.#options.announcement !== 'leaving') {
 			return 0;
@@ -246,7 +206,8 @@
 	}
 
 	#wasInterrupted({instance: name, at}: Told, before: number): boolean {
-		return this.#interruptions.some(interruption => interruption.instance === name && interruption.at >= at && interruption.at <= before);
+		const instance = this.#deployment.instances.find(other => other.name === name);
+		return instance?.interruptions.some(interruption => interruption >= at && interruption <= before) ?? false;
 	}
 
 	#anyInstance(): GatewayInstance {
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -66,8 +66,8 @@
 	address: string;
 	/** When it was last killed, started, or cut off from the store, in milliseconds of `performance.now()`. */
 	disturbedAt: number;
-	/** When it was last killed, started, frozen or resumed, in milliseconds of `performance.now()`. */
-	interruptedAt: number;
+	/** When it was killed, started, frozen or resumed, in milliseconds of `performance.now()`. */
+	interruptions: number[];
 	process: StartedProcess;
 };
 
@@ -108,7 +108,7 @@
 			const name = `${dataCentre}-${number + 1}`;
 			const ip = this.addressOf(index + 1, number + 1);
 			const instance: GatewayInstance = {
-				name, dataCentre, address: `${ip}:${ports.callers}`, disturbedAt: 0, interruptedAt: 0, process: await this.#startProcess(name, dataCentre, ip),
+				name, dataCentre, address: `${ip}:${ports.callers}`, disturbedAt: 0, interruptions: [], process: await this.#startProcess(name, dataCentre, ip),
 			};
 			this.instances.push(instance);
 			await waitUntilReady(ip);
@@ -249,7 +249,7 @@
 
 function noteInterruption(instance: GatewayInstance): void {
 	instance.disturbedAt = performance.now();
-	instance.interruptedAt = instance.disturbedAt;
+	instance.interruptions.push(instance.disturbedAt);
 }
 
 async function waitUntilReady(ip: string): Promise<void> {
--- a/src/check/limited-endpoints-over-processes.ts
+++ b/src/check/limited-endpoints-over-processes.ts
@@ -13,10 +13,11 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
-import {deskDeployment, deskPaths, startDesk} from './desk-deployment.js';
+import {deskDeployment, startDesk} from './desk-deployment.js';
+import {answerUnreliably, DeskTraffic} from './desk-traffic.js';
 import {type DeploymentEndpoint, type Arrival, type EndpointScript} from './deployment-endpoint.js';
 import {
-	contactMilliseconds, deploymentWireNames as names, type GatewayDeployment, type GatewayInstance,
+	contactMilliseconds, type GatewayDeployment, type GatewayInstance,
 } from './gateway-deployment.js';
 
 export type LimitedEndpointsOptions = {
@@ -47,8 +48,8 @@
 	forgotten: string[];
 	requests: number;
 	served: number;
-	/** Permits that were logged, by who granted them. */
-	permits: Record<string, number>;
+	/** The instances that granted permits, by the term of the coordinator. */
+	grantors: Record<string, string[]>;
 };
 
 const windowMilliseconds = 4000;
@@ -94,20 +95,20 @@
 	readonly #choices: Choices;
 	readonly #conditions: Conditions;
 	readonly #deployment: GatewayDeployment;
+	readonly #traffic: DeskTraffic;
 	#endpoints: DeploymentEndpoint[] = [];
 	readonly #limits = new Map<string, Limit>();
 	readonly #arrivals: Array<Arrival & {isExcused: boolean}> = [];
 	#limitedPlaces: ReadonlySet<DeploymentEndpoint> = new Set();
 	#endsAt = 0;
 	#limitsEndAt = 0;
-	#requests = 0;
-	#served = 0;
 
 	constructor(seed: number, network: number, conditions: Partial<Conditions> = {}) {
 		this.#seed = seed;
 		this.#choices = Choices.fromSeed(hashOf(`limited endpoints ${seed}`));
 		this.#conditions = {...drawConditions(this.#choices), ...conditions};
 		this.#deployment = deskDeployment(network);
+		this.#traffic = new DeskTraffic(this.#deployment, this.#choices);
 	}
 
 	async start(): Promise<void> {
@@ -117,7 +118,7 @@
 	async play(milliseconds: number): Promise<LimitedEndpointsReport> {
 		this.#endsAt = performance.now() + milliseconds;
 		this.#limitsEndAt = this.#endsAt - freeMilliseconds;
-		const sending = this.#sendAll();
+		const sending = this.#traffic.sendUntil(this.#endsAt, this.#conditions.requestsPerSecond);
 		const disturbing = this.#disturb();
 		const freezing = this.#freezeCoordinator();
 		await delay(1000);
@@ -128,9 +129,9 @@
 			conditions: this.#conditions,
 			limited: [...this.#limits].map(([endpoint, limit]) => this.#reportOf(endpoint, limit)),
 			forgotten: this.#forgotten(),
-			requests: this.#requests,
-			served: this.#served,
-			permits: this.#permits(),
+			requests: this.#traffic.requests,
+			served: this.#traffic.served,
+			grantors: this.#grantors(),
 		};
 	}
 
@@ -144,7 +145,8 @@
 
 	arrived(arrival: Arrival): void {
 		const instance = this.#deployment.instances.find(({name}) => name === arrival.instance);
-		const isExcused = instance === undefined || performance.now() - instance.interruptedAt <= contactMilliseconds;
+		const interruptedAt = instance?.interruptions.at(-1) ?? Number.NEGATIVE_INFINITY;
+		const isExcused = instance === undefined || performance.now() - interruptedAt <= contactMilliseconds;
 		this.#arrivals.push({...arrival, isExcused});
 	}
 
@@ -161,41 +163,11 @@
 	}
 
 	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
-		const {answerMilliseconds, rejectionPercent, doRejectionsName} = this.#conditions;
-		if (this.#choices.chance(rejectionPercent)) {
-			response.writeHead(503, {[names.notExecuted]: '1', ...(doRejectionsName ? this.headers(endpoint, arrival.instance) : {})});
-			response.end();
-			return;
-		}
-
-		await delay(this.#choices.between(5, answerMilliseconds));
-		if (this.#choices.chance(5)) {
-			endpoint.begin(response, arrival);
-			response.write('id: 1\ndata: piece 1\n\n', () => {
-				response.destroy();
-			});
-			return;
-		}
-
-		await endpoint.answer(response, arrival, this.#choices.between(2, 25));
-	}
-
-	async #sendAll(): Promise<void> {
-		const sent: Array<Promise<void>> = [];
-		while (performance.now() < this.#endsAt) {
-			sent.push(this.#send());
-			await delay(1000 / this.#conditions.requestsPerSecond);
-		}
-
-		await Promise.all(sent);
-	}
-
-	async #send(): Promise<void> {
-		this.#requests++;
-		const answer = await this.#deployment.send(this.#anyInstance(), {
-			path: this.#choices.oneOf(deskPaths), body: `request ${this.#requests}`, deadlineMilliseconds: 3000,
+		await answerUnreliably(endpoint, arrival, response, {
+			...this.#conditions,
+			choices: this.#choices,
+			rejectionHeaders: () => this.#conditions.doRejectionsName ? this.headers(endpoint, arrival.instance) : {},
 		});
-		this.#served += answer.status === 200 && answer.isWhole ? 1 : 0;
 	}
 
 	async #freezeCoordinator(): Promise<void> {
@@ -254,14 +226,14 @@
 		return counts.filter(({name, count}) => this.#limits.has(name) && count < mean / 2).map(({name}) => name);
 	}
 
-	#permits(): Record<string, number> {
-		const counts: Record<string, number> = {};
-		for (const {duty} of this.#deployment.lines().filter(({kind}) => kind === 'permit-granted')) {
-			const grantor = typeof duty === 'string' ? duty : 'own-share';
-			counts[grantor] = (counts[grantor] ?? 0) + 1;
+	#grantors(): Record<string, string[]> {
+		const grantors: Record<string, string[]> = {};
+		for (const {instance, term} of this.#deployment.lines().filter(({kind}) => kind === 'permit-granted')) {
+			const key = JSON.stringify(term ?? null);
+			grantors[key] = [...new Set([...(grantors[key] ?? []), instance as string])];
 		}
 
-		return counts;
+		return grantors;
 	}
 
 	#anyInstance(): GatewayInstance {
--- a/src/check/limits-main.ts
+++ b/src/check/limits-main.ts
@@ -17,7 +17,7 @@
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runLimitedEndpoints({seed, network: Number(options.network), milliseconds: Number(options.seconds) * 1000});
 	console.log(JSON.stringify(report));
-	violations += report.limited.filter(({most, allowed}) => most > allowed).length + report.forgotten.length;
+	violations += report.limited.filter(({most, allowed}) => most > allowed).length + report.forgotten.length + Object.values(report.grantors).filter(({length}) => length > 1).length;
 }
 
 process.exitCode = violations === 0 ? 0 : 1;
--- a/src/test/process-limited-endpoints.test.ts
+++ b/src/test/process-limited-endpoints.test.ts
@@ -3,9 +3,10 @@
 import {type LimitedEndpointsOptions, runLimitedEndpoints} from '../check/limited-endpoints-over-processes.js';
 
 async function assertLimitsHold(options: Omit<LimitedEndpointsOptions, 'milliseconds'>): Promise<void> {
-	const {limited, forgotten} = await runLimitedEndpoints({...options, milliseconds: 18_000});
+	const {limited, forgotten, grantors} = await runLimitedEndpoints({...options, milliseconds: 18_000});
 	assert.ok(limited.length > 0, 'an endpoint has named a limit');
 	assert.deepEqual(limited.filter(({most, allowed}) => most > allowed), []);
+	assert.deepEqual(Object.values(grantors).filter(({length}) => length > 1), [], 'each term has one grantor');
 	assert.deepEqual(forgotten, [], 'endpoints whose limit has ended get requests again');
 }
 
