Split the connection log and the exclusive lease call off the coordinator

The last grant and whether it is uncontested were two questions whose answers had to be combined by the caller; they are one now. No behaviour changes.

--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -3,6 +3,12 @@
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 
+/**
+ * Which of the two leases: the holder of `hub` serves hints and manages the stores, that of `hub-deputy`, the standby, serves
+ * hints while the coordinator does not answer.
+ */
+export type CoordinatorRole = 'hub' | 'hub-deputy';
+
 /** Either side closes a connection on which no complete frame has arrived for this long. */
 export const idleTimeoutMilliseconds = 1200;
 
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -18,11 +18,13 @@
 import {EngineCacheWatchers} from './engine-cache-watchers.js';
 import {queryIntervalMilliseconds, type CoordinatorClient} from './coordinator-client.js';
 import {
-	engineHolder, type BlocksAnswer, type PermitQuery, type PlacementQuery,
+	engineHolder, type BlocksAnswer, type CoordinatorRole, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {isExpiredSalt, managedStores, readyEngines} from './managed-services.js';
 import {CoordinatorServer, type CoordinatorSource} from './coordinator-server.js';
 import {BlockDirectory} from './block-directory.js';
+import {ConnectionLog} from './connection-log.js';
+import {ExclusiveCall} from './exclusive-call.js';
 import {CacheStoreManagers} from './cache-store-managers.js';
 
 /** The lease is renewed when less than this is left of a grant, or less than two renewals as slow as the last one take. */
@@ -53,12 +55,6 @@
 /** Delay of the search for the standby's lease, so that the coordinator's lease is acquired first. */
 const standbyDelayMilliseconds = 1500;
 
-/**
- * Which of the two leases: the holder of `hub` serves hints and manages the stores, that of `hub-deputy`, the standby, serves
- * hints while the coordinator does not answer.
- */
-export type CoordinatorRole = 'hub' | 'hub-deputy';
-
 /** What the coordinator uses of the gateway. */
 export type CoordinatorContext = Pick<GatewayContext, 'clock' | 'configuration' | 'dataCentre' | 'endpoints' | 'log'>;
 
@@ -92,8 +88,8 @@
 	readonly #directory = new BlockDirectory();
 	#nextSearchAt = 0;
 	#lastHeldAt = Number.NEGATIVE_INFINITY;
-	#isLeaseCallInFlight = false;
-	#hadCoordinator: boolean | undefined;
+	readonly #leaseCall: ExclusiveCall;
+	readonly #connectionLog: ConnectionLog;
 	#hasResigned = false;
 	#steps = 0;
 
@@ -104,6 +100,10 @@
 		this.server = new CoordinatorServer(options.address, this, context.clock);
 		const {control} = options;
 		const {clock, log} = context;
+		this.#connectionLog = new ConnectionLog(log, this.name);
+		this.#leaseCall = new ExclusiveCall(error => {
+			log.record('fault', {child: this.name, error: String(error)});
+		});
 		const publish = (holder: string, change: BlockChanges): void => {
 			this.#directory.apply(holder, change);
 		};
@@ -159,9 +159,9 @@
 		const isActive = !this.#hasResigned;
 		this.#steps++;
 		if (isActive && this.holdsLease() && this.#mustYieldLease()) {
-			void this.#runLeaseCall(async () => election.release());
+			void this.#leaseCall.run(async () => election.release());
 		} else if (isActive && this.holdsLease() && election.remainingMilliseconds() < Math.max(renewBeforeMilliseconds, election.renewBeforeMilliseconds)) {
-			void this.#runLeaseCall(async () => election.acquireOrRenew([], this.#stores.epochs()));
+			void this.#leaseCall.run(async () => election.acquireOrRenew([], this.#stores.epochs()));
 		}
 
 		this.#updateServing();
@@ -170,10 +170,10 @@
 		}
 
 		const hasCoordinator = client.isConnected && !client.isLapsed;
-		this.#logConnection(hasCoordinator);
+		this.#connectionLog.note(hasCoordinator, client);
 		if (isActive && !hasCoordinator && this.#now() >= this.#nextSearchAt) {
 			this.#nextSearchAt = this.#now() + (client.isConnected ? lapsedSearchIntervalMilliseconds : dialTimeoutMilliseconds);
-			void this.#runLeaseCall(async () => this.#search());
+			void this.#leaseCall.run(async () => this.#search());
 		}
 	}
 
@@ -222,7 +222,7 @@
 	/** Permits end with the time in which no other instance can hold the lease, since the next holder grants them from then on. */
 	permitTerm(): number | undefined {
 		const {election} = this.#options;
-		return !this.isStandby && !this.#hasResigned && election.isUncontested ? election.lastGrant?.row.fencingNumber : undefined;
+		return this.isStandby || this.#hasResigned ? undefined : election.uncontestedGrant?.row.fencingNumber;
 	}
 
 	recordPermit(instance: string, term: number, {incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery): void {
@@ -231,36 +231,6 @@
 		});
 	}
 
-	#logConnection(hasCoordinator: boolean): void {
-		if (hasCoordinator === this.#hadCoordinator) {
-			return;
-		}
-
-		const {client} = this.#options;
-		if (this.#hadCoordinator !== undefined || hasCoordinator) {
-			this.#context.log.record(hasCoordinator ? 'dependency-regained' : 'dependency-lost', {
-				dependency: this.name, address: client.address, isLapsed: client.isLapsed,
-			});
-		}
-
-		this.#hadCoordinator = hasCoordinator;
-	}
-
-	async #runLeaseCall(call: () => Promise<void>): Promise<void> {
-		if (this.#isLeaseCallInFlight) {
-			return;
-		}
-
-		this.#isLeaseCallInFlight = true;
-		try {
-			await call();
-		} catch (error) {
-			this.#context.log.record('fault', {child: this.name, error: String(error)});
-		} finally {
-			this.#isLeaseCallInFlight = false;
-		}
-	}
-
 	/** Reads the lease row: acquires the lease if it is free, otherwise dials its holder. */
 	async #search(): Promise<void> {
 		const {election, client, instance, address} = this.#options;
--- a/src/gateway/leadership/leader-election.ts
+++ b/src/gateway/leadership/leader-election.ts
@@ -58,14 +58,14 @@
 		return this.remainingMilliseconds() > 0 ? this.#grant : undefined;
 	}
 
-	/** The last grant, which may have ended; absent once another instance may hold the lease or this one has released it. */
-	get lastGrant(): LeaseGrant | undefined {
-		return this.#grant;
+	/** The last grant while no other instance can hold the lease yet, which is for a while after the grant has ended. */
+	get uncontestedGrant(): LeaseGrant | undefined {
+		return this.#grant !== undefined && isUncontested(this.#grant, this.#options.leaseMilliseconds, this.#dependencies.clock.moment()) ? this.#grant : undefined;
 	}
 
-	/** Whether no other instance can hold the lease yet; stays true for a while after this instance's grant has ended. */
+	/** Whether no other instance can hold the lease yet. */
 	get isUncontested(): boolean {
-		return this.#grant !== undefined && isUncontested(this.#grant, this.#options.leaseMilliseconds, this.#dependencies.clock.moment());
+		return this.uncontestedGrant !== undefined;
 	}
 
 	/** The row as it was last read or written. */
