Read a date in Retry-After in the entry's clients as well

What callers of savorygauge-entry would see: an engine that rejected with an HTTP date, or with a text that is no time, gave a refusal with a retry time that is no number; a date of the weight store was taken for its default of a second. The gateway reads both since, by a function of its own.

Change: that function stands in shared/ and all three use it. Seconds are read as before; a zero now counts as no stated time, as it did at the weight store.

--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -11,6 +11,7 @@
 	type CacheEvent, type EngineCall, type EngineEvent, type EngineFailure, type EngineOrder, type LoadReport,
 	type ModelEngine, type OrderFailure,
 } from '../ports/model-engine.js';
+import {parseRetryAfter} from '../shared/parse-retry-after.js';
 import {type JsonValue} from '../shared/types.js';
 import {CompletionStreamReader} from './completion-stream.js';
 import {discardBody} from './discard-body.js';
@@ -39,7 +40,7 @@
 			if (answer.statusCode !== 200) {
 				// The status and the headers decide; a stalled body must not delay the attempt at another engine.
 				void discardBody(answer.body);
-				yield Left(classifyRejection(answer.statusCode, answer.headers));
+				yield Left(classifyRejection(answer.statusCode, answer.headers, Date.now()));
 				return;
 			}
 
@@ -149,17 +150,16 @@
 	};
 }
 
-function classifyRejection(status: number, headers: IncomingHttpHeaders): EngineFailure {
+/** `wallMilliseconds` is the present time of day, from which a date in `Retry-After` is counted. */
+function classifyRejection(status: number, headers: IncomingHttpHeaders, wallMilliseconds: number): EngineFailure {
 	if (status === 409) {
 		return {kind: 'version-swapped', weightVersion: String(headers['x-weight-version'] ?? '')};
 	}
 
-	const retryAfter = headers['retry-after'];
-	return retryAfter === undefined
-		? {kind: 'refused', status, detail: ''}
-		: {
-			kind: 'refused', status, detail: '', retryAfterMilliseconds: Number(retryAfter) * 1000,
-		};
+	const retryAfterMilliseconds = parseRetryAfter(headers['retry-after'], wallMilliseconds);
+	return {
+		kind: 'refused', status, detail: '', ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+	};
 }
 
 /**
--- a/src/adapters/http-weight-store.ts
+++ b/src/adapters/http-weight-store.ts
@@ -3,6 +3,7 @@
 import {
 	type StoredWeights, type WeightStore, type WeightStoreFailure, type WeightStoreLoad,
 } from '../ports/weight-store.js';
+import {parseRetryAfter} from '../shared/parse-retry-after.js';
 import {connectionPool, describeError} from './http-client.js';
 import {readWholeJson} from './whole-body.js';
 
@@ -37,8 +38,9 @@
 
 			await answer.body.dump();
 			if (answer.statusCode === 429) {
-				const seconds = Number(answer.headers['retry-after']);
-				return Left({kind: 'rate-limited', retryAfterMilliseconds: seconds > 0 ? seconds * 1000 : defaultRetryMilliseconds});
+				const retryAfter = answer.headers['retry-after'];
+				const retryAfterMilliseconds = parseRetryAfter(Array.isArray(retryAfter) ? retryAfter[0] : retryAfter, Date.now());
+				return Left({kind: 'rate-limited', retryAfterMilliseconds: retryAfterMilliseconds ?? defaultRetryMilliseconds});
 			}
 
 			return Left({kind: 'unavailable', detail: `status ${answer.statusCode}`});
--- a/src/gateway/data-path/note-announcements.ts
+++ b/src/gateway/data-path/note-announcements.ts
@@ -5,8 +5,8 @@
 import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {parseRetryAfter} from '../../shared/parse-retry-after.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {parseRetryAfter} from './parse-retry-after.js';
 
 /** An answer and the attempt that it belongs to. */
 export type ReceivedAnswer = {
@@ -52,7 +52,7 @@
 	}
 
 	const retryAfter = answer.header('retry-after');
-	const milliseconds = retryAfter === undefined ? undefined : parseRetryAfter(retryAfter, now.wall);
+	const milliseconds = parseRetryAfter(retryAfter, now.wall);
 	if (milliseconds !== undefined) {
 		const spread = Math.min(maxRestSpreadMilliseconds, spreadRetry(milliseconds, attemptId) - milliseconds);
 		rests.request(incarnation, milliseconds + spread, now.steady);
