Record event loop lags, links and the table's availability in the timeline

The trace of the listed configuration check tells when a change was in force, and not why it was late: an entry without a processor looks like one that waits for a timer of its own. No behaviour changes.

--- a/src/check/configuration-over-processes.ts
+++ b/src/check/configuration-over-processes.ts
@@ -11,12 +11,25 @@
 import {Deployment} from '../demo/deployment.js';
 import {acceptProposal, readHead} from '../protocol/configuration/configuration-table.js';
 import {seededRandom} from '../peer/random/seeded-random.js';
+import {EventLoopLag, usedProcessorMilliseconds} from '../serving/event-loop-lag.js';
 import {CuttableLink} from './cuttable-link.js';
 
 const pollIntervalMilliseconds = 20;
 const timeoutMilliseconds = 15_000;
 const boundMilliseconds = 3000;
-const tracedKinds = ['process-started', 'configuration-in-force', 'instance-seen', 'instance-gone', 'child-restarted'];
+const minReportedLagMilliseconds = 200;
+const tracedKinds = [
+	'process-started',
+	'configuration-in-force',
+	'instance-seen',
+	'instance-gone',
+	'child-restarted',
+	'event-loop-late',
+	'link-opened',
+	'link-closed',
+	'table-available',
+	'table-unavailable',
+];
 
 /** A change, and what happened until it was in force on every entry. */
 export type ChangeTrace = {
@@ -48,8 +61,10 @@
 	wentBack: number;
 	slowestMilliseconds: number;
 	traces: ChangeTrace[];
-	/** The timeline's events of configuration changes and memberships, as the entries themselves recorded them. */
+	/** The timeline's events of configuration changes, memberships, links, lags and the table, as the entries recorded them. */
 	events: string[];
+	/** The lags of this check's own event loop, through which the entries reach the table. */
+	ownLags: Array<{at: string; lagMilliseconds: number; processorMilliseconds: number}>;
 };
 
 /** Thrown when a run ends early. Its message carries the trace up to there. */
@@ -103,7 +118,7 @@
 	readonly #table: HttpTableService;
 	readonly #highest = new Map<string, number>();
 	readonly #report: ConfigurationReport = {
-		restarts: 0, cuts: 0, mends: 0, changes: 0, late: 0, wentBack: 0, slowestMilliseconds: 0, traces: [], events: [],
+		restarts: 0, cuts: 0, mends: 0, changes: 0, late: 0, wentBack: 0, slowestMilliseconds: 0, traces: [], events: [], ownLags: [],
 	};
 
 	constructor(deployment: Deployment, links: ReadonlyMap<string, CuttableLink>, random: () => number) {
@@ -114,6 +129,12 @@
 	}
 
 	async run(faults: number): Promise<ConfigurationReport> {
+		const ownLag = new EventLoopLag(() => performance.now(), (lagMilliseconds, processorMilliseconds) => {
+			if (lagMilliseconds >= minReportedLagMilliseconds) {
+				this.#report.ownLags.push({at: new Date().toISOString(), lagMilliseconds: Math.round(lagMilliseconds), processorMilliseconds: Math.round(processorMilliseconds)});
+			}
+		}, usedProcessorMilliseconds);
+		ownLag.start();
 		try {
 			await this.#acceptChange('none');
 			for (let count = 0; count < faults; count++) {
@@ -121,6 +142,8 @@
 			}
 		} catch (error) {
 			throw new ConfigurationRunError(`${String(error)}${formatRun(this.#reportWithEvents())}`, {cause: error});
+		} finally {
+			ownLag.stop();
 		}
 
 		return this.#reportWithEvents();
@@ -217,8 +240,9 @@
 /**
  * Formats a run for the message of a failed check.
  *
- * @returns One line for each change, and one for each event.
+ * @returns One line for each change, each lag of the check, and each event.
  */
-export function formatRun({traces, events}: Pick<ConfigurationReport, 'traces' | 'events'>): string {
-	return ['', 'Changes and events of the run:', ...traces.map(trace => JSON.stringify(trace)), ...events].join('\n');
+export function formatRun({traces, events, ownLags}: Pick<ConfigurationReport, 'traces' | 'events' | 'ownLags'>): string {
+	const lines = [...traces, ...ownLags].map(item => JSON.stringify(item));
+	return ['', 'Changes, lags of the check and events of the run:', ...lines, ...events].join('\n');
 }
--- a/src/check/configuration-scenario.ts
+++ b/src/check/configuration-scenario.ts
@@ -95,6 +95,11 @@
 					// The watcher warns of changes that it drops; the check does not read its log.
 				},
 			},
+			timeline: {
+				record() {
+					// The check reads the configuration itself.
+				},
+			},
 		}, {isReader: true, random: () => 0});
 		void this.#watch(simulation, instance, watcher);
 	}
--- a/src/check/processes-main.ts
+++ b/src/check/processes-main.ts
@@ -16,10 +16,10 @@
 const report = await runBookings({bookings: Number(options.bookings), seed: Number(options.seed)});
 console.log(JSON.stringify(report));
 const {duplicateRuns, falseNotRun, crossedAnswers, answeredButNotRun, withoutFinalWord} = report;
-const {traces, events, ...configuration} = await runConfigurationChanges({faults: Number(options.changes), seed: Number(options.seed)});
+const {traces, events, ownLags, ...configuration} = await runConfigurationChanges({faults: Number(options.changes), seed: Number(options.seed)});
 console.log(JSON.stringify(configuration));
 if (configuration.late + configuration.wentBack > 0) {
-	console.log(formatRun({traces, events}));
+	console.log(formatRun({traces, events, ownLags}));
 }
 
 const violations = duplicateRuns + falseNotRun + crossedAnswers + answeredButNotRun + withoutFinalWord + configuration.late + configuration.wentBack;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -17,7 +17,7 @@
 import {StatsdMetrics} from '../observability/metrics.js';
 import {TimelineSender} from '../observability/timeline-sender.js';
 import {Supervisor} from '../supervisor/supervisor.js';
-import {EventLoopLag} from '../serving/event-loop-lag.js';
+import {EventLoopLag, usedProcessorMilliseconds} from '../serving/event-loop-lag.js';
 import {HttpListener} from '../serving/http-listener.js';
 import {CapacityUpdater} from './capacity-updater.js';
 import {AdmissionGate} from './callers/admission-gate.js';
@@ -66,11 +66,11 @@
 	readonly #reader: CacheEventReader;
 	readonly #stop = new AbortController();
 	readonly #timeline: TimelineSender;
-	readonly #eventLoopLag = new EventLoopLag(() => performance.now(), lagMilliseconds => {
+	readonly #eventLoopLag = new EventLoopLag(() => performance.now(), (lagMilliseconds, processorMilliseconds) => {
 		if (lagMilliseconds >= minLoggedLagMilliseconds) {
-			this.#context.logger.warn('the event loop is late', {milliseconds: Math.round(lagMilliseconds)});
+			this.#reportLag(Math.round(lagMilliseconds), Math.round(processorMilliseconds));
 		}
-	});
+	}, usedProcessorMilliseconds);
 
 	constructor(settings: EntrySettings) {
 		const identity = {program: 'savorygauge-entry', instance: settings.instance, dataCentre: settings.dataCentre};
@@ -143,6 +143,12 @@
 		this.#context.metrics.close();
 	}
 
+	#reportLag(milliseconds: number, processorMilliseconds: number): void {
+		const {clock, logger} = this.#context;
+		logger.warn('the event loop is late', {milliseconds, processorMilliseconds});
+		this.#timeline.record({kind: 'event-loop-late', at: clock.now(), detail: `${milliseconds} ms, with ${processorMilliseconds} ms of processor time`});
+	}
+
 	#tree(gate: AdmissionGate): Supervisor {
 		const {clock, logger, metrics} = this.#context;
 		const report: ConstructorParameters<typeof Supervisor>[0]['report'] = event => {
--- a/src/entry/peers/entry-peers.ts
+++ b/src/entry/peers/entry-peers.ts
@@ -70,8 +70,12 @@
 					}
 				},
 			},
+			onLinkOpened(peer) {
+				timeline.record({kind: 'link-opened', at: clock.now(), detail: peer});
+			},
 			onLinkClosed(peer, reason) {
 				logger.debug('a peer link ended', {peer, reason});
+				timeline.record({kind: 'link-closed', at: clock.now(), detail: `${peer} ${reason}`});
 			},
 		});
 		context.endpoints.expectOnly(name => this.service.node.loadGossip.expects(name, this.service.node.overlay.cell));
--- a/src/entry/watchers/configuration-watcher.ts
+++ b/src/entry/watchers/configuration-watcher.ts
@@ -3,8 +3,10 @@
  * the table service for changes after their version, and peers forward the changes. The other instances poll it at long
  * intervals, in case their peers forward nothing new.
  */
+import {type Either} from 'purify-ts/Either';
 import {PollSchedule} from '../../peer/configuration/poll-schedule.js';
 import {readChangesAfter, maxChangesPerRead} from '../../protocol/configuration/configuration-table.js';
+import {type TableFailure} from '../../ports/table-service.js';
 import {type ConfigurationChange} from '../../shared/types.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type EntryContext} from '../entry-context.js';
@@ -13,7 +15,7 @@
 const checkIntervalMilliseconds = 50;
 
 /** The part of an entry that the watcher uses. */
-export type ConfigurationWatcherContext = Pick<EntryContext, 'clock' | 'table' | 'configuration'> & {
+export type ConfigurationWatcherContext = Pick<EntryContext, 'clock' | 'table' | 'configuration' | 'timeline'> & {
 	settings: Pick<EntryContext['settings'], 'configurationPollMilliseconds'>;
 	logger: {warn(message: string, detail: Record<string, unknown>): unknown};
 };
@@ -25,6 +27,7 @@
 	readonly name = 'configuration-watcher';
 	readonly #context: ConfigurationWatcherContext;
 	readonly #peers: ConfigurationReaders;
+	#isTableAvailable: boolean | undefined;
 
 	constructor(context: ConfigurationWatcherContext, peers: ConfigurationReaders) {
 		this.#context = context;
@@ -54,6 +57,7 @@
 		for (;;) {
 			const {version} = configuration.state;
 			const changes = await readChangesAfter(table, version);
+			this.#noteTable(changes);
 			if (changes.isLeft()) {
 				configuration.startGate.tableFailed(configuration.state.version, clock.now());
 				return false;
@@ -72,6 +76,22 @@
 		}
 	}
 
+	/** Records when the table service stops to answer, and when it answers again. */
+	#noteTable(answer: Either<TableFailure, unknown>): void {
+		const isAvailable = answer.isRight();
+		if (isAvailable === this.#isTableAvailable) {
+			return;
+		}
+
+		this.#isTableAvailable = isAvailable;
+		const {timeline, clock} = this.#context;
+		answer.ifLeft(failure => {
+			timeline.record({kind: 'table-unavailable', at: clock.now(), detail: 'detail' in failure ? failure.detail : failure.kind});
+		}).ifRight(() => {
+			timeline.record({kind: 'table-available', at: clock.now()});
+		});
+	}
+
 	#offer(changes: readonly ConfigurationChange[]): void {
 		const {configuration, logger} = this.#context;
 		for (const change of changes) {
--- a/src/peer/link/peer-service.ts
+++ b/src/peer/link/peer-service.ts
@@ -50,6 +50,7 @@
 	/** Addresses to dial while there is no link, for a start without the platform's list. */
 	seeds?: readonly string[];
 	versions?: VersionRange;
+	onLinkOpened?(peer: string): void;
 	onLinkClosed?(peer: string, reason: string): void;
 };
 
@@ -170,6 +171,7 @@
 
 		this.#links.set(peer.name, link);
 		this.#dials.delete(peer.name);
+		this.#options.onLinkOpened?.(peer.name);
 		this.#send(this.node.linkUp(peer, this.#options.clock.now()));
 	}
 
--- a/src/serving/event-loop-lag.ts
+++ b/src/serving/event-loop-lag.ts
@@ -5,31 +5,45 @@
  * callers may have disconnected since, but the close of a connection is read only after the request before it. The lag shows
  * a request handler whether to poll the sockets first.
  */
+import process from 'node:process';
+
 const tickMilliseconds = 100;
 /** Data that waited during a lag is read within this time after it: connections are accepted first, then read. */
 const rememberedMilliseconds = 1000;
 
+/** Returns the milliseconds of processor time that this process has used. */
+export function usedProcessorMilliseconds(): number {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / 1000;
+}
+
 export class EventLoopLag {
 	readonly #now: () => number;
-	readonly #report: (lagMilliseconds: number) => void;
+	readonly #report: (lagMilliseconds: number, processorMilliseconds: number) => void;
+	readonly #processorTime: () => number;
 	#tickedAt: number;
+	#processorTimeAtTick = 0;
 	/** The remembered lags, the latest last. One that a later and longer lag follows is dropped. */
 	#lags: Array<{lag: number; at: number}> = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	/**
 	 * @param now - Returns milliseconds of a steady clock.
-	 * @param report - Called with the lag of each tick.
+	 * @param report - Called with the lag of each tick, and the processor time that the process used since the tick before. A
+	 *   lag with little processor time shows that the process was paused, or that others used the processor.
+	 * @param processorTime - Returns the milliseconds of processor time that the process has used.
 	 */
-	constructor(now: () => number, report: (lagMilliseconds: number) => void) {
+	constructor(now: () => number, report: (lagMilliseconds: number, processorMilliseconds: number) => void, processorTime = (): number => 0) {
 		this.#now = now;
 		this.#report = report;
+		this.#processorTime = processorTime;
 		this.#tickedAt = now();
 	}
 
 	/** Starts to measure; the timer does not keep the process alive. */
 	start(): void {
 		this.#tickedAt = this.#now();
+		this.#processorTimeAtTick = this.#processorTime();
 		this.#timer = setInterval(() => {
 			this.#tick(this.#now());
 		}, tickMilliseconds).unref();
@@ -60,7 +74,10 @@
 		this.#tickedAt = now;
 		this.#lags = this.#lags.filter(former => now - former.at <= rememberedMilliseconds && former.lag > lag);
 		this.#lags.push({lag, at: now});
-		this.#report(lag);
+		const processorTime = this.#processorTime();
+		const processorMilliseconds = processorTime - this.#processorTimeAtTick;
+		this.#processorTimeAtTick = processorTime;
+		this.#report(lag, processorMilliseconds);
 	}
 
 	#lateness(now: number): number {
