Log requests that are written late to their endpoints

The log did not tell which of these it was: a deadline that is not checked, a connection that was opened before a lag of the event loop and written to behind it, a close that lies unread in the socket, or a request that was read late. The new line has the time left, the time since the endpoint was chosen, the lag, and whether the connection is new.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -5,7 +5,7 @@
 import {isRetryable, type AttemptOutcome} from '../../decision/attempts/next-step.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type AnswerTransfer} from './answer-transfer.js';
+import {type AnswerTransfer, type ConnectionUse} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {isForwardableHead} from './is-forwardable-head.js';
@@ -36,6 +36,9 @@
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 };
 
+/** A request that is written this long after its endpoint was chosen, or after such a lag of the event loop, is late. */
+const minLateMilliseconds = 200;
+
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
 
 export class EndpointAttempt {
@@ -82,6 +85,9 @@
 			body,
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
+			onWrite: connection => {
+				this.#reportLateWrite(connection);
+			},
 		});
 		this.#watch.start(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
@@ -221,6 +227,19 @@
 		};
 	}
 
+	/** Logs a request that is written late: its caller may have left without that having been read. */
+	#reportLateWrite(connection: ConnectionUse): void {
+		const {log, eventLoopLag} = this.#context;
+		const {head, deadline} = this.#work;
+		const now = this.#now();
+		const [leftMilliseconds, openedMilliseconds, lagMilliseconds] = [deadline - now, now - this.#sentAt, eventLoopLag.current].map(value => Math.round(value));
+		if (leftMilliseconds! <= 0 || Math.max(openedMilliseconds!, lagMilliseconds!) >= minLateMilliseconds) {
+			log.record('late-write', {
+				id: head.attemptId, endpoint: this.#target.endpoint.name, connection, leftMilliseconds, openedMilliseconds, lagMilliseconds,
+			});
+		}
+	}
+
 	#updateRegistry(answer: EndpointAnswer, isServed: boolean): void {
 		const {names, endpoints} = this.#context;
 		const {endpoint} = this.#target;
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -24,6 +24,8 @@
 	attemptId: string;
 	/** The header in which the answer echoes the id, in lower case. */
 	attemptIdHeader: string;
+	/** Called when there is a connection and the request is written to it. */
+	onWrite?(connection: ConnectionUse): void;
 };
 
 /**
@@ -143,6 +145,7 @@
 				});
 				if (!socket.connecting) {
 					isConnected = true;
+					call.onWrite?.('kept');
 					return;
 				}
 
@@ -159,6 +162,7 @@
 				socket.once('connect', () => {
 					isConnected = true;
 					clearTimeout(timer);
+					call.onWrite?.('new');
 				});
 				socket.once('close', () => {
 					clearTimeout(timer);
