Write to a new connection only while its caller is still there

Cause: the caller's close is looked for before an endpoint is chosen. A request that needs a new connection is written when the connection is ready, and a process that was paused or behind in between handles that before it reads the close in the caller's socket. Where all processes had restarted there are only new connections. Fix: the request is held until the connection is there, and the same check is made again; what is dropped there was not sent, so it counts neither against the endpoint nor against the retry budget.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -4,6 +4,7 @@
  */
 import {isRetryable, type AttemptOutcome} from '../../decision/attempts/next-step.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
+import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type AnswerTransfer, type ConnectionUse} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
@@ -48,6 +49,7 @@
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
 	#isCancelled = false;
+	#hasCallerLeft = false;
 	#sentAt = 0;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
@@ -85,6 +87,7 @@
 			body,
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
+			isStillWanted: async () => this.#isStillWanted(),
 			onWrite: connection => {
 				this.#reportLateWrite(connection);
 			},
@@ -116,7 +119,9 @@
 			const {kind, connection, detail} = answered.extract();
 			const wasSent = kind === 'unknown';
 			return {
-				outcome: kind, wasSent, mayHaveRun: wasSent, isConnectionLost: wasSent && !this.#isAborted, transfer: {connection}, detail: this.#detailOf(detail),
+				outcome: this.#hasCallerLeft ? 'client-left' : kind,
+				wasSent,
+				mayHaveRun: wasSent, isConnectionLost: wasSent && !this.#isAborted, transfer: {connection}, detail: this.#detailOf(detail),
 			};
 		}
 
@@ -227,6 +232,12 @@
 		};
 	}
 
+	/** Checks, before the first byte is written, whether the caller has disconnected while the connection was opened. */
+	async #isStillWanted(): Promise<boolean> {
+		this.#hasCallerLeft = await hasCallerDisconnected(this.#work.response.req, this.#context.eventLoopLag.current);
+		return !this.#hasCallerLeft;
+	}
+
 	/** Logs a request that is written late: its caller may have left without that having been read. */
 	#reportLateWrite(connection: ConnectionUse): void {
 		const {log, eventLoopLag} = this.#context;
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -24,14 +24,16 @@
 	attemptId: string;
 	/** The header in which the answer echoes the id, in lower case. */
 	attemptIdHeader: string;
-	/** Called when there is a connection and the request is written to it. */
+	/** Asked once a new connection has been established; if the request is not wanted any more, it is not written. */
+	isStillWanted?(): Promise<boolean>;
+	/** Called when the request is written to its connection. */
 	onWrite?(connection: ConnectionUse): void;
 };
 
 /**
  * How a call failed before the head of an answer arrived.
  *
- * - `not-sent`: no connection was established, so no byte was sent.
+ * - `not-sent`: no byte was sent, since no connection was established or the request was not wanted any more.
  * - `unknown`: the request was sent and may have run.
  */
 export type ExchangeFailure = {
@@ -109,7 +111,6 @@
 		};
 
 		const answer = this.#awaitAnswer(outgoing, call, {noteEnd, connectionEnd: () => connectionEnd});
-		outgoing.end(call.body.length === 0 ? undefined : call.body);
 		return {
 			answer,
 			cancel() {
@@ -130,8 +131,14 @@
 	}
 
 	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall, {noteEnd, connectionEnd}: ConnectionNotes): Promise<Either<ExchangeFailure, EndpointAnswer>> {
-		let isConnected = false;
-		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: isConnected ? 'unknown' : 'not-sent', connection: connectionUseOf(outgoing), detail});
+		let isWritten = false;
+		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: isWritten ? 'unknown' : 'not-sent', connection: connectionUseOf(outgoing), detail});
+		const write = (connection: ConnectionUse): void => {
+			isWritten = true;
+			call.onWrite?.(connection);
+			outgoing.end(call.body.length === 0 ? undefined : call.body);
+		};
+
 		return new Promise(resolve => {
 			outgoing.once('socket', socket => {
 				const noteSocketEnd = (): void => {
@@ -144,11 +151,12 @@
 					socket.off('end', noteSocketEnd);
 				});
 				if (!socket.connecting) {
-					isConnected = true;
-					call.onWrite?.('kept');
+					write('kept');
 					return;
 				}
 
+				let isConnected = false;
+
 				// After a pause of this process the timer and the `connect` event are due together, and timers run first. The
 				// event is handled before the timeout counts, or every endpoint would look unreachable after each pause.
 				const timer = setTimeout(() => {
@@ -162,7 +170,7 @@
 				socket.once('connect', () => {
 					isConnected = true;
 					clearTimeout(timer);
-					call.onWrite?.('new');
+					void writeIfWanted(outgoing, call, write);
 				});
 				socket.once('close', () => {
 					clearTimeout(timer);
@@ -199,6 +207,20 @@
 	}
 }
 
+/** Writes a request to its new connection, which took a while to open, unless the request is not wanted any more. */
+async function writeIfWanted(outgoing: ClientRequest, call: EndpointCall, write: (connection: ConnectionUse) => void): Promise<void> {
+	const isWanted = await call.isStillWanted?.() ?? true;
+	if (outgoing.destroyed) {
+		return;
+	}
+
+	if (isWanted) {
+		write('new');
+	} else {
+		outgoing.destroy();
+	}
+}
+
 /** Drains a body; closes its connection if the body exceeds the time limit or `discardBytes`. */
 function discardBody(body: IncomingMessage, outgoing: ClientRequest, withinMilliseconds: number): void {
 	if (body.destroyed) {
--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -6,6 +6,7 @@
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {systemClock} from '../../adapters/system-clock.js';
+import {waitUntil} from '../../test/wait-until.js';
 import {changeOf} from '../../bench/bench-changes.js';
 import {VirtualConfiguration} from '../../bench/virtual-peers.js';
 import {encodeFrame, frameLimitBytes} from '../framing/frame-codec.js';
@@ -16,8 +17,6 @@
 import {PeerService} from './peer-service.js';
 
 const sharedSecret = 'secret of the test';
-const stepMilliseconds = 10;
-const limitMilliseconds = 10_000;
 
 class RunningPeer {
 	readonly configuration = new VirtualConfiguration(() => Date.now());
@@ -61,14 +60,6 @@
 	}
 }
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-	const end = Date.now() + limitMilliseconds;
-	while (!holds()) {
-		assert.ok(Date.now() < end, 'timed out while waiting for a condition');
-		await systemClock.sleep(stepMilliseconds, new AbortController().signal);
-	}
-}
-
 /** Connects as the peer `b` and sends its hello and proof; reads nothing after that. */
 async function connectAsPeer(one: RunningPeer): Promise<Socket> {
 	const socket = connect({host: '127.0.0.1', port: Number(one.address.split(':')[1])});
--- a/src/test/separate-callers.ts
+++ b/src/test/separate-callers.ts
@@ -5,15 +5,20 @@
 /** One request on its own connection; a caller with `leaves` closes the connection right after sending. */
 export type SeparateCall = {bytes: string; leaves: boolean};
 
+/** All requests are sent together; those with `leaves` may also be kept open until `leave` is called. */
+type SeparateCallerOptions = {leavesWhenTold?: boolean};
+
 /** Connected callers. */
 export type SeparateCallers = {
 	/** Makes all callers send their requests. */
 	send(): void;
+	/** Makes the callers with `leaves` close their connections, if they were told to wait for that. */
+	leave(): void;
 	stop(): Promise<unknown>;
 };
 
 const workerSource = `
-	const {parentPort, workerData: {port, calls}} = require('node:worker_threads');
+	const {parentPort, workerData: {port, calls, leavesWhenTold}} = require('node:worker_threads');
 	const {connect} = require('node:net');
 	const sockets = calls.map(() => connect(port, '127.0.0.1').on('error', () => {}).resume());
 	let open = 0;
@@ -29,22 +34,31 @@
 	parentPort.once('message', () => {
 		for (const [index, socket] of sockets.entries()) {
 			socket.write(calls[index].bytes, () => {
-				if (calls[index].leaves) {
+				if (calls[index].leaves && !leavesWhenTold) {
 					socket.destroy();
 				}
 			});
 		}
+
+		parentPort.once('message', () => {
+			for (const socket of sockets.filter((_, index) => calls[index].leaves)) {
+				socket.destroy();
+			}
+		});
 	});
 `;
 
 /** Connects callers to `IP:port`. */
-export async function connectCallers(address: string, calls: readonly SeparateCall[]): Promise<SeparateCallers> {
-	const worker = new Worker(workerSource, {eval: true, workerData: {port: Number(address.split(':')[1]), calls}});
+export async function connectCallers(address: string, calls: readonly SeparateCall[], {leavesWhenTold = false}: SeparateCallerOptions = {}): Promise<SeparateCallers> {
+	const worker = new Worker(workerSource, {eval: true, workerData: {port: Number(address.split(':')[1]), calls, leavesWhenTold}});
 	await once(worker, 'message');
 	return {
 		send() {
 			worker.postMessage('send');
 		},
+		leave() {
+			worker.postMessage('leave');
+		},
 		stop: async () => worker.terminate(),
 	};
 }
