Look for a closed caller again after a search that waited

What callers saw: nothing; endpoints worked for callers that had left. Cause: after the search for an endpoint, which may wait for a permit or for the coordinator, only callers that were known to have closed one side were looked for. A process that was paused in that wait read the permit before the close. The check after the search had no test.

--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -11,7 +11,6 @@
 import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {abortAnswer} from '../../serving/abort-answer.js';
-import {HalfClosedCaller} from '../../serving/half-closed-caller.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {CrashScreen} from './crash-screen.js';
@@ -126,13 +125,14 @@
 				return early;
 			}
 
+			const searchedAt = this.#now();
 			const found = await this.#search.find();
 			if (found.kind === 'refused') {
 				return this.#failureResponder.fail(found.refusal, this.#mayHaveRun);
 			}
 
 			// The search may have waited for other instances.
-			const end = this.#earlyEnd() ?? await this.#attemptUnlessDisconnected(found);
+			const end = this.#earlyEnd() ?? await this.#attemptUnlessDisconnected(found, this.#now() - searchedAt);
 			if (end !== undefined) {
 				return end;
 			}
@@ -148,11 +148,12 @@
 		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#mayHaveRun) : undefined;
 	}
 
-	async #attemptUnlessDisconnected(found: FoundEndpoint): Promise<RequestOutcome | undefined> {
-		const {request} = this.#work;
-		return HalfClosedCaller.of(request.socket) !== undefined && await hasCallerDisconnected(request, 0)
-			? 'client-left'
-			: this.#attempt(found);
+	async #attemptUnlessDisconnected(found: FoundEndpoint, searchMilliseconds: number): Promise<RequestOutcome | undefined> {
+		if (await hasCallerDisconnected(this.#work.request, searchMilliseconds)) {
+			return 'client-left';
+		}
+
+		return this.#earlyEnd() ?? this.#attempt(found);
 	}
 
 	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -28,7 +28,7 @@
 	placement: PlacementPolicy;
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
-	limits: EndpointLimits;
+	limits: Pick<EndpointLimits, 'note' | 'maySend'>;
 	rests: EndpointRests;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
