Let a restarted entry dial peers that cannot know its new address

What callers saw: a change of the configuration could be late at an entry that had just been restarted, and was cut off from the table or lost one poll: without links no peer tells it of changes. Cause: of two peers the one with the smaller name dials, and the other waits for 1.5 s. After a restart the peers know only the address of the former process, so an entry whose name is larger than all others had no link for that time. The new test, in which b is restarted and only its clock passes 300 ms, was red before. Fix: a peer that this process has not been linked to yet is dialled after 150 ms.

--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -6,6 +6,8 @@
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {systemClock} from '../../adapters/system-clock.js';
+import {type Clock} from '../../ports/clock.js';
+import {ManualClock} from '../../test/manual-clock.js';
 import {waitUntil} from '../../test/wait-until.js';
 import {changeOf} from '../../bench/bench-changes.js';
 import {VirtualConfiguration} from '../../bench/virtual-peers.js';
@@ -16,8 +18,11 @@
 import {helloTimeoutMilliseconds} from './peer-link.js';
 import {PeerService} from './peer-service.js';
 
+const stepMilliseconds = 10;
 const sharedSecret = 'secret of the test';
 
+type PeerOptions = {versions?: VersionRange; seeds?: string[]; secret?: string; clock?: Clock};
+
 class RunningPeer {
 	readonly configuration = new VirtualConfiguration(() => Date.now());
 	readonly closed: string[] = [];
@@ -26,9 +31,9 @@
 	readonly #stop = new AbortController();
 	#ended: Promise<void> = Promise.resolve();
 
-	constructor(readonly name: string, versions: VersionRange = supportedVersions, seeds: string[] = [], secret = sharedSecret) {
+	constructor(readonly name: string, {versions = supportedVersions, seeds = [], secret = sharedSecret, clock = systemClock}: PeerOptions = {}) {
 		this.service = new PeerService({
-			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock: systemClock, secret, versions, seeds,
+			instance: name, dataCentre: 'split', listenAddress: '127.0.0.1:0', clock, secret, versions, seeds,
 			configuration: this.configuration, random: seededRandom(7), fanoutMode: 'announce',
 			listener: {
 				loadsReceived: () => undefined,
@@ -82,9 +87,28 @@
 	}
 }
 
+test('a restarted peer links to peers that know only its former address before a change must be in force', async t => {
+	// Guards against a restarted peer that waits to be dialled: until it has links, changes do not reach it without the table.
+	const first = new RunningPeer('a');
+	const second = new RunningPeer('b');
+	await startTogether([first, second]);
+	await waitUntil(() => second.service.linked.length === 1);
+	await second.stop();
+	const clock = new ManualClock(Date.now());
+	const again = await new RunningPeer('b', {clock}).start();
+	t.after(async () => Promise.all([first.stop(), again.stop()]));
+	again.service.applyList([first.listed(), again.listed()]);
+	for (let passed = 0; passed < 300; passed += 100) {
+		clock.advance(100);
+		await pause(stepMilliseconds);
+	}
+
+	await waitUntil(() => first.service.linked.length === 1 && again.service.linked.length === 1);
+});
+
 test('two releases side by side use the older protocol version and exchange a change', async () => {
-	const old = new RunningPeer('a', {least: 1, newest: 1});
-	const later = new RunningPeer('b', {least: 1, newest: 2});
+	const old = new RunningPeer('a', {versions: {least: 1, newest: 1}});
+	const later = new RunningPeer('b', {versions: {least: 1, newest: 2}});
 	await startTogether([old, later]);
 	await waitUntil(() => old.service.linked.length === 1 && later.service.linked.length === 1);
 	const change = changeOf(old.configuration.state, 1);
@@ -96,8 +120,8 @@
 
 test('releases without a common protocol version do not link', async () => {
 	// Neither may misinterpret the other's messages. Each goes on separately and reads changes from the table.
-	const old = new RunningPeer('a', {least: 1, newest: 1});
-	const later = new RunningPeer('b', {least: 2, newest: 3});
+	const old = new RunningPeer('a', {versions: {least: 1, newest: 1}});
+	const later = new RunningPeer('b', {versions: {least: 2, newest: 3}});
 	await startTogether([old, later]);
 	await waitUntil(() => old.service.counts.messagesIn > 1 && later.service.counts.messagesIn > 0);
 	assert.deepEqual([old.service.linked, later.service.linked], [[], []]);
@@ -170,7 +194,7 @@
 
 test('a process that does not know the shared secret gets no link', async () => {
 	// It could otherwise bring its own configuration into force at all instances.
-	const [first, stranger] = [new RunningPeer('a'), new RunningPeer('b', supportedVersions, [], 'another secret')];
+	const [first, stranger] = [new RunningPeer('a'), new RunningPeer('b', {secret: 'another secret'})];
 	await startTogether([first, stranger]);
 	await waitUntil(() => first.service.counts.messagesIn > 1 && stranger.service.counts.messagesIn > 1);
 	assert.deepEqual([first.service.linked, stranger.service.linked], [[], []]);
@@ -198,7 +222,7 @@
 	const change = changeOf(first.configuration.state, 1);
 	first.configuration.offerChange(change);
 	first.service.announceChange(change);
-	const late = await new RunningPeer('c', supportedVersions, [first.address]).start();
+	const late = await new RunningPeer('c', {seeds: [first.address]}).start();
 	await waitUntil(() => late.configuration.state.version === 1 && late.service.linked.length === 2);
 	await Promise.all([first.stop(), second.stop(), late.stop()]);
 });
--- a/src/peer/link/peer-service.ts
+++ b/src/peer/link/peer-service.ts
@@ -26,6 +26,11 @@
 
 /** The peer with the smaller name dials. If it has not done so after this time, it may not know the other, which dials too. */
 const dialAnywayMilliseconds = 1500;
+/**
+ * The same for a peer that this process has not been linked to yet: after a restart the peers know only the address of the
+ * former process. The delay leaves peers that start together time for one link instead of two.
+ */
+const dialUnlinkedMilliseconds = 150;
 
 /** How long this side keeps a dialled link that it no longer wants, because views differ for a while after each change. */
 const unwantedLinkMilliseconds = 10_000;
@@ -69,6 +74,8 @@
 	readonly #links = new Map<string, PeerLink>();
 	readonly #open = new Set<PeerLink>();
 	readonly #dials = new Map<string, DialState>();
+	/** Names of the peers that this process has had a link with. */
+	readonly #formerlyLinked = new Set<string>();
 	readonly #seedDials = new Map<string, DialState>();
 	readonly #lastReceived = new Map<string, {received: number; at: number}>();
 	readonly #unwantedSince = new Map<string, number>();
@@ -170,6 +177,7 @@
 		}
 
 		this.#links.set(peer.name, link);
+		this.#formerlyLinked.add(peer.name);
 		this.#dials.delete(peer.name);
 		this.#options.onLinkOpened?.(peer.name);
 		this.#send(this.node.linkUp(peer, this.#options.clock.now()));
@@ -256,7 +264,8 @@
 				failures: 0, notBefore: now, wantedSince: now, isOpen: false,
 			};
 			this.#dials.set(name, dial);
-			const isDialler = this.#options.instance < name || now - dial.wantedSince > dialAnywayMilliseconds;
+			const dialsAfterMilliseconds = this.#formerlyLinked.has(name) ? dialAnywayMilliseconds : dialUnlinkedMilliseconds;
+			const isDialler = this.#options.instance < name || now - dial.wantedSince > dialsAfterMilliseconds;
 			if (isDialler && !dial.isOpen && now >= dial.notBefore) {
 				this.#dial(peerAddress, dial);
 			}
