Poll the table again at the usual interval after a single lost poll

What callers saw: a change could be in force later than 3 s at an entry that had no links to peers, such as one that had just been restarted, when one of its polls got no answer. Cause: up to 500 ms until the poll, 1,500 ms until it times out, and then a doubled interval of up to 1,000 ms: 3 s without the time of the answer. Fix: the intervals grow from the second failure in a row on. A table that is down is asked at most once more by each reader.

--- a/src/peer/configuration/poll-schedule.ts
+++ b/src/peer/configuration/poll-schedule.ts
@@ -48,7 +48,8 @@
 			return nonReaderIntervalMilliseconds * (1 - nonReaderJitter + (2 * nonReaderJitter * this.#randomNumber));
 		}
 
-		const backoff = this.#readerIntervalMilliseconds * (2 ** Math.min(this.#failures, 10));
+		// The intervals grow from the second failure on: a single poll that times out must not delay a change beyond 3 s.
+		const backoff = this.#readerIntervalMilliseconds * (2 ** Math.min(Math.max(0, this.#failures - 1), 10));
 		return Math.min(Math.max(maxReaderIntervalMilliseconds, this.#readerIntervalMilliseconds), backoff) * (1 - (jitter * this.#randomNumber));
 	}
 }
