End processes that are not ready yet with their group

The start failed, the group was stopped, and a stand-in that became ready after that went on and kept the check's process alive. Cause: the group stopped only the processes that were ready. Fix: a process belongs to its group from its start, and a stopped group starts none.

--- a/src/demo/process-group.ts
+++ b/src/demo/process-group.ts
@@ -29,6 +29,9 @@
 
 export class ProcessGroup {
 	readonly #started: StartedProcess[] = [];
+	/** All running children, also those that are not ready yet. */
+	readonly #children = new Set<ChildProcess>();
+	#isStopped = false;
 
 	/** The number of started processes. */
 	get size(): number {
@@ -41,17 +44,24 @@
 	 * @param program - Its path below the build folder, for example `entry/main.js`.
 	 * @param options - Its arguments, and environment variables in addition to the inherited ones.
 	 * @returns The process.
+	 * @throws `ProcessStartError` if it is not ready in time, or the group is stopped before.
 	 */
 	async start(program: string, options: {arguments: readonly string[]; environment?: Record<string, string>}): Promise<StartedProcess> {
+		if (this.#isStopped) {
+			throw new ProcessStartError(`${program} was not started: the group is stopped`);
+		}
+
 		const path = fileURLToPath(new URL(`../${program}`, import.meta.url));
 		const child = spawn(process.execPath, [path, ...options.arguments], {
 			stdio: ['ignore', 'pipe', 'inherit'], env: {...process.env, ...options.environment},
 		});
+		this.#children.add(child);
 		const reader = createInterface({input: child.stdout});
 		const lines: string[] = [];
 		const timeout = AbortSignal.timeout(readyTimeoutMilliseconds);
 		const ended = new AbortController();
 		child.once('exit', () => {
+			this.#children.delete(child);
 			ended.abort();
 		});
 		try {
@@ -70,7 +80,8 @@
 
 	/** Stops all processes, and kills those that do not exit in time. */
 	async stop(): Promise<void> {
-		await Promise.all(this.#started.map(async ({child}) => stopChild(child)));
+		this.#isStopped = true;
+		await Promise.all([...this.#children].map(async child => stopChild(child)));
 	}
 }
 
