--- a/src/check/configuration-over-processes.ts
+++ b/src/check/configuration-over-processes.ts
@@ -11,7 +11,7 @@
 import {Deployment} from '../demo/deployment.js';
 import {acceptProposal, readHead} from '../protocol/configuration/configuration-table.js';
 import {seededRandom} from '../peer/random/seeded-random.js';
-import {EventLoopLag, usedProcessorMilliseconds} from '../serving/event-loop-lag.js';
+import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {CuttableLink} from './cuttable-link.js';
 
 const pollIntervalMilliseconds = 20;
@@ -133,7 +133,7 @@
 			if (lagMilliseconds >= minReportedLagMilliseconds) {
 				this.#report.ownLags.push({at: new Date().toISOString(), lagMilliseconds: Math.round(lagMilliseconds), processorMilliseconds: Math.round(processorMilliseconds)});
 			}
-		}, usedProcessorMilliseconds);
+		});
 		ownLag.start();
 		try {
 			await this.#acceptChange('none');
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -17,7 +17,7 @@
 import {StatsdMetrics} from '../observability/metrics.js';
 import {TimelineSender} from '../observability/timeline-sender.js';
 import {Supervisor} from '../supervisor/supervisor.js';
-import {EventLoopLag, usedProcessorMilliseconds} from '../serving/event-loop-lag.js';
+import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {HttpListener} from '../serving/http-listener.js';
 import {CapacityUpdater} from './capacity-updater.js';
 import {AdmissionGate} from './callers/admission-gate.js';
@@ -70,7 +70,7 @@
 		if (lagMilliseconds >= minLoggedLagMilliseconds) {
 			this.#reportLag(Math.round(lagMilliseconds), Math.round(processorMilliseconds));
 		}
-	}, usedProcessorMilliseconds);
+	});
 
 	constructor(settings: EntrySettings) {
 		const identity = {program: 'savorygauge-entry', instance: settings.instance, dataCentre: settings.dataCentre};
--- a/src/entry/watchers/configuration-watcher.test.ts
+++ b/src/entry/watchers/configuration-watcher.test.ts
@@ -25,6 +25,7 @@
 	const changeRow = {
 		table: 'configuration', key: 'change', revision: 1, value: changeOf(emptyConfiguration, 1),
 	};
+	const events: string[] = [];
 	let polls = 0;
 	const table: Pick<TableService, 'scan'> = {
 		async scan() {
@@ -44,7 +45,9 @@
 			warn: () => undefined,
 		},
 		timeline: {
-			record: () => undefined,
+			record({kind}) {
+				events.push(kind);
+			},
 		},
 	}, {isReader: true, random: () => 0});
 	void watcher.run(stop.signal);
@@ -55,4 +58,5 @@
 
 	await nextTurn();
 	assert.equal(configuration.state.version, 1);
+	assert.deepEqual(events, ['table-available', 'table-unavailable', 'table-available']);
 });
--- a/src/gateway/data-path/disconnect-before-accept.test.ts
+++ b/src/gateway/data-path/disconnect-before-accept.test.ts
@@ -1,34 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type RouteKind} from '../../shared/routed-configuration.js';
-import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
 import {blockEventLoop, connectCallers} from '../../test/separate-callers.js';
 import {waitUntil} from '../../test/wait-until.js';
-import {testConfiguration, testRoute} from '../testing/test-configuration.js';
-import {answerSealed, TestGateway} from '../testing/test-gateway.js';
-import {ownWireNames as names} from './wire-names.js';
+import {
+	openEndpointConnection, requestBytes, routeKinds, startRecordingGateway,
+} from '../testing/leaving-callers.js';
 
 const connections = 30;
 /** Short enough to count as no lag. */
 const turnMilliseconds = 10;
 
-function requestBytes(id: string): string {
-	return rawRequest({
-		method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: id, [names.deadline]: '10000'}, body: 'x',
-	});
-}
-
-for (const kind of ['idempotent', 'non-idempotent', 'stream', 'resumable-stream'] satisfies RouteKind[]) {
+for (const kind of routeKinds) {
 	test(`a request whose caller disconnected before its connection was accepted is not forwarded (${kind})`, async () => {
 		// Guards against work for callers that left while the process was slow: it accepts one connection in each turn of its loop.
-		const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
-		const seen: string[] = [];
-		await gateway.addEndpoint((incoming, response) => {
-			seen.push(String(incoming.headers[names.attemptId]));
-			answerSealed(incoming, response);
-		}, {slots: connections});
-		// Leaves a connection to the endpoint that the next request uses at once.
-		await exchangeRaw(gateway.address, requestBytes('first').replace('host:', 'connection: close\r\nhost:'));
+		const {gateway, seen} = await startRecordingGateway(kind);
+		await openEndpointConnection(gateway);
 		let isSlow = true;
 		const slowDown = (): void => {
 			blockEventLoop(turnMilliseconds);
--- a/src/gateway/data-path/disconnect-before-write.test.ts
+++ b/src/gateway/data-path/disconnect-before-write.test.ts
@@ -2,31 +2,17 @@
 import process from 'node:process';
 import {test} from 'node:test';
 import {type RouteKind} from '../../shared/routed-configuration.js';
-import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
 import {blockEventLoop, connectCallers} from '../../test/separate-callers.js';
 import {waitUntil} from '../../test/wait-until.js';
-import {testConfiguration, testRoute} from '../testing/test-configuration.js';
-import {answerSealed, TestGateway} from '../testing/test-gateway.js';
-import {ownWireNames as names} from './wire-names.js';
+import {
+	openEndpointConnection, requestBytes, routeKinds, startRecordingGateway,
+} from '../testing/leaving-callers.js';
 
 const stallMilliseconds = 600;
 
-const kinds: readonly RouteKind[] = ['idempotent', 'non-idempotent', 'stream', 'resumable-stream'];
-
-function requestBytes(id: string): string {
-	return rawRequest({
-		method: 'POST', path: '/', headers: {host: 'quay.example', [names.attemptId]: id, [names.deadline]: '10000'}, body: 'x',
-	});
-}
-
 /** A gateway with one endpoint, and two callers: one that leaves when it is told to, and one that stays. */
 async function startCallers(kind: RouteKind) {
-	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind})]})).start();
-	const seen: string[] = [];
-	await gateway.addEndpoint((incoming, response) => {
-		seen.push(String(incoming.headers[names.attemptId]));
-		answerSealed(incoming, response);
-	}, {slots: 4});
+	const {gateway, seen} = await startRecordingGateway(kind);
 	const calls = ['leaves', 'stays'].map(id => ({bytes: requestBytes(id), leaves: id === 'leaves'}));
 	const callers = await connectCallers(gateway.address, calls, {leavesWhenTold: true});
 	const endedIds = (): unknown[] => gateway.lines.filter(({kind: line}) => line === 'request-served' || line === 'request-ended').map(({id}) => id);
@@ -35,8 +21,8 @@
 	};
 }
 
-for (const kind of kinds) {
-	test(`a request whose caller disconnected while a connection was opened for it is not written (${kind})`, async () => {
+for (const kind of routeKinds) {
+	test(`a request whose caller disconnected while a connection was opened for it is not written (${kind})`, async t => {
 		// Guards against work for callers that disconnected during a pause: the new connection is ready before the close is read.
 		const {gateway, callers, seen, hasEnded} = await startCallers(kind);
 		const {exchanges} = gateway.context;
@@ -52,19 +38,21 @@
 				return exchange;
 			},
 		};
+		const observe = t.mock.method(gateway.context.placement, 'observe');
 		callers.send();
 		await waitUntil(() => hasEnded('leaves') && hasEnded('stays'));
 		await callers.stop();
 		await gateway.close();
 		assert.deepEqual(seen, ['stays']);
+		const endings = observe.mock.calls.map(({arguments: [event]}) => event.kind === 'ended' ? event.outcome : undefined).filter(Boolean);
+		assert.deepEqual(new Set(endings), new Set(['cancelled', 'whole']), 'the endpoint is not blamed');
 		assert.ok(gateway.lines.some(({id, outcome}) => id === 'leaves' && outcome === 'client-left'));
 	});
 
 	test(`a request whose caller disconnected while a permit was asked for it is not written (${kind})`, async () => {
 		// Guards against work for callers that disconnected during a pause: the permit is read before the close.
 		const {gateway, callers, seen, hasEnded} = await startCallers(kind);
-		// Leaves a connection to the endpoint that the next request uses at once.
-		await exchangeRaw(gateway.address, requestBytes('first').replace('host:', 'connection: close\r\nhost:'));
+		await openEndpointConnection(gateway);
 		let asked = 0;
 		gateway.context.limits = {
 			note() {
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -6,10 +6,11 @@
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type AnswerTransfer, type ConnectionUse} from './answer-transfer.js';
+import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {isForwardableHead} from './is-forwardable-head.js';
+import {logLateWrite} from './log-late-write.js';
 import {noteAnnouncements} from './note-announcements.js';
 import {planBlockTransfers} from './plan-block-transfers.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
@@ -37,9 +38,6 @@
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 };
 
-/** A request that is written this long after its endpoint was chosen, or after such a lag of the event loop, is late. */
-const minLateMilliseconds = 200;
-
 const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
 
 export class EndpointAttempt {
@@ -49,7 +47,6 @@
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
 	#isCancelled = false;
-	#hasCallerLeft = false;
 	#sentAt = 0;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
@@ -62,7 +59,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -87,9 +84,17 @@
 			body,
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
-			isStillWanted: async () => this.#isStillWanted(),
+			isStillWanted: async () => !await hasCallerDisconnected(this.#work.response.req, eventLoopLag.current),
 			onWrite: connection => {
-				this.#reportLateWrite(connection);
+				const now = this.#now();
+				logLateWrite(log, {
+					id: head.attemptId,
+					endpoint: endpoint.name,
+					connection,
+					leftMilliseconds: deadline - now,
+					openedMilliseconds: now - this.#sentAt,
+					lagMilliseconds: eventLoopLag.current,
+				});
 			},
 		});
 		this.#watch.start(this.#exchange);
@@ -118,10 +123,9 @@
 		if (answered.isLeft()) {
 			const {kind, connection, detail} = answered.extract();
 			const wasSent = kind === 'unknown';
+			const outcome = kind === 'not-wanted' ? 'client-left' : kind;
 			return {
-				outcome: this.#hasCallerLeft ? 'client-left' : kind,
-				wasSent,
-				mayHaveRun: wasSent, isConnectionLost: wasSent && !this.#isAborted, transfer: {connection}, detail: this.#detailOf(detail),
+				outcome, wasSent, mayHaveRun: wasSent, isConnectionLost: wasSent && !this.#isAborted, transfer: {connection}, detail: this.#detailOf(detail),
 			};
 		}
 
@@ -232,25 +236,6 @@
 		};
 	}
 
-	/** Checks, before the first byte is written, whether the caller has disconnected while the connection was opened. */
-	async #isStillWanted(): Promise<boolean> {
-		this.#hasCallerLeft = await hasCallerDisconnected(this.#work.response.req, this.#context.eventLoopLag.current);
-		return !this.#hasCallerLeft;
-	}
-
-	/** Logs a request that is written late: its caller may have left without that having been read. */
-	#reportLateWrite(connection: ConnectionUse): void {
-		const {log, eventLoopLag} = this.#context;
-		const {head, deadline} = this.#work;
-		const now = this.#now();
-		const [leftMilliseconds, openedMilliseconds, lagMilliseconds] = [deadline - now, now - this.#sentAt, eventLoopLag.current].map(value => Math.round(value));
-		if (leftMilliseconds! <= 0 || Math.max(openedMilliseconds!, lagMilliseconds!) >= minLateMilliseconds) {
-			log.record('late-write', {
-				id: head.attemptId, endpoint: this.#target.endpoint.name, connection, leftMilliseconds, openedMilliseconds, lagMilliseconds,
-			});
-		}
-	}
-
 	#updateRegistry(answer: EndpointAnswer, isServed: boolean): void {
 		const {names, endpoints} = this.#context;
 		const {endpoint} = this.#target;
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -33,11 +33,12 @@
 /**
  * How a call failed before the head of an answer arrived.
  *
- * - `not-sent`: no byte was sent, since no connection was established or the request was not wanted any more.
+ * - `not-sent`: no connection was established, so no byte was sent.
+ * - `not-wanted`: no byte was sent, since the request was not wanted any more once there was a connection.
  * - `unknown`: the request was sent and may have run.
  */
 export type ExchangeFailure = {
-	kind: 'not-sent' | 'unknown';
+	kind: 'not-sent' | 'not-wanted' | 'unknown';
 	connection: ConnectionUse;
 	detail: string;
 };
@@ -131,14 +132,28 @@
 	}
 
 	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall, {noteEnd, connectionEnd}: ConnectionNotes): Promise<Either<ExchangeFailure, EndpointAnswer>> {
-		let isWritten = false;
-		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: isWritten ? 'unknown' : 'not-sent', connection: connectionUseOf(outgoing), detail});
+		let failureKind: ExchangeFailure['kind'] = 'not-sent';
+		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: failureKind, connection: connectionUseOf(outgoing), detail});
 		const write = (connection: ConnectionUse): void => {
-			isWritten = true;
+			failureKind = 'unknown';
 			call.onWrite?.(connection);
 			outgoing.end(call.body.length === 0 ? undefined : call.body);
 		};
 
+		const writeIfWanted = async (): Promise<void> => {
+			const isWanted = await call.isStillWanted?.() ?? true;
+			if (outgoing.destroyed) {
+				return;
+			}
+
+			if (isWanted) {
+				write('new');
+			} else {
+				failureKind = 'not-wanted';
+				outgoing.destroy();
+			}
+		};
+
 		return new Promise(resolve => {
 			outgoing.once('socket', socket => {
 				const noteSocketEnd = (): void => {
@@ -155,22 +170,19 @@
 					return;
 				}
 
-				let isConnected = false;
-
 				// After a pause of this process the timer and the `connect` event are due together, and timers run first. The
 				// event is handled before the timeout counts, or every endpoint would look unreachable after each pause.
 				const timer = setTimeout(() => {
 					setImmediate(() => {
-						if (!isConnected) {
+						if (socket.connecting) {
 							outgoing.destroy(new Error(`no connection within ${connectMilliseconds} ms`));
 						}
 					});
 				}, connectMilliseconds);
 				socket.setNoDelay(true);
 				socket.once('connect', () => {
-					isConnected = true;
 					clearTimeout(timer);
-					void writeIfWanted(outgoing, call, write);
+					void writeIfWanted();
 				});
 				socket.once('close', () => {
 					clearTimeout(timer);
@@ -207,20 +219,6 @@
 	}
 }
 
-/** Writes a request to its new connection, which took a while to open, unless the request is not wanted any more. */
-async function writeIfWanted(outgoing: ClientRequest, call: EndpointCall, write: (connection: ConnectionUse) => void): Promise<void> {
-	const isWanted = await call.isStillWanted?.() ?? true;
-	if (outgoing.destroyed) {
-		return;
-	}
-
-	if (isWanted) {
-		write('new');
-	} else {
-		outgoing.destroy();
-	}
-}
-
 /** Drains a body; closes its connection if the body exceeds the time limit or `discardBytes`. */
 function discardBody(body: IncomingMessage, outgoing: ClientRequest, withinMilliseconds: number): void {
 	if (body.destroyed) {
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -2,13 +2,10 @@
  * Carries one routed request from its placement to its end: chooses an endpoint, sends the request, relays the answer and,
  * after a failed attempt, retries, resumes, refuses or fails the request. `src/decision` decides these steps.
  */
-import {type Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	decideNextStep, type NextStep, type AttemptOutcome,
 } from '../../decision/attempts/next-step.js';
 import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
-import {type Moment} from '../../ports/moment-clock.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {abortAnswer} from '../../serving/abort-answer.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
@@ -19,24 +16,14 @@
 import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
 import {logFailedAttempt} from './log-failed-attempt.js';
-import {type PermittedRequest} from './validate-request.js';
 import {relayFailure} from './relay-failure.js';
 import {reportEnd, type RequestOutcome} from './report-end.js';
 import {FailureResponder} from './failure-responder.js';
-import {type RequestHead} from './request-head.js';
-
-/** A permitted request with its body, and the response to write. */
-export type RoutedWork = {
-	head: RequestHead;
-	permitted: PermittedRequest;
-	body: Buffer;
-	arrivedAt: Moment;
-	request: IncomingMessage;
-	response: ServerResponse;
-};
+import {type RoutedWork} from './routed-work.js';
 
 /** `Retry-After` of a request that every endpoint rejected: a queue of short requests drains in this time. */
 const rejectedRetryMilliseconds = 500;
+
 export class RoutedRequest {
 	readonly #context: GatewayContext;
 	readonly #work: RoutedWork;
@@ -132,7 +119,11 @@
 			}
 
 			// The search may have waited for other instances.
-			const end = this.#earlyEnd() ?? await this.#attemptUnlessDisconnected(found, this.#now() - searchedAt);
+			if (await hasCallerDisconnected(this.#work.request, this.#now() - searchedAt)) {
+				return 'client-left';
+			}
+
+			const end = this.#earlyEnd() ?? await this.#attempt(found);
 			if (end !== undefined) {
 				return end;
 			}
@@ -148,14 +139,6 @@
 		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#mayHaveRun) : undefined;
 	}
 
-	async #attemptUnlessDisconnected(found: FoundEndpoint, searchMilliseconds: number): Promise<RequestOutcome | undefined> {
-		if (await hasCallerDisconnected(this.#work.request, searchMilliseconds)) {
-			return 'client-left';
-		}
-
-		return this.#earlyEnd() ?? this.#attempt(found);
-	}
-
 	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
 	async #attempt({request, placement}: FoundEndpoint): Promise<RequestOutcome | undefined> {
 		const result = await this.#send(request, placement);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -98,8 +98,8 @@
 		const coordinatorView = new CoordinatorView();
 		this.#placement = new CostPlacement(settings.dataCentre, endpoint => coordinatorView.peerLoadAt(endpoint, clock.moment()));
 		const log = new DecisionLog(process.stdout, {instance: settings.instance}, () => clock.moment().wall);
-		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, lagMilliseconds => {
-			reportLag({log, metrics}, lagMilliseconds);
+		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, (lagMilliseconds, processorMilliseconds) => {
+			reportLag({log, metrics}, lagMilliseconds, processorMilliseconds);
 		});
 		const shared = {
 			dataCentre: settings.dataCentre,
--- a/src/gateway/observability/report-lag.ts
+++ b/src/gateway/observability/report-lag.ts
@@ -4,9 +4,9 @@
 const loggedMilliseconds = 200;
 
 /** Counts the time by which the event loop ran a timer late, and logs it if it is long. */
-export function reportLag({log, metrics}: Pick<GatewayContext, 'log' | 'metrics'>, lagMilliseconds: number): void {
+export function reportLag({log, metrics}: Pick<GatewayContext, 'log' | 'metrics'>, lagMilliseconds: number, processorMilliseconds: number): void {
 	metrics.eventLoopLate.inc(lagMilliseconds / 1000);
 	if (lagMilliseconds >= loggedMilliseconds) {
-		log.record('event-loop-late', {milliseconds: Math.round(lagMilliseconds)});
+		log.record('event-loop-late', {milliseconds: Math.round(lagMilliseconds), processorMilliseconds: Math.round(processorMilliseconds)});
 	}
 }
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -56,8 +56,8 @@
 			write: (line: string) => this.lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
 		};
 		const log = new DecisionLog(output, {}, Date.now);
-		this.#eventLoopLag = new EventLoopLag(() => systemMomentClock.moment().steady, lagMilliseconds => {
-			reportLag({log, metrics}, lagMilliseconds);
+		this.#eventLoopLag = new EventLoopLag(() => systemMomentClock.moment().steady, (lagMilliseconds, processorMilliseconds) => {
+			reportLag({log, metrics}, lagMilliseconds, processorMilliseconds);
 		});
 		const endpoints = new EndpointRegistry();
 		const permits = new PermitGrants();
--- a/src/peer/link/peer-service.test.ts
+++ b/src/peer/link/peer-service.test.ts
@@ -25,6 +25,7 @@
 
 class RunningPeer {
 	readonly configuration = new VirtualConfiguration(() => Date.now());
+	readonly opened: string[] = [];
 	readonly closed: string[] = [];
 	readonly service: PeerService;
 	address = '';
@@ -41,6 +42,9 @@
 				memberChanged: () => undefined,
 				ownershipChanged: () => undefined,
 			},
+			onLinkOpened: peer => {
+				this.opened.push(peer);
+			},
 			onLinkClosed: (_peer, reason) => {
 				this.closed.push(reason);
 			},
@@ -104,6 +108,7 @@
 	}
 
 	await waitUntil(() => first.service.linked.length === 1 && again.service.linked.length === 1);
+	assert.deepEqual(again.opened, ['a']);
 });
 
 test('two releases side by side use the older protocol version and exchange a change', async () => {
--- a/src/serving/event-loop-lag.test.ts
+++ b/src/serving/event-loop-lag.test.ts
@@ -58,3 +58,23 @@
 	assert.equal(lag.at(now), 300);
 	lag.stop();
 });
+
+test('a lag is reported with the processor time that the process used in it', t => {
+	// Guards against a paused process that looks like one that was computing.
+	t.mock.timers.enable({apis: ['setInterval']});
+	let now = 0;
+	let processorTime = 50;
+	const reports: Array<[lag: number, processor: number]> = [];
+	const lag = new EventLoopLag(() => now, (...report) => {
+		reports.push(report);
+	}, () => processorTime);
+	lag.start();
+	now += 700;
+	processorTime += 20;
+	t.mock.timers.tick(100);
+	now += 700;
+	processorTime += 550;
+	t.mock.timers.tick(100);
+	lag.stop();
+	assert.deepEqual(reports, [[600, 20], [600, 550]]);
+});
--- a/src/serving/event-loop-lag.ts
+++ b/src/serving/event-loop-lag.ts
@@ -12,7 +12,7 @@
 const rememberedMilliseconds = 1000;
 
 /** Returns the milliseconds of processor time that this process has used. */
-export function usedProcessorMilliseconds(): number {
+function usedProcessorMilliseconds(): number {
 	const {user, system} = process.cpuUsage();
 	return (user + system) / 1000;
 }
@@ -33,7 +33,7 @@
 	 *   lag with little processor time shows that the process was paused, or that others used the processor.
 	 * @param processorTime - Returns the milliseconds of processor time that the process has used.
 	 */
-	constructor(now: () => number, report: (lagMilliseconds: number, processorMilliseconds: number) => void, processorTime = (): number => 0) {
+	constructor(now: () => number, report: (lagMilliseconds: number, processorMilliseconds: number) => void, processorTime = usedProcessorMilliseconds) {
 		this.#now = now;
 		this.#report = report;
 		this.#processorTime = processorTime;
