Log how many endpoints an instance cannot reach

Nothing said that an instance reached no endpoint at all: it had to be read from dozens of failed attempts, and its crash verdicts said the opposite, that each endpoint had crashed. One line and one gauge tell the unreachable endpoints beside all listed ones, so an instance that is cut off can be told from endpoints that failed.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -123,8 +123,12 @@
 		}
 	}
 
+	unreachable(): EndpointRecord[] {
+		return [...this.#unreachable.values()].filter(endpoint => this.#state.trackerOf(endpoint).isUnreachable);
+	}
+
 	dueProbes(now: number): EndpointRecord[] {
-		return [...this.#unreachable.values()].filter(endpoint => this.#state.trackerOf(endpoint).isProbeDue(now));
+		return this.unreachable().filter(endpoint => this.#state.trackerOf(endpoint).isProbeDue(now));
 	}
 
 	noteProbe(endpoint: EndpointRecord, isReached: boolean, now: number): void {
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -84,6 +84,8 @@
 	isUnresponsive(endpoint: EndpointRecord, now: number): boolean;
 	/** Time since the last byte from an endpoint to any instance, in milliseconds. */
 	idleMilliseconds(endpoint: EndpointRecord, now: number): number;
+	/** Endpoints that could not be reached, and have not been reached since. */
+	unreachable(): EndpointRecord[];
 	/** Unreachable endpoints that are due for a connection attempt. */
 	dueProbes(now: number): EndpointRecord[];
 	/** Records the outcome of a connection attempt. */
--- a/src/gateway/endpoints/endpoint-prober.ts
+++ b/src/gateway/endpoints/endpoint-prober.ts
@@ -11,12 +11,16 @@
 /** Interval between two checks for due probes. */
 const checkIntervalMilliseconds = 200;
 
+type ProberContext = Pick<GatewayContext, 'clock' | 'placement' | 'endpoints' | 'log' | 'metrics'>;
+
 export class EndpointProber implements Child {
 	readonly name = 'endpoint-prober';
-	readonly #context: Pick<GatewayContext, 'clock' | 'placement'>;
+	readonly #context: ProberContext;
 	readonly #inFlight = new Set<string>();
+	/** Number of unreachable endpoints that was logged last. */
+	#reported = 0;
 
-	constructor(context: Pick<GatewayContext, 'clock' | 'placement'>) {
+	constructor(context: ProberContext) {
 		this.#context = context;
 	}
 
@@ -30,6 +34,7 @@
 				}
 			}
 
+			this.#report();
 			await clock.sleep(checkIntervalMilliseconds, signal);
 		}
 	}
@@ -39,4 +44,17 @@
 		this.#inFlight.delete(endpoint.name);
 		this.#context.placement.noteProbe(endpoint, isReached, this.#context.clock.moment().steady);
 	}
+
+	/** Logs how many of the listed endpoints are unreachable: an instance that reaches none is cut off, whatever each failed attempt says. */
+	#report(): void {
+		const {placement, endpoints, log, metrics} = this.#context;
+		const listed = endpoints.all();
+		const names = new Set(placement.unreachable().map(({name}) => name));
+		const unreachable = listed.filter(({name}) => names.has(name)).length;
+		if (unreachable !== this.#reported) {
+			this.#reported = unreachable;
+			metrics.unreachableEndpoints.set(unreachable);
+			log.record('endpoints-unreachable', {unreachable, listed: listed.length});
+		}
+	}
 }
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -57,6 +57,10 @@
 		name: 'savorygauge_permits_total', help: 'Requests for endpoints that had named a limit, by whether they were let through.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
+	readonly unreachableEndpoints = new Gauge({
+		name: 'savorygauge_unreachable_endpoints', help: 'Listed endpoints that this instance cannot reach.', registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
 	});
