--- a/src/check/desk-deployment.ts
+++ b/src/check/desk-deployment.ts
@@ -13,9 +13,15 @@
 /** The paths of its routes: a stream that is sent once, one that may be resumed, and an idempotent call. */
 export const deskPaths = ['/once/', '/resumable/', '/lookup/'] as const;
 
-/** Returns the deployment, which is not started yet. `network` is the second byte of its loopback addresses. */
-export function deskDeployment(network: number): GatewayDeployment {
+/**
+ * Returns the deployment, which is not started yet.
+ *
+ * @param network - Second byte of its loopback addresses.
+ * @param environmentOf - Environment variables of an instance's process.
+ */
+export function deskDeployment(network: number, environmentOf: (instance: string) => Record<string, string> = () => ({})): GatewayDeployment {
 	return new GatewayDeployment({
+		environmentOf,
 		network,
 		dataCentres,
 		instancesPerDataCentre,
--- /dev/null
+++ b/src/check/endpoint-link.ts
@@ -0,0 +1,84 @@
+/**
+ * A TCP relay between one instance and one endpoint, in the process of the check. What happens to new connections of a
+ * partitioned instance is decided in that instance (`redirect-endpoint-dials.ts`); here only open connections are affected.
+ */
+import {once} from 'node:events';
+import {
+	type AddressInfo, connect, createServer, type Server, type Socket,
+} from 'node:net';
+
+/**
+ * The links between one instance and all endpoints.
+ *
+ * - `open`: they work.
+ * - `reset`: open connections are reset, and new ones are refused.
+ * - `hang`: open connections carry no more bytes, and new ones are never established.
+ * - `refuse`: open connections go on, and new ones are refused.
+ */
+export type LinkState = 'open' | 'reset' | 'hang' | 'refuse';
+
+export class EndpointLink {
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+	readonly #target: {host: string; port: number};
+	#isSilent = false;
+
+	/** @param target - `IP:port` of the endpoint. */
+	constructor(target: string) {
+		const separator = target.lastIndexOf(':');
+		this.#target = {host: target.slice(0, separator), port: Number(target.slice(separator + 1))};
+		this.#server = createServer({allowHalfOpen: true}, socket => {
+			this.#relay(socket);
+		});
+	}
+
+	/** Starts to listen on a free port. Returns `IP:port`. */
+	async listen(): Promise<string> {
+		this.#server.listen(0, '127.0.0.1');
+		await once(this.#server, 'listening');
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Applies a state to the open connections. Bytes that were held up are delivered when the link opens again. */
+	set(state: LinkState): void {
+		this.#isSilent = state === 'hang';
+		for (const socket of this.#sockets) {
+			if (state === 'reset') {
+				socket.resetAndDestroy();
+			} else if (this.#isSilent) {
+				socket.pause();
+			} else {
+				socket.resume();
+			}
+		}
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	#relay(socket: Socket): void {
+		const onward = connect({...this.#target, allowHalfOpen: true});
+		for (const [from, to] of [[socket, onward], [onward, socket]] as const) {
+			this.#sockets.add(from);
+			from.on('data', bytes => {
+				to.write(bytes);
+			});
+			from.on('end', () => {
+				to.end();
+			});
+			from.on('error', () => {
+				to.resetAndDestroy();
+			});
+			from.once('close', () => {
+				this.#sockets.delete(from);
+				if (!this.#isSilent) {
+					to.destroySoon();
+				}
+			});
+		}
+	}
+}
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -41,6 +41,8 @@
 	instancesPerDataCentre: number;
 	routes: JsonValue[];
 	services: JsonValue[];
+	/** Environment variables of an instance's process. */
+	environmentOf?: (instance: string) => Record<string, string>;
 };
 
 /** An answer as the caller got it. */
@@ -89,6 +91,11 @@
 		return Array.from({length: this.#options.dataCentres}, (_, index) => `centre-${index + 1}`);
 	}
 
+	/** The names of all instances, also before they are started. */
+	instanceNames(): string[] {
+		return this.dataCentres.flatMap(dataCentre => Array.from({length: this.#options.instancesPerDataCentre}, (_, number) => `${dataCentre}-${number + 1}`));
+	}
+
 	/** Starts the stores and all instances, and waits until every instance is ready. */
 	async start(): Promise<void> {
 		const {routes, services} = this.#options;
@@ -243,7 +250,7 @@
 			'bounds.budget_window_s': 10,
 			'bounds.contact_ms': contactMilliseconds,
 		}).map(([key, value]) => `${key}=${value}`).join('\n'));
-		return this.#group.start('gateway/main.js', {arguments: [], environment: {[settingsPathVariable]: file}});
+		return this.#group.start('gateway/main.js', {arguments: [], environment: {...this.#options.environmentOf?.(name), [settingsPathVariable]: file}});
 	}
 }
 
