Count a request whose connection fails at once as not sent

Callers got 502, which promises nothing, for requests of which no byte was written. A connection attempt that fails within the call, as without a route to the endpoint (ENETUNREACH), leaves a socket that is no longer connecting when its request gets it; the exchange took that for a reused connection and marked the request as sent. Whether a connection is reused is now asked of the agent. The test failed before: 'unknown' in place of 'not-sent'. Such requests are now rejected as not run, or tried at another endpoint, also where they may be sent once only.

--- a/src/gateway/data-path/endpoint-exchange.test.ts
+++ b/src/gateway/data-path/endpoint-exchange.test.ts
@@ -17,13 +17,24 @@
 	return server;
 }
 
+const testCall: Omit<EndpointCall, 'address'> = {
+	method: 'GET', target: '/', rawHeaders: ['host', 'desk.example'], body: Buffer.alloc(0), attemptId: 'a1', attemptIdHeader: 'x-attempt-id',
+};
+
 function callTo(server: Server): EndpointCall {
 	const {port} = server.address() as AddressInfo;
-	return {
-		address: `127.0.0.1:${port}`, method: 'GET', target: '/', rawHeaders: ['host', 'desk.example'], body: Buffer.alloc(0), attemptId: 'a1', attemptIdHeader: 'x-attempt-id',
-	};
+	return {...testCall, address: `127.0.0.1:${port}`};
 }
 
+test('a request whose connection fails at once, as without a route to the endpoint, counts as not sent', async context => {
+	const exchanges = new HttpEndpointExchanges();
+	context.after(() => {
+		exchanges.close();
+	});
+	const answer = await exchanges.open({...testCall, address: '255.255.255.255:1'}).answer;
+	assert.equal(answer.swap().unsafeCoerce().kind, 'not-sent');
+});
+
 test('a connection that is reused many times accumulates no listeners', async context => {
 	// Each answer leaves the connection idle until the next request reuses it. The listeners for the idle time must be removed
 	// then: connections live for hours, and each reuse would leak a listener.
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -165,7 +165,7 @@
 				outgoing.once('close', () => {
 					socket.off('end', noteSocketEnd);
 				});
-				if (!socket.connecting) {
+				if (outgoing.reusedSocket) {
 					write('kept');
 					return;
 				}
