Reach endpoints through other instances while an instance is cut off from them

Cause: an instance had direct connections only, and a failed connection was taken for the endpoint's failure. Its peers reached the endpoints all the while, and its links to them were open. Class: one party's view of its own link taken for the state of the other side.

A connection attempt that fails is now followed by one through another instance, a relay. If the relay reaches the endpoint, requests to it go through relays until a direct attempt succeeds again, and the links to all other endpoints are examined at once. A relay only forwards bytes, so the instance that got the request still places, retries, limits and counts it, one hop is all there is, and back pressure and a leaving caller pass through. The answer is framed between relay and instance: a relay that ends is told from an endpoint that ended its answer. The coordinator reports to each instance which relays there are, with their load and reach; a relay without room declines at once. Relays share a key through the store and connect to listed endpoints only.

Rejected: readiness alone (fewer than half ready and the balancer uses all again, open connections stay, and it is a missed duty); passing on whole requests (placement, permits, retries and crash counts would be made twice, and who may repeat what after a broken hop would be new).

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -138,6 +138,11 @@
 		}
 	}
 
+	noteNewPath(endpoint: EndpointRecord): void {
+		this.#unreachable.delete(incarnationOf(endpoint));
+		this.#state.trackerOf(endpoint).forgetFailures();
+	}
+
 	forget(endpoint: EndpointRecord): void {
 		this.#unreachable.delete(incarnationOf(endpoint));
 		this.#state.forget(endpoint);
--- a/src/decision/placement/endpoint-tracker.ts
+++ b/src/decision/placement/endpoint-tracker.ts
@@ -125,6 +125,12 @@
 		this.#probe = {at: now + pause, interval: pause};
 	}
 
+	forgetFailures(): void {
+		this.#probe = undefined;
+		this.#failures = 0;
+		this.#openUntil = 0;
+	}
+
 	/** The load of this instance at the endpoint. */
 	loadAt(now: number): EndpointLoad {
 		const pendingPrefillTokens = Array.from({length: rankCount}, () => 0);
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -90,6 +90,8 @@
 	dueProbes(now: number): EndpointRecord[];
 	/** Records the outcome of a connection attempt. */
 	noteProbe(endpoint: EndpointRecord, isReached: boolean, now: number): void;
+	/** Forgets the failures of an endpoint that is reached by another path from now on. */
+	noteNewPath(endpoint: EndpointRecord): void;
 	/** Forgets an incarnation that has ended. */
 	forget(endpoint: EndpointRecord): void;
 }
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -8,6 +8,7 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {reportValidityMilliseconds} from '../../protocol/blocks/block-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {type RelayReport} from '../relay/relay-messages.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
@@ -41,6 +42,11 @@
 	takeUses(): string[];
 	/** Called when the connection has ended. */
 	closed(): void;
+	/** This instance's relay; absent while others must not use it. */
+	relay(): RelayReport | undefined;
+	/** Whether it needs a new list of relays. */
+	wantsRelays(): boolean;
+	applyRelays(relays: readonly RelayReport[]): void;
 	/** Endpoints whose loads come with the regular queries, so that a request to them needs no query of its own. */
 	watchedEndpoints(): string[];
 	/** The position in each table that it follows. */
@@ -179,9 +185,7 @@
 	}
 
 	report(): void {
-		const frame: FollowerFrame = {
-			kind: 'tell', instance: this.#follower.instance, cores: this.#follower.cores, uses: this.#follower.takeUses(), loads: this.#follower.loads(),
-		};
+		const frame: FollowerFrame = {kind: 'tell', ...this.#report()};
 		this.#socket?.write(encodeFrame(frame));
 	}
 
@@ -223,14 +227,11 @@
 		this.#number++;
 		this.#lastQueryAt = now.steady;
 		this.#pending.set(this.#number, {sentAt: now, query});
-		const {instance, cores} = this.#follower;
 		const frame: FollowerFrame = {
 			kind: 'ask',
+			...this.#report(),
 			number: this.#number,
-			instance,
-			cores,
-			uses: this.#follower.takeUses(),
-			loads: this.#follower.loads(),
+			wantsRelays: this.#follower.wantsRelays(),
 			about: query,
 			places: this.#follower.cursors(),
 			...(permit === undefined ? {} : {permit}),
@@ -238,6 +239,14 @@
 		this.#socket?.write(encodeFrame(frame));
 	}
 
+	#report(): Omit<FollowerFrame & {kind: 'tell'}, 'kind'> {
+		const {instance, cores} = this.#follower;
+		const relay = this.#follower.relay();
+		return {
+			instance, cores, uses: this.#follower.takeUses(), loads: this.#follower.loads(), ...(relay === undefined ? {} : {relay}),
+		};
+	}
+
 	#isIdle(): boolean {
 		return this.#clock.moment().steady - this.#lastAnswerAt > idleTimeoutMilliseconds;
 	}
@@ -263,6 +272,9 @@
 			this.#isLapsed = frame.isLapsed;
 			this.#dataCentre = frame.dataCentre;
 			this.#follower.applyTableUpdates(frame.tables, pending.sentAt);
+			if (frame.relays !== undefined) {
+				this.#follower.applyRelays(frame.relays);
+			}
 		}
 
 		this.#resumeCaller(frame.number, pending === undefined ? undefined : frame);
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -1,6 +1,7 @@
 /** The messages between the coordinator and its followers, sent as frames over one connection for each follower. */
 
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
+import {type RelayReport} from '../relay/relay-messages.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 
 /**
@@ -97,6 +98,8 @@
 	uses: string[];
 	/** Its requests in flight, by endpoint. */
 	loads: Record<string, PackedLoad>;
+	/** Its relay; absent while others must not use it. */
+	relay?: RelayReport;
 };
 
 /** A frame that a follower sends. */
@@ -109,6 +112,8 @@
 		places: Record<string, FeedCursor>;
 		/** An endpoint with a limit that it asks to send one request to. */
 		permit?: PermitQuery;
+		/** Whether it asks which relays there are. */
+		wantsRelays?: boolean;
 	}
 	| FollowerReport & {kind: 'tell'};
 
@@ -140,4 +145,6 @@
 	instances: number;
 	/** Whether the permit that was asked for is granted; absent if none was, or if the lease has lapsed. */
 	permit?: PermitAnswer;
+	/** Relays of other instances; absent if it did not ask for them. */
+	relays?: RelayReport[];
 };
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -10,6 +10,7 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
+import {type RelayReport} from '../relay/relay-messages.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
@@ -46,8 +47,12 @@
 
 const idleCheckMilliseconds = 400;
 
+/** Relays that an answer names: enough to choose among, also when some of them fail. */
+const maxRelays = 8;
+
 type Follower = {
 	instance: string;
+	relay?: RelayReport | undefined;
 	cores: number;
 	/** When its last complete frame arrived, in milliseconds of the steady clock. */
 	lastSeenAt: number;
@@ -63,6 +68,7 @@
 	readonly #loads = new LoadTotals();
 	#permits = new PermitGrants();
 	#permitTerm: number | undefined;
+	#nextRelay = 0;
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: CoordinatorSource, clock: MomentClock) {
@@ -135,8 +141,10 @@
 			return;
 		}
 
-		const {instance, cores} = frame;
-		this.#followers.set(socket, {instance, cores, lastSeenAt: this.#now()});
+		const {instance, cores, relay} = frame;
+		this.#followers.set(socket, {
+			instance, cores, relay, lastSeenAt: this.#now(),
+		});
 		this.#loads.set(instance, frame.loads);
 		this.#source.recordUses(frame.uses);
 		if (frame.kind === 'ask') {
@@ -170,7 +178,7 @@
 	}
 
 	#answer(socket: Socket, {
-		number, instance, about, loads, places, permit,
+		number, instance, about, loads, places, permit, wantsRelays = false,
 	}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
 		const blocks = this.#source.locateBlocks(about, engine => this.#loads.requestsAt(engine));
@@ -189,6 +197,7 @@
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
 			...this.#answerPermit(instance, permit),
+			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
@@ -213,6 +222,13 @@
 		return {permit};
 	}
 
+	/** The relays that reach the most endpoints, from another one on in each answer so that all are used. */
+	#relaysFor(instance: string): RelayReport[] {
+		const relays = [...this.#followers.values()].flatMap(follower => follower.relay === undefined || follower.instance === instance ? [] : [follower.relay]);
+		const start = this.#nextRelay++ % Math.max(1, relays.length);
+		return [...relays.slice(start), ...relays.slice(0, start)].toSorted((left, right) => left.unreachable - right.unreachable).slice(0, maxRelays);
+	}
+
 	#maxCores(): number {
 		let max = this.#source.cores;
 		for (const {cores} of this.#followers.values()) {
--- a/src/gateway/data-path/answer-transfer.ts
+++ b/src/gateway/data-path/answer-transfer.ts
@@ -18,7 +18,7 @@
 export type AnswerFraming = 'length' | 'chunked' | 'connection' | 'none';
 
 /** Whether a connection was opened for a request (`new`) or had served earlier ones (`kept`). */
-export type ConnectionUse = 'new' | 'kept';
+export type ConnectionUse = 'new' | 'kept' | 'relayed';
 
 /**
  * The state of a connection while an answer is read.
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -2,14 +2,14 @@
  * One attempt to serve a request at one endpoint: sends the request, classifies the answer by its head, and relays the body
  * as it arrives. What follows a failed attempt is decided in `decision/attempts`.
  */
-import {isRetryable, type AttemptOutcome} from '../../decision/attempts/next-step.js';
+import {type AttemptOutcome} from '../../decision/attempts/next-step.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type AnswerTransfer} from './answer-transfer.js';
+import {classifyAnswer, isServedAnswer} from './classify-answer.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
-import {isForwardableHead} from './is-forwardable-head.js';
 import {logLateWrite} from './log-late-write.js';
 import {noteAnnouncements} from './note-announcements.js';
 import {planBlockTransfers} from './plan-block-transfers.js';
@@ -38,8 +38,6 @@
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 };
 
-const rejectionStatuses: ReadonlySet<number> = new Set([421, 429, 503]);
-
 export class EndpointAttempt {
 	readonly #context: GatewayContext;
 	readonly #work: AttemptWork;
@@ -47,6 +45,7 @@
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
 	#isCancelled = false;
+	#isRelayed = false;
 	#sentAt = 0;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
@@ -59,7 +58,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics, log, eventLoopLag,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -68,8 +67,11 @@
 			kind: 'sent', request, endpoint, basis,
 		}, this.#sentAt);
 		rests.noteSent(incarnationOf(endpoint), this.#sentAt);
+		const connection = paths.isRelayed(endpoint) ? relays.connect(endpoint, deadline - this.#now()) : undefined;
+		this.#isRelayed = connection !== undefined;
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
+			connection,
 			method: head.method,
 			target: head.target,
 			rawHeaders: endpointHeaders({
@@ -85,12 +87,12 @@
 			attemptId: head.attemptId,
 			attemptIdHeader: names.attemptId,
 			isStillWanted: async () => !await hasCallerDisconnected(this.#work.response.req, eventLoopLag.current),
-			onWrite: connection => {
+			onWrite: use => {
 				const now = this.#now();
 				logLateWrite(log, {
 					id: head.attemptId,
 					endpoint: endpoint.name,
-					connection,
+					connection: use,
 					leftMilliseconds: deadline - now,
 					openedMilliseconds: now - this.#sentAt,
 					lagMilliseconds: eventLoopLag.current,
@@ -100,6 +102,10 @@
 		this.#watch.start(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
 		this.#watch.stop();
+		if (result.outcome === 'not-sent') {
+			this.#noteNotConnected();
+		}
+
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#placementOutcomeOf(result.outcome),
 		}, this.#now());
@@ -131,8 +137,15 @@
 
 		const answer = answered.unsafeCoerce();
 		this.#context.placement.received(this.#target.endpoint, this.#now());
-		const outcome = this.#classify(answer);
-		this.#updateRegistry(answer, this.#isServed(answer, outcome));
+		const {head: {attemptId}, permitted: {route: {kind}}, response} = this.#work;
+		const {names} = this.#context;
+		const request = {attemptId, kind, hasBegun: response.headersSent};
+		const outcome = classifyAnswer(answer, request, names);
+		if (outcome === 'unknown') {
+			exchange.cancel();
+		}
+
+		this.#updateRegistry(answer, isServedAnswer(answer, outcome, request, names));
 		if (outcome === 'usable') {
 			return this.#relay(answer);
 		}
@@ -147,43 +160,19 @@
 		};
 	}
 
-	/** Classifies an answer by its head. Only `usable` answers are relayed. */
-	#classify(answer: EndpointAnswer): 'usable' | 'rejected' | 'failed' | 'unknown' {
-		const {names} = this.#context;
-		const {status} = answer;
-		const statesNotExecuted = status === 421 || answer.header(names.notExecuted) !== undefined;
-		if (rejectionStatuses.has(status) && statesNotExecuted) {
-			return 'rejected';
-		}
-
-		if (!isForwardableHead(answer)) {
-			this.#exchange?.cancel();
-			return 'unknown';
-		}
-
-		if (status >= 200 && status < 300 && !this.#isProven(answer)) {
-			// Nothing proves that these bytes answer this request; the connection may carry the answer to another one.
-			this.#exchange?.cancel();
-			return 'unknown';
+	/** Records that no connection to the endpoint was established, by whose failure. */
+	#noteNotConnected(): void {
+		const {paths} = this.#context;
+		const {endpoint} = this.#target;
+		if (this.#isAborted) {
+			return;
 		}
 
-		if (this.#work.response.headersSent) {
-			// The caller already has the head and some events of a success; only further events may follow them.
-			return status === 200 ? 'usable' : 'failed';
+		if (this.#isRelayed) {
+			paths.noteRelayFailed(endpoint);
+		} else {
+			paths.noteNotConnected(endpoint);
 		}
-
-		return status >= 500 && status !== 504 && isRetryable(this.#work.permitted.route.kind) ? 'failed' : 'usable';
-	}
-
-	/** Whether the endpoint signed the answer, and it answers this attempt. */
-	#isProven(answer: EndpointAnswer): boolean {
-		const {names} = this.#context;
-		return answer.header(names.seal) !== undefined && answer.header(names.attemptId) === this.#work.head.attemptId;
-	}
-
-	/** Whether the endpoint served the request, whatever it answered, rather than rejecting it or failing. */
-	#isServed(answer: EndpointAnswer, outcome: string): boolean {
-		return outcome === 'usable' && answer.status < 500 && !rejectionStatuses.has(answer.status) && this.#isProven(answer);
 	}
 
 	async #relay(answer: EndpointAnswer): Promise<AttemptResult> {
@@ -275,7 +264,8 @@
 		}
 
 		const {cancelReason} = this.#watch;
-		if (this.#isCancelled || cancelReason === 'older-weights' || outcome === 'client-left') {
+		const isRelayAtFault = this.#isRelayed && outcome === 'not-sent';
+		if (this.#isCancelled || cancelReason === 'older-weights' || outcome === 'client-left' || isRelayAtFault) {
 			return 'cancelled';
 		}
 
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -5,6 +5,7 @@
 import {request as sendRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {type RelayedSocket} from '../relay/relayed-socket.js';
 import {
 	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
 } from './answer-transfer.js';
@@ -24,6 +25,8 @@
 	attemptId: string;
 	/** The header in which the answer echoes the id, in lower case. */
 	attemptIdHeader: string;
+	/** Replaces the connection that is opened by default. It serves this request only. */
+	connection?: RelayedSocket | undefined;
 	/** Asked once a new connection has been established; if the request is not wanted any more, it is not written. */
 	isStillWanted?(): Promise<boolean>;
 	/** Called when the request is written to its connection. */
@@ -81,6 +84,8 @@
  * than the second after which a lost SYN packet is retransmitted.
  */
 const connectMilliseconds = 250;
+/** The same through a relay, which has that timeout itself. */
+const relayedConnectMilliseconds = 400;
 
 /** Timeout for draining an unread body before its connection is closed; without it a stalled endpoint would leak one. */
 const discardMilliseconds = 500;
@@ -104,7 +109,7 @@
 			path: call.target,
 			headers: call.rawHeaders as unknown as Record<string, string>,
 			setHost: false,
-			agent: this.#agent,
+			...(call.connection === undefined ? {agent: this.#agent} : {createConnection: () => call.connection!}),
 		});
 		let connectionEnd: ConnectionEnd = 'open';
 		const noteEnd = (end: ConnectionEnd): void => {
@@ -133,7 +138,8 @@
 
 	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall, {noteEnd, connectionEnd}: ConnectionNotes): Promise<Either<ExchangeFailure, EndpointAnswer>> {
 		let failureKind: ExchangeFailure['kind'] = 'not-sent';
-		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: failureKind, connection: connectionUseOf(outgoing), detail});
+		const use = (): ConnectionUse => call.connection === undefined ? connectionUseOf(outgoing) : 'relayed';
+		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: failureKind, connection: use(), detail});
 		const write = (connection: ConnectionUse): void => {
 			failureKind = 'unknown';
 			call.onWrite?.(connection);
@@ -147,7 +153,7 @@
 			}
 
 			if (isWanted) {
-				write('new');
+				write(use());
 			} else {
 				failureKind = 'not-wanted';
 				outgoing.destroy();
@@ -172,13 +178,14 @@
 
 				// After a pause of this process the timer and the `connect` event are due together, and timers run first. The
 				// event is handled before the timeout counts, or every endpoint would look unreachable after each pause.
+				const timeoutMilliseconds = call.connection === undefined ? connectMilliseconds : relayedConnectMilliseconds;
 				const timer = setTimeout(() => {
 					setImmediate(() => {
 						if (socket.connecting) {
-							outgoing.destroy(new Error(`no connection within ${connectMilliseconds} ms`));
+							outgoing.destroy(new Error(`no connection within ${timeoutMilliseconds} ms`));
 						}
 					});
-				}, connectMilliseconds);
+				}, timeoutMilliseconds);
 				socket.setNoDelay(true);
 				socket.once('connect', () => {
 					clearTimeout(timer);
@@ -208,7 +215,7 @@
 				resolve(Right({
 					...answerOf(response),
 					framing: framingOf(response, call.method),
-					connection: connectionUseOf(outgoing),
+					connection: use(),
 					connectionEnd,
 					discard(withinMilliseconds = discardMilliseconds) {
 						discardBody(response, outgoing, withinMilliseconds);
--- a/src/gateway/data-path/is-closed-in-order.ts
+++ b/src/gateway/data-path/is-closed-in-order.ts
@@ -8,6 +8,7 @@
  */
 import {type Socket} from 'node:net';
 import {hasConnectedPeer} from '../../serving/has-connected-peer.js';
+import {RelayedSocket} from '../relay/relayed-socket.js';
 
 /**
  * Checks whether the peer closed the connection in order. Must be called when `end` is emitted, before this side closes.
@@ -16,5 +17,6 @@
  * @returns False also where it cannot be determined: without proof an answer is not complete.
  */
 export function isClosedInOrder(socket: Socket): boolean {
-	return hasConnectedPeer(socket);
+	// A relayed connection ends in no other way; it fails where the relay has not reported the end.
+	return socket instanceof RelayedSocket || hasConnectedPeer(socket);
 }
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -20,6 +20,7 @@
 import {reportEnd, type RequestOutcome} from './report-end.js';
 import {FailureResponder} from './failure-responder.js';
 import {type RoutedWork} from './routed-work.js';
+import {UnconnectedEndpoints} from './unconnected-endpoints.js';
 
 /** `Retry-After` of a request that every endpoint rejected: a queue of short requests drains in this time. */
 const rejectedRetryMilliseconds = 500;
@@ -29,6 +30,7 @@
 	readonly #work: RoutedWork;
 	readonly #deadline: number;
 	readonly #attempted = new Set<string>();
+	readonly #unconnected: UnconnectedEndpoints;
 	readonly #search: EndpointSearch;
 	readonly #crashScreen: CrashScreen;
 	readonly #splitter: EventSplitter | undefined;
@@ -51,6 +53,7 @@
 		this.#context = context;
 		this.#work = work;
 		this.#crashScreen = new CrashScreen(context, work);
+		this.#unconnected = new UnconnectedEndpoints(context.paths, this.#attempted);
 		this.#search = new EndpointSearch(context, work, this.#crashScreen, this.#attempted);
 		const {route} = work.permitted;
 		const callerTimeoutMilliseconds = work.head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
@@ -113,8 +116,13 @@
 			}
 
 			const searchedAt = this.#now();
+			this.#unconnected.regain();
 			const found = await this.#search.find();
 			if (found.kind === 'refused') {
+				if (await this.#unconnected.regainSettled()) {
+					continue;
+				}
+
 				return this.#failureResponder.fail(found.refusal, this.#mayHaveRun);
 			}
 
@@ -206,6 +214,7 @@
 
 	async #send(request: PlacementRequest, {endpoint, basis}: Placement & {kind: 'send'}): Promise<AttemptResult> {
 		const {head, permitted, body, response} = this.#work;
+		const isDirect = !this.#context.paths.isRelayed(endpoint);
 		this.#attempted.add(endpoint.name);
 		this.#basis = basis;
 		if (this.#sends === 0) {
@@ -230,6 +239,10 @@
 		}
 
 		const result = await running;
+		if (result.outcome === 'not-sent' && isDirect) {
+			this.#unconnected.add(endpoint);
+		}
+
 		if (result.isConnectionLost) {
 			this.#crashScreen.noteLost(endpoint, this.#now() - this.#sentAt);
 		}
--- /dev/null
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -0,0 +1,230 @@
+/**
+ * How this instance reaches each endpoint: by connections of its own, or, where these fail and another instance's do not,
+ * through that instance.
+ *
+ * A failed connection alone does not tell whose failure it is. An endpoint that no instance reaches has failed, or its network
+ * has; one that others reach is served through them, and the failure is this instance's own. In that case its links to other
+ * endpoints are likely to have failed too: all of them are tried at once, before callers' requests find out one by one.
+ */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type PlacementPolicy} from '../../decision/placement/placement.js';
+import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {type DecisionLog} from '../observability/decision-log.js';
+import {type GatewayMetrics} from '../observability/gateway-metrics.js';
+import {type RelayClient} from '../relay/relay-client.js';
+import {type EndpointRegistry} from './endpoint-registry.js';
+import {probeConnection, type ProbeResult} from './probe-connection.js';
+
+export type EndpointPathsDependencies = {
+	clock: MomentClock;
+	placement: PlacementPolicy;
+	endpoints: Pick<EndpointRegistry, 'all'>;
+	relays: Pick<RelayClient, 'probe'>;
+	log: Pick<DecisionLog, 'record'>;
+	metrics: Pick<GatewayMetrics, 'unreachableEndpoints'>;
+	probe?: (address: string) => Promise<ProbeResult>;
+};
+
+/** First interval between attempts to reach a relayed endpoint directly again; doubles up to the longest. */
+const firstDirectIntervalMilliseconds = 500;
+const maxDirectIntervalMilliseconds = 2000;
+/** How long after an endpoint was found to be reached by others only the own links to the rest are examined. */
+const suspicionMilliseconds = 2000;
+/** Endpoints that are examined at a time. */
+const maxExaminations = 32;
+
+type RelayedEndpoint = {endpoint: EndpointRecord; nextDirectAt: number; interval: number};
+
+export class EndpointPaths {
+	readonly #dependencies: EndpointPathsDependencies;
+	readonly #probe: (address: string) => Promise<ProbeResult>;
+	readonly #relayed = new Map<string, RelayedEndpoint>();
+	readonly #examinations = new Map<string, Promise<void>>();
+	/** Endpoints that were examined within the present suspicion of this instance's own links. */
+	readonly #examined = new Set<string>();
+	#suspectUntil = Number.NEGATIVE_INFINITY;
+	/** What was logged last. */
+	#reported = '';
+
+	constructor(dependencies: EndpointPathsDependencies) {
+		this.#dependencies = dependencies;
+		this.#probe = dependencies.probe ?? probeConnection;
+	}
+
+	/** Whether requests to an endpoint go through another instance. */
+	isRelayed(endpoint: EndpointRecord): boolean {
+		return this.#relayed.has(incarnationOf(endpoint));
+	}
+
+	/** Listed endpoints to which this instance has no connection of its own. */
+	get withoutDirectPath(): number {
+		return this.#relayed.size + this.#dependencies.placement.unreachable().length;
+	}
+
+	/** Records that a connection to an endpoint could not be established, and finds out whether others reach it. */
+	noteNotConnected(endpoint: EndpointRecord): void {
+		void this.#examineOnce(endpoint, async () => this.#examineRelays(endpoint));
+	}
+
+	/** Records that a relay did not connect to an endpoint, and finds out whether another one does. */
+	noteRelayFailed(endpoint: EndpointRecord): void {
+		void this.#examineOnce(endpoint, async () => this.#examine(endpoint));
+	}
+
+	/** Waits until the examinations of these endpoints that are under way have ended. */
+	async settled(endpoints: readonly EndpointRecord[]): Promise<void> {
+		await Promise.all(endpoints.map(async endpoint => this.#examinations.get(incarnationOf(endpoint))));
+	}
+
+	/** Examines the endpoints that are due. */
+	step(now: number): void {
+		const {placement, endpoints} = this.#dependencies;
+		const listed = endpoints.all();
+		this.#forgetDeparted(listed);
+		for (const endpoint of placement.dueProbes(now)) {
+			void this.#examineOnce(endpoint, async () => this.#examine(endpoint));
+		}
+
+		for (const relayed of this.#relayed.values()) {
+			if (relayed.nextDirectAt <= now) {
+				void this.#examineOnce(relayed.endpoint, async () => this.#examineDirect(relayed));
+			}
+		}
+
+		if (now < this.#suspectUntil) {
+			this.#examineOthers(listed);
+		}
+
+		this.#report(listed);
+	}
+
+	/** Whether and how an endpoint's process answers, by whichever path there is. */
+	async reach(endpoint: EndpointRecord): Promise<ProbeResult> {
+		const direct = await this.#probe(endpoint.address);
+		return direct === 'accepted' ? direct : await this.#dependencies.relays.probe(endpoint) ?? direct;
+	}
+
+	async #examineOnce(endpoint: EndpointRecord, examine: () => Promise<unknown>): Promise<void> {
+		const incarnation = incarnationOf(endpoint);
+		if (this.#examinations.has(incarnation) || this.#examinations.size >= maxExaminations) {
+			return;
+		}
+
+		const running = examine().then(() => {
+			this.#examinations.delete(incarnation);
+		});
+		this.#examinations.set(incarnation, running);
+		await running;
+	}
+
+	async #examine(endpoint: EndpointRecord): Promise<void> {
+		if (await this.#probe(endpoint.address) === 'accepted') {
+			this.#setDirect(endpoint);
+		} else if (!await this.#examineRelays(endpoint)) {
+			this.#dependencies.placement.noteProbe(endpoint, false, this.#now());
+		}
+	}
+
+	/** Returns whether another instance reaches the endpoint. */
+	async #examineRelays(endpoint: EndpointRecord): Promise<boolean> {
+		const {placement, relays, log} = this.#dependencies;
+		const incarnation = incarnationOf(endpoint);
+		if (await relays.probe(endpoint) !== 'accepted') {
+			this.#relayed.delete(incarnation);
+			return false;
+		}
+
+		const now = this.#now();
+		if (!this.#relayed.has(incarnation)) {
+			this.#relayed.set(incarnation, {endpoint, nextDirectAt: now + firstDirectIntervalMilliseconds, interval: firstDirectIntervalMilliseconds});
+			log.record('endpoint-path', {endpoint: endpoint.name, path: 'relayed'});
+			this.#suspectLinks(now);
+		}
+
+		placement.noteNewPath(endpoint);
+		return true;
+	}
+
+	async #examineDirect(relayed: RelayedEndpoint): Promise<void> {
+		if (await this.#probe(relayed.endpoint.address) === 'accepted') {
+			this.#setDirect(relayed.endpoint);
+			return;
+		}
+
+		relayed.interval = Math.min(maxDirectIntervalMilliseconds, 2 * relayed.interval);
+		relayed.nextDirectAt = this.#now() + relayed.interval;
+	}
+
+	#setDirect(endpoint: EndpointRecord): void {
+		const {placement, log} = this.#dependencies;
+		if (!this.#relayed.delete(incarnationOf(endpoint))) {
+			placement.noteProbe(endpoint, true, this.#now());
+			return;
+		}
+
+		log.record('endpoint-path', {endpoint: endpoint.name, path: 'direct'});
+		placement.noteNewPath(endpoint);
+		// The other links are likely to work again too.
+		for (const other of this.#relayed.values()) {
+			other.nextDirectAt = 0;
+		}
+	}
+
+	#suspectLinks(now: number): void {
+		if (now >= this.#suspectUntil) {
+			this.#examined.clear();
+		}
+
+		this.#suspectUntil = now + suspicionMilliseconds;
+		this.#examineOthers(this.#dependencies.endpoints.all());
+	}
+
+	#examineOthers(listed: readonly EndpointRecord[]): void {
+		for (const endpoint of listed) {
+			const incarnation = incarnationOf(endpoint);
+			if (this.#examinations.size >= maxExaminations) {
+				return;
+			}
+
+			if (!this.#examined.has(incarnation) && !this.#relayed.has(incarnation)) {
+				this.#examined.add(incarnation);
+				void this.#examineOnce(endpoint, async () => this.#examineSuspect(endpoint));
+			}
+		}
+	}
+
+	/** Examines an endpoint to which no request has failed yet: it is not blamed where nobody reaches it. */
+	async #examineSuspect(endpoint: EndpointRecord): Promise<void> {
+		if (await this.#probe(endpoint.address) !== 'accepted') {
+			await this.#examineRelays(endpoint);
+		}
+	}
+
+	#forgetDeparted(listed: readonly EndpointRecord[]): void {
+		if (this.#relayed.size > 0) {
+			const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
+			for (const incarnation of this.#relayed.keys()) {
+				if (!incarnations.has(incarnation)) {
+					this.#relayed.delete(incarnation);
+				}
+			}
+		}
+	}
+
+	/** Logs how many of the listed endpoints are unreachable: an instance that reaches none is cut off, whatever each failed attempt says. */
+	#report(listed: readonly EndpointRecord[]): void {
+		const {placement, log, metrics} = this.#dependencies;
+		const names = new Set(placement.unreachable().map(({name}) => name));
+		const unreachable = listed.filter(({name}) => names.has(name)).length;
+		const counts = {unreachable, relayed: this.#relayed.size};
+		if ((unreachable > 0 || this.#relayed.size > 0 || this.#reported !== '') && JSON.stringify(counts) !== this.#reported) {
+			this.#reported = JSON.stringify(counts);
+			metrics.unreachableEndpoints.set(unreachable);
+			log.record('endpoints-unreachable', {...counts, listed: listed.length});
+		}
+	}
+
+	#now(): number {
+		return this.#dependencies.clock.moment().steady;
+	}
+}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -11,11 +11,13 @@
 import {type Refuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
 import {type EndpointLimits} from './limits/endpoint-limits.js';
+import {type EndpointPaths} from './endpoints/endpoint-paths.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {type PeerUpdates} from './coordinator/coordinator-client.js';
 import {type CoordinatorView} from './coordinator/coordinator-view.js';
+import {type RelayClient} from './relay/relay-client.js';
 import {type LoadingEngines} from './watchers/loading-engines.js';
 import {type WeightTargets} from './weights/weight-targets.js';
 
@@ -25,6 +27,8 @@
 	names: WireNames;
 	configuration: ConfigurationView;
 	endpoints: EndpointRegistry;
+	paths: EndpointPaths;
+	relays: Pick<RelayClient, 'connect'>;
 	placement: PlacementPolicy;
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -24,6 +24,11 @@
 	return `127.0.0.1:${port}`;
 }
 
+/** An address for each listener of a gateway. */
+async function freeAddresses(): Promise<[string, string, string, string, string, string]> {
+	return Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+}
+
 /** A store whose feeds return one configuration and one endpoint, and no changes afterwards. */
 class QuietStore extends MemoryTable {
 	async readSnapshot(table: string) {
@@ -70,7 +75,7 @@
 	}).listen(0, '127.0.0.1');
 	await once(endpoint, 'listening');
 	const address = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`;
-	const [listenCallers, listenReady, listenPeers, listenStandby, listenMetrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+	const [listenCallers, listenReady, listenPeers, listenStandby, listenRelay, listenMetrics] = await freeAddresses();
 	const ports: GatewayPorts = {
 		clock: systemMomentClock,
 		names,
@@ -94,6 +99,7 @@
 		readyPath: '/ready',
 		listenPeers,
 		listenStandby,
+		listenRelay,
 		listenMetrics,
 		storeAddress: '',
 		cores: 1,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -6,7 +6,6 @@
  * flight. It exits when all are finished, or shortly before the platform would kill it.
  */
 import process from 'node:process';
-import {H3} from 'h3';
 import {type Either} from 'purify-ts/Either';
 import {HttpListener, defaultListenerBounds} from '../serving/http-listener.js';
 import {BlockPlanner} from '../decision/blocks/plan-blocks.js';
@@ -30,10 +29,12 @@
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
 import {createRefuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
+import {EndpointPaths} from './endpoints/endpoint-paths.js';
 import {EndpointProber} from './endpoints/endpoint-prober.js';
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type GatewayContext} from './gateway-context.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
+import {createMetricsApp, createReadyApp} from './health-apps.js';
 import {type CoordinatorContext} from './coordinator/coordinator.js';
 import {packLoads} from './coordinator/coordinator-messages.js';
 import {CoordinatorPair} from './coordinator/coordinator-pair.js';
@@ -42,6 +43,8 @@
 import {EndpointLimits} from './limits/endpoint-limits.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
+import {Relays} from './relay/relays.js';
+import {FeedHandlers} from './watchers/feed-handlers.js';
 import {type StoreSchema} from './watchers/store-schema.js';
 import {TableFeeds} from './watchers/table-feeds.js';
 import {LoadingEngines} from './watchers/loading-engines.js';
@@ -81,6 +84,7 @@
 	readonly #metricsListener: HttpListener;
 	readonly #coordinators: CoordinatorPair;
 	readonly #crashReports: CrashReportPublisher;
+	readonly #relays: Relays;
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
@@ -108,6 +112,21 @@
 			configuration: new ConfigurationView({freshMilliseconds: timings.freshMilliseconds, leaseMilliseconds: timings.keyLeaseMilliseconds}),
 			endpoints: new EndpointRegistry(),
 		};
+		this.#relays = new Relays({
+			...shared,
+			...ports,
+			address: settings.listenRelay,
+			lagMilliseconds: () => this.#eventLoopLag.current,
+			isCoordinator: () => this.#coordinators.isCoordinator,
+			isStopping: () => this.#isStopping,
+			withoutDirectPath: () => paths.withoutDirectPath,
+			onUnreachable(endpoint) {
+				paths.noteNotConnected(endpoint);
+			},
+		});
+		const paths = new EndpointPaths({
+			...shared, placement: this.#placement, relays: this.#relays.client, metrics,
+		});
 		this.#coordinators = this.#createCoordinators(shared, coordinatorView, ports);
 		const {crashes, publisher, handler: crashHandler} = createCrashes({
 			...shared, instance: settings.instance, metrics, random: ports.random, store: ports.store, isCoordinator: () => this.#coordinators.isCoordinator,
@@ -115,6 +134,8 @@
 		this.#crashReports = publisher;
 		this.#context = {
 			...shared,
+			paths,
+			relays: this.#relays.client,
 			names: ports.names,
 			placement: this.#placement,
 			coordinatorView,
@@ -136,9 +157,10 @@
 			this.#applyLimits();
 			await this.#front.serve(request, response);
 		}, settings.listenCallers, {...defaultListenerBounds, maxHeaderBytes: parserHeaderBytes});
-		this.#ready = new HttpListener('ready', this.#readyApp(), settings.listenReady);
-		this.#metricsListener = new HttpListener('metrics', this.#metricsApp(), settings.listenMetrics);
-		this.#feeds = new TableFeeds(this.#context, {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby}, timings, crashHandler);
+		this.#ready = new HttpListener('ready', createReadyApp(settings.readyPath, () => this.#isReady()), settings.listenReady);
+		this.#metricsListener = new HttpListener('metrics', createMetricsApp(metrics.registry), settings.listenMetrics);
+		const feedDependencies = {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby};
+		this.#feeds = new TableFeeds(this.#context, feedDependencies, timings, new FeedHandlers([crashHandler, this.#relays.key]));
 		this.#root = this.#createSupervisor(ports);
 	}
 
@@ -203,6 +225,7 @@
 				instance,
 				cores,
 				loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
+				...this.#relays.follower,
 				watchedEndpoints: () => this.#watchedEndpoints(),
 				cursors: () => this.#feeds.cursors(),
 				applyTableUpdates: (updates, queriedAt) => {
@@ -247,6 +270,7 @@
 					instances: () => this.#coordinators.instances,
 				}),
 				new EndpointProber(this.#context),
+				...this.#relays.children,
 				...this.#coordinators.children(),
 				this.#crashReports,
 				this.#callers,
@@ -272,23 +296,4 @@
 		const validity = configuration.validityAt(clock.moment());
 		return !this.#isStopping && (validity === 'fresh' || validity === 'ageing') && endpoints.all().length > 0;
 	}
-
-	#readyApp(): H3 {
-		const app = new H3();
-		app.get(this.#settings.readyPath, event => {
-			event.res.status = this.#isReady() ? 200 : 503;
-			return '';
-		});
-		return app;
-	}
-
-	#metricsApp(): H3 {
-		const app = new H3();
-		const {registry} = this.#context.metrics;
-		app.get('/metrics', async event => {
-			event.res.headers.set('content-type', registry.contentType);
-			return registry.metrics();
-		});
-		return app;
-	}
 }
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -35,6 +35,8 @@
 	listenPeers: string;
 	/** `IP:port` where they connect to the standby coordinator. */
 	listenStandby: string;
+	/** `IP:port` where other instances have connections to endpoints relayed. */
+	listenRelay: string;
 	/** `IP:port` of the metrics. */
 	listenMetrics: string;
 	storeAddress: string;
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -61,6 +61,10 @@
 		name: 'savorygauge_unreachable_endpoints', help: 'Listed endpoints that this instance cannot reach.', registers: [this.registry],
 	});
 
+	readonly relayed = new Counter({
+		name: 'savorygauge_relayed_connections_total', help: 'Connections to endpoints that other instances requested from this one, by outcome.', labelNames: ['outcome'], registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
 	});
--- /dev/null
+++ b/src/gateway/relay/connect-endpoint.ts
@@ -0,0 +1,45 @@
+/** Opens the relay's own connection to an endpoint. */
+import {connect, type Socket} from 'node:net';
+
+/** Timeout of a connection attempt, as for an instance's own requests. */
+const connectTimeoutMilliseconds = 250;
+
+/**
+ * Connects to an endpoint.
+ *
+ * @param address - `IP:port`.
+ * @returns The paused connection; `refused` if no process listens there, `silent` if it is not established in time.
+ */
+export async function connectEndpoint(address: string): Promise<Socket | 'refused' | 'silent'> {
+	const separator = address.lastIndexOf(':');
+	return new Promise(resolve => {
+		const socket = connect({
+			host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true, allowHalfOpen: true,
+		});
+		const fail = (result: 'refused' | 'silent'): void => {
+			socket.destroy();
+			resolve(result);
+		};
+
+		const timer = setTimeout(() => {
+			// In a process that was paused, the connection may be established as well, and timers run before its event.
+			setImmediate(() => {
+				if (socket.connecting) {
+					fail('silent');
+				}
+			});
+		}, connectTimeoutMilliseconds);
+		const failOnError = (error: NodeJS.ErrnoException): void => {
+			clearTimeout(timer);
+			fail(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
+		};
+
+		socket.once('error', failOnError);
+		socket.once('connect', () => {
+			clearTimeout(timer);
+			socket.off('error', failOnError);
+			socket.pause();
+			resolve(socket);
+		});
+	});
+}
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -10,6 +10,11 @@
 		closed() {
 			// There is no state to reset.
 		},
+		relay: () => undefined,
+		wantsRelays: () => false,
+		applyRelays() {
+			// No relay is used.
+		},
 		watchedEndpoints: () => [],
 		cursors: () => ({}),
 		applyTableUpdates() {
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -18,6 +18,7 @@
 import {createRefuse} from '../data-path/refuse.js';
 import {ownWireNames} from '../data-path/wire-names.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {EndpointPaths} from '../endpoints/endpoint-paths.js';
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {CoordinatorView} from '../coordinator/coordinator-view.js';
@@ -26,6 +27,8 @@
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {reportLag} from '../observability/report-lag.js';
+import {RelayClient} from '../relay/relay-client.js';
+import {RelayDirectory} from '../relay/relay-directory.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
 import {WeightTargets} from '../weights/weight-targets.js';
 import {EventLoopLag} from '../../serving/event-loop-lag.js';
@@ -35,10 +38,14 @@
 /** What an endpoint of a test does with a request. It may leave the request unanswered. */
 export type EndpointBehaviour = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
+/** The key of the relays of tests. */
+export const testRelayKey = 'key';
+
 export class TestGateway {
 	readonly context: GatewayContext;
 	readonly lines: Array<Record<string, unknown>> = [];
 	address = '';
+	readonly relayDirectory = new RelayDirectory();
 	readonly #listener: HttpListener;
 	readonly #exchanges = new HttpEndpointExchanges();
 	readonly #endpoints: Array<{name: string; close(): void}> = [];
@@ -61,13 +68,21 @@
 		});
 		const endpoints = new EndpointRegistry();
 		const permits = new PermitGrants();
+		const placement = new CostPlacement('split');
+		const relays = new RelayClient({
+			clock: systemMomentClock, directory: this.relayDirectory, key: () => testRelayKey, random: () => 0,
+		});
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
 			names: ownWireNames,
 			configuration: view,
 			endpoints,
-			placement: new CostPlacement('split'),
+			paths: new EndpointPaths({
+				clock: systemMomentClock, placement, endpoints, relays, log, metrics,
+			}),
+			relays,
+			placement,
 			crashes: new EndpointCrashes({
 				instance: 'test',
 				clock: systemMomentClock,
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -51,14 +51,16 @@
 		return number;
 	};
 
+	const internalAddressOf = (index: number): string => `${textOf('ip')}:${Number(textOf('internal_ports').split(',', 1)[0]) + index}`;
 	const settings: GatewaySettings = {
 		instance: textOf('node'),
 		dataCentre: textOf('zone'),
 		listenCallers: textOf('listen.front'),
 		listenReady: textOf('listen.ready'),
 		readyPath,
-		listenPeers: `${textOf('ip')}:${textOf('internal_ports').split(',', 1)[0]}`,
-		listenStandby: `${textOf('ip')}:${Number(textOf('internal_ports').split(',', 1)[0]) + 1}`,
+		listenPeers: internalAddressOf(0),
+		listenStandby: internalAddressOf(1),
+		listenRelay: internalAddressOf(2),
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
 		cores: numberOf('limits.cpu_share', 1) * numberOf('limits.cores', 1),
