Do not report endpoints as crashed when only the own link to them fails

Three such reports with the same request would have blocked it everywhere. Cause: a refused connection was proof of an ended process, whoever refused it.

The detector now asks the same paths as requests: an endpoint that a relay reaches has not ended, and where an endpoint seems to refuse, one of three others must accept a connection, unless they were down before. A deadly request is still found where it ends all endpoints one after the other.

--- a/src/check/partition-findings.ts
+++ b/src/check/partition-findings.ts
@@ -5,7 +5,7 @@
 const minRatio = 2 / 3;
 
 /** Returns one line for each finding. */
-export function partitionFindings({partitioned, others, afterwards, repeated}: PartitionedInstancesReport): string[] {
+export function partitionFindings({partitioned, others, afterwards, repeated, reportedCrashes}: PartitionedInstancesReport): string[] {
 	const findings: string[] = [];
 	if (rateOf(partitioned) < minRatio * rateOf(others)) {
 		findings.push(`partitioned instances served ${partitioned.served} of ${partitioned.sent}, the others ${others.served} of ${others.sent}`);
@@ -19,6 +19,10 @@
 		findings.push(`requests that may be sent once reached endpoints more than once: ${repeated.join(', ')}`);
 	}
 
+	if (reportedCrashes > 0) {
+		findings.push(`${reportedCrashes} crashes of endpoints were reported, and none crashed`);
+	}
+
 	return findings;
 }
 
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -8,7 +8,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
-import {probeConnection, type ProbeResult} from '../endpoints/probe-connection.js';
+import {type ProbeResult} from '../endpoints/probe-connection.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 
 /** A request whose connection to an endpoint broke. */
@@ -38,7 +38,8 @@
 	clock: MomentClock;
 	log: Pick<DecisionLog, 'record'>;
 	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
-	probe?: (address: string) => Promise<ProbeResult>;
+	/** Finds out whether an endpoint's process answers; a failure of this instance's own link must not look like `refused`. */
+	probe(endpoint: EndpointRecord): Promise<ProbeResult>;
 	/** Called once for each crash, shortly after it was found. */
 	onCrash(crash: ObservedCrash): void;
 };
@@ -55,13 +56,11 @@
 
 export class CrashDetector {
 	readonly #dependencies: CrashDetectorDependencies;
-	readonly #probe: (address: string) => Promise<ProbeResult>;
 	readonly #open = new Map<string, Break>();
 	readonly #signal = new AbortController().signal;
 
 	constructor(dependencies: CrashDetectorDependencies) {
 		this.#dependencies = dependencies;
-		this.#probe = dependencies.probe ?? probeConnection;
 	}
 
 	/** Records that the connection of a request broke before its answer was complete. */
@@ -106,7 +105,7 @@
 				await this.#dependencies.clock.sleep(delayMilliseconds, this.#signal);
 			}
 
-			result = await this.#probe(endpoint.address);
+			result = await this.#dependencies.probe(endpoint);
 			if (result === 'refused') {
 				return 'crashed';
 			}
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -17,7 +17,7 @@
 	metrics: Pick<GatewayMetrics, 'crashes'>;
 	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
 	ledger: CrashLedger;
-	probe?: (address: string) => Promise<ProbeResult>;
+	probe(endpoint: EndpointRecord): Promise<ProbeResult>;
 	/** Returns a random number from 0 up to 1. */
 	random(): number;
 	/** Records a report here and passes it on to the other instances. */
--- /dev/null
+++ b/src/gateway/endpoints/endpoint-paths.test.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CostPlacement} from '../../decision/placement/cost-placement.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {GatewayMetrics} from '../observability/gateway-metrics.js';
+import {testEndpoint} from '../testing/test-endpoint.js';
+import {EndpointPaths} from './endpoint-paths.js';
+import {type ProbeResult} from './probe-connection.js';
+
+const [first, second, third] = ['desk-1', 'desk-2', 'desk-3'].map((name, index) => testEndpoint({name, address: `127.0.0.1:${index + 1}`})) as [EndpointRecord, EndpointRecord, EndpointRecord];
+
+/** Paths to three endpoints, with the results of connection attempts by address, or by name through a relay. */
+function startPaths({direct = {}, relayed = {}}: {direct?: Record<string, ProbeResult>; relayed?: Record<string, ProbeResult>}) {
+	const state = {
+		now: 0, direct, relayed, probed: [] as string[],
+	};
+	const clock: MomentClock = {
+		moment: () => ({steady: state.now, wall: state.now}),
+		async sleep() {
+			// Nothing under test sleeps.
+		},
+	};
+	const paths = new EndpointPaths({
+		clock,
+		placement: new CostPlacement('split'),
+		endpoints: {all: () => [first, second, third]},
+		relays: {probe: async ({name}) => state.relayed[name]},
+		log: {
+			record() {
+				// The lines are not under test.
+			},
+		},
+		metrics: new GatewayMetrics(),
+		async probe(address) {
+			state.probed.push(address);
+			return state.direct[address] ?? 'accepted';
+		},
+	});
+	return {state, paths};
+}
+
+async function settle(paths: EndpointPaths): Promise<void> {
+	await paths.settled([first, second, third]);
+}
+
+test('an endpoint that refuses this instance and accepts another has not ended', async () => {
+	const {paths} = startPaths({direct: {[first.address]: 'refused'}, relayed: {[first.name]: 'accepted'}});
+	assert.equal(await paths.reach(first), 'accepted');
+});
+
+test('an instance that no endpoint accepts blames none of them', async () => {
+	const {paths} = startPaths({direct: {[first.address]: 'refused', [second.address]: 'refused', [third.address]: 'silent'}, relayed: {[first.name]: 'refused'}});
+	assert.equal(await paths.reach(first), 'silent');
+});
+
+test('an endpoint that refuses all instances while others accept has ended', async () => {
+	const {paths} = startPaths({direct: {[first.address]: 'refused', [second.address]: 'refused'}, relayed: {[first.name]: 'refused'}});
+	assert.equal(await paths.reach(first), 'refused');
+});
+
+test('endpoints that end one after the other are all found to have ended', async () => {
+	const {state, paths} = startPaths({direct: {[first.address]: 'refused'}, relayed: {[first.name]: 'refused', [second.name]: 'refused', [third.name]: 'refused'}});
+	const results = [await paths.reach(first)];
+	state.direct[second.address] = 'refused';
+	results.push(await paths.reach(second));
+	state.direct[third.address] = 'refused';
+	results.push(await paths.reach(third));
+	assert.deepEqual(results, ['refused', 'refused', 'refused']);
+});
+
+test('when others reach an endpoint, the links to all endpoints are examined at once', async () => {
+	const {state, paths} = startPaths({
+		direct: {[first.address]: 'silent', [second.address]: 'silent'}, relayed: {[first.name]: 'accepted', [second.name]: 'accepted', [third.name]: 'accepted'},
+	});
+	paths.noteNotConnected(first);
+	await settle(paths);
+	await settle(paths);
+	assert.deepEqual(state.probed.toSorted(), [second.address, third.address]);
+	assert.deepEqual([first, second, third].map(endpoint => paths.isRelayed(endpoint)), [true, true, false]);
+	assert.equal(paths.withoutDirectPath, 2);
+});
+
+test('an endpoint that nobody reaches is not relayed, and no other link is suspected', async () => {
+	const {state, paths} = startPaths({direct: {[first.address]: 'silent'}, relayed: {[first.name]: 'silent'}});
+	paths.noteNotConnected(first);
+	await settle(paths);
+	assert.deepEqual([state.probed, paths.isRelayed(first)], [[], false]);
+});
+
+test('an endpoint is reached directly again when its link is back, and the others are tried at once', async () => {
+	const {state, paths} = startPaths({
+		direct: {[first.address]: 'silent', [second.address]: 'silent'}, relayed: {[first.name]: 'accepted', [second.name]: 'accepted'},
+	});
+	paths.noteNotConnected(first);
+	await settle(paths);
+	await settle(paths);
+	state.direct = {};
+	state.now = 600;
+	paths.step(state.now);
+	await settle(paths);
+	paths.step(state.now);
+	await settle(paths);
+	assert.deepEqual([first, second].map(endpoint => paths.isRelayed(endpoint)), [false, false]);
+});
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -33,6 +33,12 @@
 /** Endpoints that are examined at a time. */
 const maxExaminations = 32;
 
+/** Other endpoints that are tried to find out whether the own link fails. */
+const maxWitnesses = 3;
+
+/** An endpoint that has been down for this long is no witness of a failure of the own link. */
+const knownDownMilliseconds = 2000;
+
 type RelayedEndpoint = {endpoint: EndpointRecord; nextDirectAt: number; interval: number};
 
 export class EndpointPaths {
@@ -42,6 +48,9 @@
 	readonly #examinations = new Map<string, Promise<void>>();
 	/** Endpoints that were examined within the present suspicion of this instance's own links. */
 	readonly #examined = new Set<string>();
+	/** Since when endpoints are down, in milliseconds of the steady clock; one that has ended was down before any other event. */
+	readonly #downSince = new Map<string, number>();
+	#nextWitness = 0;
 	#suspectUntil = Number.NEGATIVE_INFINITY;
 	/** What was logged last. */
 	#reported = '';
@@ -98,10 +107,41 @@
 		this.#report(listed);
 	}
 
-	/** Whether and how an endpoint's process answers, by whichever path there is. */
+	/**
+	 * Whether an endpoint's process answers, by whichever path there is. Where it seems to refuse connections and the other
+	 * endpoints cannot be reached either, it is this instance's own link that fails, and the result is `silent`.
+	 */
 	async reach(endpoint: EndpointRecord): Promise<ProbeResult> {
 		const direct = await this.#probe(endpoint.address);
-		return direct === 'accepted' ? direct : await this.#dependencies.relays.probe(endpoint) ?? direct;
+		if (direct === 'accepted') {
+			return direct;
+		}
+
+		const result = await this.#dependencies.relays.probe(endpoint) ?? direct;
+		if (result !== 'refused') {
+			return result;
+		}
+
+		if (!await this.#reachesAnother(endpoint)) {
+			return 'silent';
+		}
+
+		this.#downSince.set(incarnationOf(endpoint), Number.NEGATIVE_INFINITY);
+		return result;
+	}
+
+	/** Whether one of a few other endpoints that were up until now accepts a connection; true if there is none. */
+	async #reachesAnother(endpoint: EndpointRecord): Promise<boolean> {
+		const others = this.#dependencies.endpoints.all().filter(other => other.state === 'ready' && other.name !== endpoint.name && !this.#isKnownDown(other));
+		const start = this.#nextWitness++ % Math.max(1, others.length);
+		const witnesses = [...others.slice(start), ...others.slice(0, start)].slice(0, maxWitnesses);
+		const results = await Promise.all(witnesses.map(async ({address}) => this.#probe(address)));
+		return results.length === 0 || results.includes('accepted');
+	}
+
+	/** Whether an endpoint was down before, so that its silence tells nothing about the own link now. */
+	#isKnownDown(endpoint: EndpointRecord): boolean {
+		return this.#now() - (this.#downSince.get(incarnationOf(endpoint)) ?? Number.POSITIVE_INFINITY) > knownDownMilliseconds;
 	}
 
 	async #examineOnce(endpoint: EndpointRecord, examine: () => Promise<unknown>): Promise<void> {
@@ -121,7 +161,9 @@
 		if (await this.#probe(endpoint.address) === 'accepted') {
 			this.#setDirect(endpoint);
 		} else if (!await this.#examineRelays(endpoint)) {
-			this.#dependencies.placement.noteProbe(endpoint, false, this.#now());
+			const now = this.#now();
+			this.#downSince.set(incarnationOf(endpoint), Math.min(now, this.#downSince.get(incarnationOf(endpoint)) ?? now));
+			this.#dependencies.placement.noteProbe(endpoint, false, now);
 		}
 	}
 
@@ -135,6 +177,7 @@
 		}
 
 		const now = this.#now();
+		this.#downSince.delete(incarnation);
 		if (!this.#relayed.has(incarnation)) {
 			this.#relayed.set(incarnation, {endpoint, nextDirectAt: now + firstDirectIntervalMilliseconds, interval: firstDirectIntervalMilliseconds});
 			log.record('endpoint-path', {endpoint: endpoint.name, path: 'relayed'});
@@ -156,6 +199,7 @@
 	}
 
 	#setDirect(endpoint: EndpointRecord): void {
+		this.#downSince.delete(incarnationOf(endpoint));
 		const {placement, log} = this.#dependencies;
 		if (!this.#relayed.delete(incarnationOf(endpoint))) {
 			placement.noteProbe(endpoint, true, this.#now());
@@ -201,11 +245,13 @@
 	}
 
 	#forgetDeparted(listed: readonly EndpointRecord[]): void {
-		if (this.#relayed.size > 0) {
+		if (this.#relayed.size > 0 || this.#downSince.size > 0) {
 			const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
-			for (const incarnation of this.#relayed.keys()) {
-				if (!incarnations.has(incarnation)) {
-					this.#relayed.delete(incarnation);
+			for (const map of [this.#relayed, this.#downSince]) {
+				for (const incarnation of map.keys()) {
+					if (!incarnations.has(incarnation)) {
+						map.delete(incarnation);
+					}
 				}
 			}
 		}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -129,7 +129,11 @@
 		});
 		this.#coordinators = this.#createCoordinators(shared, coordinatorView, ports);
 		const {crashes, publisher, handler: crashHandler} = createCrashes({
-			...shared, instance: settings.instance, metrics, random: ports.random, store: ports.store, isCoordinator: () => this.#coordinators.isCoordinator,
+			...shared,
+			...ports,
+			instance: settings.instance,
+			isCoordinator: () => this.#coordinators.isCoordinator,
+			probe: async endpoint => paths.reach(endpoint),
 		});
 		this.#crashReports = publisher;
 		this.#context = {
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -72,15 +72,16 @@
 		const relays = new RelayClient({
 			clock: systemMomentClock, directory: this.relayDirectory, key: () => testRelayKey, random: () => 0,
 		});
+		const paths = new EndpointPaths({
+			clock: systemMomentClock, placement, endpoints, relays, log, metrics,
+		});
 		this.context = {
 			dataCentre: 'split',
 			clock: systemMomentClock,
 			names: ownWireNames,
 			configuration: view,
 			endpoints,
-			paths: new EndpointPaths({
-				clock: systemMomentClock, placement, endpoints, relays, log, metrics,
-			}),
+			paths,
 			relays,
 			placement,
 			crashes: new EndpointCrashes({
@@ -91,6 +92,7 @@
 				endpoints,
 				ledger: crashLedger,
 				random: () => 0,
+				probe: async endpoint => paths.reach(endpoint),
 				publish(report) {
 					crashLedger.put(keyOfReport(report), report);
 				},
