Send brittle endpoints no more than their slots, from all instances together

Endpoints that fall over when they turn too many requests away fell again and again: their header was read nowhere, each instance sent by what it knew of the others' load up to 0.3 s before, and the load of one that fell went to the others.

An answer that says so makes its whole service brittle, here and, by what instances and coordinator exchange anyway, at all others. Each request to such an endpoint then needs a slot that the coordinator grants: requests in flight by the instances' reports, and grants whose requests are not in a report yet, stay below the endpoint's slots. Ended requests are reported at once. A coordinator that has just taken over grants none for 1.5 s, until all have reported; without a coordinator each instance sends only its part of the slots. An endpoint that turned a request away gets none for a second from that instance.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -40,17 +40,19 @@
 	readonly #deployment: GatewayDeployment;
 	readonly #address: string;
 	readonly #service: string;
+	readonly #slots: number;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
 	#starts = 0;
 	#isClosed = false;
 
-	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string}, script: EndpointScript) {
+	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string; slots: number}, script: EndpointScript) {
 		this.#deployment = deployment;
 		this.dataCentre = place.dataCentre;
 		this.#address = place.address;
 		this.#service = place.service;
+		this.#slots = place.slots;
 		this.#script = script;
 	}
 
@@ -175,7 +177,7 @@
 
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
-			service: this.#service, address: this.#address, zone: this.dataCentre, slots: 16, state, born: Date.now(),
+			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: Date.now(),
 		});
 	}
 }
--- a/src/check/desk-deployment.ts
+++ b/src/check/desk-deployment.ts
@@ -6,6 +6,7 @@
 const instancesPerDataCentre = 2;
 const endpointsPerDataCentre = 2;
 const service = 'desk';
+const defaultSlots = 16;
 const route = {
 	host, kind: 'stream', timeout_ms: 4000, target_latency_ms: 600, gap_aim_ms: 800, service,
 };
@@ -41,10 +42,12 @@
 }
 
 /** Starts the endpoints, and then the instances. */
-export async function startDesk(deployment: GatewayDeployment, script: EndpointScript): Promise<DeploymentEndpoint[]> {
+export async function startDesk(deployment: GatewayDeployment, script: EndpointScript, slots = defaultSlots): Promise<DeploymentEndpoint[]> {
 	const endpoints = deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: endpointsPerDataCentre}, (_, number) => {
 		const address = deployment.endpointAddress(index + 1, number + 1);
-		return new DeploymentEndpoint(deployment, {dataCentre, address, service}, script);
+		return new DeploymentEndpoint(deployment, {
+			dataCentre, address, service, slots,
+		}, script);
 	}));
 	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
 	await deployment.start();
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -8,6 +8,7 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {reportValidityMilliseconds} from '../../protocol/blocks/block-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
@@ -42,6 +43,9 @@
 	takeUses(): string[];
 	/** Called when the connection has ended. */
 	closed(): void;
+	/** What it has seen of brittle services, and where the client delivers what others have seen. */
+	brittle(): BrittleReport[];
+	applyBrittle(reports: readonly BrittleReport[]): void;
 	/** This instance's relay; absent while others must not use it. */
 	relay(): RelayReport | undefined;
 	/** Whether it needs a new list of relays. */
@@ -55,6 +59,9 @@
 	applyTableUpdates(updates: readonly FeedUpdate[], queriedAt: Moment): void;
 };
 
+/** What a query asks for beside the state of the other instances. */
+type Asked = Pick<FollowerFrame & {kind: 'ask'}, 'permit' | 'slot'>;
+
 /** A query in flight. */
 type PendingQuery = {sentAt: Moment; query: PlacementQuery};
 
@@ -74,6 +81,8 @@
 	#address: string | undefined;
 	#reader = new FrameReader();
 	#number = 0;
+	/** Number of the last query that was answered. */
+	#answered = 0;
 	#pending = new Map<number, PendingQuery>();
 	#lastAnswerAt = 0;
 	#lastQueryAt = Number.NEGATIVE_INFINITY;
@@ -180,10 +189,16 @@
 
 	/** Asks to send one request to an endpoint with a limit; `undefined` without an answer in time. */
 	async takePermit(permit: PermitQuery): Promise<PermitAnswer | undefined> {
-		const answer = await this.#ask(emptyQuery, permit);
+		const answer = await this.#ask(emptyQuery, {permit});
 		return answer?.permit;
 	}
 
+	/** Asks to send one request to an endpoint of a brittle service; `undefined` without an answer in time. */
+	async takeSlot(endpoint: string, slots: number): Promise<boolean | undefined> {
+		const answer = await this.#ask(emptyQuery, {slot: {endpoint, slots}});
+		return answer?.isSlotGranted;
+	}
+
 	report(): void {
 		const frame: FollowerFrame = {kind: 'tell', ...this.#report()};
 		this.#socket?.write(encodeFrame(frame));
@@ -204,12 +219,12 @@
 	}
 
 	/** Sends a query, and waits for the answer if that takes only a short time. */
-	async #ask(query: PlacementQuery, permit?: PermitQuery): Promise<CoordinatorFrame | undefined> {
+	async #ask(query: PlacementQuery, asked: Asked = {}): Promise<CoordinatorFrame | undefined> {
 		if (!this.isResponsive) {
 			return undefined;
 		}
 
-		this.#sendQuery(query, permit);
+		this.#sendQuery(query, asked);
 		const number = this.#number;
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
@@ -222,7 +237,7 @@
 		});
 	}
 
-	#sendQuery(query: PlacementQuery, permit?: PermitQuery): void {
+	#sendQuery(query: PlacementQuery, asked: Asked = {}): void {
 		const now = this.#clock.moment();
 		this.#number++;
 		this.#lastQueryAt = now.steady;
@@ -234,7 +249,7 @@
 			wantsRelays: this.#follower.wantsRelays(),
 			about: query,
 			places: this.#follower.cursors(),
-			...(permit === undefined ? {} : {permit}),
+			...asked,
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
@@ -242,8 +257,15 @@
 	#report(): Omit<FollowerFrame & {kind: 'tell'}, 'kind'> {
 		const {instance, cores} = this.#follower;
 		const relay = this.#follower.relay();
+		const brittle = this.#follower.brittle();
 		return {
-			instance, cores, uses: this.#follower.takeUses(), loads: this.#follower.loads(), ...(relay === undefined ? {} : {relay}),
+			instance,
+			cores,
+			uses: this.#follower.takeUses(),
+			loads: this.#follower.loads(),
+			answered: this.#answered,
+			...(relay === undefined ? {} : {relay}),
+			...(brittle.length === 0 ? {} : {brittle}),
 		};
 	}
 
@@ -262,6 +284,7 @@
 	#handleAnswer(frame: CoordinatorFrame): void {
 		const now = this.#clock.moment();
 		this.#lastAnswerAt = now.steady;
+		this.#answered = frame.number;
 		const pending = this.#pending.get(frame.number);
 		this.#pending.delete(frame.number);
 		if (pending !== undefined) {
@@ -272,6 +295,10 @@
 			this.#isLapsed = frame.isLapsed;
 			this.#dataCentre = frame.dataCentre;
 			this.#follower.applyTableUpdates(frame.tables, pending.sentAt);
+			if (frame.brittle !== undefined) {
+				this.#follower.applyBrittle(frame.brittle);
+			}
+
 			if (frame.relays !== undefined) {
 				this.#follower.applyRelays(frame.relays);
 			}
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -1,6 +1,7 @@
 /** The messages between the coordinator and its followers, sent as frames over one connection for each follower. */
 
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
+import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 
@@ -98,6 +99,10 @@
 	uses: string[];
 	/** Its requests in flight, by endpoint. */
 	loads: Record<string, PackedLoad>;
+	/** What it has seen of services whose endpoints are or were brittle; absent where it has seen none. */
+	brittle?: BrittleReport[];
+	/** Number of the last query whose answer it has received. */
+	answered?: number;
 	/** Its relay; absent while others must not use it. */
 	relay?: RelayReport;
 };
@@ -112,6 +117,8 @@
 		places: Record<string, FeedCursor>;
 		/** An endpoint with a limit that it asks to send one request to. */
 		permit?: PermitQuery;
+		/** An endpoint of a brittle service that it asks to send one request to, and the slots there. */
+		slot?: {endpoint: string; slots: number};
 		/** Whether it asks which relays there are. */
 		wantsRelays?: boolean;
 	}
@@ -145,6 +152,10 @@
 	instances: number;
 	/** Whether the permit that was asked for is granted; absent if none was, or if the lease has lapsed. */
 	permit?: PermitAnswer;
+	/** Whether the slot that was asked for is granted; absent if none was, or if the lease has lapsed. */
+	isSlotGranted?: boolean;
+	/** The latest that any instance has seen of services whose endpoints are or were brittle. */
+	brittle?: BrittleReport[];
 	/** Relays of other instances; absent if it did not ask for them. */
 	relays?: RelayReport[];
 };
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -10,11 +10,13 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
+import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
 import {PermitGrants} from './permit-grants.js';
+import {SlotGrants} from './slot-grants.js';
 import {LoadTotals} from './load-totals.js';
 
 /** What the server needs from the coordinator to answer queries. */
@@ -50,6 +52,9 @@
 /** Relays that an answer names: enough to choose among, also when some of them fail. */
 const maxRelays = 8;
 
+/** Within this time after a new coordinator took over, all instances have found it and reported their requests. */
+const reconnectMilliseconds = 1500;
+
 type Follower = {
 	instance: string;
 	relay?: RelayReport | undefined;
@@ -68,6 +73,10 @@
 	readonly #loads = new LoadTotals();
 	#permits = new PermitGrants();
 	#permitTerm: number | undefined;
+	readonly #slots = new SlotGrants();
+	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
+	/** The latest observation of services whose endpoints are or were brittle. */
+	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
 	#nextRelay = 0;
 
 	/** @param address - `IP:port` to listen at. */
@@ -146,6 +155,8 @@
 			instance, cores, relay, lastSeenAt: this.#now(),
 		});
 		this.#loads.set(instance, frame.loads);
+		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
+		this.#noteBrittle(frame.brittle ?? []);
 		this.#source.recordUses(frame.uses);
 		if (frame.kind === 'ask') {
 			this.#answer(socket, frame);
@@ -178,7 +189,7 @@
 	}
 
 	#answer(socket: Socket, {
-		number, instance, about, loads, places, permit, wantsRelays = false,
+		number, instance, about, loads, places, permit, slot, wantsRelays = false,
 	}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
 		const blocks = this.#source.locateBlocks(about, engine => this.#loads.requestsAt(engine));
@@ -197,6 +208,8 @@
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
 			...this.#answerPermit(instance, permit),
+			...this.#answerSlot(instance, number, slot),
+			...(this.#brittle.size > 0 ? {brittle: this.#brittleReports()} : {}),
 			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
 		};
 		this.#write(socket, encodeFrame(answer));
@@ -222,6 +235,33 @@
 		return {permit};
 	}
 
+	/** Grants no slots when another coordinator may grant the same ones, or before all instances have reported their requests. */
+	#answerSlot(instance: string, number: number, slot: (FollowerFrame & {kind: 'ask'})['slot']): Pick<CoordinatorFrame, 'isSlotGranted'> {
+		const term = this.#source.permitTerm();
+		if (term !== this.#slotTerm.number) {
+			this.#slotTerm = {number: term, since: this.#now()};
+		}
+
+		if (slot === undefined || term === undefined || this.#now() - this.#slotTerm.since < reconnectMilliseconds) {
+			return {};
+		}
+
+		return {isSlotGranted: this.#slots.take({...slot, instance, number}, this.#loads.requestsAt(slot.endpoint), this.#now())};
+	}
+
+	#noteBrittle(reports: readonly BrittleReport[]): void {
+		for (const {service, isBrittle, ageMilliseconds} of reports) {
+			const at = this.#now() - ageMilliseconds;
+			if (at > (this.#brittle.get(service)?.at ?? Number.NEGATIVE_INFINITY)) {
+				this.#brittle.set(service, {isBrittle, at});
+			}
+		}
+	}
+
+	#brittleReports(): BrittleReport[] {
+		return [...this.#brittle].map(([service, {isBrittle, at}]) => ({service, isBrittle, ageMilliseconds: Math.round(this.#now() - at)}));
+	}
+
 	/** The relays that reach the most endpoints, from another one on in each answer so that all are used. */
 	#relaysFor(instance: string): RelayReport[] {
 		const relays = [...this.#followers.values()].flatMap(follower => follower.relay === undefined || follower.instance === instance ? [] : [follower.relay]);
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -5,14 +5,15 @@
  * send orders to stores. The cached blocks of engines and the loads of instances are hints, which the standby may serve
  * meanwhile: without them every returning prompt is prefilled again, at engines that look idle to all instances at once.
  */
+import {type SlotSource} from '../limits/brittle-services.js';
 import {type PermitSource} from '../limits/endpoint-limits.js';
 import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
 import {type PermitAnswer, type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
 
 /** One of the instances that state is exchanged through. */
-export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'report' | 'isResponsive'>;
+export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isResponsive' | 'instances'>;
 
-export class PeerUpdateSources implements PeerUpdates, PermitSource {
+export class PeerUpdateSources implements PeerUpdates, PermitSource, SlotSource {
 	readonly #coordinator: PeerUpdateSource;
 	readonly #sources: readonly PeerUpdateSource[];
 
@@ -37,6 +38,15 @@
 		return this.#coordinator.takePermit(permit);
 	}
 
+	/** Asks the coordinator only, for the same reason. */
+	async takeSlot(endpoint: string, slots: number): Promise<boolean | undefined> {
+		return this.#coordinator.takeSlot(endpoint, slots);
+	}
+
+	get instances(): number {
+		return this.#coordinator.instances;
+	}
+
 	report(): void {
 		this.#sources.find(({isResponsive}) => isResponsive)?.report();
 	}
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -58,7 +58,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -109,6 +109,7 @@
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#placementOutcomeOf(result.outcome),
 		}, this.#now());
+		brittle.noteEnded(endpoint, result.outcome === 'rejected');
 		metrics.attempts.inc({outcome: result.outcome});
 		const {framing, bodyEnd} = result.transfer;
 		if (framing !== undefined && bodyEnd !== undefined) {
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -4,6 +4,7 @@
  */
 import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type Placement, type PlacementRequest} from '../../decision/placement/placement.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type CrashScreen} from './crash-screen.js';
@@ -75,7 +76,7 @@
 				});
 			}
 
-			if (await this.#context.limits.maySend(placement.endpoint)) {
+			if (await this.#maySend(placement.endpoint)) {
 				return {kind: 'found', request, placement};
 			}
 
@@ -83,7 +84,7 @@
 				return refused({
 					reason: 'overloaded',
 					ran: 'not-run',
-					message: 'the limits that the endpoints have named leave no room now',
+					message: 'the endpoints, or the limits that they have named, leave no room now',
 					retryAfterMilliseconds: spreadRetry(limitedRetryMilliseconds, this.#id),
 				});
 			}
@@ -97,6 +98,12 @@
 		const milliseconds = this.#choice.restMilliseconds();
 		return milliseconds === undefined ? undefined : spreadRetry(milliseconds, this.#id);
 	}
+
+	/** Asks for a slot last: a limit leaves room less often, and a slot that is not used is lost for a moment. */
+	async #maySend(endpoint: EndpointRecord): Promise<boolean> {
+		const {limits, brittle} = this.#context;
+		return await limits.maySend(endpoint) && brittle.maySend(endpoint);
+	}
 }
 
 function refused(refusal: Refusal): SearchResult {
--- a/src/gateway/data-path/note-announcements.ts
+++ b/src/gateway/data-path/note-announcements.ts
@@ -1,6 +1,6 @@
 /**
- * What an endpoint says of itself in the head of an answer: that it leaves, that it needs a rest, or how many requests it
- * takes from all instances together. What another endpoint says at its address is ignored.
+ * What an endpoint says of itself in the head of an answer: that it leaves, that it needs a rest, how many requests it
+ * takes from all instances together, or that it is brittle. What another endpoint says at its address is ignored.
  */
 import {spreadRetry} from '../../decision/limits/spread-retry.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
@@ -26,7 +26,7 @@
 
 /** Records what the head of an answer announces, whatever its status. */
 export function noteAnnouncements(context: GatewayContext, received: ReceivedAnswer): void {
-	const {names, limits} = context;
+	const {names, limits, brittle} = context;
 	const {endpoint, answer, isServed, sentAt} = received;
 	if ((answer.header(names.endpointName) ?? endpoint.name) !== endpoint.name) {
 		return;
@@ -35,6 +35,7 @@
 	noteLeaving(context, received);
 	noteRest(context, received);
 	limits.note(endpoint, {limit: answer.header(names.endpointLimit), isServed, sentAt});
+	brittle.note(endpoint, {brittle: answer.header(names.endpointBrittle), isServed, sentAt});
 }
 
 function noteLeaving({names, endpoints, log}: GatewayContext, {attemptId, endpoint, answer}: ReceivedAnswer): void {
--- a/src/gateway/data-path/wire-names.ts
+++ b/src/gateway/data-path/wire-names.ts
@@ -32,6 +32,8 @@
 	endpointLoad: string;
 	/** Requests a second that the endpoint takes from all instances together, as long as its answers say so. */
 	endpointLimit: string;
+	/** Requests that an endpoint may turn away in a second before it falls over, in all answers of a brittle service. */
+	endpointBrittle: string;
 	/** `1` in the answers of an endpoint that finishes its work and accepts no new requests. */
 	endpointLeaving: string;
 	/** The weight version that an engine answered with. */
@@ -68,6 +70,7 @@
 	notExecuted: 'savorygauge-not-executed',
 	endpointLoad: 'savorygauge-endpoint-load',
 	endpointLimit: 'savorygauge-limit',
+	endpointBrittle: 'savorygauge-brittle',
 	endpointLeaving: 'savorygauge-leaving',
 	weightVersion: 'savorygauge-weight-version',
 	cacheSalt: 'savorygauge-cache-salt',
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -10,6 +10,7 @@
 import {type EndpointExchanges} from './data-path/endpoint-exchange.js';
 import {type Refuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
+import {type BrittleServices} from './limits/brittle-services.js';
 import {type EndpointLimits} from './limits/endpoint-limits.js';
 import {type EndpointPaths} from './endpoints/endpoint-paths.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
@@ -33,6 +34,7 @@
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
 	limits: Pick<EndpointLimits, 'note' | 'maySend'>;
+	brittle: Pick<BrittleServices, 'note' | 'maySend' | 'noteEnded'>;
 	rests: EndpointRests;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -40,6 +40,7 @@
 import {CoordinatorPair} from './coordinator/coordinator-pair.js';
 import {CoordinatorView} from './coordinator/coordinator-view.js';
 import {DecisionLog} from './observability/decision-log.js';
+import {BrittleServices} from './limits/brittle-services.js';
 import {EndpointLimits} from './limits/endpoint-limits.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
@@ -85,6 +86,7 @@
 	readonly #coordinators: CoordinatorPair;
 	readonly #crashReports: CrashReportPublisher;
 	readonly #relays: Relays;
+	readonly #brittle: BrittleServices;
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
@@ -136,6 +138,13 @@
 			probe: async endpoint => paths.reach(endpoint),
 		});
 		this.#crashReports = publisher;
+		this.#brittle = new BrittleServices({
+			...shared,
+			instance: settings.instance,
+			metrics,
+			slots: this.#coordinators.peerUpdates,
+			requestsAt: endpoint => this.#placement.ownLoads(clock.moment().steady).get(endpoint.name)?.requests ?? 0,
+		});
 		this.#context = {
 			...shared,
 			paths,
@@ -148,6 +157,7 @@
 			eventLoopLag: this.#eventLoopLag,
 			crashes,
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
+			brittle: this.#brittle,
 			rests: new EndpointRests(),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
@@ -230,6 +240,10 @@
 				cores,
 				loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 				...this.#relays.follower,
+				brittle: () => this.#brittle.reports(),
+				applyBrittle: reports => {
+					this.#brittle.apply(reports);
+				},
 				watchedEndpoints: () => this.#watchedEndpoints(),
 				cursors: () => this.#feeds.cursors(),
 				applyTableUpdates: (updates, queriedAt) => {
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -18,7 +18,7 @@
 	= | 'started' | 'stopping' | 'stopped' | 'reloaded'
 		| 'dependency-lost' | 'dependency-regained' | 'store-restored'
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
-		| 'connections-lost' | 'endpoints-unreachable' | 'endpoint-path' | 'limit-named' | 'permit-granted' | 'leaving-announced' | 'rest-requested'
+		| 'connections-lost' | 'endpoints-unreachable' | 'endpoint-path' | 'service-brittle' | 'limit-named' | 'permit-granted' | 'leaving-announced' | 'rest-requested'
 		| 'request-served' | 'request-ended' | 'request-refused' | 'request-blocked' | 'try-failed' | 'late-write'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
 		| 'store-parts' | 'event-loop-late' | 'left-out' | 'fault';
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -57,6 +57,10 @@
 		name: 'savorygauge_permits_total', help: 'Requests for endpoints that had named a limit, by whether they were let through.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
+	readonly slots = new Counter({
+		name: 'savorygauge_slots_total', help: 'Requests for endpoints of brittle services, by whether the coordinator granted a slot.', labelNames: ['outcome'], registers: [this.registry],
+	});
+
 	readonly unreachableEndpoints = new Gauge({
 		name: 'savorygauge_unreachable_endpoints', help: 'Listed endpoints that this instance cannot reach.', registers: [this.registry],
 	});
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -10,6 +10,10 @@
 		closed() {
 			// There is no state to reset.
 		},
+		brittle: () => [],
+		applyBrittle() {
+			// No service is brittle.
+		},
 		relay: () => undefined,
 		wantsRelays: () => false,
 		applyRelays() {
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -23,6 +23,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {CoordinatorView} from '../coordinator/coordinator-view.js';
 import {PermitGrants} from '../coordinator/permit-grants.js';
+import {BrittleServices} from '../limits/brittle-services.js';
 import {EndpointLimits} from '../limits/endpoint-limits.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
@@ -100,6 +101,20 @@
 			limits: new EndpointLimits({
 				clock: systemMomentClock, log, metrics, permits: {takePermit: async query => permits.answer(query, systemMomentClock.moment().steady)},
 			}),
+			brittle: new BrittleServices({
+				instance: 'test',
+				clock: systemMomentClock,
+				log,
+				metrics,
+				requestsAt: () => 0,
+				slots: {
+					takeSlot: async () => true,
+					report() {
+						// It has no other instances to publish to.
+					},
+					instances: 1,
+				},
+			}),
 			rests: new EndpointRests(),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -16,6 +16,7 @@
 	notExecuted: 'x-not-executed',
 	endpointLoad: 'x-server-load',
 	endpointLimit: 'server-limit',
+	endpointBrittle: 'server-brittle',
 	endpointLeaving: 'server-leaving',
 	weightVersion: 'x-weight-versions',
 	cacheSalt: 'x-cache-salt',
