Wait for an endpoint that is silent as long as its service usually is, unless it accepts no connection

A sound endpoint may take a second to its first byte, or fall silent for one.

A running attempt is now cancelled when its endpoint has been silent for 2.5 times what nine in ten of the service's last 64 answers took, and for the old limits at least. Cancelled attempts count as answers of the time that they waited, so that a service which is slow for all is learned even if all its calls are cancelled first. An endpoint that is silent for the old limits is tried by a connection: one that accepts none has failed or is cut off, and is given up at once. So a cut and a silence are settled in one place. A call to a plain service is not cancelled without a retry for it. New requests avoid a silent endpoint as before. Not done of the detector: a guard by the share of silent endpoints, the sharing of what is usual, and hedging.

--- a/src/decision/limits/shared-retry-budget.ts
+++ b/src/decision/limits/shared-retry-budget.ts
@@ -39,6 +39,15 @@
 		this.#sliceAt(service, now).requests++;
 	}
 
+	/** Whether a retry is left. */
+	hasRetry(service: string, now: number): boolean {
+		this.#sliceAt(service, now);
+		const slicesInWindow = this.#slices.get(service) ?? [];
+		const requests = slicesInWindow.reduce((sum, slice) => sum + slice.requests, 0);
+		const retries = slicesInWindow.reduce((sum, slice) => sum + slice.retries, 0);
+		return retries + 1 <= (usedShare * this.#bounds.ratio * requests) + freeRetries;
+	}
+
 	/**
 	 * Takes one retry.
 	 *
@@ -48,10 +57,7 @@
 	 */
 	takeRetry(service: string, now: number): boolean {
 		const slice = this.#sliceAt(service, now);
-		const slicesInWindow = this.#slices.get(service) ?? [];
-		const requests = slicesInWindow.reduce((sum, slice) => sum + slice.requests, 0);
-		const retries = slicesInWindow.reduce((sum, slice) => sum + slice.retries, 0);
-		if (retries + 1 > (usedShare * this.#bounds.ratio * requests) + freeRetries) {
+		if (!this.hasRetry(service, now)) {
 			return false;
 		}
 
--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -34,6 +34,9 @@
 /** Longest retry delay. Callers wait for at most a third of the time that they have left, so a longer one is useless. */
 const maxOverloadRetryMilliseconds = 2500;
 
+/** An endpoint that is silent for so many times the usual time of a first byte has stopped. */
+const unusualFactor = 2.5;
+
 export class CostPlacement implements PlacementPolicy {
 	readonly #dataCentre: string;
 	readonly #state = new PlacementState();
@@ -98,6 +101,10 @@
 
 			case 'answered': {
 				const first = tracker.answered(request.id, event.load, now);
+				if (first !== undefined) {
+					this.#state.firstByteTimesOf(request.service).observe(first.milliseconds);
+				}
+
 				// With no prefill ahead and nothing to fetch, the delay of the first token shows how fast the engine
 				// prefills.
 				if (request.prompt !== undefined && first?.basis.unreadBefore === 0 && first.basis.fetchTokens === 0) {
@@ -152,20 +159,32 @@
 		this.#state.trackerOf(endpoint).received(now);
 	}
 
+	isSilent(endpoint: EndpointRecord, now: number): boolean {
+		return this.#isSilentFor(endpoint, 0, now);
+	}
+
 	isUnresponsive(endpoint: EndpointRecord, now: number): boolean {
-		const {load, includesOthers} = this.#estimator.loadAt(endpoint, now);
-		return isUnresponsive(load, includesOthers ? unresponsiveMilliseconds : unresponsiveOwnViewMilliseconds);
+		return this.#isSilentFor(endpoint, unusualFactor * this.#state.firstByteTimesOf(endpoint.service).usualMilliseconds, now);
+	}
+
+	noteUnanswered(endpoint: EndpointRecord, waitedMilliseconds: number): void {
+		this.#state.firstByteTimesOf(endpoint.service).observe(waitedMilliseconds);
 	}
 
 	idleMilliseconds(endpoint: EndpointRecord, now: number): number {
 		return this.#estimator.loadAt(endpoint, now).load.lastByteAgoMilliseconds;
 	}
 
+	#isSilentFor(endpoint: EndpointRecord, minMilliseconds: number, now: number): boolean {
+		const {load, includesOthers} = this.#estimator.loadAt(endpoint, now);
+		return isUnresponsive(load, Math.max(minMilliseconds, includesOthers ? unresponsiveMilliseconds : unresponsiveOwnViewMilliseconds));
+	}
+
 	/** The endpoints that may get a request now. */
 	#eligible(request: PlacementRequest, endpoints: readonly EndpointRecord[], now: number): readonly EndpointRecord[] {
 		const notAttempted = endpoints.filter(endpoint => !request.attempted.has(endpoint.name) && mayStartOnWeights(request, endpoint, 0, now));
 		const notLoading = notAttempted.filter(endpoint => !isLoading(request, endpoint));
-		const responsive = notLoading.filter(endpoint => !this.#state.trackerOf(endpoint).isUnreachable && !this.isUnresponsive(endpoint, now));
+		const responsive = notLoading.filter(endpoint => !this.#state.trackerOf(endpoint).isUnreachable && !this.isSilent(endpoint, now));
 		const healthy = responsive.filter(endpoint => !this.#state.trackerOf(endpoint).isCircuitOpen(now));
 		// If this leaves no endpoint, the exclusions are lifted one by one: the request would be refused although an
 		// endpoint may have recovered.
--- a/src/decision/placement/placement-state.ts
+++ b/src/decision/placement/placement-state.ts
@@ -3,6 +3,7 @@
 import {EstimatedPrefixCache} from './estimated-prefix-cache.js';
 import {type EndpointLoad} from './endpoint-load.js';
 import {EndpointTracker} from './endpoint-tracker.js';
+import {FirstByteTimes} from './first-byte-times.js';
 import {PrefillSpeed} from './prefill-speed.js';
 
 export class PlacementState {
@@ -11,6 +12,7 @@
 	readonly #trackerByRecord = new WeakMap<EndpointRecord, EndpointTracker>();
 	readonly #prefixCaches = new Map<string, EstimatedPrefixCache>();
 	readonly #prefillSpeeds = new Map<string, PrefillSpeed>();
+	readonly #firstByteTimes = new Map<string, FirstByteTimes>();
 
 	/** The tracker of an endpoint's incarnation. */
 	trackerOf(endpoint: EndpointRecord): EndpointTracker {
@@ -34,6 +36,11 @@
 		return getOrCreate(this.#prefillSpeeds, service, () => new PrefillSpeed());
 	}
 
+	/** Times of the first bytes of a service's answers. */
+	firstByteTimesOf(service: string): FirstByteTimes {
+		return getOrCreate(this.#firstByteTimes, service, () => new FirstByteTimes());
+	}
+
 	/** The load of this instance by the name of the endpoint; endpoints without its requests are absent. */
 	loadsAt(now: number): Map<string, EndpointLoad> {
 		const loads = new Map<string, EndpointLoad>();
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -80,7 +80,11 @@
 	observe(event: PlacementEvent, now: number): void;
 	/** Records that bytes arrived from an endpoint. */
 	received(endpoint: EndpointRecord, now: number): void;
-	/** Whether an endpoint with waiting requests has become unresponsive. */
+	/** Whether an endpoint with waiting requests has sent nothing for a while; it gets no new requests while others do. */
+	isSilent(endpoint: EndpointRecord, now: number): boolean;
+	/** Records that the first byte of an answer had not arrived after this time, when its request was cancelled. */
+	noteUnanswered(endpoint: EndpointRecord, waitedMilliseconds: number): void;
+	/** Whether it has done so for much longer than its service usually takes. */
 	isUnresponsive(endpoint: EndpointRecord, now: number): boolean;
 	/** Time since the last byte from an endpoint to any instance, in milliseconds. */
 	idleMilliseconds(endpoint: EndpointRecord, now: number): number;
--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -26,6 +26,8 @@
 	#responsivenessCheck: NodeJS.Timeout | undefined;
 	#grantTimer: NodeJS.Timeout | undefined;
 	#hasBegun = false;
+	#isProbing = false;
+	#startedAt = 0;
 	#isStopped = false;
 	#cancelReason: CancelReason | undefined;
 
@@ -42,6 +44,7 @@
 
 	/** Starts to watch a call that was sent. */
 	start(exchange: OpenExchange): void {
+		this.#startedAt = this.#now();
 		this.#watchResponsiveness(exchange);
 		this.#watchWeightsGrant(exchange);
 	}
@@ -61,6 +64,8 @@
 	 * Cancels a request at an endpoint that has become unresponsive. A host that lost power resets no connection, so the caller
 	 * would wait until its timeout.
 	 *
+	 * - An endpoint that is only slow is waited for as long as its service usually takes; one that accepts no connection any more
+	 *   is not.
 	 * - A call to a plain service is cancelled only if it may be sent to another endpoint, since it may just be slow.
 	 * - A prompt is cancelled even if no other engine may be tried, since its caller can retry at once.
 	 * - After the first bytes only a resumable stream is cancelled; any other caller would be left with half of an answer.
@@ -85,15 +90,39 @@
 		if (this.#isUnresponsive()) {
 			await afterNextPoll();
 			if (!this.#isStopped && this.#isUnresponsive()) {
+				this.#noteUnanswered();
 				this.#cancel(exchange, 'silence');
 			}
+		} else if (this.#isSilent() && !this.#isProbing) {
+			this.#isProbing = true;
+			const isUp = await this.#context.paths.isUp(this.#target.endpoint);
+			this.#isProbing = false;
+			if (!isUp && !this.#isStopped && this.#isSilent()) {
+				this.#cancel(exchange, 'silence');
+			}
+		}
+	}
+
+	/** Requests that are cancelled show too how long answers take; otherwise a service that is slow for all would never be waited for. */
+	#noteUnanswered(): void {
+		if (!this.#hasBegun) {
+			this.#context.placement.noteUnanswered(this.#target.endpoint, this.#now() - this.#startedAt);
 		}
 	}
 
+	/** Whether a cancellation leads to an answer: a call to a plain service is not cancelled without a retry for it. */
+	get #mayBeCancelled(): boolean {
+		const {response, splitter, permitted: {route, service}} = this.#work;
+		return (!response.headersSent || (splitter !== undefined && !response.writableNeedDrain))
+			&& (route.carriesPrompt || this.#context.retryBudget.hasRetry(service, this.#now()));
+	}
+
+	#isSilent(): boolean {
+		return this.#mayBeCancelled && this.#context.placement.isSilent(this.#target.endpoint, this.#now());
+	}
+
 	#isUnresponsive(): boolean {
-		const {response, splitter} = this.#work;
-		const mayBeCancelled = !response.headersSent || (splitter !== undefined && !response.writableNeedDrain);
-		return mayBeCancelled && (this.#context.placement.isUnresponsive(this.#target.endpoint, this.#now()) || this.#isEngineStopped());
+		return this.#mayBeCancelled && (this.#context.placement.isUnresponsive(this.#target.endpoint, this.#now()) || this.#isEngineStopped());
 	}
 
 	/** While no request waits, only the running streams show that an engine has stopped. */
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -33,6 +33,8 @@
 /** Endpoints that are examined at a time. */
 const maxExaminations = 32;
 
+/** How long the result of a connection attempt to a silent endpoint is used. */
+const checkValidityMilliseconds = 500;
 /** Other endpoints that are tried to find out whether the own link fails. */
 const maxWitnesses = 3;
 
@@ -46,6 +48,7 @@
 	readonly #probe: (address: string) => Promise<ProbeResult>;
 	readonly #relayed = new Map<string, RelayedEndpoint>();
 	readonly #examinations = new Map<string, Promise<void>>();
+	readonly #checks = new Map<string, {startedAt: number; result: Promise<boolean>}>();
 	/** Endpoints that were examined within the present suspicion of this instance's own links. */
 	readonly #examined = new Set<string>();
 	/** Since when endpoints are down, in milliseconds of the steady clock; one that has ended was down before any other event. */
@@ -130,6 +133,24 @@
 		return result;
 	}
 
+	/** Whether an endpoint accepts a connection by the path that requests to it take. Callers share the attempts of a short time. */
+	async isUp(endpoint: EndpointRecord): Promise<boolean> {
+		const incarnation = incarnationOf(endpoint);
+		const known = this.#checks.get(incarnation);
+		if (known !== undefined && this.#now() - known.startedAt < checkValidityMilliseconds) {
+			return known.result;
+		}
+
+		const result = this.#check(endpoint);
+		this.#checks.set(incarnation, {startedAt: this.#now(), result});
+		return result;
+	}
+
+	async #check(endpoint: EndpointRecord): Promise<boolean> {
+		const result = this.isRelayed(endpoint) ? await this.#dependencies.relays.probe(endpoint) : await this.#probe(endpoint.address);
+		return result === 'accepted';
+	}
+
 	/** Whether one of a few other endpoints that were up until now accepts a connection; true if there is none. */
 	async #reachesAnother(endpoint: EndpointRecord): Promise<boolean> {
 		const others = this.#dependencies.endpoints.all().filter(other => other.state === 'ready' && other.name !== endpoint.name && !this.#isKnownDown(other));
@@ -245,9 +266,9 @@
 	}
 
 	#forgetDeparted(listed: readonly EndpointRecord[]): void {
-		if (this.#relayed.size > 0 || this.#downSince.size > 0) {
+		if (this.#relayed.size > 0 || this.#downSince.size > 0 || this.#checks.size > 0) {
 			const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
-			for (const map of [this.#relayed, this.#downSince]) {
+			for (const map of [this.#relayed, this.#downSince, this.#checks]) {
 				for (const incarnation of map.keys()) {
 					if (!incarnations.has(incarnation)) {
 						map.delete(incarnation);
