--- a/src/gateway/relay/connect-endpoint.ts
+++ b/src/gateway/endpoints/connect-endpoint.ts
@@ -1,7 +1,7 @@
-/** Opens the relay's own connection to an endpoint. */
+/** Opens a connection to an endpoint that is used for one purpose, beside those of requests. */
 import {connect, type Socket} from 'node:net';
 
-/** Timeout of a connection attempt, as for an instance's own requests. */
+/** Timeout of an attempt; a request's connection has the same one. */
 const connectTimeoutMilliseconds = 250;
 
 /**
--- a/src/gateway/endpoints/probe-connection.ts
+++ b/src/gateway/endpoints/probe-connection.ts
@@ -1,5 +1,5 @@
 /** Tries to open a connection to an address and closes it at once. */
-import {connect} from 'node:net';
+import {connectEndpoint} from './connect-endpoint.js';
 
 /**
  * How a connection attempt ended.
@@ -10,28 +10,13 @@
  */
 export type ProbeResult = 'accepted' | 'refused' | 'silent';
 
-/** Timeout of an attempt; a request's connection has the same one. */
-const connectTimeoutMilliseconds = 250;
-
 /** @param address - `IP:port`. */
 export async function probeConnection(address: string): Promise<ProbeResult> {
-	const separator = address.lastIndexOf(':');
-	return new Promise(resolve => {
-		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
-		const end = (result: ProbeResult): void => {
-			socket.destroy();
-			resolve(result);
-		};
+	const connected = await connectEndpoint(address);
+	if (typeof connected === 'string') {
+		return connected;
+	}
 
-		socket.setTimeout(connectTimeoutMilliseconds, () => {
-			// In a process that was paused, the connection may be established as well, and timers run before its event.
-			setImmediate(end, 'silent');
-		});
-		socket.once('connect', () => {
-			end('accepted');
-		});
-		socket.once('error', (error: NodeJS.ErrnoException) => {
-			end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
-		});
-	});
+	connected.destroy();
+	return 'accepted';
 }
--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -9,9 +9,9 @@
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
+import {connectEndpoint} from '../endpoints/connect-endpoint.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {connectEndpoint} from './connect-endpoint.js';
 import {forwardBytes} from './forward-bytes.js';
 import {type OpenFrame, type RelayFrame} from './relay-messages.js';
 
--- a/src/gateway/relay/relay.test.ts
+++ b/src/gateway/relay/relay.test.ts
@@ -10,13 +10,13 @@
 	exchangeRaw, openSocket, readToEnd, statusOf,
 } from '../../test/raw-http.js';
 import {waitUntil} from '../../test/wait-until.js';
+import {connectEndpoint} from '../endpoints/connect-endpoint.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {requestBytes} from '../testing/leaving-callers.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {
 	answerSealed, type EndpointBehaviour, sealedHeaders, TestGateway, testRelayKey,
 } from '../testing/test-gateway.js';
-import {connectEndpoint} from './connect-endpoint.js';
 import {RelayServer} from './relay-server.js';
 
 /** Nothing listens there, as seen by an instance that is cut off. */
