Keep to relays that reach endpoints while coordinators change

Traced: the coordinator's data centre lost the store, another coordinator took over, and its first lists of relays named only instances that were cut off as well. The list replaced the one before; relays that were cut off tried all the same; and an instance whose relays failed forgot that it had no path, so that it reported that it reached everything and was preferred.

Lists are merged and each relay remembered for 30 s; a relay without a direct path says so, which blames itself and no endpoint; an endpoint without any path counts as unreachable; without an answering relay nothing is concluded. Relays are asked ever less often about an endpoint that nobody reaches (0.5 s to 8 s), which hundreds of instances would otherwise do three times a second. The new tests of the directory and the paths fail on the code before.

--- a/src/decision/placement/cost-placement.ts
+++ b/src/decision/placement/cost-placement.ts
@@ -121,8 +121,7 @@
 				}
 
 				if (event.outcome === 'unreachable') {
-					tracker.unreachable(now);
-					this.#unreachable.set(incarnationOf(endpoint), endpoint);
+					this.noteUnreachable(endpoint, now);
 				}
 
 				break;
@@ -134,6 +133,11 @@
 		return [...this.#unreachable.values()].filter(endpoint => this.#state.trackerOf(endpoint).isUnreachable);
 	}
 
+	noteUnreachable(endpoint: EndpointRecord, now: number): void {
+		this.#state.trackerOf(endpoint).unreachable(now);
+		this.#unreachable.set(incarnationOf(endpoint), endpoint);
+	}
+
 	dueProbes(now: number): EndpointRecord[] {
 		return this.unreachable().filter(endpoint => this.#state.trackerOf(endpoint).isProbeDue(now));
 	}
--- a/src/decision/placement/placement.ts
+++ b/src/decision/placement/placement.ts
@@ -90,6 +90,8 @@
 	idleMilliseconds(endpoint: EndpointRecord, now: number): number;
 	/** Endpoints that could not be reached, and have not been reached since. */
 	unreachable(): EndpointRecord[];
+	/** Records that an endpoint cannot be reached. */
+	noteUnreachable(endpoint: EndpointRecord, now: number): void;
 	/** Unreachable endpoints that are due for a connection attempt. */
 	dueProbes(now: number): EndpointRecord[];
 	/** Records the outcome of a connection attempt. */
--- a/src/gateway/endpoints/endpoint-paths.test.ts
+++ b/src/gateway/endpoints/endpoint-paths.test.ts
@@ -13,7 +13,7 @@
 /** Paths to three endpoints, with the results of connection attempts by address, or by name through a relay. */
 function startPaths({direct = {}, relayed = {}}: {direct?: Record<string, ProbeResult>; relayed?: Record<string, ProbeResult>}) {
 	const state = {
-		now: 0, direct, relayed, probed: [] as string[],
+		now: 0, direct, relayed, probed: [] as string[], asked: 0,
 	};
 	const clock: MomentClock = {
 		moment: () => ({steady: state.now, wall: state.now}),
@@ -25,7 +25,12 @@
 		clock,
 		placement: new CostPlacement('split'),
 		endpoints: {all: () => [first, second, third]},
-		relays: {probe: async ({name}) => state.relayed[name]},
+		relays: {
+			async probe({name}) {
+				state.asked++;
+				return state.relayed[name];
+			},
+		},
 		log: {
 			record() {
 				// The lines are not under test.
@@ -88,6 +93,40 @@
 	assert.deepEqual([state.probed, paths.isRelayed(first)], [[], false]);
 });
 
+test('relays are asked ever less often about an endpoint that nobody reaches', async () => {
+	const {state, paths} = startPaths({direct: {[first.address]: 'silent'}, relayed: {[first.name]: 'silent'}});
+	for (; state.now < 60_000; state.now += 200) {
+		paths.noteNotConnected(first);
+		await settle(paths);
+	}
+
+	assert.ok(state.asked >= 8 && state.asked <= 14, `${state.asked} times in a minute`);
+});
+
+test('relays are asked again at once while none has answered', async () => {
+	const {state, paths} = startPaths({direct: {[first.address]: 'silent'}});
+	paths.noteNotConnected(first);
+	await settle(paths);
+	state.relayed = {[first.name]: 'accepted'};
+	paths.noteNotConnected(first);
+	await settle(paths);
+	assert.ok(paths.isRelayed(first));
+});
+
+test('an endpoint that relays have ceased to reach still counts as one without a direct path', async () => {
+	const {state, paths} = startPaths({
+		direct: {[first.address]: 'refused', [second.address]: 'refused', [third.address]: 'refused'}, relayed: {[first.name]: 'accepted'},
+	});
+	paths.noteNotConnected(first);
+	await settle(paths);
+	await settle(paths);
+	state.relayed = {[first.name]: 'silent'};
+	paths.noteRelayFailed(first);
+	await settle(paths);
+	assert.equal(paths.withoutDirectPath, 1);
+	assert.equal(paths.hasDirectPath(first), false);
+});
+
 test('an endpoint is reached directly again when its link is back, and the others are tried at once', async () => {
 	const {state, paths} = startPaths({
 		direct: {[first.address]: 'silent', [second.address]: 'silent'}, relayed: {[first.name]: 'accepted', [second.name]: 'accepted'},
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -28,6 +28,12 @@
 /** First interval between attempts to reach a relayed endpoint directly again; doubles up to the longest. */
 const firstDirectIntervalMilliseconds = 500;
 const maxDirectIntervalMilliseconds = 2000;
+/**
+ * Pauses before relays are asked again for an endpoint that they do not reach: the first is short, since they may have lost their
+ * links at the same moment; with hundreds of instances the later ones keep the questions about a failed endpoint few.
+ */
+const firstRelayIntervalMilliseconds = 250;
+const maxRelayIntervalMilliseconds = 8000;
 /** How long after an endpoint was found to be reached by others only the own links to the rest are examined. */
 const suspicionMilliseconds = 2000;
 /** Endpoints that are examined at a time. */
@@ -48,6 +54,8 @@
 	readonly #probe: (address: string) => Promise<ProbeResult>;
 	readonly #relayed = new Map<string, RelayedEndpoint>();
 	readonly #examinations = new Map<string, Promise<void>>();
+	/** Endpoints that the relays do not reach either, and when these are asked again. */
+	readonly #relayFailures = new Map<string, {nextAt: number; interval: number}>();
 	readonly #checks = new Map<string, {startedAt: number; result: Promise<boolean>}>();
 	/** Endpoints that were examined within the present suspicion of this instance's own links. */
 	readonly #examined = new Set<string>();
@@ -68,6 +76,11 @@
 		return this.#relayed.has(incarnationOf(endpoint));
 	}
 
+	/** Whether this instance may connect to an endpoint itself, as far as it knows. */
+	hasDirectPath(endpoint: EndpointRecord): boolean {
+		return !this.isRelayed(endpoint) && !this.#dependencies.placement.unreachable().some(({name}) => name === endpoint.name);
+	}
+
 	/** Listed endpoints to which this instance has no connection of its own. */
 	get withoutDirectPath(): number {
 		return this.#relayed.size + this.#dependencies.placement.unreachable().length;
@@ -192,12 +205,28 @@
 	async #examineRelays(endpoint: EndpointRecord): Promise<boolean> {
 		const {placement, relays, log} = this.#dependencies;
 		const incarnation = incarnationOf(endpoint);
-		if (await relays.probe(endpoint) !== 'accepted') {
-			this.#relayed.delete(incarnation);
+		const failed = this.#relayFailures.get(incarnation);
+		if (failed !== undefined && this.#now() < failed.nextAt) {
 			return false;
 		}
 
+		const result = await relays.probe(endpoint);
 		const now = this.#now();
+		if (result !== 'accepted') {
+			// Without a relay that answers, nothing is known.
+			if (result !== undefined) {
+				if (this.#relayed.delete(incarnation)) {
+					placement.noteUnreachable(endpoint, now);
+				}
+
+				const interval = Math.min(maxRelayIntervalMilliseconds, 2 * (failed?.interval ?? firstRelayIntervalMilliseconds));
+				this.#relayFailures.set(incarnation, {nextAt: now + interval, interval});
+			}
+
+			return false;
+		}
+
+		this.#relayFailures.delete(incarnation);
 		this.#downSince.delete(incarnation);
 		if (!this.#relayed.has(incarnation)) {
 			this.#relayed.set(incarnation, {endpoint, nextDirectAt: now + firstDirectIntervalMilliseconds, interval: firstDirectIntervalMilliseconds});
@@ -220,6 +249,7 @@
 	}
 
 	#setDirect(endpoint: EndpointRecord): void {
+		this.#relayFailures.delete(incarnationOf(endpoint));
 		this.#downSince.delete(incarnationOf(endpoint));
 		const {placement, log} = this.#dependencies;
 		if (!this.#relayed.delete(incarnationOf(endpoint))) {
@@ -266,9 +296,9 @@
 	}
 
 	#forgetDeparted(listed: readonly EndpointRecord[]): void {
-		if (this.#relayed.size > 0 || this.#downSince.size > 0 || this.#checks.size > 0) {
+		if (this.#relayed.size > 0 || this.#downSince.size > 0 || this.#checks.size > 0 || this.#relayFailures.size > 0) {
 			const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
-			for (const map of [this.#relayed, this.#downSince, this.#checks]) {
+			for (const map of [this.#relayed, this.#downSince, this.#checks, this.#relayFailures]) {
 				for (const incarnation of map.keys()) {
 					if (!incarnations.has(incarnation)) {
 						map.delete(incarnation);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -122,6 +122,7 @@
 			isCoordinator: () => this.#coordinators.isCoordinator,
 			isStopping: () => this.#isStopping,
 			withoutDirectPath: () => paths.withoutDirectPath,
+			hasDirectPath: endpoint => paths.hasDirectPath(endpoint),
 			onUnreachable(endpoint) {
 				paths.noteNotConnected(endpoint);
 			},
--- a/src/gateway/relay/relay-client.ts
+++ b/src/gateway/relay/relay-client.ts
@@ -3,6 +3,7 @@
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type ProbeResult} from '../endpoints/probe-connection.js';
 import {type RelayDirectory} from './relay-directory.js';
+import {type RelayRefusal} from './relay-messages.js';
 import {RelayDeclinedError, RelayedSocket} from './relayed-socket.js';
 
 export type RelayClientDependencies = {
@@ -47,8 +48,8 @@
 			kind: 'open', key, address: endpoint.address, remainingMilliseconds,
 		});
 		socket.on('error', error => {
-			// A relay that answers for one endpoint is not to blame; one without room is left out like one that does not answer.
-			if (!socket.hasConnected && !(error instanceof RelayDeclinedError && error.reason !== 'busy')) {
+			// A relay that answers for an endpoint is of use for others; one without room or links is left out as if it did not answer.
+			if (!socket.hasConnected && !(error instanceof RelayDeclinedError && isAboutEndpoint(error.reason))) {
 				directory.noteFailed(relay, clock.moment().steady);
 			}
 		});
@@ -72,6 +73,10 @@
 	}
 }
 
+function isAboutEndpoint(reason: RelayRefusal): boolean {
+	return reason === 'refused' || reason === 'silent' || reason === 'unlisted';
+}
+
 async function probeThrough(socket: RelayedSocket): Promise<ProbeResult | undefined> {
 	return new Promise(resolve => {
 		const timer = setTimeout(() => {
--- a/src/gateway/relay/relay-directory.ts
+++ b/src/gateway/relay/relay-directory.ts
@@ -1,19 +1,24 @@
 /**
- * The relays that this instance may use, as the coordinator last reported them, and the choice among them. The list is a hint:
- * a relay may have ended, or have lost its endpoints too, and one that fails is left out for a while.
+ * The relays that this instance may use, as a coordinator last reported each, and the choice among them. They are hints: a relay
+ * may have ended, or have lost its endpoints too, and one that fails is left out for a while.
+ *
+ * A list does not replace the earlier ones: a coordinator that has just taken over knows few instances, and maybe only those that
+ * are cut off too.
  */
 import {type RelayReport} from './relay-messages.js';
 
 /** How long a relay that failed is left out. */
 const failedMilliseconds = 1000;
-/** A list older than this is not used: its instances may have been replaced. */
+/** A relay that was not reported for this long is forgotten: its instance may have been replaced. */
 const maxAgeMilliseconds = 30_000;
+/** How many relays are remembered; the one that was reported longest ago is dropped first. */
+const maxRelays = 64;
 /** A list is requested again after this time, and sooner while endpoints cannot be reached. */
 const refreshMilliseconds = 2000;
 const urgentRefreshMilliseconds = 250;
 
 export class RelayDirectory {
-	#relays: readonly RelayReport[] = [];
+	readonly #relays = new Map<string, {report: RelayReport; updatedAt: number}>();
 	#updatedAt = Number.NEGATIVE_INFINITY;
 	readonly #failedUntil = new Map<string, number>();
 	/** Connections that this instance has opened through a relay since the list was reported. */
@@ -24,11 +29,22 @@
 		return now - this.#updatedAt > (hasUnreachable ? urgentRefreshMilliseconds : refreshMilliseconds);
 	}
 
-	/** Replaces the list. */
+	/** Applies a list. */
 	update(relays: readonly RelayReport[], now: number): void {
-		this.#relays = relays;
 		this.#updatedAt = now;
-		this.#opened.clear();
+		for (const report of relays) {
+			this.#relays.delete(report.address);
+			this.#relays.set(report.address, {report, updatedAt: now});
+			this.#opened.delete(report.address);
+		}
+
+		for (const [address, {updatedAt}] of this.#relays) {
+			if (now - updatedAt > maxAgeMilliseconds || this.#relays.size > maxRelays) {
+				this.#relays.delete(address);
+				this.#opened.delete(address);
+			}
+		}
+
 		for (const [address, until] of this.#failedUntil) {
 			if (until <= now) {
 				this.#failedUntil.delete(address);
@@ -49,11 +65,9 @@
 	 * @returns The relay's address; `undefined` if none can be used.
 	 */
 	choose(now: number, random: () => number, excluded: ReadonlySet<string> = new Set()): string | undefined {
-		if (now - this.#updatedAt > maxAgeMilliseconds) {
-			return undefined;
-		}
-
-		const usable = this.#relays.filter(({address}) => !excluded.has(address) && (this.#failedUntil.get(address) ?? 0) <= now);
+		const usable = [...this.#relays.values()]
+			.filter(({report: {address}, updatedAt}) => !excluded.has(address) && now - updatedAt <= maxAgeMilliseconds && (this.#failedUntil.get(address) ?? 0) <= now)
+			.map(({report}) => report);
 		const fewest = Math.min(...usable.map(({unreachable}) => unreachable));
 		const best = usable.filter(({unreachable}) => unreachable === fewest);
 		const drawn = [0, 1].map(() => best[Math.floor(random() * best.length)]).filter(relay => relay !== undefined);
--- a/src/gateway/relay/relay-messages.ts
+++ b/src/gateway/relay/relay-messages.ts
@@ -23,9 +23,10 @@
  * - `refused`: the endpoint's host answers, and no process listens there.
  * - `silent`: no answer in time, or the host cannot be reached from the relay.
  * - `unlisted`: the relay does not know the endpoint.
+ * - `cut-off`: the relay does not reach the endpoint itself; this says nothing about the endpoint.
  * - `busy`: the relay has no room for another connection.
  */
-export type RelayRefusal = 'refused' | 'silent' | 'unlisted' | 'busy';
+export type RelayRefusal = 'refused' | 'silent' | 'unlisted' | 'cut-off' | 'busy';
 
 /** The answer to it, and the end of an endpoint's bytes where the endpoint closed the connection in order. */
 export type RelayFrame
--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -24,6 +24,8 @@
 	key: () => string | undefined;
 	/** How late this process reads its sockets, in milliseconds. */
 	lagMilliseconds: () => number;
+	/** Whether this instance may connect to an endpoint itself, as far as it knows. */
+	hasDirectPath: (endpoint: EndpointRecord) => boolean;
 	/** Called with the outcome of each request for a connection. */
 	onOutcome: (outcome: 'opened' | (RelayFrame & {kind: 'declined'})['reason']) => void;
 	/** Called when this instance could not connect to an endpoint either. */
@@ -126,7 +128,7 @@
 	}
 
 	async #open(socket: Socket, {address, remainingMilliseconds}: OpenFrame): Promise<void> {
-		const {endpoints, lagMilliseconds, onOutcome, onUnreachable, connect = connectEndpoint} = this.#dependencies;
+		const {endpoints, lagMilliseconds, hasDirectPath, onOutcome, onUnreachable, connect = connectEndpoint} = this.#dependencies;
 		const decline = (reason: (RelayFrame & {kind: 'declined'})['reason']): void => {
 			onOutcome(reason);
 			socket.end(encodeFrame({kind: 'declined', reason} satisfies RelayFrame));
@@ -138,6 +140,11 @@
 			return;
 		}
 
+		if (!hasDirectPath(endpoint)) {
+			decline('cut-off');
+			return;
+		}
+
 		if (this.#connections >= maxConnections || lagMilliseconds() > maxLagMilliseconds) {
 			decline('busy');
 			return;
--- a/src/gateway/relay/relay.test.ts
+++ b/src/gateway/relay/relay.test.ts
@@ -35,7 +35,7 @@
 }
 
 /** A gateway that cannot connect to its endpoint, and a relay that can. */
-async function startCutOffGateway(context: TestContext, behaviour: EndpointBehaviour, {lagMilliseconds = 0, doesReach = true} = {}) {
+async function startCutOffGateway(context: TestContext, behaviour: EndpointBehaviour, {lagMilliseconds = 0, doesReach = true, hasDirectPath = true, isOlder = false} = {}) {
 	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({timeoutMilliseconds: 3000})]})).start();
 	const {address: realAddress} = await gateway.addEndpoint(behaviour);
 	const endpoint: EndpointRecord = {...gateway.context.endpoints.all()[0]!, address: blockedAddress};
@@ -47,6 +47,7 @@
 		endpoints: () => [endpoint],
 		key: () => testRelayKey,
 		lagMilliseconds: () => lagMilliseconds,
+		hasDirectPath: () => hasDirectPath,
 		onOutcome(outcome) {
 			outcomes.push(outcome);
 		},
@@ -58,7 +59,7 @@
 	const stop = new AbortController();
 	const running = relay.run(stop.signal);
 	gateway.relayDirectory.update([{
-		address: relayAddress, dataCentre: 'split', unreachable: 0, connections: 0,
+		address: isOlder ? await freeAddress() : relayAddress, dataCentre: 'split', unreachable: 0, connections: 0,
 	}], systemMomentClock.moment().steady);
 	context.after(async () => {
 		stop.abort();
@@ -92,6 +93,13 @@
 	assert.deepEqual(outcomes, ['busy']);
 });
 
+test('a relay that is cut off itself passes nothing on to another relay', async context => {
+	const {gateway, outcomes} = await startCutOffGateway(context, answerSealed, {hasDirectPath: false});
+	const answer = await exchangeRaw(gateway.address, requestBytes('first', {connection: 'close'}));
+	assert.equal(statusOf(answer), 503);
+	assert.deepEqual(outcomes, ['cut-off']);
+});
+
 test('an answer without a length is not complete when its relay ends', async context => {
 	const open: ServerResponse[] = [];
 	const {gateway, stopRelay} = await startCutOffGateway(context, (request, response) => {
@@ -210,10 +218,7 @@
 });
 
 test('an instance of a release without relays costs a request nothing', async context => {
-	const {gateway} = await startCutOffGateway(context, answerSealed);
-	gateway.relayDirectory.update([{
-		address: await freeAddress(), dataCentre: 'split', unreachable: 0, connections: 0,
-	}], systemMomentClock.moment().steady);
+	const {gateway} = await startCutOffGateway(context, answerSealed, {isOlder: true});
 	const startedAt = performance.now();
 	const answer = await exchangeRaw(gateway.address, requestBytes('first', {connection: 'close'}));
 	assert.equal(statusOf(answer), 503);
--- a/src/gateway/relay/relays.ts
+++ b/src/gateway/relay/relays.ts
@@ -27,6 +27,8 @@
 	isStopping: () => boolean;
 	/** Listed endpoints to which this instance has no connection of its own. */
 	withoutDirectPath: () => number;
+	/** Whether this instance may connect to an endpoint itself, as far as it knows. */
+	hasDirectPath: (endpoint: EndpointRecord) => boolean;
 	/** Called when this instance could not connect to an endpoint for another one. */
 	onUnreachable: (endpoint: EndpointRecord) => void;
 };
