Examine endpoints without state at no cost, and split pauses and checks from the paths

The paths built a set of all incarnations five times a second; at 12,000 endpoints that is most of what a daemon may use for control. They do so now only while an endpoint is relayed, down or being checked. Pauses between questions and shared connection checks are classes of their own.

--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -12,8 +12,10 @@
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 import {type RelayClient} from '../relay/relay-client.js';
+import {ConnectionChecks} from './connection-checks.js';
 import {type EndpointRegistry} from './endpoint-registry.js';
 import {probeConnection, type ProbeResult} from './probe-connection.js';
+import {RetryPauses} from './retry-pauses.js';
 
 export type EndpointPathsDependencies = {
 	clock: MomentClock;
@@ -32,21 +34,20 @@
  * Pauses before relays are asked again for an endpoint that they do not reach: the first is short, since they may have lost their
  * links at the same moment; with hundreds of instances the later ones keep the questions about a failed endpoint few.
  */
-const firstRelayIntervalMilliseconds = 250;
-const maxRelayIntervalMilliseconds = 8000;
+const relayPauses = {firstMilliseconds: 500, maxMilliseconds: 8000};
 /** How long after an endpoint was found to be reached by others only the own links to the rest are examined. */
 const suspicionMilliseconds = 2000;
 /** Endpoints that are examined at a time. */
 const maxExaminations = 32;
 
-/** How long the result of a connection attempt to a silent endpoint is used. */
-const checkValidityMilliseconds = 500;
 /** Other endpoints that are tried to find out whether the own link fails. */
 const maxWitnesses = 3;
 
 /** An endpoint that has been down for this long is no witness of a failure of the own link. */
 const knownDownMilliseconds = 2000;
 
+const nothingUnreachable = '0 0';
+
 type RelayedEndpoint = {endpoint: EndpointRecord; nextDirectAt: number; interval: number};
 
 export class EndpointPaths {
@@ -54,17 +55,16 @@
 	readonly #probe: (address: string) => Promise<ProbeResult>;
 	readonly #relayed = new Map<string, RelayedEndpoint>();
 	readonly #examinations = new Map<string, Promise<void>>();
-	/** Endpoints that the relays do not reach either, and when these are asked again. */
-	readonly #relayFailures = new Map<string, {nextAt: number; interval: number}>();
-	readonly #checks = new Map<string, {startedAt: number; result: Promise<boolean>}>();
+	readonly #relayPauses = new RetryPauses(relayPauses);
+	readonly #checks = new ConnectionChecks();
 	/** Endpoints that were examined within the present suspicion of this instance's own links. */
 	readonly #examined = new Set<string>();
 	/** Since when endpoints are down, in milliseconds of the steady clock; one that has ended was down before any other event. */
 	readonly #downSince = new Map<string, number>();
 	#nextWitness = 0;
 	#suspectUntil = Number.NEGATIVE_INFINITY;
-	/** What was logged last. */
-	#reported = '';
+	/** Unreachable and relayed endpoints as they were logged last. */
+	#reported = nothingUnreachable;
 
 	constructor(dependencies: EndpointPathsDependencies) {
 		this.#dependencies = dependencies;
@@ -146,17 +146,9 @@
 		return result;
 	}
 
-	/** Whether an endpoint accepts a connection by the path that requests to it take. Callers share the attempts of a short time. */
+	/** Whether an endpoint accepts a connection by the path that requests to it take. */
 	async isUp(endpoint: EndpointRecord): Promise<boolean> {
-		const incarnation = incarnationOf(endpoint);
-		const known = this.#checks.get(incarnation);
-		if (known !== undefined && this.#now() - known.startedAt < checkValidityMilliseconds) {
-			return known.result;
-		}
-
-		const result = this.#check(endpoint);
-		this.#checks.set(incarnation, {startedAt: this.#now(), result});
-		return result;
+		return this.#checks.isUp(incarnationOf(endpoint), this.#now(), async () => this.#check(endpoint));
 	}
 
 	async #check(endpoint: EndpointRecord): Promise<boolean> {
@@ -205,8 +197,7 @@
 	async #examineRelays(endpoint: EndpointRecord): Promise<boolean> {
 		const {placement, relays, log} = this.#dependencies;
 		const incarnation = incarnationOf(endpoint);
-		const failed = this.#relayFailures.get(incarnation);
-		if (failed !== undefined && this.#now() < failed.nextAt) {
+		if (!this.#relayPauses.isDue(incarnation, this.#now())) {
 			return false;
 		}
 
@@ -219,14 +210,13 @@
 					placement.noteUnreachable(endpoint, now);
 				}
 
-				const interval = Math.min(maxRelayIntervalMilliseconds, 2 * (failed?.interval ?? firstRelayIntervalMilliseconds));
-				this.#relayFailures.set(incarnation, {nextAt: now + interval, interval});
+				this.#relayPauses.noteFailed(incarnation, now);
 			}
 
 			return false;
 		}
 
-		this.#relayFailures.delete(incarnation);
+		this.#relayPauses.forget(incarnation);
 		this.#downSince.delete(incarnation);
 		if (!this.#relayed.has(incarnation)) {
 			this.#relayed.set(incarnation, {endpoint, nextDirectAt: now + firstDirectIntervalMilliseconds, interval: firstDirectIntervalMilliseconds});
@@ -249,7 +239,7 @@
 	}
 
 	#setDirect(endpoint: EndpointRecord): void {
-		this.#relayFailures.delete(incarnationOf(endpoint));
+		this.#relayPauses.forget(incarnationOf(endpoint));
 		this.#downSince.delete(incarnationOf(endpoint));
 		const {placement, log} = this.#dependencies;
 		if (!this.#relayed.delete(incarnationOf(endpoint))) {
@@ -296,28 +286,37 @@
 	}
 
 	#forgetDeparted(listed: readonly EndpointRecord[]): void {
-		if (this.#relayed.size > 0 || this.#downSince.size > 0 || this.#checks.size > 0 || this.#relayFailures.size > 0) {
-			const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
-			for (const map of [this.#relayed, this.#downSince, this.#checks, this.#relayFailures]) {
-				for (const incarnation of map.keys()) {
-					if (!incarnations.has(incarnation)) {
-						map.delete(incarnation);
-					}
+		if ([this.#relayed, this.#downSince, this.#checks, this.#relayPauses].every(({size}) => size === 0)) {
+			return;
+		}
+
+		const incarnations = new Set(listed.map(endpoint => incarnationOf(endpoint)));
+		for (const map of [this.#relayed, this.#downSince]) {
+			for (const incarnation of map.keys()) {
+				if (!incarnations.has(incarnation)) {
+					map.delete(incarnation);
 				}
 			}
 		}
+
+		this.#checks.retain(incarnations);
+		this.#relayPauses.retain(incarnations);
 	}
 
 	/** Logs how many of the listed endpoints are unreachable: an instance that reaches none is cut off, whatever each failed attempt says. */
 	#report(listed: readonly EndpointRecord[]): void {
 		const {placement, log, metrics} = this.#dependencies;
 		const names = new Set(placement.unreachable().map(({name}) => name));
-		const unreachable = listed.filter(({name}) => names.has(name)).length;
-		const counts = {unreachable, relayed: this.#relayed.size};
-		if ((unreachable > 0 || this.#relayed.size > 0 || this.#reported !== '') && JSON.stringify(counts) !== this.#reported) {
-			this.#reported = JSON.stringify(counts);
+		if (names.size === 0 && this.#relayed.size === 0 && this.#reported === nothingUnreachable) {
+			return;
+		}
+
+		const unreachable = names.size === 0 ? 0 : listed.filter(({name}) => names.has(name)).length;
+		const counts = `${unreachable} ${this.#relayed.size}`;
+		if (counts !== this.#reported) {
+			this.#reported = counts;
 			metrics.unreachableEndpoints.set(unreachable);
-			log.record('endpoints-unreachable', {...counts, listed: listed.length});
+			log.record('endpoints-unreachable', {unreachable, relayed: this.#relayed.size, listed: listed.length});
 		}
 	}
 
