Say in the log which side closed the connection of an unanswered request

Change: every place that closes a caller's connection notes its reason (abort of an answer, last answer, drain, idle timeout, request timeout, rest of a body, invalid bytes, half-closed callers); `request-ended` with `client-left` has `closedBy` and `closeReason`. For a caller that is the code of the socket's error, or that it reset when it was probed; `unknown` where nothing is known. No close is made earlier, later or otherwise than before.

--- a/src/gateway/data-path/report-end.test.ts
+++ b/src/gateway/data-path/report-end.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {PassThrough} from 'node:stream';
 import {test} from 'node:test';
 import {type Route} from '../../shared/routed-configuration.js';
 import {testRoute} from '../testing/test-configuration.js';
@@ -15,6 +16,7 @@
 		head: {attemptId: 'a1'},
 		permitted: {route: testRoute(changes.route), service: 'desk', configurationVersion: 7},
 		arrivedAt: {steady: 1000, wall: 0},
+		request: {socket: new PassThrough()},
 	}, {
 		end: 'whole', status: 200, endpoints: ['desk-1'], sends: 1, mayHaveRun: true, placedBy: basis, firstByteAt: 1100, ...changes.facts,
 	}, 1200);
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -6,9 +6,11 @@
  * has a short `request-ended`. Both still hold the configuration version and the estimates that decided the placement, as an
  * array whose positions docs/OPERATIONS.md names.
  */
+import {type Duplex} from 'node:stream';
 import {type PlacementBasis} from '../../decision/placement/placement.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Route} from '../../shared/routed-configuration.js';
+import {connectionCloseOf} from '../../serving/connection-close.js';
 import {type JsonValue} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type DecisionFields, type DecisionKind} from '../observability/decision-log.js';
@@ -38,7 +40,12 @@
 };
 
 /** The request that ended. */
-export type EndedRequest = {head: Pick<RequestHead, 'attemptId'>; permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>; arrivedAt: Moment};
+export type EndedRequest = {
+	head: Pick<RequestHead, 'attemptId'>;
+	permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>;
+	arrivedAt: Moment;
+	request: {socket: Duplex};
+};
 
 /** A line of the log. */
 export type EndLogLine = {kind: DecisionKind; fields: DecisionFields};
@@ -139,7 +146,7 @@
 	};
 }
 
-function endedLine({head, permitted, arrivedAt}: EndedRequest, facts: EndFacts, now: number): EndLogLine {
+function endedLine({head, permitted, arrivedAt, request}: EndedRequest, facts: EndFacts, now: number): EndLogLine {
 	const {end, placedBy, firstByteAt, sentAt, ...counts} = facts;
 	return {
 		kind: 'request-ended',
@@ -148,6 +155,7 @@
 			route: permitted.route.name,
 			service: permitted.service,
 			outcome: end,
+			...(end === 'client-left' ? connectionCloseOf(request.socket) : {}),
 			...counts,
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
--- a/src/gateway/observability/failure-lines.test.ts
+++ b/src/gateway/observability/failure-lines.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {PassThrough} from 'node:stream';
 import {test} from 'node:test';
 import {endLogLine, type EndFacts, type EndLogLine} from '../data-path/report-end.js';
 import {testRoute} from '../testing/test-configuration.js';
@@ -22,6 +23,7 @@
 		head: {attemptId: id},
 		permitted: {route: testRoute({objectiveMilliseconds, carriesPrompt: true}), service: 'quay-desk', configurationVersion: 1207},
 		arrivedAt: {steady: 0, wall: 0},
+		request: {socket: new PassThrough()},
 	}, facts, milliseconds);
 }
 
--- a/src/serving/abort-answer.ts
+++ b/src/serving/abort-answer.ts
@@ -1,5 +1,6 @@
 /** Aborts an answer so that its caller can see that it is incomplete. */
 import {type ServerResponse} from 'node:http';
+import {noteClose} from './connection-close.js';
 import {HalfClosedCaller} from './half-closed-caller.js';
 
 /**
@@ -14,6 +15,7 @@
  */
 export function abortAnswer(response: ServerResponse): void {
 	const {socket} = response;
+	noteClose(response.req.socket, 'answer-aborted');
 	const isEndMistakable = !response.useChunkedEncodingByDefault || (socket !== null && HalfClosedCaller.of(socket) !== undefined);
 	if (!isEndMistakable || socket === null) {
 		response.destroy();
--- a/src/serving/half-closed-caller.ts
+++ b/src/serving/half-closed-caller.ts
@@ -13,6 +13,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {noteClose} from './connection-close.js';
 import {hasConnectedPeer} from './has-connected-peer.js';
 
 /** Delays between two checks for a reset, from one probe to the next; short at first, since most callers are near. */
@@ -91,7 +92,7 @@
 
 	async #run(): Promise<void> {
 		if (this.#closeIfReset() || !this.#canShowThatItReads()) {
-			this.#socket.destroy();
+			this.#closeUnverifiable();
 			return;
 		}
 
@@ -106,7 +107,7 @@
 
 			this.#hasAcceptedBytes ||= this.#wasSentBytes();
 			if (!this.#hasAcceptedBytes) {
-				this.#socket.destroy();
+				this.#closeUnverifiable();
 				return;
 			}
 		}
@@ -153,7 +154,13 @@
 			return false;
 		}
 
+		noteClose(this.#socket, 'half-closed-reset');
 		this.#socket.destroy();
 		return true;
 	}
+
+	#closeUnverifiable(): void {
+		noteClose(this.#socket, 'half-closed-unverifiable');
+		this.#socket.destroy();
+	}
 }
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -13,6 +13,7 @@
 import {type Child} from '../supervisor/supervisor.js';
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
+import {noteClose, noteClosed} from './connection-close.js';
 import {HalfClosedCaller} from './half-closed-caller.js';
 import {sendRefusal} from './send-refusal.js';
 
@@ -139,7 +140,11 @@
 			})));
 		}
 
+		const open = [...this.#connections.keys()].filter(({destroyed}) => !destroyed);
 		this.#server.closeIdleConnections();
+		for (const connection of open.filter(({destroyed}) => destroyed)) {
+			noteClosed(connection, 'drain');
+		}
 	}
 
 	#unsentAnswers(): ServerResponse[] {
@@ -156,6 +161,10 @@
 				this.#connections.delete(socket);
 				closeQueuedAnswers(pending);
 			});
+			// Node's own listener closes the connection after this one.
+			socket.prependListener('timeout', () => {
+				noteClose(socket, 'idle-timeout');
+			});
 			socket.once('end', () => {
 				HalfClosedCaller.watch(socket, pending);
 			});
@@ -189,10 +198,16 @@
 		response.once('close', () => {
 			this.#connections.get(socket)?.delete(response);
 			if (this.#draining) {
+				noteClose(socket, 'drain');
 				socket.end();
 			}
 		});
 		response.once('finish', () => {
+			// Node has ended the connection before if this was its last answer.
+			if (socket.writableEnded) {
+				noteClose(socket, 'last-answer');
+			}
+
 			closeIfBodyOutstanding(request);
 		});
 		if (this.#draining || this.#closesConnections) {
@@ -226,8 +241,11 @@
 			return;
 		}
 
+		const reason = code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 'request-timeout' : 'invalid-bytes';
+
 		const pendingAnswer = [...this.#connections.get(connection) ?? []].findLast(response => response.headersSent || response.req.complete);
 		if (pendingAnswer === undefined) {
+			noteClose(connection, reason);
 			connection.end(connectionRefusalBytes(refusal), () => {
 				connection.destroy();
 			});
@@ -235,6 +253,7 @@
 		}
 
 		pendingAnswer.once('close', () => {
+			noteClose(connection, reason);
 			connection.end();
 		});
 	}
@@ -247,6 +266,7 @@
 		}
 
 		if (responses.size === 0 && connection.bytesRead === 0) {
+			noteClose(connection, 'drain');
 			connection.destroy();
 		}
 	}
@@ -271,6 +291,7 @@
 
 	setTimeout(() => {
 		if (!request.complete) {
+			noteClose(socket, 'body-outstanding');
 			socket.destroy();
 		}
 	}, outstandingBodyMilliseconds).unref();
