--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -33,6 +33,21 @@
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
 const heartbeatsToExpiry = 3;
 const eventMilliseconds = 15;
+/** Where engines report which blocks they cache. */
+const blockEventsPath = '/kv-events';
+const noBlockEvents = {
+	boot_epoch: 1, next: 0, lost: false, events: [],
+};
+
+/** Where an endpoint is, and what it serves. */
+export type EndpointPlace = {
+	dataCentre: string;
+	address: string;
+	service: string;
+	slots: number;
+	/** The model of an engine; it reports that it caches nothing. */
+	model?: string;
+};
 
 export class DeploymentEndpoint {
 	name = '';
@@ -41,18 +56,21 @@
 	readonly #address: string;
 	readonly #service: string;
 	readonly #slots: number;
+	readonly #model: string | undefined;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
 	#starts = 0;
 	#isClosed = false;
+	#silentUntil = 0;
 
-	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string; slots: number}, script: EndpointScript) {
+	constructor(deployment: GatewayDeployment, place: EndpointPlace, script: EndpointScript) {
 		this.#deployment = deployment;
 		this.dataCentre = place.dataCentre;
 		this.#address = place.address;
 		this.#service = place.service;
 		this.#slots = place.slots;
+		this.#model = place.model;
 		this.#script = script;
 	}
 
@@ -118,6 +136,18 @@
 		}
 	}
 
+	/** Stops to send anything for a time, and goes on; connections are accepted. */
+	fallSilent(milliseconds: number): void {
+		this.#silentUntil = performance.now() + milliseconds;
+	}
+
+	/** Resolves when it is not silent. */
+	async untilAudible(): Promise<void> {
+		while (performance.now() < this.#silentUntil) {
+			await delay(this.#silentUntil - performance.now());
+		}
+	}
+
 	/** Answers with events. */
 	async answer(response: ServerResponse, arrival: Arrival, events: number): Promise<void> {
 		this.begin(response, arrival);
@@ -149,10 +179,18 @@
 			return;
 		}
 
+		if (this.#model !== undefined && request.url?.startsWith(blockEventsPath)) {
+			await delay(Number(request.headers['wait-ms'] ?? 0));
+			await this.untilAudible();
+			response.end(JSON.stringify(noBlockEvents));
+			return;
+		}
+
 		const arrival: Arrival = {
 			at: performance.now(), endpoint: this.name, instance: String(request.headers[instanceHeader]), target: request.url ?? '', body,
 		};
 		this.#script.arrived(arrival);
+		await this.untilAudible();
 		if (request.headers[names.expectedEndpoint] !== this.name) {
 			response.writeHead(421, {[names.notExecuted]: '1', [names.endpointName]: this.name, ...this.#script.headers(this, arrival.instance)});
 			response.end();
@@ -178,6 +216,7 @@
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
 			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: Date.now(),
+			...(this.#model === undefined ? {} : {models: [{name: this.#model, version: 1}]}),
 		});
 	}
 }
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -59,6 +59,8 @@
 	path: string;
 	body: string;
 	deadlineMilliseconds: number;
+	/** Further headers. */
+	headers?: Record<string, string>;
 };
 
 /** One instance, which may be killed and started again. */
@@ -80,6 +82,7 @@
 	readonly #group = new ProcessGroup();
 	readonly #stores = new Map<string, {server: Server; address: string}>();
 	readonly #unavailable = new Set<string>();
+	#configurationVersion = 0;
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'savorygauge-deployment-'));
 
 	constructor(options: DeploymentOptions) {
@@ -98,12 +101,7 @@
 
 	/** Starts the stores and all instances, and waits until every instance is ready. */
 	async start(): Promise<void> {
-		const {routes, services} = this.#options;
-		this.table.write({table: 'op', key: 'config'}, {
-			version: 1, routes, services, limits: {
-				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
-		});
+		this.configure(this.#options.routes);
 		for (const dataCentre of this.dataCentres) {
 			const server = createPlatformStoreStandIn(this.table, () => !this.#unavailable.has(dataCentre));
 			server.listen(0, '127.0.0.1');
@@ -122,6 +120,16 @@
 		})));
 	}
 
+	/** Writes the next version of the configuration, in which only the routes may differ. */
+	configure(routes: JsonValue[]): void {
+		this.#configurationVersion++;
+		this.table.write({table: 'op', key: 'config'}, {
+			version: this.#configurationVersion, routes, services: this.#options.services, limits: {
+				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			},
+		});
+	}
+
 	/** A loopback address of this deployment. */
 	addressOf(group: number, number: number): string {
 		return `127.${this.#options.network}.${group}.${number}`;
@@ -173,7 +181,7 @@
 	}
 
 	/** Sends one request to an instance. */
-	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds}: CallerRequest): Promise<CallerAnswer> {
+	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds, headers = {}}: CallerRequest): Promise<CallerAnswer> {
 		const separator = instance.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			const failed = (): void => {
@@ -189,7 +197,7 @@
 				path: target,
 				agent: false,
 				headers: {
-					host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name,
+					...headers, host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name,
 				},
 			}, response => {
 				const retryAfter = response.headers['retry-after'];
