Keep a silent endpoint's answer until another endpoint has accepted the request

Callers saw answers that broke off although nothing had failed: sound engines that fall silent for 1.6 s and go on. Cause: silence was taken for failure. An attempt at an engine that had sent nothing for 1.4 s (0.7 s while a request waited) was cancelled first, and only then was another endpoint looked for; without one, or without a retry or attempt left, the answer that had begun was aborted. Retries that did find one used up the budget of the service, so the next ones found none. Class: a guess about the other side acted on before it was known whether acting helps.

Change: silence alone ends no attempt. What ends one is proof (the connection ended, two connection attempts in a row failed, the deadline, a caller whose patience as declared for its route is over) or a second attempt that was secured first: an attempt left, an endpoint found, a retry taken, the request accepted. Until then both are in flight (`request-attempts.ts`); the one that goes on first keeps the stream, and the other is ended. An endpoint that has not rejected a stream within 0.3 s takes it over, so that two endpoints do not work on one stream for 0.4 s. A replaced endpoint counts as failed, no longer as unreachable.

Tried first: waiting with both attempts until one answers, without a bound. One stream was relayed after its end, when the silent endpoint had sent all events but not the end: an answer that is complete now ends its replacement.

--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -260,8 +260,7 @@
 	}
 }
 
-/** Whether a stream was at work at an endpoint long after it had gone on at the next one. */
+/** Whether a stream was at work at two endpoints at the same time for long. */
 function isDoubled(works: Work[]): boolean {
-	return works.some(({endedAt}, index) => works.slice(index + 1).some(({startedAt}) => endedAt - startedAt > doubledMilliseconds));
+	return works.some((one, index) => works.slice(index + 1).some(other => Math.min(one.endedAt, other.endedAt) - other.startedAt > doubledMilliseconds));
 }
-
--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -1,5 +1,7 @@
-/** Watches one attempt at an endpoint and cancels it before the caller's timeout where further waiting is useless. */
+/** Watches one attempt at an endpoint: asks for a replacement when it is silent, and cancels it where further waiting is useless. */
+import {callerPatienceMilliseconds} from '../../decision/attempts/caller-patience.js';
 import {isRetryable} from '../../decision/attempts/next-step.js';
+import {decideOnSilence, type SilenceStep} from '../../decision/attempts/silent-attempt.js';
 import {olderWeightsDeadline} from '../../decision/placement/older-weights.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
@@ -7,15 +9,16 @@
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
 /** Why an attempt was cancelled early. */
-export type CancelReason = 'silence' | 'older-weights';
-
-/** How often a waiting request checks whether its endpoint has become unresponsive. */
-const responsivenessCheckMilliseconds = 200;
-/**
- * An engine that generates answers sends some event every few dozen milliseconds. One that has sent none to any caller for
- * this long has stopped. A load of new weights, during which its runs pause, takes less.
- */
-const stoppedEngineMilliseconds = 1400;
+export type CancelReason = 'unreachable' | 'abandoned' | 'older-weights';
+
+/** How often an attempt checks whether its endpoint has become silent. */
+const checkIntervalMilliseconds = 200;
+/** Time between two connection attempts to a silent endpoint; the result of one is shared for nearly as long. */
+const connectionIntervalMilliseconds = 600;
+/** An engine that generates answers sends some event every few dozen milliseconds, so one without any for this long is silent. */
+const silentEngineMilliseconds = 700;
+/** The same after which its streams are worth a retry elsewhere. A load of new weights, during which its runs pause, takes less. */
+const unresponsiveEngineMilliseconds = 1400;
 /** A prompt at an engine with older weights is cancelled this long before the grant ends, so that the engine notices in time. */
 const cancelMarginMilliseconds = 250;
 
@@ -23,11 +26,13 @@
 	readonly #context: GatewayContext;
 	readonly #work: AttemptWork;
 	readonly #target: AttemptTarget;
-	#responsivenessCheck: NodeJS.Timeout | undefined;
+	#interval: NodeJS.Timeout | undefined;
 	#grantTimer: NodeJS.Timeout | undefined;
 	#hasBegun = false;
-	#isProbing = false;
+	#isChecking = false;
 	#startedAt = 0;
+	#failedConnections = 0;
+	#connectedAt = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 	#cancelReason: CancelReason | undefined;
 
@@ -45,7 +50,7 @@
 	/** Starts to watch a call that was sent. */
 	start(exchange: OpenExchange): void {
 		this.#startedAt = this.#now();
-		this.#watchResponsiveness(exchange);
+		this.#watchSilence(exchange);
 		this.#watchWeightsGrant(exchange);
 	}
 
@@ -54,81 +59,120 @@
 		this.#hasBegun = true;
 	}
 
+	/**
+	 * Records that the attempt was ended without an answer. Such requests show too how long answers take; otherwise a service that
+	 * is slow for all would never be waited for.
+	 */
+	noteUnanswered(): void {
+		if (!this.#hasBegun) {
+			this.#context.placement.noteUnanswered(this.#target.endpoint, this.#now() - this.#startedAt);
+		}
+	}
+
 	stop(): void {
 		this.#isStopped = true;
-		clearInterval(this.#responsivenessCheck);
+		clearInterval(this.#interval);
 		clearTimeout(this.#grantTimer);
 	}
 
-	/**
-	 * Cancels a request at an endpoint that has become unresponsive. A host that lost power resets no connection, so the caller
-	 * would wait until its timeout.
-	 *
-	 * - An endpoint that is only slow is waited for as long as its service usually takes; one that accepts no connection any more
-	 *   is not.
-	 * - A call to a plain service is cancelled only if it may be sent to another endpoint, since it may just be slow.
-	 * - A prompt is cancelled even if no other engine may be tried, since its caller can retry at once.
-	 * - After the first bytes only a resumable stream is cancelled; any other caller would be left with half of an answer.
-	 * - An endpoint whose answer waits here for a slow caller is not unresponsive: it is this process that does not read.
-	 */
-	#watchResponsiveness(exchange: OpenExchange): void {
-		const {kind, carriesPrompt} = this.#work.permitted.route;
-		if (!isRetryable(kind) || !(this.#target.hasNext || carriesPrompt)) {
+	/** A request that runs once at most has nowhere else to go, and its answer may come as late as its timeout. */
+	#watchSilence(exchange: OpenExchange): void {
+		if (!isRetryable(this.#work.permitted.route.kind)) {
 			return;
 		}
 
-		this.#responsivenessCheck = setInterval(() => {
-			void this.#checkResponsiveness(exchange);
-		}, responsivenessCheckMilliseconds);
+		this.#interval = setInterval(() => {
+			if (!this.#isChecking) {
+				this.#isChecking = true;
+				void this.#check(exchange).finally(() => {
+					this.#isChecking = false;
+				});
+			}
+		}, checkIntervalMilliseconds);
 	}
 
 	/**
-	 * Decides only after the sockets were polled once more. Timers run before sockets are read, so after a pause of this process
-	 * every endpoint would look unresponsive, and every waiting request would run a second time.
+	 * Acts only after the sockets were polled once more. Timers run before sockets are read, so after a pause of this process every
+	 * endpoint would look silent, and every waiting request would run a second time.
 	 */
-	async #checkResponsiveness(exchange: OpenExchange): Promise<void> {
-		if (this.#isUnresponsive()) {
-			await afterNextPoll();
-			if (!this.#isStopped && this.#isUnresponsive()) {
-				this.#noteUnanswered();
-				this.#cancel(exchange, 'silence');
+	async #check(exchange: OpenExchange): Promise<void> {
+		if (!this.#isSilent() && this.#step() === 'wait') {
+			this.#failedConnections = 0;
+			return;
+		}
+
+		await afterNextPoll();
+		if (!this.#isStopped && this.#isSilent()) {
+			await this.#tryConnection();
+		}
+
+		const step = this.#isStopped ? 'wait' : this.#step();
+		switch (step) {
+			case 'end-unreachable': {
+				this.#cancel(exchange, 'unreachable');
+				break;
+			}
+
+			case 'end-abandoned': {
+				this.#cancel(exchange, 'abandoned');
+				break;
 			}
-		} else if (this.#isSilent() && !this.#isProbing) {
-			this.#isProbing = true;
-			const isUp = await this.#context.paths.isUp(this.#target.endpoint);
-			this.#isProbing = false;
-			if (!isUp && !this.#isStopped && this.#isSilent()) {
-				this.#cancel(exchange, 'silence');
+
+			case 'replace': {
+				this.#target.onSilent();
+				break;
+			}
+
+			case 'wait': {
+				break;
 			}
 		}
 	}
 
-	/** Requests that are cancelled show too how long answers take; otherwise a service that is slow for all would never be waited for. */
-	#noteUnanswered(): void {
-		if (!this.#hasBegun) {
-			this.#context.placement.noteUnanswered(this.#target.endpoint, this.#now() - this.#startedAt);
+	/** Finds out whether the endpoint accepts connections, unless it was tried a moment ago. */
+	async #tryConnection(): Promise<void> {
+		const now = this.#now();
+		if (now - this.#connectedAt < connectionIntervalMilliseconds) {
+			return;
 		}
+
+		this.#connectedAt = now;
+		const isUp = await this.#context.paths.isUp(this.#target.endpoint);
+		this.#failedConnections = isUp || !this.#isSilent() ? 0 : this.#failedConnections + 1;
 	}
 
-	/** Whether a cancellation leads to an answer: a call to a plain service is not cancelled without a retry for it. */
-	get #mayBeCancelled(): boolean {
-		const {response, splitter, permitted: {route, service}} = this.#work;
-		return (!response.headersSent || (splitter !== undefined && !response.writableNeedDrain))
-			&& (route.carriesPrompt || this.#context.retryBudget.hasRetry(service, this.#now()));
+	#step(): SilenceStep {
+		const {permitted: {route}, caller} = this.#work;
+		return this.#isReading
+			? decideOnSilence({
+				failedConnections: this.#failedConnections,
+				isUnresponsive: this.#isUnresponsive(),
+				callerWaitedMilliseconds: this.#now() - caller.waitsSince,
+				callerPatienceMilliseconds: route.kind === 'resumable-stream' ? callerPatienceMilliseconds(route) : Number.POSITIVE_INFINITY,
+			})
+			: 'wait';
+	}
+
+	/** Whether this process reads what the endpoint sends: an answer that waits here for a slow caller does not show silence. */
+	get #isReading(): boolean {
+		const {response, splitter} = this.#work;
+		return !response.headersSent || (splitter !== undefined && !response.writableNeedDrain);
 	}
 
 	#isSilent(): boolean {
-		return this.#mayBeCancelled && this.#context.placement.isSilent(this.#target.endpoint, this.#now());
+		const {placement} = this.#context;
+		const {endpoint} = this.#target;
+		return this.#isReading && (placement.isSilent(endpoint, this.#now()) || this.#isEngineSilent(silentEngineMilliseconds));
 	}
 
 	#isUnresponsive(): boolean {
-		return this.#mayBeCancelled && (this.#context.placement.isUnresponsive(this.#target.endpoint, this.#now()) || this.#isEngineStopped());
+		return this.#context.placement.isUnresponsive(this.#target.endpoint, this.#now()) || this.#isEngineSilent(unresponsiveEngineMilliseconds);
 	}
 
-	/** While no request waits, only the running streams show that an engine has stopped. */
-	#isEngineStopped(): boolean {
+	/** While no request waits, only the running streams show that an engine is silent. */
+	#isEngineSilent(milliseconds: number): boolean {
 		const {permitted: {route}} = this.#work;
-		return route.carriesPrompt && this.#hasBegun && this.#context.placement.idleMilliseconds(this.#target.endpoint, this.#now()) > stoppedEngineMilliseconds;
+		return route.carriesPrompt && this.#hasBegun && this.#context.placement.idleMilliseconds(this.#target.endpoint, this.#now()) > milliseconds;
 	}
 
 	/**
@@ -151,6 +195,10 @@
 
 	#cancel(exchange: OpenExchange, reason: CancelReason): void {
 		this.#cancelReason ??= reason;
+		if (reason !== 'older-weights') {
+			this.noteUnanswered();
+		}
+
 		exchange.cancel();
 	}
 
--- a/src/gateway/data-path/attempt-work.ts
+++ b/src/gateway/data-path/attempt-work.ts
@@ -17,6 +17,8 @@
 	splitter: EventSplitter | undefined;
 	/** When the caller or the route times out, in milliseconds of the steady clock. */
 	deadline: number;
+	/** Since when the caller waits for the next bytes of its answer, in milliseconds of the steady clock; kept up to date. */
+	caller: {waitsSince: number};
 };
 
 /** The endpoint to send it to, and how that was chosen. */
@@ -25,8 +27,12 @@
 	request: PlacementRequest;
 	/** The estimates by which the endpoint was chosen. */
 	basis: PlacementBasis;
-	/** Whether another endpoint may be tried after this one. */
-	hasNext: boolean;
 	/** Called when the first bytes of the answer arrive. */
 	onFirstBytes(): void;
+	/** Called for each chunk of the answer. */
+	onBytes(): void;
+	/** Called again and again while the endpoint is silent for longer than usual. */
+	onSilent(): void;
+	/** Called when the head of a usable answer has arrived; returns whether it may be relayed. */
+	mayRelay(): boolean;
 };
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -8,6 +8,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {classifyAnswer, isServedAnswer} from './classify-answer.js';
+import {endDetails, type EndReason} from './end-reason.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {logLateWrite} from './log-late-write.js';
@@ -15,7 +16,7 @@
 import {planBlockTransfers} from './plan-block-transfers.js';
 import {parseEndpointLoad} from './parse-endpoint-load.js';
 import {relayAnswer} from './relay-answer.js';
-import {type CancelReason, AttemptWatch} from './attempt-watch.js';
+import {AttemptWatch} from './attempt-watch.js';
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
 /** How an attempt ended. */
@@ -32,21 +33,16 @@
 	detail?: string | undefined;
 };
 
-/** The `detail` that the log shows for an attempt that was cancelled early. */
-const cancelDetails: Record<CancelReason, string> = {
-	silence: 'the endpoint became unresponsive',
-	'older-weights': 'cancelled before it began: the grant of older weights ended',
-};
-
 export class EndpointAttempt {
+	/** When it was sent, in milliseconds of the steady clock. */
+	sentAt = 0;
 	readonly #context: GatewayContext;
 	readonly #work: AttemptWork;
 	readonly #target: AttemptTarget;
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
-	#isCancelled = false;
+	#endReason: EndReason | undefined;
 	#isRelayed = false;
-	#sentAt = 0;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
 		this.#context = context;
@@ -62,11 +58,11 @@
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
-		this.#sentAt = this.#now();
+		this.sentAt = this.#now();
 		placement.observe({
 			kind: 'sent', request, endpoint, basis,
-		}, this.#sentAt);
-		rests.noteSent(incarnationOf(endpoint), this.#sentAt);
+		}, this.sentAt);
+		rests.noteSent(incarnationOf(endpoint), this.sentAt);
 		const connection = paths.isRelayed(endpoint) ? relays.connect(endpoint, deadline - this.#now()) : undefined;
 		this.#isRelayed = connection !== undefined;
 		this.#exchange = exchanges.open({
@@ -94,7 +90,7 @@
 					endpoint: endpoint.name,
 					connection: use,
 					leftMilliseconds: deadline - now,
-					openedMilliseconds: now - this.#sentAt,
+					openedMilliseconds: now - this.sentAt,
 					lagMilliseconds: eventLoopLag.current,
 				});
 			},
@@ -121,7 +117,23 @@
 
 	/** Closes the connection, so that the endpoint stops its work. */
 	cancel(): void {
-		this.#isCancelled = true;
+		this.#end('not-needed');
+	}
+
+	/** Ends the attempt in favour of another one that has an answer, which goes on after the last complete event. */
+	replace(): void {
+		this.#watch.noteUnanswered();
+		this.#work.splitter?.flush();
+		this.#end('replaced');
+	}
+
+	/** Ends an attempt that was to replace another one, which has gone on. */
+	supersede(): void {
+		this.#end('superseded');
+	}
+
+	#end(reason: EndReason): void {
+		this.#endReason ??= reason;
 		this.#exchange?.cancel();
 	}
 
@@ -147,10 +159,17 @@
 		}
 
 		this.#updateRegistry(answer, isServedAnswer(answer, outcome, request, names));
-		if (outcome === 'usable') {
+		if (outcome === 'usable' && this.#target.mayRelay()) {
 			return this.#relay(answer);
 		}
 
+		if (outcome === 'usable') {
+			this.supersede();
+			return {
+				outcome: 'unknown', wasSent: true, mayHaveRun: true, transfer: transferOf(answer, {bodyEnd: 'unread'}), detail: this.#detailOf(''),
+			};
+		}
+
 		return {
 			outcome,
 			wasSent: true,
@@ -178,8 +197,8 @@
 
 	async #relay(answer: EndpointAnswer): Promise<AttemptResult> {
 		const {placement, names, log} = this.#context;
-		const {head, response, splitter} = this.#work;
-		const {endpoint, request, onFirstBytes} = this.#target;
+		const {head, response, splitter, caller} = this.#work;
+		const {endpoint, request, onFirstBytes, onBytes} = this.#target;
 		const {outcome, ...read} = await relayAnswer({
 			answer,
 			response,
@@ -192,7 +211,9 @@
 				}, this.#now());
 			},
 			onBytes: () => {
-				placement.received(endpoint, this.#now());
+				caller.waitsSince = this.#now();
+				placement.received(endpoint, caller.waitsSince);
+				onBytes();
 			},
 			onFault(error) {
 				log.record('fault', {
@@ -213,8 +234,12 @@
 		// After events without an id no endpoint knows where to resume: it would start over and send the events twice.
 		const isResumable = answer.status === 200 && (splitter === undefined || (splitter.lastId ?? '') !== '');
 		const brokenOutcome = isResumable ? 'cut' : 'torn';
-		// Drops the incomplete event of the broken answer; the next endpoint sends that event from its start.
-		splitter?.flush();
+		// Drops the incomplete event of the broken answer; the next endpoint sends that event from its start. A replacement may have
+		// begun to do so, and shares the splitter.
+		if (this.#endReason !== 'replaced') {
+			splitter?.flush();
+		}
+
 		return {
 			outcome: response.headersSent ? brokenOutcome : 'unknown',
 			wasSent: true,
@@ -236,7 +261,7 @@
 		}
 
 		noteAnnouncements(this.#context, {
-			attemptId: this.#work.head.attemptId, endpoint, answer, isServed, sentAt: this.#sentAt,
+			attemptId: this.#work.head.attemptId, endpoint, answer, isServed, sentAt: this.sentAt,
 		});
 		const answeringEndpoint = answer.header(names.endpointName);
 		if (answer.status === 421 && answeringEndpoint !== undefined && answeringEndpoint !== endpoint.name) {
@@ -246,17 +271,13 @@
 
 	/** Explains why an attempt failed. The endpoint must not be blamed for an attempt that this process cancelled. */
 	#detailOf(observedDetail: string): string {
-		const {cancelReason} = this.#watch;
-		if (cancelReason !== undefined) {
-			return cancelDetails[cancelReason];
-		}
-
-		return this.#isCancelled ? 'cancelled: the caller disconnected or the timeout passed' : observedDetail;
+		const reason = this.#endReason ?? this.#watch.cancelReason;
+		return reason === undefined ? observedDetail : endDetails[reason];
 	}
 
 	/** Whether this process ended the attempt. */
 	get #isAborted(): boolean {
-		return this.#isCancelled || this.#watch.cancelReason !== undefined;
+		return this.#endReason !== undefined || this.#watch.cancelReason !== undefined;
 	}
 
 	#placementOutcomeOf(outcome: AttemptResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
@@ -266,11 +287,12 @@
 
 		const {cancelReason} = this.#watch;
 		const isRelayAtFault = this.#isRelayed && outcome === 'not-sent';
-		if (this.#isCancelled || cancelReason === 'older-weights' || outcome === 'client-left' || isRelayAtFault) {
+		const isEndedHere = this.#endReason !== undefined && this.#endReason !== 'replaced';
+		if (isEndedHere || cancelReason === 'older-weights' || outcome === 'client-left' || isRelayAtFault) {
 			return 'cancelled';
 		}
 
-		return outcome === 'not-sent' || cancelReason === 'silence' ? 'unreachable' : 'failed';
+		return outcome === 'not-sent' || cancelReason === 'unreachable' ? 'unreachable' : 'failed';
 	}
 
 	#now(): number {
--- a/src/gateway/data-path/log-failed-attempt.ts
+++ b/src/gateway/data-path/log-failed-attempt.ts
@@ -8,7 +8,8 @@
 	id: string;
 	endpoint: string;
 	result: AttemptResult;
-	step: NextStep;
+	/** `wait`: an attempt that was to replace a silent one failed, and that one goes on. */
+	step: NextStep | 'wait';
 	/** Number of endpoints that the request was sent to so far. */
 	sends: number;
 	/** The fingerprint of the request; called only where the endpoint's side ended the connection. */
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -5,7 +5,6 @@
 import {
 	decideNextStep, type NextStep, type AttemptOutcome,
 } from '../../decision/attempts/next-step.js';
-import {type Placement, type PlacementBasis, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {abortAnswer} from '../../serving/abort-answer.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
@@ -13,12 +12,12 @@
 import {CrashScreen} from './crash-screen.js';
 import {EndpointSearch, type FoundEndpoint} from './endpoint-search.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {EndpointAttempt, type AttemptResult} from './endpoint-attempt.js';
 import {EventSplitter} from './event-splitter.js';
 import {logFailedAttempt} from './log-failed-attempt.js';
 import {relayFailure} from './relay-failure.js';
 import {reportEnd, type RequestOutcome} from './report-end.js';
 import {FailureResponder} from './failure-responder.js';
+import {RequestAttempts} from './request-attempts.js';
 import {type RoutedWork} from './routed-work.js';
 import {UnconnectedEndpoints} from './unconnected-endpoints.js';
 
@@ -35,16 +34,11 @@
 	readonly #crashScreen: CrashScreen;
 	readonly #splitter: EventSplitter | undefined;
 	readonly #failureResponder: FailureResponder;
-	#currentAttempt: EndpointAttempt | undefined;
-	#sends = 0;
-	#mayHaveRun = false;
+	readonly #attempts: RequestAttempts;
 	#hasCallerDisconnected = false;
 	#isExpired = false;
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly #stop = new AbortController();
-	#firstByteAt: number | undefined;
-	#sentAt: number | undefined;
-	#basis: PlacementBasis | undefined;
 	#status = 0;
 	/** How the last answer was transferred; unset once a log line has reported it. */
 	#unreportedTransfer: AnswerTransfer | undefined;
@@ -60,6 +54,16 @@
 		this.#deadline = work.arrivedAt.steady + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds);
 		this.#splitter = route.kind === 'resumable-stream' ? new EventSplitter() : undefined;
 		this.#failureResponder = new FailureResponder(work.response, context.refuse);
+		this.#attempts = new RequestAttempts(context, {
+			work,
+			splitter: this.#splitter,
+			deadline: this.#deadline,
+			attempted: this.#attempted,
+			unconnected: this.#unconnected,
+			search: this.#search,
+			crashScreen: this.#crashScreen,
+			signal: this.#stop.signal,
+		});
 	}
 
 	/** Serves the request to its end. The response is always ended or closed when this resolves. */
@@ -77,7 +81,7 @@
 		const timer = setTimeout(() => {
 			this.#isExpired = true;
 			this.#stop.abort();
-			this.#currentAttempt?.cancel();
+			this.#attempts.cancel();
 		}, Math.max(0, this.#deadline - this.#now()));
 		try {
 			const end = await this.#attemptUntilDone();
@@ -85,11 +89,11 @@
 				end,
 				status: this.#failureResponder.status ?? this.#status,
 				endpoints: [...this.#attempted],
-				sends: this.#sends,
-				mayHaveRun: this.#mayHaveRun,
-				placedBy: this.#basis,
-				firstByteAt: this.#firstByteAt,
-				sentAt: this.#sentAt,
+				sends: this.#attempts.sends,
+				mayHaveRun: this.#attempts.mayHaveRun,
+				placedBy: this.#attempts.basis,
+				firstByteAt: this.#attempts.firstByteAt,
+				sentAt: this.#attempts.sentAt,
 				...unusualTransfer(this.#unreportedTransfer),
 			}, this.#now());
 			return end;
@@ -103,7 +107,7 @@
 		for (;;) {
 			const blocked = await this.#search.prepare(this.#stop.signal);
 			if (blocked !== undefined) {
-				return this.#failureResponder.fail(blocked, this.#mayHaveRun);
+				return this.#failureResponder.fail(blocked, this.#attempts.mayHaveRun);
 			}
 
 			if (await hasCallerDisconnected(this.#work.request, this.#context.eventLoopLag.current)) {
@@ -123,7 +127,7 @@
 					continue;
 				}
 
-				return this.#failureResponder.fail(found.refusal, this.#mayHaveRun);
+				return this.#failureResponder.fail(found.refusal, this.#attempts.mayHaveRun);
 			}
 
 			// The search may have waited for other instances.
@@ -144,12 +148,19 @@
 			return 'client-left';
 		}
 
-		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#mayHaveRun) : undefined;
+		return this.#isExpired || this.#now() >= this.#deadline ? this.#failureResponder.expire(this.#attempts.mayHaveRun) : undefined;
 	}
 
 	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
-	async #attempt({request, placement}: FoundEndpoint): Promise<RequestOutcome | undefined> {
-		const result = await this.#send(request, placement);
+	async #attempt(found: FoundEndpoint): Promise<RequestOutcome | undefined> {
+		const {clock, retryBudget} = this.#context;
+		if (this.#attempts.sends === 0) {
+			retryBudget.countRequest(this.#work.permitted.service, clock.moment().steady);
+		}
+
+		const {endpoint, result} = await this.#attempts.run(found);
+		this.#unreportedTransfer = result.transfer;
+		this.#status = result.answer?.status ?? this.#status;
 		if (result.outcome === 'whole') {
 			this.#crashScreen.noteServed();
 			return 'whole';
@@ -162,12 +173,12 @@
 		}
 
 		if (this.#isExpired) {
-			return this.#failureResponder.expire(this.#mayHaveRun);
+			return this.#failureResponder.expire(this.#attempts.mayHaveRun);
 		}
 
 		const step = this.#stepAfter(result.outcome);
 		logFailedAttempt(this.#context.log, {
-			id: this.#work.head.attemptId, endpoint: placement.endpoint.name, result, step, sends: this.#sends, fingerprint: () => this.#crashScreen.fingerprint,
+			id: this.#work.head.attemptId, endpoint: endpoint.name, result, step, sends: this.#attempts.sends, fingerprint: () => this.#crashScreen.fingerprint,
 		});
 		this.#unreportedTransfer = undefined;
 		return this.#carryOut(step, result.answer);
@@ -177,9 +188,9 @@
 		const {permitted: {route, service}} = this.#work;
 		return decideNextStep(outcome, {
 			kind: route.kind,
-			sends: this.#sends,
+			sends: this.#attempts.sends,
 			maxSends: route.maxAttempts,
-			mayHaveRun: this.#mayHaveRun,
+			mayHaveRun: this.#attempts.mayHaveRun,
 			remainingMilliseconds: this.#deadline - this.#now(),
 		}, () => this.#context.retryBudget.takeRetry(service, this.#now()));
 	}
@@ -207,55 +218,11 @@
 				answer?.discard();
 				return this.#failureResponder.fail({
 					reason: 'no-endpoint', ran: 'not-run', message: 'no endpoint accepted the request', retryAfterMilliseconds: this.#search.restMilliseconds() ?? rejectedRetryMilliseconds,
-				}, this.#mayHaveRun);
+				}, this.#attempts.mayHaveRun);
 			}
 		}
 	}
 
-	async #send(request: PlacementRequest, {endpoint, basis}: Placement & {kind: 'send'}): Promise<AttemptResult> {
-		const {head, permitted, body, response} = this.#work;
-		const isDirect = !this.#context.paths.isRelayed(endpoint);
-		this.#attempted.add(endpoint.name);
-		this.#basis = basis;
-		if (this.#sends === 0) {
-			this.#context.retryBudget.countRequest(permitted.service, this.#now());
-		}
-
-		this.#currentAttempt = new EndpointAttempt(this.#context, {
-			head, permitted, body, response, splitter: this.#splitter, deadline: this.#deadline,
-		}, {
-			endpoint,
-			request,
-			basis,
-			hasNext: this.#sends + 1 < permitted.route.maxAttempts,
-			onFirstBytes: () => {
-				this.#firstByteAt ??= this.#now();
-			},
-		});
-		this.#sentAt = this.#now();
-		const running = this.#currentAttempt.run();
-		if (request.prompt !== undefined) {
-			this.#context.peerUpdates.report();
-		}
-
-		const result = await running;
-		if (result.outcome === 'not-sent' && isDirect) {
-			this.#unconnected.add(endpoint);
-		}
-
-		if (result.isConnectionLost) {
-			this.#crashScreen.noteLost(endpoint, this.#now() - this.#sentAt);
-		}
-
-		// The body of a failure may still be relayed; the timeout and a disconnect of the caller must be able to cancel that too.
-		this.#currentAttempt = result.outcome === 'failed' ? this.#currentAttempt : undefined;
-		this.#sends += result.wasSent ? 1 : 0;
-		this.#mayHaveRun ||= result.mayHaveRun;
-		this.#unreportedTransfer = result.transfer;
-		this.#status = result.answer?.status ?? this.#status;
-		return result;
-	}
-
 	async #relayFailure(answer: EndpointAnswer): Promise<RequestOutcome> {
 		const {head, response} = this.#work;
 		const {outcome, transfer} = await relayFailure({
@@ -268,11 +235,11 @@
 
 		if (outcome !== 'whole') {
 			// The rest of the body is not read, so an endpoint that has stalled would hold its connection indefinitely.
-			this.#currentAttempt?.cancel();
+			this.#attempts.cancel();
 		}
 
 		if (outcome === 'cut' && this.#isExpired) {
-			return this.#failureResponder.expire(this.#mayHaveRun);
+			return this.#failureResponder.expire(this.#attempts.mayHaveRun);
 		}
 
 		if (outcome === 'cut') {
@@ -295,7 +262,7 @@
 		this.#hasCallerDisconnected = true;
 		this.#stop.abort();
 		if (this.#work.permitted.route.kind !== 'non-idempotent') {
-			this.#currentAttempt?.cancel();
+			this.#attempts.cancel();
 		}
 	}
 
