Keep the time of the machine out of the tests of request diagnosis

The listed test got 503 "the deadline of the request passed" once beside load. Cause: the test, not the product. Gateway, endpoint and caller share one thread, and the route has 400 ms of real time from the reading of the request. A process that gets no processor for that long has truly passed the deadline.

The caller of an instance that was paused for longer than the route's timeout gets "not run" and may retry at once.

Found beside it: a lag of 200 ms adds a `late-write` line, which fails the same tests. So a longer timeout alone would not do.

Change: in the tests of `linesOf` clock and timers stand still (TestGateway takes a clock), so neither bound depends on the machine. All assertions stay; the 504 is now due at exactly 400 ms, not at 399 or later. The test of the reset keeps its route of 2 s and gets the clock. A request that never ends fails after 20 s of real time. Rejected: a timeout of 20 s in real time (a request that waits for a timer of ours would pass), and leaving late lines out (a wrong one would pass).

--- a/src/gateway/observability/request-diagnosis.test.ts
+++ b/src/gateway/observability/request-diagnosis.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {type IncomingMessage} from 'node:http';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	exchangeRaw, openSocket, rawRequest, readToEnd, readUntil, statusOf,
 } from '../../test/raw-http.js';
+import {ManualClock} from '../../test/manual-clock.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RouteKind} from '../../shared/routed-configuration.js';
 import {type AnswerTransfer} from '../data-path/answer-transfer.js';
 import {ownWireNames as names} from '../data-path/wire-names.js';
@@ -22,20 +24,56 @@
 	body: 'x',
 });
 
+const timeoutMilliseconds = 400;
+/** In real time. A request that never ends fails its test instead of blocking the process. */
+const callerPatienceMilliseconds = 20_000;
+
+/** A gateway's clock and timers stand still until `pass`: on a busy machine its requests are neither late nor expired. */
+function mockTime(context: TestContext): {clock: MomentClock; pass: (milliseconds: number) => void} {
+	context.mock.timers.enable({apis: ['setTimeout']});
+	const {clock, advance} = manualClock();
+	return {
+		clock,
+		pass(milliseconds) {
+			advance(milliseconds);
+			context.mock.timers.tick(milliseconds);
+		},
+	};
+}
+
+function manualClock(): {clock: MomentClock; advance: (milliseconds: number) => void} {
+	const manual = new ManualClock(0);
+	return {
+		clock: {
+			moment: () => ({steady: manual.now(), wall: manual.now()}),
+			sleep: async (milliseconds, signal) => manual.sleep(milliseconds, signal),
+		},
+		advance(milliseconds) {
+			manual.advance(milliseconds);
+		},
+	};
+}
+
 /** Sends one request through a gateway with at most one endpoint; returns its status, its answer and its log lines. */
-async function linesOf(kind: RouteKind, behaviour: EndpointBehaviour | undefined): Promise<{status: number; answer: string; lines: Array<Record<string, unknown>>}> {
-	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds: 400})]})).start();
+async function linesOf(kind: RouteKind, behaviour: EndpointBehaviour | undefined, clock: MomentClock): Promise<{status: number; answer: string; lines: Array<Record<string, unknown>>}> {
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds})]}), undefined, clock).start();
 	if (behaviour !== undefined) {
 		await gateway.addEndpoint(behaviour);
 	}
 
-	const answer = await exchangeRaw(gateway.address, requestOf('lost-1'));
+	const caller = await openSocket(gateway.address);
+	caller.setTimeout(callerPatienceMilliseconds, () => {
+		caller.destroy();
+	});
+	const reading = readToEnd(caller);
+	caller.write(requestOf('lost-1'));
+	const answer = await reading;
 	await gateway.close();
 	return {status: statusOf(answer), answer, lines: gateway.lines.filter(({id}) => id === 'lost-1')};
 }
 
-test('the log lines of a refused request show its cause: no endpoint of the service is known', async () => {
-	const {status, lines} = await linesOf('non-idempotent', undefined);
+test('the log lines of a refused request show its cause: no endpoint of the service is known', async context => {
+	const {status, lines} = await linesOf('non-idempotent', undefined, mockTime(context).clock);
 	assert.equal(status, 503);
 	assert.deepEqual(lines.map(({kind, outcome, sends, service}) => ({
 		kind, outcome, sends, service,
@@ -44,13 +82,13 @@
 	}]);
 });
 
-test('the log lines of an aborted stream show its cause: the endpoint cut it, and its route does not allow resuming', async () => {
+test('the log lines of an aborted stream show its cause: the endpoint cut it, and its route does not allow resuming', async context => {
 	const {status, lines} = await linesOf('stream', (request, response) => {
 		response.writeHead(200, sealedHeaders(request));
 		response.write('id: 1\ndata: a\n\n', () => {
 			response.destroy();
 		});
-	});
+	}, mockTime(context).clock);
 	assert.equal(status, 200);
 	assert.equal((lines[0]?.transfer as AnswerTransfer).framing, 'chunked', 'shows that a response head was received, which `status` does not');
 	assert.deepEqual(lines.map(({kind, endpoint, outcome, step}) => ({
@@ -65,15 +103,18 @@
 	]);
 });
 
-test('the log lines of a booking answered 504 show its cause: the endpoint held it until the timeout, and it may have run', async () => {
-	const {status, lines} = await linesOf('non-idempotent', () => {
-		// The endpoint never answers.
-	});
+test('the log lines of a booking answered 504 show its cause: the endpoint held it until the timeout, and it may have run', async context => {
+	const {clock, pass} = mockTime(context);
+	const {status, lines} = await linesOf('non-idempotent', (_request, response) => {
+		pass(timeoutMilliseconds);
+		// Without effect on a request that has timed out.
+		response.destroy();
+	}, clock);
 	assert.equal(status, 504);
 	const [end] = lines;
 	assert.equal(lines.length, 1);
 	assert.deepEqual([end?.outcome, end?.endpoints, end?.status], ['timeout', ['desk-1'], 504]);
-	assert.ok(Number(end?.milliseconds) >= 399);
+	assert.equal(end?.milliseconds, timeoutMilliseconds);
 });
 
 /** The head of an answer without a length: the end of the connection is its end. */
@@ -85,7 +126,7 @@
 test('the log lines of half an answer show its cause: the endpoint reset its connection in the middle of it', async () => {
 	// An endpoint sends the first bytes of an answer without a length. The caller gets them; then the endpoint fails and its
 	// host resets the connection. The caller has a 200 and "half", and must be able to see that the rest is missing.
-	const gateway = await new TestGateway(testConfiguration()).start();
+	const gateway = await new TestGateway(testConfiguration(), undefined, manualClock().clock).start();
 	let resetEndpoint = (): void => {
 		assert.fail('the caller received bytes before the endpoint sent any');
 	};
@@ -113,10 +154,10 @@
 	assert.deepEqual(others, []);
 });
 
-test('the log lines of half an answer show its cause: the endpoint sent too little and marked that as the complete answer', async () => {
+test('the log lines of half an answer show its cause: the endpoint sent too little and marked that as the complete answer', async context => {
 	const {answer, lines} = await linesOf('idempotent', (request, response) => {
 		answerSealed(request, response, {body: 'half'});
-	});
+	}, mockTime(context).clock);
 	assert.ok(answer.endsWith('\r\n\r\nhalf'), answer);
 	assert.deepEqual(lines.map(({kind, endpoint}) => ({kind, endpoint})), [{kind: 'request-served', endpoint: 'desk-1'}]);
 });
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -9,6 +9,7 @@
 import {SharedRetryBudget} from '../../decision/limits/shared-retry-budget.js';
 import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
 import {CrashLedger} from '../crashes/crash-ledger.js';
 import {keyOfReport} from '../crashes/crash-report-rows.js';
@@ -53,32 +54,35 @@
 	readonly #stop = new AbortController();
 	readonly #eventLoopLag: EventLoopLag;
 
-	/** @param crashLedger - Shared by gateways of a test that know of each other's crashes at once. */
-	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger()) {
+	/**
+	 * @param crashLedger - Shared by gateways of a test that know of each other's crashes at once.
+	 * @param clock - Replaced where the speed of the machine must not matter.
+	 */
+	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger(), clock: MomentClock = systemMomentClock) {
 		const metrics = new GatewayMetrics();
 		const view = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 120_000});
 		view.offer(configuration);
-		view.confirm(systemMomentClock.moment());
+		view.confirm(clock.moment());
 		const output = {
 			writableLength: 0,
 			write: (line: string) => this.lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
 		};
 		const log = new DecisionLog(output, {}, Date.now);
-		this.#eventLoopLag = new EventLoopLag(() => systemMomentClock.moment().steady, (lagMilliseconds, processorMilliseconds) => {
+		this.#eventLoopLag = new EventLoopLag(() => clock.moment().steady, (lagMilliseconds, processorMilliseconds) => {
 			reportLag({log, metrics}, lagMilliseconds, processorMilliseconds);
 		});
 		const endpoints = new EndpointRegistry();
 		const permits = new PermitGrants();
 		const placement = new CostPlacement('split');
 		const relays = new RelayClient({
-			clock: systemMomentClock, directory: this.relayDirectory, key: () => testRelayKey, random: () => 0,
+			clock, directory: this.relayDirectory, key: () => testRelayKey, random: () => 0,
 		});
 		const paths = new EndpointPaths({
-			clock: systemMomentClock, placement, endpoints, relays, log, metrics,
+			clock, placement, endpoints, relays, log, metrics,
 		});
 		this.context = {
 			dataCentre: 'split',
-			clock: systemMomentClock,
+			clock,
 			names: ownWireNames,
 			configuration: view,
 			endpoints,
@@ -87,7 +91,7 @@
 			placement,
 			crashes: new EndpointCrashes({
 				instance: 'test',
-				clock: systemMomentClock,
+				clock,
 				log,
 				metrics,
 				endpoints,
@@ -99,11 +103,11 @@
 				},
 			}),
 			limits: new EndpointLimits({
-				clock: systemMomentClock, log, metrics, permits: {takePermit: async query => permits.answer(query, systemMomentClock.moment().steady)},
+				clock, log, metrics, permits: {takePermit: async query => permits.answer(query, clock.moment().steady)},
 			}),
 			brittle: new BrittleServices({
 				instance: 'test',
-				clock: systemMomentClock,
+				clock,
 				log,
 				metrics,
 				requestsAt: () => 0,
@@ -129,7 +133,7 @@
 				},
 			},
 			blockPlanner: new BlockPlanner(),
-			loadingEngines: new LoadingEngines(() => systemMomentClock.moment().steady),
+			loadingEngines: new LoadingEngines(() => clock.moment().steady),
 			eventLoopLag: this.#eventLoopLag,
 			log,
 			metrics,
