Move the comparison of shared keys to a function of its own

The relay's server compares the key that a peer shows with the known one; the instances that exchange the origins of streams will do the same. No change of behaviour: the tests of the relay pass (node scripts/run-tests.mjs gateway/relay).

--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -5,12 +5,12 @@
  * It connects to listed endpoints only, and answers nobody who does not know the instances' key.
  */
 import {Buffer} from 'node:buffer';
-import {timingSafeEqual} from 'node:crypto';
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {connectEndpoint} from '../endpoints/connect-endpoint.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {isSameKey} from '../../shared/is-same-key.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {forwardBytes} from './forward-bytes.js';
 import {type OpenFrame, type RelayFrame} from './relay-messages.js';
@@ -178,8 +178,3 @@
 		forwardBytes(socket, onward);
 	}
 }
-
-function isSameKey(given: string, known: string): boolean {
-	const [left, right] = [Buffer.from(given), Buffer.from(known)];
-	return left.length === right.length && timingSafeEqual(left, right);
-}
