Let instances find out where a stream began

Cause: endpoints of several software versions serve one service, and a stream may go on only at the version that began it. The caller that takes it up reaches any instance, and the one that began it may have been killed, restarted or cut off.

Change: each instance keeps the origins of its streams (2 minutes, 50,000 records) and sends each at once to three instances of its data centre, by rendezvous hash of a digest of workspace and attempt id. An instance that does not know a stream asks five of them in parallel for 150 ms; the first that knows it is enough. The instances of a data centre know each other by the coordinator's answers: an address and a digest every 2 s, a list only where the digest differs. Fields of messages are optional, and older peers are not listed. The port is the fourth internal one. The daemon is wired with a soleVersion that proves nothing, and the data path does not use the records yet.

Every frame of records is confirmed, so that a stuck or reset connection loses none: they are sent again over a new connection, or, where the peer had never answered, to the next owner.

--- a/src/gateway/coordinator/coordinator-client.test.ts
+++ b/src/gateway/coordinator/coordinator-client.test.ts
@@ -208,3 +208,35 @@
 	await pause(2500);
 	assert.equal(client.isConnected, false);
 });
+
+test('the list of instances that know where streams began is asked for at an interval, and again from the next coordinator', async context => {
+	const {fake, clock} = await startFakeCoordinator(context);
+	const applied: unknown[] = [];
+	const client = new CoordinatorClient(new CoordinatorView(), testFollower({
+		streamPeers: () => ({address: 'a:1', dataCentre: 'split', digest: ''}),
+		applyStreamPeers(list) {
+			applied.push(list);
+		},
+	}), clock);
+	context.after(() => {
+		client.close();
+	});
+	const pollAndCount = async (): Promise<number> => {
+		const before = fake.received.length;
+		client.poll();
+		await until(() => fake.received.length > before);
+		return fake.received.filter(frame => frame.kind === 'ask' && frame.streamPeers !== undefined).length;
+	};
+
+	client.dial(fake.address);
+	assert.equal(await pollAndCount(), 1);
+	fake.now += 500;
+	assert.equal(await pollAndCount(), 1);
+	fake.now += 600;
+	assert.equal(await pollAndCount(), 1);
+	fake.now += 1000;
+	assert.equal(await pollAndCount(), 2);
+	client.dial(fake.address);
+	assert.equal(await pollAndCount(), 3);
+	assert.deepEqual(applied, [], 'a coordinator of an older build sends no list');
+});
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -10,6 +10,7 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
+import {type StreamPeerList, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
@@ -32,6 +33,8 @@
 const maxAnswerAgeMilliseconds = 1.9 * queryIntervalMilliseconds;
 /** Weight of the newest round trip in the moving average. */
 const newestShare = 0.3;
+/** The list of instances that answer questions about streams is asked for at this interval. */
+const streamPeersIntervalMilliseconds = 2000;
 
 /** The local instance: what the client reports about it, and where the client delivers what it receives. */
 export type LocalFollower = {
@@ -51,6 +54,9 @@
 	/** Whether it needs a new list of relays. */
 	wantsRelays(): boolean;
 	applyRelays(relays: readonly RelayReport[]): void;
+	/** Where this instance answers questions about streams, and the list of such instances that it has. */
+	streamPeers(): StreamPeerQuery | undefined;
+	applyStreamPeers(list: StreamPeerList): void;
 	/** Endpoints whose loads come with the regular queries, so that a request to them needs no query of its own. */
 	watchedEndpoints(): string[];
 	/** The position in each table that it follows. */
@@ -90,6 +96,7 @@
 	#instances = 0;
 	#isLapsed = false;
 	#dataCentre: string | undefined;
+	#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
 	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -147,6 +154,7 @@
 		this.#reader = new FrameReader();
 		this.#lastAnswerAt = this.#clock.moment().steady;
 		this.#lastQueryAt = Number.NEGATIVE_INFINITY;
+		this.#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
 		const end = (): void => {
 			if (this.#socket === socket) {
 				this.close();
@@ -249,11 +257,22 @@
 			wantsRelays: this.#follower.wantsRelays(),
 			about: query,
 			places: this.#follower.cursors(),
+			...this.#streamPeersQuery(now.steady),
 			...asked,
 		};
 		this.#socket?.write(encodeFrame(frame));
 	}
 
+	#streamPeersQuery(now: number): Pick<FollowerFrame & {kind: 'ask'}, 'streamPeers'> {
+		const streamPeers = now - this.#streamPeersAskedAt < streamPeersIntervalMilliseconds ? undefined : this.#follower.streamPeers();
+		if (streamPeers === undefined) {
+			return {};
+		}
+
+		this.#streamPeersAskedAt = now;
+		return {streamPeers};
+	}
+
 	#report(): Omit<FollowerFrame & {kind: 'tell'}, 'kind'> {
 		const {instance, cores} = this.#follower;
 		const relay = this.#follower.relay();
@@ -302,6 +321,10 @@
 			if (frame.relays !== undefined) {
 				this.#follower.applyRelays(frame.relays);
 			}
+
+			if (frame.streamPeers !== undefined) {
+				this.#follower.applyStreamPeers(frame.streamPeers);
+			}
 		}
 
 		this.#resumeCaller(frame.number, pending === undefined ? undefined : frame);
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -3,6 +3,7 @@
 import {type EndpointLoad} from '../../decision/placement/endpoint-load.js';
 import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
+import {type StreamPeerList, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 
 /**
@@ -121,6 +122,8 @@
 		slot?: {endpoint: string; slots: number};
 		/** Whether it asks which relays there are. */
 		wantsRelays?: boolean;
+		/** Where it answers questions about streams, and which list of such instances it has; absent while it asks for none. */
+		streamPeers?: StreamPeerQuery;
 	}
 	| FollowerReport & {kind: 'tell'};
 
@@ -158,4 +161,6 @@
 	brittle?: BrittleReport[];
 	/** Relays of other instances; absent if it did not ask for them. */
 	relays?: RelayReport[];
+	/** The instances of its data centre that answer questions about streams; absent if it did not ask for them. */
+	streamPeers?: StreamPeerList;
 };
--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -10,28 +10,11 @@
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {blockEventLoop} from '../../test/separate-callers.js';
-import {CoordinatorServer, type CoordinatorSource} from './coordinator-server.js';
+import {type StreamPeerQuery} from '../streams/stream-peer-list.js';
+import {testCoordinatorSource as source} from '../testing/test-coordinator-source.js';
+import {CoordinatorServer} from './coordinator-server.js';
 import {type FollowerFrame, type CoordinatorFrame, emptyQuery} from './coordinator-messages.js';
 
-const source: CoordinatorSource = {
-	isStandby: false,
-	dataCentre: 'split',
-	holdsLease: () => true,
-	isServing: () => true,
-	permitTerm: () => 1,
-	engineClock: () => undefined,
-	openStores: () => [],
-	locateBlocks: () => ({kept: [], engines: [], unknown: []}),
-	tableUpdates: () => [],
-	cores: 1,
-	recordPermit() {
-		// The line is written by the coordinator.
-	},
-	recordUses() {
-		// No stores in this test.
-	},
-};
-
 async function freePort(): Promise<number> {
 	const server = createServer().listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -159,3 +142,39 @@
 	term = 3;
 	assert.equal(await ask(4), 'denied');
 });
+
+test('followers get the instances of their data centre that know where streams began, and an older follower none', async context => {
+	const port = await freePort();
+	const server = new CoordinatorServer(`127.0.0.1:${port}`, source, systemMomentClock);
+	const stop = new AbortController();
+	void server.run(stop.signal);
+	await pause(50);
+	const ask = async (socket: Socket, instance: string, streamPeers?: StreamPeerQuery): Promise<CoordinatorFrame> => {
+		const reader = new FrameReader();
+		const answered = once(socket, 'data') as Promise<[Buffer]>;
+		send(socket, {
+			kind: 'ask', number: 1, instance, cores: 1, uses: [], loads: {}, about: emptyQuery, places: {}, ...(streamPeers === undefined ? {} : {streamPeers}),
+		});
+		const [bytes] = await answered;
+		return reader.read(bytes).unsafeCoerce()[0] as CoordinatorFrame;
+	};
+
+	const [first, second, older] = [await follow(port), await follow(port), await follow(port)];
+	context.after(() => {
+		stop.abort();
+		for (const socket of [first, second, older]) {
+			socket.destroy();
+		}
+	});
+	const query = {dataCentre: 'split', digest: ''};
+	await ask(first, 'first', {...query, address: 'a:1'});
+	assert.equal('streamPeers' in await ask(older, 'older'), false);
+	send(first, {
+		kind: 'tell', instance: 'first', cores: 1, uses: [], loads: {},
+	});
+	await pause(350);
+	const {streamPeers} = await ask(second, 'second', {...query, address: 'b:1'});
+	assert.deepEqual(streamPeers?.addresses, ['a:1', 'b:1'], 'also of a follower whose later frames do not name it');
+	const confirmed = await ask(second, 'second', {...query, address: 'b:1', digest: streamPeers.digest});
+	assert.deepEqual(confirmed.streamPeers, {digest: streamPeers.digest});
+});
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -12,6 +12,7 @@
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
+import {StreamPeerLists, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
@@ -58,6 +59,8 @@
 type Follower = {
 	instance: string;
 	relay?: RelayReport | undefined;
+	/** What it last reported; it does not report it in each frame. */
+	streamPeers?: StreamPeerQuery | undefined;
 	cores: number;
 	/** When its last complete frame arrived, in milliseconds of the steady clock. */
 	lastSeenAt: number;
@@ -78,6 +81,7 @@
 	/** The latest observation of services whose endpoints are or were brittle. */
 	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
 	#nextRelay = 0;
+	readonly #streamPeers = new StreamPeerLists();
 
 	/** @param address - `IP:port` to listen at. */
 	constructor(address: string, source: CoordinatorSource, clock: MomentClock) {
@@ -146,13 +150,15 @@
 			return;
 		}
 
-		if (!this.#followers.has(socket)) {
+		const former = this.#followers.get(socket);
+		if (former === undefined) {
 			return;
 		}
 
 		const {instance, cores, relay} = frame;
+		const streamPeers = (frame.kind === 'ask' ? frame.streamPeers : undefined) ?? former.streamPeers;
 		this.#followers.set(socket, {
-			instance, cores, relay, lastSeenAt: this.#now(),
+			instance, cores, relay, streamPeers, lastSeenAt: this.#now(),
 		});
 		this.#loads.set(instance, frame.loads);
 		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
@@ -189,7 +195,7 @@
 	}
 
 	#answer(socket: Socket, {
-		number, instance, about, loads, places, permit, slot, wantsRelays = false,
+		number, instance, about, loads, places, permit, slot, wantsRelays = false, streamPeers,
 	}: FollowerFrame & {kind: 'ask'}): void {
 		const clock = this.#source.engineClock();
 		const blocks = this.#source.locateBlocks(about, engine => this.#loads.requestsAt(engine));
@@ -211,6 +217,7 @@
 			...this.#answerSlot(instance, number, slot),
 			...(this.#brittle.size > 0 ? {brittle: this.#brittleReports()} : {}),
 			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
+			...(streamPeers === undefined ? {} : {streamPeers: this.#streamPeers.answer(streamPeers, () => this.#streamPeerQueries(), this.#now())}),
 		};
 		this.#write(socket, encodeFrame(answer));
 	}
@@ -269,6 +276,10 @@
 		return [...relays.slice(start), ...relays.slice(0, start)].toSorted((left, right) => left.unreachable - right.unreachable).slice(0, maxRelays);
 	}
 
+	#streamPeerQueries(): StreamPeerQuery[] {
+		return [...this.#followers.values()].flatMap(({streamPeers}) => streamPeers === undefined ? [] : [streamPeers]);
+	}
+
 	#maxCores(): number {
 		let max = this.#source.cores;
 		for (const {cores} of this.#followers.values()) {
--- a/src/gateway/gateway-daemon.test.ts
+++ b/src/gateway/gateway-daemon.test.ts
@@ -25,8 +25,8 @@
 }
 
 /** An address for each listener of a gateway. */
-async function freeAddresses(): Promise<[string, string, string, string, string, string]> {
-	return Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+async function freeAddresses(): Promise<[string, string, string, string, string, string, string]> {
+	return Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
 }
 
 /** A store whose feeds return one configuration and one endpoint, and no changes afterwards. */
@@ -75,7 +75,7 @@
 	}).listen(0, '127.0.0.1');
 	await once(endpoint, 'listening');
 	const address = `127.0.0.1:${(endpoint.address() as AddressInfo).port}`;
-	const [listenCallers, listenReady, listenPeers, listenStandby, listenRelay, listenMetrics] = await freeAddresses();
+	const [listenCallers, listenReady, listenPeers, listenStandby, listenRelay, listenStreams, listenMetrics] = await freeAddresses();
 	const ports: GatewayPorts = {
 		clock: systemMomentClock,
 		names,
@@ -100,6 +100,7 @@
 		listenPeers,
 		listenStandby,
 		listenRelay,
+		listenStreams,
 		listenMetrics,
 		storeAddress: '',
 		cores: 1,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -45,6 +45,7 @@
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
 import {Relays} from './relay/relays.js';
+import {createStreamOrigins, type CreatedStreamOrigins} from './streams/create-stream-origins.js';
 import {FeedHandlers} from './watchers/feed-handlers.js';
 import {type StoreSchema} from './watchers/store-schema.js';
 import {TableFeeds} from './watchers/table-feeds.js';
@@ -86,6 +87,7 @@
 	readonly #coordinators: CoordinatorPair;
 	readonly #crashReports: CrashReportPublisher;
 	readonly #relays: Relays;
+	readonly #streams: CreatedStreamOrigins;
 	readonly #brittle: BrittleServices;
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
@@ -127,6 +129,13 @@
 				paths.noteNotConnected(endpoint);
 			},
 		});
+		this.#streams = createStreamOrigins({
+			...shared,
+			address: settings.listenStreams,
+			key: () => this.#relays.key.current,
+			soleVersion: () => undefined,
+			isStopping: () => this.#isStopping,
+		});
 		const paths = new EndpointPaths({
 			...shared, placement: this.#placement, relays: this.#relays.client, metrics,
 		});
@@ -157,6 +166,7 @@
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
 			crashes,
+			streamOrigins: this.#streams.streamOrigins,
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
 			brittle: this.#brittle,
 			rests: new EndpointRests(),
@@ -241,6 +251,7 @@
 				cores,
 				loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 				...this.#relays.follower,
+				...this.#streams.follower,
 				brittle: () => this.#brittle.reports(),
 				applyBrittle: reports => {
 					this.#brittle.apply(reports);
@@ -290,6 +301,7 @@
 				}),
 				new EndpointProber(this.#context),
 				...this.#relays.children,
+				...this.#streams.children,
 				...this.#coordinators.children(),
 				this.#crashReports,
 				this.#callers,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -37,6 +37,8 @@
 	listenStandby: string;
 	/** `IP:port` where other instances have connections to endpoints relayed. */
 	listenRelay: string;
+	/** `IP:port` where other instances send and find the origins of streams. */
+	listenStreams: string;
 	/** `IP:port` of the metrics. */
 	listenMetrics: string;
 	storeAddress: string;
--- /dev/null
+++ b/src/gateway/streams/create-stream-origins.ts
@@ -0,0 +1,50 @@
+/** Assembles what an instance knows of the origins of streams: its own, those that it keeps for peers, and who the peers are. */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {type Child} from '../../supervisor/supervisor.js';
+import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {SharedStreamOrigins, type SharedStreamOriginsDependencies} from './stream-origins.js';
+import {StreamPeers} from './stream-peers.js';
+import {StreamServer} from './stream-server.js';
+
+export type StreamOriginsDependencies = Omit<SharedStreamOriginsDependencies, 'peers'> & {
+	clock: MomentClock;
+	/** `IP:port` where this instance answers peers. */
+	address: string;
+	dataCentre: string;
+	isStopping: () => boolean;
+};
+
+export type CreatedStreamOrigins = {
+	streamOrigins: SharedStreamOrigins;
+	/** What the coordinator exchanges with this instance. */
+	follower: Pick<LocalFollower, 'streamPeers' | 'applyStreamPeers'>;
+	children: readonly Child[];
+};
+
+export function createStreamOrigins(dependencies: StreamOriginsDependencies): CreatedStreamOrigins {
+	const {address, dataCentre, clock, key, isStopping} = dependencies;
+	const peers = new StreamPeers(address);
+	const streamOrigins = new SharedStreamOrigins({...dependencies, peers});
+	const server = new StreamServer({
+		address,
+		key,
+		onRecords(records) {
+			streamOrigins.keep(records);
+		},
+		answer: (streamKey, service) => streamOrigins.answer(streamKey, service),
+	});
+	return {
+		streamOrigins,
+		follower: {
+			streamPeers: () => ({
+				...(isStopping() || key() === undefined ? {} : {address}),
+				dataCentre,
+				digest: peers.digest,
+			}),
+			applyStreamPeers(list) {
+				peers.apply(list, clock.moment().steady);
+			},
+		},
+		children: [streamOrigins, server],
+	};
+}
--- /dev/null
+++ b/src/gateway/streams/stream-origins.ts
@@ -0,0 +1,274 @@
+/**
+ * What instances know together about where streams began: each keeps its own records, and sends them to a few peers of its data
+ * centre that any other instance finds by the stream's key. The instance that began a stream may end at once; a peer that ends
+ * costs one of the copies.
+ *
+ * While a service has had one software version only, for as long as any stream may last, nothing is sent and nobody is asked.
+ */
+import {type MomentClock} from '../../ports/moment-clock.js';
+import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {type Child} from '../../supervisor/supervisor.js';
+import {OriginRecords, type OriginRecord} from './origin-records.js';
+import {PeerConnection} from './peer-connection.js';
+import {maxTextLength, type PeerAnswer} from './stream-messages.js';
+import {maxOriginLifetimeMilliseconds, type StreamOrigin} from './stream-origin.js';
+import {type StreamPeers} from './stream-peers.js';
+
+/** `sole-version`: the stream is not known, but its service has had no other version while it can have begun. */
+export type OriginAnswer = {kind: 'known'; origin: StreamOrigin} | {kind: 'sole-version'; softwareVersion: string} | {kind: 'unknown'};
+
+export interface StreamOrigins {
+	/**
+	 * Records where a stream began; to be called before its first event is forwarded.
+	 *
+	 * @param key - See `streamKey`.
+	 * @param lifetimeMilliseconds - For how long a caller may take the stream up; 2 minutes at most.
+	 */
+	record(key: string, origin: StreamOrigin, lifetimeMilliseconds: number): void;
+
+	/**
+	 * Finds out where a stream began.
+	 *
+	 * @param key - See `streamKey`.
+	 * @param service - The service to which the caller's request would go.
+	 */
+	findOrigin(key: string, service: string): Promise<OriginAnswer>;
+}
+
+export type SharedStreamOriginsDependencies = {
+	clock: MomentClock;
+	peers: StreamPeers;
+	/** What all instances share; `undefined` while this one does not know it. */
+	key: () => string | undefined;
+	/** The only software version that a service has had for as long as any stream may last; `undefined` if that is not proven. */
+	soleVersion: (service: string) => string | undefined;
+	/** The maximum number of records of this instance, and of those that it keeps for peers. */
+	maxRecords?: number;
+};
+
+const defaultMaxRecords = 50_000;
+/** How many peers keep a record: two of them may end at once. */
+const owners = 3;
+/** How many peers are asked: lists of peers may differ by a few that have just come or gone. */
+const askedPeers = 5;
+const askTimeoutMilliseconds = 150;
+const checkIntervalMilliseconds = 100;
+
+export class SharedStreamOrigins implements StreamOrigins, Child {
+	readonly name = 'stream-origins';
+	readonly #dependencies: SharedStreamOriginsDependencies;
+	/** Streams that began here. */
+	readonly #own: OriginRecords;
+	/** Streams that began at peers. */
+	readonly #others: OriginRecords;
+	/** Services with own records that no peer has. */
+	readonly #unshared = new Set<string>();
+	readonly #connections = new Map<string, PeerConnection>();
+
+	constructor(dependencies: SharedStreamOriginsDependencies) {
+		const {maxRecords = defaultMaxRecords} = dependencies;
+		this.#dependencies = dependencies;
+		this.#own = new OriginRecords(maxRecords);
+		this.#others = new OriginRecords(maxRecords);
+	}
+
+	/** Records of this instance and for peers. */
+	get size(): number {
+		return this.#own.size + this.#others.size;
+	}
+
+	/** Shares records when their service ceases to have one version only, and closes connections that have failed or are idle. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock} = this.#dependencies;
+		while (!signal.aborted) {
+			this.#shareUnshared();
+			// Answers that arrived while this process was paused are read first; otherwise a pause would close all connections.
+			await afterNextPoll();
+			for (const connection of this.#connections.values()) {
+				connection.check(this.#now());
+			}
+
+			for (const [address, connection] of this.#connections) {
+				if (connection.isClosed) {
+					this.#connections.delete(address);
+				}
+			}
+
+			await clock.sleep(checkIntervalMilliseconds, signal);
+		}
+
+		for (const connection of this.#connections.values()) {
+			connection.close();
+		}
+
+		this.#connections.clear();
+	}
+
+	record(key: string, origin: StreamOrigin, lifetimeMilliseconds: number): void {
+		const remainingMilliseconds = Math.min(maxOriginLifetimeMilliseconds, lifetimeMilliseconds);
+		this.#own.put(key, origin, remainingMilliseconds, this.#now());
+		if (this.#dependencies.soleVersion(origin.service) !== undefined || !this.#share([{key, origin, remainingMilliseconds}], this.#now())) {
+			this.#unshared.add(origin.service);
+		}
+	}
+
+	async findOrigin(key: string, service: string): Promise<OriginAnswer> {
+		const answer = this.answer(key, service);
+		return answer.kind === 'known' ? {kind: 'known', origin: answer.record.origin} : (answer.kind === 'sole-version' ? answer : this.#askPeers(key, service));
+	}
+
+	/** Returns what this instance knows itself. */
+	answer(key: string, service: string): PeerAnswer {
+		const now = this.#now();
+		const record = this.#own.recordOf(key, now) ?? this.#others.recordOf(key, now);
+		if (record !== undefined) {
+			return {kind: 'known', record};
+		}
+
+		const softwareVersion = this.#dependencies.soleVersion(service);
+		return softwareVersion === undefined ? {kind: 'unknown'} : {kind: 'sole-version', softwareVersion};
+	}
+
+	/** Keeps records for peers. */
+	keep(records: readonly OriginRecord[]): void {
+		for (const {key, origin, remainingMilliseconds} of records) {
+			this.#others.put(key, origin, remainingMilliseconds, this.#now());
+		}
+	}
+
+	/** Asks peers; the first that knows the stream is enough, and a sole version counts only if none does. */
+	async #askPeers(key: string, service: string): Promise<OriginAnswer> {
+		const now = this.#now();
+		const connections = this.#dependencies.peers.ownersOf(key, askedPeers, now).map(address => this.#connectionTo(address, now)).filter(connection => connection !== undefined);
+		const soleVersions = new Set<string>();
+		return new Promise(resolve => {
+			let open = connections.length;
+			const settle = (answer: PeerAnswer | undefined): void => {
+				open--;
+				if (answer?.kind === 'known') {
+					this.keep([answer.record]);
+					resolve({kind: 'known', origin: answer.record.origin});
+				} else if (answer?.kind === 'sole-version') {
+					soleVersions.add(answer.softwareVersion);
+				}
+
+				if (open <= 0) {
+					resolve(agreedVersion(soleVersions));
+				}
+			};
+
+			if (open === 0) {
+				resolve({kind: 'unknown'});
+			}
+
+			for (const connection of connections) {
+				void (async () => {
+					settle(await connection.ask(key, service, askTimeoutMilliseconds, now));
+				})();
+			}
+		});
+	}
+
+	#shareUnshared(): void {
+		const now = this.#now();
+		if (!this.#dependencies.peers.hasUsable(now)) {
+			return;
+		}
+
+		for (const service of this.#unshared) {
+			if (this.#dependencies.soleVersion(service) === undefined && this.#share(this.#own.ofService(service, now), now)) {
+				this.#unshared.delete(service);
+			}
+		}
+	}
+
+	/** Sends records to the owners of their keys; returns whether there are any owners. */
+	#share(records: readonly OriginRecord[], now: number): boolean {
+		const {peers} = this.#dependencies;
+		const batches = new Map<string, OriginRecord[]>();
+		for (const record of records) {
+			if (isSendable(record.origin)) {
+				const addresses = peers.ownersOf(record.key, owners, now);
+				if (addresses.length === 0) {
+					return false;
+				}
+
+				addToBatches(batches, addresses, record);
+			}
+		}
+
+		return this.#send(batches, now);
+	}
+
+	#send(batches: ReadonlyMap<string, readonly OriginRecord[]>, now: number): boolean {
+		let isSent = true;
+		for (const [address, records] of batches) {
+			const connection = this.#connectionTo(address, now);
+			connection?.send(records, now);
+			isSent &&= connection !== undefined;
+		}
+
+		return isSent;
+	}
+
+	#connectionTo(address: string, now: number): PeerConnection | undefined {
+		const existing = this.#connections.get(address);
+		const key = this.#dependencies.key();
+		if (key === undefined || existing?.isClosed === false) {
+			return existing?.isClosed === false ? existing : undefined;
+		}
+
+		const connection = new PeerConnection({
+			address, key, onFailed: (lost, hasAnswered) => {
+				this.#sendAgain(address, lost, hasAnswered);
+			},
+		}, now);
+		this.#connections.set(address, connection);
+		return connection;
+	}
+
+	/**
+	 * Sends records that a peer may not have again: over a new connection if the failed one had worked, else to the peer that has
+	 * become their owner in its place.
+	 */
+	#sendAgain(address: string, lost: readonly OriginRecord[], hasAnswered: boolean): void {
+		const {peers} = this.#dependencies;
+		const now = this.#now();
+		if (!hasAnswered) {
+			peers.noteFailed(address, now);
+		}
+
+		const batches = new Map<string, OriginRecord[]>();
+		for (const {key} of lost) {
+			const record = this.#own.recordOf(key, now);
+			const next = hasAnswered ? address : peers.ownersOf(key, owners, now)[owners - 1];
+			if (record !== undefined && next !== undefined) {
+				addToBatches(batches, [next], record);
+			}
+		}
+
+		this.#send(batches, now);
+	}
+
+	#now(): number {
+		return this.#dependencies.clock.moment().steady;
+	}
+}
+
+function addToBatches(batches: Map<string, OriginRecord[]>, addresses: readonly string[], record: OriginRecord): void {
+	for (const address of addresses) {
+		const batch = batches.get(address) ?? [];
+		batch.push(record);
+		batches.set(address, batch);
+	}
+}
+
+/** Peers that contradict each other prove nothing. */
+function agreedVersion(soleVersions: ReadonlySet<string>): OriginAnswer {
+	const [softwareVersion] = soleVersions;
+	return softwareVersion !== undefined && soleVersions.size === 1 ? {kind: 'sole-version', softwareVersion} : {kind: 'unknown'};
+}
+
+function isSendable({service, softwareVersion}: StreamOrigin): boolean {
+	return service.length <= maxTextLength && softwareVersion.length <= maxTextLength;
+}
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -19,6 +19,10 @@
 		applyRelays() {
 			// No relay is used.
 		},
+		streamPeers: () => undefined,
+		applyStreamPeers() {
+			// No origin of a stream is shared.
+		},
 		watchedEndpoints: () => [],
 		cursors: () => ({}),
 		applyTableUpdates() {
--- a/src/platform/settings-file.test.ts
+++ b/src/platform/settings-file.test.ts
@@ -23,6 +23,10 @@
 test('a settings file is read, and unknown fields are ignored', () => {
 	const settings = readSettingsFile(validFile, 'boot.conf').unsafeCoerce();
 	assert.equal(settings.instance, 'front-split-1');
+	assert.deepEqual(
+		[settings.listenPeers, settings.listenStandby, settings.listenRelay, settings.listenStreams],
+		['10.1.0.40:7700', '10.1.0.40:7701', '10.1.0.40:7702', '10.1.0.40:7703'],
+	);
 	assert.equal(settings.bounds.graceMilliseconds, 8000);
 	assert.equal(settings.bounds.retryRatio, 0.2);
 	assert.equal(settings.bounds.leaseMilliseconds, 3000);
