--- a/src/gateway/observability/request-diagnosis.test.ts
+++ b/src/gateway/observability/request-diagnosis.test.ts
@@ -56,7 +56,7 @@
 
 /** Sends one request through a gateway with at most one endpoint; returns its status, its answer and its log lines. */
 async function linesOf(kind: RouteKind, behaviour: EndpointBehaviour | undefined, clock: MomentClock): Promise<{status: number; answer: string; lines: Array<Record<string, unknown>>}> {
-	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds})]}), undefined, clock).start();
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind, timeoutMilliseconds})]}), undefined, undefined, clock).start();
 	if (behaviour !== undefined) {
 		await gateway.addEndpoint(behaviour);
 	}
@@ -126,7 +126,7 @@
 test('the log lines of half an answer show its cause: the endpoint reset its connection in the middle of it', async () => {
 	// An endpoint sends the first bytes of an answer without a length. The caller gets them; then the endpoint fails and its
 	// host resets the connection. The caller has a 200 and "half", and must be able to see that the rest is missing.
-	const gateway = await new TestGateway(testConfiguration(), undefined, manualClock().clock).start();
+	const gateway = await new TestGateway(testConfiguration(), undefined, undefined, manualClock().clock).start();
 	let resetEndpoint = (): void => {
 		assert.fail('the caller received bytes before the endpoint sent any');
 	};
