Read an answer that has arrived before a timeout discards it after a pause

A caller whose instance was paused beyond the timeout of its request got 504 although the answer lay in the endpoint's socket, and a booking that had run was reported as unknown. Cause: the event loop runs timers before it reads sockets, so the timeout came first. The timeout now takes effect after the sockets were polled once more, as the check for silent endpoints does. The two new tests fail on the code before; the first test's set-up is shared, its checks are the same.

--- a/src/gateway/data-path/paused-process.test.ts
+++ b/src/gateway/data-path/paused-process.test.ts
@@ -5,6 +5,7 @@
 import {Worker} from 'node:worker_threads';
 import {exchangeRaw, rawRequest} from '../../test/raw-http.js';
 import {blockEventLoop} from '../../test/separate-callers.js';
+import {type Route} from '../../shared/routed-configuration.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {testEndpoint} from '../testing/test-endpoint.js';
 import {TestGateway} from '../testing/test-gateway.js';
@@ -23,9 +24,9 @@
 	}).listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
 `;
 
-test('a process that was paused does not take its endpoints for unresponsive', async () => {
-	// Guards against requests that run twice after a pause: timers run before the sockets with the waiting answers are read.
-	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({timeoutMilliseconds: 5000})]})).start();
+/** Sends a request through a gateway that is paused once its endpoint has it; returns the answer, and at which endpoints it ran. */
+async function serveThroughPause(route: Partial<Route>, pauseMilliseconds: number): Promise<{text: string; runs: string[]}> {
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute(route)]})).start();
 	const endpoints = [1, 2].map(() => new Worker(endpointProgram, {eval: true, workerData: names}));
 	const ports = await Promise.all(endpoints.map(async endpoint => once(endpoint, 'message') as Promise<[number]>));
 	const runs: string[] = [];
@@ -43,11 +44,25 @@
 		}, body: 'x',
 	}));
 	await firstRun;
-	blockEventLoop(1500);
+	blockEventLoop(pauseMilliseconds);
 	const text = await answer;
 	await pause(300);
 	await Promise.all(endpoints.map(async endpoint => endpoint.terminate()));
 	await gateway.close();
+	return {text, runs};
+}
+
+test('a process that was paused does not take its endpoints for unresponsive', async () => {
+	// Guards against requests that run twice after a pause: timers run before the sockets with the waiting answers are read.
+	const {text, runs} = await serveThroughPause({timeoutMilliseconds: 5000}, 1500);
 	assert.ok(text.endsWith('whole'), text);
 	assert.equal(runs.length, 1);
 });
+
+for (const kind of ['idempotent', 'non-idempotent'] as const) {
+	test(`a process that was paused beyond the timeout of a request does not discard its answer (${kind})`, async () => {
+		const {text, runs} = await serveThroughPause({kind, timeoutMilliseconds: 600}, 1000);
+		assert.ok(text.endsWith('whole'), text);
+		assert.equal(runs.length, 1);
+	});
+}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -7,6 +7,7 @@
 } from '../../decision/attempts/next-step.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {abortAnswer} from '../../serving/abort-answer.js';
+import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {unusualTransfer, type AnswerTransfer} from './answer-transfer.js';
 import {CrashScreen} from './crash-screen.js';
@@ -37,6 +38,7 @@
 	readonly #attempts: RequestAttempts;
 	#hasCallerDisconnected = false;
 	#isExpired = false;
+	#hasEnded = false;
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly #stop = new AbortController();
 	#status = 0;
@@ -79,9 +81,7 @@
 
 		response.once('close', onClose);
 		const timer = setTimeout(() => {
-			this.#isExpired = true;
-			this.#stop.abort();
-			this.#attempts.cancel();
+			void this.#expire();
 		}, Math.max(0, this.#deadline - this.#now()));
 		try {
 			const end = await this.#attemptUntilDone();
@@ -98,11 +98,24 @@
 			}, this.#now());
 			return end;
 		} finally {
+			this.#hasEnded = true;
 			clearTimeout(timer);
 			response.off('close', onClose);
 		}
 	}
 
+	/** After a pause of this process the timer runs before the sockets are read, and an answer may wait in one of them. */
+	async #expire(): Promise<void> {
+		await afterNextPoll();
+		if (this.#hasEnded) {
+			return;
+		}
+
+		this.#isExpired = true;
+		this.#stop.abort();
+		this.#attempts.cancel();
+	}
+
 	async #attemptUntilDone(): Promise<RequestOutcome> {
 		for (;;) {
 			const blocked = await this.#search.prepare(this.#stop.signal);
