Read the software version of endpoints, and log which stream a request takes up

Cause: streams went on at another software version than the one that began them, and no log line could show it: the version in an endpoint's row was not decoded, and no line said that a request goes on after an event.

Change: EndpointRecord.softwareVersion (a row without one has the empty text; one of another type names no endpoint), shown by endpoint-appeared. The head of a request has the attempt that its caller names as the one that brought the first event, at most 128 visible ASCII characters, else absent. A request that takes a stream up always has a full request-ended line with the event and the named attempt: it follows on a failure, so such lines are few. No decision depends on any of this yet.

--- a/src/gateway/data-path/endpoint-headers.test.ts
+++ b/src/gateway/data-path/endpoint-headers.test.ts
@@ -9,7 +9,8 @@
 	return {
 		head: {
 			method: 'POST', target: '/x', host: 'quay.example', rawHeaders, connection: undefined, attemptId: 'a1', deadlineMilliseconds: 1000,
-			key: 'k', lastEventId: undefined, prompt: {
+			key: 'k', lastEventId: undefined,
+			resumes: undefined, prompt: {
 				model: 'permit', promptTokens: 10, maxOutputTokens: 5, blocks: [],
 			},
 		},
--- a/src/gateway/data-path/report-end.test.ts
+++ b/src/gateway/data-path/report-end.test.ts
@@ -3,16 +3,18 @@
 import {type Route} from '../../shared/routed-configuration.js';
 import {testRoute} from '../testing/test-configuration.js';
 import {type AnswerTransfer} from './answer-transfer.js';
-import {endLogLine, type EndFacts, type EndLogLine} from './report-end.js';
+import {
+	endLogLine, type EndedRequest, type EndFacts, type EndLogLine,
+} from './report-end.js';
 
 const basis = {
 	keptTokens: 131, fetchTokens: 1004, readTokens: 184, occupancy: 17, unreadBefore: undefined, costMilliseconds: 122.6,
 };
 
 /** The line of a request that arrived at 1000 ms and ended at 1200 ms, normally unless `changes` say otherwise. */
-function lineOf(changes: {route?: Partial<Route>; facts?: Partial<EndFacts>}): EndLogLine {
+function lineOf(changes: {route?: Partial<Route>; facts?: Partial<EndFacts>; head?: Partial<EndedRequest['head']>}): EndLogLine {
 	return endLogLine({
-		head: {attemptId: 'a1'},
+		head: {attemptId: 'a1', ...changes.head},
 		permitted: {route: testRoute(changes.route), service: 'desk', configurationVersion: 7},
 		arrivedAt: {steady: 1000, wall: 0},
 	}, {
@@ -88,3 +90,9 @@
 		assert.deepEqual(fields.transfer, facts.transfer);
 	});
 }
+
+test('a request that takes a stream up has a full line with the event and the named attempt', () => {
+	const {kind, fields} = lineOf({route: {kind: 'resumable-stream'}, head: {lastEventId: '7'.repeat(200), resumes: 'a0'}});
+	assert.deepEqual([kind, fields.lastEventId, fields.resumes], ['request-ended', '7'.repeat(64), 'a0']);
+	assert.equal(lineOf({route: {kind: 'stream'}, head: {lastEventId: '7'}}).kind, 'request-served');
+});
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -38,11 +38,17 @@
 };
 
 /** The request that ended. */
-export type EndedRequest = {head: Pick<RequestHead, 'attemptId'>; permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>; arrivedAt: Moment};
+export type EndedRequest = {
+	head: Pick<RequestHead, 'attemptId'> & Partial<Pick<RequestHead, 'lastEventId' | 'resumes'>>;
+	permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>;
+	arrivedAt: Moment;
+};
 
 /** A line of the log. */
 export type EndLogLine = {kind: DecisionKind; fields: DecisionFields};
 
+/** What a log line holds of an event id, which the caller chooses. */
+const maxLoggedEventIdLength = 64;
 /** From this status on an answer means that the request was not served, whether by the gateway or by the endpoint. */
 const firstFailureStatus = 400;
 
@@ -88,12 +94,15 @@
 	return isEndedByConnection(transfer) ? endedByConnectionLine(work, facts, transfer, now) : endedLine(work, facts, now);
 }
 
-/** Whether a request ended normally: completely, at the first endpoint, within the route's objective. */
-function isNormalEnd({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
+/**
+ * Whether a request ended normally: completely, at the first endpoint, within the route's objective. A request that takes a
+ * stream up follows on a failure, so it is never logged as a normal end.
+ */
+function isNormalEnd({head, permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
 	const {end, status, sends, endpoints, firstByteAt} = facts;
 	const isServedDirectly = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
 	const respondedAt = isStream(route) ? firstByteAt ?? now : now;
-	return isServedDirectly && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
+	return isServedDirectly && !isResumption(head, route) && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
 }
 
 /** Whether only the orderly end of its connection shows that an answer is complete. */
@@ -148,6 +157,7 @@
 			route: permitted.route.name,
 			service: permitted.service,
 			outcome: end,
+			...resumptionFields(head, permitted.route),
 			...counts,
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
@@ -159,6 +169,16 @@
 	};
 }
 
+/** Whether the caller takes up a stream that another request began. */
+function isResumption({lastEventId}: EndedRequest['head'], {kind}: Route): boolean {
+	return kind === 'resumable-stream' && lastEventId !== undefined;
+}
+
+/** After which event a stream is taken up, and the attempt that the caller names. */
+function resumptionFields(head: EndedRequest['head'], route: Route): DecisionFields {
+	return isResumption(head, route) ? {lastEventId: head.lastEventId?.slice(0, maxLoggedEventIdLength), resumes: head.resumes} : {};
+}
+
 function isStream({kind}: Route): boolean {
 	return kind === 'stream' || kind === 'resumable-stream';
 }
--- a/src/gateway/data-path/request-head.test.ts
+++ b/src/gateway/data-path/request-head.test.ts
@@ -29,6 +29,12 @@
 	assert.equal(head.deadlineMilliseconds, undefined);
 });
 
+test('the attempt that a caller names is taken only if it is short and visible ASCII', () => {
+	const resumesOf = (value: string): string | undefined => readRequestHead(requestWith({[names.resumes]: value}), names).resumes;
+	assert.equal(resumesOf('9c41d07be2a35f68'), '9c41d07be2a35f68');
+	assert.deepEqual(['', 'a b', 'a, b', 'caf\u{E9}', 'a\u0000', 'a'.repeat(129)].map(value => resumesOf(value)), Array.from({length: 6}, () => undefined));
+});
+
 test('hop-by-hop headers are dropped; duplicates and case are preserved', () => {
 	const raw = ['Host', 'a', 'X-One', '1', 'x-one', '2', 'Connection', 'x-private', 'X-Private', 'p', 'Transfer-Encoding', 'chunked'];
 	assert.deepEqual(withoutHopByHop(raw, 'x-private'), ['Host', 'a', 'X-One', '1', 'x-one', '2']);
--- a/src/gateway/data-path/request-head.ts
+++ b/src/gateway/data-path/request-head.ts
@@ -3,6 +3,9 @@
 import {type PromptBlock, type PromptShape} from '../../shared/prompt-shape.js';
 import {type WireNames} from './wire-names.js';
 
+/** An id of an attempt that a caller names: visible ASCII characters, no more than any caller's ids have. */
+const namedAttemptPattern = /^[!-~]{1,128}$/v;
+
 /** A client's request without its body. */
 export type RequestHead = {
 	method: string;
@@ -16,6 +19,8 @@
 	deadlineMilliseconds: number | undefined;
 	key: string | undefined;
 	lastEventId: string | undefined;
+	/** The attempt that brought the first event of the stream that the caller takes up again. */
+	resumes: string | undefined;
 	prompt: PromptShape | undefined;
 };
 
@@ -43,10 +48,15 @@
 		deadlineMilliseconds: Number.isFinite(deadline) && deadline >= 0 ? deadline : undefined,
 		key: textOf(names.workspaceKey),
 		lastEventId: textOf(names.lastEventId),
+		resumes: parseAttemptId(textOf(names.resumes)),
 		prompt: parsePrompt(textOf(names.model), textOf(names.tokenCount), textOf(names.promptParts)),
 	};
 }
 
+function parseAttemptId(text: string | undefined): string | undefined {
+	return text !== undefined && namedAttemptPattern.test(text) ? text : undefined;
+}
+
 function parsePrompt(model: string | undefined, tokenCount: string | undefined, promptBlocks: string | undefined): PromptShape | undefined {
 	if (model === undefined || tokenCount === undefined) {
 		return undefined;
--- a/src/gateway/data-path/validate-request.test.ts
+++ b/src/gateway/data-path/validate-request.test.ts
@@ -20,6 +20,7 @@
 		deadlineMilliseconds: 1000,
 		key: 'good',
 		lastEventId: undefined,
+		resumes: undefined,
 		prompt: undefined,
 		...changes,
 	};
--- a/src/gateway/data-path/wire-names.ts
+++ b/src/gateway/data-path/wire-names.ts
@@ -50,6 +50,8 @@
 	fetchUntil: string;
 	/** Id of the last event that the receiver of a stream has. */
 	lastEventId: string;
+	/** Id of the attempt that brought the first event of a stream that its caller takes up again. */
+	resumes: string;
 	/** Headers that only the system may set; a client's values are dropped. */
 	reserved: readonly string[];
 };
@@ -79,6 +81,7 @@
 	saveTo: 'savorygauge-save-to',
 	fetchUntil: 'savorygauge-fetch-until',
 	lastEventId: 'last-event-id',
+	resumes: 'savorygauge-resumes',
 	reserved: [
 		'savorygauge-workspace',
 		'savorygauge-expected-endpoint',
--- a/src/gateway/testing/test-endpoint.ts
+++ b/src/gateway/testing/test-endpoint.ts
@@ -10,6 +10,7 @@
 		slots: 6,
 		state: 'ready',
 		startedAt: 1,
+		softwareVersion: 'v1',
 		weightVersions: new Map(),
 		...changes,
 	};
--- a/src/gateway/watchers/endpoint-feed-handler.ts
+++ b/src/gateway/watchers/endpoint-feed-handler.ts
@@ -55,7 +55,7 @@
 
 		for (const record of appeared) {
 			this.#context.log.record('endpoint-appeared', {
-				endpoint: record.name, service: record.service, address: record.address, state: record.state,
+				endpoint: record.name, service: record.service, address: record.address, state: record.state, softwareVersion: record.softwareVersion,
 			});
 		}
 	}
--- a/src/platform/platform-store-schema.ts
+++ b/src/platform/platform-store-schema.ts
@@ -73,6 +73,7 @@
 	state: zod.enum(['ready', 'draining']),
 	// The start of the incarnation, in milliseconds since the epoch.
 	born: zod.number().default(0),
+	version: zod.string().default(''),
 	models: zod.array(zod.object({name: zod.string(), version: zod.number()})).default([]),
 });
 
@@ -102,6 +103,7 @@
 			slots: row.slots,
 			state: row.state === 'ready' ? 'ready' : 'leaving',
 			startedAt: row.born,
+			softwareVersion: row.version,
 			weightVersions: new Map(row.models.map(({name, version}) => [name, version])),
 		}));
 	},
--- a/src/platform/wire-names.ts
+++ b/src/platform/wire-names.ts
@@ -25,6 +25,7 @@
 	saveTo: 'x-kv-save',
 	fetchUntil: 'x-kv-until',
 	lastEventId: 'last-event-id',
+	resumes: 'resumes',
 	reserved: [
 		'x-tenant',
 		'x-expect-instance',
--- a/src/shared/endpoint-record.ts
+++ b/src/shared/endpoint-record.ts
@@ -15,6 +15,8 @@
 	state: EndpointState;
 	/** The start of the incarnation, in milliseconds since the epoch; 0 where the endpoint does not report it. */
 	startedAt: number;
+	/** The version of the endpoint's software; empty where the endpoint does not report it, which is a version of its own. */
+	softwareVersion: string;
 	/** The weight version by model. */
 	weightVersions: ReadonlyMap<string, number>;
 };
