--- a/src/check/brittle-endpoints-over-processes.ts
+++ b/src/check/brittle-endpoints-over-processes.ts
@@ -90,7 +90,7 @@
 	}
 
 	async start(): Promise<void> {
-		this.#endpoints = await startDesk(this.#deployment, this, this.#slots);
+		this.#endpoints = await startDesk(this.#deployment, this, {slots: this.#slots});
 	}
 
 	async play(): Promise<BrittleEndpointsReport> {
--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -30,12 +30,22 @@
 	headers(endpoint: DeploymentEndpoint, instance: string): Record<string, string>;
 }
 
+/** How an endpoint comes back. */
+export type Restart = {
+	/** Whether it has the name that it had; otherwise its former row expires. */
+	keepsName?: boolean;
+	/** For how long it serves before its row is written. */
+	rowDelayMilliseconds?: number;
+};
+
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
 const heartbeatsToExpiry = 3;
 const eventMilliseconds = 15;
 
 export class DeploymentEndpoint {
 	name = '';
+	/** The software version of its next incarnation. */
+	nextVersion: string;
 	readonly dataCentre: string;
 	readonly #deployment: GatewayDeployment;
 	readonly #address: string;
@@ -45,14 +55,17 @@
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
 	#starts = 0;
+	#startedAt = 0;
+	#version = '';
 	#isClosed = false;
 
-	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string; slots: number}, script: EndpointScript) {
+	constructor(deployment: GatewayDeployment, place: {dataCentre: string; address: string; service: string; slots: number; version: string}, script: EndpointScript) {
 		this.#deployment = deployment;
 		this.dataCentre = place.dataCentre;
 		this.#address = place.address;
 		this.#service = place.service;
 		this.#slots = place.slots;
+		this.nextVersion = place.version;
 		this.#script = script;
 	}
 
@@ -60,14 +73,21 @@
 		return this.#server !== undefined;
 	}
 
-	/** Starts a new incarnation with a new name. */
-	async start(): Promise<void> {
+	/** The software version of the present incarnation, or of the last one. */
+	get version(): string {
+		return this.#version;
+	}
+
+	/** Starts a new incarnation, with a new name unless it keeps the one that it had. */
+	async start({keepsName, rowDelayMilliseconds}: Restart = {}): Promise<void> {
 		if (this.#isClosed) {
 			return;
 		}
 
 		this.#starts++;
-		this.name = `${this.#service}-${this.#address}-${this.#starts}`;
+		this.#startedAt = Date.now();
+		this.#version = this.nextVersion;
+		this.name = keepsName ? this.name : `${this.#service}-${this.#address}-${this.#starts}`;
 		const server = createServer((request, response) => {
 			void this.#serve(request, response);
 		});
@@ -81,20 +101,26 @@
 		server.listen(Number(port), ip);
 		await once(server, 'listening');
 		this.#server = server;
-		this.#writeRow('ready');
+		await delay(rowDelayMilliseconds ?? 0);
+		if (this.#server === server) {
+			this.#writeRow('ready');
+		}
 	}
 
-	/** Ends the process: its listener and all its connections at once. It is back under another name after a time. */
-	async crash(restartMilliseconds: number): Promise<void> {
+	/** Ends the process: its listener and all its connections at once. It is back after a time. */
+	async crash(restartMilliseconds: number, restart: Restart = {}): Promise<void> {
 		if (this.#server === undefined) {
 			return;
 		}
 
 		const {name} = this;
 		this.#end();
-		void this.#expireRow(name);
+		if (!restart.keepsName) {
+			void this.#expireRow(name);
+		}
+
 		await delay(restartMilliseconds);
-		await this.start();
+		await this.start(restart);
 	}
 
 	/** Leaves as announced: its row says so, and it serves on for a while. */
@@ -177,7 +203,7 @@
 
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
-			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: Date.now(),
+			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
 		});
 	}
 }
--- a/src/check/desk-deployment.ts
+++ b/src/check/desk-deployment.ts
@@ -41,12 +41,19 @@
 	});
 }
 
+/** What a check may set of the desk's endpoints. */
+export type DeskOptions = {
+	slots?: number;
+	/** The software version of each endpoint, counted from 0. */
+	versionOf?: (index: number) => string;
+};
+
 /** Starts the endpoints, and then the instances. */
-export async function startDesk(deployment: GatewayDeployment, script: EndpointScript, slots = defaultSlots): Promise<DeploymentEndpoint[]> {
+export async function startDesk(deployment: GatewayDeployment, script: EndpointScript, {slots = defaultSlots, versionOf = () => 'v1'}: DeskOptions = {}): Promise<DeploymentEndpoint[]> {
 	const endpoints = deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: endpointsPerDataCentre}, (_, number) => {
 		const address = deployment.endpointAddress(index + 1, number + 1);
 		return new DeploymentEndpoint(deployment, {
-			dataCentre, address, service, slots,
+			dataCentre, address, service, slots, version: versionOf((index * endpointsPerDataCentre) + number),
 		}, script);
 	}));
 	await Promise.all(endpoints.map(async endpoint => endpoint.start()));
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -9,7 +9,6 @@
 import {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {ProcessGroup, type StartedProcess} from '../demo/process-group.js';
 import {createPlatformStoreStandIn} from '../platform/platform-store-stand-in.js';
@@ -50,6 +49,7 @@
 	status: number;
 	/** Whether the answer was complete. */
 	isWhole: boolean;
+	/** What arrived of the body. */
 	body: string;
 	retryAfterSeconds: number | undefined;
 };
@@ -59,6 +59,8 @@
 	path: string;
 	body: string;
 	deadlineMilliseconds: number;
+	/** Headers in addition to those of every request, or in place of them. */
+	headers?: Record<string, string>;
 };
 
 /** One instance, which may be killed and started again. */
@@ -173,7 +175,7 @@
 	}
 
 	/** Sends one request to an instance. */
-	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds}: CallerRequest): Promise<CallerAnswer> {
+	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds, headers}: CallerRequest): Promise<CallerAnswer> {
 		const separator = instance.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			const failed = (): void => {
@@ -189,15 +191,18 @@
 				path: target,
 				agent: false,
 				headers: {
-					host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name,
+					host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name, ...headers,
 				},
 			}, response => {
 				const retryAfter = response.headers['retry-after'];
 				const answer = {status: response.statusCode ?? 0, retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter)};
-				text(response).then(received => {
+				let received = '';
+				response.setEncoding('utf8').on('data', (chunk: string) => {
+					received += chunk;
+				}).on('error', () => {
+					// The end of the connection ends the answer.
+				}).once('close', () => {
 					resolve({...answer, isWhole: response.complete, body: received});
-				}, () => {
-					resolve({...answer, isWhole: false, body: ''});
 				});
 			});
 			outgoing.setTimeout(deadlineMilliseconds, () => {
