Continue a broken stream only at the software version that began it

Cause: after a cut, the next attempt searched for an endpoint as for a new request. Where endpoints of two versions serve side by side, the caller got the beginning of one version's answer and the end of another's.

Change: StreamContinuation has the service and version of the endpoint whose first event was forwarded, by its record as it was when the request was sent. All ways to an endpoint (samples, engines that cache the prompt's blocks, endpoints regained or reached through a relay, retries after a rejection) go through EndpointChoice.#listed, which leaves out all others from then on. A full endpoint is therefore waited for or refused as before, never replaced by one of another version. Around an outage of the store, an unconfirmed endpoint is used where no confirmed one of the version is left. A row with another version counts as another endpoint, also if its start is the same.

--- a/src/gateway/data-path/attempt-work.ts
+++ b/src/gateway/data-path/attempt-work.ts
@@ -27,6 +27,6 @@
 	basis: PlacementBasis;
 	/** Whether another endpoint may be tried after this one. */
 	hasNext: boolean;
-	/** Called when the first bytes of the answer arrive. */
-	onFirstBytes(): void;
+	/** Called when the first bytes of the answer arrive, before they are forwarded. */
+	onFirstBytes(status: number): void;
 };
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -186,7 +186,7 @@
 			splitter: answer.status === 200 ? splitter : undefined,
 			onFirstBytes: () => {
 				this.#watch.noteBegun();
-				onFirstBytes();
+				onFirstBytes(answer.status);
 				placement.observe({
 					kind: 'answered', request, endpoint, load: parseEndpointLoad(answer.header(names.endpointLoad)),
 				}, this.#now());
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -5,17 +5,19 @@
 import {type Placement, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type PermittedRequest} from './validate-request.js';
 import {placementRequestOf} from './placement-request.js';
 import {PromptBlockSources} from './prompt-block-sources.js';
-import {type RequestHead} from './request-head.js';
+import {type RoutedWork} from './routed-work.js';
 
 /** Samples of candidates that are checked for capacity before the service counts as overloaded. */
 const maxRounds = 3;
 
+/** What a placement depends on. */
+export type PlacedWork = Pick<RoutedWork, 'head' | 'permitted' | 'continuation'>;
+
 export class EndpointChoice {
 	readonly #context: GatewayContext;
-	readonly #work: {head: RequestHead; permitted: PermittedRequest};
+	readonly #work: PlacedWork;
 	readonly #attempted: ReadonlySet<string>;
 	#candidates: readonly EndpointRecord[] = [];
 	/** Endpoints whose limit has no room for this request. */
@@ -23,7 +25,7 @@
 	#rounds = 0;
 
 	/** @param attempted - The endpoints that the request was already sent to; the caller may add to it. */
-	constructor(context: GatewayContext, work: {head: RequestHead; permitted: PermittedRequest}, attempted: ReadonlySet<string>) {
+	constructor(context: GatewayContext, work: PlacedWork, attempted: ReadonlySet<string>) {
 		this.#context = context;
 		this.#work = work;
 		this.#attempted = attempted;
@@ -86,9 +88,10 @@
 		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0);
 	}
 
-	/** The same, with those that rest. */
+	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
 	#listed(now: number): EndpointRecord[] {
-		return this.#context.endpoints.usable(this.#work.permitted.service, now).filter(({name}) => !this.#excluded.has(name));
+		const {permitted: {service}, continuation} = this.#work;
+		return this.#context.endpoints.usable(service, now, endpoint => continuation.allows(endpoint)).filter(({name}) => !this.#excluded.has(name));
 	}
 
 	#restOf(endpoint: EndpointRecord, now: number): number {
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -8,9 +8,7 @@
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type CrashScreen} from './crash-screen.js';
-import {EndpointChoice} from './endpoint-choice.js';
-import {type PermittedRequest} from './validate-request.js';
-import {type RequestHead} from './request-head.js';
+import {EndpointChoice, type PlacedWork} from './endpoint-choice.js';
 
 /** The endpoint that a request is to be sent to. */
 export type FoundEndpoint = {
@@ -32,7 +30,7 @@
 	readonly #crashScreen: CrashScreen;
 
 	/** @param attempted - The endpoints that the request was already sent to; the caller may add to it. */
-	constructor(context: GatewayContext, work: {head: RequestHead; permitted: PermittedRequest}, crashScreen: CrashScreen, attempted: ReadonlySet<string>) {
+	constructor(context: GatewayContext, work: PlacedWork, crashScreen: CrashScreen, attempted: ReadonlySet<string>) {
 		this.#context = context;
 		this.#id = work.head.attemptId;
 		this.#choice = new EndpointChoice(context, work, attempted);
--- a/src/gateway/data-path/gateway-request-handler.ts
+++ b/src/gateway/data-path/gateway-request-handler.ts
@@ -6,6 +6,7 @@
 import {validateRequest, type PermittedRequest} from './validate-request.js';
 import {readRequestHead, type RequestHead} from './request-head.js';
 import {RoutedRequest} from './routed-request.js';
+import {StreamContinuation} from './stream-continuation.js';
 
 export class GatewayRequestHandler {
 	readonly #context: GatewayContext;
@@ -54,7 +55,7 @@
 		}
 
 		await new RoutedRequest(this.#context, {
-			head, permitted, body: body.unsafeCoerce(), arrivedAt, request, response,
+			head, permitted, continuation: new StreamContinuation(), body: body.unsafeCoerce(), arrivedAt, request, response,
 		}).run();
 	}
 
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -228,8 +228,11 @@
 			request,
 			basis,
 			hasNext: this.#sends + 1 < permitted.route.maxAttempts,
-			onFirstBytes: () => {
+			onFirstBytes: status => {
 				this.#firstByteAt ??= this.#now();
+				if (status === 200 && this.#splitter !== undefined) {
+					this.#work.continuation.begin(endpoint);
+				}
 			},
 		});
 		this.#sentAt = this.#now();
--- a/src/gateway/data-path/routed-work.ts
+++ b/src/gateway/data-path/routed-work.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Moment} from '../../ports/moment-clock.js';
+import {type StreamContinuation} from './stream-continuation.js';
 import {type RequestHead} from './request-head.js';
 import {type PermittedRequest} from './validate-request.js';
 
@@ -9,6 +10,8 @@
 export type RoutedWork = {
 	head: RequestHead;
 	permitted: PermittedRequest;
+	/** Limits the endpoints that the request may be sent to. */
+	continuation: StreamContinuation;
 	body: Buffer;
 	arrivedAt: Moment;
 	request: IncomingMessage;
--- /dev/null
+++ b/src/gateway/data-path/stream-continuation.ts
@@ -0,0 +1,20 @@
+/**
+ * Where a stream may go on: only at the service and software version that began it. Endpoints of another version may make other
+ * events from the same request, and the caller would get the beginning of one answer and the end of another.
+ */
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {type StreamOrigin} from '../streams/stream-origin.js';
+
+export class StreamContinuation {
+	#origin: StreamOrigin | undefined;
+
+	/** Records that the first event is forwarded, by the endpoint's record as it was when the request was sent. */
+	begin({service, softwareVersion}: EndpointRecord): void {
+		this.#origin ??= {service, softwareVersion};
+	}
+
+	/** Whether the request may be sent to an endpoint. */
+	allows({service, softwareVersion}: EndpointRecord): boolean {
+		return this.#origin === undefined || (this.#origin.service === service && this.#origin.softwareVersion === softwareVersion);
+	}
+}
--- a/src/gateway/endpoints/endpoint-registry.test.ts
+++ b/src/gateway/endpoints/endpoint-registry.test.ts
@@ -88,3 +88,19 @@
 	registry.replaceAll([], 5000 + reRegistrationMilliseconds - 1);
 	assert.deepEqual(namesOf(registry.usable('desk', 5000 + reRegistrationMilliseconds - 1)), ['one']);
 });
+
+test('an unconfirmed endpoint is used where no confirmed one of the wanted version is left', () => {
+	const registry = new EndpointRegistry();
+	registry.replaceAll([testEndpoint({name: 'one', softwareVersion: 'v1'}), testEndpoint({name: 'two', address: '127.0.0.1:2', softwareVersion: 'v2'})], 0);
+	registry.noteStoreFailure(5000);
+	registry.remove('one', 5100);
+	assert.deepEqual(namesOf(registry.usable('desk', 5200)), ['two']);
+	assert.deepEqual(namesOf(registry.usable('desk', 5200, ({softwareVersion}) => softwareVersion === 'v1')), ['one']);
+});
+
+test('a name that comes back at another version counts as another endpoint, also with the same start', () => {
+	const registry = new EndpointRegistry();
+	registry.put(testEndpoint({name: 'one', softwareVersion: 'v1'}));
+	const {vanished, appeared} = registry.put(testEndpoint({name: 'one', softwareVersion: 'v2'}));
+	assert.deepEqual([...vanished, ...appeared].map(({softwareVersion}) => softwareVersion), ['v1', 'v2']);
+});
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -168,16 +168,19 @@
 		}
 	}
 
-	/** The endpoints of a service that may get new requests; unconfirmed ones only where no other is left. */
-	usable(service: string, now: number): EndpointRecord[] {
-		const confirmed = [...this.#records.values()].filter(record => record.service === service && record.state === 'ready');
-		if (confirmed.length > 0) {
-			return confirmed;
-		}
-
-		return [...this.#unconfirmed.values()]
-			.filter(({record, until}) => record.service === service && record.state === 'ready' && until > now)
-			.map(({record}) => record);
+	/**
+	 * The endpoints of a service that may get new requests; unconfirmed ones only where no other is left.
+	 *
+	 * @param service - Its name.
+	 * @param now - Milliseconds of the steady clock.
+	 * @param isWanted - Leaves out endpoints, also where it is decided whether any confirmed one is left.
+	 */
+	usable(service: string, now: number, isWanted: (record: EndpointRecord) => boolean = () => true): EndpointRecord[] {
+		const isUsable = (record: EndpointRecord): boolean => record.service === service && record.state === 'ready' && isWanted(record);
+		const confirmed = [...this.#records.values()].filter(record => isUsable(record));
+		return confirmed.length > 0
+			? confirmed
+			: [...this.#unconfirmed.values()].filter(({record, until}) => isUsable(record) && until > now).map(({record}) => record);
 	}
 
 	/** All endpoints in the list, including those that are leaving. */
@@ -202,7 +205,7 @@
 		}
 
 		this.#supersedeAt(record);
-		if (known?.startedAt === record.startedAt) {
+		if (known?.startedAt === record.startedAt && known.softwareVersion === record.softwareVersion) {
 			return;
 		}
 
