Take a stream up only at the software version that began it, over its caller's tries

Cause: a caller that comes back with Last-Event-Id was placed as a new request is, at any version.

Change: a request of a resumable stream with Last-Event-Id asks StreamOrigins where the stream began, by the workspace and the attempt that the caller names, before it is placed. Known: only that service and version, also where the traffic split has changed; a service that the route no longer leads to is refused. A sole version: only that. Unknown, or no endpoint of the version listed: refused at once, "not run", as stream-unknown (Retry-After 0.2 s, another instance may know) or stream-version-gone (1 s, one that crashed may be back). Without a named attempt only a sole version is enough. The origin is recorded just before the first event is forwarded, for as long as the caller waits. The traffic split uses the first attempt. A request that begins a stream is recorded under its own attempt whatever it names, so no caller can overwrite where another stream of its workspace began.

EndpointRegistry.soleVersion (VersionHistory): the only version in the list during the last 120 s, while the list was followed without interruption (no failed call, no second read, no gap over 3 s, no end of a row never seen) and is at most 1 s old. So that such a list proves something about an endpoint that appeared just now, streams begin at a version that an instance has known for less than 1 s only where no other is left.

Weighed: the age of the list alone (a stream of a new version could break and come back before the list here has it); waiting for an unknown stream in place of refusing (the caller's time is spent where nothing will change); a 4xx for a version that is gone (it is no promise of not run, and endpoints come back); Retry-After of the whole time left (the caller would not return at all); a sole version per route, which would need a history of routes.

--- a/src/check/resuming-callers.ts
+++ b/src/check/resuming-callers.ts
@@ -32,10 +32,15 @@
 	isWhole: boolean;
 };
 
+export const returnPlaces = ['anywhere', 'data-centre'] as const;
+/** Which other instances a caller comes back to: any, or those of the data centre in which it began. */
+export type ReturnPlace = typeof returnPlaces[number];
+
 export type ResumingCallersOptions = {
 	streamsPerSecond: number;
 	/** Share of the streams that their endpoint breaks off. */
 	breakPercent: number;
+	returnsTo: ReturnPlace;
 };
 
 const path = '/resumable/';
@@ -98,7 +103,9 @@
 	}
 
 	#otherThan(former: GatewayInstance | undefined): GatewayInstance {
-		return this.#choices.oneOf(this.#deployment.instances.filter(instance => instance !== former));
+		const others = this.#deployment.instances.filter(instance => instance !== former);
+		const mayReturnTo = others.filter(({dataCentre}) => this.#options.returnsTo === 'anywhere' || former === undefined || dataCentre === former.dataCentre);
+		return this.#choices.oneOf(mayReturnTo);
 	}
 }
 
--- a/src/check/stream-versions-over-processes.ts
+++ b/src/check/stream-versions-over-processes.ts
@@ -14,7 +14,7 @@
 import {type Arrival, type DeploymentEndpoint, type EndpointScript} from './deployment-endpoint.js';
 import {deploymentWireNames as names, type GatewayDeployment} from './gateway-deployment.js';
 import {
-	type CallerStream, eventText, ResumingCallers, streamPlanOf,
+	type CallerStream, eventText, ResumingCallers, type ReturnPlace, streamPlanOf,
 } from './resuming-callers.js';
 
 export const versionSpreads = ['halves', 'one-of-six', 'one-by-one'] as const;
@@ -31,6 +31,7 @@
 	/** Share of the streams that their endpoint breaks off. */
 	breakPercent: number;
 	streamsPerSecond: number;
+	returnsTo: ReturnPlace;
 };
 
 export type StreamVersionsOptions = {
@@ -273,5 +274,6 @@
 		disturbance: choices.oneOf(versionDisturbances),
 		breakPercent: choices.oneOf([50, 50, 15]),
 		streamsPerSecond: 24,
+		returnsTo: 'anywhere',
 	};
 }
--- a/src/check/versions-main.ts
+++ b/src/check/versions-main.ts
@@ -4,6 +4,7 @@
  */
 import process from 'node:process';
 import {Command, Option} from 'commander';
+import {type ReturnPlace, returnPlaces} from './resuming-callers.js';
 import {
 	runStreamVersions, type VersionDisturbance, versionDisturbances, type VersionSpread, versionSpreads, violationsOf,
 } from './stream-versions-over-processes.js';
@@ -14,15 +15,17 @@
 	.option('--seconds <number>', 'length of a run', '12')
 	.addOption(new Option('--spread <spread>', 'which endpoints have the new version').choices(versionSpreads))
 	.addOption(new Option('--disturbance <disturbance>', 'what happens beside broken streams').choices(versionDisturbances))
+	.addOption(new Option('--returns-to <place>', 'which other instances callers come back to').choices(returnPlaces))
 	.option('--breaks <percent>', 'share of the streams that their endpoint breaks off')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '90')
 	.parse();
 const options: {
-	seed: string; seeds: string; seconds: string; network: string; spread?: VersionSpread; disturbance?: VersionDisturbance; breaks?: string;
+	seed: string; seeds: string; seconds: string; network: string; spread?: VersionSpread; disturbance?: VersionDisturbance; breaks?: string; returnsTo?: ReturnPlace;
 } = command.opts();
 const conditions = {
 	...(options.spread === undefined ? {} : {spread: options.spread}),
 	...(options.disturbance === undefined ? {} : {disturbance: options.disturbance}),
+	...(options.returnsTo === undefined ? {} : {returnsTo: options.returnsTo}),
 	...(options.breaks === undefined ? {} : {breakPercent: Number(options.breaks)}),
 };
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -88,10 +88,16 @@
 		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0);
 	}
 
-	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
+	/**
+	 * The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. A
+	 * stream begins at a version that is new here only where no other is left: other instances may not know the version yet.
+	 */
 	#listed(now: number): EndpointRecord[] {
-		const {permitted: {service}, continuation} = this.#work;
-		return this.#context.endpoints.usable(service, now, endpoint => continuation.allows(endpoint)).filter(({name}) => !this.#excluded.has(name));
+		const {permitted: {route, service}, continuation} = this.#work;
+		const {endpoints} = this.#context;
+		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint)).filter(({name}) => !this.#excluded.has(name));
+		const known = route.kind === 'resumable-stream' && !continuation.isBound ? listed.filter(endpoint => !endpoints.hasRecentVersion(endpoint, now)) : listed;
+		return known.length > 0 ? known : listed;
 	}
 
 	#restOf(endpoint: EndpointRecord, now: number): number {
--- a/src/gateway/data-path/gateway-request-handler.ts
+++ b/src/gateway/data-path/gateway-request-handler.ts
@@ -5,8 +5,9 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {validateRequest, type PermittedRequest} from './validate-request.js';
 import {readRequestHead, type RequestHead} from './request-head.js';
+import {resumeStream, type ResumedStream} from './resume-stream.js';
+import {resumptionFields} from './resumption-fields.js';
 import {RoutedRequest} from './routed-request.js';
-import {StreamContinuation} from './stream-continuation.js';
 
 export class GatewayRequestHandler {
 	readonly #context: GatewayContext;
@@ -54,8 +55,14 @@
 			return;
 		}
 
+		const resumed = await resumeStream(this.#context, {head, permitted, arrivedAt});
+		if (resumed.isLeft()) {
+			this.#refuse(response, head, resumed.extract());
+			return;
+		}
+
 		await new RoutedRequest(this.#context, {
-			head, permitted, continuation: new StreamContinuation(), body: body.unsafeCoerce(), arrivedAt, request, response,
+			head, ...resumed.extract() as ResumedStream, body: body.unsafeCoerce(), arrivedAt, request, response,
 		}).run();
 	}
 
@@ -72,6 +79,7 @@
 			reason: refusal.reason,
 			status,
 			message: refusal.message,
+			...resumptionFields(head),
 			configurationVersion: configuration.current?.version,
 			configurationAgeMilliseconds: Math.round(Math.min(1e9, configuration.ageAt(clock.moment()))),
 		});
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -15,6 +15,7 @@
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type PermittedRequest} from './validate-request.js';
 import {type RequestHead} from './request-head.js';
+import {resumptionFields} from './resumption-fields.js';
 
 /** How a routed request ended. */
 export type RequestOutcome = 'whole' | 'refused' | 'failed' | 'failure-passed-on' | 'broken-off' | 'client-left' | 'timeout';
@@ -47,8 +48,6 @@
 /** A line of the log. */
 export type EndLogLine = {kind: DecisionKind; fields: DecisionFields};
 
-/** What a log line holds of an event id, which the caller chooses. */
-const maxLoggedEventIdLength = 64;
 /** From this status on an answer means that the request was not served, whether by the gateway or by the endpoint. */
 const firstFailureStatus = 400;
 
@@ -157,7 +156,7 @@
 			route: permitted.route.name,
 			service: permitted.service,
 			outcome: end,
-			...resumptionFields(head, permitted.route),
+			...isResumption(head, permitted.route) ? resumptionFields(head) : {},
 			...counts,
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
@@ -174,11 +173,6 @@
 	return kind === 'resumable-stream' && lastEventId !== undefined;
 }
 
-/** After which event a stream is taken up, and the attempt that the caller names. */
-function resumptionFields(head: EndedRequest['head'], route: Route): DecisionFields {
-	return isResumption(head, route) ? {lastEventId: head.lastEventId?.slice(0, maxLoggedEventIdLength), resumes: head.resumes} : {};
-}
-
 function isStream({kind}: Route): boolean {
 	return kind === 'stream' || kind === 'resumable-stream';
 }
--- a/src/gateway/data-path/request-head.ts
+++ b/src/gateway/data-path/request-head.ts
@@ -37,6 +37,7 @@
 		return Array.isArray(value) ? value[0] : value;
 	};
 
+	const lastEventId = textOf(names.lastEventId);
 	const deadline = Number(textOf(names.deadline) ?? Number.NaN);
 	return {
 		method: request.method ?? 'GET',
@@ -47,12 +48,17 @@
 		attemptId: textOf(names.attemptId) ?? '',
 		deadlineMilliseconds: Number.isFinite(deadline) && deadline >= 0 ? deadline : undefined,
 		key: textOf(names.workspaceKey),
-		lastEventId: textOf(names.lastEventId),
+		lastEventId: lastEventId === '' ? undefined : lastEventId,
 		resumes: parseAttemptId(textOf(names.resumes)),
 		prompt: parsePrompt(textOf(names.model), textOf(names.tokenCount), textOf(names.promptParts)),
 	};
 }
 
+/** The attempt that brought the first event of a request's stream, or is to bring it. A stream that is not taken up begins anew. */
+export function firstAttemptOf({attemptId, lastEventId, resumes}: Pick<RequestHead, 'attemptId' | 'lastEventId' | 'resumes'>): string {
+	return lastEventId === undefined ? attemptId : resumes ?? attemptId;
+}
+
 function parseAttemptId(text: string | undefined): string | undefined {
 	return text !== undefined && namedAttemptPattern.test(text) ? text : undefined;
 }
--- a/src/gateway/data-path/stream-continuation.ts
+++ b/src/gateway/data-path/stream-continuation.ts
@@ -7,10 +7,30 @@
 
 export class StreamContinuation {
 	#origin: StreamOrigin | undefined;
+	readonly #record: (origin: StreamOrigin) => void;
+	#hasBegun = false;
+
+	/**
+	 * @param record - Records where the stream began, before the caller gets its first event of this answer.
+	 * @param origin - Where the stream began; absent for one that begins with this request.
+	 */
+	constructor(record: (origin: StreamOrigin) => void, origin?: StreamOrigin) {
+		this.#record = record;
+		this.#origin = origin;
+	}
+
+	/** Whether the stream has begun, with this request or an earlier one. */
+	get isBound(): boolean {
+		return this.#origin !== undefined;
+	}
 
 	/** Records that the first event is forwarded, by the endpoint's record as it was when the request was sent. */
 	begin({service, softwareVersion}: EndpointRecord): void {
 		this.#origin ??= {service, softwareVersion};
+		if (!this.#hasBegun) {
+			this.#hasBegun = true;
+			this.#record(this.#origin);
+		}
 	}
 
 	/** Whether the request may be sent to an endpoint. */
--- a/src/gateway/data-path/validate-request.test.ts
+++ b/src/gateway/data-path/validate-request.test.ts
@@ -61,3 +61,14 @@
 test('headers over the limit are refused', () => {
 	assert.equal(reasonOf(headWith({rawHeaders: ['x', 'y'.repeat(20_000)]}), viewAt(0), 0), 'headers-too-large');
 });
+
+test('all attempts at one stream get the service that the traffic split selects for the first', () => {
+	const view = new ConfigurationView(bounds);
+	view.offer(testConfiguration({routes: [testRoute({kind: 'resumable-stream', targets: [{service: 'one', weight: 1}, {service: 'two', weight: 1}]})]}));
+	view.confirm(at(0));
+	const serviceOf = (changes: Partial<RequestHead>): string => validateRequest(headWith(changes), view, at(1)).caseOf({Left: () => '', Right: ({service}) => service});
+	const firsts = Array.from({length: 20}, (_, number) => `first-${number}`);
+	const services = firsts.map(attemptId => serviceOf({attemptId}));
+	assert.deepEqual(firsts.map(resumes => serviceOf({attemptId: `${resumes} again`, lastEventId: '3', resumes})), services);
+	assert.equal(new Set(services).size, 2);
+});
--- a/src/gateway/data-path/validate-request.ts
+++ b/src/gateway/data-path/validate-request.ts
@@ -5,7 +5,7 @@
 import {type Refusal} from '../../shared/types.js';
 import {type ConfigurationInForce, type ConfigurationView} from '../configuration/configuration-view.js';
 import {type Route, type RouteTarget, type WorkspaceGrant} from '../../shared/routed-configuration.js';
-import {type RequestHead} from './request-head.js';
+import {firstAttemptOf, type RequestHead} from './request-head.js';
 
 /** A request that may be sent to an endpoint. */
 export type PermittedRequest = {
@@ -53,7 +53,7 @@
 
 	return checkKey(route, head, {current, view, now}).map(grant => ({
 		route,
-		service: chooseTarget(route.targets, head.attemptId),
+		service: chooseTarget(route.targets, firstAttemptOf(head)),
 		grant,
 		rank: grant?.rank ?? route.rank,
 		configurationVersion: current.version,
@@ -82,7 +82,7 @@
 		: staleRefusal('the key is not known, but the configuration of this instance may be stale'));
 }
 
-/** Selects a service by weight; the same attempt id always gets the same service. */
+/** Selects a service by weight; all attempts at one stream get the same service. */
 function chooseTarget(targets: readonly RouteTarget[], attemptId: string): string {
 	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
 	let point = total * hashOf(attemptId) / (2 ** 32);
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -14,6 +14,7 @@
  * arrive later do not make it usable again.
  */
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {VersionHistory} from './version-history.js';
 
 /** An endpoint whose row is missing since an outage of the store, and until when it may be used. */
 type UnconfirmedEndpoint = {record: EndpointRecord; until: number};
@@ -41,6 +42,7 @@
 export class EndpointRegistry {
 	readonly #records = new Map<string, EndpointRecord>();
 	readonly #unconfirmed = new Map<string, UnconfirmedEndpoint>();
+	readonly #versions = new VersionHistory();
 	/** Until when an outage may be the reason that a row vanishes, in milliseconds of the steady clock. */
 	#outageUntil = 0;
 	/** Incarnations that are leaving or have departed, those found first at the front. */
@@ -52,6 +54,7 @@
 
 	/** Records that the store failed to answer, at a time of the steady clock in milliseconds. */
 	noteStoreFailure(failedAt: number): void {
+		this.#versions.interrupt();
 		this.#outageUntil = Math.max(this.#outageUntil, failedAt + reRegistrationMilliseconds);
 		for (const endpoint of this.#unconfirmed.values()) {
 			endpoint.until = this.#outageUntil;
@@ -68,6 +71,7 @@
 	replaceAll(records: readonly EndpointRecord[], now: number, isRestored = false): RegistryChange {
 		const change: RegistryChange = {appeared: [], vanished: []};
 		this.#staleRows.clear();
+		this.#versions.interrupt();
 		const names = new Set(records.map(({name}) => name));
 		for (const name of this.#records.keys()) {
 			if (!names.has(name)) {
@@ -183,6 +187,21 @@
 			: [...this.#unconfirmed.values()].filter(({record, until}) => isUsable(record) && until > now).map(({record}) => record);
 	}
 
+	/** Records that the list was confirmed as of a time, both in milliseconds of the steady clock. */
+	confirm(confirmedAt: number, now: number): void {
+		this.#versions.confirm([...this.#records.values(), ...[...this.#unconfirmed.values()].map(({record}) => record)], confirmedAt, now);
+	}
+
+	/** The only software version at which a stream of a service that still lasts can have begun; `undefined` if not proven. */
+	soleVersion(service: string, now: number): string | undefined {
+		return this.#versions.soleVersion(service, now);
+	}
+
+	/** Whether other instances may not know yet that an endpoint's software version is in use. */
+	hasRecentVersion(record: EndpointRecord, now: number): boolean {
+		return this.#versions.isRecent(record, now);
+	}
+
 	/** All endpoints in the list, including those that are leaving. */
 	all(): EndpointRecord[] {
 		return [...this.#records.values()];
@@ -198,6 +217,7 @@
 		this.#unconfirmed.delete(record.name);
 		this.#staleRows.delete(record.name);
 		this.#records.set(record.name, record);
+		this.#versions.note(record);
 		if (record.state === 'leaving') {
 			this.#noteDeparture(record);
 		} else {
@@ -237,6 +257,11 @@
 		this.#staleRows.delete(name);
 		const record = this.#records.get(name);
 		if (record === undefined) {
+			if (!this.#unconfirmed.has(name)) {
+				// Its row may have appeared since the last update, at any version.
+				this.#versions.interrupt();
+			}
+
 			return;
 		}
 
--- /dev/null
+++ b/src/gateway/endpoints/version-history.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {testEndpoint} from '../testing/test-endpoint.js';
+import {EndpointRegistry} from './endpoint-registry.js';
+import {longestStreamMilliseconds, maxListAgeMilliseconds} from './version-history.js';
+
+const stepMilliseconds = 500;
+const oldEndpoint = testEndpoint({name: 'old', softwareVersion: 'v1'});
+const newEndpoint = testEndpoint({name: 'new', address: '127.0.0.1:2', softwareVersion: 'v2'});
+
+/** A registry whose list is confirmed again and again; times are in milliseconds of the steady clock. */
+class FollowedList {
+	readonly registry = new EndpointRegistry();
+	now = 1000;
+
+	constructor(...records: EndpointRecord[]) {
+		this.registry.replaceAll(records, this.now);
+		this.registry.confirm(this.now, this.now);
+	}
+
+	follow(milliseconds: number): this {
+		for (const end = this.now + milliseconds; this.now < end;) {
+			this.now += stepMilliseconds;
+			this.registry.confirm(this.now, this.now);
+		}
+
+		return this;
+	}
+
+	get soleVersion(): string | undefined {
+		return this.registry.soleVersion('desk', this.now);
+	}
+}
+
+test('a version is the only one after the list was followed for as long as a stream may last, not sooner', () => {
+	const list = new FollowedList(oldEndpoint).follow(longestStreamMilliseconds - stepMilliseconds);
+	assert.equal(list.soleVersion, undefined);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, 'v1');
+});
+
+test('a version that has left counts until no stream that began there can last', () => {
+	const list = new FollowedList(oldEndpoint, newEndpoint).follow(longestStreamMilliseconds);
+	assert.equal(list.soleVersion, undefined);
+	list.registry.remove('old', list.now);
+	assert.equal(list.follow(longestStreamMilliseconds - stepMilliseconds).soleVersion, undefined);
+	assert.equal(list.follow(2 * stepMilliseconds).soleVersion, 'v2');
+});
+
+test('an endpoint that appeared and left between two confirmations counts', () => {
+	const list = new FollowedList(oldEndpoint).follow(longestStreamMilliseconds);
+	list.registry.put(newEndpoint);
+	list.registry.remove('new', list.now);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+});
+
+test('the end of a row that was never seen proves that versions may have been missed', () => {
+	const list = new FollowedList(oldEndpoint).follow(longestStreamMilliseconds);
+	list.registry.remove('unseen', list.now);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+	assert.equal(list.follow(longestStreamMilliseconds).soleVersion, 'v1');
+});
+
+test('a name that comes back at another version counts as both', () => {
+	const list = new FollowedList(oldEndpoint).follow(longestStreamMilliseconds);
+	list.registry.put({...oldEndpoint, softwareVersion: 'v2'});
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+});
+
+test('no version is proven by a list that is old, was read again, or came after an outage of the store', () => {
+	const list = new FollowedList(oldEndpoint).follow(longestStreamMilliseconds);
+	assert.equal(list.registry.soleVersion('desk', list.now + maxListAgeMilliseconds), 'v1');
+	assert.equal(list.registry.soleVersion('desk', list.now + maxListAgeMilliseconds + 1), undefined);
+	list.registry.noteStoreFailure(list.now);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+	list.follow(longestStreamMilliseconds);
+	list.registry.replaceAll([oldEndpoint], list.now);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+	list.follow(longestStreamMilliseconds);
+	list.now += 4000;
+	assert.equal(list.follow(stepMilliseconds).soleVersion, undefined);
+});
+
+test('a version is recent until every other instance with a list that proves anything knows it', () => {
+	const list = new FollowedList(oldEndpoint).follow(2000);
+	assert.equal(list.registry.hasRecentVersion(oldEndpoint, list.now), false);
+	list.registry.put(newEndpoint);
+	list.registry.confirm(list.now, list.now);
+	assert.equal(list.registry.hasRecentVersion(newEndpoint, list.now + maxListAgeMilliseconds - 1), true);
+	assert.equal(list.registry.hasRecentVersion(newEndpoint, list.now + maxListAgeMilliseconds), false);
+});
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -19,6 +19,7 @@
 import {type PeerUpdates} from './coordinator/coordinator-client.js';
 import {type CoordinatorView} from './coordinator/coordinator-view.js';
 import {type RelayClient} from './relay/relay-client.js';
+import {type StreamOrigins} from './streams/stream-origins.js';
 import {type LoadingEngines} from './watchers/loading-engines.js';
 import {type WeightTargets} from './weights/weight-targets.js';
 
@@ -33,6 +34,7 @@
 	placement: PlacementPolicy;
 	retryBudget: SharedRetryBudget;
 	crashes: EndpointCrashes;
+	streamOrigins: StreamOrigins;
 	limits: Pick<EndpointLimits, 'note' | 'maySend'>;
 	brittle: Pick<BrittleServices, 'note' | 'maySend' | 'noteEnded'>;
 	rests: EndpointRests;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -45,6 +45,7 @@
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
 import {Relays} from './relay/relays.js';
+import {LocalStreamOrigins} from './testing/local-stream-origins.js';
 import {FeedHandlers} from './watchers/feed-handlers.js';
 import {type StoreSchema} from './watchers/store-schema.js';
 import {TableFeeds} from './watchers/table-feeds.js';
@@ -157,6 +158,7 @@
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
 			crashes,
+			streamOrigins: new LocalStreamOrigins(),
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
 			brittle: this.#brittle,
 			rests: new EndpointRests(),
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -30,9 +30,11 @@
 import {reportLag} from '../observability/report-lag.js';
 import {RelayClient} from '../relay/relay-client.js';
 import {RelayDirectory} from '../relay/relay-directory.js';
+import {type StreamOrigins} from '../streams/stream-origins.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
 import {WeightTargets} from '../weights/weight-targets.js';
 import {EventLoopLag} from '../../serving/event-loop-lag.js';
+import {LocalStreamOrigins} from './local-stream-origins.js';
 import {testConfiguration} from './test-configuration.js';
 import {testEndpoint} from './test-endpoint.js';
 
@@ -53,8 +55,11 @@
 	readonly #stop = new AbortController();
 	readonly #eventLoopLag: EventLoopLag;
 
-	/** @param crashLedger - Shared by gateways of a test that know of each other's crashes at once. */
-	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger()) {
+	/**
+	 * @param crashLedger - Shared by gateways of a test that know of each other's crashes at once.
+	 * @param streamOrigins - Shared by gateways of a test that know where each other's streams began.
+	 */
+	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger(), streamOrigins: StreamOrigins = new LocalStreamOrigins()) {
 		const metrics = new GatewayMetrics();
 		const view = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 120_000});
 		view.offer(configuration);
@@ -98,6 +103,7 @@
 					crashLedger.put(keyOfReport(report), report);
 				},
 			}),
+			streamOrigins,
 			limits: new EndpointLimits({
 				clock: systemMomentClock, log, metrics, permits: {takePermit: async query => permits.answer(query, systemMomentClock.moment().steady)},
 			}),
--- a/src/gateway/watchers/endpoint-feed-handler.ts
+++ b/src/gateway/watchers/endpoint-feed-handler.ts
@@ -18,12 +18,13 @@
 		this.#schema = schema;
 	}
 
-	handleSnapshot(rows: readonly FeedRow[], _sentAt: Moment, now: Moment, arrival: Arrival): void {
+	handleSnapshot(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void {
 		const records = rows.map(row => this.#decode(row)).filter(record => record !== undefined);
 		this.#applyChange(this.#context.endpoints.replaceAll(records, now.steady, arrival === 'restored'));
+		this.#confirm(sentAt, now, arrival);
 	}
 
-	handleChanges(rows: readonly FeedRow[], _sentAt: Moment, now: Moment): void {
+	handleChanges(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void {
 		for (const row of rows) {
 			const record = row.isDeleted ? undefined : this.#decode(row);
 			// A row that cannot be decoded removes its endpoint, even if an earlier version of the row could be decoded.
@@ -31,12 +32,20 @@
 		}
 
 		this.#applyChange(this.#context.endpoints.expire(now.steady));
+		this.#confirm(sentAt, now, arrival);
 	}
 
 	handleFailure(failedAt: Moment): void {
 		this.#context.endpoints.noteStoreFailure(failedAt.steady);
 	}
 
+	/** A restored store may lack rows, so it confirms nothing. */
+	#confirm(sentAt: Moment, now: Moment, arrival: Arrival): void {
+		if (arrival !== 'restored') {
+			this.#context.endpoints.confirm(sentAt.steady, now.steady);
+		}
+	}
+
 	#decode({key, content}: FeedRow): EndpointRecord | undefined {
 		return this.#schema.readEndpointRow(key, content).caseOf({
 			Left: findings => {
--- a/src/serving/send-refusal.ts
+++ b/src/serving/send-refusal.ts
@@ -26,6 +26,8 @@
 	'endpoint-failed': 502,
 	'crashes-endpoints': 503,
 	'stream-cut': 502,
+	'stream-unknown': 503,
+	'stream-version-gone': 503,
 	timeout: 504,
 	cancelled: 499,
 	internal: 500,
--- a/src/shared/types.ts
+++ b/src/shared/types.ts
@@ -35,6 +35,8 @@
 		| 'endpoint-failed'
 		| 'crashes-endpoints'
 		| 'stream-cut'
+		| 'stream-unknown'
+		| 'stream-version-gone'
 		| 'timeout'
 		| 'cancelled'
 		| 'internal';
--- a/src/test/process-stream-versions.test.ts
+++ b/src/test/process-stream-versions.test.ts
@@ -8,7 +8,7 @@
 		network: 91,
 		milliseconds: 12_000,
 		conditions: {
-			spread: 'halves', disturbance: 'instances-killed', breakPercent: 50, streamsPerSecond: 24,
+			spread: 'halves', disturbance: 'instances-killed', breakPercent: 50, streamsPerSecond: 24, returnsTo: 'anywhere',
 		},
 	});
 	assert.deepEqual(violationsOf(report), [], JSON.stringify(report));
