Do not continue streams at endpoints whose process has ended

Cause: an endpoint that crashes may be back at another version under its name before its row says so. Streams then went on there, by a row that was older than what answered.

Change: an incarnation whose process this instance has found to have ended (its connections broke, and it refused one) gets no stream that has begun until its row states another start, and streams that begin only where no other endpoint is left. Requests of other kinds are placed as before. A wrong verdict costs the streams of that incarnation their continuation at this instance.

That is not enough: an instance without a request at the endpoint when it ended does not notice, and lets streams begin and go on there.

--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -15,7 +15,7 @@
 	clock: MomentClock;
 	log: Pick<DecisionLog, 'record'>;
 	metrics: Pick<GatewayMetrics, 'crashes'>;
-	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
+	endpoints: Pick<EndpointRegistry, 'hasDeparted' | 'noteEnded'>;
 	ledger: CrashLedger;
 	probe(endpoint: EndpointRecord): Promise<ProbeResult>;
 	/** Returns a random number from 0 up to 1. */
@@ -138,7 +138,8 @@
 	}
 
 	#reportCrash({endpoint, requests}: ObservedCrash): void {
-		const {instance, clock, metrics, publish} = this.#dependencies;
+		const {instance, clock, metrics, publish, endpoints} = this.#dependencies;
+		endpoints.noteEnded(endpoint);
 		metrics.crashes.inc();
 		const latest = requests.toSorted((left, right) => left.inFlightMilliseconds - right.inFlightMilliseconds).slice(0, maxRequestsPerReport);
 		publish({
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -88,16 +88,28 @@
 		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0);
 	}
 
-	/**
-	 * The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. A
-	 * stream begins at a version that is new here only where no other is left: other instances may not know the version yet.
-	 */
+	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
 	#listed(now: number): EndpointRecord[] {
 		const {permitted: {route, service}, continuation} = this.#work;
 		const {endpoints} = this.#context;
 		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint)).filter(({name}) => !this.#excluded.has(name));
-		const known = route.kind === 'resumable-stream' && !continuation.isBound ? listed.filter(endpoint => !endpoints.hasRecentVersion(endpoint, now)) : listed;
-		return known.length > 0 ? known : listed;
+		return route.kind === 'resumable-stream' ? this.#withCertainVersion(listed, now) : listed;
+	}
+
+	/**
+	 * Leaves out endpoints whose version is not certain. A process that has ended may be back at another version under its name
+	 * before its row says so; and a version that is new here may not be known to other instances, to which the caller may come
+	 * back. A stream begins at those only where no other endpoint is left.
+	 */
+	#withCertainVersion(listed: EndpointRecord[], now: number): EndpointRecord[] {
+		const {endpoints} = this.#context;
+		const running = listed.filter(endpoint => !endpoints.hasEnded(endpoint));
+		if (this.#work.continuation.isBound) {
+			return running;
+		}
+
+		const certain = running.filter(endpoint => !endpoints.hasRecentVersion(endpoint, now));
+		return certain.length > 0 ? certain : listed;
 	}
 
 	#restOf(endpoint: EndpointRecord, now: number): number {
--- a/src/gateway/data-path/resume-stream.test.ts
+++ b/src/gateway/data-path/resume-stream.test.ts
@@ -249,3 +249,13 @@
 	endpoints.remove('old', clock.moment().steady);
 	assert.deepEqual(await eventsOf(other, 'a2'), ['1 new']);
 });
+
+test('a stream does not go on at an endpoint whose process has ended while its row is still the old one', async context => {
+	const {gateway, other, add} = await start(context);
+	const old = await add('old', {softwareVersion: 'v1'});
+	await send(gateway, 'a1');
+	other.context.endpoints.noteEnded(old);
+	assert.deepEqual(await eventsOf(other, 'a2', resumption(1, 'a1')), []);
+	other.context.endpoints.put({...old, startedAt: old.startedAt + 1});
+	assert.deepEqual(await eventsOf(other, 'a3', resumption(1, 'a1')), ['2 old', '3 old']);
+});
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -49,6 +49,8 @@
 	readonly #departures = new Set<string>();
 	/** Incarnations that have said in an answer that they leave, those found first at the front. */
 	readonly #announced = new Set<string>();
+	/** Incarnations whose process was found to have ended, those found first at the front. */
+	readonly #ended = new Set<string>();
 	/** Rows of a restored store that contradict a departure, and until when they are ignored. */
 	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
@@ -159,6 +161,19 @@
 		}
 	}
 
+	/** Records that the process of an endpoint has ended: its row may be older than what answers at its address by now. */
+	noteEnded(endpoint: EndpointRecord): void {
+		// Without a start, the next incarnation could not be told from this one.
+		if (endpoint.startedAt > 0) {
+			remember(this.#ended, incarnationOf(endpoint));
+		}
+	}
+
+	/** Whether the process of an incarnation was found to have ended. */
+	hasEnded(record: EndpointRecord): boolean {
+		return this.#ended.has(incarnationOf(record));
+	}
+
 	/** Whether an incarnation has announced that it leaves, or has left the list. */
 	hasDeparted(record: EndpointRecord): boolean {
 		return this.#departures.has(incarnationOf(record));
