--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -7,7 +7,7 @@
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	deploymentWireNames as names, endpointTable, type GatewayDeployment, heartbeatMilliseconds, instanceHeader,
+	blockEventsPath, blockEventsWaitHeader, deploymentWireNames as names, emptyBlockEvents, endpointTable, type GatewayDeployment, heartbeatMilliseconds, instanceHeader,
 } from './gateway-deployment.js';
 
 /** A request that reached an endpoint; `at` is in milliseconds of `performance.now()`. */
@@ -30,14 +30,17 @@
 	headers(endpoint: DeploymentEndpoint, instance: string): Record<string, string>;
 }
 
+/** How an endpoint comes back. */
+export type Restart = {
+	/** Whether it has the name that it had; otherwise its former row expires. */
+	keepsName?: boolean;
+	/** For how long it serves before its row is written. */
+	rowDelayMilliseconds?: number;
+};
+
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
 const heartbeatsToExpiry = 3;
 const eventMilliseconds = 15;
-/** Where engines report which blocks they cache. */
-const blockEventsPath = '/kv-events';
-const noBlockEvents = {
-	boot_epoch: 1, next: 0, lost: false, events: [],
-};
 
 /** Where an endpoint is, and what it serves. */
 export type EndpointPlace = {
@@ -45,12 +48,16 @@
 	address: string;
 	service: string;
 	slots: number;
+	/** The software version of its first incarnation. */
+	version?: string;
 	/** The model of an engine; it reports that it caches nothing. */
 	model?: string;
 };
 
 export class DeploymentEndpoint {
 	name = '';
+	/** The software version of its next incarnation. */
+	nextVersion: string;
 	readonly dataCentre: string;
 	readonly #deployment: GatewayDeployment;
 	readonly #address: string;
@@ -61,6 +68,8 @@
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
 	#starts = 0;
+	#startedAt = 0;
+	#version = '';
 	#isClosed = false;
 	#silentUntil = 0;
 
@@ -71,6 +80,7 @@
 		this.#service = place.service;
 		this.#slots = place.slots;
 		this.#model = place.model;
+		this.nextVersion = place.version ?? 'v1';
 		this.#script = script;
 	}
 
@@ -78,14 +88,21 @@
 		return this.#server !== undefined;
 	}
 
-	/** Starts a new incarnation with a new name. */
-	async start(): Promise<void> {
+	/** The software version of the present incarnation, or of the last one. */
+	get version(): string {
+		return this.#version;
+	}
+
+	/** Starts a new incarnation, with a new name unless it keeps the one that it had. */
+	async start({keepsName, rowDelayMilliseconds}: Restart = {}): Promise<void> {
 		if (this.#isClosed) {
 			return;
 		}
 
 		this.#starts++;
-		this.name = `${this.#service}-${this.#address}-${this.#starts}`;
+		this.#startedAt = Date.now();
+		this.#version = this.nextVersion;
+		this.name = keepsName ? this.name : `${this.#service}-${this.#address}-${this.#starts}`;
 		const server = createServer((request, response) => {
 			void this.#serve(request, response);
 		});
@@ -99,20 +116,26 @@
 		server.listen(Number(port), ip);
 		await once(server, 'listening');
 		this.#server = server;
-		this.#writeRow('ready');
+		await delay(rowDelayMilliseconds ?? 0);
+		if (this.#server === server) {
+			this.#writeRow('ready');
+		}
 	}
 
-	/** Ends the process: its listener and all its connections at once. It is back under another name after a time. */
-	async crash(restartMilliseconds: number): Promise<void> {
+	/** Ends the process: its listener and all its connections at once. It is back after a time. */
+	async crash(restartMilliseconds: number, restart: Restart = {}): Promise<void> {
 		if (this.#server === undefined) {
 			return;
 		}
 
 		const {name} = this;
 		this.#end();
-		void this.#expireRow(name);
+		if (!restart.keepsName) {
+			void this.#expireRow(name);
+		}
+
 		await delay(restartMilliseconds);
-		await this.start();
+		await this.start(restart);
 	}
 
 	/** Leaves as announced: its row says so, and it serves on for a while. */
@@ -180,9 +203,9 @@
 		}
 
 		if (this.#model !== undefined && request.url?.startsWith(blockEventsPath)) {
-			await delay(Number(request.headers['wait-ms'] ?? 0));
+			await delay(Number(request.headers[blockEventsWaitHeader] ?? 0));
 			await this.untilAudible();
-			response.end(JSON.stringify(noBlockEvents));
+			response.end(JSON.stringify(emptyBlockEvents));
 			return;
 		}
 
@@ -215,7 +238,7 @@
 
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
-			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: Date.now(),
+			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
 			...(this.#model === undefined ? {} : {models: [{name: this.#model, version: 1}]}),
 		});
 	}
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -9,7 +9,6 @@
 import {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {ProcessGroup, type StartedProcess} from '../demo/process-group.js';
 import {createPlatformStoreStandIn} from '../platform/platform-store-stand-in.js';
@@ -50,6 +49,7 @@
 	status: number;
 	/** Whether the answer was complete. */
 	isWhole: boolean;
+	/** What arrived of the body. */
 	body: string;
 	retryAfterSeconds: number | undefined;
 };
@@ -59,7 +59,7 @@
 	path: string;
 	body: string;
 	deadlineMilliseconds: number;
-	/** Further headers. */
+	/** Headers in addition to those of every request, or in place of them. */
 	headers?: Record<string, string>;
 };
 
@@ -181,7 +181,7 @@
 	}
 
 	/** Sends one request to an instance. */
-	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds, headers = {}}: CallerRequest): Promise<CallerAnswer> {
+	async send(instance: GatewayInstance, {path: target, body, deadlineMilliseconds, headers}: CallerRequest): Promise<CallerAnswer> {
 		const separator = instance.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			const failed = (): void => {
@@ -197,15 +197,18 @@
 				path: target,
 				agent: false,
 				headers: {
-					...headers, host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name,
+					host, [platformWireNames.attemptId]: randomBytes(8).toString('hex'), [platformWireNames.deadline]: String(deadlineMilliseconds), [instanceHeader]: instance.name, ...headers,
 				},
 			}, response => {
 				const retryAfter = response.headers['retry-after'];
 				const answer = {status: response.statusCode ?? 0, retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter)};
-				text(response).then(received => {
+				let received = '';
+				response.setEncoding('utf8').on('data', (chunk: string) => {
+					received += chunk;
+				}).on('error', () => {
+					// The end of the connection ends the answer.
+				}).once('close', () => {
 					resolve({...answer, isWhole: response.complete, body: received});
-				}, () => {
-					resolve({...answer, isWhole: false, body: ''});
 				});
 			});
 			outgoing.setTimeout(deadlineMilliseconds, () => {
@@ -281,4 +284,5 @@
 	throw new Error(`the instance at ${ip} did not become ready`);
 }
 
+export {blockEventsPath, blockEventsWaitHeader, emptyBlockEvents} from '../platform/empty-block-events.js';
 export {platformWireNames as deploymentWireNames} from '../platform/wire-names.js';
--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -8,7 +8,7 @@
 import {type JsonValue} from '../shared/types.js';
 import {Choices} from './choices.js';
 import {type Arrival, DeploymentEndpoint, type EndpointScript} from './deployment-endpoint.js';
-import {GatewayDeployment, host} from './gateway-deployment.js';
+import {deploymentWireNames, GatewayDeployment, host} from './gateway-deployment.js';
 import {SilentTraffic, type TrafficReport} from './silent-traffic.js';
 
 /** The routes, one of which a run uses. Prompts go to engines, the others to a plain service. */
@@ -157,7 +157,7 @@
 	}
 
 	headers(): Record<string, string> {
-		return this.#isPrompt ? {'x-weight-versions': '1'} : {};
+		return this.#isPrompt ? {[deploymentWireNames.weightVersion]: '1'} : {};
 	}
 
 	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
--- a/src/gateway/data-path/attempt-work.ts
+++ b/src/gateway/data-path/attempt-work.ts
@@ -27,8 +27,8 @@
 	request: PlacementRequest;
 	/** The estimates by which the endpoint was chosen. */
 	basis: PlacementBasis;
-	/** Called when the first bytes of the answer arrive. */
-	onFirstBytes(): void;
+	/** Called when the first bytes of the answer arrive, before they are forwarded. */
+	onFirstBytes(status: number): void;
 	/** Called for each chunk of the answer. */
 	onBytes(): void;
 	/** Called again and again while the endpoint is silent for longer than usual. */
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -17,6 +17,7 @@
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type PermittedRequest} from './validate-request.js';
 import {type RequestHead} from './request-head.js';
+import {resumptionFields} from './resumption-fields.js';
 
 /** How a routed request ended. */
 export type RequestOutcome = 'whole' | 'refused' | 'failed' | 'failure-passed-on' | 'broken-off' | 'client-left' | 'timeout';
@@ -41,7 +42,7 @@
 
 /** The request that ended. */
 export type EndedRequest = {
-	head: Pick<RequestHead, 'attemptId'>;
+	head: Pick<RequestHead, 'attemptId'> & Partial<Pick<RequestHead, 'lastEventId' | 'resumes'>>;
 	permitted: Pick<PermittedRequest, 'route' | 'service' | 'configurationVersion'>;
 	arrivedAt: Moment;
 	request: {socket: Duplex};
@@ -95,12 +96,15 @@
 	return isEndedByConnection(transfer) ? endedByConnectionLine(work, facts, transfer, now) : endedLine(work, facts, now);
 }
 
-/** Whether a request ended normally: completely, at the first endpoint, within the route's objective. */
-function isNormalEnd({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
+/**
+ * Whether a request ended normally: completely, at the first endpoint, within the route's objective. A request that takes a
+ * stream up follows on a failure, so it is never logged as a normal end.
+ */
+function isNormalEnd({head, permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
 	const {end, status, sends, endpoints, firstByteAt} = facts;
 	const isServedDirectly = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
 	const respondedAt = isStream(route) ? firstByteAt ?? now : now;
-	return isServedDirectly && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
+	return isServedDirectly && !isResumption(head, route) && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
 }
 
 /** Whether only the orderly end of its connection shows that an answer is complete. */
@@ -156,6 +160,7 @@
 			service: permitted.service,
 			outcome: end,
 			...(end === 'client-left' ? connectionCloseOf(request.socket) : {}),
+			...isResumption(head, permitted.route) ? resumptionFields(head) : {},
 			...counts,
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
@@ -167,6 +172,11 @@
 	};
 }
 
+/** Whether the caller takes up a stream that another request began. */
+function isResumption({lastEventId}: EndedRequest['head'], {kind}: Route): boolean {
+	return kind === 'resumable-stream' && lastEventId !== undefined;
+}
+
 function isStream({kind}: Route): boolean {
 	return kind === 'stream' || kind === 'resumable-stream';
 }
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -106,7 +106,7 @@
 	}
 
 	#start({request, placement: {endpoint, basis}}: FoundEndpoint): RunningAttempt {
-		const {work: {head, permitted, body, response}, splitter, deadline, attempted} = this.#request;
+		const {work: {head, permitted, body, response, continuation}, splitter, deadline, attempted} = this.#request;
 		attempted.add(endpoint.name);
 		this.basis = basis;
 		this.sentAt = this.#now();
@@ -116,8 +116,11 @@
 			endpoint,
 			request,
 			basis,
-			onFirstBytes: () => {
+			onFirstBytes: status => {
 				this.firstByteAt ??= this.#now();
+				if (status === 200 && splitter !== undefined) {
+					continuation.begin(endpoint);
+				}
 			},
 			onBytes: () => {
 				running.chunks++;
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -14,6 +14,7 @@
  * arrive later do not make it usable again.
  */
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {VersionHistory} from './version-history.js';
 
 /** An endpoint whose row is missing since an outage of the store, and until when it may be used. */
 type UnconfirmedEndpoint = {record: EndpointRecord; until: number};
@@ -41,17 +42,21 @@
 export class EndpointRegistry {
 	readonly #records = new Map<string, EndpointRecord>();
 	readonly #unconfirmed = new Map<string, UnconfirmedEndpoint>();
+	readonly #versions = new VersionHistory();
 	/** Until when an outage may be the reason that a row vanishes, in milliseconds of the steady clock. */
 	#outageUntil = 0;
 	/** Incarnations that are leaving or have departed, those found first at the front. */
 	readonly #departures = new Set<string>();
 	/** Incarnations that have said in an answer that they leave, those found first at the front. */
 	readonly #announced = new Set<string>();
+	/** Incarnations whose process was found to have ended, those found first at the front. */
+	readonly #ended = new Set<string>();
 	/** Rows of a restored store that contradict a departure, and until when they are ignored. */
 	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
 	/** Records that the store failed to answer, at a time of the steady clock in milliseconds. */
 	noteStoreFailure(failedAt: number): void {
+		this.#versions.interrupt();
 		this.#outageUntil = Math.max(this.#outageUntil, failedAt + reRegistrationMilliseconds);
 		for (const endpoint of this.#unconfirmed.values()) {
 			endpoint.until = this.#outageUntil;
@@ -68,6 +73,7 @@
 	replaceAll(records: readonly EndpointRecord[], now: number, isRestored = false): RegistryChange {
 		const change: RegistryChange = {appeared: [], vanished: []};
 		this.#staleRows.clear();
+		this.#versions.interrupt();
 		const names = new Set(records.map(({name}) => name));
 		for (const name of this.#records.keys()) {
 			if (!names.has(name)) {
@@ -155,6 +161,19 @@
 		}
 	}
 
+	/** Records that the process of an endpoint has ended: its row may be older than what answers at its address by now. */
+	noteEnded(endpoint: EndpointRecord): void {
+		// Without a start, the next incarnation could not be told from this one.
+		if (endpoint.startedAt > 0) {
+			remember(this.#ended, incarnationOf(endpoint));
+		}
+	}
+
+	/** Whether the process of an incarnation was found to have ended. */
+	hasEnded(record: EndpointRecord): boolean {
+		return this.#ended.has(incarnationOf(record));
+	}
+
 	/** Whether an incarnation has announced that it leaves, or has left the list. */
 	hasDeparted(record: EndpointRecord): boolean {
 		return this.#departures.has(incarnationOf(record));
@@ -168,16 +187,38 @@
 		}
 	}
 
-	/** The endpoints of a service that may get new requests; unconfirmed ones only where no other is left. */
-	usable(service: string, now: number): EndpointRecord[] {
-		const confirmed = [...this.#records.values()].filter(record => record.service === service && record.state === 'ready');
-		if (confirmed.length > 0) {
-			return confirmed;
-		}
+	/**
+	 * The endpoints of a service that may get new requests; unconfirmed ones only where no other is left.
+	 *
+	 * @param service - Its name.
+	 * @param now - Milliseconds of the steady clock.
+	 * @param isWanted - Leaves out endpoints, also where it is decided whether any confirmed one is left.
+	 */
+	usable(service: string, now: number, isWanted: (record: EndpointRecord) => boolean = () => true): EndpointRecord[] {
+		const isUsable = (record: EndpointRecord): boolean => record.service === service && record.state === 'ready' && isWanted(record);
+		const confirmed = [...this.#records.values()].filter(record => isUsable(record));
+		return confirmed.length > 0
+			? confirmed
+			: [...this.#unconfirmed.values()].filter(({record, until}) => isUsable(record) && until > now).map(({record}) => record);
+	}
+
+	/** Records that the list was confirmed as of a time, both in milliseconds of the steady clock. */
+	confirm(confirmedAt: number, now: number): void {
+		this.#versions.confirm([...this.#records.values(), ...[...this.#unconfirmed.values()].map(({record}) => record)], confirmedAt, now);
+	}
+
+	/**
+	 * The only software version at which a stream of a service that still lasts can have begun; `undefined` if not proven.
+	 *
+	 * @param streamMilliseconds - How long such a stream may last.
+	 */
+	soleVersion(service: string, now: number, streamMilliseconds?: number): string | undefined {
+		return this.#versions.soleVersion(service, now, streamMilliseconds);
+	}
 
-		return [...this.#unconfirmed.values()]
-			.filter(({record, until}) => record.service === service && record.state === 'ready' && until > now)
-			.map(({record}) => record);
+	/** Whether other instances may not know yet that an endpoint's software version is in use. */
+	hasRecentVersion(record: EndpointRecord, now: number): boolean {
+		return this.#versions.isRecent(record, now);
 	}
 
 	/** All endpoints in the list, including those that are leaving. */
@@ -195,6 +236,7 @@
 		this.#unconfirmed.delete(record.name);
 		this.#staleRows.delete(record.name);
 		this.#records.set(record.name, record);
+		this.#versions.note(record);
 		if (record.state === 'leaving') {
 			this.#noteDeparture(record);
 		} else {
@@ -202,7 +244,7 @@
 		}
 
 		this.#supersedeAt(record);
-		if (known?.startedAt === record.startedAt) {
+		if (known?.startedAt === record.startedAt && known.softwareVersion === record.softwareVersion) {
 			return;
 		}
 
@@ -234,6 +276,11 @@
 		this.#staleRows.delete(name);
 		const record = this.#records.get(name);
 		if (record === undefined) {
+			if (!this.#unconfirmed.has(name)) {
+				// Its row may have appeared since the last update, at any version.
+				this.#versions.interrupt();
+			}
+
 			return;
 		}
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -45,6 +45,7 @@
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
 import {reportLag} from './observability/report-lag.js';
 import {Relays} from './relay/relays.js';
+import {longestStreamOf} from './streams/longest-stream.js';
 import {createStreamOrigins, type CreatedStreamOrigins} from './streams/create-stream-origins.js';
 import {FeedHandlers} from './watchers/feed-handlers.js';
 import {type StoreSchema} from './watchers/store-schema.js';
@@ -133,7 +134,7 @@
 			...shared,
 			address: settings.listenStreams,
 			key: () => this.#relays.key.current,
-			soleVersion: () => undefined,
+			soleVersion: service => shared.endpoints.soleVersion(service, clock.moment().steady, longestStreamOf(shared.configuration.current, service)),
 			isStopping: () => this.#isStopping,
 		});
 		const paths = new EndpointPaths({
--- a/src/gateway/observability/request-diagnosis.test.ts
+++ b/src/gateway/observability/request-diagnosis.test.ts
@@ -105,10 +105,9 @@
 
 test('the log lines of a booking answered 504 show its cause: the endpoint held it until the timeout, and it may have run', async context => {
 	const {clock, pass} = mockTime(context);
-	const {status, lines} = await linesOf('non-idempotent', (_request, response) => {
+	const {status, lines} = await linesOf('non-idempotent', () => {
+		// The endpoint never answers.
 		pass(timeoutMilliseconds);
-		// Without effect on a request that has timed out.
-		response.destroy();
 	}, clock);
 	assert.equal(status, 504);
 	const [end] = lines;
--- a/src/gateway/testing/local-stream-origins.ts
+++ b/src/gateway/testing/local-stream-origins.ts
@@ -3,14 +3,16 @@
 
 /** Origins of streams within one process, without a limit on their time. */
 export class LocalStreamOrigins implements StreamOrigins {
-	readonly #origins = new Map<string, StreamOrigin>();
+	readonly records = new Map<string, {origin: StreamOrigin; lifetimeMilliseconds: number}>();
+	/** The answer about streams that are not recorded. */
+	otherwise: OriginAnswer = {kind: 'unknown'};
 
-	record(key: string, origin: StreamOrigin): void {
-		this.#origins.set(key, origin);
+	record(key: string, origin: StreamOrigin, lifetimeMilliseconds: number): void {
+		this.records.set(key, {origin, lifetimeMilliseconds});
 	}
 
 	async findOrigin(key: string): Promise<OriginAnswer> {
-		const origin = this.#origins.get(key);
-		return origin === undefined ? {kind: 'unknown'} : {kind: 'known', origin};
+		const record = this.records.get(key);
+		return record === undefined ? this.otherwise : {kind: 'known', origin: record.origin};
 	}
 }
