Let relayed answers finish when their relay shuts down

Callers of an instance that reaches its endpoints through another one lost answers that had begun when that one was stopped: 4 of 4, 2.3 s after SIGTERM with 8 s of grace. Cause: the shutdown waited for the instance's own callers only, and then closed the relay's connections with everything else. Class: work done for others is not counted as work.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -230,7 +230,7 @@
 		void this.#coordinators.resign();
 		await clock.sleep(unreadyMilliseconds, this.#stop.signal);
 		const left = this.#graceMilliseconds - exitMarginMilliseconds - (clock.moment().steady - startedAt);
-		await Promise.race([this.#callers.drain(), clock.sleep(Math.max(0, left), this.#stop.signal)]);
+		await Promise.race([Promise.all([this.#callers.drain(), this.#relays.idle()]), clock.sleep(Math.max(0, left), this.#stop.signal)]);
 		this.#stop.abort();
 		this.#eventLoopLag.stop();
 		this.#exchanges.close();
--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -51,7 +51,8 @@
 	readonly #dependencies: RelayServerDependencies;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
-	#connections = 0;
+	/** The connections of other instances that are relayed to an endpoint. */
+	readonly #relayed = new Set<Socket>();
 
 	constructor(dependencies: RelayServerDependencies) {
 		this.#dependencies = dependencies;
@@ -62,7 +63,16 @@
 
 	/** Connections that are relayed at present. */
 	get connections(): number {
-		return this.#connections;
+		return this.#relayed.size;
+	}
+
+	/** Resolves when no connection is relayed. */
+	async idle(): Promise<void> {
+		for (const socket of this.#relayed) {
+			await new Promise(resolve => {
+				socket.once('close', resolve);
+			});
+		}
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -145,14 +155,14 @@
 			return;
 		}
 
-		if (this.#connections >= maxConnections || lagMilliseconds() > maxLagMilliseconds) {
+		if (this.#relayed.size >= maxConnections || lagMilliseconds() > maxLagMilliseconds) {
 			decline('busy');
 			return;
 		}
 
-		this.#connections++;
+		this.#relayed.add(socket);
 		socket.once('close', () => {
-			this.#connections--;
+			this.#relayed.delete(socket);
 		});
 		socket.pause();
 		const onward = await connect(address);
--- a/src/gateway/relay/relays.ts
+++ b/src/gateway/relay/relays.ts
@@ -39,6 +39,7 @@
 	/** What the coordinator exchanges with this instance. */
 	readonly follower: Pick<LocalFollower, 'relay' | 'wantsRelays' | 'applyRelays'>;
 	readonly children: readonly Child[];
+	readonly #server: RelayServer;
 
 	constructor(dependencies: RelaysDependencies) {
 		const {address, dataCentre, clock, metrics, endpoints, isStopping, withoutDirectPath} = dependencies;
@@ -55,6 +56,7 @@
 		this.key = key;
 		this.client = new RelayClient({...dependencies, directory, key: () => key.current});
 		this.children = [key, server];
+		this.#server = server;
 		this.follower = {
 			relay: () => isStopping() || key.current === undefined
 				? undefined
@@ -67,4 +69,9 @@
 			},
 		};
 	}
+
+	/** Resolves when this instance relays no connection any more; while it stops, it accepts no new ones. */
+	async idle(): Promise<void> {
+		await this.#server.idle();
+	}
 }
