Show that a replacement takes a stream over before it has accepted it

No rejection within 0.3 s is taken for acceptance. An endpoint that is silent itself rejects later, or not at all; the stream of the first one, which would have gone on, has been ended by then.

--- a/src/gateway/data-path/patient-stream.test.ts
+++ b/src/gateway/data-path/patient-stream.test.ts
@@ -21,9 +21,9 @@
 });
 
 /** Starts a gateway with a stream that may be resumed, of short objectives, and an endpoint for each behaviour. */
-async function startGateway(carriesPrompt: boolean, behaviours: EndpointBehaviour[]): Promise<TestGateway> {
+async function startGateway(carriesPrompt: boolean, behaviours: EndpointBehaviour[], maxEventGapMilliseconds = 100): Promise<TestGateway> {
 	const route = testRoute({
-		kind: 'resumable-stream', carriesPrompt, timeoutMilliseconds, maxAttempts: behaviours.length, maxEventGapMilliseconds: 100,
+		kind: 'resumable-stream', carriesPrompt, timeoutMilliseconds, maxAttempts: behaviours.length, maxEventGapMilliseconds,
 	});
 	const gateway = await new TestGateway(testConfiguration({routes: [route]})).start();
 	const inTurn = behaviours.values();
@@ -89,3 +89,23 @@
 	await gateway.close();
 	assertWhole(answer, gateway);
 });
+
+test('a stream of an endpoint that goes on is not cut because its replacement rejects it late', async () => {
+	const gateway = await startGateway(true, [
+		async (incoming, response) => {
+			begin(incoming, response);
+			response.write('id: 1\ndata: first\n\n');
+			await pause(2600);
+			response.end('id: 2\ndata: last\n\n');
+		},
+		async (_incoming, response) => {
+			// A process that was silent as well: its connections are accepted by the operating system meanwhile.
+			await pause(500);
+			response.writeHead(503, {[names.notExecuted]: '1'});
+			response.end();
+		},
+	], 400);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assertWhole(answer, gateway);
+});
