Read the events that wait before the end of a grant cancels their prompt

A prompt whose instance was paused beyond the end of its grant of older weights got 502 although its first event lay in the socket: the event loop runs timers before it reads sockets. The grant now ends after the sockets were polled once more, as the deadline and the check for silence do. paused-grant.test.ts failed before.

--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -187,12 +187,18 @@
 		}
 
 		this.#grantTimer = setTimeout(() => {
-			if (!this.#hasBegun) {
-				this.#cancel(exchange, 'older-weights');
-			}
+			void this.#endGrant(exchange);
 		}, Math.max(0, end - cancelMarginMilliseconds - this.#now()));
 	}
 
+	/** After a pause of this process the timer runs before the sockets are read, and the first event may wait in one of them. */
+	async #endGrant(exchange: OpenExchange): Promise<void> {
+		await afterNextPoll();
+		if (!this.#hasBegun && !this.#isStopped) {
+			this.#cancel(exchange, 'older-weights');
+		}
+	}
+
 	#cancel(exchange: OpenExchange, reason: CancelReason): void {
 		this.#cancelReason ??= reason;
 		if (reason !== 'older-weights') {
