Do not count a missing relay as a failed connection to an endpoint

A relayed answer ended as that of a lost endpoint after two checks for which no relay was at hand: 'no relay could say' was taken for 'down'. It is now no evidence. unknown-path.test.ts failed before.

--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -146,14 +146,14 @@
 		return result;
 	}
 
-	/** Whether an endpoint accepts a connection by the path that requests to it take. */
+	/** Whether an endpoint accepts a connection by the path that requests to it take; true as well where no relay could say. */
 	async isUp(endpoint: EndpointRecord): Promise<boolean> {
 		return this.#checks.isUp(incarnationOf(endpoint), this.#now(), async () => this.#check(endpoint));
 	}
 
 	async #check(endpoint: EndpointRecord): Promise<boolean> {
 		const result = this.isRelayed(endpoint) ? await this.#dependencies.relays.probe(endpoint) : await this.#probe(endpoint.address);
-		return result === 'accepted';
+		return result === undefined || result === 'accepted';
 	}
 
 	/** Whether one of a few other endpoints that were up until now accepts a connection; true if there is none. */
