End an abandoned stream only at a silent endpoint, by what its caller has read

The patience counts only while the endpoint is silent, from when the caller has read what was sent, and with a quarter of a second for the close.

--- a/src/decision/attempts/silent-attempt.ts
+++ b/src/decision/attempts/silent-attempt.ts
@@ -11,6 +11,8 @@
 export type SilentAttempt = {
 	/** Connection attempts to the endpoint that failed in a row since its last byte. */
 	failedConnections: number;
+	/** Whether requests wait at the endpoint, or its streams stand still, and it has sent nothing to any instance for a while. */
+	isSilent: boolean;
 	/** Whether the endpoint has been silent for much longer than is usual of its service. */
 	isUnresponsive: boolean;
 	/** Milliseconds since the caller got the last bytes, or since its request arrived. */
@@ -29,16 +31,18 @@
  */
 export type SilenceStep = 'wait' | 'replace' | 'end-unreachable' | 'end-abandoned';
 
+/** A caller that gives up closes its connection; this is how long the close may be on its way. */
+const disconnectMilliseconds = 250;
 /** A single connection attempt may fail because a packet was lost. */
 const failuresToEnd = 2;
 
 /** Decides the step. */
-export function decideOnSilence({failedConnections, isUnresponsive, callerWaitedMilliseconds, callerPatienceMilliseconds}: SilentAttempt): SilenceStep {
+export function decideOnSilence({failedConnections, isSilent, isUnresponsive, callerWaitedMilliseconds, callerPatienceMilliseconds}: SilentAttempt): SilenceStep {
 	if (failedConnections >= failuresToEnd) {
 		return 'end-unreachable';
 	}
 
-	if (callerWaitedMilliseconds > callerPatienceMilliseconds) {
+	if (isSilent && callerWaitedMilliseconds > callerPatienceMilliseconds + disconnectMilliseconds) {
 		return 'end-abandoned';
 	}
 
--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -96,6 +96,11 @@
 	 * endpoint would look silent, and every waiting request would run a second time.
 	 */
 	async #check(exchange: OpenExchange): Promise<void> {
+		if (!this.#isReading) {
+			// The caller has not read what it has got.
+			this.#work.caller.waitsSince = this.#now();
+		}
+
 		if (!this.#isSilent() && this.#step() === 'wait') {
 			this.#failedConnections = 0;
 			return;
@@ -146,6 +151,7 @@
 		return this.#isReading
 			? decideOnSilence({
 				failedConnections: this.#failedConnections,
+				isSilent: this.#isSilent(),
 				isUnresponsive: this.#isUnresponsive(),
 				callerWaitedMilliseconds: this.#now() - caller.waitsSince,
 				callerPatienceMilliseconds: route.kind === 'resumable-stream' ? callerPatienceMilliseconds(route) : Number.POSITIVE_INFINITY,
