Replace a silent endpoint only once the other one has begun to run the request

An endpoint that had not rejected a stream within 0.3 s took it over, though it may have been silent itself: it rejected at 0.5 s, and the stream was cut while its first endpoint would have gone on. And a call whose first endpoint ended waited for a silent replacement until its deadline. Now the head of the second answer decides, which an engine sends with its first token; the first attempt ends at that moment, so that no stream runs at two endpoints. When the first one ends by itself, the other leads at once and can be replaced in turn; a failure that can be passed on is passed on unless the other was sent only just now. A replacement that was told to stop while it connected no longer counts as not reached.

--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -166,13 +166,15 @@
 			return;
 		}
 
-		const work: Work = {startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY};
+		const work: Work = {startedAt: Number.POSITIVE_INFINITY, endedAt: Number.POSITIVE_INFINITY};
 		this.#works.set(body, [...this.#works.get(body) ?? [], work]);
 		response.once('close', () => {
 			work.endedAt = performance.now();
 		});
 		await delay(this.#choices.between(...firstByteMilliseconds));
 		await this.#untilAudible(endpoint, body);
+		// An engine runs a request from its first token on; before, the request waits or is prefilled.
+		work.startedAt = performance.now();
 		endpoint.begin(response, arrival);
 		const events = SilentTraffic.eventsOf(body);
 		for (let id = 1 + Number(response.req.headers['last-event-id'] ?? 0); id <= events && !response.destroyed; id++) {
@@ -262,5 +264,5 @@
 
 /** Whether a stream was at work at two endpoints at the same time for long. */
 function isDoubled(works: Work[]): boolean {
-	return works.some((one, index) => works.slice(index + 1).some(other => Math.min(one.endedAt, other.endedAt) - other.startedAt > doubledMilliseconds));
+	return works.some((one, index) => works.slice(index + 1).some(other => Math.min(one.endedAt, other.endedAt) - Math.max(one.startedAt, other.startedAt) > doubledMilliseconds));
 }
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -1,8 +1,9 @@
 /**
  * The attempts of one request that are in flight: the leading one, whose answer is relayed, and one that may replace it.
  *
- * A silent endpoint may have failed or may go on the next moment. So its attempt is not ended until another endpoint has accepted
- * the request: if that one rejects it, or the silent one goes on first, nothing is lost.
+ * A silent endpoint may have failed or may go on the next moment. So its attempt is not ended until another endpoint has sent the
+ * head of an answer, which it does when it begins to run the request: if that one rejects it, or the silent one goes on first,
+ * nothing is lost, and no stream runs at two endpoints.
  */
 import {minRetryMilliseconds} from '../../decision/attempts/next-step.js';
 import {type PlacementBasis} from '../../decision/placement/placement.js';
@@ -43,17 +44,16 @@
 	hasEnded: boolean;
 	/** Chunks of its answer that have arrived. */
 	chunks: number;
+	/** Whether it was ended because the attempt that it was to replace went on. */
+	isSuperseded: boolean;
 	/** Called when it leads or has ended. */
 	settle: () => void;
 };
 
 /** Pause between two searches for a replacement. */
 const replacementIntervalMilliseconds = 500;
-/**
- * An endpoint that cannot take a request rejects it within this time. One that has not done so takes a stream over before it has
- * answered, so that two endpoints do not work on it for long.
- */
-const rejectionMilliseconds = 300;
+/** An endpoint that has not answered for longer than this may be as silent as the first one. */
+const freshReplacementMilliseconds = 300;
 
 export class RequestAttempts {
 	/** Number of endpoints that the request was sent to, by the attempts that have ended. */
@@ -137,7 +137,7 @@
 			return ended;
 		});
 		const running: RunningAttempt = {
-			endpoint, attempt, result, hasEnded: false, chunks: 0, settle: ignore,
+			endpoint, attempt, result, hasEnded: false, chunks: 0, isSuperseded: false, settle: ignore,
 		};
 		if (request.prompt !== undefined) {
 			this.#context.peerUpdates.report();
@@ -149,7 +149,7 @@
 	#account(running: RunningAttempt, result: AttemptResult, isDirect: boolean): void {
 		const {unconnected, crashScreen} = this.#request;
 		running.hasEnded = true;
-		if (result.outcome === 'not-sent' && isDirect) {
+		if (result.outcome === 'not-sent' && isDirect && !running.isSuperseded) {
 			unconnected.add(running.endpoint);
 		}
 
@@ -165,11 +165,23 @@
 			result.answer?.discard();
 		}
 
-		if (result.outcome === 'whole') {
-			this.#supersedeReplacement();
+		this.#decideOnReplacement(running, result);
+		running.settle();
+	}
+
+	/** Decides about a replacement that has not answered when the attempt ends that it was to replace. */
+	#decideOnReplacement(ended: RunningAttempt, {outcome}: AttemptResult): void {
+		const replacement = this.#replacement;
+		if (replacement === undefined || ended !== this.#leading) {
+			return;
 		}
 
-		running.settle();
+		// A failure that can be passed on is worth more than an endpoint that may be silent too.
+		if (outcome === 'whole' || outcome === 'client-left' || (outcome === 'failed' && this.#now() - replacement.attempt.sentAt > freshReplacementMilliseconds)) {
+			this.#supersedeReplacement();
+		} else {
+			this.#takeOver(replacement);
+		}
 	}
 
 	/** Whether the answer of an attempt may be relayed. The first one leads, and one that replaces it ends it. */
@@ -194,6 +206,7 @@
 
 		this.#leading = running;
 		this.#replacement = undefined;
+		this.#caller.waitsSince = this.#now();
 		running.settle();
 	}
 
@@ -201,7 +214,10 @@
 	#supersedeReplacement(): void {
 		const replacement = this.#replacement;
 		this.#replacement = undefined;
-		replacement?.attempt.supersede();
+		if (replacement !== undefined) {
+			replacement.isSuperseded = true;
+			replacement.attempt.supersede();
+		}
 	}
 
 	#lookForReplacement(leading: RunningAttempt): void {
@@ -225,7 +241,7 @@
 	}
 
 	async #replace(leading: RunningAttempt): Promise<void> {
-		const {search, signal, work: {request, permitted: {service, route: {kind}}}} = this.#request;
+		const {search, signal, work: {request, permitted: {service}}} = this.#request;
 		const {chunks} = leading;
 		if (await search.prepare(signal) !== undefined) {
 			return;
@@ -243,15 +259,9 @@
 
 		const replacement = this.#start(found);
 		this.#replacement = replacement;
-		const timer = setTimeout(() => {
-			if (this.#replacement === replacement && kind === 'resumable-stream') {
-				this.#takeOver(replacement);
-			}
-		}, rejectionMilliseconds);
 		await new Promise<void>(resolve => {
 			replacement.settle = resolve;
 		});
-		clearTimeout(timer);
 	}
 
 	#logFailed({endpoint}: RunningAttempt, result: AttemptResult, step: 'repeat' | 'resume' | 'wait'): void {
