Look at requests that are pipelined behind an answer that announces the close

Run again over two processes: requests sent in pairs after SIGTERM, and pairs whose first head is sent in the drain. 8 of 8 second requests were read, sent on to an endpoint and closed without an answer (`closedBy` `instance`, `closeReason` `last-answer`).

--- a/src/serving/drain-pipelined.test.ts
+++ b/src/serving/drain-pipelined.test.ts
@@ -4,6 +4,7 @@
 import {openSocket, readToEnd} from '../test/raw-http.js';
 import {completeAnswers} from '../test/steered-caller.js';
 import {waitUntil} from '../test/wait-until.js';
+import {afterNextPoll} from './after-next-poll.js';
 import {HttpListener} from './http-listener.js';
 
 const requestBytes = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
@@ -28,3 +29,24 @@
 	await drained;
 	assert.equal(completeAnswers(await received).length, 2);
 });
+
+test('a pipelined request behind an answer that announces the close is answered or not handled', async t => {
+	// Guards against requests that run although HTTP promises their caller that nothing behind such an answer does.
+	const responses: ServerResponse[] = [];
+	const listener = new HttpListener('front', (_request, response) => {
+		responses.push(response);
+	}, '127.0.0.1:0');
+	const caller = await openSocket(await listener.listen());
+	t.after(async () => listener.drain());
+	const received = readToEnd(caller);
+	listener.announceClose();
+	caller.write(requestBytes + requestBytes);
+	await waitUntil(() => responses.length > 0);
+	await afterNextPoll();
+	const handled = responses.length;
+	for (const response of responses) {
+		response.end('answer');
+	}
+
+	assert.equal(completeAnswers(await received).length, handled);
+});
