Answer pipelined requests that were read while a listener drains

A request that was read whole and sent on lost its answer when its instance was stopped while the answer before it on the same connection was being sent: 4 of 4. Cause: the drain ended the connection after that answer, and marked each pending answer as the connection's last. The connection now ends when no answer of it is pending, and only the last one announces the close. A request behind an answer that has announced the close is not handled: HTTP promises its caller that nothing behind it is, and 8 of 8 such requests were sent on and lost.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -194,10 +194,16 @@
 
 	#serve(request: IncomingMessage, response: ServerResponse): void {
 		const {socket} = request;
-		this.#connections.get(socket)?.add(response);
+		const responses = this.#connections.get(socket);
+		if ([...responses ?? []].some(earlier => earlier.getHeader('connection') === 'close')) {
+			// HTTP promises the caller that nothing behind such an answer is handled; the connection ends after it.
+			return;
+		}
+
+		responses?.add(response);
 		response.once('close', () => {
 			this.#connections.get(socket)?.delete(response);
-			if (this.#draining) {
+			if (this.#draining && this.#unanswered(socket) === 0) {
 				noteClose(socket, 'drain');
 				socket.end();
 			}
@@ -258,11 +264,16 @@
 		});
 	}
 
+	/** Requests of a connection that were read and whose answers are not complete. */
+	#unanswered(connection: Duplex): number {
+		return this.#connections.get(connection)?.size ?? 0;
+	}
+
 	#announceClose(connection: Socket, responses: ReadonlySet<ServerResponse>): void {
-		for (const response of responses) {
-			if (!response.headersSent) {
-				response.setHeader('connection', 'close');
-			}
+		// The answers before the last one of a connection must not close it: the other requests have been read as well.
+		const last = [...responses].at(-1);
+		if (last?.headersSent === false) {
+			last.setHeader('connection', 'close');
 		}
 
 		if (responses.size === 0 && connection.bytesRead === 0) {
