Ignore further SIGTERMs while a process stops

What stops a service may send it again; a person who does not want to wait sends SIGINT twice, which still ends the process.

--- a/src/shared/stop-on-signals.ts
+++ b/src/shared/stop-on-signals.ts
@@ -1,20 +1,33 @@
 import process from 'node:process';
 
+/** The part of a process that signals reach. */
+export type SignalTarget = Pick<NodeJS.Process, 'on' | 'exit'>;
+
 /**
  * Stops the process gracefully on SIGTERM or SIGINT.
  *
- * @param stop - Finishes the process's work; the process exits when it resolves. A second signal of the same kind ends the
- * process at once.
+ * What stops a service may send SIGTERM more than once; that must not end requests which the first one lets finish. A second SIGINT
+ * comes from a person who does not want to wait.
+ *
+ * @param stop - Finishes the process's work; the process exits when it resolves. A second SIGINT ends the process at once.
+ * @param target - The process.
  */
-export function stopOnSignals(stop: () => Promise<void>): void {
+export function stopOnSignals(stop: () => Promise<void>, target: SignalTarget = process): void {
+	let stopping: Promise<void> | undefined;
 	const end = async (): Promise<void> => {
 		await stop();
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit -- Only the programs' main modules call this.
+		target.exit(0);
 	};
 
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
-			void end();
-		});
-	}
+	target.on('SIGTERM', () => {
+		stopping ??= end();
+	});
+	let interrupts = 0;
+	target.on('SIGINT', () => {
+		interrupts++;
+		stopping ??= end();
+		if (interrupts > 1) {
+			target.exit(130);
+		}
+	});
 }
