Let no exception of a replacement end its request or the process

A search for a replacement runs beside the attempt that it is for, so nobody awaits it: an exception there would have ended the process with all of its requests, or left the request waiting. It is logged, and the leading attempt goes on. The new test ends its process before.

--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -227,9 +227,7 @@
 		}
 
 		this.#nextReplacementAt = now + replacementIntervalMilliseconds;
-		this.#replacing = this.#replace(leading).finally(() => {
-			this.#replacing = undefined;
-		});
+		this.#replacing = this.#replaceOrLog(leading);
 	}
 
 	/** Whether a second endpoint can serve the request from where the caller's answer has come to. */
@@ -240,6 +238,18 @@
 		return isResumable && isWithinLimits && this.#context.retryBudget.hasRetry(service, now);
 	}
 
+	/** An exception must neither end the process nor the request, whose leading attempt goes on. */
+	async #replaceOrLog(leading: RunningAttempt): Promise<void> {
+		try {
+			await this.#replace(leading);
+		} catch (error) {
+			this.#replacement = undefined;
+			this.#context.log.record('fault', {path: 'replacement', id: this.#request.work.head.attemptId, error: String(error)});
+		} finally {
+			this.#replacing = undefined;
+		}
+	}
+
 	async #replace(leading: RunningAttempt): Promise<void> {
 		const {search, signal, work: {request, permitted: {service}}} = this.#request;
 		const {chunks} = leading;
@@ -259,9 +269,10 @@
 
 		const replacement = this.#start(found);
 		this.#replacement = replacement;
-		await new Promise<void>(resolve => {
+		const settled = new Promise<void>(resolve => {
 			replacement.settle = resolve;
 		});
+		await Promise.race([settled, replacement.result]);
 	}
 
 	#logFailed({endpoint}: RunningAttempt, result: AttemptResult, step: 'repeat' | 'resume' | 'wait'): void {
--- a/src/gateway/data-path/silent-endpoint.test.ts
+++ b/src/gateway/data-path/silent-endpoint.test.ts
@@ -138,6 +138,22 @@
 	assert.deepEqual(recorder.closed, ['slow']);
 });
 
+test('a search for a replacement that throws ends neither the process nor the stream', async () => {
+	const gateway = await startGateway(2, [goOnAfterSilence, goOnAfterSilence]);
+	let queries = 0;
+	gateway.context.peerUpdates.refresh = async () => {
+		queries++;
+		if (queries > 1) {
+			throw new Error('no answer');
+		}
+	};
+
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assertWhole(answer, gateway);
+	assert.equal(gateway.lines.find(({kind}) => kind === 'fault')?.path, 'replacement');
+});
+
 test('another endpoint goes on with the stream of a silent one, which is told to stop at once', async () => {
 	const recorder = new Recorder();
 	const gateway = await startGateway(2, [
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -10,7 +10,6 @@
 import {HttpListener} from '../../serving/http-listener.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
-import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
 import {CrashLedger} from '../crashes/crash-ledger.js';
 import {keyOfReport} from '../crashes/crash-report-rows.js';
 import {EndpointCrashes} from '../crashes/endpoint-crashes.js';
@@ -61,7 +60,7 @@
 	 * @param streamOrigins - Shared by gateways of a test that know where each other's streams began.
 	 * @param clock - Replaced where the speed of the machine must not matter.
 	 */
-	constructor(configuration: RoutedConfiguration = testConfiguration(), crashLedger = new CrashLedger(), streamOrigins: StreamOrigins = new LocalStreamOrigins(), clock: MomentClock = systemMomentClock) {
+	constructor(configuration = testConfiguration(), crashLedger = new CrashLedger(), streamOrigins: StreamOrigins = new LocalStreamOrigins(), clock: MomentClock = systemMomentClock) {
 		const metrics = new GatewayMetrics();
 		const view = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 120_000});
 		view.offer(configuration);
