--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -2,11 +2,10 @@
  * One attempt to serve a request at one endpoint: sends the request, classifies the answer by its head, and relays the body
  * as it arrives. What follows a failed attempt is decided in `decision/attempts`.
  */
-import {type AttemptOutcome} from '../../decision/attempts/next-step.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {type AnswerTransfer} from './answer-transfer.js';
+import {type AttemptResult, transferOf} from './attempt-result.js';
 import {classifyAnswer, isServedAnswer} from './classify-answer.js';
 import {endDetails, type EndReason} from './end-reason.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
@@ -19,20 +18,6 @@
 import {AttemptWatch} from './attempt-watch.js';
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
-/** How an attempt ended. */
-export type AttemptResult = {
-	outcome: AttemptOutcome | 'whole' | 'client-left';
-	/** Whether the endpoint may have received the request. */
-	wasSent: boolean;
-	/** Whether the endpoint may have run the request. */
-	mayHaveRun: boolean;
-	/** Whether the endpoint's side ended the connection before the answer was complete. */
-	isConnectionLost?: boolean;
-	answer?: EndpointAnswer;
-	transfer: AnswerTransfer;
-	detail?: string | undefined;
-};
-
 export class EndpointAttempt {
 	/** When it was sent, in milliseconds of the steady clock. */
 	sentAt = 0;
@@ -299,13 +284,3 @@
 		return this.#context.clock.moment().steady;
 	}
 }
-
-/**
- * Describes for the log how an answer was transferred.
- *
- * @param answer - The answer, with its framing and connection.
- * @param read - What was read of its body.
- */
-export function transferOf({connection, framing}: EndpointAnswer, read: Pick<AnswerTransfer, 'bodyBytes' | 'bodyEnd'>): AnswerTransfer {
-	return {connection, framing, ...read};
-}
--- a/src/gateway/data-path/log-failed-attempt.ts
+++ b/src/gateway/data-path/log-failed-attempt.ts
@@ -1,7 +1,7 @@
 /** Writes the log line of an attempt that did not end in a complete answer. */
 import {type NextStep} from '../../decision/attempts/next-step.js';
 import {type DecisionLog} from '../observability/decision-log.js';
-import {type AttemptResult} from './endpoint-attempt.js';
+import {type AttemptResult} from './attempt-result.js';
 
 /** The attempt and the step that follows. */
 export type FailedAttempt = {
--- a/src/gateway/data-path/relay-failure.ts
+++ b/src/gateway/data-path/relay-failure.ts
@@ -3,7 +3,7 @@
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type AnswerTransfer} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
-import {transferOf} from './endpoint-attempt.js';
+import {transferOf} from './attempt-result.js';
 import {relayAnswer, type RelayOutcome} from './relay-answer.js';
 
 /** The failure to relay, and the response to write it to. */
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -14,6 +14,7 @@
  * arrive later do not make it usable again.
  */
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {rememberBounded} from '../../shared/remember-bounded.js';
 import {VersionHistory} from './version-history.js';
 
 /** An endpoint whose row is missing since an outage of the store, and until when it may be used. */
@@ -137,7 +138,7 @@
 			return false;
 		}
 
-		remember(this.#announced, incarnation);
+		rememberBounded(this.#announced, incarnation, maxDepartures);
 		const listed = this.#records.get(endpoint.name);
 		if (listed !== undefined && incarnationOf(listed) === incarnation) {
 			this.#records.set(endpoint.name, {...listed, state: 'leaving'});
@@ -148,7 +149,7 @@
 			unconfirmed.record = {...unconfirmed.record, state: 'leaving'};
 		}
 
-		remember(this.#departures, incarnation);
+		rememberBounded(this.#departures, incarnation, maxDepartures);
 		return true;
 	}
 
@@ -165,7 +166,7 @@
 	noteEnded(endpoint: EndpointRecord): void {
 		// Without a start, the next incarnation could not be told from this one.
 		if (endpoint.startedAt > 0) {
-			remember(this.#ended, incarnationOf(endpoint));
+			rememberBounded(this.#ended, incarnationOf(endpoint), maxDepartures);
 		}
 	}
 
@@ -269,7 +270,7 @@
 	}
 
 	#noteDeparture(record: EndpointRecord): void {
-		remember(this.#departures, incarnationOf(record));
+		rememberBounded(this.#departures, incarnationOf(record), maxDepartures);
 	}
 
 	#remove(name: string, now: number, change: RegistryChange): void {
@@ -294,10 +295,3 @@
 		change.vanished.push(record);
 	}
 }
-
-function remember(incarnations: Set<string>, incarnation: string): void {
-	incarnations.add(incarnation);
-	if (incarnations.size > maxDepartures) {
-		incarnations.delete(incarnations.values().next().value!);
-	}
-}
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -13,6 +13,7 @@
 import {type Child} from '../supervisor/supervisor.js';
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
+import {closeIfBodyOutstanding} from './close-if-body-outstanding.js';
 import {noteClose, noteClosed} from './connection-close.js';
 import {HalfClosedCaller} from './half-closed-caller.js';
 import {sendRefusal} from './send-refusal.js';
@@ -34,13 +35,6 @@
 	maxHeaderBytes: 32_768,
 };
 
-/**
- * Time for the rest of a body to arrive after its request was answered. Node goes on reading it, since closing a connection
- * with unread bytes resets it and could lose the answer. Without a limit, a sender that ignores a refusal would be read for as
- * long as a request may take.
- */
-const outstandingBodyMilliseconds = 2000;
-
 /** Handles a request from `node:http`. */
 export type NodeHandler = (request: IncomingMessage, response: ServerResponse) => unknown;
 
@@ -292,18 +286,3 @@
 		}
 	}
 }
-
-/** Closes the connection of an answered request unless the rest of its body arrives soon. */
-function closeIfBodyOutstanding(request: IncomingMessage): void {
-	const {socket} = request;
-	if (request.complete) {
-		return;
-	}
-
-	setTimeout(() => {
-		if (!request.complete) {
-			noteClose(socket, 'body-outstanding');
-			socket.destroy();
-		}
-	}, outstandingBodyMilliseconds).unref();
-}
