--- a/src/check/resuming-callers.ts
+++ b/src/check/resuming-callers.ts
@@ -45,7 +45,7 @@
 
 const path = '/resumable/';
 const maxTries = 6;
-const patienceMilliseconds = 6000;
+const timeoutMilliseconds = 6000;
 const deadlineMilliseconds = 3500;
 const fewestEvents = 8;
 const mostEvents = 40;
@@ -85,7 +85,7 @@
 			tries: [], ids: [], length, isWhole: false,
 		};
 		this.streams.push(stream);
-		const givesUpAt = performance.now() + patienceMilliseconds;
+		const givesUpAt = performance.now() + timeoutMilliseconds;
 		let firstAttempt: string | undefined;
 		let instance: GatewayInstance | undefined;
 		while (!stream.isWhole && stream.tries.length < maxTries && performance.now() < givesUpAt) {
--- a/src/decision/attempts/caller-patience.ts
+++ b/src/decision/attempts/event-timeout.ts
@@ -2,9 +2,9 @@
 import {type Route} from '../../shared/routed-configuration.js';
 
 /** Callers wait at least this long, whatever the objectives are. */
-const minPatienceMilliseconds = 2000;
-const patienceInObjectives = 4;
-const patienceInEventGaps = 8;
+const minTimeoutMilliseconds = 2000;
+const timeoutInObjectives = 4;
+const timeoutInEventGaps = 8;
 
 /**
  * Returns the time after which the caller of a stream that has got no event gives up.
@@ -12,6 +12,6 @@
  * @param route - The objectives of its route.
  * @returns Milliseconds since the last event, or since the request if there was none.
  */
-export function callerPatienceMilliseconds({objectiveMilliseconds, maxEventGapMilliseconds}: Pick<Route, 'objectiveMilliseconds' | 'maxEventGapMilliseconds'>): number {
-	return Math.max(minPatienceMilliseconds, patienceInObjectives * objectiveMilliseconds, patienceInEventGaps * maxEventGapMilliseconds);
+export function eventTimeoutMilliseconds({objectiveMilliseconds, maxEventGapMilliseconds}: Pick<Route, 'objectiveMilliseconds' | 'maxEventGapMilliseconds'>): number {
+	return Math.max(minTimeoutMilliseconds, timeoutInObjectives * objectiveMilliseconds, timeoutInEventGaps * maxEventGapMilliseconds);
 }
--- a/src/decision/attempts/silent-attempt.test.ts
+++ b/src/decision/attempts/silent-attempt.test.ts
@@ -3,7 +3,7 @@
 import {decideOnSilence, type SilentAttempt} from './silent-attempt.js';
 
 const waiting: SilentAttempt = {
-	failedConnections: 0, isSilent: true, isUnresponsive: false, callerWaitedMilliseconds: 1900, callerPatienceMilliseconds: 2000,
+	failedConnections: 0, isSilent: true, isUnresponsive: false, callerWaitedMilliseconds: 1900, eventTimeoutMilliseconds: 2000,
 };
 
 test('silence alone ends no attempt, however unusual it is', () => {
@@ -20,5 +20,5 @@
 	assert.equal(decideOnSilence({...waiting, isUnresponsive: true, callerWaitedMilliseconds: 2251}), 'end-abandoned');
 	assert.equal(decideOnSilence({...waiting, isUnresponsive: true, callerWaitedMilliseconds: 2250}), 'replace');
 	assert.equal(decideOnSilence({...waiting, isSilent: false, callerWaitedMilliseconds: 1e6}), 'wait');
-	assert.equal(decideOnSilence({...waiting, callerWaitedMilliseconds: 1e6, callerPatienceMilliseconds: Number.POSITIVE_INFINITY}), 'wait');
+	assert.equal(decideOnSilence({...waiting, callerWaitedMilliseconds: 1e6, eventTimeoutMilliseconds: Number.POSITIVE_INFINITY}), 'wait');
 });
--- a/src/decision/attempts/silent-attempt.ts
+++ b/src/decision/attempts/silent-attempt.ts
@@ -18,7 +18,7 @@
 	/** Milliseconds since the caller got the last bytes, or since its request arrived. */
 	callerWaitedMilliseconds: number;
 	/** How long the caller waits for the next bytes. */
-	callerPatienceMilliseconds: number;
+	eventTimeoutMilliseconds: number;
 };
 
 /**
@@ -37,12 +37,12 @@
 const failuresToEnd = 2;
 
 /** Decides the step. */
-export function decideOnSilence({failedConnections, isSilent, isUnresponsive, callerWaitedMilliseconds, callerPatienceMilliseconds}: SilentAttempt): SilenceStep {
+export function decideOnSilence({failedConnections, isSilent, isUnresponsive, callerWaitedMilliseconds, eventTimeoutMilliseconds}: SilentAttempt): SilenceStep {
 	if (failedConnections >= failuresToEnd) {
 		return 'end-unreachable';
 	}
 
-	if (isSilent && callerWaitedMilliseconds > callerPatienceMilliseconds + disconnectMilliseconds) {
+	if (isSilent && callerWaitedMilliseconds > eventTimeoutMilliseconds + disconnectMilliseconds) {
 		return 'end-abandoned';
 	}
 
--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -1,5 +1,5 @@
 /** Watches one attempt at an endpoint: asks for a replacement when it is silent, and cancels it where further waiting is useless. */
-import {callerPatienceMilliseconds} from '../../decision/attempts/caller-patience.js';
+import {eventTimeoutMilliseconds} from '../../decision/attempts/event-timeout.js';
 import {isRetryable} from '../../decision/attempts/next-step.js';
 import {decideOnSilence, type SilenceStep} from '../../decision/attempts/silent-attempt.js';
 import {olderWeightsDeadline} from '../../decision/placement/older-weights.js';
@@ -154,7 +154,7 @@
 				isSilent: this.#isSilent(),
 				isUnresponsive: this.#isUnresponsive(),
 				callerWaitedMilliseconds: this.#now() - caller.waitsSince,
-				callerPatienceMilliseconds: route.kind === 'resumable-stream' ? callerPatienceMilliseconds(route) : Number.POSITIVE_INFINITY,
+				eventTimeoutMilliseconds: route.kind === 'resumable-stream' ? eventTimeoutMilliseconds(route) : Number.POSITIVE_INFINITY,
 			})
 			: 'wait';
 	}
--- a/src/gateway/observability/request-diagnosis.test.ts
+++ b/src/gateway/observability/request-diagnosis.test.ts
@@ -26,7 +26,7 @@
 
 const timeoutMilliseconds = 400;
 /** In real time. A request that never ends fails its test instead of blocking the process. */
-const callerPatienceMilliseconds = 20_000;
+const callerTimeoutMilliseconds = 20_000;
 
 /** A gateway's clock and timers stand still until `pass`: on a busy machine its requests are neither late nor expired. */
 function mockTime(context: TestContext): {clock: MomentClock; pass: (milliseconds: number) => void} {
@@ -62,7 +62,7 @@
 	}
 
 	const caller = await openSocket(gateway.address);
-	caller.setTimeout(callerPatienceMilliseconds, () => {
+	caller.setTimeout(callerTimeoutMilliseconds, () => {
 		caller.destroy();
 	});
 	const reading = readToEnd(caller);
