Log how far an answer had come, and the prompt blocks, where an endpoint ended

Cause: no line told whether requests that ended endpoints had a prompt block in common, or at which point of the answer an endpoint ended, so the hypotheses on the crashing block could not be told apart. Change: connections-lost gives for each request its progress ('unanswered', 'begun', 'answering') and, unless it was answering, the first eight blocks that other prompts may share.

--- a/src/gateway/crashes/crash-detector.test.ts
+++ b/src/gateway/crashes/crash-detector.test.ts
@@ -31,7 +31,9 @@
 			},
 		});
 		for (const fingerprint of requests) {
-			detector.noteLost(endpoint, {fingerprint, inFlightMilliseconds: 1});
+			detector.noteLost(endpoint, {
+				fingerprint, inFlightMilliseconds: 1, progress: 'unanswered', blocks: [],
+			});
 		}
 	});
 	return {crashes, verdicts};
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -5,6 +5,7 @@
  * are cut off. A process that has ended refuses connections, so a connection attempt after the break tells them apart within
  * a few milliseconds; the endpoint's row in the list vanishes only seconds later.
  */
+import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
@@ -16,6 +17,9 @@
 	fingerprint: string;
 	/** From the sending of the request to the break. */
 	inFlightMilliseconds: number;
+	progress: AnswerProgress;
+	/** The ids of those blocks of its prompt that other prompts may share. */
+	blocks: readonly string[];
 };
 
 /**
@@ -51,6 +55,8 @@
 const probeDelaysMilliseconds = [0, 100, 300];
 /** The requests that a crash cuts are found within this time: their connections break in the same few milliseconds. */
 const collectMilliseconds = 40;
+/** The blocks of a prompt that a log line names; a prompt may have hundreds. */
+const maxLoggedBlocks = 8;
 
 type Break = {endpoint: EndpointRecord; requests: LostRequest[]};
 
@@ -87,7 +93,12 @@
 		this.#open.delete(incarnationOf(found.endpoint));
 		const {endpoint, requests} = found;
 		log.record('connections-lost', {
-			endpoint: endpoint.name, verdict, requests: requests.map(({fingerprint, inFlightMilliseconds}) => [fingerprint, Math.round(inFlightMilliseconds)]),
+			endpoint: endpoint.name,
+			verdict,
+			requests: requests.map(({fingerprint, inFlightMilliseconds, progress, blocks}) => {
+				const line = [fingerprint, Math.round(inFlightMilliseconds), progress];
+				return progress === 'answering' ? line : [...line, ...blocks.slice(0, maxLoggedBlocks)];
+			}),
 		});
 		if (verdict === 'crashed') {
 			onCrash({endpoint, requests});
--- a/src/gateway/data-path/crash-screen.ts
+++ b/src/gateway/data-path/crash-screen.ts
@@ -3,22 +3,28 @@
  * complete answer.
  */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {sharedBlocksOf} from '../../shared/prompt-shape.js';
 import {type Refusal} from '../../shared/types.js';
+import {type LostRequest} from '../crashes/crash-detector.js';
 import {type Block} from '../crashes/crash-ledger.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type RequestHead} from './request-head.js';
 import {requestFingerprint, type IdentifiedRequest} from './request-fingerprint.js';
 
 /** How often a held request checks whether it is still blocked. */
 const holdCheckMilliseconds = 50;
 
+/** What identifies a request, and the prompt that it carries. */
+export type ScreenedRequest = IdentifiedRequest & {head: Pick<RequestHead, 'attemptId' | 'prompt'>};
+
 type ScreenContext = Pick<GatewayContext, 'clock' | 'crashes' | 'log'>;
 
 export class CrashScreen {
 	readonly #context: ScreenContext;
-	readonly #request: IdentifiedRequest & {head: {attemptId: string}};
+	readonly #request: ScreenedRequest;
 	#fingerprint: string | undefined;
 
-	constructor(context: ScreenContext, request: IdentifiedRequest & {head: {attemptId: string}}) {
+	constructor(context: ScreenContext, request: ScreenedRequest) {
 		this.#context = context;
 		this.#request = request;
 	}
@@ -61,8 +67,8 @@
 	}
 
 	/** Records that the connection to an endpoint broke before the answer was complete. */
-	noteLost(endpoint: EndpointRecord, inFlightMilliseconds: number): void {
-		this.#context.crashes.noteLost(endpoint, {fingerprint: this.fingerprint, inFlightMilliseconds});
+	noteLost(endpoint: EndpointRecord, lost: Pick<LostRequest, 'inFlightMilliseconds' | 'progress'>): void {
+		this.#context.crashes.noteLost(endpoint, {...lost, fingerprint: this.fingerprint, blocks: sharedBlocksOf(this.#request.head.prompt)});
 	}
 
 	/** Records a complete answer. */
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -5,6 +5,7 @@
  * head of an answer, which it does when it begins to run the request: if that one rejects it, or the silent one goes on first,
  * nothing is lost, and no stream runs at two endpoints.
  */
+import {answerProgress} from '../../decision/crashes/answer-progress.js';
 import {minRetryMilliseconds} from '../../decision/attempts/next-step.js';
 import {type PlacementBasis} from '../../decision/placement/placement.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
@@ -155,7 +156,11 @@
 		}
 
 		if (result.isConnectionLost) {
-			crashScreen.noteLost(running.endpoint, this.#now() - running.attempt.sentAt);
+			const {framing, bodyBytes = 0} = result.transfer;
+			crashScreen.noteLost(running.endpoint, {
+				inFlightMilliseconds: this.#now() - running.attempt.sentAt,
+				progress: answerProgress(framing !== undefined, bodyBytes),
+			});
 		}
 
 		this.sends += result.wasSent ? 1 : 0;
--- a/src/shared/prompt-shape.ts
+++ b/src/shared/prompt-shape.ts
@@ -14,3 +14,12 @@
 	/** In order; the last block belongs to this request only. */
 	blocks: readonly PromptBlock[];
 };
+
+/**
+ * Lists the ids of the blocks that other prompts may share: all but the last one.
+ *
+ * @param prompt - The prompt; `undefined` for a request without one, which has no blocks.
+ */
+export function sharedBlocksOf(prompt: PromptShape | undefined): string[] {
+	return prompt?.blocks.slice(0, -1).map(({id}) => id) ?? [];
+}
