Attribute crashes of endpoints to the prompt blocks that their requests share

Callers saw: prompts answered 502 in series while one engine after another ended, each under a prompt with one block in common. Cause: evidence was kept by the exact words of a request. No two of these prompts were alike, so no count reached three. Class: what is to blame is something that requests share; the key of the evidence was narrower than the cause. Change: a request has features, its fingerprint and those blocks of its prompt that others may share (never the last). Crashes are attributed to as few features as account for them, by one mechanism for both. Blocks that were present together at all of these crashes are blamed together, so that a prompt with only some of them still goes and tells them apart. Answers clear features: a later one always, one from the last ten minutes if the prompt had only waited at the crash. Prompts whose answer was being written are not evidence against their blocks. One workspace's crashes do not block another's prompts. A report names 256 blocks at most.

--- a/src/gateway/crashes/crash-detector.test.ts
+++ b/src/gateway/crashes/crash-detector.test.ts
@@ -32,7 +32,7 @@
 		});
 		for (const fingerprint of requests) {
 			detector.noteLost(endpoint, {
-				fingerprint, inFlightMilliseconds: 1, progress: 'unanswered', blocks: [],
+				fingerprint, inFlightMilliseconds: 1, progress: 'unanswered', workspace: '', blocks: [],
 			});
 		}
 	});
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -18,7 +18,8 @@
 	/** From the sending of the request to the break. */
 	inFlightMilliseconds: number;
 	progress: AnswerProgress;
-	/** The ids of those blocks of its prompt that other prompts may share. */
+	workspace: string;
+	/** Those blocks of its prompt that other prompts may share, as features. */
 	blocks: readonly string[];
 };
 
--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	CrashLedger, maxReports, reportRetentionMilliseconds, type CrashReport,
+	CrashLedger, maxReports, reportRetentionMilliseconds, type FeaturedRequest,
 } from './crash-ledger.js';
+import {type CrashReport} from './crash-reports.js';
 import {decodeReport, encodeReport, keyOfReport} from './crash-report-rows.js';
 
 function crash(incarnation: string, requests: string[], at = 0, instance = 'e1'): CrashReport {
@@ -11,6 +12,10 @@
 	};
 }
 
+function request(...features: string[]): FeaturedRequest {
+	return {features: new Set(features), workspace: ''};
+}
+
 function ledgerOf(...reports: CrashReport[]): CrashLedger {
 	const ledger = new CrashLedger();
 	for (const report of reports) {
@@ -22,29 +27,29 @@
 
 test('reports of several instances about one crash count as one crash', () => {
 	const ledger = ledgerOf(crash('a', ['poison'], 0, 'e1'), crash('a', ['poison'], 0, 'e2'), crash('a', ['poison'], 0, 'e3'));
-	assert.equal(ledger.blockOf('poison', 1), undefined);
+	assert.equal(ledger.blockOf(request('poison'), 1), undefined);
 });
 
 test('a block names the crashes that it follows from, with who reported them and when', () => {
 	const ledger = ledgerOf(crash('a', ['poison'], 5, 'e1'), crash('b', ['poison'], 6, 'e2'), crash('c', ['poison', 'beside'], 7, 'e3'));
-	assert.deepEqual(ledger.blockOf('poison', 8)?.crashes.map(({incarnation, instance, at}) => [incarnation, instance, at]), [['a', 'e1', 5], ['b', 'e2', 6], ['c', 'e3', 7]]);
-	assert.equal(ledger.blockOf('beside', 8), undefined);
+	assert.deepEqual(ledger.blockOf(request('poison'), 8)?.crashes.map(({incarnation, instance, at}) => [incarnation, instance, at]), [['a', 'e1', 5], ['b', 'e2', 6], ['c', 'e3', 7]]);
+	assert.equal(ledger.blockOf(request('beside'), 8), undefined);
 });
 
 test('a request that was answered since is not blocked by the crashes that it was present at', () => {
 	const ledger = ledgerOf(crash('a', ['hot']), crash('b', ['hot']), crash('c', ['hot']));
-	assert.notEqual(ledger.blockOf('hot', 1), undefined);
+	assert.notEqual(ledger.blockOf(request('hot'), 1), undefined);
 	ledger.put('s', {
 		kind: 'survival', instance: 'e1', at: 1, requests: [['hot', ['a', 'b']]],
 	});
-	assert.equal(ledger.blockOf('hot', 1), undefined);
+	assert.equal(ledger.blockOf(request('hot'), 1), undefined);
 });
 
 test('a block ends when its evidence expires', () => {
 	const ledger = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20));
-	assert.equal(ledger.blockOf('poison', reportRetentionMilliseconds), undefined);
+	assert.equal(ledger.blockOf(request('poison'), reportRetentionMilliseconds), undefined);
 	const reported = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20), crash('c', ['poison'], 21, 'e2'), crash('c', ['poison'], 22, 'e3'));
-	assert.equal(reported.blockOf('poison', reportRetentionMilliseconds), undefined, 'further reports of one crash do not extend it');
+	assert.equal(reported.blockOf(request('poison'), reportRetentionMilliseconds), undefined, 'further reports of one crash do not extend it');
 	ledger.prune(reportRetentionMilliseconds + 100);
 	assert.equal(ledger.reports().size, 0);
 });
@@ -58,7 +63,7 @@
 	}
 
 	assert.equal(ledger.reports().size, maxReports);
-	assert.notEqual(ledger.blockOf('poison', maxReports * 2), undefined);
+	assert.notEqual(ledger.blockOf(request('poison'), maxReports * 2), undefined);
 });
 
 test('rows of other writers that cannot be read name no crash', () => {
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -2,69 +2,63 @@
  * What this instance knows of the crashes of endpoints, its own findings and those of the other instances, and which requests
  * are blocked for them.
  *
- * The reports are the only state: which requests are blocked follows from them, so that instances with the same reports block
- * the same requests, in whichever order these arrived. A complete answer to a request shows that it does not crash the
- * endpoints that run it, and voids the crashes that it was present at.
+ * The reports are the only state: what is blocked follows from them, so that instances with the same reports block the same
+ * requests, in whichever order these arrived. A complete answer shows that the features of its request do not crash endpoints, and
+ * clears them of the crashes that they were present at. What this instance has seen answered itself counts at once; the others
+ * learn of it by a report.
  */
 import {
-	findCrashingRequests, findSuspects, crashesToBlock, type Crash,
-} from '../../decision/crashes/find-crashing-requests.js';
-
-/** The requests that one instance lost in one crash. */
-export type CrashReport = {
-	kind: 'crash';
-	/** Identifies the incarnation of the endpoint that ended. */
-	incarnation: string;
-	/** Who reports it. */
-	instance: string;
-	/** When it was found, in milliseconds since the epoch. */
-	at: number;
-	/** By fingerprint: how long each request had been in flight, in milliseconds. */
-	requests: Array<[fingerprint: string, inFlightMilliseconds: number]>;
+	findCrashCauses, crashesToBlock, isBlockedBy, type Crash, type CrashCause,
+} from '../../decision/crashes/find-crash-causes.js';
+import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
+import {clearanceOf, crashesIn, reportedClearances} from './crash-evidence.js';
+import {type CrashReport, type Report} from './crash-reports.js';
+
+/** A request, as far as crashes are attributed. */
+export type FeaturedRequest = {
+	/** Its fingerprint and its blocks. */
+	features: ReadonlySet<string>;
+	workspace: string;
 };
 
-/** Requests that were present at crashes, and that one instance has answered completely. */
-export type SurvivalReport = {
-	kind: 'survival';
-	instance: string;
-	at: number;
-	/** The crashes that each was known to have been present at, by their incarnations. */
-	requests: Array<[fingerprint: string, incarnations: string[]]>;
-};
-
-export type Report = CrashReport | SurvivalReport;
-
-/** Why a request is blocked. */
+/** Why requests are blocked. */
 export type Block = {
-	fingerprint: string;
+	/** A request with all of them is blocked. */
+	features: readonly string[];
 	/** The latest reports of the crashes, the newest last. */
 	crashes: CrashReport[];
 	/** When the evidence expires, in milliseconds since the epoch. */
 	until: number;
 };
 
+/** The crashes that a feature was present at and has not been cleared of: by incarnation, the state of the answer. */
+export type SuspectedCrashes = ReadonlyMap<string, AnswerProgress>;
+
 /** A report expires after one day: by then the cause may have been fixed at the endpoints. */
 export const reportRetentionMilliseconds = 86_400_000;
 /** How many reports are kept: far more than endpoints fail in a day. */
 export const maxReports = 500;
-/** More requests than an endpoint runs and queues for one instance; those in flight for the shortest time are kept. */
-export const maxRequestsPerReport = 64;
+
+type KnownBlock = Block & {cause: CrashCause};
 
 export class CrashLedger {
 	readonly #listeners: Array<() => void> = [];
 	readonly #reports = new Map<string, Report>();
-	/** By fingerprint; `undefined` while it has to be computed again. */
-	#blocked: ReadonlyMap<string, Block> | undefined = new Map();
-	#suspects: ReadonlyMap<string, ReadonlySet<string>> = new Map();
-
-	/** Whether any request is blocked. */
-	get hasBlocks(): boolean {
-		return this.#blocks().size > 0;
+	/** What this instance has seen answered itself. */
+	readonly #ownClearances = new Set<string>();
+	#reportedClearances: ReadonlySet<string> | undefined;
+	/** `undefined` while they have to be computed again. */
+	#blocks: readonly KnownBlock[] | undefined = [];
+	#suspects: ReadonlyMap<string, SuspectedCrashes> = new Map();
+
+	/** What is blocked. */
+	get blocks(): readonly Block[] {
+		return this.#currentBlocks();
 	}
 
-	/** The requests that were present at crashes and not answered since: by fingerprint, these crashes. */
-	get suspects(): ReadonlyMap<string, ReadonlySet<string>> {
-		this.#blocks();
+	/** The features that were present at crashes and have not been cleared since. */
+	get suspects(): ReadonlyMap<string, SuspectedCrashes> {
+		this.#currentBlocks();
 		return this.#suspects;
 	}
 
@@ -81,17 +75,30 @@
 	/** Adds a report under the key of its row. */
 	put(key: string, report: Report): void {
 		this.#reports.set(key, report);
-		this.#blocked = undefined;
 		this.#notify();
 	}
 
 	remove(key: string): void {
 		if (this.#reports.delete(key)) {
-			this.#blocked = undefined;
 			this.#notify();
 		}
 	}
 
+	/** Clears a feature of crashes, at this instance only. */
+	clear(feature: string, incarnations: Iterable<string>): void {
+		for (const incarnation of incarnations) {
+			this.#ownClearances.add(clearanceOf(feature, incarnation));
+		}
+
+		this.#blocks = undefined;
+	}
+
+	/** Whether an instance has reported that a feature is cleared of a crash. */
+	isReportedCleared(feature: string, incarnation: string): boolean {
+		this.#reportedClearances ??= reportedClearances(this.#reports.values());
+		return this.#reportedClearances.has(clearanceOf(feature, incarnation));
+	}
+
 	/** Removes expired reports, and the oldest ones beyond the bound; first those that block no request. */
 	prune(wallMilliseconds: number): string[] {
 		const expired = [...this.#reports].filter(([, {at}]) => wallMilliseconds - at > reportRetentionMilliseconds).map(([key]) => key);
@@ -104,79 +111,82 @@
 			this.remove(key);
 		}
 
+		this.#pruneClearances();
 		return [...expired, ...surplus];
 	}
 
 	/** Why a request is blocked; `undefined` if it is not. */
-	blockOf(fingerprint: string, wallMilliseconds: number): Block | undefined {
-		const block = this.#blocks().get(fingerprint);
-		return block === undefined || block.until <= wallMilliseconds ? undefined : block;
+	blockOf({features, workspace}: FeaturedRequest, wallMilliseconds: number): Block | undefined {
+		return this.#currentBlocks().find(({cause, until}) => until > wallMilliseconds && isBlockedBy(cause, features, workspace));
 	}
 
 	#notify(): void {
+		this.#blocks = undefined;
+		this.#reportedClearances = undefined;
 		for (const listener of this.#listeners) {
 			listener();
 		}
 	}
 
-	#blocks(): ReadonlyMap<string, Block> {
-		this.#blocked ??= this.#compute();
-		return this.#blocked;
+	#currentBlocks(): readonly KnownBlock[] {
+		this.#blocks ??= this.#compute();
+		return this.#blocks;
 	}
 
-	#compute(): Map<string, Block> {
-		const crashes = [...this.#crashes().values()];
-		this.#suspects = new Map(findSuspects(crashes, 1).map(({fingerprint, incarnations}) => [fingerprint, incarnations]));
-		return new Map(findCrashingRequests(crashes).map(({fingerprint, incarnations}) => [fingerprint, this.#blockFor(fingerprint, new Set(incarnations))]));
+	#compute(): KnownBlock[] {
+		const crashes = crashesIn(this.#reports.values(), (feature, incarnation) => this.#ownClearances.has(clearanceOf(feature, incarnation)) || this.isReportedCleared(feature, incarnation));
+		this.#suspects = suspectsIn(crashes);
+		return findCrashCauses(crashes).map(cause => this.#blockFor(cause));
 	}
 
-	/** The crashes by incarnation, without the requests that survived being run since. */
-	#crashes(): Map<string, Crash> {
-		const survivals = new Set<string>();
-		for (const report of this.#reports.values()) {
-			if (report.kind === 'survival') {
-				for (const [fingerprint, incarnations] of report.requests) {
-					for (const incarnation of incarnations) {
-						survivals.add(`${fingerprint}|${incarnation}`);
-					}
-				}
-			}
-		}
-
-		const crashes = new Map<string, Crash & {requests: Map<string, number>}>();
-		for (const report of this.#reports.values()) {
-			if (report.kind !== 'crash') {
-				continue;
-			}
-
-			const {incarnation} = report;
-			const crash = crashes.get(incarnation) ?? {incarnation, requests: new Map<string, number>()};
-			crashes.set(incarnation, crash);
-			for (const [fingerprint, inFlightMilliseconds] of report.requests) {
-				if (!survivals.has(`${fingerprint}|${incarnation}`)) {
-					// Of several attempts at the same endpoint the latest one counts.
-					crash.requests.set(fingerprint, Math.min(inFlightMilliseconds, crash.requests.get(fingerprint) ?? Number.POSITIVE_INFINITY));
-				}
-			}
-		}
-
-		return crashes;
-	}
-
-	#blockFor(fingerprint: string, incarnations: ReadonlySet<string>): Block {
+	#blockFor(cause: CrashCause): KnownBlock {
+		const incarnations = new Set(cause.incarnations);
 		const crashes = [...this.#reports.values()]
-			.filter((report): report is CrashReport => report.kind === 'crash' && incarnations.has(report.incarnation) && report.requests.some(([present]) => present === fingerprint))
+			.filter((report): report is CrashReport => report.kind === 'crash' && incarnations.has(report.incarnation) && hasFeatures(report, cause.features))
 			.toSorted((left, right) => left.at - right.at);
 		// Several instances may report one crash; the evidence holds as long as enough crashes have not expired.
 		const crashedAt = new Map(crashes.map(({incarnation, at}) => [incarnation, at]));
 		const decidingAt = [...crashedAt.values()].toSorted((left, right) => left - right).at(-crashesToBlock) ?? 0;
-		return {fingerprint, crashes, until: decidingAt + reportRetentionMilliseconds};
+		return {
+			cause, features: cause.features, crashes, until: decidingAt + reportRetentionMilliseconds,
+		};
 	}
 
 	/** The keys of all reports, those first that are dropped first. */
 	#leastUseful(): string[] {
-		const useful = new Set([...this.#blocks().values()].flatMap(({crashes}) => crashes));
+		const useful = new Set(this.#currentBlocks().flatMap(({crashes}) => crashes));
 		const rank = (report: Report): number => report.kind === 'crash' && useful.has(report) ? 1 : 0;
 		return [...this.#reports].toSorted(([, left], [, right]) => rank(left) - rank(right) || left.at - right.at).map(([key]) => key);
 	}
+
+	/** Drops own clearances of crashes that are not known any more. */
+	#pruneClearances(): void {
+		const incarnations = new Set([...this.#reports.values()].flatMap(report => report.kind === 'crash' ? [report.incarnation] : []));
+		for (const clearance of this.#ownClearances) {
+			if (!incarnations.has(clearance.slice(clearance.indexOf('|') + 1))) {
+				this.#ownClearances.delete(clearance);
+			}
+		}
+	}
+}
+
+function suspectsIn(crashes: readonly Crash[]): Map<string, SuspectedCrashes> {
+	const suspects = new Map<string, Map<string, AnswerProgress>>();
+	for (const {incarnation, requests} of crashes) {
+		for (const {features, progress} of requests) {
+			for (const feature of features) {
+				const suspected = suspects.get(feature) ?? new Map<string, AnswerProgress>();
+				suspects.set(feature, suspected);
+				if (suspected.get(incarnation) !== 'begun') {
+					suspected.set(incarnation, progress);
+				}
+			}
+		}
+	}
+
+	return suspects;
+}
+
+function hasFeatures({requests, prompts = []}: CrashReport, features: readonly string[]): boolean {
+	return requests.some(([fingerprint]) => features.includes(fingerprint)) || prompts.some(({blocks}) => features.every(feature => blocks.includes(feature)));
 }
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -9,7 +9,8 @@
 import {type RowWrite, type TableService} from '../../ports/table-service.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type DecisionLog} from '../observability/decision-log.js';
-import {type CrashLedger, type Report} from './crash-ledger.js';
+import {type CrashLedger} from './crash-ledger.js';
+import {type Report} from './crash-reports.js';
 import {crashTable, encodeReport, keyOfReport} from './crash-report-rows.js';
 
 export type CrashReportPublisherDependencies = {
--- a/src/gateway/crashes/crash-report-rows.ts
+++ b/src/gateway/crashes/crash-report-rows.ts
@@ -1,12 +1,13 @@
 /**
- * Encodes reports of crashes as rows of the store's table, and decodes them. Reports are written once and never changed.
+ * Encodes reports of crashes as rows of the store's table, and decodes them. Reports are written once and never changed. Members
+ * that a version does not know are ignored, so that instances of two versions can share the table.
  *
  * They are in the table of the weights lease, which every instance follows: a table of their own would double the calls that
  * each instance makes for both whenever its reader fails, and those of the reader at all times.
  */
 import * as zod from 'zod';
 import {type JsonValue} from '../../shared/types.js';
-import {type Report} from './crash-ledger.js';
+import {type Report} from './crash-reports.js';
 
 /** The table of the reports, beside other rows. */
 export {weightsLeaseTable as crashTable} from '../leadership/weights-lease.js';
@@ -18,6 +19,9 @@
 		instance: zod.string(),
 		at: zod.number(),
 		requests: zod.array(zod.tuple([zod.string(), zod.number()])),
+		prompts: zod.array(zod.object({
+			fingerprint: zod.string(), workspace: zod.string(), hasBegun: zod.boolean(), blocks: zod.array(zod.string()),
+		})).optional(),
 	}),
 	zod.object({
 		kind: zod.literal('survival'),
@@ -41,5 +45,5 @@
 /** Returns the report that a row holds; `undefined` for a row that cannot be decoded. */
 export function decodeReport(content: JsonValue | undefined): Report | undefined {
 	const checked = reportSchema.safeParse(content);
-	return checked.success ? checked.data : undefined;
+	return checked.success ? checked.data as Report : undefined;
 }
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -1,14 +1,17 @@
 /** What the data path uses of the knowledge about crashes: reports what it lost and served, and asks what is blocked. */
+import {isBlockFeature} from '../../decision/crashes/request-features.js';
+import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type ProbeResult} from '../endpoints/probe-connection.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
+import {AnsweredFeatures} from './answered-features.js';
 import {CrashDetector, type LostRequest, type ObservedCrash} from './crash-detector.js';
-import {
-	type Block, type CrashLedger, maxRequestsPerReport, type Report,
-} from './crash-ledger.js';
+import {type Block, type CrashLedger, type FeaturedRequest} from './crash-ledger.js';
+import {type Report} from './crash-reports.js';
+import {crashReport} from './crash-report-of.js';
 
 export type EndpointCrashesDependencies = {
 	instance: string;
@@ -24,29 +27,30 @@
 	publish(report: Report): void;
 };
 
-/** How many answered requests are remembered: those of some minutes at an instance that answers 16 a second. */
-const maxServed = 4096;
-/** How long an answer proves that its request crashes nothing; endpoints may get other software or weights later. */
-const servedValidityMilliseconds = 600_000;
 /** Longest delay of a report about answered requests. */
 const maxSurvivalDelayMilliseconds = 300;
+/** Features in a report about answered requests; the rest follows in the next one. */
+const maxSurvivors = 256;
 /** Time for the reports of other instances to arrive: their delay, the write, and the queries by which they are relayed. */
 const settleMilliseconds = 900;
 
 export class EndpointCrashes {
 	readonly #dependencies: EndpointCrashesDependencies;
 	readonly #detector: CrashDetector;
-	/** Requests that were answered completely here, the latest last: when that was, in milliseconds of the steady clock. */
-	readonly #served = new Map<string, number>();
+	readonly #answered = new AnsweredFeatures();
+	/** By incarnation: when this instance learned of its crash, in milliseconds of the steady clock. */
+	readonly #knownAt = new Map<string, number>();
+	/** What is blocked, and since when, in milliseconds of the steady clock. */
+	#blocks: ReadonlyArray<{features: readonly string[]; since: number}> = [];
+	/** What was cleared here and is still to be reported: by feature, the incarnations. */
+	readonly #unreported = new Map<string, Set<string>>();
 	readonly #signal = new AbortController().signal;
-	/** When a blocked request was first asked for, in milliseconds of the steady clock. */
-	readonly #blockedAt = new Map<string, number>();
 	#isScheduled = false;
 
 	constructor(dependencies: EndpointCrashesDependencies) {
 		this.#dependencies = dependencies;
 		dependencies.ledger.onChange(() => {
-			this.#scheduleSurvivals();
+			this.#update();
 		});
 
 		this.#detector = new CrashDetector({
@@ -57,9 +61,9 @@
 		});
 	}
 
-	/** Whether a fingerprint has to be computed to ask whether its request is blocked. */
+	/** Whether the features of a request have to be computed to ask whether it is blocked. */
 	get hasBlocks(): boolean {
-		return this.#dependencies.ledger.hasBlocks;
+		return this.#dependencies.ledger.blocks.length > 0;
 	}
 
 	/** Records that the connection of a request broke before its answer was complete. */
@@ -68,48 +72,86 @@
 	}
 
 	/**
-	 * Records a complete answer to a request: it does not crash the endpoints that run it. A request that many callers send in
-	 * the same words is in flight at most crashes, so an earlier answer counts at later crashes too.
+	 * Records a complete answer to a request: it does not crash the endpoints that run it. Blocks that most prompts have, and
+	 * requests that many callers send in the same words, are in flight at most crashes, so an earlier answer counts as well.
+	 *
+	 * @param sentAt - When the answered attempt was sent, in milliseconds of the steady clock.
 	 */
-	noteServed(fingerprint: string): void {
-		this.#served.delete(fingerprint);
-		this.#served.set(fingerprint, this.#now());
-		if (this.#served.size > maxServed) {
-			this.#served.delete(this.#served.keys().next().value!);
-		}
-
-		if (this.#dependencies.ledger.suspects.has(fingerprint)) {
-			this.#scheduleSurvivals();
+	noteServed(features: ReadonlySet<string>, sentAt: number): void {
+		this.#answered.note(features, sentAt);
+		const {suspects} = this.#dependencies.ledger;
+		if (suspects.size > 0) {
+			this.#clear([...features].filter(feature => suspects.has(feature)));
+			this.#noteBlocks();
 		}
 	}
 
 	/** Why a request may not be sent to any endpoint; `undefined` if it may. */
-	blockOf(fingerprint: string): Block | undefined {
+	blockOf(request: FeaturedRequest): Block | undefined {
 		const {ledger, clock} = this.#dependencies;
-		return this.#wasServed(fingerprint) ? undefined : ledger.blockOf(fingerprint, clock.moment().wall);
+		return ledger.blockOf(request, clock.moment().wall);
+	}
+
+	/** Whether a block is so recent that reports of answers at other instances may still arrive. */
+	isUnsettled({features}: Block): boolean {
+		const since = this.#blocks.find(({features: known}) => known.join(' ') === features.join(' '))?.since ?? Number.NEGATIVE_INFINITY;
+		return this.#now() - since < settleMilliseconds;
 	}
 
-	/** Whether a request was blocked so recently that reports of its answers at other instances may still arrive. */
-	isUnsettled(fingerprint: string): boolean {
-		if (this.blockOf(fingerprint) === undefined) {
-			this.#blockedAt.delete(fingerprint);
-			return false;
+	#update(): void {
+		const {ledger} = this.#dependencies;
+		const now = this.#now();
+		const incarnations = new Set([...ledger.reports().values()].flatMap(report => report.kind === 'crash' ? [report.incarnation] : []));
+		for (const incarnation of this.#knownAt.keys()) {
+			if (!incarnations.has(incarnation)) {
+				this.#knownAt.delete(incarnation);
+			}
 		}
 
-		const blockedAt = this.#blockedAt.get(fingerprint) ?? this.#now();
-		this.#blockedAt.set(fingerprint, blockedAt);
-		if (this.#blockedAt.size > maxServed) {
-			this.#blockedAt.delete(this.#blockedAt.keys().next().value!);
+		for (const incarnation of incarnations) {
+			this.#knownAt.set(incarnation, this.#knownAt.get(incarnation) ?? now);
 		}
 
-		return this.#now() - blockedAt < settleMilliseconds;
+		this.#clear(ledger.suspects.keys());
+		this.#noteBlocks();
+	}
+
+	/** Records since when each block exists. One that has lost a feature by a clearance is as old as before. */
+	#noteBlocks(): void {
+		const now = this.#now();
+		const former = this.#blocks;
+		this.#blocks = this.#dependencies.ledger.blocks.map(({features}) => ({
+			features, since: former.find(({features: known}) => features.every(feature => known.includes(feature)))?.since ?? now,
+		}));
 	}
 
-	#wasServed(fingerprint: string): boolean {
-		return this.#now() - (this.#served.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < servedValidityMilliseconds;
+	/** Clears features of the crashes that this instance knows to be innocent of. */
+	#clear(features: Iterable<string>): void {
+		const {ledger} = this.#dependencies;
+		const {suspects} = ledger;
+		for (const feature of features) {
+			const cleared = [...suspects.get(feature) ?? []].filter(([incarnation, progress]) => this.#isInnocent(feature, incarnation, progress)).map(([incarnation]) => incarnation);
+			if (cleared.length > 0) {
+				ledger.clear(feature, cleared);
+				this.#unreported.set(feature, new Set([...this.#unreported.get(feature) ?? [], ...cleared]));
+				this.#scheduleSurvivals();
+			}
+		}
+	}
+
+	/**
+	 * Whether answers here prove that a feature has not crashed an incarnation. A block that was answered well may crash endpoints
+	 * that have changed since, so where an answer with it had begun only a later one counts.
+	 */
+	#isInnocent(feature: string, incarnation: string, progress: AnswerProgress): boolean {
+		if (isBlockFeature(feature) && progress === 'begun') {
+			return this.#answered.hasSince(feature, this.#knownAt.get(incarnation) ?? Number.POSITIVE_INFINITY);
+		}
+
+		return this.#answered.has(feature, this.#now());
 	}
 
-	/** Reports after a random delay: the first report of a request makes those of other instances needless. */
+	/** Reports after a random delay: the first report of a feature makes those of other instances needless. */
 	#scheduleSurvivals(): void {
 		if (this.#isScheduled) {
 			return;
@@ -124,30 +166,38 @@
 	}
 
 	#reportSurvivals(): void {
-		const {ledger: {suspects}, instance, clock, publish} = this.#dependencies;
-		const survivors = [...suspects.keys()].filter(fingerprint => this.#wasServed(fingerprint)).slice(0, maxRequestsPerReport);
-		if (survivors.length > 0) {
+		const {ledger, instance, clock, publish} = this.#dependencies;
+		const requests: Array<[string, string[]]> = [];
+		for (const [feature, cleared] of this.#unreported) {
+			const incarnations = [...cleared].filter(incarnation => !ledger.isReportedCleared(feature, incarnation));
+			this.#unreported.delete(feature);
+			if (incarnations.length > 0) {
+				requests.push([feature, incarnations]);
+			}
+
+			if (requests.length >= maxSurvivors) {
+				this.#scheduleSurvivals();
+				break;
+			}
+		}
+
+		if (requests.length > 0) {
 			publish({
-				kind: 'survival', instance, at: clock.moment().wall, requests: survivors.map(fingerprint => [fingerprint, [...suspects.get(fingerprint) ?? []]]),
+				kind: 'survival', instance, at: clock.moment().wall, requests,
 			});
 		}
 	}
 
-	#now(): number {
-		return this.#dependencies.clock.moment().steady;
-	}
-
 	#reportCrash({endpoint, requests}: ObservedCrash): void {
 		const {instance, clock, metrics, publish, endpoints} = this.#dependencies;
 		endpoints.noteEnded(endpoint);
 		metrics.crashes.inc();
-		const latest = requests.toSorted((left, right) => left.inFlightMilliseconds - right.inFlightMilliseconds).slice(0, maxRequestsPerReport);
-		publish({
-			kind: 'crash',
-			incarnation: incarnationOf(endpoint),
-			instance,
-			at: clock.moment().wall,
-			requests: latest.map(({fingerprint, inFlightMilliseconds}) => [fingerprint, Math.round(inFlightMilliseconds)]),
-		});
+		publish(crashReport({
+			incarnation: incarnationOf(endpoint), instance, at: clock.moment().wall, requests,
+		}, feature => this.#answered.has(feature, this.#now())));
+	}
+
+	#now(): number {
+		return this.#dependencies.clock.moment().steady;
 	}
 }
--- a/src/gateway/data-path/crash-screen.ts
+++ b/src/gateway/data-path/crash-screen.ts
@@ -3,10 +3,11 @@
  * complete answer.
  */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {blockFeature, isBlockFeature} from '../../decision/crashes/request-features.js';
 import {sharedBlocksOf} from '../../shared/prompt-shape.js';
 import {type Refusal} from '../../shared/types.js';
 import {type LostRequest} from '../crashes/crash-detector.js';
-import {type Block} from '../crashes/crash-ledger.js';
+import {type Block, type FeaturedRequest} from '../crashes/crash-ledger.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type RequestHead} from './request-head.js';
 import {requestFingerprint, type IdentifiedRequest} from './request-fingerprint.js';
@@ -22,6 +23,7 @@
 export class CrashScreen {
 	readonly #context: ScreenContext;
 	readonly #request: ScreenedRequest;
+	#featured: FeaturedRequest | undefined;
 	#fingerprint: string | undefined;
 
 	constructor(context: ScreenContext, request: ScreenedRequest) {
@@ -36,7 +38,7 @@
 
 	/**
 	 * The refusal of a request that is blocked; `undefined` if it may be sent. A request that was blocked just now is held
-	 * until the reports of other instances have arrived, which may have answered it.
+	 * until the reports of other instances have arrived, which may have answered requests like it.
 	 *
 	 * @param signal - Ends the holding, without a refusal, when the caller disconnects or its time is over.
 	 */
@@ -46,12 +48,13 @@
 			return undefined;
 		}
 
-		while (crashes.isUnsettled(this.fingerprint) && !signal.aborted) {
+		let block = crashes.blockOf(this.#features);
+		while (block !== undefined && crashes.isUnsettled(block) && !signal.aborted) {
 			await clock.sleep(holdCheckMilliseconds, signal);
+			block = crashes.blockOf(this.#features);
 		}
 
-		const block = signal.aborted ? undefined : crashes.blockOf(this.fingerprint);
-		if (block === undefined) {
+		if (block === undefined || signal.aborted) {
 			return undefined;
 		}
 
@@ -60,7 +63,7 @@
 		return {
 			reason: 'crashes-endpoints',
 			ran: 'not-run',
-			message: `${block.crashes.length} endpoints ended while they ran this request`,
+			message: `${new Set(block.crashes.map(({incarnation}) => incarnation)).size} endpoints ended while they ran this request, or one that shares a part of its prompt`,
 			// The caller is not invited to come back before the evidence expires.
 			retryAfterMilliseconds: Math.round(block.until - now),
 		};
@@ -68,18 +71,30 @@
 
 	/** Records that the connection to an endpoint broke before the answer was complete. */
 	noteLost(endpoint: EndpointRecord, lost: Pick<LostRequest, 'inFlightMilliseconds' | 'progress'>): void {
-		this.#context.crashes.noteLost(endpoint, {...lost, fingerprint: this.fingerprint, blocks: sharedBlocksOf(this.#request.head.prompt)});
+		this.#context.crashes.noteLost(endpoint, {
+			...lost, fingerprint: this.fingerprint, workspace: this.#features.workspace, blocks: [...this.#features.features].filter(feature => isBlockFeature(feature)),
+		});
+	}
+
+	/** Records a complete answer to an attempt that was sent at `sentAt`, in milliseconds of the steady clock. */
+	noteServed(sentAt: number): void {
+		this.#context.crashes.noteServed(this.#features.features, sentAt);
 	}
 
-	/** Records a complete answer. */
-	noteServed(): void {
-		this.#context.crashes.noteServed(this.fingerprint);
+	get #features(): FeaturedRequest {
+		const {head: {prompt}, permitted: {grant}} = this.#request;
+		this.#featured ??= {
+			features: new Set([this.fingerprint, ...sharedBlocksOf(prompt).map(block => blockFeature(block))]),
+			workspace: grant?.name ?? '',
+		};
+		return this.#featured;
 	}
 
-	#logBlock({crashes}: Block, now: number): void {
+	#logBlock({features, crashes}: Block, now: number): void {
 		this.#context.log.record('request-blocked', {
 			id: this.#request.head.attemptId,
 			fingerprint: this.fingerprint,
+			features: [...features],
 			crashes: crashes.map(({incarnation, instance, at}) => ({endpoint: incarnation, reportedBy: instance, ageMilliseconds: Math.round(now - at)})),
 		});
 	}
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -175,7 +175,7 @@
 		this.#unreportedTransfer = result.transfer;
 		this.#status = result.answer?.status ?? this.#status;
 		if (result.outcome === 'whole') {
-			this.#crashScreen.noteServed();
+			this.#crashScreen.noteServed(this.#attempts.sentAt ?? this.#now());
 			return 'whole';
 		}
 
