Pass reports of crashes on through the coordinator while the store does not confirm them

Callers saw: with the store away for 9 s all twelve engines of the check ended under prompts with one block, and 28% of the sound prompts began. Cause: reports went by rows of the store only, so each of six instances had to lose three engines itself. Class: what one instance learns and all must act upon had a single path. Change: a follower sends reports that the store has not confirmed with its frames to the coordinator, once for each connection; answers hand them to the others in order. Nothing is sent while nothing is pending. Open: data centres that reach neither the store nor the coordinator count for themselves; what an instance could not write before it was killed goes with the next whole read of the table.

--- a/src/check/crashing-block-judgement.ts
+++ b/src/check/crashing-block-judgement.ts
@@ -68,7 +68,7 @@
 };
 
 /** Requests with a block that may still reach engines later than the contact time after the crash that should stop it. */
-const allowedLateArrivals = 3;
+export const allowedLateArrivals = 3;
 const minRelativeShare = 0.5;
 /** Shares of fewer requests are not compared. */
 const comparedFrom = 20;
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -16,6 +16,7 @@
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {type CoordinatorView} from './coordinator-view.js';
+import {type KeyedReport, SentReports} from './report-relay.js';
 
 /** Queries at this interval keep the view fresh also when one answer is late. */
 export const queryIntervalMilliseconds = 0.375 * reportValidityMilliseconds;
@@ -49,6 +50,9 @@
 	/** What it has seen of brittle services, and where the client delivers what others have seen. */
 	brittle(): BrittleReport[];
 	applyBrittle(reports: readonly BrittleReport[]): void;
+	/** Its reports of crashes that the store has not confirmed, and where the client delivers those of others. */
+	unconfirmedCrashes(): KeyedReport[];
+	applyCrashes(reports: readonly KeyedReport[]): void;
 	/** This instance's relay; absent while others must not use it. */
 	relay(): RelayReport | undefined;
 	/** Whether it needs a new list of relays. */
@@ -97,6 +101,7 @@
 	#isLapsed = false;
 	#dataCentre: string | undefined;
 	#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
+	readonly #sentCrashes = new SentReports();
 	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -155,6 +160,7 @@
 		this.#lastAnswerAt = this.#clock.moment().steady;
 		this.#lastQueryAt = Number.NEGATIVE_INFINITY;
 		this.#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
+		this.#sentCrashes.reset();
 		const end = (): void => {
 			if (this.#socket === socket) {
 				this.close();
@@ -208,8 +214,13 @@
 	}
 
 	report(): void {
+		const socket = this.#socket;
+		if (socket === undefined) {
+			return;
+		}
+
 		const frame: FollowerFrame = {kind: 'tell', ...this.#report()};
-		this.#socket?.write(encodeFrame(frame));
+		socket.write(encodeFrame(frame));
 	}
 
 	close(): void {
@@ -277,6 +288,7 @@
 		const {instance, cores} = this.#follower;
 		const relay = this.#follower.relay();
 		const brittle = this.#follower.brittle();
+		const crashes = this.#sentCrashes.take(this.#follower.unconfirmedCrashes());
 		return {
 			instance,
 			cores,
@@ -285,6 +297,7 @@
 			answered: this.#answered,
 			...(relay === undefined ? {} : {relay}),
 			...(brittle.length === 0 ? {} : {brittle}),
+			...(crashes.length === 0 ? {} : {crashes}),
 		};
 	}
 
@@ -318,6 +331,10 @@
 				this.#follower.applyBrittle(frame.brittle);
 			}
 
+			if (frame.crashes !== undefined) {
+				this.#follower.applyCrashes(frame.crashes);
+			}
+
 			if (frame.relays !== undefined) {
 				this.#follower.applyRelays(frame.relays);
 			}
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -5,6 +5,7 @@
 import {type RelayReport} from '../relay/relay-messages.js';
 import {type StreamPeerList, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
+import {type KeyedReport} from './report-relay.js';
 
 /**
  * Which of the two leases: the holder of `hub` serves hints and manages the stores, that of `hub-deputy`, the standby, serves
@@ -102,6 +103,8 @@
 	loads: Record<string, PackedLoad>;
 	/** What it has seen of services whose endpoints are or were brittle; absent where it has seen none. */
 	brittle?: BrittleReport[];
+	/** Its reports of crashes that the store has not confirmed and that it has not sent over this connection; absent without any. */
+	crashes?: KeyedReport[];
 	/** Number of the last query whose answer it has received. */
 	answered?: number;
 	/** Its relay; absent while others must not use it. */
@@ -159,6 +162,8 @@
 	isSlotGranted?: boolean;
 	/** The latest that any instance has seen of services whose endpoints are or were brittle. */
 	brittle?: BrittleReport[];
+	/** Reports of crashes that the coordinator received since its last answer; absent without any. */
+	crashes?: KeyedReport[];
 	/** Relays of other instances; absent if it did not ask for them. */
 	relays?: RelayReport[];
 	/** The instances of its data centre that answer questions about streams; absent if it did not ask for them. */
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -16,6 +16,7 @@
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
+import {type KeyedReport, ReportRelay} from './report-relay.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotGrants} from './slot-grants.js';
 import {LoadTotals} from './load-totals.js';
@@ -62,6 +63,8 @@
 	/** What it last reported; it does not report it in each frame. */
 	streamPeers?: StreamPeerQuery | undefined;
 	cores: number;
+	/** Which reports of crashes it has received. */
+	crashPosition: number;
 	/** When its last complete frame arrived, in milliseconds of the steady clock. */
 	lastSeenAt: number;
 };
@@ -80,6 +83,7 @@
 	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
 	/** The latest observation of services whose endpoints are or were brittle. */
 	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
+	readonly #crashes = new ReportRelay();
 	#nextRelay = 0;
 	readonly #streamPeers = new StreamPeerLists();
 
@@ -125,7 +129,9 @@
 		}
 
 		const reader = new FrameReader();
-		this.#followers.set(socket, {instance: '', cores: 0, lastSeenAt: this.#now()});
+		this.#followers.set(socket, {
+			instance: '', cores: 0, crashPosition: 0, lastSeenAt: this.#now(),
+		});
 		socket.setNoDelay(true);
 		const end = (): void => {
 			this.#drop(socket);
@@ -158,11 +164,12 @@
 		const {instance, cores, relay} = frame;
 		const streamPeers = (frame.kind === 'ask' ? frame.streamPeers : undefined) ?? former.streamPeers;
 		this.#followers.set(socket, {
-			instance, cores, relay, streamPeers, lastSeenAt: this.#now(),
+			...former, instance, cores, relay, streamPeers, lastSeenAt: this.#now(),
 		});
 		this.#loads.set(instance, frame.loads);
 		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
 		this.#noteBrittle(frame.brittle ?? []);
+		this.#crashes.add(frame.crashes ?? [], this.#now());
 		this.#source.recordUses(frame.uses);
 		if (frame.kind === 'ask') {
 			this.#answer(socket, frame);
@@ -216,6 +223,7 @@
 			...this.#answerPermit(instance, permit),
 			...this.#answerSlot(instance, number, slot),
 			...(this.#brittle.size > 0 ? {brittle: this.#brittleReports()} : {}),
+			...this.#crashesFor(socket),
 			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
 			...(streamPeers === undefined ? {} : {streamPeers: this.#streamPeers.answer(streamPeers, () => this.#streamPeerQueries(), this.#now())}),
 		};
@@ -269,6 +277,17 @@
 		return [...this.#brittle].map(([service, {isBrittle, at}]) => ({service, isBrittle, ageMilliseconds: Math.round(this.#now() - at)}));
 	}
 
+	/** The reports of crashes that a follower has not received. */
+	#crashesFor(socket: Socket): {crashes?: KeyedReport[]} {
+		const follower = this.#followers.get(socket);
+		const {reports, position} = this.#crashes.after(follower?.crashPosition ?? 0);
+		if (follower !== undefined) {
+			follower.crashPosition = position;
+		}
+
+		return reports.length === 0 ? {} : {crashes: reports};
+	}
+
 	/** The relays that reach the most endpoints, from another one on in each answer so that all are used. */
 	#relaysFor(instance: string): RelayReport[] {
 		const relays = [...this.#followers.values()].flatMap(follower => follower.relay === undefined || follower.instance === instance ? [] : [follower.relay]);
--- /dev/null
+++ b/src/gateway/coordinator/report-relay.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {testCoordinatorSource} from '../testing/test-coordinator-source.js';
+import {testFollower} from '../testing/test-follower.js';
+import {CoordinatorClient} from './coordinator-client.js';
+import {CoordinatorServer} from './coordinator-server.js';
+import {CoordinatorView} from './coordinator-view.js';
+import {type KeyedReport, ReportRelay, SentReports} from './report-relay.js';
+
+const timeoutMilliseconds = 5000;
+
+async function freeAddress(): Promise<string> {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return `127.0.0.1:${port}`;
+}
+
+test('a report of a crash that the store does not confirm reaches the other instances through the coordinator', async context => {
+	const address = await freeAddress();
+	const server = new CoordinatorServer(address, testCoordinatorSource, systemMomentClock);
+	const stop = new AbortController();
+	void server.run(stop.signal);
+	await pause(50);
+	const received: KeyedReport[][] = [];
+	const clients = [
+		testFollower({instance: 'i1', unconfirmedCrashes: () => [['crash/a', {at: 1}], ['crash/b', {at: 2}]]}),
+		testFollower({
+			instance: 'i2',
+			applyCrashes(reports) {
+				received.push([...reports]);
+			},
+		}),
+	].map(follower => new CoordinatorClient(new CoordinatorView(), follower, systemMomentClock));
+	context.after(() => {
+		for (const client of clients) {
+			client.close();
+		}
+
+		stop.abort();
+	});
+	for (const client of clients) {
+		client.dial(address);
+	}
+
+	const startedAt = performance.now();
+	while (received.length === 0 && performance.now() - startedAt < timeoutMilliseconds) {
+		for (const client of clients) {
+			client.poll();
+		}
+
+		await pause(20);
+	}
+
+	await pause(300);
+	assert.deepEqual(received, [[['crash/a', {at: 1}], ['crash/b', {at: 2}]]], 'once, however often it asks');
+});
+
+test('a follower sends an unconfirmed report once over a connection, and again over the next one', () => {
+	const sent = new SentReports();
+	const unconfirmed: KeyedReport[] = [['a', 1], ['b', 2]];
+	assert.deepEqual(sent.take(unconfirmed.slice(0, 1)), [['a', 1]]);
+	assert.deepEqual(sent.take(unconfirmed), [['b', 2]]);
+	assert.deepEqual(sent.take(unconfirmed), []);
+	sent.reset();
+	assert.deepEqual(sent.take(unconfirmed), unconfirmed);
+});
+
+test('the reports that a coordinator keeps are bounded in number and age', () => {
+	const relay = new ReportRelay();
+	relay.add(Array.from({length: 1000}, (_, number): KeyedReport => [String(number), number]), 0);
+	const {reports, position} = relay.after(0);
+	assert.equal(reports.length, 256);
+	assert.deepEqual(reports.at(-1), ['999', 999]);
+	assert.deepEqual(relay.after(position).reports, []);
+	relay.add([['late', 0]], 120_000);
+	assert.deepEqual(relay.after(0).reports, [['late', 0]]);
+});
--- a/src/gateway/crashes/crash-feed-handler.ts
+++ b/src/gateway/crashes/crash-feed-handler.ts
@@ -1,7 +1,11 @@
-/** Applies the reports of crashes in the store's table to the ledger of this instance; the table's other rows are ignored. */
+/**
+ * Applies the reports of crashes in the store's table, and those that are still to be written there, to the ledger of this instance;
+ * the table's other rows are ignored.
+ */
 import {type FeedRow} from '../../ports/table-feed.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Arrival, type FeedHandler} from '../watchers/feed-update.js';
+import {type KeyedReport} from '../coordinator/report-relay.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type CrashReportPublisher} from './crash-report-publisher.js';
 import {decodeReport} from './crash-report-rows.js';
@@ -47,6 +51,16 @@
 		this.#ledger.prune(now.wall);
 	}
 
+	/** Applies reports that other instances have not been able to write yet; once they are, they come with the table. */
+	handleUnconfirmed(reports: readonly KeyedReport[]): void {
+		for (const [key, content] of reports) {
+			const report = decodeReport(content);
+			if (report !== undefined && !this.#ledger.reports().has(key)) {
+				this.#ledger.put(key, report);
+			}
+		}
+	}
+
 	handleFailure(): void {
 		// Reports stay valid while the store does not answer.
 	}
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -2,12 +2,13 @@
  * Writes the reports of this instance to the store's table, from which all instances read them.
  *
  * A report counts at this instance from the moment it is made. Its write is repeated until the store confirms it: one that was
- * lost is written by the next call, and writing it twice changes nothing. While the store is unavailable each instance counts
- * what it has seen itself.
+ * lost is written by the next call, and writing it twice changes nothing. What is not confirmed is passed on through the
+ * coordinator.
  */
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RowWrite, type TableService} from '../../ports/table-service.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {type KeyedReport} from '../coordinator/report-relay.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type Report} from './crash-reports.js';
@@ -58,6 +59,15 @@
 		}
 	}
 
+	/** The reports whose write the store has not confirmed. */
+	unconfirmed(): KeyedReport[] {
+		const {ledger} = this.#dependencies;
+		return [...this.#pending.keys()].flatMap(key => {
+			const report = ledger.reports().get(key);
+			return report === undefined ? [] : [[key, encodeReport(report)] satisfies KeyedReport];
+		});
+	}
+
 	/** Whether the write of a row is still to be confirmed. */
 	isPending(key: string): boolean {
 		return this.#pending.has(key);
--- a/src/gateway/crashes/create-crashes.ts
+++ b/src/gateway/crashes/create-crashes.ts
@@ -1,4 +1,5 @@
 /** Assembles what an instance knows of crashes: the ledger, the writer and the reader of its table, and the data path's view. */
+import {type LocalFollower} from '../coordinator/coordinator-client.js';
 import {CrashFeedHandler} from './crash-feed-handler.js';
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReportPublisher, type CrashReportPublisherDependencies} from './crash-report-publisher.js';
@@ -6,7 +7,15 @@
 
 export type CrashesDependencies = Omit<CrashReportPublisherDependencies & EndpointCrashesDependencies, 'ledger' | 'publish'>;
 
-export function createCrashes(dependencies: CrashesDependencies): {crashes: EndpointCrashes; publisher: CrashReportPublisher; handler: CrashFeedHandler} {
+export type CreatedCrashes = {
+	crashes: EndpointCrashes;
+	publisher: CrashReportPublisher;
+	handler: CrashFeedHandler;
+	/** What the coordinator exchanges with this instance. */
+	follower: Pick<LocalFollower, 'unconfirmedCrashes' | 'applyCrashes'>;
+};
+
+export function createCrashes(dependencies: CrashesDependencies): CreatedCrashes {
 	const ledger = new CrashLedger();
 	const publisher = new CrashReportPublisher({...dependencies, ledger});
 	const crashes = new EndpointCrashes({
@@ -14,5 +23,16 @@
 			publisher.publish(report);
 		},
 	});
-	return {crashes, publisher, handler: new CrashFeedHandler(ledger, publisher)};
+	const handler = new CrashFeedHandler(ledger, publisher);
+	return {
+		crashes,
+		publisher,
+		handler,
+		follower: {
+			unconfirmedCrashes: () => publisher.unconfirmed(),
+			applyCrashes(reports) {
+				handler.handleUnconfirmed(reports);
+			},
+		},
+	};
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,8 +23,7 @@
 import {Supervisor} from '../supervisor/supervisor.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {ConfigurationView} from './configuration/configuration-view.js';
-import {type CrashReportPublisher} from './crashes/crash-report-publisher.js';
-import {createCrashes} from './crashes/create-crashes.js';
+import {createCrashes, type CreatedCrashes} from './crashes/create-crashes.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
 import {createRefuse} from './data-path/refuse.js';
@@ -86,7 +85,7 @@
 	readonly #ready: HttpListener;
 	readonly #metricsListener: HttpListener;
 	readonly #coordinators: CoordinatorPair;
-	readonly #crashReports: CrashReportPublisher;
+	readonly #crashes: CreatedCrashes;
 	readonly #relays: Relays;
 	readonly #streams: CreatedStreamOrigins;
 	readonly #brittle: BrittleServices;
@@ -141,14 +140,13 @@
 			...shared, placement: this.#placement, relays: this.#relays.client, metrics,
 		});
 		this.#coordinators = this.#createCoordinators(shared, coordinatorView, ports);
-		const {crashes, publisher, handler: crashHandler} = createCrashes({
+		this.#crashes = createCrashes({
 			...shared,
 			...ports,
 			instance: settings.instance,
 			isCoordinator: () => this.#coordinators.isCoordinator,
 			probe: async endpoint => paths.reach(endpoint),
 		});
-		this.#crashReports = publisher;
 		this.#brittle = new BrittleServices({
 			...shared,
 			instance: settings.instance,
@@ -166,7 +164,7 @@
 			peerUpdates: this.#coordinators.peerUpdates,
 			blockPlanner: new BlockPlanner(),
 			eventLoopLag: this.#eventLoopLag,
-			crashes,
+			crashes: this.#crashes.crashes,
 			streamOrigins: this.#streams.streamOrigins,
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
 			brittle: this.#brittle,
@@ -186,7 +184,7 @@
 		this.#ready = new HttpListener('ready', createReadyApp(settings.readyPath, () => this.#isReady()), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', createMetricsApp(metrics.registry), settings.listenMetrics);
 		const feedDependencies = {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby};
-		this.#feeds = new TableFeeds(this.#context, feedDependencies, timings, new FeedHandlers([crashHandler, this.#relays.key]));
+		this.#feeds = new TableFeeds(this.#context, feedDependencies, timings, new FeedHandlers([this.#crashes.handler, this.#relays.key]));
 		this.#root = this.#createSupervisor(ports);
 	}
 
@@ -253,6 +251,10 @@
 				loads: () => packLoads(this.#placement.ownLoads(clock.moment().steady)),
 				...this.#relays.follower,
 				...this.#streams.follower,
+				unconfirmedCrashes: () => this.#crashes.follower.unconfirmedCrashes(),
+				applyCrashes: reports => {
+					this.#crashes.follower.applyCrashes(reports);
+				},
 				brittle: () => this.#brittle.reports(),
 				applyBrittle: reports => {
 					this.#brittle.apply(reports);
@@ -304,7 +306,7 @@
 				...this.#relays.children,
 				...this.#streams.children,
 				...this.#coordinators.children(),
-				this.#crashReports,
+				this.#crashes.publisher,
 				this.#callers,
 				this.#ready,
 				this.#metricsListener,
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -14,6 +14,10 @@
 		applyBrittle() {
 			// No service is brittle.
 		},
+		unconfirmedCrashes: () => [],
+		applyCrashes() {
+			// No endpoint has crashed.
+		},
 		relay: () => undefined,
 		wantsRelays: () => false,
 		applyRelays() {
