Do not send a prompt on that has probably ended its endpoint

Cause: an attempt whose endpoint had ended was retried like one whose connection had failed. Change: where the endpoint crashed after the head of its answer and before the body, and the prompt has a block that has not been answered here lately, the request fails in place of a retry. It waits 60 ms at most for the verdict on the endpoint. Requests without blocks, and prompts of known blocks, are retried as before.

--- a/src/decision/attempts/next-step.test.ts
+++ b/src/decision/attempts/next-step.test.ts
@@ -3,7 +3,7 @@
 import {decideNextStep, type AttemptState} from './next-step.js';
 
 const state: AttemptState = {
-	kind: 'idempotent', sends: 1, maxSends: 2, mayHaveRun: false, remainingMilliseconds: 1000,
+	kind: 'idempotent', sends: 1, maxSends: 2, mayHaveRun: false, hasProbablyCrashed: false, remainingMilliseconds: 1000,
 };
 const always = (): boolean => true;
 
@@ -49,3 +49,11 @@
 	// the caller would get that answer appended to the first part of the other.
 	assert.equal(decideNextStep('cut', {...state, mayHaveRun: true}, always), 'break-off');
 });
+
+test('a request that has probably ended its endpoint is not sent to another one', () => {
+	const stream: AttemptState = {
+		...state, kind: 'resumable-stream', maxSends: 3, mayHaveRun: true,
+	};
+	assert.equal(decideNextStep('unknown', stream, always), 'repeat');
+	assert.equal(decideNextStep('unknown', {...stream, hasProbablyCrashed: true}, always), 'fail');
+});
--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -28,6 +28,8 @@
 	maxSends: number;
 	/** Whether any attempt so far may have run. */
 	mayHaveRun: boolean;
+	/** Whether the request has probably ended its endpoint, and would end another one. */
+	hasProbablyCrashed: boolean;
 	/** Milliseconds until the timeout of the caller or the route. */
 	remainingMilliseconds: number;
 };
@@ -66,7 +68,7 @@
 	const mayRetry = outcome === 'cut'
 		? state.kind === 'resumable-stream'
 		: isRetryable(state.kind) || (!state.mayHaveRun && (outcome === 'not-sent' || outcome === 'rejected'));
-	const isWithinLimits = state.sends < state.maxSends && state.remainingMilliseconds >= minRetryMilliseconds;
+	const isWithinLimits = !state.hasProbablyCrashed && state.sends < state.maxSends && state.remainingMilliseconds >= minRetryMilliseconds;
 	if (mayRetry && isWithinLimits && (state.sends === 0 || takeRetry())) {
 		return outcome === 'cut' ? 'resume' : 'repeat';
 	}
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -59,7 +59,7 @@
 /** The blocks of a prompt that a log line names; a prompt may have hundreds. */
 const maxLoggedBlocks = 8;
 
-type Break = {endpoint: EndpointRecord; requests: LostRequest[]};
+type Break = {endpoint: EndpointRecord; requests: LostRequest[]; verdict: Promise<BreakVerdict>};
 
 export class CrashDetector {
 	readonly #dependencies: CrashDetectorDependencies;
@@ -79,14 +79,19 @@
 			return;
 		}
 
-		const found: Break = {endpoint, requests: [request]};
+		const found: Break = {endpoint, requests: [request], verdict: this.#judge(endpoint)};
 		this.#open.set(incarnation, found);
 		void this.#examine(found);
 	}
 
+	/** What the break that is being examined means; `undefined` if none is. */
+	async verdictOf(endpoint: EndpointRecord): Promise<BreakVerdict | undefined> {
+		return this.#open.get(incarnationOf(endpoint))?.verdict;
+	}
+
 	async #examine(found: Break): Promise<void> {
 		const {clock, log, onCrash} = this.#dependencies;
-		const verdict = await this.#judge(found.endpoint);
+		const verdict = await found.verdict;
 		if (verdict === 'crashed') {
 			await clock.sleep(collectMilliseconds, this.#signal);
 		}
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -31,6 +31,8 @@
 const maxSurvivalDelayMilliseconds = 300;
 /** Features in a report about answered requests; the rest follows in the next one. */
 const maxSurvivors = 256;
+/** Time for one connection attempt in a data centre. */
+const verdictMilliseconds = 60;
 /** Time for the reports of other instances to arrive: their delay, the write, and the queries by which they are relayed. */
 const settleMilliseconds = 900;
 
@@ -86,6 +88,20 @@
 		}
 	}
 
+	/**
+	 * Whether an endpoint has crashed, as far as that is known soon after its connections broke. A crash that is found later does
+	 * not keep callers waiting.
+	 */
+	async hasCrashed(endpoint: EndpointRecord): Promise<boolean> {
+		const timeout = this.#dependencies.clock.sleep(verdictMilliseconds, this.#signal);
+		return await Promise.race([this.#detector.verdictOf(endpoint), timeout]) === 'crashed';
+	}
+
+	/** Whether all blocks of a request were answered here lately, in whichever requests. */
+	hasAnsweredBlocks(features: ReadonlySet<string>): boolean {
+		return [...features].every(feature => !isBlockFeature(feature) || this.#answered.has(feature, this.#now()));
+	}
+
 	/** Why a request may not be sent to any endpoint; `undefined` if it may. */
 	blockOf(request: FeaturedRequest): Block | undefined {
 		const {ledger, clock} = this.#dependencies;
--- a/src/gateway/data-path/crash-screen.ts
+++ b/src/gateway/data-path/crash-screen.ts
@@ -3,12 +3,14 @@
  * complete answer.
  */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {answerProgress} from '../../decision/crashes/answer-progress.js';
 import {blockFeature, isBlockFeature} from '../../decision/crashes/request-features.js';
 import {sharedBlocksOf} from '../../shared/prompt-shape.js';
 import {type Refusal} from '../../shared/types.js';
 import {type LostRequest} from '../crashes/crash-detector.js';
 import {type Block, type FeaturedRequest} from '../crashes/crash-ledger.js';
 import {type GatewayContext} from '../gateway-context.js';
+import {type AttemptResult} from './attempt-result.js';
 import {type RequestHead} from './request-head.js';
 import {requestFingerprint, type IdentifiedRequest} from './request-fingerprint.js';
 
@@ -76,6 +78,16 @@
 		});
 	}
 
+	/**
+	 * Whether a request has probably crashed its endpoint: that ended as it began to write the answer, and no prompt with the same
+	 * blocks has been answered. Another attempt would end another endpoint.
+	 */
+	async hasProbablyCrashed(endpoint: EndpointRecord, {isConnectionLost = false, transfer: {framing, bodyBytes = 0}}: AttemptResult): Promise<boolean> {
+		const {crashes} = this.#context;
+		const hasBegun = isConnectionLost && answerProgress(framing !== undefined, bodyBytes) === 'begun';
+		return hasBegun && !crashes.hasAnsweredBlocks(this.#features.features) && crashes.hasCrashed(endpoint);
+	}
+
 	/** Records a complete answer to an attempt that was sent at `sentAt`, in milliseconds of the steady clock. */
 	noteServed(sentAt: number): void {
 		this.#context.crashes.noteServed(this.#features.features, sentAt);
--- a/src/gateway/data-path/crashing-block.test.ts
+++ b/src/gateway/data-path/crashing-block.test.ts
@@ -68,3 +68,34 @@
 
 	assert.deepEqual(reached, ['endpoint-1', 'endpoint-2', 'endpoint-3', 'healthy', 'healthy']);
 });
+
+test('a prompt whose endpoint ends as it begins to answer is tried again only if its blocks have been answered before', async () => {
+	// Guards against one prompt that ends as many endpoints as it has attempts.
+	const gateway = await new TestGateway(testConfiguration({routes: [testRoute({kind: 'resumable-stream', maxAttempts: 3, carriesPrompt: true})]})).start();
+	const reached: string[] = [];
+	const addEnding = async (name: string, slots: number): Promise<void> => {
+		await gateway.addEndpoint((request, response) => {
+			reached.push(name);
+			if (request.headers[names.attemptId] === 'sound') {
+				answerSealed(request, response, {headers: {'content-type': 'text/event-stream'}, body: 'id: 1\ndata: one\n\n'});
+				return;
+			}
+
+			response.writeHead(200, {...sealedHeaders(request), 'content-type': 'text/event-stream'}).flushHeaders();
+			setTimeout(() => {
+				gateway.endEndpoint(name);
+			}, 20);
+		}, {name, slots});
+	};
+
+	await addEnding('first', 100);
+	await addEnding('second', 50);
+	await addEnding('third', 20);
+	assert.equal(statusOf(await exchangeRaw(gateway.address, promptOf('sound', 'known:100,own:100'))), 200);
+	reached.length = 0;
+	assert.equal(statusOf(await exchangeRaw(gateway.address, promptOf('unknown', 'known:100,fresh:100,own:100'))), 502);
+	assert.equal(reached.length, 1);
+	await exchangeRaw(gateway.address, promptOf('known', 'known:100,own:100'));
+	assert.equal(reached.length, 3, 'both other endpoints');
+	await gateway.close();
+});
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -189,7 +189,7 @@
 			return this.#failureResponder.expire(this.#attempts.mayHaveRun);
 		}
 
-		const step = this.#stepAfter(result.outcome);
+		const step = this.#stepAfter(result.outcome, await this.#crashScreen.hasProbablyCrashed(endpoint, result));
 		logFailedAttempt(this.#context.log, {
 			id: this.#work.head.attemptId, endpoint: endpoint.name, result, step, sends: this.#attempts.sends, fingerprint: () => this.#crashScreen.fingerprint,
 		});
@@ -197,13 +197,14 @@
 		return this.#carryOut(step, result.answer);
 	}
 
-	#stepAfter(outcome: AttemptOutcome): NextStep {
+	#stepAfter(outcome: AttemptOutcome, hasProbablyCrashed: boolean): NextStep {
 		const {permitted: {route, service}} = this.#work;
 		return decideNextStep(outcome, {
 			kind: route.kind,
 			sends: this.#attempts.sends,
 			maxSends: route.maxAttempts,
 			mayHaveRun: this.#attempts.mayHaveRun,
+			hasProbablyCrashed,
 			remainingMilliseconds: this.#deadline - this.#now(),
 		}, () => this.#context.retryBudget.takeRetry(service, this.#now()));
 	}
