--- a/src/gateway/crashes/crash-clearance.test.ts
+++ b/src/gateway/crashes/crash-clearance.test.ts
@@ -35,7 +35,15 @@
 		ledger: this.ledger,
 		probe: async () => 'silent',
 		random: () => 0,
-		publish: (report: Report): void => {
+		claim: async (key, report): Promise<boolean> => {
+			if (this.ledger.reports().has(key)) {
+				return false;
+			}
+
+			this.ledger.put(key, report);
+			return true;
+		},
+		publish: (report): void => {
 			this.published.push(report);
 			this.ledger.put(keyOfReport(report), report);
 		},
@@ -135,3 +143,33 @@
 	instance.answer('2', 'block:shared');
 	assert.equal(instance.crashes.isUnsettled(instance.blockOf('1', 'block:bad')!), false);
 });
+
+test('a block ends by the trial of one instance, at most one at a time and ever more seldom', async () => {
+	const instance = new Instance();
+	for (let number = 0; number < 3; number++) {
+		instance.receiveCrash(['block:mended']);
+	}
+
+	const isTried = async (): Promise<boolean> => instance.crashes.mayTry(instance.blockOf('1', 'block:mended')!);
+	assert.equal(await isTried(), false);
+	instance.manual.advance(900_000);
+	assert.deepEqual([await isTried(), await isTried()], [true, false]);
+	instance.receiveCrash(['block:mended']);
+	instance.manual.advance(900_000);
+	assert.equal(await isTried(), false, 'the first trial has failed');
+	instance.manual.advance(2_700_000);
+	assert.equal(await isTried(), true);
+	instance.answer('2', 'block:mended');
+	assert.equal(instance.blockOf('3', 'block:mended'), undefined);
+});
+
+test('of several instances that know the same block only one may try it', async () => {
+	const instance = new Instance();
+	for (let number = 0; number < 3; number++) {
+		instance.receiveCrash(['block:bad']);
+	}
+
+	const known = instance.blockOf('1', 'block:bad')!;
+	instance.manual.advance(900_000);
+	assert.deepEqual(await Promise.all([instance.crashes.mayTry(known), instance.crashes.mayTry(known)]), [true, false]);
+});
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -29,6 +29,10 @@
 	crashes: CrashReport[];
 	/** When the evidence expires, in milliseconds since the epoch. */
 	until: number;
+	/** How many requests were sent all the same, to find out whether endpoints still crash on them. */
+	trials: number;
+	/** From when on the next one may be sent, in milliseconds since the epoch. */
+	nextTrialAt: number;
 };
 
 /** The crashes that a feature was present at and has not been cleared of: by incarnation, the state of the answer. */
@@ -36,6 +40,9 @@
 
 /** A report expires after one day: by then the cause may have been fixed at the endpoints. */
 export const reportRetentionMilliseconds = 86_400_000;
+/** Endpoints may have been fixed meanwhile; each trial that fails makes the pause longer, as it ends another endpoint. */
+const trialPauseMilliseconds = 900_000;
+const trialPauseGrowth = 4;
 /** How many reports are kept: far more than endpoints fail in a day. */
 export const maxReports = 500;
 
@@ -147,15 +154,22 @@
 		// Several instances may report one crash; the evidence holds as long as enough crashes have not expired.
 		const crashedAt = new Map(crashes.map(({incarnation, at}) => [incarnation, at]));
 		const decidingAt = [...crashedAt.values()].toSorted((left, right) => left - right).at(-crashesToBlock) ?? 0;
+		const trials = [...this.#reports.values()].filter(report => report.kind === 'trial' && isSameSet(report.features, cause.features));
+		const latestAt = Math.max(...[...crashes, ...trials].map(({at}) => at));
 		return {
-			cause, features: cause.features, crashes, until: decidingAt + reportRetentionMilliseconds,
+			cause,
+			features: cause.features,
+			crashes,
+			until: decidingAt + reportRetentionMilliseconds,
+			trials: trials.length,
+			nextTrialAt: latestAt + (trialPauseMilliseconds * (trialPauseGrowth ** trials.length)),
 		};
 	}
 
 	/** The keys of all reports, those first that are dropped first. */
 	#leastUseful(): string[] {
 		const useful = new Set(this.#currentBlocks().flatMap(({crashes}) => crashes));
-		const rank = (report: Report): number => report.kind === 'crash' && useful.has(report) ? 1 : 0;
+		const rank = (report: Report): number => report.kind === 'trial' || (report.kind === 'crash' && useful.has(report)) ? 1 : 0;
 		return [...this.#reports].toSorted(([, left], [, right]) => rank(left) - rank(right) || left.at - right.at).map(([key]) => key);
 	}
 
@@ -187,6 +201,10 @@
 	return suspects;
 }
 
+function isSameSet(left: readonly string[], right: readonly string[]): boolean {
+	return left.length === right.length && left.every(feature => right.includes(feature));
+}
+
 function hasFeatures({requests, prompts = []}: CrashReport, features: readonly string[]): boolean {
 	return requests.some(([fingerprint]) => features.includes(fingerprint)) || prompts.some(({blocks}) => features.every(feature => blocks.includes(feature)));
 }
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -11,7 +11,7 @@
 import {type KeyedReport} from '../coordinator/report-relay.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type CrashLedger} from './crash-ledger.js';
-import {type Report} from './crash-reports.js';
+import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
 import {crashTable, encodeReport, keyOfReport} from './crash-report-rows.js';
 
 export type CrashReportPublisherDependencies = {
@@ -43,12 +43,24 @@
 	}
 
 	/** Records a report and queues its write. */
-	publish(report: Report): void {
+	publish(report: CrashReport | SurvivalReport): void {
 		const key = keyOfReport(report);
 		this.#dependencies.ledger.put(key, report);
 		this.#queue({table: crashTable, key, value: encodeReport(report)});
 	}
 
+	/** Writes the report of a trial, unless another instance has done so; returns whether this one may make the trial. */
+	async claim(key: string, report: TrialReport): Promise<boolean> {
+		const {store, ledger} = this.#dependencies;
+		const written = await store.commit({conditions: [{table: crashTable, key, revision: 0}], writes: [{table: crashTable, key, value: encodeReport(report)}]});
+		if (written.isLeft()) {
+			return false;
+		}
+
+		ledger.put(key, report);
+		return true;
+	}
+
 	/** Queues all reports of this instance again, for a store that may have lost them. */
 	republish(): void {
 		const {instance, ledger} = this.#dependencies;
--- a/src/gateway/crashes/crash-reports.ts
+++ b/src/gateway/crashes/crash-reports.ts
@@ -34,4 +34,13 @@
 	requests: Array<[feature: string, incarnations: string[]]>;
 };
 
-export type Report = CrashReport | SurvivalReport;
+/** One instance sends one blocked request, to find out whether endpoints still crash on it. */
+export type TrialReport = {
+	kind: 'trial';
+	instance: string;
+	at: number;
+	/** Those of the block. */
+	features: string[];
+};
+
+export type Report = CrashReport | SurvivalReport | TrialReport;
--- a/src/gateway/crashes/create-crashes.ts
+++ b/src/gateway/crashes/create-crashes.ts
@@ -5,7 +5,7 @@
 import {CrashReportPublisher, type CrashReportPublisherDependencies} from './crash-report-publisher.js';
 import {EndpointCrashes, type EndpointCrashesDependencies} from './endpoint-crashes.js';
 
-export type CrashesDependencies = Omit<CrashReportPublisherDependencies & EndpointCrashesDependencies, 'ledger' | 'publish'>;
+export type CrashesDependencies = Omit<CrashReportPublisherDependencies & EndpointCrashesDependencies, 'ledger' | 'publish' | 'claim'>;
 
 export type CreatedCrashes = {
 	crashes: EndpointCrashes;
@@ -22,6 +22,7 @@
 		...dependencies, ledger, publish(report) {
 			publisher.publish(report);
 		},
+		claim: async (key, report) => publisher.claim(key, report),
 	});
 	const handler = new CrashFeedHandler(ledger, publisher);
 	return {
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -10,7 +10,8 @@
 import {AnsweredFeatures} from './answered-features.js';
 import {CrashDetector, type LostRequest, type ObservedCrash} from './crash-detector.js';
 import {type Block, type CrashLedger, type FeaturedRequest} from './crash-ledger.js';
-import {type Report} from './crash-reports.js';
+import {keyOfTrial} from './crash-report-rows.js';
+import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
 import {crashReport} from './crash-report-of.js';
 
 export type EndpointCrashesDependencies = {
@@ -24,7 +25,9 @@
 	/** Returns a random number from 0 up to 1. */
 	random(): number;
 	/** Records a report here and passes it on to the other instances. */
-	publish(report: Report): void;
+	publish(report: CrashReport | SurvivalReport): void;
+	/** Records a trial under its key, unless an instance has done so before; returns whether this instance may make it. */
+	claim(key: string, report: TrialReport): Promise<boolean>;
 };
 
 /** Longest delay of a report about answered requests. */
@@ -108,6 +111,25 @@
 		return ledger.blockOf(request, clock.moment().wall);
 	}
 
+	/**
+	 * Whether one request may be sent although it is blocked, to find out whether endpoints still crash on it. Of all instances one
+	 * may, and only while the store answers.
+	 */
+	async mayTry({features, trials, nextTrialAt}: Block): Promise<boolean> {
+		const {clock, claim, instance, log} = this.#dependencies;
+		const {wall} = clock.moment();
+		if (wall < nextTrialAt) {
+			return false;
+		}
+
+		const report: TrialReport = {
+			kind: 'trial', instance, at: wall, features: [...features],
+		};
+		const isClaimed = await claim(keyOfTrial(features, trials), report);
+		log.record('block-trial', {features: [...features], trials, isClaimed});
+		return isClaimed;
+	}
+
 	/** Whether a block is so recent that reports of answers at other instances may still arrive. */
 	isUnsettled({features}: Block): boolean {
 		const since = this.#blocks.find(({features: known}) => known.join(' ') === features.join(' '))?.since ?? Number.NEGATIVE_INFINITY;
--- a/src/gateway/data-path/crash-screen.ts
+++ b/src/gateway/data-path/crash-screen.ts
@@ -14,6 +14,8 @@
 import {type RequestHead} from './request-head.js';
 import {requestFingerprint, type IdentifiedRequest} from './request-fingerprint.js';
 
+/** For a caller that comes while another one's trial is claimed. */
+const minRetryAfterMilliseconds = 1000;
 /** How often a held request checks whether it is still blocked. */
 const holdCheckMilliseconds = 50;
 
@@ -56,7 +58,7 @@
 			block = crashes.blockOf(this.#features);
 		}
 
-		if (block === undefined || signal.aborted) {
+		if (block === undefined || signal.aborted || await crashes.mayTry(block)) {
 			return undefined;
 		}
 
@@ -66,8 +68,8 @@
 			reason: 'crashes-endpoints',
 			ran: 'not-run',
 			message: `${new Set(block.crashes.map(({incarnation}) => incarnation)).size} endpoints ended while they ran this request, or one that shares a part of its prompt`,
-			// The caller is not invited to come back before the evidence expires.
-			retryAfterMilliseconds: Math.round(block.until - now),
+			// The caller is not invited to come back before the evidence expires, or may be tested again.
+			retryAfterMilliseconds: Math.max(minRetryAfterMilliseconds, Math.round(Math.min(block.until, block.nextTrialAt) - now)),
 		};
 	}
 
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -19,7 +19,7 @@
 		| 'dependency-lost' | 'dependency-regained' | 'store-restored'
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
 		| 'connections-lost' | 'endpoints-unreachable' | 'endpoint-path' | 'service-brittle' | 'limit-named' | 'permit-granted' | 'leaving-announced' | 'rest-requested'
-		| 'request-served' | 'request-ended' | 'request-refused' | 'request-blocked' | 'try-failed' | 'late-write'
+		| 'request-served' | 'request-ended' | 'request-refused' | 'request-blocked' | 'block-trial' | 'try-failed' | 'late-write'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
 		| 'store-parts' | 'event-loop-late' | 'left-out' | 'fault';
 
@@ -39,7 +39,13 @@
 
 /** The ranks of kinds about a single request; all other kinds are about the process. */
 const requestRanks: ReadonlyMap<DecisionKind, LineRank> = new Map([
-	['request-served', 'ordinary'], ['request-refused', 'refusal'], ['request-blocked', 'refusal'], ['request-ended', 'failure'], ['try-failed', 'failure'], ['late-write', 'failure'],
+	['request-served', 'ordinary'],
+	['request-refused', 'refusal'],
+	['request-blocked', 'refusal'],
+	['block-trial', 'refusal'],
+	['request-ended', 'failure'],
+	['try-failed', 'failure'],
+	['late-write', 'failure'],
 ]);
 
 /**
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -103,6 +103,14 @@
 				publish(report) {
 					crashLedger.put(keyOfReport(report), report);
 				},
+				async claim(key, report) {
+					if (crashLedger.reports().has(key)) {
+						return false;
+					}
+
+					crashLedger.put(key, report);
+					return true;
+				},
 			}),
 			streamOrigins,
 			limits: new EndpointLimits({
