Bound the prompt blocks that an instance keeps of crashes

Change: an instance keeps 16,384 blocks in all; beyond that the oldest reports lose theirs, those that block requests last.

--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	CrashLedger, maxReports, reportRetentionMilliseconds, type FeaturedRequest,
+	CrashLedger, maxKnownBlocks, maxReports, reportRetentionMilliseconds, type FeaturedRequest,
 } from './crash-ledger.js';
 import {type CrashReport} from './crash-reports.js';
 import {decodeReport, encodeReport, keyOfReport} from './crash-report-rows.js';
@@ -73,3 +73,21 @@
 		assert.equal(decodeReport(content), undefined);
 	}
 });
+
+test('invented blocks in many reports are bounded, and the evidence of what is blocked is kept', () => {
+	const withBlocks = (number: number, blocks: string[]): CrashReport => ({
+		...crash(`i${number}`, [`f${number}`], number * 1000), prompts: [{
+			fingerprint: `f${number}`, workspace: 'own', hasBegun: true, blocks,
+		}],
+	});
+	const ledger = ledgerOf(...[1, 2, 3].map(number => withBlocks(number, ['block:bad'])));
+	for (let number = 4; number < 400; number++) {
+		const report = withBlocks(number, Array.from({length: 256}, (_, index) => `block:${number}-${index}`));
+		ledger.put(keyOfReport(report), report);
+		ledger.prune(number * 1000);
+	}
+
+	const known = [...ledger.reports().values()].flatMap(report => report.kind === 'crash' ? report.prompts ?? [] : []).flatMap(({blocks}) => blocks);
+	assert.ok(known.length <= maxKnownBlocks, `${known.length} blocks`);
+	assert.notEqual(ledger.blockOf({features: new Set(['new', 'block:bad']), workspace: 'own'}, 400_000), undefined);
+});
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -45,6 +45,8 @@
 const trialPauseGrowth = 4;
 /** How many reports are kept: far more than endpoints fail in a day. */
 export const maxReports = 500;
+/** How many blocks are kept in all reports: far more than the few of an ordinary crash, and a few megabytes. */
+export const maxKnownBlocks = 16_384;
 
 type KnownBlock = Block & {cause: CrashCause};
 
@@ -118,6 +120,7 @@
 			this.remove(key);
 		}
 
+		this.#pruneBlocks();
 		this.#pruneClearances();
 		return [...expired, ...surplus];
 	}
@@ -166,6 +169,28 @@
 		};
 	}
 
+	/** Drops the blocks of reports beyond the bound; callers may invent any number. */
+	#pruneBlocks(): void {
+		let known = 0;
+		for (const report of this.#reports.values()) {
+			known += blocksIn(report);
+		}
+
+		if (known <= maxKnownBlocks) {
+			return;
+		}
+
+		for (const key of this.#leastUseful()) {
+			const report = this.#reports.get(key);
+			if (known > maxKnownBlocks && report?.kind === 'crash') {
+				known -= blocksIn(report);
+				this.#reports.set(key, {...report, prompts: []});
+			}
+		}
+
+		this.#notify();
+	}
+
 	/** The keys of all reports, those first that are dropped first. */
 	#leastUseful(): string[] {
 		const useful = new Set(this.#currentBlocks().flatMap(({crashes}) => crashes));
@@ -208,3 +233,7 @@
 function hasFeatures({requests, prompts = []}: CrashReport, features: readonly string[]): boolean {
 	return requests.some(([fingerprint]) => features.includes(fingerprint)) || prompts.some(({blocks}) => features.every(feature => blocks.includes(feature)));
 }
+
+function blocksIn(report: Report): number {
+	return report.kind === 'crash' ? (report.prompts ?? []).reduce((count, {blocks}) => count + blocks.length, 0) : 0;
+}
