Postpone the next question for a slot only by one that was asked

An instance with most of the requests answered 429 although a third of the slots of the brittle endpoints was free. After one question that the coordinator did not answer in time it sent only its own part, a sixth of the slots, for as long as requests kept coming, while the coordinator answered all others.

Cause: after such a question an instance asks no more for 250 ms, and `maySend` set that time also where it had not asked. With four requests a second or more each one renewed it. A pause that what it holds up renews; `endpoint-limits` has the same pause and does not renew it.

The time is now set only after a question. Why enough: the next request after 250 ms asks, whatever came meanwhile.

The tests of brittle endpoints over processes, which count falls, pass (15 of 15 in the files process-brittle, limits/brittle, coordinator-server and slot-grants).

--- a/src/gateway/limits/brittle-services.ts
+++ b/src/gateway/limits/brittle-services.ts
@@ -102,17 +102,16 @@
 			return true;
 		}
 
-		const {slots: source, metrics} = this.#dependencies;
+		const {metrics} = this.#dependencies;
 		const now = this.#now();
 		if (now < (this.#deniedUntil.get(endpoint.name) ?? 0)) {
 			metrics.slots.inc({outcome: 'denied'});
 			return false;
 		}
 
-		const isGranted = now < this.#unansweredUntil ? undefined : await source.takeSlot(endpoint.name, endpoint.slots);
+		const isGranted = now < this.#unansweredUntil ? undefined : await this.#askCoordinator(endpoint, now);
 		metrics.slots.inc({outcome: isGranted === undefined ? 'no-coordinator' : (isGranted ? 'granted' : 'denied')});
 		if (isGranted === undefined) {
-			this.#unansweredUntil = Math.max(this.#unansweredUntil, now + unansweredMilliseconds);
 			return this.#isWithinOwnPart(endpoint);
 		}
 
@@ -135,6 +134,16 @@
 		}
 	}
 
+	/** Asks for a slot. Only a question that was asked postpones the next one; else a steady load would postpone it for ever. */
+	async #askCoordinator({name, slots}: EndpointRecord, now: number): Promise<boolean | undefined> {
+		const isGranted = await this.#dependencies.slots.takeSlot(name, slots);
+		if (isGranted === undefined) {
+			this.#unansweredUntil = Math.max(this.#unansweredUntil, now + unansweredMilliseconds);
+		}
+
+		return isGranted;
+	}
+
 	/** The part of the slots that each instance has without a coordinator; where it is less than one, some instances have one. */
 	#isWithinOwnPart(endpoint: EndpointRecord): boolean {
 		const {instance, slots: {instances}, requestsAt} = this.#dependencies;
