Check that no request is lost beside changes of the configuration

Users saw requests end without an answer beside a change of the configuration. The checks over processes changed only timeouts of routes, and none had kept connections, workspaces that come and go, answers that end with their connection, or several disturbances at a time.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -36,6 +36,8 @@
 	keepsName?: boolean;
 	/** For how long it serves before its row is written. */
 	rowDelayMilliseconds?: number;
+	/** Whether its connections are reset; otherwise answers that end with their connection look complete. */
+	resetsConnections?: boolean;
 };
 
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
@@ -129,7 +131,7 @@
 		}
 
 		const {name} = this;
-		this.#end();
+		this.#end(restart.resetsConnections);
 		if (!restart.keepsName) {
 			void this.#expireRow(name);
 		}
@@ -223,11 +225,15 @@
 		await this.#script.run(this, arrival, response);
 	}
 
-	#end(): void {
+	#end(resetsConnections = false): void {
 		this.#server?.close();
 		this.#server = undefined;
 		for (const socket of this.#sockets) {
-			socket.destroy();
+			if (resetsConnections) {
+				socket.resetAndDestroy();
+			} else {
+				socket.destroy();
+			}
 		}
 	}
 
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -27,12 +27,18 @@
 /** Time after which the instances know what another one has found. */
 export const contactMilliseconds = 3000;
 export const heartbeatMilliseconds = 400;
+/** After SIGTERM. */
+export const graceMilliseconds = 8000;
 
 const readyTimeoutMilliseconds = 20_000;
 const ports = {
 	callers: 8005, ready: 8002, peers: 7700, endpoint: 8268,
 };
 
+const usualLimits = {
+	max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+};
+
 export type DeploymentOptions = {
 	/** Second byte of all loopback addresses; runs at the same time need different ones. */
 	network: number;
@@ -120,13 +126,16 @@
 		})));
 	}
 
-	/** Writes the next version of the configuration, in which only the routes may differ. */
-	configure(routes: JsonValue[]): void {
+	/**
+	 * Writes the next version of the configuration.
+	 *
+	 * @param routes - Its routes.
+	 * @param further - Limits and workspaces; without them the usual limits hold, and no request needs a key.
+	 */
+	configure(routes: JsonValue[], further: {limits?: JsonValue; tenants?: JsonValue[]} = {}): void {
 		this.#configurationVersion++;
 		this.table.write({table: 'op', key: 'config'}, {
-			version: this.#configurationVersion, routes, services: this.#options.services, limits: {
-				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
+			version: this.#configurationVersion, routes, services: this.#options.services, limits: usualLimits, ...further,
 		});
 	}
 
@@ -140,15 +149,15 @@
 		return `${this.addressOf(100 + dataCentreNumber, number)}:${ports.endpoint}`;
 	}
 
-	/** Kills an instance and starts it again, unless it has just been killed. */
-	async restart(instance: GatewayInstance): Promise<void> {
+	/** Kills an instance, or asks it to stop, and starts it again, unless it has just been sent a signal. */
+	async restart(instance: GatewayInstance, signal: 'SIGKILL' | 'SIGTERM' = 'SIGKILL'): Promise<void> {
 		const {child} = instance.process;
 		if (child.killed) {
 			return;
 		}
 
 		noteInterruption(instance);
-		child.kill('SIGKILL');
+		child.kill(signal);
 		await once(child, 'exit');
 		const [ip = ''] = instance.address.split(':', 1);
 		instance.process = await this.#startProcess(instance.name, instance.dataCentre, ip);
@@ -256,7 +265,7 @@
 			'bounds.config_apply_ms': 2000,
 			'bounds.revoke_ms': 5000,
 			'bounds.drain_ms': 2000,
-			'bounds.grace_s': 8,
+			'bounds.grace_s': graceMilliseconds / 1000,
 			'bounds.budget_ratio': 0.2,
 			'bounds.budget_window_s': 10,
 			'bounds.contact_ms': contactMilliseconds,
