Send an answer with a length in chunks unless it arrives whole

Cause: a caller that half-closes within an answer with a length was taken for disconnected as soon as its endpoint was silent for 0.25 s. A closed and a half-closed connection send the same FIN, and only further bytes tell them apart: a closed peer replies with a reset. Within an answer of stated length there are none that are not part of the body.

Change: an answer with a length that is not complete with its first bytes goes to HTTP/1.1 callers in chunks, between which the existing probe (a leading zero of the next size) has room. Whole answers, answers without a body and HTTP/1.0 keep their length.

Processor time was not measured: two more small pieces in each write of such an answer.

Rejected: bytes held back as probes, since events come late and nothing is left once they are sent on; more time before the close, since work goes on for callers that have left; TCP keep-alive, since by the kernel's rules a closed peer acknowledges a probe without new bytes (not tried); the whole body awaited before the head.

--- a/src/gateway/data-path/broken-answer.test.ts
+++ b/src/gateway/data-path/broken-answer.test.ts
@@ -80,13 +80,30 @@
 });
 
 test('an answer shorter than its length does not look complete on the caller\'s connection', async () => {
-	// The endpoint states ten bytes, sends four and closes in order. The caller was told ten bytes as well.
+	// The endpoint states ten bytes, sends four and closes in order. The caller gets chunks without the last one.
 	const {text} = await answerTo(post, socket => {
 		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 10\r\n\r\nhalf`);
 	});
+	assert.match(text, /transfer-encoding: chunked\r\n(?:[^\r]+\r\n)*\r\n4\r\nhalf\r\n$/iv);
+	assert.ok(!/content-length/iv.test(text), text);
+});
+
+test('an answer shorter than its length does not look complete to an HTTP/1.0 caller', async () => {
+	// The endpoint states ten bytes, sends four and closes in order. The caller was told ten bytes as well.
+	const {text} = await answerTo(post.replace('HTTP/1.1', 'HTTP/1.0'), socket => {
+		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 10\r\n\r\nhalf`);
+	});
 	assert.match(text, /content-length: 10\r\n[\s\S]*half$/v);
 });
 
+test('an answer that arrives in one piece keeps its length', async () => {
+	// Guards against chunks where no silence can occur within the answer.
+	const {text} = await answerTo(post, socket => {
+		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 5\r\n\r\nwhole`);
+	});
+	assert.match(text, /content-length: 5\r\n[\s\S]*\r\n\r\nwhole$/v);
+});
+
 test('an answer whose transfer coding only looks like chunked and that is reset is incomplete', async () => {
 	// Guards against half of an answer that ends as a complete one:
 	// 1. The endpoint names a coding that is `chunked` after a no-break space. The parser reads it as another coding, so the
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -1,4 +1,10 @@
-/** Relays an endpoint's answer to the caller as it arrives. */
+/**
+ * Relays an endpoint's answer to the caller as it arrives.
+ *
+ * An answer with a length that does not arrive in one piece is sent in chunks. A caller that has closed its sending side can be
+ * told from one that has left only by bytes that are not part of the body, and there is room for them between chunks; within an
+ * answer of stated length there is none while its endpoint is silent.
+ */
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {incompleteBodyEnd, classifyBodyEnd, type BodyEnd} from './answer-transfer.js';
@@ -77,8 +83,13 @@
 			finish('client-left');
 		};
 
+		// A resumed stream ends with another endpoint's events, so the length that the first endpoint states would be wrong.
+		const statesLength = (): boolean => splitter === undefined && (
+			answer.framing !== 'length' || !response.useChunkedEncodingByDefault || bodyBytes >= Number(answer.header('content-length'))
+		);
+
 		const writeBytes = (bytes: Buffer): void => {
-			writeHeadOnce(answer, response, splitter !== undefined);
+			writeHeadOnce(answer, response, statesLength());
 			if (bytes.length > 0 && !response.write(bytes)) {
 				body.pause();
 			}
@@ -116,7 +127,7 @@
 				onFirstBytes();
 			}
 
-			writeHeadOnce(answer, response, splitter !== undefined);
+			writeHeadOnce(answer, response, statesLength());
 			response.end(splitter?.flush());
 			finish('whole');
 		};
@@ -142,16 +153,15 @@
 	});
 }
 
-/** A resumed stream ends with another endpoint's events, so the length that the first endpoint states would be wrong. */
-const droppedIfResumable: ReadonlySet<string> = new Set(['content-length']);
+const lengthName: ReadonlySet<string> = new Set(['content-length']);
 
-function writeHeadOnce(answer: EndpointAnswer, response: ServerResponse, mayBeResumed: boolean): void {
+function writeHeadOnce(answer: EndpointAnswer, response: ServerResponse, statesLength: boolean): void {
 	if (response.headersSent) {
 		return;
 	}
 
 	try {
-		response.writeHead(answer.status, answer.statusText, withoutHopByHop(answer.rawHeaders, answer.header('connection'), mayBeResumed ? droppedIfResumable : undefined));
+		response.writeHead(answer.status, answer.statusText, withoutHopByHop(answer.rawHeaders, answer.header('connection'), statesLength ? undefined : lengthName));
 	} catch (error) {
 		// Node keeps the reason phrase that it refused, and would refuse the head of a replacement answer because of it.
 		response.statusMessage = '';
--- a/src/serving/half-closed-caller.ts
+++ b/src/serving/half-closed-caller.ts
@@ -7,8 +7,8 @@
  * whose end it has read, so the operating system is asked whether the reset has arrived.
  *
  * Where neither is possible, any bytes of the answer itself serve. Without them a caller that has read nothing since its end
- * is taken for disconnected: one of HTTP/1.0 before the head of its answer, and one that half-closes within an answer with a
- * length which then stalls.
+ * is taken for disconnected: one of HTTP/1.0, and one that half-closes within an answer with a length which then stalls. So
+ * answers that are not complete when they begin should be sent in chunks.
  */
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
