Judge timeouts beside changes more strictly, and relay one instance

An incomplete answer was excused once the shortest timeout of any version up to its end had passed, 2.5 s in most runs, which most of the longer answers reach. The timeout of a request is fixed when its head is read, so only versions up to then count; the timeouts of four of the six routes are now longer than their answers take.

--beside relayed: one instance reaches no endpoint and goes through the others, which stop or are killed beside it.

--- a/src/check/changing-configuration.ts
+++ b/src/check/changing-configuration.ts
@@ -27,7 +27,10 @@
 export const plainServices = ['desk', 'yard'] as const;
 export const engineService = 'pool';
 
-const timeoutMilliseconds = [2500, 9000] as const;
+/** Longer than answers take, except on the routes whose requests may also reach it. */
+const timeoutMilliseconds = [5500, 9000] as const;
+const shortTimeoutMilliseconds = [1500, 9000] as const;
+const shortTimeoutRoutes: ReadonlySet<ChangingRoute> = new Set(['order', 'feed']);
 const idleMilliseconds = [600, 3000] as const;
 const headerMilliseconds = [1000, 6000] as const;
 const headerBytes = [2000, 16_384] as const;
@@ -37,6 +40,8 @@
 const goneShare = 8;
 /** Instances may hold the version before for this long. */
 const appliedMilliseconds = 3000;
+/** The timeout of a request is fixed when its head is read. */
+const readMilliseconds = 1000;
 
 /** A version that is or was in force. */
 type Version = {at: number; idleMilliseconds: number; timeouts: Partial<Record<ChangingRoute, number>>};
@@ -57,7 +62,8 @@
 		const present = changingRoutes.filter(() => isFirst || !this.#choices.chance(goneShare));
 		const version: Version = {at: now, idleMilliseconds: this.#choices.between(...idleMilliseconds), timeouts: {}};
 		const rows = present.map(name => {
-			const milliseconds = this.#choices.between(...timeoutMilliseconds);
+			const [shortest, longest] = shortTimeoutRoutes.has(name) ? shortTimeoutMilliseconds : timeoutMilliseconds;
+			const milliseconds = this.#choices.between(shortest, longest);
 			version.timeouts[name] = milliseconds;
 			return this.#routeRow(name, milliseconds);
 		});
@@ -73,9 +79,9 @@
 		});
 	}
 
-	/** The shortest timeout that an instance may apply to a request, in milliseconds. */
-	shortestTimeout(route: ChangingRoute, from: number, to: number): number {
-		return Math.min(...this.#inForce(from, to).map(({timeouts}) => timeouts[route] ?? Number.POSITIVE_INFINITY));
+	/** The shortest timeout that an instance may apply to a request that was sent at a time, in milliseconds. */
+	shortestTimeout(route: ChangingRoute, sentAt: number): number {
+		return Math.min(...this.#inForce(sentAt, sentAt + readMilliseconds).map(({timeouts}) => timeouts[route] ?? Number.POSITIVE_INFINITY));
 	}
 
 	/** The shortest idle timeout that an instance may apply, in milliseconds. */
--- a/src/check/configuration-changes-over-processes.ts
+++ b/src/check/configuration-changes-over-processes.ts
@@ -3,6 +3,9 @@
  * whole ends with a complete answer, a refusal or a failure, or at its timeout. Disturbances may be added, several at a time.
  */
 import {randomBytes} from 'node:crypto';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {type JsonValue} from '../shared/types.js';
@@ -20,6 +23,7 @@
 	deploymentWireNames as names, GatewayDeployment, type GatewayInstance, host, instanceHeader,
 } from './gateway-deployment.js';
 import {KeptCaller} from './kept-caller.js';
+import {linkStateVariable, relaysVariable} from './redirect-endpoint-dials.js';
 
 export type ConfigurationChangesOptions = {
 	seed: number;
@@ -42,6 +46,7 @@
 	ownEnds: number;
 };
 
+const relayedInstance = 'centre-2-1';
 const dataCentres = 2;
 const instancesPerDataCentre = 2;
 const endpointsOfService = 4;
@@ -94,6 +99,7 @@
 			instancesPerDataCentre,
 			routes: [],
 			services: [...plainServices.map(name => ({name})), {name: engineService, engine}],
+			environmentOf: instance => options.disturbances.includes('relayed') && instance === relayedInstance ? this.#withoutEndpoints() : {},
 		});
 		this.#configuration = new ChangingConfiguration(this.#deployment, this.#choicesFor('configuration'));
 		this.#script = new ChangingEndpoints(this.#choicesFor('endpoints'));
@@ -155,6 +161,18 @@
 		return Choices.fromSeed(hashOf(`configuration changes ${this.#options.seed} ${purpose}`));
 	}
 
+	/** The environment of an instance that reaches no endpoint. */
+	#withoutEndpoints(): Record<string, string> {
+		const folder = mkdtempSync(path.join(tmpdir(), 'savorygauge-changes-'));
+		const relaysPath = path.join(folder, 'relays.json');
+		const statePath = path.join(folder, 'state');
+		writeFileSync(relaysPath, JSON.stringify(Object.fromEntries(this.#endpoints.map(({address}) => [address, address]))));
+		writeFileSync(statePath, 'refuse');
+		return {
+			[relaysVariable]: relaysPath, [linkStateVariable]: statePath, NODE_OPTIONS: `--import ${new URL('redirect-endpoint-dials.js', import.meta.url).href}`,
+		};
+	}
+
 	#change(): void {
 		this.#versions++;
 		this.#configuration.change(performance.now());
@@ -236,7 +254,7 @@
 			received,
 			expectedBody: answerTo(request),
 			endpoint: this.#script.recordOf(attemptId),
-			shortestTimeoutMilliseconds: Math.min(deadlineMilliseconds, this.#configuration.shortestTimeout(route, startedAt, received.endedAt)),
+			shortestTimeoutMilliseconds: Math.min(deadlineMilliseconds, this.#configuration.shortestTimeout(route, startedAt)),
 			isInstanceSlow: this.#disturbances.isSlow(instance),
 			wasInstanceEnded: this.#disturbances.wasEnded(startedProcess, received.endedAt),
 		});
--- a/src/check/deployment-disturbances.ts
+++ b/src/check/deployment-disturbances.ts
@@ -6,7 +6,7 @@
 import {type DeploymentEndpoint} from './deployment-endpoint.js';
 import {type GatewayDeployment, type GatewayInstance, graceMilliseconds} from './gateway-deployment.js';
 
-/** The disturbances; the first three are what the callers do. */
+/** The disturbances; the first four are set up when a run starts. */
 export const disturbances = [
 	/** Prompts with one block, under which endpoints end as they begin to answer. */
 	'crashing-block',
@@ -14,6 +14,8 @@
 	'one-instance',
 	/** A fifth of the callers end their sending side after each request. */
 	'half-closes',
+	/** One instance reaches no endpoint, and goes through the others. */
+	'relayed',
 	/** No instance reaches the store. */
 	'store-away',
 	'kills',
@@ -85,7 +87,8 @@
 		switch (name) {
 			case 'crashing-block':
 			case 'one-instance':
-			case 'half-closes': {
+			case 'half-closes':
+			case 'relayed': {
 				return;
 			}
 
--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -61,8 +61,9 @@
 	/** The software version of its next incarnation. */
 	nextVersion: string;
 	readonly dataCentre: string;
+	/** `IP:port`. */
+	readonly address: string;
 	readonly #deployment: GatewayDeployment;
-	readonly #address: string;
 	readonly #service: string;
 	readonly #slots: number;
 	readonly #model: string | undefined;
@@ -78,7 +79,7 @@
 	constructor(deployment: GatewayDeployment, place: EndpointPlace, script: EndpointScript) {
 		this.#deployment = deployment;
 		this.dataCentre = place.dataCentre;
-		this.#address = place.address;
+		this.address = place.address;
 		this.#service = place.service;
 		this.#slots = place.slots;
 		this.#model = place.model;
@@ -104,7 +105,7 @@
 		this.#starts++;
 		this.#startedAt = Date.now();
 		this.#version = this.nextVersion;
-		this.name = keepsName ? this.name : `${this.#service}-${this.#address}-${this.#starts}`;
+		this.name = keepsName ? this.name : `${this.#service}-${this.address}-${this.#starts}`;
 		const server = createServer((request, response) => {
 			void this.#serve(request, response);
 		});
@@ -114,7 +115,7 @@
 				this.#sockets.delete(socket);
 			});
 		});
-		const [ip = '', port = ''] = this.#address.split(':');
+		const [ip = '', port = ''] = this.address.split(':');
 		server.listen(Number(port), ip);
 		await once(server, 'listening');
 		this.#server = server;
@@ -244,7 +245,7 @@
 
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
-			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
+			service: this.#service, address: this.address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
 			...(this.#model === undefined ? {} : {models: [{name: this.#model, version: 1}]}),
 		});
 	}
