Do not handle requests that cross the close of their connection

Callers whose next request crossed the close of their connection, after a SIGTERM, got neither an answer nor a refusal, and the request had been sent on and run.

Cause: the listener closes its sending side after the last answer of a connection and goes on reading it; a request that arrives then was parsed and handled like any other, though its answer can never be written. Class: work is accepted on a way that can no longer carry its result. The listener now handles no request on a connection whose sending side it has closed; it reads the bytes, so that the connection can end. To the caller it is a request that crossed the close and was not run. The other closes in order were tried as well: behind an answer that announced the close, and behind a refusal of half a request, a request that crosses was not handled before either (trials, one run each).

Over one real gateway process, 8 streams and a request sent on each connection after the close of its instance (trial, a script): 8 of 8 reached the endpoint and had no answer before, 0 of 8 after. The tests of src/serving pass, 31 of 31.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -189,6 +189,12 @@
 	#serve(request: IncomingMessage, response: ServerResponse): void {
 		const {socket} = request;
 		const responses = this.#connections.get(socket);
+		if (socket.writableEnded) {
+			// The caller sent it before it read the close; its bytes are read so that the connection can end.
+			request.resume();
+			return;
+		}
+
 		if ([...responses ?? []].some(earlier => earlier.getHeader('connection') === 'close')) {
 			// HTTP promises the caller that nothing behind such an answer is handled; the connection ends after it.
 			return;
