Excuse answers beside changes whose relay was killed

All of them failed as relayed connections, reset at the moments at which other instances were killed: an unplanned end of the machine that carries them. They count as excused when a kill came within 0.5 s before; beside SIGTERM nothing is excused.

--- a/src/check/changes-report.ts
+++ b/src/check/changes-report.ts
@@ -18,6 +18,8 @@
 	shortestTimeoutMilliseconds: number;
 	/** Whether the check killed or stopped the instance meanwhile. */
 	wasInstanceEnded: boolean;
+	/** Whether the check killed an instance through which the request had gone. */
+	wasRelayKilled: boolean;
 	/** Whether the check kept the instance short of processor time, so that it reads late. */
 	isInstanceSlow: boolean;
 };
@@ -120,7 +122,7 @@
 }
 
 /** What excuses that a request has no complete answer. */
-function excuseOf({received, endpoint, startedAt, shortestTimeoutMilliseconds, wasInstanceEnded, isInstanceSlow}: EndedRequest, held: number | undefined): string | undefined {
+function excuseOf({received, endpoint, startedAt, shortestTimeoutMilliseconds, wasInstanceEnded, wasRelayKilled, isInstanceSlow}: EndedRequest, held: number | undefined): string | undefined {
 	const {ending, sentAt, endedAt, status} = received;
 	// An endpoint that ends before its answer leaves room for another endpoint, or for a failure.
 	if (endpoint.wasBrokenOff && status !== 0) {
@@ -135,6 +137,10 @@
 		return 'instance ended';
 	}
 
+	if (wasRelayKilled && status !== 0) {
+		return 'relay killed';
+	}
+
 	if (ending === 'abandoned') {
 		const isReadLate = held === undefined ? isInstanceSlow && endpoint.arrivals === 0 : held < shortestTimeoutMilliseconds;
 		return isReadLate ? 'read late' : undefined;
--- a/src/check/deployment-disturbances.ts
+++ b/src/check/deployment-disturbances.ts
@@ -40,6 +40,10 @@
 const storeAwayMilliseconds = [1000, 4000] as const;
 /** For how long an instance that is short of processor time runs, and for how long it then stands still. */
 const rhythms = [{runs: 20, pauses: 80}, {runs: 100, pauses: 400}] as const;
+/** The instance that reaches no endpoint. */
+export const relayedInstance = 'centre-2-1';
+/** By then the end of a killed process is noticed by its peers. */
+const noticedMilliseconds = 500;
 /** By then the load balancer sends an instance that is stopping no new connections. */
 const unreadyMilliseconds = 2000;
 /** Of the grace period, in whose last part an instance may end what has not finished. */
@@ -48,6 +52,8 @@
 export class DeploymentDisturbances {
 	readonly #options: DisturbanceOptions;
 	readonly #stoppingSince = new Map<StartedProcess, number>();
+	/** When instances were killed, in milliseconds of `performance.now()`. */
+	readonly #killedAt: number[] = [];
 	#endsAt = 0;
 
 	constructor(options: DisturbanceOptions) {
@@ -69,6 +75,11 @@
 		return stoppingSince === undefined ? process.child.killed : at - stoppingSince >= graceMilliseconds * graceShare;
 	}
 
+	/** Whether the requests of an instance went through others, one of which was killed just before a time. */
+	wasRelayKilled(instance: GatewayInstance, at: number): boolean {
+		return this.has('relayed') && instance.name === relayedInstance && this.#killedAt.some(killedAt => killedAt <= at && at - killedAt < noticedMilliseconds);
+	}
+
 	/** Whether an instance is short of processor time, and reads late. */
 	isSlow(instance: GatewayInstance): boolean {
 		return this.has('short-of-processor') && instance === this.#options.deployment.instances[0];
@@ -101,7 +112,10 @@
 			}
 
 			case 'kills': {
-				await this.#repeat(() => choices.between(1000, 2500), async () => deployment.restart(choices.oneOf(instances)));
+				await this.#repeat(() => choices.between(1000, 2500), async () => {
+					this.#killedAt.push(performance.now());
+					await deployment.restart(choices.oneOf(instances));
+				});
 				return;
 			}
 
