Show that requests which arrive during a pause are closed unread

The request has not been read, so callers may send it again; it is still one that got neither an answer nor a refusal.

--- a/src/test/steered-caller.ts
+++ b/src/test/steered-caller.ts
@@ -109,6 +109,11 @@
 		return this.answer;
 	}
 
+	/** Whether its connection has closed. */
+	get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
 	async stop(): Promise<void> {
 		await this.#worker.terminate();
 	}
