--- a/src/gateway/limits/brittle-services.test.ts
+++ b/src/gateway/limits/brittle-services.test.ts
@@ -9,7 +9,7 @@
 
 function startServices({instances = 6, isGranted = true, hasCoordinator = true} = {}) {
 	const state = {
-		now: 0, asked: 0, reported: 0, inFlight: 0,
+		now: 0, asked: 0, reported: 0, inFlight: 0, hasCoordinator,
 	};
 	const clock: MomentClock = {
 		moment: () => ({steady: state.now, wall: state.now}),
@@ -30,7 +30,7 @@
 		slots: {
 			async takeSlot() {
 				state.asked++;
-				return hasCoordinator ? isGranted : undefined;
+				return state.hasCoordinator ? isGranted : undefined;
 			},
 			report() {
 				state.reported++;
@@ -108,3 +108,20 @@
 
 	assert.ok(sent < 10, `${sent} of 200 endpoints, six in a thousand are its part`);
 });
+
+test('under a steady load an instance goes on to ask for slots after a question without an answer', async () => {
+	// Guards against a pause that each request which it holds up makes longer.
+	const {state, services} = startServices({hasCoordinator: false});
+	services.note(endpoint, {brittle: '5', isServed: false, sentAt: 0});
+	await services.maySend(endpoint);
+	state.hasCoordinator = true;
+	state.inFlight = 6;
+	let granted = 0;
+	for (let request = 0; request < 100; request++) {
+		state.now += 20;
+		granted += await services.maySend(endpoint) ? 1 : 0;
+	}
+
+	assert.ok(granted >= 80, `${granted} of 100 requests in 2 s were granted a slot`);
+	assert.equal(state.asked, granted + 1);
+});
