Close an idle connection only after its socket was read once more

Callers that used a kept connection in time got neither an answer nor a refusal where the process had stood still until the idle timeout of that connection was over.

Cause: timers run before sockets are read, so after a pause the timer closes the connection with the request unread in its socket. The listener now takes the timeout of Node's server itself, polls the sockets once more, and closes the connection unless bytes have arrived; an idle one is closed as before.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -14,6 +14,7 @@
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
 import {closeIfBodyOutstanding} from './close-if-body-outstanding.js';
+import {closeIfIdle} from './close-if-idle.js';
 import {noteClose, noteClosed} from './connection-close.js';
 import {HalfClosedCaller} from './half-closed-caller.js';
 import {sendRefusal} from './send-refusal.js';
@@ -155,14 +156,14 @@
 				this.#connections.delete(socket);
 				closeQueuedAnswers(pending);
 			});
-			// Node's own listener closes the connection after this one.
-			socket.prependListener('timeout', () => {
-				noteClose(socket, 'idle-timeout');
-			});
 			socket.once('end', () => {
 				HalfClosedCaller.watch(socket, pending);
 			});
 		});
+		// Without this listener Node closes the connection itself.
+		this.#server.on('timeout', (socket: Socket) => {
+			void closeIfIdle(socket);
+		});
 		this.#server.on('request', (request, response) => {
 			this.#serve(request, response);
 		});
