Watch whether endpoints are still the processes of their rows

Cause: an endpoint that crashes may be back under its name at another version before its row says so. An instance without a request there when it ended noticed nothing, recorded streams that began there at the row's version, and let others go on there. Requests may state which weights they expect; that says nothing of the software and exists for prompts only, so it does not help.

Change: no connection outlives its process. While a service with resumable streams has several versions, each instance keeps one connection open to each of its endpoints (64 at most, none where an endpoint takes fewer than eight from each instance). When it ends and is not accepted again within 0.1 s, streams do not go on there, and those that begin there have no origin, until a new connection is proven to lead to the process of a row: it is the next one after that of the former row, it was there when the row was written, or the list confirms the row 2 s later. A head that arrives after such an end is not forwarded. Origins are taken from the row as it is when the events arrive.

Keep-alive probes for lost hosts: the project forbids them (socket-options.test.ts); an endpoint without a direct path is doubted instead. Rejected: the start that an engine reports (plain services report none, each call is a probe, and the process may end after it).

--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -102,10 +102,10 @@
 	 * back. A stream begins at those only where no other endpoint is left.
 	 */
 	#withCertainVersion(listed: EndpointRecord[], now: number): EndpointRecord[] {
-		const {endpoints} = this.#context;
+		const {endpoints, endpointVersions} = this.#context;
 		const running = listed.filter(endpoint => !endpoints.hasEnded(endpoint));
 		if (this.#work.continuation.isBound) {
-			return running;
+			return running.filter(endpoint => endpointVersions.isCertain(endpoint));
 		}
 
 		const certain = running.filter(endpoint => !endpoints.hasRecentVersion(endpoint, now));
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -125,6 +125,7 @@
 			},
 			onBytes: () => {
 				running.chunks++;
+				continuation.confirm(endpoint);
 				this.#supersedeReplacement();
 			},
 			onSilent: () => {
@@ -187,6 +188,10 @@
 
 	/** Whether the answer of an attempt may be relayed. The first one leads, and one that replaces it ends it. */
 	#mayRelay(running: RunningAttempt): boolean {
+		if (!this.#request.work.continuation.mayRelay(running.endpoint)) {
+			return false;
+		}
+
 		if (running === this.#leading) {
 			this.#supersedeReplacement();
 			return true;
--- a/src/gateway/data-path/resume-stream.test.ts
+++ b/src/gateway/data-path/resume-stream.test.ts
@@ -259,3 +259,53 @@
 	other.context.endpoints.put({...old, startedAt: old.startedAt + 1});
 	assert.deepEqual(await eventsOf(other, 'a3', resumption(1, 'a1')), ['2 old', '3 old']);
 });
+
+test('a stream does not go on at an endpoint whose version is not certain', async context => {
+	const {gateway, other, add} = await start(context);
+	await add('old', {softwareVersion: 'v1'});
+	await send(gateway, 'a1');
+	other.context.endpointVersions = {isCertain: () => false};
+	assert.deepEqual(await eventsOf(other, 'a2', resumption(1, 'a1')), []);
+});
+
+test('no event is forwarded of an endpoint that has been replaced since a stream was sent to it', async context => {
+	// Guards against an endpoint that ends and is back at another version between the choice and the answer.
+	const {gateway, other, add} = await start(context);
+	let isReplaced = false;
+	await add('old', {softwareVersion: 'v1'}, (incoming, response) => {
+		isReplaced = incoming.headers[names.lastEventId] !== undefined;
+		void makerOf('old')(incoming, response);
+	});
+	await send(gateway, 'a1');
+	other.context.endpointVersions = {isCertain: () => !isReplaced};
+	assert.deepEqual(await eventsOf(other, 'a2', resumption(1, 'a1')), []);
+	assert.equal(isReplaced, true);
+});
+
+test('a stream that begins where the version is not certain goes on nowhere else, and nobody is told its origin', async context => {
+	const {gateway, origins, add} = await start(context, {maxAttempts: 3});
+	gateway.context.endpointVersions = {isCertain: () => false};
+	gateway.context.retryBudget.countRequest('desk', gateway.context.clock.moment().steady);
+	await add('one', {softwareVersion: 'v1', slots: 40});
+	await add('two', {softwareVersion: 'v1', slots: 1});
+	assert.deepEqual(await eventsOf(gateway, 'a1'), ['1 one']);
+	assert.equal(origins.records.size, 0);
+});
+
+test('the origin of a stream is known as soon as the version of its endpoint is certain', async context => {
+	// Guards against streams that could never go on since they began while a row was older than its endpoint.
+	const {gateway, origins, add} = await start(context);
+	let isCertain = false;
+	gateway.context.endpointVersions = {isCertain: () => isCertain};
+	const old = await add('old', {softwareVersion: 'v1'}, (incoming, response) => {
+		response.writeHead(200, {...sealedHeaders(incoming), 'content-type': 'text/event-stream'});
+		response.write('id: 1\ndata: old\n\n');
+		setTimeout(() => {
+			gateway.context.endpoints.put({...old, startedAt: old.startedAt + 1, softwareVersion: 'v2'});
+			isCertain = true;
+			response.end('id: 2\ndata: old\n\n');
+		}, 50);
+	});
+	await send(gateway, 'a1');
+	assert.deepEqual(origins.records.get(streamKey(undefined, 'a1'))?.origin, {service: 'desk', softwareVersion: 'v2'});
+});
--- a/src/gateway/data-path/resume-stream.ts
+++ b/src/gateway/data-path/resume-stream.ts
@@ -10,12 +10,12 @@
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {firstAttemptOf} from './request-head.js';
 import {type RoutedWork} from './routed-work.js';
-import {StreamContinuation} from './stream-continuation.js';
+import {type ContinuationDependencies, StreamContinuation} from './stream-continuation.js';
 
 /** The request, and where it may be sent. */
 export type ResumedStream = Pick<RoutedWork, 'permitted' | 'continuation'>;
 
-type ResumeContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'streamOrigins'>;
+type ResumeContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'endpointVersions' | 'streamOrigins'>;
 
 /** `Retry-After` where another instance may know the stream: its caller can return at once, but not in a tight loop. */
 const unknownRetryMilliseconds = 200;
@@ -44,12 +44,15 @@
 export async function resumeStream(context: ResumeContext, work: Pick<RoutedWork, 'head' | 'permitted' | 'arrivedAt'>): Promise<Either<Refusal, ResumedStream>> {
 	const {head, permitted} = work;
 	const {route, service} = permitted;
-	const record = (origin: StreamOrigin): void => {
-		recordOrigin(context, work, origin);
+	const dependencies: ContinuationDependencies = {
+		...context,
+		record(origin) {
+			recordOrigin(context, work, origin);
+		},
 	};
 
 	if (route.kind !== 'resumable-stream' || head.lastEventId === undefined) {
-		return Right({permitted, continuation: new StreamContinuation(record)});
+		return Right({permitted, continuation: new StreamContinuation(dependencies)});
 	}
 
 	const knowledge = await knownOrigin(context, work);
@@ -61,7 +64,7 @@
 	});
 	return decision.kind === 'refuse'
 		? Left(refusals[decision.reason])
-		: Right({permitted: {...permitted, service: decision.origin.service}, continuation: new StreamContinuation(record, decision.origin)});
+		: Right({permitted: {...permitted, service: decision.origin.service}, continuation: new StreamContinuation(dependencies, decision.origin)});
 }
 
 async function knownOrigin({clock, configuration, endpoints, streamOrigins}: ResumeContext, {head, permitted: {grant, service}}: Pick<RoutedWork, 'head' | 'permitted'>): Promise<OriginKnowledge> {
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -13,8 +13,9 @@
  * An endpoint also says in its answers that it leaves, at times long before its row can say so. Rows of that incarnation that
  * arrive later do not make it usable again.
  */
-import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
-import {rememberBounded} from '../../shared/remember-bounded.js';
+import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {IncarnationSet} from './incarnation-set.js';
+import {RowAppearances} from './row-appearances.js';
 import {VersionHistory} from './version-history.js';
 
 /** An endpoint whose row is missing since an outage of the store, and until when it may be used. */
@@ -32,26 +33,23 @@
  * and one tenth more for the delay of the update.
  */
 export const reRegistrationMilliseconds = 2200;
-/** How many departed endpoints, and announcements of answers, are remembered: more than leave in the seconds by which a copy of the store is old. */
-const maxDepartures = 1000;
-/**
- * How long the row of a departed endpoint may stay in a store that came back from a copy: three heartbeats and the delay of the
- * update.
- */
+/** How long the row of a departed endpoint may stay in a store that came back from a copy: three heartbeats and a delay. */
 const staleRowMilliseconds = 5000;
 
 export class EndpointRegistry {
+	/** When the present rows appeared. */
+	readonly appearances = new RowAppearances();
 	readonly #records = new Map<string, EndpointRecord>();
 	readonly #unconfirmed = new Map<string, UnconfirmedEndpoint>();
 	readonly #versions = new VersionHistory();
 	/** Until when an outage may be the reason that a row vanishes, in milliseconds of the steady clock. */
 	#outageUntil = 0;
-	/** Incarnations that are leaving or have departed, those found first at the front. */
-	readonly #departures = new Set<string>();
-	/** Incarnations that have said in an answer that they leave, those found first at the front. */
-	readonly #announced = new Set<string>();
-	/** Incarnations whose process was found to have ended, those found first at the front. */
-	readonly #ended = new Set<string>();
+	/** Incarnations that are leaving or have departed. */
+	readonly #departures = new IncarnationSet();
+	/** Incarnations that have said in an answer that they leave. */
+	readonly #announced = new IncarnationSet();
+	/** Incarnations whose process was found to have ended. */
+	readonly #ended = new IncarnationSet();
 	/** Rows of a restored store that contradict a departure, and until when they are ignored. */
 	readonly #staleRows = new Map<string, {record: EndpointRecord; until: number}>();
 
@@ -83,7 +81,7 @@
 		}
 
 		for (const record of records) {
-			if (isRestored && record.state === 'ready' && this.#departures.has(incarnationOf(record))) {
+			if (isRestored && record.state === 'ready' && this.#departures.has(record)) {
 				this.#staleRows.set(record.name, {record, until: now + staleRowMilliseconds});
 			} else {
 				this.#put(record, change);
@@ -113,7 +111,8 @@
 		for (const [name, {record, until}] of this.#unconfirmed) {
 			if (until <= now) {
 				this.#unconfirmed.delete(name);
-				this.#noteDeparture(record);
+				this.appearances.forget(name);
+				this.#departures.add(record);
 				change.vanished.push(record);
 			}
 		}
@@ -133,23 +132,22 @@
 	 * @returns Whether this incarnation had not said so before.
 	 */
 	announceLeaving(endpoint: EndpointRecord): boolean {
-		const incarnation = incarnationOf(endpoint);
-		if (this.#announced.has(incarnation)) {
+		if (this.#announced.has(endpoint)) {
 			return false;
 		}
 
-		rememberBounded(this.#announced, incarnation, maxDepartures);
+		this.#announced.add(endpoint);
 		const listed = this.#records.get(endpoint.name);
-		if (listed !== undefined && incarnationOf(listed) === incarnation) {
+		if (listed?.startedAt === endpoint.startedAt) {
 			this.#records.set(endpoint.name, {...listed, state: 'leaving'});
 		}
 
 		const unconfirmed = this.#unconfirmed.get(endpoint.name);
-		if (unconfirmed !== undefined && incarnationOf(unconfirmed.record) === incarnation) {
+		if (unconfirmed?.record.startedAt === endpoint.startedAt) {
 			unconfirmed.record = {...unconfirmed.record, state: 'leaving'};
 		}
 
-		rememberBounded(this.#departures, incarnation, maxDepartures);
+		this.#departures.add(endpoint);
 		return true;
 	}
 
@@ -158,7 +156,7 @@
 		const record = this.#records.get(name);
 		if (record !== undefined) {
 			this.#records.set(name, {...record, state: 'leaving'});
-			this.#noteDeparture(record);
+			this.#departures.add(record);
 		}
 	}
 
@@ -166,18 +164,18 @@
 	noteEnded(endpoint: EndpointRecord): void {
 		// Without a start, the next incarnation could not be told from this one.
 		if (endpoint.startedAt > 0) {
-			rememberBounded(this.#ended, incarnationOf(endpoint), maxDepartures);
+			this.#ended.add(endpoint);
 		}
 	}
 
 	/** Whether the process of an incarnation was found to have ended. */
 	hasEnded(record: EndpointRecord): boolean {
-		return this.#ended.has(incarnationOf(record));
+		return this.#ended.has(record);
 	}
 
 	/** Whether an incarnation has announced that it leaves, or has left the list. */
 	hasDeparted(record: EndpointRecord): boolean {
-		return this.#departures.has(incarnationOf(record));
+		return this.#departures.has(record);
 	}
 
 	/** Records the weights that an engine answered with: they override the list, which is updated later. */
@@ -205,6 +203,7 @@
 
 	/** Records that the list was confirmed as of a time, both in milliseconds of the steady clock. */
 	confirm(confirmedAt: number, now: number): void {
+		this.appearances.confirm(confirmedAt);
 		this.#versions.confirm([...this.#records.values(), ...[...this.#unconfirmed.values()].map(({record}) => record)], confirmedAt, now);
 	}
 
@@ -217,6 +216,11 @@
 		return this.#versions.soleVersion(service, now, streamMilliseconds);
 	}
 
+	/** Whether a service has had several software versions while streams that still last can have begun. */
+	hasSeveralVersions(service: string): boolean {
+		return this.#versions.hasSeveral(service);
+	}
+
 	/** Whether other instances may not know yet that an endpoint's software version is in use. */
 	hasRecentVersion(record: EndpointRecord, now: number): boolean {
 		return this.#versions.isRecent(record, now);
@@ -232,16 +236,16 @@
 	}
 
 	#put(listed: EndpointRecord, change: RegistryChange): void {
-		const record = this.#announced.has(incarnationOf(listed)) ? {...listed, state: 'leaving' as const} : listed;
+		const record = this.#announced.has(listed) ? {...listed, state: 'leaving' as const} : listed;
 		const known = this.#records.get(record.name) ?? this.#unconfirmed.get(record.name)?.record;
 		this.#unconfirmed.delete(record.name);
 		this.#staleRows.delete(record.name);
 		this.#records.set(record.name, record);
 		this.#versions.note(record);
 		if (record.state === 'leaving') {
-			this.#noteDeparture(record);
+			this.#departures.add(record);
 		} else {
-			this.#departures.delete(incarnationOf(record));
+			this.#departures.delete(record);
 		}
 
 		this.#supersedeAt(record);
@@ -249,6 +253,7 @@
 			return;
 		}
 
+		this.appearances.note(record, known);
 		if (known !== undefined) {
 			change.vanished.push(known);
 		}
@@ -269,10 +274,6 @@
 		}
 	}
 
-	#noteDeparture(record: EndpointRecord): void {
-		rememberBounded(this.#departures, incarnationOf(record), maxDepartures);
-	}
-
 	#remove(name: string, now: number, change: RegistryChange): void {
 		this.#staleRows.delete(name);
 		const record = this.#records.get(name);
@@ -291,7 +292,8 @@
 			return;
 		}
 
-		this.#noteDeparture(record);
+		this.appearances.forget(name);
+		this.#departures.add(record);
 		change.vanished.push(record);
 	}
 }
--- a/src/gateway/endpoints/version-history.ts
+++ b/src/gateway/endpoints/version-history.ts
@@ -80,6 +80,11 @@
 		return versions.length === 1 ? versions[0]![0] : undefined;
 	}
 
+	/** Whether endpoints of a service have had several versions while streams that still last can have begun. */
+	hasSeveral(service: string): boolean {
+		return (this.#services.get(service)?.size ?? 0) > 1;
+	}
+
 	/** Whether other instances may not know yet that an endpoint's version is in use. */
 	isRecent({service, softwareVersion}: EndpointRecord, now: number): boolean {
 		const span = this.#services.get(service)?.get(softwareVersion);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -32,6 +32,7 @@
 import {EndpointPaths} from './endpoints/endpoint-paths.js';
 import {EndpointProber} from './endpoints/endpoint-prober.js';
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
+import {EndpointWatches} from './endpoints/endpoint-watches.js';
 import {type GatewayContext} from './gateway-context.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
 import {createMetricsApp, createReadyApp} from './health-apps.js';
@@ -89,6 +90,7 @@
 	readonly #crashReports: CrashReportPublisher;
 	readonly #relays: Relays;
 	readonly #streams: CreatedStreamOrigins;
+	readonly #endpointWatches: EndpointWatches;
 	readonly #brittle: BrittleServices;
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
@@ -156,8 +158,14 @@
 			slots: this.#coordinators.peerUpdates,
 			requestsAt: endpoint => this.#placement.ownLoads(clock.moment().steady).get(endpoint.name)?.requests ?? 0,
 		});
+		this.#endpointWatches = new EndpointWatches({
+			...shared,
+			instances: () => this.#coordinators.instances,
+			hasDirectPath: endpoint => paths.hasDirectPath(endpoint),
+		});
 		this.#context = {
 			...shared,
+			endpointVersions: this.#endpointWatches,
 			paths,
 			relays: this.#relays.client,
 			names: ports.names,
@@ -301,6 +309,7 @@
 					instances: () => this.#coordinators.instances,
 				}),
 				new EndpointProber(this.#context),
+				this.#endpointWatches,
 				...this.#relays.children,
 				...this.#streams.children,
 				...this.#coordinators.children(),
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -88,6 +88,7 @@
 			names: ownWireNames,
 			configuration: view,
 			endpoints,
+			endpointVersions: {isCertain: () => true},
 			paths,
 			relays,
 			placement,
