Let relays and stream records share how they accept peers

Cause: both servers listened, kept their connections, closed those that did not open in time and ended alike, each with its own copy.

Change: `PeerListener` does this; the servers keep what their connections are for. Behaviour is the same but for one order: the record of a connection is dropped when it has closed, also where the stream server dropped it at the error before.

--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -5,13 +5,13 @@
  * It connects to listed endpoints only, and answers nobody who does not know the instances' key.
  */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
-import {createServer, type Server, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {connectEndpoint} from '../endpoints/connect-endpoint.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {isSameKey} from '../../shared/is-same-key.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {PeerListener} from '../peers/peer-listener.js';
 import {forwardBytes} from './forward-bytes.js';
 import {type OpenFrame, type RelayFrame} from './relay-messages.js';
 
@@ -40,8 +40,6 @@
 const maxConnections = 256;
 /** A process that reads its sockets later than this has no processor time left for others. */
 const maxLagMilliseconds = 300;
-/** Timeout for the first frame. */
-const openTimeoutMilliseconds = 1000;
 /** The request's own instance closes the connection at its deadline; this is for one that has lost its power. */
 const closeMarginMilliseconds = 1000;
 const maxLifetimeMilliseconds = 600_000;
@@ -49,15 +47,18 @@
 export class RelayServer implements Child {
 	readonly name = 'relay';
 	readonly #dependencies: RelayServerDependencies;
-	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #listener: PeerListener;
 	/** The connections of other instances that are relayed to an endpoint. */
 	readonly #relayed = new Set<Socket>();
 
 	constructor(dependencies: RelayServerDependencies) {
 		this.#dependencies = dependencies;
-		this.#server = createServer({noDelay: true, allowHalfOpen: true}, socket => {
-			this.#accept(socket);
+		this.#listener = new PeerListener({
+			address: dependencies.address,
+			allowHalfOpen: true,
+			accept: (socket, noteOpened) => {
+				this.#accept(socket, noteOpened);
+			},
 		});
 	}
 
@@ -76,33 +77,11 @@
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const {address} = this.#dependencies;
-		const separator = address.lastIndexOf(':');
-		this.#server.listen(Number(address.slice(separator + 1)), address.slice(0, separator));
-		await once(this.#server, 'listening');
-		if (!signal.aborted) {
-			await once(signal, 'abort');
-		}
-
-		this.#server.close();
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
+		await this.#listener.run(signal);
 	}
 
-	#accept(socket: Socket): void {
+	#accept(socket: Socket, noteOpened: () => void): void {
 		const reader = new FrameReader();
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, openTimeoutMilliseconds);
-		this.#sockets.add(socket);
-		socket.once('close', () => {
-			clearTimeout(timer);
-			this.#sockets.delete(socket);
-		});
-		socket.on('error', () => {
-			socket.destroy();
-		});
 		const end = (): void => {
 			socket.destroy();
 		};
@@ -115,7 +94,7 @@
 						return;
 					}
 
-					clearTimeout(timer);
+					noteOpened();
 					socket.off('data', receive).off('end', end);
 					if (others.length > 0 || !this.#isPermitted(frame)) {
 						end();
--- a/src/gateway/streams/stream-server.ts
+++ b/src/gateway/streams/stream-server.ts
@@ -1,10 +1,10 @@
 /** Keeps origins of streams for the other instances of the data centre, and answers their questions. */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
-import {createServer, type Server, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {encodeFrame, FrameReader} from '../../peer/framing/frame-codec.js';
 import {isSameKey} from '../../shared/is-same-key.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {PeerListener} from '../peers/peer-listener.js';
 import {type OriginRecord} from './origin-records.js';
 import {
 	packAnswer, readRequest, unpackRecords, type PeerAnswer,
@@ -24,8 +24,6 @@
 
 /** The instances of a data centre, and those that have replaced some of them. */
 const maxConnections = 256;
-/** Timeout for the first frame. */
-const openTimeoutMilliseconds = 1000;
 /** Peers close idle connections sooner; this is for one that has lost its power. */
 const idleTimeoutMilliseconds = 90_000;
 /** A peer that does not read its answers is disconnected. */
@@ -34,51 +32,32 @@
 export class StreamServer implements Child {
 	readonly name = 'stream-server';
 	readonly #dependencies: StreamServerDependencies;
-	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #listener: PeerListener;
 
 	constructor(dependencies: StreamServerDependencies) {
 		this.#dependencies = dependencies;
-		this.#server = createServer({noDelay: true}, socket => {
-			this.#accept(socket);
+		this.#listener = new PeerListener({
+			address: dependencies.address,
+			maxConnections,
+			accept: (socket, noteOpened) => {
+				this.#accept(socket, noteOpened);
+			},
 		});
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const {address} = this.#dependencies;
-		const separator = address.lastIndexOf(':');
-		this.#server.listen(Number(address.slice(separator + 1)), address.slice(0, separator));
-		await once(this.#server, 'listening');
-		if (!signal.aborted) {
-			await once(signal, 'abort');
-		}
-
-		this.#server.close();
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
+		await this.#listener.run(signal);
 	}
 
-	#accept(socket: Socket): void {
-		if (this.#sockets.size >= maxConnections) {
-			socket.destroy();
-			return;
-		}
-
+	#accept(socket: Socket, noteOpened: () => void): void {
 		const reader = new FrameReader();
 		const origins = new Map<number, StreamOrigin>();
 		let isPermitted = false;
-		this.#sockets.add(socket);
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, openTimeoutMilliseconds);
 		const end = (): void => {
-			clearTimeout(timer);
-			this.#sockets.delete(socket);
 			socket.destroy();
 		};
 
-		socket.on('error', end).on('close', end).on('timeout', end).on('data', (bytes: Uint8Array) => {
+		socket.on('timeout', end).on('data', (bytes: Uint8Array) => {
 			reader.read(Buffer.from(bytes)).caseOf({
 				Left: end,
 				Right: frames => {
@@ -87,7 +66,7 @@
 							this.#handle(socket, origins, frame);
 						} else if (this.#isOpening(frame)) {
 							isPermitted = true;
-							clearTimeout(timer);
+							noteOpened();
 							socket.setTimeout(idleTimeoutMilliseconds);
 						} else {
 							end();
