Send the repeated crashing request in the same words, and trace runs of crashing blocks

Cause: the case of identical requests of check:blocks drew each of them anew, so it played the middle case again, with the block at the end: 75 engines ended and nothing was refused. The case was wrong, not too strict; it now sends one request again and again.

Change: beside that, requests that may run once and were refused as not run must not have run, on any case; and `--trace FOLDER` writes the instances' log lines and what engines and callers saw.

--- a/src/check/blocks-main.ts
+++ b/src/check/blocks-main.ts
@@ -13,12 +13,13 @@
 	.option('--seeds <number>', 'number of seeds', '1')
 	.option('--seconds <number>', 'length of a run', '20')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '75')
+	.option('--trace <folder>', 'where to write log lines, and what engines and callers saw')
 	.parse();
-const options: {case: BlockCase; seed: string; seeds: string; seconds: string; network: string} = command.opts();
+const options: {case: BlockCase; seed: string; seeds: string; seconds: string; network: string; trace?: string} = command.opts();
 let hasViolations = false;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runCrashingBlocks({
-		seed, network: Number(options.network), milliseconds: Number(options.seconds) * 1000, case: options.case,
+		seed, network: Number(options.network), milliseconds: Number(options.seconds) * 1000, case: options.case, traceFolder: options.trace,
 	});
 	console.log(JSON.stringify(report));
 	hasViolations ||= report.violations.length > 0;
--- a/src/check/crashing-block-engines.ts
+++ b/src/check/crashing-block-engines.ts
@@ -29,6 +29,8 @@
 export class CrashingBlockEngines implements EndpointScript {
 	readonly arrivals: BlockArrival[] = [];
 	readonly crashes: BlockCrash[] = [];
+	/** The attempts on which an engine has begun to work. */
+	readonly ranAttempts = new Set<string>();
 	/** Engines that ended at random. */
 	randomEnds = 0;
 	readonly #dependencies: CrashingBlockEnginesDependencies;
@@ -90,6 +92,7 @@
 	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
 		const {choices} = this.#dependencies;
 		const {number, events, blocks} = promptPlanOf(arrival.body);
+		this.ranAttempts.add(String(response.req.headers[names.attemptId]));
 		await delay(choices.between(...firstByteMilliseconds));
 		const block = this.#crashingBlockOf(blocks);
 		if (block === undefined) {
--- a/src/check/crashing-block-judgement.ts
+++ b/src/check/crashing-block-judgement.ts
@@ -37,6 +37,9 @@
 	arrivals: readonly BlockArrival[];
 	crashes: readonly BlockCrash[];
 	sound: readonly SoundRequest[];
+	/** The attempts of requests that may run once which were refused as not run, and all attempts that ran. */
+	refusedAttempts: readonly string[];
+	ranAttempts: ReadonlySet<string>;
 };
 
 /** How many of some requests began at the first try. */
@@ -64,6 +67,8 @@
 	served: number;
 	/** Sound requests that were refused as crashing. */
 	wronglyRefused: number;
+	/** Requests that may run once, have run, and were refused as not run. */
+	refusedAfterRun: number;
 	violations: string[];
 };
 
@@ -75,10 +80,13 @@
 
 /** Judges a run. */
 export function judgeBlocks({crashingBlocks, crashesToStop}: BlockConditions, record: BlockRecord): BlockJudgement {
-	const {startedAt, crashes, sound} = record;
+	const {
+		startedAt, crashes, sound, refusedAttempts, ranAttempts,
+	} = record;
 	const firstCrashAt = crashes[0]?.at ?? Number.POSITIVE_INFINITY;
 	const soundBefore = begunShare(sound.filter(({sentAt}) => sentAt < firstCrashAt));
 	const blocks = Object.fromEntries(crashingBlocks.map(({id}) => [id, findingsOf(id, crashesToStop, record)]));
+	const refusedAfterRun = refusedAttempts.filter(attempt => ranAttempts.has(attempt)).length;
 	const refused = sound.filter(({refusedAt}) => refusedAt.length > 0);
 	return {
 		blocks,
@@ -87,8 +95,10 @@
 		sound: sound.length,
 		served: sound.filter(({isServed}) => isServed).length,
 		wronglyRefused: refused.length,
+		refusedAfterRun,
 		violations: [
 			...Object.entries(blocks).flatMap(([id, findings]) => violationsOf(id, findings, soundBefore)),
+			...(refusedAfterRun > 0 ? [`${refusedAfterRun} requests that had run were refused as not run`] : []),
 			...refused.map(({number, blocks: held, refusedAt, sentAt}) => {
 				const sentAfter = Math.round(sentAt - startedAt);
 				return `sound request ${number} with ${held.join(',')}, sent at ${sentAfter} ms, was refused as crashing at ${refusedAt.join(', ')}`;
--- a/src/check/crashing-block-traffic.ts
+++ b/src/check/crashing-block-traffic.ts
@@ -1,4 +1,5 @@
 /** The callers of the check of crashing prompt blocks: of sound prompts, and of those that hold a crashing block. */
+import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type JsonValue} from '../shared/types.js';
 import {type Choices} from './choices.js';
@@ -50,7 +51,11 @@
 	/** Sends of requests that hold a crashing block, and those of them that were refused for it. */
 	crashingSends = 0;
 	crashingRefused = 0;
+	/** The attempts on the route with one attempt that were answered with a promise that they have not run. */
+	readonly refusedAttempts: string[] = [];
 	readonly #dependencies: CrashingBlockTrafficDependencies;
+	/** The crashing request, where all of them are alike. */
+	#repeated: {plan: PromptPlan; path: string} | undefined;
 	#numbers = 0;
 
 	constructor(dependencies: CrashingBlockTrafficDependencies) {
@@ -100,8 +105,9 @@
 
 	async #sendCrashing(block: CrashingBlock): Promise<void> {
 		const {choices, conditions} = this.#dependencies;
-		const plan = drawCrashingPrompt(choices, conditions, this.#nextNumber(), block);
-		const path = this.#path();
+		const request = this.#repeated ?? {plan: drawCrashingPrompt(choices, conditions, this.#nextNumber(), block), path: this.#path()};
+		this.#repeated = conditions.areAlike ? request : undefined;
+		const {plan, path} = request;
 		let instance = this.#otherThan(undefined);
 		for (let tries = 0; tries <= conditions.returns; tries++) {
 			this.crashingSends++;
@@ -118,9 +124,20 @@
 
 	async #sendPlan(instance: GatewayInstance, path: string, plan: PromptPlan): Promise<CallerAnswer> {
 		const {tokenCount, promptParts} = promptHeaderValues(plan);
-		return this.#dependencies.deployment.send(instance, {
-			path, body: promptBody(plan), deadlineMilliseconds, headers: {[names.model]: promptModel, [names.tokenCount]: tokenCount, [names.promptParts]: promptParts},
+		const attempt = randomBytes(8).toString('hex');
+		const answer = await this.#dependencies.deployment.send(instance, {
+			path,
+			body: promptBody(plan),
+			deadlineMilliseconds,
+			headers: {
+				[names.attemptId]: attempt, [names.model]: promptModel, [names.tokenCount]: tokenCount, [names.promptParts]: promptParts,
+			},
 		});
+		if (path === oneAttemptPath && refusalStatuses.has(answer.status)) {
+			this.refusedAttempts.push(attempt);
+		}
+
+		return answer;
 	}
 
 	#otherThan(former: GatewayInstance | undefined): GatewayInstance {
--- a/src/check/crashing-blocks-over-processes.ts
+++ b/src/check/crashing-blocks-over-processes.ts
@@ -3,12 +3,14 @@
  * the engines once five have ended, although no two of these prompts are alike, and that sound prompts, which share the caller,
  * the route and the other blocks with them, are served and never taken for them.
  */
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
 import {type BlockCase, type BlockConditions, conditionsOf} from './crashing-block-conditions.js';
 import {CrashingBlockEngines, engineSlots} from './crashing-block-engines.js';
-import {type BlockJudgement, judgeBlocks} from './crashing-block-judgement.js';
+import {type BlockJudgement, type BlockRecord, judgeBlocks} from './crashing-block-judgement.js';
 import {CrashingBlockTraffic, promptModel, promptRoutes} from './crashing-block-traffic.js';
 import {contactMilliseconds, GatewayDeployment, type GatewayInstance} from './gateway-deployment.js';
 
@@ -18,6 +20,8 @@
 	network: number;
 	milliseconds: number;
 	case: BlockCase;
+	/** Where the instances' log lines, and what engines and callers saw, are written for a closer look. */
+	traceFolder?: string | undefined;
 };
 
 export type CrashingBlocksReport = BlockJudgement & {
@@ -87,8 +91,15 @@
 		const endsAt = startedAt + this.#options.milliseconds;
 		this.#engines.noteTrafficStart(startedAt);
 		await Promise.all([this.#traffic.send(startedAt, endsAt), this.#disturb(endsAt)]);
-		const {crashes, arrivals, randomEnds} = this.#engines;
-		const {sound, crashingSends, crashingRefused} = this.#traffic;
+		const {
+			crashes, arrivals, randomEnds, ranAttempts,
+		} = this.#engines;
+		const {
+			sound, crashingSends, crashingRefused, refusedAttempts,
+		} = this.#traffic;
+		this.#writeTrace({
+			startedAt, crashes, arrivals, sound,
+		});
 		return {
 			seed: this.#options.seed,
 			case: this.#options.case,
@@ -97,7 +108,7 @@
 			crashingSends,
 			crashingRefused,
 			...judgeBlocks(this.#conditions, {
-				startedAt, arrivals, crashes, sound,
+				startedAt, arrivals, crashes, sound, ranAttempts, refusedAttempts,
 			}),
 		};
 	}
@@ -112,6 +123,17 @@
 		return !this.#isStoreAway && performance.now() - disturbedAt > contactMilliseconds;
 	}
 
+	#writeTrace(seen: Omit<BlockRecord, 'refusedAttempts' | 'ranAttempts'>): void {
+		const {traceFolder, case: name, seed} = this.#options;
+		if (traceFolder === undefined) {
+			return;
+		}
+
+		const startedAtWall = Date.now() - (performance.now() - seen.startedAt);
+		writeFileSync(path.join(traceFolder, `${name}-${seed}-seen.json`), JSON.stringify({...seen, startedAtWall}));
+		writeFileSync(path.join(traceFolder, `${name}-${seed}-lines.jsonl`), this.#deployment.lines().map(line => JSON.stringify(line)).join('\n'));
+	}
+
 	async #disturb(endsAt: number): Promise<void> {
 		await delay(disturbanceStartMilliseconds);
 		switch (this.#conditions.disturbance) {
