--- a/src/check/crashing-block-conditions.ts
+++ b/src/check/crashing-block-conditions.ts
@@ -13,6 +13,9 @@
 	'beside',
 	'beside-late',
 	'store-away',
+	'store-away-before',
+	'store-away-names-kept',
+	'names-kept',
 	'instances-killed',
 	'coordinator-killed',
 	'random-ends',
@@ -60,6 +63,10 @@
 	/** The block that all crashing requests hold, too: from when on, and in which share, sound ones hold it. */
 	companion: {soundFrom: number; soundPercent: number} | undefined;
 	disturbance: BlockDisturbance;
+	/** When that begins. */
+	disturbedFrom: number;
+	/** Whether engines come back under the name that they had. */
+	keepNames: boolean;
 };
 
 const comesAt = 3000;
@@ -81,6 +88,8 @@
 	hasOneFirstBlock: false,
 	companion: undefined,
 	disturbance: 'none',
+	disturbedFrom: comesAt + 1000,
+	keepNames: false,
 };
 
 /** The conditions of each case. */
@@ -94,6 +103,11 @@
 	beside: {...middle, companion: {soundFrom: 0, soundPercent: 20}},
 	'beside-late': {...middle, companion: {soundFrom: 10_000, soundPercent: 30}},
 	'store-away': {...middle, disturbance: 'store-away'},
+	// No instance can have learned of the block when the store goes.
+	'store-away-before': {...middle, disturbance: 'store-away', disturbedFrom: comesAt - 500},
+	// Instances cannot learn the new names of engines meanwhile, so only engines that keep theirs can end more than once.
+	'store-away-names-kept': {...middle, disturbance: 'store-away', disturbedFrom: comesAt - 500, keepNames: true},
+	'names-kept': {...middle, keepNames: true},
 	'instances-killed': {...middle, disturbance: 'instances-killed'},
 	'coordinator-killed': {...middle, disturbance: 'coordinator-killed'},
 	'random-ends': {...middle, disturbance: 'ends-seldom'},
--- a/src/check/crashing-block-engines.ts
+++ b/src/check/crashing-block-engines.ts
@@ -64,7 +64,7 @@
 		const first = this.#dependencies.choices.between(0, running.length - 1);
 		const ending = [...running.slice(first), ...running.slice(0, first)].slice(0, count);
 		this.randomEnds += ending.length;
-		await Promise.all(ending.map(async engine => engine.crash(this.#restartMilliseconds())));
+		await Promise.all(ending.map(async engine => this.#end(engine)));
 	}
 
 	stop(): void {
@@ -109,7 +109,7 @@
 			this.crashes.push({
 				at: performance.now(), number, block, endpoint: endpoint.name, instance: arrival.instance,
 			});
-			await endpoint.crash(this.#restartMilliseconds());
+			await this.#end(endpoint);
 		}
 	}
 
@@ -119,8 +119,10 @@
 		return this.#dependencies.conditions.crashingBlocks.find(({id, crashesAt}) => elapsed >= crashesAt && blocks.includes(id))?.id;
 	}
 
-	#restartMilliseconds(): number {
-		return this.#dependencies.choices.between(...restartMilliseconds);
+	/** Ends an engine, which comes back later. */
+	async #end(engine: DeploymentEndpoint): Promise<void> {
+		const {choices, conditions} = this.#dependencies;
+		await engine.crash(choices.between(...restartMilliseconds), {keepsName: conditions.keepNames});
 	}
 }
 
--- a/src/check/crashing-blocks-over-processes.ts
+++ b/src/check/crashing-blocks-over-processes.ts
@@ -41,7 +41,6 @@
 const engine = {
 	slots: engineSlots, kv_capacity_tokens: 200_000, kv_token_bytes: 1000, link_mbps: 1000, models: [{name: promptModel}],
 };
-const disturbanceStartMilliseconds = 4000;
 const storeAwayMilliseconds = 9000;
 const betweenKillsMilliseconds = 4000;
 const kills = 2;
@@ -135,7 +134,7 @@
 	}
 
 	async #disturb(endsAt: number): Promise<void> {
-		await delay(disturbanceStartMilliseconds);
+		await delay(this.#conditions.disturbedFrom);
 		switch (this.#conditions.disturbance) {
 			case 'none': {
 				return;
