--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -36,6 +36,8 @@
 	keepsName?: boolean;
 	/** For how long it serves before its row is written. */
 	rowDelayMilliseconds?: number;
+	/** Whether its connections are reset; otherwise answers that end with their connection look complete. */
+	resetsConnections?: boolean;
 };
 
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
@@ -59,8 +61,9 @@
 	/** The software version of its next incarnation. */
 	nextVersion: string;
 	readonly dataCentre: string;
+	/** `IP:port`. */
+	readonly address: string;
 	readonly #deployment: GatewayDeployment;
-	readonly #address: string;
 	readonly #service: string;
 	readonly #slots: number;
 	readonly #model: string | undefined;
@@ -76,7 +79,7 @@
 	constructor(deployment: GatewayDeployment, place: EndpointPlace, script: EndpointScript) {
 		this.#deployment = deployment;
 		this.dataCentre = place.dataCentre;
-		this.#address = place.address;
+		this.address = place.address;
 		this.#service = place.service;
 		this.#slots = place.slots;
 		this.#model = place.model;
@@ -102,7 +105,7 @@
 		this.#starts++;
 		this.#startedAt = Date.now();
 		this.#version = this.nextVersion;
-		this.name = keepsName ? this.name : `${this.#service}-${this.#address}-${this.#starts}`;
+		this.name = keepsName ? this.name : `${this.#service}-${this.address}-${this.#starts}`;
 		const server = createServer((request, response) => {
 			void this.#serve(request, response);
 		});
@@ -112,7 +115,7 @@
 				this.#sockets.delete(socket);
 			});
 		});
-		const [ip = '', port = ''] = this.#address.split(':');
+		const [ip = '', port = ''] = this.address.split(':');
 		server.listen(Number(port), ip);
 		await once(server, 'listening');
 		this.#server = server;
@@ -129,7 +132,7 @@
 		}
 
 		const {name} = this;
-		this.#end();
+		this.#end(restart.resetsConnections);
 		if (!restart.keepsName) {
 			void this.#expireRow(name);
 		}
@@ -223,11 +226,15 @@
 		await this.#script.run(this, arrival, response);
 	}
 
-	#end(): void {
+	#end(resetsConnections = false): void {
 		this.#server?.close();
 		this.#server = undefined;
 		for (const socket of this.#sockets) {
-			socket.destroy();
+			if (resetsConnections) {
+				socket.resetAndDestroy();
+			} else {
+				socket.destroy();
+			}
 		}
 	}
 
@@ -238,7 +245,7 @@
 
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
-			service: this.#service, address: this.#address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
+			service: this.#service, address: this.address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
 			...(this.#model === undefined ? {} : {models: [{name: this.#model, version: 1}]}),
 		});
 	}
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -2,15 +2,16 @@
  * Writes the reports of this instance to the store's table, from which all instances read them.
  *
  * A report counts at this instance from the moment it is made. Its write is repeated until the store confirms it: one that was
- * lost is written by the next call, and writing it twice changes nothing. While the store is unavailable each instance counts
- * what it has seen itself.
+ * lost is written by the next call, and writing it twice changes nothing. What is not confirmed is passed on through the
+ * coordinator.
  */
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RowWrite, type TableService} from '../../ports/table-service.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {type KeyedReport} from '../coordinator/report-relay.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type CrashLedger} from './crash-ledger.js';
-import {type Report} from './crash-reports.js';
+import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
 import {crashTable, encodeReport, keyOfReport} from './crash-report-rows.js';
 
 export type CrashReportPublisherDependencies = {
@@ -42,12 +43,24 @@
 	}
 
 	/** Records a report and queues its write. */
-	publish(report: Report): void {
+	publish(report: CrashReport | SurvivalReport): void {
 		const key = keyOfReport(report);
 		this.#dependencies.ledger.put(key, report);
 		this.#queue({table: crashTable, key, value: encodeReport(report)});
 	}
 
+	/** Writes the report of a trial, unless another instance has done so; returns whether this one may make the trial. */
+	async claim(key: string, report: TrialReport): Promise<boolean> {
+		const {store, ledger} = this.#dependencies;
+		const written = await store.commit({conditions: [{table: crashTable, key, revision: 0}], writes: [{table: crashTable, key, value: encodeReport(report)}]});
+		if (written.isLeft()) {
+			return false;
+		}
+
+		ledger.put(key, report);
+		return true;
+	}
+
 	/** Queues all reports of this instance again, for a store that may have lost them. */
 	republish(): void {
 		const {instance, ledger} = this.#dependencies;
@@ -58,6 +71,15 @@
 		}
 	}
 
+	/** The reports whose write the store has not confirmed. */
+	unconfirmed(): KeyedReport[] {
+		const {ledger} = this.#dependencies;
+		return [...this.#pending.keys()].flatMap(key => {
+			const report = ledger.reports().get(key);
+			return report === undefined ? [] : [[key, encodeReport(report)] satisfies KeyedReport];
+		});
+	}
+
 	/** Whether the write of a row is still to be confirmed. */
 	isPending(key: string): boolean {
 		return this.#pending.has(key);
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -10,7 +10,8 @@
 import {AnsweredFeatures} from './answered-features.js';
 import {CrashDetector, type LostRequest, type ObservedCrash} from './crash-detector.js';
 import {type Block, type CrashLedger, type FeaturedRequest} from './crash-ledger.js';
-import {type Report} from './crash-reports.js';
+import {keyOfTrial} from './crash-report-rows.js';
+import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
 import {crashReport} from './crash-report-of.js';
 
 export type EndpointCrashesDependencies = {
@@ -24,13 +25,17 @@
 	/** Returns a random number from 0 up to 1. */
 	random(): number;
 	/** Records a report here and passes it on to the other instances. */
-	publish(report: Report): void;
+	publish(report: CrashReport | SurvivalReport): void;
+	/** Records a trial under its key, unless an instance has done so before; returns whether this instance may make it. */
+	claim(key: string, report: TrialReport): Promise<boolean>;
 };
 
 /** Longest delay of a report about answered requests. */
 const maxSurvivalDelayMilliseconds = 300;
 /** Features in a report about answered requests; the rest follows in the next one. */
 const maxSurvivors = 256;
+/** Time for one connection attempt in a data centre. */
+const verdictMilliseconds = 60;
 /** Time for the reports of other instances to arrive: their delay, the write, and the queries by which they are relayed. */
 const settleMilliseconds = 900;
 
@@ -86,12 +91,45 @@
 		}
 	}
 
+	/**
+	 * Whether an endpoint has crashed, as far as that is known soon after its connections broke. A crash that is found later does
+	 * not keep callers waiting.
+	 */
+	async hasCrashed(endpoint: EndpointRecord): Promise<boolean> {
+		const timeout = this.#dependencies.clock.sleep(verdictMilliseconds, this.#signal);
+		return await Promise.race([this.#detector.verdictOf(endpoint), timeout]) === 'crashed';
+	}
+
+	/** Whether all blocks of a request were answered here lately, in whichever requests. */
+	hasAnsweredBlocks(features: ReadonlySet<string>): boolean {
+		return [...features].every(feature => !isBlockFeature(feature) || this.#answered.has(feature, this.#now()));
+	}
+
 	/** Why a request may not be sent to any endpoint; `undefined` if it may. */
 	blockOf(request: FeaturedRequest): Block | undefined {
 		const {ledger, clock} = this.#dependencies;
 		return ledger.blockOf(request, clock.moment().wall);
 	}
 
+	/**
+	 * Whether one request may be sent although it is blocked, to find out whether endpoints still crash on it. Of all instances one
+	 * may, and only while the store answers.
+	 */
+	async mayTry({features, trials, nextTrialAt}: Block): Promise<boolean> {
+		const {clock, claim, instance, log} = this.#dependencies;
+		const {wall} = clock.moment();
+		if (wall < nextTrialAt) {
+			return false;
+		}
+
+		const report: TrialReport = {
+			kind: 'trial', instance, at: wall, features: [...features],
+		};
+		const isClaimed = await claim(keyOfTrial(features, trials), report);
+		log.record('block-trial', {features: [...features], trials, isClaimed});
+		return isClaimed;
+	}
+
 	/** Whether a block is so recent that reports of answers at other instances may still arrive. */
 	isUnsettled({features}: Block): boolean {
 		const since = this.#blocks.find(({features: known}) => known.join(' ') === features.join(' '))?.since ?? Number.NEGATIVE_INFINITY;
