--- a/src/check/crashing-block-engines.ts
+++ b/src/check/crashing-block-engines.ts
@@ -29,6 +29,8 @@
 export class CrashingBlockEngines implements EndpointScript {
 	readonly arrivals: BlockArrival[] = [];
 	readonly crashes: BlockCrash[] = [];
+	/** The attempts on which an engine has begun to work. */
+	readonly ranAttempts = new Set<string>();
 	/** Engines that ended at random. */
 	randomEnds = 0;
 	readonly #dependencies: CrashingBlockEnginesDependencies;
@@ -62,7 +64,7 @@
 		const first = this.#dependencies.choices.between(0, running.length - 1);
 		const ending = [...running.slice(first), ...running.slice(0, first)].slice(0, count);
 		this.randomEnds += ending.length;
-		await Promise.all(ending.map(async engine => engine.crash(this.#restartMilliseconds())));
+		await Promise.all(ending.map(async engine => this.#end(engine)));
 	}
 
 	stop(): void {
@@ -90,6 +92,7 @@
 	async run(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
 		const {choices} = this.#dependencies;
 		const {number, events, blocks} = promptPlanOf(arrival.body);
+		this.ranAttempts.add(String(response.req.headers[names.attemptId]));
 		await delay(choices.between(...firstByteMilliseconds));
 		const block = this.#crashingBlockOf(blocks);
 		if (block === undefined) {
@@ -106,7 +109,7 @@
 			this.crashes.push({
 				at: performance.now(), number, block, endpoint: endpoint.name, instance: arrival.instance,
 			});
-			await endpoint.crash(this.#restartMilliseconds());
+			await this.#end(endpoint);
 		}
 	}
 
@@ -116,8 +119,10 @@
 		return this.#dependencies.conditions.crashingBlocks.find(({id, crashesAt}) => elapsed >= crashesAt && blocks.includes(id))?.id;
 	}
 
-	#restartMilliseconds(): number {
-		return this.#dependencies.choices.between(...restartMilliseconds);
+	/** Ends an engine, which comes back later. */
+	async #end(engine: DeploymentEndpoint): Promise<void> {
+		const {choices, conditions} = this.#dependencies;
+		await engine.crash(choices.between(...restartMilliseconds), {keepsName: conditions.keepNames});
 	}
 }
 
