--- a/src/check/crashing-block-conditions.ts
+++ b/src/check/crashing-block-conditions.ts
@@ -106,7 +106,9 @@
 	// No instance can have learned of the block when the store goes.
 	'store-away-before': {...middle, disturbance: 'store-away', disturbedFrom: comesAt - 500},
 	// Instances cannot learn the new names of engines meanwhile, so only engines that keep theirs can end more than once.
-	'store-away-names-kept': {...middle, disturbance: 'store-away', disturbedFrom: comesAt - 500, keepNames: true},
+	'store-away-names-kept': {
+		...middle, disturbance: 'store-away', disturbedFrom: comesAt - 500, keepNames: true,
+	},
 	'names-kept': {...middle, keepNames: true},
 	'instances-killed': {...middle, disturbance: 'instances-killed'},
 	'coordinator-killed': {...middle, disturbance: 'coordinator-killed'},
