--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -10,12 +10,12 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
-import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
 import {StreamPeerLists, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
+import {BrittleObservations} from './brittle-observations.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotGrants} from './slot-grants.js';
 import {LoadTotals} from './load-totals.js';
@@ -78,8 +78,7 @@
 	#permitTerm: number | undefined;
 	readonly #slots = new SlotGrants();
 	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
-	/** The latest observation of services whose endpoints are or were brittle. */
-	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
+	readonly #brittle = new BrittleObservations();
 	#nextRelay = 0;
 	readonly #streamPeers = new StreamPeerLists();
 
@@ -162,7 +161,7 @@
 		});
 		this.#loads.set(instance, frame.loads);
 		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
-		this.#noteBrittle(frame.brittle ?? []);
+		this.#brittle.note(frame.brittle ?? [], this.#now());
 		this.#source.recordUses(frame.uses);
 		if (frame.kind === 'ask') {
 			this.#answer(socket, frame);
@@ -215,7 +214,7 @@
 			instances: this.#followers.size,
 			...this.#answerPermit(instance, permit),
 			...this.#answerSlot(instance, number, slot),
-			...(this.#brittle.size > 0 ? {brittle: this.#brittleReports()} : {}),
+			...(this.#brittle.size > 0 ? {brittle: this.#brittle.reports(this.#now())} : {}),
 			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
 			...(streamPeers === undefined ? {} : {streamPeers: this.#streamPeers.answer(streamPeers, () => this.#streamPeerQueries(), this.#now())}),
 		};
@@ -256,19 +255,6 @@
 		return {isSlotGranted: this.#slots.take({...slot, instance, number}, this.#loads.requestsAt(slot.endpoint), this.#now())};
 	}
 
-	#noteBrittle(reports: readonly BrittleReport[]): void {
-		for (const {service, isBrittle, ageMilliseconds} of reports) {
-			const at = this.#now() - ageMilliseconds;
-			if (at > (this.#brittle.get(service)?.at ?? Number.NEGATIVE_INFINITY)) {
-				this.#brittle.set(service, {isBrittle, at});
-			}
-		}
-	}
-
-	#brittleReports(): BrittleReport[] {
-		return [...this.#brittle].map(([service, {isBrittle, at}]) => ({service, isBrittle, ageMilliseconds: Math.round(this.#now() - at)}));
-	}
-
 	/** The relays that reach the most endpoints, from another one on in each answer so that all are used. */
 	#relaysFor(instance: string): RelayReport[] {
 		const relays = [...this.#followers.values()].flatMap(follower => follower.relay === undefined || follower.instance === instance ? [] : [follower.relay]);
