--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -10,12 +10,12 @@
 import {afterNextPoll} from '../../serving/after-next-poll.js';
 import {type Child} from '../../supervisor/supervisor.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
-import {type BrittleReport} from '../limits/brittle-services.js';
 import {type RelayReport} from '../relay/relay-messages.js';
 import {StreamPeerLists, type StreamPeerQuery} from '../streams/stream-peer-list.js';
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
+import {BrittleObservations} from './brittle-observations.js';
 import {type KeyedReport, ReportRelay} from './report-relay.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotGrants} from './slot-grants.js';
@@ -81,8 +81,7 @@
 	#permitTerm: number | undefined;
 	readonly #slots = new SlotGrants();
 	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
-	/** The latest observation of services whose endpoints are or were brittle. */
-	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
+	readonly #brittle = new BrittleObservations();
 	readonly #crashes = new ReportRelay();
 	#nextRelay = 0;
 	readonly #streamPeers = new StreamPeerLists();
@@ -168,7 +167,7 @@
 		});
 		this.#loads.set(instance, frame.loads);
 		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
-		this.#noteBrittle(frame.brittle ?? []);
+		this.#brittle.note(frame.brittle ?? [], this.#now());
 		this.#crashes.add(frame.crashes ?? [], this.#now());
 		this.#source.recordUses(frame.uses);
 		if (frame.kind === 'ask') {
@@ -222,7 +221,7 @@
 			instances: this.#followers.size,
 			...this.#answerPermit(instance, permit),
 			...this.#answerSlot(instance, number, slot),
-			...(this.#brittle.size > 0 ? {brittle: this.#brittleReports()} : {}),
+			...(this.#brittle.size > 0 ? {brittle: this.#brittle.reports(this.#now())} : {}),
 			...this.#crashesFor(socket),
 			...(wantsRelays ? {relays: this.#relaysFor(instance)} : {}),
 			...(streamPeers === undefined ? {} : {streamPeers: this.#streamPeers.answer(streamPeers, () => this.#streamPeerQueries(), this.#now())}),
@@ -264,19 +263,6 @@
 		return {isSlotGranted: this.#slots.take({...slot, instance, number}, this.#loads.requestsAt(slot.endpoint), this.#now())};
 	}
 
-	#noteBrittle(reports: readonly BrittleReport[]): void {
-		for (const {service, isBrittle, ageMilliseconds} of reports) {
-			const at = this.#now() - ageMilliseconds;
-			if (at > (this.#brittle.get(service)?.at ?? Number.NEGATIVE_INFINITY)) {
-				this.#brittle.set(service, {isBrittle, at});
-			}
-		}
-	}
-
-	#brittleReports(): BrittleReport[] {
-		return [...this.#brittle].map(([service, {isBrittle, at}]) => ({service, isBrittle, ageMilliseconds: Math.round(this.#now() - at)}));
-	}
-
 	/** The reports of crashes that a follower has not received. */
 	#crashesFor(socket: Socket): {crashes?: KeyedReport[]} {
 		const follower = this.#followers.get(socket);
