Name the platform's fields of routes in its own folder

platform-boundary.test.ts failed on the check of configuration changes, which wrote two of these names itself; its other tests had been run, this one had not. It passes again, unchanged, and process-configuration-changes.test.ts as well.

--- a/src/check/changing-configuration.ts
+++ b/src/check/changing-configuration.ts
@@ -4,7 +4,7 @@
  */
 import {type JsonValue} from '../shared/types.js';
 import {type Choices} from './choices.js';
-import {type GatewayDeployment, host} from './gateway-deployment.js';
+import {type GatewayDeployment, host, routeFieldNames} from './gateway-deployment.js';
 
 /** The routes, and between which services each of them moves. */
 const routes = {
@@ -107,13 +107,13 @@
 			target_latency_ms: 600,
 			gap_aim_ms: 800,
 			priority: this.#choices.between(0, 3),
-			no_auth: this.#choices.chance(20),
+			[routeFieldNames.needsNoKey]: this.#choices.chance(20),
 		};
 	}
 
 	#targets(services: readonly string[]): Record<string, JsonValue> {
 		return this.#choices.chance(30)
-			? {traffic_split: services.map(service => ({service, weight: this.#choices.between(1, 4)}))}
+			? {[routeFieldNames.weightedTargets]: services.map(service => ({service, weight: this.#choices.between(1, 4)}))}
 			: {service: this.#choices.oneOf(services)};
 	}
 
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -295,3 +295,4 @@
 
 export {blockEventsPath, blockEventsWaitHeader, emptyBlockEvents} from '../platform/empty-block-events.js';
 export {platformWireNames as deploymentWireNames} from '../platform/wire-names.js';
+export {platformRouteFieldNames as routeFieldNames} from '../platform/route-field-names.js';
