--- a/src/check/changing-configuration.ts
+++ b/src/check/changing-configuration.ts
@@ -4,9 +4,7 @@
  */
 import {type JsonValue} from '../shared/types.js';
 import {type Choices} from './choices.js';
-import {
-	type GatewayDeployment, host, keyFields, splitFields,
-} from './gateway-deployment.js';
+import {type GatewayDeployment, host, routeFieldNames} from './gateway-deployment.js';
 
 /** The routes, and between which services each of them moves. */
 const routes = {
@@ -109,13 +107,13 @@
 			target_latency_ms: 600,
 			gap_aim_ms: 800,
 			priority: this.#choices.between(0, 3),
-			...keyFields(!this.#choices.chance(20)),
+			[routeFieldNames.needsNoKey]: this.#choices.chance(20),
 		};
 	}
 
 	#targets(services: readonly string[]): Record<string, JsonValue> {
 		return this.#choices.chance(30)
-			? splitFields(services.map(service => ({service, weight: this.#choices.between(1, 4)})))
+			? {[routeFieldNames.weightedTargets]: services.map(service => ({service, weight: this.#choices.between(1, 4)}))}
 			: {service: this.#choices.oneOf(services)};
 	}
 
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -301,5 +301,5 @@
 }
 
 export {blockEventsPath, blockEventsWaitHeader, emptyBlockEvents} from '../platform/empty-block-events.js';
-export {keyFields, splitFields} from '../platform/route-fields.js';
 export {platformWireNames as deploymentWireNames} from '../platform/wire-names.js';
+export {platformRouteFieldNames as routeFieldNames} from '../platform/route-field-names.js';
