Let the slots of brittle endpoints follow demand while the store is away

With the store away for all, an instance with nine tenths of the requests sent a sixth of the slots of brittle endpoints and answered the others 429, for as long as the store was away.

Cause: the coordinator grants slots only while no other one can grant the same; without the store it can't know that. Each instance then has an equal part, so that the sum holds, but the parts don't follow demand.

Change: a coordinator that may not grant alone grants as many slots as its followers would have together (`grantable-slots`), to whichever of them asks: all of them if all follow it, slots x followers / instances otherwise, with the most followers of its term as instances. An instance that follows another coordinator, or none, is not counted, so the sum over all is the one before. Considered: the standby, asked by those whom the coordinator does not answer (it does not know whom the coordinator serves), and parts by the demand of each instance's last seconds (two instances may both count on the same part).

--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -16,6 +16,7 @@
 import {
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
+import {GrantableSlots} from './grantable-slots.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotGrants} from './slot-grants.js';
 import {LoadTotals} from './load-totals.js';
@@ -53,9 +54,6 @@
 /** Relays that an answer names: enough to choose among, also when some of them fail. */
 const maxRelays = 8;
 
-/** Within this time after a new coordinator took over, all instances have found it and reported their requests. */
-const reconnectMilliseconds = 1500;
-
 type Follower = {
 	instance: string;
 	relay?: RelayReport | undefined;
@@ -77,7 +75,7 @@
 	#permits = new PermitGrants();
 	#permitTerm: number | undefined;
 	readonly #slots = new SlotGrants();
-	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
+	readonly #grantableSlots = new GrantableSlots();
 	/** The latest observation of services whose endpoints are or were brittle. */
 	readonly #brittle = new Map<string, {isBrittle: boolean; at: number}>();
 	#nextRelay = 0;
@@ -242,18 +240,18 @@
 		return {permit};
 	}
 
-	/** Grants no slots when another coordinator may grant the same ones, or before all instances have reported their requests. */
 	#answerSlot(instance: string, number: number, slot: (FollowerFrame & {kind: 'ask'})['slot']): Pick<CoordinatorFrame, 'isSlotGranted'> {
-		const term = this.#source.permitTerm();
-		if (term !== this.#slotTerm.number) {
-			this.#slotTerm = {number: term, since: this.#now()};
-		}
-
-		if (slot === undefined || term === undefined || this.#now() - this.#slotTerm.since < reconnectMilliseconds) {
+		const now = this.#now();
+		const slots = this.#grantableSlots.of(slot?.slots ?? 0, this.#source.permitTerm(), this.#followers.size, now);
+		if (slot === undefined || slots === 0) {
 			return {};
 		}
 
-		return {isSlotGranted: this.#slots.take({...slot, instance, number}, this.#loads.requestsAt(slot.endpoint), this.#now())};
+		const {endpoint} = slot;
+		const query = {
+			endpoint, slots, instance, number,
+		};
+		return {isSlotGranted: this.#slots.take(query, this.#loads.requestsAt(endpoint), now)};
 	}
 
 	#noteBrittle(reports: readonly BrittleReport[]): void {
--- /dev/null
+++ b/src/gateway/coordinator/grantable-slots.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {GrantableSlots} from './grantable-slots.js';
+
+test('a new coordinator grants nothing until all instances have reported, and then all slots', () => {
+	const grantable = new GrantableSlots();
+	assert.equal(grantable.of(16, undefined, 6, 0), 0, 'it has never been the coordinator');
+	assert.equal(grantable.of(16, 1, 2, 100), 0);
+	assert.equal(grantable.of(16, 1, 6, 1599), 0);
+	assert.equal(grantable.of(16, 1, 6, 1600), 16);
+});
+
+test('a coordinator that may no longer grant alone grants no more than the parts of its followers', () => {
+	const grantable = new GrantableSlots();
+	grantable.of(16, 1, 6, 0);
+	grantable.of(16, 1, 6, 2000);
+	grantable.of(16, 1, 3, 3000);
+	assert.equal(grantable.of(16, undefined, 6, 4000), 16);
+	assert.equal(grantable.of(16, undefined, 3, 4000), 8, 'the others may follow another coordinator');
+	assert.equal(grantable.of(16, undefined, 1, 4000), 2);
+	assert.equal(grantable.of(2, undefined, 1, 4000), 0);
+	assert.equal(grantable.of(16, undefined, 7, 4000), 16);
+});
+
+test('a coordinator whose lease is back grants the parts of its followers until all instances have reported', () => {
+	const grantable = new GrantableSlots();
+	grantable.of(16, 1, 6, 0);
+	grantable.of(16, 1, 6, 2000);
+	grantable.of(16, undefined, 6, 3000);
+	assert.equal(grantable.of(16, 3, 3, 4000), 8);
+	assert.equal(grantable.of(16, 3, 3, 5500), 16);
+	assert.equal(grantable.of(16, undefined, 3, 6000), 16, 'the instances that have left are not waited for in a new term');
+});
