--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -17,6 +17,7 @@
 } from './coordinator-messages.js';
 import {BrittleObservations} from './brittle-observations.js';
 import {type KeyedReport, ReportRelay} from './report-relay.js';
+import {GrantableSlots} from './grantable-slots.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotGrants} from './slot-grants.js';
 import {LoadTotals} from './load-totals.js';
@@ -54,9 +55,6 @@
 /** Relays that an answer names: enough to choose among, also when some of them fail. */
 const maxRelays = 8;
 
-/** Within this time after a new coordinator took over, all instances have found it and reported their requests. */
-const reconnectMilliseconds = 1500;
-
 type Follower = {
 	instance: string;
 	relay?: RelayReport | undefined;
@@ -80,7 +78,7 @@
 	#permits = new PermitGrants();
 	#permitTerm: number | undefined;
 	readonly #slots = new SlotGrants();
-	#slotTerm: {number: number | undefined; since: number} = {number: undefined, since: 0};
+	readonly #grantableSlots = new GrantableSlots();
 	readonly #brittle = new BrittleObservations();
 	readonly #crashes = new ReportRelay();
 	#nextRelay = 0;
@@ -249,18 +247,18 @@
 		return {permit};
 	}
 
-	/** Grants no slots when another coordinator may grant the same ones, or before all instances have reported their requests. */
 	#answerSlot(instance: string, number: number, slot: (FollowerFrame & {kind: 'ask'})['slot']): Pick<CoordinatorFrame, 'isSlotGranted'> {
-		const term = this.#source.permitTerm();
-		if (term !== this.#slotTerm.number) {
-			this.#slotTerm = {number: term, since: this.#now()};
-		}
-
-		if (slot === undefined || term === undefined || this.#now() - this.#slotTerm.since < reconnectMilliseconds) {
+		const now = this.#now();
+		const slots = this.#grantableSlots.of(slot?.slots ?? 0, this.#source.permitTerm(), this.#followers.size, now);
+		if (slot === undefined || slots === 0) {
 			return {};
 		}
 
-		return {isSlotGranted: this.#slots.take({...slot, instance, number}, this.#loads.requestsAt(slot.endpoint), this.#now())};
+		const {endpoint} = slot;
+		const query = {
+			endpoint, slots, instance, number,
+		};
+		return {isSlotGranted: this.#slots.take(query, this.#loads.requestsAt(endpoint), now)};
 	}
 
 	/** The reports of crashes that a follower has not received. */
