Do not handle a request that crosses the end of its connection

In a drain the listener ends connections whose last answer could not announce the close, and went on to handle what it read from them afterwards. Such a request ran at an endpoint, and its connection was closed without an answer.

Change: a request that is read after this side of its connection was ended is discarded. Its connection is closed by its caller, or after the idle timeout, as before the request.

Ruled out: to destroy the connection at once, since bytes that are still unread would reset it, and the answer before could be lost.

--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -188,6 +188,13 @@
 
 	#serve(request: IncomingMessage, response: ServerResponse): void {
 		const {socket} = request;
+		if (socket.writableEnded) {
+			// It crossed the end of its connection. Without a way to answer it must not run; its caller may send it elsewhere.
+			request.resume();
+			socket.setTimeout(this.#server.keepAliveTimeout);
+			return;
+		}
+
 		const responses = this.#connections.get(socket);
 		if ([...responses ?? []].some(earlier => earlier.getHeader('connection') === 'close')) {
 			// HTTP promises the caller that nothing behind such an answer is handled; the connection ends after it.
