--- a/src/gateway/data-path/silent-endpoint.test.ts
+++ b/src/gateway/data-path/silent-endpoint.test.ts
@@ -138,6 +138,34 @@
 	assert.deepEqual(recorder.closed, ['slow']);
 });
 
+test('an endpoint that was to replace a silent one is told to stop when that one goes on, not only when it ends', async () => {
+	// Guards against a stream that two endpoints generate at a time.
+	const recorder = new Recorder();
+	let noteArrival: (() => void) | undefined;
+	const arrival = new Promise<void>(resolve => {
+		noteArrival = resolve;
+	});
+	let closedBeforeEnd: readonly string[] = [];
+	const gateway = await startGateway(2, [
+		recorder.record('silent', async (incoming, response) => {
+			response.writeHead(200, {...sealedHeaders(incoming), 'content-type': 'text/event-stream'});
+			response.write(eventsOf(1, 1));
+			await arrival;
+			response.write(eventsOf(2, 2));
+			await pause(400);
+			closedBeforeEnd = [...recorder.closed];
+			response.end(eventsOf(3, eventCount));
+		}),
+		recorder.record('slow', () => {
+			noteArrival?.();
+		}),
+	]);
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assertWhole(answer, gateway);
+	assert.deepEqual(closedBeforeEnd, ['slow']);
+});
+
 test('a search for a replacement that throws ends neither the process nor the stream', async () => {
 	const gateway = await startGateway(2, [goOnAfterSilence, goOnAfterSilence]);
 	let queries = 0;
