--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -189,13 +189,14 @@
 
 	#serve(request: IncomingMessage, response: ServerResponse): void {
 		const {socket} = request;
-		const responses = this.#connections.get(socket);
 		if (socket.writableEnded) {
-			// The caller sent it before it read the close; its bytes are read so that the connection can end.
+			// It crossed the end of its connection. Without a way to answer it must not run; its caller may send it elsewhere.
 			request.resume();
+			socket.setTimeout(this.#server.keepAliveTimeout);
 			return;
 		}
 
+		const responses = this.#connections.get(socket);
 		if ([...responses ?? []].some(earlier => earlier.getHeader('connection') === 'close')) {
 			// HTTP promises the caller that nothing behind such an answer is handled; the connection ends after it.
 			return;
