--- a/src/check/crashing-block-conditions.ts
+++ b/src/check/crashing-block-conditions.ts
@@ -60,7 +60,7 @@
 	crashesToStop: number;
 	/** Whether all prompts begin with the same block. */
 	hasOneFirstBlock: boolean;
-	/** The block that all crashing requests hold, too: from when on, and in which share, sound ones hold it. */
+	/** The block that all crashing requests hold, too: from when on, and in which share, sound prompts hold it. */
 	companion: {soundFrom: number; soundPercent: number} | undefined;
 	disturbance: BlockDisturbance;
 	/** When that begins. */
--- a/src/check/raw-caller.ts
+++ b/src/check/raw-caller.ts
@@ -1,6 +1,6 @@
 /**
  * Callers that send their requests as raw bytes over connections of their own, and judge by what arrives there whether an answer
- * is told to be complete: by its length, its last chunk, or, with neither, by a connection that is closed and not reset.
+ * is marked as complete: by its length, its last chunk, or, with neither, by a connection that is closed and not reset.
  */
 import {connect, type Socket} from 'node:net';
 import {hasConnectedPeer} from '../serving/has-connected-peer.js';
@@ -27,7 +27,7 @@
 /**
  * How a call ended.
  *
- * - `complete`: with an answer that is told to be complete.
+ * - `complete`: with an answer that is marked as complete.
  * - `not-connected`: no connection was established.
  * - `closed`, `reset`: the connection ended first.
  * - `timeout`: nothing of this came in time.
--- a/src/check/skewed-connections-over-processes.ts
+++ b/src/check/skewed-connections-over-processes.ts
@@ -2,7 +2,7 @@
  * Checks over real gateway processes that requests are served at the first attempt while the platform hands most new connections
  * of a data centre, or of all, to one instance and then to another, and several times as many come.
  *
- * A try is not counted whose connection was not established or was closed with the request unread, or which was under way at an
+ * A try is not counted whose connection was not established or was closed with the request unread, or which was in flight at an
  * instance as that was killed.
  */
 import {setTimeout as delay} from 'node:timers/promises';
--- a/src/check/unframed-answer-judge.ts
+++ b/src/check/unframed-answer-judge.ts
@@ -18,22 +18,22 @@
 	sent: number;
 	/** Requests that did not reach an instance. */
 	notConnected: number;
-	/** Answers that arrived whole and were told complete. */
+	/** Answers that arrived whole and were marked as complete. */
 	whole: number;
 	/** Of these, streams that an endpoint had broken. */
 	resumed: number;
-	/** Answers that were told complete and are not. */
+	/** Answers that were marked as complete and are not. */
 	wronglyComplete: number;
 	/** Answers that no endpoint broke and that did not arrive whole, though their instance went on. */
 	lost: number;
-	/** Streams that may be resumed, were broken, and were told incomplete, as where no retry was left. */
+	/** Streams that may be resumed, were broken, and were marked as incomplete, as where no retry was left. */
 	notResumed: number;
 	/** Answers whose bytes are not the first ones of what was asked for. */
 	wrongBytes: number;
 	/** Requests that are sent once and ran more than once. */
 	repeated: number;
 	/**
-	 * Answers that were told complete where no byte shows that they are not: closed between two events, or to an HTTP/1.0 caller
+	 * Answers that were marked as complete where no byte shows that they are not: closed between two events, or to an HTTP/1.0 caller
 	 * by the end of the instance's process.
 	 */
 	indistinguishable: number;
--- a/src/check/unframed-answers-over-processes.ts
+++ b/src/check/unframed-answers-over-processes.ts
@@ -1,6 +1,6 @@
 /**
- * Checks over real gateway processes that answers with neither a length nor chunks arrive: a whole one whole and told complete,
- * a broken one never told complete, and a broken stream that may be resumed goes on without a missing, doubled or torn event.
+ * Checks over real gateway processes that answers with neither a length nor chunks arrive: a whole one whole and marked as complete,
+ * a broken one never marked as complete, and a broken stream that may be resumed goes on without a missing, doubled or torn event.
  */
 import {randomBytes} from 'node:crypto';
 import {mkdtempSync, writeFileSync} from 'node:fs';
--- a/src/check/unframed-endpoints.ts
+++ b/src/check/unframed-endpoints.ts
@@ -1,7 +1,7 @@
 /**
  * The endpoints of the check of unframed answers: these have neither a length nor chunks and end with their connection.
  *
- * A stream that ends between two events cannot be told from a whole one. So each event but the last is sent together with the
+ * A stream that ends between two events cannot be distinguished from a whole one. So each event but the last is sent together with the
  * first bytes of the next one: wherever an endpoint crashes, its streams stop within an event.
  */
 import {type ServerResponse} from 'node:http';
--- a/src/check/unframed-main.ts
+++ b/src/check/unframed-main.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run check:unframed -- --disturbance NAME --seed N --seeds M`: checks over real gateway processes that answers with neither
- * a length nor chunks are told complete where they are and only there, for M seeds from N on.
+ * a length nor chunks are marked as complete where they are and only there, for M seeds from N on.
  */
 import process from 'node:process';
 import {Command, Option} from 'commander';
--- a/src/decision/crashes/find-crash-causes.test.ts
+++ b/src/decision/crashes/find-crash-causes.test.ts
@@ -30,16 +30,16 @@
 }
 
 test('a request is blocked once three endpoints have ended under it', () => {
-	assert.deepEqual(blockedBy(crashesOf({poison: 1}, {poison: 1})), []);
-	assert.deepEqual(blockedBy(crashesOf({poison: 1}, {poison: 1}, {poison: 1})), ['poison']);
+	assert.deepEqual(blockedBy(crashesOf({crashing: 1}, {crashing: 1})), []);
+	assert.deepEqual(blockedBy(crashesOf({crashing: 1}, {crashing: 1}, {crashing: 1})), ['crashing']);
 });
 
 test('requests that were beside the crashing one at some of its crashes are not blocked', () => {
-	assert.deepEqual(blockedBy(crashesOf({poison: 9, beside: 1}, {poison: 9, beside: 1}, {poison: 9, beside: 1}, {poison: 9})), ['poison']);
+	assert.deepEqual(blockedBy(crashesOf({crashing: 9, beside: 1}, {crashing: 9, beside: 1}, {crashing: 9, beside: 1}, {crashing: 9})), ['crashing']);
 });
 
 test('of requests that were present at the same crashes, the one that ran for the shortest time is blocked', () => {
-	assert.deepEqual(blockedBy(crashesOf({poison: 50, beside: 900}, {poison: 60, beside: 40}, {poison: 50, beside: 700})), ['poison']);
+	assert.deepEqual(blockedBy(crashesOf({crashing: 50, beside: 900}, {crashing: 60, beside: 40}, {crashing: 50, beside: 700})), ['crashing']);
 });
 
 test('different requests that crash an endpoint once each do not block a request beside them at two of these crashes', () => {
@@ -66,17 +66,17 @@
 	assert.deepEqual(blockedBy(crashes), ['block:bad']);
 });
 
-test('of blocks that only occur together no crash has told apart, prompts with one of them are not blocked', () => {
+test('prompts with only one of several blocks that no crash distinguishes are not blocked', () => {
 	const crashes = crashesWith(...['1', '2', '3'].map(fingerprint => [requestWith([fingerprint, 'block:bad', 'block:beside'])]));
 	const [cause] = findCrashCauses(crashes);
 	assert.deepEqual(cause?.features, ['block:bad', 'block:beside']);
 	assert.equal(isBlockedBy(cause, new Set(['4', 'block:bad', 'block:beside']), 'own'), true);
 	assert.equal(isBlockedBy(cause, new Set(['4', 'block:beside']), 'own'), false);
 	const fourth = {incarnation: 'fourth', at: 5000, requests: [requestWith(['4', 'block:bad'])]};
-	assert.deepEqual(blockedBy([...crashes, fourth]), ['block:bad'], 'the next crash tells them apart');
+	assert.deepEqual(blockedBy([...crashes, fourth]), ['block:bad'], 'the next crash distinguishes them');
 });
 
-test('a block that is present at the same crashes in other prompts is not blamed in place of the one whose answers had just begun', () => {
+test('a block that is present at the same crashes in other prompts is not blocked in place of the one whose answers had just begun', () => {
 	const crashes = crashesWith(...['1', '2', '3'].map(fingerprint => [
 		requestWith([`${fingerprint}0`, 'block:popular']),
 		requestWith([fingerprint, 'block:bad'], {progress: 'begun', inFlightMilliseconds: 900}),
--- a/src/decision/crashes/find-crash-causes.ts
+++ b/src/decision/crashes/find-crash-causes.ts
@@ -30,7 +30,7 @@
 
 /** What crashes endpoints: requests that have all of the features. */
 export type CrashCause = {
-	/** One fingerprint, or the blocks that no crash has told apart yet. */
+	/** One fingerprint, or the blocks that no crash distinguishes yet. */
 	features: readonly string[];
 	/** The workspaces whose requests had them at the crashes. */
 	workspaces: ReadonlySet<string>;
@@ -63,7 +63,7 @@
  * Of several features that were present at equally many crashes, the one is chosen whose answers had just begun more often, then
  * the one that had been in flight for the shortest time: the endpoint had survived running the others for longer. If that is
  * wrong, the next crash, without the chosen feature, shows it. Features that the same requests had at all of these crashes cannot
- * be told apart and are blamed together, so that a request with only some of them is still sent and shows which.
+ * be distinguished and are blocked together, so that a request with only some of them is still sent and shows which.
  *
  * @param crashes - The known crashes, one for each incarnation.
  * @returns The causes, in the order in which they were chosen; the same whatever the order of the crashes.
@@ -103,9 +103,9 @@
  * @param features - All features of the request.
  * @param workspace - The workspace that sends it.
  */
-export function isBlockedBy({features: blamed, workspaces}: CrashCause, features: ReadonlySet<string>, workspace: string): boolean {
-	const concernsWorkspace = workspaces.size > 1 || workspaces.has(workspace) || blamed.some(feature => !isBlockFeature(feature));
-	return concernsWorkspace && blamed.every(feature => features.has(feature));
+export function isBlockedBy({features: crashing, workspaces}: CrashCause, features: ReadonlySet<string>, workspace: string): boolean {
+	const concernsWorkspace = workspaces.size > 1 || workspaces.has(workspace) || crashing.some(feature => !isBlockFeature(feature));
+	return concernsWorkspace && crashing.every(feature => features.has(feature));
 }
 
 function candidatesOf(crashes: Iterable<Crash>): Candidate[] {
--- a/src/gateway/coordinator/brittle-observations.ts
+++ b/src/gateway/coordinator/brittle-observations.ts
@@ -19,7 +19,7 @@
 		}
 	}
 
-	/** Returns what all instances are told. */
+	/** Returns what all instances receive. */
 	reports(now: number): BrittleReport[] {
 		return [...this.#observations].map(([service, {isBrittle, at}]) => ({service, isBrittle, ageMilliseconds: Math.round(now - at)}));
 	}
--- a/src/gateway/crashes/crash-clearance.test.ts
+++ b/src/gateway/crashes/crash-clearance.test.ts
@@ -78,7 +78,7 @@
 	}
 
 	assert.equal(instance.blockOf('1', 'block:shared'), undefined);
-	assert.equal(instance.blockOf('1', 'block:bad'), undefined, 'no crash has told the two apart');
+	assert.equal(instance.blockOf('1', 'block:bad'), undefined, 'no crash distinguishes the two');
 	assert.notEqual(instance.blockOf('1', 'block:bad', 'block:shared'), undefined);
 	instance.manual.advance(1);
 	instance.answer('2', 'block:shared');
--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -26,13 +26,13 @@
 }
 
 test('reports of several instances about one crash count as one crash', () => {
-	const ledger = ledgerOf(crash('a', ['poison'], 0, 'e1'), crash('a', ['poison'], 0, 'e2'), crash('a', ['poison'], 0, 'e3'));
-	assert.equal(ledger.blockOf(request('poison'), 1), undefined);
+	const ledger = ledgerOf(crash('a', ['crashing'], 0, 'e1'), crash('a', ['crashing'], 0, 'e2'), crash('a', ['crashing'], 0, 'e3'));
+	assert.equal(ledger.blockOf(request('crashing'), 1), undefined);
 });
 
 test('a block names the crashes that it follows from, with who reported them and when', () => {
-	const ledger = ledgerOf(crash('a', ['poison'], 5, 'e1'), crash('b', ['poison'], 6, 'e2'), crash('c', ['poison', 'beside'], 7, 'e3'));
-	assert.deepEqual(ledger.blockOf(request('poison'), 8)?.crashes.map(({incarnation, instance, at}) => [incarnation, instance, at]), [['a', 'e1', 5], ['b', 'e2', 6], ['c', 'e3', 7]]);
+	const ledger = ledgerOf(crash('a', ['crashing'], 5, 'e1'), crash('b', ['crashing'], 6, 'e2'), crash('c', ['crashing', 'beside'], 7, 'e3'));
+	assert.deepEqual(ledger.blockOf(request('crashing'), 8)?.crashes.map(({incarnation, instance, at}) => [incarnation, instance, at]), [['a', 'e1', 5], ['b', 'e2', 6], ['c', 'e3', 7]]);
 	assert.equal(ledger.blockOf(request('beside'), 8), undefined);
 });
 
@@ -46,16 +46,16 @@
 });
 
 test('a block ends when its evidence expires', () => {
-	const ledger = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20));
-	assert.equal(ledger.blockOf(request('poison'), reportRetentionMilliseconds), undefined);
-	const reported = ledgerOf(crash('a', ['poison'], 0), crash('b', ['poison'], 10), crash('c', ['poison'], 20), crash('c', ['poison'], 21, 'e2'), crash('c', ['poison'], 22, 'e3'));
-	assert.equal(reported.blockOf(request('poison'), reportRetentionMilliseconds), undefined, 'further reports of one crash do not extend it');
+	const ledger = ledgerOf(crash('a', ['crashing'], 0), crash('b', ['crashing'], 10), crash('c', ['crashing'], 20));
+	assert.equal(ledger.blockOf(request('crashing'), reportRetentionMilliseconds), undefined);
+	const reported = ledgerOf(crash('a', ['crashing'], 0), crash('b', ['crashing'], 10), crash('c', ['crashing'], 20), crash('c', ['crashing'], 21, 'e2'), crash('c', ['crashing'], 22, 'e3'));
+	assert.equal(reported.blockOf(request('crashing'), reportRetentionMilliseconds), undefined, 'further reports of one crash do not extend it');
 	ledger.prune(reportRetentionMilliseconds + 100);
 	assert.equal(ledger.reports().size, 0);
 });
 
 test('a flood of different requests that crash endpoints does not push out the evidence of a blocked one', () => {
-	const ledger = ledgerOf(crash('a', ['poison']), crash('b', ['poison']), crash('c', ['poison']));
+	const ledger = ledgerOf(crash('a', ['crashing']), crash('b', ['crashing']), crash('c', ['crashing']));
 	for (let number = 0; number < maxReports * 2; number++) {
 		const report = crash(`flood-${number}`, [`once-${number}`], number + 1);
 		ledger.put(keyOfReport(report), report);
@@ -63,13 +63,13 @@
 	}
 
 	assert.equal(ledger.reports().size, maxReports);
-	assert.notEqual(ledger.blockOf(request('poison'), maxReports * 2), undefined);
+	assert.notEqual(ledger.blockOf(request('crashing'), maxReports * 2), undefined);
 });
 
 test('rows of other writers that cannot be read name no crash', () => {
-	const report = crash('a', ['poison']);
+	const report = crash('a', ['crashing']);
 	assert.deepEqual(decodeReport(encodeReport(report)), report);
-	for (const content of [undefined, null, 'text', {kind: 'crash'}, {...report, requests: [['poison']]}, {...report, kind: 'other'}]) {
+	for (const content of [undefined, null, 'text', {kind: 'crash'}, {...report, requests: [['crashing']]}, {...report, kind: 'other'}]) {
 		assert.equal(decodeReport(content), undefined);
 	}
 });
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -163,12 +163,12 @@
 		}));
 	}
 
-	/** Clears features of the crashes that this instance knows to be innocent of. */
+	/** Clears features of the crashes that answers here prove they have not caused. */
 	#clear(features: Iterable<string>): void {
 		const {ledger} = this.#dependencies;
 		const {suspects} = ledger;
 		for (const feature of features) {
-			const cleared = [...suspects.get(feature) ?? []].filter(([incarnation, progress]) => this.#isInnocent(feature, incarnation, progress)).map(([incarnation]) => incarnation);
+			const cleared = [...suspects.get(feature) ?? []].filter(([incarnation, progress]) => this.#isCleared(feature, incarnation, progress)).map(([incarnation]) => incarnation);
 			if (cleared.length > 0) {
 				ledger.clear(feature, cleared);
 				this.#unreported.set(feature, new Set([...this.#unreported.get(feature) ?? [], ...cleared]));
@@ -181,7 +181,7 @@
 	 * Whether answers here prove that a feature has not crashed an incarnation. A block that was answered well may crash endpoints
 	 * that have changed since, so where an answer with it had begun only a later one counts.
 	 */
-	#isInnocent(feature: string, incarnation: string, progress: AnswerProgress): boolean {
+	#isCleared(feature: string, incarnation: string, progress: AnswerProgress): boolean {
 		if (isBlockFeature(feature) && progress === 'begun') {
 			return this.#answered.hasSince(feature, this.#knownAt.get(incarnation) ?? Number.POSITIVE_INFINITY);
 		}
--- a/src/test/process-unframed-answers.test.ts
+++ b/src/test/process-unframed-answers.test.ts
@@ -5,7 +5,7 @@
 /** The others may find no retry left. */
 const minResumedShare = 0.75;
 
-test('over real processes: a broken answer with neither a length nor chunks is never told complete, and no whole one is lost', async () => {
+test('over real processes: a broken answer with neither a length nor chunks is never marked as complete, and no whole one is lost', async () => {
 	const report = await runUnframedAnswers({
 		seed: 1, network: 85, milliseconds: 6000, requestsPerSecond: 60, brokenPercent: 5, disturbance: 'relays',
 	});
