--- a/src/gateway/data-path/disconnect-before-read.test.ts
+++ b/src/gateway/data-path/disconnect-before-read.test.ts
@@ -4,6 +4,7 @@
 import {type RouteKind} from '../../shared/routed-configuration.js';
 import {exchangeRaw, rawRequest, statusOf} from '../../test/raw-http.js';
 import {connectCallers, blockEventLoop} from '../../test/separate-callers.js';
+import {waitUntil} from '../../test/wait-until.js';
 import {testConfiguration, testRoute} from '../testing/test-configuration.js';
 import {answerSealed, TestGateway} from '../testing/test-gateway.js';
 import {ownWireNames as names} from './wire-names.js';
@@ -34,6 +35,7 @@
 		await pause(100);
 		callers.send();
 		blockEventLoop(stallMilliseconds);
+		await waitUntil(() => seen.size >= requests / 2);
 		await pause(500);
 		await callers.stop();
 		await gateway.close();
