Count a request as unanswered if its instance has logged its end

Cause: a request that no endpoint got, and whose connection was reset at any time, counted as closed unread, also where its instance had read and held it. The log tells the two apart.

--- a/src/check/changes-report.ts
+++ b/src/check/changes-report.ts
@@ -144,7 +144,8 @@
 		return 'timeout';
 	}
 
-	if (status !== 0 || endpoint.arrivals > 0) {
+	// An instance that has logged the end of a request has read it.
+	if (status !== 0 || endpoint.arrivals > 0 || held !== undefined) {
 		return undefined;
 	}
 
