--- a/src/serving/drain-pipelined.test.ts
+++ b/src/serving/drain-pipelined.test.ts
@@ -50,3 +50,23 @@
 
 	assert.equal(completeAnswers(await received).length, handled);
 });
+
+test('a drain answers all pipelined requests that were read before it, and announces the close in the last answer', async () => {
+	// Guards against a close that an earlier answer announces, after which the later requests get none.
+	const responses: ServerResponse[] = [];
+	const listener = new HttpListener('front', (_request, response) => {
+		responses.push(response);
+	}, '127.0.0.1:0');
+	const caller = await openSocket(await listener.listen());
+	const received = readToEnd(caller);
+	caller.write(requestBytes + requestBytes);
+	await waitUntil(() => responses.length === 2);
+	const drained = listener.drain();
+	for (const response of responses) {
+		response.end('answer');
+	}
+
+	await drained;
+	const answers = completeAnswers(await received);
+	assert.deepEqual(answers.map(answer => /^connection: close$/imv.test(answer)), [false, true]);
+});
