Send answers in chunks to callers of HTTP/1.1 only

A caller of HTTP/1.0 that sends TE: chunked got chunks for answers with a length, since Node's own choice of framing was asked (trial of the review over raw sockets). It gains nothing there, as no probes are sent to it.

--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -85,7 +85,7 @@
 
 		// A resumed stream ends with another endpoint's events, so the length that the first endpoint states would be wrong.
 		const statesLength = (): boolean => splitter === undefined && (
-			answer.framing !== 'length' || !response.useChunkedEncodingByDefault || bodyBytes >= Number(answer.header('content-length'))
+			answer.framing !== 'length' || response.req.httpVersion !== '1.1' || bodyBytes >= Number(answer.header('content-length'))
 		);
 
 		const writeBytes = (bytes: Buffer): void => {
