Let an instance claim a trial once in ten seconds at most

By reading (review): while the store is away each request that comes after a trial is due made a call to the store of its own, and waited up to 0.7 s for it. One request in ten seconds does now.

--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -34,6 +34,8 @@
 const maxSurvivalDelayMilliseconds = 300;
 /** Features in a report about answered requests; the rest follows in the next one. */
 const maxSurvivors = 256;
+/** Pause between two claims of a trial, each of which is a call to the store that a request waits for. */
+const claimPauseMilliseconds = 10_000;
 /** Time for one connection attempt in a data centre. */
 const verdictMilliseconds = 60;
 /** Time for the reports of other instances to arrive: their delay, the write, and the queries by which they are relayed. */
@@ -50,6 +52,8 @@
 	/** What was cleared here and is still to be reported: by feature, the incarnations. */
 	readonly #unreported = new Map<string, Set<string>>();
 	readonly #signal = new AbortController().signal;
+	/** In milliseconds of the steady clock. */
+	#nextClaimAt = Number.NEGATIVE_INFINITY;
 	#isScheduled = false;
 
 	constructor(dependencies: EndpointCrashesDependencies) {
@@ -118,10 +122,12 @@
 	async mayTry({features, trials, nextTrialAt}: Block): Promise<boolean> {
 		const {clock, claim, instance, log} = this.#dependencies;
 		const {wall} = clock.moment();
-		if (wall < nextTrialAt) {
+		if (wall < nextTrialAt || this.#now() < this.#nextClaimAt) {
 			return false;
 		}
 
+		this.#nextClaimAt = this.#now() + claimPauseMilliseconds;
+
 		const report: TrialReport = {
 			kind: 'trial', instance, at: wall, features: [...features],
 		};
