--- a/src/gateway/data-path/broken-answer.test.ts
+++ b/src/gateway/data-path/broken-answer.test.ts
@@ -89,7 +89,7 @@
 });
 
 test('an answer shorter than its length does not look complete to an HTTP/1.0 caller', async () => {
-	// The endpoint states ten bytes, sends four and closes in order. The caller was told ten bytes as well.
+	// The endpoint states ten bytes, sends four and closes in order. The head that the caller got states ten bytes as well.
 	const {text} = await answerTo(post.replace('HTTP/1.1', 'HTTP/1.0'), socket => {
 		socket.end(`HTTP/1.1 200 OK\r\n${sealed}content-length: 10\r\n\r\nhalf`);
 	});
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -1,9 +1,9 @@
 /**
  * Relays an endpoint's answer to the caller as it arrives.
  *
- * An answer with a length that does not arrive in one piece is sent in chunks. A caller that has closed its sending side can be
- * told from one that has left only by bytes that are not part of the body, and there is room for them between chunks; within an
- * answer of stated length there is none while its endpoint is silent.
+ * An answer with a length that does not arrive in one piece is sent in chunks. Only bytes that are not part of the body distinguish
+ * a caller that has closed its sending side from one that has left. There is room for them between chunks, and none within an
+ * answer of stated length while its endpoint is silent.
  */
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
--- a/src/gateway/data-path/resume-stream.test.ts
+++ b/src/gateway/data-path/resume-stream.test.ts
@@ -282,7 +282,7 @@
 	assert.equal(isReplaced, true);
 });
 
-test('a stream that begins where the version is not certain goes on nowhere else, and nobody is told its origin', async context => {
+test('a stream that begins where the version is not certain goes on nowhere else, and no instance receives its origin', async context => {
 	const {gateway, origins, add} = await start(context, {maxAttempts: 3});
 	gateway.context.endpointVersions = {isCertain: () => false};
 	gateway.context.retryBudget.countRequest('desk', gateway.context.clock.moment().steady);
--- a/src/gateway/data-path/silent-endpoint.test.ts
+++ b/src/gateway/data-path/silent-endpoint.test.ts
@@ -138,7 +138,7 @@
 	assert.deepEqual(recorder.closed, ['slow']);
 });
 
-test('an endpoint that was to replace a silent one is told to stop when that one goes on, not only when it ends', async () => {
+test('an attempt that was to replace a silent one is cancelled when that one goes on, not only when it ends', async () => {
 	// Guards against a stream that two endpoints generate at a time.
 	const recorder = new Recorder();
 	let noteArrival: (() => void) | undefined;
--- a/src/gateway/endpoints/endpoint-watches.ts
+++ b/src/gateway/endpoints/endpoint-watches.ts
@@ -2,7 +2,7 @@
  * Notices when an endpoint may have another software version than its row states.
  *
  * An endpoint that crashes may be back under its name at another version before its row says so, and a stream would go on at the
- * wrong version. Answers do not tell the two processes apart, but no connection outlives its process. So, while a service with
+ * wrong version. Answers do not distinguish the two processes, but no connection outlives its process. So, while a service with
  * resumable streams has several versions, one connection is kept open to each of its endpoints. Once it has ended, the version is
  * certain again when a new connection proves which process it leads to: `RowAppearances` has the rules.
  *
