--- a/src/gateway/crashes/crash-feed-handler.ts
+++ b/src/gateway/crashes/crash-feed-handler.ts
@@ -31,34 +31,40 @@
 		}
 
 		const keys = new Set(rows.map(({key}) => key));
-		for (const key of this.#ledger.reports().keys()) {
-			if (!keys.has(key) && !this.#publisher.isPending(key)) {
-				this.#ledger.remove(key);
+		this.#ledger.change(() => {
+			for (const key of this.#ledger.reports().keys()) {
+				if (!keys.has(key) && !this.#publisher.isPending(key)) {
+					this.#ledger.remove(key);
+				}
 			}
-		}
+		});
 	}
 
 	handleChanges(rows: readonly FeedRow[], _sentAt: Moment, now: Moment): void {
-		for (const {key, content, isDeleted} of rows) {
-			const report = isDeleted ? undefined : decodeReport(content);
-			if (report === undefined) {
-				this.#ledger.remove(key);
-			} else {
-				this.#ledger.put(key, report);
+		this.#ledger.change(() => {
+			for (const {key, content, isDeleted} of rows) {
+				const report = isDeleted ? undefined : decodeReport(content);
+				if (report === undefined) {
+					this.#ledger.remove(key);
+				} else {
+					this.#ledger.put(key, report);
+				}
 			}
-		}
 
-		this.#ledger.prune(now.wall);
+			this.#ledger.prune(now.wall);
+		});
 	}
 
 	/** Applies reports that other instances have not been able to write yet; once they are, they come with the table. */
 	handleUnconfirmed(reports: readonly KeyedReport[]): void {
-		for (const [key, content] of reports) {
-			const report = decodeReport(content);
-			if (report !== undefined && !this.#ledger.reports().has(key)) {
-				this.#ledger.put(key, report);
+		this.#ledger.change(() => {
+			for (const [key, content] of reports) {
+				const report = decodeReport(content);
+				if (report !== undefined && !this.#ledger.reports().has(key)) {
+					this.#ledger.put(key, report);
+				}
 			}
-		}
+		});
 	}
 
 	handleFailure(): void {
--- a/src/gateway/crashes/crash-ledger.test.ts
+++ b/src/gateway/crashes/crash-ledger.test.ts
@@ -91,3 +91,24 @@
 	assert.ok(known.length <= maxKnownBlocks, `${known.length} blocks`);
 	assert.notEqual(ledger.blockOf({features: new Set(['new', 'block:bad']), workspace: 'own'}, 400_000), undefined);
 });
+
+test('many changes at a time, as of a whole table, are one change for those that compute what follows from them', () => {
+	const ledger = ledgerOf(crash('a', ['one']));
+	let notified = 0;
+	ledger.onChange(() => {
+		notified++;
+	});
+	ledger.change(() => {
+		for (let number = 0; number < 100; number++) {
+			ledger.put(`key ${number}`, crash(`i${number}`, ['one']));
+		}
+
+		ledger.remove('key 0');
+	});
+	assert.equal(notified, 1);
+	ledger.change(() => {
+		ledger.remove('unknown');
+	});
+	assert.equal(notified, 1);
+	assert.notEqual(ledger.blockOf(request('one'), 1), undefined);
+});
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -59,6 +59,8 @@
 	/** `undefined` while they have to be computed again. */
 	#blocks: readonly KnownBlock[] | undefined = [];
 	#suspects: ReadonlyMap<string, SuspectedCrashes> = new Map();
+	#isChanging = false;
+	#hasChanged = false;
 
 	/** What is blocked. */
 	get blocks(): readonly Block[] {
@@ -93,6 +95,24 @@
 		}
 	}
 
+	/** Makes several changes, after which the listeners are called once: what follows from the reports costs milliseconds. */
+	change(changes: () => void): void {
+		if (this.#isChanging) {
+			changes();
+			return;
+		}
+
+		this.#isChanging = true;
+		try {
+			changes();
+		} finally {
+			this.#isChanging = false;
+			if (this.#hasChanged) {
+				this.#notify();
+			}
+		}
+	}
+
 	/** Clears a feature of crashes, at this instance only. */
 	clear(feature: string, incarnations: Iterable<string>): void {
 		for (const incarnation of incarnations) {
@@ -110,19 +130,21 @@
 
 	/** Removes expired reports, and the oldest ones beyond the bound; first those that block no request. */
 	prune(wallMilliseconds: number): string[] {
-		const expired = [...this.#reports].filter(([, {at}]) => wallMilliseconds - at > reportRetentionMilliseconds).map(([key]) => key);
-		for (const key of expired) {
-			this.remove(key);
-		}
-
-		const surplus = this.#reports.size <= maxReports ? [] : this.#leastUseful().slice(0, this.#reports.size - maxReports);
-		for (const key of surplus) {
-			this.remove(key);
-		}
+		const removed: string[] = [];
+		const remove = (keys: readonly string[]): void => {
+			for (const key of keys) {
+				this.remove(key);
+				removed.push(key);
+			}
+		};
 
-		this.#pruneBlocks();
+		this.change(() => {
+			remove([...this.#reports].filter(([, {at}]) => wallMilliseconds - at > reportRetentionMilliseconds).map(([key]) => key));
+			remove(this.#reports.size <= maxReports ? [] : this.#leastUseful().slice(0, this.#reports.size - maxReports));
+			this.#pruneBlocks();
+		});
 		this.#pruneClearances();
-		return [...expired, ...surplus];
+		return removed;
 	}
 
 	/** Why a request is blocked; `undefined` if it is not. */
@@ -133,6 +155,11 @@
 	#notify(): void {
 		this.#blocks = undefined;
 		this.#reportedClearances = undefined;
+		this.#hasChanged = this.#isChanging;
+		if (this.#isChanging) {
+			return;
+		}
+
 		for (const listener of this.#listeners) {
 			listener();
 		}
