Make the test of a shared trial fail where the claim is ignored

Since an instance claims once in ten seconds, the test of two claims at one instance passed by that pause alone. It has two instances now, of which the second knows the first one's claim only by its row's key. Three texts are worded in the field's terms; no other code changes.

--- a/src/gateway/crashes/crash-clearance.test.ts
+++ b/src/gateway/crashes/crash-clearance.test.ts
@@ -163,13 +163,21 @@
 	assert.equal(instance.blockOf('3', 'block:mended'), undefined);
 });
 
-test('of several instances that know the same block only one may try it', async () => {
-	const instance = new Instance();
-	for (let number = 0; number < 3; number++) {
-		instance.receiveCrash(['block:bad']);
+test('of two instances that know the same block only the one that claims the trial first may make it', async () => {
+	const [first, second] = [new Instance(), new Instance()];
+	for (const instance of [first, second]) {
+		for (let number = 0; number < 3; number++) {
+			instance.receiveCrash(['block:bad']);
+		}
+
+		instance.manual.advance(900_000);
 	}
 
-	const known = instance.blockOf('1', 'block:bad')!;
-	instance.manual.advance(900_000);
-	assert.deepEqual(await Promise.all([instance.crashes.mayTry(known), instance.crashes.mayTry(known)]), [true, false]);
+	const known = second.blockOf('1', 'block:bad')!;
+	assert.equal(await first.crashes.mayTry(first.blockOf('1', 'block:bad')!), true);
+	for (const [key, report] of first.ledger.reports()) {
+		second.ledger.put(key, report);
+	}
+
+	assert.equal(await second.crashes.mayTry(known), false);
 });
--- a/src/gateway/endpoints/process-watch.test.ts
+++ b/src/gateway/endpoints/process-watch.test.ts
@@ -58,7 +58,7 @@
 	assert.equal(watch.isCertain(isNotProven, 3400), true);
 });
 
-test('a process behind refused connections is the next one after the process that ended', () => {
+test('a process that listens after refused connections is the next one after the process that ended', () => {
 	const watch = watchOfClosed();
 	watch.noteNotConnected('refused', 3001, 3002);
 	watch.noteNotConnected('refused', 3300, 3301);
--- a/src/gateway/endpoints/row-appearances.ts
+++ b/src/gateway/endpoints/row-appearances.ts
@@ -1,4 +1,4 @@
-/** When the present rows of endpoints appeared, by which it is told whether a process is the one that wrote a row. */
+/** When the present rows of endpoints appeared, which decide whether a process is the one that wrote a row. */
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type ObservedProcess} from './process-watch.js';
 
--- a/src/serving/idle-close-after-pause.test.ts
+++ b/src/serving/idle-close-after-pause.test.ts
@@ -4,7 +4,7 @@
 import {HttpListener} from './http-listener.js';
 
 const requestBytes = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
-/** Node closes an idle connection a second later than it is told to. */
+/** Node closes an idle connection a second after its timeout. */
 const pauseMilliseconds = 1500;
 
 test('an idle connection whose next request arrived during a pause of the process is not closed', async t => {
