Report for how long endpoints stood still during attempts

Of a silent endpoint that was waited for, nothing was logged until its request ended, so a cut answer, one that went on and one that was replaced could not be compared. request-ended and try-failed lines have silentMilliseconds now, also those of answers that were whole and in time, and savorygauge_silences_total counts silences by how they ended.

--- a/src/gateway/data-path/attempt-result.ts
+++ b/src/gateway/data-path/attempt-result.ts
@@ -14,6 +14,8 @@
 	isConnectionLost?: boolean;
 	answer?: EndpointAnswer;
 	transfer: AnswerTransfer;
+	/** The longest silence of the endpoint meanwhile; absent if there was none. */
+	silentMilliseconds?: number | undefined;
 	detail?: string | undefined;
 };
 
--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -5,6 +5,7 @@
 import {olderWeightsDeadline} from '../../decision/placement/older-weights.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {AttemptSilence} from './attempt-silence.js';
 import {type OpenExchange} from './endpoint-exchange.js';
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
@@ -26,6 +27,7 @@
 	readonly #context: GatewayContext;
 	readonly #work: AttemptWork;
 	readonly #target: AttemptTarget;
+	readonly #silence: AttemptSilence;
 	#interval: NodeJS.Timeout | undefined;
 	#grantTimer: NodeJS.Timeout | undefined;
 	#hasBegun = false;
@@ -40,6 +42,9 @@
 		this.#context = context;
 		this.#work = work;
 		this.#target = target;
+		this.#silence = new AttemptSilence(end => {
+			context.metrics.silences.inc({end});
+		});
 	}
 
 	/** Why the attempt was cancelled early; `undefined` if it was not. */
@@ -47,13 +52,24 @@
 		return this.#cancelReason;
 	}
 
+	/** The longest silence of the endpoint in milliseconds; `undefined` if there was none. */
+	get silentMilliseconds(): number | undefined {
+		return this.#silence.longestMilliseconds;
+	}
+
 	/** Starts to watch a call that was sent. */
 	start(exchange: OpenExchange): void {
 		this.#startedAt = this.#now();
+		this.#silence.noteBytes(this.#startedAt);
 		this.#watchSilence(exchange);
 		this.#watchWeightsGrant(exchange);
 	}
 
+	/** Records that bytes of the answer arrived, the head among them. */
+	noteBytes(): void {
+		this.#silence.noteBytes(this.#now());
+	}
+
 	/** Records that the endpoint has begun to answer. */
 	noteBegun(): void {
 		this.#hasBegun = true;
@@ -69,8 +85,10 @@
 		}
 	}
 
-	stop(): void {
+	/** Stops to watch an attempt that has ended, in favour of another one if that has begun to answer. */
+	stop(isReplaced: boolean): void {
 		this.#isStopped = true;
+		this.#silence.noteEnded(isReplaced, this.#now());
 		clearInterval(this.#interval);
 		clearTimeout(this.#grantTimer);
 	}
@@ -108,6 +126,7 @@
 
 		await afterNextPoll();
 		if (!this.#isStopped && this.#isSilent()) {
+			this.#silence.noteSilent();
 			await this.#tryConnection();
 		}
 
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -82,7 +82,7 @@
 		});
 		this.#watch.start(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
-		this.#watch.stop();
+		this.#watch.stop(this.#endReason === 'replaced');
 		if (result.outcome === 'not-sent') {
 			this.#noteNotConnected();
 		}
@@ -97,7 +97,7 @@
 			metrics.answers.inc({framing, ending: bodyEnd});
 		}
 
-		return result;
+		return {...result, silentMilliseconds: this.#watch.silentMilliseconds};
 	}
 
 	/** Closes the connection, so that the endpoint stops its work. */
@@ -134,6 +134,7 @@
 		}
 
 		const answer = answered.unsafeCoerce();
+		this.#watch.noteBytes();
 		this.#context.placement.received(this.#target.endpoint, this.#now());
 		const {head: {attemptId}, permitted: {route: {kind}}, response} = this.#work;
 		const {names} = this.#context;
@@ -198,6 +199,7 @@
 			onBytes: () => {
 				caller.waitsSince = this.#now();
 				placement.received(endpoint, caller.waitsSince);
+				this.#watch.noteBytes();
 				onBytes();
 			},
 			onFault(error) {
--- a/src/gateway/data-path/log-failed-attempt.ts
+++ b/src/gateway/data-path/log-failed-attempt.ts
@@ -18,8 +18,8 @@
 
 /** Writes the line. */
 export function logFailedAttempt(log: Pick<DecisionLog, 'record'>, {id, endpoint, result, step, sends, fingerprint}: FailedAttempt): void {
-	const {outcome, detail, answer, transfer, isConnectionLost} = result;
+	const {outcome, detail, answer, transfer, isConnectionLost, silentMilliseconds} = result;
 	log.record('try-failed', {
-		id, endpoint, outcome, step, sends, detail, status: answer?.status, transfer, ...(isConnectionLost ? {fingerprint: fingerprint()} : {}),
+		id, endpoint, outcome, step, sends, detail, silentMilliseconds, status: answer?.status, transfer, ...(isConnectionLost ? {fingerprint: fingerprint()} : {}),
 	});
 }
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -36,6 +36,8 @@
 	firstByteAt: number | undefined;
 	/** When the last attempt was sent, in milliseconds of the steady clock. */
 	sentAt?: number | undefined;
+	/** The longest silence of an endpoint during an attempt; absent if there was none. */
+	silentMilliseconds?: number | undefined;
 	/** How the last answer was transferred; absent where it ended by its own framing, as nearly all do. */
 	transfer?: AnswerTransfer;
 };
@@ -97,12 +99,12 @@
 }
 
 /**
- * Whether a request ended normally: completely, at the first endpoint, within the route's objective. A request that takes a
- * stream up follows on a failure, so it is never logged as a normal end.
+ * Whether a request ended normally: completely, at the first endpoint, which was not silent meanwhile, within the route's objective.
+ * A request that takes a stream up follows on a failure, so it is never logged as a normal end.
  */
 function isNormalEnd({head, permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
-	const {end, status, sends, endpoints, firstByteAt} = facts;
-	const isServedDirectly = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1;
+	const {end, status, sends, endpoints, firstByteAt, silentMilliseconds} = facts;
+	const isServedDirectly = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1 && silentMilliseconds === undefined;
 	const respondedAt = isStream(route) ? firstByteAt ?? now : now;
 	return isServedDirectly && !isResumption(head, route) && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
 }
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -66,6 +66,8 @@
 	basis: PlacementBasis | undefined;
 	/** When the last attempt was sent, in milliseconds of the steady clock. */
 	sentAt: number | undefined;
+	/** The longest silence of an endpoint during an attempt that has ended; `undefined` if there was none. */
+	silentMilliseconds: number | undefined;
 	/** When the first bytes of an answer arrived. */
 	firstByteAt: number | undefined;
 	readonly #context: GatewayContext;
@@ -166,6 +168,7 @@
 
 		this.sends += result.wasSent ? 1 : 0;
 		this.mayHaveRun ||= result.mayHaveRun;
+		this.silentMilliseconds = longest(this.silentMilliseconds, result.silentMilliseconds);
 		if (this.#replacement === running) {
 			this.#replacement = undefined;
 			this.#logFailed(running, result, 'wait');
@@ -298,6 +301,10 @@
 	}
 }
 
+function longest(one: number | undefined, other: number | undefined): number | undefined {
+	return one === undefined || other === undefined ? one ?? other : Math.max(one, other);
+}
+
 function ignore(): void {
 	// Nobody waits for this attempt to lead.
 }
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -94,6 +94,7 @@
 				placedBy: this.#attempts.basis,
 				firstByteAt: this.#attempts.firstByteAt,
 				sentAt: this.#attempts.sentAt,
+				silentMilliseconds: this.#attempts.silentMilliseconds,
 				...unusualTransfer(this.#unreportedTransfer),
 			}, this.#now());
 			return end;
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -20,6 +20,11 @@
 		name: 'savorygauge_tries_total', help: 'Sends to endpoints, by how they ended.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
+	/** The label values are those of `SilenceEnd`. */
+	readonly silences = new Counter({
+		name: 'savorygauge_silences_total', help: 'Silences of endpoints during attempts, by how they ended.', labelNames: ['end'], registers: [this.registry],
+	});
+
 	/** The label values are those of `AnswerFraming` and `BodyEnd`. */
 	readonly answers = new Counter({
 		name: 'savorygauge_answers_total', help: 'Bodies of endpoints\' answers, by how their end is marked and how they ended.', labelNames: ['framing', 'ending'], registers: [this.registry],
