Do not end an attempt because new connections to its endpoint fail

What callers saw: half of an answer, or 502 with seconds left, from an endpoint that stood still for a second or two and went on.

Cause: two connection attempts to a silent endpoint that failed, 0.6 s apart, ended the attempt. They say nothing of the connection that carries the answer: a process that is stopped accepts none, and once the queue of its listener is full its kernel drops or resets further ones; an endpoint resets connections beyond its limit. The attempts also filled the very queue that they tested, one from each instance.

Class: evidence of one thing is taken for another.

The attempts are gone, with what shared their results. Failed connections of new requests, which are known anyway, decide only that another endpoint is tried after 0.7 s instead of 1.4 s; it takes over once it has begun to answer.

--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -10,12 +10,10 @@
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
 /** Why an attempt was cancelled early. */
-export type CancelReason = 'unreachable' | 'abandoned' | 'older-weights';
+export type CancelReason = 'abandoned' | 'older-weights';
 
 /** How often an attempt checks whether its endpoint has become silent. */
 const checkIntervalMilliseconds = 200;
-/** Time between two connection attempts to a silent endpoint; the result of one is shared for nearly as long. */
-const connectionIntervalMilliseconds = 600;
 /** An engine that generates answers sends some event every few dozen milliseconds, so one without any for this long is silent. */
 const silentEngineMilliseconds = 700;
 /** The same after which its streams are worth a retry elsewhere. A load of new weights, during which its runs pause, takes less. */
@@ -31,10 +29,7 @@
 	#interval: NodeJS.Timeout | undefined;
 	#grantTimer: NodeJS.Timeout | undefined;
 	#hasBegun = false;
-	#isChecking = false;
 	#startedAt = 0;
-	#failedConnections = 0;
-	#connectedAt = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 	#cancelReason: CancelReason | undefined;
 
@@ -100,12 +95,7 @@
 		}
 
 		this.#interval = setInterval(() => {
-			if (!this.#isChecking) {
-				this.#isChecking = true;
-				void this.#check(exchange).finally(() => {
-					this.#isChecking = false;
-				});
-			}
+			void this.#check(exchange);
 		}, checkIntervalMilliseconds);
 	}
 
@@ -120,23 +110,16 @@
 		}
 
 		if (!this.#isSilent() && this.#step() === 'wait') {
-			this.#failedConnections = 0;
 			return;
 		}
 
 		await afterNextPoll();
 		if (!this.#isStopped && this.#isSilent()) {
 			this.#silence.noteSilent();
-			await this.#tryConnection();
 		}
 
 		const step = this.#isStopped ? 'wait' : this.#step();
 		switch (step) {
-			case 'end-unreachable': {
-				this.#cancel(exchange, 'unreachable');
-				break;
-			}
-
 			case 'end-abandoned': {
 				this.#cancel(exchange, 'abandoned');
 				break;
@@ -153,23 +136,11 @@
 		}
 	}
 
-	/** Finds out whether the endpoint accepts connections, unless it was tried a moment ago. */
-	async #tryConnection(): Promise<void> {
-		const now = this.#now();
-		if (now - this.#connectedAt < connectionIntervalMilliseconds) {
-			return;
-		}
-
-		this.#connectedAt = now;
-		const isUp = await this.#context.paths.isUp(this.#target.endpoint);
-		this.#failedConnections = isUp || !this.#isSilent() ? 0 : this.#failedConnections + 1;
-	}
-
 	#step(): SilenceStep {
 		const {permitted: {route}, caller} = this.#work;
 		return this.#isReading
 			? decideOnSilence({
-				failedConnections: this.#failedConnections,
+				isUnreachable: this.#context.paths.isUnreachable(this.#target.endpoint),
 				isSilent: this.#isSilent(),
 				isUnresponsive: this.#isUnresponsive(),
 				callerWaitedMilliseconds: this.#now() - caller.waitsSince,
--- a/src/gateway/data-path/end-reason.ts
+++ b/src/gateway/data-path/end-reason.ts
@@ -12,7 +12,6 @@
 
 /** The `detail` that the log shows for an attempt that this process ended. */
 export const endDetails: Record<CancelReason | EndReason, string> = {
-	unreachable: 'the endpoint is silent and accepts no connection',
 	abandoned: 'the endpoint was silent for longer than callers wait',
 	'older-weights': 'cancelled before it began: the grant of older weights ended',
 	'not-needed': 'cancelled: the caller disconnected or the timeout passed',
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -279,7 +279,7 @@
 			return 'cancelled';
 		}
 
-		return outcome === 'not-sent' || cancelReason === 'unreachable' ? 'unreachable' : 'failed';
+		return outcome === 'not-sent' ? 'unreachable' : 'failed';
 	}
 
 	#now(): number {
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -12,7 +12,6 @@
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 import {type RelayClient} from '../relay/relay-client.js';
-import {ConnectionChecks} from './connection-checks.js';
 import {type EndpointRegistry} from './endpoint-registry.js';
 import {probeConnection, type ProbeResult} from './probe-connection.js';
 import {RetryPauses} from './retry-pauses.js';
@@ -56,7 +55,6 @@
 	readonly #relayed = new Map<string, RelayedEndpoint>();
 	readonly #examinations = new Map<string, Promise<void>>();
 	readonly #relayPauses = new RetryPauses(relayPauses);
-	readonly #checks = new ConnectionChecks();
 	/** Endpoints that were examined within the present suspicion of this instance's own links. */
 	readonly #examined = new Set<string>();
 	/** Since when endpoints are down, in milliseconds of the steady clock; one that has ended was down before any other event. */
@@ -76,9 +74,14 @@
 		return this.#relayed.has(incarnationOf(endpoint));
 	}
 
+	/** Whether new connections to an endpoint have failed by every path, the last one included. */
+	isUnreachable(endpoint: EndpointRecord): boolean {
+		return this.#dependencies.placement.unreachable().some(({name}) => name === endpoint.name);
+	}
+
 	/** Whether this instance may connect to an endpoint itself, as far as it knows. */
 	hasDirectPath(endpoint: EndpointRecord): boolean {
-		return !this.isRelayed(endpoint) && !this.#dependencies.placement.unreachable().some(({name}) => name === endpoint.name);
+		return !this.isRelayed(endpoint) && !this.isUnreachable(endpoint);
 	}
 
 	/** Listed endpoints to which this instance has no connection of its own. */
@@ -146,16 +149,6 @@
 		return result;
 	}
 
-	/** Whether an endpoint accepts a connection by the path that requests to it take; true as well where no relay could say. */
-	async isUp(endpoint: EndpointRecord): Promise<boolean> {
-		return this.#checks.isUp(incarnationOf(endpoint), this.#now(), async () => this.#check(endpoint));
-	}
-
-	async #check(endpoint: EndpointRecord): Promise<boolean> {
-		const result = this.isRelayed(endpoint) ? await this.#dependencies.relays.probe(endpoint) : await this.#probe(endpoint.address);
-		return result === undefined || result === 'accepted';
-	}
-
 	/** Whether one of a few other endpoints that were up until now accepts a connection; true if there is none. */
 	async #reachesAnother(endpoint: EndpointRecord): Promise<boolean> {
 		const others = this.#dependencies.endpoints.all().filter(other => other.state === 'ready' && other.name !== endpoint.name && !this.#isKnownDown(other));
@@ -286,7 +279,7 @@
 	}
 
 	#forgetDeparted(listed: readonly EndpointRecord[]): void {
-		if ([this.#relayed, this.#downSince, this.#checks, this.#relayPauses].every(({size}) => size === 0)) {
+		if ([this.#relayed, this.#downSince, this.#relayPauses].every(({size}) => size === 0)) {
 			return;
 		}
 
@@ -299,7 +292,6 @@
 			}
 		}
 
-		this.#checks.retain(incarnations);
 		this.#relayPauses.retain(incarnations);
 	}
 
