End an attempt only for a reason of one list, and write that list down

What callers saw: an answer cut, or 502, 2.3 s and more after the last bytes although their connection was open and their time was not over.

Cause: an attempt at a silent endpoint ended when its caller had waited for longer than callers usually do. A caller that has left has closed its connection; one that has not still waits.

What may end an attempt is listed once, at the head of decision/attempts/attempt-end.ts, and each way that ended one was judged by it: its connection's own end, the end of its process, the caller's close, the timeouts, another endpoint that has begun to answer, and the end of the grant of older weights before a run begins. EndpointAttempt has one method that ends it, which takes one of these reasons.

New is the end of the process, proven by a later incarnation that registers under its name or at its address after the request was sent. A row that is missing proves nothing: endpoints that leave without notice lose theirs and finish their answers, and one that stands still for three heartbeats loses its own.

Considered and rejected: ending at the lapse of the row (above); failed connections together with a missing row (both are true of an endpoint that stands still for 1.3 s with a full queue); refused instead of hanging connections as proof (a listener may be closed before its connections).

The price: where no other endpoint can take over, callers of a host without power wait until they leave or until their timeout, in place of 1.4 to 2.3 s.

The bound of 2.5 s on a stream whose endpoint has ended is back in silent-endpoint.

--- a/src/gateway/data-path/attempt-watch.ts
+++ b/src/gateway/data-path/attempt-watch.ts
@@ -1,17 +1,13 @@
-/** Watches one attempt at an endpoint: asks for a replacement when it is silent, and cancels it where further waiting is useless. */
-import {eventTimeoutMilliseconds} from '../../decision/attempts/event-timeout.js';
+/** Watches one attempt at an endpoint: asks for a replacement while it is silent, and ends it where no answer can come any more. */
+import {type AttemptEnd, decideOnSilence, type SilenceStep} from '../../decision/attempts/attempt-end.js';
 import {isRetryable} from '../../decision/attempts/next-step.js';
-import {decideOnSilence, type SilenceStep} from '../../decision/attempts/silent-attempt.js';
 import {olderWeightsDeadline} from '../../decision/placement/older-weights.js';
-import {type GatewayContext} from '../gateway-context.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
+import {hasSuccessor} from '../endpoints/has-successor.js';
+import {type GatewayContext} from '../gateway-context.js';
 import {AttemptSilence} from './attempt-silence.js';
-import {type OpenExchange} from './endpoint-exchange.js';
 import {type AttemptTarget, type AttemptWork} from './attempt-work.js';
 
-/** Why an attempt was cancelled early. */
-export type CancelReason = 'abandoned' | 'older-weights';
-
 /** How often an attempt checks whether its endpoint has become silent. */
 const checkIntervalMilliseconds = 200;
 /** An engine that generates answers sends some event every few dozen milliseconds, so one without any for this long is silent. */
@@ -25,39 +21,40 @@
 	readonly #context: GatewayContext;
 	readonly #work: AttemptWork;
 	readonly #target: AttemptTarget;
+	readonly #end: (reason: AttemptEnd) => void;
 	readonly #silence: AttemptSilence;
 	#interval: NodeJS.Timeout | undefined;
 	#grantTimer: NodeJS.Timeout | undefined;
 	#hasBegun = false;
 	#startedAt = 0;
 	#isStopped = false;
-	#cancelReason: CancelReason | undefined;
 
-	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
+	/** @param end - Ends the attempt. */
+	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget, end: (reason: AttemptEnd) => void) {
 		this.#context = context;
 		this.#work = work;
 		this.#target = target;
-		this.#silence = new AttemptSilence(end => {
-			context.metrics.silences.inc({end});
+		this.#end = end;
+		this.#silence = new AttemptSilence(silenceEnd => {
+			context.metrics.silences.inc({end: silenceEnd});
 		});
 	}
 
-	/** Why the attempt was cancelled early; `undefined` if it was not. */
-	get cancelReason(): CancelReason | undefined {
-		return this.#cancelReason;
-	}
-
 	/** The longest silence of the endpoint in milliseconds; `undefined` if there was none. */
 	get silentMilliseconds(): number | undefined {
 		return this.#silence.longestMilliseconds;
 	}
 
 	/** Starts to watch a call that was sent. */
-	start(exchange: OpenExchange): void {
+	start(): void {
 		this.#startedAt = this.#now();
 		this.#silence.noteBytes(this.#startedAt);
-		this.#watchSilence(exchange);
-		this.#watchWeightsGrant(exchange);
+		this.#interval = setInterval(() => {
+			if (this.#isSilent()) {
+				void this.#check();
+			}
+		}, checkIntervalMilliseconds);
+		this.#watchWeightsGrant();
 	}
 
 	/** Records that bytes of the answer arrived, the head among them. */
@@ -88,40 +85,21 @@
 		clearTimeout(this.#grantTimer);
 	}
 
-	/** A request that runs once at most has nowhere else to go, and its answer may come as late as its timeout. */
-	#watchSilence(exchange: OpenExchange): void {
-		if (!isRetryable(this.#work.permitted.route.kind)) {
-			return;
-		}
-
-		this.#interval = setInterval(() => {
-			void this.#check(exchange);
-		}, checkIntervalMilliseconds);
-	}
-
 	/**
 	 * Acts only after the sockets were polled once more. Timers run before sockets are read, so after a pause of this process every
 	 * endpoint would look silent, and every waiting request would run a second time.
 	 */
-	async #check(exchange: OpenExchange): Promise<void> {
-		if (!this.#isReading) {
-			// The caller has not read what it has got.
-			this.#work.caller.waitsSince = this.#now();
-		}
-
-		if (!this.#isSilent() && this.#step() === 'wait') {
-			return;
-		}
-
+	async #check(): Promise<void> {
 		await afterNextPoll();
-		if (!this.#isStopped && this.#isSilent()) {
-			this.#silence.noteSilent();
+		if (this.#isStopped || !this.#isSilent()) {
+			return;
 		}
 
-		const step = this.#isStopped ? 'wait' : this.#step();
-		switch (step) {
-			case 'end-abandoned': {
-				this.#cancel(exchange, 'abandoned');
+		this.#silence.noteSilent();
+		switch (this.#step()) {
+			case 'end': {
+				this.noteUnanswered();
+				this.#end('process-ended');
 				break;
 			}
 
@@ -137,22 +115,20 @@
 	}
 
 	#step(): SilenceStep {
-		const {permitted: {route}, caller} = this.#work;
-		return this.#isReading
-			? decideOnSilence({
-				isUnreachable: this.#context.paths.isUnreachable(this.#target.endpoint),
-				isSilent: this.#isSilent(),
-				isUnresponsive: this.#isUnresponsive(),
-				callerWaitedMilliseconds: this.#now() - caller.waitsSince,
-				eventTimeoutMilliseconds: route.kind === 'resumable-stream' ? eventTimeoutMilliseconds(route) : Number.POSITIVE_INFINITY,
-			})
-			: 'wait';
+		const {placement, paths, endpoints} = this.#context;
+		const {endpoint} = this.#target;
+		return decideOnSilence({
+			hasProcessEnded: hasSuccessor(endpoints, endpoint, this.#startedAt),
+			isUnresponsive: placement.isUnresponsive(endpoint, this.#now()) || this.#isEngineSilent(unresponsiveEngineMilliseconds),
+			isUnreachable: paths.isUnreachable(endpoint),
+			isRetryable: isRetryable(this.#work.permitted.route.kind),
+		});
 	}
 
 	/** Whether this process reads what the endpoint sends: an answer that waits here for a slow caller does not show silence. */
 	get #isReading(): boolean {
-		const {response, splitter} = this.#work;
-		return !response.headersSent || (splitter !== undefined && !response.writableNeedDrain);
+		const {response} = this.#work;
+		return !response.headersSent || !response.writableNeedDrain;
 	}
 
 	#isSilent(): boolean {
@@ -161,10 +137,6 @@
 		return this.#isReading && (placement.isSilent(endpoint, this.#now()) || this.#isEngineSilent(silentEngineMilliseconds));
 	}
 
-	#isUnresponsive(): boolean {
-		return this.#context.placement.isUnresponsive(this.#target.endpoint, this.#now()) || this.#isEngineSilent(unresponsiveEngineMilliseconds);
-	}
-
 	/** While no request waits, only the running streams show that an engine is silent. */
 	#isEngineSilent(milliseconds: number): boolean {
 		const {permitted: {route}} = this.#work;
@@ -175,7 +147,7 @@
 	 * Cancels a prompt that its engine has not begun when the grant ends, the time in which runs may begin on the engine's older
 	 * weights. The prompt waited there longer than its placement expected, and must no longer be answered with those weights.
 	 */
-	#watchWeightsGrant(exchange: OpenExchange): void {
+	#watchWeightsGrant(): void {
 		const {request, endpoint} = this.#target;
 		const end = olderWeightsDeadline(request, endpoint);
 		if (!Number.isFinite(end)) {
@@ -183,27 +155,18 @@
 		}
 
 		this.#grantTimer = setTimeout(() => {
-			void this.#endGrant(exchange);
+			void this.#endGrant();
 		}, Math.max(0, end - cancelMarginMilliseconds - this.#now()));
 	}
 
 	/** After a pause of this process the timer runs before the sockets are read, and the first event may wait in one of them. */
-	async #endGrant(exchange: OpenExchange): Promise<void> {
+	async #endGrant(): Promise<void> {
 		await afterNextPoll();
 		if (!this.#hasBegun && !this.#isStopped) {
-			this.#cancel(exchange, 'older-weights');
+			this.#end('older-weights');
 		}
 	}
 
-	#cancel(exchange: OpenExchange, reason: CancelReason): void {
-		this.#cancelReason ??= reason;
-		if (reason !== 'older-weights') {
-			this.noteUnanswered();
-		}
-
-		exchange.cancel();
-	}
-
 	#now(): number {
 		return this.#context.clock.moment().steady;
 	}
--- a/src/gateway/data-path/attempt-work.ts
+++ b/src/gateway/data-path/attempt-work.ts
@@ -17,8 +17,6 @@
 	splitter: EventSplitter | undefined;
 	/** When the caller or the route times out, in milliseconds of the steady clock. */
 	deadline: number;
-	/** Since when the caller waits for the next bytes of its answer, in milliseconds of the steady clock; kept up to date. */
-	caller: {waitsSince: number};
 };
 
 /** The endpoint to send it to, and how that was chosen. */
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -2,12 +2,13 @@
  * One attempt to serve a request at one endpoint: sends the request, classifies the answer by its head, and relays the body
  * as it arrives. What follows a failed attempt is decided in `decision/attempts`.
  */
+import {type AttemptEnd} from '../../decision/attempts/attempt-end.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type AttemptResult, transferOf} from './attempt-result.js';
 import {classifyAnswer, isServedAnswer} from './classify-answer.js';
-import {endDetails, type EndReason} from './end-reason.js';
+import {endDetails} from './end-details.js';
 import {type EndpointAnswer, type OpenExchange} from './endpoint-exchange.js';
 import {endpointHeaders} from './endpoint-headers.js';
 import {logLateWrite} from './log-late-write.js';
@@ -26,14 +27,16 @@
 	readonly #target: AttemptTarget;
 	readonly #watch: AttemptWatch;
 	#exchange: OpenExchange | undefined;
-	#endReason: EndReason | undefined;
+	#endReason: AttemptEnd | undefined;
 	#isRelayed = false;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
 		this.#context = context;
 		this.#work = work;
 		this.#target = target;
-		this.#watch = new AttemptWatch(context, work, target);
+		this.#watch = new AttemptWatch(context, work, target, reason => {
+			this.#end(reason);
+		});
 	}
 
 	/** Sends the request and relays the answer. */
@@ -80,7 +83,7 @@
 				});
 			},
 		});
-		this.#watch.start(this.#exchange);
+		this.#watch.start();
 		const result = await this.#awaitResult(this.#exchange);
 		this.#watch.stop(this.#endReason === 'replaced');
 		if (result.outcome === 'not-sent') {
@@ -117,7 +120,8 @@
 		this.#end('superseded');
 	}
 
-	#end(reason: EndReason): void {
+	/** The only way in which an attempt is ended while its connection may still bring an answer. */
+	#end(reason: AttemptEnd): void {
 		this.#endReason ??= reason;
 		this.#exchange?.cancel();
 	}
@@ -183,7 +187,7 @@
 
 	async #relay(answer: EndpointAnswer): Promise<AttemptResult> {
 		const {placement, names, log} = this.#context;
-		const {head, response, splitter, caller} = this.#work;
+		const {head, response, splitter} = this.#work;
 		const {endpoint, request, onFirstBytes, onBytes} = this.#target;
 		const {outcome, ...read} = await relayAnswer({
 			answer,
@@ -197,8 +201,7 @@
 				}, this.#now());
 			},
 			onBytes: () => {
-				caller.waitsSince = this.#now();
-				placement.received(endpoint, caller.waitsSince);
+				placement.received(endpoint, this.#now());
 				this.#watch.noteBytes();
 				onBytes();
 			},
@@ -258,13 +261,12 @@
 
 	/** Explains why an attempt failed. The endpoint must not be blamed for an attempt that this process cancelled. */
 	#detailOf(observedDetail: string): string {
-		const reason = this.#endReason ?? this.#watch.cancelReason;
-		return reason === undefined ? observedDetail : endDetails[reason];
+		return this.#endReason === undefined ? observedDetail : endDetails[this.#endReason];
 	}
 
 	/** Whether this process ended the attempt. */
 	get #isAborted(): boolean {
-		return this.#endReason !== undefined || this.#watch.cancelReason !== undefined;
+		return this.#endReason !== undefined;
 	}
 
 	#placementOutcomeOf(outcome: AttemptResult['outcome']): 'whole' | 'rejected' | 'failed' | 'unreachable' | 'cancelled' {
@@ -272,10 +274,9 @@
 			return outcome;
 		}
 
-		const {cancelReason} = this.#watch;
 		const isRelayAtFault = this.#isRelayed && outcome === 'not-sent';
-		const isEndedHere = this.#endReason !== undefined && this.#endReason !== 'replaced';
-		if (isEndedHere || cancelReason === 'older-weights' || outcome === 'client-left' || isRelayAtFault) {
+		const isEndedHere = this.#endReason !== undefined && this.#endReason !== 'replaced' && this.#endReason !== 'process-ended';
+		if (isEndedHere || outcome === 'client-left' || isRelayAtFault) {
 			return 'cancelled';
 		}
 
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -72,7 +72,6 @@
 	firstByteAt: number | undefined;
 	readonly #context: GatewayContext;
 	readonly #request: RequestInProgress;
-	readonly #caller: {waitsSince: number};
 	#leading: RunningAttempt | undefined;
 	#replacement: RunningAttempt | undefined;
 	/** Resolves when the replacement that is under way leads or has ended. */
@@ -82,7 +81,6 @@
 	constructor(context: GatewayContext, request: RequestInProgress) {
 		this.#context = context;
 		this.#request = request;
-		this.#caller = {waitsSince: request.work.arrivedAt.steady};
 	}
 
 	/** Sends the request to an endpoint. Resolves when the attempt, or the last one that has replaced it, has ended. */
@@ -115,7 +113,7 @@
 		this.basis = basis;
 		this.sentAt = this.#now();
 		const attempt = new EndpointAttempt(this.#context, {
-			head, permitted, body, response, splitter, deadline, caller: this.#caller,
+			head, permitted, body, response, splitter, deadline,
 		}, {
 			endpoint,
 			request,
@@ -220,7 +218,6 @@
 
 		this.#leading = running;
 		this.#replacement = undefined;
-		this.#caller.waitsSince = this.#now();
 		running.settle();
 	}
 
--- a/src/gateway/data-path/silent-endpoint.test.ts
+++ b/src/gateway/data-path/silent-endpoint.test.ts
@@ -221,3 +221,21 @@
 	assertWhole(answer, gateway);
 	assert.ok(performance.now() - startedAt < 2500, String(performance.now() - startedAt));
 });
+
+test('a stream of a silent endpoint is ended without a timeout once another process has its address', async () => {
+	const gateway = await startGateway(1, [async (incoming, response) => answerWithSilence(incoming, response, timeoutMilliseconds)]);
+	const [endpoint] = gateway.context.endpoints.all();
+	setTimeout(() => {
+		const {clock, endpoints} = gateway.context;
+		endpoints.confirm(clock.moment().steady, clock.moment().steady);
+		endpoints.put({
+			...endpoint!, name: 'other', service: 'other', startedAt: 2,
+		});
+	}, 300);
+	const startedAt = performance.now();
+	const answer = await exchangeRaw(gateway.address, request);
+	await gateway.close();
+	assert.ok(!answer.endsWith('0\r\n\r\n'), answer);
+	assert.ok(performance.now() - startedAt < 2500, String(performance.now() - startedAt));
+	assert.equal(gateway.lines.find(({kind, endpoint: name}) => kind === 'try-failed' && name === endpoint?.name)?.detail, 'the endpoint was silent, and another process has its name or address');
+});
--- a/src/gateway/endpoints/row-appearances.ts
+++ b/src/gateway/endpoints/row-appearances.ts
@@ -34,6 +34,12 @@
 		this.#appearances.delete(name);
 	}
 
+	/** As of when an endpoint's row was not listed yet, in milliseconds of the steady clock; the distant past if that is not known. */
+	absentAt({name, startedAt}: EndpointRecord): number {
+		const row = this.#appearances.get(name);
+		return row?.startedAt === startedAt ? row.absentAt : Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	 * Whether the process at an endpoint's address is the one that wrote the endpoint's row: it was there when the row was written, it is
 	 * the next one after the process of the former row, or the list had no other row although it had the time to write one.
