Check that no answer ends early while processes of endpoints are stopped

Cause: check:silence silences endpoints inside the process of the check, whose kernel goes on to accept connections. A process that is really stopped has a queue of new connections; once it is full, or while new connections are refused, the attempts to reach it fail as those to a lost host do, although its open connections carry their answers on later. No check over processes had this.

Change: each endpoint stands behind a process of its own that forwards bytes and is stopped by SIGSTOP (check:stopped). Its queue is `long`, `full` (backlog 1, places taken) or `refusing` (listener closed just before the stop). Endpoints never close idle connections, so that nothing breaks a connection. What check:silence shares with it is moved to silent-routes.ts and silent-work.ts; its runs make the same choices as before.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -54,6 +54,10 @@
 	version?: string;
 	/** The model of an engine; it reports that it caches nothing. */
 	model?: string;
+	/** `IP:port` at which it listens, if another process stands at its address. */
+	listensAt?: string;
+	/** Whether it never closes idle connections. */
+	keepsIdleConnections?: boolean;
 };
 
 export class DeploymentEndpoint {
@@ -67,6 +71,8 @@
 	readonly #service: string;
 	readonly #slots: number;
 	readonly #model: string | undefined;
+	readonly #listensAt: string;
+	readonly #keepsIdleConnections: boolean;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
@@ -83,6 +89,8 @@
 		this.#service = place.service;
 		this.#slots = place.slots;
 		this.#model = place.model;
+		this.#listensAt = place.listensAt ?? place.address;
+		this.#keepsIdleConnections = place.keepsIdleConnections ?? false;
 		this.nextVersion = place.version ?? 'v1';
 		this.#script = script;
 	}
@@ -115,7 +123,11 @@
 				this.#sockets.delete(socket);
 			});
 		});
-		const [ip = '', port = ''] = this.address.split(':');
+		if (this.#keepsIdleConnections) {
+			server.keepAliveTimeout = 0;
+		}
+
+		const [ip = '', port = ''] = this.#listensAt.split(':');
 		server.listen(Number(port), ip);
 		await once(server, 'listening');
 		this.#server = server;
--- a/src/check/endpoint-link.ts
+++ b/src/check/endpoint-link.ts
@@ -32,11 +32,21 @@
 		});
 	}
 
-	/** Starts to listen on a free port. Returns `IP:port`. */
-	async listen(): Promise<string> {
-		this.#server.listen(0, '127.0.0.1');
+	/**
+	 * Starts to listen, on a free port if none is given.
+	 *
+	 * @param backlog - How many connections may wait to be accepted.
+	 * @returns `IP:port`.
+	 */
+	async listen(host = '127.0.0.1', port = 0, backlog = 511): Promise<string> {
+		this.#server.listen(port, host, backlog);
 		await once(this.#server, 'listening');
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `${host}:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Refuses new connections until it listens again; the open ones go on. */
+	refuse(): void {
+		this.#server.close();
 	}
 
 	/** Applies a state to the open connections. Bytes that were held up are delivered when the link opens again. */
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -35,7 +35,7 @@
 	callers: 8005, ready: 8002, peers: 7700, endpoint: 8268,
 };
 
-const usualLimits = {
+export const usualLimits = {
 	max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
 };
 
--- a/src/check/silence-main.ts
+++ b/src/check/silence-main.ts
@@ -4,9 +4,9 @@
  */
 import process from 'node:process';
 import {Command, Option} from 'commander';
-import {
-	runSilentEndpoints, type SilentRoute, silentRoutes, violationsOf,
-} from './silent-endpoints-over-processes.js';
+import {runSilentEndpoints} from './silent-endpoints-over-processes.js';
+import {type SilentRoute, silentRoutes} from './silent-routes.js';
+import {violationsOf} from './silent-work.js';
 
 const command = new Command('check:silence')
 	.addOption(new Option('--route <name>', 'the kind of requests').choices(silentRoutes).default('prompt-resumable'))
--- a/src/check/silent-traffic.ts
+++ b/src/check/silent-traffic.ts
@@ -26,9 +26,10 @@
 	deadlineMilliseconds: number;
 	/** Set if the requests carry prompts. */
 	model: string | undefined;
+	/** The fewest and the most events of an answer. */
+	eventsOfAnswer: readonly [minimum: number, maximum: number];
 };
 
-const eventsOfAnswer = [20, 100] as const;
 const sessions = 8;
 const sharedTokens = 400;
 const ownTokens = [20, 120] as const;
@@ -75,7 +76,7 @@
 
 	async #send(): Promise<void> {
 		this.report.sent++;
-		const {path, deadlineMilliseconds, model} = this.#target;
+		const {path, deadlineMilliseconds, model, eventsOfAnswer} = this.#target;
 		const body = `request ${this.report.sent} ${this.#choices.between(...eventsOfAnswer)}`;
 		const headers = model === undefined ? {} : this.#promptHeaders(model);
 		const answer = await this.#deployment.send(this.#choices.oneOf(this.#deployment.instances), {
@@ -88,7 +89,7 @@
 		const tokens = this.#choices.between(...ownTokens);
 		return {
 			[names.model]: model,
-			[names.tokenCount]: `${sharedTokens + tokens},${eventsOfAnswer[1]}`,
+			[names.tokenCount]: `${sharedTokens + tokens},${this.#target.eventsOfAnswer[1]}`,
 			[names.promptParts]: `a${this.#choices.between(1, sessions)}:${sharedTokens},b${this.report.sent}:${tokens}`,
 		};
 	}
--- a/src/test/process-silent-endpoints.test.ts
+++ b/src/test/process-silent-endpoints.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {runSilentEndpoints, type SilentEndpointsOptions, violationsOf} from '../check/silent-endpoints-over-processes.js';
+import {runSilentEndpoints, type SilentEndpointsOptions} from '../check/silent-endpoints-over-processes.js';
+import {violationsOf} from '../check/silent-work.js';
 
 /** The others may be refused as not run. */
 const minWholeShare = 0.95;
