Test what a row of the list proves of attempts in flight, which fails

What callers see: a stream that is resumed elsewhere 104 to 125 ms after its last event, as of a silent endpoint; a prompt that waits for its timeout (504 after 6.0 s) although its endpoint has lost its power and another one is free, or its address has another process; a stream that is cut (0.8 s after its last event) while the process that runs it stands still.

- The placement forgets the load of an endpoint whose row vanishes, with the waiting requests and the time of the last byte.
A stream that goes on there counts as silent for ever until its next byte; a request that waits there counts as none, so that silence is never found, and neither is a successor.
Endpoints that leave without notice lose their rows first.
- A restarted endpoint gets requests by its former row, under the same name and at the same address, until its own row arrives.
That row appears after the request and states a later start, so the process that runs the request is taken for its own successor.
- The row of an earlier process whose clock was ahead counts as new when a restored store shows it again.

Ruled out: the tests of unresponsive-engine did not show the second of these, since they remove rows from the registry without the placement, which the feed's handler tells.

--- a/src/gateway/endpoints/has-successor.test.ts
+++ b/src/gateway/endpoints/has-successor.test.ts
@@ -42,3 +42,13 @@
 test('an endpoint that does not report its start has no known successor', () => {
 	assert.equal(hasSuccessor(registryWith({name: 'desk-2', address: '127.0.0.1:1', startedAt: 200}), {...endpoint, startedAt: 0}, listedAt), false);
 });
+
+test('a later start under the same name at the same address proves no end, since the request may have been sent to that process', () => {
+	assert.equal(hasSuccessor(registryWith({name: 'desk-1', address: '127.0.0.1:1', startedAt: 200}), endpoint, listedAt), false);
+});
+
+test('a left-over row that a restored store shows again proves no end, whatever start it states', () => {
+	const registry = registryWith();
+	registry.replaceAll([endpoint, testEndpoint({name: 'desk-2', address: '127.0.0.1:1', startedAt: 200})], 7000, true);
+	assert.equal(hasSuccessor(registry, endpoint, listedAt), false);
+});
