Keep the load of an endpoint whose row has vanished while requests run there

What callers saw: a stream that was resumed at another endpoint 104 to 125 ms after its last event although its endpoint went on, and a prompt that waited for its timeout at a host without power.

Cause: when a row vanishes, the placement forgot the tracker of that endpoint, with its waiting requests and the time of its last byte. The attempts in flight got a new one, which has never received a byte and has no waiting request: a stream counted as silent until its next byte, a waiting prompt never did.

Considered: to keep the tracker in the list of loads as well; with a later incarnation listed under the same name, both loads would be published as one.

The record of an attempt keeps its tracker while requests are in flight; it is freed with the record.

--- a/src/decision/placement/placement-state.ts
+++ b/src/decision/placement/placement-state.ts
@@ -54,9 +54,12 @@
 		return loads;
 	}
 
-	/** Forgets an incarnation that has ended. */
+	/** Forgets an incarnation that is not listed any more. Requests in flight there keep its tracker, which shows whether it is silent. */
 	forget(endpoint: EndpointRecord): void {
-		this.#trackerByRecord.delete(endpoint);
+		if (this.#trackerByRecord.get(endpoint)?.inFlight === 0) {
+			this.#trackerByRecord.delete(endpoint);
+		}
+
 		this.#trackers.delete(incarnationOf(endpoint));
 		this.#prefixCaches.delete(incarnationOf(endpoint));
 	}
