Do not take the row of an earlier process for new in a restored store

What callers would see: an answer that is cut while its endpoint stands still, since another process is said to have its name or address.

Cause: a store that is restored from an older copy shows rows that were gone. Such a row appears after the request was sent; if the clock of its process was ahead, it states a later start too, and counted as the proof of an end.

Considered: no time of absence for such rows at all; the check of which process answers at an address uses that time, and would accept more.

Rows that a restored store shows, at once or after the time in which they are ignored, prove no end. A later incarnation that appears so first proves none either: its predecessor's callers wait until they leave, or their timeout.

No run over a real store showed the fault.

--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -84,7 +84,7 @@
 			if (isRestored && record.state === 'ready' && this.#departures.has(record)) {
 				this.#staleRows.set(record.name, {record, until: now + staleRowMilliseconds});
 			} else {
-				this.#put(record, change);
+				this.#put(record, change, isRestored);
 			}
 		}
 
@@ -119,7 +119,7 @@
 
 		for (const {record, until} of this.#staleRows.values()) {
 			if (until <= now) {
-				this.#put(record, change);
+				this.#put(record, change, true);
 			}
 		}
 
@@ -235,7 +235,7 @@
 		return this.#records.get(name);
 	}
 
-	#put(listed: EndpointRecord, change: RegistryChange): void {
+	#put(listed: EndpointRecord, change: RegistryChange, isRestored = false): void {
 		const record = this.#announced.has(listed) ? {...listed, state: 'leaving' as const} : listed;
 		const known = this.#records.get(record.name) ?? this.#unconfirmed.get(record.name)?.record;
 		this.#unconfirmed.delete(record.name);
@@ -253,7 +253,7 @@
 			return;
 		}
 
-		this.appearances.note(record, known);
+		this.appearances.note(record, known, isRestored);
 		if (known !== undefined) {
 			change.vanished.push(known);
 		}
--- a/src/gateway/endpoints/row-appearances.ts
+++ b/src/gateway/endpoints/row-appearances.ts
@@ -9,6 +9,8 @@
 	absentAt: number;
 	/** The start of the incarnation whose row it replaced. */
 	replaced: number | undefined;
+	/** Whether a restored store showed it, which may show rows that are older than their absence. */
+	isRestored: boolean;
 };
 
 /** A process that has just started writes its row within this time. */
@@ -24,9 +26,9 @@
 	}
 
 	/** Records the row of an incarnation that was not listed before, and the one that it replaces. */
-	note({name, startedAt, softwareVersion}: EndpointRecord, replaced: EndpointRecord | undefined): void {
+	note({name, startedAt, softwareVersion}: EndpointRecord, replaced: EndpointRecord | undefined, isRestored = false): void {
 		this.#appearances.set(name, {
-			startedAt, softwareVersion, absentAt: this.#confirmedAt, replaced: replaced?.startedAt,
+			startedAt, softwareVersion, absentAt: this.#confirmedAt, replaced: replaced?.startedAt, isRestored,
 		});
 	}
 
@@ -37,7 +39,7 @@
 	/** As of when an endpoint's row was not listed yet, in milliseconds of the steady clock; the distant past if that is not known. */
 	absentAt({name, startedAt}: EndpointRecord): number {
 		const row = this.#appearances.get(name);
-		return row?.startedAt === startedAt ? row.absentAt : Number.NEGATIVE_INFINITY;
+		return row?.startedAt === startedAt && !row.isRestored ? row.absentAt : Number.NEGATIVE_INFINITY;
 	}
 
 	/**
