End a silent attempt only once another endpoint has sent bytes of its body

What callers saw: a stream whose endpoint stood still for 2.6 s and went on was cut after 1.9 s, or at its deadline, since another endpoint had sent the head of its answer and then nothing.

Cause: a replacement took over with its head. An endpoint may send its head when it accepts a request, and may then still wait, fail or fall silent.

A replacement takes over with the first chunk of its body, or the end of an empty one. Until then the silent endpoint goes on if it can, and a replacement that breaks off costs nothing. The two share the splitter: an attempt that has pushed no bytes no longer flushes it.

--- a/src/gateway/data-path/early-head.test.ts
+++ b/src/gateway/data-path/early-head.test.ts
@@ -17,9 +17,9 @@
 
 const goOnAfterSilence: EndpointBehaviour = async (incoming, response) => {
 	writeHead(incoming, response);
-	response.write('id: 1\ndata: event 1\n\n');
+	response.write('id: 1\ndata: event 1\n\nid: 2\nda');
 	await pause(silenceMilliseconds);
-	response.end('id: 2\ndata: event 2\n\n');
+	response.end('ta: event 2\n\n');
 };
 
 const replacements: Record<string, EndpointBehaviour> = {
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -225,8 +225,8 @@
 		const isResumable = answer.status === 200 && (splitter === undefined || (splitter.lastId ?? '') !== '');
 		const brokenOutcome = isResumable ? 'cut' : 'torn';
 		// Drops the incomplete event of the broken answer; the next endpoint sends that event from its start. A replacement may have
-		// begun to do so, and shares the splitter.
-		if (this.#endReason !== 'replaced') {
+		// begun to do so, and shares the splitter; so does a silent endpoint that this one was to replace.
+		if (this.#endReason !== 'replaced' && read.bodyBytes > 0) {
 			splitter?.flush();
 		}
 
--- a/src/gateway/data-path/request-attempts.ts
+++ b/src/gateway/data-path/request-attempts.ts
@@ -2,8 +2,8 @@
  * The attempts of one request that are in flight: the leading one, whose answer is relayed, and one that may replace it.
  *
  * A silent endpoint may have failed or may go on the next moment. So its attempt is not ended until another endpoint has sent the
- * head of an answer, which it does when it begins to run the request: if that one rejects it, or the silent one goes on first,
- * nothing is lost, and no stream runs at two endpoints.
+ * first bytes of an answer's body. The head alone may be sent before the request has begun to run: if that endpoint rejects or
+ * breaks off the request, or the silent one goes on first, nothing is lost, and no stream runs at two endpoints.
  */
 import {answerProgress} from '../../decision/crashes/answer-progress.js';
 import {minRetryMilliseconds} from '../../decision/attempts/next-step.js';
@@ -120,6 +120,7 @@
 			basis,
 			onFirstBytes: status => {
 				this.firstByteAt ??= this.#now();
+				this.#lead(running);
 				if (status === 200 && splitter !== undefined) {
 					continuation.begin(endpoint);
 				}
@@ -127,7 +128,7 @@
 			onBytes: () => {
 				running.chunks++;
 				continuation.confirm(endpoint);
-				this.#supersedeReplacement();
+				this.#lead(running);
 			},
 			onSilent: () => {
 				this.#lookForReplacement(running);
@@ -192,7 +193,7 @@
 		}
 	}
 
-	/** Whether the answer of an attempt may be relayed. The first one leads, and one that replaces it ends it. */
+	/** Whether the answer of an attempt may be relayed. The head of the leading one shows that it needs no replacement. */
 	#mayRelay(running: RunningAttempt): boolean {
 		if (!this.#request.work.continuation.mayRelay(running.endpoint)) {
 			return false;
@@ -203,12 +204,16 @@
 			return true;
 		}
 
-		if (running !== this.#replacement || this.#request.work.response.writableEnded) {
-			return false;
-		}
+		return running === this.#replacement && !this.#request.work.response.writableEnded;
+	}
 
-		this.#takeOver(running);
-		return true;
+	/** Ends the other attempt when bytes of an answer have arrived, before they are relayed. */
+	#lead(running: RunningAttempt): void {
+		if (running === this.#replacement) {
+			this.#takeOver(running);
+		} else {
+			this.#supersedeReplacement();
+		}
 	}
 
 	#takeOver(running: RunningAttempt): void {
