Let the check of silent endpoints limit their connections

Callers saw 502 where endpoints take a number of connections and reset the others; no check played that. `--silence 0` silences nothing.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -54,12 +54,16 @@
 	version?: string;
 	/** The model of an engine; it reports that it caches nothing. */
 	model?: string;
+	/** The number of connections that it accepts; further ones are reset. */
+	connectionLimit?: number;
 };
 
 export class DeploymentEndpoint {
 	name = '';
 	/** The software version of its next incarnation. */
 	nextVersion: string;
+	/** Connections that were reset because there were too many. */
+	resets = 0;
 	readonly dataCentre: string;
 	/** `IP:port`. */
 	readonly address: string;
@@ -67,6 +71,7 @@
 	readonly #service: string;
 	readonly #slots: number;
 	readonly #model: string | undefined;
+	readonly #connectionLimit: number;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
@@ -83,6 +88,7 @@
 		this.#service = place.service;
 		this.#slots = place.slots;
 		this.#model = place.model;
+		this.#connectionLimit = place.connectionLimit ?? Number.POSITIVE_INFINITY;
 		this.nextVersion = place.version ?? 'v1';
 		this.#script = script;
 	}
@@ -110,6 +116,12 @@
 			void this.#serve(request, response);
 		});
 		server.on('connection', socket => {
+			if (this.#sockets.size >= this.#connectionLimit) {
+				this.resets++;
+				socket.resetAndDestroy();
+				return;
+			}
+
 			this.#sockets.add(socket);
 			socket.once('close', () => {
 				this.#sockets.delete(socket);
--- a/src/check/silence-main.ts
+++ b/src/check/silence-main.ts
@@ -17,9 +17,10 @@
 	.option('--silence <number>', 'milliseconds of the shortest silence', '1600')
 	.option('--silence-to <number>', 'milliseconds of the longest silence, if it is longer')
 	.option('--at-a-time <number>', 'endpoints that fall silent at a time; 0 for single answers', '1')
+	.option('--connections <number>', 'connections that an endpoint accepts from all instances together; 0 for any number', '0')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '100')
 	.parse();
-const options: {route: SilentRoute; seed: string; seeds: string; seconds: string; rate: string; silence: string; silenceTo?: string; atATime: string; network: string} = command.opts();
+const options: {route: SilentRoute; seed: string; seeds: string; seconds: string; rate: string; silence: string; silenceTo?: string; atATime: string; connections: string; network: string} = command.opts();
 let hasViolations = false;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runSilentEndpoints({
@@ -30,6 +31,7 @@
 		requestsPerSecond: Number(options.rate),
 		silenceMilliseconds: [Number(options.silence), Number(options.silenceTo ?? options.silence)],
 		silentAtATime: Number(options.atATime),
+		connectionLimit: Number(options.connections),
 	});
 	console.log(JSON.stringify(report));
 	hasViolations ||= Object.keys(violationsOf(report)).length > 0;
--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -39,6 +39,8 @@
 	silenceMilliseconds: readonly [minimum: number, maximum: number];
 	/** How many endpoints fall silent at a time; 0 if single answers do, and not their endpoints. */
 	silentAtATime: number;
+	/** The number of connections that an endpoint accepts from all instances together; 0 for any number. */
+	connectionLimit?: number;
 };
 
 export type SilentEndpointsReport = Omit<SilentEndpointsOptions, 'network'> & TrafficReport & {
@@ -48,6 +50,8 @@
 	doubled: number;
 	/** Requests that were refused as not run although they had reached an endpoint. */
 	wronglyRefused: number;
+	/** Connections that endpoints reset because they had too many. */
+	resets: number;
 	/** Log lines of failed attempts, by outcome and detail. */
 	failedAttempts: Record<string, number>;
 };
@@ -110,7 +114,7 @@
 		this.#options = options;
 		this.#choices = Choices.fromSeed(hashOf(`silent endpoints ${options.seed}`));
 		this.#deployment = new GatewayDeployment({
-			network: options.network, dataCentres, instancesPerDataCentre: perDataCentre, routes: [this.#route()], services: [{name: service, ...(this.#isPrompt ? {engine} : {})}],
+			network: options.network, dataCentres, instancesPerDataCentre: perDataCentre, routes: [this.#route()], services: [{name: service, max_conns: options.connectionLimit ?? 0, ...(this.#isPrompt ? {engine} : {})}],
 		});
 		this.#traffic = new SilentTraffic(this.#deployment, Choices.fromSeed(hashOf(`silent endpoints ${options.seed} traffic`)), {
 			path: this.#path, deadlineMilliseconds, model: this.#isPrompt ? model : undefined,
@@ -119,7 +123,7 @@
 
 	async start(): Promise<void> {
 		this.#endpoints = this.#deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: perDataCentre}, (_, number) => new DeploymentEndpoint(this.#deployment, {
-			dataCentre, address: this.#deployment.endpointAddress(index + 1, number + 1), service, slots, ...(this.#isPrompt ? {model} : {}),
+			dataCentre, address: this.#deployment.endpointAddress(index + 1, number + 1), service, slots, ...(this.#isPrompt ? {model} : {}), ...(this.#options.connectionLimit ? {connectionLimit: this.#options.connectionLimit} : {}),
 		}, this)));
 		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
 		await this.#deployment.start();
@@ -138,6 +142,7 @@
 			retries: [...this.#arrivals.values()].reduce((sum, count) => sum + count - 1, 0),
 			doubled: this.#isStream ? works.filter(work => isDoubled(work)).length : 0,
 			wronglyRefused: this.#traffic.refusedBodies.filter(body => this.#arrivals.has(body)).length,
+			resets: this.#endpoints.reduce((sum, {resets}) => sum + resets, 0),
 			failedAttempts: this.#failedAttempts(),
 		};
 	}
@@ -220,6 +225,11 @@
 	/** Silences endpoints one after the other, or running answers. */
 	async #silence(endsAt: number): Promise<void> {
 		const {silenceMilliseconds, silentAtATime} = this.#options;
+		const [, longestMilliseconds] = silenceMilliseconds;
+		if (longestMilliseconds === 0) {
+			return;
+		}
+
 		for (let next = 0; performance.now() < endsAt; next += silentAtATime) {
 			const milliseconds = this.#choices.between(...silenceMilliseconds);
 			if (silentAtATime === 0) {
