Take a request for unsent where its connection was reset before

Callers saw 502 for requests whose endpoint was full, with attempts and time left. Cause: an endpoint that takes no more connections accepts one and resets it. Where the reset had arrived before the request was written, the write failed at once, and the request counted as perhaps run: it took a retry of the service's budget, and one that may run once had no other attempt. Change: a write that fails at once, for a new or a kept connection, has sent no byte, so the outcome is `not-sent`. Later errors stay `unknown`. Relayed connections are as before. Evidence: both tests of reset-connection.test.ts were red before (`unknown`, "write ECONNRESET").

--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -36,13 +36,15 @@
 /**
  * How a call failed before the head of an answer arrived.
  *
- * - `not-sent`: no connection was established, so no byte was sent.
+ * - `not-sent`: no connection was established, or the endpoint had reset it, so no byte was sent.
  * - `not-wanted`: no byte was sent, since the request was not wanted any more once there was a connection.
  * - `unknown`: the request was sent and may have run.
  */
 export type ExchangeFailure = {
 	kind: 'not-sent' | 'not-wanted' | 'unknown';
 	connection: ConnectionUse;
+	/** Whether the endpoint ended its connection, as a full one does: its process is there, and so is the way to it. */
+	isReset: boolean;
 	detail: string;
 };
 
@@ -92,6 +94,9 @@
 /** Longer bodies are not drained: reading them costs more than a new connection. */
 const discardBytes = 131_072;
 
+/** The errors of a connection that its other side has ended. */
+const endCodes: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
+
 type ConnectionNotes = {
 	noteEnd(end: ConnectionEnd): void;
 	connectionEnd(): ConnectionEnd;
@@ -139,11 +144,18 @@
 	async #awaitAnswer(outgoing: ClientRequest, call: EndpointCall, {noteEnd, connectionEnd}: ConnectionNotes): Promise<Either<ExchangeFailure, EndpointAnswer>> {
 		let failureKind: ExchangeFailure['kind'] = 'not-sent';
 		const use = (): ConnectionUse => call.connection === undefined ? connectionUseOf(outgoing) : 'relayed';
-		const failure = (detail: string): Either<ExchangeFailure, never> => Left({kind: failureKind, connection: use(), detail});
+		const failure = (detail: string, isReset = false): Either<ExchangeFailure, never> => Left({
+			kind: failureKind, connection: use(), isReset, detail,
+		});
 		const write = (connection: ConnectionUse): void => {
 			failureKind = 'unknown';
 			call.onWrite?.(connection);
 			outgoing.end(call.body.length === 0 ? undefined : call.body);
+			// Head and body are written in one call. Where that fails at once, the endpoint had reset the connection before, and no
+			// byte was sent; a later error tells nothing.
+			if (call.connection === undefined && outgoing.socket?.errored) {
+				failureKind = 'not-sent';
+			}
 		};
 
 		const writeIfWanted = async (): Promise<void> => {
@@ -196,9 +208,9 @@
 				});
 			});
 			// Node emits this error for a reset before it ends a body without a length, so the reset is recorded in time.
-			outgoing.on('error', error => {
+			outgoing.on('error', (error: NodeJS.ErrnoException) => {
 				noteEnd('reset');
-				resolve(failure(error.message));
+				resolve(failure(error.message, call.connection === undefined && endCodes.has(error.code)));
 			});
 			outgoing.once('close', () => {
 				resolve(failure('the connection ended without an answer'));
