Do not take an endpoint that resets new connections for unreachable

Callers saw requests refused or sent through other instances while their endpoints were sound but had no room for connections. Cause: a connection that was accepted and reset at once counted as one that could not be established. So the endpoint was left out as unreachable, other instances were asked to connect to it, and each that got a reset as well asked three more. All of that opened further connections to an endpoint that had too many. A crash was looked for in the same way. Change: a reset shows that a process is there, and the way to it. Evidence: probe-connection.test.ts was red before ("silent"), full-endpoint.test.ts too (the endpoint was unreachable).

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -28,6 +28,8 @@
 	#exchange: OpenExchange | undefined;
 	#endReason: EndReason | undefined;
 	#isRelayed = false;
+	/** Whether the endpoint ended the connection before the head of an answer: it can be reached, and may be full. */
+	#isReset = false;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
 		this.#context = context;
@@ -83,7 +85,7 @@
 		this.#watch.start(this.#exchange);
 		const result = await this.#awaitResult(this.#exchange);
 		this.#watch.stop();
-		if (result.outcome === 'not-sent') {
+		if (result.outcome === 'not-sent' && !this.#isReset) {
 			this.#noteNotConnected();
 		}
 
@@ -125,7 +127,8 @@
 	async #awaitResult(exchange: OpenExchange): Promise<AttemptResult> {
 		const answered = await exchange.answer;
 		if (answered.isLeft()) {
-			const {kind, connection, detail} = answered.extract();
+			const {kind, connection, isReset, detail} = answered.extract();
+			this.#isReset = isReset;
 			const wasSent = kind === 'unknown';
 			const outcome = kind === 'not-wanted' ? 'client-left' : kind;
 			return {
@@ -277,7 +280,7 @@
 			return 'cancelled';
 		}
 
-		return outcome === 'not-sent' || cancelReason === 'unreachable' ? 'unreachable' : 'failed';
+		return (outcome === 'not-sent' && !this.#isReset) || cancelReason === 'unreachable' ? 'unreachable' : 'failed';
 	}
 
 	#now(): number {
--- a/src/gateway/endpoints/connect-endpoint.ts
+++ b/src/gateway/endpoints/connect-endpoint.ts
@@ -4,19 +4,25 @@
 /** Timeout of an attempt; a request's connection has the same one. */
 const connectTimeoutMilliseconds = 250;
 
+/** How a connection attempt failed. */
+export type FailedConnection = 'refused' | 'reset' | 'silent';
+
+const resultOfCode: Readonly<Record<string, FailedConnection>> = {ECONNREFUSED: 'refused', ECONNRESET: 'reset'};
+
 /**
  * Connects to an endpoint.
  *
  * @param address - `IP:port`.
- * @returns The paused connection; `refused` if no process listens there, `silent` if it is not established in time.
+ * @returns The paused connection; `refused` if no process listens there, `reset` if one does and ends the connection at once, as a
+ * full endpoint does, `silent` if it is not established in time.
  */
-export async function connectEndpoint(address: string): Promise<Socket | 'refused' | 'silent'> {
+export async function connectEndpoint(address: string): Promise<Socket | FailedConnection> {
 	const separator = address.lastIndexOf(':');
 	return new Promise(resolve => {
 		const socket = connect({
 			host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true, allowHalfOpen: true,
 		});
-		const fail = (result: 'refused' | 'silent'): void => {
+		const fail = (result: FailedConnection): void => {
 			socket.destroy();
 			resolve(result);
 		};
@@ -31,7 +37,7 @@
 		}, connectTimeoutMilliseconds);
 		const failOnError = (error: NodeJS.ErrnoException): void => {
 			clearTimeout(timer);
-			fail(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
+			fail(resultOfCode[error.code ?? ''] ?? 'silent');
 		};
 
 		socket.once('error', failOnError);
--- a/src/gateway/endpoints/endpoint-watches.ts
+++ b/src/gateway/endpoints/endpoint-watches.ts
@@ -132,6 +132,12 @@
 		const socket = await connectEndpoint(address);
 		watched.isConnecting = false;
 		const now = this.#now();
+		if (socket === 'reset') {
+			watched.watch.noteOpened(now);
+			this.#noteClosed(address, watched);
+			return;
+		}
+
 		if (typeof socket === 'string') {
 			watched.watch.noteNotConnected(socket, startedAt, now);
 			return;
--- a/src/gateway/relay/relay-server.ts
+++ b/src/gateway/relay/relay-server.ts
@@ -145,6 +145,12 @@
 		});
 		socket.pause();
 		const onward = await connect(address);
+		if (onward === 'reset') {
+			// The endpoint can be reached, and has no room for another connection.
+			decline('silent');
+			return;
+		}
+
 		if (typeof onward === 'string') {
 			onUnreachable(endpoint);
 			decline(onward);
