Do not take an endpoint for crashed while a connection to it is open

Callers saw nothing of it yet; found by reading. A sound endpoint that stops for a second while its listener refuses connections (the next one over its limit is reset, the probe after it refused) counted as crashed: prompts that were lost with the reset connection were blamed, and streams went on there no more until its row changed. Cause: a refused connection was taken for the end of the process. Change: all connections end with their process, so while one from this instance to the endpoint, in use or idle, is still open 40 ms after the break, a refused connection attempt does not count, and the next one is waited for. Where none is open, it counts as before; a verdict comes no later, since the 40 ms run beside the first connection attempt. Evidence: the new test of crash-detector.test.ts gives "crashed" without the condition.

--- a/src/gateway/crashes/crash-clearance.test.ts
+++ b/src/gateway/crashes/crash-clearance.test.ts
@@ -33,6 +33,7 @@
 		metrics: new GatewayMetrics(),
 		endpoints: {hasDeparted: () => false, noteEnded: ignore},
 		ledger: this.ledger,
+		hasOpenConnection: () => false,
 		probe: async () => 'silent',
 		random: () => 0,
 		claim: async (key, report): Promise<boolean> => {
--- a/src/gateway/crashes/crash-detector.test.ts
+++ b/src/gateway/crashes/crash-detector.test.ts
@@ -7,7 +7,7 @@
 import {CrashDetector, type ObservedCrash} from './crash-detector.js';
 
 /** Lets the connections of one endpoint break; returns what was found and logged. */
-async function breakConnections(probes: ProbeResult[], state: 'ready' | 'leaving' = 'ready', requests = ['one']): Promise<{crashes: ObservedCrash[]; verdicts: unknown[]}> {
+async function breakConnections(probes: ProbeResult[], state: 'ready' | 'leaving' = 'ready', requests = ['one'], hasOpenConnection = false): Promise<{crashes: ObservedCrash[]; verdicts: unknown[]}> {
 	const endpoint = testEndpoint();
 	const endpoints = new EndpointRegistry();
 	endpoints.put({...endpoint, state});
@@ -25,6 +25,7 @@
 					setImmediate(resolve);
 				},
 			},
+			hasOpenConnection: () => hasOpenConnection,
 			probe: async () => remaining.shift() ?? 'accepted',
 			onCrash(crash) {
 				crashes.push(crash);
@@ -67,3 +68,9 @@
 	assert.deepEqual(verdicts, ['left']);
 	assert.deepEqual(crashes, []);
 });
+
+test('an endpoint that refuses connections while another one is open is not taken for crashed', async () => {
+	const {crashes, verdicts} = await breakConnections(['refused', 'refused', 'refused'], 'ready', ['one'], true);
+	assert.deepEqual(verdicts, ['reachable']);
+	assert.deepEqual(crashes, []);
+});
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -3,7 +3,8 @@
  *
  * A broken connection alone proves nothing: endpoints cut answers, reset connections over their limit, leave as announced and
  * are cut off. A process that has ended refuses connections, so a connection attempt after the break tells them apart within
- * a few milliseconds; the endpoint's row in the list vanishes only seconds later.
+ * a few milliseconds; the endpoint's row in the list vanishes only seconds later. A process that has stopped for a second may
+ * refuse connections as well. But all connections end with their process, so one that stays open shows that it has not ended.
  */
 import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
@@ -27,7 +28,7 @@
  * What the breaks of an endpoint's connections mean.
  *
  * - `crashed`: its process has ended without notice.
- * - `reachable`: it accepts connections, so only some connections broke.
+ * - `reachable`: it accepts connections, or has another one open, so only some connections broke.
  * - `unreachable`: it does not answer; it may be cut off.
  * - `left`: it had announced that it leaves, or had left the list.
  */
@@ -45,6 +46,8 @@
 	endpoints: Pick<EndpointRegistry, 'hasDeparted'>;
 	/** Finds out whether an endpoint's process answers; a failure of this instance's own link must not look like `refused`. */
 	probe(endpoint: EndpointRecord): Promise<ProbeResult>;
+	/** Whether this instance has a connection to an endpoint that is open, as far as it has noticed. */
+	hasOpenConnection(endpoint: EndpointRecord): boolean;
 	/** Called once for each crash, shortly after it was found. */
 	onCrash(crash: ObservedCrash): void;
 };
@@ -54,7 +57,7 @@
  * still accept a connection right after the first break.
  */
 const probeDelaysMilliseconds = [0, 100, 300];
-/** The requests that a crash cuts are found within this time: their connections break in the same few milliseconds. */
+/** All connections that a crash cuts, and their requests, are found within this time: they break in the same few milliseconds. */
 const collectMilliseconds = 40;
 /** The blocks of a prompt that a log line names; a prompt may have hundreds. */
 const maxLoggedBlocks = 8;
@@ -90,12 +93,8 @@
 	}
 
 	async #examine(found: Break): Promise<void> {
-		const {clock, log, onCrash} = this.#dependencies;
+		const {log, onCrash} = this.#dependencies;
 		const verdict = await found.verdict;
-		if (verdict === 'crashed') {
-			await clock.sleep(collectMilliseconds, this.#signal);
-		}
-
 		this.#open.delete(incarnationOf(found.endpoint));
 		const {endpoint, requests} = found;
 		log.record('connections-lost', {
@@ -112,22 +111,27 @@
 	}
 
 	async #judge(endpoint: EndpointRecord): Promise<BreakVerdict> {
-		if (this.#dependencies.endpoints.hasDeparted(endpoint)) {
+		const {clock, endpoints, hasOpenConnection} = this.#dependencies;
+		if (endpoints.hasDeparted(endpoint)) {
 			return 'left';
 		}
 
+		const collected = clock.sleep(collectMilliseconds, this.#signal);
 		let result: ProbeResult = 'silent';
 		for (const delayMilliseconds of probeDelaysMilliseconds) {
 			if (delayMilliseconds > 0) {
-				await this.#dependencies.clock.sleep(delayMilliseconds, this.#signal);
+				await clock.sleep(delayMilliseconds, this.#signal);
 			}
 
 			result = await this.#dependencies.probe(endpoint);
 			if (result === 'refused') {
-				return 'crashed';
+				await collected;
+				if (!hasOpenConnection(endpoint)) {
+					return 'crashed';
+				}
 			}
 		}
 
-		return result === 'accepted' ? 'reachable' : 'unreachable';
+		return result === 'silent' ? 'unreachable' : 'reachable';
 	}
 }
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -22,6 +22,8 @@
 	endpoints: Pick<EndpointRegistry, 'hasDeparted' | 'noteEnded'>;
 	ledger: CrashLedger;
 	probe(endpoint: EndpointRecord): Promise<ProbeResult>;
+	/** Whether this instance has a connection to an endpoint that is open, as far as it has noticed. */
+	hasOpenConnection(endpoint: EndpointRecord): boolean;
 	/** Returns a random number from 0 up to 1. */
 	random(): number;
 	/** Records a report here and passes it on to the other instances. */
--- a/src/gateway/data-path/endpoint-agent.ts
+++ b/src/gateway/data-path/endpoint-agent.ts
@@ -39,6 +39,13 @@
 		this.#idleTimeouts.set(socket, Math.min(maxIdleMilliseconds, limit));
 	}
 
+	/** Whether a connection to `IP:port`, in use or idle, is open. */
+	hasOpenConnection(address: string): boolean {
+		const separator = address.lastIndexOf(':');
+		const name = this.getName({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
+		return [this.sockets, this.freeSockets].some(pool => pool[name]?.some(socket => socket.readyState === 'open') ?? false);
+	}
+
 	/** Called by Node when an answer is complete; returning false closes the connection. */
 	// eslint-disable-next-line @typescript-eslint/strict-void-return -- Node reads the value; its published types do not say so
 	override keepSocketAlive(socket: Duplex): boolean {
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -136,6 +136,11 @@
 		};
 	}
 
+	/** Whether a connection to an address, in use or idle, is open. */
+	hasOpenConnection(address: string): boolean {
+		return this.#agent.hasOpenConnection(address);
+	}
+
 	/** Closes all connections to endpoints. */
 	close(): void {
 		this.#agent.destroy();
--- a/src/gateway/data-path/reset-connection.test.ts
+++ b/src/gateway/data-path/reset-connection.test.ts
@@ -67,3 +67,23 @@
 	assert.equal(failure.connection, 'kept');
 	assert.equal(failure.kind, 'not-sent', failure.detail);
 });
+
+test('an idle connection counts as open until its endpoint ends it', async context => {
+	let accepted: Socket | undefined;
+	const {address, exchanges} = await listen(context, socket => {
+		accepted = socket;
+		socket.once('data', () => {
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=30\r\n\r\n');
+		});
+	});
+	assert.equal(exchanges.hasOpenConnection(address), false);
+	const answer = await exchanges.open({...testCall, address}).answer;
+	const {body} = answer.unsafeCoerce();
+	const {socket} = body;
+	body.resume();
+	await once(body, 'end');
+	assert.equal(exchanges.hasOpenConnection(address), true);
+	accepted?.destroy();
+	await once(socket, 'close');
+	assert.equal(exchanges.hasOpenConnection(address), false);
+});
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -148,6 +148,7 @@
 			instance: settings.instance,
 			isCoordinator: () => this.#coordinators.isCoordinator,
 			probe: async endpoint => paths.reach(endpoint),
+			hasOpenConnection: endpoint => this.#exchanges.hasOpenConnection(endpoint.address),
 		});
 		this.#brittle = new BrittleServices({
 			...shared,
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -101,6 +101,7 @@
 				ledger: crashLedger,
 				random: () => 0,
 				probe: async endpoint => paths.reach(endpoint),
+				hasOpenConnection: endpoint => this.#exchanges.hasOpenConnection(endpoint.address),
 				publish(report) {
 					crashLedger.put(keyOfReport(report), report);
 				},
