Take no second retry for one that was not sent

Callers saw 502 from services whose retries were used up by attempts that reached no endpoint. Cause: an attempt that is not sent after an earlier one that was took another retry of the budget for the next attempt, although its own was not used. Change: after `not-sent` the next attempt needs no further retry. The limit of attempts is as before, and endpoints that were tried are left out, so it ends. Evidence: the new test of next-step.test.ts gave `fail` before.

--- a/src/decision/attempts/next-step.test.ts
+++ b/src/decision/attempts/next-step.test.ts
@@ -44,6 +44,10 @@
 	assert.equal(decideNextStep('not-sent', {...state, sends: 0}, () => false), 'repeat');
 });
 
+test('a retry that was never sent is made elsewhere without a second one of the budget', () => {
+	assert.equal(decideNextStep('not-sent', {...state, mayHaveRun: true}, () => false), 'repeat');
+});
+
 test('a plain answer that is cut after its first bytes is not continued by another one', () => {
 	// An endpoint crashes in the middle of a lookup's answer. On a retry, another endpoint answers from the start, and
 	// the caller would get that answer appended to the first part of the other.
--- a/src/decision/attempts/next-step.ts
+++ b/src/decision/attempts/next-step.ts
@@ -69,7 +69,8 @@
 		? state.kind === 'resumable-stream'
 		: isRetryable(state.kind) || (!state.mayHaveRun && (outcome === 'not-sent' || outcome === 'rejected'));
 	const isWithinLimits = !state.hasProbablyCrashed && state.sends < state.maxSends && state.remainingMilliseconds >= minRetryMilliseconds;
-	if (mayRetry && isWithinLimits && (state.sends === 0 || takeRetry())) {
+	// The retry that an attempt was granted is not used up if no byte of it was sent; a first attempt needs none.
+	if (mayRetry && isWithinLimits && (outcome === 'not-sent' || state.sends === 0 || takeRetry())) {
 		return outcome === 'cut' ? 'resume' : 'repeat';
 	}
 
