Count a request once towards the retries of its service

Cause: a request whose attempts were not sent counted anew at each of them, so a service whose endpoints reset connections was granted more retries than its requests earn. Change: it counts at its first attempt only. Evidence: the new test of full-endpoint.test.ts counted two before.

--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -38,6 +38,8 @@
 	readonly #attempts: RequestAttempts;
 	#hasCallerDisconnected = false;
 	#isExpired = false;
+	/** Whether the request counts towards the retries that its service may get. */
+	#isCounted = false;
 	#hasEnded = false;
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly #stop = new AbortController();
@@ -167,7 +169,8 @@
 	/** Makes one attempt. Returns how the request ended, or `undefined` if another attempt follows. */
 	async #attempt(found: FoundEndpoint): Promise<RequestOutcome | undefined> {
 		const {clock, retryBudget} = this.#context;
-		if (this.#attempts.sends === 0) {
+		if (!this.#isCounted) {
+			this.#isCounted = true;
 			retryBudget.countRequest(this.#work.permitted.service, clock.moment().steady);
 		}
 
