--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -58,12 +58,16 @@
 	listensAt?: string;
 	/** Whether it never closes idle connections. */
 	keepsIdleConnections?: boolean;
+	/** The number of connections that it accepts; further ones are reset. */
+	connectionLimit?: number;
 };
 
 export class DeploymentEndpoint {
 	name = '';
 	/** The software version of its next incarnation. */
 	nextVersion: string;
+	/** Connections that were reset because there were too many. */
+	resets = 0;
 	readonly dataCentre: string;
 	/** `IP:port`. */
 	readonly address: string;
@@ -73,6 +77,7 @@
 	readonly #model: string | undefined;
 	readonly #listensAt: string;
 	readonly #keepsIdleConnections: boolean;
+	readonly #connectionLimit: number;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
@@ -91,6 +96,7 @@
 		this.#model = place.model;
 		this.#listensAt = place.listensAt ?? place.address;
 		this.#keepsIdleConnections = place.keepsIdleConnections ?? false;
+		this.#connectionLimit = place.connectionLimit ?? Number.POSITIVE_INFINITY;
 		this.nextVersion = place.version ?? 'v1';
 		this.#script = script;
 	}
@@ -118,6 +124,12 @@
 			void this.#serve(request, response);
 		});
 		server.on('connection', socket => {
+			if (this.#sockets.size >= this.#connectionLimit) {
+				this.resets++;
+				socket.resetAndDestroy();
+				return;
+			}
+
 			this.#sockets.add(socket);
 			socket.once('close', () => {
 				this.#sockets.delete(socket);
--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -25,9 +25,14 @@
 	silenceMilliseconds: readonly [minimum: number, maximum: number];
 	/** How many endpoints fall silent at a time; 0 if single answers do, and not their endpoints. */
 	silentAtATime: number;
+	/** The number of connections that an endpoint accepts from all instances together; 0 for any number. */
+	connectionLimit?: number;
 };
 
-export type SilentEndpointsReport = Omit<SilentEndpointsOptions, 'network'> & TrafficReport & WorkReport;
+export type SilentEndpointsReport = Omit<SilentEndpointsOptions, 'network'> & TrafficReport & WorkReport & {
+	/** Connections that endpoints reset because they had too many. */
+	resets: number;
+};
 
 const dataCentres = 3;
 const perDataCentre = 2;
@@ -66,7 +71,7 @@
 		this.#options = options;
 		this.#choices = Choices.fromSeed(hashOf(`silent endpoints ${seed}`));
 		this.#deployment = new GatewayDeployment({
-			network, dataCentres, instancesPerDataCentre: perDataCentre, routes: [this.#route()], services: [serviceRow(route)],
+			network, dataCentres, instancesPerDataCentre: perDataCentre, routes: [this.#route()], services: [serviceRow(route, options.connectionLimit)],
 		});
 		this.#traffic = new SilentTraffic(this.#deployment, Choices.fromSeed(hashOf(`silent endpoints ${seed} traffic`)), {
 			path: pathOf(route), deadlineMilliseconds, model: isPrompt(route) ? model : undefined, eventsOfAnswer,
@@ -84,7 +89,12 @@
 
 	async start(): Promise<void> {
 		this.#endpoints = this.#deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: perDataCentre}, (_, number) => new DeploymentEndpoint(this.#deployment, {
-			dataCentre, address: this.#deployment.endpointAddress(index + 1, number + 1), service, slots, ...(isPrompt(this.#options.route) ? {model} : {}),
+			dataCentre,
+			address: this.#deployment.endpointAddress(index + 1, number + 1),
+			service,
+			slots,
+			...(isPrompt(this.#options.route) ? {model} : {}),
+			...(this.#options.connectionLimit ? {connectionLimit: this.#options.connectionLimit} : {}),
 		}, this.#work)));
 		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
 		await this.#deployment.start();
@@ -96,7 +106,12 @@
 		await Promise.all([
 			this.#traffic.sendUntil(endsAt, options.requestsPerSecond), this.#silence(endsAt), this.#changeConfiguration(endsAt),
 		]);
-		return {...options, ...this.#traffic.report, ...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines())};
+		return {
+			...options,
+			...this.#traffic.report,
+			...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines()),
+			resets: this.#endpoints.reduce((sum, {resets}) => sum + resets, 0),
+		};
 	}
 
 	async stop(): Promise<void> {
@@ -114,6 +129,11 @@
 	/** Silences endpoints one after the other, or running answers. */
 	async #silence(endsAt: number): Promise<void> {
 		const {silenceMilliseconds, silentAtATime} = this.#options;
+		const [, longestMilliseconds] = silenceMilliseconds;
+		if (longestMilliseconds === 0) {
+			return;
+		}
+
 		for (let next = 0; performance.now() < endsAt; next += silentAtATime) {
 			const milliseconds = this.#choices.between(...silenceMilliseconds);
 			if (silentAtATime === 0) {
--- a/src/check/silent-routes.ts
+++ b/src/check/silent-routes.ts
@@ -26,9 +26,13 @@
 	slots, kv_capacity_tokens: 200_000, kv_token_bytes: 1000, link_mbps: 1000, models: [{name: model}],
 };
 
-/** The service of a route, as the configuration has it. */
-export function serviceRow(route: SilentRoute): JsonValue {
-	return {name: service, ...(isPrompt(route) ? {engine} : {})};
+/**
+ * The service of a route, as the configuration has it.
+ *
+ * @param connectionLimit - Connections that each of its endpoints accepts; 0 for any number.
+ */
+export function serviceRow(route: SilentRoute, connectionLimit = 0): JsonValue {
+	return {name: service, max_conns: connectionLimit, ...(isPrompt(route) ? {engine} : {})};
 }
 
 /** A route, as the configuration has it. */
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -29,6 +29,8 @@
 	#exchange: OpenExchange | undefined;
 	#endReason: AttemptEnd | undefined;
 	#isRelayed = false;
+	/** Whether the endpoint ended the connection before the head of an answer: it can be reached, and may be full. */
+	#isReset = false;
 
 	constructor(context: GatewayContext, work: AttemptWork, target: AttemptTarget) {
 		this.#context = context;
@@ -86,7 +88,7 @@
 		this.#watch.start();
 		const result = await this.#awaitResult(this.#exchange);
 		this.#watch.stop(this.#endReason === 'replaced');
-		if (result.outcome === 'not-sent') {
+		if (result.outcome === 'not-sent' && !this.#isReset) {
 			this.#noteNotConnected();
 		}
 
@@ -129,7 +131,8 @@
 	async #awaitResult(exchange: OpenExchange): Promise<AttemptResult> {
 		const answered = await exchange.answer;
 		if (answered.isLeft()) {
-			const {kind, connection, detail} = answered.extract();
+			const {kind, connection, isReset, detail} = answered.extract();
+			this.#isReset = isReset;
 			const wasSent = kind === 'unknown';
 			const outcome = kind === 'not-wanted' ? 'client-left' : kind;
 			return {
@@ -280,7 +283,7 @@
 			return 'cancelled';
 		}
 
-		return outcome === 'not-sent' ? 'unreachable' : 'failed';
+		return outcome === 'not-sent' && !this.#isReset ? 'unreachable' : 'failed';
 	}
 
 	#now(): number {
