--- a/src/check/crashing-block-conditions.ts
+++ b/src/check/crashing-block-conditions.ts
@@ -28,6 +28,16 @@
 ] as const;
 export type BlockCase = typeof blockCases[number];
 
+/**
+ * How far the answer has come when an engine ends.
+ *
+ * - `mixed`: mostly after the head and before any byte of the body, else before the head.
+ * - `within-first-event`: after a part of the first event.
+ * - The others: after so many whole events of the same run.
+ */
+export const crashMoments = ['mixed', 'before-head', 'after-head', 'within-first-event', 'after-one-event', 'after-three-events', 'after-ten-events'] as const;
+export type CrashMoment = typeof crashMoments[number];
+
 /** A block of a prompt under which each engine ends that begins to write an answer on it. */
 export type CrashingBlock = {
 	id: string;
@@ -48,6 +58,7 @@
 
 export type BlockConditions = {
 	crashingBlocks: readonly CrashingBlock[];
+	crashMoment: CrashMoment;
 	/** Between two crashing requests. */
 	crashingPauseMilliseconds: number;
 	/** How often the caller of a crashing request comes back after a failure. */
@@ -80,6 +91,7 @@
 
 const middle: BlockConditions = {
 	crashingBlocks: [crashingBlock('c1')],
+	crashMoment: 'mixed',
 	crashingPauseMilliseconds: 250,
 	returns: 0,
 	hasOneAttempt: false,
--- a/src/check/crashing-block-engines.ts
+++ b/src/check/crashing-block-engines.ts
@@ -2,7 +2,7 @@
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Choices} from './choices.js';
-import {type BlockConditions} from './crashing-block-conditions.js';
+import {type BlockConditions, type CrashMoment} from './crashing-block-conditions.js';
 import {type BlockArrival, type BlockCrash} from './crashing-block-judgement.js';
 import {promptPlanOf} from './crashing-block-prompts.js';
 import {promptModel} from './crashing-block-traffic.js';
@@ -16,6 +16,8 @@
 /** Share of the crashes that come after the head of the answer; the others come before any byte. */
 const afterHeadPercent = 80;
 const afterHeadMilliseconds = [5, 60] as const;
+/** Whole events of an answer before its engine ends. */
+const eventsBeforeEnd: Readonly<Partial<Record<CrashMoment, number>>> = {'after-one-event': 1, 'after-three-events': 3, 'after-ten-events': 10};
 const restartMilliseconds = [1200, 3200] as const;
 
 export type CrashingBlockEnginesDependencies = {
@@ -100,10 +102,7 @@
 			return;
 		}
 
-		if (choices.chance(afterHeadPercent) && !response.destroyed) {
-			endpoint.begin(response, arrival);
-			await delay(choices.between(...afterHeadMilliseconds));
-		}
+		await this.#answerUntilEnd(endpoint, arrival, response);
 
 		if (!response.destroyed && endpoint.isUp) {
 			this.crashes.push({
@@ -113,6 +112,24 @@
 		}
 	}
 
+	/** Writes what callers get of an answer under which the engine ends. */
+	async #answerUntilEnd(endpoint: DeploymentEndpoint, arrival: Arrival, response: ServerResponse): Promise<void> {
+		const {choices, conditions: {crashMoment}} = this.#dependencies;
+		const hasHead = crashMoment === 'mixed' ? choices.chance(afterHeadPercent) : crashMoment !== 'before-head';
+		if (!hasHead || response.destroyed) {
+			return;
+		}
+
+		endpoint.begin(response, arrival);
+		const first = firstEventOf(response);
+		if (crashMoment === 'within-first-event') {
+			response.write(`id: ${first}\nda`);
+		}
+
+		await writeEvents(response, first, first + (eventsBeforeEnd[crashMoment] ?? 0) - 1);
+		await delay(choices.between(...afterHeadMilliseconds));
+	}
+
 	/** The block of a prompt that ends engines at present. */
 	#crashingBlockOf(blocks: readonly string[]): string | undefined {
 		const elapsed = performance.now() - this.#trafficStartedAt;
@@ -132,10 +149,18 @@
 	}
 
 	endpoint.begin(response, arrival);
-	for (let id = 1 + Number(response.req.headers[names.lastEventId] ?? 0); id <= events && !response.destroyed; id++) {
+	await writeEvents(response, firstEventOf(response), events);
+	response.end();
+}
+
+/** The number of the event at which the answer to a resumed or a new request begins. */
+function firstEventOf({req}: ServerResponse): number {
+	return 1 + Number(req.headers[names.lastEventId] ?? 0);
+}
+
+async function writeEvents(response: ServerResponse, first: number, last: number): Promise<void> {
+	for (let id = first; id <= last && !response.destroyed; id++) {
 		response.write(`id: ${id}\ndata: piece ${id}\n\n`);
 		await delay(eventMilliseconds);
 	}
-
-	response.end();
 }
--- a/src/check/crashing-blocks-over-processes.ts
+++ b/src/check/crashing-blocks-over-processes.ts
@@ -8,7 +8,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
-import {type BlockCase, type BlockConditions, conditionsOf} from './crashing-block-conditions.js';
+import {
+	type BlockCase, type BlockConditions, conditionsOf, type CrashMoment,
+} from './crashing-block-conditions.js';
 import {CrashingBlockEngines, engineSlots} from './crashing-block-engines.js';
 import {type BlockJudgement, type BlockRecord, judgeBlocks} from './crashing-block-judgement.js';
 import {CrashingBlockTraffic, promptModel, promptRoutes} from './crashing-block-traffic.js';
@@ -20,6 +22,8 @@
 	network: number;
 	milliseconds: number;
 	case: BlockCase;
+	/** How far answers have come when engines end. */
+	moment?: CrashMoment;
 	/** Where the instances' log lines, and what engines and callers saw, are written for a closer look. */
 	traceFolder?: string | undefined;
 };
@@ -27,6 +31,7 @@
 export type CrashingBlocksReport = BlockJudgement & {
 	seed: number;
 	case: BlockCase;
+	moment: CrashMoment;
 	/** Engines that ended under requests with a crashing block, and those that ended at random. */
 	crashes: number;
 	randomEnds: number;
@@ -69,7 +74,8 @@
 
 	constructor(options: CrashingBlocksOptions) {
 		this.#options = options;
-		this.#conditions = conditionsOf[options.case];
+		const conditions = conditionsOf[options.case];
+		this.#conditions = {...conditions, crashMoment: options.moment ?? conditions.crashMoment};
 		const choicesOf = (part: string): Choices => Choices.fromSeed(hashOf(`crashing blocks ${options.seed} ${part}`));
 		this.#choices = choicesOf('disturbances');
 		this.#deployment = new GatewayDeployment({
@@ -102,6 +108,7 @@
 		return {
 			seed: this.#options.seed,
 			case: this.#options.case,
+			moment: this.#conditions.crashMoment,
 			crashes: crashes.length,
 			randomEnds,
 			crashingSends,
--- a/src/test/process-crashing-blocks.test.ts
+++ b/src/test/process-crashing-blocks.test.ts
@@ -14,6 +14,16 @@
 	assert.deepEqual(report.violations, [], JSON.stringify(report));
 });
 
+for (const [moment, seed] of [['within-first-event', 1], ['after-one-event', 1], ['after-ten-events', 3]] as const) {
+	test(`over real processes: prompts with a block that crashes engines ${moment.replaceAll('-', ' ')} of their answers do not end one engine after another`, async () => {
+		const report = await runCrashingBlocks({
+			seed, network: 71, milliseconds: 15_000, case: 'middle', moment,
+		});
+		assert.ok(report.crashes >= 5, `${report.crashes} engines have ended`);
+		assert.deepEqual(report.violations, [], JSON.stringify(report));
+	});
+}
+
 test('over real processes: while the store is away for all, instances still learn from each other which block crashes engines', async () => {
 	const {blocks, crashes, violations} = await runCrashingBlocks({
 		seed: 1, network: 71, milliseconds: 15_000, case: 'store-away',
