Blame blocks under which endpoints end in the middle of answers

Cause: a request whose answer had a byte of its body reported no blocks (`answering`), so that such crashes had no feature in common. Fingerprints of sound requests that were resumed then accounted for three crashes, and were refused.

Change: these requests report the blocks that the instance has not seen answered lately, marked as such, after those of all other requests and sharing what these leave of a report; blocks that were at other crashes go first. As sound answers are half sent at each crash, such a block is blamed after five separate crashes, where other progress counts it takes three. Until then it accounts for the crashes it was at, so that no resumed request is blamed for them. A complete answer of the last ten minutes at any instance clears it, as it does for blocks that had only waited. `connections-lost` names the blocks of these requests as well.

Blaming blocks answered lately, too, with only later answers clearing: not built, a popular block of long answers is at every crash and not cleared until one of them has ended.

--- a/src/decision/crashes/find-crash-causes.test.ts
+++ b/src/decision/crashes/find-crash-causes.test.ts
@@ -93,6 +93,35 @@
 	assert.deepEqual(blockedBy(crashesWith(...[1, 2, 3].map(() => [requestWith(['same', 'block:shared'])]))), ['same']);
 });
 
+test('prompts that were being answered are blocked by the block that they share once five endpoints have ended', () => {
+	const crashes = crashesWith(...['1', '2', '3', '4', '5'].map(fingerprint => [requestWith([fingerprint, 'block:bad'], {progress: 'answering'})]));
+	assert.deepEqual(blockedBy(crashes.slice(0, 4)), []);
+	assert.deepEqual(blockedBy(crashes), ['block:bad']);
+});
+
+test('crashes at which prompts waited or had just begun and crashes under answers count together', () => {
+	const crashes = crashesWith(...(['begun', 'answering', 'unanswered', 'answering'] as const).map((progress, index) => [requestWith([`${index}`, 'block:bad'], {progress})]));
+	assert.deepEqual(blockedBy(crashes.slice(0, 3)), []);
+	assert.deepEqual(blockedBy(crashes), ['block:bad']);
+});
+
+test('a sound request that was resumed after three crashes is not blocked while the block of the answers that ended there is still in doubt', () => {
+	const crashes = crashesWith(...['1', '2', '3', '4'].map((fingerprint, index) => [
+		requestWith([fingerprint, 'block:bad'], {progress: 'answering', inFlightMilliseconds: 90}),
+		...(index < 3 ? [requestWith(['resumed'], {inFlightMilliseconds: 40})] : []),
+	]));
+	assert.deepEqual(blockedBy(crashes), []);
+});
+
+test('a request that returns in the same words and is being answered each time is blocked once three endpoints have ended', () => {
+	assert.deepEqual(blockedBy(crashesWith(...[1, 2, 3].map(() => [requestWith(['same', 'block:shared'], {progress: 'answering'})]))), ['same']);
+});
+
+test('endpoints that end at the same moments do not block a block of answers that were under way at all of them', () => {
+	const crashes = crashesWith(...Array.from({length: 12}, (_, index) => [requestWith([`${index}`, 'block:popular'], {progress: 'answering'})]));
+	assert.deepEqual(blockedBy(crashes.map((crash, index) => ({...crash, at: 1000 * (index % 4)}))), []);
+});
+
 test('the prompts of one workspace do not have those of another one refused that name the same block', () => {
 	const crashes = crashesWith(...['1', '2', '3'].map(fingerprint => [requestWith([fingerprint, 'block:bad'], {workspace: 'first'})]));
 	const [cause] = findCrashCauses(crashes);
--- a/src/decision/crashes/find-crash-causes.ts
+++ b/src/decision/crashes/find-crash-causes.ts
@@ -6,6 +6,9 @@
  * requests lose their answers each time. Those are retried and may be present at the next crash, so a count for each feature
  * alone would take them for the cause. The crashes are attributed to as few features as possible instead: the feature that was
  * present at most crashes accounts for all of these, and another one must account for enough crashes that are left.
+ *
+ * Any answer may be half sent when its endpoint ends for another reason, so a block whose prompts were being answered needs more
+ * crashes. Until then it accounts for those that it was present at, but is not blamed.
  */
 import {type AnswerProgress} from './answer-progress.js';
 import {isBlockFeature} from './request-features.js';
@@ -44,6 +47,14 @@
  */
 export const crashesToBlock = 3;
 
+/** The same for a block of which each crash has met a prompt that was being answered. */
+export const answeringCrashesToBlock = 5;
+
+/** What one crash counts; the product of both limits is needed. */
+const weights: Readonly<Record<AnswerProgress, number>> = {begun: answeringCrashesToBlock, unanswered: answeringCrashesToBlock, answering: crashesToBlock};
+const weightToBlock = crashesToBlock * answeringCrashesToBlock;
+const suspicionRanks: Readonly<Record<AnswerProgress, number>> = {begun: 0, unanswered: 1, answering: 2};
+
 /**
  * Crashes that are closer to each other count as one where a block is concerned: endpoints that lose their power together are
  * likely to have prompts with a common block in flight.
@@ -54,9 +65,11 @@
 type Candidate = {
 	feature: string;
 	/** By incarnation: the request with this feature that is the most likely to have crashed it. */
-	crashes: Map<string, {at: number; request: RequestAtCrash}>;
+	crashes: Map<string, CandidateCrash>;
 };
 
+type CandidateCrash = {at: number; request: RequestAtCrash};
+
 /**
  * Finds what crashes endpoints.
  *
@@ -74,7 +87,7 @@
 	for (;;) {
 		let best: Candidate | undefined;
 		for (const candidate of candidates) {
-			if (isSufficient(candidate) && (best === undefined || compareLikelihood(candidate, best) < 0)) {
+			if (isConsidered(candidate) && (best === undefined || compareLikelihood(candidate, best) < 0)) {
 				best = candidate;
 			}
 		}
@@ -84,7 +97,10 @@
 		}
 
 		const cause = causeOf(best);
-		found.push(cause);
+		if (isSufficient(cause, best)) {
+			found.push(cause);
+		}
+
 		for (const candidate of candidates) {
 			for (const incarnation of cause.incarnations) {
 				candidate.crashes.delete(incarnation);
@@ -124,24 +140,36 @@
 		}
 	}
 
-	return [...candidates.values()].filter(candidate => isSufficient(candidate));
+	return [...candidates.values()].filter(candidate => isConsidered(candidate));
 }
 
-function isSufficient({feature, crashes}: Candidate): boolean {
-	return crashes.size >= crashesToBlock && (!isBlockFeature(feature) || separateCrashes(crashes.values()) >= crashesToBlock);
+/** Whether a feature was present at enough crashes to account for them. */
+function isConsidered({feature, crashes}: Candidate): boolean {
+	return crashes.size >= crashesToBlock && (!isBlockFeature(feature) || separateCrashes(crashes.values(), () => 1) >= crashesToBlock);
 }
 
-function separateCrashes(crashes: Iterable<{at: number}>): number {
-	let count = 0;
+/** Whether the crashes that a cause accounts for suffice to blame it. */
+function isSufficient({features}: CrashCause, {crashes}: Candidate): boolean {
+	return features.some(feature => !isBlockFeature(feature)) || separateCrashes(crashes.values(), ({request}) => weights[request.progress]) >= weightToBlock;
+}
+
+/** Sums what crashes count; of those that are close to each other, the one that counts most. */
+function separateCrashes(crashes: Iterable<CandidateCrash>, weightOf: (crash: CandidateCrash) => number): number {
+	let sum = 0;
 	let last = Number.NEGATIVE_INFINITY;
-	for (const at of [...crashes].map(crash => crash.at).toSorted((left, right) => left - right)) {
-		if (at - last >= separateMilliseconds) {
-			count++;
-			last = at;
+	let lastWeight = 0;
+	for (const crash of [...crashes].toSorted((left, right) => left.at - right.at)) {
+		const weight = weightOf(crash);
+		if (crash.at - last >= separateMilliseconds) {
+			last = crash.at;
+			lastWeight = 0;
 		}
+
+		sum += Math.max(0, weight - lastWeight);
+		lastWeight = Math.max(weight, lastWeight);
 	}
 
-	return count;
+	return sum;
 }
 
 function causeOf({feature, crashes}: Candidate): CrashCause {
@@ -162,7 +190,7 @@
 
 /** Below zero if the left request is the more likely one to have crashed its endpoint. All instances must choose the same. */
 function compareSuspicion(left: RequestAtCrash, right: RequestAtCrash): number {
-	return Number(right.progress === 'begun') - Number(left.progress === 'begun')
+	return suspicionRanks[left.progress] - suspicionRanks[right.progress]
 		|| left.inFlightMilliseconds - right.inFlightMilliseconds
 		|| compareText(left.workspace, right.workspace)
 		|| compareText([...left.features].join(' '), [...right.features].join(' '));
--- a/src/gateway/crashes/crash-clearance.test.ts
+++ b/src/gateway/crashes/crash-clearance.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {ManualClock} from '../../test/manual-clock.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
@@ -50,12 +51,12 @@
 	});
 
 	/** Receives the report of a crash of a prompt with these blocks, a second after the last one. */
-	receiveCrash(blocks: string[], hasBegun = true): void {
+	receiveCrash(blocks: string[], progress: AnswerProgress = 'begun'): void {
 		this.manual.advance(1000);
 		const {wall} = this.clock.moment();
 		const report: Report = {
 			kind: 'crash', incarnation: `i${wall}`, instance: 'e2', at: wall, requests: [[`f${wall}`, 1]], prompts: [{
-				fingerprint: `f${wall}`, workspace: 'own', hasBegun, blocks,
+				fingerprint: `f${wall}`, workspace: 'own', hasBegun: progress === 'begun', isAnswering: progress === 'answering', blocks,
 			}],
 		};
 		this.ledger.put(keyOfReport(report), report);
@@ -111,12 +112,39 @@
 	const instance = new Instance();
 	instance.answer('1', 'block:popular');
 	for (let number = 0; number < 4; number++) {
-		instance.receiveCrash(['block:popular'], false);
+		instance.receiveCrash(['block:popular'], 'unanswered');
 	}
 
 	assert.equal(instance.blockOf('2', 'block:popular'), undefined);
 });
 
+test('a block is blocked once five endpoints have ended while its prompts were being answered', () => {
+	const instance = new Instance();
+	for (let number = 0; number < 4; number++) {
+		instance.receiveCrash(['block:bad'], 'answering');
+	}
+
+	assert.equal(instance.blockOf('1', 'block:bad'), undefined);
+	instance.receiveCrash(['block:bad'], 'answering');
+	assert.notEqual(instance.blockOf('1', 'block:bad'), undefined);
+	assert.equal(instance.blockOf('1', 'block:other'), undefined);
+});
+
+test('a block that was answered is not blocked by crashes at which its prompts were being answered, before or after that answer', () => {
+	const instance = new Instance();
+	for (let number = 0; number < 8; number++) {
+		instance.receiveCrash(['block:popular', 'block:late'], 'answering');
+		if (number === 1) {
+			instance.answer('1', 'block:popular');
+		}
+	}
+
+	assert.equal(instance.blockOf('2', 'block:popular'), undefined);
+	assert.notEqual(instance.blockOf('2', 'block:late'), undefined);
+	instance.answer('3', 'block:late');
+	assert.equal(instance.blockOf('2', 'block:late'), undefined);
+});
+
 test('what an instance has seen answered reaches the others in one report', async () => {
 	const instance = new Instance();
 	instance.receiveCrash(['block:bad', 'block:shared']);
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -101,10 +101,7 @@
 		log.record('connections-lost', {
 			endpoint: endpoint.name,
 			verdict,
-			requests: requests.map(({fingerprint, inFlightMilliseconds, progress, blocks}) => {
-				const line = [fingerprint, Math.round(inFlightMilliseconds), progress];
-				return progress === 'answering' ? line : [...line, ...blocks.slice(0, maxLoggedBlocks)];
-			}),
+			requests: requests.map(({fingerprint, inFlightMilliseconds, progress, blocks}) => [fingerprint, Math.round(inFlightMilliseconds), progress, ...blocks.slice(0, maxLoggedBlocks)]),
 		});
 		if (verdict === 'crashed') {
 			onCrash({endpoint, requests});
--- a/src/gateway/crashes/crash-evidence.ts
+++ b/src/gateway/crashes/crash-evidence.ts
@@ -1,6 +1,7 @@
 /** Combines the reports of all instances into one list of crashes, without what has been cleared since. */
+import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
 import {type Crash, type RequestAtCrash} from '../../decision/crashes/find-crash-causes.js';
-import {type CrashReport, type Report} from './crash-reports.js';
+import {type CrashReport, type PromptAtCrash, type Report} from './crash-reports.js';
 
 /** The clearance of a feature for one crash, as a text. */
 export function clearanceOf(feature: string, incarnation: string): string {
@@ -51,10 +52,18 @@
 		const features = new Set([fingerprint, ...prompt?.blocks ?? []].filter(feature => !isCleared(feature, incarnation)));
 		if (features.size > 0) {
 			found.push({
-				features, workspace: prompt?.workspace ?? '', inFlightMilliseconds, progress: prompt?.hasBegun ? 'begun' : 'unanswered',
+				features, workspace: prompt?.workspace ?? '', inFlightMilliseconds, progress: progressOf(prompt),
 			});
 		}
 	}
 
 	return found;
 }
+
+function progressOf(prompt: PromptAtCrash | undefined): AnswerProgress {
+	if (prompt?.hasBegun) {
+		return 'begun';
+	}
+
+	return prompt?.isAnswering ? 'answering' : 'unanswered';
+}
--- a/src/gateway/crashes/crash-report-rows.ts
+++ b/src/gateway/crashes/crash-report-rows.ts
@@ -23,7 +23,7 @@
 		at: zod.number(),
 		requests: zod.array(zod.tuple([zod.string(), zod.number()])),
 		prompts: zod.array(zod.object({
-			fingerprint: zod.string(), workspace: zod.string(), hasBegun: zod.boolean(), blocks: zod.array(zod.string()),
+			fingerprint: zod.string(), workspace: zod.string(), hasBegun: zod.boolean(), isAnswering: zod.boolean().optional(), blocks: zod.array(zod.string()),
 		})).optional(),
 	}),
 	zod.object({
--- a/src/gateway/crashes/crash-reports.ts
+++ b/src/gateway/crashes/crash-reports.ts
@@ -11,7 +11,7 @@
 	at: number;
 	/** By fingerprint: how long each request had been in flight, in milliseconds. */
 	requests: Array<[fingerprint: string, inFlightMilliseconds: number]>;
-	/** Those of them that carried prompts of which nothing had been answered. */
+	/** Those of them that carried prompts with blocks that may be to blame. */
 	prompts?: PromptAtCrash[];
 };
 
@@ -21,6 +21,8 @@
 	workspace: string;
 	/** Whether the endpoint had begun to write the answer. */
 	hasBegun: boolean;
+	/** Whether some of the body of the answer had arrived. */
+	isAnswering?: boolean;
 	/** Blocks that other prompts may share, as features; some are left out where there are many. */
 	blocks: string[];
 };
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -233,12 +233,14 @@
 	}
 
 	#reportCrash({endpoint, requests}: ObservedCrash): void {
-		const {instance, clock, metrics, publish, endpoints} = this.#dependencies;
+		const {
+			instance, clock, metrics, publish, endpoints, ledger,
+		} = this.#dependencies;
 		endpoints.noteEnded(endpoint);
 		metrics.crashes.inc();
 		publish(crashReport({
 			incarnation: incarnationOf(endpoint), instance, at: clock.moment().wall, requests,
-		}, feature => this.#answered.has(feature, this.#now())));
+		}, feature => this.#answered.has(feature, this.#now()), feature => ledger.suspects.has(feature)));
 	}
 
 	#now(): number {
