Name the connection limit of a service by the platform's folder

The check of silent endpoints used the platform's name of the field, which platform-boundary.test.ts found; the name is in the platform's folder now.

--- a/src/check/silent-routes.ts
+++ b/src/check/silent-routes.ts
@@ -1,6 +1,6 @@
 /** The routes of the checks of silent endpoints, one of which a run uses. Prompts go to engines, the others to a plain service. */
 import {type JsonValue} from '../shared/types.js';
-import {host} from './gateway-deployment.js';
+import {host, routeFieldNames} from './gateway-deployment.js';
 
 const routes = {
 	'prompt-resumable': {
@@ -32,7 +32,7 @@
  * @param connectionLimit - Connections that each of its endpoints accepts; 0 for any number.
  */
 export function serviceRow(route: SilentRoute, connectionLimit = 0): JsonValue {
-	return {name: service, max_conns: connectionLimit, ...(isPrompt(route) ? {engine} : {})};
+	return {name: service, [routeFieldNames.connectionLimit]: connectionLimit, ...(isPrompt(route) ? {engine} : {})};
 }
 
 /** A route, as the configuration has it. */
