--- a/src/check/skew-main.ts
+++ b/src/check/skew-main.ts
@@ -20,9 +20,11 @@
 	.option('--factor <number>', 'how many times as many come while they are', '3.5')
 	.option('--seconds <number>', 'how long they are skewed', '9')
 	.option('--share <number>', 'share of its processor time that a slow instance has', '0.25')
+	.option('--work <number>', 'milliseconds for which a request holds a slot of a brittle endpoint', '500')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '80')
 	.parse();
-const options: {scope: SkewScope; disturbance: SkewDisturbance; endpoints: EndpointKind} & Record<'seed' | 'seeds' | 'rate' | 'factor' | 'seconds' | 'share' | 'network', string> = command.opts();
+type NumberOption = 'seed' | 'seeds' | 'rate' | 'factor' | 'seconds' | 'share' | 'work' | 'network';
+const options: {scope: SkewScope; disturbance: SkewDisturbance; endpoints: EndpointKind} & Record<NumberOption, string> = command.opts();
 let findings = 0;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const {scope, disturbance, endpoints} = options;
@@ -36,6 +38,7 @@
 		factor: Number(options.factor),
 		skewMilliseconds: Number(options.seconds) * 1000,
 		processorShare: Number(options.share),
+		brittleWorkMilliseconds: Number(options.work),
 	});
 	const found = skewFindings(report);
 	console.log(JSON.stringify({...report, found}));
--- a/src/check/skewed-connections-over-processes.ts
+++ b/src/check/skewed-connections-over-processes.ts
@@ -43,6 +43,8 @@
 	skewMilliseconds: number;
 	/** Share of its processor time that a slow instance has. */
 	processorShare: number;
+	/** How long a request holds a slot of a brittle endpoint. */
+	brittleWorkMilliseconds: number;
 };
 
 /** Requests whose first try that was read was served, of all that were read. */
@@ -111,7 +113,7 @@
 		this.#deployment = deskDeployment(options.network);
 		this.#balancer = new LoadBalancer(this.#deployment, choices('balancer'));
 		this.#callers = new SkewedCallers(this.#deployment, this.#balancer, choices('callers'));
-		this.#script = new SkewedEndpoints(options.endpoints, choices('endpoints'));
+		this.#script = new SkewedEndpoints(options.endpoints, choices('endpoints'), options.brittleWorkMilliseconds);
 	}
 
 	async start(): Promise<void> {
--- a/src/check/skewed-endpoints.ts
+++ b/src/check/skewed-endpoints.ts
@@ -18,7 +18,6 @@
 
 const eventsOfAnswer = 3;
 const workMilliseconds = [5, 60] as const;
-const brittleWorkMilliseconds = 500;
 const rejectedPercent = 10;
 const limitPerSecond = 3;
 const slots = 16;
@@ -33,13 +32,16 @@
 	falls = 0;
 	readonly #kind: EndpointKind;
 	readonly #choices: Choices;
+	readonly #brittleWorkMilliseconds: number;
 	readonly #running = new Map<string, number>();
 	readonly #turnedAway = new Map<string, number[]>();
 	readonly #limited = new Map<string, boolean>();
 
-	constructor(kind: EndpointKind, choices: Choices) {
+	/** @param brittleWorkMilliseconds - How long a request holds a slot of a brittle endpoint. */
+	constructor(kind: EndpointKind, choices: Choices, brittleWorkMilliseconds: number) {
 		this.#kind = kind;
 		this.#choices = choices;
+		this.#brittleWorkMilliseconds = brittleWorkMilliseconds;
 	}
 
 	arrived(arrival: Arrival): void {
@@ -70,7 +72,7 @@
 
 		this.runs.set(arrival.body, (this.runs.get(arrival.body) ?? 0) + 1);
 		this.#running.set(endpoint.name, running + 1);
-		await delay(this.#kind === 'brittle' ? brittleWorkMilliseconds : this.#choices.between(...workMilliseconds));
+		await delay(this.#kind === 'brittle' ? this.#brittleWorkMilliseconds : this.#choices.between(...workMilliseconds));
 		await endpoint.answer(response, arrival, eventsOfAnswer);
 		this.#running.set(endpoint.name, this.#running.get(endpoint.name)! - 1);
 	}
