Split the follower's side of the connection to the coordinator

What the local instance reports is declared in local-follower.ts, and the callers that wait for answers are in answer-waiters.ts.

--- /dev/null
+++ b/src/gateway/coordinator/answer-waiters.ts
@@ -0,0 +1,39 @@
+/** The callers that wait for the answers to queries, each for a limited time. */
+import {type CoordinatorFrame} from './coordinator-messages.js';
+
+export class AnswerWaiters {
+	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
+
+	/**
+	 * Waits for an answer.
+	 *
+	 * @param number - Number of the query.
+	 * @param milliseconds - How long to wait.
+	 * @returns `undefined` if it did not arrive in time.
+	 */
+	async wait(number: number, milliseconds: number): Promise<CoordinatorFrame | undefined> {
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.resume(number, undefined);
+			}, milliseconds);
+			this.#waiters.set(number, answer => {
+				clearTimeout(timer);
+				resolve(answer);
+			});
+		});
+	}
+
+	/** Resumes the caller that waits for the answer to a query, if there is one. */
+	resume(number: number, answer: CoordinatorFrame | undefined): void {
+		const resume = this.#waiters.get(number);
+		this.#waiters.delete(number);
+		resume?.(answer);
+	}
+
+	/** Resumes all callers without an answer. */
+	resumeAll(): void {
+		for (const number of this.#waiters.keys()) {
+			this.resume(number, undefined);
+		}
+	}
+}
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -8,15 +8,13 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {reportValidityMilliseconds} from '../../protocol/blocks/block-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
-import {type BrittleReport} from '../limits/brittle-services.js';
-import {type RelayReport} from '../relay/relay-messages.js';
-import {type StreamPeerList, type StreamPeerQuery} from '../streams/stream-peer-list.js';
-import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
+import {AnswerWaiters} from './answer-waiters.js';
 import {
-	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
+	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PermitAnswer, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {type CoordinatorView} from './coordinator-view.js';
-import {type KeyedReport, SentReports} from './report-relay.js';
+import {type LocalFollower} from './local-follower.js';
+import {SentReports} from './report-relay.js';
 
 /** Queries at this interval keep the view fresh also when one answer is late. */
 export const queryIntervalMilliseconds = 0.375 * reportValidityMilliseconds;
@@ -37,52 +35,12 @@
 /** The list of instances that answer questions about streams is asked for at this interval. */
 const streamPeersIntervalMilliseconds = 2000;
 
-/** The local instance: what the client reports about it, and where the client delivers what it receives. */
-export type LocalFollower = {
-	instance: string;
-	/** CPU cores that its machine gives it. */
-	cores: number;
-	loads(): Record<string, PackedLoad>;
-	/** Returns the stored blocks used since the last call, and clears them. */
-	takeUses(): string[];
-	/** Called when the connection has ended. */
-	closed(): void;
-	/** What it has seen of brittle services, and where the client delivers what others have seen. */
-	brittle(): BrittleReport[];
-	applyBrittle(reports: readonly BrittleReport[]): void;
-	/** Its reports of crashes that the store has not confirmed, and where the client delivers those of others. */
-	unconfirmedCrashes(): KeyedReport[];
-	applyCrashes(reports: readonly KeyedReport[]): void;
-	/** This instance's relay; absent while others must not use it. */
-	relay(): RelayReport | undefined;
-	/** Whether it needs a new list of relays. */
-	wantsRelays(): boolean;
-	applyRelays(relays: readonly RelayReport[]): void;
-	/** Where this instance answers questions about streams, and the list of such instances that it has. */
-	streamPeers(): StreamPeerQuery | undefined;
-	applyStreamPeers(list: StreamPeerList): void;
-	/** Endpoints whose loads come with the regular queries, so that a request to them needs no query of its own. */
-	watchedEndpoints(): string[];
-	/** The position in each table that it follows. */
-	cursors(): Record<string, FeedCursor>;
-	/** Applies table changes from the answer to a query that was sent at `queriedAt`. */
-	applyTableUpdates(updates: readonly FeedUpdate[], queriedAt: Moment): void;
-};
-
 /** What a query asks for beside the state of the other instances. */
 type Asked = Pick<FollowerFrame & {kind: 'ask'}, 'permit' | 'slot'>;
 
 /** A query in flight. */
 type PendingQuery = {sentAt: Moment; query: PlacementQuery};
 
-/** Exchanges state with the other instances, so that it is fresh at the time of a decision. */
-export interface PeerUpdates {
-	/** Queries the state of the other instances, and waits for the answer if that takes only a short time. */
-	refresh(query: PlacementQuery): Promise<void>;
-	/** Reports this instance's requests in flight. */
-	report(): void;
-}
-
 export class CoordinatorClient {
 	readonly #view: CoordinatorView;
 	readonly #follower: LocalFollower;
@@ -102,7 +60,7 @@
 	#dataCentre: string | undefined;
 	#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
 	readonly #sentCrashes = new SentReports();
-	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
+	readonly #waiters = new AnswerWaiters();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -224,10 +182,7 @@
 	}
 
 	close(): void {
-		for (const number of this.#waiters.keys()) {
-			this.#resumeCaller(number, undefined);
-		}
-
+		this.#waiters.resumeAll();
 		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 		this.#socket?.destroy();
 		this.#socket = undefined;
@@ -244,16 +199,7 @@
 		}
 
 		this.#sendQuery(query, asked);
-		const number = this.#number;
-		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				this.#resumeCaller(number, undefined);
-			}, this.#waitMilliseconds);
-			this.#waiters.set(number, answer => {
-				clearTimeout(timer);
-				resolve(answer);
-			});
-		});
+		return this.#waiters.wait(this.#number, this.#waitMilliseconds);
 	}
 
 	#sendQuery(query: PlacementQuery, asked: Asked = {}): void {
@@ -344,18 +290,11 @@
 			}
 		}
 
-		this.#resumeCaller(frame.number, pending === undefined ? undefined : frame);
+		this.#waiters.resume(frame.number, pending === undefined ? undefined : frame);
 	}
 
 	#noteRoundTrip(milliseconds: number): void {
 		const mean = Number.isFinite(this.#roundTripMilliseconds) ? this.#roundTripMilliseconds : milliseconds;
 		this.#roundTripMilliseconds = (newestShare * milliseconds) + ((1 - newestShare) * mean);
 	}
-
-	/** Resumes the caller that waits for an answer. */
-	#resumeCaller(number: number, answer: CoordinatorFrame | undefined): void {
-		const resume = this.#waiters.get(number);
-		this.#waiters.delete(number);
-		resume?.(answer);
-	}
 }
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -7,8 +7,9 @@
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {Coordinator, type CoordinatorContext} from './coordinator.js';
 import {type CoordinatorRole} from './coordinator-messages.js';
-import {type LocalFollower, CoordinatorClient} from './coordinator-client.js';
+import {CoordinatorClient} from './coordinator-client.js';
 import {type CoordinatorView} from './coordinator-view.js';
+import {type LocalFollower} from './local-follower.js';
 import {PeerUpdateSources} from './peer-update-sources.js';
 
 /** Table of leases that no instance follows. */
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -7,8 +7,9 @@
  */
 import {type SlotSource} from '../limits/brittle-services.js';
 import {type PermitSource} from '../limits/endpoint-limits.js';
-import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
+import {type CoordinatorClient} from './coordinator-client.js';
 import {type PermitAnswer, type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
+import {type PeerUpdates} from './local-follower.js';
 
 /** One of the instances that state is exchanged through. */
 export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isResponsive' | 'instances'>;
--- a/src/gateway/crashes/create-crashes.ts
+++ b/src/gateway/crashes/create-crashes.ts
@@ -1,5 +1,5 @@
 /** Assembles what an instance knows of crashes: the ledger, the writer and the reader of its table, and the data path's view. */
-import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {type LocalFollower} from '../coordinator/local-follower.js';
 import {CrashFeedHandler} from './crash-feed-handler.js';
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReportPublisher, type CrashReportPublisherDependencies} from './crash-report-publisher.js';
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -17,7 +17,7 @@
 import {type EndpointVersions} from './endpoints/endpoint-watches.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
-import {type PeerUpdates} from './coordinator/coordinator-client.js';
+import {type PeerUpdates} from './coordinator/local-follower.js';
 import {type CoordinatorView} from './coordinator/coordinator-view.js';
 import {type RelayClient} from './relay/relay-client.js';
 import {type StreamOrigins} from './streams/stream-origins.js';
--- a/src/gateway/relay/relays.ts
+++ b/src/gateway/relay/relays.ts
@@ -4,7 +4,7 @@
 import {type EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {type LocalFollower} from '../coordinator/local-follower.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 import {RelayClient} from './relay-client.js';
 import {RelayDirectory} from './relay-directory.js';
--- a/src/gateway/streams/create-stream-origins.ts
+++ b/src/gateway/streams/create-stream-origins.ts
@@ -1,7 +1,7 @@
 /** Assembles what an instance knows of the origins of streams: its own, those that it keeps for peers, and who the peers are. */
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type Child} from '../../supervisor/supervisor.js';
-import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {type LocalFollower} from '../coordinator/local-follower.js';
 import {SharedStreamOrigins, type SharedStreamOriginsDependencies} from './stream-origins.js';
 import {StreamPeers} from './stream-peers.js';
 import {StreamServer} from './stream-server.js';
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -1,4 +1,4 @@
-import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {type LocalFollower} from '../coordinator/local-follower.js';
 
 /** Returns a follower without requests in flight, tables and watched endpoints; a test gives only the fields that matter. */
 export function testFollower(changes: Partial<LocalFollower> = {}): LocalFollower {
