Let the standby grant the slots of instances that lack them

Cause: from the end of a coordinator until a new one grants (2.5 to 3.3 s), each instance sent brittle endpoints its own part of the slots, also the one with nine tenths of the requests. The standby granted none, since the coordinator may still grant all of them to the instances that reach it.

Change: each answer says whether slots can be granted. An instance that gets none from the coordinator reports that it lacks slots, at once when the connection ends, and asks the standby.

Ruled out: that the new coordinator grants sooner; it must know the requests of all instances first.

--- a/src/check/permit-sum.ts
+++ b/src/check/permit-sum.ts
@@ -89,6 +89,7 @@
 		const reach = new Switch(choices, [200, 4000], [100, 3000]);
 		return {
 			isResponsive: true,
+			grantsSlots: true,
 			instances: 1,
 			takeSlot: async () => true,
 			refresh: async () => true,
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -57,6 +57,7 @@
 	#maxCores = 0;
 	#instances = 0;
 	#isLapsed = false;
+	#grantsSlots = false;
 	#dataCentre: string | undefined;
 	#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
 	readonly #sentCrashes = new SentReports();
@@ -102,6 +103,11 @@
 		return this.#instances;
 	}
 
+	/** Whether it can grant slots, as far as this instance knows. */
+	get grantsSlots(): boolean {
+		return this.#grantsSlots && this.isResponsive;
+	}
+
 	/** The address that was dialled; absent without a connection. */
 	get address(): string | undefined {
 		return this.#socket === undefined ? undefined : this.#address;
@@ -188,6 +194,7 @@
 		this.#socket = undefined;
 		this.#pending = new Map();
 		this.#isLapsed = false;
+		this.#grantsSlots = false;
 		this.#dataCentre = undefined;
 		this.#follower.closed();
 	}
@@ -234,6 +241,7 @@
 		const {instance, cores} = this.#follower;
 		const relay = this.#follower.relay();
 		const brittle = this.#follower.brittle();
+		const lacksSlots = this.#follower.lacksSlots();
 		const crashes = this.#sentCrashes.take(this.#follower.unconfirmedCrashes());
 		return {
 			instance,
@@ -243,6 +251,7 @@
 			answered: this.#answered,
 			...(relay === undefined ? {} : {relay}),
 			...(brittle.length === 0 ? {} : {brittle}),
+			...(lacksSlots ? {lacksSlots} : {}),
 			...(crashes.length === 0 ? {} : {crashes}),
 		};
 	}
@@ -271,6 +280,7 @@
 			this.#maxCores = Math.max(this.#maxCores, frame.mostCores);
 			this.#instances = frame.instances;
 			this.#isLapsed = frame.isLapsed;
+			this.#grantsSlots = frame.grantsSlots ?? true;
 			this.#dataCentre = frame.dataCentre;
 			this.#follower.applyTableUpdates(frame.tables, pending.sentAt);
 			if (frame.brittle !== undefined) {
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -107,6 +107,8 @@
 	crashes?: KeyedReport[];
 	/** Number of the last query whose answer it has received. */
 	answered?: number;
+	/** Whether the coordinator grants it no slots, so that it uses only those that the standby grants. */
+	lacksSlots?: boolean;
 	/** Its relay; absent while others must not use it. */
 	relay?: RelayReport;
 };
@@ -158,7 +160,9 @@
 	instances: number;
 	/** Whether the permit that was asked for is granted; absent if none was, or if the lease has lapsed. */
 	permit?: PermitAnswer;
-	/** Whether the slot that was asked for is granted; absent if none was, or if the lease has lapsed. */
+	/** Whether slots can be granted at present; absent in answers of earlier releases. */
+	grantsSlots?: boolean;
+	/** Whether the slot that was asked for is granted; absent if none was, or if none can be granted at present. */
 	isSlotGranted?: boolean;
 	/** The latest that any instance has seen of services whose endpoints are or were brittle. */
 	brittle?: BrittleReport[];
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -30,7 +30,7 @@
 	/** Where other instances connect, `IP:port` each. */
 	addresses: Record<CoordinatorRole, string>;
 	/** The local instance, as both clients report it. */
-	follower: Omit<LocalFollower, 'takeUses' | 'closed'>;
+	follower: Omit<LocalFollower, 'takeUses' | 'closed' | 'lacksSlots'>;
 	/** Table changes of this instance for a follower at the given positions. */
 	tableUpdates: (cursors: Record<string, FeedCursor>) => FeedUpdate[];
 };
@@ -47,14 +47,18 @@
 			hub: new CoordinatorClient(view, {
 				...follower,
 				takeUses: () => view.takeUses(),
-				closed() {
+				lacksSlots: () => false,
+				closed: () => {
 					view.reset();
+					// The standby may grant this instance's slots from now on.
+					this.#clients['hub-deputy'].report();
 				},
 			}, context.clock),
 			'hub-deputy': new CoordinatorClient(view, {
 				...follower,
 				// Only the coordinator manages stores and needs to know which blocks were used.
 				takeUses: () => [],
+				lacksSlots: () => !this.#clients.hub.grantsSlots,
 				closed() {
 					// The coordinator's answers stay valid.
 				},
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -19,7 +19,8 @@
 import {type KeyedReport, ReportRelay} from './report-relay.js';
 import {GrantableSlots} from './grantable-slots.js';
 import {PermitGrants} from './permit-grants.js';
-import {SlotGrants} from './slot-grants.js';
+import {SlotAnswers, type SlotMoment} from './slot-answers.js';
+import {StandbySlots} from './standby-slots.js';
 import {LoadTotals} from './load-totals.js';
 
 /** What the server needs from the coordinator to answer queries. */
@@ -35,6 +36,8 @@
 	isServing(): boolean;
 	/** The term in which this instance alone may grant permits; `undefined` if it may not. */
 	permitTerm(): number | undefined;
+	/** The term in which this instance may grant slots, as the coordinator or as the standby; `undefined` if it may not. */
+	slotTerm(): number | undefined;
 	engineClock(): number | undefined;
 	/** Stores that blocks may be saved to and fetched from, and the tokens that they hold. */
 	openStores(): Array<[store: string, heldTokens: number]>;
@@ -77,8 +80,7 @@
 	readonly #loads = new LoadTotals();
 	#permits = new PermitGrants();
 	#permitTerm: number | undefined;
-	readonly #slots = new SlotGrants();
-	readonly #grantableSlots = new GrantableSlots();
+	readonly #slots: SlotAnswers;
 	readonly #brittle = new BrittleObservations();
 	readonly #crashes = new ReportRelay();
 	#nextRelay = 0;
@@ -89,6 +91,7 @@
 		this.name = source.isStandby ? 'hub-deputy-server' : 'hub-server';
 		this.#address = address;
 		this.#source = source;
+		this.#slots = new SlotAnswers(source.isStandby ? new StandbySlots() : new GrantableSlots(), this.#loads);
 		this.#clock = clock;
 		this.#server = createServer(socket => {
 			this.#accept(socket);
@@ -164,7 +167,7 @@
 			...former, instance, cores, relay, streamPeers, lastSeenAt: this.#now(),
 		});
 		this.#loads.set(instance, frame.loads);
-		this.#slots.noteReport(instance, frame.answered ?? Number.POSITIVE_INFINITY, this.#now());
+		this.#slots.noteReport(instance, {lacksSlots: frame.lacksSlots ?? false, answered: frame.answered ?? Number.POSITIVE_INFINITY}, this.#now());
 		this.#brittle.note(frame.brittle ?? [], this.#now());
 		this.#crashes.add(frame.crashes ?? [], this.#now());
 		this.#source.recordUses(frame.uses);
@@ -195,6 +198,7 @@
 		socket.destroy();
 		if (instance !== undefined && [...this.#followers.values()].every(follower => follower.instance !== instance)) {
 			this.#loads.remove(instance);
+			this.#slots.remove(instance);
 		}
 	}
 
@@ -218,6 +222,7 @@
 			mostCores: this.#maxCores(),
 			instances: this.#followers.size,
 			...this.#answerPermit(instance, permit),
+			grantsSlots: this.#slots.canGrant(this.#slotMoment()),
 			...this.#answerSlot(instance, number, slot),
 			...(this.#brittle.size > 0 ? {brittle: this.#brittle.reports(this.#now())} : {}),
 			...this.#crashesFor(socket),
@@ -248,17 +253,12 @@
 	}
 
 	#answerSlot(instance: string, number: number, slot: (FollowerFrame & {kind: 'ask'})['slot']): Pick<CoordinatorFrame, 'isSlotGranted'> {
-		const now = this.#now();
-		const slots = this.#grantableSlots.of(slot?.slots ?? 0, this.#source.permitTerm(), this.#followers.size, now);
-		if (slot === undefined || slots === 0) {
-			return {};
-		}
+		const isSlotGranted = slot === undefined ? undefined : this.#slots.answer({...slot, instance, number}, this.#slotMoment());
+		return isSlotGranted === undefined ? {} : {isSlotGranted};
+	}
 
-		const {endpoint} = slot;
-		const query = {
-			endpoint, slots, instance, number,
-		};
-		return {isSlotGranted: this.#slots.take(query, this.#loads.requestsAt(endpoint), now)};
+	#slotMoment(): SlotMoment {
+		return {term: this.#source.slotTerm(), connected: this.#followers.size, now: this.#now()};
 	}
 
 	/** The reports of crashes that a follower has not received. */
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -221,8 +221,11 @@
 
 	/** Permits end with the time in which no other instance can hold the lease, since the next holder grants them from then on. */
 	permitTerm(): number | undefined {
-		const {election} = this.#options;
-		return this.isStandby || this.#hasResigned ? undefined : election.uncontestedGrant?.row.fencingNumber;
+		return this.isStandby ? undefined : this.slotTerm();
+	}
+
+	slotTerm(): number | undefined {
+		return this.#hasResigned ? undefined : this.#options.election.uncontestedGrant?.row.fencingNumber;
 	}
 
 	recordPermit(instance: string, term: number, {incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery): void {
--- a/src/gateway/coordinator/load-totals.ts
+++ b/src/gateway/coordinator/load-totals.ts
@@ -51,11 +51,16 @@
 		return sum;
 	}
 
-	/** Requests in flight of all instances at an endpoint. */
-	requestsAt(endpoint: string): number {
+	/**
+	 * Requests in flight at an endpoint.
+	 *
+	 * @param endpoint - The endpoint.
+	 * @param of - The instances whose requests count; all if absent.
+	 */
+	requestsAt(endpoint: string, of?: ReadonlySet<string>): number {
 		let requests = 0;
-		for (const [count = 0] of this.#byEndpoint.get(endpoint)?.values() ?? []) {
-			requests += count;
+		for (const [instance, [count = 0]] of this.#byEndpoint.get(endpoint) ?? []) {
+			requests += of === undefined || of.has(instance) ? count : 0;
 		}
 
 		return requests;
--- a/src/gateway/coordinator/local-follower.ts
+++ b/src/gateway/coordinator/local-follower.ts
@@ -20,6 +20,8 @@
 	/** What it has seen of brittle services, and where the client delivers what others have seen. */
 	brittle(): BrittleReport[];
 	applyBrittle(reports: readonly BrittleReport[]): void;
+	/** Whether no coordinator grants it slots, so that it uses only those that the standby grants. */
+	lacksSlots(): boolean;
 	/** Its reports of crashes that the store has not confirmed, and where the client delivers those of others. */
 	unconfirmedCrashes(): KeyedReport[];
 	applyCrashes(reports: readonly KeyedReport[]): void;
--- /dev/null
+++ b/src/gateway/coordinator/peer-update-sources.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type PeerUpdateSource, PeerUpdateSources} from './peer-update-sources.js';
+
+/** A source that records what it is called for. */
+function startSource(slot: boolean | undefined, grantsSlots: boolean) {
+	const calls: string[] = [];
+	const source: PeerUpdateSource = {
+		isResponsive: true,
+		instances: 2,
+		grantsSlots,
+		async takeSlot() {
+			calls.push('slot');
+			return slot;
+		},
+		async takePermit() {
+			calls.push('permit');
+			return undefined;
+		},
+		refresh: async () => true,
+		report() {
+			calls.push('report');
+		},
+	};
+	return {source, calls};
+}
+
+test('the standby is asked for a slot only where the coordinator grants none', async () => {
+	const standby = startSource(true, true);
+	assert.equal(await new PeerUpdateSources(startSource(undefined, false).source, standby.source).takeSlot('desk-1', 2), true);
+	for (const slot of [true, false, undefined]) {
+		assert.equal(await new PeerUpdateSources(startSource(slot, true).source, standby.source).takeSlot('desk-1', 2), slot, 'an answer that is late may have granted it');
+	}
+
+	assert.deepEqual(standby.calls, ['slot']);
+});
+
+test('requests that end are reported to the standby too while it grants the slots', () => {
+	const [coordinator, standby] = [startSource(undefined, false), startSource(true, true)];
+	new PeerUpdateSources(coordinator.source, standby.source).report();
+	assert.deepEqual([coordinator.calls, standby.calls], [['report'], ['report']]);
+	const granting = startSource(true, true);
+	new PeerUpdateSources(granting.source, standby.source).report();
+	assert.deepEqual([granting.calls, standby.calls], [['report'], ['report']]);
+});
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -12,14 +12,16 @@
 import {type PeerUpdates} from './local-follower.js';
 
 /** One of the instances that state is exchanged through. */
-export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isResponsive' | 'instances'>;
+export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isResponsive' | 'grantsSlots' | 'instances'>;
 
 export class PeerUpdateSources implements PeerUpdates, PermitSource, SlotSource {
 	readonly #coordinator: PeerUpdateSource;
+	readonly #standby: PeerUpdateSource;
 	readonly #sources: readonly PeerUpdateSource[];
 
 	constructor(coordinator: PeerUpdateSource, standby: PeerUpdateSource) {
 		this.#coordinator = coordinator;
+		this.#standby = standby;
 		this.#sources = [coordinator, standby];
 	}
 
@@ -39,9 +41,13 @@
 		return this.#coordinator.takePermit(permit);
 	}
 
-	/** Asks the coordinator only, for the same reason. */
+	/**
+	 * Asks the coordinator, and the standby only where the coordinator grants no slots. The standby grants no more than the parts of
+	 * the instances that have reported so.
+	 */
 	async takeSlot(endpoint: string, slots: number): Promise<boolean | undefined> {
-		return this.#coordinator.takeSlot(endpoint, slots);
+		const isGranted = await this.#coordinator.takeSlot(endpoint, slots);
+		return isGranted === undefined && !this.#coordinator.grantsSlots ? this.#standby.takeSlot(endpoint, slots) : isGranted;
 	}
 
 	get instances(): number {
@@ -49,6 +55,12 @@
 	}
 
 	report(): void {
-		this.#sources.find(({isResponsive}) => isResponsive)?.report();
+		if (this.#coordinator.isResponsive) {
+			this.#coordinator.report();
+		}
+
+		if (!this.#coordinator.grantsSlots && this.#standby.isResponsive) {
+			this.#standby.report();
+		}
 	}
 }
--- /dev/null
+++ b/src/gateway/coordinator/standby-slots.ts
@@ -0,0 +1,26 @@
+/**
+ * The slots that the standby grants: the parts of those followers to which no coordinator grants slots. Each of them uses its
+ * part through the standby only, so that the sum is that of equal parts, and follows the demand.
+ */
+import {reconnectMilliseconds, type SlotFollowers, type SlotPool} from './slot-pool.js';
+
+export class StandbySlots implements SlotPool {
+	#term: {number: number | undefined; since: number} = {number: undefined, since: 0};
+	/** The most followers at a time in this term. */
+	#instances = 0;
+
+	share(term: number | undefined, {connected, lacking}: SlotFollowers, now: number): number {
+		if (term !== this.#term.number) {
+			this.#term = {number: term, since: now};
+			this.#instances = 0;
+		}
+
+		this.#instances = Math.max(this.#instances, connected);
+		const isSettled = term !== undefined && now - this.#term.since >= reconnectMilliseconds;
+		return isSettled && this.#instances > 0 ? Math.min(1, lacking.size / this.#instances) : 0;
+	}
+
+	users({lacking}: SlotFollowers): ReadonlySet<string> {
+		return lacking;
+	}
+}
--- a/src/gateway/testing/test-coordinator-source.ts
+++ b/src/gateway/testing/test-coordinator-source.ts
@@ -7,6 +7,7 @@
 	holdsLease: () => true,
 	isServing: () => true,
 	permitTerm: () => 1,
+	slotTerm: () => 1,
 	engineClock: () => undefined,
 	openStores: () => [],
 	locateBlocks: () => ({kept: [], engines: [], unknown: []}),
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -14,6 +14,7 @@
 		applyBrittle() {
 			// No service is brittle.
 		},
+		lacksSlots: () => false,
 		unconfirmedCrashes: () => [],
 		applyCrashes() {
 			// No endpoint has crashed.
