--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -8,15 +8,14 @@
 import {type Moment, type MomentClock} from '../../ports/moment-clock.js';
 import {reportValidityMilliseconds} from '../../protocol/blocks/block-times.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
-import {type BrittleReport} from '../limits/brittle-services.js';
-import {type RelayReport} from '../relay/relay-messages.js';
-import {type StreamPeerList, type StreamPeerQuery} from '../streams/stream-peer-list.js';
-import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
+import {type SlotAnswer} from '../limits/brittle-services.js';
+import {AnswerWaiters} from './answer-waiters.js';
 import {
-	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PackedLoad, type PermitAnswer, type PermitQuery, type PlacementQuery,
+	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, emptyQuery, type PermitAnswer, type PermitQuery, type PlacementQuery,
 } from './coordinator-messages.js';
 import {type CoordinatorView} from './coordinator-view.js';
-import {type KeyedReport, SentReports} from './report-relay.js';
+import {type LocalFollower} from './local-follower.js';
+import {SentReports} from './report-relay.js';
 
 /** Queries at this interval keep the view fresh also when one answer is late. */
 export const queryIntervalMilliseconds = 0.375 * reportValidityMilliseconds;
@@ -30,6 +29,8 @@
 const maxRoundTripMilliseconds = 100;
 /** A caller waits no longer than this for the answer; the prompt is then placed by what is known. */
 const maxWaitMilliseconds = 120;
+/** The same for an answer about a slot, without which the request would be rejected. */
+const maxSlotWaitMilliseconds = 250;
 /** A coordinator that has not answered two queries in a row is not waited for. */
 const maxAnswerAgeMilliseconds = 1.9 * queryIntervalMilliseconds;
 /** Weight of the newest round trip in the moving average. */
@@ -37,51 +38,11 @@
 /** The list of instances that answer questions about streams is asked for at this interval. */
 const streamPeersIntervalMilliseconds = 2000;
 
-/** The local instance: what the client reports about it, and where the client delivers what it receives. */
-export type LocalFollower = {
-	instance: string;
-	/** CPU cores that its machine gives it. */
-	cores: number;
-	loads(): Record<string, PackedLoad>;
-	/** Returns the stored blocks used since the last call, and clears them. */
-	takeUses(): string[];
-	/** Called when the connection has ended. */
-	closed(): void;
-	/** What it has seen of brittle services, and where the client delivers what others have seen. */
-	brittle(): BrittleReport[];
-	applyBrittle(reports: readonly BrittleReport[]): void;
-	/** Its reports of crashes that the store has not confirmed, and where the client delivers those of others. */
-	unconfirmedCrashes(): KeyedReport[];
-	applyCrashes(reports: readonly KeyedReport[]): void;
-	/** This instance's relay; absent while others must not use it. */
-	relay(): RelayReport | undefined;
-	/** Whether it needs a new list of relays. */
-	wantsRelays(): boolean;
-	applyRelays(relays: readonly RelayReport[]): void;
-	/** Where this instance answers questions about streams, and the list of such instances that it has. */
-	streamPeers(): StreamPeerQuery | undefined;
-	applyStreamPeers(list: StreamPeerList): void;
-	/** Endpoints whose loads come with the regular queries, so that a request to them needs no query of its own. */
-	watchedEndpoints(): string[];
-	/** The position in each table that it follows. */
-	cursors(): Record<string, FeedCursor>;
-	/** Applies table changes from the answer to a query that was sent at `queriedAt`. */
-	applyTableUpdates(updates: readonly FeedUpdate[], queriedAt: Moment): void;
-};
-
 /** What a query asks for beside the state of the other instances. */
 type Asked = Pick<FollowerFrame & {kind: 'ask'}, 'permit' | 'slot'>;
 
 /** A query in flight. */
-type PendingQuery = {sentAt: Moment; query: PlacementQuery};
-
-/** Exchanges state with the other instances, so that it is fresh at the time of a decision. */
-export interface PeerUpdates {
-	/** Queries the state of the other instances, and waits for the answer if that takes only a short time. */
-	refresh(query: PlacementQuery): Promise<void>;
-	/** Reports this instance's requests in flight. */
-	report(): void;
-}
+type PendingQuery = {sentAt: Moment; query: PlacementQuery; slot: Asked['slot']};
 
 export class CoordinatorClient {
 	readonly #view: CoordinatorView;
@@ -99,10 +60,11 @@
 	#maxCores = 0;
 	#instances = 0;
 	#isLapsed = false;
+	#grantsSlots = false;
 	#dataCentre: string | undefined;
 	#streamPeersAskedAt = Number.NEGATIVE_INFINITY;
 	readonly #sentCrashes = new SentReports();
-	readonly #waiters = new Map<number, (answer: CoordinatorFrame | undefined) => void>();
+	readonly #waiters = new AnswerWaiters();
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -144,6 +106,11 @@
 		return this.#instances;
 	}
 
+	/** Whether it can grant slots, as far as this instance knows. */
+	get grantsSlots(): boolean {
+		return this.#grantsSlots && !this.#isIdle();
+	}
+
 	/** The address that was dialled; absent without a connection. */
 	get address(): string | undefined {
 		return this.#socket === undefined ? undefined : this.#address;
@@ -207,10 +174,19 @@
 		return answer?.permit;
 	}
 
-	/** Asks to send one request to an endpoint of a brittle service; `undefined` without an answer in time. */
-	async takeSlot(endpoint: string, slots: number): Promise<boolean | undefined> {
-		const answer = await this.#ask(emptyQuery, {slot: {endpoint, slots}});
-		return answer?.isSlotGranted;
+	/** Asks to send one request to an endpoint of a brittle service. One that has granted slots is asked also while it is slow. */
+	async takeSlot(endpoint: string, slots: number): Promise<SlotAnswer> {
+		if (!this.grantsSlots) {
+			return 'unavailable';
+		}
+
+		this.#sendQuery(emptyQuery, {slot: {endpoint, slots}});
+		const answer = await this.#waiters.wait(this.#number, maxSlotWaitMilliseconds);
+		if (answer === undefined) {
+			return this.grantsSlots ? 'late' : 'unavailable';
+		}
+
+		return answer.isSlotGranted === undefined ? 'unavailable' : (answer.isSlotGranted ? 'granted' : 'denied');
 	}
 
 	report(): void {
@@ -224,15 +200,13 @@
 	}
 
 	close(): void {
-		for (const number of this.#waiters.keys()) {
-			this.#resumeCaller(number, undefined);
-		}
-
+		this.#waiters.resumeAll();
 		this.#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 		this.#socket?.destroy();
 		this.#socket = undefined;
 		this.#pending = new Map();
 		this.#isLapsed = false;
+		this.#grantsSlots = false;
 		this.#dataCentre = undefined;
 		this.#follower.closed();
 	}
@@ -244,23 +218,14 @@
 		}
 
 		this.#sendQuery(query, asked);
-		const number = this.#number;
-		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				this.#resumeCaller(number, undefined);
-			}, this.#waitMilliseconds);
-			this.#waiters.set(number, answer => {
-				clearTimeout(timer);
-				resolve(answer);
-			});
-		});
+		return this.#waiters.wait(this.#number, this.#waitMilliseconds);
 	}
 
 	#sendQuery(query: PlacementQuery, asked: Asked = {}): void {
 		const now = this.#clock.moment();
 		this.#number++;
 		this.#lastQueryAt = now.steady;
-		this.#pending.set(this.#number, {sentAt: now, query});
+		this.#pending.set(this.#number, {sentAt: now, query, slot: asked.slot});
 		const frame: FollowerFrame = {
 			kind: 'ask',
 			...this.#report(),
@@ -288,15 +253,18 @@
 		const {instance, cores} = this.#follower;
 		const relay = this.#follower.relay();
 		const brittle = this.#follower.brittle();
+		const lacksSlots = this.#follower.lacksSlots();
 		const crashes = this.#sentCrashes.take(this.#follower.unconfirmedCrashes());
 		return {
 			instance,
 			cores,
 			uses: this.#follower.takeUses(),
 			loads: this.#follower.loads(),
+			countsHeldSlots: true,
 			answered: this.#answered,
 			...(relay === undefined ? {} : {relay}),
 			...(brittle.length === 0 ? {} : {brittle}),
+			...(lacksSlots ? {lacksSlots} : {}),
 			...(crashes.length === 0 ? {} : {crashes}),
 		};
 	}
@@ -325,7 +293,13 @@
 			this.#maxCores = Math.max(this.#maxCores, frame.mostCores);
 			this.#instances = frame.instances;
 			this.#isLapsed = frame.isLapsed;
+			this.#grantsSlots = frame.grantsSlots ?? true;
 			this.#dataCentre = frame.dataCentre;
+			// A grant that comes too late is not used.
+			if (frame.isSlotGranted === true && pending.slot !== undefined && this.#waiters.has(frame.number)) {
+				this.#follower.holdSlot(pending.slot.endpoint);
+			}
+
 			this.#follower.applyTableUpdates(frame.tables, pending.sentAt);
 			if (frame.brittle !== undefined) {
 				this.#follower.applyBrittle(frame.brittle);
@@ -344,18 +318,11 @@
 			}
 		}
 
-		this.#resumeCaller(frame.number, pending === undefined ? undefined : frame);
+		this.#waiters.resume(frame.number, pending === undefined ? undefined : frame);
 	}
 
 	#noteRoundTrip(milliseconds: number): void {
 		const mean = Number.isFinite(this.#roundTripMilliseconds) ? this.#roundTripMilliseconds : milliseconds;
 		this.#roundTripMilliseconds = (newestShare * milliseconds) + ((1 - newestShare) * mean);
 	}
-
-	/** Resumes the caller that waits for an answer. */
-	#resumeCaller(number: number, answer: CoordinatorFrame | undefined): void {
-		const resume = this.#waiters.get(number);
-		this.#waiters.delete(number);
-		resume?.(answer);
-	}
 }
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -7,8 +7,9 @@
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
 import {Coordinator, type CoordinatorContext} from './coordinator.js';
 import {type CoordinatorRole} from './coordinator-messages.js';
-import {type LocalFollower, CoordinatorClient} from './coordinator-client.js';
+import {CoordinatorClient} from './coordinator-client.js';
 import {type CoordinatorView} from './coordinator-view.js';
+import {type LocalFollower} from './local-follower.js';
 import {PeerUpdateSources} from './peer-update-sources.js';
 
 /** Table of leases that no instance follows. */
@@ -29,7 +30,7 @@
 	/** Where other instances connect, `IP:port` each. */
 	addresses: Record<CoordinatorRole, string>;
 	/** The local instance, as both clients report it. */
-	follower: Omit<LocalFollower, 'takeUses' | 'closed'>;
+	follower: Omit<LocalFollower, 'takeUses' | 'closed' | 'lacksSlots'>;
 	/** Table changes of this instance for a follower at the given positions. */
 	tableUpdates: (cursors: Record<string, FeedCursor>) => FeedUpdate[];
 };
@@ -46,14 +47,18 @@
 			hub: new CoordinatorClient(view, {
 				...follower,
 				takeUses: () => view.takeUses(),
-				closed() {
+				lacksSlots: () => false,
+				closed: () => {
 					view.reset();
+					// The standby may grant this instance's slots from now on.
+					this.#clients['hub-deputy'].report();
 				},
 			}, context.clock),
 			'hub-deputy': new CoordinatorClient(view, {
 				...follower,
 				// Only the coordinator manages stores and needs to know which blocks were used.
 				takeUses: () => [],
+				lacksSlots: () => !this.#clients.hub.grantsSlots,
 				closed() {
 					// The coordinator's answers stay valid.
 				},
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -5,20 +5,23 @@
  * send orders to stores. The cached blocks of engines and the loads of instances are hints, which the standby may serve
  * meanwhile: without them every returning prompt is prefilled again, at engines that look idle to all instances at once.
  */
-import {type SlotSource} from '../limits/brittle-services.js';
+import {type SlotAnswer, type SlotSource} from '../limits/brittle-services.js';
 import {type PermitSource} from '../limits/endpoint-limits.js';
-import {type CoordinatorClient, type PeerUpdates} from './coordinator-client.js';
+import {type CoordinatorClient} from './coordinator-client.js';
 import {type PermitAnswer, type PermitQuery, type PlacementQuery} from './coordinator-messages.js';
+import {type PeerUpdates} from './local-follower.js';
 
 /** One of the instances that state is exchanged through. */
-export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isResponsive' | 'instances'>;
+export type PeerUpdateSource = Pick<CoordinatorClient, 'refresh' | 'takePermit' | 'takeSlot' | 'report' | 'isConnected' | 'isResponsive' | 'grantsSlots' | 'instances'>;
 
 export class PeerUpdateSources implements PeerUpdates, PermitSource, SlotSource {
 	readonly #coordinator: PeerUpdateSource;
+	readonly #standby: PeerUpdateSource;
 	readonly #sources: readonly PeerUpdateSource[];
 
 	constructor(coordinator: PeerUpdateSource, standby: PeerUpdateSource) {
 		this.#coordinator = coordinator;
+		this.#standby = standby;
 		this.#sources = [coordinator, standby];
 	}
 
@@ -38,9 +41,13 @@
 		return this.#coordinator.takePermit(permit);
 	}
 
-	/** Asks the coordinator only, for the same reason. */
-	async takeSlot(endpoint: string, slots: number): Promise<boolean | undefined> {
-		return this.#coordinator.takeSlot(endpoint, slots);
+	/**
+	 * Asks the coordinator, and the standby only where the coordinator grants no slots. The standby grants no more than the parts of
+	 * the instances that have reported so.
+	 */
+	async takeSlot(endpoint: string, slots: number): Promise<SlotAnswer> {
+		const answer = await this.#coordinator.takeSlot(endpoint, slots);
+		return answer === 'unavailable' ? this.#standby.takeSlot(endpoint, slots) : answer;
 	}
 
 	get instances(): number {
@@ -48,6 +55,13 @@
 	}
 
 	report(): void {
-		this.#sources.find(({isResponsive}) => isResponsive)?.report();
+		if (this.#coordinator.isResponsive) {
+			this.#coordinator.report();
+		}
+
+		const needsStandby = !this.#coordinator.isResponsive || !this.#coordinator.grantsSlots;
+		if (needsStandby && this.#standby.isConnected) {
+			this.#standby.report();
+		}
 	}
 }
--- a/src/gateway/testing/test-follower.ts
+++ b/src/gateway/testing/test-follower.ts
@@ -1,4 +1,4 @@
-import {type LocalFollower} from '../coordinator/coordinator-client.js';
+import {type LocalFollower} from '../coordinator/local-follower.js';
 
 /** Returns a follower without requests in flight, tables and watched endpoints; a test gives only the fields that matter. */
 export function testFollower(changes: Partial<LocalFollower> = {}): LocalFollower {
@@ -6,6 +6,9 @@
 		instance: 'i1',
 		cores: 1,
 		loads: () => ({}),
+		holdSlot() {
+			// No endpoint is brittle.
+		},
 		takeUses: () => [],
 		closed() {
 			// There is no state to reset.
@@ -14,6 +17,7 @@
 		applyBrittle() {
 			// No service is brittle.
 		},
+		lacksSlots: () => false,
 		unconfirmedCrashes: () => [],
 		applyCrashes() {
 			// No endpoint has crashed.
