Keep idle only a part of the connections that an endpoint accepts

Callers saw 502 while nothing had stopped, where endpoints take few connections from all instances together. Cause: each instance kept up to 64 connections to an endpoint idle, for up to ten seconds, whatever the service's limit. Those of six instances kept an endpoint of eight full, and it reset the connections of requests that others sent. Change: all instances together keep half of the declared limit idle, each an equal part; where that is less than one, some instances keep one, others for each endpoint. Without a declared limit nothing changes.

--- a/src/gateway/data-path/endpoint-agent.ts
+++ b/src/gateway/data-path/endpoint-agent.ts
@@ -5,6 +5,8 @@
  *   that connection, so any byte on an idle connection closes it.
  * - An endpoint closes an idle connection just as a request is sent, and nobody can tell whether it read that request. So an
  *   idle connection is closed before the endpoint's own timeout.
+ * - Idle connections of all instances fill an endpoint that limits their number, so that it resets new ones. So an instance keeps
+ *   its part of them only.
  * - A connection attempt hangs because nothing answers at the address; `endpoint-exchange.ts` has the timeout for that.
  */
 import {Agent, type ClientRequest} from 'node:http';
@@ -20,6 +22,7 @@
 
 export class EndpointAgent extends Agent {
 	readonly #idleTimeouts = new WeakMap<Duplex, number>();
+	readonly #maxIdle = new WeakMap<Duplex, number>();
 	readonly #idleListeners = new WeakMap<Duplex, () => void>();
 
 	constructor() {
@@ -32,8 +35,10 @@
 	 *
 	 * @param socket - The connection.
 	 * @param keepAlive - The answer's `Keep-Alive` header.
+	 * @param maxIdle - How many connections to this endpoint may be kept idle.
 	 */
-	noteKeepAlive(socket: Duplex, keepAlive: string | string[] | undefined): void {
+	noteKeepAlive(socket: Duplex, keepAlive: string | string[] | undefined, maxIdle: number): void {
+		this.#maxIdle.set(socket, maxIdle);
 		const seconds = /timeout=(?<seconds>\d+)/v.exec(String(keepAlive ?? ''))?.groups?.seconds;
 		const limit = seconds === undefined ? unstatedIdleMilliseconds : (Number(seconds) * 1000) - idleMarginMilliseconds;
 		this.#idleTimeouts.set(socket, Math.min(maxIdleMilliseconds, limit));
@@ -50,7 +55,7 @@
 	// eslint-disable-next-line @typescript-eslint/strict-void-return -- Node reads the value; its published types do not say so
 	override keepSocketAlive(socket: Duplex): boolean {
 		const limit = this.#idleTimeouts.get(socket) ?? unstatedIdleMilliseconds;
-		if (limit <= 0 || socket.destroyed) {
+		if (limit <= 0 || socket.destroyed || this.#idleBeside(socket as Socket) >= (this.#maxIdle.get(socket) ?? Number.POSITIVE_INFINITY)) {
 			return false;
 		}
 
@@ -76,4 +81,9 @@
 
 		(socket as Socket).setTimeout(0);
 	}
+
+	/** How many other connections to the same endpoint are idle. */
+	#idleBeside({remoteAddress, remotePort}: Socket): number {
+		return this.freeSockets[this.getName({host: remoteAddress, port: remotePort})]?.length ?? 0;
+	}
 }
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -44,7 +44,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle, configuration,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -58,6 +58,7 @@
 		this.#isRelayed = connection !== undefined;
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
+			connectionLimit: configuration.current?.services.get(endpoint.service)?.connectionLimit ?? 0,
 			connection,
 			method: head.method,
 			target: head.target,
--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -5,6 +5,7 @@
 import {request as sendRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {type ConnectionShare, maxIdleConnections} from '../../decision/limits/max-idle-connections.js';
 import {type RelayedSocket} from '../relay/relayed-socket.js';
 import {
 	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
@@ -25,6 +26,8 @@
 	attemptId: string;
 	/** The header in which the answer echoes the id, in lower case. */
 	attemptIdHeader: string;
+	/** The maximum number of connections to the endpoint from all instances together; 0 where there is none. */
+	connectionLimit?: number;
 	/** Replaces the connection that is opened by default. It serves this request only. */
 	connection?: RelayedSocket | undefined;
 	/** Asked once a new connection has been established; if the request is not wanted any more, it is not written. */
@@ -104,6 +107,12 @@
 
 export class HttpEndpointExchanges implements EndpointExchanges {
 	readonly #agent = new EndpointAgent();
+	readonly #share: () => Pick<ConnectionShare, 'instance' | 'instances'>;
+
+	/** @param share - Returns the name of this instance and the number of instances. */
+	constructor(share: () => Pick<ConnectionShare, 'instance' | 'instances'> = () => ({instance: '', instances: 1})) {
+		this.#share = share;
+	}
 
 	open(call: EndpointCall): OpenExchange {
 		const separator = call.address.lastIndexOf(':');
@@ -228,7 +237,9 @@
 					return;
 				}
 
-				this.#agent.noteKeepAlive(response.socket, response.headers['keep-alive']);
+				this.#agent.noteKeepAlive(response.socket, response.headers['keep-alive'], maxIdleConnections({
+					...this.#share(), address: call.address, connectionLimit: call.connectionLimit ?? 0,
+				}));
 				resolve(Right({
 					...answerOf(response),
 					framing: framingOf(response, call.method),
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -96,7 +96,7 @@
 	readonly #feeds: TableFeeds;
 	readonly #root: Supervisor;
 	readonly #eventLoopLag: EventLoopLag;
-	readonly #exchanges = new HttpEndpointExchanges();
+	readonly #exchanges = new HttpEndpointExchanges(() => ({instance: this.#settings.instance, instances: this.#coordinators.instances}));
 	readonly #stop = new AbortController();
 	#isStopping = false;
 	#limitsVersion = 0;
