Add a failing test of a block that turns bad and ends engines in mid-answer

A block that was answered in the last ten minutes and begins to end engines in the middle of their answers is not blamed: such an answer clears it, and it is not reported. That only later answers clear, as where an answer had just begun, would blame popular blocks of long answers, which are at every crash and cleared only when one of them has ended.

--- a/src/test/process-crashing-blocks.test.ts
+++ b/src/test/process-crashing-blocks.test.ts
@@ -24,6 +24,14 @@
 	});
 }
 
+test('over real processes: prompts with a block that was answered well before it crashes engines in mid-answer do not end one engine after another', async () => {
+	const report = await runCrashingBlocks({
+		seed: 1, network: 71, milliseconds: 20_000, case: 'turned', moment: 'after-one-event',
+	});
+	assert.ok(report.crashes >= 5, `${report.crashes} engines have ended`);
+	assert.deepEqual(report.violations, [], JSON.stringify(report));
+});
+
 test('over real processes: while the store is away for all, instances still learn from each other which block crashes engines', async () => {
 	const {blocks, crashes, violations} = await runCrashingBlocks({
 		seed: 1, network: 71, milliseconds: 15_000, case: 'store-away',
