Accept the connections that wait before a forwarder refuses new ones

Cause: a forwarder that closed its listener reset the connections in its queue, on which instances had sent requests: this version of libuv accepts one connection in each poll. A first form that waited for one more poll did not help (20 connections in the queue: 18 reset, 2 accepted).

Change: the forwarder polls until a poll has accepted nothing, and only then closes its listener.

--- a/src/check/endpoint-link.ts
+++ b/src/check/endpoint-link.ts
@@ -6,6 +6,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {afterNextPoll} from '../serving/after-next-poll.js';
 
 /**
  * The links between one instance and all endpoints.
@@ -22,6 +23,7 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #target: {host: string; port: number};
 	#isSilent = false;
+	#accepted = 0;
 
 	/** @param target - `IP:port` of the endpoint. */
 	constructor(target: string) {
@@ -44,8 +46,14 @@
 		return `${host}:${(this.#server.address() as AddressInfo).port}`;
 	}
 
-	/** Refuses new connections until it listens again; the open ones go on. */
-	refuse(): void {
+	/** Refuses new connections until it listens again; those that wait to be accepted, which a close would reset, go on too. */
+	async refuse(): Promise<void> {
+		// Each poll accepts one connection.
+		for (let accepted = -1; accepted !== this.#accepted;) {
+			accepted = this.#accepted;
+			await afterNextPoll();
+		}
+
 		this.#server.close();
 	}
 
@@ -71,6 +79,7 @@
 	}
 
 	#relay(socket: Socket): void {
+		this.#accepted++;
 		const onward = connect({...this.#target, allowHalfOpen: true});
 		for (const [from, to] of [[socket, onward], [onward, socket]] as const) {
 			this.#sockets.add(from);
--- a/src/check/forwarder-process.ts
+++ b/src/check/forwarder-process.ts
@@ -18,10 +18,14 @@
 	await link.listen(ip, Number(port), Number(backlog));
 }
 
-process.on('SIGUSR2', () => {
+async function refuse(): Promise<void> {
+	await link.refuse();
 	isListening = false;
-	link.refuse();
 	console.log('{"listening":false}');
+}
+
+process.on('SIGUSR2', () => {
+	void refuse();
 });
 process.on('SIGCONT', () => {
 	if (!isListening) {
