--- a/src/check/stopped-endpoints-over-processes.ts
+++ b/src/check/stopped-endpoints-over-processes.ts
@@ -28,6 +28,8 @@
 	queue: ConnectionQueue;
 	/** Share of the endpoints that are stopped at a time, above 0 and up to 1. */
 	stoppedShare: number;
+	/** How often they are stopped in a row, each time for so long; between, they run for a moment. */
+	pieces: number;
 };
 
 export type StoppedEndpointsReport = Omit<StoppedEndpointsOptions, 'network'> & TrafficReport & WorkReport & {
@@ -49,6 +51,7 @@
 const eventMilliseconds = 33;
 const changeBeforeStopMilliseconds = 600;
 const betweenStopsMilliseconds = 1000;
+const betweenPiecesMilliseconds = 250;
 
 /** Runs the check. */
 export async function runStoppedEndpoints(options: StoppedEndpointsOptions): Promise<StoppedEndpointsReport> {
@@ -127,7 +130,7 @@
 	}
 
 	async #stopEndpoints(endsAt: number): Promise<void> {
-		const {silenceMilliseconds, stoppedShare} = this.#options;
+		const {silenceMilliseconds, stoppedShare, pieces} = this.#options;
 		const stopped = Math.round(this.#endpoints.length * stoppedShare);
 		while (performance.now() < endsAt) {
 			await delay(betweenStopsMilliseconds);
@@ -135,7 +138,10 @@
 			await delay(changeBeforeStopMilliseconds);
 			const milliseconds = this.#choices.between(...silenceMilliseconds);
 			const order = this.#endpoints.map(endpoint => ({endpoint, rank: this.#choices.between(0, 9999)})).toSorted((one, other) => one.rank - other.rank);
-			await Promise.all(order.slice(0, stopped).map(async ({endpoint}) => endpoint.stopFor(milliseconds)));
+			for (let piece = 0; piece < pieces; piece++) {
+				await delay(piece === 0 ? 0 : betweenPiecesMilliseconds);
+				await Promise.all(order.slice(0, stopped).map(async ({endpoint}) => endpoint.stopFor(milliseconds)));
+			}
 		}
 	}
 
--- a/src/check/stopped-main.ts
+++ b/src/check/stopped-main.ts
@@ -19,9 +19,10 @@
 	.option('--share <number>', 'share of the endpoints that are stopped at a time', '1')
 	.option('--silence <number>', 'milliseconds of the shortest stop', '1900')
 	.option('--silence-to <number>', 'milliseconds of the longest stop, if it is longer')
+	.option('--pieces <number>', 'stops in a row, a quarter of a second apart', '1')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '130')
 	.parse();
-const options: {route: SilentRoute; queue: ConnectionQueue; silenceTo?: string} & Record<'seed' | 'seeds' | 'seconds' | 'rate' | 'share' | 'silence' | 'network', string> = command.opts();
+const options: {route: SilentRoute; queue: ConnectionQueue; silenceTo?: string} & Record<'seed' | 'seeds' | 'seconds' | 'rate' | 'share' | 'silence' | 'pieces' | 'network', string> = command.opts();
 let hasViolations = false;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runStoppedEndpoints({
@@ -33,6 +34,7 @@
 		silenceMilliseconds: [Number(options.silence), Number(options.silenceTo ?? options.silence)],
 		queue: options.queue,
 		stoppedShare: Number(options.share),
+		pieces: Number(options.pieces),
 	});
 	console.log(JSON.stringify(report));
 	hasViolations ||= Object.keys(violationsOf(report)).length > 0;
