Let callers of the check of stopped endpoints keep their connections

Cause: an idle timeout that changes beside a stop concerns kept connections of callers; the check had none.

How many requests went on a kept connection was not counted.

--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -96,7 +96,7 @@
 		await Promise.all([
 			this.#traffic.sendUntil(endsAt, options.requestsPerSecond), this.#silence(endsAt), this.#changeConfiguration(endsAt),
 		]);
-		return {...options, ...this.#traffic.report, ...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines())};
+		return {...options, ...this.#traffic.report, ...this.#work.report(this.#traffic, this.#deployment.lines())};
 	}
 
 	async stop(): Promise<void> {
--- a/src/check/silent-traffic.ts
+++ b/src/check/silent-traffic.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Choices} from './choices.js';
 import {type CallerAnswer, deploymentWireNames as names, type GatewayDeployment} from './gateway-deployment.js';
+import {type KeptCallers} from './kept-callers.js';
 
 /** What the callers got. */
 export type TrafficReport = {
@@ -16,6 +17,8 @@
 	failed: number;
 	/** Complete answers in which events are missing or come twice. */
 	wrongEvents: number;
+	/** Requests on kept connections that the instance closed as they were on their way. */
+	crossed: number;
 	/** All answers other than complete ones, by status. */
 	otherAnswers: Record<string, number>;
 };
@@ -28,6 +31,8 @@
 	model: string | undefined;
 	/** The fewest and the most events of an answer. */
 	eventsOfAnswer: readonly [minimum: number, maximum: number];
+	/** Set if the callers keep their connections. */
+	keptCallers?: KeptCallers;
 };
 
 const sessions = 8;
@@ -48,11 +53,13 @@
 	}
 
 	readonly report: TrafficReport = {
-		sent: 0, whole: 0, cut: 0, unanswered: 0, failed: 0, wrongEvents: 0, otherAnswers: {},
+		sent: 0, whole: 0, cut: 0, unanswered: 0, failed: 0, wrongEvents: 0, crossed: 0, otherAnswers: {},
 	};
 
 	/** The bodies of the requests that were refused as not run. */
 	readonly refusedBodies: string[] = [];
+	/** The bodies of the requests that crossed the close of their connection. */
+	readonly crossedBodies: string[] = [];
 	readonly #deployment: GatewayDeployment;
 	readonly #choices: Choices;
 	readonly #target: TrafficTarget;
@@ -76,13 +83,20 @@
 
 	async #send(): Promise<void> {
 		this.report.sent++;
-		const {path, deadlineMilliseconds, model, eventsOfAnswer} = this.#target;
+		const {path, deadlineMilliseconds, model, eventsOfAnswer, keptCallers} = this.#target;
 		const body = `request ${this.report.sent} ${this.#choices.between(...eventsOfAnswer)}`;
 		const headers = model === undefined ? {} : this.#promptHeaders(model);
-		const answer = await this.#deployment.send(this.#choices.oneOf(this.#deployment.instances), {
+		const instance = this.#choices.oneOf(this.#deployment.instances);
+		const request = {
 			path, body, deadlineMilliseconds, headers,
-		});
-		this.#judge(body, answer);
+		};
+		const answer = await (keptCallers?.send(instance, request) ?? this.#deployment.send(instance, request));
+		if ('crossedClose' in answer && answer.crossedClose) {
+			this.report.crossed++;
+			this.crossedBodies.push(body);
+		} else {
+			this.#judge(body, answer);
+		}
 	}
 
 	#promptHeaders(model: string): Record<string, string> {
--- a/src/check/silent-work.ts
+++ b/src/check/silent-work.ts
@@ -18,6 +18,8 @@
 	doubled: number;
 	/** Requests that were refused as not run although they had reached an endpoint. */
 	wronglyRefused: number;
+	/** Requests that had reached an endpoint although they crossed the close of their connection. */
+	wronglyClosed: number;
 	/** Log lines of failed attempts, by outcome and detail. */
 	failedAttempts: Record<string, number>;
 };
@@ -99,14 +101,15 @@
 	/**
 	 * What the endpoints saw.
 	 *
-	 * @param refusedBodies - The bodies of the requests that were refused as not run.
+	 * @param traffic - The callers.
 	 * @param lines - The log lines of the instances.
 	 */
-	report(refusedBodies: readonly string[], lines: ReadonlyArray<Record<string, JsonValue>>): WorkReport {
+	report({refusedBodies, crossedBodies}: SilentTraffic, lines: ReadonlyArray<Record<string, JsonValue>>): WorkReport {
 		return {
 			retries: [...this.#arrivals.values()].reduce((sum, count) => sum + count - 1, 0),
 			doubled: isStream(this.#options.route) ? [...this.#works.values()].filter(works => this.#isDoubled(works)).length : 0,
 			wronglyRefused: refusedBodies.filter(body => this.#arrivals.has(body)).length,
+			wronglyClosed: crossedBodies.filter(body => this.#arrivals.has(body)).length,
 			failedAttempts: failedAttemptsOf(lines),
 		};
 	}
@@ -124,9 +127,9 @@
 
 /** Returns the counts of a run that must be 0 and are not. */
 export function violationsOf(report: TrafficReport & WorkReport): Partial<TrafficReport & WorkReport> {
-	const {cut, unanswered, failed, wrongEvents, doubled, wronglyRefused} = report;
+	const {cut, unanswered, failed, wrongEvents, doubled, wronglyRefused, wronglyClosed} = report;
 	const mustBeZero = {
-		cut, unanswered, failed, wrongEvents, doubled, wronglyRefused,
+		cut, unanswered, failed, wrongEvents, doubled, wronglyRefused, wronglyClosed,
 	};
 	return Object.fromEntries(Object.entries(mustBeZero).filter(([, count]) => count > 0));
 }
--- a/src/check/stopped-endpoints-over-processes.ts
+++ b/src/check/stopped-endpoints-over-processes.ts
@@ -8,6 +8,7 @@
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
 import {GatewayDeployment, usualLimits} from './gateway-deployment.js';
+import {KeptCallers} from './kept-callers.js';
 import {
 	isPrompt, model, pathOf, routeRow, service, serviceRow, type SilentRoute, slots,
 } from './silent-routes.js';
@@ -30,6 +31,8 @@
 	stoppedShare: number;
 	/** How often they are stopped in a row, each time for so long; between, they run for a moment. */
 	pieces: number;
+	/** Whether the callers keep their connections. */
+	keepsConnections: boolean;
 };
 
 export type StoppedEndpointsReport = Omit<StoppedEndpointsOptions, 'network'> & TrafficReport & WorkReport & {
@@ -71,17 +74,18 @@
 	readonly #traffic: SilentTraffic;
 	readonly #work: SilentWork;
 	readonly #group = new ProcessGroup();
+	readonly #keptCallers = new KeptCallers();
 	#endpoints: StoppableEndpoint[] = [];
 
 	constructor(options: StoppedEndpointsOptions) {
-		const {seed, network, route} = options;
+		const {seed, network, route, keepsConnections} = options;
 		this.#options = options;
 		this.#choices = Choices.fromSeed(hashOf(`stopped endpoints ${seed}`));
 		this.#deployment = new GatewayDeployment({
 			network, dataCentres, instancesPerDataCentre, routes: [routeRow(route, timeoutMilliseconds[0])], services: [serviceRow(route)],
 		});
 		this.#traffic = new SilentTraffic(this.#deployment, Choices.fromSeed(hashOf(`stopped endpoints ${seed} traffic`)), {
-			path: pathOf(route), deadlineMilliseconds, model: isPrompt(route) ? model : undefined, eventsOfAnswer,
+			path: pathOf(route), deadlineMilliseconds, model: isPrompt(route) ? model : undefined, eventsOfAnswer, ...(keepsConnections ? {keptCallers: this.#keptCallers} : {}),
 		});
 		this.#work = new SilentWork({
 			route,
@@ -115,12 +119,13 @@
 		return {
 			...options,
 			...this.#traffic.report,
-			...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines()),
+			...this.#work.report(this.#traffic, this.#deployment.lines()),
 			stops: this.#endpoints.reduce((sum, {stops}) => sum + stops.length, 0),
 		};
 	}
 
 	async stop(): Promise<void> {
+		this.#keptCallers.close();
 		for (const endpoint of this.#endpoints) {
 			endpoint.close();
 		}
