Let rows of endpoints expire while they are stopped

Cause: an endpoint that is stopped for longer than three heartbeats does not write its row, which the platform then removes; it writes it again once it goes on, and its answers go on too.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -42,6 +42,7 @@
 
 /** Rows of endpoints that have stopped writing them expire after so many heartbeats. */
 const heartbeatsToExpiry = 3;
+export const expiryMilliseconds = heartbeatsToExpiry * heartbeatMilliseconds;
 const eventMilliseconds = 15;
 
 /** Where an endpoint is, and what it serves. */
@@ -179,6 +180,15 @@
 		this.#silentUntil = performance.now() + milliseconds;
 	}
 
+	/** Removes its row, or writes it again; it serves on, as one that was late to write. */
+	setRegistered(isRegistered: boolean): void {
+		if (isRegistered) {
+			this.#writeRow('ready');
+		} else {
+			this.#deployment.table.write({table: endpointTable, key: this.name});
+		}
+	}
+
 	/** Resolves when it is not silent. */
 	async untilAudible(): Promise<void> {
 		while (performance.now() < this.#silentUntil) {
@@ -251,7 +261,7 @@
 	}
 
 	async #expireRow(name: string): Promise<void> {
-		await delay(heartbeatsToExpiry * heartbeatMilliseconds);
+		await delay(expiryMilliseconds);
 		this.#deployment.table.write({table: endpointTable, key: name});
 	}
 
--- a/src/check/stoppable-endpoint.ts
+++ b/src/check/stoppable-endpoint.ts
@@ -2,7 +2,9 @@
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ProcessGroup, type StartedProcess} from '../demo/process-group.js';
-import {DeploymentEndpoint, type EndpointPlace, type EndpointScript} from './deployment-endpoint.js';
+import {
+	DeploymentEndpoint, type EndpointPlace, type EndpointScript, expiryMilliseconds,
+} from './deployment-endpoint.js';
 import {type GatewayDeployment} from './gateway-deployment.js';
 import {type Span} from './silent-work.js';
 
@@ -23,6 +25,8 @@
 	queue: ConnectionQueue;
 	/** How many connections it has at most; it resets others. */
 	connectionLimit: number;
+	/** Whether its row expires while it is stopped, as it does not write it; it is back with its name. */
+	expires: boolean;
 };
 
 const backlogs = {
@@ -80,10 +84,20 @@
 		const stop: Span = {startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY};
 		this.stops.push(stop);
 		this.#endpoint.fallSilent(milliseconds);
+		const expiry = this.#options.expires
+			? setTimeout(() => {
+				this.#endpoint.setRegistered(false);
+			}, expiryMilliseconds)
+			: undefined;
 		const waiting = queue === 'full' ? this.#fillQueue() : [];
 		await delay(Math.max(0, stop.startedAt + milliseconds - performance.now()));
 		child.kill('SIGCONT');
 		stop.endedAt = performance.now();
+		clearTimeout(expiry);
+		if (expiry !== undefined) {
+			this.#endpoint.setRegistered(true);
+		}
+
 		for (const socket of waiting) {
 			socket.destroy();
 		}
--- a/src/check/stopped-endpoints-over-processes.ts
+++ b/src/check/stopped-endpoints-over-processes.ts
@@ -33,6 +33,8 @@
 	pieces: number;
 	/** How many connections an endpoint has at most; it resets others. */
 	connectionLimit: number;
+	/** Whether the rows of endpoints expire while they are stopped; they are back with their names. */
+	expires: boolean;
 	/** Whether the callers keep their connections. */
 	keepsConnections: boolean;
 };
@@ -99,7 +101,9 @@
 	}
 
 	async start(): Promise<void> {
-		const {route, queue, connectionLimit} = this.#options;
+		const {
+			route, queue, connectionLimit, expires,
+		} = this.#options;
 		this.#endpoints = this.#deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: endpointsPerDataCentre}, (_, number) => new StoppableEndpoint(this.#deployment, this.#group, {
 			dataCentre,
 			address: this.#deployment.endpointAddress(index + 1, number + 1),
@@ -108,7 +112,9 @@
 			slots,
 			keepsIdleConnections: true,
 			...(isPrompt(route) ? {model} : {}),
-		}, {script: this.#work, queue, connectionLimit})));
+		}, {
+			script: this.#work, queue, connectionLimit, expires,
+		})));
 		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
 		this.#configure();
 		await this.#deployment.start();
--- a/src/check/stopped-main.ts
+++ b/src/check/stopped-main.ts
@@ -21,11 +21,12 @@
 	.option('--silence-to <number>', 'milliseconds of the longest stop, if it is longer')
 	.option('--pieces <number>', 'stops in a row, a quarter of a second apart', '1')
 	.option('--connections <number>', 'connections that an endpoint has at most; it resets others', 'Infinity')
+	.option('--expires', 'rows of endpoints expire while they are stopped', false)
 	.option('--kept', 'callers keep their connections', false)
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '130')
 	.parse();
 const options: {
-	route: SilentRoute; queue: ConnectionQueue; silenceTo?: string; kept: boolean;
+	route: SilentRoute; queue: ConnectionQueue; silenceTo?: string; expires: boolean; kept: boolean;
 } & Record<'seed' | 'seeds' | 'seconds' | 'rate' | 'share' | 'silence' | 'pieces' | 'connections' | 'network', string> = command.opts();
 let hasViolations = false;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
@@ -40,6 +41,7 @@
 		stoppedShare: Number(options.share),
 		pieces: Number(options.pieces),
 		connectionLimit: Number(options.connections),
+		expires: options.expires,
 		keepsConnections: options.kept,
 	});
 	console.log(JSON.stringify(report));
--- a/src/test/process-stopped-endpoints.test.ts
+++ b/src/test/process-stopped-endpoints.test.ts
@@ -15,6 +15,7 @@
 		stoppedShare: 1,
 		pieces: 1,
 		connectionLimit: Number.POSITIVE_INFINITY,
+		expires: false,
 		keepsConnections: false,
 		...options,
 	});
