--- a/src/check/endpoint-link.ts
+++ b/src/check/endpoint-link.ts
@@ -6,6 +6,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {afterNextPoll} from '../serving/after-next-poll.js';
 
 /**
  * The links between one instance and all endpoints.
@@ -22,6 +23,9 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #target: {host: string; port: number};
 	#isSilent = false;
+	#connections = 0;
+	#accepted = 0;
+	#connectionLimit = Number.POSITIVE_INFINITY;
 
 	/** @param target - `IP:port` of the endpoint. */
 	constructor(target: string) {
@@ -44,11 +48,22 @@
 		return `${host}:${(this.#server.address() as AddressInfo).port}`;
 	}
 
-	/** Refuses new connections until it listens again; the open ones go on. */
-	refuse(): void {
+	/** Refuses new connections until it listens again; those that wait to be accepted, which a close would reset, go on too. */
+	async refuse(): Promise<void> {
+		// Each poll accepts one connection.
+		for (let accepted = -1; accepted !== this.#accepted;) {
+			accepted = this.#accepted;
+			await afterNextPoll();
+		}
+
 		this.#server.close();
 	}
 
+	/** Resets new connections while so many are open. */
+	limitConnections(limit: number): void {
+		this.#connectionLimit = limit;
+	}
+
 	/** Applies a state to the open connections. Bytes that were held up are delivered when the link opens again. */
 	set(state: LinkState): void {
 		this.#isSilent = state === 'hang';
@@ -71,6 +86,16 @@
 	}
 
 	#relay(socket: Socket): void {
+		this.#accepted++;
+		if (this.#connections >= this.#connectionLimit) {
+			socket.resetAndDestroy();
+			return;
+		}
+
+		this.#connections++;
+		socket.once('close', () => {
+			this.#connections--;
+		});
 		const onward = connect({...this.#target, allowHalfOpen: true});
 		for (const [from, to] of [[socket, onward], [onward, socket]] as const) {
 			this.#sockets.add(from);
--- a/src/check/silent-endpoints-over-processes.ts
+++ b/src/check/silent-endpoints-over-processes.ts
@@ -109,7 +109,7 @@
 		return {
 			...options,
 			...this.#traffic.report,
-			...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines()),
+			...this.#work.report(this.#traffic, this.#deployment.lines()),
 			resets: this.#endpoints.reduce((sum, {resets}) => sum + resets, 0),
 		};
 	}
--- a/src/check/stopped-endpoints-over-processes.ts
+++ b/src/check/stopped-endpoints-over-processes.ts
@@ -8,6 +8,7 @@
 import {hashOf} from '../shared/hash-of.js';
 import {Choices} from './choices.js';
 import {GatewayDeployment, usualLimits} from './gateway-deployment.js';
+import {KeptCallers} from './kept-callers.js';
 import {
 	isPrompt, model, pathOf, routeRow, service, serviceRow, type SilentRoute, slots,
 } from './silent-routes.js';
@@ -28,6 +29,14 @@
 	queue: ConnectionQueue;
 	/** Share of the endpoints that are stopped at a time, above 0 and up to 1. */
 	stoppedShare: number;
+	/** How often they are stopped in a row, each time for so long; between, they run for a moment. */
+	pieces: number;
+	/** How many connections an endpoint has at most; it resets others. */
+	connectionLimit: number;
+	/** Whether the rows of endpoints expire while they are stopped; they are back with their names. */
+	expires: boolean;
+	/** Whether the callers keep their connections. */
+	keepsConnections: boolean;
 };
 
 export type StoppedEndpointsReport = Omit<StoppedEndpointsOptions, 'network'> & TrafficReport & WorkReport & {
@@ -49,6 +58,7 @@
 const eventMilliseconds = 33;
 const changeBeforeStopMilliseconds = 600;
 const betweenStopsMilliseconds = 1000;
+const betweenPiecesMilliseconds = 250;
 
 /** Runs the check. */
 export async function runStoppedEndpoints(options: StoppedEndpointsOptions): Promise<StoppedEndpointsReport> {
@@ -68,17 +78,18 @@
 	readonly #traffic: SilentTraffic;
 	readonly #work: SilentWork;
 	readonly #group = new ProcessGroup();
+	readonly #keptCallers = new KeptCallers();
 	#endpoints: StoppableEndpoint[] = [];
 
 	constructor(options: StoppedEndpointsOptions) {
-		const {seed, network, route} = options;
+		const {seed, network, route, keepsConnections} = options;
 		this.#options = options;
 		this.#choices = Choices.fromSeed(hashOf(`stopped endpoints ${seed}`));
 		this.#deployment = new GatewayDeployment({
 			network, dataCentres, instancesPerDataCentre, routes: [routeRow(route, timeoutMilliseconds[0])], services: [serviceRow(route)],
 		});
 		this.#traffic = new SilentTraffic(this.#deployment, Choices.fromSeed(hashOf(`stopped endpoints ${seed} traffic`)), {
-			path: pathOf(route), deadlineMilliseconds, model: isPrompt(route) ? model : undefined, eventsOfAnswer,
+			path: pathOf(route), deadlineMilliseconds, model: isPrompt(route) ? model : undefined, eventsOfAnswer, ...(keepsConnections ? {keptCallers: this.#keptCallers} : {}),
 		});
 		this.#work = new SilentWork({
 			route,
@@ -90,7 +101,9 @@
 	}
 
 	async start(): Promise<void> {
-		const {route, queue} = this.#options;
+		const {
+			route, queue, connectionLimit, expires,
+		} = this.#options;
 		this.#endpoints = this.#deployment.dataCentres.flatMap((dataCentre, index) => Array.from({length: endpointsPerDataCentre}, (_, number) => new StoppableEndpoint(this.#deployment, this.#group, {
 			dataCentre,
 			address: this.#deployment.endpointAddress(index + 1, number + 1),
@@ -99,7 +112,9 @@
 			slots,
 			keepsIdleConnections: true,
 			...(isPrompt(route) ? {model} : {}),
-		}, {script: this.#work, queue})));
+		}, {
+			script: this.#work, queue, connectionLimit, expires,
+		})));
 		await Promise.all(this.#endpoints.map(async endpoint => endpoint.start()));
 		this.#configure();
 		await this.#deployment.start();
@@ -112,12 +127,13 @@
 		return {
 			...options,
 			...this.#traffic.report,
-			...this.#work.report(this.#traffic.refusedBodies, this.#deployment.lines()),
+			...this.#work.report(this.#traffic, this.#deployment.lines()),
 			stops: this.#endpoints.reduce((sum, {stops}) => sum + stops.length, 0),
 		};
 	}
 
 	async stop(): Promise<void> {
+		this.#keptCallers.close();
 		for (const endpoint of this.#endpoints) {
 			endpoint.close();
 		}
@@ -127,7 +143,7 @@
 	}
 
 	async #stopEndpoints(endsAt: number): Promise<void> {
-		const {silenceMilliseconds, stoppedShare} = this.#options;
+		const {silenceMilliseconds, stoppedShare, pieces} = this.#options;
 		const stopped = Math.round(this.#endpoints.length * stoppedShare);
 		while (performance.now() < endsAt) {
 			await delay(betweenStopsMilliseconds);
@@ -135,7 +151,10 @@
 			await delay(changeBeforeStopMilliseconds);
 			const milliseconds = this.#choices.between(...silenceMilliseconds);
 			const order = this.#endpoints.map(endpoint => ({endpoint, rank: this.#choices.between(0, 9999)})).toSorted((one, other) => one.rank - other.rank);
-			await Promise.all(order.slice(0, stopped).map(async ({endpoint}) => endpoint.stopFor(milliseconds)));
+			for (let piece = 0; piece < pieces; piece++) {
+				await delay(piece === 0 ? 0 : betweenPiecesMilliseconds);
+				await Promise.all(order.slice(0, stopped).map(async ({endpoint}) => endpoint.stopFor(milliseconds)));
+			}
 		}
 	}
 
--- a/src/check/stopped-main.ts
+++ b/src/check/stopped-main.ts
@@ -19,9 +19,15 @@
 	.option('--share <number>', 'share of the endpoints that are stopped at a time', '1')
 	.option('--silence <number>', 'milliseconds of the shortest stop', '1900')
 	.option('--silence-to <number>', 'milliseconds of the longest stop, if it is longer')
+	.option('--pieces <number>', 'stops in a row, a quarter of a second apart', '1')
+	.option('--connections <number>', 'connections that an endpoint has at most; it resets others', 'Infinity')
+	.option('--expires', 'rows of endpoints expire while they are stopped', false)
+	.option('--kept', 'callers keep their connections', false)
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '130')
 	.parse();
-const options: {route: SilentRoute; queue: ConnectionQueue; silenceTo?: string} & Record<'seed' | 'seeds' | 'seconds' | 'rate' | 'share' | 'silence' | 'network', string> = command.opts();
+const options: {
+	route: SilentRoute; queue: ConnectionQueue; silenceTo?: string; expires: boolean; kept: boolean;
+} & Record<'seed' | 'seeds' | 'seconds' | 'rate' | 'share' | 'silence' | 'pieces' | 'connections' | 'network', string> = command.opts();
 let hasViolations = false;
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
 	const report = await runStoppedEndpoints({
@@ -33,6 +39,10 @@
 		silenceMilliseconds: [Number(options.silence), Number(options.silenceTo ?? options.silence)],
 		queue: options.queue,
 		stoppedShare: Number(options.share),
+		pieces: Number(options.pieces),
+		connectionLimit: Number(options.connections),
+		expires: options.expires,
+		keepsConnections: options.kept,
 	});
 	console.log(JSON.stringify(report));
 	hasViolations ||= Object.keys(violationsOf(report)).length > 0;
