Write to a new connection only after a full endpoint had time to reset it

Callers saw 502 where a full endpoint had reset the new connection of their request. Cause: the request was written as soon as the connection was established. When the reset was read a moment later, the request may have run: it took a retry of its service, and these were used up. Change: an endpoint that has reset a new connection in the last five seconds gets no request on another one before two round trips and at least 10 ms (at most 100) have passed. A reset in that time means that nothing was sent: the request goes elsewhere, without a retry, also if it may run once only. What is left: connections that wait in the queue of a stopped endpoint, and are reset when it goes on.

--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -4,13 +4,18 @@
 import {type Buffer} from 'node:buffer';
 import {request as sendRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Either, Left, Right} from 'purify-ts/Either';
 import {type ConnectionShare, maxIdleConnections} from '../../decision/limits/max-idle-connections.js';
+import {ResetEndpoints} from '../../decision/limits/reset-endpoints.js';
+import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RelayedSocket} from '../relay/relayed-socket.js';
 import {
 	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
 } from './answer-transfer.js';
 import {EndpointAgent} from './endpoint-agent.js';
+import {discardUnreadBody} from './discard-unread-body.js';
 import {isClosedInOrder} from './is-closed-in-order.js';
 
 /** A request to an endpoint. */
@@ -92,11 +97,6 @@
 /** The same through a relay, which has that timeout itself. */
 const relayedConnectMilliseconds = 400;
 
-/** Timeout for draining an unread body before its connection is closed; without it a stalled endpoint would leak one. */
-const discardMilliseconds = 500;
-/** Longer bodies are not drained: reading them costs more than a new connection. */
-const discardBytes = 131_072;
-
 /** The errors of a connection that its other side has ended. */
 const endCodes: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -107,11 +107,15 @@
 
 export class HttpEndpointExchanges implements EndpointExchanges {
 	readonly #agent = new EndpointAgent();
+	readonly #resets = new ResetEndpoints();
 	readonly #share: () => Pick<ConnectionShare, 'instance' | 'instances'>;
 
+	readonly #clock: Pick<MomentClock, 'moment'>;
+
 	/** @param share - Returns the name of this instance and the number of instances. */
-	constructor(share: () => Pick<ConnectionShare, 'instance' | 'instances'> = () => ({instance: '', instances: 1})) {
+	constructor(share: () => Pick<ConnectionShare, 'instance' | 'instances'> = () => ({instance: '', instances: 1}), clock: Pick<MomentClock, 'moment'> = systemMomentClock) {
 		this.#share = share;
+		this.#clock = clock;
 	}
 
 	open(call: EndpointCall): OpenExchange {
@@ -172,7 +176,14 @@
 			}
 		};
 
+		const now = (): number => this.#clock.moment().steady;
+		const openedAt = now();
 		const writeIfWanted = async (): Promise<void> => {
+			const settleMilliseconds = this.#resets.settleMilliseconds(call.address, now() - openedAt, now());
+			if (settleMilliseconds > 0 && call.connection === undefined) {
+				await delay(settleMilliseconds);
+			}
+
 			const isWanted = await call.isStillWanted?.() ?? true;
 			if (outgoing.destroyed) {
 				return;
@@ -224,7 +235,12 @@
 			// Node emits this error for a reset before it ends a body without a length, so the reset is recorded in time.
 			outgoing.on('error', (error: NodeJS.ErrnoException) => {
 				noteEnd('reset');
-				resolve(failure(error.message, call.connection === undefined && endCodes.has(error.code)));
+				const isReset = call.connection === undefined && endCodes.has(error.code);
+				if (isReset && !outgoing.reusedSocket) {
+					this.#resets.noteReset(call.address, now());
+				}
+
+				resolve(failure(error.message, isReset));
 			});
 			outgoing.once('close', () => {
 				resolve(failure('the connection ended without an answer'));
@@ -245,8 +261,8 @@
 					framing: framingOf(response, call.method),
 					connection: use(),
 					connectionEnd,
-					discard(withinMilliseconds = discardMilliseconds) {
-						discardBody(response, outgoing, withinMilliseconds);
+					discard(withinMilliseconds) {
+						discardUnreadBody(response, outgoing, withinMilliseconds);
 					},
 				}));
 			});
@@ -254,28 +270,6 @@
 	}
 }
 
-/** Drains a body; closes its connection if the body exceeds the time limit or `discardBytes`. */
-function discardBody(body: IncomingMessage, outgoing: ClientRequest, withinMilliseconds: number): void {
-	if (body.destroyed) {
-		return;
-	}
-
-	const timer = setTimeout(() => {
-		outgoing.destroy();
-	}, withinMilliseconds);
-	let bytes = 0;
-	body.on('data', (chunk: Buffer) => {
-		bytes += chunk.length;
-		if (bytes > discardBytes) {
-			outgoing.destroy();
-		}
-	});
-	body.once('close', () => {
-		clearTimeout(timer);
-	});
-	body.resume();
-}
-
 function connectionUseOf(outgoing: ClientRequest): ConnectionUse {
 	return outgoing.reusedSocket ? 'kept' : 'new';
 }
--- a/src/gateway/data-path/reset-connection.test.ts
+++ b/src/gateway/data-path/reset-connection.test.ts
@@ -87,3 +87,18 @@
 	await once(socket, 'close');
 	assert.equal(exchanges.hasOpenConnection(address), false);
 });
+
+test('a request to an endpoint that resets new connections is not written before the next reset', async context => {
+	const {address, exchanges} = await listen(context, socket => {
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, 3);
+	});
+	const kinds: string[] = [];
+	for (let number = 0; number < 2; number++) {
+		const answer = await exchanges.open({...testCall, address}).answer;
+		kinds.push(answer.swap().unsafeCoerce().kind);
+	}
+
+	assert.deepEqual(kinds, ['unknown', 'not-sent']);
+});
