Close idle connections early enough for an endpoint that stops

Callers saw 502 ("socket hang up" on a kept connection) for requests to a sound endpoint that had stopped for 2.2 s. Cause: the endpoint closed the connection. Its idle timer ran out while it was stopped, and when it went on, its timers ran before it read the request. Such a request may have run, as far as anyone can tell: it is not repeated if it may run once only, and otherwise only while its service has retries left. The margin before the endpoint's timeout was 0.8 s. Change: two seconds more, or half of the timeout where that is longer: 2.5 s in place of 4.2 for a timeout of five seconds, 1 s in place of 1.2 for two, 7.2 in place of 9.2 for ten. Not measured: what more new connections cost at low rates.

--- a/src/gateway/data-path/endpoint-agent.ts
+++ b/src/gateway/data-path/endpoint-agent.ts
@@ -4,7 +4,7 @@
  * - An endpoint sends bytes that no request waits for, such as a second answer. They would be taken for the next answer on
  *   that connection, so any byte on an idle connection closes it.
  * - An endpoint closes an idle connection just as a request is sent, and nobody can tell whether it read that request. So an
- *   idle connection is closed before the endpoint's own timeout.
+ *   idle connection is closed before the endpoint's own timeout, early enough for an endpoint that stops for a while.
  * - Idle connections of all instances fill an endpoint that limits their number, so that it resets new ones. So an instance keeps
  *   its part of them only.
  * - A connection attempt hangs because nothing answers at the address; `endpoint-exchange.ts` has the timeout for that.
@@ -12,13 +12,7 @@
 import {Agent, type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-
-/** Idle connections are closed this long before the endpoint's timeout: a round trip, a late timer and a slow instance. */
-const idleMarginMilliseconds = 800;
-/** Idle timeout where an endpoint states none: its timeout may be anything, so only quick reuse is safe. */
-const unstatedIdleMilliseconds = 700;
-/** Longest idle time, whatever the endpoint allows; an idle connection costs both sides memory. */
-const maxIdleMilliseconds = 10_000;
+import {idleTimeoutMilliseconds} from '../../decision/limits/idle-timeout.js';
 
 export class EndpointAgent extends Agent {
 	readonly #idleTimeouts = new WeakMap<Duplex, number>();
@@ -40,8 +34,7 @@
 	noteKeepAlive(socket: Duplex, keepAlive: string | string[] | undefined, maxIdle: number): void {
 		this.#maxIdle.set(socket, maxIdle);
 		const seconds = /timeout=(?<seconds>\d+)/v.exec(String(keepAlive ?? ''))?.groups?.seconds;
-		const limit = seconds === undefined ? unstatedIdleMilliseconds : (Number(seconds) * 1000) - idleMarginMilliseconds;
-		this.#idleTimeouts.set(socket, Math.min(maxIdleMilliseconds, limit));
+		this.#idleTimeouts.set(socket, idleTimeoutMilliseconds(seconds === undefined ? undefined : Number(seconds) * 1000));
 	}
 
 	/** Whether a connection to `IP:port`, in use or idle, is open. */
@@ -54,7 +47,7 @@
 	/** Called by Node when an answer is complete; returning false closes the connection. */
 	// eslint-disable-next-line @typescript-eslint/strict-void-return -- Node reads the value; its published types do not say so
 	override keepSocketAlive(socket: Duplex): boolean {
-		const limit = this.#idleTimeouts.get(socket) ?? unstatedIdleMilliseconds;
+		const limit = this.#idleTimeouts.get(socket) ?? idleTimeoutMilliseconds();
 		if (limit <= 0 || socket.destroyed || this.#idleBeside(socket as Socket) >= (this.#maxIdle.get(socket) ?? Number.POSITIVE_INFINITY)) {
 			return false;
 		}
