--- a/src/gateway/endpoints/has-successor.test.ts
+++ b/src/gateway/endpoints/has-successor.test.ts
@@ -29,6 +29,7 @@
 test('a missing row and the row of an earlier process prove no end', () => {
 	const registry = registryWith({name: 'desk-2', address: '127.0.0.1:1', startedAt: 50});
 	assert.equal(hasSuccessor(registry, endpoint, listedAt), false);
+	assert.equal(hasSuccessor(registryWith({name: 'desk-2', address: '127.0.0.1:1', startedAt: 100}), endpoint, listedAt), false);
 	registry.remove('desk-1', 7000);
 	assert.equal(hasSuccessor(registry, endpoint, listedAt), false);
 });
