--- a/src/decision/attempts/attempt-end.ts
+++ b/src/decision/attempts/attempt-end.ts
@@ -1,11 +1,14 @@
 /**
  * What may end an attempt at an endpoint. This list is complete: the gateway ends an attempt for no other reason.
  *
- * - The endpoint ended its connection, in order or by a reset, or what it sent cannot be the answer to the request.
- * - The endpoint's process is known to have ended: a later incarnation has registered under its name or at its address.
+ * - The endpoint ended its connection, in order or by a reset, or what it sent cannot be the answer to the request, or may not follow
+ *   the events that the caller has.
+ * - The endpoint's process is known to have ended: a later incarnation has registered under its name at another address, or under
+ *   another name at its address.
  * - The caller disconnected, or the time of the caller or the route is over.
- * - Another endpoint has begun to answer the request.
+ * - Another endpoint has sent the first bytes of an answer's body.
  * - The prompt has not begun, and may no longer begin on the endpoint's older weights.
+ * - The instance itself ends, after the grace period of its shutdown.
  *
  * Anything else is evidence about something else. An endpoint that is silent may be paused and go on. New connections that fail say
  * nothing about the one that carries the answer: the queue of a paused process fills up, and an endpoint resets connections beyond
@@ -18,7 +21,7 @@
  * Why the gateway ended an attempt whose connection was open.
  *
  * - `not-needed`: the caller disconnected, or the timeout passed.
- * - `replaced`: the endpoint was silent, and another one has begun to answer.
+ * - `replaced`: the endpoint was silent, and another one has sent the first bytes of its body.
  * - `superseded`: the attempt was to replace a silent one, which went on, or its answer may not follow the events that the caller has.
  * - `process-ended`: a later incarnation has registered.
  * - `older-weights`: the time in which runs may begin on the endpoint's older weights is over, and this one has not begun.
@@ -41,7 +44,7 @@
  * What to do about it.
  *
  * - `wait`: the attempt goes on.
- * - `replace`: the attempt goes on while another endpoint is tried, which takes over once it has begun to answer.
+ * - `replace`: the attempt goes on while another endpoint is tried, which takes over with the first bytes of its body.
  * - `end`: no answer can come any more.
  */
 export type SilenceStep = 'wait' | 'replace' | 'end';
