--- a/src/decision/crashes/find-crash-causes.test.ts
+++ b/src/decision/crashes/find-crash-causes.test.ts
@@ -117,7 +117,7 @@
 	assert.deepEqual(blockedBy(crashesWith(...[1, 2, 3].map(() => [requestWith(['same', 'block:shared'], {progress: 'answering'})]))), ['same']);
 });
 
-test('endpoints that end at the same moments do not block a block of answers that were under way at all of them', () => {
+test('endpoints that end at the same moments do not block a block of answers that were in flight at all of them', () => {
 	const crashes = crashesWith(...Array.from({length: 12}, (_, index) => [requestWith([`${index}`, 'block:popular'], {progress: 'answering'})]));
 	assert.deepEqual(blockedBy(crashes.map((crash, index) => ({...crash, at: 1000 * (index % 4)}))), []);
 });
--- a/src/gateway/crashes/crash-innocence.test.ts
+++ b/src/gateway/crashes/crash-innocence.test.ts
@@ -147,7 +147,7 @@
 	assert.ok(runs.every(({crashes}) => crashes > 40));
 });
 
-test('endpoints that end at random do not have new blocks of sound prompts refused whose first answers are under way', () => {
+test('endpoints that end at random do not have new blocks of sound prompts refused whose first answers are in flight', () => {
 	const runs = simulate({
 		milliseconds: 60_000, answerMilliseconds: [300, 1500], endsMilliseconds: [400, 1200], newFrom: 30_000,
 	});
--- a/src/gateway/crashes/crash-report-of.test.ts
+++ b/src/gateway/crashes/crash-report-of.test.ts
@@ -20,7 +20,7 @@
 	}, feature => answered.includes(feature), feature => suspected.includes(feature));
 }
 
-test('blocks that were answered before are not reported, but for answers that had just begun, and those of answers under way come last', () => {
+test('blocks that were answered before are not reported, but for answers that had just begun, and those of answers in flight come last', () => {
 	const {prompts} = reportOf([
 		lost('1', {blocks: ['block:new', 'block:known']}),
 		lost('2', {blocks: ['block:other', 'block:known'], progress: 'answering'}),
@@ -33,7 +33,7 @@
 	]);
 });
 
-test('answers under way do not push blocks of answers that had just begun out of a report', () => {
+test('answers in flight do not push blocks of answers that had just begun out of a report', () => {
 	const blocks = Array.from({length: 40}, (_, number) => `block:${number}`);
 	const answering = Array.from({length: maxRequestsPerReport - 1}, (_, number) => lost(`a${number}`, {progress: 'answering', blocks}));
 	const {prompts} = reportOf([...answering, lost('begun', {progress: 'begun', inFlightMilliseconds: 0.5, blocks})]);
@@ -42,7 +42,7 @@
 	});
 });
 
-test('a block that was at other crashes is reported although each of many answers under way has more blocks than a report can hold', () => {
+test('a block that was at other crashes is reported although each of many answers in flight has more blocks than a report can hold', () => {
 	const blocks = (number: number): string[] => Array.from({length: 100}, (_, index) => `block:${number}-${index}`);
 	const answering = Array.from({length: maxRequestsPerReport}, (_, number) => lost(`a${number}`, {progress: 'answering', blocks: [...blocks(number), 'block:bad']}));
 	const {prompts} = reportOf(answering, [], ['block:bad']);
