--- a/src/gateway/data-path/attempt-silence.ts
+++ b/src/gateway/data-path/attempt-silence.ts
@@ -7,7 +7,7 @@
  * How a silence ended.
  *
  * - `went-on`: the endpoint sent the next bytes.
- * - `replaced`: another endpoint had begun to answer.
+ * - `replaced`: another endpoint had sent the first bytes of a body.
  * - `ended`: the attempt ended for another reason.
  */
 export type SilenceEnd = 'went-on' | 'replaced' | 'ended';
