Send no new requests to evacuated data centres

Cause: rows of operators that request the evacuation of a data centre were read as rows of an unknown kind and had no effect.

Change: the rows are decoded, and endpoints of an evacuated data centre are left out where every attempt selects its candidates: first attempts, retries, replacements and resumed streams. A whole reading of the table ends evacuations whose rows are gone; a store restored from an older copy ends none.

--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -91,8 +91,8 @@
 	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
 	#listed(now: number): EndpointRecord[] {
 		const {permitted: {route, service}, continuation} = this.#work;
-		const {endpoints} = this.#context;
-		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint)).filter(({name}) => !this.#excluded.has(name));
+		const {endpoints, evacuations} = this.#context;
+		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint) && !evacuations.isEvacuated(endpoint.dataCentre)).filter(({name}) => !this.#excluded.has(name));
 		return route.kind === 'resumable-stream' ? this.#withCertainVersion(listed, now) : listed;
 	}
 
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -14,6 +14,7 @@
 import {type EndpointLimits} from './limits/endpoint-limits.js';
 import {type EndpointPaths} from './endpoints/endpoint-paths.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
+import {type Evacuations} from './endpoints/evacuations.js';
 import {type EndpointVersions} from './endpoints/endpoint-watches.js';
 import {type DecisionLog} from './observability/decision-log.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
@@ -31,6 +32,7 @@
 	configuration: ConfigurationView;
 	endpoints: EndpointRegistry;
 	endpointVersions: EndpointVersions;
+	evacuations: Evacuations;
 	paths: EndpointPaths;
 	relays: Pick<RelayClient, 'connect'>;
 	placement: PlacementPolicy;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -33,6 +33,7 @@
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {EndpointWatches} from './endpoints/endpoint-watches.js';
 import {type GatewayContext} from './gateway-context.js';
+import {Evacuations} from './endpoints/evacuations.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
 import {createMetricsApp, createReadyApp} from './health-apps.js';
 import {type CoordinatorContext} from './coordinator/coordinator.js';
@@ -119,6 +120,7 @@
 			log,
 			configuration: new ConfigurationView({freshMilliseconds: timings.freshMilliseconds, leaseMilliseconds: timings.keyLeaseMilliseconds}),
 			endpoints: new EndpointRegistry(),
+			evacuations: new Evacuations({log, metrics}),
 		};
 		this.#relays = new Relays({
 			...shared,
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -70,6 +70,10 @@
 		name: 'savorygauge_unreachable_endpoints', help: 'Listed endpoints that this instance cannot reach.', registers: [this.registry],
 	});
 
+	readonly evacuatedDataCentres = new Gauge({
+		name: 'savorygauge_evacuated_data_centres', help: 'Data centres whose endpoints get no new requests because operators have evacuated them.', registers: [this.registry],
+	});
+
 	readonly relayed = new Counter({
 		name: 'savorygauge_relayed_connections_total', help: 'Connections to endpoints that other instances requested from this one, by outcome.', labelNames: ['outcome'], registers: [this.registry],
 	});
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -20,6 +20,7 @@
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {EndpointPaths} from '../endpoints/endpoint-paths.js';
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {Evacuations} from '../endpoints/evacuations.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {CoordinatorView} from '../coordinator/coordinator-view.js';
 import {PermitGrants} from '../coordinator/permit-grants.js';
@@ -90,6 +91,7 @@
 			configuration: view,
 			endpoints,
 			endpointVersions: {isCertain: () => true},
+			evacuations: new Evacuations({log, metrics}),
 			paths,
 			relays,
 			placement,
--- a/src/gateway/watchers/operator-feed-handler.test.ts
+++ b/src/gateway/watchers/operator-feed-handler.test.ts
@@ -3,6 +3,7 @@
 import {Right} from 'purify-ts/Either';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type FeedRow} from '../../ports/table-feed.js';
+import {Evacuations} from '../endpoints/evacuations.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {ConfigurationView} from '../configuration/configuration-view.js';
@@ -17,6 +18,10 @@
 	key: `weights-${version}`, content: version, isDeleted: false, revision: version,
 });
 
+function evacuationsOf(): Evacuations {
+	return new Evacuations({log: {record: () => undefined}, metrics: new GatewayMetrics()});
+}
+
 /** A handler, and the milliseconds left for switching to the named weights at a time. */
 function handlerOfWeights() {
 	const targets = new WeightTargets(boundMilliseconds);
@@ -30,7 +35,7 @@
 	};
 	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
 	const reader = new OperatorFeedHandler({
-		configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), log, metrics: new GatewayMetrics(),
+		configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), evacuations: evacuationsOf(), log, metrics: new GatewayMetrics(),
 	}, schema, targets);
 	return {reader, leftAt: (now: Moment): number => targets.remainingMilliseconds(targets.targetFor('lease')!, now)};
 }
@@ -75,7 +80,7 @@
 	const configuration = new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 2000});
 	configuration.offer(testConfiguration({version: 7}));
 	const reader = new OperatorFeedHandler({
-		configuration, log: new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now), metrics: new GatewayMetrics(),
+		configuration, evacuations: evacuationsOf(), log: new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now), metrics: new GatewayMetrics(),
 	}, {
 		operatorTable: 'operators',
 		endpointTable: 'endpoints',
@@ -91,3 +96,47 @@
 	reader.handleChanges([], at(4000), at(4000), 'live');
 	assert.equal(configuration.validityAt(at(4100)), 'fresh');
 });
+
+/** A handler of rows that name the data centre to evacuate. */
+function handlerOfEvacuations() {
+	const evacuations = evacuationsOf();
+	const log = new DecisionLog({writableLength: 0, write: () => true}, {}, Date.now);
+	const reader = new OperatorFeedHandler({
+		configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}), evacuations, log, metrics: new GatewayMetrics(),
+	}, {
+		operatorTable: 'operators',
+		endpointTable: 'endpoints',
+		readOperatorRow: (_key, content) => Right({kind: 'evacuation', dataCentre: String(content)}),
+		readEndpointRow() {
+			throw new Error('not read here');
+		},
+	}, new WeightTargets(boundMilliseconds));
+	const row = (key: string, dataCentre?: string): FeedRow => ({
+		key, content: dataCentre, isDeleted: dataCentre === undefined, revision: 1,
+	});
+	return {reader, evacuations, row};
+}
+
+test('a data centre is evacuated from the arrival of its row until the row is removed', () => {
+	const {reader, evacuations, row} = handlerOfEvacuations();
+	reader.handleChanges([row('one', 'split'), row('other', 'zadar')], at(0), at(5), 'relayed');
+	assert.ok(evacuations.isEvacuated('split') && evacuations.isEvacuated('zadar'));
+	reader.handleChanges([row('one')], at(1000), at(1005), 'live');
+	assert.ok(!evacuations.isEvacuated('split') && evacuations.isEvacuated('zadar'));
+});
+
+test('an evacuation that was taken back while the store was away ends with the next whole reading of the table', () => {
+	const {reader, evacuations, row} = handlerOfEvacuations();
+	reader.handleChanges([row('one', 'split')], at(0), at(5), 'live');
+	reader.handleFailure();
+	assert.ok(evacuations.isEvacuated('split'));
+	reader.handleSnapshot([row('other', 'zadar')], at(9000), at(9005), 'live');
+	assert.ok(!evacuations.isEvacuated('split') && evacuations.isEvacuated('zadar'));
+});
+
+test('a store that was just restored from an older copy ends no evacuation', () => {
+	const {reader, evacuations, row} = handlerOfEvacuations();
+	reader.handleChanges([row('one', 'split')], at(0), at(5), 'live');
+	reader.handleSnapshot([], at(1000), at(1005), 'restored');
+	assert.ok(evacuations.isEvacuated('split'));
+});
--- a/src/gateway/watchers/operator-feed-handler.ts
+++ b/src/gateway/watchers/operator-feed-handler.ts
@@ -1,4 +1,4 @@
-/** Applies what operators write to the store: configurations, and the weight versions that models are to be served with. */
+/** Applies what operators write to the store: configurations, the weight versions of models, and evacuations of data centres. */
 import {type Moment} from '../../ports/moment-clock.js';
 import {type FeedRow} from '../../ports/table-feed.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -7,7 +7,7 @@
 import {type Arrival, type FeedHandler} from './feed-update.js';
 
 export class OperatorFeedHandler implements FeedHandler {
-	readonly #context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>;
+	readonly #context: Pick<GatewayContext, 'configuration' | 'evacuations' | 'log' | 'metrics'>;
 	readonly #schema: StoreSchema;
 	readonly #targets: WeightTargets;
 	/** As of when the table was last confirmed; rows that arrive after that confirmation were written after this time. */
@@ -15,7 +15,7 @@
 	/** Whether the feed has been followed without a gap, so that rows arrive as they are written. */
 	#isFollowing = false;
 
-	constructor(context: Pick<GatewayContext, 'configuration' | 'log' | 'metrics'>, schema: StoreSchema, targets: WeightTargets) {
+	constructor(context: Pick<GatewayContext, 'configuration' | 'evacuations' | 'log' | 'metrics'>, schema: StoreSchema, targets: WeightTargets) {
 		this.#context = context;
 		this.#schema = schema;
 		this.#targets = targets;
@@ -23,6 +23,11 @@
 
 	handleSnapshot(rows: readonly FeedRow[], sentAt: Moment, now: Moment, arrival: Arrival): void {
 		this.#isFollowing = false;
+		// A restored store may lack a row that is still in force.
+		if (arrival !== 'restored') {
+			this.#context.evacuations.endMissing(new Set(rows.map(({key}) => key)), now.steady);
+		}
+
 		this.handleChanges(rows, sentAt, now, arrival);
 	}
 
@@ -51,6 +56,7 @@
 
 	#applyRow({key, content, isDeleted}: FeedRow, sentAt: Moment, now: Moment, arrival: Arrival): void {
 		if (isDeleted) {
+			this.#context.evacuations.end(key, now.steady);
 			return;
 		}
 
@@ -66,6 +72,8 @@
 					this.#context.log.record('configuration-taken', {
 						version, isTaken, routes: routes.length, readMilliseconds: Math.round(now.steady - sentAt.steady),
 					});
+				} else if (row.kind === 'evacuation') {
+					this.#context.evacuations.begin(key, row.dataCentre, now.steady);
 				} else if (row.kind === 'weights' && this.#targets.add(row.weights, {observedAt: now, namedNotBefore: this.#isFollowing && arrival === 'live' ? now : this.#confirmedAt})) {
 					this.#context.log.record('weights-named', {...row.weights, isFollowing: this.#isFollowing, arrival});
 				}
--- a/src/gateway/watchers/store-schema.ts
+++ b/src/gateway/watchers/store-schema.ts
@@ -14,6 +14,7 @@
 export type OperatorRow
 	= | {kind: 'configuration'; configuration: RoutedConfiguration}
 		| {kind: 'weights'; weights: NamedWeights}
+		| {kind: 'evacuation'; dataCentre: string}
 		| {kind: 'other'};
 
 /** The names of the tables, and decoders for their rows. A `Left` lists everything that is wrong with a row. */
--- a/src/gateway/watchers/table-feeds.test.ts
+++ b/src/gateway/watchers/table-feeds.test.ts
@@ -11,6 +11,7 @@
 import {CrashLedger} from '../crashes/crash-ledger.js';
 import {crashTable, encodeReport, keyOfReport} from '../crashes/crash-report-rows.js';
 import {type CrashReport} from '../crashes/crash-reports.js';
+import {Evacuations} from '../endpoints/evacuations.js';
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
 import {timingsOf} from '../gateway-settings.js';
 import {DecisionLog} from '../observability/decision-log.js';
@@ -100,6 +101,7 @@
 		const feeds = new TableFeeds({
 			configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}),
 			endpoints: new EndpointRegistry(),
+			evacuations: new Evacuations({log, metrics: new GatewayMetrics()}),
 			weightTargets: new WeightTargets(10_000),
 			loadingEngines: new LoadingEngines(() => this.time.now()),
 			log,
--- a/src/platform/platform-store-schema.ts
+++ b/src/platform/platform-store-schema.ts
@@ -79,6 +79,7 @@
 
 const configurationKey = 'config';
 const weightsPrefix = 'version/';
+const evacuationPrefix = 'evacuate/';
 
 export const platformStoreSchema: StoreSchema = {
 	operatorTable: 'op',
@@ -92,7 +93,7 @@
 			return check(weightsSchema, content).map(weights => ({kind: 'weights', weights}));
 		}
 
-		return Right({kind: 'other'});
+		return Right(key.startsWith(evacuationPrefix) ? {kind: 'evacuation', dataCentre: key.slice(evacuationPrefix.length)} : {kind: 'other'});
 	},
 	readEndpointRow(key, content): Either<string[], EndpointRecord> {
 		return check(endpointSchema, content).map(row => ({
