Send endpoints that warm up no more than they take, over all instances

Cause: nothing read how long an endpoint is still warming up, nor what its service declares that such endpoints take.

Change: rows and services are decoded. Every request to an endpoint that warms up needs a permit of the coordinator, at the one place that all ways to an endpoint go through. An instance without a coordinator sends none. An endpoint whose connection was lost or refused is taken to warm up as well, since another process may answer there before its row says so. After a refusal the request goes to endpoints that are warm, if there are any.

Permits are kept; they cost a round trip to the coordinator for each such request.

Not held: an endpoint that turns cold without any word of it, until its row arrives.

--- a/src/decision/limits/permit-bucket.ts
+++ b/src/decision/limits/permit-bucket.ts
@@ -29,10 +29,11 @@
 	 *
 	 * @param ratePerSecond - Permits that are added a second.
 	 * @param now - Milliseconds of the steady clock.
+	 * @param maxUnused - Permits that may accumulate while nobody asks.
 	 * @returns False if there is none.
 	 */
-	take(ratePerSecond: number, now: number): boolean {
-		this.#permits = Math.min(maxUnusedPermits, this.#permits + (ratePerSecond * Math.max(0, now - this.#updatedAt) / 1000));
+	take(ratePerSecond: number, now: number, maxUnused = maxUnusedPermits): boolean {
+		this.#permits = Math.min(maxUnused, this.#permits + (ratePerSecond * Math.max(0, now - this.#updatedAt) / 1000));
 		this.#updatedAt = now;
 		if (this.#permits < 1) {
 			return false;
--- a/src/gateway/coordinator/coordinator-messages.ts
+++ b/src/gateway/coordinator/coordinator-messages.ts
@@ -76,10 +76,17 @@
 	unknown: string[];
 };
 
-/** A question for one request to an endpoint that has named a limit. */
+/** Why a request needs a permit: the endpoint has named a limit, or it is warming up. */
+export type PermitKind = 'limit' | 'warm-up';
+
+/** A question for one request to an endpoint that takes only so many requests a second. */
 export type PermitQuery = {
+	/** Absent for a limit. */
+	kind?: PermitKind;
 	/** Identifies the incarnation of the endpoint. */
 	incarnation: string;
+	/** Permits that may accumulate while nobody asks; absent for the number that suits a limit. */
+	maxUnused?: number;
 	/** `null` reports that an answer has named no limit any more. */
 	limitPerSecond: number | null;
 	/**
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -246,7 +246,8 @@
 		}
 
 		const permit = this.#permits.answer(query, this.#now());
-		if (permit === 'granted') {
+		// Many are granted while endpoints warm up; each has a line at the instance that sends the request.
+		if (permit === 'granted' && query.kind !== 'warm-up') {
 			this.#source.recordPermit(instance, term, query);
 		}
 
--- a/src/gateway/coordinator/permit-grants.ts
+++ b/src/gateway/coordinator/permit-grants.ts
@@ -3,7 +3,7 @@
 import {type PermitAnswer, type PermitQuery} from './coordinator-messages.js';
 
 /** How many buckets, limits and ends are kept; the one that was used longest ago is dropped first. */
-const maxEndpoints = 1000;
+const maxEndpoints = 5000;
 
 /** A limit by the last answer that named it at any instance; `namedAt` is in milliseconds of the steady clock. */
 type NamedLimit = {limitPerSecond: number; namedAt: number};
@@ -21,7 +21,9 @@
 	 * @param query - The question, or the report that a limit has ended.
 	 * @param now - Milliseconds of the steady clock.
 	 */
-	answer({incarnation, limitPerSecond, answeredMilliseconds}: PermitQuery, now: number): PermitAnswer {
+	answer({kind = 'limit', incarnation: name, limitPerSecond, answeredMilliseconds, maxUnused}: PermitQuery, now: number): PermitAnswer {
+		// An endpoint that warms up may have named a limit as well.
+		const incarnation = `${kind}|${name}`;
 		const answeredAt = now - answeredMilliseconds;
 		if (limitPerSecond === null) {
 			if (answeredAt >= (this.#limits.get(incarnation)?.namedAt ?? Number.NEGATIVE_INFINITY)) {
@@ -41,7 +43,7 @@
 		// A new coordinator does not know what its predecessor has granted, so a bucket starts empty.
 		const bucket = this.#buckets.get(incarnation) ?? new PermitBucket(0, now);
 		remember(this.#buckets, incarnation, bucket);
-		return bucket.take(latest.limitPerSecond, now) ? 'granted' : 'denied';
+		return bucket.take(latest.limitPerSecond, now, maxUnused) ? 'granted' : 'denied';
 	}
 
 	#latestLimit(incarnation: string, named: NamedLimit): NamedLimit {
--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -44,7 +44,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle, configuration,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle, configuration, warmUps,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -94,6 +94,10 @@
 			this.#noteNotConnected();
 		}
 
+		if (result.isConnectionLost || (result.outcome === 'not-sent' && !this.#isReset && !this.#isRelayed)) {
+			warmUps.noteLost(endpoint);
+		}
+
 		placement.observe({
 			kind: 'ended', request, endpoint, outcome: this.#placementOutcomeOf(result.outcome),
 		}, this.#now());
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -68,6 +68,17 @@
 		return this.#usable(this.#now()).some(({name}) => !this.#attempted.has(name));
 	}
 
+	/** Excludes the endpoints that are warming up if others are usable: a permit of another one would be waited for as well. */
+	excludeWarming(): void {
+		const usable = this.#usable(this.#now()).filter(({name}) => !this.#attempted.has(name));
+		const warming = usable.filter(endpoint => this.#context.warmUps.isWarmingUp(endpoint));
+		if (warming.length < usable.length) {
+			for (const {name} of warming) {
+				this.#excluded.add(name);
+			}
+		}
+	}
+
 	/** Time until the first endpoint has rested, if all of them rest. */
 	restMilliseconds(): number | undefined {
 		const now = this.#now();
@@ -85,7 +96,7 @@
 
 	/** The endpoints that may get this request now. */
 	#usable(now: number): EndpointRecord[] {
-		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0);
+		return this.#listed(now).filter(endpoint => this.#restOf(endpoint, now) === 0 && !this.#context.warmUps.isFull(endpoint));
 	}
 
 	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -99,7 +99,12 @@
 
 	/** Asks for a slot last: a limit leaves room less often, and a slot that is not used is lost for a moment. */
 	async #maySend(endpoint: EndpointRecord): Promise<boolean> {
-		const {limits, brittle} = this.#context;
+		const {limits, warmUps, brittle} = this.#context;
+		if (!await warmUps.maySend(endpoint)) {
+			this.#choice.excludeWarming();
+			return false;
+		}
+
 		return await limits.maySend(endpoint) && brittle.maySend(endpoint);
 	}
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -12,6 +12,7 @@
 import {type WireNames} from './data-path/wire-names.js';
 import {type BrittleServices} from './limits/brittle-services.js';
 import {type EndpointLimits} from './limits/endpoint-limits.js';
+import {type WarmUpLimits} from './limits/warm-up-limits.js';
 import {type EndpointPaths} from './endpoints/endpoint-paths.js';
 import {type EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {type Evacuations} from './endpoints/evacuations.js';
@@ -42,6 +43,7 @@
 	limits: Pick<EndpointLimits, 'note' | 'maySend'>;
 	brittle: Pick<BrittleServices, 'note' | 'maySend' | 'noteSent' | 'noteEnded'>;
 	rests: EndpointRests;
+	warmUps: Pick<WarmUpLimits, 'noteRow' | 'noteLost' | 'isWarmingUp' | 'isFull' | 'maySend'>;
 	exchanges: EndpointExchanges;
 	weightTargets: WeightTargets;
 	loadingEngines: LoadingEngines;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -45,6 +45,7 @@
 import {HeldSlots} from './limits/held-slots.js';
 import {EndpointLimits} from './limits/endpoint-limits.js';
 import {type GatewayMetrics} from './observability/gateway-metrics.js';
+import {WarmUpLimits} from './limits/warm-up-limits.js';
 import {reportLag} from './observability/report-lag.js';
 import {Relays} from './relay/relays.js';
 import {longestStreamOf} from './streams/longest-stream.js';
@@ -183,6 +184,13 @@
 			limits: new EndpointLimits({...shared, metrics, permits: this.#coordinators.peerUpdates}),
 			brittle: this.#brittle,
 			rests: new EndpointRests(),
+			warmUps: new WarmUpLimits({
+				...shared,
+				metrics,
+				permits: this.#coordinators.peerUpdates,
+				warmUpOf: service => shared.configuration.current?.services.get(service)?.warmUp,
+				bound: {ratio: settings.bounds.warmUpRatio, extra: settings.bounds.warmUpExtra},
+			}),
 			retryBudget: new SharedRetryBudget({ratio: settings.bounds.retryRatio, windowMilliseconds: settings.bounds.retryWindowMilliseconds}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(settings.bounds.weightsMilliseconds),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -20,6 +20,9 @@
 	heartbeatMilliseconds: number;
 	/** Within this time an instance that reaches the store knows what another one has reported. */
 	contactMilliseconds: number;
+	/** By this factor, and this number beyond it, endpoints may get more requests a second while they warm up than declared. */
+	warmUpRatio: number;
+	warmUpExtra: number;
 };
 
 export type GatewaySettings = {
--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -19,7 +19,7 @@
 		| 'dependency-lost' | 'dependency-regained' | 'store-restored'
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable'
 		| 'connections-lost' | 'endpoints-unreachable' | 'endpoint-path' | 'service-brittle' | 'limit-named' | 'permit-granted' | 'leaving-announced' | 'rest-requested'
-		| 'evacuation-begun' | 'evacuation-ended'
+		| 'endpoint-warming' | 'evacuation-begun' | 'evacuation-ended'
 		| 'request-served' | 'request-ended' | 'request-refused' | 'request-blocked' | 'block-trial' | 'try-failed' | 'late-write'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
 		| 'store-parts' | 'event-loop-late' | 'left-out' | 'fault';
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -70,6 +70,14 @@
 		name: 'savorygauge_unreachable_endpoints', help: 'Listed endpoints that this instance cannot reach.', registers: [this.registry],
 	});
 
+	readonly warmUpPermits = new Counter({
+		name: 'savorygauge_warm_up_permits_total', help: 'Requests for endpoints that were warming up, by whether they were let through.', labelNames: ['outcome'], registers: [this.registry],
+	});
+
+	readonly warmingEndpoints = new Gauge({
+		name: 'savorygauge_warming_endpoints', help: 'Endpoints that are warming up, as far as this instance knows.', registers: [this.registry],
+	});
+
 	readonly evacuatedDataCentres = new Gauge({
 		name: 'savorygauge_evacuated_data_centres', help: 'Data centres whose endpoints get no new requests because operators have evacuated them.', registers: [this.registry],
 	});
--- a/src/gateway/testing/test-daemon.ts
+++ b/src/gateway/testing/test-daemon.ts
@@ -100,7 +100,7 @@
 			leaseMilliseconds: 3000,
 			weightsMilliseconds: 10_000,
 			heartbeatMilliseconds: 1000,
-			contactMilliseconds: 3000,
+			contactMilliseconds: 3000, warmUpRatio: 1, warmUpExtra: 0,
 		},
 	}, ports);
 	return {
--- a/src/gateway/testing/test-endpoint.ts
+++ b/src/gateway/testing/test-endpoint.ts
@@ -11,6 +11,7 @@
 		state: 'ready',
 		startedAt: 1,
 		softwareVersion: 'v1',
+		warmUpMilliseconds: 0,
 		weightVersions: new Map(),
 		...changes,
 	};
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -27,6 +27,7 @@
 import {BrittleServices} from '../limits/brittle-services.js';
 import {HeldSlots} from '../limits/held-slots.js';
 import {EndpointLimits} from '../limits/endpoint-limits.js';
+import {WarmUpLimits} from '../limits/warm-up-limits.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
 import {reportLag} from '../observability/report-lag.js';
@@ -137,6 +138,9 @@
 				},
 			}),
 			rests: new EndpointRests(),
+			warmUps: new WarmUpLimits({
+				clock, log, metrics, permits: {takePermit: async query => permits.answer(query, clock.moment().steady)}, warmUpOf: service => view.current?.services.get(service)?.warmUp, bound: {ratio: 1.5, extra: 5},
+			}),
 			retryBudget: new SharedRetryBudget({ratio: 1, windowMilliseconds: 10_000}),
 			exchanges: this.#exchanges,
 			weightTargets: new WeightTargets(10_000),
--- a/src/gateway/watchers/endpoint-feed-handler.test.ts
+++ b/src/gateway/watchers/endpoint-feed-handler.test.ts
@@ -25,6 +25,11 @@
 				// No load is known.
 			},
 		},
+		warmUps: {
+			noteRow() {
+				// No service of this test declares a warm-up.
+			},
+		},
 		log: {
 			record(kind: DecisionKind, fields?: DecisionFields) {
 				lines.push([kind, fields]);
--- a/src/gateway/watchers/endpoint-feed-handler.ts
+++ b/src/gateway/watchers/endpoint-feed-handler.ts
@@ -7,7 +7,7 @@
 import {type StoreSchema} from './store-schema.js';
 import {type Arrival, type FeedHandler} from './feed-update.js';
 
-type HandlerContext = Pick<GatewayContext, 'endpoints' | 'placement' | 'log'>;
+type HandlerContext = Pick<GatewayContext, 'endpoints' | 'placement' | 'log'> & {warmUps: Pick<GatewayContext['warmUps'], 'noteRow'>};
 
 export class EndpointFeedHandler implements FeedHandler {
 	readonly #context: HandlerContext;
@@ -52,7 +52,10 @@
 				this.#context.log.record('endpoint-unreadable', {row: key, findings});
 				return undefined;
 			},
-			Right: record => record,
+			Right: record => {
+				this.#context.warmUps.noteRow(record);
+				return record;
+			},
 		});
 	}
 
--- a/src/gateway/watchers/table-feeds.test.ts
+++ b/src/gateway/watchers/table-feeds.test.ts
@@ -30,7 +30,7 @@
 	configurationMilliseconds: 2000,
 	revocationMilliseconds: 5000,
 	contactMilliseconds,
-	weightsMilliseconds: 10_000,
+	warmUpRatio: 1, warmUpExtra: 0, weightsMilliseconds: 10_000,
 	retryRatio: 0.2,
 	retryWindowMilliseconds: 10_000,
 });
@@ -102,6 +102,11 @@
 			configuration: new ConfigurationView({freshMilliseconds: 1000, leaseMilliseconds: 1000}),
 			endpoints: new EndpointRegistry(),
 			evacuations: new Evacuations({log, metrics: new GatewayMetrics()}),
+			warmUps: {
+				noteRow() {
+					// No service of this test declares a warm-up.
+				},
+			},
 			weightTargets: new WeightTargets(10_000),
 			loadingEngines: new LoadingEngines(() => this.time.now()),
 			log,
--- a/src/gateway/watchers/table-feeds.ts
+++ b/src/gateway/watchers/table-feeds.ts
@@ -22,7 +22,7 @@
 	isStandby: () => boolean;
 };
 
-type FeedContext = Pick<GatewayContext, 'configuration' | 'endpoints' | 'evacuations' | 'weightTargets' | 'loadingEngines' | 'log' | 'metrics' | 'placement'>;
+type FeedContext = Pick<GatewayContext, 'configuration' | 'endpoints' | 'evacuations' | 'weightTargets' | 'loadingEngines' | 'log' | 'metrics' | 'placement'> & {warmUps: Pick<GatewayContext['warmUps'], 'noteRow'>};
 
 export class TableFeeds {
 	readonly followers: readonly FeedFollower[];
--- a/src/platform/platform-store-schema.ts
+++ b/src/platform/platform-store-schema.ts
@@ -36,6 +36,8 @@
 const serviceSchema = zod.object({
 	name: zod.string(),
 	max_conns: zod.number().default(0),
+	cold_s: zod.number().default(0),
+	cold_per_s: zod.number().default(0),
 	engine: engineSchema.optional(),
 	zone: zod.string().default(''),
 	kv_store_addr: zod.string().optional(),
@@ -74,6 +76,7 @@
 	// The start of the incarnation, in milliseconds since the epoch.
 	born: zod.number().default(0),
 	version: zod.string().default(''),
+	cold_left_ms: zod.number().default(0),
 	models: zod.array(zod.object({name: zod.string(), version: zod.number()})).default([]),
 });
 
@@ -105,6 +108,7 @@
 			state: row.state === 'ready' ? 'ready' : 'leaving',
 			startedAt: row.born,
 			softwareVersion: row.version,
+			warmUpMilliseconds: row.cold_left_ms,
 			weightVersions: new Map(row.models.map(({name, version}) => [name, version])),
 		}));
 	},
@@ -157,6 +161,7 @@
 	return {
 		name: service.name,
 		connectionLimit: service.max_conns,
+		...(service.cold_s > 0 ? {warmUp: {milliseconds: service.cold_s * 1000, requestsPerSecond: service.cold_per_s}} : {}),
 		...(engine === undefined
 			? {}
 			: {
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -76,6 +76,8 @@
 			weightsMilliseconds: numberOf('bounds.version_ms', 10_000),
 			heartbeatMilliseconds: numberOf('heartbeat_ms'),
 			contactMilliseconds: numberOf('bounds.contact_ms', 3000),
+			warmUpRatio: numberOf('bounds.cold_over', 1),
+			warmUpExtra: numberOf('bounds.cold_slack', 0),
 		},
 	};
 	return findings.length > 0 ? Left(findings) : Right(settings);
--- a/src/shared/endpoint-record.ts
+++ b/src/shared/endpoint-record.ts
@@ -17,6 +17,8 @@
 	startedAt: number;
 	/** The version of the endpoint's software; empty where the endpoint does not report it, which is a version of its own. */
 	softwareVersion: string;
+	/** How much longer the endpoint is warming up, as of its row; 0 where it is not. */
+	warmUpMilliseconds: number;
 	/** The weight version by model. */
 	weightVersions: ReadonlyMap<string, number>;
 };
--- a/src/shared/routed-configuration.ts
+++ b/src/shared/routed-configuration.ts
@@ -64,11 +64,21 @@
 	isManaged: boolean;
 };
 
+/** What the endpoints of a service take while they warm up. */
+export type WarmUp = {
+	/** How long an endpoint takes to warm up after its start. */
+	milliseconds: number;
+	/** Requests a second from all instances together. */
+	requestsPerSecond: number;
+};
+
 /** A declared service: a plain service, model engines or a cache store. */
 export type RoutedService = {
 	name: string;
 	/** The maximum number of connections to one endpoint from all instances together; 0 where it is not declared. */
 	connectionLimit: number;
+	/** Absent where endpoints take all requests from their start. */
+	warmUp?: WarmUp;
 	engine?: EngineTraits;
 	store?: StoreTraits;
 };
