Keep requests and their cached blocks within the regions that their route and workspace allow

Cause: the allowed regions of routes and workspaces, and the regions of data centres, were not read.

Change: a restricted request gets no endpoint, no relay and no cache store outside the regions that both allow; a relay in the caller's own region is allowed. Engines outside are no source of its blocks. A request that no region may serve is refused at once with the reason region-not-allowed, as not run.

Tests: two regions, over a gateway with endpoints in both, its stores and its relays.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -3,6 +3,7 @@
  * as it arrives. What follows a failed attempt is decided in `decision/attempts`.
  */
 import {type AttemptEnd} from '../../decision/attempts/attempt-end.js';
+import {isRelayAllowed} from '../../decision/routing/allowed-regions.js';
 import {incarnationOf} from '../../shared/endpoint-record.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -44,7 +45,7 @@
 	/** Sends the request and relays the answer. */
 	async run(): Promise<AttemptResult> {
 		const {
-			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle, configuration, warmUps,
+			placement, rests, exchanges, names, metrics, log, eventLoopLag, paths, relays, brittle, configuration, warmUps, regions,
 		} = this.#context;
 		const {head, permitted, body, splitter, deadline} = this.#work;
 		const {endpoint, request, basis} = this.#target;
@@ -54,7 +55,7 @@
 		}, this.sentAt);
 		brittle.noteSent(endpoint);
 		rests.noteSent(incarnationOf(endpoint), this.sentAt);
-		const connection = paths.isRelayed(endpoint) ? relays.connect(endpoint, deadline - this.#now()) : undefined;
+		const connection = paths.isRelayed(endpoint) ? relays.connect(endpoint, deadline - this.#now(), {isAllowed: dataCentre => isRelayAllowed(permitted, regions, dataCentre)}) : undefined;
 		this.#isRelayed = connection !== undefined;
 		this.#exchange = exchanges.open({
 			address: endpoint.address,
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -2,6 +2,7 @@
  * Chooses the endpoint of one request: selects candidates, queries the coordinator about them, and places the request on one
  * of them. Each answer of the coordinator changes what this instance knows, so every placement starts with a new selection.
  */
+import {isDataCentreAllowed} from '../../decision/routing/allowed-regions.js';
 import {type Placement, type PlacementRequest} from '../../decision/placement/placement.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -86,6 +87,14 @@
 		return Number.isFinite(shortest) && shortest > 0 ? shortest : undefined;
 	}
 
+	/** Whether the service has endpoints, and all of them are in regions that must not process the request. */
+	isOutsideAllowedRegions(): boolean {
+		const {permitted} = this.#work;
+		const {endpoints, regions} = this.#context;
+		const usable = endpoints.usable(permitted.service, this.#now());
+		return usable.length > 0 && usable.every(({dataCentre}) => !isDataCentreAllowed(permitted, regions, dataCentre));
+	}
+
 	#request(): PlacementRequest {
 		return placementRequestOf(this.#context, this.#work, this.#attempted);
 	}
@@ -101,9 +110,11 @@
 
 	/** The same, with those that rest. Every way to an endpoint goes through this list, so a stream goes on only where it may. */
 	#listed(now: number): EndpointRecord[] {
-		const {permitted: {route, service}, continuation} = this.#work;
-		const {endpoints, evacuations} = this.#context;
-		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint) && !evacuations.isEvacuated(endpoint.dataCentre)).filter(({name}) => !this.#excluded.has(name));
+		const {permitted, continuation} = this.#work;
+		const {route, service} = permitted;
+		const {endpoints, evacuations, regions} = this.#context;
+		const listed = endpoints.usable(service, now, endpoint => continuation.allows(endpoint)
+			&& !evacuations.isEvacuated(endpoint.dataCentre) && isDataCentreAllowed(permitted, regions, endpoint.dataCentre)).filter(({name}) => !this.#excluded.has(name));
 		return route.kind === 'resumable-stream' ? this.#withCertainVersion(listed, now) : listed;
 	}
 
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -23,6 +23,9 @@
 /** `Retry-After` of a request that no endpoint's limit leaves room for; endpoints in need take one request in a second or so. */
 const limitedRetryMilliseconds = 1000;
 
+/** `Retry-After` of a request without an endpoint in an allowed region: one may start there. */
+const regionRetryMilliseconds = 2000;
+
 export class EndpointSearch {
 	readonly #context: GatewayContext;
 	readonly #id: string;
@@ -62,6 +65,12 @@
 					continue;
 				}
 
+				if (this.#choice.isOutsideAllowedRegions()) {
+					return refused({
+						reason: 'region-not-allowed', ran: 'not-run', message: 'no endpoint of the service is in a region that may process the request', retryAfterMilliseconds: spreadRetry(regionRetryMilliseconds, this.#id),
+					});
+				}
+
 				const restMilliseconds = this.restMilliseconds();
 				if (restMilliseconds !== undefined) {
 					return refused({
--- a/src/gateway/data-path/prompt-block-sources.ts
+++ b/src/gateway/data-path/prompt-block-sources.ts
@@ -1,5 +1,6 @@
 /** Finds the cache stores and engines that hold the blocks of one request's prompt, by what this instance knows. */
 import {type NamedStore, type BlockLocator} from '../../decision/blocks/plan-blocks.js';
+import {isDataCentreAllowed} from '../../decision/routing/allowed-regions.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {cacheSalt} from '../../protocol/blocks/cache-salt.js';
 import {blockKey} from '../../protocol/blocks/block-key.js';
@@ -12,7 +13,7 @@
 import {type PermittedRequest} from './validate-request.js';
 import {type RequestHead} from './request-head.js';
 
-export type SourceContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'coordinatorView' | 'loadingEngines' | 'placement'>;
+export type SourceContext = Pick<GatewayContext, 'clock' | 'configuration' | 'regions' | 'endpoints' | 'coordinatorView' | 'loadingEngines' | 'placement'>;
 
 /** Blocks are queried under this many versions of the weights; while new weights are loaded, engines have two. */
 const maxVersions = 2;
@@ -23,6 +24,7 @@
 	readonly #model: string;
 	readonly #service: string;
 	readonly #scope: string;
+	readonly #permitted: PermittedRequest;
 	readonly #now: Moment;
 	readonly #fetchable = new Map<number, readonly boolean[]>();
 
@@ -33,6 +35,7 @@
 		this.#model = head.prompt?.model ?? '';
 		this.#service = permitted.service;
 		this.#scope = cacheScopeOf(permitted);
+		this.#permitted = permitted;
 		this.#now = context.clock.moment();
 	}
 
@@ -41,9 +44,10 @@
 		return this.#blocks.slice(0, -1);
 	}
 
+	/** The cache stores in regions that may hold the prompt's blocks. */
 	get stores(): NamedStore[] {
 		const services = this.#context.configuration.current?.services.values() ?? [];
-		return [...services].flatMap(({name, store}) => store?.isManaged ? [{name, store}] : []);
+		return [...services].flatMap(({name, store}) => store?.isManaged && this.#isAllowedIn(store.dataCentre) ? [{name, store}] : []);
 	}
 
 	/** The salt under which engines with a weight version cache the blocks. */
@@ -135,9 +139,14 @@
 		return coordinatorView.enginesWith(key, this.#now)
 			.map(name => endpoints.byName(name))
 			.filter((engine): engine is EndpointRecord => engine?.service === this.#service && engine.state === 'ready'
+				&& this.#isAllowedIn(engine.dataCentre)
 				&& !loadingEngines.current.has(engine.name) && !placement.isUnresponsive(engine, this.#now.steady));
 	}
 
+	#isAllowedIn(dataCentre: string): boolean {
+		return isDataCentreAllowed(this.#permitted, this.#context.regions, dataCentre);
+	}
+
 	/** Keys of all blocks under a weight version, in the order of the prompt. */
 	#keysUnder(version: number): string[] {
 		return this.#blocks.map(({id}) => blockKey({salt: this.saltUnder(version), id}));
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,6 +1,7 @@
 /** The components that the routed data path shares. */
 import {type BlockPlanner} from '../decision/blocks/plan-blocks.js';
 import {type PlacementPolicy} from '../decision/placement/placement.js';
+import {type Regions} from '../decision/routing/allowed-regions.js';
 import {type EndpointRests} from '../decision/limits/endpoint-rests.js';
 import {type SharedRetryBudget} from '../decision/limits/shared-retry-budget.js';
 import {type MomentClock} from '../ports/moment-clock.js';
@@ -28,6 +29,7 @@
 
 export type GatewayContext = {
 	dataCentre: string;
+	regions: Regions;
 	clock: MomentClock;
 	names: WireNames;
 	configuration: ConfigurationView;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -117,6 +117,7 @@
 		});
 		const shared = {
 			dataCentre: settings.dataCentre,
+			regions: settings.regions,
 			clock,
 			log,
 			configuration: new ConfigurationView({freshMilliseconds: timings.freshMilliseconds, leaseMilliseconds: timings.keyLeaseMilliseconds}),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,5 +1,7 @@
 /** The settings of a gateway process, and the times that follow from them. */
 
+import {type Regions} from '../decision/routing/allowed-regions.js';
+
 /** Bounds that the deployment sets; all in milliseconds except the ratio. */
 export type GatewayBounds = {
 	/** Within this time a configuration change is in force at every instance that reaches the store. */
@@ -47,6 +49,7 @@
 	storeAddress: string;
 	/** CPU cores available to this process; may be a fraction. */
 	cores: number;
+	regions: Regions;
 	bounds: GatewayBounds;
 };
 
--- a/src/gateway/relay/relay-client.ts
+++ b/src/gateway/relay/relay-client.ts
@@ -15,6 +15,8 @@
 	random: () => number;
 };
 
+type RelayOptions = {attempted?: Set<string>; isAllowed?: (dataCentre: string) => boolean};
+
 /** Timeout of a probe: the relay's own connection attempt, and the way to the relay. */
 const probeMilliseconds = 400;
 /** Relays that are asked in turn whether they reach an endpoint. */
@@ -32,13 +34,13 @@
 	 *
 	 * @param endpoint - The endpoint.
 	 * @param remainingMilliseconds - How long the connection may be needed.
-	 * @param attempted - Relays that are not used; the chosen one is added.
+	 * @param options - `attempted`: relays that are not used, to which the chosen one is added; `isAllowed`: whether a relay in a data centre may be used.
 	 * @returns The connection; `undefined` without a relay.
 	 */
-	connect(endpoint: EndpointRecord, remainingMilliseconds: number, attempted = new Set<string>()): RelayedSocket | undefined {
+	connect(endpoint: EndpointRecord, remainingMilliseconds: number, {attempted = new Set(), isAllowed}: RelayOptions = {}): RelayedSocket | undefined {
 		const {clock, directory, key: currentKey, random} = this.#dependencies;
 		const key = currentKey();
-		const relay = key === undefined ? undefined : directory.choose(clock.moment().steady, random, attempted);
+		const relay = key === undefined ? undefined : directory.choose(clock.moment().steady, random, attempted, isAllowed);
 		if (key === undefined || relay === undefined) {
 			return undefined;
 		}
@@ -61,7 +63,7 @@
 		const attempted = new Set<string>();
 		let result: ProbeResult | undefined;
 		for (let relay = 0; relay < maxProbedRelays && result !== 'accepted'; relay++) {
-			const socket = this.connect(endpoint, probeMilliseconds, attempted);
+			const socket = this.connect(endpoint, probeMilliseconds, {attempted});
 			if (socket === undefined) {
 				return result;
 			}
--- a/src/gateway/relay/relay-directory.test.ts
+++ b/src/gateway/relay/relay-directory.test.ts
@@ -25,6 +25,13 @@
 	assert.equal(directory.choose(40_000, () => 0), undefined);
 });
 
+test('a relay in a data centre that the request must not reach is not chosen', () => {
+	const directory = new RelayDirectory();
+	directory.update([report('here'), report('abroad', {dataCentre: 'trieste'})], 0);
+	assert.equal(directory.choose(0, () => 0.99, new Set(), dataCentre => dataCentre === 'split'), 'here');
+	assert.equal(directory.choose(0, () => 0, new Set(), () => false), undefined);
+});
+
 test('the less loaded of two relays is chosen, with what was opened since it was reported', () => {
 	const directory = new RelayDirectory();
 	directory.update([report('one', {connections: 1}), report('two', {connections: 3})], 0);
--- a/src/gateway/relay/relay-directory.ts
+++ b/src/gateway/relay/relay-directory.ts
@@ -62,11 +62,12 @@
 	 *
 	 * @param random - Returns a random number from 0 up to 1.
 	 * @param excluded - Addresses of relays that are not chosen.
+	 * @param isAllowed - Whether a relay in a data centre may be chosen.
 	 * @returns The relay's address; `undefined` if none can be used.
 	 */
-	choose(now: number, random: () => number, excluded: ReadonlySet<string> = new Set()): string | undefined {
+	choose(now: number, random: () => number, excluded: ReadonlySet<string> = new Set(), isAllowed: (dataCentre: string) => boolean = () => true): string | undefined {
 		const usable = [...this.#relays.values()]
-			.filter(({report: {address}, updatedAt}) => !excluded.has(address) && now - updatedAt <= maxAgeMilliseconds && (this.#failedUntil.get(address) ?? 0) <= now)
+			.filter(({report: {address, dataCentre}, updatedAt}) => !excluded.has(address) && isAllowed(dataCentre) && now - updatedAt <= maxAgeMilliseconds && (this.#failedUntil.get(address) ?? 0) <= now)
 			.map(({report}) => report);
 		const fewest = Math.min(...usable.map(({unreachable}) => unreachable));
 		const best = usable.filter(({unreachable}) => unreachable === fewest);
--- a/src/gateway/testing/test-daemon.ts
+++ b/src/gateway/testing/test-daemon.ts
@@ -90,6 +90,7 @@
 		listenMetrics,
 		storeAddress: '',
 		cores: 1,
+		regions: {own: 'dalmatia', byDataCentre: new Map([['split', 'dalmatia']])},
 		bounds: {
 			configurationMilliseconds: 2000,
 			revocationMilliseconds: 5000,
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -87,6 +87,7 @@
 		});
 		this.context = {
 			dataCentre: 'split',
+			regions: {own: 'dalmatia', byDataCentre: new Map([['split', 'dalmatia'], ['zadar', 'dalmatia'], ['trieste', 'friuli']])},
 			clock,
 			names: ownWireNames,
 			configuration: view,
--- a/src/platform/platform-store-schema.ts
+++ b/src/platform/platform-store-schema.ts
@@ -22,6 +22,7 @@
 	no_auth: zod.boolean().default(false),
 	sticky: zod.boolean().default(false),
 	service: zod.string().optional(),
+	allowed_regions: zod.array(zod.string()).optional(),
 	traffic_split: zod.array(zod.object({service: zod.string(), weight: zod.number()})).optional(),
 });
 
@@ -62,6 +63,7 @@
 		api_keys: zod.array(zod.string()),
 		priority: zod.number().optional(),
 		isolated: zod.boolean().default(false),
+		allowed_regions: zod.array(zod.string()).optional(),
 	})).optional(),
 });
 
@@ -153,6 +155,7 @@
 		requiresKey: hasTenants && !route.no_auth,
 		// Despite its name, the platform sets `sticky` on the routes whose requests carry a prompt divided into blocks.
 		carriesPrompt: route.sticky,
+		...(route.allowed_regions === undefined ? {} : {allowedRegions: route.allowed_regions}),
 	};
 }
 
@@ -190,9 +193,9 @@
 
 function grantsOf(tenants: NonNullable<zod.infer<typeof configurationSchema>['tenants']>): Map<string, WorkspaceGrant> {
 	const grants = new Map<string, WorkspaceGrant>();
-	for (const {name, api_keys: keys, priority, isolated} of tenants) {
+	for (const {name, api_keys: keys, priority, isolated, allowed_regions: allowedRegions} of tenants) {
 		for (const key of keys) {
-			grants.set(key, {name, isIsolated: isolated, ...(priority === undefined ? {} : {rank: priority})});
+			grants.set(key, {name, isIsolated: isolated, ...(priority === undefined ? {} : {rank: priority}), ...(allowedRegions === undefined ? {} : {allowedRegions})});
 		}
 	}
 
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -9,6 +9,7 @@
 /** The port for metrics in the deploy file. */
 const metricsPort = 9464;
 const readyPath = '/readiness';
+const zonePrefix = 'zones.';
 
 /**
  * Reads a settings file. Unknown fields are ignored.
@@ -65,6 +66,10 @@
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
 		cores: numberOf('limits.cpu_share', 1) * numberOf('limits.cores', 1),
+		regions: {
+			own: fields.get('region')?.value ?? '',
+			byDataCentre: new Map([...fields].flatMap(([name, {value}]) => name.startsWith(zonePrefix) ? [[name.slice(zonePrefix.length), value]] : [])),
+		},
 		bounds: {
 			configurationMilliseconds: numberOf('bounds.config_apply_ms'),
 			revocationMilliseconds: numberOf('bounds.revoke_ms'),
--- a/src/serving/send-refusal.ts
+++ b/src/serving/send-refusal.ts
@@ -13,6 +13,7 @@
 	'too-slow': 408,
 	'too-many-open': 429,
 	'no-endpoint': 503,
+	'region-not-allowed': 503,
 	overloaded: 429,
 	deadline: 503,
 	draining: 503,
--- a/src/shared/routed-configuration.ts
+++ b/src/shared/routed-configuration.ts
@@ -40,6 +40,8 @@
 	requiresKey: boolean;
 	/** Whether requests carry a prompt in blocks that model engines cache. */
 	carriesPrompt: boolean;
+	/** The regions that may process its requests; absent or empty where any may. */
+	allowedRegions?: readonly string[];
 };
 
 /** The properties of a service's model engines, which are all alike. */
@@ -98,6 +100,8 @@
 	rank?: number;
 	/** Whether the workspace shares no cached blocks with other workspaces. */
 	isIsolated: boolean;
+	/** The regions that may process its requests; absent or empty where any may. */
+	allowedRegions?: readonly string[];
 };
 
 /** A complete configuration. */
--- a/src/shared/types.ts
+++ b/src/shared/types.ts
@@ -22,6 +22,7 @@
 		| 'too-slow'
 		| 'too-many-open'
 		| 'no-endpoint'
+		| 'region-not-allowed'
 		| 'overloaded'
 		| 'deadline'
 		| 'draining'
