Bound what an endpoint in trouble can send within one event, and in a report

Cause: the events of a resumable stream are passed on whole, and an event that never ends was kept in memory until the deadline: each piece copied what had arrived before. Short answers of engines could take 32 MiB each, many at a time.

Change: an event of over 256 KiB ends the attempt, and the stream is served elsewhere where that is allowed. Reports, cache events and the answers to commands end at 1 MiB.

--- a/src/adapters/answer-size.test.ts
+++ b/src/adapters/answer-size.test.ts
@@ -60,3 +60,20 @@
 		});
 	}
 }
+
+test('a report without an end is read to a megabyte at most', async t => {
+	// Guards against the reports of several engines in trouble that fill the memory together.
+	let sent = 0;
+	const server = await startScriptedServer(t, socket => {
+		socket.once('close', () => {
+			sent += socket.bytesWritten;
+		});
+		socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n');
+		floodChunks(socket);
+	});
+	await assert.rejects(exchangeJson({
+		method: 'GET', url: `http://${server.address}/`, timeoutMilliseconds: 5000, isShort: true,
+	}));
+	assert.equal(await server.allClosedWithin(3000), true);
+	assert.ok(sent < 16_000_000, `${sent} bytes were sent`);
+});
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -19,6 +19,9 @@
 /** Size limit of a JSON body, such as a page of rows. */
 const maxJsonBytes = 33_554_432;
 
+/** Size limit of a JSON body that is a report or the answer to a command: many are read at a time, and all may be endless. */
+const maxShortJsonBytes = 1_048_576;
+
 /** The default connection pool, which reuses connections. */
 export const connectionPool = new Agent({
 	connect: {timeout: connectTimeoutMilliseconds},
@@ -34,6 +37,13 @@
 	maxResponseSize: maxJsonBytes,
 });
 
+const shortJsonPool = new Agent({
+	connect: {timeout: connectTimeoutMilliseconds},
+	keepAliveTimeout: idleConnectionMilliseconds,
+	pipelining: 1,
+	maxResponseSize: maxShortJsonBytes,
+});
+
 /**
  * Opens a connection for each request. If the server closes a reused connection just as a request is sent, it is unknown
  * whether the server read the request, so the outcome of a non-idempotent call is unknown. On a new connection, a failure to
@@ -77,6 +87,8 @@
 	body?: JsonValue;
 	headers?: Record<string, string>;
 	timeoutMilliseconds: number;
+	/** Whether the answer is short: at most 1 MiB. */
+	isShort?: boolean;
 };
 
 /**
@@ -88,7 +100,7 @@
 	const {origin, pathname, search} = new URL(exchange.url);
 	const timeLimit = startTimeLimit(exchange.timeoutMilliseconds);
 	try {
-		const answer = await jsonPool.request({
+		const answer = await (exchange.isShort ? shortJsonPool : jsonPool).request({
 			origin,
 			path: pathname + search,
 			method: exchange.method,
--- a/src/gateway/data-path/event-splitter.ts
+++ b/src/gateway/data-path/event-splitter.ts
@@ -11,6 +11,8 @@
 	lastId: string | undefined;
 };
 
+/** More than any event of an engine; an endpoint that sends an event without an end would use up the memory of the process. */
+const maxEventBytes = 262_144;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
@@ -23,6 +25,11 @@
 		return this.#lastId;
 	}
 
+	/** Whether the bytes after the last complete event are too many for one event. */
+	get isTooLong(): boolean {
+		return this.#incomplete.length > maxEventBytes;
+	}
+
 	/** Whether the bytes so far end with a complete event. */
 	get isAtBoundary(): boolean {
 		return this.#incomplete.length === 0;
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -108,6 +108,10 @@
 			if (bytes.length > 0) {
 				writeBytes(bytes);
 			}
+
+			if (splitter?.isTooLong) {
+				finish('cut');
+			}
 		};
 
 		const onEnd = (): void => {
--- a/src/platform/platform-cache-store.ts
+++ b/src/platform/platform-cache-store.ts
@@ -40,7 +40,7 @@
 
 	async events(address: string, since: number, waitMilliseconds: number): Promise<Either<string, StoreEvents>> {
 		const url = `http://${address}/kv-events?since=${since}`;
-		const answer = await get(url, eventsSchema, {'wait-ms': String(waitMilliseconds)}, waitMilliseconds + callTimeoutMilliseconds);
+		const answer = await get(url, eventsSchema, {'wait-ms': String(waitMilliseconds)}, waitMilliseconds + callTimeoutMilliseconds, true);
 		return answer.map(({boot_epoch: epoch, next, lost, events, clock_ms: clockMilliseconds}) => ({
 			epoch, next, isIncomplete: lost, added: blocksOf(events, '+'), removed: blocksOf(events, '-'), clockMilliseconds,
 		}));
@@ -53,6 +53,7 @@
 				url: `http://${address}/kv-free`,
 				body: {parts: parts.map(({salt, id}) => [salt, id]), boot_epoch: epoch, until_ms: Math.floor(untilMilliseconds)},
 				timeoutMilliseconds: callTimeoutMilliseconds,
+				isShort: true,
 			});
 			return status >= 200 && status < 300 ? Right(undefined) : Left(`status ${status}`);
 		} catch (error) {
@@ -61,10 +62,10 @@
 	}
 }
 
-async function get<Schema extends zod.ZodType>(url: string, schema: Schema, headers: Record<string, string>, timeoutMilliseconds: number): Promise<Either<string, zod.infer<Schema>>> {
+async function get<Schema extends zod.ZodType>(url: string, schema: Schema, headers: Record<string, string>, timeoutMilliseconds: number, isShort = false): Promise<Either<string, zod.infer<Schema>>> {
 	try {
 		const {status, body} = await exchangeJson({
-			method: 'GET', url, headers, timeoutMilliseconds,
+			method: 'GET', url, headers, timeoutMilliseconds, isShort,
 		});
 		const checked = schema.safeParse(body);
 		return status === 200 && checked.success ? Right(checked.data) : Left(`status ${status}${checked.success ? '' : ` ${checked.error.message}`}`);
--- a/src/platform/platform-engine-control.ts
+++ b/src/platform/platform-engine-control.ts
@@ -25,7 +25,7 @@
 	async report({address, name}: EndpointRecord): Promise<Either<string, EngineReport>> {
 		try {
 			const {status, body} = await exchangeJson({
-				method: 'GET', url: `http://${address}/report`, headers: {[platformWireNames.expectedEndpoint]: name}, timeoutMilliseconds: callTimeoutMilliseconds,
+				method: 'GET', url: `http://${address}/report`, headers: {[platformWireNames.expectedEndpoint]: name}, timeoutMilliseconds: callTimeoutMilliseconds, isShort: true,
 			});
 			const report = reportSchema.safeParse(body);
 			if (status !== 200 || !report.success) {
@@ -57,6 +57,7 @@
 					expected_rev: order.ordersTaken,
 				},
 				timeoutMilliseconds: callTimeoutMilliseconds,
+				isShort: true,
 			});
 			if (status === 202) {
 				return 'accepted';
