Call a store that does not answer rarely while the reader fails as well

The delay between failed calls doubled, but each update that the reader relayed, also one without news, set it back.

Change: relayed updates do not change the delay, and while the reader reports that the store does not answer it either, an instance calls after 1 to 4 s instead of 0.1 to 0.8 s: the reader goes on calling and relays the first answer.

--- a/src/gateway/watchers/feed-follower.test.ts
+++ b/src/gateway/watchers/feed-follower.test.ts
@@ -205,3 +205,74 @@
 	await clock.sleep(1500, stop.signal);
 	assert.ok(calls.follower >= before + 3, `${calls.follower - before} calls after the loss of the reader`);
 });
+
+/** Plays ten seconds in which the store answers nobody; returns how often a follower calls it, and when it is confirmed afterwards. */
+async function playOutage(): Promise<{calls: number; confirmedAt: number}> {
+	const outage = {from: 1000, until: 11_000};
+	let now = 0;
+	let calls = 0;
+	let confirmedAt = Number.POSITIVE_INFINITY;
+	let readerFailedAt: number | undefined;
+	let readerConfirmedAt = 0;
+	const stop = new AbortController();
+	const isDown = (): boolean => now >= outage.from && now < outage.until;
+	const answer = async (): Promise<Either<never, FeedAnswer>> => {
+		calls += isDown() ? 1 : 0;
+		advance(100);
+		return (isDown() ? Left({kind: 'unavailable', detail: 'down'}) : Right({rows: [], position: 5, era: 0})) as Either<never, FeedAnswer>;
+	};
+
+	const noteConfirmed = (_rows: readonly FeedRow[], sentAt: Moment): void => {
+		if (sentAt.steady >= outage.until) {
+			confirmedAt = Math.min(confirmedAt, now);
+		}
+	};
+
+	/** The reader calls every 400 ms and reports to the follower with each of its queries. */
+	const advance = (milliseconds: number): void => {
+		for (const end = now + milliseconds; now < end; now += Math.min(100, end - now)) {
+			if (Math.floor(now / 100) % 4 === 0) {
+				readerFailedAt = isDown() ? now : readerFailedAt;
+				readerConfirmedAt = isDown() ? readerConfirmedAt : now;
+				if (now > 0) {
+					follower.applyUpdate({
+						table: 'list', era: 0, position: 5, rows: [], ageMilliseconds: now - readerConfirmedAt, ...(readerFailedAt === undefined ? {} : {failedMilliseconds: now - readerFailedAt}),
+					}, {steady: now, wall: now});
+				}
+			}
+		}
+
+		if (now > 20_000) {
+			stop.abort();
+		}
+	};
+
+	const follower = new FeedFollower({readSnapshot: answer, follow: answer}, {
+		table: 'list', waitMilliseconds: 1000, readerWaitMilliseconds: 400, maxRelayedAgeMilliseconds: 1200,
+	}, {
+		handleSnapshot: noteConfirmed,
+		handleChanges: noteConfirmed,
+		handleFailure() {
+			// Its effects are tested elsewhere.
+		},
+	}, {
+		clock: {
+			moment: () => ({steady: now, wall: now}),
+			async sleep(milliseconds) {
+				advance(Math.max(1, milliseconds));
+			},
+		},
+		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => 0),
+		random: () => 0,
+	});
+	await follower.step();
+	await follower.run(stop.signal);
+	return {calls, confirmedAt};
+}
+
+test('a follower whose reader reports that the store does not answer calls it rarely, and learns of its return from the reader', async () => {
+	// Guards against an outage in which every instance calls the store several times a second.
+	const {calls, confirmedAt} = await playOutage();
+	assert.ok(calls <= 6, `${calls} calls`);
+	assert.ok(confirmedAt <= 11_500, `confirmed at ${confirmedAt}`);
+});
--- a/src/gateway/watchers/feed-follower.ts
+++ b/src/gateway/watchers/feed-follower.ts
@@ -45,6 +45,14 @@
 /** Delay after the first failed call; doubles up to the maximum. Short, because the state goes stale meanwhile. */
 const firstRetryDelayMilliseconds = 100;
 const maxRetryDelayMilliseconds = 800;
+/**
+ * The same while the reader reports that the store does not answer it either. It goes on calling and relays the first answer, so
+ * this instance calls only in case the reader alone still fails then.
+ */
+const firstRetryDelayBesideReaderMilliseconds = 1000;
+const maxRetryDelayBesideReaderMilliseconds = 4000;
+/** A reader that has not reported for this long may have ended. */
+const readerReportValidityMilliseconds = 1000;
 /** Jitter of a delay, so that instances that lost the store at the same time do not retry at the same time. */
 const jitterShare = 0.5;
 /** Delay after a call that returned changes: while many rows change, the next call returns them in one batch. */
@@ -74,6 +82,8 @@
 	/** The same, for a confirmation that another instance relayed. */
 	#relayConfirmedAt: Moment | undefined;
 	#failedAt: Moment | undefined;
+	/** When the reader last reported that the store does not answer it, in milliseconds of the steady clock. */
+	#readerFailingAt = Number.NEGATIVE_INFINITY;
 	/** Until when, on the steady clock, a restored store may lack rows that are still to be rewritten. */
 	#restoredUntil = Number.NEGATIVE_INFINITY;
 	#mustRead = true;
@@ -151,6 +161,8 @@
 	 */
 	applyUpdate(update: FeedUpdate, queriedAt: Moment): void {
 		if (update.failedMilliseconds !== undefined && update.failedMilliseconds < maxFailureAgeMilliseconds) {
+			// Without an answer since, the reader still fails.
+			this.#readerFailingAt = update.ageMilliseconds > update.failedMilliseconds ? this.#dependencies.clock.moment().steady : Number.NEGATIVE_INFINITY;
 			this.#handler.handleFailure(momentBefore(queriedAt, update.failedMilliseconds));
 		}
 
@@ -240,7 +252,11 @@
 		this.#cursor = {position: Math.max(current.position, position), era};
 		this.#confirmedAt = this.#confirmedAt === undefined || confirmedAt.steady > this.#confirmedAt.steady ? confirmedAt : this.#confirmedAt;
 		this.#history.add(newRows, this.#cursor.position, now.steady);
-		this.#delayMilliseconds = newRows.length > 0 ? batchDelayMilliseconds : 0;
+		// An update that the reader relays says nothing about calls of this instance.
+		if (arrival === 'live') {
+			this.#delayMilliseconds = newRows.length > 0 ? batchDelayMilliseconds : 0;
+		}
+
 		this.#handler.handleChanges(newRows, confirmedAt, now, now.steady < this.#restoredUntil ? 'restored' : arrival);
 	}
 
@@ -278,8 +294,12 @@
 			return;
 		}
 
-		this.#delayMilliseconds = Math.min(maxRetryDelayMilliseconds, Math.max(firstRetryDelayMilliseconds, this.#delayMilliseconds * 2));
 		this.#failedAt = this.#dependencies.clock.moment();
+		const isReaderFailing = this.#failedAt.steady - this.#readerFailingAt < readerReportValidityMilliseconds;
+		const [first, max] = isReaderFailing
+			? [firstRetryDelayBesideReaderMilliseconds, maxRetryDelayBesideReaderMilliseconds]
+			: [firstRetryDelayMilliseconds, maxRetryDelayMilliseconds];
+		this.#delayMilliseconds = Math.min(max, Math.max(first, this.#delayMilliseconds * 2));
 		this.#handler.handleFailure(this.#failedAt);
 		if (!this.#isStoreUnavailable) {
 			this.#isStoreUnavailable = true;
