Check over real processes that endpoints which warm up and evacuated data centres are spared

Endpoints crash and come back under a new name or, with a late row, under their old one; all of a data centre come back at once; one turns cold while it serves; the coordinator is killed; a data centre loses the store; a data centre is evacuated and cold at its end. An endpoint that gets more than it takes within a second ends.

--- a/src/check/deployment-endpoint.ts
+++ b/src/check/deployment-endpoint.ts
@@ -61,6 +61,8 @@
 	keepsIdleConnections?: boolean;
 	/** The number of connections that it accepts; further ones are reset. */
 	connectionLimit?: number;
+	/** How long it warms up after each start but the first. */
+	warmUpMilliseconds?: number;
 };
 
 export class DeploymentEndpoint {
@@ -79,6 +81,8 @@
 	readonly #listensAt: string;
 	readonly #keepsIdleConnections: boolean;
 	readonly #connectionLimit: number;
+	readonly #warmUpMilliseconds: number;
+	#warmUntil = 0;
 	readonly #script: EndpointScript;
 	#server: Server | undefined;
 	readonly #sockets = new Set<Socket>();
@@ -98,6 +102,7 @@
 		this.#listensAt = place.listensAt ?? place.address;
 		this.#keepsIdleConnections = place.keepsIdleConnections ?? false;
 		this.#connectionLimit = place.connectionLimit ?? Number.POSITIVE_INFINITY;
+		this.#warmUpMilliseconds = place.warmUpMilliseconds ?? 0;
 		this.nextVersion = place.version ?? 'v1';
 		this.#script = script;
 	}
@@ -106,6 +111,11 @@
 		return this.#server !== undefined;
 	}
 
+	/** How much longer it is warming up. */
+	get warmUpLeft(): number {
+		return Math.max(0, this.#warmUntil - performance.now());
+	}
+
 	/** The software version of the present incarnation, or of the last one. */
 	get version(): string {
 		return this.#version;
@@ -119,6 +129,7 @@
 
 		this.#starts++;
 		this.#startedAt = Date.now();
+		this.#warmUntil = this.#starts === 1 ? 0 : performance.now() + this.#warmUpMilliseconds;
 		this.#version = this.nextVersion;
 		this.name = keepsName ? this.name : `${this.#service}-${this.address}-${this.#starts}`;
 		const server = createServer((request, response) => {
@@ -192,6 +203,12 @@
 		this.#silentUntil = performance.now() + milliseconds;
 	}
 
+	/** Has to warm up again, and writes that into its row. */
+	turnCold(): void {
+		this.#warmUntil = performance.now() + this.#warmUpMilliseconds;
+		this.#writeRow('ready');
+	}
+
 	/** Removes its row, or writes it again; it serves on, as one that was late to write. */
 	setRegistered(isRegistered: boolean): void {
 		if (isRegistered) {
@@ -280,6 +297,7 @@
 	#writeRow(state: 'ready' | 'draining'): void {
 		this.#deployment.table.write({table: endpointTable, key: this.name}, {
 			service: this.#service, address: this.address, zone: this.dataCentre, slots: this.#slots, state, born: this.#startedAt, version: this.#version,
+			...(this.#warmUpMilliseconds === 0 ? {} : {cold_left_ms: Math.round(this.warmUpLeft)}),
 			...(this.#model === undefined ? {} : {models: [{name: this.#model, version: 1}]}),
 		});
 	}
--- a/src/check/gateway-deployment.ts
+++ b/src/check/gateway-deployment.ts
@@ -30,6 +30,9 @@
 /** After SIGTERM. */
 export const graceMilliseconds = 8000;
 
+/** By how much endpoints may get more requests a second while they warm up than their service declares. */
+export const warmUpBound = {ratio: 1.5, extra: 2};
+
 const readyTimeoutMilliseconds = 20_000;
 const ports = {
 	callers: 8005, ready: 8002, peers: 7700, endpoint: 8268,
@@ -139,6 +142,11 @@
 		});
 	}
 
+	/** Requests the evacuation of a data centre, or takes it back. */
+	setEvacuated(dataCentre: string, isEvacuated: boolean): void {
+		this.table.write({table: 'op', key: `evacuate/${dataCentre}`}, isEvacuated ? {} : undefined);
+	}
+
 	/** A loopback address of this deployment. */
 	addressOf(group: number, number: number): string {
 		return `127.${this.#options.network}.${group}.${number}`;
@@ -276,6 +284,8 @@
 			'bounds.budget_ratio': 0.2,
 			'bounds.budget_window_s': 10,
 			'bounds.contact_ms': contactMilliseconds,
+			'bounds.cold_over': warmUpBound.ratio,
+			'bounds.cold_slack': warmUpBound.extra,
 		}).map(([key, value]) => `${key}=${value}`).join('\n'));
 		return this.#group.start('gateway/main.js', {arguments: [], environment: {...this.#options.environmentOf?.(name), [settingsPathVariable]: file}});
 	}
