--- a/src/decision/routing/allowed-regions.ts
+++ b/src/decision/routing/allowed-regions.ts
@@ -16,8 +16,7 @@
 
 /** Whether a request may be processed in a region. A restricted request must not be processed where the region is not known. */
 export function isRegionAllowed({route, grant}: RegionRestrictions, region: string | undefined): boolean {
-	return [route.allowedRegions, grant?.allowedRegions]
-		.every(allowed => allowed === undefined || allowed.length === 0 || (region !== undefined && allowed.includes(region)));
+	return isListed(route.allowedRegions, region) && isListed(grant?.allowedRegions, region);
 }
 
 /** Whether a request, and what engines have cached of its prompt, may be sent to a data centre. */
@@ -29,3 +28,7 @@
 export function isRelayAllowed(restrictions: RegionRestrictions, regions: Regions, dataCentre: string): boolean {
 	return regions.byDataCentre.get(dataCentre) === regions.own || isDataCentreAllowed(restrictions, regions, dataCentre);
 }
+
+function isListed(allowed: readonly string[] | undefined, region: string | undefined): boolean {
+	return allowed === undefined || allowed.length === 0 || (region !== undefined && allowed.includes(region));
+}
--- a/src/gateway/limits/warm-up-limits.ts
+++ b/src/gateway/limits/warm-up-limits.ts
@@ -25,7 +25,11 @@
 };
 
 /** In milliseconds of the steady clock. */
-type WarmingEndpoint = {until: number; /** No permit is asked for before this time. */ deniedUntil: number};
+type WarmingEndpoint = {
+	until: number;
+	/** No permit is asked for before this time. */
+	deniedUntil: number;
+};
 
 /** For how long a refused permit is not asked for again. */
 const deniedMilliseconds = 100;
@@ -43,7 +47,7 @@
 		this.#dependencies = dependencies;
 	}
 
-	/** Applies the row of an endpoint. The row may be older than its arrival, so the endpoint is taken to warm up for a little longer than it does. */
+	/** Applies the row of an endpoint, which counts from its arrival: the endpoint is taken to warm up for a little longer than it does. */
 	noteRow(endpoint: EndpointRecord): void {
 		const incarnation = incarnationOf(endpoint);
 		const known = this.#warming.get(incarnation);
@@ -118,6 +122,10 @@
 
 	/** The state of an endpoint that is warming up. What rows say of a service that declares no warm-up limits nothing. */
 	#warmingOf(endpoint: EndpointRecord): WarmingEndpoint | undefined {
+		if (this.#warming.size === 0) {
+			return undefined;
+		}
+
 		const warming = this.#warming.get(incarnationOf(endpoint));
 		return warming !== undefined && warming.until > this.#now() && this.#dependencies.warmUpOf(endpoint.service) !== undefined ? warming : undefined;
 	}
