Do not take an endpoint for warming up because an answer was lost

Cause: a lost answer was taken for the end of its endpoint.

Change: only a connection that was not established shows that another process may answer at the address.

--- a/src/gateway/data-path/endpoint-attempt.ts
+++ b/src/gateway/data-path/endpoint-attempt.ts
@@ -95,8 +95,7 @@
 			this.#noteNotConnected();
 		}
 
-		const isUnreachable = result.outcome === 'not-sent' && !this.#isReset && !this.#isRelayed;
-		if (isUnreachable || result.isConnectionLost) {
+		if (result.outcome === 'not-sent' && !this.#isReset && !this.#isRelayed) {
 			warmUps.noteLost(endpoint);
 		}
 
--- a/src/gateway/limits/warm-up-limits.ts
+++ b/src/gateway/limits/warm-up-limits.ts
@@ -65,7 +65,10 @@
 		this.#forget(now);
 	}
 
-	/** Records that the process of an endpoint may have ended: another one may answer there before its row says that it is warming up. */
+	/**
+	 * Records that no connection to an endpoint was established: another process may answer there before its row says that it is warming
+	 * up. A lost answer alone does not show that; endpoints that lose many would get too few requests.
+	 */
 	noteLost(endpoint: EndpointRecord): void {
 		const warmUp = this.#dependencies.warmUpOf(endpoint.service);
 		if (warmUp !== undefined) {
