Allow events of up to 16 MiB

Cause: the bound of 256 KiB on an event ended answers with long events.

Change: 16 MiB, and the splitter searches only what has just arrived and joins an event once, in linear time. Not bounded: the sum over several such streams.

--- a/src/gateway/data-path/event-splitter.ts
+++ b/src/gateway/data-path/event-splitter.ts
@@ -11,13 +11,18 @@
 	lastId: string | undefined;
 };
 
-/** More than any event of an engine; an endpoint that sends an event without an end would use up the memory of the process. */
-const maxEventBytes = 262_144;
+/** A longer event ends the answer: an endpoint that sends one without an end would use up the memory of the process. */
+const maxEventBytes = 16_777_216;
+/** An event's end may begin with the last bytes of one chunk and end with the first one of the next. */
+const maxSplitEndBytes = 3;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
 export class EventSplitter {
-	#incomplete: Buffer = Buffer.alloc(0);
+	/** The bytes after the last complete event, as they arrived: joining them with each chunk would take quadratic time. */
+	#incomplete: Buffer[] = [];
+	#incompleteBytes = 0;
+	#tail: Buffer = Buffer.alloc(0);
 	#lastId: string | undefined;
 
 	/** The id of the last complete event so far that had one. */
@@ -27,20 +32,26 @@
 
 	/** Whether the bytes after the last complete event are too many for one event. */
 	get isTooLong(): boolean {
-		return this.#incomplete.length > maxEventBytes;
+		return this.#incompleteBytes > maxEventBytes;
 	}
 
 	/** Whether the bytes so far end with a complete event. */
 	get isAtBoundary(): boolean {
-		return this.#incomplete.length === 0;
+		return this.#incompleteBytes === 0;
 	}
 
 	/** Adds bytes; returns the events that they complete. */
 	push(chunk: Buffer): CompleteEvents {
-		const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
-		const end = lastBoundaryOf(bytes);
-		this.#incomplete = bytes.subarray(end);
-		const whole = bytes.subarray(0, end);
+		const searched = Buffer.concat([this.#tail, chunk]);
+		const end = lastBoundaryOf(searched);
+		if (end === 0) {
+			this.#keep([...this.#incomplete, chunk], searched);
+			return {bytes: Buffer.alloc(0), count: 0, lastId: this.#lastId};
+		}
+
+		const rest = searched.subarray(end);
+		const whole = Buffer.concat([...this.#incomplete, chunk.subarray(0, chunk.length - rest.length)]);
+		this.#keep(rest.length === 0 ? [] : [rest], rest);
 		const text = whole.toString('latin1');
 		let count = 0;
 		for (const event of text.split(/\r?\n\r?\n/v)) {
@@ -53,10 +64,16 @@
 
 	/** Returns and clears the bytes after the last complete event. */
 	flush(): Buffer {
-		const remainder = this.#incomplete;
-		this.#incomplete = Buffer.alloc(0);
+		const remainder = Buffer.concat(this.#incomplete);
+		this.#keep([], Buffer.alloc(0));
 		return remainder;
 	}
+
+	#keep(incomplete: Buffer[], searched: Buffer): void {
+		this.#incomplete = incomplete;
+		this.#incompleteBytes = incomplete.reduce((sum, {length}) => sum + length, 0);
+		this.#tail = searched.subarray(-maxSplitEndBytes);
+	}
 }
 
 /** The index after the last empty line, or 0. */
