Refuse rows of endpoints whose address is no IP:port

What callers saw: after an endpoint had crashed, all requests of an instance ended without an answer, those at other endpoints among them.

Cause: the list of endpoints may hold entries of other programs. The schema of rows took any text for an address. After a lost connection the crash detector asks EndpointPaths whether the endpoint is reached, and this tries other listed endpoints as witnesses. `connect` of node:net throws for a port that is no number or over 65535; in connectEndpoint that rejects the promise of an examination that nothing awaits, which ends the process.

Evidence: each process ended with ERR_SOCKET_BAD_PORT; the stack of the same call is connect, connectEndpoint. A name without a dot-separated address did not throw, but made a DNS lookup. HttpEndpointExchanges.open throws as well for such an address; only endpoints of a route's service get there.

Change: splitAddress is the one parser of a listed address. A row without a valid one is reported as unreadable, like a row with a missing field, and names no endpoint. connectEndpoint, whose callers expect a result and no exception, takes such a text for a host that does not answer.

Why this is enough: every address that an endpoint's record has comes from this schema, so all of its uses are covered.

--- a/src/gateway/endpoints/connect-endpoint.ts
+++ b/src/gateway/endpoints/connect-endpoint.ts
@@ -1,5 +1,6 @@
 /** Opens a connection to an endpoint that is used for one purpose, beside those of requests. */
 import {connect, type Socket} from 'node:net';
+import {splitAddress} from '../../shared/split-address.js';
 
 /** Timeout of an attempt; a request's connection has the same one. */
 const connectTimeoutMilliseconds = 250;
@@ -14,14 +15,16 @@
  *
  * @param address - `IP:port`.
  * @returns The paused connection; `refused` if no process listens there, `reset` if one does and ends the connection at once, as a
- * full endpoint does, `silent` if it is not established in time.
+ * full endpoint does, `silent` if it is not established in time, or the text is no address.
  */
 export async function connectEndpoint(address: string): Promise<Socket | FailedConnection> {
-	const separator = address.lastIndexOf(':');
+	const target = splitAddress(address);
+	if (target === undefined) {
+		return 'silent';
+	}
+
 	return new Promise(resolve => {
-		const socket = connect({
-			host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true, allowHalfOpen: true,
-		});
+		const socket = connect({...target, noDelay: true, allowHalfOpen: true});
 		const fail = (result: FailedConnection): void => {
 			socket.destroy();
 			resolve(result);
--- a/src/platform/platform-store-schema.test.ts
+++ b/src/platform/platform-store-schema.test.ts
@@ -23,6 +23,13 @@
 	assert.equal(softwareVersionOf({...row, version: 7}), undefined);
 });
 
+test('a row whose address has no host or no port names no endpoint', () => {
+	// Guards against a connection attempt that throws, which ended the process with all of its requests.
+	for (const address of ['127.0.0.1', '127.0.0.1:', '127.0.0.1:0', '127.0.0.1:65536', ':80', 'desk:80', '']) {
+		assert.deepEqual(platformStoreSchema.readEndpointRow('desk-1', {...row, address}).swap().unsafeCoerce(), ['address: must be an IP:port'], address);
+	}
+});
+
 const configuration = {
 	version: 1, routes: [], services: [], limits: {
 		max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1,
--- a/src/platform/platform-store-schema.ts
+++ b/src/platform/platform-store-schema.ts
@@ -5,6 +5,7 @@
 	type GrantedShare, type Route, type RoutedConfiguration, type RoutedService, type WorkspaceGrant,
 } from '../shared/routed-configuration.js';
 import {type EndpointRecord} from '../shared/endpoint-record.js';
+import {splitAddress} from '../shared/split-address.js';
 import {type StoreSchema, type OperatorRow} from '../gateway/watchers/store-schema.js';
 import {type JsonValue} from '../shared/types.js';
 
@@ -76,7 +77,7 @@
 
 const endpointSchema = zod.object({
 	service: zod.string(),
-	address: zod.string(),
+	address: zod.string().refine(address => splitAddress(address) !== undefined, {error: 'must be an IP:port'}),
 	zone: zod.string(),
 	slots: zod.number().default(1),
 	state: zod.enum(['ready', 'draining']),
