Record an examination of an endpoint that fails instead of ending the process

Cause: EndpointPaths and CrashDetector start examinations that nothing awaits. A rejection there is unhandled, and Node ends the process. EndpointPaths also kept the entry of a rejected examination, so the endpoint would never have been examined again.

Change: the failure ends with the examination of that endpoint. It is logged as a `fault` with the endpoint's name, the entry is removed, and the next round examines the endpoint again; a lost connection counts as `unreachable`, from which nothing follows.

Ruled out: a handler for the whole process. An operation that fails half way may leave state half changed, and only the place that started it knows what is left to undo.

Not covered: what WaitingRequests places in the background, and frames of peers, whose fields are not checked when they are decoded.

Tests: both failed before with the injected RangeError and pass now.

--- a/src/gateway/crashes/crash-detector.test.ts
+++ b/src/gateway/crashes/crash-detector.test.ts
@@ -74,3 +74,30 @@
 	assert.deepEqual(verdicts, ['reachable']);
 	assert.deepEqual(crashes, []);
 });
+
+test('a connection attempt that throws leaves the verdict open and ends no process', async () => {
+	// Guards against a rejection that nothing handles, which ended the process with all of its requests.
+	const lines: Array<Record<string, unknown>> = [];
+	const endpoint = testEndpoint();
+	const detector = new CrashDetector({
+		clock: systemMomentClock,
+		endpoints: new EndpointRegistry(),
+		log: {
+			record(kind, fields = {}) {
+				lines.push({kind, ...fields});
+			},
+		},
+		hasOpenConnection: () => false,
+		async probe() {
+			throw new RangeError('no such port');
+		},
+		onCrash() {
+			assert.fail('nothing shows a crash');
+		},
+	});
+	detector.noteLost(endpoint, {
+		fingerprint: 'one', inFlightMilliseconds: 1, progress: 'unanswered', workspace: '', blocks: [],
+	});
+	assert.equal(await detector.verdictOf(endpoint), 'unreachable');
+	assert.deepEqual(lines.map(({kind, verdict, error}) => [kind, verdict ?? error]), [['fault', 'RangeError: no such port'], ['connections-lost', 'unreachable']]);
+});
--- a/src/gateway/crashes/crash-detector.ts
+++ b/src/gateway/crashes/crash-detector.ts
@@ -82,7 +82,7 @@
 			return;
 		}
 
-		const found: Break = {endpoint, requests: [request], verdict: this.#judge(endpoint)};
+		const found: Break = {endpoint, requests: [request], verdict: this.#examineBreak(endpoint)};
 		this.#open.set(incarnation, found);
 		void this.#examine(found);
 	}
@@ -107,6 +107,16 @@
 		}
 	}
 
+	/** Nothing is known of an endpoint whose examination failed. */
+	async #examineBreak(endpoint: EndpointRecord): Promise<BreakVerdict> {
+		try {
+			return await this.#judge(endpoint);
+		} catch (error) {
+			this.#dependencies.log.record('fault', {path: 'connection-lost', endpoint: endpoint.name, error: String(error)});
+			return 'unreachable';
+		}
+	}
+
 	async #judge(endpoint: EndpointRecord): Promise<BreakVerdict> {
 		const {clock, endpoints, hasOpenConnection} = this.#dependencies;
 		if (endpoints.hasDeparted(endpoint)) {
--- a/src/gateway/endpoints/endpoint-paths.test.ts
+++ b/src/gateway/endpoints/endpoint-paths.test.ts
@@ -13,7 +13,7 @@
 /** Paths to three endpoints, with the results of connection attempts by address, or by name through a relay. */
 function startPaths({direct = {}, relayed = {}}: {direct?: Record<string, ProbeResult>; relayed?: Record<string, ProbeResult>}) {
 	const state = {
-		now: 0, direct, relayed, probed: [] as string[], asked: 0,
+		now: 0, direct, relayed, probed: [] as string[], asked: 0, faults: [] as unknown[], isThrowing: false,
 	};
 	const clock: MomentClock = {
 		moment: () => ({steady: state.now, wall: state.now}),
@@ -28,12 +28,18 @@
 		relays: {
 			async probe({name}) {
 				state.asked++;
+				if (state.isThrowing) {
+					throw new RangeError('no such port');
+				}
+
 				return state.relayed[name];
 			},
 		},
 		log: {
-			record() {
-				// The lines are not under test.
+			record(kind, {endpoint} = {}) {
+				if (kind === 'fault') {
+					state.faults.push(endpoint);
+				}
 			},
 		},
 		metrics: new GatewayMetrics(),
@@ -142,3 +148,16 @@
 	await settle(paths);
 	assert.deepEqual([first, second].map(endpoint => paths.isRelayed(endpoint)), [false, false]);
 });
+
+test('an examination that throws is recorded, and the endpoint is examined again', async () => {
+	// Guards against a rejection that nothing handles, which ended the process with all of its requests.
+	const {state, paths} = startPaths({direct: {[first.address]: 'silent'}, relayed: {[first.name]: 'accepted'}});
+	state.isThrowing = true;
+	paths.noteNotConnected(first);
+	await settle(paths);
+	assert.deepEqual(state.faults, [first.name]);
+	state.isThrowing = false;
+	paths.noteNotConnected(first);
+	await settle(paths);
+	assert.ok(paths.isRelayed(first));
+});
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -184,14 +184,23 @@
 			return;
 		}
 
-		const running = examine().then(() => {
-			this.#examinations.delete(incarnation);
-			this.workChanges.notify();
-		});
+		const running = this.#runExamination(endpoint, examine);
 		this.#examinations.set(incarnation, running);
 		await running;
 	}
 
+	/** Nothing awaits most examinations, so a failed one is recorded; the endpoint is examined again when it is due. */
+	async #runExamination(endpoint: EndpointRecord, examine: () => Promise<unknown>): Promise<void> {
+		try {
+			await examine();
+		} catch (error) {
+			this.#dependencies.log.record('fault', {path: 'examination', endpoint: endpoint.name, error: String(error)});
+		} finally {
+			this.#examinations.delete(incarnationOf(endpoint));
+			this.workChanges.notify();
+		}
+	}
+
 	async #examine(endpoint: EndpointRecord): Promise<void> {
 		if (await this.#probe(endpoint.address) === 'accepted') {
 			this.#setDirect(endpoint);
