Collect an incomplete event in time that is proportional to its bytes

What callers saw: for seconds after an engine had begun to send bytes without the end of an event, in pieces of the length of usual events, the instance that relayed them answered nobody.

Cause: EventSplitter held an incomplete event as a list of its chunks, copied that list with each chunk, and added up the lengths of all of them. The work per chunk grew with what was held, up to 16 MiB of it.

Evidence: a splitter alone takes 1.5 s for 1 MiB in pieces of 65 bytes and more than 20 s for 2.8 of 4 MiB; at 1 byte a piece 20 s for 44 KB. In pieces of 16 KiB, as the existing test sends them, 52 ms for 16 MiB, so that test did not show it. Other explanations were weighed by a profile of the test after the change: 444 ms of node's parser, 123 ms of the relay and 24 ms of the splitter for 16 MiB, so the cost per piece of everything else is small and does not grow.

Change: the bytes are collected by BodyPieces, which copies small pieces into blocks and counts their length.

Why this is enough: each byte is copied into a block once, and once more when the event is complete, so the time is proportional to the bytes. The memory is as well: a buffer for each piece took several times its content.

--- a/src/gateway/data-path/event-splitter.test.ts
+++ b/src/gateway/data-path/event-splitter.test.ts
@@ -54,3 +54,40 @@
 	splitter.push(Buffer.from('\n\n'));
 	assert.equal(bytes.toString(), 'id: 1\n\n');
 });
+
+test('an event without an end that arrives in small pieces is collected in less time than it takes to arrive', () => {
+	// Guards against time that grows with what is held: a stream of 4 MB/s in such pieces blocked the process for seconds.
+	const splitter = new EventSplitter();
+	const piece = Buffer.alloc(65, 'g');
+	const bytesPerMillisecond = 4000;
+	const startedAt = performance.now();
+	while (!splitter.isTooLong) {
+		splitter.push(piece);
+		assert.ok(performance.now() - startedAt < 1000 + (splitter.incompleteBytes / bytesPerMillisecond), `${splitter.incompleteBytes} bytes took ${performance.now() - startedAt} ms`);
+	}
+});
+
+test('an event is the same in whatever pieces it arrives', () => {
+	const event = `id: 7\ndata: ${'x'.repeat(9000)}\n\n`;
+	for (const pieceBytes of [1, 9, 65, 2048, 4000]) {
+		const splitter = new EventSplitter();
+		const returned: string[] = [];
+		for (let from = 0; from < event.length; from += pieceBytes) {
+			returned.push(splitter.push(Buffer.from(event.slice(from, from + pieceBytes))).bytes.toString());
+		}
+
+		assert.equal(returned.join(''), event);
+		assert.equal(splitter.lastId, '7');
+	}
+});
+
+test('the bytes of an incomplete event are returned and dropped, in whatever pieces they arrived', () => {
+	const splitter = new EventSplitter();
+	for (const piece of ['id: 1\n\nid', ': 2', '\n', 'da']) {
+		splitter.push(Buffer.from(piece));
+	}
+
+	assert.equal(splitter.flush().toString(), 'id: 2\nda');
+	assert.equal(splitter.incompleteBytes, 0);
+	assert.equal(splitter.push(Buffer.from('id: 2\n\n')).bytes.toString(), 'id: 2\n\n');
+});
--- a/src/gateway/data-path/event-splitter.ts
+++ b/src/gateway/data-path/event-splitter.ts
@@ -3,6 +3,7 @@
  * stream starts with a new event, so only complete events may have been relayed before.
  */
 import {Buffer} from 'node:buffer';
+import {BodyPieces} from '../../serving/body-pieces.js';
 
 /** Complete events, as bytes, and the id of the last one that had an id. */
 export type CompleteEvents = {
@@ -20,9 +21,8 @@
 const noBytes = Buffer.alloc(0);
 
 export class EventSplitter {
-	/** The bytes after the last complete event, as they arrived: joining them with each chunk would take quadratic time. */
-	#incomplete: Buffer[] = [];
-	#incompleteBytes = 0;
+	/** The bytes after the last complete event; `undefined` while there are none. */
+	#incomplete: BodyPieces | undefined;
 	#tail: Buffer = noBytes;
 	#lastId: string | undefined;
 
@@ -33,37 +33,35 @@
 
 	/** Whether the bytes after the last complete event are too many for one event. */
 	get isTooLong(): boolean {
-		return this.#incompleteBytes > maxEventBytes;
+		return this.incompleteBytes > maxEventBytes;
 	}
 
 	/** The number of bytes after the last complete event, which are held until the event is complete. */
 	get incompleteBytes(): number {
-		return this.#incompleteBytes;
+		return this.#incomplete?.length ?? 0;
 	}
 
 	/** Whether the bytes so far end with a complete event. */
 	get isAtBoundary(): boolean {
-		return this.#incompleteBytes === 0;
+		return this.incompleteBytes === 0;
 	}
 
-	/** Adds bytes; returns the events that they complete. */
+	/** Adds bytes; returns the events that they complete. Takes time in proportion to the chunk and to the events that it completes. */
 	push(chunk: Buffer): CompleteEvents {
 		const searched = this.#tail.length === 0 ? chunk : Buffer.concat([this.#tail, chunk]);
 		const end = lastBoundaryOf(searched);
 		if (end === 0) {
-			this.#keep([...this.#incomplete, chunk], searched);
+			this.#keep(chunk, searched);
 			return {bytes: noBytes, count: 0, lastId: this.#lastId};
 		}
 
 		// Most chunks consist of complete events, and are passed on without a copy.
 		const isWhole = end === searched.length;
 		const completing = isWhole ? chunk : chunk.subarray(0, chunk.length - (searched.length - end));
-		const whole = this.#incomplete.length === 0 ? completing : Buffer.concat([...this.#incomplete, completing]);
-		if (isWhole) {
-			this.#clear();
-		} else {
+		const whole = this.#complete(completing);
+		if (!isWhole) {
 			const rest = searched.subarray(end);
-			this.#keep([rest], rest);
+			this.#keep(rest, rest);
 		}
 
 		const events = eventsOf(whole.toString('latin1'));
@@ -78,20 +76,25 @@
 
 	/** Returns and clears the bytes after the last complete event. */
 	flush(): Buffer {
-		const remainder = Buffer.concat(this.#incomplete);
-		this.#clear();
-		return remainder;
+		return this.#complete(noBytes);
 	}
 
-	#clear(): void {
-		this.#incomplete = [];
-		this.#incompleteBytes = 0;
+	/** Returns and clears the bytes after the last complete event, followed by further ones. */
+	#complete(last: Buffer): Buffer {
+		const incomplete = this.#incomplete;
+		this.#incomplete = undefined;
 		this.#tail = noBytes;
+		if (incomplete === undefined) {
+			return last;
+		}
+
+		incomplete.push(last);
+		return incomplete.toBuffer();
 	}
 
-	#keep(incomplete: Buffer[], searched: Buffer): void {
-		this.#incomplete = incomplete;
-		this.#incompleteBytes = incomplete.reduce((sum, {length}) => sum + length, 0);
+	#keep(bytes: Buffer, searched: Buffer): void {
+		this.#incomplete ??= new BodyPieces();
+		this.#incomplete.push(bytes);
 		this.#tail = searched.subarray(-maxSplitEndBytes);
 	}
 }
