Collect an incomplete frame in time that is proportional to its bytes

What callers would see: an instance that answers nobody for seconds while a peer's frame arrives in small pieces. Seen in a benchmark only; instances write a frame at once, so it takes a link or a peer that splits it.

Change: the bytes are collected by BodyPieces and joined only once the frame is as long as its head says.

Not looked at: the collectors of programs for tests and benchmarks.

--- a/src/peer/framing/frame-codec.ts
+++ b/src/peer/framing/frame-codec.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
 import {type Either, Left, Right} from 'purify-ts/Either';
+import {BodyPieces} from '../../serving/body-pieces.js';
 
 /** The maximum length of a frame's body. */
 export const frameLimitBytes = 1_048_576;
@@ -42,7 +43,10 @@
 
 /** Collects the bytes of one connection and returns the values of complete frames. */
 export class FrameReader {
-	#collected: Buffer = Buffer.alloc(0);
+	/** The bytes after the last complete frame. */
+	#pieces = new BodyPieces();
+	/** How many bytes the next frame has, as far as known. */
+	#neededBytes = lengthBytes;
 	readonly #decode: (body: Buffer) => unknown;
 
 	/** @param decode - Decodes a body into its value; plain CBOR by default. */
@@ -51,28 +55,35 @@
 	}
 
 	/**
-	 * Appends the next bytes of the connection.
+	 * Appends the next bytes of the connection. Takes time in proportion to these bytes and to the frames that they complete.
 	 *
 	 * @param bytes - Bytes in the order in which they arrived.
 	 * @returns The values of the frames that these bytes complete, or what is wrong.
 	 */
 	read(bytes: Buffer): Either<FrameError, unknown[]> {
-		this.#collected = this.#collected.length === 0 ? bytes : Buffer.concat([this.#collected, bytes]);
+		this.#pieces.push(bytes);
+		if (this.#pieces.length < this.#neededBytes) {
+			return Right([]);
+		}
+
+		const collected = this.#pieces.toBuffer();
 		const values: unknown[] = [];
 		let offset = 0;
-		while (this.#collected.length - offset >= lengthBytes) {
-			const length = this.#collected.readUInt32BE(offset);
+		this.#neededBytes = lengthBytes;
+		while (collected.length - offset >= lengthBytes) {
+			const length = collected.readUInt32BE(offset);
 			if (length > frameLimitBytes) {
 				return Left({kind: 'too-long', length});
 			}
 
 			const end = offset + lengthBytes + length;
-			if (this.#collected.length < end) {
+			if (collected.length < end) {
+				this.#neededBytes = lengthBytes + length;
 				break;
 			}
 
 			try {
-				values.push(this.#decode(this.#collected.subarray(offset + lengthBytes, end)));
+				values.push(this.#decode(collected.subarray(offset + lengthBytes, end)));
 			} catch (error) {
 				return Left({kind: 'malformed', detail: String(error)});
 			}
@@ -80,7 +91,11 @@
 			offset = end;
 		}
 
-		this.#collected = this.#collected.subarray(offset);
+		this.#pieces = new BodyPieces();
+		if (offset < collected.length) {
+			this.#pieces.push(collected.subarray(offset));
+		}
+
 		return Right(values);
 	}
 }
