Prove a service's only software version from the store, not from its routes' timeouts

What callers saw: all instances are killed at the same time and come back. A caller takes its broken stream up again and gets 200 and the rest of the text, but from another software version than the first part, and nothing in the answer shows it.

Cause: an instance that does not know a stream takes the only listed version for the one that began it, once it has followed the list of endpoints for as long as a stream may last. For that time it took the longest timeout of the service's present routes and a second. A stream may last longer: its caller takes it up again within a deadline of its own, and a configuration may shorten a timeout while streams of the longer one last. After a kill of all instances, every instance follows the list only since its start.

Change: the row `used-versions` names the versions at which streams that still last can have begun, by service. The coordinator writes it when a version appears and when one is over. An instance combines it with what it has seen listed since its start; a version is the only one if both name no other. The time after which the list alone proves it is two minutes for all services, as long as origins are kept. Where the table shows that no coordinator has ever been there, nothing was used before, so a new deployment has the proof at once.

Why this is enough: a stream begins only at an endpoint that some instance has listed for a second, and the row names it by then. The row counts only if it was confirmed a second after the list was read, so that it covers what appeared before. Not covered: a version that appears, is used and leaves within the seconds in which no coordinator writes.

--- a/src/check/resuming-callers.ts
+++ b/src/check/resuming-callers.ts
@@ -41,11 +41,14 @@
 	/** Share of the streams that their endpoint breaks off. */
 	breakPercent: number;
 	returnsTo: ReturnPlace;
+	/** The whole time of a caller, over all of its tries. */
+	callerMilliseconds: number;
 };
 
 const path = '/resumable/';
 const maxTries = 6;
-const timeoutMilliseconds = 6000;
+/** Callers with more time than this try until it is over. */
+const shortMilliseconds = 6000;
 const deadlineMilliseconds = 3500;
 const fewestEvents = 8;
 const mostEvents = 40;
@@ -85,10 +88,12 @@
 			tries: [], ids: [], length, isWhole: false,
 		};
 		this.streams.push(stream);
-		const givesUpAt = performance.now() + timeoutMilliseconds;
+		const {callerMilliseconds} = this.#options;
+		const givesUpAt = performance.now() + callerMilliseconds;
+		const triesAllowed = callerMilliseconds > shortMilliseconds ? Number.POSITIVE_INFINITY : maxTries;
 		let firstAttempt: string | undefined;
 		let instance: GatewayInstance | undefined;
-		while (!stream.isWhole && stream.tries.length < maxTries && performance.now() < givesUpAt) {
+		while (!stream.isWhole && stream.tries.length < triesAllowed && performance.now() < givesUpAt) {
 			instance = this.#otherThan(instance);
 			const attempt = randomBytes(8).toString('hex');
 			const answer = await this.#deployment.send(instance, {
--- a/src/check/stream-versions-over-processes.ts
+++ b/src/check/stream-versions-over-processes.ts
@@ -17,12 +17,20 @@
 	type CallerStream, eventText, ResumingCallers, type ReturnPlace, streamPlanOf,
 } from './resuming-callers.js';
 
-export const versionSpreads = ['halves', 'one-of-six', 'one-by-one'] as const;
-/** Which endpoints have the new version; `one-by-one`: they leave one after the other and come back at it. */
+const drawnSpreads = ['halves', 'one-of-six', 'one-by-one'] as const;
+export const versionSpreads = [...drawnSpreads, 'while-killed'] as const;
+/**
+ * Which endpoints have the new version; `one-by-one`: they leave one after the other and come back at it; `while-killed`: all leave
+ * while no instance runs, and come back at the version that they had not.
+ */
 export type VersionSpread = typeof versionSpreads[number];
 
-export const versionDisturbances = ['none', 'instances-killed', 'store-away-for-one', 'store-away-for-all', 'coordinator-killed', 'endpoints-renamed', 'names-reused'] as const;
-/** What happens beside the streams that endpoints break off; `names-reused`: endpoints crash and come back at the other version. */
+const drawnDisturbances = ['none', 'instances-killed', 'store-away-for-one', 'store-away-for-all', 'coordinator-killed', 'endpoints-renamed', 'names-reused'] as const;
+export const versionDisturbances = [...drawnDisturbances, 'all-killed'] as const;
+/**
+ * What happens beside the streams that endpoints break off; `names-reused`: endpoints crash and come back at the other version;
+ * `all-killed`: all instances are killed at the same moment and started again.
+ */
 export type VersionDisturbance = typeof versionDisturbances[number];
 
 export type StreamVersionsConditions = {
@@ -32,6 +40,8 @@
 	breakPercent: number;
 	streamsPerSecond: number;
 	returnsTo: ReturnPlace;
+	/** The whole time of a caller, over all of its tries. */
+	callerMilliseconds: number;
 };
 
 export type StreamVersionsOptions = {
@@ -77,8 +87,11 @@
 const quietMilliseconds = 2000;
 const storeCutMilliseconds = {'store-away-for-one': 7000, 'store-away-for-all': 6000} as const;
 const drainMilliseconds = 1000;
+const replacedMilliseconds = 100;
 const betweenLeavesMilliseconds = 1200;
 const betweenKillsMilliseconds = 900;
+const betweenKillsOfAllMilliseconds = 6600;
+const defaultCallerMilliseconds = 6000;
 const betweenCoordinatorKillsMilliseconds = 4000;
 
 export async function runStreamVersions(options: StreamVersionsOptions): Promise<StreamVersionsReport> {
@@ -92,8 +105,10 @@
 }
 
 /** What a report shows that must not be; empty if nothing. */
-export function violationsOf({mixed, misnumbered, streams, begun, takenUp, wentOn}: StreamVersionsReport): string[] {
-	const isTooRare = takenUp >= judgedFrom && wentOn / takenUp < minRelativeShare * begun / streams;
+export function violationsOf({conditions, mixed, misnumbered, streams, begun, takenUp, wentOn}: StreamVersionsReport): string[] {
+	// Streams that began before all endpoints were replaced have nowhere to go on.
+	const hasSameVersion = conditions.spread !== 'while-killed';
+	const isTooRare = hasSameVersion && takenUp >= judgedFrom && wentOn / takenUp < minRelativeShare * begun / streams;
 	return [
 		...(mixed > allowedMixed ? [`${mixed} streams with events of two versions`] : []),
 		...(misnumbered > 0 ? [`${misnumbered} streams with an event missing or twice`] : []),
@@ -120,7 +135,9 @@
 
 	async start(): Promise<void> {
 		const {spread} = this.#conditions;
-		const newFrom = {halves: 3, 'one-of-six': 5, 'one-by-one': 6}[spread];
+		const newFrom = {
+			halves: 3, 'one-of-six': 5, 'one-by-one': 6, 'while-killed': 6,
+		}[spread];
 		// Every data centre has an endpoint of each version where half of them have the new one.
 		const versionOf = (index: number): string => versions[spread === 'halves' ? index % 2 : Number(index >= newFrom)]!;
 		this.#endpoints = await startDesk(this.#deployment, this, {versionOf});
@@ -190,6 +207,11 @@
 		await Promise.all(leaving);
 	}
 
+	async #replace(endpoint: DeploymentEndpoint): Promise<void> {
+		endpoint.nextVersion = otherVersion(endpoint.version);
+		await endpoint.leave(0, replacedMilliseconds);
+	}
+
 	async #disturb(): Promise<void> {
 		await delay(disturbanceStartMilliseconds);
 		const {disturbance} = this.#conditions;
@@ -202,6 +224,13 @@
 				return this.#repeat(betweenKillsMilliseconds, async () => this.#deployment.restart(this.#choices.oneOf(this.#deployment.instances)));
 			}
 
+			case 'all-killed': {
+				return this.#repeat(betweenKillsOfAllMilliseconds, async () => {
+					const restarts = this.#deployment.instances.map(async instance => this.#deployment.restart(instance));
+					await Promise.all([...restarts, ...(this.#conditions.spread === 'while-killed' ? this.#endpoints.map(async endpoint => this.#replace(endpoint)) : [])]);
+				});
+			}
+
 			case 'store-away-for-one':
 			case 'store-away-for-all': {
 				const {dataCentres} = this.#deployment;
@@ -225,7 +254,7 @@
 				return this.#repeat(betweenKillsMilliseconds, async () => {
 					const endpoint = this.#choices.oneOf(this.#endpoints);
 					if (endpoint.isUp) {
-						endpoint.nextVersion = versions[endpoint.version === versions[0] ? 1 : 0];
+						endpoint.nextVersion = otherVersion(endpoint.version);
 						await endpoint.crash(this.#choices.between(200, 500), {keepsName: true, rowDelayMilliseconds: this.#choices.between(300, 800)});
 					}
 				});
@@ -268,12 +297,17 @@
 	};
 }
 
+function otherVersion(version: string): string {
+	return versions[version === versions[0] ? 1 : 0];
+}
+
 function drawConditions(choices: Choices): StreamVersionsConditions {
 	return {
-		spread: choices.oneOf(versionSpreads),
-		disturbance: choices.oneOf(versionDisturbances),
+		spread: choices.oneOf(drawnSpreads),
+		disturbance: choices.oneOf(drawnDisturbances),
 		breakPercent: choices.oneOf([50, 50, 15]),
 		streamsPerSecond: 24,
 		returnsTo: 'anywhere',
+		callerMilliseconds: defaultCallerMilliseconds,
 	};
 }
--- a/src/check/versions-main.ts
+++ b/src/check/versions-main.ts
@@ -16,16 +16,18 @@
 	.addOption(new Option('--spread <spread>', 'which endpoints have the new version').choices(versionSpreads))
 	.addOption(new Option('--disturbance <disturbance>', 'what happens beside broken streams').choices(versionDisturbances))
 	.addOption(new Option('--returns-to <place>', 'which other instances callers come back to').choices(returnPlaces))
+	.option('--caller-seconds <number>', 'the whole time of a caller, over all of its tries')
 	.option('--breaks <percent>', 'share of the streams that their endpoint breaks off')
 	.option('--network <number>', 'second byte of the loopback addresses, for runs at the same time', '90')
 	.parse();
 const options: {
-	seed: string; seeds: string; seconds: string; network: string; spread?: VersionSpread; disturbance?: VersionDisturbance; breaks?: string; returnsTo?: ReturnPlace;
+	seed: string; seeds: string; seconds: string; network: string; spread?: VersionSpread; disturbance?: VersionDisturbance; breaks?: string; returnsTo?: ReturnPlace; callerSeconds?: string;
 } = command.opts();
 const conditions = {
 	...(options.spread === undefined ? {} : {spread: options.spread}),
 	...(options.disturbance === undefined ? {} : {disturbance: options.disturbance}),
 	...(options.returnsTo === undefined ? {} : {returnsTo: options.returnsTo}),
+	...(options.callerSeconds === undefined ? {} : {callerMilliseconds: Number(options.callerSeconds) * 1000}),
 	...(options.breaks === undefined ? {} : {breakPercent: Number(options.breaks)}),
 };
 for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed++) {
--- a/src/gateway/data-path/resume-stream.ts
+++ b/src/gateway/data-path/resume-stream.ts
@@ -6,7 +6,6 @@
 import {decideResumption, type OriginKnowledge, type ResumptionDecision} from '../../decision/streams/decide-resumption.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
-import {longestStreamOf} from '../streams/longest-stream.js';
 import {type StreamOrigin, streamKey} from '../streams/stream-origin.js';
 import {firstAttemptOf} from './request-head.js';
 import {type RoutedWork} from './routed-work.js';
@@ -15,7 +14,7 @@
 /** The request, and where it may be sent. */
 export type ResumedStream = Pick<RoutedWork, 'permitted' | 'continuation'>;
 
-type ResumeContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'endpointVersions' | 'streamOrigins'>;
+type ResumeContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'endpointVersions' | 'streamOrigins'>;
 
 /** `Retry-After` where another instance may know the stream: its caller can return at once, but not in a tight loop. */
 const unknownRetryMilliseconds = 200;
@@ -67,12 +66,12 @@
 		: Right({permitted: {...permitted, service: decision.origin.service}, continuation: new StreamContinuation(dependencies, decision.origin)});
 }
 
-async function knownOrigin({clock, configuration, endpoints, streamOrigins}: ResumeContext, {head, permitted: {grant, service}}: Pick<RoutedWork, 'head' | 'permitted'>): Promise<OriginKnowledge> {
+async function knownOrigin({clock, endpoints, streamOrigins}: ResumeContext, {head, permitted: {grant, service}}: Pick<RoutedWork, 'head' | 'permitted'>): Promise<OriginKnowledge> {
 	if (head.resumes !== undefined) {
 		return streamOrigins.findOrigin(streamKey(grant?.name, head.resumes), service);
 	}
 
-	const softwareVersion = endpoints.soleVersion(service, clock.moment().steady, longestStreamOf(configuration.current, service));
+	const softwareVersion = endpoints.soleVersion(service, clock.moment().steady);
 	return softwareVersion === undefined ? {kind: 'unknown'} : {kind: 'sole-version', softwareVersion};
 }
 
--- a/src/gateway/endpoints/endpoint-registry.ts
+++ b/src/gateway/endpoints/endpoint-registry.ts
@@ -19,7 +19,7 @@
 import {hasSameWeights} from './has-same-weights.js';
 import {IncarnationSet} from './incarnation-set.js';
 import {RowAppearances} from './row-appearances.js';
-import {VersionHistory} from './version-history.js';
+import {type UsedVersions, VersionHistory} from './version-history.js';
 
 /** An endpoint whose row is missing since an outage of the store, and until when it may be used. */
 type UnconfirmedEndpoint = {record: EndpointRecord; until: number};
@@ -229,6 +229,21 @@
 		return this.#versions.soleVersion(service, now, streamMilliseconds);
 	}
 
+	/** Records the software versions that all instances together have used; see `VersionHistory`. */
+	coverVersions(used: UsedVersions | 'none', confirmedAt: number): void {
+		this.#versions.cover(used, confirmedAt);
+	}
+
+	/** Records that these have not changed up to a time of the steady clock in milliseconds. */
+	confirmCoveredVersions(confirmedAt: number): void {
+		this.#versions.confirmCoverage(confirmedAt);
+	}
+
+	/** The software versions at which streams that still last can have begun, of those services of which all are known. */
+	usedVersions(now: number): UsedVersions {
+		return this.#versions.usedVersions(now);
+	}
+
 	/** Whether a service has had several software versions while streams that still last can have begun. */
 	hasSeveralVersions(service: string): boolean {
 		return this.#versions.hasSeveral(service);
--- a/src/gateway/endpoints/version-history.test.ts
+++ b/src/gateway/endpoints/version-history.test.ts
@@ -146,3 +146,48 @@
 	assert.equal(notified, 1);
 	assert.equal(list.registry.soleVersion('desk', list.now, streamMilliseconds), undefined);
 });
+
+test('the versions that all instances have used stand for the time before the list was followed', () => {
+	const list = new FollowedList(oldEndpoint).follow(2000);
+	assert.equal(list.soleVersion, undefined);
+	list.registry.coverVersions(new Map([['desk', ['v1']]]), list.now);
+	assert.equal(list.soleVersion, 'v1');
+	assert.deepEqual(list.registry.usedVersions(list.now), new Map([['desk', ['v1']]]));
+});
+
+test('a version that was used before the list was followed counts until no stream that began there can last', () => {
+	// Guards against streams that go on at another version after all instances were killed while the endpoints of theirs left.
+	const list = new FollowedList(newEndpoint).follow(2000);
+	list.registry.coverVersions(new Map([['desk', ['v1']]]), list.now);
+	assert.equal(list.soleVersion, undefined);
+	assert.ok(list.registry.hasSeveralVersions('desk'));
+	assert.deepEqual(list.registry.usedVersions(list.now), new Map([['desk', ['v1', 'v2']]]));
+	assert.equal(list.follow(longestStreamMilliseconds - stepMilliseconds).soleVersion, undefined);
+	assert.equal(list.follow(stepMilliseconds).soleVersion, 'v2');
+});
+
+test('used versions prove nothing of other services, before they are confirmed as of a second after the list, or of a list that was interrupted since', () => {
+	const list = new FollowedList(oldEndpoint);
+	list.registry.coverVersions(new Map([['other', ['v1']]]), list.now + 2000);
+	assert.equal(list.follow(2000).soleVersion, undefined);
+	list.registry.coverVersions(new Map([['desk', ['v1']]]), 1900);
+	assert.equal(list.soleVersion, undefined);
+	list.registry.confirmCoveredVersions(2000);
+	assert.equal(list.soleVersion, 'v1');
+	list.registry.noteStoreFailure(list.now);
+	assert.equal(list.follow(2000).soleVersion, undefined);
+	list.registry.confirmCoveredVersions(list.now);
+	assert.equal(list.soleVersion, 'v1');
+});
+
+test('where no instance has served a request before, the list proves the only version until it is interrupted', () => {
+	const list = new FollowedList(oldEndpoint);
+	list.registry.coverVersions('none', list.now);
+	list.follow(2000);
+	list.registry.confirmCoveredVersions(list.now);
+	assert.equal(list.soleVersion, 'v1');
+	list.registry.noteStoreFailure(list.now);
+	list.follow(2000);
+	list.registry.confirmCoveredVersions(list.now);
+	assert.equal(list.soleVersion, undefined);
+});
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -56,9 +56,9 @@
 import {CoordinatorShares} from './shares/coordinator-shares.js';
 import {ShareOfWorkspaces} from './shares/share-of-workspaces.js';
 import {WorkspaceShares} from './shares/workspace-shares.js';
-import {longestStreamOf} from './streams/longest-stream.js';
 import {createStreamOrigins, type CreatedStreamOrigins} from './streams/create-stream-origins.js';
 import {WaitingRequests} from './waiting/waiting-requests.js';
+import {UsedVersionsRow} from './streams/used-versions-row.js';
 import {FeedHandlers} from './watchers/feed-handlers.js';
 import {type StoreSchema} from './watchers/store-schema.js';
 import {TableFeeds} from './watchers/table-feeds.js';
@@ -104,6 +104,7 @@
 	readonly #crashes: CreatedCrashes;
 	readonly #relays: Relays;
 	readonly #streams: CreatedStreamOrigins;
+	readonly #usedVersions: UsedVersionsRow;
 	readonly #endpointWatches: EndpointWatches;
 	readonly #brittle: BrittleServices;
 	readonly #heldSlots = new HeldSlots();
@@ -156,9 +157,10 @@
 			...shared,
 			address: settings.listenStreams,
 			key: () => this.#relays.key.current,
-			soleVersion: service => shared.endpoints.soleVersion(service, clock.moment().steady, longestStreamOf(shared.configuration.current, service)),
+			soleVersion: service => shared.endpoints.soleVersion(service, clock.moment().steady),
 			isStopping: () => this.#isStopping,
 		});
+		this.#usedVersions = new UsedVersionsRow({...shared, ...ports, isCoordinator: () => this.#coordinators.isCoordinator});
 		const paths = new EndpointPaths({
 			...shared, placement: this.#placement, relays: this.#relays.client, metrics,
 		});
@@ -233,7 +235,7 @@
 		this.#ready = new HttpListener('ready', createReadyApp(settings.readyPath, () => this.#isReady()), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', createMetricsApp(metrics.registry), settings.listenMetrics);
 		const feedDependencies = {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby};
-		this.#feeds = new TableFeeds(this.#context, feedDependencies, timings, new FeedHandlers([this.#crashes.handler, this.#relays.key]));
+		this.#feeds = new TableFeeds(this.#context, feedDependencies, timings, new FeedHandlers([this.#crashes.handler, this.#relays.key, this.#usedVersions]));
 		this.#root = this.#createSupervisor(ports);
 	}
 
@@ -370,6 +372,7 @@
 				this.#endpointWatches,
 				...this.#relays.children,
 				...this.#streams.children,
+				this.#usedVersions,
 				...this.#coordinators.children(),
 				this.#crashes.publisher,
 				this.#callers,
--- a/src/gateway/relay/relay-key.ts
+++ b/src/gateway/relay/relay-key.ts
@@ -19,7 +19,8 @@
 	isCoordinator: () => boolean;
 };
 
-const relayKeyKey = 'relay-key';
+/** The key of its row; the row is there from the first coordinator on. */
+export const relayKeyKey = 'relay-key';
 const keyBytes = 24;
 /** How often an instance checks, while the key is missing, whether it has become the coordinator. */
 const checkIntervalMilliseconds = 500;
--- a/src/test/process-stream-versions.test.ts
+++ b/src/test/process-stream-versions.test.ts
@@ -8,8 +8,22 @@
 		network: 91,
 		milliseconds: 12_000,
 		conditions: {
-			spread: 'halves', disturbance: 'instances-killed', breakPercent: 50, streamsPerSecond: 24, returnsTo: 'anywhere',
+			spread: 'halves', disturbance: 'instances-killed', breakPercent: 50, streamsPerSecond: 24, returnsTo: 'anywhere', callerMilliseconds: 6000,
 		},
 	});
 	assert.deepEqual(violationsOf(report), [], JSON.stringify(report));
 });
+
+test('over real processes: streams do not go on at another version once all instances were killed and their endpoints replaced', async () => {
+	// Guards against taking the only listed version for the only one that was used, while callers wait longer than the route's timeout.
+	const report = await runStreamVersions({
+		seed: 1,
+		network: 94,
+		milliseconds: 10_000,
+		conditions: {
+			spread: 'while-killed', disturbance: 'all-killed', breakPercent: 15, streamsPerSecond: 24, returnsTo: 'anywhere', callerMilliseconds: 12_000,
+		},
+	});
+	assert.ok(report.takenUp >= 12, `${report.takenUp} streams were taken up again`);
+	assert.deepEqual(violationsOf(report), [], JSON.stringify(report));
+});
