Find streams in the store once all instances that knew them have ended

What callers saw: while two software versions serve, all instances are killed at the same time and come back. Every stream that was broken off and is taken up again is refused, 25 to 30 times, until its caller's time is over, although endpoints of its version are there.

Cause: where a stream began is known to the instance that began it and to three others of its data centre, in memory. With all of them the record is gone, and while a service has several versions nothing else says where the stream may go on.

An instance that finds a stream neither in its memory nor at its peers reads them, once a second at most.

Why this is enough: a record says only where an attempt began, and an attempt's id is used once, so an old or repeated record cannot be wrong; one that is missing makes its stream unknown, as before.

--- a/src/decision/streams/decide-resumption.test.ts
+++ b/src/decision/streams/decide-resumption.test.ts
@@ -24,3 +24,7 @@
 	assert.deepEqual(decideResumption({kind: 'sole-version', softwareVersion: 'v1'}, state), {kind: 'continue', origin: {service: 'desk', softwareVersion: 'v1'}});
 	assert.deepEqual(decideResumption({kind: 'unknown'}, state), {kind: 'refuse', reason: 'origin-unknown'});
 });
+
+test('a refusal says when more may be known, as far as it is known', () => {
+	assert.deepEqual(decideResumption({kind: 'unknown', retryAfterMilliseconds: 1000}, state), {kind: 'refuse', reason: 'origin-unknown', retryAfterMilliseconds: 1000});
+});
--- a/src/decision/streams/decide-resumption.ts
+++ b/src/decision/streams/decide-resumption.ts
@@ -7,7 +7,10 @@
 export type Origin = {service: string; softwareVersion: string};
 
 /** What is known of a stream: where it began, or the only version that its service has had while it can have begun. */
-export type OriginKnowledge = {kind: 'known'; origin: Origin} | {kind: 'sole-version'; softwareVersion: string} | {kind: 'unknown'};
+export type OriginKnowledge
+	= | {kind: 'known'; origin: Origin}
+		| {kind: 'sole-version'; softwareVersion: string}
+		| {kind: 'unknown'; /** When more may be known; absent where another instance may know it now. */ retryAfterMilliseconds?: number};
 
 export type ResumptionState = {
 	/** The service that the traffic split selects for the stream's first attempt. */
@@ -25,7 +28,9 @@
  * - `service-removed`: the route no longer leads to the service that began it.
  * - `version-gone`: no endpoint of its version is left.
  */
-export type ResumptionDecision = {kind: 'continue'; origin: Origin} | {kind: 'refuse'; reason: 'origin-unknown' | 'service-removed' | 'version-gone'};
+export type ResumptionDecision
+	= | {kind: 'continue'; origin: Origin}
+		| {kind: 'refuse'; reason: 'origin-unknown' | 'service-removed' | 'version-gone'; retryAfterMilliseconds?: number};
 
 /**
  * Decides about a request that takes a stream up.
@@ -35,7 +40,8 @@
  */
 export function decideResumption(knowledge: OriginKnowledge, {service, targets, isListed}: ResumptionState): ResumptionDecision {
 	if (knowledge.kind === 'unknown') {
-		return {kind: 'refuse', reason: 'origin-unknown'};
+		const {retryAfterMilliseconds} = knowledge;
+		return {kind: 'refuse', reason: 'origin-unknown', ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds})};
 	}
 
 	const origin = knowledge.kind === 'known' ? knowledge.origin : {service, softwareVersion: knowledge.softwareVersion};
--- a/src/gateway/data-path/resume-stream.ts
+++ b/src/gateway/data-path/resume-stream.ts
@@ -62,10 +62,14 @@
 		isListed: origin => context.endpoints.usable(origin.service, now, ({softwareVersion}) => softwareVersion === origin.softwareVersion).length > 0,
 	});
 	return decision.kind === 'refuse'
-		? Left(refusals[decision.reason])
+		? Left(refusalOf(decision))
 		: Right({permitted: {...permitted, service: decision.origin.service}, continuation: new StreamContinuation(dependencies, decision.origin)});
 }
 
+function refusalOf({reason, retryAfterMilliseconds}: ResumptionDecision & {kind: 'refuse'}): Refusal {
+	return {...refusals[reason], ...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds})};
+}
+
 async function knownOrigin({clock, endpoints, streamOrigins}: ResumeContext, {head, permitted: {grant, service}}: Pick<RoutedWork, 'head' | 'permitted'>): Promise<OriginKnowledge> {
 	if (head.resumes !== undefined) {
 		return streamOrigins.findOrigin(streamKey(grant?.name, head.resumes), service);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -155,6 +155,9 @@
 		});
 		this.#streams = createStreamOrigins({
 			...shared,
+			store: ports.store,
+			instance: settings.instance,
+			hasSeveralVersions: service => shared.endpoints.hasSeveralVersions(service),
 			address: settings.listenStreams,
 			key: () => this.#relays.key.current,
 			soleVersion: service => shared.endpoints.soleVersion(service, clock.moment().steady),
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -4,6 +4,8 @@
  * costs one of the copies.
  *
  * While a service has had one software version only, for as long as any stream may last, nothing is sent and nobody is asked.
+ *
+ * Where all that know a stream may have ended, the store is read; see `StoredOrigins`.
  */
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {afterNextPoll} from '../../serving/after-next-poll.js';
@@ -15,10 +17,14 @@
 import {answerTimeoutMilliseconds, PeerConnection} from './peer-connection.js';
 import {maxTextLength, type PeerAnswer} from './stream-messages.js';
 import {maxOriginLifetimeMilliseconds, type StreamOrigin} from './stream-origin.js';
+import {type StoredOrigins} from './stored-origins.js';
 import {type StreamPeers} from './stream-peers.js';
 
 /** `sole-version`: the stream is not known, but its service has had no other version while it can have begun. */
-export type OriginAnswer = {kind: 'known'; origin: StreamOrigin} | {kind: 'sole-version'; softwareVersion: string} | {kind: 'unknown'};
+export type OriginAnswer
+	= | {kind: 'known'; origin: StreamOrigin}
+		| {kind: 'sole-version'; softwareVersion: string}
+		| {kind: 'unknown'; /** When more may be known; absent where another instance may know it now. */ retryAfterMilliseconds?: number};
 
 export interface StreamOrigins {
 	/**
@@ -47,6 +53,10 @@
 	soleVersion: (service: string) => string | undefined;
 	/** Tells when `soleVersion` may change; a change of how long streams may last is found within a second. */
 	endpoints: Pick<EndpointRegistry, 'versionChanges' | 'versionsProvenUntil'>;
+	/** Records in the store; absent where there is no store. */
+	stored?: Pick<StoredOrigins, 'add' | 'read'>;
+	/** Whether a service has had several software versions while streams that still last can have begun. */
+	hasSeveralVersions?: (service: string) => boolean;
 	/** The maximum number of records of this instance, and of those that it keeps for peers. */
 	maxRecords?: number;
 };
@@ -61,6 +71,8 @@
 const checkIntervalMilliseconds = 100;
 /** A record is kept for up to this much longer than its lifetime. */
 const lifetimeRoundingMilliseconds = 1000;
+/** After a read of the store, what another data centre has written since is found by the next one. */
+const storedRetryMilliseconds = 1000;
 /** Records whose owners are chosen at a time: a few milliseconds of work, between which requests are served. */
 const slice = 100;
 
@@ -128,7 +140,12 @@
 
 	async findOrigin(key: string, service: string): Promise<OriginAnswer> {
 		const answer = this.answer(key, service);
-		return answer.kind === 'known' ? {kind: 'known', origin: answer.record.origin} : (answer.kind === 'sole-version' ? answer : this.#askPeers(key, service));
+		if (answer.kind === 'known') {
+			return {kind: 'known', origin: answer.record.origin};
+		}
+
+		const asked = answer.kind === 'sole-version' ? answer : await this.#askPeers(key, service);
+		return asked.kind === 'unknown' ? this.#findStored(key, service) : asked;
 	}
 
 	/** Returns what this instance knows itself. */
@@ -143,6 +160,14 @@
 		return softwareVersion === undefined ? {kind: 'unknown'} : {kind: 'sole-version', softwareVersion};
 	}
 
+	/** Keeps records that a peer has sent, and writes them to the store if this instance does that for its data centre. */
+	receive(records: readonly OriginRecord[]): void {
+		this.keep(records);
+		if (this.#dependencies.peers.recorder(this.#now()) === 'own') {
+			this.#dependencies.stored?.add(records);
+		}
+	}
+
 	/** Keeps records for peers. */
 	keep(records: readonly OriginRecord[]): void {
 		for (const {key, origin, remainingMilliseconds} of records) {
@@ -183,6 +208,26 @@
 		});
 	}
 
+	/** Reads the store for a stream that no instance knows. */
+	async #findStored(key: string, service: string): Promise<OriginAnswer> {
+		const {stored, hasSeveralVersions} = this.#dependencies;
+		if (stored === undefined || !hasSeveralVersions?.(service)) {
+			return {kind: 'unknown'};
+		}
+
+		const read = await stored.read();
+		if (read.kind === 'read') {
+			this.keep(read.records);
+		}
+
+		const record = this.#others.recordOf(key, this.#now());
+		if (record !== undefined) {
+			return {kind: 'known', origin: record.origin};
+		}
+
+		return read.kind === 'unavailable' ? {kind: 'unknown'} : {kind: 'unknown', retryAfterMilliseconds: storedRetryMilliseconds};
+	}
+
 	/** When the records that no peer has or a connection are to be checked; infinite if there are none. */
 	#nextCheckAt(now: number): number {
 		const checks = [...this.#connections.values()].map(connection => connection.nextCheckAt(now));
@@ -255,9 +300,14 @@
 		}
 	}
 
-	/** Sends records to the owners of their keys; returns whether there are any owners. */
+	/** Sends records to the owners of their keys, and to the one that writes them to the store; returns whether there are any owners. */
 	#share(records: readonly OriginRecord[], now: number): boolean {
-		const {peers} = this.#dependencies;
+		const {peers, stored} = this.#dependencies;
+		const recorder = stored === undefined ? 'own' : peers.recorder(now);
+		if (recorder === 'own') {
+			stored?.add(records);
+		}
+
 		const batches = new Map<string, OriginRecord[]>();
 		for (const record of records) {
 			if (isSendable(record.origin)) {
@@ -266,7 +316,7 @@
 					return false;
 				}
 
-				addToBatches(batches, addresses, record);
+				addToBatches(batches, recorder === 'own' || addresses.includes(recorder) ? addresses : [...addresses, recorder], record);
 			}
 		}
 
--- a/src/gateway/streams/stream-peers.ts
+++ b/src/gateway/streams/stream-peers.ts
@@ -3,7 +3,7 @@
  *
  * A list does not replace the earlier ones: a coordinator that has just taken over knows few instances.
  */
-import {bestMembers, hashOfText} from '../../peer/ownership/rendezvous.js';
+import {bestMembers, hashOfText, ownerOf} from '../../peer/ownership/rendezvous.js';
 import {type StreamPeerList} from './stream-peer-list.js';
 
 /** A peer that was not listed for this long is forgotten. */
@@ -12,6 +12,7 @@
 const maxPeers = 200;
 /** How long a peer that did not answer is left out. */
 const failedMilliseconds = 2000;
+const recorderHash = hashOfText('recorder');
 
 type Peer = {name: string; nameHash: number; listedAt: number; failedUntil: number};
 
@@ -20,10 +21,12 @@
 	readonly #peers = new Map<string, Peer>();
 	#listed: readonly string[] = [];
 	#digest = '';
+	readonly #ownNameHash: number;
 
 	/** @param ownAddress - `IP:port` of this instance, which the lists contain as well. */
 	constructor(ownAddress: string) {
 		this.#ownAddress = ownAddress;
+		this.#ownNameHash = hashOfText(ownAddress);
 	}
 
 	/** The digest of the newest list; empty before the first one. */
@@ -69,6 +72,19 @@
 		return [...this.#peers.values()].some(peer => isUsable(peer, now));
 	}
 
+	/**
+	 * Chooses the instance that writes origins to the store, which may be this one. Instances that know the same peers agree on it; where
+	 * they do not, some origins are written twice, or not at all.
+	 *
+	 * @param now - The present time in milliseconds of the steady clock.
+	 * @returns Its address, or `own`.
+	 */
+	recorder(now: number): string {
+		const own = {name: this.#ownAddress, nameHash: this.#ownNameHash};
+		const recorder = ownerOf(recorderHash, [own, ...[...this.#peers.values()].filter(peer => isUsable(peer, now))]);
+		return recorder === undefined || recorder === own ? 'own' : recorder.name;
+	}
+
 	/**
 	 * Chooses the peers that keep the origin of a stream.
 	 *
--- a/src/test/process-stream-versions.test.ts
+++ b/src/test/process-stream-versions.test.ts
@@ -27,3 +27,17 @@
 	assert.ok(report.takenUp >= 12, `${report.takenUp} streams were taken up again`);
 	assert.deepEqual(violationsOf(report), [], JSON.stringify(report));
 });
+
+test('over real processes: streams that are taken up after all instances were killed go on where their version is still there', async () => {
+	// Guards against refusing all of them until their callers' time is over, since all instances that knew where they began have ended.
+	const report = await runStreamVersions({
+		seed: 1,
+		network: 95,
+		milliseconds: 20_000,
+		conditions: {
+			spread: 'halves', disturbance: 'all-killed', breakPercent: 5, streamsPerSecond: 24, returnsTo: 'anywhere', callerMilliseconds: 12_000,
+		},
+	});
+	assert.ok(report.takenUp >= 20, `${report.takenUp} streams were taken up again`);
+	assert.deepEqual(violationsOf(report), [], JSON.stringify(report));
+});
