Leave entries of unknown services out of what stands for an endpoint

What callers would see: nothing by itself. With entries of other programs in the list, the crash of an endpoint is taken for a failure of the instance's own link, so requests that crash endpoints are counted less often than they crash them; and the rollout of weights sends orders to such an entry if it names an engine's model, and stays busy, since they are never carried out.

The registry holds every readable row, since a service may be configured later, and several places took all of them for endpoints: the witnesses of a failure of the own link, the examination of links, the rollout of weights, the usual number of loads, salts of former weights, readiness, and the endpoints of periodic queries.

Evidence: with three such entries the test of EndpointPaths gets `silent` for a crashed endpoint in place of `refused`, although another endpoint accepts connections; the test of the rollout sees orders to the entry.

Change: configuredEndpoints returns the endpoints of services that the configuration or a route names; these places use it.

Looked at and left: has-successor, endpoint-watches and the relay server search the list by the name, address or service of an endpoint that is in use. Not covered: an entry of a configured service that lacks slots, a version or a start, for which rows have defaults.

Tests: both failed before.

--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -12,6 +12,7 @@
 import {hashOf} from '../../shared/hash-of.js';
 import {type BlockChanges} from '../../protocol/blocks/store-inventory.js';
 import {type Child} from '../../supervisor/supervisor.js';
+import {configuredEndpoints} from '../endpoints/configured-endpoints.js';
 import {type LeaderElection} from '../leadership/leader-election.js';
 import {type CoordinatorShares} from '../shares/coordinator-shares.js';
 import {type FeedUpdate, type FeedCursor} from '../watchers/feed-update.js';
@@ -116,7 +117,7 @@
 		};
 
 		this.#stores = new CacheStoreManagers({
-			control, clock, log, publish, holdsLease: () => this.holdsLease(), isExpired: salt => isExpiredSalt(salt, context.endpoints.all()),
+			control, clock, log, publish, holdsLease: () => this.holdsLease(), isExpired: salt => isExpiredSalt(salt, configuredEndpoints(context.configuration.current, context.endpoints.all())),
 		});
 		this.#engines = new EngineCacheWatchers({
 			control,
--- a/src/gateway/endpoints/endpoint-paths.test.ts
+++ b/src/gateway/endpoints/endpoint-paths.test.ts
@@ -4,6 +4,7 @@
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
+import {testConfiguration} from '../testing/test-configuration.js';
 import {testEndpoint} from '../testing/test-endpoint.js';
 import {EndpointPaths} from './endpoint-paths.js';
 import {type ProbeResult} from './probe-connection.js';
@@ -11,7 +12,7 @@
 const [first, second, third] = ['desk-1', 'desk-2', 'desk-3'].map((name, index) => testEndpoint({name, address: `127.0.0.1:${index + 1}`})) as [EndpointRecord, EndpointRecord, EndpointRecord];
 
 /** Paths to three endpoints, with the results of connection attempts by address, or by name through a relay. */
-function startPaths({direct = {}, relayed = {}}: {direct?: Record<string, ProbeResult>; relayed?: Record<string, ProbeResult>}) {
+function startPaths({direct = {}, relayed = {}, foreign = []}: {direct?: Record<string, ProbeResult>; relayed?: Record<string, ProbeResult>; foreign?: EndpointRecord[]}) {
 	const state = {
 		now: 0, direct, relayed, probed: [] as string[], asked: 0, faults: [] as unknown[], isThrowing: false,
 	};
@@ -24,7 +25,8 @@
 	const paths = new EndpointPaths({
 		clock,
 		placement: new CostPlacement('split'),
-		endpoints: {all: () => [first, second, third]},
+		endpoints: {all: () => [...foreign, first, second, third]},
+		configuration: {current: testConfiguration()},
 		relays: {
 			async probe({name}) {
 				state.asked++;
@@ -161,3 +163,17 @@
 	await settle(paths);
 	assert.ok(paths.isRelayed(first));
 });
+
+test('entries of services that are not configured are neither examined nor witnesses of a failure of the own link', async () => {
+	// Guards against a crash that is taken for a failure of the own link, since entries of other programs refuse connections as well.
+	const foreign = [1, 2, 3].map(number => testEndpoint({name: `agent-${number}`, service: 'agent', address: `127.0.0.9:${number}`}));
+	const refused = Object.fromEntries([...foreign, first].map(({address}) => [address, 'refused' as const]));
+	const {state, paths} = startPaths({direct: refused, relayed: {[first.name]: 'refused', [second.name]: 'accepted'}, foreign});
+	assert.equal(await paths.reach(first), 'refused');
+	state.direct[second.address] = 'silent';
+	paths.noteNotConnected(second);
+	await settle(paths);
+	paths.step(state.now);
+	await settle(paths);
+	assert.deepEqual(foreign.filter(({address}) => state.probed.includes(address)), []);
+});
--- a/src/gateway/endpoints/endpoint-paths.ts
+++ b/src/gateway/endpoints/endpoint-paths.ts
@@ -10,9 +10,11 @@
 import {type PlacementPolicy} from '../../decision/placement/placement.js';
 import {ChangeSignal} from '../../shared/change-signal.js';
 import {type EndpointRecord, incarnationOf} from '../../shared/endpoint-record.js';
+import {type RoutedConfiguration} from '../../shared/routed-configuration.js';
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type GatewayMetrics} from '../observability/gateway-metrics.js';
 import {type RelayClient} from '../relay/relay-client.js';
+import {configuredEndpoints} from './configured-endpoints.js';
 import {type EndpointRegistry} from './endpoint-registry.js';
 import {probeConnection, type ProbeResult} from './probe-connection.js';
 import {RetryPauses} from './retry-pauses.js';
@@ -21,6 +23,8 @@
 	clock: MomentClock;
 	placement: PlacementPolicy;
 	endpoints: Pick<EndpointRegistry, 'all'>;
+	/** Endpoints of services that it does not name are not examined. */
+	configuration: {readonly current: Pick<RoutedConfiguration, 'services' | 'routes'> | undefined};
 	relays: Pick<RelayClient, 'probe'>;
 	log: Pick<DecisionLog, 'record'>;
 	metrics: Pick<GatewayMetrics, 'unreachableEndpoints'>;
@@ -121,8 +125,8 @@
 			return;
 		}
 
-		const {placement, endpoints} = this.#dependencies;
-		const listed = endpoints.all();
+		const {placement} = this.#dependencies;
+		const listed = this.#listed();
 		this.#forgetDeparted(listed);
 		for (const endpoint of placement.dueProbes(now)) {
 			void this.#examineOnce(endpoint, async () => this.#examine(endpoint));
@@ -166,7 +170,7 @@
 
 	/** Whether one of a few other endpoints that were up until now accepts a connection; true if there is none. */
 	async #reachesAnother(endpoint: EndpointRecord): Promise<boolean> {
-		const others = this.#dependencies.endpoints.all().filter(other => other.state === 'ready' && other.name !== endpoint.name && !this.#isKnownDown(other));
+		const others = this.#listed().filter(other => other.state === 'ready' && other.name !== endpoint.name && !this.#isKnownDown(other));
 		const start = this.#nextWitness++ % Math.max(1, others.length);
 		const witnesses = [...others.slice(start), ...others.slice(0, start)].slice(0, maxWitnesses);
 		const results = await Promise.all(witnesses.map(async ({address}) => this.#probe(address)));
@@ -279,7 +283,7 @@
 		}
 
 		this.#suspectUntil = now + suspicionMilliseconds;
-		this.#examineOthers(this.#dependencies.endpoints.all());
+		this.#examineOthers(this.#listed());
 	}
 
 	#examineOthers(listed: readonly EndpointRecord[]): void {
@@ -337,6 +341,11 @@
 		}
 	}
 
+	#listed(): readonly EndpointRecord[] {
+		const {configuration, endpoints} = this.#dependencies;
+		return configuredEndpoints(configuration.current, endpoints.all());
+	}
+
 	#now(): number {
 		return this.#dependencies.clock.moment().steady;
 	}
--- a/src/gateway/endpoints/endpoint-prober.test.ts
+++ b/src/gateway/endpoints/endpoint-prober.test.ts
@@ -41,6 +41,7 @@
 		clock: time.clock,
 		placement,
 		endpoints: {all: () => [endpoint]},
+		configuration: {current: undefined},
 		relays: {probe: async () => undefined},
 		log: {
 			record() {
--- a/src/gateway/endpoints/unknown-path.test.ts
+++ b/src/gateway/endpoints/unknown-path.test.ts
@@ -15,6 +15,7 @@
 		clock: systemMomentClock,
 		placement: new CostPlacement('split'),
 		endpoints: {all: () => [endpoint]},
+		configuration: {current: undefined},
 		relays: {probe: async () => relayed},
 		log: {
 			record() {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -37,6 +37,7 @@
 import {EndpointRegistry} from './endpoints/endpoint-registry.js';
 import {EndpointWatches} from './endpoints/endpoint-watches.js';
 import {type GatewayContext} from './gateway-context.js';
+import {configuredEndpoints} from './endpoints/configured-endpoints.js';
 import {Evacuations} from './endpoints/evacuations.js';
 import {type GatewaySettings, timingsOf} from './gateway-settings.js';
 import {createMetricsApp, createReadyApp} from './health-apps.js';
@@ -342,7 +343,7 @@
 	#watchedEndpoints(): string[] {
 		const {endpoints, configuration} = this.#context;
 		const services = configuration.current?.services;
-		const ready = endpoints.all().filter(({state}) => state === 'ready');
+		const ready = configuredEndpoints(configuration.current, endpoints.all()).filter(({state}) => state === 'ready');
 		const watched = ready.length <= maxWatchedEndpoints ? ready : ready.filter(({service}) => services?.get(service)?.engine === undefined);
 		return watched.slice(0, maxWatchedEndpoints).map(({name}) => name);
 	}
@@ -399,6 +400,6 @@
 	#isReady(): boolean {
 		const {configuration, endpoints, clock} = this.#context;
 		const validity = configuration.validityAt(clock.moment());
-		return !this.#isStopping && (validity === 'fresh' || validity === 'ageing') && endpoints.all().length > 0;
+		return !this.#isStopping && (validity === 'fresh' || validity === 'ageing') && configuredEndpoints(configuration.current, endpoints.all()).length > 0;
 	}
 }
--- a/src/gateway/testing/test-gateway.ts
+++ b/src/gateway/testing/test-gateway.ts
@@ -85,7 +85,7 @@
 			clock, directory: this.relayDirectory, key: () => testRelayKey, random: () => 0,
 		});
 		const paths = new EndpointPaths({
-			clock, placement, endpoints, relays, log, metrics,
+			clock, placement, endpoints, configuration: view, relays, log, metrics,
 		});
 		this.context = {
 			dataCentre: 'split',
--- a/src/gateway/weights/weight-rollout.test.ts
+++ b/src/gateway/weights/weight-rollout.test.ts
@@ -6,8 +6,10 @@
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
 import {MemoryTable} from '../../test/memory-table.js';
 import {EndpointRegistry} from '../endpoints/endpoint-registry.js';
+import {ConfigurationView} from '../configuration/configuration-view.js';
 import {DecisionLog} from '../observability/decision-log.js';
 import {GatewayMetrics} from '../observability/gateway-metrics.js';
+import {testConfiguration} from '../testing/test-configuration.js';
 import {testEndpoint} from '../testing/test-endpoint.js';
 import {VirtualTime} from '../testing/virtual-time.js';
 import {LoadingEngines} from '../watchers/loading-engines.js';
@@ -82,6 +84,9 @@
 	}
 }
 
+const configuration = new ConfigurationView({freshMilliseconds: 60_000, leaseMilliseconds: 120_000});
+configuration.offer(testConfiguration());
+
 /** Three instances and thirteen engines; each instance has just received the naming of version 2. */
 function startRollouts(switchoverMilliseconds: number, loadTime: LoadTime = () => loadMilliseconds) {
 	const clock = new FakeClock();
@@ -98,7 +103,7 @@
 		const log = new DecisionLog({writableLength: 0, write: () => true}, {instance}, () => clock.now);
 		const loadingEngines = new LoadingEngines(() => clock.now);
 		const rollout = new WeightRollout({
-			clock, endpoints, loadingEngines, log, metrics: new GatewayMetrics(),
+			clock, configuration, endpoints, loadingEngines, log, metrics: new GatewayMetrics(),
 		}, {
 			instance, leaseMilliseconds, switchoverMilliseconds, store, control: engines, targets, isCoordinator: () => instance === 'three', instances: () => 3,
 		});
@@ -225,6 +230,7 @@
 	const orders: string[] = [];
 	const rollout = new WeightRollout({
 		clock: time.clock,
+		configuration,
 		endpoints,
 		loadingEngines: new LoadingEngines(() => time.now),
 		log: new DecisionLog({writableLength: 0, write: () => true}, {}, () => time.now),
@@ -303,3 +309,15 @@
 	await time.pass(600);
 	assert.deepEqual(orders, ['e1']);
 });
+
+test('an entry of a service that is not configured gets no orders, although it names an engine\'s model', async context => {
+	// Guards against orders to another program, which also keep the rollout busy, since they are never carried out.
+	const {time, endpoints, orders, name} = startRollout(context, new Map([['lease', 2]]));
+	endpoints.put(testEndpoint({
+		name: 'agent', service: 'agent', address: '127.0.0.1:2', weightVersions: new Map([['lease', 1]]),
+	}));
+	name(2);
+	await time.pass(1000);
+	assert.deepEqual(orders, []);
+	assert.equal(time.sleeps, 0);
+});
--- a/src/gateway/weights/weight-rollout.ts
+++ b/src/gateway/weights/weight-rollout.ts
@@ -13,6 +13,7 @@
 import {LeaderElection} from '../leadership/leader-election.js';
 import {weightsLeaseTable, weightsLeaseKey} from '../leadership/weights-lease.js';
 import {type EndpointRecord} from '../../shared/endpoint-record.js';
+import {configuredEndpoints} from '../endpoints/configured-endpoints.js';
 import {type GatewayContext} from '../gateway-context.js';
 import {type WeightTarget, type WeightTargets} from './weight-targets.js';
 
@@ -48,7 +49,7 @@
 /** Weight of the newest load in the moving average. */
 const newestLoadShare = 0.5;
 
-type WeightRolloutContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'loadingEngines' | 'log' | 'metrics'>;
+type WeightRolloutContext = Pick<GatewayContext, 'clock' | 'configuration' | 'endpoints' | 'loadingEngines' | 'log' | 'metrics'>;
 
 /** Settings and dependencies of the rollout. */
 export type WeightRolloutDependencies = {
@@ -254,7 +255,7 @@
 	 * call for still more at a time, until no engine is left to serve.
 	 */
 	#updateLoadEstimate(milliseconds: number): void {
-		if (this.#loading.size <= usualLoadCount(this.#context.endpoints.all().filter(({weightVersions}) => weightVersions.size > 0).length)) {
+		if (this.#loading.size <= usualLoadCount(this.#listed().filter(({weightVersions}) => weightVersions.size > 0).length)) {
 			this.#loadMilliseconds = (newestLoadShare * milliseconds) + ((1 - newestLoadShare) * this.#loadMilliseconds);
 		}
 	}
@@ -265,7 +266,12 @@
 	}
 
 	#enginesOf(target: WeightTarget): EndpointRecord[] {
-		return this.#context.endpoints.all().filter(({state, weightVersions}) => state === 'ready' && weightVersions.has(target.model));
+		return this.#listed().filter(({state, weightVersions}) => state === 'ready' && weightVersions.has(target.model));
+	}
+
+	#listed(): readonly EndpointRecord[] {
+		const {configuration, endpoints} = this.#context;
+		return configuredEndpoints(configuration.current, endpoints.all());
 	}
 
 	#outdatedEngines(target: WeightTarget): EndpointRecord[] {
