Close the connection of a frame that the coordinator or a follower cannot handle

What callers would see: all requests of an instance end without an answer when bytes of another program or release arrive at its port for the coordinator's followers. Found while the places related to entries of other programs were looked at.

Cause: frames are given the type of our own ones when they are decoded. A field that is missing or of another type throws in the event listener of the connection, or later in the queue of queries, and nothing catches it there.

Evidence: a frame of one byte of CBOR, `null`, ends a coordinator: "Cannot destructure property 'instance' of 'frame' as it is null"; an answer of the same content ends a follower.

Change: what a frame does is caught with its connection, which is closed; the exception is logged as a `fault`. A follower dials the coordinator again, as after any other end of its connection.

Why this is enough: nothing of a follower stays with the coordinator when its connection is dropped. Not covered: fields of a wrong type that do not throw, such as a load that is a text. The other peers (relays, origins of streams) check their frames already.

Tests: both failed before, eight frames at the coordinator and three at a follower.

--- a/src/gateway/coordinator/coordinator-client.test.ts
+++ b/src/gateway/coordinator/coordinator-client.test.ts
@@ -73,7 +73,7 @@
 			view.reset();
 		},
 		...follower,
-	}), clock, waitMilliseconds);
+	}), clock, {waitMilliseconds});
 	context.after(() => {
 		client.close();
 		server.close();
@@ -316,3 +316,41 @@
 	assert.deepEqual(Object.keys(fake.received.at(-2)!).toSorted(), fields);
 	assert.deepEqual(Object.keys(fake.received.at(-1)!).toSorted(), [...fields, 'about', 'number', 'places', 'sentAt', 'wantsRelays'].toSorted());
 });
+
+test('an answer of another program or release closes the connection, and the coordinator is dialled again', async context => {
+	// Guards against an exception in an event listener, which ended the process with all of its requests.
+	const frames = [
+		null,
+		{kind: 'answer', number: 2},
+		{
+			...emptyAnswer, number: 3, loads: undefined, parts: null,
+		},
+	];
+	const sockets: Socket[] = [];
+	const server = createServer(socket => {
+		sockets.push(socket);
+		socket.once('data', () => {
+			socket.write(encodeFrame(frames[sockets.length - 1]));
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const faults: unknown[] = [];
+	const client = new CoordinatorClient(new CoordinatorView(), testFollower(), systemMomentClock, {
+		onFault(error) {
+			faults.push(error);
+		},
+	});
+	context.after(() => {
+		client.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	for (const [index] of frames.entries()) {
+		client.dial(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+		client.poll();
+		await until(() => !client.isConnected);
+		assert.equal(faults.length, index + 1);
+	}
+});
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -43,6 +43,13 @@
 /** What a query asks for beside the state of the other instances. */
 type Asked = Pick<FollowerFrame & {kind: 'ask'}, 'permit' | 'slot'>;
 
+export type CoordinatorClientOptions = {
+	/** How long a caller waits for an answer. */
+	waitMilliseconds?: number;
+	/** Called with an exception that the coordinator's frame has caused; the connection is closed. */
+	onFault?: (error: unknown) => void;
+};
+
 /** A query in flight. */
 type PendingQuery = {sentAt: Moment; query: PlacementQuery; slot: Asked['slot']};
 
@@ -72,8 +79,10 @@
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
+	readonly #onFault: (error: unknown) => void;
 
-	constructor(view: CoordinatorView, follower: LocalFollower, clock: MomentClock, waitMilliseconds = maxWaitMilliseconds) {
+	constructor(view: CoordinatorView, follower: LocalFollower, clock: MomentClock, {waitMilliseconds = maxWaitMilliseconds, onFault = ignore}: CoordinatorClientOptions = {}) {
+		this.#onFault = onFault;
 		this.#view = view;
 		this.#follower = follower;
 		this.#clock = clock;
@@ -144,7 +153,7 @@
 				Left: end,
 				Right: frames => {
 					for (const frame of frames) {
-						this.#handleAnswer(frame as CoordinatorFrame);
+						this.#handleGuarded(frame, end);
 					}
 				},
 			});
@@ -291,6 +300,16 @@
 		}
 	}
 
+	/** Nothing catches an exception in an event listener: a frame of another program or release would end the process. */
+	#handleGuarded(frame: unknown, end: () => void): void {
+		try {
+			this.#handleAnswer(frame as CoordinatorFrame);
+		} catch (error) {
+			this.#onFault(error);
+			end();
+		}
+	}
+
 	#handleAnswer(frame: CoordinatorFrame): void {
 		const now = this.#clock.moment();
 		this.#lastAnswerAt = now.steady;
@@ -342,3 +361,7 @@
 		this.#roundTripMilliseconds = (newestShare * milliseconds) + ((1 - newestShare) * mean);
 	}
 }
+
+function ignore(): void {
+	// The closed connection is enough for callers that keep no log.
+}
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -46,6 +46,10 @@
 
 	constructor(context: CoordinatorContext, dependencies: CoordinatorPairDependencies) {
 		const {view, follower} = dependencies;
+		const onFault = (error: unknown): void => {
+			context.log.record('fault', {child: 'coordinator-client', error: String(error)});
+		};
+
 		this.#clients = {
 			hub: new CoordinatorClient(view, {
 				...follower,
@@ -56,7 +60,7 @@
 					// The standby may grant this instance's slots from now on.
 					this.#clients['hub-deputy'].report();
 				},
-			}, context.clock),
+			}, context.clock, {onFault}),
 			'hub-deputy': new CoordinatorClient(view, {
 				...follower,
 				// Only the coordinator manages stores and needs to know which blocks were used, and it alone computes shares.
@@ -66,7 +70,7 @@
 				closed() {
 					// The coordinator's answers stay valid.
 				},
-			}, context.clock),
+			}, context.clock, {onFault}),
 		};
 		this.peerUpdates = new PeerUpdateSources(this.#clients.hub, this.#clients['hub-deputy']);
 		this.#coordinators = {
--- a/src/gateway/coordinator/coordinator-server.test.ts
+++ b/src/gateway/coordinator/coordinator-server.test.ts
@@ -306,3 +306,50 @@
 	assert.equal(dropped, 1);
 	assert.equal(answers.at(-1)?.loads.engine?.[0], 7);
 });
+
+test('frames of another program or release close their connection, and other followers are answered', async context => {
+	// Guards against an exception in an event listener, which ended the coordinator's process with all of its requests.
+	const port = await freePort();
+	const faults: unknown[] = [];
+	const server = new CoordinatorServer(`127.0.0.1:${port}`, {
+		...source, recordFault(error) {
+			faults.push(error);
+		},
+	}, systemMomentClock);
+	const stop = new AbortController();
+	const running = server.run(stop.signal);
+	context.after(async () => {
+		stop.abort();
+		await running;
+	});
+	await pause(50);
+	const query = {
+		kind: 'ask', number: 1, instance: 'asking', cores: 1, uses: [], loads: {}, about: emptyQuery, places: {},
+	};
+	const frames = [
+		null,
+		undefined,
+		{kind: 'ask'},
+		{...query, loads: undefined},
+		{...query, about: undefined},
+		{...query, about: {...emptyQuery, endpoints: 7}},
+		{...query, crashes: 7},
+		{...query, brittle: {}},
+	];
+	for (const frame of frames) {
+		const socket = await follow(port);
+		socket.resume();
+		const closed = once(socket, 'close');
+		socket.write(encodeFrame(frame));
+		await closed;
+	}
+
+	assert.equal(faults.length, frames.length);
+	const sound = await follow(port);
+	context.after(() => {
+		sound.destroy();
+	});
+	sound.write(encodeFrame(query));
+	const [bytes] = await once(sound, 'data') as [Buffer];
+	assert.equal(new FrameReader().read(bytes).unsafeCoerce().length, 1);
+});
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -55,6 +55,8 @@
 	recordPermit(instance: string, term: number, permit: PermitQuery): void;
 	/** Called after queries have been dropped, with the age of the oldest one in milliseconds. */
 	recordDropped(count: number, oldestMilliseconds: number): void;
+	/** Called with an exception that a follower's frame has caused; its connection is closed. */
+	recordFault(error: unknown): void;
 }
 
 /** A follower that does not read is disconnected; it dials again and receives the whole state. */
@@ -99,7 +101,9 @@
 	readonly #queries = new QueryQueue<Socket>({
 		now: () => this.#now(),
 		answer: (socket, frame) => {
-			this.#answer(socket, frame);
+			this.#guard(socket, () => {
+				this.#answer(socket, frame);
+			});
 		},
 		recordDropped: (count, oldestMilliseconds) => {
 			this.#source.recordDropped(count, oldestMilliseconds);
@@ -163,7 +167,9 @@
 				Left: end,
 				Right: frames => {
 					for (const frame of frames) {
-						this.#handleFrame(socket, frame as FollowerFrame);
+						this.#guard(socket, () => {
+							this.#handleFrame(socket, frame as FollowerFrame);
+						});
 					}
 				},
 			});
@@ -171,6 +177,16 @@
 		socket.on('error', end).on('close', end);
 	}
 
+	/** Nothing catches an exception in an event listener: a frame of another program or release would end the process. */
+	#guard(socket: Socket, step: () => void): void {
+		try {
+			step();
+		} catch (error) {
+			this.#source.recordFault(error);
+			this.#drop(socket);
+		}
+	}
+
 	#handleFrame(socket: Socket, frame: FollowerFrame): void {
 		if (!this.#source.isServing()) {
 			socket.destroy();
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -251,6 +251,10 @@
 		this.#droppedQueries.record(count, oldestMilliseconds, this.#now());
 	}
 
+	recordFault(error: unknown): void {
+		this.#context.log.record('fault', {child: this.server.name, error: String(error)});
+	}
+
 	/** Reads the lease row: acquires the lease if it is free, otherwise dials its holder. */
 	async #search(): Promise<void> {
 		const {election, client, instance, address} = this.#options;
--- a/src/gateway/testing/test-coordinator-source.ts
+++ b/src/gateway/testing/test-coordinator-source.ts
@@ -19,6 +19,9 @@
 	recordDropped() {
 		// The line is written by the coordinator.
 	},
+	recordFault() {
+		// The line is written by the coordinator.
+	},
 	recordUses() {
 		// No stores in this test.
 	},
