Read all pages of stored origins, and write those of an instance that is alone

Cause: a page of the store is limited by its size as well, and a page with fewer rows than asked for was taken for the last one; the query named an empty start. An instance without peers wrote no stream that began before its service had a second version.

Change: pages are read until one is empty, from the prefix of the keys on. An instance without peers writes its records once when the second version is listed.

Tests: 4,500 records in pages of two rows; a stream of an instance alone.

--- a/src/gateway/streams/stored-origins.test.ts
+++ b/src/gateway/streams/stored-origins.test.ts
@@ -123,6 +123,25 @@
 	const store = new CountingTable();
 	const table = 'stream-origins';
 	const values = [null, 7, {origins: 'v1', records: ''}, {origins: [['desk', 'v1']], records: 'AAAA'}, {origins: [], records: 'A'.repeat(56)}];
-	await store.commit({conditions: [], writes: values.map((value, index) => ({table, key: `other/${index}`, value}))});
+	await store.commit({conditions: [], writes: values.map((value, index) => ({table, key: `records/other/${index}`, value}))});
 	assert.deepEqual(await storedAt(store, 'e1').read(), {kind: 'read', records: []});
 });
+
+test('a table whose pages are limited by their size is read to its end', async context => {
+	// Guards against streams that are unknown because a page with fewer rows than asked for was taken for the last one.
+	class SmallPages extends MemoryTable {
+		override async scan(query: Parameters<MemoryTable['scan']>[0]) {
+			return super.scan({...query, limit: Math.min(2, query.limit)});
+		}
+	}
+
+	const store = new SmallPages();
+	const stored = storedAt(store, 'e1');
+	run(context, stored);
+	stored.add(Array.from({length: 4500}, (_, number) => recordOf(number)));
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	const read = await readBy(store);
+	assert.equal(read.length, 4500);
+});
--- a/src/gateway/streams/stored-origins.ts
+++ b/src/gateway/streams/stored-origins.ts
@@ -29,6 +29,7 @@
 export type StoredRead = {kind: 'read'; records: OriginRecord[]} | {kind: 'recent'} | {kind: 'unavailable'};
 
 const table = 'stream-origins';
+const keyPrefix = 'records/';
 /** A stream that began within this time before its instances ended is unknown. */
 const writeIntervalMilliseconds = 300;
 const minReadIntervalMilliseconds = 1000;
@@ -112,7 +113,7 @@
 		this.#pending.clear();
 		const slot = this.#nextSlot;
 		this.#nextSlot = (slot + 1) % slots;
-		const writes = rowsOf(records).map((value, index): RowWrite => ({table, key: `${this.#dependencies.instance}/${slot}/${index}`, value}));
+		const writes = rowsOf(records).map((value, index): RowWrite => ({table, key: `${keyPrefix}${this.#dependencies.instance}/${slot}/${index}`, value}));
 		const written = await this.#dependencies.store.commit({conditions: [], writes});
 		if (written.isLeft()) {
 			for (const record of records) {
@@ -126,18 +127,21 @@
 		let after = '';
 		for (let page = 0; page < maxPages; page++) {
 			const answer = await this.#dependencies.store.scan({
-				table, prefix: '', after, limit: rowsPerPage,
+				table, prefix: keyPrefix, after, limit: rowsPerPage,
 			});
 			if (answer.isLeft()) {
 				return {kind: 'unavailable'};
 			}
 
+			// A page may have fewer rows than the limit because of their size, so only an empty one is the last.
 			const rows = answer.orDefault([]);
-			records.push(...rows.flatMap(row => recordsOf(row)));
-			after = rows.at(-1)?.key ?? '';
-			if (rows.length < rowsPerPage) {
+			const last = rows.at(-1);
+			if (last === undefined) {
 				break;
 			}
+
+			records.push(...rows.flatMap(row => recordsOf(row)));
+			after = last.key;
 		}
 
 		return {kind: 'read', records};
--- a/src/gateway/streams/stored-streams.test.ts
+++ b/src/gateway/streams/stored-streams.test.ts
@@ -20,10 +20,16 @@
 	return `127.0.0.1:${port}`;
 }
 
+/** The only version of the service, while it has one. */
+type Versions = {sole: string | undefined};
+type InstanceOptions = {dataCentre?: string; versions?: Versions};
+
+const severalVersions: Versions = {sole: undefined};
+
 type Instance = CreatedStreamOrigins & {address: string; end: () => Promise<void>};
 
-/** An instance of a service that has two versions. */
-async function startInstance(context: TestContext, store: MemoryTable, instance: string, dataCentre = 'split'): Promise<Instance> {
+/** An instance, of a service that has two versions unless one is given. */
+async function startInstance(context: TestContext, store: MemoryTable, instance: string, {dataCentre = 'split', versions = severalVersions}: InstanceOptions = {}): Promise<Instance> {
 	const address = await freeAddress();
 	const created = createStreamOrigins({
 		clock: systemMomentClock,
@@ -33,8 +39,8 @@
 		store,
 		key: () => 'secret',
 		isStopping: () => false,
-		soleVersion: () => undefined,
-		hasSeveralVersions: () => true,
+		soleVersion: () => versions.sole,
+		hasSeveralVersions: () => versions.sole === undefined,
 		endpoints: new EndpointRegistry(),
 	});
 	const stop = new AbortController();
@@ -80,16 +86,37 @@
 	});
 	await Promise.all(instances.map(async instance => instance.end()));
 	const rows = await storedRows(store);
-	const writers = new Set(rows.map(({key}) => key.split('/', 1)[0]));
+	const writers = new Set(rows.map(({key}) => key.split('/')[1]));
 	assert.equal(writers.size, 1, 'one instance writes for its data centre');
 	for (const dataCentre of ['split', 'quay']) {
-		const started = await startInstance(context, store, 'e4', dataCentre);
+		const started = await startInstance(context, store, 'e4', {dataCentre});
 		for (const key of keys) {
 			assert.deepEqual(await started.streamOrigins.findOrigin(key, 'chat'), {kind: 'known', origin});
 		}
 	}
 });
 
+test('an instance alone in its data centre writes the streams that began before the second version was listed', async context => {
+	// Guards against refusing them after that instance was killed.
+	const store = new MemoryTable();
+	const versions = {sole: '2' as string | undefined};
+	const alone = await startInstance(context, store, 'e1', {versions});
+	const key = streamKey('quarry', 'a1');
+	alone.streamOrigins.record(key, origin, 60_000);
+	await new Promise(resolve => {
+		setTimeout(resolve, 300);
+	});
+	assert.deepEqual(await storedRows(store), []);
+	versions.sole = undefined;
+	alone.streamOrigins.record(streamKey('quarry', 'a2'), origin, 60_000);
+	await new Promise(resolve => {
+		setTimeout(resolve, 800);
+	});
+	await alone.end();
+	const started = await startInstance(context, store, 'e1');
+	assert.deepEqual(await started.streamOrigins.findOrigin(key, 'chat'), {kind: 'known', origin});
+});
+
 test('a stream that nobody knows is refused with the time of the next read, and while the store is away as before', async context => {
 	const store = new MemoryTable();
 	const instance = await startInstance(context, store, 'e1');
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -85,6 +85,8 @@
 	readonly #others: OriginRecords;
 	/** Services with own records that no peer has, and when the last of these expires. */
 	readonly #unshared = new Map<string, number>();
+	/** Services whose unshared records were written to the store since they had one version only. */
+	readonly #storedAlone = new Set<string>();
 	readonly #connections = new Map<string, PeerConnection>();
 	readonly #pause: InterruptibleSleep;
 	/** When the present sleep ends; the distant past while there is none. */
@@ -131,6 +133,10 @@
 		const now = this.#now();
 		this.#own.put(key, origin, remainingMilliseconds, now);
 		const isSole = this.#dependencies.soleVersion(origin.service) !== undefined;
+		if (isSole) {
+			this.#storedAlone.delete(origin.service);
+		}
+
 		if (isSole || !this.#share([{key, origin, remainingMilliseconds}], now)) {
 			const expiresAt = now + remainingMilliseconds + lifetimeRoundingMilliseconds;
 			this.#unshared.set(origin.service, Math.max(expiresAt, this.#unshared.get(origin.service) ?? expiresAt));
@@ -279,7 +285,12 @@
 			}
 		}
 
-		if (this.#unshared.size === 0 || !this.#dependencies.peers.hasUsable(now)) {
+		if (this.#unshared.size === 0) {
+			return;
+		}
+
+		if (!this.#dependencies.peers.hasUsable(now)) {
+			this.#storeUnshared(now);
 			return;
 		}
 
@@ -300,6 +311,17 @@
 		}
 	}
 
+	/** Writes what no peer has to the store, once a service has several versions; later records are written as they come. */
+	#storeUnshared(now: number): void {
+		const {stored, hasSeveralVersions} = this.#dependencies;
+		for (const service of this.#unshared.keys()) {
+			if (hasSeveralVersions?.(service) && !this.#storedAlone.has(service)) {
+				this.#storedAlone.add(service);
+				stored?.add(this.#own.ofService(service, now));
+			}
+		}
+	}
+
 	/** Sends records to the owners of their keys, and to the one that writes them to the store; returns whether there are any owners. */
 	#share(records: readonly OriginRecord[], now: number): boolean {
 		const {peers, stored} = this.#dependencies;
