Limit the memory that bodies take on every deployment

Callers saw: an instance that ended, with all requests on it, when clients sent many large bodies at once. Cause: what a process holds for its callers was limited only where the contracts list `pressure`, but a process is killed at its memory limit on every machine, and each has limits.memory_mb. Change: the limit is set wherever the settings state it.

--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -10,7 +10,7 @@
 const metricsPort = 9464;
 const readyPath = '/readiness';
 const zonePrefix = 'zones.';
-/** Listed in `contracts` where callers compete for capacity and the process is killed at its memory limit. */
+/** Listed in `contracts` where callers compete for capacity. */
 const pressureContract = 'pressure';
 const bytesPerMegabyte = 1_048_576;
 
@@ -70,7 +70,7 @@
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
 		cores: numberOf('limits.cpu_share', 1) * numberOf('limits.cores', 1),
-		...(hasPressure && fields.has('limits.memory_mb') ? {memoryBytes: numberOf('limits.memory_mb') * bytesPerMegabyte} : {}),
+		...(fields.has('limits.memory_mb') ? {memoryBytes: numberOf('limits.memory_mb') * bytesPerMegabyte} : {}),
 		regions: {
 			own: fields.get('region')?.value ?? '',
 			byDataCentre: new Map([...fields].flatMap(([name, {value}]) => name.startsWith(zonePrefix) ? [[name.slice(zonePrefix.length), value]] : [])),
