Refuse bodies that stand still when others need their memory

Callers saw: 503 for every request with a body while a crowd kept bodies open that stopped just short of their end, for up to 60 s. Cause: a body without room was refused, and the bodies that held the room kept it whether anything arrived or not. Evidence: slow-bodies.test.ts, "a body that stands still is refused as not run when another request needs its memory", failed on: the other request got 503 in place of its answer. Change: bodies are holders of a SharedResource (decision/arrivals), which other limits can use. Room is taken from those that have not arrived and are due, the longest due first: 500 ms after the last bytes, earlier below 64 KiB a second. They get 503, not run, with Retry-After. Long bodies may fill two thirds, so that ordinary ones arrive beside a crowd of long ones.

--- a/src/decision/memory/held-bytes.test.ts
+++ b/src/decision/memory/held-bytes.test.ts
@@ -58,14 +58,44 @@
 	assert.equal(held.answerToEnd(0, 1000), second);
 });
 
+type Body = {displacementRank: number | undefined; dueAt: number};
+
+function body(changes: Partial<Body> = {}): Body {
+	return {displacementRank: 0, dueAt: 0, ...changes};
+}
+
 test('bodies leave room for answers, and get none above the hard limit', () => {
 	// Guards against callers that send slowly and fill the memory: nobody else would get an answer.
 	const held = heldBytes();
-	assert.equal(held.hasRoomForBody(751), false);
-	held.addBody(750);
-	assert.equal(held.hasRoomForBody(1), false);
-	held.addBody(-750);
+	const other = body();
+	held.holdBody(other, 1);
+	assert.ok(held.excessOfBody(undefined, 750) > 0);
+	held.holdBody(other, 750);
+	assert.ok(held.excessOfBody(undefined, 1) > 0);
+	held.holdBody(other, 0);
 	held.count(answer('first'), 900);
-	assert.equal(held.hasRoomForBody(100), true);
-	assert.equal(held.hasRoomForBody(101), false);
+	assert.ok(held.excessOfBody(undefined, 100) <= 0);
+	assert.ok(held.excessOfBody(undefined, 101) > 0);
+});
+
+test('long bodies leave room for ordinary ones', () => {
+	// Guards against a crowd of long bodies, of which some always arrive, that shuts out all others.
+	const held = new HeldBytes({softBytes: 500_000, hardBytes: 1_000_000, bodyBytes: 750_000});
+	const first = body({displacementRank: undefined});
+	held.holdBody(first, 400_000);
+	assert.ok(held.excessOfBody(undefined, 200_000) > 0);
+	assert.ok(held.excessOfBody(undefined, 20_000) <= 0);
+});
+
+test('bodies that stand still are refused for others, and those that have arrived are not', () => {
+	// Guards against bodies that stop short of their end and keep their memory for as long as a request may take.
+	const held = heldBytes();
+	const [arrived, moving, still] = [body({displacementRank: undefined}), body({dueAt: 300}), body({dueAt: 100})];
+	for (const each of [arrived, moving, still]) {
+		held.holdBody(each, 250);
+	}
+
+	assert.deepEqual(held.bodiesToRefuse(held.excessOfBody(undefined, 200), 200), [still]);
+	assert.equal(held.bodiesToRefuse(held.excessOfBody(undefined, 300), 200), undefined);
+	assert.deepEqual(held.bodiesToRefuse(held.excessOfBody(undefined, 300), 300), [still, moving]);
 });
--- a/src/decision/memory/held-bytes.ts
+++ b/src/decision/memory/held-bytes.ts
@@ -3,6 +3,7 @@
  * read. Callers that read slowly would otherwise make the process exceed its memory limit, and it would be killed with the requests
  * of all others.
  */
+import {type ResourceHolder, SharedResource} from '../arrivals/shared-resource.js';
 import {type MemoryLimits} from './memory-limits.js';
 
 /** An answer whose unread bytes are counted. */
@@ -21,10 +22,13 @@
  * 40 to 70 KB; three quarters of that are covered by the part of the memory that the hard limit leaves free.
  */
 export const requestBytes = 16_384;
+/** Longer bodies are long ones. They may have only a share of the memory for bodies, so that ordinary requests can still arrive. */
+export const longBodyBytes = requestBytes + 65_536;
+export const longBodyShare = 2 / 3;
 
-export class HeldBytes<Answer extends HeldAnswer> {
+export class HeldBytes<Answer extends HeldAnswer, Body extends ResourceHolder = ResourceHolder> {
 	readonly limits: MemoryLimits;
-	#bodyBytes = 0;
+	readonly #bodies = new SharedResource<Body>();
 	#answerBytes = 0;
 	/** In the order in which their callers stopped to read. */
 	readonly #paused = new Set<Answer>();
@@ -34,7 +38,7 @@
 	}
 
 	get bodyBytes(): number {
-		return this.#bodyBytes;
+		return this.#bodies.total;
 	}
 
 	get answerBytes(): number {
@@ -42,7 +46,7 @@
 	}
 
 	get bytes(): number {
-		return this.#bodyBytes + this.#answerBytes;
+		return this.bodyBytes + this.#answerBytes;
 	}
 
 	/** The answers whose callers do not read, the one that has been paused longest first. */
@@ -55,14 +59,38 @@
 		return this.bytes > this.limits.softBytes;
 	}
 
-	/** Whether so many more bytes of request bodies may be held. */
-	hasRoomForBody(bytes: number): boolean {
-		return this.#bodyBytes + bytes <= this.limits.bodyBytes && this.bytes + bytes <= this.limits.hardBytes;
+	/**
+	 * Returns by how much the bytes of a request body would exceed the limits.
+	 *
+	 * @param body - The body; `undefined` for one that is not held yet.
+	 * @param bytes - How many bytes it is to have.
+	 * @returns Bytes; 0 or less if there is room.
+	 */
+	excessOfBody(body: Body | undefined, bytes: number): number {
+		const furtherBytes = bytes - this.bytesOfBody(body);
+		const limit = bytes > longBodyBytes ? longBodyShare * this.limits.bodyBytes : this.limits.bodyBytes;
+		return Math.max(this.bodyBytes + furtherBytes - limit, this.bytes + furtherBytes - this.limits.hardBytes);
 	}
 
-	/** Counts bytes of a request body, or takes them from the count if negative. */
-	addBody(bytes: number): void {
-		this.#bodyBytes += bytes;
+	/** The bytes of a request body; 0 if it is not held. */
+	bytesOfBody(body: Body | undefined): number {
+		return body === undefined ? 0 : this.#bodies.amountOf(body);
+	}
+
+	/** Sets the bytes of a request body; 0 if it is held no longer. */
+	holdBody(body: Body, bytes: number): void {
+		this.#bodies.hold(body, bytes);
+	}
+
+	/**
+	 * Returns the bodies to refuse so that others get their memory: those that have not arrived and stand still.
+	 *
+	 * @param bytes - How many bytes are needed.
+	 * @param now - Milliseconds of the steady clock.
+	 * @returns The bodies, none if no bytes are needed; `undefined` if they do not hold enough.
+	 */
+	bodiesToRefuse(bytes: number, now: number): Body[] | undefined {
+		return this.#bodies.selectDisplaced(bytes, now);
 	}
 
 	/** Sets the number of unread bytes of an answer. */
--- a/src/gateway/data-path/create-held-memory.ts
+++ b/src/gateway/data-path/create-held-memory.ts
@@ -20,6 +20,9 @@
 				id, answerBytes, pausedMilliseconds: Math.round(pausedMilliseconds), ...state,
 			});
 		},
+		onBodyRefused() {
+			metrics.memoryOutcomes.inc({reason: 'displaced'});
+		},
 	});
 	metrics.readHeldBytes = () => ({bodies: memory.bodyBytes, answers: memory.answerBytes});
 	return memory;
--- a/src/gateway/data-path/gateway-request-handler.ts
+++ b/src/gateway/data-path/gateway-request-handler.ts
@@ -1,8 +1,9 @@
 /** Handles clients' requests: validates the head, reads the body, and routes each permitted request to an endpoint. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Either, Left, Right} from 'purify-ts/Either';
+import {type Either} from 'purify-ts/Either';
 import {retryAfterMilliseconds} from '../../decision/memory/retry-after.js';
-import {type BodyAccount, readBody} from '../../serving/read-body.js';
+import {type OpenBodyAccount, openBodyAccount} from '../../serving/open-body-account.js';
+import {readBody} from '../../serving/read-body.js';
 import {type Moment} from '../../ports/moment-clock.js';
 import {type Refusal} from '../../shared/types.js';
 import {type GatewayContext} from '../gateway-context.js';
@@ -79,7 +80,7 @@
 		}
 
 		const permitted = validation.extract() as PermittedRequest;
-		const held = this.#openBody(request, head);
+		const held = this.#openBody(request, response, head);
 		if (held?.isLeft()) {
 			this.#refuse(response, head, held.extract());
 			return;
@@ -132,36 +133,18 @@
 	}
 
 	/** Counts the body of a request; a refusal if there is no room for it, and `undefined` where memory is not limited. */
-	#openBody(request: IncomingMessage, head: RequestHead): Either<Refusal, BodyAccount & {release(): void}> | undefined {
+	#openBody(request: IncomingMessage, response: ServerResponse, head: RequestHead): Either<Refusal, OpenBodyAccount> | undefined {
 		const {memory} = this.#context;
 		if (memory === undefined) {
 			return undefined;
 		}
 
-		const {headers} = request;
-		const declaredBytes = Number(headers['content-length'] ?? 0);
-		if (declaredBytes === 0 && headers['transfer-encoding'] === undefined) {
-			return undefined;
-		}
-
-		const refusal = (): Refusal => ({
+		return openBodyAccount(memory, {request, response, limitBytes: this.#context.configuration.current!.limits.bodyBytes}, () => ({
 			reason: 'memory-limit',
 			ran: 'not-run',
 			message: 'this instance has no memory left for the body',
 			retryAfterMilliseconds: retryAfterMilliseconds(head.attemptId, head.deadlineMilliseconds ?? Number.POSITIVE_INFINITY),
-		});
-		const body = memory.openBody(Math.min(declaredBytes, this.#context.configuration.current!.limits.bodyBytes));
-		if (body === undefined) {
-			return Left(refusal());
-		}
-
-		return Right({
-			hold: bytes => body.hold(bytes),
-			release() {
-				body.release();
-			},
-			refusal,
-		});
+		}));
 	}
 
 	#refuse(response: ServerResponse, head: RequestHead, refusal: Refusal): void {
--- a/src/gateway/data-path/slow-bodies.test.ts
+++ b/src/gateway/data-path/slow-bodies.test.ts
@@ -1,9 +1,11 @@
 /** Bodies that arrive slowly, at an instance whose memory is limited. */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import {bodyGraceMilliseconds} from '../../decision/arrivals/arrival-due.js';
 import {requestBytes} from '../../decision/memory/held-bytes.js';
 import {openSocket, readToEnd, statusOf} from '../../test/raw-http.js';
 import {waitUntil} from '../../test/wait-until.js';
@@ -29,6 +31,23 @@
 	return {gateway, arrived};
 }
 
+/** A gateway whose endpoint answers once `finish` is called. */
+async function startHoldingGateway(limitBytes: number): Promise<{gateway: TestGateway; arrived: string[]; finish(): void}> {
+	const gateway = await limitedGateway({softBytes: limitBytes, hardBytes: 2 * limitBytes, bodyBytes: limitBytes}, 'non-idempotent');
+	const arrived: string[] = [];
+	const finished = new AbortController();
+	await gateway.addEndpoint(async (incoming, response) => {
+		arrived.push(await text(incoming));
+		await once(finished.signal, 'abort');
+		answerSealed(incoming, response, {body: 'done'});
+	});
+	return {
+		gateway, arrived, finish() {
+			finished.abort();
+		},
+	};
+}
+
 test('a body that arrives a byte at a time is counted from its first byte, and served', async () => {
 	const {gateway, arrived} = await startGateway(1_000_000);
 	const socket = await openUpload(gateway, 'slow');
@@ -75,15 +94,42 @@
 });
 
 test('a body without a declared length is refused at the first bytes for which there is no room', async () => {
-	const {gateway, arrived} = await startGateway(requestBytes + 2000);
+	const {gateway, arrived, finish} = await startHoldingGateway((2 * requestBytes) + 2000);
+	const served = await openUpload(gateway, 'served', 'content-length: 100');
+	served.write('y'.repeat(100));
+	await waitUntil(() => arrived.length === 1);
+	const held = gateway.context.memory!.bodyBytes;
 	const socket = await openUpload(gateway, 'chunked', 'transfer-encoding: chunked');
 	socket.write(`400\r\n${'x'.repeat(1024)}\r\n`);
-	await waitUntil(() => gateway.context.memory!.bodyBytes > requestBytes);
+	await waitUntil(() => gateway.context.memory!.bodyBytes > held + requestBytes);
 	socket.write(`400\r\n${'x'.repeat(1024)}\r\n`);
 	const answer = await readToEnd(socket);
 	assert.equal(statusOf(answer), 503);
 	assert.match(answer, /"ran":"not-run"/v);
-	assert.deepEqual(arrived, []);
+	assert.equal(arrived.length, 1);
+	assert.equal(gateway.context.memory!.bodyBytes, held);
+	finish();
+	assert.match(await readToEnd(served), /done/v);
+	assert.equal(gateway.context.memory!.bodyBytes, 0);
+	await gateway.close();
+});
+
+test('a body that stands still is refused as not run when another request needs its memory', async () => {
+	// Guards against bodies that stop short of their end and shut out other callers until their timeout.
+	const {gateway, arrived} = await startGateway((2 * requestBytes) + bodyBytes);
+	const still = await openUpload(gateway, 'still');
+	still.write('x'.repeat(bodyBytes - 1));
+	await waitUntil(() => gateway.context.memory!.bodyBytes > requestBytes);
+	await pause(bodyGraceMilliseconds + 100);
+	const other = await openUpload(gateway, 'other');
+	other.write('x'.repeat(bodyBytes));
+	assert.match(await readToEnd(other), /done/v);
+	const refused = await readToEnd(still);
+	assert.equal(statusOf(refused), 503);
+	assert.match(refused, /retry-after: 0\.\d+\r\n/v);
+	assert.match(refused, /"ran":"not-run"/v);
+	assert.equal(arrived.length, 1);
+	assert.match(await gateway.context.metrics.registry.metrics(), /savorygauge_memory_outcomes_total\{reason="displaced"\} 1/v);
 	assert.equal(gateway.context.memory!.bodyBytes, 0);
 	await gateway.close();
 });
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -154,7 +154,7 @@
 
 	readonly memoryOutcomes = new Counter({
 		name: 'savorygauge_memory_outcomes_total',
-		help: 'Requests affected by the limits on held bytes, by reason: paused or ended answers, refused bodies.',
+		help: 'Requests affected by the limits on held bytes, by reason: paused or ended answers, refused bodies, and those among them that stood still while others needed their memory.',
 		labelNames: ['reason'],
 		registers: [this.registry],
 	});
--- a/src/serving/held-memory.test.ts
+++ b/src/serving/held-memory.test.ts
@@ -2,6 +2,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {test} from 'node:test';
+import {type HeldBody} from './held-body.js';
 import {HeldMemory} from './held-memory.js';
 
 const limits = {softBytes: 50_000, hardBytes: 100_000, bodyBytes: 75_000};
@@ -15,6 +16,9 @@
 		onEnded(id) {
 			ended.push(id);
 		},
+		onBodyRefused() {
+			ended.push('body');
+		},
 	});
 	return {memory, ended};
 }
@@ -72,3 +76,31 @@
 	assert.equal(memory.answerBytes, 0);
 	assert.equal(memory.isHeldBack(response), false);
 });
+
+test('a body that stands still is refused when another one needs its memory, and one that arrives is not', () => {
+	// Guards against a crowd whose bodies stop just short of their end: ordinary callers would be refused for as long as it stays.
+	let now = 0;
+	const {memory, ended} = createMemory(() => now);
+	const refused: string[] = [];
+	const open = (name: string): HeldBody | undefined => {
+		const body = memory.openBody(0);
+		body?.whenRefused(() => {
+			refused.push(name);
+		});
+		return body;
+	};
+
+	const [still, moving] = [open('still')!, open('moving')!];
+	assert.ok(still.hold(10_000) && moving.hold(10_000));
+	assert.equal(memory.openBody(20_000), undefined);
+	now = 1000;
+	assert.ok(moving.hold(10_001));
+	const ordinary = memory.openBody(20_000);
+	assert.notEqual(ordinary, undefined);
+	assert.deepEqual(refused, ['still']);
+	assert.deepEqual(ended, ['body']);
+	assert.equal(still.hold(10_001), false);
+	ordinary!.release();
+	moving.release();
+	assert.equal(memory.bodyBytes, 0);
+});
--- a/src/serving/held-memory.ts
+++ b/src/serving/held-memory.ts
@@ -31,10 +31,12 @@
 	onPaused(): void;
 	/** An answer has been ended. */
 	onEnded(id: string, pausedMilliseconds: number, answerBytes: number, state: HeldState): void;
+	/** A body that had not arrived has been refused, since others needed its memory. */
+	onBodyRefused(): void;
 };
 
 export class HeldMemory {
-	readonly #held: HeldBytes<OpenAnswer>;
+	readonly #held: HeldBytes<OpenAnswer, HeldBody>;
 	readonly #answers = new Map<ServerResponse, OpenAnswer>();
 	readonly #now: () => number;
 	readonly #reports: MemoryReports;
@@ -74,28 +76,29 @@
 	 * @returns `undefined` if there is no room for it.
 	 */
 	openBody(declaredBytes: number): HeldBody | undefined {
-		if (!this.#held.hasRoomForBody(requestBytes + declaredBytes)) {
-			this.#endAnswers(requestBytes + declaredBytes);
+		if (!this.#makeRoomForBody(undefined, requestBytes + declaredBytes)) {
 			return undefined;
 		}
 
-		this.#held.addBody(requestBytes);
-		return new HeldBody(this);
+		const body = new HeldBody(this, this.#now);
+		this.#held.holdBody(body, requestBytes);
+		return body;
 	}
 
-	/** Counts bytes of bodies, or takes them from the count if negative. Returns false, and counts none, if there is no room. */
-	addBody(bytes: number): boolean {
-		if (bytes > 0 && !this.#held.hasRoomForBody(bytes)) {
-			this.#endAnswers(bytes);
-			if (!this.#held.hasRoomForBody(bytes)) {
-				return false;
-			}
+	/** Sets how many bytes a body has. Returns false, and changes nothing, if there is no room. */
+	holdBody(body: HeldBody, bytes: number): boolean {
+		if (!this.#makeRoomForBody(body, bytes)) {
+			return false;
 		}
 
-		this.#held.addBody(bytes);
+		this.#held.holdBody(body, bytes);
 		return true;
 	}
 
+	releaseBody(body: HeldBody): void {
+		this.#held.holdBody(body, 0);
+	}
+
 	/** The answer that is written to a response; it is counted until the response is closed. */
 	answerTo(response: ServerResponse, id: string): OpenAnswer {
 		let answer = this.#answers.get(response);
@@ -180,6 +183,25 @@
 		this.#endAnswers(0);
 	}
 
+	/**
+	 * Ends answers that nobody reads, and refuses bodies that stand still, so that a body fits. Returns false if it does not: a new body
+	 * does not get the memory of answers, which is only free after the next garbage collection, before its caller returns.
+	 */
+	#makeRoomForBody(body: HeldBody | undefined, bytes: number): boolean {
+		const excess = this.#held.excessOfBody(body, bytes);
+		if (excess > 0) {
+			this.#endAnswers(bytes - this.#held.bytesOfBody(body));
+		}
+
+		const refused = this.#held.bodiesToRefuse(body === undefined ? excess : this.#held.excessOfBody(body, bytes), this.#now());
+		for (const other of refused ?? []) {
+			other.refuse();
+			this.#reports.onBodyRefused();
+		}
+
+		return refused !== undefined;
+	}
+
 	/** Ends the answers that have been paused longest until so many further bytes fit under the hard limit, unless they never will. */
 	#endAnswers(furtherBytes: number): void {
 		if (furtherBytes > this.#held.limits.bodyBytes) {
--- a/src/serving/read-body.ts
+++ b/src/serving/read-body.ts
@@ -10,6 +10,10 @@
 	hold(bytes: number): boolean;
 	/** The refusal of a body for which there is no room. */
 	refusal(): Refusal;
+	/** Sets what is called when others need its memory, after which it is not held any more. */
+	whenRefused(onRefused: () => void): void;
+	/** Called when the whole body has arrived. */
+	complete(): void;
 };
 
 /**
@@ -37,21 +41,25 @@
 			resolve(result);
 		};
 
+		const refuse = (refusal: Refusal): void => {
+			settle(Left(refusal));
+			request.resume();
+		};
+
 		const onData = (chunk: Buffer): void => {
 			if (pieces.length + chunk.length > limitBytes) {
-				settle(Left(tooLarge));
-				request.resume();
+				refuse(tooLarge);
 				return;
 			}
 
 			pieces.push(chunk);
 			if (account?.hold(pieces.heldBytes) === false) {
-				settle(Left(account.refusal()));
-				request.resume();
+				refuse(account.refusal());
 			}
 		};
 
 		const onEnd = (): void => {
+			account?.complete();
 			settle(Right(pieces.toBuffer()));
 		};
 
@@ -59,6 +67,9 @@
 			settle(Left({reason: 'bad-request', ran: 'not-run', message: 'the body was cut off'}));
 		};
 
+		account?.whenRefused(() => {
+			refuse(account.refusal());
+		});
 		request.on('data', onData).once('end', onEnd).once('close', onClose);
 	});
 }
