Serve a single legal body whatever the memory of the machine

Callers saw: 503 for a body of 4 MiB, the longest legal one, in calm on a machine of 128 MB. Cause: bodies may fill three quarters of a limit that is 4 MiB on small machines. Change: the only body is taken unless unread answers hold more than the soft limit. Why it works: what it needs is less than the process leaves free for what callers hold, and a second one is counted against the limit as before.

--- a/src/decision/memory/held-bytes.test.ts
+++ b/src/decision/memory/held-bytes.test.ts
@@ -78,6 +78,19 @@
 	assert.ok(held.excessOfBody(undefined, 101) > 0);
 });
 
+test('the only body is taken however long it is, unless answers hold much', () => {
+	// Guards against a request inside the limits that is never served on a machine with little memory.
+	const held = heldBytes();
+	assert.equal(held.excessOfBody(undefined, 5000), 0);
+	const only = body();
+	held.holdBody(only, 5000);
+	assert.equal(held.excessOfBody(only, 6000), 0);
+	assert.equal(held.excessOfBody(undefined, 1), 4251);
+	held.holdBody(only, 0);
+	held.count(answer('first'), 501);
+	assert.ok(held.excessOfBody(undefined, 5000) > 0);
+});
+
 test('long bodies leave room for ordinary ones', () => {
 	// Guards against a crowd of long bodies, of which some always arrive, that shuts out all others.
 	const held = new HeldBytes({softBytes: 500_000, hardBytes: 1_000_000, bodyBytes: 750_000});
--- a/src/decision/memory/held-bytes.ts
+++ b/src/decision/memory/held-bytes.ts
@@ -60,13 +60,18 @@
 	}
 
 	/**
-	 * Returns by how much the bytes of a request body would exceed the limits.
+	 * Returns by how much the bytes of a request body would exceed the limits. The only body that there is does not if answers hold little,
+	 * so that a single request is served on every machine.
 	 *
 	 * @param body - The body; `undefined` for one that is not held yet.
 	 * @param bytes - How many bytes it is to have.
 	 * @returns Bytes; 0 or less if there is room.
 	 */
 	excessOfBody(body: Body | undefined, bytes: number): number {
+		if (this.#bodies.isHeldOnlyBy(body) && this.#answerBytes <= this.limits.softBytes) {
+			return 0;
+		}
+
 		const furtherBytes = bytes - this.bytesOfBody(body);
 		const limit = bytes > longBodyBytes ? longBodyShare * this.limits.bodyBytes : this.limits.bodyBytes;
 		return Math.max(this.bodyBytes + furtherBytes - limit, this.bytes + furtherBytes - this.limits.hardBytes);
--- a/src/gateway/data-path/slow-bodies.test.ts
+++ b/src/gateway/data-path/slow-bodies.test.ts
@@ -114,6 +114,20 @@
 	await gateway.close();
 });
 
+test('the only request is served although its body is longer than the limit for all', async () => {
+	// Guards against a request inside the limits that is refused in calm on a machine with little memory.
+	const {gateway, arrived} = await startGateway(1000);
+	const socket = await openUpload(gateway, 'alone', 'transfer-encoding: chunked');
+	for (let chunk = 0; chunk < 100; chunk++) {
+		socket.write(`400\r\n${'x'.repeat(1024)}\r\n`);
+	}
+
+	socket.write('0\r\n\r\n');
+	assert.match(await readToEnd(socket), /done/v);
+	assert.equal(arrived[0]?.length, 102_400);
+	await gateway.close();
+});
+
 test('a body that stands still is refused as not run when another request needs its memory', async () => {
 	// Guards against bodies that stop short of their end and shut out other callers until their timeout.
 	const {gateway, arrived} = await startGateway((2 * requestBytes) + bodyBytes);
