Refuse a body that has not arrived by the deadline of its request

Callers saw: nothing until 60 s were over, however short the deadline; what had arrived and the connection were held for as long. Cause: the deadline was checked only after the body. Change: 503 deadline, not run, at the deadline or the route's timeout, and the connection is closed. Why it works: it cannot be served any more, and its caller has stopped to wait; nothing of it was sent to an endpoint.

--- a/src/gateway/data-path/gateway-request-handler.ts
+++ b/src/gateway/data-path/gateway-request-handler.ts
@@ -18,6 +18,8 @@
 	reason: 'draining', ran: 'not-run', message: 'this instance stops before the request would be answered for certain', retryAfterMilliseconds: 0,
 };
 
+const lateBodyRefusal: Refusal = {reason: 'deadline', ran: 'not-run', message: 'the body did not arrive before the deadline'};
+
 export class GatewayRequestHandler {
 	readonly #context: GatewayContext;
 	#open = 0;
@@ -88,8 +90,15 @@
 
 		const account = held?.unsafeCoerce();
 		try {
-			const body = await readBody(request, configuration.current!.limits.bodyBytes, account);
+			const body = await readBody(request, configuration.current!.limits.bodyBytes, account, {
+				milliseconds: timeoutOf(head, permitted), refusal: lateBodyRefusal,
+			});
 			if (body.isLeft()) {
+				if (body.extract() === lateBodyRefusal && !response.headersSent) {
+					// Its caller has stopped sending, or waits for no answer any more.
+					response.setHeader('connection', 'close');
+				}
+
 				this.#refuse(response, head, body.extract());
 				return;
 			}
@@ -128,8 +137,8 @@
 	}
 
 	/** A request that arrives while this instance stops is taken only if it ends before, whatever its endpoint does. */
-	#mayOutlastInstance({deadlineMilliseconds = Number.POSITIVE_INFINITY}: RequestHead, {route}: PermittedRequest, arrivedAt: Moment): boolean {
-		return arrivedAt.steady + Math.min(deadlineMilliseconds, route.timeoutMilliseconds) > this.#endsAt;
+	#mayOutlastInstance(head: RequestHead, permitted: PermittedRequest, arrivedAt: Moment): boolean {
+		return arrivedAt.steady + timeoutOf(head, permitted) > this.#endsAt;
 	}
 
 	/** Counts the body of a request; a refusal if there is no room for it, and `undefined` where memory is not limited. */
@@ -172,3 +181,8 @@
 		});
 	}
 }
+
+/** How long a request may take, in milliseconds. */
+function timeoutOf({deadlineMilliseconds = Number.POSITIVE_INFINITY}: RequestHead, {route}: PermittedRequest): number {
+	return Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
+}
--- a/src/gateway/data-path/slow-bodies.test.ts
+++ b/src/gateway/data-path/slow-bodies.test.ts
@@ -148,6 +148,19 @@
 	await gateway.close();
 });
 
+test('a body that has not arrived by its deadline is refused as not run, and its connection is closed', async () => {
+	// Guards against clients that stop short of the end and keep a connection and memory for a minute.
+	const {gateway, arrived} = await startGateway(1_000_000);
+	const socket = await openSocket(gateway.address);
+	socket.write(`POST / HTTP/1.1\r\nhost: quay.example\r\n${names.attemptId}: late\r\n${names.deadline}: 300\r\ncontent-length: 100\r\n\r\nhalf`);
+	const answer = await readToEnd(socket);
+	assert.equal(statusOf(answer), 503);
+	assert.match(answer, /"code":"deadline".*"ran":"not-run"/v);
+	assert.deepEqual(arrived, []);
+	assert.equal(gateway.context.memory!.bodyBytes, 0);
+	await gateway.close();
+});
+
 test('a caller that leaves within its body frees the memory', async () => {
 	const {gateway, arrived} = await startGateway(1_000_000);
 	const socket = await openUpload(gateway, 'leaves');
--- a/src/serving/read-body.ts
+++ b/src/serving/read-body.ts
@@ -16,6 +16,14 @@
 	complete(): void;
 };
 
+/** By when a body must have arrived. */
+export type BodyDeadline = {
+	/** From now on. */
+	milliseconds: number;
+	/** The refusal of a body that has not arrived by then. */
+	refusal: Refusal;
+};
+
 /**
  * Reads the body of a request up to a limit. A body that is too long is refused as soon as that is known: by its declared
  * length before any of it is read, otherwise at the first excess byte.
@@ -26,9 +34,10 @@
  * @param request - The request.
  * @param limitBytes - The maximum length of the body.
  * @param account - Counts the body from its first byte; it is refused at the first piece for which there is no room.
- * @returns The body, or the refusal of one that is too long or incomplete.
+ * @param deadline - By when the body must have arrived; without one, the timeout of the listener holds.
+ * @returns The body, or the refusal of one that is too long, late or incomplete.
  */
-export async function readBody(request: IncomingMessage, limitBytes: number, account?: BodyAccount): Promise<Either<Refusal, Buffer>> {
+export async function readBody(request: IncomingMessage, limitBytes: number, account?: BodyAccount, deadline?: BodyDeadline): Promise<Either<Refusal, Buffer>> {
 	const tooLarge: Refusal = {reason: 'too-large', ran: 'not-run', message: `the body is longer than ${limitBytes} bytes`};
 	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
 		return Left(tooLarge);
@@ -37,6 +46,7 @@
 	const pieces = new BodyPieces();
 	return new Promise(resolve => {
 		const settle = (result: Either<Refusal, Buffer>): void => {
+			clearTimeout(timer);
 			request.off('data', onData).off('end', onEnd).off('close', onClose);
 			resolve(result);
 		};
@@ -67,6 +77,11 @@
 			settle(Left({reason: 'bad-request', ran: 'not-run', message: 'the body was cut off'}));
 		};
 
+		const timer = deadline === undefined
+			? undefined
+			: setTimeout(() => {
+				refuse(deadline.refusal);
+			}, deadline.milliseconds);
 		account?.whenRefused(() => {
 			refuse(account.refusal());
 		});
