Close connections that stand still when others need their descriptors

Callers saw: one in five ordinary requests failed beside 3,000 connections that sent nothing; all 2,069 descriptors were in use. Cause: nothing limited callers' connections, and connections to endpoints and to the store need descriptors too. Each listener has its own, so readiness checks are not crowded out.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,6 +8,7 @@
  */
 import process from 'node:process';
 import {type Either} from 'purify-ts/Either';
+import {connectionCapacityOf} from '../decision/arrivals/connection-capacity.js';
 import {HttpListener, defaultListenerBounds} from '../serving/http-listener.js';
 import {BlockPlanner} from '../decision/blocks/plan-blocks.js';
 import {ConnectionPreference} from '../decision/connections/connection-preference.js';
@@ -30,6 +31,7 @@
 import {createCrashes, type CreatedCrashes} from './crashes/create-crashes.js';
 import {HttpEndpointExchanges} from './data-path/endpoint-exchange.js';
 import {GatewayRequestHandler} from './data-path/gateway-request-handler.js';
+import {createCallerConnections} from './data-path/create-caller-connections.js';
 import {createHeldMemory} from './data-path/create-held-memory.js';
 import {createRefuse} from './data-path/refuse.js';
 import {type WireNames} from './data-path/wire-names.js';
@@ -238,7 +240,11 @@
 		this.#callers = new HttpListener('callers', async (request, response) => {
 			this.#applyLimits();
 			await this.#front.serve(request, response);
-		}, settings.listenCallers, {...defaultListenerBounds, maxHeaderBytes: parserHeaderBytes});
+		}, settings.listenCallers, {
+			...defaultListenerBounds,
+			maxHeaderBytes: parserHeaderBytes,
+			connections: createCallerConnections(this.#context, connectionCapacityOf(settings.maxDescriptors)),
+		});
 		this.#ready = new HttpListener('ready', createReadyApp(settings.readyPath, () => this.#isReady()), settings.listenReady);
 		this.#metricsListener = new HttpListener('metrics', createMetricsApp(metrics.registry), settings.listenMetrics);
 		const feedDependencies = {...ports, isReader: () => this.#coordinators.isReader, isStandby: () => this.#coordinators.isStandby};
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -62,6 +62,8 @@
 	cores: number;
 	/** The memory limit of this process, where what it holds for its callers is to be limited. */
 	memoryBytes?: number;
+	/** The descriptors that this process may have. */
+	maxDescriptors: number;
 	regions: Regions;
 	/** Whether the rank of a workspace replaces that of a route, or requests of workspaces of one rank keep the order of their routes. */
 	urgency: UrgencyOrder;
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -159,6 +159,29 @@
 		registers: [this.registry],
 	});
 
+	/** Returns what callers hold at present; unset before the listener is created. */
+	readConnections: (() => {held: number}) | undefined;
+
+	/** Set only when the metrics are read. */
+	readonly callerConnections = new Gauge({
+		name: 'savorygauge_caller_connections',
+		help: 'Connections of callers, and connections to endpoints for their requests (held).',
+		labelNames: ['state'],
+		registers: [this.registry],
+		collect: () => {
+			const {held} = this.readConnections?.() ?? {held: 0};
+			this.callerConnections.set({state: 'held'}, held);
+		},
+	});
+
+	/** The label values are those of `ConnectionOutcome`. */
+	readonly connectionOutcomes = new Counter({
+		name: 'savorygauge_connection_outcomes_total',
+		help: 'Connections and requests of callers for which there was no connection left, by what became of them.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
 	});
--- a/src/gateway/testing/test-daemon.ts
+++ b/src/gateway/testing/test-daemon.ts
@@ -92,6 +92,7 @@
 		listenRelay,
 		listenStreams,
 		listenMetrics,
+		maxDescriptors: 4096,
 		storeAddress: '',
 		cores: 1,
 		regions: {own: 'dalmatia', byDataCentre: new Map([['split', 'dalmatia']])},
--- a/src/platform/settings-file.ts
+++ b/src/platform/settings-file.ts
@@ -13,6 +13,7 @@
 /** Listed in `contracts` where callers compete for capacity. */
 const pressureContract = 'pressure';
 const bytesPerMegabyte = 1_048_576;
+const defaultMaxDescriptors = 4096;
 
 /**
  * Reads a settings file. Unknown fields are ignored.
@@ -70,6 +71,7 @@
 		listenMetrics: `${textOf('ip')}:${metricsPort}`,
 		storeAddress: textOf('platform.address'),
 		cores: numberOf('limits.cpu_share', 1) * numberOf('limits.cores', 1),
+		maxDescriptors: numberOf('limits.max_fds', defaultMaxDescriptors),
 		...(fields.has('limits.memory_mb') ? {memoryBytes: numberOf('limits.memory_mb') * bytesPerMegabyte} : {}),
 		regions: {
 			own: fields.get('region')?.value ?? '',
--- a/src/serving/connection-close.ts
+++ b/src/serving/connection-close.ts
@@ -9,6 +9,7 @@
  *
  * - `answer-aborted`: an answer that had begun could not be completed.
  * - `memory-limit`: the caller did not read its answer while this process held too many bytes.
+ * - `connection-limit`: all connections of the listener were in use, and others needed this one.
  * - `last-answer`: an answer that announced the close was complete.
  * - `drain`: the listener is draining, and the connection was idle or its answer complete.
  * - `idle-timeout`: no request arrived on a connection that was kept open.
@@ -21,6 +22,7 @@
 export type CloseReason
 	= | 'answer-aborted'
 		| 'memory-limit'
+		| 'connection-limit'
 		| 'last-answer'
 		| 'drain'
 		| 'idle-timeout'
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -13,6 +13,7 @@
 import {type Child} from '../supervisor/supervisor.js';
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
+import {CallerConnections, defaultMaxConnections} from './caller-connections.js';
 import {closeIfBodyOutstanding} from './close-if-body-outstanding.js';
 import {closeIfIdle} from './close-if-idle.js';
 import {noteClose, noteClosed} from './connection-close.js';
@@ -27,6 +28,8 @@
 	/** How often the two timeouts are checked. */
 	checkMilliseconds: number;
 	maxHeaderBytes: number;
+	/** What its connections may use; by default a few hundred of them are accepted. */
+	connections?: CallerConnections;
 };
 
 export const defaultListenerBounds: ListenerBounds = {
@@ -48,6 +51,7 @@
 	readonly #connections = new Map<Duplex, Set<ServerResponse>>();
 	/** How many bytes a connection had read when its last answer was complete; more are the begin of another request. */
 	readonly #answeredBytes = new WeakMap<Duplex, number>();
+	readonly #limits: CallerConnections;
 	#draining = false;
 	#closesConnections = false;
 
@@ -59,6 +63,7 @@
 	 */
 	constructor(name: string, app: H3 | NodeHandler, address: string, bounds = defaultListenerBounds) {
 		this.name = name;
+		this.#limits = bounds.connections ?? new CallerConnections(defaultMaxConnections, () => performance.now());
 		const separator = address.lastIndexOf(':');
 		this.#address = {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
 		this.#handle = typeof app === 'function' ? app : toNodeHandler(app);
@@ -162,6 +167,10 @@
 
 	#listenToServer(): void {
 		this.#server.on('connection', (socket: Socket) => {
+			if (!this.#limits.accept(socket)) {
+				return;
+			}
+
 			const pending = new Set<ServerResponse>();
 			this.#connections.set(socket, pending);
 			socket.once('close', () => {
@@ -235,6 +244,10 @@
 			response.setHeader('connection', 'close');
 		}
 
+		if (!this.#limits.admit(request, response)) {
+			return;
+		}
+
 		void this.#answer(request, response);
 	}
 
--- a/src/serving/send-refusal.ts
+++ b/src/serving/send-refusal.ts
@@ -11,6 +11,7 @@
 	'too-large': 413,
 	'headers-too-large': 431,
 	'memory-limit': 503,
+	'connection-limit': 503,
 	'too-slow': 408,
 	'too-many-open': 429,
 	'no-endpoint': 503,
--- a/src/shared/types.ts
+++ b/src/shared/types.ts
@@ -20,6 +20,7 @@
 		| 'too-large'
 		| 'headers-too-large'
 		| 'memory-limit'
+		| 'connection-limit'
 		| 'too-slow'
 		| 'too-many-open'
 		| 'no-endpoint'
