Read requests that arrive in turns of the event loop

Callers saw: no answer at all for minutes beside clients whose bodies come in chunks of a few bytes, and still none after these had left. Cause: a chunk costs 3 us whatever its length; Node reads 64 KiB of a connection at once (36 ms of one-byte chunks) and up to 32 times in a turn of the event loop, so each connection held it for about a second. Change: what arrives has 15 ms a turn; whoever uses them up and connections without an answered request are paused, and four are read again in each turn, those that took least time first, then the newest. Requests behind an unanswered one on their connection count too, and so does the rest of a refused body. Why it works: a turn ends after one read of each of a few connections, all other work gets its turn in between, and no connection is closed, so that a single body of one-byte chunks is served as fast as before.

--- a/src/gateway/observability/decision-log.ts
+++ b/src/gateway/observability/decision-log.ts
@@ -20,7 +20,7 @@
 		| 'configuration-taken' | 'configuration-refused' | 'endpoint-appeared' | 'endpoint-vanished' | 'endpoint-unreadable' | 'endpoint-state' | 'endpoint-row-held'
 		| 'connections-lost' | 'endpoints-unreachable' | 'endpoint-path' | 'service-brittle' | 'limit-named' | 'permit-granted' | 'leaving-announced' | 'rest-requested'
 		| 'endpoint-warming' | 'evacuation-begun' | 'evacuation-ended'
-		| 'request-served' | 'request-ended' | 'request-refused' | 'request-not-admitted' | 'request-blocked' | 'block-trial' | 'try-failed' | 'late-write' | 'answer-ended' | 'connection-limited'
+		| 'request-served' | 'request-ended' | 'request-refused' | 'request-not-admitted' | 'request-blocked' | 'block-trial' | 'try-failed' | 'late-write' | 'answer-ended' | 'connection-limited' | 'connections-held-back'
 		| 'request-over-share' | 'service-congested' | 'congestion-ended'
 		| 'lease-taken' | 'lease-lost' | 'order-given' | 'order-failed' | 'weights-named'
 		| 'store-parts' | 'queries-dropped' | 'event-loop-late' | 'left-out' | 'fault';
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -160,17 +160,18 @@
 	});
 
 	/** Returns what callers hold at present; unset before the listener is created. */
-	readConnections: (() => {held: number}) | undefined;
+	readConnections: (() => {held: number; heldBack: number}) | undefined;
 
 	/** Set only when the metrics are read. */
 	readonly callerConnections = new Gauge({
 		name: 'savorygauge_caller_connections',
-		help: 'Connections of callers, and connections to endpoints for their requests (held).',
+		help: 'Connections of callers, and connections to endpoints for their requests (held), and those that are not read at present because others go first (held-back).',
 		labelNames: ['state'],
 		registers: [this.registry],
 		collect: () => {
-			const {held} = this.readConnections?.() ?? {held: 0};
+			const {held, heldBack} = this.readConnections?.() ?? {held: 0, heldBack: 0};
 			this.callerConnections.set({state: 'held'}, held);
+			this.callerConnections.set({state: 'held-back'}, heldBack);
 		},
 	});
 
@@ -182,6 +183,10 @@
 		registers: [this.registry],
 	});
 
+	readonly heldBackReads = new Counter({
+		name: 'savorygauge_held_back_total', help: 'How often the bodies that arrive took so much processor time that connections were not read for a moment.', registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'savorygauge_endpoint_crashes_total', help: 'Endpoints found to have ended under requests of this instance.', registers: [this.registry],
 	});
--- a/src/serving/caller-connections.test.ts
+++ b/src/serving/caller-connections.test.ts
@@ -34,6 +34,9 @@
 		onLimited(report) {
 			reports.push(report);
 		},
+		onHeldBack() {
+			// The state shows it.
+		},
 	});
 	const listener = new HttpListener('callers', async (request, response) => {
 		const body = await readBody(request, maxBodyBytes);
@@ -143,3 +146,17 @@
 		assert.match(await answer, /done/v);
 	}
 });
+
+test('ordinary requests are read while bodies in very small chunks arrive, and these are served too', async t => {
+	// Guards against an event loop that reads the chunks of a few connections for minutes.
+	const {address, complete} = await startListener(t, 100);
+	const bytes = 50_000;
+	const body = `POST /chunks HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`;
+	const sockets = await openAll(address, 8, body);
+	const answers = sockets.map(async socket => readToEnd(socket));
+	assert.equal(statusOf(await ask(address, '/ordinary')), 200);
+	assert.ok(!complete.includes('/chunks'), JSON.stringify(complete));
+	for (const answer of answers) {
+		assert.match(await answer, new RegExp(`${bytes}$`, 'v'));
+	}
+});
--- a/src/serving/caller-connections.ts
+++ b/src/serving/caller-connections.ts
@@ -1,8 +1,9 @@
 /**
- * The connections of one listener, and their places among all connections. `decision/arrivals` decides who gives way.
+ * The connections of one listener, and what each may use before its request is complete: a place among all connections, and time to read
+ * what arrives. `decision/arrivals` decides who gives way.
  *
  * Node offers no event for a piece of a body before it is parsed, so pieces are counted where its parser passes them on: in `push` of the
- * request.
+ * request. A request that follows an unanswered one on its connection counts as a piece too.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
@@ -10,6 +11,7 @@
 import {type ResourceHolder, SharedResource} from '../decision/arrivals/shared-resource.js';
 import {retryAfterMilliseconds} from '../decision/memory/retry-after.js';
 import {type Refusal} from '../shared/types.js';
+import {ArrivalTurns, type TurnConnection} from './arrival-turns.js';
 import {noteClose} from './connection-close.js';
 import {connectionRefusalBytes} from './connection-refusal.js';
 import {sendRefusal} from './send-refusal.js';
@@ -38,12 +40,17 @@
 /** Called with the outcomes. */
 export type ConnectionReports = {
 	onLimited(report: ConnectionReport): void;
+	/** Connections are not read until their turn comes; once for each time that this begins. */
+	onHeldBack(connections: number): void;
 };
 
 export const noConnectionReports: ConnectionReports = {
 	onLimited() {
 		// Not every listener has a log.
 	},
+	onHeldBack() {
+		// Not every listener has a log.
+	},
 };
 
 /** For listeners that only operators and the platform reach. */
@@ -58,9 +65,12 @@
 const arrivingRank = 0;
 const idleRank = 1;
 
-class CallerConnection implements ResourceHolder {
+class CallerConnection implements ResourceHolder, TurnConnection {
 	displacementRank: number | undefined = arrivingRank;
 	dueAt: number;
+	spentMilliseconds = 0;
+	/** Whether a request of it has been answered. */
+	isProven = false;
 	/** Its requests that are not answered yet. */
 	openRequests = 0;
 	/** The answer to the request whose body is arriving. */
@@ -80,6 +90,7 @@
 	readonly #now: () => number;
 	readonly #reports: ConnectionReports;
 	readonly #places = new SharedResource<CallerConnection>();
+	readonly #turns: ArrivalTurns<CallerConnection>;
 	readonly #bySocket = new WeakMap<Socket, CallerConnection>();
 
 	/**
@@ -91,11 +102,14 @@
 		this.#capacity = capacity;
 		this.#now = now;
 		this.#reports = reports;
+		this.#turns = new ArrivalTurns(now, () => {
+			this.#holdBackUnproven();
+		});
 	}
 
-	/** What callers and their requests hold. */
-	get state(): {held: number} {
-		return {held: this.#places.total};
+	/** What callers and their requests hold, and how many connections are not read at present. */
+	get state(): {held: number; heldBack: number} {
+		return {held: this.#places.total, heldBack: this.#turns.heldBack};
 	}
 
 	/** Admits a new connection. Returns false, and closes it, if there is no room for it. */
@@ -113,6 +127,7 @@
 		socket.once('close', () => {
 			this.#forget(connection);
 		});
+		this.#turns.add(connection);
 		return true;
 	}
 
@@ -130,6 +145,10 @@
 			return false;
 		}
 
+		if (connection.openRequests > 0) {
+			this.#turns.notePiece(connection);
+		}
+
 		connection.openRequests++;
 		this.#places.hold(connection, 1 + connection.openRequests);
 		response.once('close', () => {
@@ -153,10 +172,19 @@
 				connection.arriving = undefined;
 			} else {
 				connection.dueAt = arrivalDueAfter(connection.dueAt, piece.length, this.#now());
+				this.#turns.notePiece(connection);
 			}
 
 			return push(piece, encoding);
 		};
+
+		response.once('prefinish', () => {
+			if (!request.complete) {
+				// Otherwise Node's parser would drop the rest itself, without a limit to the time that it takes.
+				request.read(0);
+				request.resume();
+			}
+		});
 	}
 
 	#noteAnswered(connection: CallerConnection, request: IncomingMessage): void {
@@ -172,6 +200,7 @@
 
 		const now = this.#now();
 		connection.arriving = undefined;
+		connection.isProven ||= request.complete;
 		connection.displacementRank = request.complete ? idleRank : arrivingRank;
 		connection.dueAt = request.complete ? now + idleGraceMilliseconds : now;
 	}
@@ -202,8 +231,20 @@
 		socket.destroySoon();
 	}
 
+	/** Stops to read the connections of which nobody knows yet what they send. */
+	#holdBackUnproven(): void {
+		for (const connection of this.#places.holders) {
+			if (!connection.isProven && connection.displacementRank !== undefined) {
+				this.#turns.holdBack(connection);
+			}
+		}
+
+		this.#reports.onHeldBack(this.#turns.heldBack);
+	}
+
 	#forget(connection: CallerConnection): void {
 		this.#places.hold(connection, 0);
+		this.#turns.remove(connection);
 	}
 
 	#report(outcome: ConnectionOutcome, {client, socket}: CallerConnection): void {
