Limit bodies and connections of savorygauge-entry like the gateway's

Callers saw: by reading, an entry that runs out of memory or descriptors: bodies of 8 MiB each were limited by the number of open requests only, and connections not at all. Cause: the limits were the gateway's own. Evidence: read-caller-body.test.ts, two routes; before, nothing counted the bodies (the field of the context did not exist). Related paths, by reading: operators' routes read a body only with the key, up to 8 MiB; readiness and metrics read none, and have 256 places of their own; relays accept a bounded number of connections; streams between instances close a connection that does not say in time what it is for; requests that wait for room hold their bodies, which stay counted.

--- a/src/entry/callers/caller-routes.ts
+++ b/src/entry/callers/caller-routes.ts
@@ -8,7 +8,6 @@
 import {type Refusal, type ServiceItem, type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
-import {readBody} from '../../serving/read-body.js';
 import {refusalBody, sendRefusal} from '../../serving/send-refusal.js';
 import {type AdmissionGate} from './admission-gate.js';
 import {authenticate} from './authenticate.js';
@@ -22,11 +21,11 @@
 import {answerUnrouted} from './answer-unrouted.js';
 import {OpenRequestLimiter} from './open-request-limiter.js';
 import {type PlainRoute} from './plain-route.js';
+import {readCallerBody} from './read-caller-body.js';
 import {requestRule} from './request-rule.js';
 import {sendJson} from './send-complete-answer.js';
 
-export const defaultBodyLimitBytes = 8_388_608;
-
+const defaultBodyLimitBytes = 8_388_608;
 const disconnectReason = new Error('the caller disconnected');
 const operatorCancelReason = new Error('an operator cancelled the request');
 
@@ -102,8 +101,7 @@
 			return;
 		}
 
-		const {limits} = this.#context.configuration.state;
-		const body = await readBody(request, limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
+		const body = await readCallerBody(this.#context, {request, response}, defaultBodyLimitBytes);
 		const parsed = entered.chain(workspace =>
 			body.chain(bytes => parseCompletionRequest(shape, bytes))
 				.chain(completion => this.#modelServiceOf(workspace, completion.model)
--- a/src/entry/callers/plain-route.ts
+++ b/src/entry/callers/plain-route.ts
@@ -13,8 +13,8 @@
 import {type Refusal, type ServiceItem, type WorkspaceItem} from '../../shared/types.js';
 import {type EntryContext} from '../entry-context.js';
 import {hasCallerDisconnected} from '../../serving/has-caller-disconnected.js';
-import {readBody} from '../../serving/read-body.js';
 import {sendRefusal} from '../../serving/send-refusal.js';
+import {readCallerBody} from './read-caller-body.js';
 import {type AtMostOnceRunner} from './at-most-once-runner.js';
 import {sendCompleteAnswer} from './send-complete-answer.js';
 
@@ -54,7 +54,7 @@
 
 	async call(workspace: WorkspaceItem, {request, response}: NodeExchange): Promise<void> {
 		const parts = pathPattern.exec(request.url ?? '')?.groups;
-		const {version, services, limits} = this.#context.configuration.state;
+		const {version, services} = this.#context.configuration.state;
 		const refusal = this.#validate(workspace.name, parts?.service ?? '');
 		if (refusal !== undefined) {
 			sendRefusal(response, refusal);
@@ -63,7 +63,7 @@
 
 		const service = services.get(parts?.service ?? '') as PlainServiceItem;
 
-		const body = await readBody(request, limits.get('body-bytes')?.value ?? defaultBodyLimitBytes);
+		const body = await readCallerBody(this.#context, {request, response}, defaultBodyLimitBytes);
 		const parsed = keyOf(request).chain(idempotencyKey => body.map(bytes => ({idempotencyKey, bytes})));
 		if (parsed.isLeft()) {
 			sendRefusal(response, parsed.extract());
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -8,6 +8,7 @@
 import {type PlainService} from '../ports/plain-service.js';
 import {type TableService} from '../ports/table-service.js';
 import {type EventLoopLag} from '../serving/event-loop-lag.js';
+import {type HeldMemory} from '../serving/held-memory.js';
 import {type ConfigurationHolder} from './configuration-holder.js';
 import {type EndpointDirectory} from './endpoint-directory.js';
 import {type EntrySettings} from './entry-settings.js';
@@ -29,6 +30,8 @@
 	configuration: ConfigurationHolder;
 	endpoints: EndpointDirectory;
 	requests: RequestRegistry;
+	/** Counts the bodies of callers' requests. */
+	memory: HeldMemory;
 	eventLoopLag: Pick<EventLoopLag, 'current'>;
 	/** True from the start of a shutdown on: new requests are refused. */
 	draining: boolean;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -9,6 +9,8 @@
 import {HttpPlainService} from '../adapters/http-plain-service.js';
 import {HttpTableService} from '../adapters/http-table-service.js';
 import {systemClock} from '../adapters/system-clock.js';
+import {connectionCapacityOf} from '../decision/arrivals/connection-capacity.js';
+import {memoryLimitsOf} from '../decision/memory/memory-limits.js';
 import {FairShareAdmission} from '../decision/admission/fair-share-admission.js';
 import {CachedPrefixes} from '../decision/cache/cached-prefixes.js';
 import {ExpectedFirstTokenPolicy} from '../decision/routing/expected-first-token-policy.js';
@@ -17,10 +19,13 @@
 import {StatsdMetrics} from '../observability/metrics.js';
 import {TimelineSender} from '../observability/timeline-sender.js';
 import {Supervisor} from '../supervisor/supervisor.js';
+import {CallerConnections} from '../serving/caller-connections.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
-import {HttpListener} from '../serving/http-listener.js';
+import {HeldMemory} from '../serving/held-memory.js';
+import {defaultListenerBounds, HttpListener} from '../serving/http-listener.js';
 import {CapacityUpdater} from './capacity-updater.js';
 import {AdmissionGate} from './callers/admission-gate.js';
+import {CallerLimitReports} from './callers/caller-limit-reports.js';
 import {CallerRoutes} from './callers/caller-routes.js';
 import {CompletionRunner} from './callers/completion-runner.js';
 import {FirstTokenNotifier} from './callers/first-token-notifier.js';
@@ -41,6 +46,7 @@
 import {InstanceWatcher} from './watchers/instance-watcher.js';
 import {LoadWatcher} from './watchers/load-watcher.js';
 
+const bytesPerMegabyte = 1_048_576;
 const restartIntensity = {restarts: 10, periodMilliseconds: 60_000};
 
 /** The addresses at which a running entry listens. */
@@ -75,13 +81,17 @@
 	constructor(settings: EntrySettings) {
 		const identity = {program: 'savorygauge-entry', instance: settings.instance, dataCentre: settings.dataCentre};
 		this.#timeline = new TimelineSender(identity, settings.timelineAddress);
+		const logger = createLogger(identity, settings.logLevel);
+		const metrics = new StatsdMetrics(settings.metricsAddress, identity);
+		const limitReports = new CallerLimitReports({logger, metrics});
+		const now = (): number => performance.now();
 		this.#context = {
 			settings,
 			identity,
 			clock: systemClock,
 			newRequestId: randomUUID,
-			logger: createLogger(identity, settings.logLevel),
-			metrics: new StatsdMetrics(settings.metricsAddress, identity),
+			logger,
+			metrics,
 			timeline: this.#timeline,
 			table: new HttpTableService(settings.tableAddress),
 			list: new HttpInstanceList(settings.listAddress),
@@ -90,6 +100,7 @@
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
 			requests: new RequestRegistry(),
+			memory: new HeldMemory(memoryLimitsOf(settings.memoryMegabytes * bytesPerMegabyte), now, limitReports),
 			eventLoopLag: this.#eventLoopLag,
 			draining: false,
 		};
@@ -109,7 +120,10 @@
 			runner: new CompletionRunner(this.#context, new FirstTokenNotifier(policy, gate), this.#cachedContext),
 			plainRoute: new PlainRoute(this.#context, this.#atMostOnceRunner),
 		});
-		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen);
+		this.#callers = new HttpListener('caller-listener', routes.app, settings.listen, {
+			...defaultListenerBounds,
+			connections: new CallerConnections(connectionCapacityOf(settings.maxDescriptors), now, limitReports),
+		});
 		this.#operators = new HttpListener('operator-listener', createOperatorRoutes(this.#context, this.#peers), settings.operatorListen);
 		this.#root = this.#tree(gate);
 		this.#reportConfiguration();
--- a/src/entry/entry-settings.ts
+++ b/src/entry/entry-settings.ts
@@ -81,6 +81,13 @@
 	flag: 'list-poll-milliseconds', valueName: 'number', description: 'time between two looks at the instance list', defaultText: '1000', parse: parseWholeNumberBetween(10, 60_000),
 };
 
+const memoryMegabytes: SettingDefinition<number> = {
+	flag: 'memory-megabytes', valueName: 'number', description: 'memory of this process; what it holds for callers is limited to a part of it', defaultText: '2048', parse: parseWholeNumberBetween(64, 1_048_576),
+};
+const maxDescriptors: SettingDefinition<number> = {
+	flag: 'max-descriptors', valueName: 'number', description: 'descriptors that this process may have; connections of callers are limited to a part of them', defaultText: '4096', parse: parseWholeNumberBetween(256, 1_048_576),
+};
+
 export const entrySettingDefinitions = {
 	instance,
 	dataCentre,
@@ -100,6 +107,8 @@
 	loadPollMilliseconds,
 	listPollMilliseconds,
 	storePieceMilliseconds,
+	memoryMegabytes,
+	maxDescriptors,
 };
 
 /** The values that `savorygauge-entry` runs with. */
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -34,6 +34,15 @@
 	'kept.pieces_not_saved': {
 		kind: 'count', unit: 'pieces', tags: ['reason'], description: 'pieces that were not saved: too many waited (`queue`), no answer in all tries, a full store, or evicted before their turn',
 	},
+	'connection.limited': {
+		kind: 'count', unit: 'connections', tags: ['outcome'], description: 'connections of callers for which there was none left: `not-accepted`, `request-refused`, or closed for others (`arriving-closed`, `idle-closed`)',
+	},
+	'connection.held_back': {
+		kind: 'count', unit: 'times', tags: [], description: 'how often bodies that arrive took so much processor time that connections were not read for a moment',
+	},
+	'memory.outcome': {
+		kind: 'count', unit: 'bodies', tags: ['outcome'], description: 'bodies that had not arrived and were refused because others needed their memory (`displaced`)',
+	},
 	'claim.write': {
 		kind: 'count', unit: 'writes', tags: ['outcome'], description: 'writes of claims to the table service',
 	},
--- a/src/reference/settings-page.ts
+++ b/src/reference/settings-page.ts
@@ -1,6 +1,7 @@
 /** Generates the text of docs/SETTINGS.md. */
 import {type SettingDefinition, type SettingDefinitions} from '../settings/setting-definition.js';
 import {variableNameOf} from '../settings/variable-name-of.js';
+import {clientLimitsSection} from './client-limits-section.js';
 
 /**
  * Generates the page.
@@ -27,6 +28,7 @@
 		'flags are seen in the list of processes.',
 		'',
 		...sections,
+		...clientLimitsSection(),
 	].join('\n');
 }
 
--- a/src/test/test-entry.ts
+++ b/src/test/test-entry.ts
@@ -8,6 +8,9 @@
 import {ConfigurationHolder} from '../entry/configuration-holder.js';
 import {EndpointDirectory} from '../entry/endpoint-directory.js';
 import {type EntryContext} from '../entry/entry-context.js';
+import {CallerLimitReports} from '../entry/callers/caller-limit-reports.js';
+import {memoryLimitsOf} from '../decision/memory/memory-limits.js';
+import {HeldMemory} from '../serving/held-memory.js';
 import {EventLoopLag} from '../serving/event-loop-lag.js';
 import {defaultListenerBounds, HttpListener} from '../serving/http-listener.js';
 import {NoCachedContext} from '../entry/cache/cached-context.js';
@@ -105,6 +108,8 @@
 				loadPollMilliseconds: 500,
 				listPollMilliseconds: 1000,
 				storePieceMilliseconds: 20,
+				memoryMegabytes: 2048,
+				maxDescriptors: 4096,
 			},
 			clock: this.clock,
 			newRequestId: () => `request-${++this.#requests}`,
@@ -122,6 +127,9 @@
 			configuration: new ConfigurationHolder(),
 			endpoints: new EndpointDirectory(),
 			requests: new RequestRegistry(),
+			memory: new HeldMemory(memoryLimitsOf(2048 * 1_048_576), () => performance.now(), new CallerLimitReports({
+				logger: createLogger(identity, 'error'), metrics: new StatsdMetrics('', identity),
+			})),
 			eventLoopLag: this.#eventLoopLag,
 			draining: false,
 		};
