--- a/src/entry/callers/read-caller-body.test.ts
+++ b/src/entry/callers/read-caller-body.test.ts
@@ -3,7 +3,9 @@
 import {test} from 'node:test';
 import {bodyGraceMilliseconds} from '../../decision/arrivals/arrival-due.js';
 import {HeldMemory} from '../../serving/held-memory.js';
-import {errorCodeOf, exchangeRaw, openSocket, rawRequest, readToEnd, statusOf} from '../../test/raw-http.js';
+import {
+	errorCodeOf, exchangeRaw, openSocket, rawRequest, readToEnd, statusOf,
+} from '../../test/raw-http.js';
 import {testKey, TestEntry} from '../../test/test-entry.js';
 import {waitUntil} from '../../test/wait-until.js';
 
