Keep a connection whose earlier request is served beside half of a later one

Callers would have seen: a request that runs, and its connection closed for another one because half of the next request stood still behind it. Cause: the rank of a connection was that of its last request. Evidence: caller-connections.test.ts, "a connection whose earlier request is served stays open although the body of a later one stands still", failed on the commit before: the connection was closed for a new one. Change: only the first unanswered request of a connection makes it one that may be closed. Why it works: while an earlier request is served the rank stays undefined, and such holders are never selected.

--- a/src/serving/caller-connections.test.ts
+++ b/src/serving/caller-connections.test.ts
@@ -147,6 +147,20 @@
 	}
 });
 
+test('a connection whose earlier request is served stays open although the body of a later one stands still', async t => {
+	// Guards against a request that runs and whose caller loses the answer because it has sent half of the next one.
+	const {address, reports, held, connections, wait} = await startListener(t, 3);
+	const [socket] = await openAll(address, 1, `${rawRequest({method: 'GET', path: '/held'})}${upload}half`);
+	const answer = readUntil(socket!, text => text.includes('done'));
+	await waitUntil(() => connections.state.held === 3);
+	wait(60_000);
+	assert.equal(await ask(address, '/'), '');
+	assert.deepEqual(reports.map(({outcome}) => outcome), ['not-accepted']);
+	held[0]!.end('done');
+	assert.match(await answer, /done/v);
+	socket!.destroy();
+});
+
 test('ordinary requests are read while bodies in very small chunks arrive, and these are served too', async t => {
 	// Guards against an event loop that reads the chunks of a few connections for minutes.
 	const {address, complete} = await startListener(t, 100);
--- a/src/serving/caller-connections.ts
+++ b/src/serving/caller-connections.ts
@@ -162,9 +162,12 @@
 	}
 
 	#followBody(connection: CallerConnection, request: IncomingMessage, response: ServerResponse): void {
-		connection.displacementRank = arrivingRank;
-		connection.dueAt = this.#now() + bodyGraceMilliseconds;
-		connection.arriving = response;
+		if (connection.openRequests === 1) {
+			connection.displacementRank = arrivingRank;
+			connection.dueAt = this.#now() + bodyGraceMilliseconds;
+			connection.arriving = response;
+		}
+
 		const push = request.push.bind(request);
 		request.push = (piece: Uint8Array | null, encoding) => {
 			if (piece === null) {
