Read a connection at once when its request is complete

Callers would have seen: requests that run after they have left. A paused connection does not show that its caller has closed it. Cause: a connection that was held back stayed so when its request was complete and went on to an endpoint. Change: the end of a body releases its connection, unless an earlier request of it is still open. Why it works: what follows on the connection is read in the next poll, for which hasCallerDisconnected waits.

--- a/src/serving/arrival-turns.ts
+++ b/src/serving/arrival-turns.ts
@@ -54,6 +54,14 @@
 		this.#budget.forget(connection);
 	}
 
+	/** Reads a connection again at once. */
+	release(connection: Connection): void {
+		if (this.#budget.isHeldBack(connection)) {
+			this.#budget.forget(connection);
+			connection.socket.resume();
+		}
+	}
+
 	/** Counts a piece of a request that has arrived. */
 	notePiece(connection: Connection): void {
 		this.#pieces++;
--- a/src/serving/caller-connections.ts
+++ b/src/serving/caller-connections.ts
@@ -173,6 +173,10 @@
 			if (piece === null) {
 				connection.displacementRank = undefined;
 				connection.arriving = undefined;
+				if (connection.openRequests === 1) {
+					// Otherwise it would not be read that the caller has left, and the request would be sent to an endpoint.
+					this.#turns.release(connection);
+				}
 			} else {
 				connection.dueAt = arrivalDueAfter(connection.dueAt, piece.length, this.#now());
 				this.#turns.notePiece(connection);
