--- a/src/check/misbehaving-clients-over-processes.ts
+++ b/src/check/misbehaving-clients-over-processes.ts
@@ -194,7 +194,7 @@
 		}
 	}
 
-	/** Sends one ordinary request, whose caller tries again as it is told. Returns the status of each try. */
+	/** Sends one ordinary request, whose caller tries again after the time of `Retry-After`. Returns the status of each try. */
 	async #callOrdinary(): Promise<number[]> {
 		const statuses: number[] = [];
 		while (statuses.length < ordinaryTries && statuses.at(-1) !== 200 && !this.#hasEnded) {
--- a/src/serving/held-body.ts
+++ b/src/serving/held-body.ts
@@ -39,7 +39,7 @@
 		return true;
 	}
 
-	/** Sets what is called when the body must be given up because others need its memory. */
+	/** Sets what is called when the body is refused because others need its memory. */
 	whenRefused(onRefused: () => void): void {
 		this.#onRefused = onRefused;
 	}
