End a request that was refused because others needed its connection

Callers would have seen: a refusal that says not run for a request that runs since the rest of its body was in the same poll, and less and less memory for bodies, as that of the refused one stayed counted. Cause: the listener refused the request while its handler still awaited the body; Node does not end a request that has been answered before its body. Change: nothing that arrives on a displaced connection is passed on, and its request is destroyed when the connection closes. Why it works: the handler sees a body that was cut off, so it neither sends the request to an endpoint nor keeps its memory.

--- a/src/serving/caller-connections.test.ts
+++ b/src/serving/caller-connections.test.ts
@@ -20,6 +20,8 @@
 	held: ServerResponse[];
 	/** The targets of requests in the order in which they were complete. */
 	complete: string[];
+	/** The targets of requests whose bodies were cut off. */
+	cutOff: string[];
 	connections: CallerConnections;
 	/** Moves the time of the limits on. */
 	wait(milliseconds: number): void;
@@ -30,6 +32,7 @@
 	const reports: ConnectionReport[] = [];
 	const held: ServerResponse[] = [];
 	const complete: string[] = [];
+	const cutOff: string[] = [];
 	const connections = new CallerConnections(capacity, () => performance.now() + later, {
 		onLimited(report) {
 			reports.push(report);
@@ -41,6 +44,7 @@
 	const listener = new HttpListener('callers', async (request, response) => {
 		const body = await readBody(request, maxBodyBytes);
 		if (body.isLeft()) {
+			cutOff.push(request.url ?? '');
 			response.destroy();
 			return;
 		}
@@ -61,7 +65,7 @@
 		await listener.drain();
 	});
 	return {
-		address, reports, held, complete, connections, wait(milliseconds) {
+		address, reports, held, complete, cutOff, connections, wait(milliseconds) {
 			later += milliseconds;
 		},
 	};
@@ -108,6 +112,22 @@
 	});
 }
 
+test('a request that was refused for others is neither read on nor left waiting for its body', async t => {
+	// Guards against a refused request that runs since the rest of its body arrives, and against its memory staying counted.
+	const {address, reports, complete, cutOff, connections, wait} = await startListener(t, 2);
+	const [still] = await openAll(address, 1, `${upload}half`);
+	const answer = readToEnd(still!);
+	await waitUntil(() => connections.state.held === 2);
+	wait(1500);
+	const other = await openSocket(address);
+	still!.write('x'.repeat(96));
+	assert.equal(statusOf(await answer), 503);
+	await waitUntil(() => cutOff.length === 1);
+	assert.deepEqual(reports.map(({outcome}) => outcome), ['arriving-closed']);
+	assert.deepEqual(complete, []);
+	other.destroy();
+});
+
 test('an idle connection makes room for another one after its grace, and after those on which a request stands still', async t => {
 	// Guards against idle connections that keep new callers out, and against one that is closed when its caller uses it again.
 	const {address, reports, connections, wait} = await startListener(t, 3);
--- a/src/serving/caller-connections.ts
+++ b/src/serving/caller-connections.ts
@@ -75,6 +75,8 @@
 	openRequests = 0;
 	/** The answer to the request whose body is arriving. */
 	arriving: ServerResponse | undefined;
+	/** Whether it was closed for another one; nothing that still arrives is read. */
+	isDisplaced = false;
 	readonly socket: Socket;
 	readonly client: string;
 
@@ -126,6 +128,8 @@
 		this.#places.hold(connection, 1);
 		socket.once('close', () => {
 			this.#forget(connection);
+			// Node does not end a request that has been answered before its body was complete.
+			connection.arriving?.req.destroy();
 		});
 		this.#turns.add(connection);
 		return true;
@@ -170,6 +174,10 @@
 
 		const push = request.push.bind(request);
 		request.push = (piece: Uint8Array | null, encoding) => {
+			if (connection.isDisplaced) {
+				return true;
+			}
+
 			if (piece === null) {
 				connection.displacementRank = undefined;
 				connection.arriving = undefined;
@@ -196,7 +204,7 @@
 
 	#noteAnswered(connection: CallerConnection, request: IncomingMessage): void {
 		connection.openRequests--;
-		if (this.#places.amountOf(connection) === 0) {
+		if (connection.isDisplaced || this.#places.amountOf(connection) === 0) {
 			return;
 		}
 
@@ -228,6 +236,7 @@
 		const {socket, arriving, displacementRank} = connection;
 		this.#report(displacementRank === idleRank ? 'idle-closed' : 'arriving-closed', connection);
 		this.#forget(connection);
+		connection.isDisplaced = true;
 		noteClose(socket, 'connection-limit');
 		if (arriving?.headersSent === false) {
 			sendLimitRefusal(arriving, connection);
