Count late answers by the phase that took longest, and log waits for the coordinator

Cause: a late answer could not be told apart from outside: whether its request waited for the coordinator, for an event loop that was late, in earlier attempts, or at its endpoint. Change: savorygauge_late_answers_total by route kind and phase; the line of an unusual end has the number and time of its queries to the coordinator (queried) and the lag at its arrival (lagMilliseconds). Normal ends have the same short line as before.

--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -24,6 +24,8 @@
 	/** Endpoints whose limit has no room for this request. */
 	readonly #excluded = new Set<string>();
 	#rounds = 0;
+	#queries = 0;
+	#queryMilliseconds = 0;
 
 	/** @param attempted - The endpoints that the request was already sent to; the caller may add to it. */
 	constructor(context: GatewayContext, work: PlacedWork, attempted: ReadonlySet<string>) {
@@ -45,9 +47,16 @@
 		this.#candidates = placement.shortlist(this.#request(sources), this.#usable(now), now, this.#rounds);
 		if (permitted.route.carriesPrompt) {
 			await peerUpdates.refresh(sources.query(this.#candidates));
+			this.#queries++;
+			this.#queryMilliseconds += this.#now() - now;
 		}
 	}
 
+	/** How often the coordinator was queried, and how long the request has waited for the answers, in milliseconds. */
+	get queried(): {queries: number; milliseconds: number} {
+		return {queries: this.#queries, milliseconds: this.#queryMilliseconds};
+	}
+
 	/** Places the request on one of the candidates, or on an engine that is known to cache blocks of the prompt. */
 	place(): {request: PlacementRequest; placement: Placement} {
 		const now = this.#now();
--- a/src/gateway/data-path/endpoint-search.ts
+++ b/src/gateway/data-path/endpoint-search.ts
@@ -155,6 +155,11 @@
 		};
 	}
 
+	/** How often the coordinator was queried for the request, and for how long, in milliseconds. */
+	get queried(): EndpointChoice['queried'] {
+		return this.#choice.queried;
+	}
+
 	/** When a refused caller should return if all endpoints rest. */
 	restMilliseconds(): number | undefined {
 		const milliseconds = this.#choice.restMilliseconds();
--- a/src/gateway/data-path/report-end.ts
+++ b/src/gateway/data-path/report-end.ts
@@ -15,6 +15,7 @@
 import {type GatewayContext} from '../gateway-context.js';
 import {type DecisionFields, type DecisionKind} from '../observability/decision-log.js';
 import {type AnswerTransfer} from './answer-transfer.js';
+import {type LatePhase, longestPhase} from './late-phase.js';
 import {type PermittedRequest} from './validate-request.js';
 import {type RequestHead} from './request-head.js';
 import {resumptionFields} from './resumption-fields.js';
@@ -36,6 +37,10 @@
 	firstByteAt: number | undefined;
 	/** When the last attempt was sent, in milliseconds of the steady clock. */
 	sentAt?: number | undefined;
+	/** How often the coordinator was queried before the request was sent, and for how long, in milliseconds. */
+	queried?: {queries: number; milliseconds: number};
+	/** By how much the event loop was late when the request was read. */
+	lagMilliseconds?: number;
 	/** The longest silence of an endpoint during an attempt; absent if there was none. */
 	silentMilliseconds?: number | undefined;
 	/** How the last answer was transferred; absent where it ended by its own framing, as nearly all do. */
@@ -53,6 +58,8 @@
 /** A line of the log. */
 export type EndLogLine = {kind: DecisionKind; fields: DecisionFields};
 
+/** Lags below this are usual. */
+const minLoggedLagMilliseconds = 20;
 /** From this status on an answer means that the request was not served, whether by the gateway or by the endpoint. */
 const firstFailureStatus = 400;
 
@@ -74,6 +81,11 @@
 		metrics.timeToFirstByte.observe({kind}, (firstByteAt - arrivedAt.steady) / 1000);
 	}
 
+	const latePhase = latePhaseOf(work, facts, now);
+	if (latePhase !== undefined) {
+		metrics.lateAnswers.inc({kind, phase: latePhase});
+	}
+
 	const line = endLogLine(work, facts, now);
 	log.record(line.kind, line.fields);
 }
@@ -105,8 +117,25 @@
 function isNormalEnd({head, permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): boolean {
 	const {end, status, sends, endpoints, firstByteAt, silentMilliseconds} = facts;
 	const isServedDirectly = end === 'whole' && status < firstFailureStatus && sends === 1 && endpoints.length === 1 && silentMilliseconds === undefined;
-	const respondedAt = isStream(route) ? firstByteAt ?? now : now;
-	return isServedDirectly && !isResumption(head, route) && respondedAt - arrivedAt.steady <= route.objectiveMilliseconds;
+	return isServedDirectly && !isResumption(head, route) && respondedAt(route, firstByteAt, now) - arrivedAt.steady <= route.objectiveMilliseconds;
+}
+
+/** When the caller had what the route's objective counts: the first byte of a stream, or the whole answer of a call. */
+function respondedAt(route: Route, firstByteAt: number | undefined, now: number): number {
+	return isStream(route) ? firstByteAt ?? now : now;
+}
+
+/** The phase that took most of a complete answer which came after the route's objective; `undefined` for any other end. */
+function latePhaseOf({permitted: {route}, arrivedAt}: EndedRequest, facts: EndFacts, now: number): LatePhase | undefined {
+	const {end, status, firstByteAt, sentAt, queried, sends} = facts;
+	const responded = respondedAt(route, firstByteAt, now);
+	if (end !== 'whole' || status >= firstFailureStatus || sentAt === undefined || responded - arrivedAt.steady <= route.objectiveMilliseconds) {
+		return undefined;
+	}
+
+	return longestPhase({
+		arrivedAt: arrivedAt.steady, sentAt, respondedAt: responded, queriedMilliseconds: queried?.milliseconds ?? 0, sends,
+	});
 }
 
 /** Whether only the orderly end of its connection shows that an answer is complete. */
@@ -153,7 +182,9 @@
 }
 
 function endedLine({head, permitted, arrivedAt, request}: EndedRequest, facts: EndFacts, now: number): EndLogLine {
-	const {end, placedBy, firstByteAt, sentAt, ...counts} = facts;
+	const {
+		end, placedBy, firstByteAt, sentAt, queried, lagMilliseconds = 0, ...counts
+	} = facts;
 	return {
 		kind: 'request-ended',
 		fields: {
@@ -167,6 +198,8 @@
 			placedBy: placedBy === undefined ? undefined : loggedBasis(placedBy),
 			configurationVersion: permitted.configurationVersion,
 			objectiveMilliseconds: end === 'whole' ? permitted.route.objectiveMilliseconds : undefined,
+			queried: queried === undefined || queried.queries === 0 ? undefined : [queried.queries, Math.round(queried.milliseconds)],
+			lagMilliseconds: lagMilliseconds < minLoggedLagMilliseconds ? undefined : Math.round(lagMilliseconds),
 			sentMilliseconds: sentAt === undefined ? undefined : Math.round(sentAt - arrivedAt.steady),
 			firstByteMilliseconds: firstByteAt === undefined ? undefined : Math.round(firstByteAt - arrivedAt.steady),
 			milliseconds: Math.round(now - arrivedAt.steady),
--- a/src/gateway/data-path/routed-request.ts
+++ b/src/gateway/data-path/routed-request.ts
@@ -42,6 +42,8 @@
 	/** Whether the request counts towards the retries that its service may get. */
 	#isCounted = false;
 	#hasEnded = false;
+	/** By how much the event loop was late when the request was read. */
+	readonly #lagMilliseconds: number;
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly #stop = new AbortController();
 	#status = 0;
@@ -51,6 +53,7 @@
 	constructor(context: GatewayContext, work: RoutedWork) {
 		this.#context = context;
 		this.#work = work;
+		this.#lagMilliseconds = context.eventLoopLag.current;
 		this.#crashScreen = new CrashScreen(context, work);
 		this.#unconnected = new UnconnectedEndpoints(context.paths, this.#attempted);
 		this.#search = new EndpointSearch(context, work, this.#crashScreen, this.#attempted);
@@ -107,6 +110,8 @@
 				placedBy: this.#attempts.basis,
 				firstByteAt: this.#attempts.firstByteAt,
 				sentAt: this.#attempts.sentAt,
+				queried: this.#search.queried,
+				lagMilliseconds: this.#lagMilliseconds,
 				silentMilliseconds: this.#attempts.silentMilliseconds,
 				...unusualTransfer(this.#unreportedTransfer),
 			}, this.#now());
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -46,6 +46,14 @@
 		name: 'savorygauge_request_seconds', help: 'From the arrival of a request to the end of its answer.', labelNames: ['kind'], buckets: latencyBuckets, registers: [this.registry],
 	});
 
+	/** The label values of `phase` are those of `LatePhase`. */
+	readonly lateAnswers = new Counter({
+		name: 'savorygauge_late_answers_total',
+		help: 'Complete answers after the objective of their route, by route kind and the phase that took longest.',
+		labelNames: ['kind', 'phase'],
+		registers: [this.registry],
+	});
+
 	readonly storeCalls = new Counter({
 		name: 'savorygauge_store_calls_total', help: 'Calls to the platform\'s store, by kind, table and outcome.', labelNames: ['call', 'table', 'outcome'], registers: [this.registry],
 	});
