Let the coordinator write the reports of crashes of all instances

Cause: each instance wrote its own reports of each crash, and of what it had served, to the store at once, and again 250 ms after a failure. Renewals of the coordinator's lease waited behind those of all instances, and lapsed. Class: a burst of hints that all instances send at the same event uses up a serial resource that control depends on; retries at a fixed interval keep it used up.

Change: a report goes to the coordinator at once, which writes those of all in a few transactions. An instance writes its report itself if the table does not have it after 1.5 s, or if no coordinator answers, at a random time within 10 ms for each instance. Failed calls are repeated after a delay that doubles.

--- a/src/gateway/coordinator/coordinator-pair.test.ts
+++ b/src/gateway/coordinator/coordinator-pair.test.ts
@@ -87,6 +87,12 @@
 				}
 			},
 		}),
+		reportWriter: {
+			adopt() {
+				// No endpoint crashes here.
+			},
+			isUnwritten: () => false,
+		},
 		tableUpdates(cursors) {
 			const update = cursors.list === undefined ? undefined : follower.updateFor(cursors.list);
 			return update === undefined ? [] : [update];
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -12,6 +12,7 @@
 import {type CoordinatorView} from './coordinator-view.js';
 import {type LocalFollower} from './local-follower.js';
 import {PeerUpdateSources} from './peer-update-sources.js';
+import {type CrashReportWriter} from './report-relay.js';
 
 /** Table of leases that no instance follows. */
 const coordinatorLeaseTable = 'leases';
@@ -34,6 +35,8 @@
 	follower: Omit<LocalFollower, 'takeUses' | 'closed' | 'lacksSlots'>;
 	/** Computes the shares of workspaces; absent where the settings enable none. */
 	shares?: CoordinatorShares | undefined;
+	/** Writes the reports of crashes of all followers. */
+	reportWriter: CrashReportWriter;
 	/** Table changes of this instance for a follower at the given positions. */
 	tableUpdates: (cursors: Record<string, FeedCursor>) => FeedUpdate[];
 };
@@ -97,6 +100,11 @@
 		return this.isCoordinator || (this.isStandby && !this.#clients.hub.isResponsive);
 	}
 
+	/** Whether the coordinator answers this instance. */
+	get hasCoordinator(): boolean {
+		return this.#clients.hub.isResponsive;
+	}
+
 	/** How many instances report to the coordinator; 0 before it has answered. */
 	get instances(): number {
 		return this.#clients.hub.instances;
@@ -111,7 +119,9 @@
 		await Promise.all(Object.values(this.#coordinators).map(async coordinator => coordinator.resign()));
 	}
 
-	#create(role: CoordinatorRole, context: CoordinatorContext, {store, control, addresses, follower, shares, tableUpdates}: CoordinatorPairDependencies): Coordinator {
+	#create(role: CoordinatorRole, context: CoordinatorContext, {
+		store, control, addresses, follower, shares, reportWriter, tableUpdates,
+	}: CoordinatorPairDependencies): Coordinator {
 		const {instance, cores} = follower;
 		const other: CoordinatorRole = role === 'hub' ? 'hub-deputy' : 'hub';
 		const address = addresses[role];
@@ -127,6 +137,7 @@
 			control,
 			cores,
 			shares: role === 'hub' ? shares : undefined,
+			reportWriter: role === 'hub' ? reportWriter : undefined,
 			tableUpdates,
 			// Called for the first time while the other role does not exist yet.
 			holdsOtherLease: () => (this.#coordinators as Record<CoordinatorRole, Coordinator> | undefined)?.[other].holdsLease() ?? false,
--- a/src/gateway/coordinator/coordinator-server.ts
+++ b/src/gateway/coordinator/coordinator-server.ts
@@ -18,7 +18,7 @@
 	type FollowerFrame, type CoordinatorFrame, idleTimeoutMilliseconds, type PackedLoad, type PermitQuery, type BlocksAnswer, type PlacementQuery,
 } from './coordinator-messages.js';
 import {BrittleObservations} from './brittle-observations.js';
-import {type KeyedReport, ReportRelay} from './report-relay.js';
+import {type CrashReportWriter, type KeyedReport, ReportRelay} from './report-relay.js';
 import {GrantableSlots} from './grantable-slots.js';
 import {PermitGrants} from './permit-grants.js';
 import {SlotAnswers, type SlotMoment} from './slot-answers.js';
@@ -35,6 +35,8 @@
 	readonly cores: number;
 	/** Absent at the standby, and where the settings enable no shares. */
 	readonly shares?: Pick<CoordinatorShares, 'note' | 'answer' | 'reset'> | undefined;
+	/** Absent at the standby, which leaves the writing to the coordinator and to the followers themselves. */
+	readonly reportWriter?: CrashReportWriter | undefined;
 	/** Whether this instance holds the lease now. */
 	holdsLease(): boolean;
 	/** Whether followers are served, under the lease or for a while after it has lapsed. */
@@ -213,7 +215,11 @@
 		const {answered = Number.POSITIVE_INFINITY, countsHeldSlots = false, lacksSlots = false} = frame;
 		this.#slots.noteReport(instance, {answered, countsHeldSlots, lacksSlots}, now);
 		this.#brittle.note(frame.brittle ?? [], now);
-		this.#crashes.add(frame.crashes ?? [], now);
+		if (frame.crashes !== undefined) {
+			this.#source.reportWriter?.adopt(frame.crashes);
+			this.#crashes.add(frame.crashes, now);
+		}
+
 		if (frame.paces !== undefined) {
 			this.#paces.note(instance, frame.paces, now);
 		}
@@ -356,7 +362,7 @@
 	/** The reports of crashes that a follower has not received. */
 	#crashesFor(socket: Socket): {crashes?: KeyedReport[]} {
 		const follower = this.#followers.get(socket);
-		const {reports, position} = this.#crashes.after(follower?.crashPosition ?? 0);
+		const {reports, position} = this.#crashes.after(follower?.crashPosition ?? 0, this.#source.reportWriter?.isUnwritten);
 		if (follower !== undefined) {
 			follower.crashPosition = position;
 		}
--- a/src/gateway/coordinator/coordinator.ts
+++ b/src/gateway/coordinator/coordinator.ts
@@ -29,6 +29,7 @@
 import {ConnectionLog} from './connection-log.js';
 import {DroppedQueries} from './dropped-queries.js';
 import {ExclusiveCall} from './exclusive-call.js';
+import {type CrashReportWriter} from './report-relay.js';
 import {CacheStoreManagers} from './cache-store-managers.js';
 
 /** The lease is renewed when less than this is left of a grant, or less than two renewals as slow as the last one take. */
@@ -74,6 +75,8 @@
 	cores: number;
 	/** Absent at the standby, and where the settings enable no shares. */
 	shares?: CoordinatorShares | undefined;
+	/** Absent at the standby. */
+	reportWriter?: CrashReportWriter | undefined;
 	/** Table changes of this instance for a follower at the given positions. */
 	tableUpdates(cursors: Record<string, FeedCursor>): FeedUpdate[];
 	/** Whether this instance holds the lease of the other role. */
@@ -141,6 +144,10 @@
 		return this.#options.shares;
 	}
 
+	get reportWriter(): CrashReportWriter | undefined {
+		return this.#options.reportWriter;
+	}
+
 	get cores(): number {
 		return this.#options.cores;
 	}
--- a/src/gateway/coordinator/report-relay.ts
+++ b/src/gateway/coordinator/report-relay.ts
@@ -8,6 +8,14 @@
 /** A report under the key of its row; what it holds concerns only those who send and receive it. */
 export type KeyedReport = [key: string, content: JsonValue];
 
+/** Writes the reports of all followers to the store. */
+export type CrashReportWriter = {
+	/** Queues the writes of reports that are not known yet. */
+	adopt: (reports: readonly KeyedReport[]) => void;
+	/** Whether the write of a report is still to be confirmed. */
+	isUnwritten: (key: string) => boolean;
+};
+
 /** How many reports the coordinator keeps for followers that have not asked since. */
 const maxKept = 256;
 /** By then the store has confirmed a report, or its sender has sent it to another coordinator. */
@@ -33,13 +41,14 @@
 	}
 
 	/**
-	 * Lists what a follower has not received.
+	 * Lists what a follower has not received; what the store has confirmed comes to it with the table.
 	 *
 	 * @param position - The position of its last answer; 0 before the first one.
+	 * @param isUnwritten - Whether the store has not confirmed a report, as far as the coordinator knows.
 	 * @returns The reports, and its new position.
 	 */
-	after(position: number): {reports: KeyedReport[]; position: number} {
-		const reports = this.#kept.filter(({number}) => number > position).map(({key, content}): KeyedReport => [key, content]);
+	after(position: number, isUnwritten: (key: string) => boolean = () => true): {reports: KeyedReport[]; position: number} {
+		const reports = this.#kept.filter(({key, number}) => number > position && isUnwritten(key)).map(({key, content}): KeyedReport => [key, content]);
 		return {reports, position: this.#last};
 	}
 }
--- a/src/gateway/crashes/crash-feed-handler.ts
+++ b/src/gateway/crashes/crash-feed-handler.ts
@@ -12,9 +12,9 @@
 
 export class CrashFeedHandler implements FeedHandler {
 	readonly #ledger: CrashLedger;
-	readonly #publisher: Pick<CrashReportPublisher, 'isPending' | 'republish'>;
+	readonly #publisher: Pick<CrashReportPublisher, 'confirm' | 'isPending' | 'republish'>;
 
-	constructor(ledger: CrashLedger, publisher: Pick<CrashReportPublisher, 'isPending' | 'republish'>) {
+	constructor(ledger: CrashLedger, publisher: Pick<CrashReportPublisher, 'confirm' | 'isPending' | 'republish'>) {
 		this.#ledger = ledger;
 		this.#publisher = publisher;
 	}
@@ -48,6 +48,7 @@
 					this.#ledger.remove(key);
 				} else {
 					this.#ledger.put(key, report);
+					this.#publisher.confirm(key);
 				}
 			}
 
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -1,9 +1,11 @@
 /**
  * Writes the reports of this instance to the store's table, from which all instances read them.
  *
- * A report counts at this instance from the moment it is made. Its write is repeated until the store confirms it: one that was
- * lost is written by the next call, and writing it twice changes nothing. What is not confirmed is passed on through the
- * coordinator.
+ * A report counts at this instance from the moment it is made. What is not confirmed is passed on to the coordinator, which writes
+ * the reports of all in a few transactions: hundreds of instances lose connections to the same endpoint at the same moment, and
+ * the store applies one transaction after another, the renewals of leases among them. An instance whose report is not in the
+ * table after a while, or that has no coordinator, writes it itself, at a random time within a period that grows with the number
+ * of instances. A write is repeated until it is confirmed, by its answer or by the table; writing a report twice changes nothing.
  */
 import {type MomentClock} from '../../ports/moment-clock.js';
 import {type RowWrite, type TableService} from '../../ports/table-service.js';
@@ -12,7 +14,9 @@
 import {type DecisionLog} from '../observability/decision-log.js';
 import {type CrashLedger} from './crash-ledger.js';
 import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
-import {crashTable, encodeReport, keyOfReport} from './crash-report-rows.js';
+import {
+	crashTable, decodeReport, encodeReport, keyOfReport,
+} from './crash-report-rows.js';
 
 export type CrashReportPublisherDependencies = {
 	instance: string;
@@ -20,12 +24,25 @@
 	store: Pick<TableService, 'commit'>;
 	clock: MomentClock;
 	log: Pick<DecisionLog, 'record'>;
-	/** Whether this instance is the coordinator, which removes expired rows. */
+	/** Whether this instance is the coordinator, which writes the reports of the others and removes expired rows. */
 	isCoordinator: () => boolean;
+	/** Whether another instance is the coordinator and answers. */
+	hasCoordinator: () => boolean;
+	/** Sends the unconfirmed reports to the coordinator at once, if it answers. */
+	passOn: () => void;
+	/** How many instances write to the same store; 0 if that is not known. */
+	instances: () => number;
+	/** Returns a random number from 0 up to 1. */
+	random: () => number;
 };
 
-/** Delay after a failed call. Others have to know of a crash within seconds of the store's return. */
-const retryDelayMilliseconds = 250;
+/** Bounds of the delay after failed calls. Others have to know of a crash within seconds of the store's return. */
+const minRetryDelayMilliseconds = 250;
+const maxRetryDelayMilliseconds = 4000;
+/** Time in which a report reaches the coordinator, is written, and comes back with the table. */
+const coordinatorWriteMilliseconds = 1500;
+/** All instances together make one call in this time on average, so that the store has room for the calls of others. */
+const turnMilliseconds = 10;
 /** Rows in one transaction: fewer than the platform allows, and far less than its bytes. */
 const maxRowsPerWrite = 50;
 /** How often expired reports are removed. */
@@ -35,6 +52,7 @@
 	readonly name = 'crash-reports';
 	readonly #dependencies: CrashReportPublisherDependencies;
 	readonly #pending = new Map<string, RowWrite>();
+	#failures = 0;
 	#wake = new AbortController();
 	#isStoreUnavailable = false;
 
@@ -47,6 +65,28 @@
 		const key = keyOfReport(report);
 		this.#dependencies.ledger.put(key, report);
 		this.#queue({table: crashTable, key, value: encodeReport(report)});
+		this.#dependencies.passOn();
+	}
+
+	/** Queues the writes of reports of other instances, but for those that this one knows already. */
+	adopt(reports: readonly KeyedReport[]): void {
+		const {ledger} = this.#dependencies;
+		ledger.change(() => {
+			for (const [key, content] of reports) {
+				const report = decodeReport(content);
+				if (report !== undefined && !ledger.reports().has(key)) {
+					ledger.put(key, report);
+					this.#queue({table: crashTable, key, value: encodeReport(report)});
+				}
+			}
+		});
+	}
+
+	/** Records that the table contains a report, whichever instance has written it. */
+	confirm(key: string): void {
+		if (this.#pending.get(key)?.value !== undefined) {
+			this.#pending.delete(key);
+		}
 	}
 
 	/** Writes the report of a trial, unless another instance has done so; returns whether this one may make the trial. */
@@ -89,12 +129,12 @@
 		const {clock} = this.#dependencies;
 		while (!signal.aborted) {
 			this.#wake = new AbortController();
-			const isWritten = await this.step();
 			if (this.#pending.size === 0) {
 				await clock.sleep(pruneIntervalMilliseconds, AbortSignal.any([signal, this.#wake.signal]));
 				this.#prune();
-			} else if (!isWritten) {
-				await clock.sleep(retryDelayMilliseconds, signal);
+			} else {
+				await clock.sleep(this.#delayMilliseconds(), signal);
+				this.#failures = await this.step() ? 0 : this.#failures + 1;
 			}
 		}
 	}
@@ -122,6 +162,22 @@
 		return true;
 	}
 
+	/** Returns how long to wait before the next call. */
+	#delayMilliseconds(): number {
+		const {isCoordinator, hasCoordinator, instances, random} = this.#dependencies;
+		const turns = turnMilliseconds * instances();
+		if (this.#failures > 0) {
+			const delay = Math.max(minRetryDelayMilliseconds, turns) * (2 ** (this.#failures - 1));
+			return Math.min(delay, Math.max(maxRetryDelayMilliseconds, turns)) * (0.5 + random());
+		}
+
+		if (isCoordinator()) {
+			return 0;
+		}
+
+		return (hasCoordinator() ? coordinatorWriteMilliseconds : 0) + (turns * random());
+	}
+
 	#prune(): void {
 		const {ledger, clock, isCoordinator} = this.#dependencies;
 		const removed = ledger.prune(clock.moment().wall);
--- a/src/gateway/crashes/create-crashes.ts
+++ b/src/gateway/crashes/create-crashes.ts
@@ -1,5 +1,6 @@
 /** Assembles what an instance knows of crashes: the ledger, the writer and the reader of its table, and the data path's view. */
 import {type LocalFollower} from '../coordinator/local-follower.js';
+import {type CrashReportWriter} from '../coordinator/report-relay.js';
 import {CrashFeedHandler} from './crash-feed-handler.js';
 import {CrashLedger} from './crash-ledger.js';
 import {CrashReportPublisher, type CrashReportPublisherDependencies} from './crash-report-publisher.js';
@@ -13,6 +14,8 @@
 	handler: CrashFeedHandler;
 	/** What the coordinator exchanges with this instance. */
 	follower: Pick<LocalFollower, 'unconfirmedCrashes' | 'applyCrashes'>;
+	/** What a coordinator at this instance does with the reports of its followers. */
+	coordinator: CrashReportWriter;
 };
 
 export function createCrashes(dependencies: CrashesDependencies): CreatedCrashes {
@@ -29,6 +32,12 @@
 		crashes,
 		publisher,
 		handler,
+		coordinator: {
+			adopt(reports) {
+				publisher.adopt(reports);
+			},
+			isUnwritten: key => publisher.isPending(key),
+		},
 		follower: {
 			unconfirmedCrashes: () => publisher.unconfirmed(),
 			applyCrashes(reports) {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -186,6 +186,11 @@
 			...ports,
 			instance: settings.instance,
 			isCoordinator: () => this.#coordinators.isCoordinator,
+			hasCoordinator: () => this.#coordinators.hasCoordinator,
+			passOn: () => {
+				this.#coordinators.peerUpdates.report();
+			},
+			instances: () => this.#coordinators.instances,
 			probe: async endpoint => paths.reach(endpoint),
 			hasOpenConnection: endpoint => this.#exchanges.hasOpenConnection(endpoint.address),
 		});
@@ -314,6 +319,12 @@
 			control: storeControl,
 			view,
 			addresses: {hub: listenPeers, 'hub-deputy': listenStandby},
+			reportWriter: {
+				adopt: reports => {
+					this.#crashes.coordinator.adopt(reports);
+				},
+				isUnwritten: key => this.#crashes.coordinator.isUnwritten(key),
+			},
 			follower: {
 				instance,
 				cores,
--- a/src/gateway/watchers/table-feeds.test.ts
+++ b/src/gateway/watchers/table-feeds.test.ts
@@ -116,6 +116,9 @@
 			store: this.#store(), storeSchema: schema, clock: this.#clock, random: () => 0.99, isReader: () => name === 'reader', isStandby: () => false,
 		}, timings, new CrashFeedHandler(this.ledgers[name], {
 			isPending: () => false,
+			confirm() {
+				// This instance writes no reports.
+			},
 			republish() {
 				// No store is restored here.
 			},
