Limit how long a prompt waits for coordinators that do not answer

What callers saw: prompts whose objective is 257 or 409 ms were sent 120, 240, 360 or 481 ms after their arrival, while endpoints had room.

Cause: before each attempt a prompt waits up to 120 ms for the coordinator and then as long for its standby, and the next prompt does so again. A coordinator that answers some queries and drops others never counted as unresponsive, and a caller's objective was not taken into account. Class: a timeout that each request pays for itself.

Change: all queries of a request together take half of its objective at most. After a query without an answer in time no caller waits for that instance until it has answered another query; regular queries go on.

--- a/src/check/permit-sum.ts
+++ b/src/check/permit-sum.ts
@@ -110,7 +110,7 @@
 				},
 			},
 			metrics: new GatewayMetrics(),
-			permits: new PeerUpdateSources(sourceAt(coordinator), sourceAt(standby)),
+			permits: new PeerUpdateSources(sourceAt(coordinator), sourceAt(standby), () => clock.moment().steady),
 		});
 		limits.note(endpoint, {limit: String(limitPerSecond), isServed: true, sentAt: now});
 		return limits;
--- a/src/gateway/coordinator/coordinator-client.test.ts
+++ b/src/gateway/coordinator/coordinator-client.test.ts
@@ -130,6 +130,33 @@
 	assert.equal(fake.received.length, 2);
 });
 
+test('after a query without an answer in time, no caller waits before the coordinator has answered again', async context => {
+	// Guards against requests that all wait, one after the other, for a coordinator that answers none of them.
+	const {fake, client, connect} = await startFakeCoordinator(context, 50);
+	await connect();
+	fake.isUnresponsive = true;
+	assert.equal(await client.refresh(emptyQuery), false);
+	assert.equal(await client.refresh(emptyQuery), false);
+	assert.equal(fake.received.length, 2);
+	fake.isUnresponsive = false;
+	fake.now += 200;
+	client.poll();
+	await until(() => fake.received.length === 3);
+	await pause(20);
+	assert.equal(await client.refresh(emptyQuery), true);
+});
+
+test('a caller that can wait for less than usual does not keep the others from waiting', async context => {
+	const {fake, client, connect} = await startFakeCoordinator(context, 5000);
+	await connect();
+	fake.isUnresponsive = true;
+	assert.equal(await client.refresh(emptyQuery, 20), false);
+	assert.equal(await client.refresh(emptyQuery, 0), false);
+	fake.isUnresponsive = false;
+	assert.equal(await client.refresh(emptyQuery), true);
+	assert.equal(fake.received.length, 3);
+});
+
 test('a caller that waits for an answer is resumed when the connection closes', async context => {
 	const {fake, client, connect} = await startFakeCoordinator(context);
 	await connect();
@@ -145,14 +172,14 @@
 	const standby = await startFakeCoordinator(context);
 	await coordinator.connect();
 	await standby.connect();
-	const sources = new PeerUpdateSources(coordinator.client, standby.client);
-	await sources.refresh(emptyQuery);
+	const sources = new PeerUpdateSources(coordinator.client, standby.client, () => 0);
+	await sources.refresh(emptyQuery, foreverMilliseconds);
 	assert.deepEqual([coordinator.fake.received.length, standby.fake.received.length], [2, 1]);
 	coordinator.fake.isUnresponsive = true;
-	await sources.refresh(emptyQuery);
+	await sources.refresh(emptyQuery, foreverMilliseconds);
 	assert.deepEqual([coordinator.fake.received.length, standby.fake.received.length], [3, 2]);
 	coordinator.fake.now += 600;
-	await sources.refresh(emptyQuery);
+	await sources.refresh(emptyQuery, foreverMilliseconds);
 	sources.report();
 	await until(() => standby.fake.received.length === 4);
 	assert.deepEqual([coordinator.fake.received.length, standby.fake.received.at(-1)?.kind], [3, 'tell']);
--- a/src/gateway/coordinator/coordinator-client.ts
+++ b/src/gateway/coordinator/coordinator-client.ts
@@ -76,6 +76,8 @@
 	/** Position of the last reported pace. */
 	#pacePosition = 0;
 	readonly #waiters = new AnswerWaiters();
+	/** Whether the last query that a caller waited for had no answer in time, and none has arrived since. */
+	#isLate = false;
 	#roundTripMilliseconds = Number.POSITIVE_INFINITY;
 
 	readonly #waitMilliseconds: number;
@@ -177,9 +179,22 @@
 		}
 	}
 
-	/** Sends a query, and waits for the answer if that takes only a short time; returns whether it arrived. */
-	async refresh(query: PlacementQuery): Promise<boolean> {
-		return await this.#ask(query) !== undefined;
+	/**
+	 * Sends a query, and waits for the answer if that takes only a short time; returns whether it arrived. After a query without an
+	 * answer in time no other caller waits before an answer has arrived: each of them would wait in vain.
+	 *
+	 * @param maxMilliseconds - How long the caller can wait.
+	 */
+	async refresh(query: PlacementQuery, maxMilliseconds = Number.POSITIVE_INFINITY): Promise<boolean> {
+		if (this.#isLate || maxMilliseconds <= 0) {
+			return false;
+		}
+
+		const socket = this.#socket;
+		const wasResponsive = this.isResponsive;
+		const answer = await this.#ask(query, {}, Math.min(maxMilliseconds, this.#waitMilliseconds));
+		this.#isLate ||= wasResponsive && answer === undefined && maxMilliseconds >= this.#waitMilliseconds && this.#socket === socket;
+		return answer !== undefined;
 	}
 
 	/** Asks to send one request to an endpoint with a limit; `undefined` without an answer in time. */
@@ -220,19 +235,20 @@
 		this.#socket = undefined;
 		this.#pending = new Map();
 		this.#isLapsed = false;
+		this.#isLate = false;
 		this.#grantsSlots = false;
 		this.#dataCentre = undefined;
 		this.#follower.closed();
 	}
 
 	/** Sends a query, and waits for the answer if that takes only a short time. */
-	async #ask(query: PlacementQuery, asked: Asked = {}): Promise<CoordinatorFrame | undefined> {
+	async #ask(query: PlacementQuery, asked: Asked = {}, waitMilliseconds = this.#waitMilliseconds): Promise<CoordinatorFrame | undefined> {
 		if (!this.isResponsive) {
 			return undefined;
 		}
 
 		this.#sendQuery(query, asked);
-		return this.#waiters.wait(this.#number, this.#waitMilliseconds);
+		return this.#waiters.wait(this.#number, waitMilliseconds);
 	}
 
 	#sendQuery(query: PlacementQuery, asked: Asked = {}): void {
@@ -313,6 +329,7 @@
 	#handleAnswer(frame: CoordinatorFrame): void {
 		const now = this.#clock.moment();
 		this.#lastAnswerAt = now.steady;
+		this.#isLate = false;
 		this.#answered = frame.number;
 		const pending = this.#pending.get(frame.number);
 		this.#pending.delete(frame.number);
--- a/src/gateway/coordinator/coordinator-pair.ts
+++ b/src/gateway/coordinator/coordinator-pair.ts
@@ -75,7 +75,7 @@
 				},
 			}, context.clock, {onFault}),
 		};
-		this.peerUpdates = new PeerUpdateSources(this.#clients.hub, this.#clients['hub-deputy']);
+		this.peerUpdates = new PeerUpdateSources(this.#clients.hub, this.#clients['hub-deputy'], () => context.clock.moment().steady);
 		this.#coordinators = {
 			hub: this.#create('hub', context, dependencies),
 			'hub-deputy': this.#create('hub-deputy', context, dependencies),
--- a/src/gateway/coordinator/local-follower.ts
+++ b/src/gateway/coordinator/local-follower.ts
@@ -54,8 +54,8 @@
 
 /** Exchanges state with the other instances, so that it is fresh at the time of a decision. */
 export interface PeerUpdates {
-	/** Queries the state of the other instances, and waits for the answer if that takes only a short time. */
-	refresh(query: PlacementQuery): Promise<void>;
+	/** Queries the state of the other instances, and waits for the answer for a short time, of `maxMilliseconds` at most. */
+	refresh(query: PlacementQuery, maxMilliseconds: number): Promise<void>;
 	/** Reports this instance's requests in flight. */
 	report(): void;
 }
--- a/src/gateway/coordinator/peer-update-sources.ts
+++ b/src/gateway/coordinator/peer-update-sources.ts
@@ -18,16 +18,20 @@
 	readonly #coordinator: PeerUpdateSource;
 	readonly #standby: PeerUpdateSource;
 	readonly #sources: readonly PeerUpdateSource[];
+	readonly #now: () => number;
 
-	constructor(coordinator: PeerUpdateSource, standby: PeerUpdateSource) {
+	/** @param now - Returns milliseconds of a steady clock. */
+	constructor(coordinator: PeerUpdateSource, standby: PeerUpdateSource, now: () => number) {
+		this.#now = now;
 		this.#coordinator = coordinator;
 		this.#standby = standby;
 		this.#sources = [coordinator, standby];
 	}
 
-	async refresh(query: PlacementQuery): Promise<void> {
+	async refresh(query: PlacementQuery, maxMilliseconds: number): Promise<void> {
+		const endsAt = this.#now() + maxMilliseconds;
 		for (const source of this.#sources) {
-			if (await source.refresh(query)) {
+			if (await source.refresh(query, endsAt - this.#now())) {
 				return;
 			}
 		}
--- a/src/gateway/data-path/endpoint-choice.ts
+++ b/src/gateway/data-path/endpoint-choice.ts
@@ -12,6 +12,8 @@
 
 /** Samples of candidates that are checked for capacity before the service counts as overloaded. */
 const maxRounds = 3;
+/** The share of the route's objective that all queries of a request may take; after that it is placed by what is known. */
+const maxQueryShare = 0.5;
 
 /** What a placement depends on. */
 export type PlacedWork = Pick<RoutedWork, 'head' | 'permitted' | 'continuation'>;
@@ -46,7 +48,8 @@
 		const sources = this.#sources();
 		this.#candidates = placement.shortlist(this.#request(sources), this.#usable(now), now, this.#rounds);
 		if (permitted.route.carriesPrompt) {
-			await peerUpdates.refresh(sources.query(this.#candidates));
+			const maxMilliseconds = (maxQueryShare * permitted.route.objectiveMilliseconds) - this.#queryMilliseconds;
+			await peerUpdates.refresh(sources.query(this.#candidates), maxMilliseconds);
 			this.#queries++;
 			this.#queryMilliseconds += this.#now() - now;
 		}
