Check the names of fields in answers and requests whatever Node.js reads them

What callers saw: on Node.js 20.19.0, an answer with a blank in or behind the name of a field, or an empty name, ended in 502 for requests that another endpoint could have served, and the endpoint stayed the favourite; in an interim head or a trailer the answer was taken for complete.

Cause: the parser of that release accepts such names, and nothing of ours checked them; the head could not be written, and the exception counted as an answer that was cut. Class: a rule of the protocol that was left to a release of the runtime.

Change: names must be tokens in final and interim heads, trailers and requests. An answer without is none, so that what may be repeated is; a request without is refused, and nothing behind it is read as a request.

--- a/src/gateway/data-path/endpoint-exchange.ts
+++ b/src/gateway/data-path/endpoint-exchange.ts
@@ -15,7 +15,8 @@
 import {
 	framingOf, type AnswerFraming, type ConnectionEnd, type ConnectionUse,
 } from './answer-transfer.js';
-import {AnswerStart} from './answer-start.js';
+import {AnswerFields} from './answer-fields.js';
+import {AnswerStart, type AnswerStartResult} from './answer-start.js';
 import {EndpointAgent} from './endpoint-agent.js';
 import {discardUnreadBody} from './discard-unread-body.js';
 import {isClosedInOrder} from './is-closed-in-order.js';
@@ -99,6 +100,13 @@
 /** The same through a relay, which has that timeout itself. */
 const relayedConnectMilliseconds = 400;
 
+/** Why bytes are no answer. */
+const faultMessages = {
+	invalid: 'the bytes that arrived are no answer in HTTP/1.0 or HTTP/1.1',
+	'too-long': 'the interim answers are too long',
+	fields: 'the name of a field of the answer is invalid',
+} as const;
+
 /** The errors of a connection that its other side has ended. */
 const endCodes: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -185,15 +193,20 @@
 		let isForeign = false;
 		const refuseForeignBytes = (socket: Socket): void => {
 			const start = new AnswerStart();
+			const fields = new AnswerFields();
+			let startResult: AnswerStartResult = 'more';
 			const check = (bytes: Buffer): void => {
-				const result = start.push(bytes);
-				if (result !== 'more') {
+				startResult = startResult === 'more' ? start.push(bytes) : startResult;
+				const fieldsResult = fields.push(bytes);
+				if (fieldsResult !== 'more' && startResult !== 'more') {
 					socket.off('data', check);
 				}
 
-				if (result === 'invalid' || result === 'too-long') {
+				const fault = startResult === 'valid' || startResult === 'more' ? (fieldsResult === 'invalid' ? 'fields' : undefined) : startResult;
+				if (fault !== undefined) {
 					isForeign = true;
-					outgoing.destroy(new Error(result === 'invalid' ? 'the bytes that arrived are no answer in HTTP/1.0 or HTTP/1.1' : 'the interim answers are too long'));
+					socket.off('data', check);
+					outgoing.destroy(new Error(faultMessages[fault]));
 				}
 			};
 
--- a/src/gateway/data-path/faulty-heads.test.ts
+++ b/src/gateway/data-path/faulty-heads.test.ts
@@ -88,6 +88,26 @@
 	});
 }
 
+test('a request that may be repeated is served by another endpoint if the answer has a field name that is no token', async context => {
+	// Guards against releases of Node whose parser accepts a blank in a name: the head could not be written, and nothing was repeated.
+	for (const field of ['x note: a', 'x-note : a', ': a', 'content-length : 2', 'transfer encoding: chunked']) {
+		const faulty = `${sealedHead(`${field}\r\n${length}`)}faulty`;
+		const early = `HTTP/1.1 103 Early Hints\r\n${field}\r\n\r\n${sealedHead(length)}faulty`;
+		for (const bytes of [faulty, early]) {
+			for (const request of ways) {
+				for (const kind of ['idempotent', 'resumable-stream'] as const) {
+					const {status, text} = await answerBesideFaulty(context, {pieces: [bytes]}, {kind, ...request});
+					assert.equal(status, 200, JSON.stringify([field, kind, request, text]));
+					assert.ok(text.includes(soundBody) && !text.includes('faulty'), text);
+				}
+
+				const {status} = await answerBesideFaulty(context, {pieces: [bytes]}, {kind: 'non-idempotent', ...request});
+				assert.equal(status, 502, JSON.stringify([field, request]));
+			}
+		}
+	}
+});
+
 test('bytes that are no answer do not state that a request was not run', async context => {
 	// Guards against a promise to the caller that nothing proves; the request may be repeated after it.
 	for (const [statusLine, field] of [['HTTP/1.1 503 O\u0001K', ''], ['RTSP/1.0 503 Full', ''], ['HTTP/1.1 429 Full', 'x-note: a\u007Fb\r\n'], ['HTTP/1.1 503 Full', 'transfer-encoding: xchunked\r\n']] as const) {
--- a/src/gateway/data-path/relay-answer.ts
+++ b/src/gateway/data-path/relay-answer.ts
@@ -10,6 +10,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {isTrailer} from '../../shared/is-trailer.js';
 import {type OpenAnswer} from '../../serving/open-answer.js';
 import {incompleteBodyEnd, classifyBodyEnd, type BodyEnd} from './answer-transfer.js';
 import {type EndpointAnswer} from './endpoint-exchange.js';
@@ -140,6 +141,13 @@
 		};
 
 		const onEnd = (): void => {
+			if (!isTrailer(body.rawTrailers)) {
+				// Whatever follows on the connection may be read in another way than the endpoint meant it.
+				body.socket.destroy();
+				finish('cut');
+				return;
+			}
+
 			const bodyEnd = classifyBodyEnd({
 				framing: answer.framing,
 				promisedBytes: Number(answer.header('content-length')),
--- a/src/serving/http-listener.ts
+++ b/src/serving/http-listener.ts
@@ -10,6 +10,7 @@
 import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {type H3, toNodeHandler} from 'h3';
+import {hasFieldNames} from '../shared/has-field-names.js';
 import {type Child} from '../supervisor/supervisor.js';
 import {connectionRefusalBytes, classifyConnectionError} from './connection-refusal.js';
 import {abortAnswer} from './abort-answer.js';
@@ -51,6 +52,8 @@
 	readonly #connections = new Map<Duplex, Set<ServerResponse>>();
 	/** How many bytes a connection had read when its last answer was complete; more are the begin of another request. */
 	readonly #answeredBytes = new WeakMap<Duplex, number>();
+	/** Connections whose bytes are no longer taken for requests. */
+	readonly #refused = new WeakSet<Duplex>();
 	readonly #limits: CallerConnections;
 	#draining = false;
 	#closesConnections = false;
@@ -210,6 +213,17 @@
 
 	#serve(request: IncomingMessage, response: ServerResponse): void {
 		const {socket} = request;
+		if (this.#refused.has(socket)) {
+			return;
+		}
+
+		if (!hasFieldNames(request.rawHeaders)) {
+			// What follows may be the body of this request, whose length has a name that Node does not know.
+			this.#refused.add(socket);
+			this.#refuseConnection(socket, 'HPE_INVALID_HEADER_TOKEN');
+			return;
+		}
+
 		if (socket.writableEnded) {
 			// It crossed the end of its connection. Without a way to answer it must not run; its caller may send it elsewhere.
 			request.resume();
