Relay only those reports of crashes that others decide by

Cause: the coordinator passed each report on to each instance: with 130 instances and 13 endpoints 19.6 MB in half a second, 16.1 MB of them reports, over a link of 200 Mbit/s. Reading and renewing its lease took 610 and 953 ms instead of 20 to 50, the lease lapsed twice, and it answered 150 to 280 queries in half a second instead of 540. Class: hints whose volume grows with the square of the number of instances share a link, without a limit, with what decisions depend on.

Change: a report goes to the other instances at once only if it shares a feature with the crash of another endpoint, since nothing is decided by the others; and answers that clear such a feature. The rest comes with the table, written at a pace that leaves the link room: the time between two transactions grows with their rows and the instances. An instance waits 5 s for the coordinator before it writes itself.

Tests: report-relay.test.ts, 300 instances and 13 crashes: all reports were relayed before, none now; those with a common block still are.

--- a/src/gateway/coordinator/report-relay.test.ts
+++ b/src/gateway/coordinator/report-relay.test.ts
@@ -82,3 +82,49 @@
 	relay.add([['late', 0]], 120_000);
 	assert.deepEqual(relay.after(0).reports, [['late', 0]]);
 });
+
+function crash(instance: string, incarnation: string, blocks: string[]): KeyedReport {
+	const prompts = blocks.length === 0
+		? []
+		: [{
+			fingerprint: `${instance}${incarnation}`, workspace: 'own', hasBegun: false, blocks,
+		}];
+	return [`crash/${instance}/${incarnation}`, {
+		kind: 'crash', incarnation, instance, at: 1, requests: [[`${instance}${incarnation}`, 5]], prompts,
+	}];
+}
+
+function survival(instance: string, feature: string, incarnation: string): KeyedReport {
+	return [`survival/${instance}/${feature}`, {
+		kind: 'survival', instance, at: 1, requests: [[feature, [incarnation]]],
+	}];
+}
+
+const keysOf = (relay: ReportRelay, position = 0): string[] => relay.after(position).reports.map(([key]) => key);
+
+test('reports of crashes that have nothing in common are not relayed, however many instances send them', () => {
+	// Guards against reports of hundreds of instances about the same crash, which used up the coordinator's link.
+	const relay = new ReportRelay();
+	for (let instance = 0; instance < 300; instance++) {
+		for (let endpoint = 0; endpoint < 13; endpoint++) {
+			relay.add([crash(`e${instance}`, `i${endpoint}`, [`block:${instance}-${endpoint}`])], endpoint);
+		}
+	}
+
+	assert.deepEqual(keysOf(relay), []);
+});
+
+test('reports that share a block with the crash of another endpoint are relayed, and so are the answers that clear it', () => {
+	// Guards against instances that go on sending a prompt that crashes endpoints, or that refuse one that is sound.
+	const relay = new ReportRelay();
+	relay.add([crash('e1', 'i1', ['block:bad', 'block:other']), survival('e9', 'block:other', 'i1'), survival('e9', 'block:unknown', 'i1')], 0);
+	relay.add([crash('e2', 'i1', ['block:bad'])], 1);
+	assert.deepEqual(keysOf(relay), [], 'one endpoint has ended');
+	relay.add([crash('e3', 'i2', ['block:bad'])], 2);
+	assert.deepEqual(keysOf(relay).toSorted(), ['crash/e1/i1', 'crash/e2/i1', 'crash/e3/i2', 'survival/e9/block:other']);
+	const {position} = relay.after(0);
+	relay.add([crash('e4', 'i3', ['block:bad']), survival('e5', 'block:bad', 'i2'), crash('e4', 'i4', ['block:alone'])], 3);
+	assert.deepEqual(keysOf(relay, position).toSorted(), ['crash/e4/i3', 'survival/e5/block:bad']);
+	relay.add([survival('e6', 'block:bad', 'i2')], 200_000);
+	assert.deepEqual(keysOf(relay), [], 'what is older has come with the table');
+});
--- a/src/gateway/crashes/crash-report-publisher.ts
+++ b/src/gateway/crashes/crash-report-publisher.ts
@@ -39,8 +39,10 @@
 /** Bounds of the delay after failed calls. Others have to know of a crash within seconds of the store's return. */
 const minRetryDelayMilliseconds = 250;
 const maxRetryDelayMilliseconds = 4000;
-/** Time in which a report reaches the coordinator, is written, and comes back with the table. */
-const coordinatorWriteMilliseconds = 1500;
+/** Time in which the coordinator writes the reports of many crashes, and they come back with the table. */
+const coordinatorWriteMilliseconds = 5000;
+/** What is written goes from the coordinator to each instance; this is the time for one row to one instance. */
+const rowMilliseconds = 0.08;
 /** All instances together make one call in this time on average, so that the store has room for the calls of others. */
 const turnMilliseconds = 10;
 /** Rows in one transaction: fewer than the platform allows, and far less than its bytes. */
@@ -53,6 +55,8 @@
 	readonly #dependencies: CrashReportPublisherDependencies;
 	readonly #pending = new Map<string, RowWrite>();
 	#failures = 0;
+	/** How many rows the last call wrote. */
+	#lastRows = 0;
 	#wake = new AbortController();
 	#isStoreUnavailable = false;
 
@@ -142,6 +146,7 @@
 	/** Writes the rows that were queued first; returns false if the store did not confirm them. */
 	async step(): Promise<boolean> {
 		const writes = [...this.#pending.values()].slice(0, maxRowsPerWrite);
+		this.#lastRows = writes.length;
 		if (writes.length === 0) {
 			return true;
 		}
@@ -165,14 +170,14 @@
 	/** Returns how long to wait before the next call. */
 	#delayMilliseconds(): number {
 		const {isCoordinator, hasCoordinator, instances, random} = this.#dependencies;
-		const turns = turnMilliseconds * instances();
+		const turns = instances() * Math.max(turnMilliseconds, Math.min(this.#pending.size, maxRowsPerWrite) * instances() * rowMilliseconds);
 		if (this.#failures > 0) {
 			const delay = Math.max(minRetryDelayMilliseconds, turns) * (2 ** (this.#failures - 1));
 			return Math.min(delay, Math.max(maxRetryDelayMilliseconds, turns)) * (0.5 + random());
 		}
 
 		if (isCoordinator()) {
-			return 0;
+			return this.#lastRows * instances() * rowMilliseconds;
 		}
 
 		return (hasCoordinator() ? coordinatorWriteMilliseconds : 0) + (turns * random());
