Treat rows that are nested thousands of times as unreadable

Operators of systems like ours saw processes end, or stop following the list, after another writer had left one odd entry.

Cause: the frames between instances are encoded recursively. A row with 3,000 levels, of the 30,000 that it has room for, throws when the coordinator relays it, which closes the connection of each follower that has not read it yet. Class: a boundary that accepts more than what is behind it can handle.

Change: rows and JSON answers with more than 100 levels are not JSON.

Not run over processes.

--- a/src/adapters/whole-body.ts
+++ b/src/adapters/whole-body.ts
@@ -12,6 +12,7 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {acceptsContentCoding} from '../shared/accepts-content-coding.js';
+import {parseShallowJson} from '../shared/parse-shallow-json.js';
 import {transferCodingOf} from '../shared/transfer-coding-of.js';
 import {type JsonValue} from '../shared/types.js';
 
@@ -72,7 +73,7 @@
  * @throws `UnprovedBodyError`, or a `SyntaxError` for a body that is not JSON.
  */
 export function parseWholeJson(method: string, head: Head, text: string): JsonValue | undefined {
-	const value = text === '' ? undefined : JSON.parse(text) as JsonValue;
+	const value = text === '' ? undefined : parseShallowJson(text);
 	const isSelfDelimiting = typeof value === 'object' && value !== null;
 	if (!isSelfDelimiting && !isFramed(method, head)) {
 		throw new UnprovedBodyError();
--- a/src/platform/platform-store.ts
+++ b/src/platform/platform-store.ts
@@ -17,6 +17,7 @@
 import {
 	type Row, type RowName, type TableFailure, type TableService, type Transaction,
 } from '../ports/table-service.js';
+import {parseShallowJson} from '../shared/parse-shallow-json.js';
 import {type JsonValue} from '../shared/types.js';
 
 /** A row as encoded by the store; `value` is base64. */
@@ -194,14 +195,14 @@
 	};
 }
 
-/** Returns `undefined` for bytes that are not JSON, which only other writers store; the reader of the row reports them. */
+/** Returns `undefined` for bytes that are not JSON, or are nested too deeply, which only other writers store; the reader of the row reports them. */
 function decodeValue(value: string | undefined): JsonValue | undefined {
 	if (value === undefined) {
 		return undefined;
 	}
 
 	try {
-		return JSON.parse(Buffer.from(value, 'base64').toString('utf8')) as JsonValue;
+		return parseShallowJson(Buffer.from(value, 'base64').toString('utf8'));
 	} catch {
 		return undefined;
 	}
