Test that answers which end within their heads are not forwarded

Reported by other operators: a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its head.

--- a/src/gateway/data-path/faulty-heads.test.ts
+++ b/src/gateway/data-path/faulty-heads.test.ts
@@ -108,6 +108,22 @@
 	}
 });
 
+test('an answer that ends within its head is not forwarded, wherever it ends', async context => {
+	// Guards against an empty or short success that is framed as whole.
+	for (const framing of ['content-length: 5\r\n', 'transfer-encoding: chunked\r\n', '']) {
+		const head = sealedHead(framing);
+		for (const cut of [1, 12, 15, 17, 30, head.length - framing.length - 3, head.length - 4, head.length - 2, head.length - 1]) {
+			for (const ending of ['closed', 'reset'] as const) {
+				const answer = {pieces: [head.slice(0, cut)], ending};
+				const repeated = await answerBesideFaulty(context, answer, {kind: 'idempotent'});
+				assert.ok(repeated.status === 200 && repeated.text.includes(soundBody), JSON.stringify([framing, cut, ending, repeated.text]));
+				const {status} = await answerBesideFaulty(context, answer, {kind: 'non-idempotent'});
+				assert.equal(status, 502, JSON.stringify([framing, cut, ending]));
+			}
+		}
+	}
+});
+
 test('bytes that are no answer do not state that a request was not run', async context => {
 	// Guards against a promise to the caller that nothing proves; the request may be repeated after it.
 	for (const [statusLine, field] of [['HTTP/1.1 503 O\u0001K', ''], ['RTSP/1.0 503 Full', ''], ['HTTP/1.1 429 Full', 'x-note: a\u007Fb\r\n'], ['HTTP/1.1 503 Full', 'transfer-encoding: xchunked\r\n']] as const) {
