--- a/src/test/bundle-gateway.test.ts
+++ b/src/test/bundle-gateway.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {execFileSync, spawnSync} from 'node:child_process';
-import {readFileSync, statSync, writeFileSync} from 'node:fs';
+import {
+	readFileSync, rmSync, statSync, writeFileSync,
+} from 'node:fs';
 import process from 'node:process';
 import {test} from 'node:test';
 import vm from 'node:vm';
@@ -8,9 +10,9 @@
 /** The folder of the build that the tests run. */
 const folder = 'dist';
 
-function startWithoutSettings(program: string): {status: number | null; output: string} {
+function startWithoutSettings(program: string, ...flags: string[]): {status: number | null; output: string} {
 	const {SAVORYGAUGE_BOOT: _, ...environment} = process.env;
-	const {status, stdout, stderr} = spawnSync(process.execPath, [program], {env: environment, encoding: 'utf8'});
+	const {status, stdout, stderr} = spawnSync(process.execPath, [...flags, program], {env: environment, encoding: 'utf8'});
 	return {status, output: stdout + stderr};
 }
 
@@ -41,3 +43,13 @@
 	writeFileSync(`${folder}/gateway-bundle.cache`, 'of another version');
 	assert.match(startWithoutSettings(`${folder}/gateway.mjs`).output, /SAVORYGAUGE_BOOT.* is missing/v);
 });
+
+test('a code cache that another release of Node.js has written is not read', () => {
+	// Guards against an upgrade of Node.js on a machine with an earlier build: the cache ends the process with a segmentation fault.
+	execFileSync(process.execPath, ['scripts/bundle-gateway.mjs', folder]);
+	rmSync(`${folder}/gateway-bundle.cache`);
+	for (const [property, value] of [['version', 'v20.19.0'], ['arch', 'another']] as const) {
+		const preload = `data:text/javascript,Object.defineProperty(process,'${property}',{value:'${value}'})`;
+		assert.match(startWithoutSettings(`${folder}/gateway.mjs`, '--import', preload).output, /SAVORYGAUGE_BOOT.* is missing/v);
+	}
+});
