Attribute crashes by an index in place of all reports again

Cause: what is blocked was computed from all reports of all instances after each batch of rows, and for the next request after each answer that cleared a feature. With 13 crashes and 38 reports of each an answer cost 45 ms on a fast core. Class: a result that depends on all that is known is computed again for each change, in the path of requests.

Change: an index of suspected features by crash. A report or an answer costs what it concerns; causes are searched again only if a feature changes that three crashes have in common.

--- a/src/gateway/crashes/crash-innocence.test.ts
+++ b/src/gateway/crashes/crash-innocence.test.ts
@@ -102,10 +102,8 @@
 		this.#inFlight = this.#inFlight.filter(({endsAt}) => endsAt > now);
 		for (const {fingerprint, blocks, sentAt} of complete) {
 			this.#answered.note([fingerprint, ...blocks], sentAt);
-			for (const [feature, suspected] of this.ledger.suspects) {
-				if (blocks.includes(feature)) {
-					this.ledger.clear(feature, suspected.keys());
-				}
+			for (const feature of blocks) {
+				this.ledger.clear(feature, this.ledger.suspects.get(feature)?.keys() ?? []);
 			}
 		}
 	}
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -8,11 +8,10 @@
  * learn of it by a report.
  */
 import {
-	findCrashCauses, crashesToBlock, isBlockedBy, type Crash, type CrashCause,
+	findCrashCauses, crashesToBlock, isBlockedBy, type CrashCause,
 } from '../../decision/crashes/find-crash-causes.js';
-import {type AnswerProgress} from '../../decision/crashes/answer-progress.js';
-import {clearanceOf, crashesIn, reportedClearances} from './crash-evidence.js';
-import {type CrashReport, type Report} from './crash-reports.js';
+import {type CrashReport, type Report, type SurvivalReport} from './crash-reports.js';
+import {SuspectIndex, type Suspects} from './suspect-index.js';
 
 /** A request, as far as crashes are attributed. */
 export type FeaturedRequest = {
@@ -35,9 +34,6 @@
 	nextTrialAt: number;
 };
 
-/** The crashes that a feature was present at and has not been cleared of: by incarnation, the state of the answer. */
-export type SuspectedCrashes = ReadonlyMap<string, AnswerProgress>;
-
 /** A report expires after one day: by then the cause may have been fixed at the endpoints. */
 export const reportRetentionMilliseconds = 86_400_000;
 /** Endpoints may have been fixed meanwhile; each trial that fails makes the pause longer, as it ends another endpoint. */
@@ -50,15 +46,22 @@
 
 type KnownBlock = Block & {cause: CrashCause};
 
+/** Receives the reports of crashes that were added. */
+type ChangeListener = (added: readonly CrashReport[]) => void;
+
 export class CrashLedger {
-	readonly #listeners: Array<() => void> = [];
+	readonly #listeners: ChangeListener[] = [];
 	readonly #reports = new Map<string, Report>();
 	/** What this instance has seen answered itself. */
 	readonly #ownClearances = new Set<string>();
-	#reportedClearances: ReadonlySet<string> | undefined;
+	/** How many reports contain each clearance. */
+	readonly #reportedClearances = new Map<string, number>();
+	readonly #suspects = new SuspectIndex((feature, incarnation) => this.#isCleared(feature, incarnation));
 	/** `undefined` while they have to be computed again. */
 	#blocks: readonly KnownBlock[] | undefined = [];
-	#suspects: ReadonlyMap<string, SuspectedCrashes> = new Map();
+	/** The revision of the suspects that the blocks follow from. */
+	#revision = 0;
+	#added: CrashReport[] = [];
 	#isChanging = false;
 	#hasChanged = false;
 
@@ -68,13 +71,12 @@
 	}
 
 	/** The features that were present at crashes and have not been cleared since. */
-	get suspects(): ReadonlyMap<string, SuspectedCrashes> {
-		this.#currentBlocks();
+	get suspects(): Suspects {
 		return this.#suspects;
 	}
 
 	/** Calls the listener after reports were added or removed. */
-	onChange(listener: () => void): void {
+	onChange(listener: ChangeListener): void {
 		this.#listeners.push(listener);
 	}
 
@@ -85,12 +87,16 @@
 
 	/** Adds a report under the key of its row. */
 	put(key: string, report: Report): void {
-		this.#reports.set(key, report);
+		this.#set(key, report);
+		if (report.kind === 'crash') {
+			this.#added.push(report);
+		}
+
 		this.#notify();
 	}
 
 	remove(key: string): void {
-		if (this.#reports.delete(key)) {
+		if (this.#delete(key)) {
 			this.#notify();
 		}
 	}
@@ -117,14 +123,17 @@
 	clear(feature: string, incarnations: Iterable<string>): void {
 		for (const incarnation of incarnations) {
 			this.#ownClearances.add(clearanceOf(feature, incarnation));
+			this.#suspects.clear(feature, incarnation);
 		}
+	}
 
-		this.#blocks = undefined;
+	/** Whether a report of the crash of an incarnation is known. */
+	hasCrash(incarnation: string): boolean {
+		return this.#suspects.hasCrash(incarnation);
 	}
 
 	/** Whether an instance has reported that a feature is cleared of a crash. */
 	isReportedCleared(feature: string, incarnation: string): boolean {
-		this.#reportedClearances ??= reportedClearances(this.#reports.values());
 		return this.#reportedClearances.has(clearanceOf(feature, incarnation));
 	}
 
@@ -152,35 +161,107 @@
 		return this.#currentBlocks().find(({cause, until}) => until > wallMilliseconds && isBlockedBy(cause, features, workspace));
 	}
 
+	#set(key: string, report: Report): void {
+		this.#delete(key);
+		this.#reports.set(key, report);
+		switch (report.kind) {
+			case 'crash': {
+				this.#suspects.add(key, report);
+				break;
+			}
+
+			case 'survival': {
+				this.#addClearances(report);
+				break;
+			}
+
+			case 'trial': {
+				this.#blocks = undefined;
+				break;
+			}
+		}
+	}
+
+	#delete(key: string): boolean {
+		const report = this.#reports.get(key);
+		this.#reports.delete(key);
+		switch (report?.kind) {
+			case 'crash': {
+				this.#suspects.remove(key, report);
+				break;
+			}
+
+			case 'survival': {
+				this.#removeClearances(report);
+				break;
+			}
+
+			case 'trial': {
+				this.#blocks = undefined;
+				break;
+			}
+
+			case undefined: {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	#addClearances(report: SurvivalReport): void {
+		for (const [feature, incarnation] of clearedPairs(report)) {
+			const clearance = clearanceOf(feature, incarnation);
+			this.#reportedClearances.set(clearance, (this.#reportedClearances.get(clearance) ?? 0) + 1);
+			this.#suspects.clear(feature, incarnation);
+		}
+	}
+
+	#removeClearances(report: SurvivalReport): void {
+		for (const [feature, incarnation] of clearedPairs(report)) {
+			const clearance = clearanceOf(feature, incarnation);
+			const others = (this.#reportedClearances.get(clearance) ?? 0) - 1;
+			if (others > 0) {
+				this.#reportedClearances.set(clearance, others);
+			} else {
+				this.#reportedClearances.delete(clearance);
+			}
+
+			if (!this.#isCleared(feature, incarnation)) {
+				this.#suspects.restore(feature, incarnation);
+			}
+		}
+	}
+
+	#isCleared(feature: string, incarnation: string): boolean {
+		return this.#ownClearances.has(clearanceOf(feature, incarnation)) || this.isReportedCleared(feature, incarnation);
+	}
+
 	#notify(): void {
-		this.#blocks = undefined;
-		this.#reportedClearances = undefined;
 		this.#hasChanged = this.#isChanging;
 		if (this.#isChanging) {
 			return;
 		}
 
+		const added = this.#added;
+		this.#added = [];
 		for (const listener of this.#listeners) {
-			listener();
+			listener(added);
 		}
 	}
 
 	#currentBlocks(): readonly KnownBlock[] {
-		this.#blocks ??= this.#compute();
-		return this.#blocks;
-	}
+		const {revision} = this.#suspects;
+		if (this.#blocks === undefined || this.#revision !== revision) {
+			this.#blocks = findCrashCauses(this.#suspects.candidateCrashes()).map(cause => this.#blockFor(cause));
+			this.#revision = revision;
+		}
 
-	#compute(): KnownBlock[] {
-		const crashes = crashesIn(this.#reports.values(), (feature, incarnation) => this.#ownClearances.has(clearanceOf(feature, incarnation)) || this.isReportedCleared(feature, incarnation));
-		this.#suspects = suspectsIn(crashes);
-		return findCrashCauses(crashes).map(cause => this.#blockFor(cause));
+		return this.#blocks;
 	}
 
 	#blockFor(cause: CrashCause): KnownBlock {
-		const incarnations = new Set(cause.incarnations);
-		const crashes = [...this.#reports.values()]
-			.filter((report): report is CrashReport => report.kind === 'crash' && incarnations.has(report.incarnation) && hasFeatures(report, cause.features))
-			.toSorted((left, right) => left.at - right.at);
+		const crashes = this.#suspects.reportsWith(cause.features, cause.incarnations).toSorted((left, right) => left.at - right.at);
 		// Several instances may report one crash; the evidence holds as long as enough crashes have not expired.
 		const crashedAt = new Map(crashes.map(({incarnation, at}) => [incarnation, at]));
 		const decidingAt = [...crashedAt.values()].toSorted((left, right) => left - right).at(-crashesToBlock) ?? 0;
@@ -211,7 +292,7 @@
 			const report = this.#reports.get(key);
 			if (known > maxKnownBlocks && report?.kind === 'crash') {
 				known -= blocksIn(report);
-				this.#reports.set(key, {...report, prompts: []});
+				this.#set(key, {...report, prompts: []});
 			}
 		}
 
@@ -227,40 +308,27 @@
 
 	/** Drops own clearances of crashes that are not known any more. */
 	#pruneClearances(): void {
-		const incarnations = new Set([...this.#reports.values()].flatMap(report => report.kind === 'crash' ? [report.incarnation] : []));
 		for (const clearance of this.#ownClearances) {
-			if (!incarnations.has(clearance.slice(clearance.indexOf('|') + 1))) {
+			if (!this.#suspects.hasCrash(clearance.slice(clearance.indexOf('|') + 1))) {
 				this.#ownClearances.delete(clearance);
 			}
 		}
 	}
 }
 
-function suspectsIn(crashes: readonly Crash[]): Map<string, SuspectedCrashes> {
-	const suspects = new Map<string, Map<string, AnswerProgress>>();
-	for (const {incarnation, requests} of crashes) {
-		for (const {features, progress} of requests) {
-			for (const feature of features) {
-				const suspected = suspects.get(feature) ?? new Map<string, AnswerProgress>();
-				suspects.set(feature, suspected);
-				if (suspected.get(incarnation) !== 'begun') {
-					suspected.set(incarnation, progress);
-				}
-			}
-		}
-	}
+/** The clearance of a feature for one crash, as a text. */
+function clearanceOf(feature: string, incarnation: string): string {
+	return `${feature}|${incarnation}`;
+}
 
-	return suspects;
+function clearedPairs({requests}: SurvivalReport): Array<[feature: string, incarnation: string]> {
+	return requests.flatMap(([feature, incarnations]) => incarnations.map((incarnation): [string, string] => [feature, incarnation]));
 }
 
 function isSameSet(left: readonly string[], right: readonly string[]): boolean {
 	return left.length === right.length && left.every(feature => right.includes(feature));
 }
 
-function hasFeatures({requests, prompts = []}: CrashReport, features: readonly string[]): boolean {
-	return requests.some(([fingerprint]) => features.includes(fingerprint)) || prompts.some(({blocks}) => features.every(feature => blocks.includes(feature)));
-}
-
 function blocksIn(report: Report): number {
 	return report.kind === 'crash' ? (report.prompts ?? []).reduce((count, {blocks}) => count + blocks.length, 0) : 0;
 }
--- a/src/gateway/crashes/endpoint-crashes.ts
+++ b/src/gateway/crashes/endpoint-crashes.ts
@@ -13,6 +13,7 @@
 import {keyOfTrial} from './crash-report-rows.js';
 import {type CrashReport, type SurvivalReport, type TrialReport} from './crash-reports.js';
 import {crashReport} from './crash-report-of.js';
+import {featuresOf} from './report-evidence.js';
 
 export type EndpointCrashesDependencies = {
 	instance: string;
@@ -60,8 +61,8 @@
 
 	constructor(dependencies: EndpointCrashesDependencies) {
 		this.#dependencies = dependencies;
-		dependencies.ledger.onChange(() => {
-			this.#update();
+		dependencies.ledger.onChange(added => {
+			this.#update(added);
 		});
 
 		this.#detector = new CrashDetector({
@@ -144,21 +145,20 @@
 		return this.#now() - since < settleMilliseconds;
 	}
 
-	#update(): void {
+	#update(added: readonly CrashReport[]): void {
 		const {ledger} = this.#dependencies;
 		const now = this.#now();
-		const incarnations = new Set([...ledger.reports().values()].flatMap(report => report.kind === 'crash' ? [report.incarnation] : []));
 		for (const incarnation of this.#knownAt.keys()) {
-			if (!incarnations.has(incarnation)) {
+			if (!ledger.hasCrash(incarnation)) {
 				this.#knownAt.delete(incarnation);
 			}
 		}
 
-		for (const incarnation of incarnations) {
+		for (const {incarnation} of added) {
 			this.#knownAt.set(incarnation, this.#knownAt.get(incarnation) ?? now);
 		}
 
-		this.#clear(ledger.suspects.keys());
+		this.#clear(new Set(added.flatMap(report => featuresOf(report))));
 		this.#noteBlocks();
 	}
 
--- a/src/gateway/crashes/report-evidence.ts
+++ b/src/gateway/crashes/report-evidence.ts
@@ -1,6 +1,7 @@
 /** What the reports of crashes have in common, by which the coordinator decides which of them are urgent. */
 import {type JsonValue} from '../../shared/types.js';
 import {decodeReport} from './crash-report-rows.js';
+import {type CrashReport} from './crash-reports.js';
 
 /**
  * - `crash`: the features of the requests that one incarnation of an endpoint had in flight when it ended.
@@ -18,8 +19,7 @@
 	const report = decodeReport(content);
 	switch (report?.kind) {
 		case 'crash': {
-			const blocks = (report.prompts ?? []).flatMap(prompt => prompt.blocks);
-			return {kind: 'crash', incarnation: report.incarnation, features: [...report.requests.map(([fingerprint]) => fingerprint), ...blocks]};
+			return {kind: 'crash', incarnation: report.incarnation, features: featuresOf(report)};
 		}
 
 		case 'survival': {
@@ -32,3 +32,8 @@
 		}
 	}
 }
+
+/** The features of the requests that an endpoint had in flight when it ended. */
+export function featuresOf({requests, prompts = []}: CrashReport): string[] {
+	return [...requests.map(([fingerprint]) => fingerprint), ...prompts.flatMap(({blocks}) => blocks)];
+}
