Find reports of crashes by their features at the coordinator

What callers saw: after many endpoints had crashed at once, the coordinator answered late, and prompts were placed without its knowledge.

Cause: for each report that it was sent, the coordinator went through all reports that it kept, up to 4,096, to see which had become urgent or had expired.

Change: reports are kept by feature, so that a report costs what it has in common with others. Expired ones are searched for once a second, and only if the oldest has expired.

--- a/src/gateway/coordinator/report-relay.test.ts
+++ b/src/gateway/coordinator/report-relay.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
+import process from 'node:process';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {systemMomentClock} from '../../adapters/system-moment-clock.js';
+import {encodeReport} from '../crashes/crash-report-rows.js';
 import {testCoordinatorSource} from '../testing/test-coordinator-source.js';
 import {testFollower} from '../testing/test-follower.js';
 import {CoordinatorClient} from './coordinator-client.js';
@@ -128,3 +130,31 @@
 	relay.add([survival('e6', 'block:bad', 'i2')], 200_000);
 	assert.deepEqual(keysOf(relay), [], 'what is older has come with the table');
 });
+
+/** The processor time of adding 300 urgent reports to a relay that keeps a number of others, in milliseconds. */
+function millisecondsOfUrgentReports(others: number): number {
+	const relay = new ReportRelay();
+	const answered = (key: string, feature: string): KeyedReport => [key, encodeReport({
+		kind: 'survival', instance: 'i1', at: 0, requests: [[feature, ['e1']], ...Array.from({length: 20}, (_, number): [string, string[]] => [`${key}-${number}`, ['e1']])],
+	})];
+	relay.add(Array.from({length: others}, (_, number) => answered(`other-${number}`, 'rare')), 0);
+	relay.add(['e1', 'e2'].map((incarnation): KeyedReport => [incarnation, encodeReport({
+		kind: 'crash', incarnation, instance: 'i1', at: 0, requests: [['common', 1]],
+	})]), 0);
+	const urgent = Array.from({length: 300}, (_, number) => answered(`urgent-${number}`, 'common'));
+	const before = process.cpuUsage();
+	for (const report of urgent) {
+		relay.add([report], 0);
+	}
+
+	const {user, system} = process.cpuUsage(before);
+	assert.equal(relay.after(0).reports.length, 256);
+	return (user + system) / 1000;
+}
+
+test('an urgent report costs a coordinator with thousands of others no more than one with none', () => {
+	// Guards against a coordinator that has no time for queries while hundreds of instances report many crashes.
+	const tries = [1, 2, 3].map(() => [millisecondsOfUrgentReports(4000), millisecondsOfUrgentReports(0)] as const);
+	const ratios = tries.map(([many, none]) => many / Math.max(1, none));
+	assert.ok(Math.min(...ratios) < 5, `${ratios.join(', ')} times as long`);
+});
--- a/src/gateway/coordinator/report-relay.ts
+++ b/src/gateway/coordinator/report-relay.ts
@@ -28,40 +28,53 @@
 /** By then the store has confirmed a report, or its sender has sent it to another coordinator. */
 const maxAgeMilliseconds = 120_000;
 
+/** How often expired reports are searched for. */
+const forgetIntervalMilliseconds = 1000;
+
 type KeptReport = {key: string; content: JsonValue; evidence: ReportEvidence | undefined; at: number};
 type UrgentReport = KeptReport & {number: number};
+type OtherReport = KeptReport & {evidence: ReportEvidence};
 
 /** The reports at the coordinator. */
 export class ReportRelay {
-	#urgent: UrgentReport[] = [];
-	#others = new Map<string, KeptReport>();
+	/** By key, the oldest first. */
+	#urgent = new Map<string, UrgentReport>();
+	#others = new Map<string, OtherReport>();
+	/** The others by feature, so that a report costs what it has in common with them. */
+	readonly #othersWith = new Map<string, Set<OtherReport>>();
 	/** By feature: the incarnations that ended with a request that had it. */
 	readonly #crashes = new Map<string, Set<string>>();
 	/** The features of urgent reports of crashes. */
 	readonly #urgentFeatures = new Set<string>();
 	#last = 0;
+	#forgottenAt = Number.NEGATIVE_INFINITY;
 
 	/** Keeps reports that a follower has sent. */
 	add(reports: readonly KeyedReport[], now: number): void {
 		this.#forget(now);
-		const before = this.#last;
 		for (const [key, content] of reports) {
-			if (!this.#others.has(key) && this.#urgent.every(kept => kept.key !== key)) {
+			if (!this.#others.has(key) && !this.#urgent.has(key)) {
 				this.#add({
 					key, content, evidence: evidenceOf(content), at: now,
 				});
 			}
 		}
 
-		if (this.#last > before) {
-			this.#makeOthersUrgent();
-		}
+		for (const report of this.#others.values()) {
+			if (this.#others.size <= maxOthers) {
+				break;
+			}
 
-		if (this.#others.size > maxOthers) {
-			this.#others = new Map([...this.#others].slice(-maxOthers));
+			this.#removeOther(report);
 		}
 
-		this.#urgent = this.#urgent.slice(-maxUrgent);
+		for (const key of this.#urgent.keys()) {
+			if (this.#urgent.size <= maxUrgent) {
+				break;
+			}
+
+			this.#urgent.delete(key);
+		}
 	}
 
 	/**
@@ -72,27 +85,32 @@
 	 * @returns The reports, and its new position.
 	 */
 	after(position: number, isUnwritten: (key: string) => boolean = () => true): {reports: KeyedReport[]; position: number} {
-		const reports = this.#urgent.filter(({key, number}) => number > position && isUnwritten(key)).map(({key, content}): KeyedReport => [key, content]);
+		const unsent = position < this.#last ? [...this.#urgent.values()] : [];
+		const reports = unsent.filter(({key, number}) => number > position && isUnwritten(key)).map(({key, content}): KeyedReport => [key, content]);
 		return {reports, position: this.#last};
 	}
 
 	#add(report: KeptReport): void {
 		const {evidence} = report;
-		if (evidence?.kind === 'crash') {
-			this.#noteCrash(evidence);
-		}
-
+		const common = evidence?.kind === 'crash' ? this.#noteCrash(evidence) : [];
 		if (evidence === undefined || this.#isUrgent(evidence)) {
 			this.#makeUrgent(report);
 		} else {
-			this.#others.set(report.key, report);
+			this.#addOther({...report, evidence});
 		}
+
+		this.#makeOthersUrgent('crash', common);
 	}
 
-	#noteCrash({incarnation = '', features}: ReportEvidence): void {
-		for (const feature of features) {
-			this.#crashes.set(feature, (this.#crashes.get(feature) ?? new Set()).add(incarnation));
-		}
+	/** Returns the features that had been present at no more than one crash. */
+	#noteCrash({incarnation = '', features}: ReportEvidence): string[] {
+		return features.filter(feature => {
+			const incarnations = this.#crashes.get(feature) ?? new Set();
+			this.#crashes.set(feature, incarnations);
+			const wasCommon = incarnations.size > 1;
+			incarnations.add(incarnation);
+			return !wasCommon && incarnations.size > 1;
+		});
 	}
 
 	#isUrgent({kind, features}: ReportEvidence): boolean {
@@ -101,54 +119,91 @@
 			: features.some(feature => this.#urgentFeatures.has(feature));
 	}
 
-	/** A report that has become urgent shares a feature with others, and answers may clear its other features. */
-	#makeOthersUrgent(): void {
-		for (const kind of ['crash', 'survival'] as const) {
-			for (const report of this.#others.values()) {
-				if (report.evidence?.kind === kind && this.#isUrgent(report.evidence)) {
-					this.#others.delete(report.key);
+	#makeOthersUrgent(kind: ReportEvidence['kind'], features: readonly string[]): void {
+		for (const feature of features) {
+			for (const report of this.#othersWith.get(feature) ?? []) {
+				if (report.evidence.kind === kind) {
+					this.#removeOther(report);
 					this.#makeUrgent(report);
 				}
 			}
 		}
 	}
 
+	/** A report of a crash that becomes urgent shares a feature with others, and answers may clear its other features. */
 	#makeUrgent(report: KeptReport): void {
 		this.#last++;
-		this.#urgent.push({...report, number: this.#last});
+		this.#urgent.set(report.key, {...report, number: this.#last});
 		if (report.evidence?.kind === 'crash') {
-			for (const feature of report.evidence.features) {
-				this.#urgentFeatures.add(feature);
+			this.#makeOthersUrgent('survival', this.#addUrgentFeatures(report.evidence));
+		}
+	}
+
+	/** Returns those features that no other urgent report has. */
+	#addUrgentFeatures({features}: ReportEvidence): string[] {
+		return features.filter(feature => {
+			const isNew = !this.#urgentFeatures.has(feature);
+			this.#urgentFeatures.add(feature);
+			return isNew;
+		});
+	}
+
+	#addOther(report: OtherReport): void {
+		this.#others.set(report.key, report);
+		for (const feature of report.evidence.features) {
+			this.#othersWith.set(feature, (this.#othersWith.get(feature) ?? new Set()).add(report));
+		}
+	}
+
+	#removeOther(report: OtherReport): void {
+		this.#others.delete(report.key);
+		for (const feature of report.evidence.features) {
+			const reports = this.#othersWith.get(feature);
+			reports?.delete(report);
+			if (reports?.size === 0) {
+				this.#othersWith.delete(feature);
 			}
 		}
 	}
 
 	#forget(now: number): void {
-		const isKept = ({at}: KeptReport): boolean => now - at < maxAgeMilliseconds;
-		const kept = [...this.#others.values()].filter(report => isKept(report));
-		const urgent = this.#urgent.filter(report => isKept(report));
-		if (kept.length === this.#others.size && urgent.length === this.#urgent.length) {
+		const isExpired = ({at}: KeptReport): boolean => now - at >= maxAgeMilliseconds;
+		const isDue = now - this.#forgottenAt >= forgetIntervalMilliseconds;
+		if (!isDue || !(hasExpired(this.#others, isExpired) || hasExpired(this.#urgent, isExpired))) {
 			return;
 		}
 
-		this.#others = new Map(kept.map(report => [report.key, report]));
-		this.#urgent = urgent;
+		this.#forgottenAt = now;
+		const others = [...this.#others.values()].filter(report => !isExpired(report));
+		this.#urgent = new Map([...this.#urgent].filter(([, report]) => !isExpired(report)));
+		this.#others = new Map();
+		this.#othersWith.clear();
 		this.#crashes.clear();
 		this.#urgentFeatures.clear();
-		for (const {evidence} of [...kept, ...urgent]) {
+		for (const report of others) {
+			this.#addOther(report);
+		}
+
+		for (const {evidence} of [...others, ...this.#urgent.values()]) {
 			if (evidence?.kind === 'crash') {
 				this.#noteCrash(evidence);
 			}
 		}
 
-		for (const {evidence} of urgent) {
-			for (const feature of evidence?.kind === 'crash' ? evidence.features : []) {
-				this.#urgentFeatures.add(feature);
+		for (const {evidence} of this.#urgent.values()) {
+			if (evidence?.kind === 'crash') {
+				this.#addUrgentFeatures(evidence);
 			}
 		}
 	}
 }
 
+/** Whether the first of the reports has expired. They are in the order in which they came, so no other has if it has not. */
+function hasExpired<Report>(reports: ReadonlyMap<string, Report>, isExpired: (report: Report) => boolean): boolean {
+	const [oldest] = reports.values();
+	return oldest !== undefined && isExpired(oldest);
+}
+
 /** The reports that a follower has sent over one connection. */
 export class SentReports {
 	readonly #keys = new Set<string>();
