--- a/src/gateway/data-path/answer-fields.ts
+++ b/src/gateway/data-path/answer-fields.ts
@@ -11,7 +11,7 @@
 export type AnswerFieldsResult = 'more' | 'valid' | 'invalid';
 
 /** A whole head of a final answer, as nearly all arrive in one piece. */
-const finalHead = /^HTTP\/1\.[01] [2-5]\d\d[^\r\n]*\r\n(?:[!#$%\&'*+\-.^_`\|~0-9A-Za-z]+:[^\r\n]*\r\n)*\r\n/v;
+const finalHead = /^HTTP\/1\.[01] [2-5]\d\d[^\r\n]*\r\n(?:[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+:[^\r\n]*\r\n)*\r\n/v;
 /** Heads of interest are shorter; a longer one is read line by line. */
 const usualHeadBytes = 2048;
 
