--- a/src/serving/field-names.test.ts
+++ b/src/serving/field-names.test.ts
@@ -4,7 +4,7 @@
 import {openSocket, readToEnd, statusOf} from '../test/raw-http.js';
 import {HttpListener} from './http-listener.js';
 
-test('a request with a field name that is no token is refused, and nothing behind it is taken for a request', async context => {
+test('a request with a field name that is no token is refused, and nothing that follows it is taken for a request', async context => {
 	// Guards against requests that are smuggled in a body whose length has a blank in its name.
 	const served: string[] = [];
 	const listener = new HttpListener('callers', (request, response) => {
